--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# VENV may name a folder that several checkouts share.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
+
+.PHONY: run check setup format lint test soak bench binary clean
+
+run: setup
+	$(BIN)/python -m rhubarbmount demo
+
+check: setup lint test
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	touch $@
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+test: setup
+	$(BIN)/python -m pytest
+
+binary: setup
+	$(BIN)/python -m shiv --output-file dist/rhubarbmount --console-script rhubarbmount --python "/usr/bin/env python3" --compressed . --requirement requirements.lock
+
+clean:
+	rm -rf dist build *.egg-info
--- /dev/null
+++ b/rhubarbmount/entries.py
@@ -0,0 +1,131 @@
+"""Catalogue entries: what teams write about their services, pools and jobs."""
+
+from enum import StrEnum
+from typing import Any
+
+import attrs
+import cattrs
+
+from rhubarbmount.registry import Registry
+
+__all__ = [
+    "Entry",
+    "JobTemplate",
+    "OutageChoice",
+    "Pool",
+    "Service",
+    "Team",
+    "WorkClass",
+    "converter",
+    "entry_key",
+    "entry_kinds",
+    "load_entry",
+    "dump_entry",
+]
+
+converter = cattrs.Converter(forbid_extra_keys=True)
+entry_kinds: Registry[type["Entry"]] = Registry("entry kind")
+
+
+class WorkClass(StrEnum):
+    """How work ranks when capacity is short."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
+    BATCH = "batch"
+
+
+class OutageChoice(StrEnum):
+    """What happens to keyed non-idempotent requests while the platform is out."""
+
+    REFUSE = "refuse"
+    HOME = "home"
+    UNPROTECTED = "unprotected"
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """What every entry has: a name, and the team that may edit it."""
+
+    name: str
+    owner: str
+
+
+@entry_kinds.register("team")
+@attrs.frozen(kw_only=True)
+class Team(Entry):
+    """A team and its quotas over all pools."""
+
+    processors_quota: int = 0
+    memory_quota_gb: int = 0
+    accelerators_quota: int = 0
+
+
+@entry_kinds.register("pool")
+@attrs.frozen(kw_only=True)
+class Pool(Entry):
+    """A set of hosts with one availability budget.
+
+    At most ``hosts_down_limit`` hosts and hosts in ``racks_down_limit`` racks may be
+    out of service at once, whatever the cause.
+    """
+
+    hosts_wanted: int
+    buffer_hosts: int = 0
+    hosts_down_limit: int = 1
+    racks_down_limit: int = 1
+    window_start_hour: int = 0
+    window_end_hour: int = 24
+    cadence_days: int = 28
+
+
+@entry_kinds.register("service")
+@attrs.frozen(kw_only=True)
+class Service(Entry):
+    """A service, the pool its backend servers run in, and its limits.
+
+    ``retry_share`` is the number of retries allowed per successful request.
+    """
+
+    pool: str
+    work_class: WorkClass = WorkClass.NORMAL
+    concurrency: int = 64
+    queue_length: int = 128
+    queue_timeout_ms: int = 1000
+    request_timeout_ms: int = 5000
+    retry_share: float = 0.1
+    outage_choice: OutageChoice = OutageChoice.REFUSE
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+
+
+@entry_kinds.register("job-template")
+@attrs.frozen(kw_only=True)
+class JobTemplate(Entry):
+    """The shape and class of a kind of job."""
+
+    team: str
+    pool: str
+    work_class: WorkClass = WorkClass.NORMAL
+    processors: float = 1.0
+    memory_gb: float = 1.0
+    accelerators: int = 0
+    run_time_s: float = 60.0
+
+
+def entry_key(kind: str, name: str) -> str:
+    """Return the key of an entry in the catalogue.
+
+    >>> entry_key("service", "quotes")
+    'service/quotes'
+    """
+    return f"{kind}/{name}"
+
+
+def load_entry(kind: str, values: dict[str, Any]) -> Entry:
+    """Build an entry from plain values, refusing unknown keys."""
+    return converter.structure(values, entry_kinds.get(kind))
+
+
+def dump_entry(entry: Entry) -> dict[str, Any]:
+    """Return the plain values of an entry."""
+    return converter.unstructure(entry)
--- /dev/null
+++ b/rhubarbmount/errors.py
@@ -0,0 +1,113 @@
+"""Exceptions with stable codes, and findings that carry their place."""
+
+import attrs
+
+__all__ = [
+    "AccessDenied",
+    "ConflictError",
+    "Finding",
+    "FindingsError",
+    "LeaseLost",
+    "NotFound",
+    "OutcomeUnknown",
+    "PlatformUnavailable",
+    "Refused",
+    "RhubarbmountError",
+    "UsageError",
+]
+
+
+class RhubarbmountError(Exception):
+    """Base of every error this project raises on purpose."""
+
+    code = "internal"
+    status = 500
+
+    def __init__(self, message: str, *, code: str | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        if code is not None:
+            self.code = code
+
+
+class UsageError(RhubarbmountError):
+    """A command was called in a way that can't work."""
+
+    code = "usage"
+    status = 400
+
+
+class NotFound(RhubarbmountError):
+    """The named thing does not exist."""
+
+    code = "not-found"
+    status = 404
+
+
+class AccessDenied(RhubarbmountError):
+    """The caller's token does not cover the entry."""
+
+    code = "access-denied"
+    status = 403
+
+
+class ConflictError(RhubarbmountError):
+    """Another writer changed the rows first."""
+
+    code = "conflict"
+    status = 409
+
+
+class Refused(RhubarbmountError):
+    """A rule forbids the act; nothing was done."""
+
+    code = "refused"
+    status = 409
+
+
+class LeaseLost(RhubarbmountError):
+    """The duty lease is no longer held."""
+
+    code = "lease-lost"
+    status = 503
+
+
+class PlatformUnavailable(RhubarbmountError):
+    """The platform can't be reached; the call had no effect."""
+
+    code = "platform-unavailable"
+    status = 503
+
+
+class OutcomeUnknown(RhubarbmountError):
+    """The call may or may not have taken effect."""
+
+    code = "outcome-unknown"
+    status = 503
+
+
+@attrs.frozen
+class Finding:
+    """A fault in a file or an entry, with its place.
+
+    >>> str(Finding("a.yaml:3", "unknown-key", "no key 'colour'"))
+    "a.yaml:3: unknown-key: no key 'colour'"
+    """
+
+    place: str
+    code: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.code}: {self.message}"
+
+
+class FindingsError(RhubarbmountError):
+    """A check found one or more faults."""
+
+    code = "findings"
+    status = 422
+
+    def __init__(self, findings: list[Finding]) -> None:
+        super().__init__("; ".join(str(finding) for finding in findings))
+        self.findings = findings
--- /dev/null
+++ b/rhubarbmount/log.py
@@ -0,0 +1,59 @@
+"""Logging of events as single lines of key=value pairs."""
+
+import json
+import logging
+import sys
+from typing import TextIO
+
+__all__ = ["configure", "event", "format_event"]
+
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,"
+)
+_SECRET_KEYS = frozenset({"token", "secret", "password", "secret_key"})
+
+
+def _format_value(value: object) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text and _PLAIN.issuperset(text):
+        return text
+    return json.dumps(text)
+
+
+def format_event(name: str, fields: dict[str, object]) -> str:
+    """Format an event as one line, whatever its values hold.
+
+    >>> format_event("route", {"service": "quotes", "reason": "two words"})
+    'event=route service=quotes reason="two words"'
+    >>> format_event("login", {"token": "abc"})
+    'event=login token=[hidden]'
+    """
+    parts = [f"event={name}"]
+    for key, value in fields.items():
+        shown = "[hidden]" if key in _SECRET_KEYS else _format_value(value)
+        parts.append(f"{key}={shown}")
+    return " ".join(parts)
+
+
+def event(
+    logger: logging.Logger, name: str, level: int = logging.INFO, **fields: object
+) -> None:
+    """Log one event when its level is enabled."""
+    if logger.isEnabledFor(level):
+        logger.log(level, "%s", format_event(name, fields))
+
+
+def configure(level: str, stream: TextIO | None = None) -> None:
+    """Send log lines of at least the level to the stream or standard error."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        logging.Formatter("time=%(asctime)s level=%(levelname)s %(message)s")
+    )
+    root = logging.getLogger("rhubarbmount")
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    root.propagate = False
--- /dev/null
+++ b/rhubarbmount/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes for the demo and the tests, with fault switches."""
