Serve a request end to end over separate processes

A caller's lodgement goes through an entry host, which reads the catalogue and hosts from the platform, to a backend server. Bodies are held whole within a limit: weighed against streaming, this makes it impossible that a cut answer reaches a caller looking complete, at the cost of memory bounded by body limit times concurrency. Programs in tests each get their own loopback address, so ports never collide.

--- /dev/null
+++ b/rhubarbmount/listener.py
@@ -0,0 +1,152 @@
+"""Accepts HTTP connections, hands requests to a handler, and stops gracefully."""
+
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.http import (
+    BadRequest,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    ServerConnection,
+)
+from rhubarbmount.problem import Outcome, problem
+
+__all__ = ["Handler", "Listener", "open_listener"]
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+logger = logging.getLogger(__name__)
+
+
+class AddressInUse(RhubarbmountError):
+    """The listening address can't be bound."""
+
+    code = "address-unavailable"
+
+
+@attrs.define(eq=False)
+class Listener:
+    """One listening socket and the connections it accepted."""
+
+    name: str
+    handler: Handler
+    limits: HttpLimits = attrs.field(factory=HttpLimits)
+    max_connections: int = 1024
+    port: int = 0
+    stopping: bool = False
+    cut_count: int = 0
+    _active_count: int = 0
+    _open_count: int = 0
+    _idle_scopes: set[trio.CancelScope] = attrs.field(factory=set)
+    _accept_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _all_closed: trio.Event = attrs.field(factory=trio.Event)
+    _nursery: trio.Nursery | None = None
+
+    async def run(
+        self,
+        address: str,
+        port: int,
+        task_status: Any = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until stopped. Raises AddressInUse."""
+        try:
+            listeners = await trio.open_tcp_listeners(port, host=address)
+        except OSError as error:
+            raise AddressInUse(f"can't listen on {address}:{port}: {error}") from None
+        self.port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            with self._accept_scope:
+                await trio.serve_listeners(self._serve, listeners)
+
+    async def stop(self, timeout_s: float) -> int:
+        """Finish the requests in flight; return how many the timeout cut."""
+        self.stopping = True
+        self._accept_scope.cancel()
+        for scope in list(self._idle_scopes):
+            scope.cancel()
+        if self._open_count:
+            with trio.move_on_after(timeout_s):
+                await self._all_closed.wait()
+        self.cut_count = self._active_count
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+        return self.cut_count
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self._open_count += 1
+        try:
+            async with stream:
+                await self._serve_connection(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            log.event(logger, "connection-broken", logging.DEBUG, listener=self.name)
+        finally:
+            self._open_count -= 1
+            if self.stopping and not self._open_count:
+                self._all_closed.set()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        connection = ServerConnection(stream, self.limits)
+        if self._open_count > self.max_connections:
+            message = "too many connections"
+            await connection.refuse(
+                problem(503, "connection-limit", message, Outcome.NOT_RUN, 1)
+            )
+            return
+        while await self._wait_for_request(connection):
+            self._active_count += 1
+            try:
+                if not await self._serve_request(connection):
+                    return
+            finally:
+                self._active_count -= 1
+
+    async def _wait_for_request(self, connection: ServerConnection) -> bool:
+        if self.stopping:
+            return False
+        with trio.CancelScope() as scope:
+            self._idle_scopes.add(scope)
+            try:
+                return await connection.wait_for_request()
+            finally:
+                self._idle_scopes.discard(scope)
+        return False
+
+    async def _serve_request(self, connection: ServerConnection) -> bool:
+        try:
+            request = await connection.receive()
+        except BadRequest as error:
+            answer = problem(error.status, error.code, error.message, Outcome.NOT_RUN)
+            await connection.refuse(answer)
+            return False
+        if request is None:
+            return False
+        response = await self._handle(request)
+        return await connection.send(response, close=self.stopping)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self.handler(request)
+        except Exception:
+            logger.exception("event=handler-failed listener=%s", self.name)
+            return problem(500, "internal", "an internal error", Outcome.UNKNOWN)
+
+
+@asynccontextmanager
+async def open_listener(
+    listener: Listener, address: str, port: int
+) -> AsyncIterator[Listener]:
+    """Run a listener for the length of the block."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(listener.run, address, port)
+        yield listener
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/rhubarbmount/platform/http.py
@@ -0,0 +1,145 @@
+"""The platform over HTTP and JSON."""
+
+import json
+from collections import deque
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import cattrs
+import trio
+
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.http import (
+    AnswerLost,
+    ClientConnection,
+    HttpRequest,
+    HttpResponse,
+    NotSent,
+    connect,
+)
+from rhubarbmount.platform.interface import (
+    HostCommand,
+    LiveHost,
+    Row,
+    TaskCommand,
+    Transaction,
+    TransactionResult,
+    platforms,
+)
+
+__all__ = ["HttpPlatform"]
+
+OBJECT_LIMIT_BYTES = 64 * 1048576
+
+_converter = cattrs.Converter()
+
+
+@platforms.register("http")
+@attrs.define(eq=False)
+class HttpPlatform:
+    """Call the platform; a connection carries one call at a time."""
+
+    address: str
+    timeout_s: float = 2.0
+    _idle: deque[ClientConnection] = attrs.field(factory=deque)
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return the row, or None."""
+        path = f"/tables/{quote(table, safe='')}/rows/{quote(key, safe='')}"
+        answer = await self._call("GET", path)
+        if answer.status == 404:
+            return None
+        return _converter.structure(_decode(answer), Row)
+
+    async def scan(self, table: str, prefix: str = "") -> list[Row]:
+        """Return the rows whose keys start with the prefix, in key order."""
+        path = f"/tables/{quote(table, safe='')}?prefix={quote(prefix, safe='')}"
+        answer = await self._call("GET", path)
+        return _converter.structure(_decode(answer), list[Row])
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Commit all writes together, or none of them."""
+        body = _converter.unstructure(transaction)
+        answer = await self._call("POST", "/transactions", _encode(body))
+        return _converter.structure(_decode(answer), TransactionResult)
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        await self._call("PUT", f"/objects/{quote(name, safe='')}", body)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return the object, or None."""
+        answer = await self._call("GET", f"/objects/{quote(name, safe='')}")
+        return None if answer.status == 404 else answer.body
+
+    async def live_hosts(self) -> list[LiveHost]:
+        """Return the lagging list of live and leaving hosts."""
+        answer = await self._call("GET", "/hosts")
+        return _converter.structure(_decode(answer), list[LiveHost])
+
+    async def command_host(self, command: HostCommand) -> None:
+        """Ask the platform to act on a host."""
+        body = _encode(_converter.unstructure(command))
+        await self._call("POST", "/host-commands", body)
+
+    async def command_task(self, command: TaskCommand) -> None:
+        """Ask the platform to act on a task."""
+        body = _encode(_converter.unstructure(command))
+        await self._call("POST", "/task-commands", body)
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
+        try:
+            with trio.fail_after(self.timeout_s):
+                connection = await self._connection()
+                answer = await self._exchange(connection, method, path, body)
+        except trio.TooSlowError:
+            raise _failure(method, "no answer in time") from None
+        except NotSent as error:
+            raise PlatformUnavailable(error.message) from None
+        except AnswerLost as error:
+            raise _failure(method, error.message) from None
+        if answer.status >= 500:
+            raise PlatformUnavailable(f"the platform answered {answer.status}")
+        return answer
+
+    async def _exchange(
+        self, connection: ClientConnection, method: str, path: str, body: bytes
+    ) -> HttpResponse:
+        headers = [(b"host", self.address.encode("ascii"))]
+        try:
+            return await connection.exchange(HttpRequest(method, path, headers, body))
+        finally:
+            if connection.reusable:
+                self._idle.append(connection)
+            else:
+                with trio.CancelScope(shield=True):
+                    await connection.aclose()
+
+    async def _connection(self) -> ClientConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.aclose()
+        host, port = self.address.rsplit(":", 1)
+        return await connect(host, int(port), self.timeout_s, OBJECT_LIMIT_BYTES)
+
+
+def _failure(method: str, message: str) -> PlatformUnavailable | OutcomeUnknown:
+    if method == "GET":
+        return PlatformUnavailable(message)
+    return OutcomeUnknown(message)
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode("utf-8")
+
+
+def _decode(answer: HttpResponse) -> Any:
+    return json.loads(answer.body)
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -1,11 +1,128 @@
 """The commands, as functions that other programs may call."""
 
+import sys
+from collections.abc import Callable
+from typing import Any
+
 from rhubarbmount import __version__
 
-__all__ = ["version"]
+__all__ = ["check", "commands", "serve", "standin_backend", "standin_platform"]
+
+
+def commands() -> dict[str, Any]:
+    """Return the commands by name; a nested mapping is a group."""
+    return {
+        "serve": serve,
+        "check": check,
+        "standin": {"platform": standin_platform, "backend": standin_backend},
+        "version": version,
+    }
 
 
 def version() -> int:
     """Print the version."""
     print(__version__)
     return 0
+
+
+def check(settings: str) -> int:
+    """Print every finding in a settings file.
+
+    :param settings: path of the YAML file
+    """
+    from rhubarbmount.settings import check_settings
+    from rhubarbmount.yamlfile import read_yaml
+
+    _built, findings = check_settings(read_yaml(settings))
+    for finding in findings:
+        print(finding, file=sys.stderr)
+    return 1 if findings else 0
+
+
+def serve(settings: str) -> int:
+    """Run one entry host until it is told to stop.
+
+    :param settings: path of the YAML file
+    """
+    from rhubarbmount import log
+    from rhubarbmount.server import EntryHost, open_platform, serve_until_signalled
+    from rhubarbmount.settings import load_settings
+
+    loaded = load_settings(settings)
+    log.configure(loaded.log.level)
+    host = EntryHost(loaded, open_platform(loaded.platform))
+    _run(serve_until_signalled, host)
+    return 0
+
+
+def standin_platform(
+    *, address: str = "127.0.0.1", port: int = 9000, seed: str | None = None
+) -> int:
+    """Run the stand-in for the platform.
+
+    :param address: IP address to listen on
+    :param port: port to listen on
+    :param seed: YAML file of hosts and entries to start with
+    """
+    from rhubarbmount import log
+    from rhubarbmount.standins.platform import PlatformStandin, read_seed
+
+    log.configure("info")
+    standin = PlatformStandin()
+    loaded = None if seed is None else read_seed(seed)
+
+    async def run() -> None:
+        if loaded is not None:
+            await standin.load(loaded)
+        await standin.run(address, port)
+
+    _run(run)
+    return 0
+
+
+def standin_backend(
+    *,
+    address: str = "127.0.0.1",
+    port: int = 9100,
+    host_id: str = "host-1",
+    slots: int = 8,
+    service_time_ms: float = 0.0,
+) -> int:
+    """Run the stand-in for a backend server.
+
+    :param address: IP address to listen on
+    :param port: port to listen on
+    :param host_id: the host's name in its answers
+    :param slots: how many requests it runs at once
+    :param service_time_ms: how long each request runs
+    """
+    from rhubarbmount import log
+    from rhubarbmount.standins.backend import BackendStandin
+
+    log.configure("info")
+    standin = BackendStandin(host_id, slots, service_time_ms / 1000)
+    _run(standin.run, address, port)
+    return 0
+
+
+def _run(task: Callable[..., Any], *arguments: Any) -> Any:
+    """Run a trio program; raise the one error that ended it as itself."""
+    import trio
+
+    from rhubarbmount.errors import RhubarbmountError
+
+    try:
+        return trio.run(task, *arguments)
+    except BaseExceptionGroup as group:
+        for error in _leaves(group):
+            if isinstance(error, RhubarbmountError | KeyboardInterrupt):
+                raise error from None
+        raise
+
+
+def _leaves(group: BaseExceptionGroup) -> Any:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
--- /dev/null
+++ b/rhubarbmount/problem.py
@@ -0,0 +1,54 @@
+"""The system's own answers: problem+json with a code and the request's outcome."""
+
+import json
+import math
+from enum import StrEnum
+
+from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.http import HttpResponse
+
+__all__ = ["OUTCOME_HEADER", "Outcome", "from_error", "json_response", "problem"]
+
+OUTCOME_HEADER = b"rhubarbmount-outcome"
+
+
+class Outcome(StrEnum):
+    """What became of a request."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+def problem(
+    status: int,
+    code: str,
+    message: str,
+    outcome: Outcome | None = None,
+    retry_after_s: float | None = None,
+) -> HttpResponse:
+    """Build an error answer.
+
+    >>> problem(503, "queue-full", "try later", Outcome.NOT_RUN, 0.2).headers[-1]
+    (b'retry-after', b'1')
+    """
+    body: dict[str, object] = {"status": status, "code": code, "detail": message}
+    headers = [(b"content-type", b"application/problem+json")]
+    if outcome is not None:
+        body["outcome"] = outcome.value
+        headers.append((OUTCOME_HEADER, outcome.value.encode("ascii")))
+    if retry_after_s is not None:
+        seconds = max(1, math.ceil(retry_after_s))
+        headers.append((b"retry-after", b"%d" % seconds))
+    return HttpResponse(status, headers, json.dumps(body).encode("utf-8"))
+
+
+def from_error(error: RhubarbmountError, outcome: Outcome) -> HttpResponse:
+    """Build the answer for an error."""
+    return problem(error.status, error.code, error.message, outcome)
+
+
+def json_response(value: object, status: int = 200) -> HttpResponse:
+    """Build a JSON answer."""
+    body = json.dumps(value).encode("utf-8")
+    return HttpResponse(status, [(b"content-type", b"application/json")], body)
--- /dev/null
+++ b/rhubarbmount/settings.py
@@ -0,0 +1,123 @@
+"""The settings of one entry host, read from YAML and checked."""
+
+import attrs
+
+from rhubarbmount.errors import Finding, FindingsError
+from rhubarbmount.http import HttpLimits
+from rhubarbmount.structure import structure
+from rhubarbmount.yamlfile import YamlFile, read_yaml
+
+__all__ = [
+    "Endpoint",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "Weights",
+    "check_settings",
+    "load_settings",
+]
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+@attrs.frozen(kw_only=True)
+class Endpoint:
+    """An IP address and port to listen on; port 0 takes a free one."""
+
+    address: str
+    port: int
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """Which adapter reaches the platform, and where."""
+
+    adapter: str = "http"
+    address: str = "127.0.0.1:9000"
+    timeout_s: float = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class PeerSettings:
+    """Where this host listens for peers, whom it calls first, and the keys."""
+
+    address: str
+    port: int
+    peers: tuple[str, ...] = ()
+    public_key: str = ""
+    secret_key: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class LogSettings:
+    """How much is logged and where; the destination is a file or ``stderr``."""
+
+    level: str = "info"
+    destination: str = "stderr"
+
+
+@attrs.frozen(kw_only=True)
+class Weights:
+    """How much each measure counts when maintenance is planned."""
+
+    roll_out_time: float = 1.0
+    buffer_hosts: float = 1.0
+    host_moves: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Everything that one entry host is told at its start.
+
+    ``owners_by_token`` maps an operator's token to the owners it speaks for.
+    """
+
+    instance: str
+    data_centre: str
+    callers: Endpoint
+    operators: Endpoint
+    metrics: Endpoint
+    peers: PeerSettings | None = None
+    platform: PlatformSettings = attrs.field(factory=PlatformSettings)
+    http: HttpLimits = attrs.field(factory=HttpLimits)
+    max_connections: int = 1024
+    stop_timeout_s: float = 30.0
+    log: LogSettings = attrs.field(factory=LogSettings)
+    weights: Weights = attrs.field(factory=Weights)
+    owners_by_token: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+
+
+def check_settings(file: YamlFile) -> tuple[Settings | None, list[Finding]]:
+    """Return the settings and every finding."""
+    settings, faults = structure(file.values, Settings)
+    findings = [
+        Finding(file.place(fault.path), fault.code, fault.message) for fault in faults
+    ]
+    if settings is not None:
+        findings.extend(_check_values(file, settings))
+    return settings, findings
+
+
+def load_settings(name: str) -> Settings:
+    """Read settings from a file. Raises FindingsError."""
+    settings, findings = check_settings(read_yaml(name))
+    if settings is None or findings:
+        raise FindingsError(findings)
+    return settings
+
+
+def _check_values(file: YamlFile, settings: Settings) -> list[Finding]:
+    findings = []
+    for name in ("callers", "operators", "metrics"):
+        port = getattr(settings, name).port
+        if not 0 <= port <= 65535:
+            message = f"port {port} is not between 0 and 65535"
+            findings.append(Finding(file.place((name, "port")), "bad-value", message))
+    if settings.stop_timeout_s <= 0:
+        place = file.place(("stop_timeout_s",))
+        findings.append(Finding(place, "bad-value", "must be above 0"))
+    if settings.log.level not in LOG_LEVELS:
+        message = f"{settings.log.level!r} is not one of {', '.join(LOG_LEVELS)}"
+        findings.append(Finding(file.place(("log", "level")), "bad-value", message))
+    return findings
--- /dev/null
+++ b/rhubarbmount/standins/platform.py
@@ -0,0 +1,201 @@
+"""A stand-in for the platform, served over HTTP, with fault switches."""
+
+import logging
+from typing import Any
+
+import attrs
+import cattrs
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.errors import Finding, FindingsError
+from rhubarbmount.hosts import HOSTS_TABLE, dump_host
+from rhubarbmount.http import HttpLimits, HttpRequest, HttpResponse
+from rhubarbmount.listener import Listener
+from rhubarbmount.platform.http import OBJECT_LIMIT_BYTES
+from rhubarbmount.platform.interface import (
+    HostCommand,
+    LiveHost,
+    TaskCommand,
+    Transaction,
+    Write,
+)
+from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.problem import json_response, problem
+from rhubarbmount.router import Call, Router
+from rhubarbmount.standins.seed import Seed
+
+__all__ = ["PlatformFaults", "PlatformStandin"]
+
+logger = logging.getLogger(__name__)
+_converter = cattrs.Converter()
+
+
+@attrs.define
+class PlatformFaults:
+    """What the stand-in does wrong; each switch stays until it is set again.
+
+    ``lost_answers`` is the number of coming writes that take effect and whose answer
+    is lost.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lost_answers: int = 0
+    host_list_lag_s: float = 0.0
+    reboot_s: float = 0.5
+
+
+@attrs.define(eq=False)
+class PlatformStandin:
+    """Tables, objects and hosts in memory, behind HTTP."""
+
+    memory: MemoryPlatform = attrs.field(factory=MemoryPlatform)
+    faults: PlatformFaults = attrs.field(factory=PlatformFaults)
+    call_count: int = 0
+    _nursery: trio.Nursery | None = None
+    _listed: list[LiveHost] = attrs.field(factory=list)
+    _router: Router = attrs.field(factory=Router)
+
+    def __attrs_post_init__(self) -> None:
+        self.memory.on_host_command = self._start_host_command
+        routes: tuple[tuple[str, str, Any], ...] = (
+            ("GET", "/tables/*/rows/*", self._read),
+            ("GET", "/tables/*", self._scan),
+            ("POST", "/transactions", self._transact),
+            ("PUT", "/objects/*", self._put_object),
+            ("GET", "/objects/*", self._get_object),
+            ("GET", "/hosts", self._live_hosts),
+            ("POST", "/host-commands", self._command_host),
+            ("POST", "/task-commands", self._command_task),
+        )
+        for method, path, handler in routes:
+            self._router.add(method, path, handler)
+
+    async def load(self, seed: Seed) -> None:
+        """Write the rows of a seed file."""
+        for host in seed.hosts:
+            self.memory.hosts.append(LiveHost(host.host_id))
+            write = Write(HOSTS_TABLE, host.host_id, dump_host(host))
+            await self.memory.transact(Transaction(host.host_id, (), (write,)))
+        for transaction in seed.transactions():
+            await self.memory.transact(transaction)
+        for name, body in seed.objects().items():
+            await self.memory.put_object(name, body)
+        self._listed = list(self.memory.hosts)
+
+    async def run(
+        self, address: str, port: int, task_status: Any = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        limits = HttpLimits(body_bytes=OBJECT_LIMIT_BYTES)
+        listener = Listener("platform", self.handle, limits)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(listener.run, address, port)
+            task_status.started(listener.port)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call, with the faults that are switched on."""
+        if request.target == "/control":
+            return self._control(request)
+        self.call_count += 1
+        if self.faults.down:
+            return problem(503, "down", "the platform is down")
+        if self.faults.delay_s:
+            await trio.sleep(self.faults.delay_s)
+        answer = await self._router.handle(request)
+        if request.method == "POST" and self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            await trio.sleep_forever()
+        return answer
+
+    def _control(self, request: HttpRequest) -> HttpResponse:
+        if request.method == "POST":
+            changes = Call(request, (), {}).json()
+            try:
+                self.faults = attrs.evolve(self.faults, **changes)
+            except TypeError as error:
+                return problem(400, "unknown-fault", str(error))
+            log.event(logger, "faults", **changes)
+        state = attrs.asdict(self.faults) | {"calls": self.call_count}
+        return json_response(state)
+
+    async def _read(self, call: Call) -> HttpResponse:
+        row = await self.memory.read(call.parts[1], call.parts[3])
+        if row is None:
+            return problem(404, "no-row", "no such row")
+        return json_response(attrs.asdict(row))
+
+    async def _scan(self, call: Call) -> HttpResponse:
+        rows = await self.memory.scan(call.parts[1], call.query.get("prefix", ""))
+        return json_response([attrs.asdict(row) for row in rows])
+
+    async def _transact(self, call: Call) -> HttpResponse:
+        transaction = _converter.structure(call.json(), Transaction)
+        result = await self.memory.transact(transaction)
+        return json_response(attrs.asdict(result))
+
+    async def _put_object(self, call: Call) -> HttpResponse:
+        await self.memory.put_object(call.parts[1], call.request.body)
+        return json_response({})
+
+    async def _get_object(self, call: Call) -> HttpResponse:
+        body = await self.memory.get_object(call.parts[1])
+        if body is None:
+            return problem(404, "no-object", "no such object")
+        return HttpResponse(200, [(b"content-type", b"application/octet-stream")], body)
+
+    async def _live_hosts(self, call: Call) -> HttpResponse:
+        hosts = self._listed if self.faults.host_list_lag_s else self.memory.hosts
+        return json_response([attrs.asdict(host) for host in hosts])
+
+    async def _command_host(self, call: Call) -> HttpResponse:
+        command = _converter.structure(call.json(), HostCommand)
+        await self.memory.command_host(command)
+        return json_response({})
+
+    async def _command_task(self, call: Call) -> HttpResponse:
+        command = _converter.structure(call.json(), TaskCommand)
+        await self.memory.command_task(command)
+        return json_response({})
+
+    def _start_host_command(self, command: HostCommand) -> None:
+        log.event(logger, "host-command", host=command.host_id, action=command.action)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._run_host_command, command)
+
+    async def _run_host_command(self, command: HostCommand) -> None:
+        await self._list(command.host_id, leaving=True)
+        if command.action == "drain":
+            return
+        await trio.sleep(self.faults.reboot_s)
+        self.memory.hosts = [
+            host for host in self.memory.hosts if host.host_id != command.host_id
+        ]
+        if command.action == "reboot":
+            await trio.sleep(self.faults.reboot_s)
+            await self._list(command.host_id, leaving=False)
+
+    async def _list(self, host_id: str, leaving: bool) -> None:
+        others = [host for host in self.memory.hosts if host.host_id != host_id]
+        self.memory.hosts = [*others, LiveHost(host_id, leaving)]
+        await trio.sleep(self.faults.host_list_lag_s)
+        self._listed = list(self.memory.hosts)
+
+
+def read_seed(name: str) -> Seed:
+    """Read a seed file. Raises FindingsError."""
+    from rhubarbmount.structure import structure
+    from rhubarbmount.yamlfile import read_yaml
+
+    file = read_yaml(name)
+    seed, faults = structure(file.values, Seed)
+    if faults:
+        raise FindingsError(
+            [
+                Finding(file.place(fault.path), fault.code, fault.message)
+                for fault in faults
+            ]
+        )
+    return seed
--- /dev/null
+++ b/rhubarbmount/yamlfile.py
@@ -0,0 +1,66 @@
+"""YAML files whose values know their line."""
+
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+from rhubarbmount.errors import Finding, FindingsError
+
+__all__ = ["YamlFile", "read_yaml"]
+
+Path_ = tuple[str | int, ...]
+
+
+@attrs.frozen
+class YamlFile:
+    """The values of a file, and the line of each by its path."""
+
+    name: str
+    values: Any
+    line_by_path: dict[Path_, int]
+
+    def place(self, path: Path_) -> str:
+        """Return ``file:line`` of the value, or of its nearest parent."""
+        while path not in self.line_by_path and path:
+            path = path[:-1]
+        return f"{self.name}:{self.line_by_path.get(path, 1)}"
+
+
+def read_yaml(name: str) -> YamlFile:
+    """Read a file. Raises FindingsError when it can't be read or is not YAML."""
+    try:
+        text = Path(name).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        raise FindingsError([Finding(name, "unreadable", reason)]) from None
+    return parse_yaml(name, text)
+
+
+def parse_yaml(name: str, text: str) -> YamlFile:
+    """Parse the text of a file. Raises FindingsError."""
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        values = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        problem = getattr(error, "problem", None) or str(error)
+        raise FindingsError([Finding(f"{name}:{line}", "not-yaml", problem)]) from None
+    lines: dict[Path_, int] = {(): 1}
+    if node is not None:
+        _collect_lines(node, (), lines)
+    return YamlFile(name, values, lines)
+
+
+def _collect_lines(node: yaml.Node, path: Path_, lines: dict[Path_, int]) -> None:
+    lines.setdefault(path, node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        for key_node, value_node in node.value:
+            child = (*path, str(key_node.value))
+            lines[child] = key_node.start_mark.line + 1
+            _collect_lines(value_node, child, lines)
+    elif isinstance(node, yaml.SequenceNode):
+        for index, item_node in enumerate(node.value):
+            _collect_lines(item_node, (*path, index), lines)
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,290 @@
+"""Starts the real program and its stand-ins as separate processes on loopback."""
+
+import http.client
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import attrs
+import yaml
+
+from tests.relay import Relay
+
+ROOT = Path(__file__).resolve().parent.parent
+CALLERS_PORT = 8080
+OPERATORS_PORT = 8081
+METRICS_PORT = 8082
+PEERS_PORT = 8083
+PLATFORM_PORT = 9000
+BACKEND_PORT = 9100
+RESERVATION_PORT = 9999
+START_TIMEOUT_S = 15.0
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got; status 0 means that the connection failed."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    latency_s: float
+
+    @property
+    def outcome(self) -> str:
+        return self.headers.get("rhubarbmount-outcome", "")
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def call(address, port, method, path, headers=None, body=None, timeout_s=15.0):
+    """Send one request on a connection of its own."""
+    started = time.monotonic()
+    connection = http.client.HTTPConnection(address, port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        data = response.read()
+    except (OSError, http.client.HTTPException) as error:
+        return Answer(0, {}, str(error).encode(), time.monotonic() - started)
+    finally:
+        connection.close()
+    fields = {key.lower(): value for key, value in response.getheaders()}
+    return Answer(response.status, fields, data, time.monotonic() - started)
+
+
+def wait_until(condition, timeout_s, what="condition"):
+    """Poll a condition until it holds; fail after the timeout."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+class Program:
+    """One process of the program, with its log in a file."""
+
+    def __init__(self, name, address, arguments, folder):
+        self.name = name
+        self.address = address
+        self.log_path = folder / f"{name}.log"
+        self._arguments = arguments
+        self.start()
+
+    def start(self):
+        environment = dict(os.environ, PYTHONPATH=str(ROOT))
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "rhubarbmount", *self._arguments],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def log(self):
+        return self.log_path.read_text(encoding="utf-8")
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def freeze(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def end(self):
+        if self.process.poll() is None:
+            self.resume()
+            self.kill()
+
+
+class Deployment:
+    """A platform, backend servers and entry hosts, each at its own address.
+
+    Seeds take effect when the platform starts: name hosts and entries before.
+    """
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.hosts = []
+        self.entries = {"team": [], "pool": [], "service": []}
+        self.owners_by_token = {"admin-token": ["admin", "firm"]}
+        self.extra_settings = {}
+        self.platform = None
+        self.backend_by_name = {}
+        self.entry_host_by_name = {}
+        self.relay_by_name = {}
+        self._settings_by_name = {}
+        self._reserve_block()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        for relay in self.relay_by_name.values():
+            relay.close()
+        programs = [*self.entry_host_by_name.values(), *self.backend_by_name.values()]
+        for program in [*programs, self.platform]:
+            if program is not None:
+                program.end()
+        self._reservation.close()
+
+    def _reserve_block(self):
+        for number in itertools.count(os.getpid()):
+            block = f"127.{10 + number % 200}.{number // 200 % 250}"
+            self._reservation = socket.socket()
+            try:
+                self._reservation.bind((f"{block}.1", RESERVATION_PORT))
+            except OSError:
+                self._reservation.close()
+                continue
+            self._block = block
+            self._next_address = itertools.count(2)
+            return
+
+    def new_address(self):
+        return f"{self._block}.{next(self._next_address)}"
+
+    def add_pool(self, name, owner="firm", **values):
+        entry = {"name": name, "owner": owner, "hosts_wanted": 0} | values
+        self.entries["pool"].append(entry)
+        if not any(team["name"] == owner for team in self.entries["team"]):
+            team = {"name": owner, "owner": "admin"}
+            self.entries["team"].append(team)
+
+    def add_service(self, name, owner="firm", **values):
+        entry = {"name": name, "owner": owner, "pool": name} | values
+        self.entries["service"].append(entry)
+
+    def add_backend(self, name, pool, data_centre, rack="rack-1", slots=8, start=True):
+        address = self.new_address()
+        self.hosts.append(
+            {
+                "host_id": name,
+                "pool": pool,
+                "data_centre": data_centre,
+                "rack": rack,
+                "address": f"{address}:{BACKEND_PORT}",
+                "shape": {"processors": 32, "memory_gb": 64},
+                "slots": slots,
+            }
+        )
+        for entry in self.entries["pool"]:
+            if entry["name"] == pool:
+                entry["hosts_wanted"] += 1
+        if start:
+            self.start_backend(name, address, slots)
+
+    def start_backend(self, name, address, slots=8):
+        arguments = ["standin", "backend", f"--address={address}"]
+        arguments += [f"--port={BACKEND_PORT}", f"--host-id={name}", f"--slots={slots}"]
+        self.backend_by_name[name] = Program(name, address, arguments, self.folder)
+
+    def start_platform(self):
+        seed = self.folder / "seed.yaml"
+        seed.write_text(yaml.safe_dump({"hosts": self.hosts, "entries": self.entries}))
+        address = self.new_address()
+        arguments = ["standin", "platform", f"--address={address}", f"--seed={seed}"]
+        self.platform = Program("platform", address, arguments, self.folder)
+        self.wait_for_port(address, PLATFORM_PORT)
+        for program in self.backend_by_name.values():
+            self.wait_for_port(program.address, BACKEND_PORT)
+
+    def wait_for_port(self, address, port):
+        def answers():
+            with suppress(OSError):
+                socket.create_connection((address, port), timeout=1).close()
+                return True
+
+        wait_until(answers, START_TIMEOUT_S, f"{address}:{port} listens")
+
+    def add_relay(self, name, target):
+        """Return the address of a relay to the target."""
+        address = self.new_address()
+        self.relay_by_name[name] = Relay((address, target[1]), target)
+        return address
+
+    def start_entry_host(self, name, data_centre, peers=(), ready=True):
+        """Start an entry host that reaches the platform through its own relay."""
+        address = self.new_address()
+        platform = self.add_relay(
+            f"{name}-platform", (self.platform.address, PLATFORM_PORT)
+        )
+        settings = {
+            "instance": name,
+            "data_centre": data_centre,
+            "callers": {"address": address, "port": CALLERS_PORT},
+            "operators": {"address": address, "port": OPERATORS_PORT},
+            "metrics": {"address": address, "port": METRICS_PORT},
+            "platform": {"address": f"{platform}:{PLATFORM_PORT}"},
+            "owners_by_token": self.owners_by_token,
+            "stop_timeout_s": 10,
+        } | self.extra_settings
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        program = Program(name, address, ["serve", str(path)], self.folder)
+        self.entry_host_by_name[name] = program
+        if ready:
+            self.wait_ready(name)
+
+    def wait_ready(self, name):
+        address = self.entry_host_by_name[name].address
+
+        def is_ready():
+            return call(address, METRICS_PORT, "GET", "/readyz", timeout_s=2)
+
+        wait_until(
+            lambda: is_ready().status == 200, START_TIMEOUT_S, f"{name} is ready"
+        )
+
+    def request(self, entry_host, method, target, headers=None, body=None, **options):
+        """Send a caller's request to an entry host."""
+        address = self.entry_host_by_name[entry_host].address
+        return call(address, CALLERS_PORT, method, target, headers, body, **options)
+
+    def operate(self, entry_host, method, path, value=None, token="admin-token"):
+        """Send an operator's request to an entry host."""
+        address = self.entry_host_by_name[entry_host].address
+        headers = {"authorization": f"Bearer {token}"}
+        body = None if value is None else json.dumps(value)
+        return call(address, OPERATORS_PORT, method, path, headers, body)
+
+    def set_backend(self, name, **faults):
+        """Turn fault switches of a backend server; return its state."""
+        address = self.backend_by_name[name].address
+        body = json.dumps(faults)
+        return call(address, BACKEND_PORT, "POST", "/control", body=body).json()
+
+    def set_platform(self, **faults):
+        """Turn fault switches of the platform; return its state."""
+        body = json.dumps(faults)
+        address = self.platform.address
+        return call(address, PLATFORM_PORT, "POST", "/control", body=body).json()
+
+    def backend_state(self, name):
+        """Return what a backend server ran."""
+        return self.set_backend(name)
+
+    def run_count(self, request_id):
+        """Return how often all backend servers together ran a request."""
+        return sum(
+            self.backend_state(name)["ran"].get(request_id, 0)
+            for name in self.backend_by_name
+        )
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,83 @@
+"""A small TCP relay that can cut, stall or pass one way."""
+
+import socket
+import threading
+from contextlib import suppress
+
+CHUNK_BYTES = 65536
+
+
+class Relay:
+    """Pass connections from one address to another until told otherwise.
+
+    ``pass_forward`` and ``pass_back`` switch the two directions; bytes of a direction
+    that is off are held, as on a network that loses every packet.
+    """
+
+    def __init__(self, listen: tuple[str, int], target: tuple[str, int]) -> None:
+        self.target = target
+        self.pass_forward = threading.Event()
+        self.pass_back = threading.Event()
+        self._sockets: set[socket.socket] = set()
+        self._closed = False
+        self._listener = socket.create_server(listen)
+        self.heal()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self, forward: bool = True, back: bool = True) -> None:
+        """Stop passing bytes in the directions named."""
+        if forward:
+            self.pass_forward.clear()
+        if back:
+            self.pass_back.clear()
+
+    def heal(self) -> None:
+        """Pass bytes again, those held first."""
+        self.pass_forward.set()
+        self.pass_back.set()
+
+    def close(self) -> None:
+        """End every connection and stop accepting."""
+        self._closed = True
+        self.heal()
+        self._listener.close()
+        for connection in list(self._sockets):
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                client, _address = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._join, args=(client,), daemon=True).start()
+
+    def _join(self, client: socket.socket) -> None:
+        self.pass_forward.wait()
+        try:
+            server = socket.create_connection(self.target, timeout=5)
+        except OSError:
+            client.close()
+            return
+        server.settimeout(None)
+        self._sockets |= {client, server}
+        back = threading.Thread(
+            target=self._pump, args=(server, client, self.pass_back), daemon=True
+        )
+        back.start()
+        self._pump(client, server, self.pass_forward)
+        back.join()
+        self._sockets -= {client, server}
+        client.close()
+        server.close()
+
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, gate: threading.Event
+    ) -> None:
+        with suppress(OSError):
+            while data := source.recv(CHUNK_BYTES):
+                gate.wait()
+                sink.sendall(data)
+        with suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/tests/scenarios/test_path.py
@@ -0,0 +1,5 @@
+"""The whole path."""
+
+from pytest_bdd import scenarios
+
+scenarios("path.feature")
