Prove the HTTP rim: bad input, broken answers, graceful stop

Two faults found by the new tests, each failing first. A stop cancelled the requests in flight, because the accept loop ran connections inside its own scope (test_a_stop_finishes_the_request_in_flight: answer was empty); they now run in the listener's nursery. Headers over the limit that arrived in one read were accepted, since h11 bounds only what it buffers; the parsed head is now measured too.

--- a/rhubarbmount/http.py
+++ b/rhubarbmount/http.py
@@ -155,9 +155,11 @@
     async def _receive_head(self) -> h11.Request | None:
         with trio.move_on_after(self.limits.header_timeout_s):
             event = await self._next_event()
-            if isinstance(event, h11.Request):
-                return event
-            return None
+            if not isinstance(event, h11.Request):
+                return None
+            if _head_size_bytes(event) > self.limits.header_bytes:
+                raise BadRequest("the headers are too large", 431, "headers-too-large")
+            return event
         raise BadRequest("the headers took too long", 408, "header-timeout")
 
     async def _receive_body(self) -> bytes:
@@ -223,6 +225,11 @@
             return b""
 
 
+def _head_size_bytes(head: h11.Request) -> int:
+    fields = sum(len(key) + len(value) + 4 for key, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
 def _bad_request_code(status: int) -> str:
     if status == 431:
         return "headers-too-large"
--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -66,7 +66,9 @@
             self._nursery = nursery
             task_status.started()
             with self._accept_scope:
-                await trio.serve_listeners(self._serve, listeners)
+                await trio.serve_listeners(
+                    self._serve, listeners, handler_nursery=nursery
+                )
 
     async def stop(self, timeout_s: float) -> int:
         """Finish the requests in flight; return how many the timeout cut."""
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,103 @@
+"""Answers from backend servers that are cut, surplus, too large or broken."""
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.backends import BackendConnections
+from rhubarbmount.http import AnswerLost, HttpRequest, NotSent
+
+REQUEST = HttpRequest("POST", "/x", [(b"host", b"a")], b"body")
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+async def exchange_with(answers):
+    """Exchange one request per answer with a server that sends these bytes."""
+    results = []
+    remaining = list(answers)
+
+    async def serve(stream):
+        async with stream:
+            while remaining:
+                if not await stream.receive_some():
+                    return
+                data = remaining.pop(0)
+                await stream.send_all(data)
+                if data != WHOLE:
+                    await trio.sleep(0.01)
+                    return
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        port = listeners[0].socket.getsockname()[1]
+        connections = BackendConnections(body_bytes=100)
+        for _ in answers:
+            try:
+                with trio.fail_after(5):
+                    answer = await connections.exchange(f"127.0.0.1:{port}", REQUEST)
+                results.append(answer.body)
+            except AnswerLost:
+                results.append(None)
+        await connections.aclose()
+        nursery.cancel_scope.cancel()
+    return results
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\npart",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n" + b"x" * 101,
+        b"nonsense\r\n\r\n",
+    ],
+)
+async def test_a_broken_answer_is_lost_and_the_next_is_whole(broken):
+    assert await exchange_with([broken, WHOLE]) == [None, b"ok"]
+
+
+async def test_a_surplus_answer_never_reaches_the_next_request():
+    surplus = WHOLE + b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong"
+    assert await exchange_with([surplus, WHOLE]) == [b"ok", b"ok"]
+
+
+async def test_an_answer_that_comes_after_the_timeout_reaches_nobody():
+    received = trio.Event()
+
+    async def serve(stream):
+        async with stream:
+            data = await stream.receive_some()
+            if b"/late" in data:
+                received.set()
+                await trio.sleep(0.3)
+                await stream.send_all(WHOLE.replace(b"ok", b"NO"))
+                return
+            await stream.send_all(WHOLE)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        connections = BackendConnections()
+        late = HttpRequest("GET", "/late", [(b"host", b"a")])
+        with pytest.raises(trio.TooSlowError), trio.fail_after(0.1):
+            await connections.exchange(address, late)
+        await trio.sleep(0.3)
+        answer = await connections.exchange(address, REQUEST)
+        assert answer.body == b"ok"
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_refused_connection_is_known_not_to_have_sent_anything():
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    await listeners[0].aclose()
+    with pytest.raises(NotSent):
+        await BackendConnections().exchange(f"127.0.0.1:{port}", REQUEST)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=100)
+@given(st.integers(0, len(WHOLE) - 1))
+def test_no_prefix_of_an_answer_counts_as_the_answer(cut):
+    assert trio.run(exchange_with, [WHOLE[:cut], WHOLE]) == [None, b"ok"]
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,137 @@
+"""Broken, oversized, slow and pipelined requests, and the graceful stop."""
+
+from contextlib import suppress
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.http import HttpLimits, HttpResponse
+from rhubarbmount.listener import Listener, open_listener
+
+LIMITS = HttpLimits(
+    header_bytes=1024, body_bytes=100, header_timeout_s=0.3, body_timeout_s=0.3
+)
+
+
+async def echo(request):
+    await trio.sleep(0.2 if request.target == "/slow" else 0)
+    return HttpResponse(200, [], request.target.encode() + b" " + request.body)
+
+
+async def talk(port, data, pause_s=0.0, pieces=1):
+    """Send bytes, in pieces, and return all that comes back."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        size = max(1, len(data) // pieces)
+        with suppress(trio.BrokenResourceError):
+            for start in range(0, len(data), size):
+                await stream.send_all(data[start : start + size])
+                await trio.sleep(pause_s)
+            await stream.send_eof()
+        received = b""
+        while chunk := await stream.receive_some():
+            received += chunk
+        return received
+
+
+BAD_REQUESTS = {
+    "not http": (b"hello\r\n\r\n", b"400"),
+    "two lengths": (
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+        b"400",
+    ),
+    "no host": (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+    "large headers": (
+        b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 4096 + b"\r\n\r\n",
+        b"431",
+    ),
+    "large body": (
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\n\r\n" + b"z" * 101,
+        b"413",
+    ),
+    "large chunked body": (
+        b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"65\r\n" + b"z" * 101 + b"\r\n0\r\n\r\n",
+        b"413",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD_REQUESTS)
+async def test_a_bad_request_gets_its_status_and_is_said_not_run(name):
+    data, status = BAD_REQUESTS[name]
+    async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
+        answer = await talk(listener.port, data)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert b"rhubarbmount-outcome: not-run" in answer
+
+
+async def test_slow_headers_and_a_slow_body_time_out():
+    async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
+        head = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+        assert b" 408 " in await talk(listener.port, head, 0.1, pieces=10)
+        body = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\n"
+        assert b" 408 " in await talk(listener.port, body, 0.5, pieces=1)
+
+
+async def test_pipelined_requests_get_their_own_answers_in_order():
+    data = b"".join(
+        b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n" % number for number in range(5)
+    )
+    async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
+        answer = await talk(listener.port, data)
+    order = [answer.index(b"/%d " % number) for number in range(5)]
+    assert order == sorted(order)
+    assert answer.count(b"HTTP/1.1 200") == 5
+
+
+async def test_a_slow_neighbour_does_not_delay_others():
+    async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(talk, listener.port, b"GET / HT", 0.1, 4)
+            with trio.fail_after(0.2):
+                good = b"GET /good HTTP/1.1\r\nhost: a\r\n\r\n"
+                assert b" 200 " in await talk(listener.port, good)
+
+
+async def test_a_stop_finishes_the_request_in_flight_and_ends_idle_connections():
+    async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
+        answers = []
+
+        async def ask():
+            request = b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
+            answers.append(await talk(listener.port, request))
+
+        async with trio.open_nursery() as nursery:
+            idle = await trio.open_tcp_stream("127.0.0.1", listener.port)
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            assert await listener.stop(timeout_s=2) == 0
+            assert await idle.receive_some() == b""
+    assert b"HTTP/1.1 200" in answers[0]
+    assert b"connection: close" in answers[0].lower()
+
+
+async def test_a_stop_says_how_many_requests_its_timeout_cut():
+    async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
+        stream = await trio.open_tcp_stream("127.0.0.1", listener.port)
+        await stream.send_all(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+        await trio.sleep(0.05)
+        assert await listener.stop(timeout_s=0.05) == 1
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=150)
+@given(st.binary(max_size=300))
+def test_any_bytes_get_an_answer_or_a_close_and_the_listener_lives(data):
+    async def run():
+        listener = Listener("t", echo, LIMITS)
+        async with open_listener(listener, "127.0.0.1", 0):
+            answer = await talk(listener.port, data)
+            assert answer == b"" or answer.startswith(b"HTTP/1.1 ")
+            good = b"GET /good HTTP/1.1\r\nhost: a\r\n\r\n"
+            assert b" 200 " in await talk(listener.port, good)
+
+    trio.run(run)
