Prove whole answers and the planned stop over separate processes

Scenarios: answers cut, truncated and surplus under load; a backend server killed under load; an entry host stopped with eight requests in flight.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -40,6 +40,8 @@
         """End every connection and stop accepting."""
         self._closed = True
         self.heal()
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for connection in list(self._sockets):
             with suppress(OSError):
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -1,9 +1,14 @@
 """The steps that scenarios are written in."""
 
+import threading
+from collections import Counter
+
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from tests.deployment import Deployment
+from tests.checkers import cut_requests, is_own, violations
+from tests.deployment import Deployment, wait_until
+from tests.load import Load
 
 
 def names(text):
@@ -72,3 +77,140 @@
 @then(parsers.parse('the backend servers ran "{request_id}" {count:d} times'))
 def check_runs(deployment, request_id, count):
     assert deployment.run_count(request_id) == count
+
+
+@given(parsers.parse('callers sending lodgements for "{service}" to "{hosts}"'))
+def start_load(deployment, load, service, hosts):
+    load.append(Load(deployment, service, names(hosts)))
+    load[0].__enter__()
+    wait_until(lambda: len(load[0].answer_by_id) > 20, 10, "20 answers")
+
+
+@pytest.fixture
+def load(deployment):
+    """The callers at work, if a step started them."""
+    running = []
+    yield running
+    for item in running:
+        item.stop()
+
+
+@when(parsers.parse("{count:d} more answers have come"))
+def wait_for_answers(load, count):
+    wanted = len(load[0].answer_by_id) + count
+    wait_until(lambda: len(load[0].answer_by_id) >= wanted, 20, f"{count} answers")
+
+
+@when("the callers stop")
+def stop_load(load):
+    load[0].stop()
+
+
+@then("no promise to the callers was broken")
+def check_promises(deployment, load):
+    load[0].stop()
+    runs = deployment.runs_by_id()
+    assert violations(load[0].answer_by_id, runs) == []
+
+
+@then("no caller was cut off")
+def check_not_cut(load):
+    assert cut_requests(load[0].answer_by_id) == []
+
+
+@then(parsers.parse("at least {count:d} requests were answered with outcome {outcome}"))
+def check_count(load, count, outcome):
+    outcomes = [answer.outcome for answer in load[0].answer_by_id.values()]
+    assert outcomes.count(outcome) >= count, Counter(outcomes)
+
+
+@when(parsers.parse('backend server "{host}" {fault} the next {count:d} answers'))
+def set_answer_fault(deployment, host, fault, count):
+    switch = {
+        "cuts": "cut_answers",
+        "truncates": "truncate_answers",
+        "adds a surplus to": "surplus_answers",
+    }[fault]
+    deployment.set_backend(host, **{switch: count})
+
+
+@when(parsers.parse('backend server "{host}" takes {delay_s:g} s for each request'))
+def set_delay(deployment, host, delay_s):
+    deployment.set_backend(host, delay_s=delay_s)
+
+
+@when(parsers.parse('the guard of backend server "{host}" refuses everything'))
+def set_guard(deployment, host):
+    deployment.set_backend(host, guard_full=True)
+
+
+@when(parsers.parse('backend server "{name}" is killed'))
+def kill_backend(deployment, name):
+    deployment.backend_by_name[name].kill()
+
+
+@then(parsers.parse('entry host "{name}" ends by itself within {timeout_s:g} s'))
+def check_ended(deployment, name, timeout_s):
+    process = deployment.entry_host_by_name[name].process
+    assert process.wait(timeout_s) == 0
+    assert "event=stopped cut=0" in deployment.entry_host_by_name[name].log()
+
+
+@when(parsers.parse('entry host "{name}" is {act}'))
+def act_on_entry_host(deployment, name, act):
+    program = deployment.entry_host_by_name[name]
+    {
+        "killed": program.kill,
+        "frozen": program.freeze,
+        "resumed": program.resume,
+        "started again": program.start,
+        "told to stop": program.terminate,
+    }[act]()
+
+
+@when(parsers.parse('entry host "{name}" is {change} the platform'))
+def cut_from_platform(deployment, name, change):
+    relay = deployment.relay_by_name[f"{name}-platform"]
+    {"cut off from": relay.cut, "joined again with": relay.heal}[change]()
+
+
+@when(parsers.parse("the platform {change}"))
+def change_platform(deployment, change):
+    faults = {
+        "goes down": {"down": True},
+        "comes back": {"down": False},
+        "loses the answer of the next write": {"lost_answers": 1},
+    }[change]
+    deployment.set_platform(**faults)
+
+
+@when(parsers.parse('{count:d} callers at once send lodgements to "{host}"'))
+def send_at_once(deployment, answers, count, host):
+    def send(number):
+        request_id = f"at-once-{number}"
+        headers = {"request-id": request_id, "idempotency-key": request_id}
+        answers[request_id] = deployment.request(
+            host, "POST", "/lodgements/x", headers, "accounts"
+        )
+
+    threads = [threading.Thread(target=send, args=(n,)) for n in range(count)]
+    answers["threads"] = threads
+    for thread in threads:
+        thread.start()
+
+
+@then(parsers.parse("the {count:d} callers got their own whole answers"))
+def check_at_once(answers, count):
+    for thread in answers.pop("threads"):
+        thread.join()
+    wanted = [f"at-once-{number}" for number in range(count)]
+    assert [key for key in wanted if not is_own(key, answers[key])] == []
+
+
+@when(parsers.parse("{count:d} requests are in flight at the backend servers"))
+def wait_in_flight(deployment, count):
+    def in_flight():
+        states = map(deployment.backend_state, deployment.backend_by_name)
+        return sum(state["in_flight"] for state in states) >= count
+
+    wait_until(in_flight, 5, f"{count} requests in flight")
