--- a/rhubarbmount/catalogue.py
+++ b/rhubarbmount/catalogue.py
@@ -1,4 +1,4 @@
-"""Catalogue snapshots: every entry of one version, and the checks across them."""
+"""Catalogue snapshots: every entry at one version."""
 
 import zlib
 from collections.abc import Mapping
@@ -22,66 +22,14 @@
 from rhubarbmount.errors import Finding, FindingsError, NotFound
 
 __all__ = [
-    "FleetSummary",
     "Snapshot",
     "build_entry",
-    "check_edit",
     "decode_snapshot",
-    "dependents",
     "encode_snapshot",
-    "find_faults",
     "split_key",
 ]
 
 MAX_DECODED_BYTES = 64 * 1024 * 1024
-MAX_NAME_LENGTH = 63
-_NAME_CHARACTERS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-._")
-_HOURS_PER_DAY = 24
-
-_LOWEST_BY_FIELD: dict[str, dict[str, float]] = {
-    "team": {"processors_quota": 0, "memory_quota_gb": 0, "accelerators_quota": 0},
-    "pool": {
-        "hosts_wanted": 0,
-        "buffer_hosts": 0,
-        "hosts_down_limit": 0,
-        "racks_down_limit": 0,
-        "window_start_hour": 0,
-        "window_end_hour": 0,
-        "cadence_days": 1,
-    },
-    "service": {
-        "concurrency": 1,
-        "queue_length": 0,
-        "queue_timeout_ms": 0,
-        "request_timeout_ms": 1,
-        "retry_share": 0,
-    },
-    "job-template": {
-        "processors": 0,
-        "memory_gb": 0,
-        "accelerators": 0,
-        "run_time_s": 0,
-    },
-}
-_HIGHEST_BY_FIELD: dict[str, dict[str, float]] = {
-    "team": {},
-    "pool": {"window_start_hour": _HOURS_PER_DAY, "window_end_hour": _HOURS_PER_DAY},
-    "service": {"retry_share": 1},
-    "job-template": {},
-}
-
-
-@attrs.frozen
-class FleetSummary:
-    """How many hosts each pool holds at one version of the fleet."""
-
-    version: int
-    hosts_by_pool: Mapping[str, int]
-
-    @property
-    def hosts(self) -> int:
-        """Return the number of hosts over all pools."""
-        return sum(self.hosts_by_pool.values())
 
 
 @attrs.frozen
@@ -214,138 +162,3 @@
         raise FindingsError(
             [Finding(place, "malformed", message) for message in messages]
         ) from error
-
-
-def dependents(snapshot: Snapshot, key: str) -> list[str]:
-    """Return the keys of the entries that name an entry, in order."""
-    kind, name = split_key(key)
-    return [
-        other
-        for other, entry in sorted(snapshot.by_key.items())
-        if other != key and (kind, name) in _references(entry)
-    ]
-
-
-def find_faults(snapshot: Snapshot) -> list[Finding]:
-    """Return every fault within and across the entries."""
-    faults = []
-    for key, entry in sorted(snapshot.by_key.items()):
-        faults += _name_faults(key, entry)
-        faults += _range_faults(key, entry)
-        faults += _reference_faults(snapshot, key, entry)
-        if isinstance(entry, Pool):
-            faults += _pool_faults(key, entry)
-        if isinstance(entry, JobTemplate):
-            faults += _quota_faults(snapshot, key, entry)
-    return faults
-
-
-def check_edit(
-    before: Snapshot, after: Snapshot, fleet: FleetSummary | None = None
-) -> list[Finding]:
-    """Return the faults that an edit would bring in.
-
-    Faults that stood before the edit, such as hosts lost since, don't bar it.
-    """
-    standing = {(fault.place, fault.code) for fault in find_faults(before)}
-    faults = [
-        fault
-        for fault in find_faults(after)
-        if (fault.place, fault.code) not in standing
-    ]
-    if fleet is not None:
-        faults += _fleet_faults(before, after, fleet)
-    return faults
-
-
-def _references(entry: Entry) -> set[tuple[str, str]]:
-    references = {("team", entry.owner)}
-    if isinstance(entry, Service | JobTemplate):
-        references.add(("pool", entry.pool))
-    if isinstance(entry, JobTemplate):
-        references.add(("team", entry.team))
-    return references
-
-
-def _name_faults(key: str, entry: Entry) -> list[Finding]:
-    name = entry.name
-    if 0 < len(name) <= MAX_NAME_LENGTH and _NAME_CHARACTERS.issuperset(name):
-        return []
-    message = f"a name has 1 to {MAX_NAME_LENGTH} of a-z, 0-9, '-', '.', '_'"
-    return [Finding(f"{key}.name", "bad-name", message)]
-
-
-def _range_faults(key: str, entry: Entry) -> list[Finding]:
-    kind, _ = split_key(key)
-    faults = []
-    for field, lowest in _LOWEST_BY_FIELD.get(kind, {}).items():
-        value = getattr(entry, field)
-        highest = _HIGHEST_BY_FIELD[kind].get(field, float("inf"))
-        if lowest <= value <= highest and value != float("inf"):
-            continue
-        message = f"{value} is not within {lowest} and {highest}"
-        faults.append(Finding(f"{key}.{field}", "out-of-range", message))
-    return faults
-
-
-def _reference_faults(snapshot: Snapshot, key: str, entry: Entry) -> list[Finding]:
-    faults = []
-    for kind, name in sorted(_references(entry)):
-        if entry_key(kind, name) not in snapshot.by_key:
-            message = f"no {kind} {name!r}"
-            faults.append(Finding(f"{key}:{kind}/{name}", f"unknown-{kind}", message))
-    return faults
-
-
-def _pool_faults(key: str, pool: Pool) -> list[Finding]:
-    faults = []
-    if pool.window_start_hour == pool.window_end_hour:
-        message = f"the window from {pool.window_start_hour} is empty"
-        faults.append(Finding(f"{key}.window_end_hour", "empty-window", message))
-    if pool.hosts_down_limit > pool.hosts_wanted + pool.buffer_hosts:
-        message = f"{pool.hosts_down_limit} is more than the pool's hosts"
-        faults.append(Finding(f"{key}.hosts_down_limit", "over-capacity", message))
-    return faults
-
-
-def _quota_faults(snapshot: Snapshot, key: str, template: JobTemplate) -> list[Finding]:
-    faults = []
-    if template.owner != template.team:
-        message = f"{template.owner!r} may not spend the quota of {template.team!r}"
-        faults.append(Finding(f"{key}.team", "foreign-quota", message))
-    team = snapshot.teams_by_name.get(template.team)
-    if team is None:
-        return faults
-    asked_and_quota_by_field = {
-        "processors": (template.processors, team.processors_quota),
-        "memory_gb": (template.memory_gb, team.memory_quota_gb),
-        "accelerators": (template.accelerators, team.accelerators_quota),
-    }
-    for field, (asked, quota) in asked_and_quota_by_field.items():
-        if asked > quota:
-            message = f"{asked} is over the quota of {team.name}, {quota}"
-            faults.append(Finding(f"{key}.{field}", "over-quota", message))
-    return faults
-
-
-def _fleet_faults(
-    before: Snapshot, after: Snapshot, fleet: FleetSummary
-) -> list[Finding]:
-    faults = []
-    wanted = _hosts_wanted(after)
-    if wanted > _hosts_wanted(before) and wanted > fleet.hosts:
-        message = f"all pools want {wanted} hosts, the fleet has {fleet.hosts}"
-        faults.append(Finding("pool", "over-fleet", message))
-    for name in sorted(before.pools_by_name.keys() - after.pools_by_name.keys()):
-        hosts = fleet.hosts_by_pool.get(name, 0)
-        if hosts:
-            message = f"{hosts} hosts belong to the pool"
-            faults.append(Finding(entry_key("pool", name), "pool-in-use", message))
-    return faults
-
-
-def _hosts_wanted(snapshot: Snapshot) -> int:
-    return sum(
-        pool.hosts_wanted + pool.buffer_hosts
-        for pool in snapshot.pools_by_name.values()
-    )
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -5,13 +5,15 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.catalogue import (
-    FleetSummary,
     Snapshot,
     build_entry,
-    check_edit,
     decode_snapshot,
-    dependents,
     encode_snapshot,
+)
+from rhubarbmount.catalogue_checks import (
+    FleetSummary,
+    check_edit,
+    dependents,
     find_faults,
 )
 from rhubarbmount.entries import JobTemplate, Pool, Service, Team
