--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -25,15 +25,20 @@
     return 0
 
 
-def check(settings: str) -> int:
-    """Print every finding in a settings file.
+def check(settings: str, *, seed: str | None = None) -> int:
+    """Print every finding in a settings file, and in a seed file if one is named.
 
     :param settings: path of the YAML file
+    :param seed: YAML file of hosts and entries
     """
     from rhubarbmount.settings import check_settings
+    from rhubarbmount.standins.seed import check_seed
     from rhubarbmount.yamlfile import read_yaml
 
-    _built, findings = check_settings(read_yaml(settings))
+    _settings, findings = check_settings(read_yaml(settings))
+    if seed is not None:
+        _seed, more = check_seed(read_yaml(seed))
+        findings.extend(more)
     for finding in findings:
         print(finding, file=sys.stderr)
     return 1 if findings else 0
@@ -65,11 +70,12 @@
     :param seed: YAML file of hosts and entries to start with
     """
     from rhubarbmount import log
-    from rhubarbmount.standins.platform import PlatformStandin, read_seed
+    from rhubarbmount.standins.platform import PlatformStandin
+    from rhubarbmount.standins.seed import load_seed
 
     log.configure("info")
     standin = PlatformStandin()
-    loaded = None if seed is None else read_seed(seed)
+    loaded = None if seed is None else load_seed(seed)
 
     async def run() -> None:
         if loaded is not None:
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -1,6 +1,5 @@
 """One entry host: its tasks, what they share, and its graceful stop."""
 
-import json
 import logging
 import signal
 from collections import defaultdict
@@ -12,7 +11,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.backends import BackendConnections
-from rhubarbmount.entries import Service, load_entry
+from rhubarbmount.catalogue import decode_snapshot
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.hosts import HOSTS_TABLE, Host, load_host
@@ -111,16 +110,12 @@
             return
         if body is None:
             return
-        services = {}
-        for key, values in json.loads(body)["entries"].items():
-            entry = load_entry(key.split("/", 1)[0], values)
-            if isinstance(entry, Service):
-                services[entry.name] = entry
+        snapshot = decode_snapshot(body)
         hosts_by_pool: dict[str, list[Host]] = defaultdict(list)
         for row in rows:
             host = load_host(dict(row.value))
             hosts_by_pool[host.pool].append(host)
-        self.forwarder.service_by_name = services
+        self.forwarder.service_by_name = snapshot.services_by_name
         self.forwarder.hosts_by_pool = hosts_by_pool
         self.ready = True
 
--- a/rhubarbmount/standins/platform.py
+++ b/rhubarbmount/standins/platform.py
@@ -8,8 +8,6 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.errors import Finding, FindingsError
-from rhubarbmount.hosts import HOSTS_TABLE, dump_host
 from rhubarbmount.http import HttpLimits, HttpRequest, HttpResponse
 from rhubarbmount.listener import Listener
 from rhubarbmount.platform.http import OBJECT_LIMIT_BYTES
@@ -18,12 +16,11 @@
     LiveHost,
     TaskCommand,
     Transaction,
-    Write,
 )
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.router import Call, Router
-from rhubarbmount.standins.seed import Seed
+from rhubarbmount.standins.seed import Seed, write_seed
 
 __all__ = ["PlatformFaults", "PlatformStandin"]
 
@@ -73,15 +70,9 @@
             self._router.add(method, path, handler)
 
     async def load(self, seed: Seed) -> None:
-        """Write the rows of a seed file."""
-        for host in seed.hosts:
-            self.memory.hosts.append(LiveHost(host.host_id))
-            write = Write(HOSTS_TABLE, host.host_id, dump_host(host))
-            await self.memory.transact(Transaction(host.host_id, (), (write,)))
-        for transaction in seed.transactions():
-            await self.memory.transact(transaction)
-        for name, body in seed.objects().items():
-            await self.memory.put_object(name, body)
+        """Write the rows of a seed, and list its hosts as live."""
+        await write_seed(self.memory, seed)
+        self.memory.hosts = [LiveHost(host.host_id) for host in seed.hosts]
         self._listed = list(self.memory.hosts)
 
     async def run(
@@ -182,20 +173,3 @@
         self.memory.hosts = [*others, LiveHost(host_id, leaving)]
         await trio.sleep(self.faults.host_list_lag_s)
         self._listed = list(self.memory.hosts)
-
-
-def read_seed(name: str) -> Seed:
-    """Read a seed file. Raises FindingsError."""
-    from rhubarbmount.structure import structure
-    from rhubarbmount.yamlfile import read_yaml
-
-    file = read_yaml(name)
-    seed, faults = structure(file.values, Seed)
-    if faults:
-        raise FindingsError(
-            [
-                Finding(file.place(fault.path), fault.code, fault.message)
-                for fault in faults
-            ]
-        )
-    return seed
--- a/rhubarbmount/standins/seed.py
+++ b/rhubarbmount/standins/seed.py
@@ -1,44 +1,100 @@
-"""The rows and objects that a stand-in platform starts with."""
+"""The hosts and entries that a stand-in platform starts with, read from YAML."""
 
-import json
 from typing import Any
 
 import attrs
 
-from rhubarbmount.entries import entry_key
-from rhubarbmount.hosts import Host
-from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.acceptance import CATALOGUE_HEAD, ENTRIES_TABLE, HEADS_TABLE
+from rhubarbmount.catalogue import Snapshot, encode_snapshot
+from rhubarbmount.catalogue_checks import find_faults
+from rhubarbmount.entries import dump_entry, entry_kinds
+from rhubarbmount.errors import Finding, FindingsError
+from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host
+from rhubarbmount.platform.interface import Platform, Transaction, Write
+from rhubarbmount.structure import Fault, structure
+from rhubarbmount.yamlfile import YamlFile, read_yaml
 
-__all__ = ["Seed"]
+__all__ = ["Seed", "check_seed", "load_seed", "write_seed"]
+
+SNAPSHOT_OBJECT = "catalogue/seed"
 
 
 @attrs.frozen(kw_only=True)
-class Seed:
-    """Hosts, and entries as lists of plain values by kind."""
+class SeedFile:
+    """A seed as written: hosts, and entries as plain values by kind."""
 
     hosts: tuple[Host, ...] = ()
     entries: dict[str, tuple[dict[str, Any], ...]] = attrs.field(factory=dict)
 
-    def transactions(self) -> list[Transaction]:
-        """Return the transactions that write the entries and the heads."""
-        writes = []
-        for kind, values in self.entries.items():
-            for entry in values:
-                key = entry_key(kind, entry["name"])
-                row = {"kind": kind, "values": entry}
-                writes.append(Write("entries", key, row))
-        writes.append(
-            Write("heads", "catalogue", {"version": 1, "object": "catalogue/1"})
-        )
-        writes.append(Write("heads", "fleet", {"version": 1, "changes": []}))
-        return [Transaction("seed", (), tuple(writes))]
-
-    def objects(self) -> dict[str, bytes]:
-        """Return the first catalogue snapshot."""
-        entries = {
-            entry_key(kind, entry["name"]): entry
-            for kind, values in self.entries.items()
-            for entry in values
-        }
-        body = {"version": 1, "entries": entries}
-        return {"catalogue/1": json.dumps(body).encode("utf-8")}
+
+@attrs.frozen
+class Seed:
+    """Hosts and a first catalogue."""
+
+    hosts: tuple[Host, ...]
+    snapshot: Snapshot
+
+
+def check_seed(file: YamlFile) -> tuple[Seed | None, list[Finding]]:
+    """Return the seed and every finding."""
+    written, faults = structure(file.values, SeedFile)
+    if written is None:
+        return None, _place(file, faults)
+    snapshot = Snapshot()
+    for kind, entries in written.entries.items():
+        if kind not in entry_kinds:
+            faults.append(Fault(("entries", kind), "unknown-kind", f"no kind {kind!r}"))
+            continue
+        for index, values in enumerate(entries):
+            path = ("entries", kind, index)
+            entry, found = structure(values, entry_kinds.get(kind), path)
+            faults.extend(found)
+            if entry is not None:
+                snapshot = snapshot.with_entry(kind, entry)
+    findings = _place(file, faults) or find_faults(snapshot)
+    findings += _unknown_pools(file, written.hosts, snapshot)
+    return Seed(written.hosts, snapshot), findings
+
+
+def load_seed(name: str) -> Seed:
+    """Read a seed from a file. Raises FindingsError."""
+    seed, findings = check_seed(read_yaml(name))
+    if seed is None or findings:
+        raise FindingsError(findings)
+    return seed
+
+
+async def write_seed(platform: Platform, seed: Seed) -> None:
+    """Write the rows and the snapshot of a seed to an empty platform."""
+    snapshot = seed.snapshot
+    await platform.put_object(SNAPSHOT_OBJECT, encode_snapshot(snapshot))
+    head = {"version": snapshot.version, "object": SNAPSHOT_OBJECT}
+    writes = [
+        Write(HEADS_TABLE, CATALOGUE_HEAD, head),
+        Write(HEADS_TABLE, "fleet", {"version": 1, "changes": []}),
+    ]
+    for key, entry in snapshot.by_key.items():
+        version = snapshot.entry_version(key)
+        row = {"version": version, "values": dump_entry(entry)}
+        writes.append(Write(ENTRIES_TABLE, key, row))
+    for host in seed.hosts:
+        writes.append(Write(HOSTS_TABLE, host.host_id, dump_host(host)))
+    await platform.transact(Transaction("seed", (), tuple(writes)))
+
+
+def _unknown_pools(
+    file: YamlFile, hosts: tuple[Host, ...], snapshot: Snapshot
+) -> list[Finding]:
+    findings = []
+    for index, host in enumerate(hosts):
+        if host.pool not in snapshot.pools_by_name:
+            place = file.place(("hosts", index, "pool"))
+            message = f"host {host.host_id!r} names no known pool: {host.pool!r}"
+            findings.append(Finding(place, "unknown-pool", message))
+    return findings
+
+
+def _place(file: YamlFile, faults: list[Fault]) -> list[Finding]:
+    return [
+        Finding(file.place(fault.path), fault.code, fault.message) for fault in faults
+    ]
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -172,7 +172,7 @@
         entry = {"name": name, "owner": owner, "hosts_wanted": 0} | values
         self.entries["pool"].append(entry)
         if not any(team["name"] == owner for team in self.entries["team"]):
-            team = {"name": owner, "owner": "admin"}
+            team = {"name": owner, "owner": owner}
             self.entries["team"].append(team)
 
     def add_service(self, name, owner="firm", **values):
@@ -215,12 +215,18 @@
 
     def wait_for_port(self, address, port):
         def answers():
+            self._check_alive()
             with suppress(OSError):
                 socket.create_connection((address, port), timeout=1).close()
                 return True
 
         wait_until(answers, START_TIMEOUT_S, f"{address}:{port} listens")
 
+    def _check_alive(self):
+        for program in [self.platform, *self.backend_by_name.values()]:
+            if program.process.poll() is not None:
+                raise AssertionError(f"{program.name} ended: {program.log()}")
+
     def add_relay(self, name, target):
         """Return the address of a relay to the target."""
         address = self.new_address()
@@ -254,6 +260,9 @@
         address = self.entry_host_by_name[name].address
 
         def is_ready():
+            program = self.entry_host_by_name[name]
+            if program.process.poll() is not None:
+                raise AssertionError(f"{name} ended: {program.log()}")
             return call(address, METRICS_PORT, "GET", "/readyz", timeout_s=2)
 
         wait_until(
