Add the platform client: deadline, breaker, budget, settled transactions

Cause: a call to the platform can hang, fail for long, or take effect and lose its answer, and all entry hosts share 400 writes and 2,000 reads a second.

Ruled out: sending a transaction again after a lost answer, and calling a lost answer no effect.

The budget counts rows, as a transaction of n rows is n writes to the store; the operations row costs one of them.

--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,138 @@
+"""The platform client: deadlines, breaker, budget and lost answers."""
+
+import pytest
+import trio
+import trio.testing
+
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.budget import Budget, Priority
+from rhubarbmount.platform.client import open_client
+from rhubarbmount.platform.interface import Precondition, Transaction, Write
+from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.standins.faulty_platform import Faults, FaultyPlatform
+
+
+def increment(operation_id, number):
+    return Transaction(operation_id, (), (Write("t", "x", {"n": number}),))
+
+
+@pytest.fixture
+def memory():
+    return MemoryPlatform()
+
+
+@pytest.fixture
+def faulty(memory, nursery):
+    return FaultyPlatform(memory, nursery, seed=1)
+
+
+async def test_a_lost_answer_of_a_commit_is_found_committed(
+    memory, faulty, autojump_clock
+):
+    faulty.faults.lost_answer_share = 1.0
+    result = await open_client(faulty).transact(increment("a", 1))
+    assert result.committed
+    assert (await memory.read("t", "x")).value == {"n": 1}
+
+
+async def test_a_late_effect_is_kept_out_after_it_was_denied(
+    memory, faulty, autojump_clock
+):
+    faulty.faults = Faults(late_effect_share=1.0, late_effect_s=9.0)
+    faulty.faulty_calls = 1
+    with pytest.raises(PlatformUnavailable):
+        await open_client(faulty).transact(increment("a", 1))
+    await trio.sleep(10.0)
+    assert await memory.read("t", "x") is None
+
+
+async def test_an_unsettled_transaction_is_said_to_be_unknown(faulty, autojump_clock):
+    faulty.faults.lost_call_share = 1.0
+    with pytest.raises(OutcomeUnknown):
+        await open_client(faulty).transact(increment("a", 1))
+
+
+async def test_the_same_operation_id_has_one_effect(memory, autojump_clock):
+    client = open_client(memory)
+    await client.transact(increment("a", 1))
+    await client.transact(increment("b", 2))
+    assert (await client.transact(increment("a", 1))).committed
+    assert (await memory.read("t", "x")).value == {"n": 2}
+
+
+async def test_a_conflict_names_only_the_rows_of_the_caller(memory, autojump_clock):
+    client = open_client(memory)
+    await client.transact(increment("a", 1))
+    condition = Precondition("t", "x", version=0)
+    result = await client.transact(Transaction("b", (condition,), ()))
+    assert result.conflicts == (("t", "x"),)
+
+
+async def test_a_slow_platform_is_given_up_on_and_then_left_alone(
+    faulty, autojump_clock
+):
+    faulty.faults.latency_s = 60.0
+    client = open_client(faulty, deadline_s=0.5)
+    for _ in range(20):
+        with pytest.raises(PlatformUnavailable):
+            await client.read("t", "x")
+    assert trio.current_time() < 5.0
+    assert faulty.calls == 5
+    faulty.faults.latency_s = 0.0
+    await trio.sleep(1.0)
+    await client.read("t", "x")
+    assert not client.is_out
+
+
+async def test_writes_stay_within_the_share_of_the_budget(memory, autojump_clock):
+    client = open_client(memory, live_entry_hosts=lambda: 10, deadline_s=60.0)
+    started_s = trio.current_time()
+    for number in range(180):
+        await client.transact(increment(str(number), number))
+    elapsed_s = trio.current_time() - started_s
+    assert client.writes_spent == 360
+    assert client.writes_spent / elapsed_s < 400 * 0.9 / 10 * 1.1
+
+
+async def test_a_call_without_budget_has_no_effect(memory, autojump_clock):
+    client = open_client(memory, deadline_s=1.0, writes_per_s=0.1)
+    await client.transact(increment("a", 1))
+    with pytest.raises(PlatformUnavailable):
+        await client.transact(increment("b", 2))
+    assert (await memory.read("t", "x")).value == {"n": 1}
+
+
+async def test_duties_go_before_claims_and_claims_before_the_rest(autojump_clock):
+    budget = Budget(10.0, lambda: 1)
+    order = []
+
+    async def spend(priority):
+        await budget.spend(1, priority)
+        order.append(priority)
+
+    await budget.spend(5, Priority.REST)
+    with trio.fail_after(60.0):
+        async with trio.open_nursery() as nursery:
+            for priority in reversed(Priority):
+                nursery.start_soon(spend, priority)
+                await trio.testing.wait_all_tasks_blocked()
+    assert order == sorted(Priority)
+
+
+async def test_a_cancelled_turn_passes_to_the_next_call(autojump_clock):
+    budget = Budget(1.0, lambda: 1)
+    first = trio.CancelScope()
+
+    async def give_up():
+        with first:
+            await budget.spend(1, Priority.DUTY)
+
+    await budget.spend(5, Priority.REST)
+    with trio.fail_after(60.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(give_up)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(budget.spend, 1, Priority.REST)
+            await trio.testing.wait_all_tasks_blocked()
+            first.cancel()
+    assert budget.spent == 6
