--- /dev/null
+++ b/rhubarbmount/claim_guard.py
@@ -0,0 +1,165 @@
+"""The one call around the dispatch of a keyed non-idempotent request."""
+
+import logging
+import time
+import uuid
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.claim_batches import ClaimBatches
+from rhubarbmount.claim_records import ClaimRecords, Withdrawal
+from rhubarbmount.claims import (
+    HELD,
+    Claim,
+    ClaimRefused,
+    ClaimState,
+    Verdict,
+    judge,
+    refusal,
+    row_key,
+)
+from rhubarbmount.platform.budget import Priority
+from rhubarbmount.platform.client import PlatformClient
+
+__all__ = ["Claims", "HeldClaim", "open_claims"]
+
+FLUSH_S = 2.0
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class HeldClaim:
+    """A held claim; unless told otherwise, its request's outcome is unknown."""
+
+    claim: Claim
+
+    def ran(self, status: int) -> None:
+        """Record that a backend server ran the request and answered."""
+        self.claim = attrs.evolve(self.claim, state=ClaimState.FINISHED, status=status)
+
+    def not_run(self) -> None:
+        """Record that surely no backend server ran the request."""
+        self.claim = attrs.evolve(self.claim, state=ClaimState.RELEASED)
+
+
+@attrs.define(eq=False)
+class Claims:
+    """Claim keys before dispatch and record what became of them."""
+
+    instance: str
+    platform: PlatformClient
+    wall_clock: Callable[[], float] = time.time
+    batches: ClaimBatches = attrs.field(init=False)
+    records: ClaimRecords = attrs.field(init=False)
+    _by_row_key: dict[str, Claim] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        claiming = self.platform.at(Priority.CLAIM)
+        self.batches = ClaimBatches(claiming, self._withdraw)
+        self.records = ClaimRecords(self.platform.at(Priority.REST), self._forget)
+
+    @asynccontextmanager
+    async def guard(
+        self, service: str, idempotency_key: str, fingerprint: str
+    ) -> AsyncIterator[HeldClaim]:
+        """Hold the key's claim for the length of the block. Raises ClaimRefused.
+
+        The block dispatches the request at most once and says what became of it.
+        """
+        claim = self._new_claim(service, idempotency_key, fingerprint)
+        await self._acquire(claim)
+        held = HeldClaim(claim)
+        try:
+            yield held
+        finally:
+            self._finish(held.claim)
+
+    async def run(self) -> None:
+        """Write claims and records until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.batches.run)
+            nursery.start_soon(self.records.run)
+
+    def _new_claim(self, service: str, idempotency_key: str, fingerprint: str) -> Claim:
+        return Claim(
+            row_key=row_key(service, idempotency_key),
+            claim_id=uuid.uuid4().hex,
+            holder=self.instance,
+            fingerprint=fingerprint,
+            claimed_s=self.wall_clock(),
+        )
+
+    async def _acquire(self, claim: Claim) -> None:
+        found = self._by_row_key.get(claim.row_key)
+        if found is not None:
+            raise self._refused(claim, _judge_local(claim, found))
+        self._by_row_key[claim.row_key] = claim
+        verdict = None
+        try:
+            verdict = await self.batches.claim(claim)
+        finally:
+            if verdict is not HELD:
+                self._forget(claim)
+        if verdict is not HELD:
+            raise self._refused(claim, verdict)
+        log.event(logger, "claimed", row=claim.row_key, claim=claim.claim_id)
+
+    def _finish(self, claim: Claim) -> None:
+        if claim.state is ClaimState.CLAIMED:
+            claim = attrs.evolve(claim, state=ClaimState.UNKNOWN)
+        self._by_row_key[claim.row_key] = claim
+        self.records.add(claim)
+        log.event(
+            logger,
+            "claim-finished",
+            row=claim.row_key,
+            claim=claim.claim_id,
+            state=claim.state,
+            status=claim.status,
+        )
+
+    def _withdraw(self, claim: Claim) -> None:
+        self.records.add(Withdrawal(claim))
+
+    def _forget(self, claim: Claim) -> None:
+        found = self._by_row_key.get(claim.row_key)
+        if found is not None and found.claim_id == claim.claim_id:
+            del self._by_row_key[claim.row_key]
+
+    def _refused(self, claim: Claim, verdict: Verdict) -> ClaimRefused:
+        log.event(
+            logger,
+            "claim-refused",
+            row=claim.row_key,
+            ruling=verdict.ruling,
+            outcome=verdict.outcome,
+        )
+        return refusal(verdict)
+
+
+def _judge_local(wanted: Claim, found: Claim) -> Verdict:
+    """Decide by this host's memory; a release not yet written still holds the key."""
+    if found.state is ClaimState.RELEASED:
+        found = attrs.evolve(found, state=ClaimState.CLAIMED)
+    return judge(wanted, found)
+
+
+@asynccontextmanager
+async def open_claims(
+    instance: str,
+    platform: PlatformClient,
+    wall_clock: Callable[[], float] = time.time,
+) -> AsyncIterator[Claims]:
+    """Run the claims of one entry host; write the last records at the end."""
+    claims = Claims(instance, platform, wall_clock)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(claims.run)
+        yield claims
+        with trio.move_on_after(FLUSH_S):
+            await claims.records.flush()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/rhubarbmount/claim_records.py
@@ -0,0 +1,144 @@
+"""Records what became of claimed requests, as soon as the platform takes it."""
+
+import uuid
+from collections import OrderedDict
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from rhubarbmount.claims import CLAIMS_TABLE, Claim, ClaimState, load_claim
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+
+__all__ = ["ClaimRecords", "Withdrawal"]
+
+BATCH_ROWS = 64
+WAITING_RECORDS = 5000
+RETRY_S = 0.5
+
+
+@attrs.frozen
+class Withdrawal:
+    """A claim that no one will run, which may or may not have been written."""
+
+    claim: Claim
+
+
+Record = Claim | Withdrawal
+
+
+@attrs.define(eq=False)
+class ClaimRecords:
+    """Own the finished claims that are not yet written; the oldest is dropped.
+
+    A dropped record costs a later caller the answer, never the promise: it is told
+    that the outcome is unknown. ``forget`` gets each claim that is done with.
+    """
+
+    platform: PlatformClient
+    forget: Callable[[Claim], None]
+    dropped: int = 0
+    rows: int = 0
+    _by_claim_id: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
+    _added: trio.Event = attrs.field(factory=trio.Event)
+    _written: trio.Event = attrs.field(factory=trio.Event)
+
+    def add(self, record: Record) -> None:
+        """Queue a record for writing."""
+        claim = _claim(record)
+        self._by_claim_id[claim.claim_id] = record
+        if len(self._by_claim_id) > WAITING_RECORDS:
+            _, oldest = self._by_claim_id.popitem(last=False)
+            self.dropped += 1
+            self.forget(_claim(oldest))
+        self._added.set()
+
+    def __len__(self) -> int:
+        return len(self._by_claim_id)
+
+    async def flush(self) -> None:
+        """Wait until every record is written."""
+        while self._by_claim_id:
+            await self._written.wait()
+
+    async def run(self) -> None:
+        """Write records until cancelled."""
+        while True:
+            await self._added.wait()
+            if not self._by_claim_id:
+                self._added = trio.Event()
+                continue
+            try:
+                await self._write_batch()
+            except (OutcomeUnknown, PlatformUnavailable):
+                await trio.sleep(RETRY_S)
+
+    async def _write_batch(self) -> None:
+        batch = list(self._by_claim_id.values())[:BATCH_ROWS]
+        transaction = await self._transaction(batch)
+        if not transaction.writes:
+            self._done(batch)
+            return
+        self.rows += len(transaction.writes)
+        result = await self.platform.transact(transaction, settled=False)
+        if result.committed:
+            self._done(batch)
+            return
+        in_the_way = {key for _, key in result.conflicts}
+        self._done([r for r in batch if _is_overtaken(r, in_the_way)])
+
+    async def _transaction(self, batch: list[Record]) -> Transaction:
+        preconditions = []
+        writes = []
+        for record in batch:
+            claim = _claim(record)
+            condition: Precondition | None = _still_claimed(claim)
+            if isinstance(record, Withdrawal):
+                row = await self.platform.read(CLAIMS_TABLE, claim.row_key)
+                condition = _withdrawable(claim, row)
+                claim = attrs.evolve(claim, state=ClaimState.RELEASED)
+            if condition is not None:
+                preconditions.append(condition)
+                writes.append(Write(CLAIMS_TABLE, claim.row_key, claim.values()))
+        return Transaction(uuid.uuid4().hex, tuple(preconditions), tuple(writes))
+
+    def _done(self, records: list[Record]) -> None:
+        for record in records:
+            claim = _claim(record)
+            if self._by_claim_id.get(claim.claim_id) is record:
+                del self._by_claim_id[claim.claim_id]
+                self.forget(claim)
+        self._written.set()
+        self._written = trio.Event()
+
+
+def _claim(record: Record) -> Claim:
+    return record.claim if isinstance(record, Withdrawal) else record
+
+
+def _is_overtaken(record: Record, in_the_way: set[str]) -> bool:
+    """Return whether the row shows the record written, or another's claim."""
+    return isinstance(record, Claim) and record.row_key in in_the_way
+
+
+def _still_claimed(claim: Claim) -> Precondition:
+    own = {"claim_id": claim.claim_id, "state": ClaimState.CLAIMED.value}
+    return Precondition(CLAIMS_TABLE, claim.row_key, equals=own)
+
+
+def _withdrawable(claim: Claim, row: Row | None) -> Precondition | None:
+    """Return the precondition of a withdrawal, or None when there is nothing to do.
+
+    A missing or released row is written anew, so that a late claim over it can't
+    take effect.
+    """
+    if row is None:
+        return Precondition(CLAIMS_TABLE, claim.row_key, version=0)
+    found = load_claim(row)
+    is_own = found.claim_id == claim.claim_id
+    may_be_replaced = ClaimState.CLAIMED if is_own else ClaimState.RELEASED
+    if found.state is not may_be_replaced:
+        return None
+    return Precondition(CLAIMS_TABLE, claim.row_key, version=row.version)
--- /dev/null
+++ b/rhubarbmount/claims.py
@@ -0,0 +1,173 @@
+"""Claims: rows that let each keyed non-idempotent request run at most once."""
+
+import hashlib
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import Any
+
+import attrs
+
+from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.platform.interface import Row
+
+__all__ = [
+    "CLAIMS_TABLE",
+    "HELD",
+    "UNAVAILABLE",
+    "Claim",
+    "ClaimRefused",
+    "ClaimState",
+    "Ruling",
+    "Verdict",
+    "fingerprint",
+    "judge",
+    "load_claim",
+    "refusal",
+    "row_key",
+]
+
+CLAIMS_TABLE = "claims"
+RETRY_AFTER_S = 2.0
+KEY_DIGITS = 32
+
+
+class ClaimState(StrEnum):
+    """What is known of the request that a claim stands for."""
+
+    CLAIMED = "claimed"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+    RELEASED = "released"
+
+
+@attrs.frozen(kw_only=True)
+class Claim:
+    """One attempt to run a keyed request; ``claim_id`` is never used twice.
+
+    ``claimed_s`` is in seconds since the epoch; ``status`` is the HTTP status of the
+    backend server's answer.
+    """
+
+    row_key: str
+    claim_id: str
+    holder: str
+    fingerprint: str
+    claimed_s: float
+    state: ClaimState = ClaimState.CLAIMED
+    status: int | None = None
+
+    def values(self) -> dict[str, Any]:
+        """Return the plain values of the claim's row."""
+        values = attrs.asdict(self)
+        del values["row_key"]
+        values["state"] = self.state.value
+        return values
+
+
+def load_claim(row: Row) -> Claim:
+    """Build a claim from its row."""
+    values: Mapping[str, Any] = row.value
+    fields = dict(values, state=ClaimState(values["state"]))
+    return Claim(row_key=row.key, **fields)
+
+
+def row_key(service: str, idempotency_key: str) -> str:
+    """Return the key of a claim's row: of bounded length, and spread evenly.
+
+    >>> row_key("quotes", "order-17")
+    'quotes/72a90ea3da8b5dd01bde2f27314e02e2'
+    """
+    digest = hashlib.sha256(idempotency_key.encode("utf-8", "surrogateescape"))
+    return f"{service}/{digest.hexdigest()[:KEY_DIGITS]}"
+
+
+def fingerprint(method: str, target: str, body: bytes) -> str:
+    """Return a digest that differs between different requests."""
+    head = f"{method} {target}\n".encode("utf-8", "surrogateescape")
+    return hashlib.sha256(head + body).hexdigest()[:KEY_DIGITS]
+
+
+class Ruling(StrEnum):
+    """What a request is told about its claim."""
+
+    HELD = "held"
+    VACANT = "vacant"
+    UNFINISHED = "request-unfinished"
+    UNKNOWN = "request-outcome-unknown"
+    RAN = "request-already-ran"
+    KEY_REUSED = "idempotency-key-reused"
+    UNAVAILABLE = "claims-unavailable"
+
+
+@attrs.frozen
+class Verdict:
+    """A ruling, the outcome of the keyed request, and its recorded status."""
+
+    ruling: Ruling
+    outcome: str = "unknown"
+    status: int | None = None
+
+
+HELD = Verdict(Ruling.HELD)
+VACANT = Verdict(Ruling.VACANT)
+UNAVAILABLE = Verdict(Ruling.UNAVAILABLE)
+
+_RULINGS = {
+    ClaimState.CLAIMED: Ruling.UNFINISHED,
+    ClaimState.FINISHED: Ruling.RAN,
+    ClaimState.UNKNOWN: Ruling.UNKNOWN,
+    ClaimState.RELEASED: Ruling.VACANT,
+}
+_OUTCOMES = {ClaimState.FINISHED: "ran", ClaimState.RELEASED: "not-run"}
+
+
+def judge(wanted: Claim, found: Claim | None) -> Verdict:
+    """Decide what the wanted claim is told, given the claim that was found.
+
+    A claim left unfinished is never taken over: its request may have run.
+    """
+    if found is None:
+        return VACANT
+    outcome = _OUTCOMES.get(found.state, "unknown")
+    if found.fingerprint != wanted.fingerprint:
+        return Verdict(Ruling.KEY_REUSED, outcome)
+    if found.claim_id == wanted.claim_id and found.state is ClaimState.CLAIMED:
+        return HELD
+    return Verdict(_RULINGS[found.state], outcome, found.status)
+
+
+class ClaimRefused(RhubarbmountError):
+    """The request may not be dispatched; the outcome is that of its key."""
+
+    def __init__(
+        self, verdict: Verdict, message: str, status: int, retry_after_s: float | None
+    ) -> None:
+        super().__init__(message, code=verdict.ruling.value)
+        self.outcome = verdict.outcome
+        self.status = status
+        self.recorded_status = verdict.status
+        self.retry_after_s = retry_after_s
+
+
+def refusal(verdict: Verdict) -> ClaimRefused:
+    """Return the error for a verdict that is not HELD.
+
+    >>> error = refusal(UNAVAILABLE)
+    >>> error.status, error.code, error.outcome, error.retry_after_s
+    (503, 'claims-unavailable', 'unknown', 2.0)
+    """
+    match verdict.ruling:
+        case Ruling.RAN:
+            message = f"the request ran; its answer had status {verdict.status}"
+            return ClaimRefused(verdict, message, 409, None)
+        case Ruling.KEY_REUSED:
+            message = "the key was used for a different request"
+            return ClaimRefused(verdict, message, 422, None)
+        case Ruling.UNFINISHED:
+            message = "a request with this key is running, or its answer was lost"
+            return ClaimRefused(verdict, message, 409, RETRY_AFTER_S)
+        case Ruling.UNKNOWN:
+            message = "a request with this key was sent and its answer was lost"
+            return ClaimRefused(verdict, message, 409, None)
+    message = "whether the key was used can't be told now; send the request again"
+    return ClaimRefused(verdict, message, 503, RETRY_AFTER_S)
--- /dev/null
+++ b/rhubarbmount/home_claims.py
@@ -0,0 +1,140 @@
+"""Keys that this entry host issues while the platform is out, and alone may claim."""
+
+import hashlib
+import hmac
+import secrets
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+from rhubarbmount.claim_guard import HeldClaim
+from rhubarbmount.claims import (
+    HELD,
+    UNAVAILABLE,
+    Claim,
+    ClaimState,
+    Ruling,
+    Verdict,
+    judge,
+    refusal,
+    row_key,
+)
+
+__all__ = ["HomeClaims", "HomeKey", "parse_home_key"]
+
+KEY_PREFIX = "home"
+KEY_LIFETIME_S = 600.0
+CLAIMS_LIMIT = 20000
+EXPIRED = Verdict(Ruling.UNKNOWN)
+FULL = Verdict(Ruling.UNAVAILABLE, "not-run")
+
+
+@attrs.frozen
+class HomeKey:
+    """The parts of an issued key; ``issued_ms`` is on the issuer's own clock."""
+
+    instance: str
+    issued_ms: int
+    nonce: str
+    seal: str
+
+
+def parse_home_key(key: str) -> HomeKey | None:
+    """Return the parts of an issued key, or None for a key of a caller's own.
+
+    >>> parse_home_key("home.entry-1.1500.ab.cd").instance
+    'entry-1'
+    >>> parse_home_key("order-17") is None
+    True
+    """
+    parts = key.split(".")
+    if len(parts) != 5 or parts[0] != KEY_PREFIX or not parts[2].isdecimal():
+        return None
+    return HomeKey(parts[1], int(parts[2]), parts[3], parts[4])
+
+
+@attrs.define(eq=False)
+class HomeClaims:
+    """Claim issued keys in the memory of the one process that issued them.
+
+    No other process ever claims them, whether the platform is out or not, and the
+    seal's secret ends with the process; so each runs at most once whoever is cut off,
+    paused or replaced.
+    """
+
+    instance: str
+    clock: Callable[[], float] = trio.current_time
+    _secret: bytes = attrs.field(factory=lambda: secrets.token_bytes(32))
+    _claims: OrderedDict[str, tuple[float, Claim]] = attrs.field(factory=OrderedDict)
+
+    def issue(self, service: str) -> str:
+        """Return a new key for one request to the service."""
+        issued_ms = int(self.clock() * 1000)
+        nonce = secrets.token_hex(8)
+        seal = self._seal(service, issued_ms, nonce)
+        return f"{KEY_PREFIX}.{self.instance}.{issued_ms}.{nonce}.{seal}"
+
+    def has_issued(self, service: str, key: HomeKey) -> bool:
+        """Return whether this very process issued the key for the service."""
+        seal = self._seal(service, key.issued_ms, key.nonce)
+        return key.instance == self.instance and hmac.compare_digest(seal, key.seal)
+
+    @contextmanager
+    def guard(
+        self, service: str, idempotency_key: str, fingerprint: str
+    ) -> Iterator[HeldClaim]:
+        """Hold the key's claim for the length of the block. Raises ClaimRefused."""
+        claim = Claim(
+            row_key=row_key(service, idempotency_key),
+            claim_id=secrets.token_hex(16),
+            holder=self.instance,
+            fingerprint=fingerprint,
+            claimed_s=0.0,
+        )
+        verdict = self._acquire(service, idempotency_key, claim)
+        if verdict is not HELD:
+            raise refusal(verdict)
+        held = HeldClaim(claim)
+        try:
+            yield held
+        finally:
+            self._finish(held.claim)
+
+    def _acquire(self, service: str, idempotency_key: str, claim: Claim) -> Verdict:
+        self._forget_expired()
+        key = parse_home_key(idempotency_key)
+        if key is None or not self.has_issued(service, key):
+            return UNAVAILABLE
+        expires_s = key.issued_ms / 1000 + KEY_LIFETIME_S
+        if expires_s <= self.clock():
+            return EXPIRED
+        if claim.row_key in self._claims:
+            return judge(claim, self._claims[claim.row_key][1])
+        if len(self._claims) >= CLAIMS_LIMIT:
+            return FULL
+        self._claims[claim.row_key] = (expires_s, claim)
+        return HELD
+
+    def _finish(self, claim: Claim) -> None:
+        expires_s, _ = self._claims.pop(claim.row_key)
+        if claim.state is ClaimState.RELEASED:
+            return
+        if claim.state is ClaimState.CLAIMED:
+            claim = attrs.evolve(claim, state=ClaimState.UNKNOWN)
+        self._claims[claim.row_key] = (expires_s, claim)
+
+    def _forget_expired(self) -> None:
+        """Forget old claims from the front; their keys are refused by their age."""
+        now_s = self.clock()
+        while self._claims:
+            row, (expires_s, claim) = next(iter(self._claims.items()))
+            if expires_s > now_s or claim.state is ClaimState.CLAIMED:
+                return
+            del self._claims[row]
+
+    def _seal(self, service: str, issued_ms: int, nonce: str) -> str:
+        text = f"{service} {issued_ms} {nonce}".encode()
+        return hmac.new(self._secret, text, hashlib.sha256).hexdigest()[:32]
