--- /dev/null
+++ b/rhubarbmount/configuration.py
@@ -0,0 +1,101 @@
+"""The configuration in force at this instance: the latest snapshot it has seen."""
+
+import logging
+
+import attrs
+import trio
+
+from rhubarbmount.acceptance import CATALOGUE_HEAD, HEADS_TABLE
+from rhubarbmount.broadcast import Broadcaster
+from rhubarbmount.catalogue import Snapshot, decode_snapshot, encode_snapshot
+from rhubarbmount.errors import PlatformUnavailable
+from rhubarbmount.follower import Follower, PulledState
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import Platform
+
+__all__ = ["Configuration", "SnapshotInForce"]
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class SnapshotInForce:
+    """A snapshot has come into force at this instance."""
+
+    snapshot: Snapshot
+
+
+@attrs.define(eq=False, kw_only=True)
+class Configuration(Follower):
+    """Hold the snapshot in force; it is replaced by later versions only.
+
+    Without a snapshot the instance is not ready; there are no default entries.
+    """
+
+    platform: Platform
+    snapshot: Snapshot | None = attrs.field(default=None, init=False)
+    _broadcaster: Broadcaster[SnapshotInForce] = attrs.field(
+        factory=Broadcaster, init=False
+    )
+    _head_behind: bool = attrs.field(default=False, init=False)
+
+    state_name = "catalogue"
+
+    def subscribe(self) -> trio.MemoryReceiveChannel[SnapshotInForce]:
+        """Return a channel of snapshots, starting with the one in force."""
+        return self._broadcaster.subscribe()
+
+    def offer(self, snapshot: Snapshot) -> bool:
+        """Bring a snapshot into force if it is later than the one in force."""
+        if self.snapshot is not None and snapshot.version <= self.snapshot.version:
+            return False
+        previous = self.version
+        self.snapshot = snapshot
+        self.version = snapshot.version
+        event(
+            _logger,
+            "configuration-in-force",
+            version=snapshot.version,
+            previous=previous,
+            entries=len(snapshot.by_key),
+        )
+        self._broadcaster.publish(SnapshotInForce(snapshot))
+        return True
+
+    def share(self, known_version: int) -> PulledState | None:
+        """Return the copy for a peer that knows a version; None before any."""
+        if self.snapshot is None:
+            return None
+        body = None
+        if self.version > known_version or known_version == 0:
+            body = encode_snapshot(self.snapshot)
+        return PulledState(self.version, self.age_s(), body)
+
+    async def _read_platform(self) -> None:
+        row = await self.platform.read(HEADS_TABLE, CATALOGUE_HEAD)
+        head_version = 0 if row is None else row.value["version"]
+        self._note_head(head_version)
+        if row is None:
+            self.offer(Snapshot())
+            return
+        if head_version <= self.version:
+            return
+        body = await self.platform.get_object(row.value["object"])
+        if body is None:
+            raise PlatformUnavailable(f"no object {row.value['object']}")
+        self._adopt_body(body)
+
+    def _adopt_body(self, body: bytes) -> None:
+        self.offer(decode_snapshot(body))
+
+    def _note_head(self, head_version: int) -> None:
+        behind = head_version < self.version
+        if behind and not self._head_behind:
+            event(
+                _logger,
+                "configuration-head-behind",
+                logging.ERROR,
+                version=self.version,
+                head=head_version,
+            )
+        self._head_behind = behind
--- /dev/null
+++ b/rhubarbmount/follower.py
@@ -0,0 +1,172 @@
+"""Writes claims in groups: one transaction carries those that wait for it."""
+
+import uuid
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from rhubarbmount.claims import (
+    CLAIMS_TABLE,
+    HELD,
+    UNAVAILABLE,
+    Claim,
+    ClaimState,
+    Ruling,
+    Verdict,
+    judge,
+    load_claim,
+)
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.platform.interface import Precondition, Transaction, Write
+
+__all__ = ["ClaimBatches", "ClaimRequest"]
+
+BATCH_ROWS = 64
+WAITING_CLAIMS = 256
+WRITERS = 2
+ROUNDS = 4
+
+
+@attrs.define(eq=False)
+class ClaimRequest:
+    """A claim to write, and its verdict once there is one."""
+
+    claim: Claim
+    verdict: Verdict | None = None
+    abandoned: bool = False
+    answered: trio.Event = attrs.field(factory=trio.Event)
+
+    def answer(self, verdict: Verdict) -> None:
+        """Set the verdict and wake who waits for it."""
+        self.verdict = verdict
+        self.answered.set()
+
+
+@attrs.define
+class _Candidate:
+    """A request whose claim is not yet written, and the row version it replaces."""
+
+    request: ClaimRequest
+    replaces: int = 0
+
+
+@attrs.define(eq=False)
+class ClaimBatches:
+    """Own the queue of claims; ``withdraw`` gets those that no one will run.
+
+    A claim passed to ``withdraw`` may or may not have been written.
+    """
+
+    platform: PlatformClient
+    withdraw: Callable[[Claim], None]
+    transactions: int = 0
+    rows: int = 0
+    _send: trio.MemorySendChannel[ClaimRequest] = attrs.field(init=False)
+    _receive: trio.MemoryReceiveChannel[ClaimRequest] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._send, self._receive = trio.open_memory_channel(WAITING_CLAIMS)
+
+    async def claim(self, claim: Claim) -> Verdict:
+        """Wait until the claim is written, refused, or out of reach."""
+        request = ClaimRequest(claim)
+        try:
+            self._send.send_nowait(request)
+        except trio.WouldBlock:
+            return UNAVAILABLE
+        try:
+            await request.answered.wait()
+        except trio.Cancelled:
+            self._abandon(request)
+            raise
+        assert request.verdict is not None
+        return request.verdict
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(WRITERS):
+                nursery.start_soon(self._write_batches)
+
+    def _abandon(self, request: ClaimRequest) -> None:
+        request.abandoned = True
+        if request.verdict is HELD:
+            self.withdraw(request.claim)
+
+    async def _write_batches(self) -> None:
+        async for first in self._receive:
+            batch = self._drain(first)
+            if batch:
+                await self._write_batch(batch)
+
+    def _drain(self, first: ClaimRequest) -> list[ClaimRequest]:
+        batch = [first]
+        while len(batch) < BATCH_ROWS:
+            try:
+                batch.append(self._receive.receive_nowait())
+            except trio.WouldBlock:
+                break
+        return [request for request in batch if not request.abandoned]
+
+    async def _write_batch(self, batch: list[ClaimRequest]) -> None:
+        by_row_key = {r.claim.row_key: _Candidate(r) for r in batch}
+        may_be_written = False
+        for _ in range(ROUNDS):
+            try:
+                await self._write_round(by_row_key)
+            except OutcomeUnknown:
+                may_be_written = True
+            except PlatformUnavailable:
+                break
+            if not by_row_key:
+                return
+        for candidate in by_row_key.values():
+            candidate.request.answer(UNAVAILABLE)
+            if may_be_written:
+                self.withdraw(candidate.request.claim)
+
+    async def _write_round(self, by_row_key: dict[str, _Candidate]) -> None:
+        """Try to write all; drop those that got a verdict.
+
+        A repeat after a lost answer is safe: a claim replaces only the version that
+        was read, and one's own claim is known by its id.
+        """
+        self.transactions += 1
+        self.rows += len(by_row_key)
+        result = await self.platform.transact(_insert_all(by_row_key), settled=False)
+        if result.committed:
+            for candidate in by_row_key.values():
+                self._answer(candidate.request, HELD)
+            by_row_key.clear()
+            return
+        for _, key in result.conflicts:
+            await self._resolve(by_row_key, key)
+
+    async def _resolve(self, by_row_key: dict[str, _Candidate], key: str) -> None:
+        candidate = by_row_key[key]
+        row = await self.platform.read(CLAIMS_TABLE, key)
+        found = None if row is None else load_claim(row)
+        verdict = judge(candidate.request.claim, found)
+        if verdict.ruling is Ruling.VACANT:
+            candidate.replaces = 0 if row is None else row.version
+            return
+        del by_row_key[key]
+        self._answer(candidate.request, verdict)
+
+    def _answer(self, request: ClaimRequest, verdict: Verdict) -> None:
+        request.answer(verdict)
+        if request.abandoned and verdict is HELD:
+            self.withdraw(request.claim)
+
+
+def _insert_all(by_row_key: dict[str, _Candidate]) -> Transaction:
+    preconditions = []
+    writes = []
+    for key, candidate in by_row_key.items():
+        claim = candidate.request.claim
+        assert claim.state is ClaimState.CLAIMED
+        preconditions.append(Precondition(CLAIMS_TABLE, key, candidate.replaces))
+        writes.append(Write(CLAIMS_TABLE, key, claim.values()))
+    return Transaction(uuid.uuid4().hex, tuple(preconditions), tuple(writes))
