--- a/rhubarbmount/follower.py
+++ b/rhubarbmount/follower.py
@@ -1,172 +1,160 @@
-"""Writes claims in groups: one transaction carries those that wait for it."""
+"""Following of state that the platform keeps, from the platform or from peers."""
 
-import uuid
+import logging
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 import trio
 
-from rhubarbmount.claims import (
-    CLAIMS_TABLE,
-    HELD,
-    UNAVAILABLE,
-    Claim,
-    ClaimState,
-    Ruling,
-    Verdict,
-    judge,
-    load_claim,
-)
-from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.client import PlatformClient
-from rhubarbmount.platform.interface import Precondition, Transaction, Write
-
-__all__ = ["ClaimBatches", "ClaimRequest"]
-
-BATCH_ROWS = 64
-WAITING_CLAIMS = 256
-WRITERS = 2
-ROUNDS = 4
+from rhubarbmount.errors import FindingsError, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.log import event
+from rhubarbmount.timers import TimerService
 
+__all__ = ["Follower", "Pull", "PulledState"]
 
-@attrs.define(eq=False)
-class ClaimRequest:
-    """A claim to write, and its verdict once there is one."""
+PEERS_TIMEOUT_S = 1.0
+POLL_PERIOD_S = 1.0
 
-    claim: Claim
-    verdict: Verdict | None = None
-    abandoned: bool = False
-    answered: trio.Event = attrs.field(factory=trio.Event)
+_logger = logging.getLogger(__name__)
 
-    def answer(self, verdict: Verdict) -> None:
-        """Set the verdict and wake who waits for it."""
-        self.verdict = verdict
-        self.answered.set()
 
+@attrs.frozen
+class PulledState:
+    """A peer's copy; ``body`` is None when the asker's version is the peer's.
 
-@attrs.define
-class _Candidate:
-    """A request whose claim is not yet written, and the row version it replaces."""
+    ``age_s`` is how long ago the peer's copy was confirmed by the platform.
+    """
 
-    request: ClaimRequest
-    replaces: int = 0
+    version: int
+    age_s: float
+    body: bytes | None
 
 
-@attrs.define(eq=False)
-class ClaimBatches:
-    """Own the queue of claims; ``withdraw`` gets those that no one will run.
+class Pull(Protocol):
+    """Asks a peer for its copy of a state; None when no peer answers."""
+
+    async def __call__(self, state: str, known_version: int) -> PulledState | None:
+        """Return a copy of at least the known version."""
 
-    A claim passed to ``withdraw`` may or may not have been written.
-    """
 
-    platform: PlatformClient
-    withdraw: Callable[[Claim], None]
-    transactions: int = 0
-    rows: int = 0
-    _send: trio.MemorySendChannel[ClaimRequest] = attrs.field(init=False)
-    _receive: trio.MemoryReceiveChannel[ClaimRequest] = attrs.field(init=False)
+@attrs.define(eq=False)
+class Follower:
+    """Keep one state fresh; subclasses say how it is read and adopted.
 
-    def __attrs_post_init__(self) -> None:
-        self._send, self._receive = trio.open_memory_channel(WAITING_CLAIMS)
+    ``clock`` returns monotonic seconds. Versions adopted only rise.
+    """
 
-    async def claim(self, claim: Claim) -> Verdict:
-        """Wait until the claim is written, refused, or out of reach."""
-        request = ClaimRequest(claim)
+    pull: Pull | None = None
+    clock: Callable[[], float] = trio.current_time
+    version: int = attrs.field(default=0, init=False)
+    confirmed_s: float | None = attrs.field(default=None, init=False)
+    _hearing: bool = attrs.field(default=False, init=False)
+    _platform_answers: bool = attrs.field(default=True, init=False)
+
+    state_name = "state"
+    platform_timeout_s = 2.0
+
+    @property
+    def ready(self) -> bool:
+        """Return whether any copy is held."""
+        return self.confirmed_s is not None
+
+    def age_s(self) -> float:
+        """Return for how long the platform has not confirmed the copy."""
+        if self.confirmed_s is None:
+            return float("inf")
+        return self.clock() - self.confirmed_s
+
+    async def run(self, timers: TimerService) -> None:
+        """Refresh the copy once a second until cancelled."""
+        async for _ in timers.every(self.state_name, POLL_PERIOD_S):
+            await self.refresh()
+
+    async def hear(self, version: int) -> None:
+        """Take a later version that a peer is known to have, from a peer first."""
+        if version <= self.version or self._hearing:
+            return
+        self._hearing = True
         try:
-            self._send.send_nowait(request)
-        except trio.WouldBlock:
-            return UNAVAILABLE
+            if not await self._from_peers():
+                await self._from_platform()
+        finally:
+            self._hearing = False
+
+    async def refresh(self) -> None:
+        """Take the copy from the platform, or else from a peer."""
+        if not await self._from_platform():
+            await self._from_peers()
+
+    async def _from_platform(self) -> bool:
+        asked_s = self.clock()
         try:
-            await request.answered.wait()
-        except trio.Cancelled:
-            self._abandon(request)
-            raise
-        assert request.verdict is not None
-        return request.verdict
-
-    async def run(self) -> None:
-        """Write batches until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for _ in range(WRITERS):
-                nursery.start_soon(self._write_batches)
-
-    def _abandon(self, request: ClaimRequest) -> None:
-        request.abandoned = True
-        if request.verdict is HELD:
-            self.withdraw(request.claim)
-
-    async def _write_batches(self) -> None:
-        async for first in self._receive:
-            batch = self._drain(first)
-            if batch:
-                await self._write_batch(batch)
-
-    def _drain(self, first: ClaimRequest) -> list[ClaimRequest]:
-        batch = [first]
-        while len(batch) < BATCH_ROWS:
+            with trio.fail_after(self.platform_timeout_s):
+                await self._read_platform()
+        except (
+            PlatformUnavailable,
+            OutcomeUnknown,
+            FindingsError,
+            trio.TooSlowError,
+        ) as error:
+            self._note_platform(False, repr(error))
+            return False
+        self._confirm(asked_s)
+        self._note_platform(True)
+        return True
+
+    async def _from_peers(self) -> bool:
+        if self.pull is None:
+            return False
+        asked_s = self.clock()
+        with trio.move_on_after(PEERS_TIMEOUT_S):
+            pulled = await self.pull(self.state_name, self.version)
+            if pulled is not None:
+                return self._take(pulled, asked_s)
+        return False
+
+    def _take(self, pulled: PulledState, asked_s: float) -> bool:
+        if pulled.version < self.version:
+            return False
+        if pulled.body is not None:
             try:
-                batch.append(self._receive.receive_nowait())
-            except trio.WouldBlock:
-                break
-        return [request for request in batch if not request.abandoned]
-
-    async def _write_batch(self, batch: list[ClaimRequest]) -> None:
-        by_row_key = {r.claim.row_key: _Candidate(r) for r in batch}
-        may_be_written = False
-        for _ in range(ROUNDS):
-            try:
-                await self._write_round(by_row_key)
-            except OutcomeUnknown:
-                may_be_written = True
-            except PlatformUnavailable:
-                break
-            if not by_row_key:
-                return
-        for candidate in by_row_key.values():
-            candidate.request.answer(UNAVAILABLE)
-            if may_be_written:
-                self.withdraw(candidate.request.claim)
-
-    async def _write_round(self, by_row_key: dict[str, _Candidate]) -> None:
-        """Try to write all; drop those that got a verdict.
-
-        A repeat after a lost answer is safe: a claim replaces only the version that
-        was read, and one's own claim is known by its id.
-        """
-        self.transactions += 1
-        self.rows += len(by_row_key)
-        result = await self.platform.transact(_insert_all(by_row_key), settled=False)
-        if result.committed:
-            for candidate in by_row_key.values():
-                self._answer(candidate.request, HELD)
-            by_row_key.clear()
-            return
-        for _, key in result.conflicts:
-            await self._resolve(by_row_key, key)
-
-    async def _resolve(self, by_row_key: dict[str, _Candidate], key: str) -> None:
-        candidate = by_row_key[key]
-        row = await self.platform.read(CLAIMS_TABLE, key)
-        found = None if row is None else load_claim(row)
-        verdict = judge(candidate.request.claim, found)
-        if verdict.ruling is Ruling.VACANT:
-            candidate.replaces = 0 if row is None else row.version
+                self._adopt_body(pulled.body)
+            except FindingsError as error:
+                event(
+                    _logger,
+                    "pull-refused",
+                    logging.WARNING,
+                    state=self.state_name,
+                    reason=error.message,
+                )
+                return False
+        if pulled.version != self.version:
+            return False
+        self._confirm(asked_s - max(pulled.age_s, 0.0))
+        return True
+
+    def _confirm(self, confirmed_s: float) -> None:
+        if self.confirmed_s is None or confirmed_s > self.confirmed_s:
+            self.confirmed_s = confirmed_s
+
+    def _note_platform(self, answers: bool, reason: str = "") -> None:
+        if answers == self._platform_answers:
             return
-        del by_row_key[key]
-        self._answer(candidate.request, verdict)
-
-    def _answer(self, request: ClaimRequest, verdict: Verdict) -> None:
-        request.answer(verdict)
-        if request.abandoned and verdict is HELD:
-            self.withdraw(request.claim)
-
-
-def _insert_all(by_row_key: dict[str, _Candidate]) -> Transaction:
-    preconditions = []
-    writes = []
-    for key, candidate in by_row_key.items():
-        claim = candidate.request.claim
-        assert claim.state is ClaimState.CLAIMED
-        preconditions.append(Precondition(CLAIMS_TABLE, key, candidate.replaces))
-        writes.append(Write(CLAIMS_TABLE, key, claim.values()))
-    return Transaction(uuid.uuid4().hex, tuple(preconditions), tuple(writes))
+        self._platform_answers = answers
+        event(
+            _logger,
+            "platform-answers" if answers else "platform-silent",
+            logging.INFO if answers else logging.WARNING,
+            state=self.state_name,
+            version=self.version,
+            reason=reason or None,
+        )
+
+    async def _read_platform(self) -> None:
+        """Bring the copy up to the platform's head."""
+        raise TypeError("a subclass reads the platform")
+
+    def _adopt_body(self, body: bytes) -> None:
+        """Replace the copy by the one in a peer's answer."""
+        raise TypeError("a subclass adopts a body")
