Interpret the host's state chart from its YAML file

The transitions library and a small interpreter were both tried. The decisions here are pure, so they ask for the next state of a row and store nothing: the interpreter stays, and reports unknown, ambiguous and unreachable states together with their place.

A chart that allowed a move from any state but drained fails test_a_host_changes_pool_only_once_it_is_drained.

--- /dev/null
+++ b/rhubarbmount/statecharts.py
@@ -0,0 +1,120 @@
+"""State charts: read from YAML files, checked, and asked for the next state."""
+
+from functools import cache
+from importlib import resources
+from typing import Any
+
+import attrs
+import yaml
+
+from rhubarbmount.errors import Finding, FindingsError, Refused
+
+__all__ = ["StateChart", "Transition", "load_chart", "parse_chart"]
+
+
+@attrs.frozen
+class Transition:
+    """An event, the states it may happen in, and the state it leads to."""
+
+    event: str
+    sources: tuple[str, ...]
+    target: str
+
+
+@attrs.frozen
+class StateChart:
+    """States and the events that lead from one to another."""
+
+    name: str
+    initial: str
+    states: tuple[str, ...]
+    transitions: tuple[Transition, ...]
+
+    def next_state(self, state: str, event: str) -> str:
+        """Return the state after the event, or raise Refused.
+
+        >>> load_chart("host").next_state("draining", "empty")
+        'drained'
+        """
+        for transition in self.transitions:
+            if transition.event == event and state in transition.sources:
+                return transition.target
+        raise Refused(
+            f"{self.name} in state {state} does not accept {event}",
+            code="no-transition",
+        )
+
+    def accepts(self, state: str, event: str) -> bool:
+        """Tell whether the event may happen in the state."""
+        return any(
+            transition.event == event and state in transition.sources
+            for transition in self.transitions
+        )
+
+
+def parse_chart(text: str, place: str) -> StateChart:
+    """Build a chart from YAML text, or raise every finding together."""
+    try:
+        chart = _structure(yaml.safe_load(text))
+    except (yaml.YAMLError, KeyError, TypeError) as error:
+        raise FindingsError([Finding(place, "unreadable-chart", str(error))]) from error
+    findings = [Finding(place, code, message) for code, message in _problems_of(chart)]
+    if findings:
+        raise FindingsError(findings)
+    return chart
+
+
+@cache
+def load_chart(name: str) -> StateChart:
+    """Return the chart of that name from this package."""
+    place = f"statecharts/{name}.yaml"
+    text = resources.files("rhubarbmount").joinpath(place).read_text("utf-8")
+    return parse_chart(text, place)
+
+
+def _structure(values: dict[str, Any]) -> StateChart:
+    transitions = tuple(
+        Transition(item["event"], tuple(item["from"]), item["to"])
+        for item in values["transitions"]
+    )
+    return StateChart(
+        values["name"], values["initial"], tuple(values["states"]), transitions
+    )
+
+
+def _problems_of(chart: StateChart) -> list[tuple[str, str]]:
+    problems = []
+    known = set(chart.states)
+    seen: set[tuple[str, str]] = set()
+    for state in {chart.initial, *_mentioned(chart)} - known:
+        problems.append(("unknown-state", f"state {state} is not listed"))
+    for transition in chart.transitions:
+        for source in transition.sources:
+            if (source, transition.event) in seen:
+                problems.append(
+                    ("ambiguous-event", f"{transition.event} from {source} twice")
+                )
+            seen.add((source, transition.event))
+    for state in known - _reachable(chart):
+        problems.append(("unreachable-state", f"nothing leads to {state}"))
+    return sorted(problems)
+
+
+def _mentioned(chart: StateChart) -> set[str]:
+    mentioned = {transition.target for transition in chart.transitions}
+    for transition in chart.transitions:
+        mentioned.update(transition.sources)
+    return mentioned
+
+
+def _reachable(chart: StateChart) -> set[str]:
+    reached = {chart.initial}
+    while True:
+        grown = reached | {
+            transition.target
+            for transition in chart.transitions
+            if reached.intersection(transition.sources)
+        }
+        if grown == reached:
+            return reached
+        reached = grown
