Decide availability budgets and grant permission in one transaction

A pool's hosts count as down by a permit, by the state of their row, or by being absent from or leaving on the platform's lagging list; too few hosts against the entry count too. Permission transacts on the budgets row and on the entry's version, so neither a second planner nor a shrinking entry slips past it.

Ruled out: counting from host rows alone, since two planners that read the same rows would each take the last slot.

--- /dev/null
+++ b/rhubarbmount/budgets.py
@@ -0,0 +1,199 @@
+"""Availability budgets: how much of a pool may be out of service at once."""
+
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+
+import attrs
+
+from rhubarbmount.entries import Pool, converter
+from rhubarbmount.hostrows import HostRow, Terms
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.platform.interface import LiveHost, Platform, Row
+
+__all__ = [
+    "BudgetView",
+    "Permission",
+    "PermissionCode",
+    "PoolRows",
+    "decide",
+    "down_by_cause",
+    "read_pool_rows",
+]
+
+BUDGETS_TABLE = "budgets"
+ENTRIES_TABLE = "entries"
+SERVING_STATES = frozenset({HostState.IN_SERVICE, HostState.RETURNING})
+
+
+class PermissionCode(StrEnum):
+    """Why a host may or may not be taken out of service."""
+
+    ALLOWED = "allowed"
+    ALREADY_DOWN = "already-down"
+    FAILURES_FIRST = "failures-first"
+    HOSTS_EXHAUSTED = "hosts-exhausted"
+    RACKS_EXHAUSTED = "racks-exhausted"
+    SHORT_OF_HOSTS = "short-of-hosts"
+
+
+@attrs.frozen
+class Permission:
+    """The answer to a request for disruption, and the figures behind it."""
+
+    code: PermissionCode
+    hosts_down: int
+    racks_down: int
+
+    @property
+    def allowed(self) -> bool:
+        """Tell whether the host may be taken out of service."""
+        return self.code in (PermissionCode.ALLOWED, PermissionCode.ALREADY_DOWN)
+
+
+@attrs.frozen(kw_only=True)
+class BudgetView:
+    """A pool's limits beside what is out of service now.
+
+    ``rack_by_planned`` and ``rack_by_failed`` name the racks of hosts down on
+    purpose and of those that failed or are unknown. ``members`` counts the pool's
+    hosts.
+    """
+
+    pool: Pool
+    members: int
+    rack_by_planned: Mapping[str, str]
+    rack_by_failed: Mapping[str, str]
+
+    @property
+    def missing(self) -> int:
+        """Return how many hosts the pool has too few."""
+        return max(0, self.pool.hosts_wanted - self.members)
+
+    @property
+    def down(self) -> dict[str, str]:
+        """Return the racks of all hosts out of service, by host id."""
+        return {**self.rack_by_failed, **self.rack_by_planned}
+
+
+def decide(view: BudgetView, host_id: str, rack: str) -> Permission:
+    """Tell whether one more host may be taken out of service.
+
+    >>> pool = Pool(name="quotes", owner="sfax", hosts_wanted=8)
+    >>> view = BudgetView(pool=pool, members=8, rack_by_planned={},
+    ...                   rack_by_failed={"h1": "r1"})
+    >>> decide(view, "h2", "r1").code.value
+    'hosts-exhausted'
+    """
+    down = view.down
+    if host_id in down:
+        return _permission(PermissionCode.ALREADY_DOWN, down)
+    pool = view.pool
+    if _breaks(pool, view.rack_by_failed):
+        return _permission(PermissionCode.FAILURES_FIRST, down)
+    racks = set(down.values()) | {rack}
+    if len(racks) > pool.racks_down_limit:
+        return _permission(PermissionCode.RACKS_EXHAUSTED, down)
+    if len(down) + 1 > pool.hosts_down_limit:
+        return _permission(PermissionCode.HOSTS_EXHAUSTED, down)
+    if len(down) + 1 + view.missing > pool.hosts_down_limit:
+        return _permission(PermissionCode.SHORT_OF_HOSTS, down)
+    return _permission(PermissionCode.ALLOWED, down)
+
+
+def down_by_cause(
+    hosts: Iterable[Host],
+    permits: Mapping[str, str],
+    live: Iterable[LiveHost],
+) -> tuple[dict[str, str], dict[str, str]]:
+    """Return the racks of planned and of failed hosts, each by host id.
+
+    A host that the lagging list lacks, or shows as leaving, counts as failed; no
+    list entry ever turns a host that is down by its row or a permit into one that
+    serves.
+    """
+    serving_ids = {item.host_id for item in live if not item.leaving}
+    planned = dict(permits)
+    failed = {}
+    for host in hosts:
+        if host.host_id in planned:
+            continue
+        if host.state not in SERVING_STATES or host.host_id not in serving_ids:
+            failed[host.host_id] = host.rack
+    return planned, failed
+
+
+def _breaks(pool: Pool, rack_by_host_id: Mapping[str, str]) -> bool:
+    return (
+        len(rack_by_host_id) > pool.hosts_down_limit
+        or len(set(rack_by_host_id.values())) > pool.racks_down_limit
+    )
+
+
+def _permission(code: PermissionCode, down: Mapping[str, str]) -> Permission:
+    return Permission(code, len(down), len(set(down.values())))
+
+
+@attrs.frozen
+class PoolRows:
+    """A pool's entry and its row of permits, as read before a decision."""
+
+    name: str
+    pool: Pool | None
+    entry_version: int
+    permits: Mapping[str, str]
+    permits_version: int
+
+    def view(self, members: Iterable[HostRow], live: Iterable[LiveHost]) -> BudgetView:
+        """Return the budget; the hosts must have been read after these rows."""
+        if self.pool is None:
+            raise ValueError(f"pool {self.name} has no entry")
+        hosts = [row.host for row in members]
+        planned, failed = down_by_cause(hosts, self.permits, live)
+        return BudgetView(
+            pool=self.pool,
+            members=len(hosts),
+            rack_by_planned=planned,
+            rack_by_failed=failed,
+        )
+
+    def grant_terms(self, rack_by_host_id: Mapping[str, str]) -> Terms:
+        """Return what a transaction needs to take these hosts out of service.
+
+        It fails if another planner was permitted anything, or the entry was
+        edited, after these rows were read.
+        """
+        terms = self._terms({**self.permits, **rack_by_host_id})
+        terms.require(ENTRIES_TABLE, f"pool/{self.name}", self.entry_version)
+        return terms
+
+    def release_terms(self, host_ids: Iterable[str]) -> Terms:
+        """Return what a transaction needs to give permits back."""
+        gone = set(host_ids)
+        return self._terms(
+            {key: rack for key, rack in self.permits.items() if key not in gone}
+        )
+
+    def _terms(self, permits: Mapping[str, str]) -> Terms:
+        terms = Terms()
+        terms.require(BUDGETS_TABLE, self.name, self.permits_version)
+        terms.write(BUDGETS_TABLE, self.name, {"permits": dict(permits)})
+        return terms
+
+
+async def read_pool_rows(platform: Platform, name: str) -> PoolRows:
+    """Read a pool's entry and its permits."""
+    entry = await platform.read(ENTRIES_TABLE, f"pool/{name}")
+    permits = await platform.read(BUDGETS_TABLE, name)
+    return PoolRows(
+        name=name,
+        pool=_pool_of(entry),
+        entry_version=entry.version if entry else 0,
+        permits=dict(permits.value["permits"]) if permits else {},
+        permits_version=permits.version if permits else 0,
+    )
+
+
+def _pool_of(entry: Row | None) -> Pool | None:
+    if entry is None:
+        return None
+    return converter.structure(dict(entry.value["values"]), Pool)
--- /dev/null
+++ b/rhubarbmount/hostrows.py
@@ -0,0 +1,129 @@
+"""Host rows, and the head row that every change of them advances."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host, load_host
+from rhubarbmount.platform.interface import Platform, Precondition, Row, Write
+
+__all__ = ["FleetView", "HostChange", "HostRow", "Terms", "host_terms"]
+
+HEADS_TABLE = "heads"
+FLEET_HEAD = "fleet"
+CHANGES_KEPT = 256
+
+
+@attrs.frozen
+class HostRow:
+    """A host and the version of its row."""
+
+    host: Host
+    version: int
+
+
+@attrs.frozen
+class HostChange:
+    """A host's row as it was read, or None, and what it shall become."""
+
+    before: HostRow | None
+    after: Host
+
+
+@attrs.define
+class Terms:
+    """Preconditions and writes gathered for one transaction."""
+
+    preconditions: list[Precondition] = attrs.field(factory=list)
+    writes: list[Write] = attrs.field(factory=list)
+
+    def require(self, table: str, key: str, version: int) -> None:
+        """Demand the row's version; 0 demands that there is none."""
+        self.preconditions.append(Precondition(table, key, version=version))
+
+    def write(self, table: str, key: str, value: Mapping[str, Any] | None) -> None:
+        """Write the row, or delete it."""
+        self.writes.append(Write(table, key, value))
+
+    def add(self, other: "Terms") -> None:
+        """Take in everything another part of the transaction needs."""
+        self.preconditions.extend(other.preconditions)
+        self.writes.extend(other.writes)
+
+
+@attrs.define
+class FleetView:
+    """The fleet as last read; a refresh reads only the hosts that changed."""
+
+    platform: Platform
+    by_host_id: dict[str, HostRow] = attrs.field(factory=dict)
+    head: Row | None = None
+
+    async def refresh(self) -> None:
+        """Bring the view up to the head that is read first."""
+        head = await self.platform.read(HEADS_TABLE, FLEET_HEAD)
+        changed = _changed_since(self.head, head)
+        if changed is None:
+            await self._scan()
+        else:
+            for host_id in changed:
+                await self._read(host_id)
+        self.head = head
+
+    def of_pool(self, pool: str) -> list[HostRow]:
+        """Return the hosts of a pool in order of host id."""
+        members = [row for row in self.by_host_id.values() if row.host.pool == pool]
+        return sorted(members, key=lambda row: row.host.host_id)
+
+    async def _scan(self) -> None:
+        rows = await self.platform.scan(HOSTS_TABLE)
+        self.by_host_id = {
+            row.key: HostRow(load_host(dict(row.value)), row.version) for row in rows
+        }
+
+    async def _read(self, host_id: str) -> None:
+        row = await self.platform.read(HOSTS_TABLE, host_id)
+        if row is None:
+            self.by_host_id.pop(host_id, None)
+        else:
+            host = load_host(dict(row.value))
+            self.by_host_id[host_id] = HostRow(host, row.version)
+
+
+def host_terms(head: Row | None, changes: Iterable[HostChange]) -> Terms:
+    """Return what a transaction needs to change these host rows.
+
+    Every host row must be as it was read, and the head advances by one.
+    """
+    terms = Terms()
+    host_ids = []
+    for change in changes:
+        host_id = change.after.host_id
+        version = change.before.version if change.before else 0
+        terms.require(HOSTS_TABLE, host_id, version)
+        terms.write(HOSTS_TABLE, host_id, dump_host(change.after))
+        host_ids.append(host_id)
+    terms.require(HEADS_TABLE, FLEET_HEAD, head.version if head else 0)
+    terms.write(HEADS_TABLE, FLEET_HEAD, _advanced(head, host_ids))
+    return terms
+
+
+def _advanced(head: Row | None, host_ids: list[str]) -> dict[str, Any]:
+    version = (head.value["version"] if head else 0) + 1
+    changes = list(head.value["changes"]) if head else []
+    changes += [[version, host_id] for host_id in host_ids]
+    return {"version": version, "changes": changes[-CHANGES_KEPT:]}
+
+
+def _changed_since(known: Row | None, head: Row | None) -> list[str] | None:
+    """Return the hosts to read again, or None when all of them must be."""
+    if head is None or known is None:
+        return None
+    if head.version == known.version:
+        return []
+    known_version = known.value["version"]
+    changes = head.value["changes"]
+    if not changes or changes[0][0] > known_version + 1:
+        return None
+    return sorted({host_id for version, host_id in changes if version > known_version})
