Hold fleet duties under leases that need no shared clock

A holder counts its lease from when the renewal was sent and stops a margin before it ends; a gap between two checks makes it read the row again; each duty write carries the token. A contender takes over after seeing the row unchanged for the whole lease time on its own clock. The rendezvous order spreads duties; only the first three contenders poll each second.

The hour's outage found a fault: a holder that regained a duty kept an old count of being outranked and handed it back at each take; the count now starts again when the duty changes hands.

Ruled out: comparing row versions, which a commit does not return; the row's holder, token and renewals together are never written twice, so they serve.

--- /dev/null
+++ b/rhubarbmount/duties.py
@@ -0,0 +1,173 @@
+"""Duty leases: one holder for each fleet duty, moved without any shared clock."""
+
+import hashlib
+from collections.abc import Iterable
+from enum import StrEnum
+
+import attrs
+
+__all__ = ["Action", "LeaseBounds", "LeaseRow", "LeaseTracker", "preference_rank"]
+
+POLL_SLACK = 0.8
+
+
+@attrs.frozen(kw_only=True)
+class LeaseBounds:
+    """Times that govern a lease.
+
+    A holder acts for at most ``lease_s - margin_s`` after it sent its last renewal.
+    The first ``prompt_contenders`` in the order of preference read the row each
+    ``poll_s``, the others each ``slow_poll_s``. A gap of ``freeze_s`` between two
+    checks makes the holder read the row again. A holder that another instance has
+    been preferred to for ``settle_s`` hands the duty back.
+    """
+
+    lease_s: float = 8.0
+    margin_s: float = 2.0
+    renewal_s: float = 2.0
+    poll_s: float = 1.0
+    slow_poll_s: float = 2.5
+    prompt_contenders: int = 3
+    freeze_s: float = 1.5
+    settle_s: float = 30.0
+
+
+class Action(StrEnum):
+    """What a contender or holder does next about a lease."""
+
+    WAIT = "wait"
+    READ = "read"
+    TAKE = "take"
+    RENEW = "renew"
+    HAND_BACK = "hand-back"
+
+
+@attrs.frozen
+class LeaseRow:
+    """A lease as kept in the table; no two writes of it are equal.
+
+    An empty holder means that the duty was handed back.
+    """
+
+    holder: str = ""
+    token: int = 0
+    renewals: int = 0
+
+
+def preference_rank(duty: str, instance_id: str, instance_ids: Iterable[str]) -> int:
+    """Return an instance's place, 0 first, in the duty's rendezvous order.
+
+    >>> sorted(preference_rank("waves", name, ["a", "b", "c"]) for name in "abc")
+    [0, 1, 2]
+    """
+    own = _weight(duty, instance_id)
+    others = set(instance_ids) - {instance_id}
+    return sum(_weight(duty, other) > own for other in others)
+
+
+def _weight(duty: str, instance_id: str) -> bytes:
+    return hashlib.blake2b(f"{duty}/{instance_id}".encode(), digest_size=8).digest()
+
+
+@attrs.define
+class LeaseTracker:
+    """Decide about one lease; times are readings of the owner's monotonic clock."""
+
+    instance_id: str
+    bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
+    row: LeaseRow | None = None
+    _must_read: bool = True
+    _read_s: float = float("-inf")
+    _unchanged_since_s: float = float("inf")
+    _counts_from_s: float = float("-inf")
+    _checked_s: float | None = None
+    _outranked_since_s: float | None = None
+
+    @property
+    def is_own(self) -> bool:
+        """Tell whether the row, as last seen, names this instance."""
+        return self.row is not None and self.row.holder == self.instance_id
+
+    def observe(self, row: LeaseRow | None, now_s: float) -> None:
+        """Take in the row as it was read."""
+        first = self._unchanged_since_s > now_s
+        if first or row != self.row:
+            self._unchanged_since_s = now_s
+            self._counts_from_s = float("-inf")
+        if row is None or row.holder != self.instance_id:
+            self._outranked_since_s = None
+        self.row = row
+        self._must_read = False
+        self._read_s = now_s
+        self._checked_s = now_s
+
+    def committed(self, row: LeaseRow, sent_s: float, now_s: float) -> None:
+        """Take in an own write, sent at ``sent_s``, that committed."""
+        self.observe(row, now_s)
+        if self.is_own:
+            self._counts_from_s = sent_s
+
+    def uncertain(self) -> None:
+        """Demand that the row is read before anything else is done."""
+        self._must_read = True
+
+    def may_act(self, now_s: float) -> bool:
+        """Tell whether the lease is surely held now."""
+        if self._has_thawed(now_s):
+            self._must_read = True
+        self._checked_s = now_s
+        return self.is_own and not self._must_read and now_s < self.deadline_s
+
+    @property
+    def deadline_s(self) -> float:
+        """Return the time from which the holder must not act."""
+        return self._counts_from_s + self.bounds.lease_s - self.bounds.margin_s
+
+    def decide(self, now_s: float, rank: int) -> Action:
+        """Return what to do now, at this rank in the order of preference."""
+        if self._must_read:
+            return Action.READ
+        if not self.is_own:
+            return self._contend(now_s, rank)
+        if self._is_outranked(now_s, rank):
+            return Action.HAND_BACK
+        if now_s - self._counts_from_s >= self.bounds.renewal_s:
+            return Action.RENEW
+        return Action.WAIT
+
+    def next_row(self, action: Action) -> LeaseRow:
+        """Return the row that the action writes over the one last seen."""
+        row = self.row or LeaseRow()
+        if action is Action.TAKE:
+            return LeaseRow(self.instance_id, row.token + 1, 0)
+        if action is Action.HAND_BACK:
+            return LeaseRow("", row.token, row.renewals + 1)
+        return attrs.evolve(row, renewals=row.renewals + 1)
+
+    def _contend(self, now_s: float, rank: int) -> Action:
+        prompt = rank < self.bounds.prompt_contenders
+        poll_s = self.bounds.poll_s if prompt else self.bounds.slow_poll_s
+        if now_s - self._read_s >= POLL_SLACK * poll_s:
+            return Action.READ
+        if self._is_free(now_s, rank):
+            return Action.TAKE
+        return Action.WAIT
+
+    def _is_free(self, now_s: float, rank: int) -> bool:
+        quiet_s = now_s - self._unchanged_since_s
+        if self.row is not None and self.row.holder:
+            return quiet_s >= self.bounds.lease_s
+        return quiet_s >= min(rank, self.bounds.prompt_contenders) * self.bounds.poll_s
+
+    def _is_outranked(self, now_s: float, rank: int) -> bool:
+        if rank == 0:
+            self._outranked_since_s = None
+            return False
+        if self._outranked_since_s is None:
+            self._outranked_since_s = now_s
+        return now_s - self._outranked_since_s >= self.bounds.settle_s
+
+    def _has_thawed(self, now_s: float) -> bool:
+        if self._checked_s is None:
+            return False
+        return now_s - self._checked_s > self.bounds.freeze_s
--- /dev/null
+++ b/rhubarbmount/dutyrunner.py
@@ -0,0 +1,183 @@
+"""Running a duty: hold its lease, and do its rounds while the lease is held."""
+
+import logging
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Protocol
+
+import attrs
+
+from rhubarbmount.duties import (
+    Action,
+    LeaseBounds,
+    LeaseRow,
+    LeaseTracker,
+    preference_rank,
+)
+from rhubarbmount.errors import (
+    ConflictError,
+    LeaseLost,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
+from rhubarbmount.hostrows import Terms
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import (
+    HostCommand,
+    Platform,
+    Precondition,
+    Transaction,
+    Write,
+)
+
+__all__ = ["Duty", "DutyRunner", "Lease"]
+
+LEASES_TABLE = "leases"
+STEPS_PER_TICK = 3
+logger = logging.getLogger("rhubarbmount.duties")
+
+
+class Duty(Protocol):
+    """Fleet work that one instance does at a time."""
+
+    name: str
+
+    async def do_round(self, lease: "Lease") -> None:
+        """Do a small part of the work, checking the lease before each effect."""
+
+    def forget(self) -> None:
+        """Drop what was remembered, as another instance may have acted since."""
+
+
+@attrs.define
+class Lease:
+    """A held lease: the only way for a duty to change or command anything."""
+
+    duty: str
+    tracker: LeaseTracker
+    platform: Platform
+    clock: Callable[[], float]
+    new_id: Callable[[], str]
+
+    def check(self) -> None:
+        """Raise LeaseLost unless the lease is surely held now."""
+        if not self.tracker.may_act(self.clock()):
+            raise LeaseLost(f"the lease on {self.duty} is not surely held")
+
+    async def commit(self, terms: Terms) -> bool:
+        """Commit the terms if the lease's token is still the newest."""
+        self.check()
+        row = self.tracker.row or LeaseRow()
+        held = {"holder": row.holder, "token": row.token}
+        fence = Precondition(LEASES_TABLE, self.duty, equals=held)
+        preconditions = (fence, *terms.preconditions)
+        transaction = Transaction(self.new_id(), preconditions, tuple(terms.writes))
+        result = await self.platform.transact(transaction)
+        if (LEASES_TABLE, self.duty) in result.conflicts:
+            self.tracker.uncertain()
+            raise LeaseLost(f"another instance holds {self.duty}")
+        return result.committed
+
+    async def command_host(self, command: HostCommand) -> None:
+        """Send the command to the platform."""
+        self.check()
+        await self.platform.command_host(command)
+
+
+@attrs.define
+class DutyRunner:
+    """Contend for one duty and do its rounds; one task owns a runner.
+
+    ``members`` returns the ids of the instances thought to be live.
+    """
+
+    duty: Duty
+    instance_id: str
+    platform: Platform
+    clock: Callable[[], float]
+    new_id: Callable[[], str]
+    members: Callable[[], Iterable[str]]
+    bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
+    tracker: LeaseTracker = attrs.field(init=False)
+    _idle_code: str = ""
+    _round_token: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.tracker = LeaseTracker(self.instance_id, self.bounds)
+
+    async def run(self, ticks: AsyncIterator[object]) -> None:
+        """Take a step at each tick."""
+        async for _ in ticks:
+            await self.step()
+
+    async def step(self) -> None:
+        """Settle the lease and, while it is held, do one round of the duty."""
+        try:
+            await self._settle()
+            if self.tracker.may_act(self.clock()):
+                await self._do_round()
+            self._idle_code = ""
+        except (ConflictError, LeaseLost, OutcomeUnknown, PlatformUnavailable) as error:
+            self._log_idle(error.code, error.message)
+
+    async def hand_back(self) -> None:
+        """Free the duty for another instance, as a planned stop does."""
+        if not self.tracker.is_own:
+            return
+        try:
+            await self._write(Action.HAND_BACK)
+        except (OutcomeUnknown, PlatformUnavailable) as error:
+            self._log_idle(error.code, error.message)
+
+    async def _do_round(self) -> None:
+        token = self.tracker.row.token if self.tracker.row else 0
+        if token != self._round_token:
+            self.duty.forget()
+            self._round_token = token
+        await self.duty.do_round(self._lease())
+
+    async def _settle(self) -> None:
+        self.tracker.may_act(self.clock())
+        for _ in range(STEPS_PER_TICK):
+            rank = preference_rank(self.duty.name, self.instance_id, self.members())
+            action = self.tracker.decide(self.clock(), rank)
+            if action is Action.WAIT:
+                return
+            if action is Action.READ:
+                await self._read()
+            else:
+                await self._write(action)
+
+    async def _read(self) -> None:
+        row = await self.platform.read(LEASES_TABLE, self.duty.name)
+        seen = LeaseRow(**row.value) if row else None
+        self.tracker.observe(seen, self.clock())
+
+    async def _write(self, action: Action) -> None:
+        name = self.duty.name
+        before = self.tracker.row
+        after = self.tracker.next_row(action)
+        if before is None:
+            unchanged = Precondition(LEASES_TABLE, name, version=0)
+        else:
+            unchanged = Precondition(LEASES_TABLE, name, equals=attrs.asdict(before))
+        write = Write(LEASES_TABLE, name, attrs.asdict(after))
+        sent_s = self.clock()
+        self.tracker.uncertain()
+        result = await self.platform.transact(
+            Transaction(self.new_id(), (unchanged,), (write,))
+        )
+        if not result.committed:
+            return
+        self.tracker.committed(after, sent_s, self.clock())
+        if action is not Action.RENEW:
+            event(logger, f"duty-{action}", duty=name, holder=self.instance_id)
+
+    def _lease(self) -> Lease:
+        return Lease(
+            self.duty.name, self.tracker, self.platform, self.clock, self.new_id
+        )
+
+    def _log_idle(self, code: str, message: str) -> None:
+        if code != self._idle_code:
+            event(logger, "duty-idle", duty=self.duty.name, code=code, cause=message)
+        self._idle_code = code
--- a/tests/fleetkit.py
+++ b/tests/fleetkit.py
@@ -46,29 +46,48 @@
     platform.hosts = [LiveHost(host.host_id) for host in hosts]
 
 
+@attrs.define
+class ManualClock:
+    """A clock that moves when the test says so."""
+
+    now_s: float = 1000.0
+
+    def read(self):
+        return self.now_s
+
+
 @attrs.define
 class CountedPlatform:
-    """Pass calls on and count them by method and table."""
+    """Pass calls on and count them, or raise the set error."""
 
     inner: MemoryPlatform = attrs.field(factory=MemoryPlatform)
     calls: Counter = attrs.field(factory=Counter)
+    error: Exception | None = None
+    on_transact: object = None
+
+    def _note(self, method, table=""):
+        self.calls[method, table] += 1
+        if self.error is not None:
+            raise self.error
 
     async def read(self, table, key):
-        self.calls["read", table] += 1
+        self._note("read", table)
         return await self.inner.read(table, key)
 
     async def scan(self, table, prefix=""):
-        self.calls["scan", table] += 1
+        self._note("scan", table)
         return await self.inner.scan(table, prefix)
 
     async def transact(self, transaction):
-        self.calls["transact", ""] += 1
+        self._note("transact")
+        if self.on_transact is not None:
+            return await self.on_transact(transaction)
         return await self.inner.transact(transaction)
 
     async def live_hosts(self):
-        self.calls["live_hosts", ""] += 1
+        self._note("live_hosts")
         return await self.inner.live_hosts()
 
     async def command_host(self, command):
-        self.calls["command_host", ""] += 1
+        self._note("command_host")
         await self.inner.command_host(command)
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,206 @@
+"""Duty leases: who holds, who may act, and what a freeze or a lost answer changes."""
+
+import itertools
+
+import attrs
+import pytest
+from fleetkit import CountedPlatform, ManualClock
+
+from rhubarbmount.duties import (
+    Action,
+    LeaseBounds,
+    LeaseRow,
+    LeaseTracker,
+    preference_rank,
+)
+from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.hostrows import Terms
+
+TAKE_UP_LIMIT_S = 15.0
+
+
+@attrs.define
+class NotedRounds:
+    """A duty that notes who did a round, and writes under its lease."""
+
+    instance_id: str
+    notes: list
+    name: str = "waves"
+    before_commit: object = None
+
+    async def do_round(self, lease):
+        if self.before_commit is not None:
+            self.before_commit()
+        terms = Terms()
+        terms.write("notes", self.instance_id, {})
+        assert await lease.commit(terms)
+        self.notes.append((lease.clock(), self.instance_id))
+
+    def forget(self):
+        self.notes.append((None, self.instance_id))
+
+
+def make_runner(name, clock, platform, notes, members=("a", "b"), **fields):
+    numbers = itertools.count()
+    return DutyRunner(
+        duty=NotedRounds(name, notes),
+        instance_id=name,
+        platform=platform,
+        clock=clock.read,
+        new_id=lambda: f"{name}-{next(numbers)}",
+        members=lambda: members,
+        **fields,
+    )
+
+
+def held_tracker(now_s=100.0):
+    tracker = LeaseTracker("a")
+    tracker.observe(None, now_s)
+    tracker.committed(LeaseRow("a", 1, 0), now_s, now_s + 0.5)
+    return tracker
+
+
+def test_a_holder_counts_from_when_the_renewal_was_sent():
+    tracker = held_tracker(100.0)
+    bounds = tracker.bounds
+    assert tracker.deadline_s == 100.0 + bounds.lease_s - bounds.margin_s
+
+
+def test_a_holder_reads_again_after_a_freeze():
+    tracker = held_tracker(100.0)
+    assert not tracker.may_act(103.0)
+    assert tracker.decide(103.0, rank=0) is Action.READ
+    tracker.observe(LeaseRow("a", 1, 0), 103.1)
+    assert tracker.may_act(103.2)
+
+
+def test_a_holder_that_was_replaced_while_frozen_does_not_act():
+    tracker = held_tracker(100.0)
+    tracker.may_act(130.0)
+    tracker.observe(LeaseRow("b", 2, 0), 130.1)
+    assert not tracker.may_act(130.2)
+
+
+def test_a_contender_waits_the_whole_lease_time_on_its_own_clock():
+    tracker = LeaseTracker("b")
+    taken_s = None
+    for step in range(100):
+        now_s = 500.0 + 0.5 * step
+        tracker.may_act(now_s)
+        if tracker.decide(now_s, rank=1) is Action.READ:
+            tracker.observe(LeaseRow("a", 4, 9), now_s)
+        if tracker.decide(now_s, rank=1) is Action.TAKE:
+            taken_s = now_s
+            break
+    assert taken_s == 500.0 + tracker.bounds.lease_s
+    assert tracker.next_row(Action.TAKE) == LeaseRow("b", 5, 0)
+
+
+def test_a_renewal_seen_on_the_way_starts_the_wait_again():
+    tracker = LeaseTracker("b")
+    tracker.observe(LeaseRow("a", 4, 9), 500.0)
+    tracker.observe(LeaseRow("a", 4, 10), 507.9)
+    assert tracker.decide(508.1, rank=0) is Action.WAIT
+
+
+async def run_until(clock, runners, condition, limit_s):
+    start_s = clock.now_s
+    while not condition():
+        assert clock.now_s - start_s < limit_s
+        clock.now_s += 0.25
+        for runner in runners:
+            await runner.step()
+    return clock.now_s - start_s
+
+
+async def test_a_dead_holders_duty_is_taken_up_within_the_limit():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    members = [f"i{n}" for n in range(7)]
+    runners = [make_runner(name, clock, platform, notes, members) for name in members]
+    await run_until(clock, runners, lambda: notes, 5.0)
+    first = notes[0][1]
+    rest = [runner for runner in runners if runner.instance_id != first]
+    await run_until(clock, rest, lambda: notes[-1][1] != first, limit_s=TAKE_UP_LIMIT_S)
+    holders = [name for when, name in notes if when is not None]
+    assert len(set(holders)) == 2
+
+
+async def test_a_write_under_an_old_token_changes_nothing():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    old = make_runner("a", clock, platform, notes)
+    new = make_runner("b", clock, platform, notes)
+    await run_until(clock, [old], lambda: notes, 5.0)
+
+    async def take_over_unseen():
+        kept_s = clock.now_s
+        await run_until(clock, [new], lambda: notes[-1][1] == "b", TAKE_UP_LIMIT_S)
+        clock.now_s = kept_s
+
+    await take_over_unseen()
+    platform.inner.tables["notes"].clear()
+    await old.step()
+    assert not platform.inner.tables["notes"]
+    assert not old.tracker.is_own or not old.tracker.may_act(clock.now_s)
+
+
+@pytest.mark.parametrize("takes_effect", [True, False])
+async def test_a_lost_answer_is_settled_by_reading(takes_effect):
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    runner = make_runner("a", clock, platform, notes)
+    real_transact = platform.inner.transact
+    lost = []
+
+    async def lossy(transaction):
+        if not lost:
+            lost.append(transaction)
+            if takes_effect:
+                await real_transact(transaction)
+            raise OutcomeUnknown("no answer")
+        return await real_transact(transaction)
+
+    platform.on_transact = lossy
+    await run_until(clock, [runner], lambda: notes, 5.0)
+    row = (await platform.read("leases", "waves")).value
+    assert lost
+    assert (row["holder"], row["token"]) == ("a", 1)
+
+
+async def test_nothing_is_done_while_the_platform_is_out():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    runner = make_runner("a", clock, platform, notes)
+    await run_until(clock, [runner], lambda: notes, 5.0)
+    platform.error = PlatformUnavailable("down")
+    count = len(notes)
+    for _ in range(60 * 60 * 4):
+        clock.now_s += 0.25
+        await runner.step()
+    assert len(notes) <= count + runner.bounds.renewal_s / 0.25
+    platform.error = None
+    again = len(notes)
+    await run_until(clock, [runner], lambda: len(notes) > again, TAKE_UP_LIMIT_S)
+
+
+async def test_a_planned_stop_hands_the_duty_over_at_once():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    old = make_runner("a", clock, platform, notes)
+    new = make_runner("b", clock, platform, notes)
+    await run_until(clock, [old], lambda: notes, 5.0)
+    await old.hand_back()
+    waited_s = await run_until(clock, [new], lambda: notes[-1][1] == "b", 15.0)
+    assert waited_s <= 3.0
+
+
+async def test_a_duty_moves_to_the_preferred_instance_once_it_is_back():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    runners = [make_runner(name, clock, platform, notes) for name in ("a", "b")]
+    bounds = LeaseBounds()
+    rank_by_id = {name: preference_rank("waves", name, ("a", "b")) for name in "ab"}
+    both = sorted(runners, key=lambda runner: rank_by_id[runner.instance_id])
+    await run_until(clock, [both[1]], lambda: notes, 10.0)
+    await run_until(
+        clock,
+        both,
+        lambda: notes[-1][1] == both[0].instance_id,
+        bounds.settle_s + 5.0,
+    )
