Remember decisions and explain them

Memory is bounded by subjects and by decisions a subject; equal decisions in a row count as one, so that a job which waits an hour neither fills the memory nor the log. A log line per decision rather than per evaluation was chosen for the same reason. Answers of several entry hosts join in order of time without repeats.

--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,67 @@
+"""The memory of decisions."""
+
+import logging
+
+from rhubarbmount.explain import (
+    Decision,
+    DecisionMemory,
+    Explanation,
+    merge_explanations,
+)
+
+
+def decide(subject_id="j1", code="wait", time_s=0.0, **fields):
+    return Decision(
+        kind="job", subject_id=subject_id, code=code, time_s=time_s, **fields
+    )
+
+
+def test_the_last_reason_is_the_one_that_holds():
+    memory = DecisionMemory()
+    memory.record(decide(code="wait", reason="no host has 4 accelerators free"))
+    memory.record(decide(code="placed", inputs={"host": "h1"}, time_s=1.0))
+    found = memory.explain("job", "j1")
+    assert [d.code for d in found.decisions] == ["wait", "placed"]
+    assert found.reason == ""
+
+
+def test_a_repeated_decision_takes_one_place_and_one_log_line(caplog):
+    caplog.set_level(logging.INFO, "rhubarbmount.explain")
+    memory = DecisionMemory()
+    for second in range(100):
+        memory.record(decide(reason="full", time_s=float(second)))
+    (only,) = memory.explain("job", "j1").decisions
+    assert (only.first_s, only.time_s, only.repeats) == (0.0, 99.0, 100)
+    assert len(caplog.records) == 1
+
+
+def test_memory_is_bounded_by_subjects_and_by_decisions():
+    memory = DecisionMemory(subjects_limit=3, decisions_limit=2)
+    for number in range(10):
+        for step in range(5):
+            memory.record(decide(f"j{number}", code=f"step-{step}"))
+    assert len(memory) == 3
+    assert not memory.explain("job", "j0").decisions
+    kept = memory.explain("job", "j9").decisions
+    assert [d.code for d in kept] == ["step-3", "step-4"]
+
+
+def test_a_subject_decided_again_outlives_an_idle_one():
+    memory = DecisionMemory(subjects_limit=2)
+    memory.record(decide("old"))
+    memory.record(decide("idle"))
+    memory.record(decide("old"))
+    memory.record(decide("new"))
+    assert memory.explain("job", "old").decisions
+    assert not memory.explain("job", "idle").decisions
+
+
+def test_memories_of_several_hosts_join_in_order_without_repeats():
+    first, second = DecisionMemory(), DecisionMemory()
+    shared = decide(code="wait", reason="full", time_s=1.0)
+    first.record(shared)
+    second.record(shared)
+    second.record(decide(code="placed", time_s=2.0))
+    parts = [memory.explain("job", "j1") for memory in (second, first)]
+    sent = [Explanation.load(part.dump()) for part in parts]
+    assert [d.code for d in merge_explanations(sent).decisions] == ["wait", "placed"]
