Add jobs, tasks, their chart and the check at submission

A job that no host of its pool could ever hold is refused with the largest part of its shape that one would hold; hosts count whatever their state, as a host in maintenance returns.

--- /dev/null
+++ b/rhubarbmount/jobs.py
@@ -0,0 +1,246 @@
+"""Jobs that teams submit, and the tasks that run them on hosts."""
+
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from functools import cache
+from importlib import resources
+from typing import Any
+
+import attrs
+import cattrs
+import yaml
+
+from rhubarbmount.entries import Team, WorkClass
+from rhubarbmount.errors import ConflictError, Finding
+from rhubarbmount.hosts import Host, Shape
+
+__all__ = [
+    "ENDED_STATES",
+    "JOBS_TABLE",
+    "TASKS_TABLE",
+    "Job",
+    "JobState",
+    "Task",
+    "check_submission",
+    "dump_job",
+    "dump_task",
+    "fits",
+    "largest_fitting_shape",
+    "load_job",
+    "load_task",
+]
+
+JOBS_TABLE = "jobs"
+TASKS_TABLE = "tasks"
+
+_converter = cattrs.Converter()
+
+
+class JobState(StrEnum):
+    """Where a job is in its life; the moves are in statecharts/job.yaml."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    EVICTING = "evicting"
+    STOPPING = "stopping"
+    HELD = "held"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+ENDED_STATES = frozenset({JobState.DONE, JobState.CANCELLED})
+
+
+@attrs.frozen(kw_only=True)
+class Job:
+    """A job of a team; ``attempt`` counts its starts and ``task_id`` names the last.
+
+    ``progress_s`` is the run time that its checkpoint saves. ``failed_hosts`` holds
+    one host id per failed start. Times are in seconds since the epoch.
+    """
+
+    job_id: str
+    team: str
+    pool: str
+    shape: Shape
+    work_class: WorkClass = WorkClass.NORMAL
+    template: str = ""
+    run_time_s: float = 60.0
+    can_checkpoint: bool = True
+    state: JobState = JobState.WAITING
+    attempt: int = 0
+    task_id: str = ""
+    progress_s: float = 0.0
+    failed_hosts: tuple[str, ...] = ()
+    cause: str = ""
+    submitted_s: float = 0.0
+    since_s: float = 0.0
+
+    @property
+    def kind(self) -> str:
+        """Return what jobs of one size are known by: the template, or the team."""
+        return self.template or self.team
+
+    def move(self, trigger: str, now_s: float, **changes: Any) -> "Job":
+        """Return the job after a transition, or raise ConflictError.
+
+        >>> job = Job(job_id="j", team="t", pool="p", shape=Shape(1, 1))
+        >>> job.move("place", 5.0, attempt=1).state
+        <JobState.STARTING: 'starting'>
+        """
+        dest = _job_chart().get((trigger, self.state.value))
+        if dest is None:
+            raise ConflictError(f"job {self.job_id} is {self.state}: can't {trigger}")
+        return attrs.evolve(self, state=JobState(dest), since_s=now_s, **changes)
+
+
+@attrs.frozen(kw_only=True)
+class Task:
+    """A start of a job on a host, under a lease that the worker renews.
+
+    ``token`` is the job's attempt, so that a later start is told from an earlier.
+    ``reserved`` is what the host sets aside, which may differ from what was declared.
+    ``command`` is the last effect asked for: start, checkpoint or stop.
+    """
+
+    task_id: str
+    job_id: str
+    team: str
+    pool: str
+    host_id: str
+    reserved: Shape
+    kind: str = ""
+    work_class: WorkClass = WorkClass.NORMAL
+    can_checkpoint: bool = True
+    token: int = 1
+    lease_s: float = 10.0
+    run_time_s: float = 60.0
+    command: str = "start"
+    started_s: float = 0.0
+
+
+def load_job(values: Mapping[str, Any]) -> Job:
+    """Build a job from the plain values of its row."""
+    return _converter.structure(values, Job)
+
+
+def dump_job(job: Job) -> dict[str, Any]:
+    """Return the plain values of a job."""
+    return _converter.unstructure(job)
+
+
+def load_task(values: Mapping[str, Any]) -> Task:
+    """Build a task from the plain values of its row."""
+    return _converter.structure(values, Task)
+
+
+def dump_task(task: Task) -> dict[str, Any]:
+    """Return the plain values of a task."""
+    return _converter.unstructure(task)
+
+
+def fits(need: Shape, room: Shape) -> bool:
+    """Return whether the room has enough of everything.
+
+    >>> fits(Shape(4, 8), Shape(4, 8, 1)), fits(Shape(4, 8, 2), Shape(32, 64, 1))
+    (True, False)
+    """
+    return (
+        need.processors <= room.processors
+        and need.memory_gb <= room.memory_gb
+        and need.accelerators <= room.accelerators
+    )
+
+
+def largest_fitting_shape(need: Shape, rooms: Iterable[Shape]) -> Shape | None:
+    """Return the largest part of the need that one of the rooms would hold.
+
+    >>> largest_fitting_shape(Shape(64, 32), [Shape(8, 256), Shape(32, 64)])
+    Shape(processors=32, memory_gb=32, accelerators=0)
+    """
+    return max(
+        (_overlap(need, room) for room in rooms),
+        key=lambda part: _share(part, need),
+        default=None,
+    )
+
+
+def check_submission(
+    job: Job, team: Team | None, hosts: Iterable[Host]
+) -> list[Finding]:
+    """Return why the job could never run: its shape, its pool or its team's quota.
+
+    The hosts of the job's pool count whatever their state, as they may return.
+    """
+    place = f"job/{job.job_id}"
+    shape = job.shape
+    if min(shape.processors, shape.memory_gb, job.run_time_s) <= 0 or (
+        shape.accelerators < 0
+    ):
+        message = "processors, memory and run time must be above zero"
+        return [Finding(f"{place}.shape", "shape-empty", message)]
+    findings = _check_quota(place, job, team)
+    rooms = {host.shape for host in hosts if host.pool == job.pool}
+    if any(fits(job.shape, room) for room in rooms):
+        return findings
+    largest = largest_fitting_shape(job.shape, sorted(rooms, key=attrs.astuple))
+    if largest is None:
+        findings.append(
+            Finding(f"{place}.pool", "pool-empty", f"pool {job.pool} has no host")
+        )
+        return findings
+    message = f"no host of pool {job.pool} fits; the largest that would: "
+    findings.append(
+        Finding(f"{place}.shape", "shape-never-fits", message + describe(largest))
+    )
+    return findings
+
+
+def describe(shape: Shape) -> str:
+    """Return a shape in words.
+
+    >>> describe(Shape(1.5, 8, 2))
+    '1.5 processors, 8 GB, 2 accelerators'
+    """
+    words = f"{shape.processors:g} processors, {shape.memory_gb:g} GB"
+    if shape.accelerators:
+        words += f", {shape.accelerators} accelerators"
+    return words
+
+
+def _check_quota(place: str, job: Job, team: Team | None) -> list[Finding]:
+    if team is None:
+        return [Finding(f"{place}.team", "team-unknown", f"no team {job.team!r}")]
+    quota = quota_shape(team)
+    if fits(job.shape, quota):
+        return []
+    message = f"team {team.name} may hold at most {describe(quota)}"
+    return [Finding(f"{place}.team", "quota-never-fits", message)]
+
+
+def quota_shape(team: Team) -> Shape:
+    """Return what a team may hold at once over all pools."""
+    return Shape(team.processors_quota, team.memory_quota_gb, team.accelerators_quota)
+
+
+def _overlap(need: Shape, room: Shape) -> Shape:
+    return Shape(
+        min(need.processors, room.processors),
+        min(need.memory_gb, room.memory_gb),
+        min(need.accelerators, room.accelerators),
+    )
+
+
+def _share(part: Shape, need: Shape) -> float:
+    accelerators = part.accelerators / need.accelerators if need.accelerators else 1.0
+    return (
+        part.processors / need.processors + part.memory_gb / need.memory_gb
+    ) / 2 + accelerators
+
+
+@cache
+def _job_chart() -> dict[tuple[str, str], str]:
+    path = resources.files("rhubarbmount") / "statecharts" / "job.yaml"
+    chart = yaml.safe_load(path.read_text("utf-8"))
+    return {(t["trigger"], t["source"]): t["dest"] for t in chart["transitions"]}
