--- /dev/null
+++ b/rhubarbmount/job_queue.py
@@ -0,0 +1,122 @@
+"""The jobs of a pool that wait, and what teams hold of their quotas."""
+
+from collections.abc import Iterator
+
+import attrs
+from sortedcontainers import SortedDict
+
+from rhubarbmount.entries import Team, WorkClass
+from rhubarbmount.jobs import Job, quota_shape
+from rhubarbmount.rooms import NOTHING, Amount, amount_offered
+
+__all__ = ["JobGroup", "JobQueue", "TeamUsage", "WaitingJob"]
+
+CLASS_RANK = {WorkClass.URGENT: 0, WorkClass.NORMAL: 1, WorkClass.BATCH: 2}
+
+
+@attrs.frozen
+class WaitingJob:
+    """A job and the room it needs, which may differ from what it declares."""
+
+    job: Job
+    need: Amount
+
+
+GroupKey = tuple[int, str, Amount]
+
+
+@attrs.define
+class JobGroup:
+    """Waiting jobs of one class, team and need, in order of submission.
+
+    ``code`` and ``reason`` say why the group was last passed over.
+    """
+
+    key: GroupKey
+    job_by_order: SortedDict = attrs.field(factory=SortedDict)
+    code: str = ""
+    reason: str = ""
+
+    @property
+    def first(self) -> WaitingJob:
+        """Return the job that has waited longest."""
+        return self.job_by_order.peekitem(0)[1]
+
+    @property
+    def rank(self) -> int:
+        """Return the rank of the class; urgent is 0."""
+        return self.key[0]
+
+    @property
+    def team(self) -> str:
+        """Return the team."""
+        return self.key[1]
+
+
+@attrs.define
+class JobQueue:
+    """The waiting jobs of one pool by group."""
+
+    group_by_key: dict[GroupKey, JobGroup] = attrs.field(factory=dict)
+    _group_by_job: dict[str, JobGroup] = attrs.field(factory=dict)
+
+    def add(self, waiting: WaitingJob) -> JobGroup:
+        """Add a job to its group and return the group."""
+        job = waiting.job
+        key = CLASS_RANK[job.work_class], job.team, waiting.need
+        group = self.group_by_key.setdefault(key, JobGroup(key))
+        group.job_by_order[job.submitted_s, job.job_id] = waiting
+        self._group_by_job[job.job_id] = group
+        return group
+
+    def remove(self, job: Job) -> bool:
+        """Take a job out; return whether it was in."""
+        group = self._group_by_job.pop(job.job_id, None)
+        if group is None:
+            return False
+        del group.job_by_order[job.submitted_s, job.job_id]
+        if not group.job_by_order:
+            del self.group_by_key[group.key]
+        return True
+
+    def group_of(self, job_id: str) -> JobGroup | None:
+        """Return the group in which a job waits."""
+        return self._group_by_job.get(job_id)
+
+    def __len__(self) -> int:
+        return len(self._group_by_job)
+
+    def __iter__(self) -> Iterator[JobGroup]:
+        return iter(self.group_by_key.values())
+
+
+@attrs.define
+class TeamUsage:
+    """What each team holds and may hold over all pools."""
+
+    quota_by_team: dict[str, Amount] = attrs.field(factory=dict)
+    held_by_team: dict[str, Amount] = attrs.field(factory=dict)
+
+    def set_team(self, team: Team) -> None:
+        """Take in a team's quotas."""
+        self.quota_by_team[team.name] = amount_offered(quota_shape(team))
+
+    def take(self, team: str, amount: Amount) -> None:
+        """Count an amount as held."""
+        self.held_by_team[team] = self.held_by_team.get(team, NOTHING).plus(amount)
+
+    def give_back(self, team: str, amount: Amount) -> None:
+        """Count an amount as free again."""
+        self.held_by_team[team] = self.held_by_team[team].minus(amount)
+
+    def allows(self, team: str, amount: Amount) -> bool:
+        """Return whether the team's quota holds with this amount more."""
+        held = self.held_by_team.get(team, NOTHING)
+        return held.plus(amount).fits(self.quota_by_team.get(team, NOTHING))
+
+    def share(self, team: str) -> float:
+        """Return the largest share of its quota that a team holds in any resource."""
+        held = self.held_by_team.get(team, NOTHING)
+        quota = self.quota_by_team.get(team, NOTHING)
+        pairs = zip(held, quota, strict=True)
+        return max(have / limit if limit else 0.0 for have, limit in pairs)
--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -22,12 +22,14 @@
     "JobState",
     "Task",
     "check_submission",
+    "describe",
     "dump_job",
     "dump_task",
     "fits",
     "largest_fitting_shape",
     "load_job",
     "load_task",
+    "quota_shape",
 ]
 
 JOBS_TABLE = "jobs"
--- /dev/null
+++ b/rhubarbmount/placement.py
@@ -0,0 +1,186 @@
+"""Placement of a pool's waiting jobs onto its hosts; free of I/O."""
+
+import heapq
+from collections.abc import Callable, Iterable
+from itertools import islice
+
+import attrs
+
+from rhubarbmount.entries import WorkClass
+from rhubarbmount.job_queue import JobGroup, JobQueue, TeamUsage, WaitingJob
+from rhubarbmount.preemption import Eviction, choose_eviction
+from rhubarbmount.registry import Registry
+from rhubarbmount.rooms import Amount, HostRoom, PoolRooms
+
+__all__ = [
+    "PlacementRule",
+    "Placement",
+    "PoolPlacer",
+    "Wait",
+    "strategies",
+]
+
+CANDIDATES_WEIGHED = 8
+
+Strategy = Callable[[PoolRooms, WaitingJob, int], HostRoom | None]
+strategies: Registry[Strategy] = Registry("placement strategy")
+
+
+@attrs.frozen
+class PlacementRule:
+    """Which strategy places jobs, and whether batch makes way for urgent jobs."""
+
+    strategy: str = "spread"
+    evicts: bool = True
+
+
+@attrs.frozen
+class Placement:
+    """A job to start on a host, once the evictions, if any, have ended."""
+
+    waiting: WaitingJob
+    host_id: str
+    eviction: Eviction | None = None
+    code: str = "placed"
+
+
+@attrs.frozen
+class Wait:
+    """A group of jobs that can't start now, and the one reason."""
+
+    group: JobGroup
+    code: str
+    reason: str
+
+
+@strategies.register("first-fit")
+def first_fit(rooms: PoolRooms, waiting: WaitingJob, kept: int) -> HostRoom | None:
+    """Take the first host by id that has the room."""
+    for room in rooms.room_by_host.values():
+        if not room.takes_work or room.host.host_id in rooms.avoided_hosts:
+            continue
+        if waiting.need.fits(room.free):
+            return room
+    return None
+
+
+@strategies.register("best-fit")
+def best_fit(rooms: PoolRooms, waiting: WaitingJob, kept: int) -> HostRoom | None:
+    """Take the host that is left with the least room."""
+    host_id = next(rooms.free.search(waiting.need), None)
+    return None if host_id is None else rooms.room_by_host[host_id]
+
+
+@strategies.register("spread")
+def spread(rooms: PoolRooms, waiting: WaitingJob, kept: int) -> HostRoom | None:
+    """Weigh the tightest hosts, and take the rack with fewest tasks of the kind.
+
+    Hosts on which the job failed are taken only if no other has the room. Only
+    urgent jobs may use the last ``kept`` hosts that have headroom.
+    """
+    job = waiting.job
+    last_rack = rooms.last_rack_by_kind.get(job.kind, "")
+    allowed = (
+        rooms.room_by_host[host_id]
+        for host_id in rooms.free.search(waiting.need, last_rack)
+        if job.work_class is WorkClass.URGENT
+        or leaves_headroom(rooms, host_id, waiting.need, kept)
+    )
+    best = None
+    best_cost: tuple[bool, int] | None = None
+    for room in islice(allowed, CANDIDATES_WEIGHED):
+        failed_here = room.host.host_id in job.failed_hosts
+        cost = (failed_here, rooms.tasks_in_rack(room.host.rack, job.kind))
+        if best_cost is None or cost < best_cost:
+            best, best_cost = room, cost
+    return best
+
+
+def leaves_headroom(rooms: PoolRooms, host_id: str, need: Amount, kept: int) -> bool:
+    """Return whether enough hosts keep headroom if the need goes to this one."""
+    if host_id not in rooms.roomy or len(rooms.roomy) > kept:
+        return True
+    return rooms.headroom.fits(rooms.room_by_host[host_id].free.minus(need))
+
+
+@attrs.define
+class PoolPlacer:
+    """Decide where the waiting jobs of one pool start.
+
+    ``kept`` is the number of hosts whose headroom only urgent jobs may use.
+    """
+
+    pool: str
+    rule: PlacementRule = PlacementRule()
+    rooms: PoolRooms = attrs.field(factory=PoolRooms)
+    queue: JobQueue = attrs.field(factory=JobQueue)
+    kept: int = 0
+
+    def plan(
+        self, usage: TeamUsage, now_s: float, limit: int
+    ) -> Iterable[Placement | Wait]:
+        """Yield decisions: urgent first, then the team with the least of its quota.
+
+        At most ``limit`` jobs are placed. The caller takes each placement into
+        ``rooms`` and ``usage``, and the job out of the queue, before it asks for the
+        next one.
+        """
+        order = [_order(group, usage) for group in self.queue]
+        heapq.heapify(order)
+        refused: list[Amount] = []
+        decided = 0
+        while order and decided < limit:
+            rank, share, _, key = heapq.heappop(order)
+            group = self.queue.group_by_key[key]
+            if share != usage.share(group.team):
+                heapq.heappush(order, _order(group, usage))
+                continue
+            decision = self._decide(group, usage, refused, now_s)
+            yield decision
+            if isinstance(decision, Wait):
+                continue
+            decided += 1
+            if key in self.queue.group_by_key:
+                heapq.heappush(order, _order(group, usage))
+
+    def _decide(
+        self,
+        group: JobGroup,
+        usage: TeamUsage,
+        refused: list[Amount],
+        now_s: float,
+    ) -> Placement | Wait:
+        waiting = group.first
+        need = waiting.need
+        if not usage.allows(group.team, need):
+            return Wait(group, "wait-quota", f"team {group.team} is at its quota")
+        if not any(smaller.fits(need) for smaller in refused):
+            room = strategies.get(self.rule.strategy)(self.rooms, waiting, self.kept)
+            if room is not None:
+                return Placement(waiting, room.host.host_id)
+            found = self._evict_for(waiting, now_s)
+            if found is not None:
+                return Placement(waiting, found.host_id, found, "placed-by-eviction")
+            refused.append(need)
+        return self._wait(group, need)
+
+    def _evict_for(self, waiting: WaitingJob, now_s: float) -> Eviction | None:
+        if not self.rule.evicts or waiting.job.work_class is not WorkClass.URGENT:
+            return None
+        return choose_eviction(self.rooms, waiting.need, now_s)
+
+    def _wait(self, group: JobGroup, need: Amount) -> Wait:
+        if next(self.rooms.free.search(need), None) is not None:
+            reason = f"the room left in pool {self.pool} is kept for urgent jobs"
+            return Wait(group, "wait-headroom", reason)
+        reason = f"no host of pool {self.pool} has {need.describe()} free"
+        if not self.rooms.room_by_host:
+            reason = f"pool {self.pool} has no host"
+        return Wait(group, "wait-room", reason)
+
+
+def _order(
+    group: JobGroup, usage: TeamUsage
+) -> tuple[int, float, float, tuple[int, str, Amount]]:
+    submitted_s = group.first.job.submitted_s
+    return group.rank, usage.share(group.team), submitted_s, group.key
--- /dev/null
+++ b/rhubarbmount/preemption.py
@@ -0,0 +1,102 @@
+"""The choice of batch tasks to checkpoint so that an urgent job can start."""
+
+from collections.abc import Iterator
+from itertools import islice
+
+import attrs
+
+from rhubarbmount.jobs import Task
+from rhubarbmount.rooms import Amount, HostRoom, PoolRooms, amount_needed, is_evictable
+
+__all__ = ["Eviction", "choose_eviction"]
+
+CHECKPOINT_COST_S = 5.0
+LATEST_TASKS_WEIGHED = 32
+TIGHTEST_HOSTS_WEIGHED = 16
+
+
+@attrs.frozen
+class Eviction:
+    """Batch tasks to clear from a host, and the processor seconds that costs."""
+
+    host_id: str
+    task_ids: tuple[str, ...]
+    lost_processor_s: float
+
+
+def choose_eviction(rooms: PoolRooms, need: Amount, now_s: float) -> Eviction | None:
+    """Return the eviction that makes the room and loses the least work, or None.
+
+    Weighed are the hosts of the batch tasks that started last, which have the least
+    to lose, and the hosts that would be left with the least room.
+    """
+    best: Eviction | None = None
+    for room in _candidates(rooms, need):
+        found = _clear(room, need, now_s)
+        if found is None:
+            continue
+        if best is None or _cost(found) < _cost(best):
+            best = found
+    return best
+
+
+def work_lost(task: Task, now_s: float) -> float:
+    """Return the processor seconds that stopping a task loses.
+
+    >>> from rhubarbmount.hosts import Shape
+    >>> task = Task(task_id="t", job_id="j", team="a", pool="p", host_id="h",
+    ...             reserved=Shape(2, 4), can_checkpoint=False)
+    >>> work_lost(task, 60.0)
+    120.0
+    >>> work_lost(attrs.evolve(task, can_checkpoint=True), 60.0)
+    10.0
+    """
+    lost_s = max(now_s - task.started_s, 0.0)
+    if task.can_checkpoint:
+        lost_s = min(lost_s, CHECKPOINT_COST_S)
+    return lost_s * task.reserved.processors
+
+
+def _cost(eviction: Eviction) -> tuple[float, int, str]:
+    return eviction.lost_processor_s, len(eviction.task_ids), eviction.host_id
+
+
+def _candidates(rooms: PoolRooms, need: Amount) -> Iterator[HostRoom]:
+    seen = set()
+    latest = islice(reversed(rooms.evictable_tasks), LATEST_TASKS_WEIGHED)
+    for _, task_id in latest:
+        seen.add(rooms.host_by_task[task_id])
+    seen.update(islice(rooms.clearable.search(need), TIGHTEST_HOSTS_WEIGHED))
+    for host_id in sorted(seen):
+        room = rooms.room_by_host[host_id]
+        if room.takes_work and host_id not in rooms.avoided_hosts:
+            yield room
+
+
+def _clear(room: HostRoom, need: Amount, now_s: float) -> Eviction | None:
+    free = room.free
+    if not need.fits(free.plus(room.evictable)):
+        return None
+    tasks = [task for task in room.task_by_id.values() if is_evictable(task)]
+    tasks.sort(key=lambda task: (work_lost(task, now_s), task.task_id))
+    chosen = []
+    for task in tasks:
+        if need.fits(free):
+            break
+        chosen.append(task)
+        free = free.plus(amount_needed(task.reserved))
+    chosen = _without_needless(chosen, free, need)
+    lost = sum(work_lost(task, now_s) for task in chosen)
+    ids = tuple(task.task_id for task in chosen)
+    return Eviction(room.host.host_id, ids, lost)
+
+
+def _without_needless(chosen: list[Task], free: Amount, need: Amount) -> list[Task]:
+    kept = []
+    for task in reversed(chosen):
+        without = free.minus(amount_needed(task.reserved))
+        if need.fits(without):
+            free = without
+        else:
+            kept.append(task)
+    return kept[::-1]
--- a/rhubarbmount/rooms.py
+++ b/rhubarbmount/rooms.py
@@ -2,16 +2,27 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from contextlib import contextmanager
 from math import ceil, floor
 from typing import NamedTuple
 
 import attrs
-from sortedcontainers import SortedDict
+from sortedcontainers import SortedDict, SortedList
 
+from rhubarbmount.entries import WorkClass
 from rhubarbmount.hosts import Host, HostState, Shape
-from rhubarbmount.jobs import Task
-
-__all__ = ["Amount", "HostRoom", "PoolRooms", "amount_needed", "amount_offered"]
+from rhubarbmount.jobs import Task, describe
+
+__all__ = [
+    "NOTHING",
+    "Amount",
+    "HostRoom",
+    "PoolRooms",
+    "RoomIndex",
+    "amount_needed",
+    "amount_offered",
+    "is_evictable",
+]
 
 PARTS_PER_PROCESSOR = 4
 PARTS_PER_GB = 4
@@ -39,6 +50,14 @@
         """Return whether the room has enough of everything."""
         return self[0] <= room[0] and self[1] <= room[1] and self[2] <= room[2]
 
+    def describe(self) -> str:
+        """Return the amount in words."""
+        return describe(
+            Shape(
+                self[1] / PARTS_PER_PROCESSOR, self[2] / PARTS_PER_GB, self.accelerators
+            )
+        )
+
 
 NOTHING = Amount(0, 0, 0)
 
@@ -72,6 +91,7 @@
     host: Host
     offered: Amount
     used: Amount = NOTHING
+    evictable: Amount = NOTHING
     task_by_id: dict[str, Task] = attrs.field(factory=dict)
     promised_by_job: dict[str, Amount] = attrs.field(factory=dict)
 
@@ -94,20 +114,88 @@
         return self.host.state is HostState.IN_SERVICE
 
 
+@attrs.define
+class RoomIndex:
+    """Hosts by an amount of room, then by rack.
+
+    A search visits distinct amounts and skips those that are too small in one step,
+    so its cost grows more slowly than the number of hosts.
+    """
+
+    _racks_by_amount: SortedDict = attrs.field(factory=SortedDict)
+    _place_by_host: dict[str, tuple[Amount, str]] = attrs.field(factory=dict)
+
+    def add(self, host_id: str, rack: str, amount: Amount) -> None:
+        """File a host under its room."""
+        self._place_by_host[host_id] = amount, rack
+        racks = self._racks_by_amount.setdefault(amount, SortedDict())
+        racks.setdefault(rack, {})[host_id] = None
+
+    def discard(self, host_id: str) -> None:
+        """Take a host out, if it is in."""
+        place = self._place_by_host.pop(host_id, None)
+        if place is None:
+            return
+        amount, rack = place
+        racks = self._racks_by_amount[amount]
+        hosts = racks[rack]
+        del hosts[host_id]
+        if not hosts:
+            del racks[rack]
+        if not racks:
+            del self._racks_by_amount[amount]
+
+    def search(self, need: Amount, after_rack: str = "") -> Iterator[str]:
+        """Yield hosts with enough room, least room first, one rack after another.
+
+        Racks are taken in turn, beginning behind ``after_rack``.
+        """
+        amounts = self._racks_by_amount.keys()
+        position = self._racks_by_amount.bisect_left(need)
+        while position < len(amounts):
+            amount = amounts[position]
+            if need.fits(amount):
+                yield from _in_turn(self._racks_by_amount[amount], after_rack)
+                position += 1
+            elif amount[1] < need[1]:
+                ahead = Amount(amount[0], need[1], need[2])
+                position = self._racks_by_amount.bisect_left(ahead)
+            else:
+                ahead = Amount(amount[0], amount[1], need[2])
+                position = self._racks_by_amount.bisect_left(ahead)
+
+
+def _in_turn(hosts_by_rack: SortedDict, after_rack: str) -> Iterator[str]:
+    count = len(hosts_by_rack)
+    first = hosts_by_rack.bisect_right(after_rack)
+    rest = []
+    for step in range(count):
+        _, hosts = hosts_by_rack.peekitem((first + step) % count)
+        others = iter(hosts)
+        yield next(others)
+        rest.append(others)
+    for others in rest:
+        yield from others
+
+
 @attrs.define
 class PoolRooms:
-    """The hosts of one pool by free room, then by rack.
+    """The hosts of one pool, their tasks, and indexes over their room.
 
-    A search visits distinct free rooms and skips those that are too small in one
-    step, so its cost grows more slowly than the number of hosts.
+    ``roomy`` are the hosts whose free room holds ``headroom``, which is kept for
+    urgent jobs. ``evictable_tasks`` are batch tasks by start, oldest first.
     """
 
     room_by_host: SortedDict = attrs.field(factory=SortedDict)
     host_by_task: dict[str, str] = attrs.field(factory=dict)
     avoided_hosts: set[str] = attrs.field(factory=set)
     kinds_by_rack: dict[str, Counter[str]] = attrs.field(factory=dict)
-    _racks_by_free: SortedDict = attrs.field(factory=SortedDict)
-    _free_by_host: dict[str, Amount] = attrs.field(factory=dict)
+    last_rack_by_kind: dict[str, str] = attrs.field(factory=dict)
+    headroom: Amount = NOTHING
+    roomy: set[str] = attrs.field(factory=set)
+    evictable_tasks: SortedList = attrs.field(factory=SortedList)
+    free: RoomIndex = attrs.field(factory=RoomIndex)
+    clearable: RoomIndex = attrs.field(factory=RoomIndex)
 
     def set_host(self, host: Host) -> None:
         """Add a host, or take in a change of its row."""
@@ -115,10 +203,9 @@
         if room is None:
             room = HostRoom(host, amount_offered(host.shape))
             self.room_by_host[host.host_id] = room
-        self._unindex(room)
-        room.host = host
-        room.offered = amount_offered(host.shape)
-        self._index(room)
+        with self._change(room):
+            room.host = host
+            room.offered = amount_offered(host.shape)
 
     def remove_host(self, host_id: str) -> None:
         """Forget a host that has no task left."""
@@ -128,26 +215,36 @@
 
     def avoid(self, host_id: str, avoided: bool) -> None:
         """Keep new tasks off a host, or let them in again."""
-        room = self.room_by_host.get(host_id)
-        if avoided:
-            self.avoided_hosts.add(host_id)
-        else:
-            self.avoided_hosts.discard(host_id)
-        if room is not None:
+        with self._change(self.room_by_host[host_id]):
+            if avoided:
+                self.avoided_hosts.add(host_id)
+            else:
+                self.avoided_hosts.discard(host_id)
+
+    def keep_headroom(self, headroom: Amount) -> None:
+        """Set the room that a host must have to count as roomy."""
+        if headroom == self.headroom:
+            return
+        self.headroom = headroom
+        for room in self.room_by_host.values():
             self._unindex(room)
             self._index(room)
 
     def add_task(self, task: Task) -> None:
         """Take the task's reservation from its host's room."""
         room = self.room_by_host[task.host_id]
-        self._unindex(room)
-        room.promised_by_job.pop(task.job_id, None)
-        room.task_by_id[task.task_id] = task
-        room.used = room.used.plus(amount_needed(task.reserved))
-        self._index(room)
+        amount = amount_needed(task.reserved)
+        with self._change(room):
+            room.promised_by_job.pop(task.job_id, None)
+            room.task_by_id[task.task_id] = task
+            room.used = room.used.plus(amount)
+            if is_evictable(task):
+                room.evictable = room.evictable.plus(amount)
+                self.evictable_tasks.add((task.started_s, task.task_id))
         self.host_by_task[task.task_id] = task.host_id
-        rack = self.kinds_by_rack.setdefault(room.host.rack, Counter())
-        rack[task.kind] += 1
+        kinds = self.kinds_by_rack.setdefault(room.host.rack, Counter())
+        kinds[task.kind] += 1
+        self.last_rack_by_kind[task.kind] = room.host.rack
 
     def remove_task(self, task_id: str) -> HostRoom | None:
         """Give the task's reservation back; return its host's room."""
@@ -155,97 +252,73 @@
         if host_id is None:
             return None
         room = self.room_by_host[host_id]
-        self._unindex(room)
-        task = room.task_by_id.pop(task_id)
-        room.used = room.used.minus(amount_needed(task.reserved))
-        self._index(room)
-        rack = self.kinds_by_rack[room.host.rack]
-        rack[task.kind] -= 1
-        if not rack[task.kind]:
-            del rack[task.kind]
+        task = room.task_by_id[task_id]
+        amount = amount_needed(task.reserved)
+        with self._change(room):
+            del room.task_by_id[task_id]
+            room.used = room.used.minus(amount)
+            if is_evictable(task):
+                room.evictable = room.evictable.minus(amount)
+                self.evictable_tasks.remove((task.started_s, task_id))
+        kinds = self.kinds_by_rack[room.host.rack]
+        kinds[task.kind] -= 1
+        if not kinds[task.kind]:
+            del kinds[task.kind]
         return room
 
+    def tasks_in_rack(self, rack: str, kind: str) -> int:
+        """Return how many tasks of a kind run in a rack."""
+        kinds = self.kinds_by_rack.get(rack)
+        return kinds[kind] if kinds else 0
+
     def replace_task(self, task: Task) -> None:
-        """Take in a change of a task that leaves its reservation as it was."""
-        self.room_by_host[task.host_id].task_by_id[task.task_id] = task
+        """Take in a change of a task."""
+        self.remove_task(task.task_id)
+        self.add_task(task)
 
     def promise(self, job_id: str, host_id: str, amount: Amount) -> None:
         """Keep room that is being cleared on a host for one job."""
         room = self.room_by_host[host_id]
-        self._unindex(room)
-        room.promised_by_job[job_id] = amount
-        self._index(room)
+        with self._change(room):
+            room.promised_by_job[job_id] = amount
 
     def withdraw(self, job_id: str, host_id: str) -> None:
         """Drop a promise."""
         room = self.room_by_host.get(host_id)
         if room is None:
             return
-        self._unindex(room)
-        room.promised_by_job.pop(job_id, None)
-        self._index(room)
+        with self._change(room):
+            room.promised_by_job.pop(job_id, None)
 
-    def search(self, need: Amount, after_rack: str = "") -> Iterator[HostRoom]:
-        """Yield hosts with enough room, least room first, one rack after another.
-
-        Racks are taken in turn, beginning behind ``after_rack``.
-        """
-        frees = self._racks_by_free.keys()
-        position = self._racks_by_free.bisect_left(need)
-        while position < len(frees):
-            free = frees[position]
-            if need.fits(free):
-                yield from self._hosts_in_turn(self._racks_by_free[free], after_rack)
-                position += 1
-            elif free[1] < need[1]:
-                ahead = Amount(free[0], need[1], need[2])
-                position = self._racks_by_free.bisect_left(ahead)
-            else:
-                ahead = Amount(free[0], free[1], need[2])
-                position = self._racks_by_free.bisect_left(ahead)
-
-    def hosts_with_room(self, need: Amount, limit: int) -> int:
-        """Count the hosts that have the room, up to a limit."""
-        count = 0
-        for _ in self.search(need):
-            count += 1
-            if count >= limit:
-                break
-        return count
-
-    def _hosts_in_turn(
-        self, hosts_by_rack: SortedDict, after_rack: str
-    ) -> Iterator[HostRoom]:
-        count = len(hosts_by_rack)
-        first = hosts_by_rack.bisect_right(after_rack)
-        turns = (hosts_by_rack.peekitem((first + n) % count)[1] for n in range(count))
-        rest = []
-        for hosts in turns:
-            others = iter(hosts)
-            yield self.room_by_host[next(others)]
-            rest.append(others)
-        for others in rest:
-            for host_id in others:
-                yield self.room_by_host[host_id]
+    @contextmanager
+    def _change(self, room: HostRoom) -> Iterator[None]:
+        self._unindex(room)
+        try:
+            yield
+        finally:
+            self._index(room)
 
     def _index(self, room: HostRoom) -> None:
         host_id = room.host.host_id
+        if not room.takes_work or host_id in self.avoided_hosts:
+            return
         free = room.free
-        if not room.takes_work or host_id in self.avoided_hosts or min(free) < 0:
+        clearable = free.plus(room.evictable)
+        if min(clearable) >= 0:
+            self.clearable.add(host_id, room.host.rack, clearable)
+        if min(free) < 0:
             return
-        self._free_by_host[host_id] = free
-        racks = self._racks_by_free.setdefault(free, SortedDict())
-        racks.setdefault(room.host.rack, {})[host_id] = None
+        self.free.add(host_id, room.host.rack, free)
+        if self.headroom.fits(free):
+            self.roomy.add(host_id)
 
     def _unindex(self, room: HostRoom) -> None:
         host_id = room.host.host_id
-        free = self._free_by_host.pop(host_id, None)
-        if free is None:
-            return
-        racks = self._racks_by_free[free]
-        hosts = racks[room.host.rack]
-        del hosts[host_id]
-        if not hosts:
-            del racks[room.host.rack]
-        if not racks:
-            del self._racks_by_free[free]
+        self.free.discard(host_id)
+        self.clearable.discard(host_id)
+        self.roomy.discard(host_id)
+
+
+def is_evictable(task: Task) -> bool:
+    """Return whether a task may be cleared away for an urgent job."""
+    return task.work_class is WorkClass.BATCH and task.command == "start"
--- /dev/null
+++ b/rhubarbmount/sizes.py
@@ -0,0 +1,137 @@
+"""Sizes and run times learned from reports, with the declared ones as prior."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from math import ceil
+
+import attrs
+
+from rhubarbmount.hosts import Shape
+from rhubarbmount.jobs import Job
+
+__all__ = ["Estimate", "SizeMemory", "UsageReport", "percentile"]
+
+REPORTS_KEPT = 64
+KINDS_KEPT = 4096
+TASKS_REMEMBERED = 4096
+PRIOR_WEIGHT = 4
+PROCESSORS_PERCENTILE = 0.9
+RUN_TIME_PERCENTILE = 0.9
+MEMORY_MARGIN = 1.1
+OUT_OF_MEMORY_FACTOR = 1.5
+FAR_OFF_FACTOR = 1.5
+
+
+@attrs.frozen(kw_only=True)
+class UsageReport:
+    """What a task used at its peak; it may come long after the task has ended."""
+
+    task_id: str
+    kind: str
+    processors: float
+    memory_gb: float
+    run_time_s: float
+    out_of_memory: bool = False
+
+
+@attrs.frozen
+class Estimate:
+    """What to reserve for a job, and whether its declaration is far off."""
+
+    shape: Shape
+    run_time_s: float
+    reports: int = 0
+    far_off: bool = False
+
+
+@attrs.define
+class SizeMemory:
+    """Estimate jobs of a kind from the latest reports about that kind.
+
+    The declared values count as a few reports, so that the first real ones move the
+    estimate without ruling it. A report is counted once, however late or often it
+    comes.
+    """
+
+    _reports_by_kind: OrderedDict[str, deque[UsageReport]] = attrs.field(
+        factory=OrderedDict, init=False
+    )
+    _seen_tasks: OrderedDict[str, None] = attrs.field(factory=OrderedDict, init=False)
+
+    def observe(self, report: UsageReport) -> bool:
+        """Take in a report; return False if it was counted before."""
+        if report.task_id in self._seen_tasks:
+            return False
+        self._seen_tasks[report.task_id] = None
+        _evict_oldest(self._seen_tasks, TASKS_REMEMBERED)
+        reports = self._reports_by_kind.setdefault(
+            report.kind, deque(maxlen=REPORTS_KEPT)
+        )
+        reports.append(report)
+        self._reports_by_kind.move_to_end(report.kind)
+        _evict_oldest(self._reports_by_kind, KINDS_KEPT)
+        return True
+
+    def estimate(self, job: Job, largest: Shape) -> Estimate:
+        """Return what to reserve, never more than the largest shape that exists."""
+        reports = self._reports_by_kind.get(job.kind)
+        declared = job.shape
+        if not reports:
+            return Estimate(declared, job.run_time_s)
+        processors = _learn(
+            (report.processors for report in reports),
+            declared.processors,
+            PROCESSORS_PERCENTILE,
+        )
+        memory_gb = _learn_memory(reports, declared.memory_gb)
+        run_time_s = _learn(
+            (report.run_time_s for report in reports),
+            job.run_time_s,
+            RUN_TIME_PERCENTILE,
+        )
+        shape = Shape(
+            min(_round_up(processors), largest.processors),
+            min(_round_up(memory_gb), largest.memory_gb),
+            declared.accelerators,
+        )
+        far_off = _is_far_off(shape.processors, declared.processors) or _is_far_off(
+            shape.memory_gb, declared.memory_gb
+        )
+        return Estimate(shape, run_time_s, len(reports), far_off)
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return the smallest value that the share of all values does not exceed.
+
+    >>> percentile([4.0, 1.0, 2.0, 3.0], 0.5)
+    2.0
+    """
+    ordered = sorted(values)
+    return ordered[max(ceil(len(ordered) * share) - 1, 0)]
+
+
+def _learn(reported: Iterable[float], declared: float, share: float) -> float:
+    return percentile([*reported, *[declared] * PRIOR_WEIGHT], share)
+
+
+def _learn_memory(reports: Iterable[UsageReport], declared_gb: float) -> float:
+    values = []
+    for report in reports:
+        factor = OUT_OF_MEMORY_FACTOR if report.out_of_memory else MEMORY_MARGIN
+        values.append(report.memory_gb * factor)
+    if len(values) < REPORTS_KEPT // 2:
+        values.append(declared_gb)
+    return max(values)
+
+
+def _round_up(value: float) -> float:
+    return ceil(value * 4) / 4
+
+
+def _is_far_off(learned: float, declared: float) -> bool:
+    return not declared / FAR_OFF_FACTOR <= learned <= declared * FAR_OFF_FACTOR
+
+
+def _evict_oldest(items: OrderedDict, limit: int) -> None:
+    while len(items) > limit:
+        items.popitem(last=False)
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,82 @@
+"""Sizes and run times learned from late and repeated reports."""
+
+from rhubarbmount.hosts import Shape
+from rhubarbmount.jobs import Job
+from rhubarbmount.sizes import REPORTS_KEPT, SizeMemory, UsageReport
+
+LARGEST = Shape(32, 64)
+
+
+def job(shape=None, run_time_s=60.0, template="quote"):
+    return Job(
+        job_id="j",
+        team="t",
+        pool="p",
+        shape=shape or Shape(8, 16),
+        run_time_s=run_time_s,
+        template=template,
+    )
+
+
+def report(number, **used):
+    used = {"processors": 2.0, "memory_gb": 4.0, "run_time_s": 30.0} | used
+    return UsageReport(task_id=f"t{number}", kind="quote", **used)
+
+
+def learned(reports, declared=None, largest=LARGEST):
+    memory = SizeMemory()
+    for number in range(reports):
+        memory.observe(report(number))
+    return memory.estimate(declared or job(), largest)
+
+
+def test_without_reports_the_declaration_stands():
+    estimate = SizeMemory().estimate(job(), LARGEST)
+    assert (estimate.shape, estimate.run_time_s) == (Shape(8, 16), 60.0)
+
+
+def test_a_few_reports_do_not_yet_rule_the_declaration():
+    assert learned(2).shape == Shape(8, 16)
+
+
+def test_many_reports_replace_a_declaration_far_off():
+    estimate = learned(REPORTS_KEPT)
+    assert estimate.shape == Shape(2, 4.5)
+    assert estimate.run_time_s == 30.0
+    assert estimate.far_off
+
+
+def test_a_report_counts_once_however_often_it_comes():
+    memory = SizeMemory()
+    assert memory.observe(report(1, processors=32.0))
+    for _ in range(REPORTS_KEPT):
+        assert not memory.observe(report(1, processors=32.0))
+    assert memory.estimate(job(), LARGEST).reports == 1
+
+
+def test_reports_in_any_order_give_one_estimate():
+    reports = [report(n, processors=float(n % 5 + 1)) for n in range(REPORTS_KEPT)]
+    estimates = []
+    for order in (reports, reports[::-1]):
+        memory = SizeMemory()
+        for late in order:
+            memory.observe(late)
+        estimates.append(memory.estimate(job(), LARGEST))
+    assert estimates[0] == estimates[1]
+
+
+def test_running_out_of_memory_raises_the_reservation_at_once():
+    memory = SizeMemory()
+    memory.observe(report(1, memory_gb=16.0, out_of_memory=True))
+    assert memory.estimate(job(), LARGEST).shape.memory_gb == 24.0
+
+
+def test_a_learned_size_never_outgrows_the_largest_host():
+    memory = SizeMemory()
+    for number in range(REPORTS_KEPT):
+        memory.observe(report(number, processors=500.0, memory_gb=900.0))
+    assert memory.estimate(job(), LARGEST).shape == LARGEST
+
+
+def test_accelerators_stay_as_declared():
+    assert learned(REPORTS_KEPT, job(Shape(8, 16, 2))).shape.accelerators == 2
