Never take a surplus answer for the answer to a later request

Cause: a surplus answer can arrive after the connection has been taken for the next request; then neither trailing bytes nor the quiet check see it. Ruled out: closing after each answer (safe, but costs a connect per request) and a waiting time before reuse (narrows the race, proves nothing). Now each request carries an attempt id; a connection is reused only when the answer echoed it, and an answer with another id, or none on a reused connection, is refused as lost. Backend servers that don't echo get a connection per request.

--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -1,5 +1,12 @@
-"""Connections to backend servers, one request in flight on each."""
+"""Connections to backend servers, one request in flight on each.
 
+Each request carries an attempt id. A connection is used again only if the answer
+echoed the id, so that a surplus answer to an earlier request is never taken for the
+answer to a later one.
+"""
+
+import itertools
+import secrets
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -7,9 +14,18 @@
 import attrs
 import trio
 
-from rhubarbmount.http import ClientConnection, HttpRequest, HttpResponse, connect
+from rhubarbmount.http import (
+    AnswerLost,
+    ClientConnection,
+    HttpRequest,
+    HttpResponse,
+    connect,
+    header_value,
+)
+
+__all__ = ["ATTEMPT_HEADER", "BackendConnections"]
 
-__all__ = ["BackendConnections"]
+ATTEMPT_HEADER = b"rhubarbmount-attempt"
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -20,14 +36,22 @@
 
     body_bytes: int = 1048576
     _idle_by_address: dict[str, deque[ClientConnection]] = attrs.field(factory=dict)
+    _prefix: str = attrs.field(factory=lambda: secrets.token_hex(4))
+    _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     async def exchange(self, address: str, request: HttpRequest) -> HttpResponse:
         """Send a request over an idle or a new connection.
 
-        Raises NotSent or AnswerLost.
+        Raises NotSent, or AnswerLost also for the answer to another request.
         """
+        attempt = f"{self._prefix}-{next(self._numbers)}"
+        header = (ATTEMPT_HEADER, attempt.encode("ascii"))
+        headers = [pair for pair in request.headers if pair[0] != ATTEMPT_HEADER]
+        marked = attrs.evolve(request, headers=[*headers, header])
         async with self._borrow(address) as connection:
-            return await connection.exchange(request)
+            answer = await connection.exchange(marked)
+            _check_echo(connection, answer, attempt)
+        return answer
 
     async def close_idle(self, address: str) -> None:
         """Close the idle connections to a backend server that is leaving."""
@@ -46,6 +70,7 @@
             yield connection
         finally:
             if connection.reusable:
+                connection.was_reused = True
                 self._idle_by_address.setdefault(address, deque()).append(connection)
             else:
                 with trio.CancelScope(shield=True):
@@ -60,3 +85,14 @@
             await connection.aclose()
         host, port = address.rsplit(":", 1)
         return await connect(host, int(port), CONNECT_TIMEOUT_S, self.body_bytes)
+
+
+def _check_echo(
+    connection: ClientConnection, answer: HttpResponse, attempt: str
+) -> None:
+    echo = header_value(answer.headers, ATTEMPT_HEADER)
+    if echo == attempt:
+        return
+    connection.reusable = False
+    if echo is not None or connection.was_reused:
+        raise AnswerLost("the answer belongs to another request")
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -8,7 +8,7 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.backends import BackendConnections
+from rhubarbmount.backends import ATTEMPT_HEADER, BackendConnections
 from rhubarbmount.entries import Service
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.http import (
@@ -97,6 +97,8 @@
             return problem(502, error.code, error.message, Outcome.UNKNOWN)
         except trio.TooSlowError:
             return problem(504, "timeout", "no answer in time", Outcome.UNKNOWN)
-        headers = _end_to_end(answer.headers)
+        headers = [
+            pair for pair in _end_to_end(answer.headers) if pair[0] != ATTEMPT_HEADER
+        ]
         headers.append((OUTCOME_HEADER, Outcome.RAN.value.encode("ascii")))
         return attrs.evolve(answer, headers=headers)
--- a/rhubarbmount/http.py
+++ b/rhubarbmount/http.py
@@ -243,6 +243,7 @@
     stream: trio.SocketStream
     body_bytes: int = 1048576
     reusable: bool = True
+    was_reused: bool = False
     _protocol: h11.Connection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/rhubarbmount/standins/backend.py
+++ b/rhubarbmount/standins/backend.py
@@ -9,6 +9,7 @@
 import trio
 
 from rhubarbmount import log
+from rhubarbmount.backends import ATTEMPT_HEADER
 from rhubarbmount.http import (
     HttpLimits,
     HttpRequest,
@@ -33,7 +34,7 @@
 
     ``cut_answers``, ``truncate_answers`` and ``surplus_answers`` count coming
     requests: they run, and then the connection closes before the answer, in the
-    midst of it, or after an answer too many.
+    midst of it, or after an answer too many. ``echo`` sends attempt ids back.
     """
 
     delay_s: float = 0.0
@@ -43,6 +44,7 @@
     truncate_answers: int = 0
     surplus_answers: int = 0
     stall: bool = False
+    echo: bool = True
 
 
 @attrs.define(eq=False)
@@ -85,9 +87,17 @@
             self.guarded_count += 1
             answer = problem(503, "guard", "no slot is free")
             headers = [*answer.headers, (GUARD_HEADER, b"not-run")]
-            return await connection.send(attrs.evolve(answer, headers=headers))
+            refusal = attrs.evolve(answer, headers=headers)
+            return await connection.send(self._echo(request, refusal))
         answer = await self._run(request)
-        return await self._send(connection, answer)
+        return await self._send(connection, self._echo(request, answer))
+
+    def _echo(self, request: HttpRequest, answer: HttpResponse) -> HttpResponse:
+        attempt = header_value(request.headers, ATTEMPT_HEADER)
+        if attempt is None or not self.faults.echo:
+            return answer
+        header = (ATTEMPT_HEADER, attempt.encode("latin-1"))
+        return attrs.evolve(answer, headers=[*answer.headers, header])
 
     async def _run(self, request: HttpRequest) -> HttpResponse:
         self.in_flight += 1
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,6 +1,5 @@
 """Availability budgets: decisions, and the transaction that grants permission."""
 
-from fleetkit import CountedPlatform, commit, fill, make_host, make_pool, pool_row
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,6 +14,7 @@
 from rhubarbmount.hosts import HostState
 from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
+from tests.fleetkit import CountedPlatform, commit, fill, make_host, make_pool, pool_row
 
 
 def make_view(pool, planned=(), failed=(), members=8):
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -4,7 +4,6 @@
 
 import attrs
 import pytest
-from fleetkit import CountedPlatform, ManualClock
 
 from rhubarbmount.duties import (
     Action,
@@ -16,6 +15,7 @@
 from rhubarbmount.dutyrunner import DutyRunner
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.hostrows import Terms
+from tests.fleetkit import CountedPlatform, ManualClock
 
 TAKE_UP_LIMIT_S = 15.0
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -63,6 +63,28 @@
     assert await exchange_with([surplus, WHOLE]) == [b"ok", b"ok"]
 
 
+async def test_a_surplus_answer_that_comes_after_the_next_request_is_refused():
+    """Both answers carry the first attempt's id, as a crossed answer would."""
+
+    async def serve(stream):
+        async with stream:
+            data = await stream.receive_some()
+            attempt = data.split(b"rhubarbmount-attempt: ")[1].split(b"\r\n")[0]
+            head = b"HTTP/1.1 200 OK\r\nrhubarbmount-attempt: " + attempt + b"\r\n"
+            await stream.send_all(head + b"content-length: 2\r\n\r\nok")
+            await stream.receive_some()
+            await stream.send_all(head + b"content-length: 2\r\n\r\nno")
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        connections = BackendConnections()
+        assert (await connections.exchange(address, REQUEST)).body == b"ok"
+        with pytest.raises(AnswerLost):
+            await connections.exchange(address, REQUEST)
+        nursery.cancel_scope.cancel()
+
+
 async def test_an_answer_that_comes_after_the_timeout_reaches_nobody():
     received = trio.Event()
 
