--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # VENV may name a folder that several checkouts share.
 VENV ?= .venv
 PYTHON ?= python3
+BINARY ?= dist/rhubarbmount
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
 
@@ -31,7 +32,11 @@
 	$(BIN)/python -m pytest
 
 binary: setup
-	$(BIN)/python -m shiv --output-file dist/rhubarbmount --console-script rhubarbmount --python "/usr/bin/env python3" --compressed . --requirement requirements.lock
+	mkdir -p $(dir $(BINARY))
+	$(BIN)/python -m shiv --compressed --console-script rhubarbmount \
+		--python "/usr/bin/env python3" --output-file $(BINARY) \
+		--constraint requirements.lock .
+	rm -rf build rhubarbmount.egg-info
 
 clean:
 	rm -rf dist build *.egg-info
