Add the decisions of the request path: routing, health, limits, retries

Each is free of I/O: it takes the state, an event and the time, and returns a typed decision with a reason code.

Routing: the slots of a worker are divided among the live entry hosts, a quarter of them for spill-over from other data centres; backend servers with room are kept in a list with swap removal, so that a choice never meets a full one and costs the same at any size.

Health: ejecting a reachable worker withholds capacity and stays within the pool's limit; an unreachable one is left out without a cap but for 2 s at most. A guard refusal limits the work sent and is no failure.

--- /dev/null
+++ b/rhubarbmount/limits.py
@@ -0,0 +1,243 @@
+"""Admission of requests: concurrency, bounded queues, fairness between services."""
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from enum import StrEnum
+
+import attrs
+
+from rhubarbmount.entries import Service, WorkClass
+from rhubarbmount.shares import share_of
+
+__all__ = ["Admission", "AdmissionCode", "Limiter", "Waiting"]
+
+WEIGHT_BY_CLASS = {WorkClass.URGENT: 8, WorkClass.NORMAL: 4, WorkClass.BATCH: 1}
+HEADROOM_SHARE = 0.1
+DURATION_WEIGHT = 0.05
+RETRY_AFTER_LIMIT_S = 30
+RETRY_AFTER_SPREAD_S = 2
+
+
+class AdmissionCode(StrEnum):
+    """What became of a request at admission."""
+
+    ADMITTED = "admitted"
+    QUEUED = "queued"
+    QUEUE_FULL = "queue-full"
+    QUEUE_TIMEOUT = "queue-timeout"
+    DEADLINE = "deadline-unmeetable"
+    UNKNOWN_SERVICE = "unknown-service"
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A request in a queue, to be given up at ``give_up_s`` by whoever waits for it.
+
+    Once ``admitted`` it counts as running and is to be finished.
+    """
+
+    service: str
+    give_up_s: float
+    wake: Callable[[], None]
+    left: bool = False
+    admitted: bool = False
+
+
+@attrs.define
+class Admission:
+    """The answer to a request for admission.
+
+    ``retry_after_s`` is set, in whole seconds, when it is a refusal.
+    """
+
+    code: AdmissionCode
+    waiting: Waiting | None = None
+    retry_after_s: int | None = None
+
+
+@attrs.define
+class ServiceLimit:
+    """One service's limits and use on this entry host."""
+
+    name: str
+    weight: int = 1
+    concurrency: int = 1
+    queue_length: int = 0
+    queue_timeout_s: float = 1.0
+    running: int = 0
+    queued: int = 0
+    duration_s: float = 0.0
+    queue: deque[Waiting] = attrs.field(factory=deque)
+
+    def wait_s(self) -> float:
+        """Return the expected wait of a request that joins the queue now."""
+        if self.running == 0:
+            return 0.0
+        return (self.queued + 1) * self.duration_s / self.running
+
+
+class Limiter:
+    """Admit requests to one entry host, at most ``total`` at a time.
+
+    Room goes to the waiting service that uses the least for its weight. A service
+    over its fair share leaves a tenth of the total free for the others.
+    ``has_room`` tells whether a service's pool has a slot free.
+    """
+
+    def __init__(
+        self,
+        total: int,
+        *,
+        generator: random.Random,
+        has_room: Callable[[str], bool] = lambda service: True,
+    ) -> None:
+        self.total = total
+        self.headroom = max(1, int(total * HEADROOM_SHARE))
+        self.running = 0
+        self.by_service: dict[str, ServiceLimit] = {}
+        self._weights = 0
+        self._has_room = has_room
+        self._generator = generator
+
+    def update_services(
+        self, services: list[Service], members: list[str], own_id: str
+    ) -> None:
+        """Take over the services' limits, divided among the live entry hosts.
+
+        Each entry host may run at least one request of each service.
+        """
+        names = {service.name for service in services}
+        for name in self.by_service.keys() - names:
+            if not self.by_service[name].running and not self.by_service[name].queued:
+                del self.by_service[name]
+        for service in services:
+            self._update_service(service, members, own_id)
+        self._weights = sum(limit.weight for limit in self.by_service.values())
+
+    def offer(
+        self, service: str, now_s: float, deadline_s: float, wake: Callable[[], None]
+    ) -> Admission:
+        """Admit, queue or refuse a request.
+
+        ``wake`` is called once when a queued request has been admitted.
+        """
+        limit = self.by_service.get(service)
+        if limit is None:
+            return Admission(AdmissionCode.UNKNOWN_SERVICE)
+        if limit.queued == 0 and self._may_run(limit):
+            return self._admit(limit)
+        if limit.queued >= limit.queue_length:
+            return self._refuse(limit, AdmissionCode.QUEUE_FULL)
+        give_up_s = min(now_s + limit.queue_timeout_s, deadline_s - limit.duration_s)
+        if now_s + limit.wait_s() > give_up_s:
+            return self._refuse(limit, AdmissionCode.DEADLINE)
+        waiting = Waiting(service, give_up_s, wake)
+        limit.queue.append(waiting)
+        limit.queued += 1
+        return Admission(AdmissionCode.QUEUED, waiting)
+
+    def put_back(
+        self, service: str, now_s: float, deadline_s: float, wake: Callable[[], None]
+    ) -> Admission:
+        """Queue an admitted request again, first in line, when no slot was left."""
+        limit = self.by_service[service]
+        limit.running -= 1
+        self.running -= 1
+        give_up_s = min(now_s + limit.queue_timeout_s, deadline_s - limit.duration_s)
+        if give_up_s <= now_s:
+            return self._refuse(limit, AdmissionCode.DEADLINE)
+        waiting = Waiting(service, give_up_s, wake)
+        limit.queue.appendleft(waiting)
+        limit.queued += 1
+        return Admission(AdmissionCode.QUEUED, waiting)
+
+    def give_up(self, waiting: Waiting) -> Admission:
+        """Take a request out of its queue, because of its timeout or its caller."""
+        limit = self.by_service[waiting.service]
+        if not waiting.left:
+            waiting.left = True
+            limit.queued -= 1
+        while limit.queue and limit.queue[0].left:
+            limit.queue.popleft()
+        return self._refuse(limit, AdmissionCode.QUEUE_TIMEOUT)
+
+    def finish(self, service: str, now_s: float, duration_s: float | None) -> None:
+        """Count an admitted request as ended, and admit those that now fit.
+
+        Give the duration of requests that got an answer.
+        """
+        limit = self.by_service[service]
+        limit.running -= 1
+        self.running -= 1
+        if duration_s is not None:
+            before_s = limit.duration_s or duration_s
+            limit.duration_s = before_s + DURATION_WEIGHT * (duration_s - before_s)
+        self.admit_waiting(now_s)
+
+    def admit_waiting(self, now_s: float) -> None:
+        """Admit queued requests while there is room; call it when room may be new."""
+        while self.running < self.total:
+            limit = self._next_in_turn()
+            if limit is None:
+                return
+            self._admit_first(limit, now_s)
+
+    def _next_in_turn(self) -> ServiceLimit | None:
+        best: ServiceLimit | None = None
+        for limit in self.by_service.values():
+            if not limit.queue or not self._may_run(limit):
+                continue
+            if best is None or (
+                limit.running * best.weight < best.running * limit.weight
+            ):
+                best = limit
+        return best
+
+    def _admit_first(self, limit: ServiceLimit, now_s: float) -> None:
+        waiting = limit.queue.popleft()
+        if waiting.left:
+            return
+        waiting.left = True
+        limit.queued -= 1
+        if waiting.give_up_s > now_s:
+            waiting.admitted = True
+            self._admit(limit)
+            waiting.wake()
+
+    def _admit(self, limit: ServiceLimit) -> Admission:
+        limit.running += 1
+        self.running += 1
+        return Admission(AdmissionCode.ADMITTED)
+
+    def _may_run(self, limit: ServiceLimit) -> bool:
+        free = self.total - self.running
+        if free <= 0 or limit.running >= limit.concurrency:
+            return False
+        fair_share = self.total * limit.weight / self._weights
+        if limit.running >= fair_share and free <= self.headroom:
+            return False
+        return self._has_room(limit.name)
+
+    def _refuse(self, limit: ServiceLimit, code: AdmissionCode) -> Admission:
+        wait_s = math.ceil(limit.wait_s()) + self._generator.randrange(
+            RETRY_AFTER_SPREAD_S + 1
+        )
+        return Admission(code, retry_after_s=min(max(wait_s, 1), RETRY_AFTER_LIMIT_S))
+
+    def _update_service(
+        self, service: Service, members: list[str], own_id: str
+    ) -> None:
+        limit = self.by_service.get(service.name)
+        if limit is None:
+            limit = ServiceLimit(service.name)
+            self.by_service[service.name] = limit
+        limit.weight = WEIGHT_BY_CLASS[service.work_class]
+        limit.concurrency = _at_least_one(service.concurrency, members, own_id)
+        limit.queue_length = _at_least_one(service.queue_length, members, own_id)
+        limit.queue_timeout_s = service.queue_timeout_ms / 1000
+
+
+def _at_least_one(total: int, members: list[str], own_id: str) -> int:
+    return max(1, share_of(total, members, own_id, ""))
--- /dev/null
+++ b/rhubarbmount/retries.py
@@ -0,0 +1,168 @@
+"""Outcomes of attempts, and whether another attempt may follow."""
+
+from enum import StrEnum
+
+import attrs
+
+__all__ = [
+    "AttemptFacts",
+    "Ending",
+    "Outcome",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryReason",
+    "classify",
+    "decide_retry",
+]
+
+ATTEMPT_LIMIT = 3
+BUDGET_LIMIT = 10.0
+BUDGET_START = 2.0
+BUDGET_TRICKLE_PER_S = 0.1
+
+
+class Outcome(StrEnum):
+    """Whether a backend server ran the request."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Ending(StrEnum):
+    """How an attempt ended on the wire."""
+
+    ANSWERED = "answered"
+    NOT_CONNECTED = "not-connected"
+    CONNECTION_LOST = "connection-lost"
+    BROKEN_ANSWER = "broken-answer"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen
+class AttemptFacts:
+    """What is known of an ended attempt.
+
+    ``bytes_left`` is true from the moment any byte of the request was given to a
+    socket, whether or not it arrived. ``guard_refused`` is true when a whole answer
+    carried the backend server's own word that it did not run the request.
+    ``answer_begun`` is true when any part of the answer went on to the caller.
+    """
+
+    ending: Ending
+    bytes_left: bool = True
+    guard_refused: bool = False
+    answer_begun: bool = False
+
+
+class RetryReason(StrEnum):
+    """Why another attempt follows or not."""
+
+    NOT_RUN = "not-run"
+    IDEMPOTENT = "idempotent-connection-lost"
+    ANSWERED = "answered"
+    MAY_HAVE_RUN = "may-have-run"
+    ANSWER_BEGUN = "answer-begun"
+    CANCELLED = "cancelled"
+    ATTEMPTS_SPENT = "attempts-spent"
+    BUDGET_SPENT = "budget-spent"
+    DEADLINE = "deadline"
+    NOT_REPLAYABLE = "not-replayable"
+
+
+@attrs.frozen
+class RetryDecision:
+    """Whether to try again, and why."""
+
+    retry: bool
+    reason: RetryReason
+
+
+def classify(facts: AttemptFacts) -> Outcome:
+    """Return whether the attempt's request ran, as far as can be proved.
+
+    >>> classify(AttemptFacts(Ending.ANSWERED)).value
+    'ran'
+    >>> classify(AttemptFacts(Ending.NOT_CONNECTED, bytes_left=False)).value
+    'not-run'
+    >>> classify(AttemptFacts(Ending.CONNECTION_LOST)).value
+    'unknown'
+    """
+    if not facts.bytes_left:
+        return Outcome.NOT_RUN
+    if facts.ending is not Ending.ANSWERED:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN if facts.guard_refused else Outcome.RAN
+
+
+@attrs.define
+class RetryBudget:
+    """Allow retries up to a share of the successes, with a small trickle.
+
+    ``tokens`` is the number of retries allowed now.
+    """
+
+    share: float
+    tokens: float = BUDGET_START
+    updated_s: float = 0.0
+
+    def succeed(self) -> None:
+        """Credit one success."""
+        self.tokens = min(self.tokens + self.share, BUDGET_LIMIT)
+
+    def spend(self, now_s: float) -> bool:
+        """Take one retry from the budget, if there is one."""
+        if self.tokens < 1.0:
+            gained = (now_s - self.updated_s) * BUDGET_TRICKLE_PER_S
+            self.tokens = min(self.tokens + gained, 1.0)
+        self.updated_s = now_s
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+def decide_retry(
+    facts: AttemptFacts,
+    *,
+    idempotent: bool,
+    replayable: bool,
+    attempts: int,
+    now_s: float,
+    deadline_s: float,
+    expected_s: float,
+    budget: RetryBudget,
+) -> RetryDecision:
+    """Decide on another attempt after ``attempts``, and charge the budget for it.
+
+    ``expected_s`` is the time another attempt is likely to take. ``replayable``
+    tells whether the whole request can be sent again.
+    """
+    reason = _permission(facts, idempotent)
+    if reason not in (RetryReason.NOT_RUN, RetryReason.IDEMPOTENT):
+        return RetryDecision(False, reason)
+    if not replayable:
+        return RetryDecision(False, RetryReason.NOT_REPLAYABLE)
+    if attempts >= ATTEMPT_LIMIT:
+        return RetryDecision(False, RetryReason.ATTEMPTS_SPENT)
+    if now_s + expected_s >= deadline_s:
+        return RetryDecision(False, RetryReason.DEADLINE)
+    if not budget.spend(now_s):
+        return RetryDecision(False, RetryReason.BUDGET_SPENT)
+    return RetryDecision(True, reason)
+
+
+def _permission(facts: AttemptFacts, idempotent: bool) -> RetryReason:
+    if facts.ending is Ending.CANCELLED:
+        return RetryReason.CANCELLED
+    if facts.answer_begun:
+        return RetryReason.ANSWER_BEGUN
+    outcome = classify(facts)
+    if outcome is Outcome.NOT_RUN:
+        return RetryReason.NOT_RUN
+    if outcome is Outcome.RAN:
+        return RetryReason.ANSWERED
+    if idempotent and facts.ending is Ending.CONNECTION_LOST:
+        return RetryReason.IDEMPOTENT
+    return RetryReason.MAY_HAVE_RUN
--- /dev/null
+++ b/rhubarbmount/routing.py
@@ -0,0 +1,296 @@
+"""Choice of a backend server for each request."""
+
+import heapq
+import random
+from collections.abc import Collection, Iterable, Mapping
+from enum import StrEnum
+
+import attrs
+
+from rhubarbmount.health import (
+    AttemptResult,
+    BackendHealth,
+    HealthChange,
+    PoolHealth,
+)
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.shares import EntryHosts, share_of
+from rhubarbmount.strategies import Backend, strategies
+from rhubarbmount.zones import Zone
+
+__all__ = ["PoolView", "RouteDecision", "RouteReason", "TAKES_NEW_WORK"]
+
+TAKES_NEW_WORK = frozenset({HostState.IN_SERVICE, HostState.RETURNING})
+DEFAULT_STRATEGY = "two-choices"
+SPILL_SHARE = 0.25
+SPILL_PENALTY = 16.0
+MEAN_LATENCY_WEIGHT = 0.02
+
+
+class RouteReason(StrEnum):
+    """Why a request went where it went, or nowhere."""
+
+    LOCAL = "local"
+    SPILL_FULL = "spill-local-full"
+    SPILL_ABSENT = "spill-no-local"
+    SPILL_UNSOUND = "spill-local-unsound"
+    ALL_TRIED = "all-tried"
+    ALL_FULL = "all-full"
+    ALL_OUT = "all-out"
+    NO_BACKEND = "no-backend-server"
+
+
+@attrs.define
+class RouteDecision:
+    """The backend server chosen, if any, with the reason and the room there was."""
+
+    backend: Backend | None
+    reason: RouteReason
+    available: int
+
+
+class PoolView:
+    """One entry host's view of a pool's backend servers, and its choices among them.
+
+    Each choice costs the same whatever the size of the pool, except with the
+    strategy ``least-own-in-flight``. All times are seconds on one monotonic clock.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        entry_hosts: EntryHosts,
+        *,
+        hosts_down_limit: int,
+        generator: random.Random,
+        strategy: str = DEFAULT_STRATEGY,
+        spill_share: float = SPILL_SHARE,
+    ) -> None:
+        self.pool = pool
+        self.entry_hosts = entry_hosts
+        self.spill_share = spill_share
+        self.health = PoolHealth(hosts_down_limit)
+        self.by_host_id: dict[str, Backend] = {}
+        self.mean_latency_by_service_s: dict[str, float] = {}
+        make_strategy = strategies.get(strategy)
+        self._local = Zone(make_strategy(generator), generator)
+        self._remote = Zone(make_strategy(generator), generator)
+        self._leaving: frozenset[str] = frozenset()
+        self._due: list[tuple[float, str]] = []
+        self._members_by_data_centre: dict[str, tuple[list[str], list[str]]] = {}
+        self._started = False
+
+    def update_hosts(self, hosts: Iterable[Host], now_s: float) -> None:
+        """Take over the pool's rows: hosts not among them leave the view."""
+        rows = {host.host_id: host for host in hosts if host.pool == self.pool}
+        for host_id in self.by_host_id.keys() - rows.keys():
+            self._remove(host_id)
+        for host in rows.values():
+            self._take_over(host, now_s)
+        self._count_down()
+        self._started = True
+
+    def update_host(self, host: Host, now_s: float) -> None:
+        """Take over one changed row; a host of another pool leaves the view."""
+        if host.pool == self.pool:
+            self._take_over(host, now_s)
+        else:
+            self._remove(host.host_id)
+        self._count_down()
+
+    def set_leaving(self, host_ids: Collection[str]) -> None:
+        """Withhold new work from hosts said to leave by another source than the row."""
+        self._leaving = frozenset(host_ids)
+        self._divide_slots()
+        self._count_down()
+
+    def set_entry_hosts(self, entry_hosts: EntryHosts) -> None:
+        """Divide the slots anew among the entry hosts that are live."""
+        self.entry_hosts = entry_hosts
+        self._members_by_data_centre.clear()
+        self._divide_slots()
+
+    def set_peers_in_flight(self, by_host_id: Mapping[str, int]) -> None:
+        """Take over the sums of the requests that the other entry hosts hold."""
+        for host_id, backend in self.by_host_id.items():
+            backend.peers_in_flight = by_host_id.get(host_id, 0)
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether a request could be placed now."""
+        self._wake(now_s)
+        return bool(self._local.available or self._remote.available)
+
+    def slots(self) -> int:
+        """Return this entry host's share of the slots now in use or free."""
+        return sum(backend.limit for backend in self.by_host_id.values())
+
+    def choose(self, now_s: float, tried: Collection[str] = ()) -> RouteDecision:
+        """Choose a backend server and count the request as in flight there."""
+        self._wake(now_s)
+        available = len(self._local.available) + len(self._remote.available)
+        backend, reason = self._choose(now_s, tried)
+        if backend is not None:
+            backend.own_in_flight += 1
+            if backend.own_in_flight >= backend.limit:
+                self._zone(backend).drop(backend)
+        return RouteDecision(backend, reason, available)
+
+    def finish(
+        self,
+        backend: Backend,
+        result: AttemptResult,
+        now_s: float,
+        *,
+        service: str,
+        latency_s: float | None = None,
+    ) -> HealthChange | None:
+        """Count the request as ended and learn from how it ended.
+
+        Give the latency of attempts that got an answer or timed out.
+        """
+        backend.own_in_flight -= 1
+        if self.by_host_id.get(backend.host.host_id) is not backend:
+            return None
+        change = self.health.record(
+            backend.health,
+            result,
+            now_s,
+            slowness=self._slowness(service, result, latency_s),
+            others_in_flight=backend.own_in_flight,
+        )
+        if change is not None:
+            self._schedule(backend)
+        self._settle(backend)
+        return change
+
+    def _choose(
+        self, now_s: float, tried: Collection[str]
+    ) -> tuple[Backend | None, RouteReason]:
+        local = self._local.pick(tried, now_s)
+        if local is None:
+            remote = self._remote.pick(tried, now_s)
+            return remote, self._reason_without_local(remote)
+        if local.health.penalty(now_s) > SPILL_PENALTY:
+            remote = self._remote.pick(tried, now_s)
+            if remote is not None:
+                return remote, RouteReason.SPILL_UNSOUND
+        return local, RouteReason.LOCAL
+
+    def _reason_without_local(self, remote: Backend | None) -> RouteReason:
+        if remote is not None:
+            full = self._local.serving > 0
+            return RouteReason.SPILL_FULL if full else RouteReason.SPILL_ABSENT
+        if self._local.available or self._remote.available:
+            return RouteReason.ALL_TRIED
+        if self._local.serving or self._remote.serving:
+            return RouteReason.ALL_FULL
+        return RouteReason.ALL_OUT if self.by_host_id else RouteReason.NO_BACKEND
+
+    def _slowness(
+        self, service: str, result: AttemptResult, latency_s: float | None
+    ) -> float | None:
+        if latency_s is None:
+            return None
+        mean_s = self.mean_latency_by_service_s.get(service)
+        if result is AttemptResult.SUCCESS:
+            if mean_s is None:
+                self.mean_latency_by_service_s[service] = latency_s
+                return 1.0
+            mean_s += MEAN_LATENCY_WEIGHT * (latency_s - mean_s)
+            self.mean_latency_by_service_s[service] = mean_s
+        if not mean_s:
+            return None
+        slowness = latency_s / mean_s
+        if result is AttemptResult.FAILURE and slowness < 1.0:
+            return None
+        return slowness
+
+    def _take_over(self, host: Host, now_s: float) -> None:
+        backend = self.by_host_id.get(host.host_id)
+        if backend is None or _moved(backend.host, host):
+            self._remove(host.host_id)
+            backend = self._add(host, now_s)
+        elif host.state in TAKES_NEW_WORK and not self._serves(backend):
+            backend.health.start_slowly(now_s)
+        backend.host = host
+        self._divide(backend)
+
+    def _add(self, host: Host, now_s: float) -> Backend:
+        health: BackendHealth = self.health.add(host.host_id)
+        if self._started:
+            health.start_slowly(now_s)
+        backend = Backend(host, health)
+        self.by_host_id[host.host_id] = backend
+        return backend
+
+    def _remove(self, host_id: str) -> None:
+        backend = self.by_host_id.pop(host_id, None)
+        if backend is not None:
+            backend.share = 0
+            self._settle(backend)
+            self.health.remove(host_id)
+
+    def _zone(self, backend: Backend) -> Zone:
+        is_local = backend.host.data_centre == self.entry_hosts.data_centre
+        return self._local if is_local else self._remote
+
+    def _serves(self, backend: Backend) -> bool:
+        host = backend.host
+        return host.state in TAKES_NEW_WORK and host.host_id not in self._leaving
+
+    def _divide_slots(self) -> None:
+        for backend in self.by_host_id.values():
+            self._divide(backend)
+
+    def _divide(self, backend: Backend) -> None:
+        backend.share = self._share(backend.host) if self._serves(backend) else 0
+        self._settle(backend)
+
+    def _settle(self, backend: Backend) -> None:
+        zone = self._zone(backend)
+        limit = backend.health.cap(backend.share)
+        zone.serving += (limit > 0) - (backend.limit > 0)
+        backend.limit = limit
+        zone.place(backend)
+
+    def _count_down(self) -> None:
+        serving = sum(map(self._serves, self.by_host_id.values()))
+        self.health.hosts_down = len(self.by_host_id) - serving
+
+    def _share(self, host: Host) -> int:
+        near, far = self._members(host.data_centre)
+        own_id = self.entry_hosts.own_id
+        spill = int(host.slots * self.spill_share) if near else host.slots
+        if own_id in far:
+            return share_of(spill, far, own_id, host.host_id)
+        reserved = spill if far else 0
+        return share_of(host.slots - reserved, near, own_id, host.host_id)
+
+    def _members(self, data_centre: str) -> tuple[list[str], list[str]]:
+        members = self._members_by_data_centre.get(data_centre)
+        if members is None:
+            near = self.entry_hosts.near(data_centre)
+            members = (near, self.entry_hosts.far(data_centre))
+            self._members_by_data_centre[data_centre] = members
+        return members
+
+    def _schedule(self, backend: Backend) -> None:
+        due_s = backend.health.due_s()
+        if due_s is not None and not backend.scheduled:
+            backend.scheduled = True
+            heapq.heappush(self._due, (due_s, backend.host.host_id))
+
+    def _wake(self, now_s: float) -> None:
+        while self._due and self._due[0][0] <= now_s:
+            _, host_id = heapq.heappop(self._due)
+            backend = self.by_host_id.get(host_id)
+            if backend is not None:
+                backend.scheduled = False
+                backend.health.wake(now_s, backend.share)
+                self._settle(backend)
+                self._schedule(backend)
+
+
+def _moved(before: Host, after: Host) -> bool:
+    place = (before.address, before.data_centre)
+    return place != (after.address, after.data_centre)
--- /dev/null
+++ b/rhubarbmount/shares.py
@@ -0,0 +1,48 @@
+"""Shares of a whole among the entry hosts that are live."""
+
+from collections.abc import Sequence
+from zlib import crc32
+
+import attrs
+
+__all__ = ["EntryHosts", "share_of"]
+
+
+def share_of(total: int, members: Sequence[str], member: str, item: str) -> int:
+    """Return the member's part of the total; all parts add up to the total.
+
+    ``members`` is in the same order for everyone. The item's name decides who gets
+    the remainder, so that it spreads over the members from item to item.
+
+    >>> [share_of(8, ["a", "b", "c"], member, "w1") for member in ["a", "b", "c"]]
+    [3, 2, 3]
+    """
+    base, extra = divmod(total, len(members))
+    rank = (members.index(member) + crc32(item.encode())) % len(members)
+    return base + (rank < extra)
+
+
+@attrs.frozen
+class EntryHosts:
+    """The entry hosts that this one believes to be live, itself among them."""
+
+    own_id: str
+    data_centre: str
+    data_centre_by_id: dict[str, str]
+
+    def members(self) -> list[str]:
+        """Return all live entry hosts in order."""
+        return sorted({*self.data_centre_by_id, self.own_id})
+
+    def near(self, data_centre: str) -> list[str]:
+        """Return the live entry hosts of a data centre in order."""
+        return [item for item in self.members() if self._place(item) == data_centre]
+
+    def far(self, data_centre: str) -> list[str]:
+        """Return the live entry hosts of the other data centres in order."""
+        return [item for item in self.members() if self._place(item) != data_centre]
+
+    def _place(self, entry_host: str) -> str:
+        if entry_host == self.own_id:
+            return self.data_centre
+        return self.data_centre_by_id[entry_host]
--- /dev/null
+++ b/rhubarbmount/zones.py
@@ -0,0 +1,61 @@
+"""Backend servers with room, on one side of a pool."""
+
+import random
+from collections.abc import Collection
+
+import attrs
+
+from rhubarbmount.strategies import Backend, Strategy
+
+__all__ = ["Zone"]
+
+DRAW_LIMIT = 8
+
+
+@attrs.define
+class Zone:
+    """The backend servers of one side: the own data centre, or all others."""
+
+    strategy: Strategy
+    generator: random.Random
+    available: list[Backend] = attrs.field(factory=list)
+    serving: int = 0
+
+    def place(self, backend: Backend) -> None:
+        """List the backend server if it has room, else take it off the list."""
+        has_room = backend.own_in_flight < backend.limit
+        if has_room == (backend.position >= 0):
+            return
+        if has_room:
+            backend.position = len(self.available)
+            self.available.append(backend)
+        else:
+            self.drop(backend)
+
+    def drop(self, backend: Backend) -> None:
+        """Take a backend server off the list by moving the last one to its place."""
+        if backend.position < 0:
+            return
+        last = self.available.pop()
+        if last is not backend:
+            self.available[backend.position] = last
+            last.position = backend.position
+        backend.position = -1
+
+    def pick(self, tried: Collection[str], now_s: float) -> Backend | None:
+        """Return a backend server with room that has not been tried."""
+        if not self.available:
+            return None
+        backend = self.strategy.pick(self.available, now_s)
+        if backend.host.host_id not in tried:
+            return backend
+        return self._pick_untried(tried)
+
+    def _pick_untried(self, tried: Collection[str]) -> Backend | None:
+        count = len(self.available)
+        for _ in range(DRAW_LIMIT):
+            backend = self.available[int(self.generator.random() * count)]
+            if backend.host.host_id not in tried:
+                return backend
+        untried = [b for b in self.available if b.host.host_id not in tried]
+        return min(untried, key=Backend.load) if untried else None
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,158 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.health import (
+    AttemptResult,
+    BackendHealth,
+    HealthAction,
+    PoolHealth,
+)
+
+exact = settings(derandomize=True, deadline=None, database=None)
+SUCCESS, FAILURE = AttemptResult.SUCCESS, AttemptResult.FAILURE
+
+
+def open_pool(count, hosts_down_limit=1, hosts_down=0):
+    pool = PoolHealth(hosts_down_limit, hosts_down)
+    return pool, [pool.add(f"w{number}") for number in range(count)]
+
+
+def feed(pool, health, result, times, now_s=0.0, **facts):
+    return [pool.record(health, result, now_s, **facts) for _ in range(times)][-1]
+
+
+def test_an_outlier_by_failures_is_ejected():
+    pool, members = open_pool(4)
+    change = feed(pool, members[0], FAILURE, 5)
+    assert change.action is HealthAction.EJECTED
+    assert members[0].cap(8) == 0
+
+
+def test_an_outlier_by_latency_is_ejected():
+    pool, members = open_pool(4)
+    changes = [pool.record(members[0], SUCCESS, 0.0, slowness=5.0) for _ in range(20)]
+    assert HealthAction.EJECTED in {c.action for c in changes if c is not None}
+
+
+def test_a_pool_that_fails_as_a_whole_keeps_all_its_members():
+    pool, members = open_pool(4, hosts_down_limit=4)
+    for _ in range(30):
+        for health in members:
+            pool.record(health, FAILURE, 0.0)
+    assert pool.absent == set()
+
+
+def test_hosts_that_are_down_by_their_row_use_up_the_limit():
+    pool, members = open_pool(4, hosts_down_limit=1, hosts_down=1)
+    change = feed(pool, members[0], FAILURE, 20)
+    assert change.action is HealthAction.EJECTION_CAPPED
+    assert members[0].cap(8) == 8
+    assert members[0].penalty(0.0) > 100
+
+
+def test_unreachable_hosts_sit_out_beyond_the_limit_but_not_for_long():
+    pool, members = open_pool(4, hosts_down_limit=0)
+    for health in members:
+        pool.record(health, AttemptResult.UNREACHABLE, 0.0)
+    assert [health.cap(8) for health in members] == [0] * 4
+    assert all(health.due_s() <= 2.0 for health in members)
+
+
+def test_pauses_of_an_unreachable_host_grow_to_a_bound():
+    pool, (health,) = open_pool(1)
+    pauses = []
+    now_s = 0.0
+    for _ in range(6):
+        change = pool.record(health, AttemptResult.UNREACHABLE, now_s)
+        pauses.append(change.until_s - now_s)
+        now_s = change.until_s
+        health.wake(now_s, 8)
+        assert health.cap(8) == 1
+    assert pauses == [0.5, 1.0, 2.0, 2.0, 2.0, 2.0]
+
+
+def test_many_failed_connections_at_once_count_as_one():
+    pool, (health,) = open_pool(1)
+    feed(pool, health, AttemptResult.UNREACHABLE, 8)
+    assert health.due_s() == 0.5
+
+
+def test_a_guard_refusal_limits_work_and_is_no_failure():
+    pool, (health, _) = open_pool(2)
+    refusal = AttemptResult.GUARD_REFUSAL
+    change = feed(pool, health, refusal, 10, others_in_flight=3)
+    assert change.action is HealthAction.LIMITED
+    assert health.success_rate == 1.0
+    assert health.cap(8) == 3
+    for second in range(1, 6):
+        health.wake(float(second), 8)
+    assert health.cap(8) == 8
+
+
+def test_a_guard_that_refuses_all_work_attracts_none():
+    pool, (health, _) = open_pool(2)
+    change = feed(pool, health, AttemptResult.GUARD_REFUSAL, 1, others_in_flight=0)
+    assert change.action is HealthAction.REFUSING
+    assert health.cap(8) == 0
+
+
+def test_a_probe_that_fails_is_followed_by_a_longer_ejection():
+    pool, (health, *_) = open_pool(4)
+    feed(pool, health, FAILURE, 5)
+    health.wake(5.0, 8)
+    assert health.cap(8) == 1
+    change = pool.record(health, FAILURE, 5.0)
+    assert change.action is HealthAction.EJECTED
+    assert change.until_s == 15.0
+
+
+def test_a_probe_that_succeeds_restores_with_a_slow_start():
+    pool, (health, *_) = open_pool(4)
+    feed(pool, health, FAILURE, 5)
+    health.wake(5.0, 8)
+    change = pool.record(health, SUCCESS, 5.0, slowness=1.0)
+    assert change.action is HealthAction.RESTORED
+    assert health.cap(8) == 8
+    assert pool.absent == set()
+    assert health.penalty(5.0) > health.penalty(10.0) > health.penalty(60.0)
+
+
+def test_a_cancelled_attempt_teaches_nothing():
+    pool, (health,) = open_pool(1)
+    assert feed(pool, health, AttemptResult.CANCELLED, 10) is None
+    assert (health.results, health.cap(8)) == (0, 8)
+
+
+def test_penalties_fade_so_that_a_cured_worker_is_tried_again():
+    health = BackendHealth("w1", slowness=10.0, suspect=True)
+    assert health.penalty(0.0) == 100.0
+    assert health.penalty(60.0) == 1.0
+
+
+@exact
+@given(
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.lists(
+        st.tuples(
+            st.integers(0, 5),
+            st.sampled_from(AttemptResult),
+            st.floats(0.1, 20),
+            st.floats(0, 3),
+        ),
+        max_size=200,
+    ),
+)
+def test_ejections_stay_within_the_limit(limit, hosts_down, steps):
+    pool, members = open_pool(6, limit, hosts_down)
+    now_s = 0.0
+    for index, result, slowness, pause_s in steps:
+        now_s += pause_s
+        health = members[index]
+        health.wake(now_s, 8)
+        before = {item.host_id for item in members if item.ejected}
+        change = pool.record(health, result, now_s, slowness=slowness)
+        assert health.penalty(now_s) >= 1.0
+        ejected = {item.host_id for item in members if item.ejected}
+        if change is not None and ejected - before:
+            assert hosts_down + len(pool.absent) <= limit
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,203 @@
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.entries import Service, WorkClass
+from rhubarbmount.limits import AdmissionCode, Limiter
+
+exact = settings(derandomize=True, deadline=None, database=None)
+ADMITTED, QUEUED = AdmissionCode.ADMITTED, AdmissionCode.QUEUED
+
+
+def service(name, **changes):
+    values = {"owner": "firm", "pool": name, "queue_length": 20, **changes}
+    return Service(name=name, **values)
+
+
+def open_limiter(services, total=100, members=("e1",), **changes):
+    limiter = Limiter(total, generator=random.Random(3), **changes)
+    limiter.update_services(services, list(members), "e1")
+    return limiter
+
+
+class Callers:
+    """Offers requests and notes which queued ones were woken."""
+
+    def __init__(self, limiter):
+        self.limiter = limiter
+        self.woken = []
+
+    def offer(self, name, now_s=0.0, deadline_s=60.0, label=None):
+        return self.limiter.offer(
+            name, now_s, deadline_s, lambda: self.woken.append(label or name)
+        )
+
+    def flood(self, name, count, now_s=0.0):
+        return [self.offer(name, now_s).code for _ in range(count)]
+
+
+def test_concurrency_then_the_queue_then_an_immediate_refusal():
+    callers = Callers(open_limiter([service("quotes", concurrency=3, queue_length=2)]))
+    codes = callers.flood("quotes", 6)
+    assert codes == [ADMITTED] * 3 + [QUEUED] * 2 + [AdmissionCode.QUEUE_FULL]
+    refusal = callers.offer("quotes")
+    assert 1 <= refusal.retry_after_s <= 30
+
+
+def test_a_free_place_goes_to_the_first_in_the_queue():
+    callers = Callers(open_limiter([service("quotes", concurrency=1)]))
+    callers.offer("quotes")
+    for label in ("first", "second"):
+        callers.offer("quotes", label=label)
+    callers.limiter.finish("quotes", 0.1, 0.1)
+    assert callers.woken == ["first"]
+
+
+def test_limits_are_divided_among_the_live_entry_hosts():
+    quotes = service("quotes", concurrency=9)
+    limiter = open_limiter([quotes], members=("e1", "e2", "e3"))
+    assert limiter.by_service["quotes"].concurrency == 3
+    limiter.update_services([quotes], ["e1"], "e1")
+    assert limiter.by_service["quotes"].concurrency == 9
+
+
+def test_a_request_that_can_not_be_done_in_time_is_refused_at_once():
+    limiter = open_limiter([service("quotes", concurrency=1, queue_timeout_ms=9000)])
+    callers = Callers(limiter)
+    callers.offer("quotes")
+    limiter.finish("quotes", 2.0, 2.0)
+    callers.offer("quotes", 2.0)
+    assert callers.offer("quotes", 2.0, 3.0).code is AdmissionCode.DEADLINE
+    assert callers.offer("quotes", 2.0, 9.0).code is QUEUED
+
+
+def test_a_request_past_its_time_is_not_admitted():
+    callers = Callers(open_limiter([service("quotes", concurrency=1)]))
+    callers.offer("quotes")
+    late = callers.offer("quotes", label="late")
+    callers.offer("quotes", 0.9, label="fresh")
+    callers.limiter.finish("quotes", 1.5, None)
+    assert callers.woken == ["fresh"]
+    assert callers.limiter.give_up(late.waiting).code is AdmissionCode.QUEUE_TIMEOUT
+    assert callers.limiter.by_service["quotes"].queued == 0
+
+
+def test_requests_given_up_leave_nothing_behind():
+    callers = Callers(open_limiter([service("quotes", concurrency=1)]))
+    callers.offer("quotes")
+    for _ in range(1000):
+        callers.limiter.give_up(callers.offer("quotes").waiting)
+    assert len(callers.limiter.by_service["quotes"].queue) == 0
+
+
+def test_a_flood_leaves_room_for_the_other_services():
+    services = [service(name, concurrency=500) for name in ("flood", "calm")]
+    callers = Callers(open_limiter(services))
+    callers.flood("flood", 1000)
+    assert callers.limiter.by_service["flood"].running == 90
+    assert callers.flood("calm", 10) == [ADMITTED] * 10
+
+
+def test_waiting_services_share_by_weight():
+    services = [
+        service("quotes", concurrency=500, queue_length=500),
+        service("night", concurrency=500, queue_length=500, work_class=WorkClass.BATCH),
+    ]
+    callers = Callers(open_limiter(services))
+    callers.flood("night", 500)
+    callers.flood("quotes", 500)
+    night = callers.limiter.by_service["night"]
+    generator = random.Random(1)
+    for step in range(400):
+        name = "night" if generator.random() * 100 < night.running else "quotes"
+        callers.limiter.finish(name, step / 1000, 0.1)
+    assert callers.limiter.running == 100
+    assert night.running == 20
+
+
+def test_services_of_one_pool_share_its_slots_by_weight():
+    services = [
+        service("quotes", concurrency=500, queue_length=500),
+        service("night", concurrency=500, queue_length=500, work_class=WorkClass.BATCH),
+    ]
+    limiter = open_limiter(
+        services, total=1000, has_room=lambda name: limiter.running < 20
+    )
+    callers = Callers(limiter)
+    callers.flood("night", 400)
+    callers.flood("quotes", 400)
+    night = limiter.by_service["night"]
+    generator = random.Random(1)
+    for step in range(300):
+        name = "night" if generator.random() * 20 < night.running else "quotes"
+        limiter.finish(name, step / 1000, 0.1)
+    assert limiter.running == 20
+    assert night.running == 4
+
+
+def test_a_full_pool_holds_only_its_own_services_back():
+    limiter = open_limiter(
+        [service("quotes"), service("parts")], has_room=lambda name: name == "parts"
+    )
+    callers = Callers(limiter)
+    assert callers.offer("quotes").code is QUEUED
+    assert callers.offer("parts").code is ADMITTED
+
+
+def test_a_request_put_back_is_first_in_line():
+    callers = Callers(open_limiter([service("quotes", concurrency=1)]))
+    callers.offer("quotes")
+    callers.offer("quotes", label="queued")
+    callers.limiter.put_back("quotes", 0.1, 9.0, lambda: callers.woken.append("again"))
+    callers.limiter.admit_waiting(0.2)
+    assert callers.woken == ["again"]
+
+
+def test_an_unknown_service_is_refused():
+    callers = Callers(open_limiter([service("quotes")]))
+    assert callers.offer("parts").code is AdmissionCode.UNKNOWN_SERVICE
+
+
+@exact
+@given(
+    st.integers(1, 8),
+    st.lists(
+        st.tuples(
+            st.sampled_from(["offer", "finish", "give up", "put back"]),
+            st.sampled_from(["a", "b", "c"]),
+            st.floats(0, 0.4),
+        ),
+        max_size=120,
+    ),
+)
+def test_every_request_is_admitted_or_refused_once_within_the_limits(total, steps):
+    services = [service(name, concurrency=3, queue_length=4) for name in "abc"]
+    limiter = open_limiter(services, total=total)
+    now_s, running, waiting = 0.0, dict.fromkeys("abc", 0), []
+
+    def wake(name):
+        running[name] += 1
+
+    for kind, name, pause_s in steps:
+        now_s += pause_s
+        waiting = [item for item in waiting if not item.admitted]
+        if kind == "offer":
+            answer = limiter.offer(name, now_s, now_s + 2, lambda n=name: wake(n))
+            running[name] += answer.code is ADMITTED
+            if answer.waiting is not None:
+                waiting.append(answer.waiting)
+        elif kind == "finish" and running[name]:
+            running[name] -= 1
+            limiter.finish(name, now_s, 0.1)
+        elif kind == "give up" and waiting:
+            limiter.give_up(waiting.pop(0))
+        elif kind == "put back" and running[name]:
+            running[name] -= 1
+            answer = limiter.put_back(name, now_s, now_s + 2, lambda n=name: wake(n))
+            if answer.waiting is not None:
+                waiting.append(answer.waiting)
+        assert limiter.running == sum(running.values()) <= total
+        for limit in limiter.by_service.values():
+            assert limit.running == running[limit.name] <= 3
+            assert 0 <= limit.queued <= len(limit.queue) <= 4 + 3
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,266 @@
+import random
+from collections import Counter
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.health import AttemptResult
+from rhubarbmount.hosts import Host, HostState, Shape
+from rhubarbmount.routing import TAKES_NEW_WORK, PoolView, RouteReason
+from rhubarbmount.shares import EntryHosts
+from rhubarbmount.strategies import strategies
+
+exact = settings(derandomize=True, deadline=None, database=None)
+SUCCESS = AttemptResult.SUCCESS
+
+
+def host(host_id, data_centre="dc1", **changes):
+    return Host(
+        **{
+            "host_id": host_id,
+            "pool": "quotes",
+            "data_centre": data_centre,
+            "rack": "r1",
+            "address": f"{host_id}:80",
+            "shape": Shape(processors=16, memory_gb=64),
+            **changes,
+        }
+    )
+
+
+def open_view(hosts, entry_hosts=None, strategy="two-choices", hosts_down_limit=1):
+    view = PoolView(
+        "quotes",
+        entry_hosts or EntryHosts("e1", "dc1", {"e1": "dc1"}),
+        hosts_down_limit=hosts_down_limit,
+        generator=random.Random(5),
+        strategy=strategy,
+    )
+    view.update_hosts(hosts, 0.0)
+    return view
+
+
+def take_all(view, now_s=0.0):
+    """Choose until nothing has room; return the decisions with a backend server."""
+    decisions = []
+    while (decision := view.choose(now_s)).backend is not None:
+        decisions.append(decision)
+    return decisions, decision.reason
+
+
+def answer(view, decision, now_s=0.0, result=SUCCESS, latency_s=0.05):
+    return view.finish(
+        decision.backend, result, now_s, service="quotes", latency_s=latency_s
+    )
+
+
+@pytest.mark.parametrize("strategy", list(strategies))
+def test_every_strategy_fills_every_slot_once(strategy):
+    view = open_view([host("w1"), host("w2", slots=3)], strategy=strategy)
+    decisions, reason = take_all(view)
+    taken = Counter(decision.backend.host.host_id for decision in decisions)
+    assert taken == {"w1": 8, "w2": 3}
+    assert reason is RouteReason.ALL_FULL
+
+
+@pytest.mark.parametrize("state", sorted(set(HostState) - TAKES_NEW_WORK))
+def test_a_host_out_of_service_gets_no_new_work(state):
+    view = open_view([host("w1"), host("w2")])
+    view.update_host(host("w1", state=state), 1.0)
+    decisions, _ = take_all(view, 1.0)
+    assert {decision.backend.host.host_id for decision in decisions} == {"w2"}
+
+
+def test_a_host_said_to_leave_by_another_source_gets_no_new_work():
+    view = open_view([host("w1"), host("w2")])
+    view.set_leaving({"w1"})
+    view.update_host(host("w1"), 1.0)
+    decisions, _ = take_all(view, 1.0)
+    assert {decision.backend.host.host_id for decision in decisions} == {"w2"}
+
+
+def test_a_host_moved_to_another_pool_leaves_the_view():
+    view = open_view([host("w1")])
+    decision = view.choose(0.0)
+    view.update_host(host("w1", pool="parts"), 1.0)
+    assert view.choose(1.0).reason is RouteReason.NO_BACKEND
+    assert answer(view, decision, 2.0, AttemptResult.UNREACHABLE) is None
+    assert view.health.absent == set()
+    assert view.choose(2.0).reason is RouteReason.NO_BACKEND
+
+
+def test_the_own_data_centre_comes_first_and_spill_over_is_bounded():
+    places = {"e1": "dc1", "e2": "dc2"}
+    hosts = [host("w1"), host("w2", "dc2")]
+    view = open_view(hosts, EntryHosts("e1", "dc1", places))
+    decisions, reason = take_all(view)
+    reasons = [decision.reason for decision in decisions]
+    assert reasons == [RouteReason.LOCAL] * 6 + [RouteReason.SPILL_FULL] * 2
+    assert reason is RouteReason.ALL_FULL
+
+
+def test_requests_spill_over_when_no_local_host_serves():
+    places = {"e1": "dc1", "e2": "dc2"}
+    hosts = [host("w1", state=HostState.MAINTENANCE), host("w2", "dc2")]
+    view = open_view(hosts, EntryHosts("e1", "dc1", places))
+    decision = view.choose(0.0)
+    assert decision.backend.host.host_id == "w2"
+    assert decision.reason is RouteReason.SPILL_ABSENT
+
+
+def test_entry_hosts_that_agree_never_exceed_the_slots_together():
+    places = {f"e{number}": f"dc{number % 3}" for number in range(7)}
+    hosts = [host(f"w{number}", f"dc{number % 3}") for number in range(9)]
+    total = Counter()
+    for own_id, place in places.items():
+        view = open_view(hosts, EntryHosts(own_id, place, places))
+        decisions, _ = take_all(view)
+        total.update(decision.backend.host.host_id for decision in decisions)
+    assert total == {item.host_id: item.slots for item in hosts}
+
+
+def test_the_slots_of_a_dead_entry_host_pass_to_the_live_ones():
+    view = open_view([host("w1")], EntryHosts("e1", "dc1", {"e1": "dc1", "e2": "dc1"}))
+    assert view.slots() == 4
+    view.set_entry_hosts(EntryHosts("e1", "dc1", {"e1": "dc1"}))
+    assert view.slots() == 8
+
+
+def test_requests_of_peers_steer_the_choice():
+    view = open_view([host("w1"), host("w2")])
+    view.set_peers_in_flight({"w1": 6})
+    chosen = [view.choose(0.0).backend.host.host_id for _ in range(6)]
+    assert chosen == ["w2"] * 6
+
+
+def test_a_tried_backend_server_is_not_chosen_again():
+    view = open_view([host("w1"), host("w2"), host("w3")])
+    for _ in range(8):
+        assert view.choose(0.0, ["w1", "w3"]).backend.host.host_id == "w2"
+    assert view.choose(0.0, ["w1", "w3"]).reason is RouteReason.ALL_TRIED
+
+
+def test_a_new_host_starts_slowly():
+    hosts = [host(f"w{number}") for number in range(8)]
+    view = open_view(hosts)
+    view.update_hosts([*hosts, host("new")], 100.0)
+    counts = [Counter(), Counter()]
+    for count, now_s in zip(counts, (100.0, 120.0), strict=True):
+        for _ in range(900):
+            decision = view.choose(now_s)
+            count[decision.backend.host.host_id] += 1
+            answer(view, decision, now_s)
+    assert counts[0]["new"] == 0
+    assert 60 < counts[1]["new"] < 140
+
+
+def test_a_host_back_from_maintenance_starts_slowly():
+    view = open_view([host("w1", state=HostState.MAINTENANCE), host("w2")])
+    view.update_host(host("w1"), 100.0)
+    early = [view.choose(100.0).backend.host.host_id for _ in range(6)]
+    late = [view.choose(120.0).backend.host.host_id for _ in range(6)]
+    assert early == ["w2"] * 6
+    assert late == ["w1"] * 6
+
+
+def share_of_failing(strategy, hosts_down_limit):
+    """Return the part of requests that a worker failing at once attracts."""
+    view = open_view(
+        [host(f"w{number}") for number in range(8)],
+        strategy=strategy,
+        hosts_down_limit=hosts_down_limit,
+    )
+    held, count = [], Counter()
+    for step in range(4000):
+        now_s = step * 0.005
+        for decision in [d for d, due_s in held if due_s <= now_s]:
+            answer(view, decision, now_s)
+        held = [(d, due_s) for d, due_s in held if due_s > now_s]
+        decision = view.choose(now_s)
+        count[decision.backend.host.host_id] += 1
+        if decision.backend.host.host_id == "w0":
+            answer(view, decision, now_s, AttemptResult.FAILURE, 0.001)
+        else:
+            held.append((decision, now_s + 0.05))
+    return count["w0"] / 4000
+
+
+def test_a_worker_that_fails_fast_attracts_work_by_load_alone():
+    assert share_of_failing("two-choices-load", hosts_down_limit=0) > 0.2
+
+
+def test_a_worker_that_fails_fast_attracts_no_work():
+    assert share_of_failing("two-choices", hosts_down_limit=0) < 0.02
+    assert share_of_failing("two-choices", hosts_down_limit=1) < 0.02
+
+
+def test_a_pool_out_of_reach_is_probed_and_comes_back():
+    view = open_view([host("w1")])
+    answer(view, view.choose(0.0), 0.0, AttemptResult.UNREACHABLE, None)
+    assert not view.has_room(0.1)
+    assert view.choose(0.1).reason is RouteReason.ALL_OUT
+    probe = view.choose(0.6)
+    assert probe.backend is not None
+    assert view.choose(0.6).backend is None
+    answer(view, probe, 0.7)
+    assert len(take_all(view, 0.7)[0]) == 8
+
+
+results = st.sampled_from(AttemptResult)
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("choose"), st.floats(0, 0.5), st.sets(st.integers(0, 5))),
+        st.tuples(st.just("finish"), results, st.integers(0, 50)),
+        st.tuples(st.just("host"), st.integers(0, 5), st.sampled_from(HostState)),
+        st.tuples(st.just("members"), st.integers(1, 4), st.none()),
+        st.tuples(st.just("leaving"), st.sets(st.integers(0, 5)), st.none()),
+    ),
+    max_size=60,
+)
+
+
+@exact
+@given(steps, st.sampled_from(list(strategies)))
+def test_the_view_stays_consistent(steps, strategy):
+    hosts = {f"w{n}": host(f"w{n}", f"dc{n % 2}", slots=3) for n in range(6)}
+    view = open_view(hosts.values(), strategy=strategy, hosts_down_limit=2)
+    held, leaving, now_s = [], set(), 0.0
+    for kind, first, second in steps:
+        if kind == "choose":
+            now_s += first
+            tried = {f"w{n}" for n in second}
+            backend = view.choose(now_s, tried).backend
+            if backend is not None:
+                held.append(backend)
+                row = hosts[backend.host.host_id]
+                assert row.state in TAKES_NEW_WORK
+                assert row.host_id not in tried | leaving
+                assert backend.own_in_flight <= backend.share <= row.slots
+        elif kind == "finish" and held:
+            backend = held.pop(second % len(held))
+            view.finish(backend, first, now_s, service="quotes", latency_s=0.05)
+        elif kind == "host":
+            host_id = f"w{first}"
+            hosts[host_id] = attrs.evolve(hosts[host_id], state=second)
+            view.update_host(hosts[host_id], now_s)
+        elif kind == "members":
+            places = {f"e{n}": f"dc{n % 2}" for n in range(1, first + 1)}
+            view.set_entry_hosts(EntryHosts("e1", "dc1", places))
+        elif kind == "leaving":
+            leaving = {f"w{n}" for n in first}
+            view.set_leaving(leaving)
+        check(view, held)
+
+
+def check(view, held):
+    listed = view._local.available + view._remote.available
+    for zone in (view._local, view._remote):
+        for position, backend in enumerate(zone.available):
+            assert backend.position == position
+    for backend in view.by_host_id.values():
+        assert (backend in listed) == (backend.own_in_flight < backend.limit)
+        assert backend.own_in_flight == held.count(backend)
+    serving = sum(backend.limit > 0 for backend in view.by_host_id.values())
+    assert serving == view._local.serving + view._remote.serving
