--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -89,6 +89,7 @@
 
     latencies_s: dict[str, list[float]] = attrs.field(factory=dict)
     done_by_second: Counter[int] = attrs.field(factory=Counter)
+    tries_by_second: Counter[int] = attrs.field(factory=Counter)
     attempts_by_second: Counter[int] = attrs.field(factory=Counter)
     counts: Counter[str] = attrs.field(factory=Counter)
 
@@ -329,6 +330,7 @@
         def end(result: AttemptResult, facts: AttemptFacts) -> None:
             self._end(request, view, backend, result, facts, begin_s)
 
+        world.totals.tries_by_second[int(begin_s)] += 1
         if worker.down or (world.cut and far):
             facts = AttemptFacts(Ending.NOT_CONNECTED, bytes_left=False)
             delay_s = 2 * trip_s if worker.down else CONNECT_TIMEOUT_S
