--- /dev/null
+++ b/rhubarbmount/catalogue.py
@@ -0,0 +1,164 @@
+"""Catalogue snapshots: every entry at one version."""
+
+import zlib
+from collections.abc import Mapping
+from functools import cached_property
+from typing import Any
+
+import attrs
+import cattrs
+import msgpack
+
+from rhubarbmount.entries import (
+    Entry,
+    JobTemplate,
+    Pool,
+    Service,
+    Team,
+    dump_entry,
+    entry_key,
+    load_entry,
+)
+from rhubarbmount.errors import Finding, FindingsError, NotFound
+
+__all__ = [
+    "Snapshot",
+    "build_entry",
+    "decode_snapshot",
+    "encode_snapshot",
+    "split_key",
+]
+
+MAX_DECODED_BYTES = 64 * 1024 * 1024
+
+
+@attrs.frozen
+class Snapshot:
+    """The whole catalogue at one version; never changed once made.
+
+    ``changed_by_key`` holds the catalogue version that last changed each entry,
+    which is the version an edit of that entry has to expect.
+
+    >>> team = Team(name="quotes-team", owner="quotes-team")
+    >>> snapshot = Snapshot().with_entry("team", team)
+    >>> snapshot.version, snapshot.entry_version("team/quotes-team")
+    (1, 1)
+    >>> snapshot.without_entry("team/quotes-team").version
+    2
+    """
+
+    version: int = 0
+    by_key: Mapping[str, Entry] = attrs.field(factory=dict)
+    changed_by_key: Mapping[str, int] = attrs.field(factory=dict)
+
+    @cached_property
+    def services_by_name(self) -> dict[str, Service]:
+        """Return the services."""
+        return self._of_type(Service)
+
+    @cached_property
+    def pools_by_name(self) -> dict[str, Pool]:
+        """Return the pools."""
+        return self._of_type(Pool)
+
+    @cached_property
+    def teams_by_name(self) -> dict[str, Team]:
+        """Return the teams."""
+        return self._of_type(Team)
+
+    @cached_property
+    def job_templates_by_name(self) -> dict[str, JobTemplate]:
+        """Return the job templates."""
+        return self._of_type(JobTemplate)
+
+    def entry_version(self, key: str) -> int:
+        """Return the catalogue version that last changed an entry, or 0."""
+        return self.changed_by_key.get(key, 0)
+
+    def with_entry(self, kind: str, entry: Entry) -> "Snapshot":
+        """Return the next version, with the entry added or replaced."""
+        key = entry_key(kind, entry.name)
+        version = self.version + 1
+        return Snapshot(
+            version,
+            {**self.by_key, key: entry},
+            {**self.changed_by_key, key: version},
+        )
+
+    def without_entry(self, key: str) -> "Snapshot":
+        """Return the next version, with the entry gone."""
+        by_key = {k: entry for k, entry in self.by_key.items() if k != key}
+        changed_by_key = {k: n for k, n in self.changed_by_key.items() if k != key}
+        return Snapshot(self.version + 1, by_key, changed_by_key)
+
+    def _of_type(self, entry_type: type) -> dict[str, Any]:
+        return {
+            entry.name: entry
+            for entry in self.by_key.values()
+            if isinstance(entry, entry_type)
+        }
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return the kind and the name in an entry's key.
+
+    >>> split_key("service/quotes")
+    ('service', 'quotes')
+    """
+    kind, _, name = key.partition("/")
+    return kind, name
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the snapshot as compressed bytes, every field written out."""
+    rows = [
+        [key, snapshot.changed_by_key[key], dump_entry(entry)]
+        for key, entry in sorted(snapshot.by_key.items())
+    ]
+    return zlib.compress(msgpack.packb([snapshot.version, rows]))
+
+
+def decode_snapshot(body: bytes) -> Snapshot:
+    """Return the snapshot that the bytes hold.
+
+    Raises FindingsError for bytes that hold no whole snapshot.
+    """
+    try:
+        return _decode_snapshot(body)
+    except (
+        zlib.error,
+        ValueError,
+        TypeError,
+        msgpack.UnpackException,
+        cattrs.BaseValidationError,
+        NotFound,
+    ) as error:
+        fault = Finding("snapshot", "undecodable", str(error) or repr(error))
+        raise FindingsError([fault]) from error
+
+
+def _decode_snapshot(body: bytes) -> Snapshot:
+    decompressor = zlib.decompressobj()
+    packed = decompressor.decompress(body, MAX_DECODED_BYTES)
+    if not decompressor.eof:
+        raise ValueError("truncated or too large")
+    version, rows = msgpack.unpackb(packed)
+    by_key = {}
+    changed_by_key = {}
+    for key, changed, values in rows:
+        kind, _ = split_key(key)
+        by_key[key] = load_entry(kind, values)
+        changed_by_key[key] = changed
+    return Snapshot(version, by_key, changed_by_key)
+
+
+def build_entry(kind: str, values: dict[str, Any]) -> Entry:
+    """Build an entry from an operator's values, or raise all their faults."""
+    try:
+        return load_entry(kind, values)
+    except cattrs.BaseValidationError as error:
+        place = entry_key(kind, str(values.get("name", "?")))
+        messages = cattrs.transform_error(error)
+        raise FindingsError(
+            [Finding(place, "malformed", message) for message in messages]
+        ) from error
