--- a/rhubarbmount/standins/backend.py
+++ b/rhubarbmount/standins/backend.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 from collections import Counter
 from typing import Any
 
@@ -57,6 +58,7 @@
     faults: BackendFaults = attrs.field(factory=BackendFaults)
     ran_by_request: Counter[str] = attrs.field(factory=Counter)
     ran_count: int = 0
+    last_start_s: float = 0.0
     in_flight: int = 0
     max_in_flight: int = 0
     guarded_count: int = 0
@@ -103,6 +105,7 @@
         self.in_flight += 1
         self.max_in_flight = max(self.max_in_flight, self.in_flight)
         self.ran_count += 1
+        self.last_start_s = time.time()
         request_id = header_value(request.headers, REQUEST_ID_HEADER)
         if request_id is not None:
             self.ran_by_request[request_id] += 1
@@ -151,6 +154,7 @@
             "faults": attrs.asdict(self.faults),
             "ran": dict(self.ran_by_request),
             "ran_count": self.ran_count,
+            "last_start_s": self.last_start_s,
             "in_flight": self.in_flight,
             "max_in_flight": self.max_in_flight,
             "guarded_count": self.guarded_count,
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import urllib.parse
 from collections import Counter
 from contextlib import suppress
 from pathlib import Path
@@ -293,6 +294,38 @@
         address = self.platform.address
         return call(address, PLATFORM_PORT, "POST", "/control", body=body).json()
 
+    def platform_call(self, method, path, value=None):
+        """Call the platform as another of its clients would."""
+        body = None if value is None else json.dumps(value)
+        return call(self.platform.address, PLATFORM_PORT, method, path, body=body)
+
+    def read_row(self, table, key):
+        """Return a row of the platform's table."""
+        path = f"/tables/{table}/rows/{urllib.parse.quote(key, safe='')}"
+        return self.platform_call("GET", path).json()
+
+    def change_host(self, name, **changes):
+        """Change a host's row and advance the fleet's head, in one transaction."""
+        host = self.read_row("hosts", name)
+        head = self.read_row("heads", "fleet")
+        version = head["value"]["version"] + 1
+        changed = [*head["value"]["changes"], [version, name]][-256:]
+        fleet = {"version": version, "changes": changed}
+        transaction = {
+            "operation_id": f"change-{name}-{version}",
+            "preconditions": [
+                {"table": row["table"], "key": row["key"], "version": row["version"]}
+                | {"equals": {}}
+                for row in (host, head)
+            ],
+            "writes": [
+                {"table": "hosts", "key": name, "value": host["value"] | changes},
+                {"table": "heads", "key": "fleet", "value": fleet},
+            ],
+        }
+        answer = self.platform_call("POST", "/transactions", transaction)
+        assert answer.json()["committed"], answer
+
     def backend_state(self, name):
         """Return what a backend server ran."""
         return self.set_backend(name)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -1,6 +1,7 @@
 """The steps that scenarios are written in."""
 
 import threading
+import time
 from collections import Counter
 
 import pytest
@@ -214,3 +215,33 @@
         return sum(state["in_flight"] for state in states) >= count
 
     wait_until(in_flight, 5, f"{count} requests in flight")
+
+
+@pytest.fixture
+def marked_s():
+    """When hosts were marked as leaving, by name."""
+    return {}
+
+
+@when(parsers.parse('the row of backend server "{name}" says that it is leaving'))
+def mark_leaving(deployment, marked_s, name):
+    deployment.change_host(name, state="leaving", cause="test")
+    marked_s[name] = time.time()
+
+
+@when(parsers.parse("{seconds:g} s pass under load"))
+def let_pass(load, seconds):
+    end_s = time.monotonic() + seconds
+    wait_until(lambda: time.monotonic() > end_s, seconds + 5)
+
+
+@then(parsers.parse('backend server "{name}" got no new work later than {bound_s:g} s'))
+def check_no_new_work(deployment, marked_s, name, bound_s):
+    last_s = deployment.backend_state(name)["last_start_s"]
+    assert last_s - marked_s[name] <= bound_s
+
+
+@then(parsers.parse('backend server "{name}" still got work later than {bound_s:g} s'))
+def check_new_work(deployment, marked_s, name, bound_s):
+    (first_s,) = marked_s.values()
+    assert deployment.backend_state(name)["last_start_s"] - first_s > bound_s
--- /dev/null
+++ b/tests/scenarios/test_leaving.py
@@ -0,0 +1,5 @@
+"""Leaving backend servers, and refusals that are true."""
+
+from pytest_bdd import scenarios
+
+scenarios("leaving.feature")
