--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,95 @@
+"""Measure what control costs an idle entry host, by the size of the fleet.
+
+Starts the real program with the stand-in platform for each size and samples the
+process: memory, processor time, and calls to the platform.
+"""
+
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+
+from tests.deployment import Deployment
+
+SIZES = (26, 260, 1300, 2600)
+HOSTS_PER_POOL = 104
+TEAMS_PER_POOL = 9
+SETTLE_S = 5.0
+SAMPLE_S = 20.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@attrs.frozen
+class Sample:
+    """The state of a process at one moment."""
+
+    processor_s: float
+    resident_mb: float
+    platform_calls: int
+
+
+def sample(deployment: Deployment, pid: int) -> Sample:
+    """Read a process's processor time and memory."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    processor_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+    status = Path(f"/proc/{pid}/status").read_text()
+    resident = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    calls = deployment.set_platform()["calls"]
+    return Sample(processor_s, int(resident.split()[1]) / 1024, calls)
+
+
+def fill(deployment: Deployment, hosts: int) -> None:
+    """Add pools, teams, services and hosts, none of them started."""
+    pools = max(1, hosts // HOSTS_PER_POOL)
+    for number in range(pools):
+        name = f"pool-{number}"
+        deployment.add_pool(name, owner=f"team-{number}", hosts_down_limit=4)
+        deployment.add_service(name, owner=f"team-{number}")
+        for extra in range(TEAMS_PER_POOL - 1):
+            team = f"team-{number}-{extra}"
+            deployment.entries["team"].append({"name": team, "owner": team})
+    for number in range(hosts):
+        deployment.add_backend(
+            f"host-{number}",
+            f"pool-{number % pools}",
+            f"dc-{number % 10}",
+            rack=f"rack-{number // 20}",
+            start=False,
+        )
+
+
+def measure(hosts: int) -> tuple[float, float, float]:
+    """Return memory in MB, share of a core in percent, platform calls a second."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Deployment(Path(folder)) as deployment,
+    ):
+        fill(deployment, hosts)
+        deployment.start_platform()
+        deployment.start_entry_host("e1", "dc-0")
+        time.sleep(SETTLE_S)
+        pid = deployment.entry_host_by_name["e1"].process.pid
+        before = sample(deployment, pid)
+        time.sleep(SAMPLE_S)
+        after = sample(deployment, pid)
+    core_percent = 100 * (after.processor_s - before.processor_s) / SAMPLE_S
+    calls_per_s = (after.platform_calls - before.platform_calls) / SAMPLE_S
+    return after.resident_mb, core_percent, calls_per_s
+
+
+def main() -> None:
+    """Print a table."""
+    sizes = [int(size) for size in sys.argv[1:]] or SIZES
+    print(f"{'hosts':>6} {'memory MB':>10} {'core %':>7} {'platform calls/s':>17}")
+    for hosts in sizes:
+        memory_mb, core_percent, calls_per_s = measure(hosts)
+        print(
+            f"{hosts:>6} {memory_mb:>10.1f} {core_percent:>7.2f} {calls_per_s:>17.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -28,6 +28,7 @@
 BACKEND_PORT = 9100
 RESERVATION_PORT = 9999
 START_TIMEOUT_S = 15.0
+UNUSED_ADDRESS = "127.0.0.1"
 
 _block_numbers = itertools.count(os.getpid())
 
@@ -181,7 +182,7 @@
         self.entries["service"].append(entry)
 
     def add_backend(self, name, pool, data_centre, rack="rack-1", slots=8, start=True):
-        address = self.new_address()
+        address = self.new_address() if start else UNUSED_ADDRESS
         self.hosts.append(
             {
                 "host_id": name,
