Serve requests by the decisions: admit, choose, attempt, classify, retry

Cause: the path chose a host at random, had no limits and no retries, and called a timeout before the first byte unknown. Now each request takes its turn from the limiter, goes where the pool's view says, and its attempts are classified: the outcome is not-run only if every attempt provably was. A guard's refusal goes to another backend server; without room the request waits first in line. One log line for each decision, metrics in the registry passed in.

A backend server can no longer set the outcome header.

Settings gain max_in_flight; the stand-in takes the guard header from backends.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -283,9 +283,9 @@
         self.limiter.admit_waiting(self.world.clock.now_s)
         self.world.clock.after(0.1, self._tick)
 
-    def _has_room(self, service: str) -> bool:
+    def _has_room(self, service: str, now_s: float) -> bool:
         view = self.views[self.services[service].pool]
-        return view.has_room(self.world.clock.now_s)
+        return view.has_room(now_s)
 
     def _refuse(self, request: Request, code: str, retry_after_s: int | None) -> None:
         totals = self.world.totals
--- /dev/null
+++ b/rhubarbmount/admission.py
@@ -0,0 +1,68 @@
+"""A request's turn to run: taken from the limiter, and given back at the end."""
+
+from types import TracebackType
+
+import attrs
+import trio
+
+from rhubarbmount.limits import Admission, AdmissionCode, Limiter
+
+__all__ = ["Turn"]
+
+
+@attrs.define(eq=False)
+class Turn:
+    """One request's place among those that run; leaving the block gives it back.
+
+    ``duration_s`` is the time that a backend server took, once it has answered.
+    """
+
+    limiter: Limiter
+    service: str
+    deadline_s: float
+    duration_s: float | None = None
+    running: bool = False
+
+    def __enter__(self) -> "Turn":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self.running:
+            now_s = trio.current_time()
+            self.limiter.finish(self.service, now_s, self.duration_s)
+
+    async def take(self) -> Admission:
+        """Wait for the turn; the answer is an admission or a refusal."""
+        woken = trio.Event()
+        now_s = trio.current_time()
+        admission = self.limiter.offer(self.service, now_s, self.deadline_s, woken.set)
+        return await self._settle(admission, woken)
+
+    async def take_again(self) -> Admission:
+        """Give the turn back, because no slot is left, and wait for the next."""
+        woken = trio.Event()
+        now_s = trio.current_time()
+        self.running = False
+        admission = self.limiter.put_back(
+            self.service, now_s, self.deadline_s, woken.set
+        )
+        return await self._settle(admission, woken)
+
+    async def _settle(self, admission: Admission, woken: trio.Event) -> Admission:
+        waiting = admission.waiting
+        if waiting is None:
+            self.running = admission.code is AdmissionCode.ADMITTED
+            return admission
+        try:
+            with trio.move_on_at(waiting.give_up_s):
+                await woken.wait()
+        finally:
+            self.running = waiting.admitted
+            if not waiting.admitted:
+                admission = self.limiter.give_up(waiting)
+        return Admission(AdmissionCode.ADMITTED) if self.running else admission
--- /dev/null
+++ b/rhubarbmount/attempts.py
@@ -0,0 +1,94 @@
+"""One attempt at a backend server, and what is known of it afterwards."""
+
+import attrs
+import trio
+
+from rhubarbmount.backends import (
+    ATTEMPT_HEADER,
+    GUARD_HEADER,
+    BackendConnections,
+    Progress,
+)
+from rhubarbmount.health import AttemptResult
+from rhubarbmount.http import AnswerLost, Headers, HttpRequest, HttpResponse, NotSent
+from rhubarbmount.problem import OUTCOME_HEADER
+from rhubarbmount.retries import AttemptFacts, Ending
+
+__all__ = ["Attempt", "attempt", "end_to_end_headers"]
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        ATTEMPT_HEADER,
+        GUARD_HEADER,
+        OUTCOME_HEADER,
+    }
+)
+GUARD_STATUS = 503
+GUARD_NOT_RUN = (GUARD_HEADER, b"not-run")
+ANSWERED = AttemptFacts(Ending.ANSWERED)
+GUARD_REFUSED = AttemptFacts(Ending.ANSWERED, guard_refused=True)
+
+
+@attrs.define
+class Attempt:
+    """An ended attempt: its facts, and the whole answer or a code and a message."""
+
+    facts: AttemptFacts
+    response: HttpResponse | None = None
+    code: str = ""
+    message: str = ""
+
+    def result(self) -> AttemptResult:
+        """Return what the attempt says about the backend server's health."""
+        if not self.facts.bytes_left:
+            return AttemptResult.UNREACHABLE
+        if self.facts.guard_refused:
+            return AttemptResult.GUARD_REFUSAL
+        if self.response is None or self.response.status >= 500:
+            return AttemptResult.FAILURE
+        return AttemptResult.SUCCESS
+
+
+def end_to_end_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers that are not for one connection or between our processes.
+
+    >>> end_to_end_headers([(b"host", b"a"), (b"te", b"trailers")])
+    [(b'host', b'a')]
+    """
+    return [pair for pair in headers if pair[0] not in HOP_BY_HOP_HEADERS]
+
+
+async def attempt(
+    connections: BackendConnections,
+    address: str,
+    request: HttpRequest,
+    deadline_s: float,
+) -> Attempt:
+    """Send a request to a backend server and wait for its whole answer."""
+    progress = Progress()
+    try:
+        with trio.fail_at(deadline_s):
+            response = await connections.exchange(address, request, progress)
+    except NotSent as error:
+        facts = AttemptFacts(Ending.NOT_CONNECTED, bytes_left=False)
+        return Attempt(facts, None, error.code, error.message)
+    except AnswerLost as error:
+        lost = error.code == AnswerLost.code
+        ending = Ending.CONNECTION_LOST if lost else Ending.BROKEN_ANSWER
+        return Attempt(AttemptFacts(ending), None, error.code, error.message)
+    except trio.TooSlowError:
+        facts = AttemptFacts(Ending.TIMED_OUT, progress.bytes_left)
+        return Attempt(facts, None, "timeout", "no answer in time")
+    if response.status == GUARD_STATUS and GUARD_NOT_RUN in response.headers:
+        message = "the backend server took no more requests"
+        return Attempt(GUARD_REFUSED, response, "guard-refused", message)
+    return Attempt(ANSWERED, response)
--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -23,13 +23,21 @@
     header_value,
 )
 
-__all__ = ["ATTEMPT_HEADER", "BackendConnections"]
+__all__ = ["ATTEMPT_HEADER", "GUARD_HEADER", "BackendConnections", "Progress"]
 
 ATTEMPT_HEADER = b"rhubarbmount-attempt"
+GUARD_HEADER = b"rhubarbmount-guard"
 
 CONNECT_TIMEOUT_S = 1.0
 
 
+@attrs.define
+class Progress:
+    """How far an exchange got; ``bytes_left`` is set before the first byte is."""
+
+    bytes_left: bool = False
+
+
 @attrs.define(eq=False)
 class BackendConnections:
     """Idle connections by backend server address; a suspect one is never reused."""
@@ -39,7 +47,9 @@
     _prefix: str = attrs.field(factory=lambda: secrets.token_hex(4))
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
-    async def exchange(self, address: str, request: HttpRequest) -> HttpResponse:
+    async def exchange(
+        self, address: str, request: HttpRequest, progress: Progress | None = None
+    ) -> HttpResponse:
         """Send a request over an idle or a new connection.
 
         Raises NotSent, or AnswerLost also for the answer to another request.
@@ -49,6 +59,8 @@
         headers = [pair for pair in request.headers if pair[0] != ATTEMPT_HEADER]
         marked = attrs.evolve(request, headers=[*headers, header])
         async with self._borrow(address) as connection:
+            if progress is not None:
+                progress.bytes_left = True
             answer = await connection.exchange(marked)
             _check_echo(connection, answer, attempt)
         return answer
@@ -95,4 +107,4 @@
         return
     connection.reusable = False
     if echo is not None or connection.was_reused:
-        raise AnswerLost("the answer belongs to another request")
+        raise AnswerLost("the answer belongs to another request", code="answer-broken")
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -1,40 +1,31 @@
 """Takes a caller's request to a backend server and brings its answer back."""
 
 import logging
-import random
-from collections.abc import Mapping
 
 import attrs
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.backends import ATTEMPT_HEADER, BackendConnections
+from rhubarbmount.admission import Turn
+from rhubarbmount.attempts import Attempt, attempt, end_to_end_headers
+from rhubarbmount.backends import BackendConnections
 from rhubarbmount.entries import Service
-from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.http import (
-    AnswerLost,
-    Headers,
-    HttpRequest,
-    HttpResponse,
-    NotSent,
-)
+from rhubarbmount.health import AttemptResult
+from rhubarbmount.http import HttpRequest, HttpResponse
+from rhubarbmount.limits import Admission, AdmissionCode
+from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.problem import OUTCOME_HEADER, Outcome, problem
+from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.retries import RetryDecision, classify, decide_retry
+from rhubarbmount.routing import PoolView, RouteDecision, RouteReason
+from rhubarbmount.strategies import Backend
+from rhubarbmount.timers import TimerService
 
-__all__ = ["Forwarder", "service_name"]
-
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
+__all__ = ["Answer", "Forwarder", "service_name"]
+
+ADMISSION_PERIOD_S = 0.1
+RETRY_AFTER_S = 1
+RAN_HEADER = (OUTCOME_HEADER, Outcome.RAN.value.encode("ascii"))
 
 logger = logging.getLogger(__name__)
 
@@ -49,56 +40,214 @@
     return path.lstrip("/").split("/", 1)[0]
 
 
-def _end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
-    return [pair for pair in headers if pair[0] not in HOP_BY_HOP_HEADERS]
+@attrs.define
+class Answer:
+    """What a caller gets, with the outcome and code that it is counted under."""
+
+    response: HttpResponse
+    outcome: Outcome
+    code: str
+
+
+def refusal(
+    status: int,
+    code: str,
+    message: str,
+    outcome: Outcome,
+    retry_after_s: float | None = RETRY_AFTER_S,
+) -> Answer:
+    """Build an answer of the system's own."""
+    response = problem(status, code, message, outcome, retry_after_s)
+    return Answer(response, outcome, code)
+
+
+@attrs.define
+class AttemptHistory:
+    """A request's attempts so far, and what is known of them all."""
+
+    outcome: Outcome = Outcome.NOT_RUN
+    attempts: int = 0
+    tried: list[str] = attrs.field(factory=list)
+    cause: str = "first"
+
+    def add(self, host_id: str, ended: Attempt) -> None:
+        """Take in an attempt: once one may have run, the request may have run."""
+        self.attempts += 1
+        self.tried.append(host_id)
+        outcome = classify(ended.facts)
+        if outcome is not Outcome.NOT_RUN:
+            self.outcome = outcome
 
 
 @attrs.define(eq=False)
 class Forwarder:
-    """Serves callers' requests from the services and hosts in force."""
+    """Serves callers' requests by the policy's decisions."""
 
-    data_centre: str
+    policy: RequestPolicy
+    metrics: RequestMetrics
     connections: BackendConnections = attrs.field(factory=BackendConnections)
-    service_by_name: Mapping[str, Service] = attrs.field(factory=dict)
-    hosts_by_pool: Mapping[str, list[Host]] = attrs.field(factory=dict)
+
+    async def run(self, timers: TimerService) -> None:
+        """Admit waiting requests as backend servers come back, until cancelled."""
+        async for _tick in timers.every("admission", ADMISSION_PERIOD_S):
+            self.policy.limiter.admit_waiting(trio.current_time())
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request within the service's timeout."""
-        service = self.service_by_name.get(service_name(request.target))
+        service = self.policy.service_by_name.get(service_name(request.target))
         if service is None:
             return problem(404, "no-service", "no such service", Outcome.NOT_RUN)
-        host = self._choose(service)
-        if host is None:
+        begin_s = trio.current_time()
+        deadline_s = begin_s + service.request_timeout_ms / 1000
+        answer = await self._serve(service, request, deadline_s)
+        latency_s = trio.current_time() - begin_s
+        self.metrics.count_request(service.name, answer.outcome, answer.code, latency_s)
+        return answer.response
+
+    async def _serve(
+        self, service: Service, request: HttpRequest, deadline_s: float
+    ) -> Answer:
+        if not self.policy.view_of(service).in_service():
+            self._log_refusal(service, RouteReason.NO_BACKEND)
             message = "no backend server is in service"
-            return problem(503, "no-backend", message, Outcome.NOT_RUN, 1)
-        log.event(logger, "route", service=service.name, host=host.host_id)
-        return await self._attempt(service, host, request)
-
-    def _choose(self, service: Service) -> Host | None:
-        hosts = [
-            host
-            for host in self.hosts_by_pool.get(service.pool, ())
-            if host.state is HostState.IN_SERVICE
-        ]
-        near = [host for host in hosts if host.data_centre == self.data_centre]
-        candidates = near or hosts
-        return random.choice(candidates) if candidates else None
+            return refusal(503, RouteReason.NO_BACKEND, message, Outcome.NOT_RUN)
+        with Turn(self.policy.limiter, service.name, deadline_s) as turn:
+            admission = await turn.take()
+            if admission.code is not AdmissionCode.ADMITTED:
+                return self._refuse(service, admission, Outcome.NOT_RUN)
+            return await self._dispatch(service, request, turn)
+
+    async def _dispatch(
+        self, service: Service, request: HttpRequest, turn: Turn
+    ) -> Answer:
+        history = AttemptHistory()
+        view = self.policy.view_of(service)
+        headers = end_to_end_headers(request.headers)
+        outgoing = HttpRequest(request.method, request.target, headers, request.body)
+        while True:
+            backend = self._choose(service, view, history)
+            if backend is None:
+                admission = await turn.take_again()
+                if admission.code is not AdmissionCode.ADMITTED:
+                    return self._refuse(service, admission, history.outcome)
+                history.tried.clear()
+                continue
+            ended = await self._attempt(service, view, backend, outgoing, turn)
+            history.add(backend.host.host_id, ended)
+            if ended.response is not None and not ended.facts.guard_refused:
+                return self._answer(service, ended.response)
+            decision = self._decide_retry(service, request, ended, history, turn)
+            if not decision.retry:
+                return _failure(ended, decision, history.outcome)
+            history.cause = decision.reason
+
+    def _choose(
+        self, service: Service, view: PoolView, history: AttemptHistory
+    ) -> Backend | None:
+        decision = view.choose(trio.current_time(), history.tried)
+        self.metrics.count_route(service.name, decision.reason)
+        if logger.isEnabledFor(logging.INFO):
+            self._log_route(service, decision, history)
+        return decision.backend
+
+    def _log_route(
+        self, service: Service, decision: RouteDecision, history: AttemptHistory
+    ) -> None:
+        backend = decision.backend
+        log.event(
+            logger,
+            "route",
+            service=service.name,
+            host=backend.host.host_id if backend is not None else None,
+            reason=decision.reason,
+            available=decision.available,
+            own=backend.own_in_flight if backend is not None else None,
+            peers=backend.peers_in_flight if backend is not None else None,
+            attempt=history.attempts + 1,
+            cause=history.cause,
+        )
 
     async def _attempt(
-        self, service: Service, host: Host, request: HttpRequest
-    ) -> HttpResponse:
-        outgoing = attrs.evolve(request, headers=_end_to_end(request.headers))
+        self,
+        service: Service,
+        view: PoolView,
+        backend: Backend,
+        outgoing: HttpRequest,
+        turn: Turn,
+    ) -> Attempt:
+        begin_s = trio.current_time()
+        result = AttemptResult.CANCELLED
         try:
-            with trio.fail_after(service.request_timeout_ms / 1000):
-                answer = await self.connections.exchange(host.address, outgoing)
-        except NotSent as error:
-            return problem(502, error.code, error.message, Outcome.NOT_RUN, 1)
-        except AnswerLost as error:
-            return problem(502, error.code, error.message, Outcome.UNKNOWN)
-        except trio.TooSlowError:
-            return problem(504, "timeout", "no answer in time", Outcome.UNKNOWN)
-        headers = [
-            pair for pair in _end_to_end(answer.headers) if pair[0] != ATTEMPT_HEADER
-        ]
-        headers.append((OUTCOME_HEADER, Outcome.RAN.value.encode("ascii")))
-        return attrs.evolve(answer, headers=headers)
+            ended = await attempt(
+                self.connections, backend.host.address, outgoing, turn.deadline_s
+            )
+            result = ended.result()
+        finally:
+            now_s = trio.current_time()
+            latency_s = now_s - begin_s
+            change = view.finish(
+                backend, result, now_s, service=service.name, latency_s=latency_s
+            )
+            if change is not None:
+                self.metrics.count_health_change(view.pool, change.action)
+                log.event(logger, "health", pool=view.pool, **attrs.asdict(change))
+        if ended.response is not None and not ended.facts.guard_refused:
+            turn.duration_s = latency_s
+        return ended
+
+    def _decide_retry(
+        self,
+        service: Service,
+        request: HttpRequest,
+        ended: Attempt,
+        history: AttemptHistory,
+        turn: Turn,
+    ) -> RetryDecision:
+        decision = decide_retry(
+            ended.facts,
+            idempotent=request.method in service.idempotent_methods,
+            replayable=True,
+            attempts=history.attempts,
+            now_s=trio.current_time(),
+            deadline_s=turn.deadline_s,
+            expected_s=self.policy.limiter.duration_s(service.name),
+            budget=self.policy.budget_by_service[service.name],
+        )
+        self.metrics.count_retry(service.name, decision.retry, decision.reason)
+        log.event(
+            logger,
+            "attempt-failed",
+            service=service.name,
+            host=history.tried[-1],
+            code=ended.code,
+            outcome=history.outcome,
+            retry=decision.retry,
+            reason=decision.reason,
+        )
+        return decision
+
+    def _answer(self, service: Service, response: HttpResponse) -> Answer:
+        if response.status < 500:
+            self.policy.budget_by_service[service.name].succeed()
+        headers = end_to_end_headers(response.headers)
+        headers.append(RAN_HEADER)
+        answer = HttpResponse(response.status, headers, response.body)
+        return Answer(answer, Outcome.RAN, "answered")
+
+    def _refuse(
+        self, service: Service, admission: Admission, outcome: Outcome
+    ) -> Answer:
+        self._log_refusal(service, admission.code)
+        message = "the service takes no more requests now"
+        return refusal(503, admission.code, message, outcome, admission.retry_after_s)
+
+    def _log_refusal(self, service: Service, code: str) -> None:
+        log.event(logger, "refused", service=service.name, code=code)
+
+
+def _failure(ended: Attempt, decision: RetryDecision, outcome: Outcome) -> Answer:
+    message = f"{ended.message} ({decision.reason})"
+    status = 504 if ended.code == "timeout" else 502
+    if outcome is Outcome.UNKNOWN:
+        return refusal(status, ended.code, message, outcome, None)
+    return refusal(503, ended.code, message, outcome)
--- a/rhubarbmount/http.py
+++ b/rhubarbmount/http.py
@@ -304,7 +304,7 @@
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.body_bytes:
-                    raise AnswerLost("the answer is too large")
+                    raise AnswerLost("the answer is too large", code="answer-broken")
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 body = b"".join(chunks)
--- a/rhubarbmount/limits.py
+++ b/rhubarbmount/limits.py
@@ -83,7 +83,7 @@
 
     Room goes to the waiting service that uses the least for its weight. A service
     over its fair share leaves a tenth of the total free for the others.
-    ``has_room`` tells whether a service's pool has a slot free.
+    ``has_room`` tells whether a service's pool has a slot free at a time.
     """
 
     def __init__(
@@ -91,7 +91,7 @@
         total: int,
         *,
         generator: random.Random,
-        has_room: Callable[[str], bool] = lambda service: True,
+        has_room: Callable[[str, float], bool] = lambda service, now_s: True,
     ) -> None:
         self.total = total
         self.headroom = max(1, int(total * HEADROOM_SHARE))
@@ -126,7 +126,7 @@
         limit = self.by_service.get(service)
         if limit is None:
             return Admission(AdmissionCode.UNKNOWN_SERVICE)
-        if limit.queued == 0 and self._may_run(limit):
+        if limit.queued == 0 and self._may_run(limit, now_s):
             return self._admit(limit)
         if limit.queued >= limit.queue_length:
             return self._refuse(limit, AdmissionCode.QUEUE_FULL)
@@ -176,18 +176,22 @@
             limit.duration_s = before_s + DURATION_WEIGHT * (duration_s - before_s)
         self.admit_waiting(now_s)
 
+    def duration_s(self, service: str) -> float:
+        """Return how long a backend server takes for the service's requests."""
+        return self.by_service[service].duration_s
+
     def admit_waiting(self, now_s: float) -> None:
         """Admit queued requests while there is room; call it when room may be new."""
         while self.running < self.total:
-            limit = self._next_in_turn()
+            limit = self._next_in_turn(now_s)
             if limit is None:
                 return
             self._admit_first(limit, now_s)
 
-    def _next_in_turn(self) -> ServiceLimit | None:
+    def _next_in_turn(self, now_s: float) -> ServiceLimit | None:
         best: ServiceLimit | None = None
         for limit in self.by_service.values():
-            if not limit.queue or not self._may_run(limit):
+            if not limit.queue or not self._may_run(limit, now_s):
                 continue
             if best is None or (
                 limit.running * best.weight < best.running * limit.weight
@@ -211,14 +215,14 @@
         self.running += 1
         return Admission(AdmissionCode.ADMITTED)
 
-    def _may_run(self, limit: ServiceLimit) -> bool:
+    def _may_run(self, limit: ServiceLimit, now_s: float) -> bool:
         free = self.total - self.running
         if free <= 0 or limit.running >= limit.concurrency:
             return False
         fair_share = self.total * limit.weight / self._weights
         if limit.running >= fair_share and free <= self.headroom:
             return False
-        return self._has_room(limit.name)
+        return self._has_room(limit.name, now_s)
 
     def _refuse(self, limit: ServiceLimit, code: AdmissionCode) -> Admission:
         wait_s = math.ceil(limit.wait_s()) + self._generator.randrange(
--- a/rhubarbmount/problem.py
+++ b/rhubarbmount/problem.py
@@ -2,24 +2,16 @@
 
 import json
 import math
-from enum import StrEnum
 
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.http import HttpResponse
+from rhubarbmount.retries import Outcome
 
 __all__ = ["OUTCOME_HEADER", "Outcome", "from_error", "json_response", "problem"]
 
 OUTCOME_HEADER = b"rhubarbmount-outcome"
 
 
-class Outcome(StrEnum):
-    """What became of a request."""
-
-    RAN = "ran"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
 def problem(
     status: int,
     code: str,
--- /dev/null
+++ b/rhubarbmount/request_policy.py
@@ -0,0 +1,119 @@
+"""The limits, views and budgets by which one entry host decides on requests."""
+
+import random
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping
+
+import attrs
+
+from rhubarbmount.entries import Pool, Service
+from rhubarbmount.hosts import Host
+from rhubarbmount.limits import Limiter
+from rhubarbmount.retries import RetryBudget
+from rhubarbmount.routing import PoolView
+from rhubarbmount.shares import EntryHosts
+
+__all__ = ["RequestPolicy"]
+
+
+@attrs.define(eq=False)
+class RequestPolicy:
+    """Keep the decisions' state in step with the catalogue, the fleet and the peers.
+
+    ``max_in_flight`` is the number of requests that the entry host runs at once. All
+    times are seconds on one monotonic clock.
+    """
+
+    entry_hosts: EntryHosts
+    max_in_flight: int = 512
+    generator: random.Random = attrs.field(factory=random.Random)
+    service_by_name: Mapping[str, Service] = attrs.field(factory=dict, init=False)
+    view_by_pool: dict[str, PoolView] = attrs.field(factory=dict, init=False)
+    budget_by_service: dict[str, RetryBudget] = attrs.field(factory=dict, init=False)
+    limiter: Limiter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.limiter = Limiter(
+            self.max_in_flight, generator=self.generator, has_room=self._has_room
+        )
+
+    def update_catalogue(
+        self,
+        service_by_name: Mapping[str, Service],
+        pool_by_name: Mapping[str, Pool],
+    ) -> None:
+        """Take over the services and pools in force."""
+        self.service_by_name = service_by_name
+        self._update_limits()
+        for name in self.budget_by_service.keys() - service_by_name.keys():
+            del self.budget_by_service[name]
+        for service in service_by_name.values():
+            fresh = RetryBudget(service.retry_share)
+            budget = self.budget_by_service.setdefault(service.name, fresh)
+            budget.share = service.retry_share
+        for pool in pool_by_name.values():
+            self._view(pool.name).health.hosts_down_limit = pool.hosts_down_limit
+
+    def update_hosts(self, hosts: Iterable[Host], now_s: float) -> None:
+        """Take over all host rows."""
+        hosts_by_pool: dict[str, list[Host]] = defaultdict(list)
+        for host in hosts:
+            hosts_by_pool[host.pool].append(host)
+        for pool in self.view_by_pool.keys() | hosts_by_pool.keys():
+            self._view(pool).update_hosts(hosts_by_pool[pool], now_s)
+        self.limiter.admit_waiting(now_s)
+
+    def update_host(self, host: Host, now_s: float) -> None:
+        """Take over one changed host row."""
+        self._view(host.pool)
+        for view in self.view_by_pool.values():
+            if view.pool == host.pool or host.host_id in view.by_host_id:
+                view.update_host(host, now_s)
+
+    def set_leaving(self, host_ids: Collection[str]) -> None:
+        """Withhold new work from hosts that lists other than the rows call leaving."""
+        for view in self.view_by_pool.values():
+            view.set_leaving(host_ids)
+
+    def set_entry_hosts(self, entry_hosts: EntryHosts) -> None:
+        """Divide slots and limits among other live entry hosts."""
+        self.entry_hosts = entry_hosts
+        self._update_limits()
+        for view in self.view_by_pool.values():
+            view.set_entry_hosts(entry_hosts)
+
+    def set_peers_in_flight(self, by_host_id: Mapping[str, int]) -> None:
+        """Take over the sums of the requests that the other entry hosts hold."""
+        for view in self.view_by_pool.values():
+            view.set_peers_in_flight(by_host_id)
+
+    def own_in_flight(self) -> dict[str, int]:
+        """Return this entry host's requests by backend server, those with any."""
+        return {
+            host_id: backend.own_in_flight
+            for view in self.view_by_pool.values()
+            for host_id, backend in view.by_host_id.items()
+            if backend.own_in_flight
+        }
+
+    def view_of(self, service: Service) -> PoolView:
+        """Return the view of the service's pool."""
+        return self._view(service.pool)
+
+    def _view(self, pool: str) -> PoolView:
+        view = self.view_by_pool.get(pool)
+        if view is None:
+            view = PoolView(
+                pool, self.entry_hosts, hosts_down_limit=1, generator=self.generator
+            )
+            self.view_by_pool[pool] = view
+        return view
+
+    def _update_limits(self) -> None:
+        services = list(self.service_by_name.values())
+        members = self.entry_hosts.members()
+        self.limiter.update_services(services, members, self.entry_hosts.own_id)
+
+    def _has_room(self, service_name: str, now_s: float) -> bool:
+        service = self.service_by_name.get(service_name)
+        return service is not None and self._view(service.pool).has_room(now_s)
--- a/rhubarbmount/retries.py
+++ b/rhubarbmount/retries.py
@@ -22,7 +22,7 @@
 
 
 class Outcome(StrEnum):
-    """Whether a backend server ran the request."""
+    """Whether a backend server ran the request, as far as can be proved."""
 
     RAN = "ran"
     NOT_RUN = "not-run"
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -120,6 +120,10 @@
         self._wake(now_s)
         return bool(self._local.available or self._remote.available)
 
+    def in_service(self) -> int:
+        """Return the number of hosts that take new work by their row."""
+        return len(self.by_host_id) - self.health.hosts_down
+
     def slots(self) -> int:
         """Return this entry host's share of the slots now in use or free."""
         return sum(backend.limit for backend in self.by_host_id.values())
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -2,7 +2,6 @@
 
 import logging
 import signal
-from collections import defaultdict
 from typing import Any
 
 import attrs
@@ -14,15 +13,18 @@
 from rhubarbmount.catalogue import decode_snapshot
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.forward import Forwarder
-from rhubarbmount.hosts import HOSTS_TABLE, Host, load_host
+from rhubarbmount.hosts import HOSTS_TABLE, load_host
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.listener import Listener
+from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.platform import http as _http_adapter  # noqa: F401
 from rhubarbmount.platform import memory as _memory_adapter  # noqa: F401
 from rhubarbmount.platform.interface import Platform, platforms
 from rhubarbmount.problem import json_response, problem
+from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.router import Call, Router
 from rhubarbmount.settings import PlatformSettings, Settings
+from rhubarbmount.shares import EntryHosts
 from rhubarbmount.timers import TimerService
 
 __all__ = ["EntryHost"]
@@ -58,8 +60,11 @@
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
+        own_place = EntryHosts(settings.instance, settings.data_centre, {})
         self.forwarder = Forwarder(
-            settings.data_centre, BackendConnections(settings.http.body_bytes)
+            RequestPolicy(own_place, settings.max_in_flight),
+            RequestMetrics(self.registry),
+            BackendConnections(settings.http.body_bytes),
         )
         self.callers = Listener(
             "callers", self.forwarder.handle, settings.http, settings.max_connections
@@ -78,6 +83,7 @@
                 await nursery.start(listener.run, endpoint.address, endpoint.port)
                 log.event(logger, "listening", listener=name, port=listener.port)
             nursery.start_soon(self._follow_configuration, timers)
+            nursery.start_soon(self.forwarder.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
@@ -111,12 +117,10 @@
         if body is None:
             return
         snapshot = decode_snapshot(body)
-        hosts_by_pool: dict[str, list[Host]] = defaultdict(list)
-        for row in rows:
-            host = load_host(dict(row.value))
-            hosts_by_pool[host.pool].append(host)
-        self.forwarder.service_by_name = snapshot.services_by_name
-        self.forwarder.hosts_by_pool = hosts_by_pool
+        hosts = [load_host(dict(row.value)) for row in rows]
+        policy = self.forwarder.policy
+        policy.update_catalogue(snapshot.services_by_name, snapshot.pools_by_name)
+        policy.update_hosts(hosts, trio.current_time())
         self.ready = True
 
     def _metrics_router(self) -> Router:
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -82,6 +82,7 @@
     platform: PlatformSettings = attrs.field(factory=PlatformSettings)
     http: HttpLimits = attrs.field(factory=HttpLimits)
     max_connections: int = 1024
+    max_in_flight: int = 512
     stop_timeout_s: float = 30.0
     log: LogSettings = attrs.field(factory=LogSettings)
     weights: Weights = attrs.field(factory=Weights)
--- a/rhubarbmount/standins/backend.py
+++ b/rhubarbmount/standins/backend.py
@@ -9,7 +9,7 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.backends import ATTEMPT_HEADER
+from rhubarbmount.backends import ATTEMPT_HEADER, GUARD_HEADER
 from rhubarbmount.http import (
     HttpLimits,
     HttpRequest,
@@ -22,7 +22,6 @@
 
 __all__ = ["BackendFaults", "BackendStandin"]
 
-GUARD_HEADER = b"rhubarbmount-guard"
 REQUEST_ID_HEADER = b"request-id"
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,231 @@
+"""What a caller is told, whatever the attempts at backend servers come to."""
+
+import logging
+import random
+
+import prometheus_client
+import pytest
+import trio
+
+from rhubarbmount.entries import Pool, Service
+from rhubarbmount.forward import Forwarder
+from rhubarbmount.hosts import Host, HostState, Shape
+from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, NotSent
+from rhubarbmount.metrics import RequestMetrics
+from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.shares import EntryHosts
+
+GET = HttpRequest("GET", "/quotes/1")
+POST = HttpRequest("POST", "/quotes/1", [(b"te", b"trailers")], b"battery")
+
+
+class Connections:
+    """Backend servers that act by a script; the last act is repeated."""
+
+    def __init__(self, *acts):
+        self.acts = list(acts)
+        self.sent = []
+
+    async def exchange(self, address, request, progress):
+        act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
+        self.sent.append((address, request))
+        return await act(progress)
+
+
+async def answer(progress):
+    progress.bytes_left = True
+    await trio.sleep(0.05)
+    return HttpResponse(200, [(b"rhubarbmount-outcome", b"not-run")], b"yes")
+
+
+async def fail(progress):
+    progress.bytes_left = True
+    return HttpResponse(500, [], b"no")
+
+
+async def refuse(progress):
+    progress.bytes_left = True
+    return HttpResponse(503, [(b"rhubarbmount-guard", b"not-run")])
+
+
+async def lose(progress):
+    progress.bytes_left = True
+    raise AnswerLost("the connection failed")
+
+
+async def garble(progress):
+    progress.bytes_left = True
+    raise AnswerLost("crossed", code="answer-broken")
+
+
+async def not_connect(progress):
+    raise NotSent("connection refused")
+
+
+async def stall(progress):
+    progress.bytes_left = True
+    await trio.sleep_forever()
+
+
+async def stall_before_sending(progress):
+    await trio.sleep_forever()
+
+
+def open_forwarder(*acts, hosts=3, state=HostState.IN_SERVICE, **limits):
+    policy = RequestPolicy(EntryHosts("e1", "dc1", {}), generator=random.Random(2))
+    service = Service(name="quotes", owner="workshop", pool="quotes", **limits)
+    pool = Pool(name="quotes", owner="workshop", hosts_wanted=hosts)
+    policy.update_catalogue({"quotes": service}, {"quotes": pool})
+    rows = [
+        Host(
+            host_id=f"w{number}",
+            pool="quotes",
+            data_centre="dc1",
+            rack="r1",
+            address=f"w{number}:80",
+            shape=Shape(processors=16, memory_gb=64),
+            state=state,
+            slots=2,
+        )
+        for number in range(hosts)
+    ]
+    policy.update_hosts(rows, trio.current_time())
+    metrics = RequestMetrics(prometheus_client.CollectorRegistry())
+    return Forwarder(policy, metrics, Connections(*acts))
+
+
+def told(response):
+    """Return the status and the outcome that a caller sees."""
+    outcomes = [value for name, value in response.headers if name.endswith(b"outcome")]
+    assert len(outcomes) == 1
+    names = [name for name, _ in response.headers]
+    assert response.status != 503 or b"retry-after" in names
+    return response.status, outcomes[0].decode()
+
+
+def assert_nothing_in_flight(forwarder):
+    limiter = forwarder.policy.limiter
+    assert limiter.running == 0
+    assert all(limit.queued == 0 for limit in limiter.by_service.values())
+    assert forwarder.policy.own_in_flight() == {}
+
+
+@pytest.mark.parametrize(
+    ("request_", "acts", "seen", "sent"),
+    [
+        (POST, [answer], (200, "ran"), 1),
+        (POST, [fail, answer], (500, "ran"), 1),
+        (POST, [refuse, answer], (200, "ran"), 2),
+        (POST, [not_connect, answer], (200, "ran"), 2),
+        (POST, [lose, answer], (502, "unknown"), 1),
+        (POST, [refuse, lose, answer], (502, "unknown"), 2),
+        (POST, [stall, answer], (504, "unknown"), 1),
+        (POST, [stall_before_sending, answer], (503, "not-run"), 1),
+        (POST, [refuse], (503, "not-run"), 3),
+        (POST, [not_connect], (503, "not-run"), 3),
+        (GET, [lose, answer], (200, "ran"), 2),
+        (GET, [garble, answer], (502, "unknown"), 1),
+        (GET, [stall, answer], (504, "unknown"), 1),
+        (GET, [lose, refuse], (502, "unknown"), 3),
+        (GET, [lose, not_connect], (502, "unknown"), 3),
+        (GET, [refuse, lose, not_connect], (502, "unknown"), 3),
+    ],
+)
+async def test_what_the_caller_is_told(autojump_clock, request_, acts, seen, sent):
+    forwarder = open_forwarder(*acts)
+    response = await forwarder.handle(request_)
+    assert told(response) == seen
+    assert len(forwarder.connections.sent) == sent
+    addresses = [address for address, _ in forwarder.connections.sent]
+    assert len(set(addresses)) == sent
+    assert_nothing_in_flight(forwarder)
+
+
+async def test_headers_for_one_connection_are_not_passed_on(autojump_clock):
+    forwarder = open_forwarder(answer)
+    await forwarder.handle(POST)
+    assert forwarder.connections.sent[0][1].headers == []
+
+
+async def test_an_unknown_service_did_not_run(autojump_clock):
+    response = await open_forwarder(answer).handle(HttpRequest("GET", "/parts"))
+    assert told(response) == (404, "not-run")
+
+
+async def test_a_service_without_hosts_is_refused_at_once(autojump_clock):
+    forwarder = open_forwarder(answer, state=HostState.MAINTENANCE)
+    response = await forwarder.handle(POST)
+    assert told(response) == (503, "not-run")
+    assert trio.current_time() == 0.0
+
+
+async def answer_all(forwarder, count):
+    """Send requests at once; return each one's status, outcome and time."""
+    answers = []
+
+    async def send():
+        response = await forwarder.handle(POST)
+        answers.append((*told(response), trio.current_time()))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(send)
+    return answers
+
+
+async def test_more_than_slots_and_queue_are_refused_at_once(autojump_clock):
+    forwarder = open_forwarder(answer, queue_length=4)
+    answers = await answer_all(forwarder, 20)
+    refused = [answer for answer in answers if answer[0] == 503]
+    assert len(refused) == 10
+    assert {time_s for _, _, time_s in refused} == {0.0}
+    assert {outcome for _, outcome, _ in refused} == {"not-run"}
+    assert_nothing_in_flight(forwarder)
+
+
+async def test_a_queued_request_is_given_up_after_the_queue_timeout(autojump_clock):
+    forwarder = open_forwarder(stall, queue_length=4, queue_timeout_ms=300)
+    answers = await answer_all(forwarder, 8)
+    assert sorted(answers)[:2] == [(503, "not-run", 0.3)] * 2
+    assert_nothing_in_flight(forwarder)
+
+
+async def test_a_full_pool_makes_a_refused_attempt_wait_for_room(autojump_clock):
+    forwarder = open_forwarder(refuse, answer, hosts=1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(tick, forwarder)
+        assert told(await forwarder.handle(POST)) == (200, "ran")
+        nursery.cancel_scope.cancel()
+    assert 0.5 <= trio.current_time() <= 0.8
+    assert_nothing_in_flight(forwarder)
+
+
+async def tick(forwarder):
+    while True:
+        await trio.sleep(0.1)
+        forwarder.policy.limiter.admit_waiting(trio.current_time())
+
+
+@pytest.mark.parametrize("act", [stall, stall_before_sending])
+async def test_a_cancelled_request_leaves_nothing_behind(autojump_clock, act):
+    forwarder = open_forwarder(act, hosts=1)
+    with trio.move_on_after(0.5):
+        await answer_all(forwarder, 6)
+    assert_nothing_in_flight(forwarder)
+
+
+async def test_each_routing_decision_has_a_log_line(autojump_clock, caplog):
+    caplog.set_level(logging.INFO, "rhubarbmount")
+    forwarder = open_forwarder(refuse, answer)
+    await forwarder.handle(POST)
+    routes = [text for text in caplog.messages if text.startswith("event=route ")]
+    assert len(routes) == 2
+    assert "reason=local available=3 own=1 peers=0 attempt=1 cause=first" in routes[0]
+    assert "attempt=2 cause=not-run" in routes[1]
+
+
+async def test_a_retry_storm_is_bounded_by_the_budget(autojump_clock):
+    forwarder = open_forwarder(refuse)
+    for _ in range(50):
+        await forwarder.handle(POST)
+    assert len(forwarder.connections.sent) <= 50 + 2 + 1
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -122,7 +122,7 @@
         service("night", concurrency=500, queue_length=500, work_class=WorkClass.BATCH),
     ]
     limiter = open_limiter(
-        services, total=1000, has_room=lambda name: limiter.running < 20
+        services, total=1000, has_room=lambda name, now_s: limiter.running < 20
     )
     callers = Callers(limiter)
     callers.flood("night", 400)
@@ -138,7 +138,8 @@
 
 def test_a_full_pool_holds_only_its_own_services_back():
     limiter = open_limiter(
-        [service("quotes"), service("parts")], has_room=lambda name: name == "parts"
+        [service("quotes"), service("parts")],
+        has_room=lambda name, now_s: name == "parts",
     )
     callers = Callers(limiter)
     assert callers.offer("quotes").code is QUEUED
