--- a/bench/claims_world.py
+++ b/bench/claims_world.py
@@ -1,6 +1,5 @@
 """Entry hosts, callers and backend servers as fakes around the real claims."""
 
-
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -220,10 +219,10 @@
         self.apply_outage()
         return host
 
-    async def _run(
-        self, instance: str, data_centre: str, task_status: Any
-    ) -> None:
-        faulty = FaultyPlatform(self.memory, self.nursery, seed=self.random.getrandbits(32))
+    async def _run(self, instance: str, data_centre: str, task_status: Any) -> None:
+        faulty = FaultyPlatform(
+            self.memory, self.nursery, seed=self.random.getrandbits(32)
+        )
         host: EntryHost
 
         async def pause_point() -> None:
--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_leaving.py
@@ -2,4 +2,4 @@
 
 from pytest_bdd import scenarios
 
-scenarios("leaving.feature")
+scenarios("leaving.feature", "not_run.feature")
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -17,7 +17,9 @@
     st.sampled_from(("pause", "resume", "replace")), st.integers(0, HOSTS - 1)
 )
 platform_faults = st.tuples(
-    st.sampled_from(("outage", "cut", "lost-answer", "lost-call", "late-effect", "heal"))
+    st.sampled_from(
+        ("outage", "cut", "lost-answer", "lost-call", "late-effect", "heal")
+    )
 )
 waits = st.tuples(st.just("wait"), st.sampled_from((0.0, 0.003, 0.01, 0.1, 1.0, 6.0)))
 steps = st.lists(
