--- a/bench/claims.py
+++ b/bench/claims.py
@@ -1,6 +1,7 @@
 """Measure runs, doubled runs and false denials of keyed requests under faults."""
 
 import logging
+from random import Random
 
 import attrs
 import defopt
@@ -126,6 +127,7 @@
     """Send the lodgements through one way and count."""
     way = ways.get(name)
     sent_s: dict[str, float] = {}
+    arrivals = Random(seed)
     async with trio.open_nursery() as processes:
         world = World(processes, way.handle, seed)
         await world.start()
@@ -134,10 +136,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(inject_faults, world)
             for number in range(requests):
-                await trio.sleep(world.random.expovariate(requests / DURATION_S))
+                await trio.sleep(arrivals.expovariate(requests / DURATION_S))
                 lodgement = f"{name}-{number}"
                 sent_s[lodgement] = trio.current_time()
-                data_centre = world.random.choice(world.data_centres)
+                data_centre = arrivals.choice(world.data_centres)
                 nursery.start_soon(caller.lodge, lodgement, data_centre)
         processes.cancel_scope.cancel()
     return _count(name, caller, sent_s)
--- a/bench/claims_world.py
+++ b/bench/claims_world.py
@@ -1,6 +1,5 @@
 """Entry hosts, callers and backend servers as fakes around the real claims."""
 
-
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -157,11 +156,11 @@
         await self.pause_point()
         started_s = trio.current_time()
         drawn = self.world.random.random()
-        if started_s > request.deadline_s or drawn < 0.02:
+        if started_s > request.deadline_s or drawn < self.world.not_run_share:
             raise NotRun
         await trio.sleep(self.world.random.expovariate(1 / BACKEND_S))
         self.world.ledger.ran(request.lodgement, started_s)
-        if drawn < 0.03:
+        if drawn > 1.0 - self.world.run_lost_share:
             raise AnswerLost
         await trio.sleep(self.world.random.expovariate(1 / BACKEND_S))
         await self.pause_point()
@@ -196,6 +195,8 @@
     hosts: list[EntryHost] = attrs.field(factory=list)
     platform_is_out: bool = False
     cut_off: set[str] = attrs.field(factory=set)
+    not_run_share: float = 0.02
+    run_lost_share: float = 0.01
     lost_answer_share: float = 0.0
     lost_call_share: float = 0.0
     late_effect_share: float = 0.0
@@ -220,10 +221,9 @@
         self.apply_outage()
         return host
 
-    async def _run(
-        self, instance: str, data_centre: str, task_status: Any
-    ) -> None:
-        faulty = FaultyPlatform(self.memory, self.nursery, seed=self.random.getrandbits(32))
+    async def _run(self, instance: str, data_centre: str, task_status: Any) -> None:
+        seed = self.random.getrandbits(32)
+        faulty = FaultyPlatform(self.memory, self.nursery, seed=seed)
         host: EntryHost
 
         async def pause_point() -> None:
--- a/rhubarbmount/claim_batches.py
+++ b/rhubarbmount/claim_batches.py
@@ -103,7 +103,8 @@
 
     def _drain(self, first: ClaimRequest) -> list[ClaimRequest]:
         batch = [first]
-        while len(batch) < BATCH_ROWS:
+        limit = min(BATCH_ROWS, self.platform.affordable_writes())
+        while len(batch) < limit:
             try:
                 batch.append(self._receive.receive_nowait())
             except trio.WouldBlock:
--- a/rhubarbmount/claim_records.py
+++ b/rhubarbmount/claim_records.py
@@ -3,6 +3,7 @@
 import uuid
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import islice
 
 import attrs
 import trio
@@ -17,6 +18,7 @@
 BATCH_ROWS = 64
 WAITING_RECORDS = 5000
 RETRY_S = 0.5
+BUDGET_PART = 0.25
 
 
 @attrs.frozen
@@ -76,7 +78,8 @@
                 await trio.sleep(RETRY_S)
 
     async def _write_batch(self) -> None:
-        batch = list(self._by_claim_id.values())[:BATCH_ROWS]
+        limit = max(1, int(self.platform.affordable_writes() * BUDGET_PART))
+        batch = list(islice(self._by_claim_id.values(), min(BATCH_ROWS, limit)))
         transaction = await self._transaction(batch)
         if not transaction.writes:
             self._done(batch)
--- a/rhubarbmount/platform/client.py
+++ b/rhubarbmount/platform/client.py
@@ -82,6 +82,10 @@
         """How many row writes this host has paid for."""
         return self._shared.writes.spent
 
+    def affordable_writes(self) -> int:
+        """Return how many rows one transaction may write without debt."""
+        return self._shared.writes.affordable()
+
     async def read(self, table: str, key: str) -> Row | None:
         """Return the row, or None."""
         return await self._read(lambda: self._shared.adapter.read(table, key))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -237,3 +237,20 @@
 
 def own(claim):
     return {"claim_id": claim.claim_id}
+
+
+async def test_claims_are_served_beyond_the_rate_that_also_pays_for_records(
+    memory, autojump_clock
+):
+    """Without a bound on the batch of records, they would starve the claims."""
+    client = open_client(memory, writes_per_s=10.0, deadline_s=0.5)
+    answers = []
+
+    async def one(claims, key):
+        answers.append(await send(claims, key))
+
+    async with open_claims("a", client) as claims, trio.open_nursery() as nursery:
+        for number in range(120):
+            nursery.start_soon(one, claims, str(number))
+            await trio.sleep(1 / 6)
+    assert set(answers) == {("ran", None)}
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -17,7 +17,9 @@
     st.sampled_from(("pause", "resume", "replace")), st.integers(0, HOSTS - 1)
 )
 platform_faults = st.tuples(
-    st.sampled_from(("outage", "cut", "lost-answer", "lost-call", "late-effect", "heal"))
+    st.sampled_from(
+        ("outage", "cut", "lost-answer", "lost-call", "late-effect", "heal")
+    )
 )
 waits = st.tuples(st.just("wait"), st.sampled_from((0.0, 0.003, 0.01, 0.1, 1.0, 6.0)))
 steps = st.lists(
@@ -92,6 +94,7 @@
     """Run the script and everything it set off; return the ledger."""
     async with trio.open_nursery() as processes:
         world = World(processes, way.handle, 1, ("east", "west"))
+        world.not_run_share = world.run_lost_share = 0.2
         await world.start()
         async with trio.open_nursery() as nursery:
             machine = Machine(world, nursery, way.make_key)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -136,3 +136,14 @@
             await trio.testing.wait_all_tasks_blocked()
             first.cancel()
     assert budget.spent == 6
+
+
+async def test_a_duty_does_not_wait_for_the_payment_of_other_calls(autojump_clock):
+    budget = Budget(10.0, lambda: 1)
+    await budget.spend(100, Priority.REST)
+    with pytest.raises(trio.TooSlowError), trio.fail_after(1.0):
+        await budget.spend(1, Priority.CLAIM)
+    budget = Budget(10.0, lambda: 1)
+    await budget.spend(budget.affordable(), Priority.CLAIM)
+    with trio.fail_after(0.01):
+        await budget.spend(1, Priority.DUTY)
