--- a/bench/claims_world.py
+++ b/bench/claims_world.py
@@ -222,8 +222,9 @@
         return host
 
     async def _run(self, instance: str, data_centre: str, task_status: Any) -> None:
-        seed = self.random.getrandbits(32)
-        faulty = FaultyPlatform(self.memory, self.nursery, seed=seed)
+        faulty = FaultyPlatform(
+            self.memory, self.nursery, seed=self.random.getrandbits(32)
+        )
         host: EntryHost
 
         async def pause_point() -> None:
