Claim keyed requests on the path, and reach the platform through its client

A request with an Idempotency-Key and a method that is not idempotent is claimed after admission and before dispatch.

EntryHost takes the adapter and makes its platform attribute the client, so that no part gets round the budget.

--- a/rhubarbmount/claim_guard.py
+++ b/rhubarbmount/claim_guard.py
@@ -1,6 +1,7 @@
 """The one call around the dispatch of a keyed non-idempotent request."""
 
 import logging
+import math
 import time
 import uuid
 from collections.abc import AsyncIterator, Callable
@@ -14,6 +15,7 @@
 from rhubarbmount.claim_records import ClaimRecords, Withdrawal
 from rhubarbmount.claims import (
     HELD,
+    UNAVAILABLE,
     Claim,
     ClaimRefused,
     ClaimState,
@@ -65,20 +67,30 @@
 
     @asynccontextmanager
     async def guard(
-        self, service: str, idempotency_key: str, fingerprint: str
+        self,
+        service: str,
+        idempotency_key: str,
+        fingerprint: str,
+        deadline_s: float = math.inf,
     ) -> AsyncIterator[HeldClaim]:
         """Hold the key's claim for the length of the block. Raises ClaimRefused.
 
-        The block dispatches the request at most once and says what became of it.
+        The block dispatches the request at most once and says what became of it. A
+        claim that is not written by the deadline, on trio's clock, is withdrawn.
         """
         claim = self._new_claim(service, idempotency_key, fingerprint)
-        await self._acquire(claim)
+        await self._acquire(claim, deadline_s)
         held = HeldClaim(claim)
         try:
             yield held
         finally:
             self._finish(held.claim)
 
+    async def flush(self) -> None:
+        """Write the records that wait, within a bound."""
+        with trio.move_on_after(FLUSH_S):
+            await self.records.flush()
+
     async def run(self) -> None:
         """Write claims and records until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -94,14 +106,15 @@
             claimed_s=self.wall_clock(),
         )
 
-    async def _acquire(self, claim: Claim) -> None:
+    async def _acquire(self, claim: Claim, deadline_s: float) -> None:
         found = self._by_row_key.get(claim.row_key)
         if found is not None:
             raise self._refused(claim, _judge_local(claim, found))
         self._by_row_key[claim.row_key] = claim
-        verdict = None
+        verdict = UNAVAILABLE
         try:
-            verdict = await self.batches.claim(claim)
+            with trio.move_on_at(deadline_s):
+                verdict = await self.batches.claim(claim)
         finally:
             if verdict is not HELD:
                 self._forget(claim)
@@ -160,6 +173,5 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(claims.run)
         yield claims
-        with trio.move_on_after(FLUSH_S):
-            await claims.records.flush()
+        await claims.flush()
         nursery.cancel_scope.cancel()
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -9,9 +9,11 @@
 from rhubarbmount.admission import Turn
 from rhubarbmount.attempts import Attempt, attempt, end_to_end_headers
 from rhubarbmount.backends import BackendConnections
+from rhubarbmount.claim_guard import Claims
+from rhubarbmount.claims import ClaimRefused, fingerprint
 from rhubarbmount.entries import Service
 from rhubarbmount.health import AttemptResult
-from rhubarbmount.http import HttpRequest, HttpResponse
+from rhubarbmount.http import HttpRequest, HttpResponse, header_value
 from rhubarbmount.limits import Admission, AdmissionCode
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.problem import OUTCOME_HEADER, Outcome, problem
@@ -25,6 +27,7 @@
 
 ADMISSION_PERIOD_S = 0.1
 RETRY_AFTER_S = 1
+KEY_HEADER = b"idempotency-key"
 RAN_HEADER = (OUTCOME_HEADER, Outcome.RAN.value.encode("ascii"))
 
 logger = logging.getLogger(__name__)
@@ -40,6 +43,21 @@
     return path.lstrip("/").split("/", 1)[0]
 
 
+def claim_key(service: Service, request: HttpRequest) -> str | None:
+    """Return the key to claim before dispatch, or None when none is needed."""
+    if request.method in service.idempotent_methods:
+        return None
+    return header_value(request.headers, KEY_HEADER)
+
+
+def unclaimed_outcome(key: str | None) -> Outcome:
+    """Return the outcome of a request that is refused before its key is claimed.
+
+    An earlier attempt with the same key may have run.
+    """
+    return Outcome.NOT_RUN if key is None else Outcome.UNKNOWN
+
+
 @attrs.define
 class Answer:
     """What a caller gets, with the outcome and code that it is counted under."""
@@ -85,6 +103,7 @@
 
     policy: RequestPolicy
     metrics: RequestMetrics
+    claims: Claims
     connections: BackendConnections = attrs.field(factory=BackendConnections)
 
     async def run(self, timers: TimerService) -> None:
@@ -96,7 +115,8 @@
         """Answer one request within the service's timeout."""
         service = self.policy.service_by_name.get(service_name(request.target))
         if service is None:
-            return problem(404, "no-service", "no such service", Outcome.NOT_RUN)
+            outcome = unclaimed_outcome(header_value(request.headers, KEY_HEADER))
+            return problem(404, "no-service", "no such service", outcome)
         begin_s = trio.current_time()
         deadline_s = begin_s + service.request_timeout_ms / 1000
         answer = await self._serve(service, request, deadline_s)
@@ -107,15 +127,40 @@
     async def _serve(
         self, service: Service, request: HttpRequest, deadline_s: float
     ) -> Answer:
+        key = claim_key(service, request)
+        unclaimed = unclaimed_outcome(key)
         if not self.policy.view_of(service).in_service():
             self._log_refusal(service, RouteReason.NO_BACKEND)
             message = "no backend server is in service"
-            return refusal(503, RouteReason.NO_BACKEND, message, Outcome.NOT_RUN)
+            return refusal(503, RouteReason.NO_BACKEND, message, unclaimed)
         with Turn(self.policy.limiter, service.name, deadline_s) as turn:
             admission = await turn.take()
             if admission.code is not AdmissionCode.ADMITTED:
-                return self._refuse(service, admission, Outcome.NOT_RUN)
-            return await self._dispatch(service, request, turn)
+                return self._refuse(service, admission, unclaimed)
+            if key is None:
+                return await self._dispatch(service, request, turn)
+            return await self._dispatch_once(service, request, turn, key)
+
+    async def _dispatch_once(
+        self, service: Service, request: HttpRequest, turn: Turn, key: str
+    ) -> Answer:
+        """Dispatch under a claim on the key, which no other request holds."""
+        digest = fingerprint(request.method, request.target, request.body)
+        try:
+            async with self.claims.guard(
+                service.name, key, digest, turn.deadline_s
+            ) as held:
+                answer = await self._dispatch(service, request, turn)
+                if answer.outcome is Outcome.RAN:
+                    held.ran(answer.response.status)
+                elif answer.outcome is Outcome.NOT_RUN:
+                    held.not_run()
+                return answer
+        except ClaimRefused as error:
+            outcome = Outcome(error.outcome)
+            return refusal(
+                error.status, error.code, error.message, outcome, error.retry_after_s
+            )
 
     async def _dispatch(
         self, service: Service, request: HttpRequest, turn: Turn
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -11,6 +11,7 @@
 from rhubarbmount import log
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.catalogue import decode_snapshot
+from rhubarbmount.claim_guard import Claims
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.hosts import HOSTS_TABLE, load_host
@@ -19,6 +20,7 @@
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.platform import http as _http_adapter  # noqa: F401
 from rhubarbmount.platform import memory as _memory_adapter  # noqa: F401
+from rhubarbmount.platform.client import PlatformClient, open_client
 from rhubarbmount.platform.interface import Platform, platforms
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.request_policy import RequestPolicy
@@ -47,9 +49,10 @@
     """The tasks of one entry host."""
 
     settings: Settings
-    platform: Platform
+    adapter: Platform
     ready: bool = False
     stopping: trio.Event = attrs.field(factory=trio.Event)
+    platform: PlatformClient = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
@@ -61,9 +64,16 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         own_place = EntryHosts(settings.instance, settings.data_centre, {})
+        policy = RequestPolicy(own_place, settings.max_in_flight)
+        self.platform = open_client(
+            self.adapter,
+            live_entry_hosts=lambda: len(policy.entry_hosts.members()),
+            deadline_s=settings.platform.timeout_s,
+        )
         self.forwarder = Forwarder(
-            RequestPolicy(own_place, settings.max_in_flight),
+            policy,
             RequestMetrics(self.registry),
+            Claims(settings.instance, self.platform),
             BackendConnections(settings.http.body_bytes),
         )
         self.callers = Listener(
@@ -84,6 +94,7 @@
                 log.event(logger, "listening", listener=name, port=listener.port)
             nursery.start_soon(self._follow_configuration, timers)
             nursery.start_soon(self.forwarder.run, timers)
+            nursery.start_soon(self.forwarder.claims.run)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
@@ -94,6 +105,7 @@
         self.ready = False
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
+        await self.forwarder.claims.flush()
         await self.forwarder.connections.aclose()
         log.event(logger, "stopped", cut=cut_count)
         return cut_count
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -7,11 +7,14 @@
 import pytest
 import trio
 
+from rhubarbmount.claim_guard import Claims
 from rhubarbmount.entries import Pool, Service
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, NotSent
 from rhubarbmount.metrics import RequestMetrics
+from rhubarbmount.platform.client import open_client
+from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.shares import EntryHosts
 
@@ -91,7 +94,8 @@
     ]
     policy.update_hosts(rows, trio.current_time())
     metrics = RequestMetrics(prometheus_client.CollectorRegistry())
-    return Forwarder(policy, metrics, Connections(*acts))
+    claims = Claims("e1", open_client(MemoryPlatform()))
+    return Forwarder(policy, metrics, claims, Connections(*acts))
 
 
 def told(response):
