--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -94,6 +94,7 @@
     """Run the script and everything it set off; return the ledger."""
     async with trio.open_nursery() as processes:
         world = World(processes, way.handle, 1, ("east", "west"))
+        world.not_run_share = world.run_lost_share = 0.2
         await world.start()
         async with trio.open_nursery() as nursery:
             machine = Machine(world, nursery, way.make_key)
