Schedule jobs under a lease, rows first and effects after

The scheduler is a pure state with one change of rows per decision; the duty commits changes fenced by its lease and sends commands from open intents until the platform has accepted them. A task is given up only once its start was accepted and its host has been missing for lease, lag of the list and margin, counted on the holder's own clock.

--- /dev/null
+++ b/rhubarbmount/fleet_rooms.py
@@ -0,0 +1,206 @@
+"""The rooms of all pools, and the hosts that tasks keep off."""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from rhubarbmount.headroom import UrgentDemand
+from rhubarbmount.hosts import Host, HostState, Shape
+from rhubarbmount.jobs import Task
+from rhubarbmount.placement import PlacementRule, PoolPlacer
+from rhubarbmount.preemption import Eviction, choose_eviction
+from rhubarbmount.rooms import Amount, HostRoom, PoolRooms
+
+__all__ = ["FleetRooms"]
+
+NO_SHAPE = Shape(0.0, 0.0)
+
+
+@attrs.define
+class FleetRooms:
+    """Keep each host in the placer of its one pool, and tasks with their host.
+
+    A host that moves on to another pool offers its room there once it is empty.
+    """
+
+    rule: PlacementRule
+    placer_by_pool: dict[str, PoolPlacer] = attrs.field(factory=dict)
+    _row_by_host: dict[str, Host] = attrs.field(factory=dict, init=False)
+    _pool_by_host: dict[str, str] = attrs.field(factory=dict, init=False)
+    _demand_by_pool: dict[str, UrgentDemand] = attrs.field(factory=dict, init=False)
+    _refilling: dict[str, set[str]] = attrs.field(factory=dict, init=False)
+    _avoid_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _not_live: set[str] = attrs.field(factory=set, init=False)
+    _closed: set[str] = attrs.field(factory=set, init=False)
+
+    def placer(self, pool: str) -> PoolPlacer:
+        """Return the placer of a pool."""
+        if pool not in self.placer_by_pool:
+            self.placer_by_pool[pool] = PoolPlacer(pool, self.rule)
+        return self.placer_by_pool[pool]
+
+    def placers(self) -> Iterable[PoolPlacer]:
+        """Return the placers in the order of their pools' names."""
+        return [self.placer_by_pool[pool] for pool in sorted(self.placer_by_pool)]
+
+    def set_host(self, host: Host) -> bool:
+        """Take in a host row; return whether the host has just come back to service."""
+        before = self._row_by_host.get(host.host_id)
+        if before == host:
+            return False
+        self._row_by_host[host.host_id] = host
+        self._settle(host)
+        in_service = HostState.IN_SERVICE
+        if host.state is in_service:
+            self._closed.discard(host.host_id)
+        else:
+            self._closed.add(host.host_id)
+        if before is None or before.state is in_service or host.state != in_service:
+            return False
+        self._avoid_until_s.pop(host.host_id, None)
+        self._update_avoided(host.host_id)
+        return True
+
+    def remove_hosts(self, kept: set[str]) -> None:
+        """Forget the hosts whose rows are gone, once they have no task left."""
+        for host_id in self._row_by_host.keys() - kept:
+            row = self._row_by_host[host_id]
+            if row.state is not HostState.LEAVING:
+                self.set_host(attrs.evolve(row, state=HostState.LEAVING))
+            if not self._room(host_id).task_by_id:
+                self._drop(host_id)
+                del self._row_by_host[host_id]
+                self._closed.discard(host_id)
+
+    def state_of(self, host_id: str) -> HostState:
+        """Return the state in a host's row."""
+        return self._row_by_host[host_id].state
+
+    def add_task(self, task: Task) -> None:
+        """Put a task on its host, whatever the state of the host."""
+        if task.host_id not in self._pool_by_host:
+            self.set_host(_unknown_host(task))
+        self._rooms(task.host_id).add_task(task)
+
+    def remove_task(self, task: Task) -> None:
+        """Take a task off its host."""
+        self._rooms(task.host_id).remove_task(task.task_id)
+        self._settle(self._row_by_host[task.host_id])
+
+    def replace_task(self, task: Task) -> None:
+        """Take in a change of a task."""
+        self._rooms(task.host_id).replace_task(task)
+
+    def tasks_on(self, host_id: str) -> list[Task]:
+        """Return the tasks on a host."""
+        return list(self._room(host_id).task_by_id.values())
+
+    def hosts_with_tasks(self) -> list[str]:
+        """Return the hosts that have tasks."""
+        hosts: set[str] = set()
+        for placer in self.placer_by_pool.values():
+            hosts.update(placer.rooms.host_by_task.values())
+        return sorted(hosts)
+
+    def closed_hosts(self) -> list[str]:
+        """Return the hosts that take no new work."""
+        return sorted(self._closed)
+
+    def evictable_on(self, host_id: str) -> list[Task]:
+        """Return the tasks that lose little when their host is emptied."""
+        return [
+            task
+            for task in self.tasks_on(host_id)
+            if task.can_checkpoint and task.command == "start"
+        ]
+
+    def set_live(self, live: set[str]) -> None:
+        """Keep new tasks off the hosts that the platform's list lacks."""
+        not_live = self._row_by_host.keys() - live
+        changed = not_live ^ self._not_live
+        self._not_live = not_live
+        for host_id in sorted(changed):
+            self._update_avoided(host_id)
+
+    def avoid(self, host_id: str, until_s: float) -> None:
+        """Keep new tasks off a host for a time."""
+        self._avoid_until_s[host_id] = until_s
+        self._update_avoided(host_id)
+
+    def end_avoidance(self, now_s: float) -> None:
+        """Let new tasks in again where the time is over."""
+        over = [
+            host for host, until_s in self._avoid_until_s.items() if until_s <= now_s
+        ]
+        for host_id in over:
+            del self._avoid_until_s[host_id]
+            self._update_avoided(host_id)
+
+    def observe_urgent(self, pool: str, need: Amount, now_s: float) -> None:
+        """Count an urgent job, from which headroom is learned."""
+        demand = self._demand_by_pool.setdefault(pool, UrgentDemand())
+        demand.observe(need, now_s)
+
+    def keep_headroom(self, placer: PoolPlacer, now_s: float) -> None:
+        """Set how much room the pool keeps for urgent jobs."""
+        demand = self._demand_by_pool.get(placer.pool)
+        if demand is None:
+            return
+        placer.kept = demand.hosts_wanted(len(placer.rooms.room_by_host), now_s)
+        placer.rooms.keep_headroom(demand.room_wanted())
+
+    def refill(self, placer: PoolPlacer, now_s: float) -> Iterator[Eviction]:
+        """Yield evictions until enough hosts have headroom or are getting it."""
+        rooms = placer.rooms
+        clearing = self._refilling.setdefault(placer.pool, set())
+        for host_id in list(clearing):
+            room = rooms.room_by_host.get(host_id)
+            if room is None or host_id in rooms.roomy or not room.is_clearing:
+                clearing.discard(host_id)
+        while placer.rule.evicts and len(rooms.roomy) + len(clearing) < placer.kept:
+            skipped = rooms.roomy | clearing
+            found = choose_eviction(rooms, rooms.headroom, now_s, skipped)
+            if found is None:
+                return
+            clearing.add(found.host_id)
+            yield found
+
+    def _settle(self, row: Host) -> None:
+        pool = self._pool_by_host.get(row.host_id)
+        if pool not in (None, row.pool):
+            if self._room(row.host_id).task_by_id:
+                assert pool is not None
+                old = attrs.evolve(row, pool=pool, state=HostState.DRAINING)
+                self.placer(pool).rooms.set_host(old)
+                return
+            self._drop(row.host_id)
+        self._pool_by_host[row.host_id] = row.pool
+        self.placer(row.pool).rooms.set_host(row)
+
+    def _drop(self, host_id: str) -> None:
+        pool = self._pool_by_host.pop(host_id)
+        self.placer(pool).rooms.remove_host(host_id)
+
+    def _update_avoided(self, host_id: str) -> None:
+        if host_id not in self._pool_by_host:
+            return
+        avoided = host_id in self._avoid_until_s or host_id in self._not_live
+        self._rooms(host_id).avoid(host_id, avoided)
+
+    def _rooms(self, host_id: str) -> PoolRooms:
+        return self.placer(self._pool_by_host[host_id]).rooms
+
+    def _room(self, host_id: str) -> HostRoom:
+        return self._rooms(host_id).room_by_host[host_id]
+
+
+def _unknown_host(task: Task) -> Host:
+    return Host(
+        host_id=task.host_id,
+        pool=task.pool,
+        data_centre="",
+        rack="",
+        address="",
+        shape=NO_SHAPE,
+        state=HostState.LEAVING,
+    )
--- /dev/null
+++ b/rhubarbmount/job_changes.py
@@ -0,0 +1,155 @@
+"""The rows by which scheduling is asked, decides and is answered."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+import cattrs
+
+from rhubarbmount.jobs import (
+    ENDED_STATES,
+    JOBS_TABLE,
+    TASKS_TABLE,
+    Job,
+    Task,
+    dump_job,
+    dump_task,
+)
+from rhubarbmount.platform.interface import TaskCommand, Write
+from rhubarbmount.sizes import UsageReport
+from rhubarbmount.suspects import Blame
+
+__all__ = [
+    "DUTY",
+    "EndReport",
+    "JobChange",
+    "JobRequest",
+    "dump_command",
+    "load_command",
+    "load_end",
+    "load_request",
+    "load_usage",
+    "request_write",
+    "writes_of",
+]
+
+DUTY = "scheduling"
+HISTORY_TABLE = "history"
+INTENTS_TABLE = "intents"
+REQUESTS_TABLE = "job-requests"
+REPORTS_TABLE = "task-reports"
+SUSPECTS_TABLE = "host-suspects"
+ENDED_PREFIX = "ended/"
+USAGE_PREFIX = "usage/"
+
+_converter = cattrs.Converter()
+
+
+@attrs.frozen
+class JobRequest:
+    """What an operator asks: to submit a job, or to cancel or release one."""
+
+    job_id: str
+    action: str
+    job: Job | None = None
+
+    @property
+    def key(self) -> str:
+        """Return the key of the request's row."""
+        return f"{self.job_id}/{self.action}"
+
+
+@attrs.frozen(kw_only=True)
+class EndReport:
+    """How a task ended, as the platform reports it.
+
+    ``outcome`` is succeeded, failed, stopped, checkpointed or lapsed.
+    """
+
+    task_id: str
+    outcome: str
+    progress_s: float = 0.0
+
+    @property
+    def key(self) -> str:
+        """Return the key of the report's row."""
+        return ENDED_PREFIX + self.task_id
+
+
+@attrs.frozen(kw_only=True)
+class JobChange:
+    """Rows that change together, and the effect that follows the commit.
+
+    ``task`` is a new value of a task's row; ``ended_task_id`` names a row to delete.
+    ``closed_intents`` names effects that are accepted or no longer wanted; ``consumed``
+    are (table, key) pairs of requests and reports that are now taken in.
+    """
+
+    job: Job | None = None
+    task: Task | None = None
+    ended_task_id: str = ""
+    command: TaskCommand | None = None
+    closed_intents: tuple[str, ...] = ()
+    consumed: tuple[tuple[str, str], ...] = ()
+    blame: Blame | None = None
+
+
+def request_write(request: JobRequest) -> Write:
+    """Return the write that files a request."""
+    return Write(REQUESTS_TABLE, request.key, _converter.unstructure(request))
+
+
+def load_request(values: Mapping[str, Any]) -> JobRequest:
+    """Build a request from the plain values of its row."""
+    return _converter.structure(values, JobRequest)
+
+
+def load_end(values: Mapping[str, Any]) -> EndReport:
+    """Build a report of an end from the plain values of its row."""
+    return _converter.structure(values, EndReport)
+
+
+def load_usage(values: Mapping[str, Any]) -> UsageReport:
+    """Build a report of usage from the plain values of its row."""
+    return _converter.structure(values, UsageReport)
+
+
+def dump_command(command: TaskCommand) -> dict[str, Any]:
+    """Return the plain values of an open intent."""
+    return {"duty": DUTY, "state": "open"} | attrs.asdict(command)
+
+
+def load_command(values: Mapping[str, Any]) -> TaskCommand:
+    """Build the command of an open intent."""
+    return _converter.structure(values, TaskCommand)
+
+
+def writes_of(changes: Iterable[JobChange]) -> tuple[Write, ...]:
+    """Return the writes of some changes; of several to one row, the last."""
+    value_by_key: dict[tuple[str, str], Mapping[str, Any] | None] = {}
+    for change in changes:
+        for write in _change_writes(change):
+            value_by_key.pop((write.table, write.key), None)
+            value_by_key[write.table, write.key] = write.value
+    return tuple(Write(*key, value) for key, value in value_by_key.items())
+
+
+def _change_writes(change: JobChange) -> Iterable[Write]:
+    job, task, command = change.job, change.task, change.command
+    if job is not None and job.state in ENDED_STATES:
+        yield Write(JOBS_TABLE, job.job_id, None)
+        yield Write(HISTORY_TABLE, f"job/{job.job_id}", dump_job(job))
+    elif job is not None:
+        yield Write(JOBS_TABLE, job.job_id, dump_job(job))
+    if task is not None:
+        yield Write(TASKS_TABLE, task.task_id, dump_task(task))
+    if change.ended_task_id:
+        yield Write(TASKS_TABLE, change.ended_task_id, None)
+    if command is not None:
+        yield Write(INTENTS_TABLE, command.intent_id, dump_command(command))
+    for intent_id in change.closed_intents:
+        yield Write(INTENTS_TABLE, intent_id, None)
+    for table, key in change.consumed:
+        yield Write(table, key, None)
+    if change.blame is not None:
+        yield Write(SUSPECTS_TABLE, change.blame.subject_id, attrs.asdict(change.blame))
--- a/rhubarbmount/job_queue.py
+++ b/rhubarbmount/job_queue.py
@@ -29,13 +29,15 @@
 class JobGroup:
     """Waiting jobs of one class, team and need, in order of submission.
 
-    ``code`` and ``reason`` say why the group was last passed over.
+    ``code`` and ``reason`` say why the group was last passed over, and
+    ``unexplained`` are the jobs that came since.
     """
 
     key: GroupKey
     job_by_order: SortedDict = attrs.field(factory=SortedDict)
     code: str = ""
     reason: str = ""
+    unexplained: list["WaitingJob"] = attrs.field(factory=list)
 
     @property
     def first(self) -> WaitingJob:
@@ -66,6 +68,7 @@
         key = CLASS_RANK[job.work_class], job.team, waiting.need
         group = self.group_by_key.setdefault(key, JobGroup(key))
         group.job_by_order[job.submitted_s, job.job_id] = waiting
+        group.unexplained.append(waiting)
         self._group_by_job[job.job_id] = group
         return group
 
--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -84,17 +84,17 @@
         """Return what jobs of one size are known by: the template, or the team."""
         return self.template or self.team
 
-    def move(self, trigger: str, now_s: float, **changes: Any) -> "Job":
-        """Return the job after a transition, or raise ConflictError.
+    def move(self, event: str, now_s: float, **changes: Any) -> "Job":
+        """Return the job after an event, or raise ConflictError.
 
         >>> job = Job(job_id="j", team="t", pool="p", shape=Shape(1, 1))
         >>> job.move("place", 5.0, attempt=1).state
         <JobState.STARTING: 'starting'>
         """
-        dest = _job_chart().get((trigger, self.state.value))
-        if dest is None:
-            raise ConflictError(f"job {self.job_id} is {self.state}: can't {trigger}")
-        return attrs.evolve(self, state=JobState(dest), since_s=now_s, **changes)
+        target = _job_chart().get((event, self.state.value))
+        if target is None:
+            raise ConflictError(f"job {self.job_id} is {self.state}: can't {event}")
+        return attrs.evolve(self, state=JobState(target), since_s=now_s, **changes)
 
 
 @attrs.frozen(kw_only=True)
@@ -245,4 +245,8 @@
 def _job_chart() -> dict[tuple[str, str], str]:
     path = resources.files("rhubarbmount") / "statecharts" / "job.yaml"
     chart = yaml.safe_load(path.read_text("utf-8"))
-    return {(t["trigger"], t["source"]): t["dest"] for t in chart["transitions"]}
+    return {
+        (item["event"], source): item["to"]
+        for item in chart["transitions"]
+        for source in item["from"]
+    }
--- a/rhubarbmount/placement.py
+++ b/rhubarbmount/placement.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rhubarbmount.entries import WorkClass
+from rhubarbmount.hosts import Shape
 from rhubarbmount.job_queue import JobGroup, JobQueue, TeamUsage, WaitingJob
 from rhubarbmount.preemption import Eviction, choose_eviction
 from rhubarbmount.registry import Registry
@@ -116,6 +117,19 @@
     queue: JobQueue = attrs.field(factory=JobQueue)
     kept: int = 0
 
+    def shapes(self) -> list[Shape]:
+        """Return the distinct shapes of the pool's hosts."""
+        shapes = {room.host.shape for room in self.rooms.room_by_host.values()}
+        return sorted(shapes, key=attrs.astuple)
+
+    def room_now(self, waiting: WaitingJob, promised_id: str) -> str | None:
+        """Return a host with room for a job that was promised a host being cleared."""
+        promised = self.rooms.room_by_host[promised_id]
+        if promised.takes_work and waiting.need.fits(promised.unused):
+            return promised_id
+        room = strategies.get(self.rule.strategy)(self.rooms, waiting, self.kept)
+        return None if room is None else room.host.host_id
+
     def plan(
         self, usage: TeamUsage, now_s: float, limit: int
     ) -> Iterable[Placement | Wait]:
--- a/rhubarbmount/preemption.py
+++ b/rhubarbmount/preemption.py
@@ -1,6 +1,6 @@
 """The choice of batch tasks to checkpoint so that an urgent job can start."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from itertools import islice
 
 import attrs
@@ -24,14 +24,17 @@
     lost_processor_s: float
 
 
-def choose_eviction(rooms: PoolRooms, need: Amount, now_s: float) -> Eviction | None:
+def choose_eviction(
+    rooms: PoolRooms, need: Amount, now_s: float, skipped: Set[str] = frozenset()
+) -> Eviction | None:
     """Return the eviction that makes the room and loses the least work, or None.
 
     Weighed are the hosts of the batch tasks that started last, which have the least
-    to lose, and the hosts that would be left with the least room.
+    to lose, and the hosts that would be left with the least room. Hosts in
+    ``skipped`` are left out.
     """
     best: Eviction | None = None
-    for room in _candidates(rooms, need):
+    for room in _candidates(rooms, need, skipped):
         found = _clear(room, need, now_s)
         if found is None:
             continue
@@ -61,13 +64,16 @@
     return eviction.lost_processor_s, len(eviction.task_ids), eviction.host_id
 
 
-def _candidates(rooms: PoolRooms, need: Amount) -> Iterator[HostRoom]:
+def _candidates(
+    rooms: PoolRooms, need: Amount, skipped: Set[str]
+) -> Iterator[HostRoom]:
     seen = set()
     latest = islice(reversed(rooms.evictable_tasks), LATEST_TASKS_WEIGHED)
     for _, task_id in latest:
         seen.add(rooms.host_by_task[task_id])
-    seen.update(islice(rooms.clearable.search(need), TIGHTEST_HOSTS_WEIGHED))
-    for host_id in sorted(seen):
+    tight = (h for h in rooms.clearable.search(need) if h not in skipped)
+    seen.update(islice(tight, TIGHTEST_HOSTS_WEIGHED))
+    for host_id in sorted(seen - skipped):
         room = rooms.room_by_host[host_id]
         if room.takes_work and host_id not in rooms.avoided_hosts:
             yield room
--- a/rhubarbmount/rooms.py
+++ b/rhubarbmount/rooms.py
@@ -50,13 +50,15 @@
         """Return whether the room has enough of everything."""
         return self[0] <= room[0] and self[1] <= room[1] and self[2] <= room[2]
 
+    def shape(self) -> Shape:
+        """Return the amount as a shape."""
+        return Shape(
+            self[1] / PARTS_PER_PROCESSOR, self[2] / PARTS_PER_GB, self.accelerators
+        )
+
     def describe(self) -> str:
         """Return the amount in words."""
-        return describe(
-            Shape(
-                self[1] / PARTS_PER_PROCESSOR, self[2] / PARTS_PER_GB, self.accelerators
-            )
-        )
+        return describe(self.shape())
 
 
 NOTHING = Amount(0, 0, 0)
@@ -108,6 +110,11 @@
             free = free.minus(amount)
         return free
 
+    @property
+    def is_clearing(self) -> bool:
+        """Return whether a task here has been asked to end."""
+        return any(task.command != "start" for task in self.task_by_id.values())
+
     @property
     def takes_work(self) -> bool:
         """Return whether new tasks may start here."""
--- /dev/null
+++ b/rhubarbmount/scheduling.py
@@ -0,0 +1,234 @@
+"""The duty that carries decisions about jobs out through the platform."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+import attrs
+import trio
+
+from rhubarbmount.entries import Team
+from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.hosts import Host
+from rhubarbmount.job_changes import (
+    DUTY,
+    ENDED_PREFIX,
+    INTENTS_TABLE,
+    REPORTS_TABLE,
+    REQUESTS_TABLE,
+    USAGE_PREFIX,
+    JobChange,
+    load_command,
+    load_end,
+    load_request,
+    load_usage,
+    writes_of,
+)
+from rhubarbmount.jobs import JOBS_TABLE, TASKS_TABLE, load_job, load_task
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import Platform, Precondition, TaskCommand, Write
+from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
+
+__all__ = ["FleetView", "HeldLease", "SchedulingDuty", "Terms"]
+
+logger = logging.getLogger(__name__)
+
+HEADS_TABLE = "heads"
+CHANGES_PER_COMMIT = 64
+COMMANDS_AT_ONCE = 32
+
+
+@attrs.frozen
+class Terms:
+    """The writes of a commit, and what must hold for it."""
+
+    preconditions: tuple[Precondition, ...]
+    writes: tuple[Write, ...]
+
+
+class HeldLease(Protocol):
+    """A duty lease, as far as this duty uses it."""
+
+    def check(self) -> None:
+        """Raise LeaseLost unless the lease is surely held now."""
+
+    async def commit(self, terms: Terms) -> bool:
+        """Commit the terms, fenced by the lease's token."""
+
+
+class FleetView(Protocol):
+    """What an entry host knows of the catalogue and of the hosts."""
+
+    def catalogue_version(self) -> int:
+        """Return the version of the catalogue in force."""
+
+    def teams(self) -> Iterable[Team]:
+        """Return the teams of that version."""
+
+    def hosts(self) -> Mapping[str, Host]:
+        """Return the rows of all hosts by id."""
+
+
+@attrs.define
+class SchedulingDuty:
+    """Run the scheduler while its lease is held; one task owns a duty.
+
+    Rows go first and effects follow: a command is sent only after its intent has
+    committed, and sent again under the same id until the platform has accepted it.
+    Every commit also advances one row, ``heads/scheduling``, so that none can land
+    on rows other than those it was decided from.
+    """
+
+    platform: Platform
+    view: FleetView
+    clock: Callable[[], float]
+    epoch_clock: Callable[[], float]
+    rule: SchedulingRule = SchedulingRule()
+    learned: Learned = attrs.field(factory=Learned)
+    list_period_s: float = 1.0
+    name: str = DUTY
+    scheduler: Scheduler | None = None
+    _sequence: int = 0
+    _open: dict[str, TaskCommand] = attrs.field(factory=dict, init=False)
+    _changes: list[JobChange] = attrs.field(factory=list, init=False)
+    _listed_s: float | None = None
+
+    def forget(self) -> None:
+        """Drop what is known of the rows; what was learned stays."""
+        self.scheduler = None
+
+    async def do_round(self, lease: HeldLease) -> None:
+        """Take in requests and reports, decide, commit, and send commands."""
+        lease.check()
+        try:
+            if self.scheduler is None:
+                await self._load()
+            await self._take_in()
+            await self._flush(lease)
+            await self._send_commands(lease)
+        except BaseException:
+            self.forget()
+            raise
+
+    async def _load(self) -> None:
+        head = await self.platform.read(HEADS_TABLE, DUTY)
+        jobs = await self.platform.scan(JOBS_TABLE)
+        tasks = await self.platform.scan(TASKS_TABLE)
+        intents = await self.platform.scan(INTENTS_TABLE, f"{DUTY}/")
+        commands = [load_command(_without(row.value)) for row in intents]
+        scheduler = Scheduler(rule=self.rule, learned=self.learned)
+        self._set_time(scheduler)
+        scheduler.set_teams(self.view.teams(), self.view.catalogue_version())
+        scheduler.set_hosts(self.view.hosts())
+        scheduler.load(
+            [load_job(row.value) for row in jobs],
+            [load_task(row.value) for row in tasks],
+            commands,
+        )
+        self._sequence = head.value["sequence"] if head else 0
+        self._open = {command.intent_id: command for command in commands}
+        self._changes = []
+        self._listed_s = None
+        self.scheduler = scheduler
+        event(logger, "scheduling-loaded", jobs=len(jobs), open=len(commands))
+
+    async def _take_in(self) -> None:
+        scheduler = self._loaded()
+        ended = await self.platform.scan(REPORTS_TABLE, ENDED_PREFIX)
+        usage = await self.platform.scan(REPORTS_TABLE, USAGE_PREFIX)
+        rows = await self.platform.scan(REQUESTS_TABLE)
+        requests = [load_request(row.value) for row in rows]
+        live = await self._list_hosts()
+        self._set_time(scheduler)
+        self._changes += [scheduler.take_usage(load_usage(row.value)) for row in usage]
+        self._changes += [scheduler.take_end(load_end(row.value)) for row in ended]
+        requests.sort(key=lambda request: request.action != "submit")
+        self._changes += [scheduler.take_request(request) for request in requests]
+        if live is not None:
+            scheduler.set_teams(self.view.teams(), self.view.catalogue_version())
+            scheduler.set_hosts(self.view.hosts())
+            self._changes += scheduler.take_live_hosts(live)
+        if self._changes or live is not None:
+            self._changes += scheduler.place()
+
+    async def _list_hosts(self) -> set[str] | None:
+        now_s = self.clock()
+        if self._listed_s is not None and now_s - self._listed_s < self.list_period_s:
+            return None
+        listed = await self.platform.live_hosts()
+        self._listed_s = now_s
+        return {host.host_id for host in listed if not host.leaving}
+
+    async def _flush(self, lease: HeldLease) -> None:
+        while self._changes:
+            batch = self._changes[:CHANGES_PER_COMMIT]
+            await self._commit(lease, batch)
+            del self._changes[: len(batch)]
+            for change in batch:
+                for intent_id in change.closed_intents:
+                    self._open.pop(intent_id, None)
+                if change.command is not None:
+                    self._open[change.command.intent_id] = change.command
+
+    async def _commit(self, lease: HeldLease, batch: list[JobChange]) -> None:
+        head = {"sequence": self._sequence + 1}
+        terms = Terms(
+            (self._head_condition(),),
+            (Write(HEADS_TABLE, DUTY, head), *writes_of(batch)),
+        )
+        if not await lease.commit(terms):
+            raise LeaseLost("rows changed since they were read")
+        self._sequence += 1
+
+    def _head_condition(self) -> Precondition:
+        if self._sequence == 0:
+            return Precondition(HEADS_TABLE, DUTY, version=0)
+        return Precondition(HEADS_TABLE, DUTY, equals={"sequence": self._sequence})
+
+    async def _send_commands(self, lease: HeldLease) -> None:
+        commands_by_task: dict[str, list[TaskCommand]] = {}
+        for command in self._open.values():
+            commands_by_task.setdefault(command.task_id, []).append(command)
+        accepted: list[TaskCommand] = []
+        limiter = trio.CapacityLimiter(COMMANDS_AT_ONCE)
+        async with trio.open_nursery() as nursery:
+            for commands in commands_by_task.values():
+                nursery.start_soon(self._send, lease, commands, accepted, limiter)
+        scheduler = self._loaded()
+        self._set_time(scheduler)
+        self._changes += [scheduler.take_delivery(command) for command in accepted]
+        await self._flush(lease)
+
+    async def _send(
+        self,
+        lease: HeldLease,
+        commands: list[TaskCommand],
+        accepted: list[TaskCommand],
+        limiter: trio.CapacityLimiter,
+    ) -> None:
+        async with limiter:
+            for command in commands:
+                try:
+                    lease.check()
+                    await self.platform.command_task(command)
+                except (LeaseLost, OutcomeUnknown, PlatformUnavailable) as error:
+                    event(
+                        logger,
+                        "command-open",
+                        intent=command.intent_id,
+                        code=error.code,
+                    )
+                    return
+                accepted.append(command)
+
+    def _set_time(self, scheduler: Scheduler) -> None:
+        scheduler.now_s = self.epoch_clock()
+        scheduler.clock_s = self.clock()
+
+    def _loaded(self) -> Scheduler:
+        assert self.scheduler is not None
+        return self.scheduler
+
+
+def _without(values: Mapping[str, object]) -> dict[str, object]:
+    return {key: values[key] for key in values if key not in ("duty", "state")}
--- a/rhubarbmount/sizes.py
+++ b/rhubarbmount/sizes.py
@@ -7,7 +7,7 @@
 import attrs
 
 from rhubarbmount.hosts import Shape
-from rhubarbmount.jobs import Job
+from rhubarbmount.jobs import Job, fits, largest_fitting_shape
 
 __all__ = ["Estimate", "SizeMemory", "UsageReport", "percentile"]
 
@@ -72,8 +72,8 @@
         _evict_oldest(self._reports_by_kind, KINDS_KEPT)
         return True
 
-    def estimate(self, job: Job, largest: Shape) -> Estimate:
-        """Return what to reserve, never more than the largest shape that exists."""
+    def estimate(self, job: Job, rooms: Iterable[Shape]) -> Estimate:
+        """Return what to reserve, never more than one of the rooms would hold."""
         reports = self._reports_by_kind.get(job.kind)
         declared = job.shape
         if not reports:
@@ -89,11 +89,11 @@
             job.run_time_s,
             RUN_TIME_PERCENTILE,
         )
-        shape = Shape(
-            min(_round_up(processors), largest.processors),
-            min(_round_up(memory_gb), largest.memory_gb),
-            declared.accelerators,
+        learned = Shape(
+            _round_up(processors), _round_up(memory_gb), declared.accelerators
         )
+        holding = [room for room in rooms if fits(declared, room)]
+        shape = largest_fitting_shape(learned, holding) or declared
         far_off = _is_far_off(shape.processors, declared.processors) or _is_far_off(
             shape.memory_gb, declared.memory_gb
         )
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -5,6 +5,7 @@
 from rhubarbmount.sizes import REPORTS_KEPT, SizeMemory, UsageReport
 
 LARGEST = Shape(32, 64)
+ROOMS = [Shape(8, 256), Shape(16, 64, 4), LARGEST]
 
 
 def job(shape=None, run_time_s=60.0, template="quote"):
@@ -23,15 +24,15 @@
     return UsageReport(task_id=f"t{number}", kind="quote", **used)
 
 
-def learned(reports, declared=None, largest=LARGEST):
+def learned(reports, declared=None, rooms=ROOMS):
     memory = SizeMemory()
     for number in range(reports):
         memory.observe(report(number))
-    return memory.estimate(declared or job(), largest)
+    return memory.estimate(declared or job(), rooms)
 
 
 def test_without_reports_the_declaration_stands():
-    estimate = SizeMemory().estimate(job(), LARGEST)
+    estimate = SizeMemory().estimate(job(), ROOMS)
     assert (estimate.shape, estimate.run_time_s) == (Shape(8, 16), 60.0)
 
 
@@ -51,7 +52,7 @@
     assert memory.observe(report(1, processors=32.0))
     for _ in range(REPORTS_KEPT):
         assert not memory.observe(report(1, processors=32.0))
-    assert memory.estimate(job(), LARGEST).reports == 1
+    assert memory.estimate(job(), ROOMS).reports == 1
 
 
 def test_reports_in_any_order_give_one_estimate():
@@ -61,21 +62,21 @@
         memory = SizeMemory()
         for late in order:
             memory.observe(late)
-        estimates.append(memory.estimate(job(), LARGEST))
+        estimates.append(memory.estimate(job(), ROOMS))
     assert estimates[0] == estimates[1]
 
 
 def test_running_out_of_memory_raises_the_reservation_at_once():
     memory = SizeMemory()
     memory.observe(report(1, memory_gb=16.0, out_of_memory=True))
-    assert memory.estimate(job(), LARGEST).shape.memory_gb == 24.0
+    assert memory.estimate(job(), ROOMS).shape.memory_gb == 24.0
 
 
 def test_a_learned_size_never_outgrows_the_largest_host():
     memory = SizeMemory()
     for number in range(REPORTS_KEPT):
         memory.observe(report(number, processors=500.0, memory_gb=900.0))
-    assert memory.estimate(job(), LARGEST).shape == LARGEST
+    assert memory.estimate(job(Shape(16, 16)), ROOMS).shape == LARGEST
 
 
 def test_accelerators_stay_as_declared():
