Delay commits and refuse commands in the interleavings

Without the row that every commit advances, a commit that landed late brought a cancelled job back and started it; without waiting for a start to be accepted, a task was given up while its start could still be sent.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -217,6 +217,40 @@
     world.check()
 
 
+async def test_a_commit_that_lands_late_changes_nothing_decided_since():
+    world = World(hosts=2)
+    job_id = await world.submit(shape=Shape(4, 4))
+    link = world.instances[0].link
+    await world.round()
+    world.workers.end(f"{job_id}/1", "succeeded")
+    second = await world.submit(shape=Shape(4, 4))
+    link.delays_next = True
+    await world.round()
+    await world.cancel(second)
+    await world.settle(1)
+    assert world.state(second) == "cancelled"
+    await link.land()
+    await world.settle(3)
+    assert world.workers.starts == [f"{job_id}/1"]
+    assert not world.platform._table("jobs")
+
+
+async def test_a_start_not_yet_accepted_is_not_given_up():
+    world = World()
+    job_id = await world.submit()
+    for instance in world.instances:
+        instance.link.commands_down = True
+    await world.round()
+    (row,) = world.platform._table("tasks").values()
+    world.workers.cut(row.value["host_id"])
+    await world.settle(30)
+    assert list(world.platform._table("tasks")) == [f"{job_id}/1"]
+    world.instances[0].link.commands_down = False
+    await world.settle(30)
+    assert world.workers.starts == [f"{job_id}/2"]
+    world.check()
+
+
 async def test_a_lost_hosts_task_starts_elsewhere_only_after_its_lease():
     world = World()
     job_id = await world.submit()
@@ -363,6 +397,9 @@
     st.tuples(st.just("join"), st.integers(0, 2)),
     st.tuples(st.just("lose"), st.integers(0, 1), st.integers(1, 3)),
     st.tuples(st.just("down"), st.integers(0, 1), st.booleans()),
+    st.tuples(st.just("commands_down"), st.integers(0, 1), st.booleans()),
+    st.tuples(st.just("delay"), st.integers(0, 1)),
+    st.tuples(st.just("land"), st.integers(0, 1)),
 )
 
 
@@ -427,6 +464,15 @@
     async def down(self, number, down):
         self.world.instances[number].link.down = down
 
+    async def commands_down(self, number, down):
+        self.world.instances[number].link.commands_down = down
+
+    async def delay(self, number):
+        self.world.instances[number].link.delays_next = True
+
+    async def land(self, number):
+        await self.world.instances[number].link.land()
+
     async def finish(self):
         """End every fault and see all jobs started or ended."""
         for number in range(3):
@@ -434,6 +480,9 @@
         for number in range(2):
             await self.lose(number, 0)
             await self.down(number, False)
+            await self.commands_down(number, False)
+            self.world.instances[number].link.delays_next = False
+            await self.land(number)
             await self.thaw(number)
         for _ in range(30):
             await self.advance(2.0)
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -158,7 +158,10 @@
 
     platform: MemoryPlatform
     down: bool = False
+    commands_down: bool = False
     lose_answers: int = 0
+    delays_next: bool = False
+    delayed: list = attrs.field(factory=list)
     stall_at_call: int = 0
     stalled: object = None
     calls: int = 0
@@ -182,10 +185,21 @@
         return await self._pass(self.platform.scan, table, prefix)
 
     async def transact(self, transaction):
+        if self.delays_next and not self.down:
+            self.delays_next = False
+            self.delayed.append(transaction)
+            raise OutcomeUnknown("the answer is late")
         return await self._pass(self.platform.transact, transaction)
 
     async def live_hosts(self):
         return await self._pass(self.platform.live_hosts)
 
+    async def land(self):
+        """Let delayed transactions take effect."""
+        while self.delayed:
+            await self.platform.transact(self.delayed.pop())
+
     async def command_task(self, command):
+        if self.commands_down:
+            raise PlatformUnavailable("commands are not taken")
         return await self._pass(self.platform.command_task, command)
