Follow the configuration and the fleet by their changes; serve operators' edits

Cause of the idle cost: every poll read all host rows. Now each poll reads a head row, and only changed hosts after it. Operators' tokens stand in the settings as digests.

--- /dev/null
+++ b/rhubarbmount/operators.py
@@ -0,0 +1,129 @@
+"""The operators' HTTP interface: entries, and what is in force."""
+
+import uuid
+from collections.abc import Mapping
+
+import attrs
+
+from rhubarbmount.acceptance import ENTRIES_TABLE, HISTORY_TABLE, Acceptance
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.edits import Accepted, Edit, Operator, Operators
+from rhubarbmount.entries import dump_entry, entry_key
+from rhubarbmount.errors import AccessDenied, NotFound, UsageError
+from rhubarbmount.http import HttpResponse, header_value
+from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.problem import json_response
+from rhubarbmount.router import Call, Router
+from rhubarbmount.settings import OperatorSettings
+
+__all__ = ["OperatorsApi", "operators_from"]
+
+AUTHORIZATION_HEADER = b"authorization"
+BEARER = "Bearer "
+
+
+def operators_from(settings_by_name: Mapping[str, OperatorSettings]) -> Operators:
+    """Build the operators that the settings name."""
+    return Operators(
+        {
+            settings.token_sha256: Operator(name, frozenset(settings.owners))
+            for name, settings in settings_by_name.items()
+        }
+    )
+
+
+@attrs.define(eq=False)
+class OperatorsApi:
+    """Handlers of the operators' requests; ``router`` takes more of them."""
+
+    operators: Operators
+    acceptance: Acceptance
+    configuration: Configuration
+    platform: Platform
+    router: Router = attrs.field(factory=Router)
+
+    def __attrs_post_init__(self) -> None:
+        self.router.add("GET", "/entries", self._list_entries)
+        self.router.add("GET", "/entries/*/*", self._show_entry)
+        self.router.add("PUT", "/entries/*/*", self._apply_entry)
+        self.router.add("DELETE", "/entries/*/*", self._remove_entry)
+        self.router.add("GET", "/entries/*/*/history", self._show_history)
+        self.router.add("GET", "/version", self._show_version)
+
+    def identify(self, call: Call) -> Operator:
+        """Return the operator whose token came with the call. Raises AccessDenied."""
+        value = header_value(call.request.headers, AUTHORIZATION_HEADER) or ""
+        if not value.startswith(BEARER):
+            raise AccessDenied("a bearer token is needed", code="no-token")
+        return self.operators.identify(value.removeprefix(BEARER))
+
+    async def _list_entries(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        snapshot = self.configuration.snapshot
+        if snapshot is None:
+            raise NotFound("no configuration is in force yet", code="not-ready")
+        entries = [
+            {"key": key, "owner": entry.owner, "version": snapshot.entry_version(key)}
+            for key, entry in sorted(snapshot.by_key.items())
+        ]
+        return json_response({"version": snapshot.version, "entries": entries})
+
+    async def _show_entry(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        key = _entry_key(call)
+        snapshot = self.configuration.snapshot
+        entry = None if snapshot is None else snapshot.by_key.get(key)
+        if snapshot is None or entry is None:
+            raise NotFound(f"no entry {key}")
+        version = snapshot.entry_version(key)
+        values = dump_entry(entry)
+        return json_response({"key": key, "version": version, "values": values})
+
+    async def _apply_entry(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        body = call.json()
+        if not isinstance(body, dict) or not isinstance(body.get("values"), dict):
+            raise UsageError("the body is a mapping with the entry under 'values'")
+        kind, name = call.parts[1], call.parts[2]
+        values = body["values"] | {"name": name}
+        version = body.get("expected_version")
+        if version is None:
+            version = await self._stored_version(entry_key(kind, name))
+        operation_id = body.get("operation_id") or uuid.uuid4().hex
+        edit = Edit.from_values(kind, values, version, operation_id)
+        return _accepted(await self.acceptance.apply(operator, edit))
+
+    async def _remove_entry(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        key = _entry_key(call)
+        version = call.query.get("expected_version")
+        if version is not None and not version.isdecimal():
+            raise UsageError("expected_version is a whole number")
+        expected = await self._stored_version(key) if version is None else int(version)
+        edit = Edit(key=key, entry=None, expected_version=expected)
+        return _accepted(await self.acceptance.apply(operator, edit))
+
+    async def _show_history(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        rows = await self.platform.scan(HISTORY_TABLE, f"{_entry_key(call)}/")
+        return json_response({"changes": [_change(row) for row in rows]})
+
+    async def _show_version(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        return json_response({"version": self.configuration.version})
+
+    async def _stored_version(self, key: str) -> int:
+        row = await self.platform.read(ENTRIES_TABLE, key)
+        return 0 if row is None else row.value["version"]
+
+
+def _entry_key(call: Call) -> str:
+    return entry_key(call.parts[1], call.parts[2])
+
+
+def _accepted(accepted: Accepted) -> HttpResponse:
+    return json_response(attrs.asdict(accepted) | {"result": "accepted"})
+
+
+def _change(row: Row) -> dict[str, object]:
+    return dict(row.value) | {"version": int(row.key.rsplit("/", 1)[1])}
--- a/rhubarbmount/router.py
+++ b/rhubarbmount/router.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from rhubarbmount.errors import RhubarbmountError, UsageError
+from rhubarbmount.errors import FindingsError, RhubarbmountError, UsageError
 from rhubarbmount.http import HttpRequest, HttpResponse
-from rhubarbmount.problem import problem
+from rhubarbmount.problem import json_response, problem
 
 __all__ = ["Call", "Router"]
 
@@ -70,5 +70,9 @@
 async def _answer(handler: CallHandler, call: Call) -> HttpResponse:
     try:
         return await handler(call)
+    except FindingsError as error:
+        findings = [attrs.asdict(finding) for finding in error.findings]
+        body = {"status": error.status, "code": error.code, "findings": findings}
+        return json_response(body, error.status)
     except RhubarbmountError as error:
         return problem(error.status, error.code, error.message)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+import time
 from typing import Any
 
 import attrs
@@ -9,17 +10,19 @@
 import trio
 
 from rhubarbmount import log
+from rhubarbmount.acceptance import Acceptance
 from rhubarbmount.backends import BackendConnections
-from rhubarbmount.catalogue import decode_snapshot
 from rhubarbmount.claim_guard import Claims
-from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
-from rhubarbmount.hosts import HOSTS_TABLE, load_host
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.listener import Listener
 from rhubarbmount.metrics import RequestMetrics
+from rhubarbmount.operators import OperatorsApi, operators_from
 from rhubarbmount.platform import http as _http_adapter  # noqa: F401
 from rhubarbmount.platform import memory as _memory_adapter  # noqa: F401
+from rhubarbmount.platform.budget import Priority
 from rhubarbmount.platform.client import PlatformClient, open_client
 from rhubarbmount.platform.interface import Platform, platforms
 from rhubarbmount.problem import json_response, problem
@@ -31,8 +34,6 @@
 
 __all__ = ["EntryHost"]
 
-CONFIGURATION_PERIOD_S = 1.0
-
 logger = logging.getLogger(__name__)
 
 
@@ -50,10 +51,11 @@
 
     settings: Settings
     adapter: Platform
-    ready: bool = False
     stopping: trio.Event = attrs.field(factory=trio.Event)
     platform: PlatformClient = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
+    configuration: Configuration = attrs.field(init=False)
+    fleet_view: FleetView = attrs.field(init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
     metrics: Listener = attrs.field(init=False)
@@ -79,9 +81,24 @@
         self.callers = Listener(
             "callers", self.forwarder.handle, settings.http, settings.max_connections
         )
-        self.operators = Listener("operators", Router().handle, settings.http)
+        following = self.platform.at(Priority.DUTY)
+        self.configuration = Configuration(platform=following)
+        self.fleet_view = FleetView(platform=following)
+        api = OperatorsApi(
+            operators_from(settings.operators_by_name),
+            Acceptance(following, time.time, self.fleet_view.summarise),
+            self.configuration,
+            following,
+        )
+        self.operators = Listener("operators", api.router.handle, settings.http)
         self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
 
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        if self.stopping.is_set():
+            return False
+        return self.configuration.ready and self.fleet_view.ready
+
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> int:
         """Serve until stopped; return the number of requests that the stop cut."""
         settings = self.settings
@@ -92,7 +109,10 @@
                 endpoint = getattr(settings, name)
                 await nursery.start(listener.run, endpoint.address, endpoint.port)
                 log.event(logger, "listening", listener=name, port=listener.port)
-            nursery.start_soon(self._follow_configuration, timers)
+            nursery.start_soon(self._apply_configuration)
+            nursery.start_soon(self._apply_fleet)
+            nursery.start_soon(self.configuration.run, timers)
+            nursery.start_soon(self.fleet_view.run, timers)
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             task_status.started()
@@ -102,7 +122,6 @@
         return cut_count
 
     async def _stop(self) -> int:
-        self.ready = False
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
@@ -110,30 +129,18 @@
         log.event(logger, "stopped", cut=cut_count)
         return cut_count
 
-    async def _follow_configuration(self, timers: TimerService) -> None:
-        ticks = timers.every("configuration", CONFIGURATION_PERIOD_S)
-        await self._load_configuration()
-        async for _tick in ticks:
-            await self._load_configuration()
-
-    async def _load_configuration(self) -> None:
-        try:
-            head = await self.platform.read("heads", "catalogue")
-            if head is None:
-                return
-            body = await self.platform.get_object(head.value["object"])
-            rows = await self.platform.scan(HOSTS_TABLE)
-        except RhubarbmountError as error:
-            log.event(logger, "configuration-failed", logging.WARNING, code=error.code)
-            return
-        if body is None:
-            return
-        snapshot = decode_snapshot(body)
-        hosts = [load_host(dict(row.value)) for row in rows]
-        policy = self.forwarder.policy
-        policy.update_catalogue(snapshot.services_by_name, snapshot.pools_by_name)
-        policy.update_hosts(hosts, trio.current_time())
-        self.ready = True
+    async def _apply_configuration(self) -> None:
+        async for in_force in self.configuration.subscribe():
+            snapshot = in_force.snapshot
+            self.forwarder.policy.update_catalogue(
+                snapshot.services_by_name, snapshot.pools_by_name
+            )
+
+    async def _apply_fleet(self) -> None:
+        async for changed in self.fleet_view.subscribe():
+            self.forwarder.policy.update_hosts(
+                changed.hosts_by_id.values(), trio.current_time()
+            )
 
     def _metrics_router(self) -> Router:
         router = Router()
@@ -146,7 +153,7 @@
         return json_response({"instance": self.settings.instance})
 
     async def _readyz(self, call: Call) -> HttpResponse:
-        if not self.ready:
+        if not self.is_ready():
             return problem(503, "not-ready", "no configuration yet, or stopping")
         return json_response({"ready": True})
 
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Endpoint",
     "LogSettings",
+    "OperatorSettings",
     "PeerSettings",
     "PlatformSettings",
     "Settings",
@@ -67,11 +68,16 @@
 
 
 @attrs.frozen(kw_only=True)
-class Settings:
-    """Everything that one entry host is told at its start.
+class OperatorSettings:
+    """The SHA-256 digest of an operator's token, and the owners it speaks for."""
+
+    token_sha256: str
+    owners: tuple[str, ...]
+
 
-    ``owners_by_token`` maps an operator's token to the owners it speaks for.
-    """
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Everything that one entry host is told at its start."""
 
     instance: str
     data_centre: str
@@ -86,7 +92,7 @@
     stop_timeout_s: float = 30.0
     log: LogSettings = attrs.field(factory=LogSettings)
     weights: Weights = attrs.field(factory=Weights)
-    owners_by_token: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    operators_by_name: dict[str, OperatorSettings] = attrs.field(factory=dict)
 
 
 def check_settings(file: YamlFile) -> tuple[Settings | None, list[Finding]]:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,5 +1,6 @@
 """Starts the real program and its stand-ins as separate processes on loopback."""
 
+import hashlib
 import http.client
 import itertools
 import json
@@ -50,6 +51,11 @@
         return json.loads(self.body)
 
 
+def digest(token):
+    """Return the digest by which settings name a token."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
 def call(address, port, method, path, headers=None, body=None, timeout_s=15.0):
     """Send one request on a connection of its own."""
     started = time.monotonic()
@@ -133,7 +139,10 @@
         self.folder = folder
         self.hosts = []
         self.entries = {"team": [], "pool": [], "service": []}
-        self.owners_by_token = {"admin-token": ["admin", "firm"]}
+        self.operators_by_name = {
+            "admin": {"token_sha256": digest("admin-token"), "owners": ["firm"]},
+            "rival": {"token_sha256": digest("rival-token"), "owners": ["rival"]},
+        }
         self.extra_settings = {}
         self.platform = None
         self.backend_by_name = {}
@@ -248,7 +257,7 @@
             "operators": {"address": address, "port": OPERATORS_PORT},
             "metrics": {"address": address, "port": METRICS_PORT},
             "platform": {"address": f"{platform}:{PLATFORM_PORT}"},
-            "owners_by_token": self.owners_by_token,
+            "operators_by_name": self.operators_by_name,
             "stop_timeout_s": 10,
         } | self.extra_settings
         path = self.folder / f"{name}.yaml"
