Prove that an accepted configuration is in force everywhere within 5 s

Scenarios: the accepting entry host killed right after its answer; an edit of another owner's entry refused; an edit during an outage refused, and one whose write lost its answer settled. The operators' commands for entries and tokens come with it.

--- /dev/null
+++ b/rhubarbmount/operator_client.py
@@ -0,0 +1,97 @@
+"""Calls to the operators' HTTP interface, and tables of what it answers."""
+
+import json
+import os
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount.errors import Finding, FindingsError, RhubarbmountError, UsageError
+from rhubarbmount.http import HttpRequest, HttpResponse, connect
+
+__all__ = ["OperatorClient", "RemoteError", "format_table"]
+
+ADDRESS_VARIABLE = "RHUBARBMOUNT_ADDRESS"
+TOKEN_VARIABLE = "RHUBARBMOUNT_TOKEN"
+TOKEN_FILE_VARIABLE = "RHUBARBMOUNT_TOKEN_FILE"
+DEFAULT_ADDRESS = "127.0.0.1:8081"
+CALL_TIMEOUT_S = 30.0
+ANSWER_LIMIT_BYTES = 64 * 1048576
+
+
+class RemoteError(RhubarbmountError):
+    """The entry host answered with an error."""
+
+    code = "remote"
+
+
+@attrs.frozen
+class OperatorClient:
+    """Calls one entry host as one operator."""
+
+    address: str
+    token: str
+
+    @classmethod
+    def from_environment(cls) -> "OperatorClient":
+        """Build a client from the environment's address and token."""
+        token = os.environ.get(TOKEN_VARIABLE, "")
+        path = os.environ.get(TOKEN_FILE_VARIABLE)
+        if not token and path:
+            token = Path(path).read_text(encoding="utf-8").strip()
+        if not token:
+            raise UsageError(f"set {TOKEN_VARIABLE} or {TOKEN_FILE_VARIABLE}")
+        return cls(os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS), token)
+
+    def call(self, method: str, path: str, value: Any = None) -> Any:
+        """Return the answer's value. Raises RemoteError, NotSent or AnswerLost."""
+        body = b"" if value is None else json.dumps(value).encode("utf-8")
+        return _value_of(trio.run(self._exchange, method, path, body))
+
+    async def _exchange(self, method: str, path: str, body: bytes) -> HttpResponse:
+        host, port = self.address.rsplit(":", 1)
+        headers = [
+            (b"host", self.address.encode("ascii")),
+            (b"authorization", f"Bearer {self.token}".encode("latin-1")),
+        ]
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            connection = await connect(
+                host, int(port), CALL_TIMEOUT_S, ANSWER_LIMIT_BYTES
+            )
+            try:
+                request = HttpRequest(method, path, headers, body)
+                return await connection.exchange(request)
+            finally:
+                await connection.aclose()
+        raise RemoteError(f"{self.address} gave no answer", code="timeout")
+
+
+def _value_of(answer: HttpResponse) -> Any:
+    value = json.loads(answer.body)
+    if answer.status < 400:
+        return value
+    if "findings" in value:
+        raise FindingsError([Finding(**finding) for finding in value["findings"]])
+    raise RemoteError(value.get("detail", ""), code=value.get("code", "remote"))
+
+
+def format_table(rows: Sequence[dict[str, Any]], columns: Sequence[str]) -> str:
+    """Format rows as columns under their names.
+
+    >>> print(format_table([{"a": 1, "b": "x"}], ["a", "b"]))
+    a  b
+    1  x
+    """
+    cells = [[str(row.get(column, "")) for column in columns] for row in rows]
+    widths = [
+        max(len(line[index]) for line in [list(columns), *cells])
+        for index in range(len(columns))
+    ]
+    lines = [
+        "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True))
+        for line in [list(columns), *cells]
+    ]
+    return "\n".join(line.rstrip() for line in lines)
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -11,9 +11,19 @@
 
 def commands() -> dict[str, Any]:
     """Return the commands by name; a nested mapping is a group."""
+    from rhubarbmount import operator_commands
+
     return {
         "serve": serve,
         "check": check,
+        "entry": {
+            "list": operator_commands.entry_list,
+            "show": operator_commands.entry_show,
+            "history": operator_commands.entry_history,
+            "apply": operator_commands.entry_apply,
+            "remove": operator_commands.entry_remove,
+        },
+        "token": operator_commands.token,
         "standin": {"platform": standin_platform, "backend": standin_backend},
         "version": version,
     }
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -292,6 +292,22 @@
         body = None if value is None else json.dumps(value)
         return call(address, OPERATORS_PORT, method, path, headers, body)
 
+    def edit(self, operator, kind, name, field, value, entry_host=None):
+        """Change one field of an entry as an operator would."""
+        entry_host = entry_host or next(iter(self.entry_host_by_name))
+        path = f"/entries/{kind}/{name}"
+        entry = self.operate(entry_host, "GET", path).json()
+        body = {
+            "values": entry["values"] | {field: value},
+            "expected_version": entry["version"],
+        }
+        token = f"{operator}-token"
+        return self.operate(entry_host, "PUT", path, body, token)
+
+    def version_at(self, entry_host):
+        """Return the catalogue version in force at an entry host."""
+        return self.operate(entry_host, "GET", "/version").json()["version"]
+
     def set_backend(self, name, **faults):
         """Turn fault switches of a backend server; return its state."""
         address = self.backend_by_name[name].address
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -245,3 +245,39 @@
 def check_new_work(deployment, marked_s, name, bound_s):
     (first_s,) = marked_s.values()
     assert deployment.backend_state(name)["last_start_s"] - first_s > bound_s
+
+
+@when(
+    parsers.parse(
+        'operator "{operator}" sets "{field}" of {kind} "{name}" to {value:d}'
+    )
+)
+def apply_entry(deployment, edits, operator, field, kind, name, value):
+    edits.append(deployment.edit(operator, kind, name, field, value))
+
+
+@pytest.fixture
+def edits():
+    """The answers to operators' edits, in order."""
+    return []
+
+
+@then(parsers.parse("the edit is accepted"))
+def check_accepted(edits):
+    assert edits[-1].status == 200, edits[-1]
+
+
+@then(parsers.parse('the edit is refused with "{code}"'))
+def check_refused(edits, code):
+    assert edits[-1].json()["code"] == code
+
+
+@then(parsers.parse('within {bound_s:g} s it is in force at "{hosts}"'))
+def check_in_force(deployment, edits, bound_s, hosts):
+    version = edits[-1].json()["version"]
+
+    def in_force():
+        versions = [deployment.version_at(host) for host in names(hosts)]
+        return min(versions) >= version
+
+    wait_until(in_force, bound_s, f"version {version} at {hosts}")
--- /dev/null
+++ b/tests/scenarios/test_configuration.py
@@ -0,0 +1,5 @@
+"""Accepted configurations."""
+
+from pytest_bdd import scenarios
+
+scenarios("configuration.feature")
