Judge a backend server's latency against the others of its pool

Going from one caller to sixteen raised every latency above the service's mean, which lagged, and the pool's only backend server was ejected as slow. Now the comparison is with the mean of the other members, old results fade towards it, and the service's mean moves by time rather than by count. A pool of one, or one that slows down as a whole, ejects nobody; one of two that is slow is ejected.

Tests that failed before: a pool slowing down as a whole, one slow of two, and a rarely used worker judged by old latencies.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -3,7 +3,7 @@
 import random
 import time
 
-from rhubarbmount.health import AttemptResult
+from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.hosts import Host, Shape
 from rhubarbmount.routing import PoolView
 from rhubarbmount.shares import EntryHosts
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -9,8 +9,8 @@
 
 import attrs
 
+from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.entries import Service
-from rhubarbmount.health import AttemptResult
 from rhubarbmount.hosts import Host, Shape
 from rhubarbmount.limits import Admission, AdmissionCode, Limiter
 from rhubarbmount.retries import (
--- a/rhubarbmount/attempts.py
+++ b/rhubarbmount/attempts.py
@@ -3,13 +3,13 @@
 import attrs
 import trio
 
+from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.backends import (
     ATTEMPT_HEADER,
     GUARD_HEADER,
     BackendConnections,
     Progress,
 )
-from rhubarbmount.health import AttemptResult
 from rhubarbmount.http import AnswerLost, Headers, HttpRequest, HttpResponse, NotSent
 from rhubarbmount.problem import OUTCOME_HEADER
 from rhubarbmount.retries import AttemptFacts, Ending
--- /dev/null
+++ b/rhubarbmount/backend_health.py
@@ -0,0 +1,156 @@
+"""Health of one backend server, learnt from the results of attempts."""
+
+import math
+from enum import StrEnum
+
+import attrs
+
+__all__ = ["AttemptResult", "BackendHealth", "HealthAction", "HealthChange"]
+
+SUCCESS_WEIGHT = 0.2
+SLOWNESS_WEIGHT = 0.1
+SLOWNESS_SAMPLE_LIMIT = 10.0
+SLOWNESS_BAND = 1.5
+SUCCESS_FLOOR = 0.05
+SOUND_SUCCESS_RATE = 0.95
+FADE_S = 10.0
+EJECT_SLOW_AFTER_RESULTS = 10
+GUARD_RECOVERY_S = 1.0
+SLOW_START_S = 10.0
+SLOW_START_FLOOR = 0.1
+
+
+class AttemptResult(StrEnum):
+    """How one attempt at a backend server ended, as its health sees it.
+
+    ``FAILURE`` covers error statuses, broken answers and timeouts. ``GUARD_REFUSAL``
+    is the backend server's own word that it did not run the request.
+    ``UNREACHABLE`` means that no connection came about. ``CANCELLED`` says nothing
+    about the backend server.
+    """
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    GUARD_REFUSAL = "guard-refusal"
+    UNREACHABLE = "unreachable"
+    CANCELLED = "cancelled"
+
+
+class HealthAction(StrEnum):
+    """What a result changed in the standing of a backend server."""
+
+    EJECTED = "ejected"
+    EJECTION_CAPPED = "ejection-capped"
+    UNREACHABLE = "unreachable"
+    REFUSING = "refusing"
+    LIMITED = "limited"
+    RESTORED = "restored"
+
+
+@attrs.frozen
+class HealthChange:
+    """A change of standing, with the time until which it holds in seconds."""
+
+    host_id: str
+    action: HealthAction
+    until_s: float
+    success_rate: float
+
+
+@attrs.define(eq=False)
+class BackendHealth:
+    """What is known of one backend server; times are on the caller's clock.
+
+    ``guard_limit`` is the number of requests in flight above which its guard
+    refused. ``probing`` allows one request at a time until one succeeds.
+    """
+
+    host_id: str
+    success_rate: float = 1.0
+    slowness: float = 1.0
+    relative_slowness: float = 1.0
+    results: int = 0
+    updated_s: float = 0.0
+    started_s: float = -math.inf
+    out_until_s: float | None = None
+    raise_s: float = math.inf
+    ejected: bool = False
+    probing: bool = False
+    ejections: int = 0
+    absences: int = 0
+    guard_limit: int | None = None
+    suspect: bool = False
+
+    def start_slowly(self, now_s: float) -> None:
+        """Begin the slow start at this time."""
+        self.started_s = now_s
+        self.suspect = True
+
+    def penalty(self, now_s: float) -> float:
+        """Return the factor, at least 1, by which the load is to count.
+
+        >>> BackendHealth("w1").penalty(0.0)
+        1.0
+        >>> BackendHealth("w1", relative_slowness=3.0, suspect=True).penalty(0.0)
+        9.0
+        """
+        if not self.suspect:
+            return 1.0
+        fade = math.exp((self.updated_s - now_s) / FADE_S)
+        success = max(1.0 - (1.0 - self.success_rate) * fade, SUCCESS_FLOOR)
+        slowness = 1.0 + (self.relative_slowness - 1.0) * fade
+        if slowness < SLOWNESS_BAND:
+            slowness = 1.0
+        ramp = min((now_s - self.started_s) / SLOW_START_S, 1.0)
+        return (slowness / success) ** 2 / max(ramp, SLOW_START_FLOOR)
+
+    def cap(self, limit: int) -> int:
+        """Return how many of the limit's requests this backend server may hold."""
+        if self.out_until_s is not None:
+            return 0
+        if self.probing:
+            return min(limit, 1)
+        if self.guard_limit is not None:
+            return min(limit, self.guard_limit)
+        return limit
+
+    def due_s(self) -> float | None:
+        """Return when ``wake`` is next to be called, if at all."""
+        if self.out_until_s is not None:
+            return self.out_until_s
+        return self.raise_s if self.guard_limit is not None else None
+
+    def wake(self, now_s: float, share: int) -> None:
+        """Do what has come due: probe again, or raise the guard limit by one."""
+        if self.out_until_s is not None and self.out_until_s <= now_s:
+            self.out_until_s = None
+            self.probing = True
+        if self.guard_limit is not None and self.raise_s <= now_s:
+            self.guard_limit += 1
+            self.raise_s = now_s + GUARD_RECOVERY_S
+            if self.guard_limit >= share:
+                self.guard_limit = None
+
+    def fade(self, others_slowness: float, now_s: float) -> None:
+        """Let old results count for less, towards what the others in the pool show."""
+        fade = math.exp((self.updated_s - now_s) / FADE_S)
+        self.success_rate = 1.0 - (1.0 - self.success_rate) * fade
+        self.slowness = others_slowness + (self.slowness - others_slowness) * fade
+
+    def observe(self, succeeded: bool, slowness: float | None) -> None:
+        """Take in one result; slowness is its latency over the service's mean."""
+        self.results += 1
+        self.success_rate += SUCCESS_WEIGHT * (succeeded - self.success_rate)
+        if slowness is not None:
+            sample = min(slowness, SLOWNESS_SAMPLE_LIMIT)
+            self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
+
+    def judge(self, now_s: float) -> None:
+        """Note whether penalties apply from now on."""
+        self.updated_s = now_s
+        ramping = now_s < self.started_s + SLOW_START_S
+        slow = self.relative_slowness >= SLOWNESS_BAND
+        unsound = slow or self.success_rate < SOUND_SUCCESS_RATE
+        self.suspect = ramping or unsound
+        if not unsound and self.results >= EJECT_SLOW_AFTER_RESULTS:
+            self.ejections = 0
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -8,9 +8,9 @@
 from rhubarbmount import log
 from rhubarbmount.admission import Turn
 from rhubarbmount.attempts import Attempt, attempt, end_to_end_headers
+from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.entries import Service
-from rhubarbmount.health import AttemptResult
 from rhubarbmount.http import HttpRequest, HttpResponse
 from rhubarbmount.limits import Admission, AdmissionCode
 from rhubarbmount.metrics import RequestMetrics
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -2,18 +2,16 @@
 
 import heapq
 import random
+from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
 from enum import StrEnum
 
 import attrs
 
-from rhubarbmount.health import (
-    AttemptResult,
-    BackendHealth,
-    HealthChange,
-    PoolHealth,
-)
+from rhubarbmount.backend_health import AttemptResult, BackendHealth, HealthChange
+from rhubarbmount.health import PoolHealth
 from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.latency import MeanLatency
 from rhubarbmount.shares import EntryHosts, share_of
 from rhubarbmount.strategies import Backend, strategies
 from rhubarbmount.zones import Zone
@@ -24,7 +22,6 @@
 DEFAULT_STRATEGY = "two-choices"
 SPILL_SHARE = 0.25
 SPILL_PENALTY = 16.0
-MEAN_LATENCY_WEIGHT = 0.02
 
 
 class RouteReason(StrEnum):
@@ -71,7 +68,7 @@
         self.spill_share = spill_share
         self.health = PoolHealth(hosts_down_limit)
         self.by_host_id: dict[str, Backend] = {}
-        self.mean_latency_by_service_s: dict[str, float] = {}
+        self.latency_by_service: dict[str, MeanLatency] = defaultdict(MeanLatency)
         make_strategy = strategies.get(strategy)
         self._local = Zone(make_strategy(generator), generator)
         self._remote = Zone(make_strategy(generator), generator)
@@ -159,7 +156,7 @@
             backend.health,
             result,
             now_s,
-            slowness=self._slowness(service, result, latency_s),
+            slowness=self._slowness(service, result, latency_s, now_s),
             others_in_flight=backend.own_in_flight,
         )
         if change is not None:
@@ -191,20 +188,20 @@
         return RouteReason.ALL_OUT if self.by_host_id else RouteReason.NO_BACKEND
 
     def _slowness(
-        self, service: str, result: AttemptResult, latency_s: float | None
+        self,
+        service: str,
+        result: AttemptResult,
+        latency_s: float | None,
+        now_s: float,
     ) -> float | None:
         if latency_s is None:
             return None
-        mean_s = self.mean_latency_by_service_s.get(service)
+        mean = self.latency_by_service[service]
         if result is AttemptResult.SUCCESS:
-            if mean_s is None:
-                self.mean_latency_by_service_s[service] = latency_s
-                return 1.0
-            mean_s += MEAN_LATENCY_WEIGHT * (latency_s - mean_s)
-            self.mean_latency_by_service_s[service] = mean_s
-        if not mean_s:
+            mean.add(latency_s, now_s)
+        if not mean.mean_s:
             return None
-        slowness = latency_s / mean_s
+        slowness = latency_s / mean.mean_s
         if result is AttemptResult.FAILURE and slowness < 1.0:
             return None
         return slowness
--- a/rhubarbmount/strategies.py
+++ b/rhubarbmount/strategies.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rhubarbmount.health import BackendHealth
+from rhubarbmount.backend_health import BackendHealth
 from rhubarbmount.hosts import Host
 from rhubarbmount.registry import Registry
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,12 +1,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbmount.health import (
-    AttemptResult,
-    BackendHealth,
-    HealthAction,
-    PoolHealth,
-)
+from rhubarbmount.backend_health import AttemptResult, BackendHealth, HealthAction
+from rhubarbmount.health import PoolHealth
 
 exact = settings(derandomize=True, deadline=None, database=None)
 SUCCESS, FAILURE = AttemptResult.SUCCESS, AttemptResult.FAILURE
@@ -124,7 +120,7 @@
 
 
 def test_penalties_fade_so_that_a_cured_worker_is_tried_again():
-    health = BackendHealth("w1", slowness=10.0, suspect=True)
+    health = BackendHealth("w1", relative_slowness=10.0, suspect=True)
     assert health.penalty(0.0) == 100.0
     assert health.penalty(60.0) == 1.0
 
@@ -156,3 +152,33 @@
         ejected = {item.host_id for item in members if item.ejected}
         if change is not None and ejected - before:
             assert hosts_down + len(pool.absent) <= limit
+
+
+def test_a_pool_that_slows_down_as_a_whole_keeps_all_its_members():
+    for count in (1, 2, 8):
+        pool, members = open_pool(count, hosts_down_limit=count)
+        for _ in range(30):
+            for health in members:
+                pool.record(health, SUCCESS, 0.0, slowness=8.0)
+        assert pool.absent == set()
+        assert all(health.penalty(0.0) < 2.0 for health in members)
+
+
+def test_one_of_two_that_is_slow_is_ejected():
+    pool, (slow, sound) = open_pool(2)
+    for _ in range(20):
+        pool.record(sound, SUCCESS, 0.0, slowness=0.4)
+        pool.record(slow, SUCCESS, 0.0, slowness=1.6)
+    assert pool.absent == {"w0"}
+
+
+def test_a_rarely_used_worker_is_not_taken_for_slow_by_old_latencies():
+    pool, (rare, *others) = open_pool(4)
+    for health in (rare, *others) * 20:
+        pool.record(health, SUCCESS, 0.0, slowness=8.0)
+    for step in range(600):
+        for health in others:
+            pool.record(health, SUCCESS, step * 0.1, slowness=1.0)
+    pool.record(rare, SUCCESS, 60.0, slowness=1.0)
+    assert pool.absent == set()
+    assert rare.penalty(60.0) == 1.0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbmount.health import AttemptResult
+from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.routing import TAKES_NEW_WORK, PoolView, RouteReason
 from rhubarbmount.shares import EntryHosts
