Prove at most once over separate processes

Scenarios: one key at two entry hosts at once, the first host killed or frozen while the lodgement runs, a claim that took effect and lost its answer, the platform down and back, one entry host cut off from it.

--- /dev/null
+++ b/tests/scenarios/test_claims.py
@@ -0,0 +1,70 @@
+"""Keyed lodgements over separate processes."""
+
+import threading
+
+import pytest
+from pytest_bdd import parsers, scenarios, then, when
+
+from tests.deployment import wait_until
+from tests.scenarios.conftest import names, send_lodgement
+
+scenarios("claims.feature")
+
+
+@pytest.fixture
+def begun():
+    """The callers that wait for an answer, by lodgement."""
+    return {}
+
+
+@when(
+    parsers.parse(
+        'a caller begins to send lodgement "{key}" for "{service}" to "{host}"'
+    )
+)
+def begin_to_send(deployment, begun, key, service, host):
+    answers = {}
+    arguments = (deployment, answers, key, service, host)
+    thread = threading.Thread(target=send_lodgement, args=arguments)
+    thread.start()
+    begun[key] = (thread, answers)
+
+
+@when(parsers.parse('the caller that began to send "{key}" has its answer'))
+def wait_for_answer(answers, begun, key):
+    thread, own_answers = begun[key]
+    thread.join(15)
+    answers[key] = own_answers[key]
+
+
+@when(parsers.parse('lodgement "{key}" for "{service}" is sent to "{hosts}" at once'))
+def send_to_all(deployment, answers, key, service, hosts):
+    begun = {}
+    for host in names(hosts):
+        one = {}
+        begin_to_send(deployment, one, key, service, host)
+        begun[host] = one[key]
+    answers[key] = []
+    for thread, own_answers in begun.values():
+        thread.join(15)
+        answers[key].append(own_answers[key])
+
+
+@then(parsers.parse('the answers to "{key}" are "{wanted}"'))
+def check_answers(answers, key, wanted):
+    found = sorted(f"{answer.status} {answer.outcome}" for answer in answers[key])
+    assert found == names(wanted)
+
+
+@when(
+    parsers.parse(
+        'a caller sends lodgement "{key}" for "{service}" to "{host}" until it is told'
+        ' "{outcome}"'
+    )
+)
+def send_until(deployment, answers, key, service, host, outcome):
+    def is_told():
+        send_lodgement(deployment, answers, key, service, host)
+        return answers[key].outcome == outcome
+
+    wait_until(is_told, 10, f"{key} is told {outcome}")
