--- a/rhubarbmount/platform/client.py
+++ b/rhubarbmount/platform/client.py
@@ -1,6 +1,7 @@
 """The platform as the rest of the program sees it: bounded, budgeted and settled."""
 
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -49,6 +50,7 @@
     writes: Budget
     breaker: CircuitBreaker
     clock: Callable[[], float]
+    wall_clock: Callable[[], float]
     deadline_s: float
 
 
@@ -106,8 +108,9 @@
         if not settled:
             return await self._write(transaction)
         operation_id = transaction.operation_id
+        now_s = self._shared.wall_clock()
         try:
-            result = await self._write(settlement.recorded(transaction))
+            result = await self._write(settlement.recorded(transaction, now_s))
         except OutcomeUnknown:
             return await self._settle(operation_id)
         if settlement.has_operation_conflict(result, operation_id):
@@ -136,9 +139,10 @@
 
     async def _settle(self, operation_id: str) -> TransactionResult:
         """Abort the operation unless it has committed. Raises OutcomeUnknown."""
+        now_s = self._shared.wall_clock()
         for _ in range(SETTLE_TRIES):
             try:
-                result = await self._write(settlement.abort(operation_id))
+                result = await self._write(settlement.abort(operation_id, now_s))
             except OutcomeUnknown:
                 continue
             except PlatformUnavailable:
@@ -151,7 +155,8 @@
 
     async def _read_outcome(self, operation_id: str) -> TransactionResult:
         try:
-            row = await self.read(settlement.OPERATIONS_TABLE, operation_id)
+            key = settlement.operation_key(operation_id)
+            row = await self.read(settlement.OPERATIONS_TABLE, key)
         except PlatformUnavailable:
             row = None
         if row is None:
@@ -204,6 +209,7 @@
     *,
     live_entry_hosts: Callable[[], int] = _one_host,
     clock: Callable[[], float] = trio.current_time,
+    wall_clock: Callable[[], float] = time.time,
     deadline_s: float = DEADLINE_S,
     reads_per_s: float = READS_PER_S,
     writes_per_s: float = WRITES_PER_S,
@@ -216,6 +222,7 @@
             Budget(writes_per_s, live_entry_hosts, clock),
             CircuitBreaker(),
             clock,
+            wall_clock,
             deadline_s,
         )
     )
--- a/rhubarbmount/platform/settlement.py
+++ b/rhubarbmount/platform/settlement.py
@@ -1,5 +1,7 @@
 """Settles transactions whose answers were lost, through the operations table."""
 
+import hashlib
+
 import attrs
 
 from rhubarbmount.platform.interface import (
@@ -15,22 +17,33 @@
     "abort",
     "has_operation_conflict",
     "is_committed",
+    "operation_key",
     "recorded",
     "without_operation",
 ]
 
 OPERATIONS_TABLE = "operations"
+KEY_DIGITS = 32
 COMMITTED = "committed"
 ABORTED = "aborted"
 
 
-def recorded(transaction: Transaction) -> Transaction:
+def operation_key(operation_id: str) -> str:
+    """Return the key of an operation's row: of bounded length, and spread evenly.
+
+    >>> operation_key("a")
+    'ca978112ca1bbdcafac231b39a23dc4d'
+    """
+    return hashlib.sha256(operation_id.encode()).hexdigest()[:KEY_DIGITS]
+
+
+def recorded(transaction: Transaction, at_s: float) -> Transaction:
     """Return the transaction with the insert of its operations row.
 
-    >>> recorded(Transaction("a")).writes[-1].value
-    {'state': 'committed'}
+    >>> recorded(Transaction("a"), at_s=5.0).writes[-1].value
+    {'state': 'committed', 'operation_id': 'a', 'at_s': 5.0}
     """
-    insert = _insert(transaction.operation_id, COMMITTED)
+    insert = _insert(transaction.operation_id, COMMITTED, at_s)
     return attrs.evolve(
         transaction,
         preconditions=transaction.preconditions + insert.preconditions,
@@ -38,9 +51,9 @@
     )
 
 
-def abort(operation_id: str) -> Transaction:
+def abort(operation_id: str, at_s: float) -> Transaction:
     """Return the transaction that keeps an operation from ever committing."""
-    return _insert(operation_id, ABORTED)
+    return _insert(operation_id, ABORTED, at_s)
 
 
 def is_committed(row: Row) -> bool:
@@ -50,7 +63,7 @@
 
 def has_operation_conflict(result: TransactionResult, operation_id: str) -> bool:
     """Return whether the operation was already committed or aborted."""
-    return (OPERATIONS_TABLE, operation_id) in result.conflicts
+    return (OPERATIONS_TABLE, operation_key(operation_id)) in result.conflicts
 
 
 def without_operation(result: TransactionResult) -> TransactionResult:
@@ -59,9 +72,11 @@
     return TransactionResult(result.committed, conflicts)
 
 
-def _insert(operation_id: str, state: str) -> Transaction:
+def _insert(operation_id: str, state: str, at_s: float) -> Transaction:
+    key = operation_key(operation_id)
+    values = {"state": state, "operation_id": operation_id, "at_s": at_s}
     return Transaction(
         operation_id,
-        (Precondition(OPERATIONS_TABLE, operation_id, version=0),),
-        (Write(OPERATIONS_TABLE, operation_id, {"state": state}),),
+        (Precondition(OPERATIONS_TABLE, key, version=0),),
+        (Write(OPERATIONS_TABLE, key, values),),
     )
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -27,6 +27,7 @@
 from rhubarbmount.router import Call, Router
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
+from rhubarbmount.sweep import Sweeper
 from rhubarbmount.timers import TimerService
 
 __all__ = ["EntryHost"]
@@ -54,6 +55,7 @@
     stopping: trio.Event = attrs.field(factory=trio.Event)
     platform: PlatformClient = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
+    sweeper: Sweeper = attrs.field(init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
     metrics: Listener = attrs.field(init=False)
@@ -76,6 +78,7 @@
             Claims(settings.instance, self.platform),
             BackendConnections(settings.http.body_bytes),
         )
+        self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
         self.callers = Listener(
             "callers", self.forwarder.handle, settings.http, settings.max_connections
         )
@@ -95,6 +98,7 @@
             nursery.start_soon(self._follow_configuration, timers)
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
+            nursery.start_soon(self.sweeper.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
--- /dev/null
+++ b/rhubarbmount/sweep.py
@@ -0,0 +1,101 @@
+"""Deletes claims and operations past their retention, a few rows at a time."""
+
+import logging
+import time
+import uuid
+from collections.abc import Callable, Iterable
+from itertools import islice
+from random import Random
+
+import attrs
+
+from rhubarbmount import log
+from rhubarbmount.claims import CLAIMS_TABLE
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+from rhubarbmount.platform.settlement import OPERATIONS_TABLE
+from rhubarbmount.timers import TimerService
+
+__all__ = ["Sweeper"]
+
+CLAIM_RETENTION_S = 7 * 86400.0
+OPERATION_RETENTION_S = 3600.0
+PERIOD_S = 60.0
+BUCKETS = 256
+BUDGET_PART = 0.25
+BATCHES_PER_SWEEP = 20
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Bucket:
+    """The rows of a table whose keys start alike, and how long they are kept."""
+
+    table: str
+    prefix: str
+    time_field: str
+    retention_s: float
+
+    def expired(self, rows: Iterable[Row], now_s: float) -> list[Row]:
+        """Return the rows that are past their retention."""
+        limit_s = now_s - self.retention_s
+        return [row for row in rows if row.value[self.time_field] < limit_s]
+
+
+@attrs.define(eq=False)
+class Sweeper:
+    """Sweep random buckets, so that hosts share the work without a word.
+
+    A key is forgotten after its retention: sent again, it runs again.
+    """
+
+    platform: PlatformClient
+    services: Callable[[], list[str]]
+    wall_clock: Callable[[], float] = time.time
+    random: Random = attrs.field(factory=Random)
+    deleted: int = 0
+
+    async def run(self, timers: TimerService) -> None:
+        """Sweep two buckets a period until cancelled."""
+        async for _tick in timers.every("sweep", PERIOD_S):
+            for bucket in self._choose():
+                try:
+                    await self.sweep(bucket)
+                except (OutcomeUnknown, PlatformUnavailable) as error:
+                    log.event(logger, "sweep-failed", code=error.code)
+
+    async def sweep(self, bucket: Bucket) -> int:
+        """Delete the expired rows of a bucket, up to a bound; return how many."""
+        rows = await self.platform.scan(bucket.table, bucket.prefix)
+        expired = iter(bucket.expired(rows, self.wall_clock()))
+        count = 0
+        for _ in range(BATCHES_PER_SWEEP):
+            limit = max(1, int(self.platform.affordable_writes() * BUDGET_PART))
+            batch = list(islice(expired, limit))
+            if not batch:
+                break
+            result = await self.platform.transact(_delete(batch), settled=False)
+            count += len(batch) if result.committed else 0
+        self.deleted += count
+        log.event(logger, "swept", table=bucket.table, scanned=len(rows), rows=count)
+        return count
+
+    def _choose(self) -> list[Bucket]:
+        prefix = f"{self.random.randrange(BUCKETS):02x}"
+        buckets = [Bucket(OPERATIONS_TABLE, prefix, "at_s", OPERATION_RETENTION_S)]
+        services = self.services()
+        if services:
+            prefix = f"{self.random.choice(services)}/{prefix}"
+            buckets.append(Bucket(CLAIMS_TABLE, prefix, "claimed_s", CLAIM_RETENTION_S))
+        return buckets
+
+
+def _delete(rows: list[Row]) -> Transaction:
+    """Return the deletion of rows that no one has written since."""
+    return Transaction(
+        uuid.uuid4().hex,
+        tuple(Precondition(row.table, row.key, row.version) for row in rows),
+        tuple(Write(row.table, row.key, None) for row in rows),
+    )
