--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -30,6 +30,7 @@
 from rhubarbmount.router import Call, Router
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
+from rhubarbmount.sweep import Sweeper
 from rhubarbmount.timers import TimerService
 
 __all__ = ["EntryHost"]
@@ -56,6 +57,7 @@
     forwarder: Forwarder = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
+    sweeper: Sweeper = attrs.field(init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
     metrics: Listener = attrs.field(init=False)
@@ -78,6 +80,7 @@
             Claims(settings.instance, self.platform),
             BackendConnections(settings.http.body_bytes),
         )
+        self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
         self.callers = Listener(
             "callers", self.forwarder.handle, settings.http, settings.max_connections
         )
@@ -115,6 +118,7 @@
             nursery.start_soon(self.fleet_view.run, timers)
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
+            nursery.start_soon(self.sweeper.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
