--- a/rhubarbmount/follower.py
+++ b/rhubarbmount/follower.py
@@ -87,6 +87,10 @@
         if not await self._from_platform():
             await self._from_peers()
 
+    def share(self, known_version: int) -> PulledState | None:
+        """Return the copy for a peer that knows a version; None before any."""
+        raise TypeError("a subclass shares its copy")
+
     async def _from_platform(self) -> bool:
         asked_s = self.clock()
         try:
--- /dev/null
+++ b/rhubarbmount/peer_table.py
@@ -0,0 +1,221 @@
+"""What one entry host knows of the others; decisions only, no I/O."""
+
+import hashlib
+from collections import Counter, deque
+from collections.abc import Iterable
+
+import attrs
+
+from rhubarbmount.peer_loads import PeerLoads, host_hash
+from rhubarbmount.peer_messages import Heartbeat, MemberReport, PeerIdentity, Summary
+
+__all__ = ["PeerRecord", "PeerTable", "rank"]
+
+SILENT_AFTER_S = 3.5
+SUMMARY_PERIOD_S = 2.0
+SUMMARY_LIFETIME_S = 30.0
+SUMMARY_TIMEOUT_S = 6.0
+RELAY_PERIOD_S = 10.0
+REPLACED_KEPT = 256
+
+
+def rank(members: Iterable[str], purpose: str) -> list[str]:
+    """Order members by rendezvous hash: each purpose has its own stable order.
+
+    >>> rank(["a", "b", "c"], "dc-b") == rank(["c", "b", "a"], "dc-b")
+    True
+    """
+
+    def weight(member: str) -> bytes:
+        text = f"{purpose}\0{member}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return sorted(members, key=weight, reverse=True)
+
+
+@attrs.define
+class PeerRecord:
+    """One peer as last heard; ``heard_s`` is on this instance's clock."""
+
+    identity: PeerIdentity
+    heard_s: float
+    sequence: int = -1
+    configuration_version: int = 0
+    draining: bool = False
+    loads: PeerLoads = attrs.field(factory=PeerLoads)
+
+
+@attrs.define
+class _RemoteDataCentre:
+    """Another data centre's last summary, and what was done about it."""
+
+    summary: Summary
+    heard_s: float
+    relayed_s: float = float("-inf")
+    relayed: tuple[MemberReport, ...] = ()
+
+
+@attrs.define
+class PeerTable:
+    """Keep peers by instance; times are monotonic seconds passed in.
+
+    An address whose data centre is not known yet is filed under "".
+    """
+
+    me: PeerIdentity
+    _by_instance: dict[str, PeerRecord] = attrs.field(factory=dict)
+    _remote_by_name: dict[str, _RemoteDataCentre] = attrs.field(factory=dict)
+    _addresses: dict[str, str] = attrs.field(factory=dict)
+    _asked_s_by_name: dict[str, float] = attrs.field(factory=dict)
+    _tries_by_name: Counter[str] = attrs.field(factory=Counter)
+    _replaced: deque[str] = attrs.field(factory=lambda: deque(maxlen=REPLACED_KEPT))
+    _summary_sequence: int = 0
+
+    def learn_address(self, address: str, data_centre: str) -> None:
+        """Note where an entry host of a data centre may be found."""
+        if address != self.me.address and (
+            data_centre or address not in self._addresses
+        ):
+            self._addresses[address] = data_centre
+
+    def forget_address(self, address: str) -> None:
+        """Drop an address at which no entry host is expected any more."""
+        self._addresses.pop(address, None)
+
+    def addresses(self, data_centre: str) -> list[str]:
+        """Return the known addresses in a data centre, in order."""
+        return sorted(a for a, name in self._addresses.items() if name == data_centre)
+
+    def knows(self, identity: PeerIdentity) -> bool:
+        """Return whether this run of a peer was heard before."""
+        record = self._by_instance.get(identity.instance)
+        return record is not None and record.identity == identity
+
+    def hear(self, identity: PeerIdentity, beat: Heartbeat, now_s: float) -> bool:
+        """Take a heartbeat; return False for one of an instance that was replaced."""
+        if identity == self.me or identity.incarnation in self._replaced:
+            return False
+        record = self._by_instance.get(identity.instance)
+        if record is None or record.identity != identity:
+            self._replace_predecessors(identity)
+            record = PeerRecord(identity, now_s)
+            self._by_instance[identity.instance] = record
+            self.learn_address(identity.address, identity.data_centre)
+        if beat.sequence <= record.sequence:
+            return False
+        record.sequence = beat.sequence
+        record.heard_s = now_s
+        record.configuration_version = beat.configuration_version
+        record.draining = beat.draining
+        record.loads.take(beat.loads, now_s)
+        return True
+
+    def hear_summary(self, summary: Summary, now_s: float) -> bool:
+        """Take another data centre's summary; return whether to relay it now."""
+        name = summary.data_centre
+        if name == self.me.data_centre:
+            return False
+        self._tries_by_name[name] = 0
+        for member in summary.members:
+            self.learn_address(member.identity.address, name)
+        remote = self._remote_by_name.get(name)
+        if remote is None:
+            remote = self._remote_by_name[name] = _RemoteDataCentre(summary, now_s)
+        remote.summary = summary
+        remote.heard_s = now_s
+        due = now_s - remote.relayed_s >= RELAY_PERIOD_S
+        if not due and remote.relayed == summary.members:
+            return False
+        remote.relayed_s = now_s
+        remote.relayed = summary.members
+        return True
+
+    def live(self, now_s: float) -> list[PeerRecord]:
+        """Return the peers of this data centre that are not silent."""
+        return [
+            record
+            for record in self._by_instance.values()
+            if record.identity.data_centre == self.me.data_centre
+            and now_s - record.heard_s <= SILENT_AFTER_S
+        ]
+
+    def reports(self, now_s: float) -> dict[str, MemberReport]:
+        """Return what is known of each live peer anywhere, by instance."""
+        reports = {}
+        for remote in self._remote_by_name.values():
+            if now_s - remote.heard_s <= SUMMARY_LIFETIME_S:
+                for member in remote.summary.members:
+                    reports[member.identity.instance] = member
+        for record in self.live(now_s):
+            reports[record.identity.instance] = _report(record)
+        return reports
+
+    def summarise(self, version: int, draining: bool, now_s: float) -> Summary:
+        """Return this data centre's summary, this instance included."""
+        self._summary_sequence += 1
+        members = [MemberReport(self.me, version, draining)]
+        members += [_report(record) for record in self.live(now_s)]
+        members.sort(key=lambda member: member.identity.instance)
+        return Summary(self.me.data_centre, self._summary_sequence, tuple(members))
+
+    def in_flight(self, host_ids: Iterable[str], now_s: float) -> dict[str, int]:
+        """Return the live peers' requests in flight on each host, if any."""
+        counts: Counter[bytes] = Counter()
+        for record in self.live(now_s):
+            for hashed, count in record.loads.items(now_s):
+                counts[hashed] += count
+        by_host = {host_id: counts.get(host_hash(host_id), 0) for host_id in host_ids}
+        return {host_id: count for host_id, count in by_host.items() if count}
+
+    def remote_data_centres(self) -> list[str]:
+        """Return the names of the other data centres."""
+        return sorted(set(self._addresses.values()) - {self.me.data_centre, ""})
+
+    def is_delegate(self, data_centre: str, now_s: float) -> bool:
+        """Return whether this instance speaks to another data centre."""
+        members = [record.identity.instance for record in self.live(now_s)]
+        return rank([*members, self.me.instance], data_centre)[0] == self.me.instance
+
+    def due_summaries(self, now_s: float) -> list[tuple[str, str]]:
+        """Return (data centre, address) pairs that a summary is due to.
+
+        Of two data centres the first by name asks; the other does if it hears none.
+        """
+        due = []
+        for name in self.remote_data_centres():
+            asked_s = self._asked_s_by_name.get(name, float("-inf"))
+            if now_s - asked_s < SUMMARY_PERIOD_S * 0.9 or not self._asks(name, now_s):
+                continue
+            if self.is_delegate(name, now_s):
+                due.append((name, self.ask(name, now_s)))
+        return due
+
+    def ask(self, data_centre: str, now_s: float) -> str:
+        """Return the address to send a summary to; one that is silent is passed over.
+
+        Raises LookupError when no address is known.
+        """
+        order = rank(self.addresses(data_centre), self.me.data_centre)
+        if not order:
+            raise LookupError(f"no address in {data_centre}")
+        self._asked_s_by_name[data_centre] = now_s
+        tries = self._tries_by_name[data_centre]
+        self._tries_by_name[data_centre] += 1
+        return order[tries // 2 % len(order)]
+
+    def _asks(self, data_centre: str, now_s: float) -> bool:
+        if self.me.data_centre < data_centre:
+            return True
+        remote = self._remote_by_name.get(data_centre)
+        return remote is None or now_s - remote.heard_s > SUMMARY_TIMEOUT_S
+
+    def _replace_predecessors(self, identity: PeerIdentity) -> None:
+        for record in list(self._by_instance.values()):
+            old = record.identity
+            if old.instance == identity.instance or old.address == identity.address:
+                self._replaced.append(old.incarnation)
+                del self._by_instance[old.instance]
+
+
+def _report(record: PeerRecord) -> MemberReport:
+    return MemberReport(record.identity, record.configuration_version, record.draining)
--- /dev/null
+++ b/rhubarbmount/peers.py
@@ -0,0 +1,296 @@
+"""The task that speaks with the other entry hosts."""
+
+import itertools
+import logging
+import random
+import secrets
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+import zmq
+
+from rhubarbmount.follower import Follower, PulledState
+from rhubarbmount.log import event
+from rhubarbmount.peer_loads import LoadReporter
+from rhubarbmount.peer_messages import (
+    Heartbeat,
+    Message,
+    PeerIdentity,
+    PullReply,
+    PullRequest,
+    Summary,
+    decode_identity,
+    decode_message,
+    encode_identity,
+    encode_message,
+)
+from rhubarbmount.peer_table import PeerTable
+from rhubarbmount.timers import TimerService
+from rhubarbmount.zmqtrio import CurveKeys, TrioSocket, ZmqContext, open_zmq
+
+__all__ = ["Peers", "new_identity", "open_peers"]
+
+HEARTBEAT_PERIOD_S = 1.0
+PULL_ATTEMPTS = 3
+PULL_TIMEOUT_S = 0.4
+
+_logger = logging.getLogger(__name__)
+
+
+def new_identity(instance: str, data_centre: str, address: str) -> PeerIdentity:
+    """Return the identity of a run that starts now."""
+    return PeerIdentity(instance, data_centre, address, secrets.token_hex(4))
+
+
+@attrs.frozen
+class _Link:
+    """A way to one peer: our connection to it, or its connection to us."""
+
+    socket: TrioSocket
+    routing_id: bytes | None = None
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; return False if it can't be queued now."""
+        body = encode_message(message)
+        if self.routing_id is None:
+            return self.socket.send_nowait([body])
+        return self.socket.send_nowait([self.routing_id, body])
+
+
+@attrs.define(eq=False)
+class Peers:
+    """Send heartbeats, summaries and copies of state; hear those of others.
+
+    ``followers`` holds the states that peers may pull, by name. ``in_flight``
+    returns this instance's requests in flight by host id.
+    """
+
+    context: ZmqContext
+    nursery: trio.Nursery
+    table: PeerTable
+    followers: Mapping[str, Follower]
+    in_flight: Callable[[], Mapping[str, int]] = dict
+    clock: Callable[[], float] = trio.current_time
+    draining: bool = False
+    messages_heard: int = 0
+    _dealers_by_address: dict[str, TrioSocket] = attrs.field(factory=dict)
+    _waiting_by_id: dict[int, trio.MemorySendChannel[PullReply]] = attrs.field(
+        factory=dict
+    )
+    _request_ids: Iterator[int] = attrs.field(factory=itertools.count)
+    _sequences: Iterator[int] = attrs.field(factory=itertools.count)
+    _reporter: LoadReporter = attrs.field(factory=LoadReporter)
+    _random: random.Random = attrs.field(factory=random.Random)
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version that is in force here."""
+        return self.followers["catalogue"].version
+
+    async def run(self, router: TrioSocket, timers: TimerService) -> None:
+        """Speak with the peers until cancelled."""
+        self.nursery.start_soon(self._receive_from_clients, router)
+        async for _ in timers.every("heartbeat", HEARTBEAT_PERIOD_S):
+            self.announce()
+            self._send_due_summaries()
+
+    def announce(self) -> None:
+        """Send a heartbeat to every peer of this data centre."""
+        beat = Heartbeat(
+            next(self._sequences),
+            self.version,
+            self.draining,
+            self._reporter.report(self.in_flight()),
+        )
+        for address in self._near_addresses():
+            self._link_to(address).send(beat)
+
+    def announce_version(self) -> None:
+        """Tell the peers, and the data centres this host speaks to, at once."""
+        self.announce()
+        now_s = self.clock()
+        for data_centre in self.table.remote_data_centres():
+            if self.table.is_delegate(data_centre, now_s):
+                self._send_summary(self.table.ask(data_centre, now_s))
+
+    async def pull(self, state: str, known_version: int) -> PulledState | None:
+        """Ask peers for their copy, the latest first; None if none answers."""
+        for link in self._pull_order()[:PULL_ATTEMPTS]:
+            reply = await self._ask(link, state, known_version)
+            if reply is not None and reply.version >= known_version:
+                return PulledState(reply.version, reply.age_s, reply.body)
+        return None
+
+    def _near_addresses(self) -> list[str]:
+        unknown = self.table.addresses("")
+        return unknown + self.table.addresses(self.table.me.data_centre)
+
+    def _send_due_summaries(self) -> None:
+        for _, address in self.table.due_summaries(self.clock()):
+            self._send_summary(address)
+
+    def _send_summary(self, address: str) -> None:
+        self._link_to(address).send(self._summary(reply_wanted=True))
+
+    def _summary(self, reply_wanted: bool) -> Summary:
+        summary = self.table.summarise(self.version, self.draining, self.clock())
+        return attrs.evolve(summary, reply_wanted=reply_wanted)
+
+    def _link_to(self, address: str) -> _Link:
+        dealer = self._dealers_by_address.get(address)
+        if dealer is None:
+            dealer = self.context.client(
+                zmq.DEALER,
+                self.context.keys.public,
+                routing_id=encode_identity(self.table.me),
+            )
+            dealer.connect(f"tcp://{address}")
+            self._dealers_by_address[address] = dealer
+            self.nursery.start_soon(self._receive_from_server, dealer)
+        return _Link(dealer)
+
+    def _pull_order(self) -> list[_Link]:
+        live = self.table.live(self.clock())
+        self._random.shuffle(live)
+        live.sort(key=lambda record: -record.configuration_version)
+        addresses = [record.identity.address for record in live]
+        others = [a for a in self._near_addresses() if a not in addresses]
+        self._random.shuffle(others)
+        others += [a for a in self._dealers_by_address if a not in addresses]
+        return [self._link_to(address) for address in dict.fromkeys(addresses + others)]
+
+    async def _ask(
+        self, link: _Link, state: str, known_version: int
+    ) -> PullReply | None:
+        request_id = next(self._request_ids)
+        send, receive = trio.open_memory_channel[PullReply](1)
+        self._waiting_by_id[request_id] = send
+        try:
+            if link.send(PullRequest(request_id, state, known_version)):
+                with trio.move_on_after(PULL_TIMEOUT_S):
+                    return await receive.receive()
+            return None
+        finally:
+            del self._waiting_by_id[request_id]
+
+    async def _receive_from_clients(self, router: TrioSocket) -> None:
+        while True:
+            routing_id, *bodies = await router.receive()
+            identity = decode_identity(routing_id)
+            message = decode_message(bodies[0]) if bodies else None
+            if identity is not None and message is not None:
+                self._handle(identity, _Link(router, routing_id), message)
+
+    async def _receive_from_server(self, dealer: TrioSocket) -> None:
+        while True:
+            try:
+                bodies = await dealer.receive()
+            except trio.ClosedResourceError:
+                return
+            message = decode_message(bodies[0])
+            if message is not None:
+                self._handle(None, _Link(dealer), message)
+
+    def _handle(
+        self, identity: PeerIdentity | None, link: _Link, message: Message
+    ) -> None:
+        self.messages_heard += 1
+        if isinstance(message, Heartbeat) and identity is not None:
+            self._hear_heartbeat(identity, message)
+        elif isinstance(message, Summary):
+            self._hear_summary(link, message)
+        elif isinstance(message, PullRequest):
+            self._share(link, message)
+        elif isinstance(message, PullReply):
+            self._hear_reply(message)
+
+    def _hear_heartbeat(self, identity: PeerIdentity, beat: Heartbeat) -> None:
+        known = self.table.knows(identity)
+        if not self.table.hear(identity, beat, self.clock()):
+            return
+        if not known:
+            event(
+                _logger,
+                "peer-heard",
+                instance=identity.instance,
+                data_centre=identity.data_centre,
+                address=identity.address,
+            )
+        self._hear_version(beat.configuration_version)
+
+    def _hear_summary(self, link: _Link, summary: Summary) -> None:
+        if self.table.hear_summary(summary, self.clock()):
+            self._relay(summary)
+        for member in summary.members:
+            self._hear_version(member.configuration_version)
+        if summary.reply_wanted:
+            link.send(self._summary(reply_wanted=False))
+
+    def _relay(self, summary: Summary) -> None:
+        relayed = attrs.evolve(summary, reply_wanted=False, relayed=True)
+        if summary.relayed:
+            return
+        for address in self.table.addresses(self.table.me.data_centre):
+            self._link_to(address).send(relayed)
+
+    def _hear_version(self, version: int) -> None:
+        if version > self.version:
+            self.nursery.start_soon(self.followers["catalogue"].hear, version)
+
+    def _share(self, link: _Link, request: PullRequest) -> None:
+        follower = self.followers.get(request.state)
+        copy = None if follower is None else follower.share(request.known_version)
+        if copy is None:
+            link.send(PullReply(request.request_id, -1, 0.0, None))
+            return
+        reply = PullReply(request.request_id, copy.version, copy.age_s, copy.body)
+        link.send(reply)
+
+    def _hear_reply(self, reply: PullReply) -> None:
+        waiting = self._waiting_by_id.get(reply.request_id)
+        if waiting is not None:
+            waiting.send_nowait(reply)
+
+    def forget_address(self, address: str) -> None:
+        """Close the connection to an address where no peer is expected any more."""
+        self.table.forget_address(address)
+        dealer = self._dealers_by_address.pop(address, None)
+        if dealer is not None:
+            dealer.close()
+
+    def close(self) -> None:
+        """Close the connections to peers."""
+        for dealer in self._dealers_by_address.values():
+            dealer.close()
+        self._dealers_by_address.clear()
+
+
+@asynccontextmanager
+async def open_peers(
+    identity: PeerIdentity,
+    keys: CurveKeys,
+    addresses: Mapping[str, str],
+    followers: Mapping[str, Follower],
+    timers: TimerService,
+    in_flight: Callable[[], Mapping[str, int]] = dict,
+    bind_address: str = "",
+) -> AsyncIterator[Peers]:
+    """Run the peers' task for the length of the block.
+
+    ``addresses`` maps the addresses known at the start to data centres, or to "".
+    It listens at the identity's address unless another is given.
+    """
+    table = PeerTable(identity)
+    for address, data_centre in addresses.items():
+        table.learn_address(address, data_centre)
+    async with open_zmq(keys, lambda key: key == keys.public) as context:
+        with context.server(zmq.ROUTER) as router:
+            router.bind(f"tcp://{bind_address or identity.address}")
+            async with trio.open_nursery() as nursery:
+                peers = Peers(context, nursery, table, followers, in_flight)
+                nursery.start_soon(peers.run, router, timers)
+                yield peers
+                nursery.cancel_scope.cancel()
+            peers.close()
--- a/rhubarbmount/zmqtrio.py
+++ b/rhubarbmount/zmqtrio.py
@@ -165,9 +165,13 @@
             socket.router_handover = True
         return TrioSocket(socket)
 
-    def client(self, socket_type: int, server_key: str) -> TrioSocket:
+    def client(
+        self, socket_type: int, server_key: str, routing_id: bytes = b""
+    ) -> TrioSocket:
         """Return a socket to connect to the server that holds a key."""
         socket = self._socket(socket_type)
+        if routing_id:
+            socket.routing_id = routing_id
         socket.curve_publickey = self.keys.public.encode()
         socket.curve_secretkey = self.keys.secret.encode()
         socket.curve_serverkey = server_key.encode()
--- /dev/null
+++ b/tests/test_peer_table.py
@@ -0,0 +1,179 @@
+"""What one entry host knows of the others."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.peer_loads import LoadReporter, PeerLoads, host_hash
+from rhubarbmount.peer_messages import (
+    Heartbeat,
+    MemberReport,
+    PeerIdentity,
+    Summary,
+    decode_identity,
+    decode_message,
+    encode_identity,
+    encode_message,
+)
+from rhubarbmount.peer_table import SILENT_AFTER_S, PeerTable, rank
+
+
+def identity(name, data_centre="dc-a", address=None, incarnation=None):
+    return PeerIdentity(
+        name, data_centre, address or f"{name}:1", incarnation or f"{name}-1"
+    )
+
+
+def beat(sequence=0, version=1, loads=b"", draining=False):
+    return Heartbeat(sequence, version, draining, loads)
+
+
+def loads(**counts):
+    return LoadReporter().report(counts)
+
+
+ME = identity("me")
+
+
+def test_a_silent_peer_and_its_loads_are_forgotten():
+    table = PeerTable(ME)
+    table.hear(identity("p"), beat(loads=loads(h1=5)), 0.0)
+    assert table.in_flight(["h1"], SILENT_AFTER_S) == {"h1": 5}
+    assert table.in_flight(["h1"], SILENT_AFTER_S + 0.1) == {}
+    assert table.live(SILENT_AFTER_S + 0.1) == []
+    assert table.reports(SILENT_AFTER_S + 0.1) == {}
+
+
+def test_a_peer_that_resumes_is_live_with_its_latest_loads():
+    table = PeerTable(ME)
+    table.hear(identity("p"), beat(0, loads=loads(h1=5)), 0.0)
+    table.hear(identity("p"), beat(1, loads=loads(h1=2)), 60.0)
+    assert table.in_flight(["h1"], 60.0) == {"h1": 2}
+
+
+def test_an_instance_replaced_at_its_address_is_never_heard_again():
+    table = PeerTable(ME)
+    old = identity("old", address="10.0.0.1:1")
+    new = identity("new", address="10.0.0.1:1")
+    table.hear(old, beat(loads=loads(h1=5)), 0.0)
+    assert table.hear(new, beat(), 1.0)
+    assert table.in_flight(["h1"], 1.0) == {}
+    assert not table.hear(old, beat(1, loads=loads(h1=5)), 1.1)
+    assert [record.identity for record in table.live(1.1)] == [new]
+
+
+def test_a_restarted_instance_starts_its_sequence_again():
+    table = PeerTable(ME)
+    table.hear(identity("p"), beat(500, version=9), 0.0)
+    restarted = identity("p", incarnation="p-2")
+    assert table.hear(restarted, beat(0, version=3), 1.0)
+    assert table.reports(1.0)["p"].configuration_version == 3
+    assert not table.hear(identity("p"), beat(501, version=9), 1.1)
+
+
+def test_a_late_heartbeat_changes_nothing():
+    table = PeerTable(ME)
+    table.hear(identity("p"), beat(5, version=2), 0.0)
+    assert not table.hear(identity("p"), beat(4, version=1), 3.0)
+    assert table.reports(0.0)["p"].configuration_version == 2
+    assert table.live(SILENT_AFTER_S + 0.1) == []
+
+
+def summary_of(data_centre, *names, version=1):
+    members = [
+        MemberReport(identity(name, data_centre), version, False) for name in names
+    ]
+    return Summary(data_centre, 1, tuple(members))
+
+
+def test_a_summary_is_relayed_when_it_changed_and_seldom_otherwise():
+    table = PeerTable(ME)
+    assert table.hear_summary(summary_of("dc-b", "b1"), 0.0)
+    assert not table.hear_summary(summary_of("dc-b", "b1"), 2.0)
+    assert table.hear_summary(summary_of("dc-b", "b1", version=2), 3.0)
+    assert table.hear_summary(summary_of("dc-b", "b1", version=2), 13.0)
+    assert table.reports(13.0)["b1"].configuration_version == 2
+    assert table.reports(60.0) == {}
+
+
+def test_each_data_centre_has_one_delegate_for_each_other():
+    names = [f"e{n}" for n in range(7)]
+    tables = [PeerTable(identity(name)) for name in names]
+    for table in tables:
+        for name in names:
+            table.hear(identity(name), beat(), 0.0)
+    for remote in ("dc-b", "dc-c", "dc-d"):
+        assert sum(table.is_delegate(remote, 0.0) for table in tables) == 1
+    delegate = next(t for t in tables if t.is_delegate("dc-b", 0.0))
+    others = [t for t in tables if t is not delegate]
+    for table in others:
+        for name in names:
+            if name != delegate.me.instance:
+                table.hear(identity(name), beat(1), 5.0)
+    assert sum(table.is_delegate("dc-b", 5.0) for table in others) == 1
+
+
+def test_a_silent_recipient_is_passed_over():
+    table = PeerTable(ME)
+    table.hear_summary(summary_of("dc-b", "b1", "b2", "b3"), 0.0)
+    asked = [table.due_summaries(float(now)) for now in range(2, 14, 2)]
+    addresses = [address for due in asked for _, address in due]
+    assert set(addresses) == {"b1:1", "b2:1", "b3:1"}
+    first = rank(["b1:1", "b2:1", "b3:1"], "dc-a")[0]
+    table.hear_summary(summary_of("dc-b", "b1", "b2", "b3"), 14.0)
+    assert table.due_summaries(16.0) == [("dc-b", first)]
+
+
+def test_the_later_data_centre_asks_only_if_it_hears_nothing():
+    table = PeerTable(identity("me", "dc-z"))
+    table.hear_summary(summary_of("dc-b", "b1"), 0.0)
+    assert table.due_summaries(2.0) == []
+    assert table.due_summaries(7.0) == [("dc-b", "b1:1")]
+
+
+@given(st.lists(st.dictionaries(st.integers(0, 40), st.integers(0, 300)), max_size=9))
+@settings(derandomize=True, deadline=None, database=None)
+def test_reports_converge_on_the_true_loads(steps):
+    reporter = LoadReporter()
+    heard = PeerLoads()
+    final = {}
+    for number, counts in enumerate(steps):
+        final = {f"h{n}": count for n, count in counts.items()}
+        heard.take(reporter.report(final), float(number))
+    for extra in range(12):
+        heard.take(reporter.report(final), float(len(steps) + extra))
+    expected = {host_hash(h): min(c, 255) for h, c in final.items() if c}
+    assert dict(heard.items(float(len(steps)))) == expected
+
+
+def test_a_lost_report_is_made_good_by_the_refreshes():
+    reporter = LoadReporter()
+    heard = PeerLoads()
+    counts = {f"h{n}": 3 for n in range(20)}
+    for _ in range(4):
+        reporter.report(counts)
+    for second in range(5):
+        heard.take(reporter.report(counts), float(second))
+    assert len(dict(heard.items(5.0))) == 20
+
+
+def test_a_report_stays_small_whatever_the_fleet():
+    reporter = LoadReporter()
+    sizes = [
+        len(reporter.report({f"h{n}": (n * step) % 256 for n in range(2600)}))
+        for step in range(20)
+    ]
+    assert max(sizes) <= 64
+
+
+@given(st.binary(max_size=64))
+@settings(derandomize=True, deadline=None, database=None, max_examples=500)
+def test_strange_bytes_are_no_message(body):
+    decode_message(body)
+    decode_identity(body)
+    PeerLoads().take(body, 0.0)
+
+
+def test_messages_and_identities_come_back():
+    summary = summary_of("dc-b", "b1", "b2")
+    assert decode_message(encode_message(summary)) == summary
+    assert decode_identity(encode_identity(ME)) == ME
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,229 @@
+"""Entry hosts that speak with each other over loopback."""
+
+import socket
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+import trio
+
+from rhubarbmount.catalogue import Snapshot
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.entries import Team
+from rhubarbmount.errors import PlatformUnavailable
+from rhubarbmount.peers import Peers, new_identity, open_peers
+from rhubarbmount.timers import open_timers
+from rhubarbmount.zmqtrio import CurveKeys
+from tests.relay import Relay
+
+KEYS = CurveKeys.generate()
+CLOCK_RATE = 4
+TIMEOUT_S = 60
+
+
+class NoPlatform:
+    async def read(self, table, key):
+        raise PlatformUnavailable("none")
+
+
+@pytest.fixture
+def clock(mock_clock):
+    mock_clock.rate = CLOCK_RATE
+    return mock_clock
+
+
+def snapshot_at(version):
+    snapshot = Snapshot()
+    for quota in range(version):
+        team = Team(name="firm-a", owner="firm-a", processors_quota=quota)
+        snapshot = snapshot.with_entry("team", team)
+    return snapshot
+
+
+def free_address():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@attrs.define
+class Node:
+    peers: Peers
+    configuration: Configuration
+    loads: dict
+
+
+@asynccontextmanager
+async def node(name, addresses, data_centre="dc-a", address=None, **options):
+    configuration = Configuration(platform=NoPlatform())
+    counts = {}
+    identity = new_identity(name, data_centre, address or free_address())
+    keys = options.pop("keys", KEYS)
+    async with open_timers(seed=1) as timers:
+        async with open_peers(
+            identity,
+            keys,
+            addresses,
+            {"catalogue": configuration},
+            timers,
+            in_flight=lambda: counts,
+            **options,
+        ) as peers:
+            configuration.pull = peers.pull
+            yield Node(peers, configuration, counts)
+
+
+async def until(condition):
+    while not condition():
+        await trio.sleep(0.05)
+
+
+def hears(listener, name):
+    now_s = listener.peers.clock()
+    return name in [r.identity.instance for r in listener.peers.table.live(now_s)]
+
+
+def loads_at(listener):
+    return listener.peers.table.in_flight(["h1", "h2"], listener.peers.clock())
+
+
+async def test_one_address_is_enough_for_both_to_hear_each_other(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a:
+            async with node("b", {a.peers.table.me.address: ""}) as b:
+                a.loads["h1"] = 3
+                b.loads["h2"] = 4
+                await until(lambda: loads_at(b) == {"h1": 3})
+                await until(lambda: loads_at(a) == {"h2": 4})
+
+
+async def test_a_peer_with_a_wrong_key_is_not_heard(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a:
+            known = {a.peers.table.me.address: "dc-a"}
+            async with node("x", known, keys=CurveKeys.generate()):
+                async with node("b", known):
+                    await until(lambda: hears(a, "b"))
+                    await trio.sleep(3)
+                    assert not hears(a, "x")
+
+
+async def test_a_new_version_reaches_a_peer_without_a_platform(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a:
+            async with node("b", {a.peers.table.me.address: "dc-a"}) as b:
+                await until(lambda: hears(a, "b") and hears(b, "a"))
+                a.configuration.offer(snapshot_at(2))
+                started_s = trio.current_time()
+                a.peers.announce_version()
+                await until(lambda: b.configuration.version == 2)
+                assert trio.current_time() - started_s < 1
+                assert b.configuration.snapshot == snapshot_at(2)
+                a.configuration.offer(snapshot_at(3))
+                await until(lambda: b.configuration.version == 3)
+
+
+async def test_a_new_version_reaches_another_data_centre_and_its_peers(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a:
+            at_a = a.peers.table.me.address
+            async with node("b1", {at_a: "dc-a"}, "dc-b") as b1:
+                known = {b1.peers.table.me.address: "dc-b"}
+                async with node("b2", known, "dc-b") as b2:
+                    await until(
+                        lambda: len(a.peers.table.reports(trio.current_time())) == 2
+                    )
+                    a.configuration.offer(snapshot_at(2))
+                    a.peers.announce_version()
+                    await until(lambda: b2.configuration.version == 2)
+                    everyone = {"a": 2, "b1": 2, "b2": 2}
+                    for each in (a, b1, b2):
+                        await until(lambda each=each: versions(each) == everyone)
+
+
+def versions(of):
+    reports = of.peers.table.reports(of.peers.clock())
+    found = {name: report.configuration_version for name, report in reports.items()}
+    return {**found, of.peers.table.me.instance: of.peers.version}
+
+
+async def test_a_host_started_in_an_outage_pulls_from_a_peer(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a:
+            a.configuration.offer(snapshot_at(2))
+            async with node("b", {a.peers.table.me.address: ""}) as b:
+                while not b.configuration.ready:
+                    await b.configuration.refresh()
+                    await trio.sleep(0.05)
+                assert b.configuration.snapshot == snapshot_at(2)
+
+
+@asynccontextmanager
+async def relayed(name):
+    """Yield a node that others reach through a relay."""
+    behind = free_address()
+    front = free_address()
+    relay = Relay(split(front), split(behind))
+    try:
+        async with node(name, {}, address=front, bind_address=behind) as reached:
+            yield reached, relay
+    finally:
+        relay.close()
+
+
+def split(address):
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
+async def test_a_one_way_cut_silences_one_side_only(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with relayed("a") as (a, relay):
+            async with node("b", {a.peers.table.me.address: "dc-a"}) as b:
+                b.loads["h1"] = 3
+                await until(lambda: loads_at(a) == {"h1": 3} and hears(b, "a"))
+                relay.cut(forward=True, back=False)
+                await until(lambda: not hears(a, "b"))
+                assert loads_at(a) == {}
+                assert hears(b, "a")
+                relay.heal()
+                await until(lambda: hears(a, "b"))
+
+
+async def test_a_peer_held_up_for_long_comes_back_with_its_latest_loads(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with relayed("a") as (a, relay):
+            async with node("b", {a.peers.table.me.address: "dc-a"}) as b:
+                b.loads["h1"] = 3
+                await until(lambda: loads_at(a) == {"h1": 3})
+                relay.cut()
+                await until(lambda: loads_at(a) == {})
+                b.loads["h1"] = 7
+                await trio.sleep(8)
+                relay.heal()
+                await until(lambda: loads_at(a) == {"h1": 7})
+
+
+async def test_a_new_instance_takes_the_address_of_a_dead_one(clock):
+    with trio.fail_after(TIMEOUT_S):
+        address = free_address()
+        async with node("a", {address: "dc-a"}) as a:
+            known = {a.peers.table.me.address: "dc-a"}
+            async with node("old", known, address=address) as old:
+                old.loads["h1"] = 9
+                await until(lambda: loads_at(a) == {"h1": 9})
+            async with node("new", known, address=address) as new:
+                await until(lambda: hears(a, "new"))
+                assert not hears(a, "old")
+                assert loads_at(a) == {}
+                await until(lambda: hears(new, "a"))
+
+
+async def test_a_draining_peer_is_known_as_such(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a:
+            async with node("b", {a.peers.table.me.address: "dc-a"}) as b:
+                await until(lambda: hears(a, "b"))
+                b.peers.draining = True
+                await until(
+                    lambda: a.peers.table.reports(a.peers.clock())["b"].draining
+                )
