Let entry hosts speak with each other: heartbeats, summaries, pulls

Within a data centre each sends each other one heartbeat a second over one DEALER to the other's ROUTER; between data centres a delegate, picked by rendezvous hash over the hosts it hears, exchanges a list of live members every 4 s and at once when a new version is in force. One CURVE key pair for the deployment, from the settings.

--- a/rhubarbmount/peer_table.py
+++ b/rhubarbmount/peer_table.py
@@ -12,10 +12,12 @@
 __all__ = ["PeerRecord", "PeerTable", "rank"]
 
 SILENT_AFTER_S = 3.5
-SUMMARY_PERIOD_S = 2.0
-SUMMARY_LIFETIME_S = 30.0
-SUMMARY_TIMEOUT_S = 6.0
-RELAY_PERIOD_S = 10.0
+SUMMARY_PERIOD_S = 4.0
+PERIOD_JITTER = 0.1
+TRIES_PER_ADDRESS = 2
+SUMMARY_LIFETIME_S = 90.0
+SUMMARY_TIMEOUT_S = 12.0
+RELAY_PERIOD_S = 30.0
 REPLACED_KEPT = 256
 
 
@@ -53,6 +55,7 @@
     heard_s: float
     relayed_s: float = float("-inf")
     relayed: tuple[MemberReport, ...] = ()
+    relayed_to: frozenset[str] = frozenset()
 
 
 @attrs.define
@@ -66,7 +69,8 @@
     _by_instance: dict[str, PeerRecord] = attrs.field(factory=dict)
     _remote_by_name: dict[str, _RemoteDataCentre] = attrs.field(factory=dict)
     _addresses: dict[str, str] = attrs.field(factory=dict)
-    _asked_s_by_name: dict[str, float] = attrs.field(factory=dict)
+    _sent_s_by_name: dict[str, float] = attrs.field(factory=dict)
+    _owed: set[str] = attrs.field(factory=set)
     _tries_by_name: Counter[str] = attrs.field(factory=Counter)
     _replaced: deque[str] = attrs.field(factory=lambda: deque(maxlen=REPLACED_KEPT))
     _summary_sequence: int = 0
@@ -123,11 +127,17 @@
             remote = self._remote_by_name[name] = _RemoteDataCentre(summary, now_s)
         remote.summary = summary
         remote.heard_s = now_s
-        due = now_s - remote.relayed_s >= RELAY_PERIOD_S
-        if not due and remote.relayed == summary.members:
+        return self._relays(remote, now_s)
+
+    def _relays(self, remote: _RemoteDataCentre, now_s: float) -> bool:
+        hearers = frozenset(peer.identity.incarnation for peer in self.live(now_s))
+        told = remote.relayed == remote.summary.members
+        told = told and hearers <= remote.relayed_to
+        if told and now_s - remote.relayed_s < RELAY_PERIOD_S:
             return False
         remote.relayed_s = now_s
-        remote.relayed = summary.members
+        remote.relayed = remote.summary.members
+        remote.relayed_to = hearers
         return True
 
     def live(self, now_s: float) -> list[PeerRecord]:
@@ -176,32 +186,40 @@
         members = [record.identity.instance for record in self.live(now_s)]
         return rank([*members, self.me.instance], data_centre)[0] == self.me.instance
 
+    def owe_summaries(self, now_s: float) -> None:
+        """Make a summary due at once to each data centre this instance speaks to."""
+        names = self.remote_data_centres()
+        self._owed.update(name for name in names if self.is_delegate(name, now_s))
+
     def due_summaries(self, now_s: float) -> list[tuple[str, str]]:
         """Return (data centre, address) pairs that a summary is due to.
 
         Of two data centres the first by name asks; the other does if it hears none.
+        An address that was tried twice and did not answer is passed over.
         """
         due = []
         for name in self.remote_data_centres():
-            asked_s = self._asked_s_by_name.get(name, float("-inf"))
-            if now_s - asked_s < SUMMARY_PERIOD_S * 0.9 or not self._asks(name, now_s):
+            if not self._is_due(name, now_s) or not self.is_delegate(name, now_s):
                 continue
-            if self.is_delegate(name, now_s):
-                due.append((name, self.ask(name, now_s)))
+            order = rank(self.addresses(name), self.me.data_centre)
+            tries = self._tries_by_name[name]
+            due.append((name, order[tries // TRIES_PER_ADDRESS % len(order)]))
         return due
 
-    def ask(self, data_centre: str, now_s: float) -> str:
-        """Return the address to send a summary to; one that is silent is passed over.
-
-        Raises LookupError when no address is known.
-        """
-        order = rank(self.addresses(data_centre), self.me.data_centre)
-        if not order:
-            raise LookupError(f"no address in {data_centre}")
-        self._asked_s_by_name[data_centre] = now_s
-        tries = self._tries_by_name[data_centre]
+    def note_summary(self, data_centre: str, sent: bool, now_s: float) -> None:
+        """Note a try to send a summary; one that could not be sent stays due."""
         self._tries_by_name[data_centre] += 1
-        return order[tries // 2 % len(order)]
+        if sent:
+            self._sent_s_by_name[data_centre] = now_s
+            self._owed.discard(data_centre)
+
+    def _is_due(self, data_centre: str, now_s: float) -> bool:
+        if data_centre in self._owed:
+            return True
+        sent_s = self._sent_s_by_name.get(data_centre, float("-inf"))
+        if now_s - sent_s < SUMMARY_PERIOD_S * (1.0 - PERIOD_JITTER):
+            return False
+        return self._asks(data_centre, now_s)
 
     def _asks(self, data_centre: str, now_s: float) -> bool:
         if self.me.data_centre < data_centre:
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -110,10 +110,8 @@
     def announce_version(self) -> None:
         """Tell the peers, and the data centres this host speaks to, at once."""
         self.announce()
-        now_s = self.clock()
-        for data_centre in self.table.remote_data_centres():
-            if self.table.is_delegate(data_centre, now_s):
-                self._send_summary(self.table.ask(data_centre, now_s))
+        self.table.owe_summaries(self.clock())
+        self._send_due_summaries()
 
     async def pull(self, state: str, known_version: int) -> PulledState | None:
         """Ask peers for their copy, the latest first; None if none answers."""
@@ -128,11 +126,10 @@
         return unknown + self.table.addresses(self.table.me.data_centre)
 
     def _send_due_summaries(self) -> None:
-        for _, address in self.table.due_summaries(self.clock()):
-            self._send_summary(address)
-
-    def _send_summary(self, address: str) -> None:
-        self._link_to(address).send(self._summary(reply_wanted=True))
+        now_s = self.clock()
+        for data_centre, address in self.table.due_summaries(now_s):
+            sent = self._link_to(address).send(self._summary(reply_wanted=True))
+            self.table.note_summary(data_centre, sent, now_s)
 
     def _summary(self, reply_wanted: bool) -> Summary:
         summary = self.table.summarise(self.version, self.draining, self.clock())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,14 +6,16 @@
 import attrs
 import pytest
 import trio
+import zmq
 
 from rhubarbmount.catalogue import Snapshot
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.entries import Team
 from rhubarbmount.errors import PlatformUnavailable
+from rhubarbmount.peer_messages import Heartbeat, encode_identity, encode_message
 from rhubarbmount.peers import Peers, new_identity, open_peers
 from rhubarbmount.timers import open_timers
-from rhubarbmount.zmqtrio import CurveKeys
+from rhubarbmount.zmqtrio import CurveKeys, open_zmq
 from tests.relay import Relay
 
 KEYS = CurveKeys.generate()
@@ -107,6 +109,24 @@
                     assert not hears(a, "x")
 
 
+async def test_a_stranger_who_knows_the_public_key_is_not_heard(clock):
+    stranger = CurveKeys.generate()
+    identity = new_identity("x", "dc-a", free_address())
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a, open_zmq(stranger, lambda key: False) as context:
+            at_a = a.peers.table.me.address
+            routing_id = encode_identity(identity)
+            with context.client(zmq.DEALER, KEYS.public, routing_id) as dealer:
+                dealer.connect(f"tcp://{at_a}")
+                async with node("b", {at_a: "dc-a"}):
+                    for sequence in range(100):
+                        beat = Heartbeat(sequence, 1, False, b"")
+                        dealer.send_nowait([encode_message(beat)])
+                        await trio.sleep(0.05)
+                    await until(lambda: hears(a, "b"))
+                    assert not hears(a, "x")
+
+
 async def test_a_new_version_reaches_a_peer_without_a_platform(clock):
     with trio.fail_after(TIMEOUT_S):
         async with node("a", {}) as a:
