Move hosts between pools by drain, empty and one conditional write

An operator's move takes the host out of service in one transaction with its permit and its intent; the hosts duty sends each effect before it takes the step that needs it, so that a command that comes late finds its intent already carried out. The write that changes the pool also gives the permit back and advances heads/fleet. A pool that has gone meanwhile leaves the host where it was, and a drain that still has requests in flight after its limit is given up.

tests/interleave.py steps two duty holders, two operators and an editor who shrinks a budget one platform call at a time, with refusals, lost answers, lost requests and transactions that take effect late; then the fleet must come to rest in service with every permit given back.

--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -163,6 +163,12 @@
         edited, after these rows were read.
         """
         terms = self._terms({**self.permits, **rack_by_host_id})
+        terms.add(self.entry_terms())
+        return terms
+
+    def entry_terms(self) -> Terms:
+        """Return what a transaction needs to rely on the entry as it was read."""
+        terms = Terms()
         terms.require(ENTRIES_TABLE, f"pool/{self.name}", self.entry_version)
         return terms
 
--- /dev/null
+++ b/rhubarbmount/hostduty.py
@@ -0,0 +1,257 @@
+"""The duty that carries out begun work on hosts, whoever began it."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import attrs
+
+from rhubarbmount.budgets import PoolRows, read_pool_rows
+from rhubarbmount.dutyrunner import Lease
+from rhubarbmount.errors import NotFound, Refused
+from rhubarbmount.hostrows import FleetView, HostChange, HostRow, Terms, host_terms
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.hostwork import (
+    EFFECT_BY_STATE,
+    HOST_PREFIX,
+    INTENTS_TABLE,
+    HostIntent,
+    Observation,
+    Progress,
+    Step,
+    WorkBounds,
+    dump_intent,
+    host_actions,
+    intent_key,
+    load_intent,
+)
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import HostCommand, Platform, Row
+from rhubarbmount.statecharts import load_chart
+
+__all__ = ["Begun", "HostDuty", "begin_terms", "next_host"]
+
+logger = logging.getLogger("rhubarbmount.hostduty")
+
+
+class OpenWork(NamedTuple):
+    """An open intent with the rows it was read from."""
+
+    intent: HostIntent
+    intent_version: int
+    row: HostRow
+
+
+@attrs.define
+class Watch:
+    """How long this holder has seen a host in one state of one intent."""
+
+    key: tuple[str, str]
+    since_s: float
+    was_unready: bool = False
+    commanded: bool = False
+
+
+def next_host(host: Host, step: Step, now_s: float, cause: str) -> Host:
+    """Return the host after a step of its state chart."""
+    state = HostState(load_chart("host").next_state(host.state, step.event))
+    return attrs.evolve(
+        host,
+        state=state,
+        pool=step.pool or host.pool,
+        cause=cause,
+        since_s=now_s,
+    )
+
+
+@attrs.frozen
+class Begun:
+    """A host to take out of service, and the intent that says why."""
+
+    row: HostRow
+    intent: HostIntent
+
+
+def begin_terms(
+    rows: PoolRows, head: Row | None, begun: Iterable[Begun], now_s: float
+) -> Terms:
+    """Return what a transaction needs to take hosts of one pool out of service.
+
+    The permits, the intents and the hosts' new state are written together.
+    """
+    terms = Terms()
+    racks = {}
+    changes = []
+    for item in begun:
+        host, intent = item.row.host, item.intent
+        draining = next_host(host, Step("drain"), now_s, f"{intent.action}:drain")
+        changes.append(HostChange(item.row, draining))
+        racks[host.host_id] = host.rack
+        terms.require(INTENTS_TABLE, intent_key(host.host_id), 0)
+        terms.write(INTENTS_TABLE, intent_key(host.host_id), dump_intent(intent))
+    terms.add(rows.grant_terms(racks))
+    terms.add(host_terms(head, changes))
+    return terms
+
+
+@attrs.define
+class HostDuty:
+    """Bring every open host intent one step further in each round.
+
+    ``observe`` tells what entry hosts see of a host, ``wall_clock`` gives seconds
+    since the epoch for the rows.
+    """
+
+    platform: Platform
+    observe: Callable[[Host], Observation]
+    wall_clock: Callable[[], float]
+    bounds: WorkBounds = attrs.field(factory=WorkBounds)
+    name: str = "hosts"
+    view: FleetView = attrs.field(init=False)
+    _watch_by_host_id: dict[str, Watch] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.view = FleetView(self.platform)
+
+    def forget(self) -> None:
+        """Drop what was remembered, so that every effect is sent again."""
+        self.view = FleetView(self.platform)
+        self._watch_by_host_id.clear()
+
+    async def do_round(self, lease: Lease) -> None:
+        """Send missing effects and take every step that is due."""
+        rows = await self.platform.scan(INTENTS_TABLE, HOST_PREFIX)
+        await self.view.refresh()
+        work = list(self._open_work(rows))
+        self._watch(work, lease)
+        await self._send_effects(work, lease)
+        due_by_pool: dict[str, list[tuple[OpenWork, Step]]] = defaultdict(list)
+        for item in work:
+            step = self._step_of(item, lease)
+            if step is not None:
+                due_by_pool[item.row.host.pool].append((item, step))
+        for pool in sorted(due_by_pool):
+            await self._take_steps(pool, due_by_pool[pool], lease)
+
+    def _open_work(self, rows: Iterable[Row]) -> Iterable[OpenWork]:
+        for row in rows:
+            intent = load_intent(row.value)
+            host_row = self.view.by_host_id.get(intent.host_id)
+            if host_row is not None and intent.state == "open":
+                yield OpenWork(intent, row.version, host_row)
+
+    def _watch(self, work: list[OpenWork], lease: Lease) -> None:
+        watched = self._watch_by_host_id
+        self._watch_by_host_id = {}
+        for item in work:
+            host_id = item.intent.host_id
+            key = (item.intent.intent_id, item.row.host.state.value)
+            watch = watched.get(host_id)
+            if watch is None or watch.key != key:
+                watch = Watch(key, lease.clock())
+            self._watch_by_host_id[host_id] = watch
+
+    async def _send_effects(self, work: list[OpenWork], lease: Lease) -> None:
+        for item in work:
+            effect = EFFECT_BY_STATE.get(item.row.host.state)
+            watch = self._watch_by_host_id[item.intent.host_id]
+            if effect is None or watch.commanded:
+                continue
+            effect_id = f"{item.intent.intent_id}/{effect}"
+            command = HostCommand(effect_id, item.intent.host_id, effect)
+            try:
+                await lease.command_host(command)
+            except (NotFound, Refused) as error:
+                self._log_command(command, error.code)
+                continue
+            watch.commanded = True
+            self._log_command(command, "accepted")
+
+    def _log_command(self, command: HostCommand, result: str) -> None:
+        host_id, action = command.host_id, command.action
+        event(logger, "host-command", host=host_id, action=action, result=result)
+
+    def _step_of(self, item: OpenWork, lease: Lease) -> Step | None:
+        host = item.row.host
+        watch = self._watch_by_host_id[host.host_id]
+        if not watch.commanded and host.state in EFFECT_BY_STATE:
+            return None
+        seen = self.observe(host)
+        watch.was_unready = watch.was_unready or seen.ready is False
+        progress = Progress(
+            host=host,
+            intent=item.intent,
+            seen=seen,
+            elapsed_s=lease.clock() - watch.since_s,
+            was_unready=watch.was_unready,
+            bounds=self.bounds,
+        )
+        return host_actions.get(item.intent.action)(progress)
+
+    async def _take_steps(
+        self, pool: str, due: list[tuple[OpenWork, Step]], lease: Lease
+    ) -> None:
+        rows = await read_pool_rows(self.platform, pool)
+        await self.view.refresh()
+        due = [(item, step) for item, step in due if self._is_current(item)]
+        if not due:
+            return
+        terms = await self._terms(rows, due)
+        if not await lease.commit(terms):
+            event(logger, "steps-conflict", pool=pool, hosts=len(due))
+            return
+        for item, step in due:
+            self._log_step(item, step)
+
+    def _is_current(self, item: OpenWork) -> bool:
+        row = self.view.by_host_id.get(item.intent.host_id)
+        return row is not None and row.version == item.row.version
+
+    async def _terms(self, rows: PoolRows, due: list[tuple[OpenWork, Step]]) -> Terms:
+        changes = []
+        terms = Terms()
+        released = []
+        for item, step in due:
+            step = await self._settled(step, item.row.host, terms)
+            changes.append(HostChange(item.row, self._after(item, step)))
+            key = intent_key(item.intent.host_id)
+            terms.require(INTENTS_TABLE, key, item.intent_version)
+            if step.finished:
+                terms.write(INTENTS_TABLE, key, None)
+            if step.finished or step.pool:
+                released.append(item.intent.host_id)
+        if any(host_id in rows.permits for host_id in released):
+            terms.add(rows.release_terms(released))
+        terms.add(host_terms(self.view.head, changes))
+        return terms
+
+    async def _settled(self, step: Step, host: Host, terms: Terms) -> Step:
+        """Keep a host in its pool if the pool it should move to is gone."""
+        if not step.pool:
+            return step
+        target = await read_pool_rows(self.platform, step.pool)
+        if target.pool is None:
+            return Step("restore")
+        terms.add(target.entry_terms())
+        return step
+
+    def _after(self, item: OpenWork, step: Step) -> Host:
+        now_s = self.wall_clock()
+        cause = f"{item.intent.action}:{step.event}"
+        host = next_host(item.row.host, step, now_s, cause)
+        if step.event == "ready":
+            maintained_s = max(now_s, item.intent.group_started_s)
+            host = attrs.evolve(host, maintained_s=maintained_s)
+        return host
+
+    def _log_step(self, item: OpenWork, step: Step) -> None:
+        event(
+            logger,
+            "host-step",
+            host=item.intent.host_id,
+            action=item.intent.action,
+            step=step.event,
+            pool=step.pool or item.row.host.pool,
+            intent=item.intent.intent_id,
+        )
--- /dev/null
+++ b/rhubarbmount/hostwork.py
@@ -0,0 +1,161 @@
+"""Work on a host, step by step: its intent, its effects and its next state."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+import cattrs
+
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.registry import Registry
+
+__all__ = [
+    "EFFECT_BY_STATE",
+    "INTENTS_TABLE",
+    "HostIntent",
+    "Observation",
+    "Progress",
+    "Step",
+    "WorkBounds",
+    "drain_step",
+    "dump_intent",
+    "host_actions",
+    "intent_key",
+    "load_intent",
+    "reboot_step",
+    "return_step",
+]
+
+INTENTS_TABLE = "intents"
+HOST_PREFIX = "host/"
+EFFECT_BY_STATE: Mapping[HostState, str] = {
+    HostState.DRAINING: "drain",
+    HostState.MAINTENANCE: "reboot",
+    HostState.RETURNING: "resume",
+    HostState.LEAVING: "release",
+}
+_converter = cattrs.Converter()
+
+
+@attrs.frozen(kw_only=True)
+class HostIntent:
+    """Work begun on a host and not yet finished.
+
+    ``target_pool`` is set for moves. ``group`` names the wave it belongs to, if any,
+    and ``group_started_s`` the time, since the epoch, at which that wave began.
+    """
+
+    intent_id: str
+    duty: str
+    action: str
+    host_id: str
+    target_pool: str = ""
+    group: str = ""
+    group_started_s: float = 0.0
+    state: str = "open"
+
+
+@attrs.frozen(kw_only=True)
+class WorkBounds:
+    """Times that govern work on a host.
+
+    Every entry host has seen a change of state after ``view_s``. A drain whose
+    requests can't be counted ends after ``drain_s`` more; one that still has requests
+    in flight after ``drain_limit_s`` is given up. A host must answer again within
+    ``reboot_limit_s`` and serves in full after ``warm_s``.
+    """
+
+    view_s: float = 5.0
+    drain_s: float = 30.0
+    drain_limit_s: float = 600.0
+    reboot_min_s: float = 20.0
+    reboot_limit_s: float = 1800.0
+    warm_s: float = 30.0
+
+
+@attrs.frozen
+class Observation:
+    """What entry hosts see of a host; None is not known."""
+
+    in_flight: int | None = None
+    ready: bool | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Progress:
+    """A host at work, and how long this holder has seen it in its state."""
+
+    host: Host
+    intent: HostIntent
+    seen: Observation
+    elapsed_s: float
+    was_unready: bool
+    bounds: WorkBounds
+
+
+@attrs.frozen
+class Step:
+    """An event of the host's state chart; ``finished`` closes the intent."""
+
+    event: str
+    pool: str = ""
+    finished: bool = False
+
+
+host_actions: Registry[Callable[[Progress], Step | None]] = Registry("host action")
+
+
+def drain_step(progress: Progress) -> Step | None:
+    """Return the step out of draining, cutting no request that is counted."""
+    bounds = progress.bounds
+    if progress.elapsed_s < bounds.view_s:
+        return None
+    if progress.seen.in_flight == 0:
+        return Step("empty")
+    if progress.seen.in_flight is None:
+        waited = progress.elapsed_s >= bounds.view_s + bounds.drain_s
+        return Step("empty") if waited else None
+    if progress.elapsed_s >= bounds.drain_limit_s:
+        return Step("restore")
+    return None
+
+
+def reboot_step(progress: Progress) -> Step | None:
+    """Return the step out of maintenance, once the host has been away and back."""
+    bounds = progress.bounds
+    rebooted = progress.was_unready or progress.elapsed_s >= bounds.reboot_min_s
+    if progress.seen.ready and rebooted:
+        return Step("ready")
+    if progress.elapsed_s >= bounds.reboot_limit_s:
+        return Step("quarantine", finished=True)
+    return None
+
+
+def return_step(progress: Progress) -> Step | None:
+    """Return the step back into service after a slow start."""
+    if progress.elapsed_s < progress.bounds.warm_s:
+        return None
+    if progress.seen.ready is not False:
+        return Step("warm", finished=True)
+    if progress.elapsed_s >= progress.bounds.reboot_limit_s:
+        return Step("quarantine", finished=True)
+    return None
+
+
+def intent_key(host_id: str) -> str:
+    """Return the key of a host's intent: one host, one intent.
+
+    >>> intent_key("h7")
+    'host/h7'
+    """
+    return HOST_PREFIX + host_id
+
+
+def load_intent(values: Mapping[str, Any]) -> HostIntent:
+    """Build an intent from the plain values of its row."""
+    return _converter.structure(dict(values), HostIntent)
+
+
+def dump_intent(intent: HostIntent) -> dict[str, Any]:
+    """Return the plain values of an intent."""
+    return _converter.unstructure(intent)
--- /dev/null
+++ b/rhubarbmount/moves.py
@@ -0,0 +1,160 @@
+"""Moves of hosts between pools: drain, empty, and one conditional write."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from rhubarbmount.budgets import decide, read_pool_rows
+from rhubarbmount.errors import ConflictError, NotFound, Refused
+from rhubarbmount.hostduty import Begun, begin_terms
+from rhubarbmount.hostrows import FleetView, HostRow, Terms
+from rhubarbmount.hosts import HostState
+from rhubarbmount.hostwork import (
+    INTENTS_TABLE,
+    HostIntent,
+    Progress,
+    Step,
+    drain_step,
+    dump_intent,
+    host_actions,
+    intent_key,
+    load_intent,
+    return_step,
+)
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import Platform, Transaction
+
+__all__ = ["HostMover", "move_step", "restore_step"]
+
+MOVE_ATTEMPTS = 5
+logger = logging.getLogger("rhubarbmount.moves")
+
+
+@host_actions.register("move")
+def move_step(progress: Progress) -> Step | None:
+    """Return the next step of a move to another pool."""
+    state = progress.host.state
+    if state is HostState.DRAINING:
+        return drain_step(progress)
+    if state is HostState.DRAINED:
+        return Step("move", pool=progress.intent.target_pool)
+    if state is HostState.RETURNING:
+        return return_step(progress)
+    return None
+
+
+@host_actions.register("restore")
+def restore_step(progress: Progress) -> Step | None:
+    """Return the next step of a host that goes back into service where it is."""
+    state = progress.host.state
+    if state in (HostState.DRAINING, HostState.DRAINED):
+        return Step("restore")
+    if state is HostState.RETURNING:
+        return return_step(progress)
+    return None
+
+
+@attrs.define
+class HostMover:
+    """Begin and cancel moves; any entry host may, on an operator's word.
+
+    Raises NotFound or Refused when nothing was done, ConflictError when other
+    writers kept winning, OutcomeUnknown when the answer was lost.
+    """
+
+    platform: Platform
+    wall_clock: Callable[[], float]
+    new_id: Callable[[], str]
+    view: FleetView = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.view = FleetView(self.platform)
+
+    async def begin(self, host_id: str, target_pool: str, group: str = "") -> str:
+        """Take the host out of service for a move and return the intent's id."""
+        for _ in range(MOVE_ATTEMPTS):
+            intent = HostIntent(
+                intent_id=self.new_id(),
+                duty="hosts",
+                action="move",
+                host_id=host_id,
+                target_pool=target_pool,
+                group=group,
+            )
+            if await self._commit(await self.begin_terms(intent)):
+                self._log(intent, "begun")
+                return intent.intent_id
+        raise ConflictError(f"other writers kept changing the rows of {host_id}")
+
+    async def cancel(self, host_id: str) -> str:
+        """Return a host to service in its pool, unless it has already moved."""
+        key = intent_key(host_id)
+        for _ in range(MOVE_ATTEMPTS):
+            row = await self.platform.read(INTENTS_TABLE, key)
+            if row is None or load_intent(row.value).action != "move":
+                raise NotFound(f"host {host_id} is not being moved")
+            intent = attrs.evolve(load_intent(row.value), action="restore")
+            terms = Terms()
+            terms.require(INTENTS_TABLE, key, row.version)
+            terms.write(INTENTS_TABLE, key, dump_intent(intent))
+            if await self._commit(terms):
+                self._log(intent, "cancelled")
+                return intent.intent_id
+        raise ConflictError(f"other writers kept changing the move of {host_id}")
+
+    async def begin_terms(self, intent: HostIntent) -> Terms:
+        """Return what the transaction that begins a move needs, or raise Refused."""
+        host_row = await self._movable(intent)
+        host = host_row.host
+        rows = await read_pool_rows(self.platform, host.pool)
+        target = await read_pool_rows(self.platform, intent.target_pool)
+        if target.pool is None:
+            raise NotFound(f"no pool {intent.target_pool!r}")
+        await self.view.refresh()
+        members = self.view.of_pool(host.pool)
+        live = await self.platform.live_hosts()
+        permission = decide(rows.view(members, live), host.host_id, host.rack)
+        if not permission.allowed:
+            self._log(intent, permission.code.value)
+            raise Refused(
+                f"{permission.hosts_down} hosts in {permission.racks_down} racks of"
+                f" pool {host.pool} are down",
+                code=permission.code.value,
+            )
+        terms = begin_terms(
+            rows, self.view.head, [Begun(host_row, intent)], self.wall_clock()
+        )
+        terms.add(target.entry_terms())
+        return terms
+
+    async def _movable(self, intent: HostIntent) -> HostRow:
+        await self.view.refresh()
+        host_row = self.view.by_host_id.get(intent.host_id)
+        if host_row is None:
+            raise NotFound(f"no host {intent.host_id!r}")
+        host = host_row.host
+        if host.pool == intent.target_pool:
+            raise Refused(f"host {host.host_id} is in that pool", code="same-pool")
+        if host.state is not HostState.IN_SERVICE:
+            raise Refused(
+                f"host {host.host_id} is {host.state.value}: {host.cause}",
+                code="host-busy",
+            )
+        return host_row
+
+    async def _commit(self, terms: Terms) -> bool:
+        transaction = Transaction(
+            self.new_id(), tuple(terms.preconditions), tuple(terms.writes)
+        )
+        return (await self.platform.transact(transaction)).committed
+
+    def _log(self, intent: HostIntent, result: str) -> None:
+        event(
+            logger,
+            "move",
+            host=intent.host_id,
+            pool=intent.target_pool,
+            intent=intent.intent_id,
+            result=result,
+        )
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,126 @@
+"""Moves between pools, over interleavings of operators and duty holders."""
+
+import os
+
+from fleetchecks import EffectCheck, check_commit, hosts_of
+from fleetkit import fill, make_host, make_pool, pool_row
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from interleave import World, pause, run_now
+
+from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.hosts import HostState
+from rhubarbmount.hostwork import Observation, WorkBounds
+from rhubarbmount.moves import HostMover
+from rhubarbmount.platform.interface import Transaction, Write
+
+EXAMPLES = int(os.environ.get("INTERLEAVINGS", "300"))
+QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
+POOLS = ("quotes", "parts")
+
+
+def make_world():
+    world = World()
+    pools = [
+        make_pool(name, hosts_wanted=2, hosts_down_limit=1, racks_down_limit=1)
+        for name in POOLS
+    ]
+    hosts = [make_host(n, pool) for pool in POOLS for n in range(3)]
+    run_now(fill(world.inner, pools, hosts))
+    world.check = check_commit
+    world.inner.on_host_command = EffectCheck(world.inner)
+    return world
+
+
+def add_holder(world, name):
+    duty = HostDuty(
+        platform=world.platform(),
+        observe=lambda host: Observation(in_flight=0, ready=True),
+        wall_clock=world.clock,
+        bounds=QUICK,
+    )
+    runner = DutyRunner(
+        duty=duty,
+        instance_id=name,
+        platform=duty.platform,
+        clock=world.clock,
+        new_id=world.new_id,
+        members=lambda: ("a", "b"),
+    )
+
+    async def work():
+        while True:
+            await runner.step()
+            await pause()
+
+    world.actors.append(work())
+
+
+def add_operator(world, orders):
+    mover = HostMover(world.platform(), world.clock, world.new_id)
+
+    async def work():
+        number = 0
+        while True:
+            host_id, target = orders[number % len(orders)]
+            number += 1
+            try:
+                if target:
+                    await mover.begin(host_id, target)
+                else:
+                    await mover.cancel(host_id)
+            except RhubarbmountError:
+                continue
+
+    world.actors.append(work())
+
+
+def add_editor(world):
+    """Add an actor that shrinks and restores one pool's budget."""
+    platform = world.platform()
+
+    async def work():
+        version = 1
+        while True:
+            version += 1
+            for _ in range(20):
+                await pause()
+            pool = make_pool("parts", hosts_wanted=2, hosts_down_limit=version % 2)
+            write = Write("entries", "pool/parts", pool_row(pool, version))
+            try:
+                await platform.transact(Transaction(world.new_id(), (), (write,)))
+            except RhubarbmountError:
+                continue
+
+    world.actors.append(work())
+
+
+ORDERS = (("q0", "parts"), ("q0", ""), ("p1", "quotes"), ("q1", "parts"))
+
+
+@settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=EXAMPLES,
+    phases=[Phase.generate],
+)
+@given(schedule=st.binary(min_size=150, max_size=400))
+def test_racing_operators_and_holders_keep_each_host_in_one_pool(schedule):
+    world = make_world()
+    add_holder(world, "a")
+    add_holder(world, "b")
+    add_operator(world, ORDERS)
+    add_operator(world, ORDERS[::-1])
+    add_editor(world)
+    world.play(schedule)
+    world.stop(2)
+    assert world.settle(lambda: not world.inner.tables.get("intents"))
+    for host in hosts_of(world.inner.tables).values():
+        assert host.state is HostState.IN_SERVICE
+    assert not any(
+        row.value["permits"] for row in world.inner.tables.get("budgets", {}).values()
+    )
+    world.stop()
