Read one state when a duty takes over, and plan in fewer steps

10,000 interleavings found what 300 had not: a holder frozen between its scans of jobs and tasks took a job as waiting whose task it knew, and stopped with an error that nothing caught. The head of scheduling is now read before and after; both cases are kept as examples, which failed first.

A plan remembers refusals by need and class, and yields a wait only when a job has not been told the reason; team shares, host shapes and headroom are kept rather than worked out per decision.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,319 @@
+"""Compare placement strategies: speed, urgent waits, evictions and fragmentation.
+
+Run with ``python -m bench.placement [--seed N] [--seconds S]``.
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+import time
+
+import attrs
+
+from rhubarbmount.entries import Team, WorkClass
+from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.hosts import Host, Shape
+from rhubarbmount.job_changes import EndReport, JobChange, JobRequest
+from rhubarbmount.job_queue import TeamUsage, WaitingJob
+from rhubarbmount.jobs import Job, Task
+from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait
+from rhubarbmount.rooms import amount_needed
+from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
+
+POOLS = 25
+TEAMS = 220
+HOSTS_PER_RACK = 4
+SIZES = (260, 1000, 2600)
+STEP_S = 0.25
+COMMIT_AND_COMMAND_S = 0.1
+TASK_START_S = 0.2
+CHECKPOINT_S = (0.5, 2.0)
+BATCH_SHAPES = (Shape(2, 4), Shape(4, 8), Shape(4, 16), Shape(8, 16))
+URGENT_SHAPE = Shape(4, 8)
+LARGE_SHAPE = Shape(8, 16)
+BATCH_RUN_S = 300.0
+URGENT_RUN_S = 30.0
+URGENT_PER_POOL_S = 0.1
+BURST_SIZE = 4
+BURST_SHARE = 0.1
+RULES = {
+    "first fit": PlacementRule("first-fit", evicts=False),
+    "best fit": PlacementRule("best-fit", evicts=False),
+    "first fit, evicting": PlacementRule("first-fit"),
+    "best fit, evicting": PlacementRule("best-fit"),
+    "product": PlacementRule("spread"),
+}
+
+
+def make_hosts(count: int, pools: int) -> dict[str, Host]:
+    """Return hosts over pools and racks; every fifth has four accelerators."""
+    hosts = {}
+    for number in range(count):
+        host_id = f"h{number:04}"
+        hosts[host_id] = Host(
+            host_id=host_id,
+            pool=f"p{number % pools:02}",
+            data_centre=f"d{number % 10}",
+            rack=f"r{number // (HOSTS_PER_RACK * pools)}-{number % pools}",
+            address="",
+            shape=Shape(32, 64, 4 if number % 5 == 0 else 0),
+        )
+    return hosts
+
+
+def make_teams() -> list[Team]:
+    """Return teams whose quotas leave placement to the room there is."""
+    big = {"processors_quota": 10**6, "memory_quota_gb": 10**7}
+    return [
+        Team(name=f"t{n}", owner=f"t{n}", accelerators_quota=10**5, **big)
+        for n in range(TEAMS)
+    ]
+
+
+@attrs.define
+class Fleet:
+    """Workers that obey commands with delays, in simulated time."""
+
+    scheduler: Scheduler
+    rng: random.Random
+    hosts: dict[str, Host]
+    pools: int
+    events: list[tuple[float, int, str, str]] = attrs.field(factory=list)
+    count: itertools.count = attrs.field(factory=itertools.count)
+    submitted_s: dict[str, float] = attrs.field(factory=dict)
+    urgent_waits_s: list[float] = attrs.field(factory=list)
+    evictions: int = 0
+    restarts: int = 0
+    decisions: int = 0
+    lost_processor_s: float = 0.0
+    spent_s: float = 0.0
+    running: set[str] = attrs.field(factory=set)
+
+    def run(self, seconds: float) -> None:
+        """Fill the pools with batch, then let urgent jobs arrive."""
+        self.scheduler.set_teams(make_teams(), 1)
+        self.scheduler.set_hosts(self.hosts)
+        self.scheduler.fleet.set_live(set(self.hosts))
+        for pool in range(self.pools):
+            self._keep_batch_waiting(pool)
+        for step in range(int(seconds / STEP_S)):
+            now_s = step * STEP_S
+            self.scheduler.now_s = self.scheduler.clock_s = now_s
+            self._pass_events(now_s)
+            if step > 8:
+                self._arrive(now_s)
+            began_s = time.perf_counter()
+            changes = list(self.scheduler.place())
+            self.spent_s += time.perf_counter() - began_s
+            self._obey(changes, now_s)
+            for pool in range(self.pools):
+                self._keep_batch_waiting(pool)
+
+    def _keep_batch_waiting(self, pool: int) -> None:
+        queue = self.scheduler.fleet.placer(f"p{pool:02}").queue
+        wanted = 16 * len(self.hosts) // self.pools if not self.running else 40
+        for _ in range(wanted - len(queue)):
+            shape = self.rng.choice(BATCH_SHAPES)
+            self._submit(pool, shape, WorkClass.BATCH, BATCH_RUN_S)
+
+    def _arrive(self, now_s: float) -> None:
+        for pool in range(self.pools):
+            if self.rng.random() >= URGENT_PER_POOL_S * STEP_S:
+                continue
+            burst = self.rng.random() < BURST_SHARE
+            for _ in range(BURST_SIZE if burst else 1):
+                self._submit(pool, URGENT_SHAPE, WorkClass.URGENT, URGENT_RUN_S)
+
+    def _submit(
+        self, pool: int, shape: Shape, work_class: WorkClass, run_s: float
+    ) -> None:
+        job_id = f"j{next(self.count)}"
+        now_s = self.scheduler.now_s
+        job = Job(
+            job_id=job_id,
+            team=f"t{self.rng.randrange(TEAMS)}",
+            pool=f"p{pool:02}",
+            shape=shape,
+            work_class=work_class,
+            run_time_s=run_s,
+            submitted_s=now_s,
+        )
+        # A request is read half a step after it was written, in the mean.
+        self.submitted_s[job_id] = now_s - self.rng.random() * STEP_S
+        self.scheduler.take_request(JobRequest(job_id, "submit", job))
+
+    def _obey(self, changes: list[JobChange], now_s: float) -> None:
+        for change in changes:
+            command = change.command
+            if command is None:
+                continue
+            self.decisions += 1
+            if command.action == "start":
+                self._start(change.task, now_s)
+            else:
+                self.evictions += 1
+                wait_s = COMMIT_AND_COMMAND_S + self.rng.uniform(*CHECKPOINT_S)
+                self._push(now_s + wait_s, "checkpointed", command.task_id)
+
+    def _start(self, task: Task, now_s: float) -> None:
+        started_s = now_s + COMMIT_AND_COMMAND_S + TASK_START_S
+        self.scheduler.take_delivery(self.scheduler._command(task))
+        self.running.add(task.task_id)
+        self.restarts += task.token > 1
+        if task.work_class is WorkClass.URGENT:
+            self.urgent_waits_s.append(started_s - self.submitted_s[task.job_id])
+        run_s = self.rng.expovariate(1 / task.run_time_s)
+        self._push(started_s + run_s, "succeeded", task.task_id)
+
+    def _push(self, at_s: float, outcome: str, task_id: str) -> None:
+        heapq.heappush(self.events, (at_s, next(self.count), outcome, task_id))
+
+    def _pass_events(self, now_s: float) -> None:
+        while self.events and self.events[0][0] <= now_s:
+            _, _, outcome, task_id = heapq.heappop(self.events)
+            if task_id in self.running:
+                self.running.discard(task_id)
+                self.scheduler.take_end(EndReport(task_id=task_id, outcome=outcome))
+
+    def waiting_urgent_s(self) -> list[float]:
+        """Return how long the urgent jobs that never started have waited."""
+        waits = []
+        for placer in self.scheduler.fleet.placers():
+            for group in placer.queue:
+                if group.rank == 0:
+                    jobs = group.job_by_order.values()
+                    waits += [
+                        self.scheduler.now_s - self.submitted_s[w.job.job_id]
+                        for w in jobs
+                    ]
+        return waits
+
+    def free_shares(self) -> tuple[float, float]:
+        """Return the free share of processors, and what of it no large job can use."""
+        offered = free = usable = 0
+        need = amount_needed(LARGE_SHAPE)
+        for placer in self.scheduler.fleet.placers():
+            for room in placer.rooms.room_by_host.values():
+                offered += room.offered[1]
+                free += room.unused[1]
+                fitting = min(
+                    have // want
+                    for have, want in zip(room.unused[1:], need[1:], strict=True)
+                )
+                usable += fitting * need[1]
+        return free / offered, 1 - usable / free if free else 0.0
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile, or nan of nothing."""
+    ordered = sorted(values)
+    return ordered[int((len(ordered) - 1) * share)] if ordered else float("nan")
+
+
+def measure_policy(seed: int, seconds: float) -> None:
+    """Print how urgent jobs fare on full pools, by strategy."""
+    print(f"\n2,600 workers, {POOLS} pools full of batch, {seconds:g} s, seed {seed}")
+    print(
+        f"{'strategy':22}{'urgent':>8}{'p50 s':>8}{'p99 s':>8}{'max s':>8}"
+        f"{'evicted':>9}{'moves':>7}{'free %':>8}{'frag %':>8}{'step ms':>9}"
+    )
+    for name, rule in RULES.items():
+        learned = Learned(memory=DecisionMemory())
+        scheduler = Scheduler(rule=SchedulingRule(placement=rule), learned=learned)
+        hosts = make_hosts(2600, POOLS)
+        fleet = Fleet(scheduler, random.Random(seed), hosts, POOLS)
+        fleet.run(seconds)
+        waits = fleet.urgent_waits_s + fleet.waiting_urgent_s()
+        free, fragmented = fleet.free_shares()
+        step_ms = fleet.spent_s / (seconds / STEP_S) * 1000
+        print(
+            f"{name:22}{len(waits):8}{percentile(waits, 0.5):8.2f}"
+            f"{percentile(waits, 0.99):8.2f}{max(waits):8.2f}{fleet.evictions:9}"
+            f"{fleet.restarts:7}{free * 100:8.2f}{fragmented * 100:8.1f}{step_ms:9.1f}"
+        )
+
+
+def measure_speed(seed: int, decisions: int = 4000) -> None:
+    """Print decisions a second in one pool that is full and turns over."""
+    print(f"\none pool, full, one job ends and one starts; {decisions} decisions")
+    print(
+        f"{'strategy':12}" + "".join(f"{size:>14}" for size in SIZES) + "   cost ratio"
+    )
+    for strategy in ("first-fit", "best-fit", "spread"):
+        rates = [churn(strategy, size, seed, decisions) for size in SIZES]
+        shown = "".join(f"{rate:>12.0f}/s" for rate in rates)
+        print(f"{strategy:12}{shown}   {rates[0] / rates[-1]:.2f} at 10 x the hosts")
+
+
+def churn(strategy: str, size: int, seed: int, decisions: int) -> float:
+    """Return decisions a second, ending a random task before each."""
+    rng = random.Random(seed)
+    placer = PoolPlacer("p00", PlacementRule(strategy))
+    for host in make_hosts(size, 1).values():
+        placer.rooms.set_host(host)
+    usage = TeamUsage()
+    for team in make_teams():
+        usage.set_team(team)
+    numbers = itertools.count()
+    while _place_one(placer, usage, rng, next(numbers)):
+        pass
+    tasks = list(placer.rooms.host_by_task)
+    began_s = time.perf_counter()
+    for _ in range(decisions):
+        position = rng.randrange(len(tasks))
+        room = placer.rooms.remove_task(tasks[position])
+        assert room is not None
+        found = _place_one(placer, usage, rng, next(numbers))
+        if found:
+            tasks[position] = found
+        else:
+            tasks[position] = tasks[-1]
+            tasks.pop()
+    return decisions / (time.perf_counter() - began_s)
+
+
+def _place_one(
+    placer: PoolPlacer, usage: TeamUsage, rng: random.Random, number: int
+) -> str:
+    shape = rng.choice(BATCH_SHAPES)
+    team = f"t{rng.randrange(TEAMS)}"
+    job = Job(
+        job_id=f"j{number}",
+        team=team,
+        pool="p00",
+        shape=shape,
+        work_class=WorkClass.BATCH,
+    )
+    placer.queue.add(WaitingJob(job, amount_needed(shape)))
+    for decision in placer.plan(usage, 0.0, 1):
+        placer.queue.remove(job)
+        if isinstance(decision, Wait):
+            return ""
+        task = Task(
+            task_id=job.job_id,
+            job_id=job.job_id,
+            team=team,
+            pool="p00",
+            host_id=decision.host_id,
+            reserved=shape,
+            kind=team,
+            work_class=WorkClass.BATCH,
+        )
+        placer.rooms.add_task(task)
+        return task.task_id
+    return ""
+
+
+def main() -> None:
+    """Run both measurements with one seed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--seconds", type=float, default=120.0)
+    options = parser.parse_args()
+    measure_speed(options.seed)
+    measure_policy(options.seed, options.seconds)
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbmount/headroom.py
+++ b/rhubarbmount/headroom.py
@@ -37,30 +37,37 @@
     _counts: deque[int] = attrs.field(factory=deque, init=False)
     _needs: deque[Amount] = attrs.field(factory=lambda: deque(maxlen=256), init=False)
     _span: int = attrs.field(default=0, init=False)
+    _rank_count: int | None = attrs.field(default=None, init=False)
+    _room: Amount | None = attrs.field(default=None, init=False)
 
     def observe(self, need: Amount, now_s: float) -> None:
         """Count one urgent job."""
         self._advance(now_s)
         self._counts[-1] += 1
         self._needs.append(need)
+        self._rank_count = self._room = None
 
     def hosts_wanted(self, hosts: int, now_s: float) -> int:
         """Return how many hosts are to have headroom."""
         if not self._needs:
             return 0
         self._advance(now_s)
-        ordered = sorted(self._counts)
-        rank = min(int(len(ordered) * self.rule.share_covered), len(ordered) - 1)
+        if self._rank_count is None:
+            ordered = sorted(self._counts)
+            rank = int(len(ordered) * self.rule.share_covered)
+            self._rank_count = ordered[min(rank, len(ordered) - 1)]
         limit = max(1, int(hosts * self.rule.hosts_share_limit))
-        return min(max(ordered[rank], 1), limit)
+        return min(max(self._rank_count, 1), limit)
 
     def room_wanted(self) -> Amount:
         """Return the room that nine in ten recent urgent jobs ask for at most."""
         if not self._needs:
             return NOTHING
-        dimensions = zip(*self._needs, strict=True)
-        parts = [sorted(values)[int(len(values) * 0.9)] for values in dimensions]
-        return Amount(*parts)
+        if self._room is None:
+            dimensions = zip(*self._needs, strict=True)
+            parts = [sorted(values)[int(len(values) * 0.9)] for values in dimensions]
+            self._room = Amount(*parts)
+        return self._room
 
     def _advance(self, now_s: float) -> None:
         span = int(now_s / self.rule.refill_s)
@@ -68,6 +75,8 @@
             self._span = span
             self._counts.append(0)
         missed = min(span - self._span, self.rule.spans_kept)
+        if missed > 0:
+            self._rank_count = None
         for _ in range(missed):
             self._counts.append(0)
         self._span = max(span, self._span)
--- a/rhubarbmount/job_queue.py
+++ b/rhubarbmount/job_queue.py
@@ -49,6 +49,11 @@
         """Return the rank of the class; urgent is 0."""
         return self.key[0]
 
+    @property
+    def is_urgent(self) -> bool:
+        """Return whether batch makes way for these jobs."""
+        return self.key[0] == 0
+
     @property
     def team(self) -> str:
         """Return the team."""
@@ -99,18 +104,22 @@
 
     quota_by_team: dict[str, Amount] = attrs.field(factory=dict)
     held_by_team: dict[str, Amount] = attrs.field(factory=dict)
+    _share_by_team: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def set_team(self, team: Team) -> None:
         """Take in a team's quotas."""
         self.quota_by_team[team.name] = amount_offered(quota_shape(team))
+        self._share_by_team.pop(team.name, None)
 
     def take(self, team: str, amount: Amount) -> None:
         """Count an amount as held."""
         self.held_by_team[team] = self.held_by_team.get(team, NOTHING).plus(amount)
+        self._share_by_team.pop(team, None)
 
     def give_back(self, team: str, amount: Amount) -> None:
         """Count an amount as free again."""
         self.held_by_team[team] = self.held_by_team[team].minus(amount)
+        self._share_by_team.pop(team, None)
 
     def allows(self, team: str, amount: Amount) -> bool:
         """Return whether the team's quota holds with this amount more."""
@@ -119,7 +128,10 @@
 
     def share(self, team: str) -> float:
         """Return the largest share of its quota that a team holds in any resource."""
-        held = self.held_by_team.get(team, NOTHING)
-        quota = self.quota_by_team.get(team, NOTHING)
-        pairs = zip(held, quota, strict=True)
-        return max(have / limit if limit else 0.0 for have, limit in pairs)
+        if team not in self._share_by_team:
+            held = self.held_by_team.get(team, NOTHING)
+            quota = self.quota_by_team.get(team, NOTHING)
+            pairs = zip(held, quota, strict=True)
+            share = max(have / limit if limit else 0.0 for have, limit in pairs)
+            self._share_by_team[team] = share
+        return self._share_by_team[team]
--- a/rhubarbmount/placement.py
+++ b/rhubarbmount/placement.py
@@ -7,7 +7,6 @@
 import attrs
 
 from rhubarbmount.entries import WorkClass
-from rhubarbmount.hosts import Shape
 from rhubarbmount.job_queue import JobGroup, JobQueue, TeamUsage, WaitingJob
 from rhubarbmount.preemption import Eviction, choose_eviction
 from rhubarbmount.registry import Registry
@@ -23,6 +22,7 @@
 
 CANDIDATES_WEIGHED = 8
 
+Refusal = tuple[str, str]
 Strategy = Callable[[PoolRooms, WaitingJob, int], HostRoom | None]
 strategies: Registry[Strategy] = Registry("placement strategy")
 
@@ -53,6 +53,13 @@
     code: str
     reason: str
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether a job of the group has not been told this reason."""
+        group = self.group
+        told = (group.code, group.reason) == (self.code, self.reason)
+        return not told or bool(group.unexplained)
+
 
 @strategies.register("first-fit")
 def first_fit(rooms: PoolRooms, waiting: WaitingJob, kept: int) -> HostRoom | None:
@@ -117,11 +124,6 @@
     queue: JobQueue = attrs.field(factory=JobQueue)
     kept: int = 0
 
-    def shapes(self) -> list[Shape]:
-        """Return the distinct shapes of the pool's hosts."""
-        shapes = {room.host.shape for room in self.rooms.room_by_host.values()}
-        return sorted(shapes, key=attrs.astuple)
-
     def room_now(self, waiting: WaitingJob, promised_id: str) -> str | None:
         """Return a host with room for a job that was promised a host being cleared."""
         promised = self.rooms.room_by_host[promised_id]
@@ -137,23 +139,25 @@
 
         At most ``limit`` jobs are placed. The caller takes each placement into
         ``rooms`` and ``usage``, and the job out of the queue, before it asks for the
-        next one.
+        next one. A wait is yielded when it is new to a job of its group.
         """
+        refused: dict[tuple[bool, Amount], Refusal] = {}
         order = [_order(group, usage) for group in self.queue]
         heapq.heapify(order)
-        refused: list[Amount] = []
-        decided = 0
-        while order and decided < limit:
-            rank, share, _, key = heapq.heappop(order)
+        placed = 0
+        while order and placed < limit:
+            _, share, _, key = heapq.heappop(order)
             group = self.queue.group_by_key[key]
             if share != usage.share(group.team):
                 heapq.heappush(order, _order(group, usage))
                 continue
             decision = self._decide(group, usage, refused, now_s)
-            yield decision
             if isinstance(decision, Wait):
+                if decision.is_new:
+                    yield decision
                 continue
-            decided += 1
+            yield decision
+            placed += 1
             if key in self.queue.group_by_key:
                 heapq.heappush(order, _order(group, usage))
 
@@ -161,36 +165,42 @@
         self,
         group: JobGroup,
         usage: TeamUsage,
-        refused: list[Amount],
+        refused: dict[tuple[bool, Amount], Refusal],
         now_s: float,
     ) -> Placement | Wait:
         waiting = group.first
         need = waiting.need
         if not usage.allows(group.team, need):
             return Wait(group, "wait-quota", f"team {group.team} is at its quota")
-        if not any(smaller.fits(need) for smaller in refused):
-            room = strategies.get(self.rule.strategy)(self.rooms, waiting, self.kept)
-            if room is not None:
-                return Placement(waiting, room.host.host_id)
-            found = self._evict_for(waiting, now_s)
+        # Room only shrinks within a plan, so what was refused once stays so.
+        refusal = refused.get((group.is_urgent, need))
+        if refusal is None:
+            found = self._find(waiting, now_s)
             if found is not None:
-                return Placement(waiting, found.host_id, found, "placed-by-eviction")
-            refused.append(need)
-        return self._wait(group, need)
+                return found
+            refusal = self._refuse(need)
+            refused[group.is_urgent, need] = refusal
+        return Wait(group, *refusal)
 
-    def _evict_for(self, waiting: WaitingJob, now_s: float) -> Eviction | None:
+    def _find(self, waiting: WaitingJob, now_s: float) -> Placement | None:
+        room = strategies.get(self.rule.strategy)(self.rooms, waiting, self.kept)
+        if room is not None:
+            return Placement(waiting, room.host.host_id)
         if not self.rule.evicts or waiting.job.work_class is not WorkClass.URGENT:
             return None
-        return choose_eviction(self.rooms, waiting.need, now_s)
+        found = choose_eviction(self.rooms, waiting.need, now_s)
+        if found is None:
+            return None
+        return Placement(waiting, found.host_id, found, "placed-by-eviction")
 
-    def _wait(self, group: JobGroup, need: Amount) -> Wait:
+    def _refuse(self, need: Amount) -> Refusal:
         if next(self.rooms.free.search(need), None) is not None:
             reason = f"the room left in pool {self.pool} is kept for urgent jobs"
-            return Wait(group, "wait-headroom", reason)
-        reason = f"no host of pool {self.pool} has {need.describe()} free"
+            return "wait-headroom", reason
         if not self.rooms.room_by_host:
-            reason = f"pool {self.pool} has no host"
-        return Wait(group, "wait-room", reason)
+            return "wait-room", f"pool {self.pool} has no host"
+        reason = f"no host of pool {self.pool} has {need.describe()} free"
+        return "wait-room", reason
 
 
 def _order(
--- a/rhubarbmount/rooms.py
+++ b/rhubarbmount/rooms.py
@@ -198,6 +198,7 @@
     avoided_hosts: set[str] = attrs.field(factory=set)
     kinds_by_rack: dict[str, Counter[str]] = attrs.field(factory=dict)
     last_rack_by_kind: dict[str, str] = attrs.field(factory=dict)
+    hosts_by_shape: Counter[Shape] = attrs.field(factory=Counter)
     headroom: Amount = NOTHING
     roomy: set[str] = attrs.field(factory=set)
     evictable_tasks: SortedList = attrs.field(factory=SortedList)
@@ -210,6 +211,9 @@
         if room is None:
             room = HostRoom(host, amount_offered(host.shape))
             self.room_by_host[host.host_id] = room
+        else:
+            self._forget_shape(room.host.shape)
+        self.hosts_by_shape[host.shape] += 1
         with self._change(room):
             room.host = host
             room.offered = amount_offered(host.shape)
@@ -219,6 +223,7 @@
         room = self.room_by_host.pop(host_id, None)
         if room is not None:
             self._unindex(room)
+            self._forget_shape(room.host.shape)
 
     def avoid(self, host_id: str, avoided: bool) -> None:
         """Keep new tasks off a host, or let them in again."""
@@ -297,6 +302,11 @@
         with self._change(room):
             room.promised_by_job.pop(job_id, None)
 
+    def _forget_shape(self, shape: Shape) -> None:
+        self.hosts_by_shape[shape] -= 1
+        if not self.hosts_by_shape[shape]:
+            del self.hosts_by_shape[shape]
+
     @contextmanager
     def _change(self, room: HostRoom) -> Iterator[None]:
         self._unindex(room)
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -360,8 +360,7 @@
 
     def _enqueue(self, job: Job) -> None:
         placer = self.fleet.placer(job.pool)
-        shapes = placer.shapes()
-        estimate = self.learned.sizes.estimate(job, shapes)
+        estimate = self.learned.sizes.estimate(job, placer.rooms.hosts_by_shape)
         need = amount_needed(estimate.shape)
         quota = self.usage.quota_by_team.get(job.team)
         if quota is not None and not need.fits(quota):
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -116,6 +116,9 @@
         tasks = await self.platform.scan(TASKS_TABLE)
         intents = await self.platform.scan(INTENTS_TABLE, f"{DUTY}/")
         commands = [load_command(_without(row.value)) for row in intents]
+        after = await self.platform.read(HEADS_TABLE, DUTY)
+        if (after and after.value) != (head and head.value):
+            raise LeaseLost("rows changed while they were read")
         scheduler = Scheduler(rule=self.rule, learned=self.learned)
         self._set_time(scheduler)
         scheduler.set_teams(self.view.teams(), self.view.catalogue_version())
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 import trio.testing
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from rhubarbmount.entries import Team, WorkClass
@@ -22,7 +22,7 @@
 from tests.workers import Link, Workers
 
 LEASE_S = 8.0
-FIRST_COMMAND_CALL = 10
+FIRST_COMMAND_CALL = 11
 INTERLEAVINGS = int(os.environ.get("INTERLEAVINGS", "300"))
 TEAMS = [
     Team(name=name, owner=name, processors_quota=10, memory_quota_gb=64)
@@ -505,6 +505,12 @@
         nursery.cancel_scope.cancel()
 
 
+SUBMIT = ("submit", WorkClass.URGENT, "a")
+END = ("end", "succeeded")
+
+
+@example([SUBMIT, ("freeze", 0, 3), ("round", 1), END])
+@example([("freeze", 0, 3), SUBMIT, ("round", 1), ("round", 0)])
 @settings(max_examples=INTERLEAVINGS, derandomize=True, deadline=None, database=None)
 @given(st.lists(OPERATIONS, min_size=10, max_size=40))
 def test_no_interleaving_runs_a_job_twice_or_overfills_a_host_or_quota(operations):
