--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
-from functools import cache
-from importlib import resources
 from typing import Any
 
 import attrs
 import cattrs
-import yaml
 
 from rhubarbmount.entries import Team, WorkClass
-from rhubarbmount.errors import ConflictError, Finding
+from rhubarbmount.errors import Finding
 from rhubarbmount.hosts import Host, Shape
+from rhubarbmount.statecharts import load_chart
 
 __all__ = [
     "ENDED_STATES",
@@ -85,15 +83,13 @@
         return self.template or self.team
 
     def move(self, event: str, now_s: float, **changes: Any) -> "Job":
-        """Return the job after an event, or raise ConflictError.
+        """Return the job after an event, or raise Refused.
 
         >>> job = Job(job_id="j", team="t", pool="p", shape=Shape(1, 1))
         >>> job.move("place", 5.0, attempt=1).state
         <JobState.STARTING: 'starting'>
         """
-        target = _job_chart().get((event, self.state.value))
-        if target is None:
-            raise ConflictError(f"job {self.job_id} is {self.state}: can't {event}")
+        target = load_chart("job").next_state(self.state.value, event)
         return attrs.evolve(self, state=JobState(target), since_s=now_s, **changes)
 
 
@@ -239,14 +235,3 @@
     return (
         part.processors / need.processors + part.memory_gb / need.memory_gb
     ) / 2 + accelerators
-
-
-@cache
-def _job_chart() -> dict[tuple[str, str], str]:
-    path = resources.files("rhubarbmount") / "statecharts" / "job.yaml"
-    chart = yaml.safe_load(path.read_text("utf-8"))
-    return {
-        (item["event"], source): item["to"]
-        for item in chart["transitions"]
-        for source in item["from"]
-    }
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -9,6 +9,7 @@
 
 from rhubarbmount.entries import Team
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.hostrows import Terms
 from rhubarbmount.hosts import Host
 from rhubarbmount.job_changes import (
     DUTY,
@@ -29,7 +30,7 @@
 from rhubarbmount.platform.interface import Platform, Precondition, TaskCommand, Write
 from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
 
-__all__ = ["FleetView", "HeldLease", "SchedulingDuty", "Terms"]
+__all__ = ["HeldLease", "SchedulingDuty", "SchedulingView"]
 
 logger = logging.getLogger(__name__)
 
@@ -38,14 +39,6 @@
 COMMANDS_AT_ONCE = 32
 
 
-@attrs.frozen
-class Terms:
-    """The writes of a commit, and what must hold for it."""
-
-    preconditions: tuple[Precondition, ...]
-    writes: tuple[Write, ...]
-
-
 class HeldLease(Protocol):
     """A duty lease, as far as this duty uses it."""
 
@@ -56,7 +49,7 @@
         """Commit the terms, fenced by the lease's token."""
 
 
-class FleetView(Protocol):
+class SchedulingView(Protocol):
     """What an entry host knows of the catalogue and of the hosts."""
 
     def catalogue_version(self) -> int:
@@ -80,7 +73,7 @@
     """
 
     platform: Platform
-    view: FleetView
+    view: SchedulingView
     clock: Callable[[], float]
     epoch_clock: Callable[[], float]
     rule: SchedulingRule = SchedulingRule()
@@ -176,8 +169,8 @@
     async def _commit(self, lease: HeldLease, batch: list[JobChange]) -> None:
         head = {"sequence": self._sequence + 1}
         terms = Terms(
-            (self._head_condition(),),
-            (Write(HEADS_TABLE, DUTY, head), *writes_of(batch)),
+            [self._head_condition()],
+            [Write(HEADS_TABLE, DUTY, head), *writes_of(batch)],
         )
         if not await lease.commit(terms):
             raise LeaseLost("rows changed since they were read")
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rhubarbmount.entries import Team, WorkClass
-from rhubarbmount.errors import ConflictError
+from rhubarbmount.errors import Refused
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.jobs import (
     Job,
@@ -47,7 +47,7 @@
 
 def test_a_running_job_can_not_be_placed_again():
     job = make_job().move("place", 1.0).move("started", 2.0)
-    with pytest.raises(ConflictError):
+    with pytest.raises(Refused):
         job.move("place", 3.0)
 
 
