Wait for planted faults to be used up in the whole-answer scenario

Cause: the scenario counted at least 10 unknown outcomes within a number of answers; health ejection now withholds a failing server, so 9 came (seen once).

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -281,3 +281,20 @@
         return min(versions) >= version
 
     wait_until(in_force, bound_s, f"version {version} at {hosts}")
+
+
+@when(parsers.parse('backend servers "{hosts}" have used up their faults'))
+def wait_for_faults(deployment, hosts):
+    def used_up():
+        states = [deployment.backend_state(host)["faults"] for host in names(hosts)]
+        switches = ("cut_answers", "truncate_answers", "surplus_answers")
+        return not any(state[switch] for state in states for switch in switches)
+
+    wait_until(used_up, 30, f"faults of {hosts} are used up")
+
+
+@given(parsers.parse('pool "{pool}" lets {count:d} hosts be down'))
+def set_hosts_down_limit(deployment, pool, count):
+    for entry in deployment.entries["pool"]:
+        if entry["name"] == pool:
+            entry["hosts_down_limit"] = count
