--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
-from functools import cache
-from importlib import resources
 from typing import Any
 
 import attrs
 import cattrs
-import yaml
 
 from rhubarbmount.entries import Team, WorkClass
-from rhubarbmount.errors import ConflictError, Finding
+from rhubarbmount.errors import Finding
 from rhubarbmount.hosts import Host, Shape
+from rhubarbmount.statecharts import load_chart
 
 __all__ = [
     "ENDED_STATES",
@@ -84,17 +82,15 @@
         """Return what jobs of one size are known by: the template, or the team."""
         return self.template or self.team
 
-    def move(self, trigger: str, now_s: float, **changes: Any) -> "Job":
-        """Return the job after a transition, or raise ConflictError.
+    def move(self, event: str, now_s: float, **changes: Any) -> "Job":
+        """Return the job after an event, or raise Refused.
 
         >>> job = Job(job_id="j", team="t", pool="p", shape=Shape(1, 1))
         >>> job.move("place", 5.0, attempt=1).state
         <JobState.STARTING: 'starting'>
         """
-        dest = _job_chart().get((trigger, self.state.value))
-        if dest is None:
-            raise ConflictError(f"job {self.job_id} is {self.state}: can't {trigger}")
-        return attrs.evolve(self, state=JobState(dest), since_s=now_s, **changes)
+        target = load_chart("job").next_state(self.state.value, event)
+        return attrs.evolve(self, state=JobState(target), since_s=now_s, **changes)
 
 
 @attrs.frozen(kw_only=True)
@@ -239,10 +235,3 @@
     return (
         part.processors / need.processors + part.memory_gb / need.memory_gb
     ) / 2 + accelerators
-
-
-@cache
-def _job_chart() -> dict[tuple[str, str], str]:
-    path = resources.files("rhubarbmount") / "statecharts" / "job.yaml"
-    chart = yaml.safe_load(path.read_text("utf-8"))
-    return {(t["trigger"], t["source"]): t["dest"] for t in chart["transitions"]}
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,5 +1,6 @@
 """Starts the real program and its stand-ins as separate processes on loopback."""
 
+import hashlib
 import http.client
 import itertools
 import json
@@ -9,6 +10,7 @@
 import subprocess
 import sys
 import time
+import urllib.parse
 from collections import Counter
 from contextlib import suppress
 from pathlib import Path
@@ -27,6 +29,7 @@
 BACKEND_PORT = 9100
 RESERVATION_PORT = 9999
 START_TIMEOUT_S = 15.0
+UNUSED_ADDRESS = "127.0.0.1"
 
 _block_numbers = itertools.count(os.getpid())
 
@@ -48,6 +51,11 @@
         return json.loads(self.body)
 
 
+def digest(token):
+    """Return the digest by which settings name a token."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
 def call(address, port, method, path, headers=None, body=None, timeout_s=15.0):
     """Send one request on a connection of its own."""
     started = time.monotonic()
@@ -131,7 +139,10 @@
         self.folder = folder
         self.hosts = []
         self.entries = {"team": [], "pool": [], "service": []}
-        self.owners_by_token = {"admin-token": ["admin", "firm"]}
+        self.operators_by_name = {
+            "admin": {"token_sha256": digest("admin-token"), "owners": ["firm"]},
+            "rival": {"token_sha256": digest("rival-token"), "owners": ["rival"]},
+        }
         self.extra_settings = {}
         self.platform = None
         self.backend_by_name = {}
@@ -180,7 +191,7 @@
         self.entries["service"].append(entry)
 
     def add_backend(self, name, pool, data_centre, rack="rack-1", slots=8, start=True):
-        address = self.new_address()
+        address = self.new_address() if start else UNUSED_ADDRESS
         self.hosts.append(
             {
                 "host_id": name,
@@ -246,7 +257,7 @@
             "operators": {"address": address, "port": OPERATORS_PORT},
             "metrics": {"address": address, "port": METRICS_PORT},
             "platform": {"address": f"{platform}:{PLATFORM_PORT}"},
-            "owners_by_token": self.owners_by_token,
+            "operators_by_name": self.operators_by_name,
             "stop_timeout_s": 10,
         } | self.extra_settings
         path = self.folder / f"{name}.yaml"
@@ -281,6 +292,22 @@
         body = None if value is None else json.dumps(value)
         return call(address, OPERATORS_PORT, method, path, headers, body)
 
+    def edit(self, operator, kind, name, field, value, entry_host=None):
+        """Change one field of an entry as an operator would."""
+        entry_host = entry_host or next(iter(self.entry_host_by_name))
+        path = f"/entries/{kind}/{name}"
+        entry = self.operate(entry_host, "GET", path).json()
+        body = {
+            "values": entry["values"] | {field: value},
+            "expected_version": entry["version"],
+        }
+        token = f"{operator}-token"
+        return self.operate(entry_host, "PUT", path, body, token)
+
+    def version_at(self, entry_host):
+        """Return the catalogue version in force at an entry host."""
+        return self.operate(entry_host, "GET", "/version").json()["version"]
+
     def set_backend(self, name, **faults):
         """Turn fault switches of a backend server; return its state."""
         address = self.backend_by_name[name].address
@@ -293,6 +320,38 @@
         address = self.platform.address
         return call(address, PLATFORM_PORT, "POST", "/control", body=body).json()
 
+    def platform_call(self, method, path, value=None):
+        """Call the platform as another of its clients would."""
+        body = None if value is None else json.dumps(value)
+        return call(self.platform.address, PLATFORM_PORT, method, path, body=body)
+
+    def read_row(self, table, key):
+        """Return a row of the platform's table."""
+        path = f"/tables/{table}/rows/{urllib.parse.quote(key, safe='')}"
+        return self.platform_call("GET", path).json()
+
+    def change_host(self, name, **changes):
+        """Change a host's row and advance the fleet's head, in one transaction."""
+        host = self.read_row("hosts", name)
+        head = self.read_row("heads", "fleet")
+        version = head["value"]["version"] + 1
+        changed = [*head["value"]["changes"], [version, name]][-256:]
+        fleet = {"version": version, "changes": changed}
+        transaction = {
+            "operation_id": f"change-{name}-{version}",
+            "preconditions": [
+                {"table": row["table"], "key": row["key"], "version": row["version"]}
+                | {"equals": {}}
+                for row in (host, head)
+            ],
+            "writes": [
+                {"table": "hosts", "key": name, "value": host["value"] | changes},
+                {"table": "heads", "key": "fleet", "value": fleet},
+            ],
+        }
+        answer = self.platform_call("POST", "/transactions", transaction)
+        assert answer.json()["committed"], answer
+
     def backend_state(self, name):
         """Return what a backend server ran."""
         return self.set_backend(name)
