Spend less processor time around each request

Sampled the entry host under load (15,000 requests, 1 ms of processor time a sample): of 590 us a request some 37% was h11, 20% sockets, 15% entering and leaving five cancel scopes, 9% the log line. Now a scope is opened only while a message is incomplete (two a request are left: idle, attempt), the record of a log line is built without walking the stack and its second formatted once, and the exchange with a backend server needs no generator.

--- a/rhubarbmount/attempts.py
+++ b/rhubarbmount/attempts.py
@@ -75,8 +75,9 @@
 ) -> Attempt:
     """Send a request to a backend server and wait for its whole answer."""
     progress = Progress()
+    response = None
     try:
-        with trio.fail_at(deadline_s):
+        with trio.CancelScope(deadline=deadline_s):
             response = await connections.exchange(address, request, progress)
     except NotSent as error:
         facts = AttemptFacts(Ending.NOT_CONNECTED, bytes_left=False)
@@ -85,7 +86,7 @@
         lost = error.code == AnswerLost.code
         ending = Ending.CONNECTION_LOST if lost else Ending.BROKEN_ANSWER
         return Attempt(AttemptFacts(ending), None, error.code, error.message)
-    except trio.TooSlowError:
+    if response is None:
         facts = AttemptFacts(Ending.TIMED_OUT, progress.bytes_left)
         return Attempt(facts, None, "timeout", "no answer in time")
     if response.status == GUARD_STATUS and GUARD_NOT_RUN in response.headers:
--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -8,8 +8,6 @@
 import itertools
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import attrs
 import trio
@@ -55,14 +53,17 @@
         Raises NotSent, or AnswerLost also for the answer to another request.
         """
         attempt = f"{self._prefix}-{next(self._numbers)}"
-        header = (ATTEMPT_HEADER, attempt.encode("ascii"))
         headers = [pair for pair in request.headers if pair[0] != ATTEMPT_HEADER]
-        marked = attrs.evolve(request, headers=[*headers, header])
-        async with self._borrow(address) as connection:
+        headers.append((ATTEMPT_HEADER, attempt.encode("ascii")))
+        marked = HttpRequest(request.method, request.target, headers, request.body)
+        connection = await self._take(address)
+        try:
             if progress is not None:
                 progress.bytes_left = True
             answer = await connection.exchange(marked)
             _check_echo(connection, answer, attempt)
+        finally:
+            await self._put_back(address, connection)
         return answer
 
     async def close_idle(self, address: str) -> None:
@@ -75,18 +76,13 @@
         for address in list(self._idle_by_address):
             await self.close_idle(address)
 
-    @asynccontextmanager
-    async def _borrow(self, address: str) -> AsyncIterator[ClientConnection]:
-        connection = await self._take(address)
-        try:
-            yield connection
-        finally:
-            if connection.reusable:
-                connection.was_reused = True
-                self._idle_by_address.setdefault(address, deque()).append(connection)
-            else:
-                with trio.CancelScope(shield=True):
-                    await connection.aclose()
+    async def _put_back(self, address: str, connection: ClientConnection) -> None:
+        if not connection.reusable:
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
+            return
+        connection.was_reused = True
+        self._idle_by_address.setdefault(address, deque()).append(connection)
 
     async def _take(self, address: str) -> ClientConnection:
         idle = self._idle_by_address.get(address)
--- a/rhubarbmount/http.py
+++ b/rhubarbmount/http.py
@@ -6,6 +6,7 @@
 
 import select
 from collections.abc import Sequence
+from typing import Any
 
 import attrs
 import h11
@@ -119,11 +120,16 @@
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
 
-    async def wait_for_request(self) -> bool:
-        """Wait for the first byte of a request; return False at the end."""
+    async def wait_for_request(self, scope: trio.CancelScope | None = None) -> bool:
+        """Wait for the first byte of a request; return False at the end.
+
+        Cancelling the scope ends the wait.
+        """
         if self._protocol.trailing_data[0]:
             return True
-        with trio.move_on_after(self.limits.idle_timeout_s):
+        scope = trio.CancelScope() if scope is None else scope
+        scope.deadline = trio.current_time() + self.limits.idle_timeout_s
+        with scope:
             data = await self._read()
             self._protocol.receive_data(data)
             return bool(data)
@@ -153,30 +159,41 @@
         return HttpRequest(self._method, target, list(head.headers), body)
 
     async def _receive_head(self) -> h11.Request | None:
+        event = self._protocol.next_event()
+        if event is h11.NEED_DATA:
+            event = await self._await_head()
+        if not isinstance(event, h11.Request):
+            return None
+        if _head_size_bytes(event) > self.limits.header_bytes:
+            raise BadRequest("the headers are too large", 431, "headers-too-large")
+        return event
+
+    async def _await_head(self) -> Any:
         with trio.move_on_after(self.limits.header_timeout_s):
-            event = await self._next_event()
-            if not isinstance(event, h11.Request):
-                return None
-            if _head_size_bytes(event) > self.limits.header_bytes:
-                raise BadRequest("the headers are too large", 431, "headers-too-large")
-            return event
+            return await self._next_event()
         raise BadRequest("the headers took too long", 408, "header-timeout")
 
     async def _receive_body(self) -> bytes:
         chunks: list[bytes] = []
+        event = self._protocol.next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            with trio.move_on_after(self.limits.body_timeout_s) as scope:
+                await self._await_body(event, chunks)
+            if scope.cancelled_caught:
+                raise BadRequest("the body took too long", 408, "body-timeout")
+        return b"".join(chunks)
+
+    async def _await_body(self, event: object, chunks: list[bytes]) -> None:
+        if self._protocol.they_are_waiting_for_100_continue:
+            await self._send_continue()
         size = 0
-        with trio.move_on_after(self.limits.body_timeout_s):
-            if self._protocol.they_are_waiting_for_100_continue:
-                await self._send_continue()
-            while True:
-                event = await self._next_event()
-                if not isinstance(event, h11.Data):
-                    return b"".join(chunks)
+        while event is h11.NEED_DATA or isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.limits.body_bytes:
                     raise BadRequest("the body is too large", 413, "body-too-large")
                 chunks.append(bytes(event.data))
-        raise BadRequest("the body took too long", 408, "body-timeout")
+            event = await self._next_event()
 
     async def send(self, response: HttpResponse, close: bool = False) -> bool:
         """Send a response; return whether the connection can serve another."""
@@ -211,7 +228,7 @@
         event = h11.InformationalResponse(status_code=100, headers=[])
         await self.stream.send_all(self._protocol.send(event) or b"")
 
-    async def _next_event(self) -> object:
+    async def _next_event(self) -> Any:
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -115,13 +115,12 @@
     async def _wait_for_request(self, connection: ServerConnection) -> bool:
         if self.stopping:
             return False
-        with trio.CancelScope() as scope:
-            self._idle_scopes.add(scope)
-            try:
-                return await connection.wait_for_request()
-            finally:
-                self._idle_scopes.discard(scope)
-        return False
+        scope = trio.CancelScope()
+        self._idle_scopes.add(scope)
+        try:
+            return await connection.wait_for_request(scope)
+        finally:
+            self._idle_scopes.discard(scope)
 
     async def _serve_request(self, connection: ServerConnection) -> bool:
         try:
--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+import time
 from typing import TextIO
 
 __all__ = ["configure", "event", "format_event"]
@@ -44,15 +45,34 @@
 ) -> None:
     """Log one event when its level is enabled."""
     if logger.isEnabledFor(level):
-        logger.log(level, "%s", format_event(name, fields))
+        line = format_event(name, fields)
+        logger.handle(logger.makeRecord(logger.name, level, "", 0, line, (), None))
+
+
+class _LineFormatter(logging.Formatter):
+    """Format records as time, level and message, with each second formatted once."""
+
+    def __init__(self) -> None:
+        super().__init__("time=%(asctime)s level=%(levelname)s %(message)s")
+        self._second = 0
+        self._prefix = ""
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Return the record's local time with milliseconds."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._prefix = time.strftime("%Y-%m-%dT%H:%M:%S", time.localtime(second))
+        return f"{self._prefix}.{int(record.msecs):03}"
 
 
 def configure(level: str, stream: TextIO | None = None) -> None:
     """Send log lines of at least the level to the stream or standard error."""
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(
-        logging.Formatter("time=%(asctime)s level=%(levelname)s %(message)s")
-    )
+    handler.setFormatter(_LineFormatter())
     root = logging.getLogger("rhubarbmount")
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
