Plan maintenance waves rack by rack within budgets and windows

A pool's plan is played with the same choice that a holder takes online: as many hosts as the budget leaves, racks in use first, then those with most hosts to do.

--- /dev/null
+++ b/rhubarbmount/maintenance.py
@@ -0,0 +1,89 @@
+"""Maintenance: windows, and the largest set of hosts that may go now."""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+from rhubarbmount.budgets import BudgetView
+from rhubarbmount.entries import Pool
+from rhubarbmount.hosts import Host
+
+__all__ = ["by_rack", "choose", "is_due", "next_start_s", "select"]
+
+HOUR_S = 3600
+DAY_S = 24 * HOUR_S
+
+
+def is_due(host: Host, started_s: float) -> bool:
+    """Tell whether a host still has its turn in a wave begun at that time."""
+    return host.maintained_s < started_s
+
+
+def next_start_s(pool: Pool, now_s: float, need_s: float) -> float | None:
+    """Return when work of that length may start, or None if no window holds it.
+
+    >>> night = Pool(name="q", owner="o", hosts_wanted=1, window_start_hour=22,
+    ...              window_end_hour=2)
+    >>> next_start_s(night, 0.0, 3600.0), next_start_s(night, 5400.0, 3600.0) / 3600
+    (0.0, 22.0)
+    """
+    start_s = pool.window_start_hour * HOUR_S
+    length_s = (pool.window_end_hour - pool.window_start_hour) % 24 * HOUR_S
+    if length_s == 0:
+        return now_s
+    if need_s > length_s:
+        return None
+    opened_s = math.floor((now_s - start_s) / DAY_S) * DAY_S + start_s
+    if now_s + need_s <= opened_s + length_s:
+        return now_s
+    return opened_s + DAY_S
+
+
+def choose(
+    due_by_rack: Mapping[str, Sequence[str]],
+    racks_in_use: Iterable[str],
+    slots: int,
+    racks_down_limit: int,
+) -> list[tuple[str, str]]:
+    """Return the most (host, rack) pairs that may go now, rack by rack.
+
+    Racks already in use come first, then those with most hosts to do.
+
+    >>> choose({"r1": ["a"], "r2": ["b", "c"]}, [], 2, 1)
+    [('b', 'r2'), ('c', 'r2')]
+    """
+    used = set(racks_in_use)
+    order = sorted(
+        (rack for rack, hosts in due_by_rack.items() if hosts),
+        key=lambda rack: (rack not in used, -len(due_by_rack[rack]), rack),
+    )
+    chosen: list[tuple[str, str]] = []
+    for rack in order:
+        if len(chosen) >= slots:
+            break
+        if rack not in used and len(used) >= racks_down_limit:
+            break
+        used.add(rack)
+        free = slots - len(chosen)
+        chosen.extend((host_id, rack) for host_id in due_by_rack[rack][:free])
+    return chosen
+
+
+def select(view: BudgetView, due: Iterable[Host]) -> list[str]:
+    """Return the largest set of due hosts that the budget lets go now."""
+    pool, down = view.pool, view.down
+    racks = set(down.values())
+    if len(racks) > pool.racks_down_limit:
+        return []
+    slots = pool.hosts_down_limit - len(down) - view.missing
+    due_by_rack = by_rack(host for host in due if host.host_id not in down)
+    chosen = choose(due_by_rack, racks, slots, pool.racks_down_limit)
+    return [host_id for host_id, _ in chosen]
+
+
+def by_rack(hosts: Iterable[Host]) -> dict[str, list[str]]:
+    """Return the ids of the hosts in each rack, in order."""
+    host_ids: dict[str, list[str]] = defaultdict(list)
+    for host in sorted(hosts, key=lambda host: host.host_id):
+        host_ids[host.rack].append(host.host_id)
+    return dict(host_ids)
