Carry out maintenance waves under a lease, with pause, resume and cancel

A wave is one row; a host is due until its row says that it was maintained after the wave began, so another holder goes on from the rows alone. Each begin requires the wave's row as it was read: nothing begins after a pause was accepted. A host maintained under a clock that is behind is stamped with the wave's own start.

Seen to fail first: stamping with the holder's clock (a host rebooted again and again), ignoring the list of live hosts (a lost rack did not stop the wave), and closing a wave while its hosts were still out.

--- /dev/null
+++ b/tests/test_waves.py
@@ -0,0 +1,193 @@
+"""Waves carried out: pause, resume, cancel, and a holder that dies midway."""
+
+import pytest
+from fleetchecks import check_commit, hosts_of
+from fleetkit import fill, make_host, make_pool
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from interleave import World, pause, run_now
+
+from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.errors import Refused
+from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.hosts import HostState
+from rhubarbmount.hostwork import Observation, WorkBounds
+from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.waveplan import WaveSettings
+from rhubarbmount.waves import Control, WaveDuty, WaveOperator
+
+QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
+WAVE = WaveSettings(drain_s=2, reboot_s=2, warm_s=1)
+
+
+def make_world(hosts=8, **limits):
+    world = World()
+    members = [make_host(n) for n in range(hosts)]
+    limits = {"hosts_wanted": hosts, "hosts_down_limit": 2, **limits}
+    run_now(fill(world.inner, [make_pool(**limits)], members))
+    world.check = check_commit
+    return world
+
+
+def add_holder(world, name, behind_s=0.0):
+    platform = world.platform()
+    duties = [
+        HostDuty(
+            platform=platform,
+            observe=lambda host: Observation(in_flight=0, ready=True),
+            wall_clock=lambda: world.now_s - behind_s,
+            bounds=QUICK,
+        ),
+        WaveDuty(platform=platform, wall_clock=world.clock, settings=WAVE),
+    ]
+    runners = [
+        DutyRunner(
+            duty=duty,
+            instance_id=name,
+            platform=platform,
+            clock=world.clock,
+            new_id=world.new_id,
+            members=lambda: ("a", "b"),
+        )
+        for duty in duties
+    ]
+
+    async def work():
+        while True:
+            for runner in runners:
+                await runner.step()
+            await pause()
+
+    world.actors.append(work())
+
+
+def operator_of(world):
+    return WaveOperator(world.inner, world.clock, world.new_id)
+
+
+def count_maintained(world, wave_started_s=0.0):
+    hosts = hosts_of(world.inner.tables).values()
+    return sum(host.maintained_s > wave_started_s for host in hosts)
+
+
+def reboots_of(world):
+    commands = world.inner.host_commands.values()
+    return sorted(item.host_id for item in commands if item.action == "reboot")
+
+
+def is_quiet(world):
+    return not [key for key in world.inner.tables["intents"] if key.startswith("host/")]
+
+
+def is_done(world, wave_id):
+    return run_now(operator_of(world).read(wave_id)).wave.state == "done"
+
+
+def test_a_wave_maintains_each_host_once_and_ends():
+    world = make_world()
+    reboots = []
+    world.inner.on_host_command = lambda command: (
+        command.action == "reboot" and reboots.append(command.host_id)
+    )
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    assert is_quiet(world)
+    world.stop()
+
+
+def test_a_paused_wave_begins_nothing_and_a_resumed_one_ends():
+    world = make_world()
+    operator = operator_of(world)
+    wave_id = run_now(operator.start())
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 2)
+    run_now(operator.control(wave_id, Control.PAUSED))
+    assert world.settle(lambda: is_quiet(world))
+    paused_at = count_maintained(world)
+    assert not world.settle(lambda: not is_quiet(world), rounds=400)
+    assert count_maintained(world) == paused_at < 8
+    run_now(operator.control(wave_id, Control.RUNNING))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert count_maintained(world) == 8
+    world.stop()
+
+
+def test_a_cancelled_wave_finishes_what_it_began():
+    world = make_world()
+    operator = operator_of(world)
+    wave_id = run_now(operator.start())
+    add_holder(world, "a")
+    assert world.settle(lambda: not is_quiet(world))
+    run_now(operator.control(wave_id, Control.CANCELLED))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert 0 < count_maintained(world) < 8
+    for host in hosts_of(world.inner.tables).values():
+        assert host.state is HostState.IN_SERVICE
+    with pytest.raises(Refused):
+        run_now(operator.control(wave_id, Control.RUNNING))
+    world.stop()
+
+
+def test_a_wave_is_resumed_by_another_holder_midway():
+    world = make_world()
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 3)
+    world.stop()
+    add_holder(world, "b")
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    world.stop()
+
+
+def test_a_rack_lost_during_a_wave_stops_it_until_the_rack_is_back():
+    world = make_world()
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 1)
+    everyone = list(world.inner.hosts)
+    world.inner.hosts = [LiveHost(f"q{n}") for n in range(4)]
+    assert world.settle(lambda: is_quiet(world))
+    maintained = count_maintained(world)
+    assert not world.settle(lambda: not is_quiet(world), rounds=400)
+    world.inner.hosts = everyone
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert maintained < count_maintained(world) == 8
+    world.stop()
+
+
+def test_a_holder_whose_clock_is_behind_reboots_each_host_once():
+    world = make_world(hosts=4)
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a", behind_s=100_000.0)
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    world.stop()
+
+
+def test_two_open_waves_never_cover_one_pool():
+    world = make_world()
+    run_now(operator_of(world).start(["quotes"]))
+    with pytest.raises(Refused):
+        run_now(operator_of(world).start())
+
+
+@settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    phases=[Phase.generate],
+)
+@given(schedule=st.binary(min_size=150, max_size=400))
+def test_racing_holders_keep_the_budget_and_reboot_each_host_once(schedule):
+    world = make_world(hosts=4)
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    add_holder(world, "b")
+    world.play(schedule)
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    world.stop()
