Plan waves at the lower bound, and weigh spares over all pools

Of two choices that let as many hosts go, the one that finishes racks with few hosts left now wins: whole racks fill later turns. Spares were given only while one pool's step lowered the cost, which never happens with several equal pools; the plan now goes on to the last spare and keeps the cheapest plan met.

--- a/rhubarbmount/maintenance.py
+++ b/rhubarbmount/maintenance.py
@@ -47,26 +47,41 @@
 ) -> list[tuple[str, str]]:
     """Return the most (host, rack) pairs that may go now, rack by rack.
 
-    Racks already in use come first, then those with most hosts to do.
+    Racks already in use come first. Of two ways that let as many go, the one that
+    finishes racks with few hosts left is taken, as whole racks fill later turns.
 
     >>> choose({"r1": ["a"], "r2": ["b", "c"]}, [], 2, 1)
     [('b', 'r2'), ('c', 'r2')]
     """
     used = set(racks_in_use)
-    order = sorted(
-        (rack for rack, hosts in due_by_rack.items() if hosts),
-        key=lambda rack: (rack not in used, -len(due_by_rack[rack]), rack),
-    )
-    chosen: list[tuple[str, str]] = []
-    for rack in order:
-        if len(chosen) >= slots:
-            break
+    fewest_first = sorted(due_by_rack, key=lambda rack: (len(due_by_rack[rack]), rack))
+    most_first = sorted(due_by_rack, key=lambda rack: (-len(due_by_rack[rack]), rack))
+    ways = [
+        _take(due_by_rack, order, used, slots, racks_down_limit)
+        for order in (fewest_first, most_first)
+    ]
+    return max(ways, key=len)
+
+
+def _take(
+    due_by_rack: Mapping[str, Sequence[str]],
+    order: Sequence[str],
+    racks_in_use: set[str],
+    slots: int,
+    racks_down_limit: int,
+) -> list[tuple[str, str]]:
+    """Return (host, rack) pairs from used racks, then from others in order."""
+    used = set(racks_in_use)
+    taken: list[tuple[str, str]] = []
+    for rack in sorted(order, key=lambda rack: rack not in racks_in_use):
+        if len(taken) >= slots or not due_by_rack[rack]:
+            continue
         if rack not in used and len(used) >= racks_down_limit:
-            break
+            continue
         used.add(rack)
-        free = slots - len(chosen)
-        chosen.extend((host_id, rack) for host_id in due_by_rack[rack][:free])
-    return chosen
+        free = slots - len(taken)
+        taken.extend((host_id, rack) for host_id in due_by_rack[rack][:free])
+    return taken
 
 
 def select(view: BudgetView, due: Iterable[Host]) -> list[str]:
--- a/rhubarbmount/waveplan.py
+++ b/rhubarbmount/waveplan.py
@@ -23,8 +23,6 @@
     "plan_wave",
 ]
 
-SPARES_PER_SLOT = (2, 4, 8)
-
 
 @attrs.frozen(kw_only=True)
 class WaveSettings:
@@ -207,28 +205,39 @@
     settings: WaveSettings,
     spares_free: int = 0,
 ) -> WavePlan:
-    """Plan a wave; give spares to the slowest pool while that lowers the cost."""
+    """Plan a wave, with the spares that make its weighted cost least."""
     hosts = _by_pool(due)
     pool_by_name = {pool.name: pool for pool in pools if pool.name in hosts}
     plan = _plan_in_place(pool_by_name, hosts, start_s, settings)
-    while plan.by_pool and plan.buffer_hosts < spares_free:
+    best = plan
+    while plan.by_pool:
         slowest = max(plan.by_pool.values(), key=lambda item: item.finish_s)
         pool = pool_by_name[slowest.pool]
-        better = plan
-        for share in SPARES_PER_SLOT:
-            spares = share * pool.hosts_down_limit
-            if plan.buffer_hosts - slowest.spares + spares > spares_free:
-                break
-            trial = plan_pool(pool, hosts[pool.name], start_s, settings, spares)
-            if trial is None:
-                break
-            by_pool = {**plan.by_pool, pool.name: trial}
-            candidate = attrs.evolve(plan, by_pool=by_pool)
-            better = min(better, candidate, key=lambda item: item.cost(settings))
-        if better is plan:
+        free = spares_free - plan.buffer_hosts + slowest.spares
+        faster = _with_more_spares(
+            slowest, pool, hosts[pool.name], start_s, settings, free
+        )
+        if faster is None:
             break
-        plan = better
-    return plan
+        plan = attrs.evolve(plan, by_pool={**plan.by_pool, pool.name: faster})
+        best = min(best, plan, key=lambda item: item.cost(settings))
+    return best
+
+
+def _with_more_spares(
+    slowest: PoolPlan,
+    pool: Pool,
+    due: Iterable[Host],
+    start_s: float,
+    settings: WaveSettings,
+    free: int,
+) -> PoolPlan | None:
+    """Return a faster plan of a pool, with the least spares that make it so."""
+    for spares in range(slowest.spares + 1, free + 1):
+        trial = plan_pool(pool, due, start_s, settings, spares)
+        if trial is not None and trial.finish_s < slowest.finish_s:
+            return trial
+    return None
 
 
 def plan_one_at_a_time(
