Repair failing hosts within the budget, and swap spares in waves

A host not ready, or not listed, for long enough is quarantined if the budget lets it be down; it is drained, rebooted and returned with a slow start. Waves with spares replace a pool's hosts one by one and maintain them in the spares' pool; each pool has its size again at the end.

Steps of all kinds of work now stand in hostactions.py, which the hosts duty loads: a holder that had not loaded the moves could not carry one out (seen in the swap test as NotFound).

Seen to fail first: repair without asking the budget, release without a spare, and counting a failed host as one more to take down (4 tests of test_repair.py). The test of the lost rack first looked at hosts that were still warming up; it now waits for them within a bound.

--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -166,6 +166,12 @@
         terms.add(self.entry_terms())
         return terms
 
+    def touch_terms(self) -> Terms:
+        """Return what a transaction needs to change what counts as down."""
+        terms = self._terms(self.permits)
+        terms.add(self.entry_terms())
+        return terms
+
     def entry_terms(self) -> Terms:
         """Return what a transaction needs to rely on the entry as it was read."""
         terms = Terms()
--- /dev/null
+++ b/rhubarbmount/hostactions.py
@@ -0,0 +1,118 @@
+"""The steps of each kind of work on a host, as pure decisions."""
+
+from rhubarbmount.hosts import HostState
+from rhubarbmount.hostwork import Progress, Step, host_actions
+
+__all__ = [
+    "maintain_step",
+    "move_step",
+    "repair_step",
+    "replace_step",
+    "restore_step",
+]
+
+
+def drain_step(progress: Progress) -> Step | None:
+    """Return the step out of draining, cutting no request that is counted."""
+    bounds = progress.bounds
+    if progress.elapsed_s < bounds.view_s:
+        return None
+    if progress.seen.in_flight == 0:
+        return Step("empty")
+    if progress.seen.in_flight is None:
+        waited = progress.elapsed_s >= bounds.view_s + bounds.drain_s
+        return Step("empty") if waited else None
+    if progress.elapsed_s >= bounds.drain_limit_s:
+        return Step("restore")
+    return None
+
+
+def reboot_step(progress: Progress) -> Step | None:
+    """Return the step out of maintenance, once the host has been away and back."""
+    bounds = progress.bounds
+    rebooted = progress.was_unready or progress.elapsed_s >= bounds.reboot_min_s
+    if progress.seen.ready and rebooted:
+        return Step("ready")
+    if progress.elapsed_s >= bounds.reboot_limit_s:
+        return Step("quarantine", finished=True)
+    return None
+
+
+def return_step(progress: Progress) -> Step | None:
+    """Return the step back into service after a slow start."""
+    if progress.elapsed_s < progress.bounds.warm_s:
+        return None
+    if progress.seen.ready is not False:
+        return Step("warm", finished=True)
+    if progress.elapsed_s >= progress.bounds.reboot_limit_s:
+        return Step("quarantine", finished=True)
+    return None
+
+
+@host_actions.register("move")
+def move_step(progress: Progress) -> Step | None:
+    """Return the next step of a move to another pool."""
+    state = progress.host.state
+    if state is HostState.DRAINING:
+        return drain_step(progress)
+    if state is HostState.DRAINED:
+        return Step("move", pool=progress.intent.target_pool)
+    if state is HostState.RETURNING:
+        return return_step(progress)
+    return None
+
+
+@host_actions.register("restore")
+def restore_step(progress: Progress) -> Step | None:
+    """Return the next step of a host that goes back into service where it is."""
+    state = progress.host.state
+    if state in (HostState.DRAINING, HostState.DRAINED):
+        return Step("restore")
+    if state is HostState.RETURNING:
+        return return_step(progress)
+    return None
+
+
+@host_actions.register("maintain")
+def maintain_step(progress: Progress) -> Step | None:
+    """Return the next step of a host's maintenance in its pool."""
+    state = progress.host.state
+    if state is HostState.DRAINING:
+        return drain_step(progress)
+    if state is HostState.DRAINED:
+        return Step("maintain")
+    if state is HostState.MAINTENANCE:
+        return reboot_step(progress)
+    if state is HostState.RETURNING:
+        return return_step(progress)
+    return None
+
+
+@host_actions.register("reboot")
+def repair_step(progress: Progress) -> Step | None:
+    """Return the next step of a failing host that is rebooted.
+
+    Its requests are waited for like those of any host, but not beyond the limit.
+    """
+    if progress.host.state is HostState.DRAINING:
+        return _last_drain_step(progress)
+    return maintain_step(progress)
+
+
+@host_actions.register("replace")
+def replace_step(progress: Progress) -> Step | None:
+    """Return the next step of a host that stays bad and is released."""
+    if progress.host.state is HostState.DRAINING:
+        return _last_drain_step(progress)
+    if progress.host.state is HostState.DRAINED:
+        return Step("leave")
+    if progress.host.state is HostState.LEAVING:
+        return Step("released", finished=True, gone=True)
+    return None
+
+
+def _last_drain_step(progress: Progress) -> Step | None:
+    step = drain_step(progress)
+    if step is not None and step.event == "restore":
+        return Step("empty")
+    return step
--- a/rhubarbmount/hostduty.py
+++ b/rhubarbmount/hostduty.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+import rhubarbmount.hostactions  # noqa: F401
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.dutyrunner import Lease
 from rhubarbmount.errors import NotFound, Refused
@@ -25,12 +26,13 @@
     host_actions,
     intent_key,
     load_intent,
+    work_cause,
 )
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import HostCommand, Platform, Row
 from rhubarbmount.statecharts import load_chart
 
-__all__ = ["Begun", "HostDuty", "begin_terms", "next_host"]
+__all__ = ["Begun", "HostDuty", "begin_changes", "begin_terms", "next_host"]
 
 logger = logging.getLogger("rhubarbmount.hostduty")
 
@@ -80,19 +82,28 @@
 
     The permits, the intents and the hosts' new state are written together.
     """
+    terms, changes = begin_changes(rows, begun, now_s)
+    terms.add(host_terms(head, changes))
+    return terms
+
+
+def begin_changes(
+    rows: PoolRows, begun: Iterable[Begun], now_s: float
+) -> tuple[Terms, list[HostChange]]:
+    """Return the permits and intents of one pool's hosts, and the hosts' changes."""
     terms = Terms()
     racks = {}
     changes = []
     for item in begun:
         host, intent = item.row.host, item.intent
-        draining = next_host(host, Step("drain"), now_s, f"{intent.action}:drain")
+        cause = work_cause(intent, "drain")
+        draining = next_host(host, Step("drain"), now_s, cause)
         changes.append(HostChange(item.row, draining))
         racks[host.host_id] = host.rack
         terms.require(INTENTS_TABLE, intent_key(host.host_id), 0)
         terms.write(INTENTS_TABLE, intent_key(host.host_id), dump_intent(intent))
     terms.add(rows.grant_terms(racks))
-    terms.add(host_terms(head, changes))
-    return terms
+    return terms, changes
 
 
 @attrs.define
@@ -236,9 +247,11 @@
         terms.add(target.entry_terms())
         return step
 
-    def _after(self, item: OpenWork, step: Step) -> Host:
+    def _after(self, item: OpenWork, step: Step) -> Host | None:
+        if step.gone:
+            return None
         now_s = self.wall_clock()
-        cause = f"{item.intent.action}:{step.event}"
+        cause = work_cause(item.intent, step.event)
         host = next_host(item.row.host, step, now_s, cause)
         if step.event == "ready":
             maintained_s = max(now_s, item.intent.group_started_s)
--- a/rhubarbmount/hostrows.py
+++ b/rhubarbmount/hostrows.py
@@ -25,10 +25,10 @@
 
 @attrs.frozen
 class HostChange:
-    """A host's row as it was read, or None, and what it shall become."""
+    """A host's row as it was read, or None, and what it shall become, or None."""
 
     before: HostRow | None
-    after: Host
+    after: Host | None
 
 
 @attrs.define
@@ -99,16 +99,25 @@
     terms = Terms()
     host_ids = []
     for change in changes:
-        host_id = change.after.host_id
+        host_id = _host_id(change)
         version = change.before.version if change.before else 0
         terms.require(HOSTS_TABLE, host_id, version)
-        terms.write(HOSTS_TABLE, host_id, dump_host(change.after))
+        row = dump_host(change.after) if change.after else None
+        terms.write(HOSTS_TABLE, host_id, row)
         host_ids.append(host_id)
     terms.require(HEADS_TABLE, FLEET_HEAD, head.version if head else 0)
     terms.write(HEADS_TABLE, FLEET_HEAD, _advanced(head, host_ids))
     return terms
 
 
+def _host_id(change: HostChange) -> str:
+    if change.after is not None:
+        return change.after.host_id
+    if change.before is not None:
+        return change.before.host.host_id
+    raise ValueError("a change from nothing to nothing")
+
+
 def _advanced(head: Row | None, host_ids: list[str]) -> dict[str, Any]:
     version = (head.value["version"] if head else 0) + 1
     changes = list(head.value["changes"]) if head else []
--- a/rhubarbmount/hostwork.py
+++ b/rhubarbmount/hostwork.py
@@ -17,13 +17,11 @@
     "Progress",
     "Step",
     "WorkBounds",
-    "drain_step",
     "dump_intent",
     "host_actions",
     "intent_key",
     "load_intent",
-    "reboot_step",
-    "return_step",
+    "work_cause",
 ]
 
 INTENTS_TABLE = "intents"
@@ -95,51 +93,24 @@
 
 @attrs.frozen
 class Step:
-    """An event of the host's state chart; ``finished`` closes the intent."""
+    """An event of the host's state chart; ``finished`` closes the intent.
+
+    A host that is ``gone`` leaves the fleet with its row.
+    """
 
     event: str
     pool: str = ""
     finished: bool = False
+    gone: bool = False
 
 
 host_actions: Registry[Callable[[Progress], Step | None]] = Registry("host action")
 
 
-def drain_step(progress: Progress) -> Step | None:
-    """Return the step out of draining, cutting no request that is counted."""
-    bounds = progress.bounds
-    if progress.elapsed_s < bounds.view_s:
-        return None
-    if progress.seen.in_flight == 0:
-        return Step("empty")
-    if progress.seen.in_flight is None:
-        waited = progress.elapsed_s >= bounds.view_s + bounds.drain_s
-        return Step("empty") if waited else None
-    if progress.elapsed_s >= bounds.drain_limit_s:
-        return Step("restore")
-    return None
-
-
-def reboot_step(progress: Progress) -> Step | None:
-    """Return the step out of maintenance, once the host has been away and back."""
-    bounds = progress.bounds
-    rebooted = progress.was_unready or progress.elapsed_s >= bounds.reboot_min_s
-    if progress.seen.ready and rebooted:
-        return Step("ready")
-    if progress.elapsed_s >= bounds.reboot_limit_s:
-        return Step("quarantine", finished=True)
-    return None
-
-
-def return_step(progress: Progress) -> Step | None:
-    """Return the step back into service after a slow start."""
-    if progress.elapsed_s < progress.bounds.warm_s:
-        return None
-    if progress.seen.ready is not False:
-        return Step("warm", finished=True)
-    if progress.elapsed_s >= progress.bounds.reboot_limit_s:
-        return Step("quarantine", finished=True)
-    return None
+def work_cause(intent: HostIntent, event: str) -> str:
+    """Return what a host's row says of the last step of work on it."""
+    parts = [intent.action, event, intent.target_pool]
+    return ":".join(part for part in parts if part)
 
 
 def intent_key(host_id: str) -> str:
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -13,48 +13,19 @@
 from rhubarbmount.hostwork import (
     INTENTS_TABLE,
     HostIntent,
-    Progress,
-    Step,
-    drain_step,
     dump_intent,
-    host_actions,
     intent_key,
     load_intent,
-    return_step,
 )
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
 
-__all__ = ["HostMover", "move_step", "restore_step"]
+__all__ = ["HostMover"]
 
 MOVE_ATTEMPTS = 5
 logger = logging.getLogger("rhubarbmount.moves")
 
 
-@host_actions.register("move")
-def move_step(progress: Progress) -> Step | None:
-    """Return the next step of a move to another pool."""
-    state = progress.host.state
-    if state is HostState.DRAINING:
-        return drain_step(progress)
-    if state is HostState.DRAINED:
-        return Step("move", pool=progress.intent.target_pool)
-    if state is HostState.RETURNING:
-        return return_step(progress)
-    return None
-
-
-@host_actions.register("restore")
-def restore_step(progress: Progress) -> Step | None:
-    """Return the next step of a host that goes back into service where it is."""
-    state = progress.host.state
-    if state in (HostState.DRAINING, HostState.DRAINED):
-        return Step("restore")
-    if state is HostState.RETURNING:
-        return return_step(progress)
-    return None
-
-
 @attrs.define
 class HostMover:
     """Begin and cancel moves; any entry host may, on an operator's word.
--- /dev/null
+++ b/rhubarbmount/repair.py
@@ -0,0 +1,226 @@
+"""Repair of failing hosts, and how many buffer hosts it takes."""
+
+import logging
+import math
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
+from rhubarbmount.dutyrunner import Lease
+from rhubarbmount.hostduty import Begun, begin_changes, next_host
+from rhubarbmount.hostrows import FleetView, HostChange, HostRow, host_terms
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.hostwork import HostIntent, Observation, Step
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import LiveHost, Platform
+
+__all__ = ["BufferNeed", "RepairBounds", "RepairDuty", "buffer_need"]
+
+DAY_S = 24 * 3600
+REBOOT_CAUSE = "repair:failing"
+REPLACE_CAUSE = "repair:failing-again"
+logger = logging.getLogger("rhubarbmount.repair")
+
+
+@attrs.frozen(kw_only=True)
+class RepairBounds:
+    """When a host counts as failing, and when it is given up.
+
+    A host that has not been ready, or not listed as live, for ``failing_s`` is
+    quarantined; one that fails again within ``again_s`` of its last repair is
+    replaced.
+    """
+
+    failing_s: float = 30.0
+    again_s: float = float(DAY_S)
+
+
+@attrs.define
+class RepairDuty:
+    """Quarantine failing hosts, reboot them, and replace those that stay bad."""
+
+    platform: Platform
+    observe: Callable[[Host], Observation]
+    wall_clock: Callable[[], float]
+    buffer_pool: str = ""
+    bounds: RepairBounds = attrs.field(factory=RepairBounds)
+    name: str = "repair"
+    view: FleetView = attrs.field(init=False)
+    _failing_since_s: dict[str, float] = attrs.field(factory=dict)
+    _held: dict[str, str] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.view = FleetView(self.platform)
+
+    def forget(self) -> None:
+        """Drop what was remembered."""
+        self.view = FleetView(self.platform)
+        self._failing_since_s.clear()
+        self._held.clear()
+
+    async def do_round(self, lease: Lease) -> None:
+        """Take each failing host one step further."""
+        live = await self.platform.live_hosts()
+        await self.view.refresh()
+        for row in self._failing(live, lease.clock()):
+            await self._quarantine(row, live, lease)
+        for row in self._in_state(HostState.QUARANTINED):
+            await self._repair(row, live, lease)
+
+    def _in_state(self, state: HostState) -> list[HostRow]:
+        rows = self.view.by_host_id.values()
+        return [row for row in list(rows) if row.host.state is state]
+
+    def _failing(self, live: Iterable[LiveHost], now_s: float) -> list[HostRow]:
+        listed = {item.host_id for item in live if not item.leaving}
+        since_s = {}
+        for row in self._in_state(HostState.IN_SERVICE):
+            host = row.host
+            if host.host_id in listed and self.observe(host).ready is not False:
+                continue
+            since_s[host.host_id] = self._failing_since_s.get(host.host_id, now_s)
+        self._failing_since_s = since_s
+        return [
+            self.view.by_host_id[host_id]
+            for host_id, failing_s in since_s.items()
+            if now_s - failing_s >= self.bounds.failing_s
+        ]
+
+    async def _quarantine(
+        self, row: HostRow, live: list[LiveHost], lease: Lease
+    ) -> None:
+        """Take a failing host out of service, if the budget allows."""
+        host = row.host
+        rows = await self._allowed(host, live)
+        if rows is None:
+            return
+        cause = REBOOT_CAUSE
+        if self._failed_lately(host):
+            cause = REPLACE_CAUSE
+        bad = next_host(host, Step("quarantine"), self.wall_clock(), cause)
+        terms = rows.touch_terms()
+        terms.add(host_terms(self.view.head, [HostChange(row, bad)]))
+        if await lease.commit(terms):
+            event(logger, "host-quarantined", host=host.host_id, cause=cause)
+        await self.view.refresh()
+
+    async def _repair(self, row: HostRow, live: list[LiveHost], lease: Lease) -> None:
+        """Begin the reboot or the replacement of a quarantined host."""
+        host = row.host
+        rows = await self._allowed(host, live)
+        if rows is None:
+            return
+        action = "reboot" if host.cause == REBOOT_CAUSE else "replace"
+        bad = Begun(row, _intent(lease, action, host.host_id))
+        terms, changes = begin_changes(rows, [bad], self.wall_clock())
+        if action == "replace":
+            spare = await self._spare(host.pool, live)
+            if spare is None:
+                self._hold(host, "no-spare")
+                return
+            spare_rows, spare_row = spare
+            move = _intent(lease, "move", spare_row.host.host_id, host.pool)
+            more, moved = begin_changes(
+                spare_rows, [Begun(spare_row, move)], self.wall_clock()
+            )
+            terms.add(more)
+            changes += moved
+        terms.add(host_terms(self.view.head, changes))
+        if await lease.commit(terms):
+            hosts = ",".join(change.after.host_id for change in changes if change.after)
+            event(logger, "repair-begun", hosts=hosts, pool=host.pool, action=action)
+        await self.view.refresh()
+
+    async def _spare(
+        self, pool: str, live: list[LiveHost]
+    ) -> tuple[PoolRows, HostRow] | None:
+        """Return a host of the buffer that may leave it."""
+        rows = await read_pool_rows(self.platform, self.buffer_pool)
+        await self.view.refresh()
+        if rows.pool is None or pool == self.buffer_pool:
+            return None
+        members = self.view.of_pool(self.buffer_pool)
+        view = rows.view(members, live)
+        for row in members:
+            permission = decide(view, row.host.host_id, row.host.rack)
+            in_service = row.host.state is HostState.IN_SERVICE
+            if in_service and permission.code is PermissionCode.ALLOWED:
+                return rows, row
+        return None
+
+    async def _allowed(self, host: Host, live: list[LiveHost]) -> PoolRows | None:
+        """Return the pool's rows if the host may be down, and log a refusal once."""
+        rows = await read_pool_rows(self.platform, host.pool)
+        await self.view.refresh()
+        if rows.pool is None:
+            return None
+        view = rows.view(self.view.of_pool(host.pool), live)
+        permission = decide(view, host.host_id, host.rack)
+        if permission.allowed:
+            self._held.pop(host.host_id, None)
+            return rows
+        self._hold(host, permission.code.value)
+        return None
+
+    def _hold(self, host: Host, code: str) -> None:
+        """Log once why a failing host can't be helped now."""
+        if self._held.get(host.host_id) != code:
+            event(logger, "repair-held", host=host.host_id, pool=host.pool, code=code)
+        self._held[host.host_id] = code
+
+    def _failed_lately(self, host: Host) -> bool:
+        repaired = host.cause.startswith("reboot:")
+        return repaired and self.wall_clock() - host.since_s < self.bounds.again_s
+
+
+def _intent(
+    lease: Lease, action: str, host_id: str, target_pool: str = ""
+) -> HostIntent:
+    return HostIntent(
+        intent_id=lease.new_id(),
+        duty="hosts",
+        action=action,
+        host_id=host_id,
+        target_pool=target_pool,
+    )
+
+
+@attrs.frozen
+class BufferNeed:
+    """How many buffer hosts failures call for, and their share of the fleet."""
+
+    hosts: int
+    share: float
+
+
+def buffer_need(
+    *,
+    hosts: int,
+    failures_per_day: float,
+    repair_days: float,
+    rack_size: int,
+    racks_per_month: float,
+    rack_repair_days: float,
+    shortage: float = 0.001,
+) -> BufferNeed:
+    """Return the buffer that is too small at most this share of the time.
+
+    Single failures arrive as a Poisson process. A rack is covered whole if the share
+    of the time that one is down exceeds the shortage.
+
+    >>> buffer_need(hosts=2600, failures_per_day=23, repair_days=1, rack_size=4,
+    ...             racks_per_month=1, rack_repair_days=1).hosts
+    43
+    """
+    mean = failures_per_day * repair_days
+    term = math.exp(-mean)
+    reached = term
+    needed = 0
+    while 1.0 - reached > shortage:
+        needed += 1
+        term *= mean / needed
+        reached += term
+    if racks_per_month / 30.0 * rack_repair_days > shortage:
+        needed += rack_size
+    return BufferNeed(needed, needed / hosts)
--- a/rhubarbmount/waveplan.py
+++ b/rhubarbmount/waveplan.py
@@ -118,7 +118,8 @@
     """A wave played through one pool, from event to event.
 
     Without spares, a host holds its slot for its whole turn; with spares, only until
-    it has moved out, and its spare is taken for the length of a swap.
+    it has moved out, and its spare is taken for the length of a swap; the spares
+    are maintained before all others.
     """
 
     pool: Pool
@@ -190,7 +191,7 @@
         slot_s=settings.drain_s if spares else settings.host_s,
         turn_s=settings.swap_s if spares else settings.host_s,
         slots=pool.hosts_down_limit if slots is None else slots,
-        spare_free_s=[start_s] * spares,
+        spare_free_s=[start_s + settings.host_s] * spares,
     )
     if not run.play():
         return None
--- /dev/null
+++ b/tests/test_repair.py
@@ -0,0 +1,175 @@
+"""Failing hosts: quarantined, rebooted, replaced; and the buffer this takes."""
+
+import pytest
+from fleetchecks import check_commit, hosts_of
+from fleetkit import fill, make_host, make_pool
+from interleave import World, pause, run_now
+
+from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.hosts import HostState
+from rhubarbmount.hostwork import Observation, WorkBounds
+from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.repair import RepairBounds, RepairDuty, buffer_need
+from rhubarbmount.waveduty import WaveDuty
+from rhubarbmount.waves import WaveOperator
+
+QUICK = WorkBounds(
+    view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, reboot_limit_s=10, warm_s=1
+)
+
+
+class SickFleet:
+    """A fleet whose hosts fail, and get well by a reboot or never."""
+
+    def __init__(self, hosts=8, spares=2, **limits):
+        self.world = World()
+        self.sick = set()
+        self.incurable = set()
+        pools = [
+            make_pool(hosts_wanted=hosts, **limits),
+            make_pool("buffer", hosts_wanted=0, hosts_down_limit=1),
+        ]
+        members = [make_host(n) for n in range(hosts)]
+        members += [make_host(n, "buffer") for n in range(spares)]
+        run_now(fill(self.world.inner, pools, members))
+        self.world.check = self.check
+        self.world.inner.on_host_command = self.obey
+        self.add_holder()
+
+    def check(self, before, after, transaction):
+        listed = {item.host_id for item in self.world.inner.hosts}
+        unlisted = set(before["hosts"]) - listed
+        check_commit(before, after, transaction, unlisted)
+
+    def obey(self, command):
+        if command.action == "reboot":
+            self.sick -= {command.host_id} - self.incurable
+
+    def observe(self, host):
+        sick = host.host_id in self.sick
+        return Observation(in_flight=0, ready=not sick)
+
+    def add_holder(self):
+        world, platform = self.world, self.world.platform()
+        duties = [
+            HostDuty(platform, self.observe, world.clock, QUICK),
+            RepairDuty(
+                platform, self.observe, world.clock, "buffer", RepairBounds(failing_s=3)
+            ),
+            WaveDuty(platform, world.clock),
+        ]
+        runners = [
+            DutyRunner(duty, "a", platform, world.clock, world.new_id, lambda: ("a",))
+            for duty in duties
+        ]
+
+        async def work():
+            while True:
+                for runner in runners:
+                    await runner.step()
+                await pause()
+
+        world.actors.append(work())
+
+    def hosts(self):
+        return hosts_of(self.world.inner.tables)
+
+    def in_service(self, pool="quotes"):
+        return {
+            host.host_id
+            for host in self.hosts().values()
+            if host.pool == pool and host.state is HostState.IN_SERVICE
+        }
+
+    def actions(self):
+        commands = self.world.inner.host_commands.values()
+        return [(item.host_id, item.action) for item in commands]
+
+
+@pytest.fixture
+def make_fleet():
+    fleets = []
+
+    def make(**limits):
+        fleets.append(SickFleet(**limits))
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.world.stop()
+
+
+def test_a_failing_host_is_drained_rebooted_and_returned(make_fleet):
+    fleet = make_fleet()
+    fleet.sick.add("q3")
+    assert fleet.world.settle(lambda: fleet.hosts()["q3"].cause == "reboot:warm")
+    assert len(fleet.in_service()) == 8
+    effects = [action for host_id, action in fleet.actions() if host_id == "q3"]
+    assert effects == ["drain", "reboot", "resume"]
+
+
+def test_failing_hosts_are_quarantined_only_within_the_budget(make_fleet):
+    fleet = make_fleet(hosts_down_limit=1)
+    fleet.sick.update({"q0", "q1", "q2"})
+    assert fleet.world.settle(lambda: not fleet.sick)
+    assert fleet.world.settle(lambda: len(fleet.in_service()) == 8)
+
+
+def test_a_host_that_stays_bad_is_replaced_from_the_buffer(make_fleet):
+    fleet = make_fleet()
+    fleet.sick.add("q3")
+    fleet.incurable.add("q3")
+    assert fleet.world.settle(lambda: "q3" not in fleet.hosts(), rounds=8000)
+    assert fleet.world.settle(lambda: len(fleet.in_service()) == 8)
+    assert len(fleet.in_service("buffer")) == 1
+    assert ("q3", "release") in fleet.actions()
+
+
+def test_a_bad_host_is_kept_while_there_is_no_spare(make_fleet):
+    fleet = make_fleet(spares=0)
+    fleet.sick.add("q3")
+    fleet.incurable.add("q3")
+    assert not fleet.world.settle(lambda: "q3" not in fleet.hosts())
+    assert fleet.hosts()["q3"].state is HostState.QUARANTINED
+
+
+def test_a_lost_rack_is_repaired_before_a_wave_goes_on(make_fleet):
+    fleet = make_fleet(hosts_down_limit=2, racks_down_limit=1)
+    world = fleet.world
+    lost = {"q0", "q1", "q2", "q3"}
+    everyone = list(world.inner.hosts)
+    world.inner.hosts = [item for item in everyone if item.host_id not in lost]
+    fleet.sick.update(lost)
+    run_now(WaveOperator(world.inner, world.clock, world.new_id).start(["quotes"]))
+    assert world.settle(lambda: not fleet.sick, rounds=8000)
+    rebooted = {host_id for host_id, action in fleet.actions() if action == "reboot"}
+    assert rebooted == lost
+    world.inner.hosts = [LiveHost(item.host_id) for item in everyone]
+    assert world.settle(
+        lambda: all(
+            host.maintained_s
+            for host in fleet.hosts().values()
+            if host.pool == "quotes"
+        ),
+        rounds=8000,
+    )
+    assert world.settle(lambda: len(fleet.in_service()) == 8)
+
+
+def test_the_buffer_grows_with_the_failures_and_the_time_of_repair():
+    def need(**change):
+        values = {
+            "hosts": 2600,
+            "failures_per_day": 23.0,
+            "repair_days": 1.0,
+            "rack_size": 4,
+            "racks_per_month": 1.0,
+            "rack_repair_days": 1.0,
+        }
+        return buffer_need(**{**values, **change}).hosts
+
+    assert need() > 23
+    assert need(repair_days=2.0) > need()
+    assert need(racks_per_month=0.0) == need() - 4
+    assert need(failures_per_day=0.0, racks_per_month=0.0) == 0
