--- /dev/null
+++ b/rhubarbmount/follower.py
@@ -0,0 +1,164 @@
+"""Following of state that the platform keeps, from the platform or from peers."""
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import trio
+
+from rhubarbmount.errors import FindingsError, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.log import event
+from rhubarbmount.timers import TimerService
+
+__all__ = ["Follower", "Pull", "PulledState"]
+
+PEERS_TIMEOUT_S = 1.0
+POLL_PERIOD_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class PulledState:
+    """A peer's copy; ``body`` is None when the asker's version is the peer's.
+
+    ``age_s`` is how long ago the peer's copy was confirmed by the platform.
+    """
+
+    version: int
+    age_s: float
+    body: bytes | None
+
+
+class Pull(Protocol):
+    """Asks a peer for its copy of a state; None when no peer answers."""
+
+    async def __call__(self, state: str, known_version: int) -> PulledState | None:
+        """Return a copy of at least the known version."""
+
+
+@attrs.define(eq=False)
+class Follower:
+    """Keep one state fresh; subclasses say how it is read and adopted.
+
+    ``clock`` returns monotonic seconds. Versions adopted only rise.
+    """
+
+    pull: Pull | None = None
+    clock: Callable[[], float] = trio.current_time
+    version: int = attrs.field(default=0, init=False)
+    confirmed_s: float | None = attrs.field(default=None, init=False)
+    _hearing: bool = attrs.field(default=False, init=False)
+    _platform_answers: bool = attrs.field(default=True, init=False)
+
+    state_name = "state"
+    platform_timeout_s = 2.0
+
+    @property
+    def ready(self) -> bool:
+        """Return whether any copy is held."""
+        return self.confirmed_s is not None
+
+    def age_s(self) -> float:
+        """Return for how long the platform has not confirmed the copy."""
+        if self.confirmed_s is None:
+            return float("inf")
+        return self.clock() - self.confirmed_s
+
+    async def run(self, timers: TimerService) -> None:
+        """Refresh the copy once a second until cancelled."""
+        async for _ in timers.every(self.state_name, POLL_PERIOD_S):
+            await self.refresh()
+
+    async def hear(self, version: int) -> None:
+        """Take a later version that a peer is known to have, from a peer first."""
+        if version <= self.version or self._hearing:
+            return
+        self._hearing = True
+        try:
+            if not await self._from_peers():
+                await self._from_platform()
+        finally:
+            self._hearing = False
+
+    async def refresh(self) -> None:
+        """Take the copy from the platform, or else from a peer."""
+        if not await self._from_platform():
+            await self._from_peers()
+
+    def share(self, known_version: int) -> PulledState | None:
+        """Return the copy for a peer that knows a version; None before any."""
+        raise TypeError("a subclass shares its copy")
+
+    async def _from_platform(self) -> bool:
+        asked_s = self.clock()
+        try:
+            with trio.fail_after(self.platform_timeout_s):
+                await self._read_platform()
+        except (
+            PlatformUnavailable,
+            OutcomeUnknown,
+            FindingsError,
+            trio.TooSlowError,
+        ) as error:
+            self._note_platform(False, repr(error))
+            return False
+        self._confirm(asked_s)
+        self._note_platform(True)
+        return True
+
+    async def _from_peers(self) -> bool:
+        if self.pull is None:
+            return False
+        asked_s = self.clock()
+        with trio.move_on_after(PEERS_TIMEOUT_S):
+            pulled = await self.pull(self.state_name, self.version)
+            if pulled is not None:
+                return self._take(pulled, asked_s)
+        return False
+
+    def _take(self, pulled: PulledState, asked_s: float) -> bool:
+        if pulled.version < self.version:
+            return False
+        if pulled.body is not None:
+            try:
+                self._adopt_body(pulled.body)
+            except FindingsError as error:
+                event(
+                    _logger,
+                    "pull-refused",
+                    logging.WARNING,
+                    state=self.state_name,
+                    reason=error.message,
+                )
+                return False
+        if pulled.version != self.version:
+            return False
+        self._confirm(asked_s - max(pulled.age_s, 0.0))
+        return True
+
+    def _confirm(self, confirmed_s: float) -> None:
+        if self.confirmed_s is None or confirmed_s > self.confirmed_s:
+            self.confirmed_s = confirmed_s
+
+    def _note_platform(self, answers: bool, reason: str = "") -> None:
+        if answers == self._platform_answers:
+            return
+        self._platform_answers = answers
+        event(
+            _logger,
+            "platform-answers" if answers else "platform-silent",
+            logging.INFO if answers else logging.WARNING,
+            state=self.state_name,
+            version=self.version,
+            reason=reason or None,
+        )
+
+    async def _read_platform(self) -> None:
+        """Bring the copy up to the platform's head."""
+        raise TypeError("a subclass reads the platform")
+
+    def _adopt_body(self, body: bytes) -> None:
+        """Replace the copy by the one in a peer's answer."""
+        raise TypeError("a subclass adopts a body")
--- /dev/null
+++ b/rhubarbmount/health.py
@@ -0,0 +1,191 @@
+"""Decisions on which backend servers of a pool sit out."""
+
+import attrs
+
+from rhubarbmount.backend_health import (
+    GUARD_RECOVERY_S,
+    AttemptResult,
+    BackendHealth,
+    HealthAction,
+    HealthChange,
+)
+
+__all__ = ["PoolHealth"]
+
+SLOWNESS_FLOOR = 0.05
+EJECT_AFTER_RESULTS = 5
+EJECT_MARGIN = 0.3
+EJECT_SLOWNESS = 2.5
+EJECT_SLOW_AFTER_RESULTS = 10
+EJECTION_S = 5.0
+EJECTION_LIMIT_S = 60.0
+UNREACHABLE_S = 0.5
+UNREACHABLE_LIMIT_S = 2.0
+SLOW_START_AFTER_ABSENCES = 3
+
+
+@attrs.define
+class PoolHealth:
+    """Decide which backend servers of a pool sit out.
+
+    Ejecting a reachable backend server withholds capacity, so it stays within
+    ``hosts_down_limit``, counted with ``hosts_down`` (hosts out by their row) and
+    the unreachable ones. A backend server that can't be reached or takes nothing
+    has no capacity to withhold: it sits out for a short time without a cap.
+    """
+
+    hosts_down_limit: int
+    hosts_down: int = 0
+    by_host_id: dict[str, BackendHealth] = attrs.field(factory=dict)
+    absent: set[str] = attrs.field(factory=set)
+    _success_rates: float = 0.0
+    _slownesses: float = 0.0
+
+    def add(self, host_id: str) -> BackendHealth:
+        """Return the health of a backend server, new when it is not known."""
+        health = self.by_host_id.get(host_id)
+        if health is None:
+            health = self.by_host_id[host_id] = BackendHealth(host_id)
+            self._success_rates += health.success_rate
+            self._slownesses += health.slowness
+        return health
+
+    def remove(self, host_id: str) -> None:
+        """Forget a backend server."""
+        health = self.by_host_id.pop(host_id, None)
+        self.absent.discard(host_id)
+        if health is not None:
+            self._success_rates -= health.success_rate
+            self._slownesses -= health.slowness
+
+    def record(
+        self,
+        health: BackendHealth,
+        result: AttemptResult,
+        now_s: float,
+        *,
+        slowness: float | None = None,
+        others_in_flight: int = 0,
+    ) -> HealthChange | None:
+        """Take in a result; ``others_in_flight`` counts our other requests there."""
+        if result is AttemptResult.CANCELLED:
+            return None
+        did_not_run = result in (AttemptResult.UNREACHABLE, AttemptResult.GUARD_REFUSAL)
+        if did_not_run and health.out_until_s is not None:
+            return None
+        if result is AttemptResult.UNREACHABLE:
+            return self._sit_out(health, HealthAction.UNREACHABLE, now_s)
+        if result is AttemptResult.GUARD_REFUSAL:
+            return self._limit(health, others_in_flight, now_s)
+        succeeded = result is AttemptResult.SUCCESS
+        self._observe(health, succeeded, slowness, now_s)
+        if health.out_until_s is not None:
+            return None
+        if health.probing:
+            return self._judge_probe(health, succeeded, slowness, now_s)
+        if self._is_outlier(health, succeeded):
+            return self._eject_within_limit(health, now_s)
+        return None
+
+    def _observe(
+        self,
+        health: BackendHealth,
+        succeeded: bool,
+        slowness: float | None,
+        now_s: float,
+    ) -> None:
+        others_slowness = self._others_slowness(health)
+        self._success_rates -= health.success_rate
+        self._slownesses -= health.slowness
+        health.fade(others_slowness, now_s)
+        health.observe(succeeded, slowness)
+        if len(self.by_host_id) > 1:
+            health.relative_slowness = health.slowness / others_slowness
+        health.judge(now_s)
+        self._success_rates += health.success_rate
+        self._slownesses += health.slowness
+
+    def _others_slowness(self, health: BackendHealth) -> float:
+        others = len(self.by_host_id) - 1
+        if not others:
+            return health.slowness
+        return max((self._slownesses - health.slowness) / others, SLOWNESS_FLOOR)
+
+    def _others_success_rate(self, health: BackendHealth) -> float:
+        others = len(self.by_host_id) - 1
+        if not others:
+            return 0.0
+        return (self._success_rates - health.success_rate) / others
+
+    def _sit_out(
+        self, health: BackendHealth, action: HealthAction, now_s: float
+    ) -> HealthChange:
+        health.absences += 1
+        pause_s = min(UNREACHABLE_S * 2 ** (health.absences - 1), UNREACHABLE_LIMIT_S)
+        return self._leave_out(health, action, now_s + pause_s)
+
+    def _limit(
+        self, health: BackendHealth, others_in_flight: int, now_s: float
+    ) -> HealthChange:
+        if others_in_flight == 0:
+            return self._sit_out(health, HealthAction.REFUSING, now_s)
+        health.guard_limit = others_in_flight
+        health.raise_s = now_s + GUARD_RECOVERY_S
+        return self._change(health, HealthAction.LIMITED, health.raise_s)
+
+    def _restore(self, health: BackendHealth, now_s: float) -> HealthChange:
+        if health.ejected or health.absences >= SLOW_START_AFTER_ABSENCES:
+            health.start_slowly(now_s)
+        health.probing = False
+        health.ejected = False
+        health.absences = 0
+        health.results = 0
+        self.absent.discard(health.host_id)
+        return self._change(health, HealthAction.RESTORED, now_s)
+
+    def _judge_probe(
+        self,
+        health: BackendHealth,
+        succeeded: bool,
+        slowness: float | None,
+        now_s: float,
+    ) -> HealthChange | None:
+        limit = EJECT_SLOWNESS * self._others_slowness(health)
+        still_slow = slowness is not None and slowness >= limit
+        if succeeded and not (health.ejected and still_slow):
+            return self._restore(health, now_s)
+        return self._eject(health, now_s) if health.ejected else None
+
+    def _is_outlier(self, health: BackendHealth, succeeded: bool) -> bool:
+        if succeeded:
+            slow = health.relative_slowness >= EJECT_SLOWNESS
+            return slow and health.results >= EJECT_SLOW_AFTER_RESULTS
+        others = self._others_success_rate(health)
+        failing = health.success_rate <= others - EJECT_MARGIN
+        return failing and health.results >= EJECT_AFTER_RESULTS
+
+    def _eject_within_limit(self, health: BackendHealth, now_s: float) -> HealthChange:
+        others_out = len(self.absent - {health.host_id})
+        if self.hosts_down + others_out < self.hosts_down_limit:
+            return self._eject(health, now_s)
+        return self._change(health, HealthAction.EJECTION_CAPPED, now_s)
+
+    def _eject(self, health: BackendHealth, now_s: float) -> HealthChange:
+        health.ejected = True
+        health.ejections += 1
+        pause_s = min(EJECTION_S * 2 ** (health.ejections - 1), EJECTION_LIMIT_S)
+        return self._leave_out(health, HealthAction.EJECTED, now_s + pause_s)
+
+    def _leave_out(
+        self, health: BackendHealth, action: HealthAction, until_s: float
+    ) -> HealthChange:
+        health.out_until_s = until_s
+        health.probing = False
+        self.absent.add(health.host_id)
+        return self._change(health, action, until_s)
+
+    @staticmethod
+    def _change(
+        health: BackendHealth, action: HealthAction, until_s: float
+    ) -> HealthChange:
+        return HealthChange(health.host_id, action, until_s, health.success_rate)
--- /dev/null
+++ b/rhubarbmount/server.py
@@ -0,0 +1,188 @@
+"""One entry host: its tasks, what they share, and its graceful stop."""
+
+import logging
+import signal
+import time
+from typing import Any
+
+import attrs
+import prometheus_client
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.acceptance import Acceptance
+from rhubarbmount.backends import BackendConnections
+from rhubarbmount.claim_guard import Claims
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.forward import Forwarder
+from rhubarbmount.http import HttpResponse
+from rhubarbmount.listener import Listener
+from rhubarbmount.metrics import RequestMetrics
+from rhubarbmount.operators import OperatorsApi, operators_from
+from rhubarbmount.platform import http as _http_adapter  # noqa: F401
+from rhubarbmount.platform import memory as _memory_adapter  # noqa: F401
+from rhubarbmount.platform.budget import Priority
+from rhubarbmount.platform.client import PlatformClient, open_client
+from rhubarbmount.platform.interface import Platform, platforms
+from rhubarbmount.problem import json_response, problem
+from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.router import Call, Router
+from rhubarbmount.settings import PlatformSettings, Settings
+from rhubarbmount.shares import EntryHosts
+from rhubarbmount.sweep import Sweeper
+from rhubarbmount.timers import TimerService
+
+__all__ = ["EntryHost"]
+
+logger = logging.getLogger(__name__)
+
+
+def open_platform(settings: PlatformSettings) -> Platform:
+    """Return the adapter that the settings name."""
+    adapter = platforms.get(settings.adapter)
+    if settings.adapter == "memory":
+        return adapter()
+    return adapter(settings.address, settings.timeout_s)
+
+
+@attrs.define(eq=False)
+class EntryHost:
+    """The tasks of one entry host."""
+
+    settings: Settings
+    adapter: Platform
+    stopping: trio.Event = attrs.field(factory=trio.Event)
+    platform: PlatformClient = attrs.field(init=False)
+    forwarder: Forwarder = attrs.field(init=False)
+    configuration: Configuration = attrs.field(init=False)
+    fleet_view: FleetView = attrs.field(init=False)
+    sweeper: Sweeper = attrs.field(init=False)
+    callers: Listener = attrs.field(init=False)
+    operators: Listener = attrs.field(init=False)
+    metrics: Listener = attrs.field(init=False)
+    registry: prometheus_client.CollectorRegistry = attrs.field(
+        factory=prometheus_client.CollectorRegistry
+    )
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        own_place = EntryHosts(settings.instance, settings.data_centre, {})
+        policy = RequestPolicy(own_place, settings.max_in_flight)
+        self.platform = open_client(
+            self.adapter,
+            live_entry_hosts=lambda: len(policy.entry_hosts.members()),
+            deadline_s=settings.platform.timeout_s,
+        )
+        self.forwarder = Forwarder(
+            policy,
+            RequestMetrics(self.registry),
+            Claims(settings.instance, self.platform),
+            BackendConnections(settings.http.body_bytes),
+        )
+        self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
+        self.callers = Listener(
+            "callers", self.forwarder.handle, settings.http, settings.max_connections
+        )
+        following = self.platform.at(Priority.DUTY)
+        self.configuration = Configuration(platform=following)
+        self.fleet_view = FleetView(platform=following)
+        api = OperatorsApi(
+            operators_from(settings.operators_by_name),
+            Acceptance(following, time.time, self.fleet_view.summarise),
+            self.configuration,
+            following,
+        )
+        self.operators = Listener("operators", api.router.handle, settings.http)
+        self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        if self.stopping.is_set():
+            return False
+        return self.configuration.ready and self.fleet_view.ready
+
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> int:
+        """Serve until stopped; return the number of requests that the stop cut."""
+        settings = self.settings
+        async with trio.open_nursery() as nursery:
+            timers = TimerService(nursery)
+            for name in ("metrics", "operators", "callers"):
+                listener: Listener = getattr(self, name)
+                endpoint = getattr(settings, name)
+                await nursery.start(listener.run, endpoint.address, endpoint.port)
+                log.event(logger, "listening", listener=name, port=listener.port)
+            nursery.start_soon(self._apply_configuration)
+            nursery.start_soon(self._apply_fleet)
+            nursery.start_soon(self.configuration.run, timers)
+            nursery.start_soon(self.fleet_view.run, timers)
+            nursery.start_soon(self.forwarder.run, timers)
+            nursery.start_soon(self.forwarder.claims.run)
+            nursery.start_soon(self.sweeper.run, timers)
+            task_status.started()
+            await self.stopping.wait()
+            cut_count = await self._stop()
+            nursery.cancel_scope.cancel()
+        return cut_count
+
+    async def _stop(self) -> int:
+        log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
+        cut_count = await self.callers.stop(self.settings.stop_timeout_s)
+        await self.forwarder.claims.flush()
+        await self.forwarder.connections.aclose()
+        log.event(logger, "stopped", cut=cut_count)
+        return cut_count
+
+    async def _apply_configuration(self) -> None:
+        async for in_force in self.configuration.subscribe():
+            snapshot = in_force.snapshot
+            self.forwarder.policy.update_catalogue(
+                snapshot.services_by_name, snapshot.pools_by_name
+            )
+
+    async def _apply_fleet(self) -> None:
+        async for changed in self.fleet_view.subscribe():
+            self.forwarder.policy.update_hosts(
+                changed.hosts_by_id.values(), trio.current_time()
+            )
+
+    def _metrics_router(self) -> Router:
+        router = Router()
+        router.add("GET", "/healthz", self._healthz)
+        router.add("GET", "/readyz", self._readyz)
+        router.add("GET", "/metrics", self._metrics)
+        return router
+
+    async def _healthz(self, call: Call) -> HttpResponse:
+        return json_response({"instance": self.settings.instance})
+
+    async def _readyz(self, call: Call) -> HttpResponse:
+        if not self.is_ready():
+            return problem(503, "not-ready", "no configuration yet, or stopping")
+        return json_response({"ready": True})
+
+    async def _metrics(self, call: Call) -> HttpResponse:
+        body = prometheus_client.generate_latest(self.registry)
+        content_type = prometheus_client.CONTENT_TYPE_LATEST.encode("ascii")
+        return HttpResponse(200, [(b"content-type", content_type)], body)
+
+
+async def serve_until_signalled(host: EntryHost) -> int:
+    """Run an entry host until SIGTERM or SIGINT arrives."""
+    cut_counts = []
+
+    async def run() -> None:
+        cut_counts.append(await host.run())
+
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            nursery.start_soon(_stop_on_signal, signals, host, nursery)
+            await host.stopping.wait()
+    return cut_counts[0] if cut_counts else 0
+
+
+async def _stop_on_signal(signals: Any, host: EntryHost, nursery: trio.Nursery) -> None:
+    async for _number in signals:
+        host.stopping.set()
+        return
