--- a/rhubarbmount/waveplan.py
+++ b/rhubarbmount/waveplan.py
@@ -234,7 +234,8 @@
     free: int,
 ) -> PoolPlan | None:
     """Return a faster plan of a pool, with the least spares that make it so."""
-    for spares in range(slowest.spares + 1, free + 1):
+    matching = math.floor(pool.hosts_down_limit * settings.swap_s / settings.host_s)
+    for spares in range(max(slowest.spares, matching) + 1, free + 1):
         trial = plan_pool(pool, due, start_s, settings, spares)
         if trial is not None and trial.finish_s < slowest.finish_s:
             return trial
