Tell a silent host from one that the list lacks, and bound repair's reads

The list lags, so a host missing from it must be missing for 120 s, one that fails its requests for 30 s. A refused host is looked at again after 15 s and at most 8 hosts a round are: a lost data centre of 260 hosts would have cost some 800 reads a second. Leases carry an id that is new at each start beside the member's name.

--- a/rhubarbmount/dutyrunner.py
+++ b/rhubarbmount/dutyrunner.py
@@ -87,7 +87,9 @@
 class DutyRunner:
     """Contend for one duty and do its rounds; one task owns a runner.
 
-    ``members`` returns the ids of the instances thought to be live.
+    ``instance_id`` is new at each start of the program, so that it never takes an
+    older lease for its own. ``member_id`` is the name by which ``members``, the
+    instances thought to be live, lists this one.
     """
 
     duty: Duty
@@ -97,6 +99,7 @@
     new_id: Callable[[], str]
     members: Callable[[], Iterable[str]]
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
+    member_id: str = ""
     tracker: LeaseTracker = attrs.field(init=False)
     _idle_code: str = ""
     _round_token: int = 0
@@ -138,7 +141,8 @@
     async def _settle(self) -> None:
         self.tracker.may_act(self.clock())
         for _ in range(STEPS_PER_TICK):
-            rank = preference_rank(self.duty.name, self.instance_id, self.members())
+            own_id = self.member_id or self.instance_id
+            rank = preference_rank(self.duty.name, own_id, self.members())
             action = self.tracker.decide(self.clock(), rank)
             if action is Action.WAIT:
                 return
--- a/rhubarbmount/hostduty.py
+++ b/rhubarbmount/hostduty.py
@@ -11,7 +11,7 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.dutyrunner import Lease
 from rhubarbmount.errors import NotFound, Refused
-from rhubarbmount.hostrows import FleetView, HostChange, HostRow, Terms, host_terms
+from rhubarbmount.hostrows import HostChange, HostRow, HostRows, Terms, host_terms
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.hostwork import (
     EFFECT_BY_STATE,
@@ -119,15 +119,15 @@
     wall_clock: Callable[[], float]
     bounds: WorkBounds = attrs.field(factory=WorkBounds)
     name: str = "hosts"
-    view: FleetView = attrs.field(init=False)
+    view: HostRows = attrs.field(init=False)
     _watch_by_host_id: dict[str, Watch] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
 
     def forget(self) -> None:
         """Drop what was remembered, so that every effect is sent again."""
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
         self._watch_by_host_id.clear()
 
     async def do_round(self, lease: Lease) -> None:
--- a/rhubarbmount/hostrows.py
+++ b/rhubarbmount/hostrows.py
@@ -8,7 +8,7 @@
 from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host, load_host
 from rhubarbmount.platform.interface import Platform, Precondition, Row, Write
 
-__all__ = ["FleetView", "HostChange", "HostRow", "Terms", "host_terms"]
+__all__ = ["HostRows", "HostChange", "HostRow", "Terms", "host_terms"]
 
 HEADS_TABLE = "heads"
 FLEET_HEAD = "fleet"
@@ -53,7 +53,7 @@
 
 
 @attrs.define
-class FleetView:
+class HostRows:
     """The fleet as last read; a refresh reads only the hosts that changed."""
 
     platform: Platform
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -8,7 +8,7 @@
 from rhubarbmount.budgets import decide, read_pool_rows
 from rhubarbmount.errors import ConflictError, NotFound, Refused
 from rhubarbmount.hostduty import Begun, begin_terms
-from rhubarbmount.hostrows import FleetView, HostRow, Terms
+from rhubarbmount.hostrows import HostRow, HostRows, Terms
 from rhubarbmount.hosts import HostState
 from rhubarbmount.hostwork import (
     INTENTS_TABLE,
@@ -37,10 +37,10 @@
     platform: Platform
     wall_clock: Callable[[], float]
     new_id: Callable[[], str]
-    view: FleetView = attrs.field(init=False)
+    view: HostRows = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
 
     async def begin(self, host_id: str, target_pool: str, group: str = "") -> str:
         """Take the host out of service for a move and return the intent's id."""
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -9,7 +9,7 @@
 from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
 from rhubarbmount.dutyrunner import Lease
 from rhubarbmount.hostduty import Begun, begin_changes, next_host
-from rhubarbmount.hostrows import FleetView, HostChange, HostRow, host_terms
+from rhubarbmount.hostrows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.hostwork import HostIntent, Observation, Step
 from rhubarbmount.log import event
@@ -18,6 +18,8 @@
 __all__ = ["BufferNeed", "RepairBounds", "RepairDuty", "buffer_need"]
 
 DAY_S = 24 * 3600
+HOSTS_PER_ROUND = 8
+RECHECK_S = 15.0
 REBOOT_CAUSE = "repair:failing"
 REPLACE_CAUSE = "repair:failing-again"
 logger = logging.getLogger("rhubarbmount.repair")
@@ -27,12 +29,13 @@
 class RepairBounds:
     """When a host counts as failing, and when it is given up.
 
-    A host that has not been ready, or not listed as live, for ``failing_s`` is
-    quarantined; one that fails again within ``again_s`` of its last repair is
-    replaced.
+    A host that has not been ready for ``failing_s``, or not listed as live for
+    ``unlisted_s``, is quarantined; one that fails again within ``again_s`` of its
+    last repair is replaced.
     """
 
     failing_s: float = 30.0
+    unlisted_s: float = 120.0
     again_s: float = float(DAY_S)
 
 
@@ -46,16 +49,16 @@
     buffer_pool: str = ""
     bounds: RepairBounds = attrs.field(factory=RepairBounds)
     name: str = "repair"
-    view: FleetView = attrs.field(init=False)
-    _failing_since_s: dict[str, float] = attrs.field(factory=dict)
-    _held: dict[str, str] = attrs.field(factory=dict)
+    view: HostRows = attrs.field(init=False)
+    _failing_since_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _held: dict[str, tuple[str, float]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
 
     def forget(self) -> None:
         """Drop what was remembered."""
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
         self._failing_since_s.clear()
         self._held.clear()
 
@@ -63,36 +66,52 @@
         """Take each failing host one step further."""
         live = await self.platform.live_hosts()
         await self.view.refresh()
-        for row in self._failing(live, lease.clock()):
+        now_s = lease.clock()
+        failing = self._unheld(self._failing(live, now_s), now_s)
+        for row in failing[:HOSTS_PER_ROUND]:
             await self._quarantine(row, live, lease)
-        for row in self._in_state(HostState.QUARANTINED):
+        quarantined = self._unheld(self._in_state(HostState.QUARANTINED), now_s)
+        for row in quarantined[:HOSTS_PER_ROUND]:
             await self._repair(row, live, lease)
 
+    def _unheld(self, rows: Iterable[HostRow], now_s: float) -> list[HostRow]:
+        """Leave out hosts that were refused a short time ago."""
+        due = []
+        for row in rows:
+            _, held_s = self._held.get(row.host.host_id, ("", float("-inf")))
+            if now_s - held_s >= RECHECK_S:
+                due.append(row)
+        return due
+
     def _in_state(self, state: HostState) -> list[HostRow]:
         rows = self.view.by_host_id.values()
         return [row for row in list(rows) if row.host.state is state]
 
     def _failing(self, live: Iterable[LiveHost], now_s: float) -> list[HostRow]:
         listed = {item.host_id for item in live if not item.leaving}
-        since_s = {}
+        since_s: dict[tuple[str, str], float] = {}
+        found = []
         for row in self._in_state(HostState.IN_SERVICE):
-            host = row.host
-            if host.host_id in listed and self.observe(host).ready is not False:
-                continue
-            since_s[host.host_id] = self._failing_since_s.get(host.host_id, now_s)
+            host_id = row.host.host_id
+            limit_s = {}
+            if host_id not in listed:
+                limit_s["unlisted"] = self.bounds.unlisted_s
+            if self.observe(row.host).ready is False:
+                limit_s["unready"] = self.bounds.failing_s
+            for sign, wait_s in limit_s.items():
+                key = (host_id, sign)
+                since_s[key] = self._failing_since_s.get(key, now_s)
+                if now_s - since_s[key] >= wait_s and row not in found:
+                    found.append(row)
         self._failing_since_s = since_s
-        return [
-            self.view.by_host_id[host_id]
-            for host_id, failing_s in since_s.items()
-            if now_s - failing_s >= self.bounds.failing_s
-        ]
+        return found
 
     async def _quarantine(
         self, row: HostRow, live: list[LiveHost], lease: Lease
     ) -> None:
         """Take a failing host out of service, if the budget allows."""
         host = row.host
-        rows = await self._allowed(host, live)
+        rows = await self._allowed(host, live, lease.clock())
         if rows is None:
             return
         cause = REBOOT_CAUSE
@@ -108,7 +127,7 @@
     async def _repair(self, row: HostRow, live: list[LiveHost], lease: Lease) -> None:
         """Begin the reboot or the replacement of a quarantined host."""
         host = row.host
-        rows = await self._allowed(host, live)
+        rows = await self._allowed(host, live, lease.clock())
         if rows is None:
             return
         action = "reboot" if host.cause == REBOOT_CAUSE else "replace"
@@ -117,7 +136,7 @@
         if action == "replace":
             spare = await self._spare(host.pool, live)
             if spare is None:
-                self._hold(host, "no-spare")
+                self._hold(host, "no-spare", lease.clock())
                 return
             spare_rows, spare_row = spare
             move = _intent(lease, "move", spare_row.host.host_id, host.pool)
@@ -149,7 +168,9 @@
                 return rows, row
         return None
 
-    async def _allowed(self, host: Host, live: list[LiveHost]) -> PoolRows | None:
+    async def _allowed(
+        self, host: Host, live: list[LiveHost], now_s: float
+    ) -> PoolRows | None:
         """Return the pool's rows if the host may be down, and log a refusal once."""
         rows = await read_pool_rows(self.platform, host.pool)
         await self.view.refresh()
@@ -160,14 +181,15 @@
         if permission.allowed:
             self._held.pop(host.host_id, None)
             return rows
-        self._hold(host, permission.code.value)
+        self._hold(host, permission.code.value, now_s)
         return None
 
-    def _hold(self, host: Host, code: str) -> None:
+    def _hold(self, host: Host, code: str, now_s: float) -> None:
         """Log once why a failing host can't be helped now."""
-        if self._held.get(host.host_id) != code:
+        held_code, _ = self._held.get(host.host_id, ("", 0.0))
+        if held_code != code:
             event(logger, "repair-held", host=host.host_id, pool=host.pool, code=code)
-        self._held[host.host_id] = code
+        self._held[host.host_id] = (code, now_s)
 
     def _failed_lately(self, host: Host) -> bool:
         repaired = host.cause.startswith("reboot:")
--- a/rhubarbmount/swaps.py
+++ b/rhubarbmount/swaps.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rhubarbmount.hostrows import FleetView, HostRow
+from rhubarbmount.hostrows import HostRow, HostRows
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.maintenance import is_due
 from rhubarbmount.waves import Wave
@@ -32,7 +32,7 @@
     ]
 
 
-def swap_wanted(wave: Wave, pool: str, view: FleetView) -> Swap:
+def swap_wanted(wave: Wave, pool: str, view: HostRows) -> Swap:
     """Return the swaps that may begin now.
 
     A host leaves only after a spare serves in its place, and no more spares are
--- a/rhubarbmount/waveduty.py
+++ b/rhubarbmount/waveduty.py
@@ -8,7 +8,7 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.dutyrunner import Lease
 from rhubarbmount.hostduty import Begun, begin_terms
-from rhubarbmount.hostrows import FleetView, HostRow
+from rhubarbmount.hostrows import HostRow, HostRows
 from rhubarbmount.hosts import HostState
 from rhubarbmount.hostwork import (
     HOST_PREFIX,
@@ -45,15 +45,15 @@
     wall_clock: Callable[[], float]
     settings: WaveSettings = attrs.field(factory=WaveSettings)
     name: str = "waves"
-    view: FleetView = attrs.field(init=False)
+    view: HostRows = attrs.field(init=False)
     _held_by_pool: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
 
     def forget(self) -> None:
         """Drop what was remembered."""
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
         self._held_by_pool.clear()
 
     async def do_round(self, lease: Lease) -> None:
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -9,7 +9,7 @@
 import cattrs
 
 from rhubarbmount.errors import ConflictError, NotFound, Refused
-from rhubarbmount.hostrows import FleetView, Terms
+from rhubarbmount.hostrows import HostRows, Terms
 from rhubarbmount.hostwork import (
     INTENTS_TABLE,
 )
@@ -144,7 +144,7 @@
         raise ConflictError(f"other operators kept changing wave {wave_id}")
 
     async def _sizes(self, pools: Iterable[str]) -> dict[str, int]:
-        view = FleetView(self.platform)
+        view = HostRows(self.platform)
         await view.refresh()
         return {pool: len(view.of_pool(pool)) for pool in pools}
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -10,7 +10,7 @@
     down_by_cause,
     read_pool_rows,
 )
-from rhubarbmount.hostrows import FleetView, HostChange, host_terms
+from rhubarbmount.hostrows import HostChange, HostRows, host_terms
 from rhubarbmount.hosts import HostState
 from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
@@ -122,7 +122,7 @@
 async def test_a_view_reads_only_hosts_that_changed():
     platform = CountedPlatform()
     await fill(platform.inner, [make_pool()], [make_host(n) for n in range(8)])
-    view = FleetView(platform)
+    view = HostRows(platform)
     await view.refresh()
     changed = make_host(3, state=HostState.DRAINING)
     change = HostChange(view.by_host_id["q3"], changed)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -3,7 +3,6 @@
 import itertools
 
 import pytest
-from fleetkit import make_host, make_pool
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,6 +14,7 @@
     plan_one_at_a_time,
     plan_wave,
 )
+from tests.fleetkit import make_host, make_pool
 
 HOUR_S = 3600
 TIME_LIMIT_OVER_BOUND = 1.1
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -2,11 +2,8 @@
 
 import os
 
-from fleetchecks import EffectCheck, check_commit, hosts_of
-from fleetkit import fill, make_host, make_pool, pool_row
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from interleave import World, pause, run_now
 
 from rhubarbmount.dutyrunner import DutyRunner
 from rhubarbmount.errors import RhubarbmountError
@@ -15,6 +12,9 @@
 from rhubarbmount.hostwork import Observation, WorkBounds
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Transaction, Write
+from tests.fleetchecks import EffectCheck, check_commit, hosts_of
+from tests.fleetkit import fill, make_host, make_pool, pool_row
+from tests.interleave import World, pause, run_now
 
 EXAMPLES = int(os.environ.get("INTERLEAVINGS", "300"))
 QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -1,9 +1,6 @@
 """Failing hosts: quarantined, rebooted, replaced; and the buffer this takes."""
 
 import pytest
-from fleetchecks import check_commit, hosts_of
-from fleetkit import fill, make_host, make_pool
-from interleave import World, pause, run_now
 
 from rhubarbmount.dutyrunner import DutyRunner
 from rhubarbmount.hostduty import HostDuty
@@ -13,10 +10,14 @@
 from rhubarbmount.repair import RepairBounds, RepairDuty, buffer_need
 from rhubarbmount.waveduty import WaveDuty
 from rhubarbmount.waves import WaveOperator
+from tests.fleetchecks import check_commit, hosts_of
+from tests.fleetkit import fill, make_host, make_pool
+from tests.interleave import World, pause, run_now
 
 QUICK = WorkBounds(
     view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, reboot_limit_s=10, warm_s=1
 )
+PROMPT = RepairBounds(failing_s=3, unlisted_s=3)
 
 
 class SickFleet:
@@ -55,7 +56,11 @@
         duties = [
             HostDuty(platform, self.observe, world.clock, QUICK),
             RepairDuty(
-                platform, self.observe, world.clock, "buffer", RepairBounds(failing_s=3)
+                platform,
+                self.observe,
+                world.clock,
+                "buffer",
+                RepairBounds(failing_s=3, unlisted_s=3),
             ),
             WaveDuty(platform, world.clock),
         ]
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,11 +1,8 @@
 """Waves carried out: pause, resume, cancel, and a holder that dies midway."""
 
 import pytest
-from fleetchecks import check_commit, hosts_of
-from fleetkit import fill, make_host, make_pool
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from interleave import World, pause, run_now
 
 from rhubarbmount.dutyrunner import DutyRunner
 from rhubarbmount.errors import Refused
@@ -16,6 +13,9 @@
 from rhubarbmount.waveduty import WaveDuty
 from rhubarbmount.waveplan import WaveSettings
 from rhubarbmount.waves import Control, WaveOperator
+from tests.fleetchecks import check_commit, hosts_of
+from tests.fleetkit import fill, make_host, make_pool
+from tests.interleave import World, pause, run_now
 
 QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
 WAVE = WaveSettings(drain_s=2, reboot_s=2, warm_s=1)
