--- /dev/null
+++ b/rhubarbmount/waves.py
@@ -0,0 +1,166 @@
+"""Maintenance waves: operators begin them, and a duty carries them out."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from enum import StrEnum
+from typing import Any
+
+import attrs
+import cattrs
+
+from rhubarbmount.errors import ConflictError, NotFound, Refused
+from rhubarbmount.hostrows import HostRows, Terms
+from rhubarbmount.hostwork import (
+    INTENTS_TABLE,
+)
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import Platform, Transaction
+
+__all__ = [
+    "Control",
+    "Wave",
+    "WaveRow",
+    "WaveOperator",
+    "read_waves",
+    "wave_terms",
+]
+
+WAVE_PREFIX = "wave/"
+CONTROL_ATTEMPTS = 5
+logger = logging.getLogger("rhubarbmount.waves")
+_converter = cattrs.Converter()
+
+
+class Control(StrEnum):
+    """What the operator wants of a wave."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen(kw_only=True)
+class Wave:
+    """Every host of the pools once; no pools means all of them.
+
+    ``started_s`` is in seconds since the epoch. A pool with spares has its hosts
+    replaced, one by one, from ``spares_pool``; its size is ``home_by_pool`` again
+    when the wave is over.
+    """
+
+    wave_id: str
+    started_s: float
+    pools: tuple[str, ...] = ()
+    spares_pool: str = ""
+    spares_by_pool: Mapping[str, int] = attrs.field(factory=dict)
+    home_by_pool: Mapping[str, int] = attrs.field(factory=dict)
+    control: Control = Control.RUNNING
+    duty: str = "waves"
+    action: str = "wave"
+    state: str = "open"
+
+    def covers(self, pool: str) -> bool:
+        """Tell whether a pool belongs to the wave."""
+        return not self.pools or pool in self.pools
+
+
+@attrs.frozen
+class WaveRow:
+    """A wave and the version of its row."""
+
+    wave: Wave
+    version: int
+
+
+def load_wave(values: Mapping[str, Any]) -> Wave:
+    """Build a wave from the plain values of its row."""
+    return _converter.structure(dict(values), Wave)
+
+
+def wave_terms(row: WaveRow, wave: Wave) -> Terms:
+    """Return what a transaction needs to change a wave."""
+    terms = Terms()
+    key = WAVE_PREFIX + wave.wave_id
+    terms.require(INTENTS_TABLE, key, row.version)
+    terms.write(INTENTS_TABLE, key, _converter.unstructure(wave))
+    return terms
+
+
+async def read_waves(platform: Platform) -> list[WaveRow]:
+    """Return all waves in order of their ids."""
+    rows = await platform.scan(INTENTS_TABLE, WAVE_PREFIX)
+    return [WaveRow(load_wave(row.value), row.version) for row in rows]
+
+
+@attrs.define
+class WaveOperator:
+    """Start, pause, resume and cancel waves; any entry host may."""
+
+    platform: Platform
+    wall_clock: Callable[[], float]
+    new_id: Callable[[], str]
+
+    async def start(
+        self,
+        pools: Iterable[str] = (),
+        spares_pool: str = "",
+        spares_by_pool: Mapping[str, int] | None = None,
+    ) -> str:
+        """Start a wave and return its id; Refused if one covers a pool already."""
+        names = tuple(sorted(pools))
+        spares = dict(spares_by_pool or {})
+        terms = Terms()
+        for row in await read_waves(self.platform):
+            if row.wave.state == "open" and _overlap(row.wave.pools, names):
+                raise Refused(f"wave {row.wave.wave_id} is open", code="wave-open")
+            if row.wave.state == "done":
+                key = WAVE_PREFIX + row.wave.wave_id
+                terms.require(INTENTS_TABLE, key, row.version)
+                terms.write(INTENTS_TABLE, key, None)
+        wave = Wave(
+            wave_id=self.new_id(),
+            started_s=self.wall_clock(),
+            pools=names,
+            spares_pool=spares_pool,
+            spares_by_pool=spares,
+            home_by_pool=await self._sizes(spares),
+        )
+        terms.add(wave_terms(WaveRow(wave, 0), wave))
+        if not await self._commit(terms):
+            raise ConflictError("another operator changed the waves")
+        event(logger, "wave-started", wave=wave.wave_id, pools=",".join(names))
+        return wave.wave_id
+
+    async def control(self, wave_id: str, control: Control) -> Wave:
+        """Pause, resume or cancel a wave; no new host is begun after a pause."""
+        for _ in range(CONTROL_ATTEMPTS):
+            row = await self.read(wave_id)
+            if row.wave.state != "open" or row.wave.control is Control.CANCELLED:
+                raise Refused(f"wave {wave_id} is over", code="wave-over")
+            wave = attrs.evolve(row.wave, control=control)
+            if await self._commit(wave_terms(row, wave)):
+                event(logger, "wave-control", wave=wave_id, control=control.value)
+                return wave
+        raise ConflictError(f"other operators kept changing wave {wave_id}")
+
+    async def _sizes(self, pools: Iterable[str]) -> dict[str, int]:
+        view = HostRows(self.platform)
+        await view.refresh()
+        return {pool: len(view.of_pool(pool)) for pool in pools}
+
+    async def read(self, wave_id: str) -> WaveRow:
+        """Return a wave, or raise NotFound."""
+        row = await self.platform.read(INTENTS_TABLE, WAVE_PREFIX + wave_id)
+        if row is None:
+            raise NotFound(f"no wave {wave_id!r}")
+        return WaveRow(load_wave(row.value), row.version)
+
+    async def _commit(self, terms: Terms) -> bool:
+        transaction = Transaction(
+            self.new_id(), tuple(terms.preconditions), tuple(terms.writes)
+        )
+        return (await self.platform.transact(transaction)).committed
+
+
+def _overlap(pools: tuple[str, ...], others: tuple[str, ...]) -> bool:
+    return not pools or not others or bool(set(pools) & set(others))
--- /dev/null
+++ b/tests/test_waves.py
@@ -0,0 +1,231 @@
+"""Waves carried out: pause, resume, cancel, and a holder that dies midway."""
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.errors import Refused
+from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.hosts import HostState
+from rhubarbmount.hostwork import Observation, WorkBounds
+from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.waveduty import WaveDuty
+from rhubarbmount.waveplan import WaveSettings
+from rhubarbmount.waves import Control, WaveOperator
+from tests.fleetchecks import check_commit, hosts_of
+from tests.fleetkit import fill, make_host, make_pool
+from tests.interleave import World, pause, run_now
+
+QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
+WAVE = WaveSettings(drain_s=2, reboot_s=2, warm_s=1)
+
+
+def make_world(hosts=8, **limits):
+    world = World()
+    members = [make_host(n) for n in range(hosts)]
+    limits = {"hosts_wanted": hosts, "hosts_down_limit": 2, **limits}
+    run_now(fill(world.inner, [make_pool(**limits)], members))
+    world.check = check_commit
+    return world
+
+
+def add_holder(world, name, behind_s=0.0, bounds=QUICK):
+    platform = world.platform()
+    duties = [
+        HostDuty(
+            platform=platform,
+            observe=lambda host: Observation(in_flight=0, ready=True),
+            wall_clock=lambda: world.now_s - behind_s,
+            bounds=bounds,
+        ),
+        WaveDuty(platform=platform, wall_clock=world.clock, settings=WAVE),
+    ]
+    runners = [
+        DutyRunner(
+            duty=duty,
+            instance_id=name,
+            platform=platform,
+            clock=world.clock,
+            new_id=world.new_id,
+            members=lambda: ("a", "b"),
+        )
+        for duty in duties
+    ]
+
+    async def work():
+        while True:
+            for runner in runners:
+                await runner.step()
+            await pause()
+
+    world.actors.append(work())
+
+
+def operator_of(world):
+    return WaveOperator(world.inner, world.clock, world.new_id)
+
+
+def count_maintained(world, wave_started_s=0.0):
+    hosts = hosts_of(world.inner.tables).values()
+    return sum(host.maintained_s > wave_started_s for host in hosts)
+
+
+def reboots_of(world):
+    commands = world.inner.host_commands.values()
+    return sorted(item.host_id for item in commands if item.action == "reboot")
+
+
+def is_quiet(world):
+    return not [key for key in world.inner.tables["intents"] if key.startswith("host/")]
+
+
+def is_done(world, wave_id):
+    return run_now(operator_of(world).read(wave_id)).wave.state == "done"
+
+
+def test_a_wave_maintains_each_host_once_and_ends():
+    world = make_world()
+    reboots = []
+    world.inner.on_host_command = lambda command: (
+        command.action == "reboot" and reboots.append(command.host_id)
+    )
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    assert is_quiet(world)
+    world.stop()
+
+
+def test_a_paused_wave_begins_nothing_and_a_resumed_one_ends():
+    world = make_world()
+    operator = operator_of(world)
+    wave_id = run_now(operator.start())
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 2)
+    run_now(operator.control(wave_id, Control.PAUSED))
+    assert world.settle(lambda: is_quiet(world))
+    paused_at = count_maintained(world)
+    assert not world.settle(lambda: not is_quiet(world), rounds=400)
+    assert count_maintained(world) == paused_at < 8
+    run_now(operator.control(wave_id, Control.RUNNING))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert count_maintained(world) == 8
+    world.stop()
+
+
+def test_a_cancelled_wave_finishes_what_it_began():
+    world = make_world()
+    operator = operator_of(world)
+    wave_id = run_now(operator.start())
+    add_holder(world, "a")
+    assert world.settle(lambda: not is_quiet(world))
+    run_now(operator.control(wave_id, Control.CANCELLED))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert 0 < count_maintained(world) < 8
+    for host in hosts_of(world.inner.tables).values():
+        assert host.state is HostState.IN_SERVICE
+    with pytest.raises(Refused):
+        run_now(operator.control(wave_id, Control.RUNNING))
+    world.stop()
+
+
+def test_a_wave_is_resumed_by_another_holder_midway():
+    world = make_world()
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 3)
+    world.stop()
+    add_holder(world, "b")
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    world.stop()
+
+
+def test_a_rack_lost_during_a_wave_stops_it_until_the_rack_is_back():
+    world = make_world()
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 1)
+    everyone = list(world.inner.hosts)
+    world.inner.hosts = [LiveHost(f"q{n}") for n in range(4)]
+    assert world.settle(lambda: is_quiet(world))
+    maintained = count_maintained(world)
+    assert not world.settle(lambda: not is_quiet(world), rounds=400)
+    world.inner.hosts = everyone
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert maintained < count_maintained(world) == 8
+    world.stop()
+
+
+def test_a_holder_whose_clock_is_behind_reboots_each_host_once():
+    world = make_world(hosts=4)
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a", behind_s=100_000.0)
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    world.stop()
+
+
+def run_swap_wave(spares_by_pool):
+    world = World()
+    pools = [
+        make_pool(hosts_wanted=6),
+        make_pool("buffer", hosts_wanted=0, hosts_down_limit=3),
+    ]
+    hosts = [make_host(n) for n in range(6)]
+    hosts += [make_host(n, "buffer") for n in range(3)]
+    run_now(fill(world.inner, pools, hosts))
+    moves = []
+
+    def check(before, after, transaction):
+        check_commit(before, after, transaction)
+        for key, row in after["hosts"].items():
+            if row.value["pool"] != before["hosts"][key].value["pool"]:
+                moves.append(key)
+
+    world.check = check
+    bounds = WorkBounds(view_s=1, drain_s=1, reboot_min_s=300, warm_s=1)
+    wave_id = run_now(operator_of(world).start((), "buffer", spares_by_pool))
+    add_holder(world, "a", bounds=bounds)
+    assert world.settle(lambda: is_done(world, wave_id), rounds=12_000)
+    world.stop()
+    return world, moves
+
+
+def test_spares_shorten_a_wave_and_every_pool_keeps_its_size():
+    in_place, no_moves = run_swap_wave({})
+    swapped, moves = run_swap_wave({"quotes": 3})
+    assert no_moves == []
+    assert len(moves) == 2 * 6
+    hosts = hosts_of(swapped.inner.tables)
+    assert sum(host.pool == "quotes" for host in hosts.values()) == 6
+    assert reboots_of(swapped) == sorted(hosts)
+    assert swapped.now_s - 1000.0 < 0.8 * (in_place.now_s - 1000.0)
+
+
+def test_two_open_waves_never_cover_one_pool():
+    world = make_world()
+    run_now(operator_of(world).start(["quotes"]))
+    with pytest.raises(Refused):
+        run_now(operator_of(world).start())
+
+
+@settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    phases=[Phase.generate],
+)
+@given(schedule=st.binary(min_size=150, max_size=400))
+def test_racing_holders_keep_the_budget_and_reboot_each_host_once(schedule):
+    world = make_world(hosts=4)
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a")
+    add_holder(world, "b")
+    world.play(schedule)
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
+    world.stop()
