--- a/bench/claims.py
+++ b/bench/claims.py
@@ -51,9 +51,10 @@
     async def lodge(self, lodgement: str, data_centre: str) -> None:
         """Send one lodgement until it ran or the attempts are used up."""
         started_s = trio.current_time()
-        key = await self._key(lodgement, data_centre)
+        host, key = await self._key(lodgement, data_centre)
         for attempt in range(ATTEMPTS):
-            host = self.world.pick_host(data_centre)
+            if attempt:
+                host = self.world.pick_host(data_centre)
             deadline_s = trio.current_time() + REQUEST_TIMEOUT_S
             outcome = await host.ask(Request(lodgement, key, deadline_s))
             self.world.ledger.tell(lodgement, outcome)
@@ -63,13 +64,12 @@
                 return
             await trio.sleep(min(60.0, 0.5 * 2**attempt))
 
-    async def _key(self, lodgement: str, data_centre: str) -> str:
-        key: str | None = None
-        while key is None:
+    async def _key(self, lodgement: str, data_centre: str) -> tuple[EntryHost, str]:
+        """Return a key and the host at the other end of the connection."""
+        while True:
             host = self.world.pick_host(data_centre)
             with trio.move_on_after(REQUEST_TIMEOUT_S):
-                key = await self.way.make_key(host, lodgement)
-        return key
+                return host, await self.way.make_key(host, lodgement)
 
 
 async def inject_faults(world: World) -> None:
--- a/bench/claims_ways.py
+++ b/bench/claims_ways.py
@@ -53,10 +53,15 @@
 async def home(host: EntryHost, request: Request) -> str:
     """Run issued keys in their issuer's memory, and all others in the table."""
     key = parse_home_key(request.key)
-    if key is None:
+    if key is None or key.instance == host.instance:
+        return await home_alone(host, request)
+    return await _forward(host, _find(host.world, key.instance), request)
+
+
+async def home_alone(host: EntryHost, request: Request) -> str:
+    """Do as home does, but never pass a request on to the key's issuer."""
+    if parse_home_key(request.key) is None:
         return await refuse(host, request)
-    if key.instance != host.instance:
-        return await _forward(host, _find(host.world, key.instance), request)
     try:
         with host.home.guard(SERVICE, request.key, FINGERPRINT) as held:
             return await host.run_held(held, request)
@@ -162,3 +167,4 @@
 ways.register("memory-at-home")(Way(_memory_at_home))
 ways.register("refuse")(Way(refuse))
 ways.register("home")(Way(home, issue_key))
+ways.register("home-alone")(Way(home_alone, issue_key))
--- a/rhubarbmount/claims.py
+++ b/rhubarbmount/claims.py
@@ -1,7 +1,6 @@
 """Claims: rows that let each keyed non-idempotent request run at most once."""
 
 import hashlib
-from collections.abc import Mapping
 from enum import StrEnum
 from typing import Any
 
@@ -65,10 +64,11 @@
 
 
 def load_claim(row: Row) -> Claim:
-    """Build a claim from its row."""
-    values: Mapping[str, Any] = row.value
-    fields = dict(values, state=ClaimState(values["state"]))
-    return Claim(row_key=row.key, **fields)
+    """Build a claim from its row; fields of a newer version are passed over."""
+    names = [field.name for field in attrs.fields(Claim) if field.name != "row_key"]
+    known = {name: row.value[name] for name in names}
+    known["state"] = ClaimState(known["state"])
+    return Claim(row_key=row.key, **known)
 
 
 def row_key(service: str, idempotency_key: str) -> str:
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -13,7 +13,13 @@
 from rhubarbmount.claims import ClaimRefused, fingerprint
 from rhubarbmount.entries import Service
 from rhubarbmount.health import AttemptResult
-from rhubarbmount.http import HttpRequest, HttpResponse, header_value
+from rhubarbmount.http import HttpRequest, HttpResponse
+from rhubarbmount.idempotency import (
+    claim_key,
+    has_bad_key,
+    idempotency_key,
+    unclaimed_outcome,
+)
 from rhubarbmount.limits import Admission, AdmissionCode
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.problem import OUTCOME_HEADER, Outcome, problem
@@ -27,7 +33,6 @@
 
 ADMISSION_PERIOD_S = 0.1
 RETRY_AFTER_S = 1
-KEY_HEADER = b"idempotency-key"
 RAN_HEADER = (OUTCOME_HEADER, Outcome.RAN.value.encode("ascii"))
 
 logger = logging.getLogger(__name__)
@@ -43,21 +48,6 @@
     return path.lstrip("/").split("/", 1)[0]
 
 
-def claim_key(service: Service, request: HttpRequest) -> str | None:
-    """Return the key to claim before dispatch, or None when none is needed."""
-    if request.method in service.idempotent_methods:
-        return None
-    return header_value(request.headers, KEY_HEADER)
-
-
-def unclaimed_outcome(key: str | None) -> Outcome:
-    """Return the outcome of a request that is refused before its key is claimed.
-
-    An earlier attempt with the same key may have run.
-    """
-    return Outcome.NOT_RUN if key is None else Outcome.UNKNOWN
-
-
 @attrs.define
 class Answer:
     """What a caller gets, with the outcome and code that it is counted under."""
@@ -115,11 +105,15 @@
         """Answer one request within the service's timeout."""
         service = self.policy.service_by_name.get(service_name(request.target))
         if service is None:
-            outcome = unclaimed_outcome(header_value(request.headers, KEY_HEADER))
+            outcome = unclaimed_outcome(idempotency_key(request))
             return problem(404, "no-service", "no such service", outcome)
         begin_s = trio.current_time()
         deadline_s = begin_s + service.request_timeout_ms / 1000
-        answer = await self._serve(service, request, deadline_s)
+        if has_bad_key(request):
+            message = "a request has one idempotency key, which is not empty"
+            answer = refusal(400, "bad-key", message, Outcome.NOT_RUN, None)
+        else:
+            answer = await self._serve(service, request, deadline_s)
         latency_s = trio.current_time() - begin_s
         self.metrics.count_request(service.name, answer.outcome, answer.code, latency_s)
         return answer.response
--- /dev/null
+++ b/rhubarbmount/idempotency.py
@@ -0,0 +1,39 @@
+"""Which requests carry an idempotency key, and which of them need a claim."""
+
+from rhubarbmount.entries import Service
+from rhubarbmount.http import HttpRequest, header_value
+from rhubarbmount.problem import Outcome
+
+__all__ = ["claim_key", "has_bad_key", "idempotency_key", "unclaimed_outcome"]
+
+KEY_HEADER = b"idempotency-key"
+
+
+def idempotency_key(request: HttpRequest) -> str | None:
+    """Return the request's key, or None.
+
+    >>> idempotency_key(HttpRequest("POST", "/quotes", [(b"idempotency-key", b"k")]))
+    'k'
+    """
+    return header_value(request.headers, KEY_HEADER)
+
+
+def claim_key(service: Service, request: HttpRequest) -> str | None:
+    """Return the key to claim before dispatch, or None when none is needed."""
+    if request.method in service.idempotent_methods:
+        return None
+    return idempotency_key(request)
+
+
+def has_bad_key(request: HttpRequest) -> bool:
+    """Return whether the request has an empty key or more than one."""
+    keys = [value for name, value in request.headers if name == KEY_HEADER]
+    return len(keys) > 1 or b"" in keys
+
+
+def unclaimed_outcome(key: str | None) -> Outcome:
+    """Return the outcome of a request that is refused before its key is claimed.
+
+    An earlier attempt with the same key may have run.
+    """
+    return Outcome.NOT_RUN if key is None else Outcome.UNKNOWN
--- a/rhubarbmount/platform/http.py
+++ b/rhubarbmount/platform/http.py
@@ -50,19 +50,19 @@
         answer = await self._call("GET", path)
         if answer.status == 404:
             return None
-        return _converter.structure(_decode(answer), Row)
+        return _decode("GET", answer, Row)
 
     async def scan(self, table: str, prefix: str = "") -> list[Row]:
         """Return the rows whose keys start with the prefix, in key order."""
         path = f"/tables/{quote(table, safe='')}?prefix={quote(prefix, safe='')}"
         answer = await self._call("GET", path)
-        return _converter.structure(_decode(answer), list[Row])
+        return _decode("GET", answer, list[Row])
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """Commit all writes together, or none of them."""
         body = _converter.unstructure(transaction)
         answer = await self._call("POST", "/transactions", _encode(body))
-        return _converter.structure(_decode(answer), TransactionResult)
+        return _decode("POST", answer, TransactionResult)
 
     async def put_object(self, name: str, body: bytes) -> None:
         """Store an object."""
@@ -76,7 +76,7 @@
     async def live_hosts(self) -> list[LiveHost]:
         """Return the lagging list of live and leaving hosts."""
         answer = await self._call("GET", "/hosts")
-        return _converter.structure(_decode(answer), list[LiveHost])
+        return _decode("GET", answer, list[LiveHost])
 
     async def command_host(self, command: HostCommand) -> None:
         """Ask the platform to act on a host."""
@@ -104,9 +104,7 @@
             raise PlatformUnavailable(error.message) from None
         except AnswerLost as error:
             raise _failure(method, error.message) from None
-        if answer.status >= 500:
-            raise PlatformUnavailable(f"the platform answered {answer.status}")
-        return answer
+        return _checked(method, answer)
 
     async def _exchange(
         self, connection: ClientConnection, method: str, path: str, body: bytes
@@ -131,6 +129,19 @@
         return await connect(host, int(port), self.timeout_s, OBJECT_LIMIT_BYTES)
 
 
+def _checked(method: str, answer: HttpResponse) -> HttpResponse:
+    """Return a success, or the answer that there is no such thing to read.
+
+    A refusal (4xx) and 503 mean no effect; another 5xx may hide one.
+    """
+    message = f"the platform answered {answer.status}"
+    if answer.status >= 500 and answer.status != 503:
+        raise _failure(method, message)
+    if answer.status >= 400 and (method, answer.status) != ("GET", 404):
+        raise PlatformUnavailable(message)
+    return answer
+
+
 def _failure(method: str, message: str) -> PlatformUnavailable | OutcomeUnknown:
     if method == "GET":
         return PlatformUnavailable(message)
@@ -141,5 +152,8 @@
     return json.dumps(value, separators=(",", ":")).encode("utf-8")
 
 
-def _decode(answer: HttpResponse) -> Any:
-    return json.loads(answer.body)
+def _decode(method: str, answer: HttpResponse, kind: Any) -> Any:
+    try:
+        return _converter.structure(json.loads(answer.body), kind)
+    except (ValueError, TypeError, KeyError, cattrs.BaseValidationError) as error:
+        raise _failure(method, f"the platform's answer is malformed: {error}") from None
--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -91,3 +91,12 @@
     for _ in range(2):
         assert told(await forwarder.handle(request)) == (200, "ran")
     assert forwarder.claims.batches.rows == 0
+
+
+@pytest.mark.parametrize("keys", [[b""], [b"k", b"l"]])
+async def test_an_empty_or_second_key_is_refused(open_keyed, autojump_clock, keys):
+    forwarder = open_keyed(answer)
+    headers = [(b"idempotency-key", key) for key in keys]
+    request = HttpRequest("POST", "/quotes/1", headers, b"battery")
+    assert told(await forwarder.handle(request)) == (400, "not-run")
+    assert not forwarder.connections.sent
