--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -83,12 +83,15 @@
 class Acceptance:
     """Accept edits; ``summarise_fleet`` gives the fleet's size, if it is known.
 
+    ``on_accepted`` is called with the snapshot of each edit that is committed.
+
     ``wall_clock`` returns seconds since the epoch, for the history.
     """
 
     platform: Platform
     wall_clock: Callable[[], float]
     summarise_fleet: Callable[[], Awaitable[FleetSummary | None]] | None = None
+    on_accepted: Callable[[Snapshot], object] | None = None
     seed: int | None = None
     _cached: Snapshot = attrs.field(factory=Snapshot, init=False)
     _cached_object: str = attrs.field(default="", init=False)
@@ -186,10 +189,15 @@
             )
         )
         if result.committed:
-            self._cached = after
-            self._cached_object = object_name
+            self._note_committed(after, object_name)
         return result.committed
 
+    def _note_committed(self, snapshot: Snapshot, object_name: str) -> None:
+        self._cached = snapshot
+        self._cached_object = object_name
+        if self.on_accepted is not None:
+            self.on_accepted(snapshot)
+
     async def _summarise_fleet(self, edit: Edit) -> FleetSummary | None:
         kind, _ = split_key(edit.key)
         if kind != "pool" or self.summarise_fleet is None:
--- /dev/null
+++ b/rhubarbmount/membership.py
@@ -0,0 +1,109 @@
+"""Wires the peers to the decisions of one entry host."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.instances import InstanceRows
+from rhubarbmount.peers import Peers, new_identity, open_peers
+from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.settings import PeerSettings, Settings
+from rhubarbmount.shares import EntryHosts
+from rhubarbmount.timers import TimerService
+from rhubarbmount.zmqtrio import CurveKeys
+
+__all__ = ["Membership", "open_membership"]
+
+APPLY_PERIOD_S = 1.0
+
+
+@attrs.define(eq=False)
+class Membership:
+    """Keep the routing decisions in step with what the peers report."""
+
+    settings: Settings
+    configuration: Configuration
+    fleet_view: FleetView
+    policy: RequestPolicy
+    peers: Peers
+    rows: InstanceRows
+
+    async def run(self, timers: TimerService) -> None:
+        """Announce versions and apply the peers' reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.rows.run, timers)
+            nursery.start_soon(self._announce_versions)
+            async for _ in timers.every("membership", APPLY_PERIOD_S):
+                self.apply()
+
+    def apply(self) -> None:
+        """Hand the live entry hosts and their loads to the routing decisions."""
+        table = self.peers.table
+        data_centre_by_id = {
+            instance: report.identity.data_centre
+            for instance, report in table.reports(self.peers.clock()).items()
+        }
+        known = self.policy.entry_hosts
+        if data_centre_by_id != known.data_centre_by_id:
+            self.policy.set_entry_hosts(
+                EntryHosts(known.own_id, known.data_centre, data_centre_by_id)
+            )
+        host_ids = self.fleet_view.hosts_by_id
+        in_flight = table.in_flight(host_ids, self.peers.clock())
+        self.policy.set_peers_in_flight(in_flight)
+
+    def announce_draining(self) -> None:
+        """Tell the peers that this entry host is about to stop."""
+        self.peers.draining = True
+        self.peers.announce()
+
+    async def _announce_versions(self) -> None:
+        async for _ in self.configuration.subscribe():
+            self.peers.announce_version()
+
+
+@asynccontextmanager
+async def open_membership(
+    settings: Settings,
+    peer_settings: PeerSettings,
+    platform: PlatformClient,
+    configuration: Configuration,
+    fleet_view: FleetView,
+    policy: RequestPolicy,
+    timers: TimerService,
+) -> AsyncIterator[Membership]:
+    """Speak with the peers for the length of the block."""
+    address = f"{peer_settings.address}:{peer_settings.port}"
+    identity = new_identity(settings.instance, settings.data_centre, address)
+    keys = CurveKeys(peer_settings.public_key, peer_settings.secret_key)
+    followers = {"catalogue": configuration, "fleet": fleet_view}
+    async with open_peers(
+        identity,
+        keys,
+        dict.fromkeys(peer_settings.peers, ""),
+        followers,
+        timers,
+        in_flight=policy.own_in_flight,
+    ) as peers:
+        configuration.pull = peers.pull
+        fleet_view.pull = peers.pull
+        rows = InstanceRows(
+            platform,
+            identity,
+            lambda: configuration.version,
+            lambda: peers.table.reports(peers.clock()),
+            peers.table.learn_address,
+            peers.forget_address,
+        )
+        membership = Membership(
+            settings, configuration, fleet_view, policy, peers, rows
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(membership.run, timers)
+            yield membership
+            nursery.cancel_scope.cancel()
--- a/rhubarbmount/operators.py
+++ b/rhubarbmount/operators.py
@@ -1,7 +1,7 @@
 """The operators' HTTP interface: entries, and what is in force."""
 
 import uuid
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 
@@ -11,6 +11,7 @@
 from rhubarbmount.entries import dump_entry, entry_key
 from rhubarbmount.errors import AccessDenied, NotFound, UsageError
 from rhubarbmount.http import HttpResponse, header_value
+from rhubarbmount.instances import ConfigurationStatus
 from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
@@ -40,6 +41,7 @@
     acceptance: Acceptance
     configuration: Configuration
     platform: Platform
+    read_status: Callable[[], Awaitable[ConfigurationStatus]]
     router: Router = attrs.field(factory=Router)
 
     def __attrs_post_init__(self) -> None:
@@ -49,6 +51,7 @@
         self.router.add("DELETE", "/entries/*/*", self._remove_entry)
         self.router.add("GET", "/entries/*/*/history", self._show_history)
         self.router.add("GET", "/version", self._show_version)
+        self.router.add("GET", "/status", self._show_status)
 
     def identify(self, call: Call) -> Operator:
         """Return the operator whose token came with the call. Raises AccessDenied."""
@@ -112,6 +115,14 @@
         self.identify(call)
         return json_response({"version": self.configuration.version})
 
+    async def _show_status(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        status = await self.read_status()
+        shown = attrs.asdict(status) | {"in_force": status.in_force}
+        age_s = self.configuration.age_s()
+        shown["confirmed_s_ago"] = age_s if self.configuration.ready else None
+        return json_response(shown)
+
     async def _stored_version(self, key: str) -> int:
         row = await self.platform.read(ENTRIES_TABLE, key)
         return 0 if row is None else row.value["version"]
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import time
+from contextlib import AsyncExitStack
 from typing import Any
 
 import attrs
@@ -17,7 +18,9 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.http import HttpResponse
+from rhubarbmount.instances import ConfigurationStatus, weigh_status
 from rhubarbmount.listener import Listener
+from rhubarbmount.membership import Membership, open_membership
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.operators import OperatorsApi, operators_from
 from rhubarbmount.platform import http as _http_adapter  # noqa: F401
@@ -58,6 +61,7 @@
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
     sweeper: Sweeper = attrs.field(init=False)
+    membership: Membership | None = attrs.field(default=None, init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
     metrics: Listener = attrs.field(init=False)
@@ -89,9 +93,15 @@
         self.fleet_view = FleetView(platform=following)
         api = OperatorsApi(
             operators_from(settings.operators_by_name),
-            Acceptance(following, time.time, self.fleet_view.summarise),
+            Acceptance(
+                following,
+                time.time,
+                self.fleet_view.summarise,
+                self.configuration.offer,
+            ),
             self.configuration,
             following,
+            self._read_status,
         )
         self.operators = Listener("operators", api.router.handle, settings.http)
         self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
@@ -105,8 +115,9 @@
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> int:
         """Serve until stopped; return the number of requests that the stop cut."""
         settings = self.settings
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery, AsyncExitStack() as stack:
             timers = TimerService(nursery)
+            await self._join_peers(stack, timers)
             for name in ("metrics", "operators", "callers"):
                 listener: Listener = getattr(self, name)
                 endpoint = getattr(settings, name)
@@ -125,11 +136,29 @@
             nursery.cancel_scope.cancel()
         return cut_count
 
+    async def _join_peers(self, stack: AsyncExitStack, timers: TimerService) -> None:
+        if self.settings.peers is None:
+            return
+        opened = open_membership(
+            self.settings,
+            self.settings.peers,
+            self.platform,
+            self.configuration,
+            self.fleet_view,
+            self.forwarder.policy,
+            timers,
+        )
+        self.membership = await stack.enter_async_context(opened)
+
     async def _stop(self) -> int:
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
+        if self.membership is not None:
+            self.membership.announce_draining()
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
         await self.forwarder.connections.aclose()
+        if self.membership is not None:
+            await self.membership.rows.remove()
         log.event(logger, "stopped", cut=cut_count)
         return cut_count
 
@@ -146,6 +175,12 @@
                 changed.hosts_by_id.values(), trio.current_time()
             )
 
+    async def _read_status(self) -> ConfigurationStatus:
+        if self.membership is None:
+            version = self.configuration.version
+            return weigh_status(version, {}, {self.settings.instance: version})
+        return await self.membership.rows.read_status()
+
     def _metrics_router(self) -> Router:
         router = Router()
         router.add("GET", "/healthz", self._healthz)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -18,6 +18,7 @@
 import attrs
 import yaml
 
+from rhubarbmount.zmqtrio import CurveKeys
 from tests.relay import Relay
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -144,6 +145,7 @@
             "rival": {"token_sha256": digest("rival-token"), "owners": ["rival"]},
         }
         self.extra_settings = {}
+        self.peer_keys = CurveKeys.generate()
         self.platform = None
         self.backend_by_name = {}
         self.entry_host_by_name = {}
@@ -244,8 +246,11 @@
         self.relay_by_name[name] = Relay((address, target[1]), target)
         return address
 
-    def start_entry_host(self, name, data_centre, peers=(), ready=True):
-        """Start an entry host that reaches the platform through its own relay."""
+    def start_entry_host(self, name, data_centre, ready=True):
+        """Start an entry host that reaches the platform through its own relay.
+
+        It is told the addresses of the entry hosts that were started before it.
+        """
         address = self.new_address()
         platform = self.add_relay(
             f"{name}-platform", (self.platform.address, PLATFORM_PORT)
@@ -256,6 +261,7 @@
             "callers": {"address": address, "port": CALLERS_PORT},
             "operators": {"address": address, "port": OPERATORS_PORT},
             "metrics": {"address": address, "port": METRICS_PORT},
+            "peers": self._peer_settings(address),
             "platform": {"address": f"{platform}:{PLATFORM_PORT}"},
             "operators_by_name": self.operators_by_name,
             "stop_timeout_s": 10,
@@ -267,18 +273,32 @@
         if ready:
             self.wait_ready(name)
 
+    def _peer_settings(self, address):
+        known = [program.address for program in self.entry_host_by_name.values()]
+        return {
+            "address": address,
+            "port": PEERS_PORT,
+            "peers": [f"{other}:{PEERS_PORT}" for other in known],
+            "public_key": self.peer_keys.public,
+            "secret_key": self.peer_keys.secret,
+        }
+
     def wait_ready(self, name):
-        address = self.entry_host_by_name[name].address
+        wait_until(lambda: self.is_ready(name), START_TIMEOUT_S, f"{name} is ready")
 
-        def is_ready():
-            program = self.entry_host_by_name[name]
-            if program.process.poll() is not None:
-                raise AssertionError(f"{name} ended: {program.log()}")
-            return call(address, METRICS_PORT, "GET", "/readyz", timeout_s=2)
+    def is_ready(self, name):
+        """Tell whether an entry host says that it takes callers."""
+        return self._get_metrics(name, "/readyz").status == 200
 
-        wait_until(
-            lambda: is_ready().status == 200, START_TIMEOUT_S, f"{name} is ready"
-        )
+    def answers_health(self, name):
+        """Tell whether an entry host runs."""
+        return self._get_metrics(name, "/healthz").status == 200
+
+    def _get_metrics(self, name, path):
+        program = self.entry_host_by_name[name]
+        if program.process.poll() is not None:
+            raise AssertionError(f"{name} ended: {program.log()}")
+        return call(program.address, METRICS_PORT, "GET", path, timeout_s=2)
 
     def request(self, entry_host, method, target, headers=None, body=None, **options):
         """Send a caller's request to an entry host."""
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -24,3 +24,35 @@
     And operator "admin" sets "concurrency" of service "lodgements" to 19
     Then the edit is accepted
     And within 5 s it is in force at "e1, e2, e3"
+
+  Scenario: An entry host that is cut off from the platform hears from its peers
+    When the entry hosts know that their configuration is in force
+    And entry host "e3" is cut off from the platform
+    And operator "admin" sets "concurrency" of service "lodgements" to 20
+    Then the edit is accepted
+    And within 5 s it is in force at "e1, e2, e3"
+
+  Scenario: An entry host started during an outage takes the copy of a peer
+    When operator "admin" sets "concurrency" of service "lodgements" to 21
+    And the platform goes down
+    And one more entry host "e4" starts in "dc-a"
+    Then the edit is accepted
+    And within 10 s it is in force at "e4"
+    And within 10 s entry host "e4" is ready
+    And a lodgement sent to "e4" reads a whole answer
+
+  Scenario: An entry host started with neither platform nor peers is not ready
+    When the platform goes down
+    And entry hosts "e1, e2, e3" are killed
+    And one more entry host "e4" starts in "dc-a"
+    Then entry host "e4" is not ready for 5 s
+
+  Scenario: Laggards are named, and a frozen one catches up without reverting
+    When the entry hosts know that their configuration is in force
+    And entry host "e3" is frozen
+    And operator "admin" sets "concurrency" of service "lodgements" to 22
+    Then the edit is accepted
+    And within 10 s the status at "e1" names "e3" as silent
+    When entry host "e3" is resumed
+    Then within 5 s it is in force at "e3"
+    And within 10 s the status at "e1" says in force
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -281,3 +281,67 @@
         return min(versions) >= version
 
     wait_until(in_force, bound_s, f"version {version} at {hosts}")
+
+
+def status_at(deployment, host):
+    return deployment.operate(host, "GET", "/status").json()
+
+
+@when("the entry hosts know that their configuration is in force")
+def wait_for_status(deployment):
+    hosts = sorted(deployment.entry_host_by_name)
+
+    def known():
+        statuses = [status_at(deployment, host) for host in hosts]
+        return all(s["in_force"] and s["current"] == hosts for s in statuses)
+
+    wait_until(known, 20, "all entry hosts know of each other")
+
+
+@when(parsers.parse('one more entry host "{name}" starts in "{centre}"'))
+def start_without_waiting(deployment, name, centre):
+    deployment.start_entry_host(name, centre, ready=False)
+
+
+@when(parsers.parse('entry hosts "{hosts}" are killed'))
+def kill_entry_hosts(deployment, hosts):
+    for host in names(hosts):
+        deployment.entry_host_by_name[host].kill()
+
+
+@then(parsers.parse('within {bound_s:g} s entry host "{name}" is ready'))
+def check_ready(deployment, bound_s, name):
+    wait_until(lambda: deployment.is_ready(name), bound_s, f"{name} is ready")
+
+
+@then(parsers.parse('entry host "{name}" is not ready for {time_s:g} s'))
+def check_not_ready(deployment, name, time_s):
+    wait_until(lambda: deployment.answers_health(name), 15, f"{name} runs")
+    deadline = time.monotonic() + time_s
+    while time.monotonic() < deadline:
+        assert not deployment.is_ready(name)
+        time.sleep(0.2)
+
+
+@then(parsers.parse('a lodgement sent to "{host}" reads a whole answer'))
+def check_whole_answer(deployment, host):
+    answer = deployment.request(host, "GET", "/lodgements/x")
+    assert (answer.status, answer.outcome) == (200, "ran"), answer
+
+
+@then(
+    parsers.parse(
+        'within {bound_s:g} s the status at "{host}" names "{name}" as silent'
+    )
+)
+def check_silent(deployment, bound_s, host, name):
+    wait_until(
+        lambda: list(status_at(deployment, host)["silent"]) == [name],
+        bound_s,
+        f"{name} is named",
+    )
+
+
+@then(parsers.parse('within {bound_s:g} s the status at "{host}" says in force'))
+def check_status_in_force(deployment, bound_s, host):
+    wait_until(lambda: status_at(deployment, host)["in_force"], bound_s, "in force")
