--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -79,11 +79,17 @@
     return f"{key}/{version:012d}"
 
 
+def _no_version() -> int:
+    return 0
+
+
 @attrs.define
 class Acceptance:
     """Accept edits; ``summarise_fleet`` gives the fleet's size, if it is known.
 
-    ``on_accepted`` is called with the snapshot of each edit that is committed.
+    ``on_accepted`` is called with the snapshot of each edit that is committed. On a
+    head that is behind ``version_in_force`` nothing is accepted, since no entry host
+    would take it.
 
     ``wall_clock`` returns seconds since the epoch, for the history.
     """
@@ -92,6 +98,7 @@
     wall_clock: Callable[[], float]
     summarise_fleet: Callable[[], Awaitable[FleetSummary | None]] | None = None
     on_accepted: Callable[[Snapshot], object] | None = None
+    version_in_force: Callable[[], int] = _no_version
     seed: int | None = None
     _cached: Snapshot = attrs.field(factory=Snapshot, init=False)
     _cached_object: str = attrs.field(default="", init=False)
@@ -142,6 +149,8 @@
             await trio.sleep(self._random.random() * RETRY_DELAY_MAX_S)
         if doubtful_version is not None:
             raise _unknown(edit)
+        if head.snapshot.version < self.version_in_force():
+            raise Refused("the platform's head was put back", code="head-behind")
         raise ConflictError("other edits keep winning; try again", code="contended")
 
     async def _read_head(self) -> _Head:
@@ -171,6 +180,8 @@
 
     async def _attempt(self, operator: Operator, edit: Edit, head: _Head) -> bool:
         """Try to commit on top of the head; only one attempt on a head can."""
+        if head.snapshot.version < self.version_in_force():
+            return False
         _check_owner(operator, edit, head.snapshot)
         _check_version(edit, head.snapshot)
         after = _next_snapshot(edit, head.snapshot)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -98,6 +98,7 @@
                 time.time,
                 self.fleet_view.summarise,
                 self.configuration.offer,
+                lambda: self.configuration.version,
             ),
             self.configuration,
             following,
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -37,8 +37,8 @@
     And the platform goes down
     And one more entry host "e4" starts in "dc-a"
     Then the edit is accepted
-    And within 10 s it is in force at "e4"
     And within 10 s entry host "e4" is ready
+    And within 5 s it is in force at "e4"
     And a lodgement sent to "e4" reads a whole answer
 
   Scenario: An entry host started with neither platform nor peers is not ready
@@ -56,3 +56,12 @@
     When entry host "e3" is resumed
     Then within 5 s it is in force at "e3"
     And within 10 s the status at "e1" says in force
+
+  Scenario: The platform's head is put back to the first catalogue
+    When operator "admin" sets "concurrency" of service "lodgements" to 23
+    Then the edit is accepted
+    And within 5 s it is in force at "e1, e2, e3"
+    When the platform's head is put back to the first catalogue
+    And operator "admin" sets "concurrency" of service "lodgements" to 24
+    Then the edit is refused with "head-behind"
+    And for 3 s the version at "e1, e2, e3" does not fall
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -345,3 +345,23 @@
 @then(parsers.parse('within {bound_s:g} s the status at "{host}" says in force'))
 def check_status_in_force(deployment, bound_s, host):
     wait_until(lambda: status_at(deployment, host)["in_force"], bound_s, "in force")
+
+
+@when("the platform's head is put back to the first catalogue")
+def put_head_back(deployment):
+    head = deployment.read_row("heads", "catalogue")
+    value = {"version": head["value"]["version"] - 1, "object": "catalogue/seed"}
+    write = {"table": "heads", "key": "catalogue", "value": value}
+    transaction = {"operation_id": "put-back", "preconditions": [], "writes": [write]}
+    answer = deployment.platform_call("POST", "/transactions", transaction)
+    assert answer.json()["committed"], answer
+
+
+@then(parsers.parse('for {time_s:g} s the version at "{hosts}" does not fall'))
+def check_no_revert(deployment, time_s, hosts):
+    before = {host: deployment.version_at(host) for host in names(hosts)}
+    deadline = time.monotonic() + time_s
+    while time.monotonic() < deadline:
+        for host in names(hosts):
+            assert deployment.version_at(host) >= before[host]
+        time.sleep(0.2)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -214,6 +214,18 @@
         await editor.apply(FIRM, put(pool, kind="pool"))
 
 
+async def test_nothing_is_accepted_on_a_head_behind_the_version_in_force(
+    autojump_clock,
+):
+    platform = MemoryPlatform()
+    await acceptance(platform).apply(FIRM, put(team()))
+    behind = acceptance(platform, version_in_force=lambda: 2)
+    with pytest.raises(Refused) as caught:
+        await behind.apply(FIRM, put(team(processors_quota=1), 1))
+    assert caught.value.code == "head-behind"
+    assert (await platform.read("heads", "catalogue")).value["version"] == 1
+
+
 class Switch:
     """Let one waiting call go at a time, as a list of choices says."""
 
