Start urgent jobs of all pools first, others as far as rows are affordable

Every start costs rows of the platform's budget; a pool that fills up with batch would otherwise put the budget into debt before an urgent job of another pool is looked at. Pools take turns at the rest.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -27,6 +27,7 @@
 SIZES = (260, 1000, 2600)
 STEP_S = 0.25
 COMMIT_AND_COMMAND_S = 0.1
+PLACEMENTS_PER_STEP = 32
 TASK_START_S = 0.2
 CHECKPOINT_S = (0.5, 2.0)
 BATCH_SHAPES = (Shape(2, 4), Shape(4, 8), Shape(4, 16), Shape(8, 16))
@@ -88,6 +89,7 @@
     decisions: int = 0
     lost_processor_s: float = 0.0
     spent_s: float = 0.0
+    filled: bool = False
     running: set[str] = attrs.field(factory=set)
 
     def run(self, seconds: float) -> None:
@@ -103,8 +105,10 @@
             self._pass_events(now_s)
             if step > 8:
                 self._arrive(now_s)
+            limit = PLACEMENTS_PER_STEP if self.filled else len(self.hosts) * 16
+            self.filled = True
             began_s = time.perf_counter()
-            changes = list(self.scheduler.place())
+            changes = list(self.scheduler.place(limit))
             self.spent_s += time.perf_counter() - began_s
             self._obey(changes, now_s)
             for pool in range(self.pools):
@@ -286,7 +290,7 @@
         work_class=WorkClass.BATCH,
     )
     placer.queue.add(WaitingJob(job, amount_needed(shape)))
-    for decision in placer.plan(usage, 0.0, 1):
+    for decision in placer.plan(usage, 0.0, 1, urgent=False):
         placer.queue.remove(job)
         if isinstance(decision, Wait):
             return ""
--- a/rhubarbmount/fleet_rooms.py
+++ b/rhubarbmount/fleet_rooms.py
@@ -1,6 +1,6 @@
 """The rooms of all pools, and the hosts that tasks keep off."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import attrs
 
@@ -39,7 +39,7 @@
             self.placer_by_pool[pool] = PoolPlacer(pool, self.rule)
         return self.placer_by_pool[pool]
 
-    def placers(self) -> Iterable[PoolPlacer]:
+    def placers(self) -> list[PoolPlacer]:
         """Return the placers in the order of their pools' names."""
         return [self.placer_by_pool[pool] for pool in sorted(self.placer_by_pool)]
 
--- a/rhubarbmount/placement.py
+++ b/rhubarbmount/placement.py
@@ -133,16 +133,18 @@
         return None if room is None else room.host.host_id
 
     def plan(
-        self, usage: TeamUsage, now_s: float, limit: int
+        self, usage: TeamUsage, now_s: float, limit: int, urgent: bool
     ) -> Iterable[Placement | Wait]:
-        """Yield decisions: urgent first, then the team with the least of its quota.
+        """Yield decisions about the urgent jobs, or about the others.
 
-        At most ``limit`` jobs are placed. The caller takes each placement into
+        Classes go in order, and within one the team with the least of its quota. At
+        most ``limit`` jobs are placed. The caller takes each placement into
         ``rooms`` and ``usage``, and the job out of the queue, before it asks for the
         next one. A wait is yielded when it is new to a job of its group.
         """
         refused: dict[tuple[bool, Amount], Refusal] = {}
-        order = [_order(group, usage) for group in self.queue]
+        groups = (group for group in self.queue if group.is_urgent == urgent)
+        order = [_order(group, usage) for group in groups]
         heapq.heapify(order)
         placed = 0
         while order and placed < limit:
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -44,7 +44,6 @@
     lease_s: float = 10.0
     list_lag_s: float = 5.0
     margin_s: float = 2.0
-    placements_per_step: int = 256
 
     @property
     def gone_after_s(self) -> float:
@@ -79,6 +78,7 @@
     task_by_id: dict[str, Task] = attrs.field(factory=dict)
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     fleet: FleetRooms = attrs.field(init=False)
+    _turn: int = attrs.field(default=0, init=False)
     _promised: dict[str, tuple[WaitingJob, str]] = attrs.field(factory=dict, init=False)
     _undelivered_starts: set[str] = attrs.field(factory=set, init=False)
     _delivered_s: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -186,24 +186,44 @@
                     lapse = EndReport(task_id=task.task_id, outcome="lapsed")
                     yield self._end(task, lapse)
 
-    def place(self) -> Iterator[JobChange]:
-        """Start what can start now, pool by pool, and keep headroom."""
+    def place(self, limit: int) -> Iterator[JobChange]:
+        """Start all urgent jobs that can start now, then at most ``limit`` others.
+
+        Then clear batch away where a pool lacks headroom.
+        """
         yield from self._clear_closed_hosts()
         self.fleet.end_avoidance(self.now_s)
         yield from self._start_promised()
         for placer in self.fleet.placers():
             self.fleet.keep_headroom(placer, self.now_s)
-            limit = self.rule.placements_per_step
-            for decision in placer.plan(self.usage, self.now_s, limit):
-                if isinstance(decision, Wait):
-                    self._explain_wait(decision)
-                else:
-                    yield from self._carry_out(placer, decision)
-            for eviction in self.fleet.refill(placer, self.now_s):
-                for task_id in eviction.task_ids:
-                    reason = f"pool {placer.pool} keeps room for urgent jobs"
-                    task = self.task_by_id[task_id]
-                    yield self._evict(task, "evicted-headroom", reason)
+            yield from self._plan(placer, len(placer.queue), urgent=True)
+        for placer in self._in_turn():
+            for change in self._plan(placer, limit, urgent=False):
+                limit -= 1
+                yield change
+        for placer in self.fleet.placers():
+            yield from self._refill(placer)
+
+    def _in_turn(self) -> Iterable[PoolPlacer]:
+        """Return the placers, beginning with another one each time."""
+        placers = self.fleet.placers()
+        self._turn = (self._turn + 1) % max(len(placers), 1)
+        return [*placers[self._turn :], *placers[: self._turn]]
+
+    def _plan(
+        self, placer: PoolPlacer, limit: int, urgent: bool
+    ) -> Iterator[JobChange]:
+        for decision in placer.plan(self.usage, self.now_s, limit, urgent):
+            if isinstance(decision, Wait):
+                self._explain_wait(decision)
+            else:
+                yield from self._carry_out(placer, decision)
+
+    def _refill(self, placer: PoolPlacer) -> Iterator[JobChange]:
+        for eviction in self.fleet.refill(placer, self.now_s):
+            for task_id in eviction.task_ids:
+                reason = f"pool {placer.pool} keeps room for urgent jobs"
+                yield self._evict(self.task_by_id[task_id], "evicted-headroom", reason)
 
     def _carry_out(self, placer: PoolPlacer, found: Placement) -> Iterator[JobChange]:
         job = found.waiting.job
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -37,6 +37,8 @@
 HEADS_TABLE = "heads"
 CHANGES_PER_COMMIT = 64
 COMMANDS_AT_ONCE = 32
+WRITES_PER_START = 5
+DEFAULT_WRITES_PER_ROUND = 1000
 
 
 class HeldLease(Protocol):
@@ -69,7 +71,8 @@
     Rows go first and effects follow: a command is sent only after its intent has
     committed, and sent again under the same id until the platform has accepted it.
     Every commit also advances one row, ``heads/scheduling``, so that none can land
-    on rows other than those it was decided from.
+    on rows other than those it was decided from. Urgent jobs start at once; others
+    only as far as the rows are affordable.
     """
 
     platform: Platform
@@ -78,6 +81,7 @@
     epoch_clock: Callable[[], float]
     rule: SchedulingRule = SchedulingRule()
     learned: Learned = attrs.field(factory=Learned)
+    affordable_writes: Callable[[], int] = lambda: DEFAULT_WRITES_PER_ROUND
     list_period_s: float = 1.0
     name: str = DUTY
     scheduler: Scheduler | None = None
@@ -145,7 +149,8 @@
             scheduler.set_hosts(self.view.hosts())
             self._changes += scheduler.take_live_hosts(live)
         if self._changes or live is not None:
-            self._changes += scheduler.place()
+            limit = max(1, self.affordable_writes() // WRITES_PER_START)
+            self._changes += scheduler.place(limit)
 
     async def _list_hosts(self) -> set[str] | None:
         now_s = self.clock()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Where jobs go, in which order, what is evicted and what is kept free."""
 
+import itertools
+
 import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -71,7 +73,11 @@
 def plan(placer, held):
     """Carry out a whole plan; return (job, host) pairs and the waits."""
     placed, waits = [], []
-    for decision in placer.plan(held, NOW_S, 1000):
+    decisions = itertools.chain(
+        placer.plan(held, NOW_S, 1000, urgent=True),
+        placer.plan(held, NOW_S, 1000, urgent=False),
+    )
+    for decision in decisions:
         if isinstance(decision, Wait):
             waits.append((decision.group.first.job.job_id, decision.code))
             continue
