Let operators submit, list, cancel, release and explain jobs

A submission is idempotent by job id, also after the job has ended: the row in history is a precondition too. Without that precondition a repeated submission of an ended job would start it again (test_the_same_submission_again_is_one_job_even_after_it_ended). Findings are reported together; only owners of a job's team act on it.

--- /dev/null
+++ b/rhubarbmount/job_handlers.py
@@ -0,0 +1,255 @@
+"""What operators ask about jobs and decisions, over HTTP."""
+
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from rhubarbmount.edits import Operator
+from rhubarbmount.entries import JobTemplate, WorkClass
+from rhubarbmount.errors import (
+    AccessDenied,
+    ConflictError,
+    Finding,
+    FindingsError,
+    NotFound,
+    UsageError,
+)
+from rhubarbmount.explain import (
+    Decision,
+    DecisionMemory,
+    Explanation,
+    merge_explanations,
+)
+from rhubarbmount.hosts import Shape
+from rhubarbmount.http import HttpResponse
+from rhubarbmount.job_changes import HISTORY_TABLE, JobRequest, request_write
+from rhubarbmount.jobs import JOBS_TABLE, Job, check_submission, dump_job, load_job
+from rhubarbmount.platform.interface import Platform, Precondition, Transaction, Write
+from rhubarbmount.problem import json_response
+from rhubarbmount.router import Call, Router
+from rhubarbmount.scheduling import SchedulingView
+from rhubarbmount.structure import structure
+
+__all__ = ["JobHandlers", "JobSubmission"]
+
+KINDS = ("host", "pool", "job", "request", "entry")
+TEMPLATE_KEYS = (
+    "team",
+    "pool",
+    "work_class",
+    "processors",
+    "memory_gb",
+    "accelerators",
+    "run_time_s",
+)
+
+
+@attrs.frozen(kw_only=True)
+class JobSubmission:
+    """A job as an operator submits it; a template gives what is not named.
+
+    The same job id submitted again with the same values is answered alike.
+    """
+
+    job_id: str
+    team: str
+    pool: str
+    processors: float
+    memory_gb: float
+    accelerators: int = 0
+    work_class: WorkClass = WorkClass.NORMAL
+    run_time_s: float = 60.0
+    can_checkpoint: bool = True
+    template: str = ""
+
+    def job(self, now_s: float) -> Job:
+        """Return the job, submitted now."""
+        return Job(
+            job_id=self.job_id,
+            team=self.team,
+            pool=self.pool,
+            shape=Shape(self.processors, self.memory_gb, self.accelerators),
+            work_class=self.work_class,
+            template=self.template,
+            run_time_s=self.run_time_s,
+            can_checkpoint=self.can_checkpoint,
+            submitted_s=now_s,
+            since_s=now_s,
+        )
+
+
+async def _ask_nobody(kind: str, subject_id: str) -> list[Explanation]:
+    return []
+
+
+@attrs.define
+class JobHandlers:
+    """Answer operators about jobs, and explain decisions.
+
+    ``ask_others`` returns what the other entry hosts remember about a subject.
+    """
+
+    platform: Platform
+    view: SchedulingView
+    memory: DecisionMemory
+    identify: Callable[[Call], Operator]
+    epoch_clock: Callable[[], float]
+    ask_others: Callable[[str, str], Awaitable[list[Explanation]]] = _ask_nobody
+
+    def add_routes(self, router: Router) -> None:
+        """File the handlers."""
+        router.add("POST", "/jobs", self.submit)
+        router.add("GET", "/jobs", self.list_jobs)
+        router.add("GET", "/jobs/*", self.show)
+        router.add("DELETE", "/jobs/*", self.cancel)
+        router.add("POST", "/jobs/*/release", self.release)
+        router.add("GET", "/explain/*/*", self.explain)
+
+    async def submit(self, call: Call) -> HttpResponse:
+        """Accept a job, or refuse one that could never run."""
+        operator = self.identify(call)
+        job = self._build(call.json()).job(self.epoch_clock())
+        teams = {team.name: team for team in self.view.teams()}
+        team = teams.get(job.team)
+        if team is not None:
+            self._check_owner(operator, job.team)
+        findings = check_submission(job, team, self.view.hosts().values())
+        if findings:
+            raise FindingsError(findings)
+        committed = await self._commit(
+            f"submit/{job.job_id}",
+            (
+                Precondition(JOBS_TABLE, job.job_id, version=0),
+                Precondition(HISTORY_TABLE, f"job/{job.job_id}", version=0),
+            ),
+            (
+                Write(JOBS_TABLE, job.job_id, dump_job(job)),
+                request_write(JobRequest(job.job_id, "submit", job)),
+            ),
+        )
+        if committed:
+            return json_response(dump_job(job), 201)
+        return json_response(dump_job(await self._same_job(job)))
+
+    async def list_jobs(self, call: Call) -> HttpResponse:
+        """Return the jobs that have not ended, of one team or pool if asked."""
+        self.identify(call)
+        wanted = {key: call.query[key] for key in ("team", "pool") if key in call.query}
+        rows = await self.platform.scan(JOBS_TABLE)
+        jobs = [dict(row.value) for row in rows if wanted.items() <= row.value.items()]
+        return json_response({"jobs": jobs})
+
+    async def show(self, call: Call) -> HttpResponse:
+        """Return one job, ended or not."""
+        self.identify(call)
+        return json_response(dump_job(await self._read(call.parts[1])))
+
+    async def cancel(self, call: Call) -> HttpResponse:
+        """Take note that a job shall not run, or shall stop."""
+        return await self._request(call, "cancel")
+
+    async def release(self, call: Call) -> HttpResponse:
+        """Let a held job run again."""
+        return await self._request(call, "release")
+
+    async def explain(self, call: Call) -> HttpResponse:
+        """Return the decisions about a subject and the reason that holds now."""
+        self.identify(call)
+        kind, subject_id = call.parts[1:]
+        if kind not in KINDS:
+            raise UsageError(f"no decisions about {kind!r}; known: {', '.join(KINDS)}")
+        found = [self.memory.explain(kind, subject_id)]
+        found += await self.ask_others(kind, subject_id)
+        merged = merge_explanations(found)
+        if not merged.decisions and kind == "job":
+            merged = _explain_row(await self._read(subject_id))
+        if not merged.decisions:
+            raise NotFound(f"no decision about {kind} {subject_id!r} is remembered")
+        return json_response(merged.dump())
+
+    def _build(self, values: Any) -> JobSubmission:
+        if not isinstance(values, dict):
+            raise UsageError("a job is a mapping")
+        templates = self.view.job_templates()
+        template = templates.get(values.get("template", ""))
+        if template is None and values.get("template"):
+            message = f"no job template {values['template']!r}"
+            raise FindingsError([Finding("job.template", "unknown-template", message)])
+        merged = (_defaults(template) if template else {}) | values
+        submission, faults = structure(merged, JobSubmission, ("job",))
+        if faults:
+            raise FindingsError(
+                [
+                    Finding(".".join(map(str, fault.path)), fault.code, fault.message)
+                    for fault in faults
+                ]
+            )
+        return submission
+
+    def _check_owner(self, operator: Operator, team_name: str) -> None:
+        for team in self.view.teams():
+            if team.name == team_name and team.owner in operator.owners:
+                return
+        raise AccessDenied(f"{operator.name} may not act for team {team_name!r}")
+
+    async def _request(self, call: Call, action: str) -> HttpResponse:
+        operator = self.identify(call)
+        job = await self._read(call.parts[1])
+        self._check_owner(operator, job.team)
+        committed = await self._commit(
+            f"{action}/{job.job_id}",
+            (Precondition(JOBS_TABLE, job.job_id, equals={"job_id": job.job_id}),),
+            (request_write(JobRequest(job.job_id, action)),),
+        )
+        if not committed:
+            raise ConflictError(f"job {job.job_id} has ended", code="job-ended")
+        return json_response({"job_id": job.job_id, "requested": action}, 202)
+
+    async def _same_job(self, job: Job) -> Job:
+        known = await self._read(job.job_id)
+        if _declared(known) != _declared(job):
+            message = f"job {job.job_id} exists with other values"
+            raise ConflictError(message, code="job-exists")
+        return known
+
+    async def _read(self, job_id: str) -> Job:
+        row = await self.platform.read(JOBS_TABLE, job_id)
+        row = row or await self.platform.read(HISTORY_TABLE, f"job/{job_id}")
+        if row is None:
+            raise NotFound(f"no job {job_id!r}")
+        return load_job(row.value)
+
+    async def _commit(
+        self,
+        name: str,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[Write, ...],
+    ) -> bool:
+        operation_id = f"{name}/{uuid.uuid4().hex}"
+        result = await self.platform.transact(
+            Transaction(operation_id, preconditions, writes)
+        )
+        return result.committed
+
+
+def _defaults(template: JobTemplate) -> dict[str, Any]:
+    return {key: getattr(template, key) for key in TEMPLATE_KEYS}
+
+
+def _declared(job: Job) -> tuple[Any, ...]:
+    shape = job.shape
+    return job.team, job.pool, shape, job.work_class, job.run_time_s, job.template
+
+
+def _explain_row(job: Job) -> Explanation:
+    decision = Decision(
+        kind="job",
+        subject_id=job.job_id,
+        code=job.state.value,
+        reason=job.cause,
+        inputs={"pool": job.pool, "task": job.task_id, "attempt": job.attempt},
+        time_s=job.since_s,
+    )
+    return Explanation("job", job.job_id, (decision,))
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from rhubarbmount.entries import Team
+from rhubarbmount.entries import JobTemplate, Team
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.hostrows import Terms
 from rhubarbmount.hosts import Host
@@ -60,6 +60,9 @@
     def teams(self) -> Iterable[Team]:
         """Return the teams of that version."""
 
+    def job_templates(self) -> Mapping[str, JobTemplate]:
+        """Return the job templates of that version by name."""
+
     def hosts(self) -> Mapping[str, Host]:
         """Return the rows of all hosts by id."""
 
--- /dev/null
+++ b/tests/test_job_handlers.py
@@ -0,0 +1,138 @@
+"""Operators submit, list, cancel and explain jobs."""
+
+import json
+
+import pytest
+
+from rhubarbmount.edits import Operator
+from rhubarbmount.errors import AccessDenied, ConflictError, FindingsError, NotFound
+from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.hosts import Shape
+from rhubarbmount.http import HttpRequest
+from rhubarbmount.job_handlers import JobHandlers
+from rhubarbmount.router import Call, Router
+from tests.test_scheduling import World
+
+LARGE = Shape(4, 16)
+SMALL = {"team": "a", "pool": "p", "processors": 1, "memory_gb": 2}
+
+
+class Operated(World):
+    """A world with the operators' handlers of its first instance."""
+
+    def __init__(self):
+        super().__init__()
+        duty = self.instances[0].duty
+        self.memory = DecisionMemory()
+        self.handlers = JobHandlers(
+            self.platform, duty.view, self.memory, self.identify, self.workers.clock
+        )
+        duty.learned.memory = self.memory
+
+    def identify(self, call):
+        return Operator("ana", frozenset({"a"}))
+
+    async def ask(self, handler, path, values=None, query=None):
+        body = json.dumps(values or {}).encode()
+        request = HttpRequest(method="POST", target=path, headers=[], body=body)
+        call = Call(request, tuple(path.strip("/").split("/")), query or {})
+        answer = await handler(call)
+        return answer.status, json.loads(answer.body)
+
+
+async def test_a_job_from_a_template_is_accepted_and_runs():
+    world = Operated()
+    values = {"job_id": "n1", "template": "nightly"}
+    status, job = await world.ask(world.handlers.submit, "/jobs", values)
+    assert (status, job["shape"]["processors"]) == (201, 2)
+    await world.settle(1)
+    assert world.state("n1") == "running"
+
+
+async def test_the_same_submission_again_is_one_job_even_after_it_ended():
+    world = Operated()
+    values = SMALL | {"job_id": "j"}
+    assert (await world.ask(world.handlers.submit, "/jobs", values))[0] == 201
+    await world.settle(1)
+    assert (await world.ask(world.handlers.submit, "/jobs", values))[0] == 200
+    world.workers.end("j/1", "succeeded")
+    await world.settle(1)
+    status, job = await world.ask(world.handlers.submit, "/jobs", values)
+    await world.settle(2)
+    assert (status, job["state"]) == (200, "done")
+    assert world.workers.starts == ["j/1"]
+    with pytest.raises(ConflictError):
+        await world.ask(world.handlers.submit, "/jobs", values | {"processors": 2})
+
+
+async def test_what_can_never_run_is_refused_with_every_reason():
+    world = Operated()
+    values = SMALL | {"job_id": "j", "processors": 50}
+    with pytest.raises(FindingsError) as error:
+        await world.ask(world.handlers.submit, "/jobs", values)
+    codes = [finding.code for finding in error.value.findings]
+    assert codes == ["quota-never-fits", "shape-never-fits"]
+    with pytest.raises(FindingsError) as error:
+        await world.ask(world.handlers.submit, "/jobs", {"job_id": "j", "size": 1})
+    codes = {finding.code for finding in error.value.findings}
+    assert codes == {"missing-key", "unknown-key"}
+    assert not world.platform._table("jobs")
+
+
+async def test_nobody_acts_on_another_teams_jobs():
+    world = Operated()
+    theirs = await world.submit(team="b")
+    with pytest.raises(AccessDenied):
+        await world.ask(world.handlers.cancel, f"/jobs/{theirs}")
+    with pytest.raises(AccessDenied):
+        values = SMALL | {"job_id": "j", "team": "b"}
+        await world.ask(world.handlers.submit, "/jobs", values)
+
+
+async def test_a_cancelled_job_stops_and_can_not_be_cancelled_again():
+    world = Operated()
+    job_id = await world.submit()
+    await world.settle(1)
+    status, _ = await world.ask(world.handlers.cancel, f"/jobs/{job_id}")
+    assert status == 202
+    await world.settle(2)
+    _, shown = await world.ask(world.handlers.show, f"/jobs/{job_id}")
+    assert shown["state"] == "cancelled"
+    assert not world.workers.running_by_id
+    with pytest.raises(ConflictError):
+        await world.ask(world.handlers.cancel, f"/jobs/{job_id}")
+
+
+async def test_jobs_are_listed_by_team():
+    world = Operated()
+    mine = await world.submit(team="a")
+    await world.submit(team="b")
+    _, answer = await world.ask(world.handlers.list_jobs, "/jobs", query={"team": "a"})
+    assert [job["job_id"] for job in answer["jobs"]] == [mine]
+
+
+async def test_explain_tells_why_a_job_waits_from_memory_or_from_its_row():
+    world = Operated()
+    job_id = await world.submit(team="b", shape=LARGE)
+    await world.submit(team="b", shape=LARGE)
+    waiting = await world.submit(team="b", shape=LARGE)
+    await world.settle(1)
+    path = f"/explain/job/{waiting}"
+    _, answer = await world.ask(world.handlers.explain, path)
+    assert answer["reason"] == "team b is at its quota"
+    world.handlers.memory = DecisionMemory()
+    _, answer = await world.ask(world.handlers.explain, f"/explain/job/{job_id}")
+    assert [decision["code"] for decision in answer["decisions"]] == ["running"]
+    with pytest.raises(NotFound):
+        await world.ask(world.handlers.explain, "/explain/host/h9")
+
+
+async def test_the_routes_reach_the_handlers():
+    world = Operated()
+    router = Router()
+    world.handlers.add_routes(router)
+    body = json.dumps(SMALL | {"job_id": "j"}).encode()
+    request = HttpRequest(method="POST", target="/jobs", headers=[], body=body)
+    assert (await router.handle(request)).status == 201
+    request = HttpRequest(method="GET", target="/jobs/none", headers=[], body=b"")
+    assert (await router.handle(request)).status == 404
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -10,7 +10,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from rhubarbmount.entries import Team, WorkClass
+from rhubarbmount.entries import JobTemplate, Team, WorkClass
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.job_changes import JobRequest, request_write
@@ -28,6 +28,7 @@
     Team(name=name, owner=name, processors_quota=10, memory_quota_gb=64)
     for name in ("a", "b")
 ]
+NIGHTLY = JobTemplate(name="nightly", owner="a", team="a", pool="p", processors=2)
 FAILURES = (LeaseLost, OutcomeUnknown, PlatformUnavailable)
 
 
@@ -43,6 +44,9 @@
     def teams(self):
         return TEAMS
 
+    def job_templates(self):
+        return {"nightly": NIGHTLY}
+
     def hosts(self):
         return self.host_by_id
 
