--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -8,11 +8,11 @@
 from rhubarbmount import log
 from rhubarbmount.admission import Turn
 from rhubarbmount.attempts import Attempt, attempt, end_to_end_headers
+from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.claims import ClaimRefused, fingerprint
 from rhubarbmount.entries import Service
-from rhubarbmount.health import AttemptResult
 from rhubarbmount.http import HttpRequest, HttpResponse, header_value
 from rhubarbmount.limits import Admission, AdmissionCode
 from rhubarbmount.metrics import RequestMetrics
