Run scheduling as a duty of the entry hosts

Each entry host contends for the duty once it has read the catalogue and the hosts, and hands it back when it stops. The stand-in platform's workers run tasks, report their end and, later, their usage, and fail on some hosts. Over separate processes: 12 jobs with their scheduler killed, a worker that fails everything, lost answers with the platform down for 3 s, and a job that fits nowhere.

--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -14,9 +14,12 @@
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
+from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.fleet_duties import FleetDuties, LocalView
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.http import HttpResponse
+from rhubarbmount.job_handlers import JobHandlers
 from rhubarbmount.listener import Listener
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.operators import OperatorsApi, operators_from
@@ -28,6 +31,8 @@
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.router import Call, Router
+from rhubarbmount.scheduler import Learned
+from rhubarbmount.scheduling import SchedulingDuty
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
@@ -35,6 +40,8 @@
 
 __all__ = ["EntryHost"]
 
+SCHEDULING_PERIOD_S = 0.25
+
 logger = logging.getLogger(__name__)
 
 
@@ -57,6 +64,8 @@
     forwarder: Forwarder = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
+    decisions: DecisionMemory = attrs.field(factory=DecisionMemory)
+    duties: FleetDuties = attrs.field(init=False)
     sweeper: Sweeper = attrs.field(init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
@@ -93,6 +102,21 @@
             self.configuration,
             following,
         )
+        view = LocalView(self.configuration, self.fleet_view)
+        self.duties = FleetDuties(
+            settings.instance, following, policy.entry_hosts.members, view.is_ready
+        )
+        scheduling = SchedulingDuty(
+            following,
+            view,
+            trio.current_time,
+            time.time,
+            learned=Learned(memory=self.decisions),
+            affordable_writes=following.affordable_writes,
+        )
+        self.duties.add(scheduling, SCHEDULING_PERIOD_S)
+        jobs = JobHandlers(following, view, self.decisions, api.identify, time.time)
+        jobs.add_routes(api.router)
         self.operators = Listener("operators", api.router.handle, settings.http)
         self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
 
@@ -119,6 +143,7 @@
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             nursery.start_soon(self.sweeper.run, timers)
+            nursery.start_soon(self.duties.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
@@ -129,6 +154,7 @@
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
+        await self.duties.hand_back()
         await self.forwarder.connections.aclose()
         log.event(logger, "stopped", cut=cut_count)
         return cut_count
--- a/rhubarbmount/standins/platform.py
+++ b/rhubarbmount/standins/platform.py
@@ -21,6 +21,7 @@
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.router import Call, Router
 from rhubarbmount.standins.seed import Seed, write_seed
+from rhubarbmount.standins.workers import WorkerFaults, Workers
 
 __all__ = ["PlatformFaults", "PlatformStandin"]
 
@@ -29,7 +30,7 @@
 
 
 @attrs.define
-class PlatformFaults:
+class PlatformFaults(WorkerFaults):
     """What the stand-in does wrong; each switch stays until it is set again.
 
     ``lost_answers`` is the number of coming writes that take effect and whose answer
@@ -50,12 +51,15 @@
     memory: MemoryPlatform = attrs.field(factory=MemoryPlatform)
     faults: PlatformFaults = attrs.field(factory=PlatformFaults)
     call_count: int = 0
+    workers: Workers = attrs.field(init=False)
     _nursery: trio.Nursery | None = None
     _listed: list[LiveHost] = attrs.field(factory=list)
     _router: Router = attrs.field(factory=Router)
 
     def __attrs_post_init__(self) -> None:
         self.memory.on_host_command = self._start_host_command
+        self.workers = Workers(self.memory, lambda: self.faults)
+        self.memory.on_task_command = self.workers.take_command
         routes: tuple[tuple[str, str, Any], ...] = (
             ("GET", "/tables/*/rows/*", self._read),
             ("GET", "/tables/*", self._scan),
@@ -83,6 +87,7 @@
         listener = Listener("platform", self.handle, limits)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            self.workers.nursery = nursery
             await nursery.start(listener.run, address, port)
             task_status.started(listener.port)
 
@@ -109,7 +114,11 @@
             except TypeError as error:
                 return problem(400, "unknown-fault", str(error))
             log.event(logger, "faults", **changes)
-        state = attrs.asdict(self.faults) | {"calls": self.call_count}
+        state = attrs.asdict(self.faults) | {
+            "calls": self.call_count,
+            "starts_by_job": dict(self.workers.starts_by_job),
+            "most_at_once": self.workers.most_at_once,
+        }
         return json_response(state)
 
     async def _read(self, call: Call) -> HttpResponse:
--- /dev/null
+++ b/tests/scenarios/test_jobs.py
@@ -0,0 +1,102 @@
+"""Jobs over separate processes."""
+
+import time
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.deployment import wait_until
+
+scenarios("jobs.feature")
+
+RUN_TIME_S = 1.0
+SHAPE = {"processors": 32, "memory_gb": 64}
+
+
+@pytest.fixture
+def submitted():
+    """The ids of the jobs, with the answers."""
+    return {}
+
+
+@given(parsers.parse('pool "{pool}" with {count:d} hosts and a team that may use them'))
+def add_pool(deployment, pool, count):
+    deployment.add_pool(pool)
+    for team in deployment.entries["team"]:
+        team.update(processors_quota=1000, memory_quota_gb=1000)
+    for number in range(count):
+        deployment.add_backend(f"{pool}-{number}", pool, "dc-a", start=False)
+
+
+@given(parsers.parse('worker "{host}" fails everything'))
+def set_failing(deployment, host):
+    deployment.set_platform(failing_hosts=[host])
+
+
+@given(parsers.parse("the platform will lose {count:d} answers"))
+def lose_answers(deployment, count):
+    deployment.set_platform(lost_answers=count)
+
+
+@when(parsers.parse('{count:d} jobs "{name}" are submitted to "{host}"'))
+def submit(deployment, submitted, name, count, host):
+    for number in range(count):
+        submit_one(deployment, submitted, f"{name}-{number}", host, 4)
+
+
+@when(
+    parsers.parse(
+        'job "{job_id}" of {processors:d} processors is submitted to "{host}"'
+    )
+)
+def submit_one(deployment, submitted, job_id, host, processors):
+    job = {
+        "job_id": job_id,
+        "team": "firm",
+        "pool": "night",
+        "processors": processors,
+        "memory_gb": 4,
+        "run_time_s": RUN_TIME_S,
+    }
+
+    def answered():
+        answer = deployment.operate(host, "POST", "/jobs", job)
+        submitted[job_id] = answer
+        return answer.status in (200, 201, 422)
+
+    wait_until(answered, 20, f"an answer about {job_id}")
+
+
+@when(parsers.parse('the entry host that holds duty "{duty}" is killed'))
+def kill_holder(deployment, duty):
+    row = wait_until(lambda: deployment.read_row("leases", duty), 10, "a lease")
+    deployment.entry_host_by_name[row["value"]["holder"]].kill()
+
+
+@when(parsers.parse("{seconds:g} s pass"))
+def let_pass(seconds):
+    end_s = time.monotonic() + seconds
+    wait_until(lambda: time.monotonic() > end_s, seconds + 5)
+
+
+@then(parsers.parse("all submitted jobs are done within {timeout_s:g} s"))
+def check_done(deployment, submitted, timeout_s):
+    def done():
+        rows = [deployment.read_row("history", f"job/{key}") for key in submitted]
+        return all(row.get("value", {}).get("state") == "done" for row in rows)
+
+    wait_until(done, timeout_s, "all jobs are done")
+
+
+@then(parsers.parse("each submitted job was started {count:d} time"))
+def check_starts(deployment, submitted, count):
+    state = deployment.set_platform()
+    assert state["starts_by_job"] == dict.fromkeys(submitted, count)
+    assert state["most_at_once"] == 1
+
+
+@then(parsers.parse('it is refused with "{code}"'))
+def check_refused(submitted, code):
+    (answer,) = submitted.values()
+    assert answer.status == 422
+    assert code in [finding["code"] for finding in answer.json()["findings"]]
