--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # VENV may name a folder that several checkouts share.
 VENV ?= .venv
 PYTHON ?= python3
+TEST_PROCESSES ?= 4
 BINARY ?= dist/rhubarbmount
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
@@ -29,7 +30,7 @@
 	$(BIN)/mypy
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) --dist worksteal
 
 binary: setup
 	mkdir -p $(dir $(BINARY))
