Run the fleet duties in every entry host, and take operators' orders

Each duty is one task on a timer's ticks; it is quiet and does nothing where the platform can't be reached, and is handed back at a planned stop. Operators see hosts, begin and cancel moves, plan, start, pause, resume and cancel waves; the owners of both pools of a move are checked at the versions its transaction demands. Hosts that come back are probed by a connection; one in service fails by what routing saw, and only in the holder's own data centre, so that a cut between data centres quarantines nobody. The stand-in knows resume, the end of a drain.

Not proof yet: the wave passes without any wait for the drain as well, as its requests are too short.

--- /dev/null
+++ b/rhubarbmount/fleet_operators.py
@@ -0,0 +1,178 @@
+"""The operators' HTTP interface to hosts, moves and maintenance waves."""
+
+import time
+import uuid
+from collections.abc import Callable
+
+import attrs
+import cattrs
+
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.edits import Operator
+from rhubarbmount.entries import Pool
+from rhubarbmount.errors import AccessDenied, NotFound, UsageError
+from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.hosts import Host, dump_host
+from rhubarbmount.http import HttpResponse
+from rhubarbmount.moves import HostMover
+from rhubarbmount.platform.interface import Platform
+from rhubarbmount.problem import json_response
+from rhubarbmount.router import Call, Router
+from rhubarbmount.waveplan import WaveSettings, lower_bound_s, plan_wave
+from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
+
+__all__ = ["FleetApi"]
+
+_converter = cattrs.Converter()
+
+
+@attrs.define(eq=False)
+class FleetApi:
+    """Handlers of the operators' requests about the fleet."""
+
+    identify: Callable[[Call], Operator]
+    configuration: Configuration
+    fleet: FleetView
+    platform: Platform
+    settings: WaveSettings
+    spares_pool: str = ""
+    mover: HostMover = attrs.field(init=False)
+    waves: WaveOperator = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.mover = HostMover(self.platform, time.time, _new_id)
+        self.waves = WaveOperator(self.platform, time.time, _new_id)
+
+    def mount(self, router: Router) -> None:
+        """Add the handlers to the operators' router."""
+        router.add("GET", "/hosts", self._list_hosts)
+        router.add("POST", "/hosts/*/move", self._move)
+        router.add("DELETE", "/hosts/*/move", self._cancel_move)
+        router.add("GET", "/waves", self._list_waves)
+        router.add("POST", "/waves", self._start_wave)
+        router.add("POST", "/waves/plan", self._plan_wave)
+        router.add("POST", "/waves/*/control", self._control_wave)
+
+    async def _list_hosts(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        pool = call.query.get("pool")
+        hosts = [
+            dump_host(host)
+            for _, host in sorted(self.fleet.hosts_by_id.items())
+            if pool in (None, host.pool)
+        ]
+        return json_response({"version": self.fleet.version, "hosts": hosts})
+
+    async def _move(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        target = _text(call, "pool")
+        intent_id = await self.mover.begin(call.parts[1], target, operator.owners)
+        return json_response({"result": "begun", "intent": intent_id}, 202)
+
+    async def _cancel_move(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        host = self._host(call.parts[1])
+        self._check_owner(operator, host.pool)
+        intent_id = await self.mover.cancel(host.host_id)
+        return json_response({"result": "cancelled", "intent": intent_id}, 202)
+
+    async def _list_waves(self, call: Call) -> HttpResponse:
+        self.identify(call)
+        rows = await read_waves(self.platform)
+        return json_response({"waves": [_converter.unstructure(r.wave) for r in rows]})
+
+    async def _start_wave(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        pools = self._pools(call, operator)
+        spares = _spares(call, pools)
+        if spares:
+            self._check_owner(operator, self.spares_pool)
+        wave_id = await self.waves.start(pools, self.spares_pool, spares)
+        return json_response({"result": "started", "wave": wave_id}, 202)
+
+    async def _plan_wave(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        names = set(self._pools(call, operator))
+        pools = [pool for pool in self._pool_by_name().values() if pool.name in names]
+        due = [host for host in self.fleet.hosts_by_id.values() if host.pool in names]
+        now_s = time.time()
+        spares_free = sum(
+            host.pool == self.spares_pool for host in self.fleet.hosts_by_id.values()
+        )
+        plan = plan_wave(pools, due, now_s, self.settings, spares_free)
+        answer = {
+            "roll_out_s": plan.roll_out_s,
+            "lower_bound_s": lower_bound_s(pools, due, now_s, self.settings),
+            "buffer_hosts": plan.buffer_hosts,
+            "moves": plan.moves,
+            "spares_by_pool": {
+                name: item.spares for name, item in plan.by_pool.items() if item.spares
+            },
+            "findings": [str(finding) for finding in plan.findings],
+        }
+        return json_response(answer)
+
+    async def _control_wave(self, call: Call) -> HttpResponse:
+        operator = self.identify(call)
+        try:
+            control = Control(_text(call, "control"))
+        except ValueError:
+            known = ", ".join(Control)
+            raise UsageError(f"control is one of {known}") from None
+        wave: Wave = (await self.waves.read(call.parts[1])).wave
+        for pool in wave.pools:
+            self._check_owner(operator, pool)
+        wave = await self.waves.control(wave.wave_id, control)
+        return json_response(_converter.unstructure(wave))
+
+    def _pools(self, call: Call, operator: Operator) -> list[str]:
+        """Return the pools that the call names, or all that the operator owns."""
+        body = call.json()
+        names = body.get("pools") if isinstance(body, dict) else None
+        if names is None:
+            pools = self._pool_by_name().values()
+            return [pool.name for pool in pools if pool.owner in operator.owners]
+        for name in names:
+            self._check_owner(operator, name)
+        return list(names)
+
+    def _host(self, host_id: str) -> Host:
+        host = self.fleet.hosts_by_id.get(host_id)
+        if host is None:
+            raise NotFound(f"no host {host_id!r}")
+        return host
+
+    def _pool_by_name(self) -> dict[str, Pool]:
+        snapshot = self.configuration.snapshot
+        if snapshot is None:
+            raise NotFound("no configuration is in force yet", code="not-ready")
+        return dict(snapshot.pools_by_name)
+
+    def _check_owner(self, operator: Operator, name: str) -> None:
+        pool = self._pool_by_name().get(name)
+        if pool is None:
+            raise NotFound(f"no pool {name!r}")
+        if pool.owner not in operator.owners:
+            raise AccessDenied(f"pool {name} belongs to {pool.owner}")
+
+
+def _text(call: Call, name: str) -> str:
+    body = call.json()
+    if not isinstance(body, dict) or not isinstance(body.get(name), str):
+        raise UsageError(f"the body is a mapping with a text under {name!r}")
+    return body[name]
+
+
+def _spares(call: Call, pools: list[str]) -> dict[str, int]:
+    body = call.json()
+    spares = body.get("spares_by_pool", {}) if isinstance(body, dict) else {}
+    if not isinstance(spares, dict) or not all(
+        name in pools and isinstance(count, int) and count >= 0
+        for name, count in spares.items()
+    ):
+        raise UsageError("spares_by_pool maps pools of the wave to numbers of hosts")
+    return spares
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
--- /dev/null
+++ b/rhubarbmount/hostprobe.py
@@ -0,0 +1,79 @@
+"""What one entry host sees of backend servers: requests in flight, and readiness."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+import trio
+
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.hostwork import Observation
+from rhubarbmount.routing import PoolView
+from rhubarbmount.timers import TimerService
+
+__all__ = ["HostProbe"]
+
+PROBE_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+PROBED_STATES = (HostState.MAINTENANCE, HostState.RETURNING)
+
+
+@attrs.define(eq=False)
+class HostProbe:
+    """Connect to hosts that come back, and read off the rest from routing.
+
+    ``wanted`` tells whether anything reads the probes now.
+    """
+
+    data_centre: str
+    hosts: Callable[[], Iterable[Host]]
+    view_by_pool: Mapping[str, PoolView]
+    wanted: Callable[[], bool]
+    _ready_by_host_id: dict[str, bool] = attrs.field(factory=dict)
+
+    async def run(self, timers: TimerService) -> None:
+        """Probe at each tick."""
+        async for _ in timers.every("host-probe", PROBE_S):
+            await self.probe()
+
+    async def probe(self) -> None:
+        """Connect once to each host that is coming back."""
+        hosts = [host for host in self.hosts() if host.state in PROBED_STATES]
+        if not self.wanted():
+            hosts = []
+        kept = {host.host_id for host in hosts}
+        for host_id in self._ready_by_host_id.keys() - kept:
+            del self._ready_by_host_id[host_id]
+        async with trio.open_nursery() as nursery:
+            for host in hosts:
+                nursery.start_soon(self._connect, host)
+
+    def observe(self, host: Host) -> Observation:
+        """Return what is seen of a host now.
+
+        A host of another data centre may be out of this one's reach alone, so it
+        never counts as failing here.
+        """
+        view = self.view_by_pool.get(host.pool)
+        backend = view.by_host_id.get(host.host_id) if view else None
+        if backend is None:
+            return Observation(ready=self._ready_by_host_id.get(host.host_id))
+        in_flight = backend.own_in_flight + backend.peers_in_flight
+        ready = self._ready_by_host_id.get(host.host_id)
+        if host.state is HostState.IN_SERVICE:
+            out = backend.health.out_until_s is not None or backend.health.probing
+            near = host.data_centre == self.data_centre
+            ready = False if out and near else None
+        return Observation(in_flight=in_flight or None, ready=ready)
+
+    async def _connect(self, host: Host) -> None:
+        address, _, port = host.address.rpartition(":")
+        ready = False
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                stream = await trio.open_tcp_stream(address, int(port))
+            except OSError:
+                pass
+            else:
+                ready = True
+                await stream.aclose()
+        self._ready_by_host_id[host.host_id] = ready
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -1,12 +1,12 @@
 """Moves of hosts between pools: drain, empty, and one conditional write."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
 from rhubarbmount.budgets import decide, read_pool_rows
-from rhubarbmount.errors import ConflictError, NotFound, Refused
+from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.hostduty import Begun, begin_terms
 from rhubarbmount.hostrows import HostRow, HostRows, Terms
 from rhubarbmount.hosts import HostState
@@ -42,8 +42,13 @@
     def __attrs_post_init__(self) -> None:
         self.view = HostRows(self.platform)
 
-    async def begin(self, host_id: str, target_pool: str, group: str = "") -> str:
-        """Take the host out of service for a move and return the intent's id."""
+    async def begin(
+        self, host_id: str, target_pool: str, owners: Collection[str] | None = None
+    ) -> str:
+        """Take the host out of service for a move and return the intent's id.
+
+        Both pools must belong to the owners, if any are given.
+        """
         for _ in range(MOVE_ATTEMPTS):
             intent = HostIntent(
                 intent_id=self.new_id(),
@@ -51,9 +56,8 @@
                 action="move",
                 host_id=host_id,
                 target_pool=target_pool,
-                group=group,
             )
-            if await self._commit(await self.begin_terms(intent)):
+            if await self._commit(await self._begin_terms(intent, owners)):
                 self._log(intent, "begun")
                 return intent.intent_id
         raise ConflictError(f"other writers kept changing the rows of {host_id}")
@@ -74,7 +78,9 @@
                 return intent.intent_id
         raise ConflictError(f"other writers kept changing the move of {host_id}")
 
-    async def begin_terms(self, intent: HostIntent) -> Terms:
+    async def _begin_terms(
+        self, intent: HostIntent, owners: Collection[str] | None
+    ) -> Terms:
         """Return what the transaction that begins a move needs, or raise Refused."""
         host_row = await self._movable(intent)
         host = host_row.host
@@ -82,6 +88,9 @@
         target = await read_pool_rows(self.platform, intent.target_pool)
         if target.pool is None:
             raise NotFound(f"no pool {intent.target_pool!r}")
+        for pool in (rows.pool, target.pool):
+            if owners is not None and pool is not None and pool.owner not in owners:
+                raise AccessDenied(f"pool {pool.name} belongs to {pool.owner}")
         await self.view.refresh()
         members = self.view.of_pool(host.pool)
         live = await self.platform.live_hosts()
--- a/rhubarbmount/platform/interface.py
+++ b/rhubarbmount/platform/interface.py
@@ -81,7 +81,10 @@
 
 @attrs.frozen
 class HostCommand:
-    """An effect on a host: drain, reboot or release; idempotent by intent id."""
+    """An effect on a host, idempotent by intent id.
+
+    The action is drain, resume (the end of a drain), reboot or release.
+    """
 
     intent_id: str
     host_id: str
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -14,8 +14,11 @@
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
+from rhubarbmount.fleet_operators import FleetApi
 from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.fleetduties import FleetDuties, wave_settings
 from rhubarbmount.forward import Forwarder
+from rhubarbmount.hostprobe import HostProbe
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.listener import Listener
 from rhubarbmount.metrics import RequestMetrics
@@ -57,6 +60,7 @@
     forwarder: Forwarder = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
+    duties: FleetDuties = attrs.field(init=False)
     sweeper: Sweeper = attrs.field(init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
@@ -93,9 +97,36 @@
             self.configuration,
             following,
         )
+        self.duties = self._make_duties(policy, following)
+        FleetApi(
+            api.identify,
+            self.configuration,
+            self.fleet_view,
+            following,
+            wave_settings(settings.fleet, settings.weights),
+            settings.fleet.buffer_pool,
+        ).mount(api.router)
         self.operators = Listener("operators", api.router.handle, settings.http)
         self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
 
+    def _make_duties(
+        self, policy: RequestPolicy, platform: PlatformClient
+    ) -> FleetDuties:
+        probe = HostProbe(
+            self.settings.data_centre,
+            lambda: self.fleet_view.hosts_by_id.values(),
+            policy.view_by_pool,
+            lambda: self.duties.holds_any,
+        )
+        return FleetDuties(
+            self.settings.instance,
+            platform,
+            probe,
+            lambda: policy.entry_hosts.members(),
+            self.settings.fleet,
+            self.settings.weights,
+        )
+
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         if self.stopping.is_set():
@@ -119,6 +150,7 @@
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             nursery.start_soon(self.sweeper.run, timers)
+            nursery.start_soon(self.duties.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
@@ -127,6 +159,7 @@
 
     async def _stop(self) -> int:
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
+        await self.duties.hand_back()
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
         await self.forwarder.connections.aclose()
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -2,13 +2,17 @@
 
 import attrs
 
+from rhubarbmount.duties import LeaseBounds
 from rhubarbmount.errors import Finding, FindingsError
+from rhubarbmount.hostwork import WorkBounds
 from rhubarbmount.http import HttpLimits
+from rhubarbmount.repair import RepairBounds
 from rhubarbmount.structure import structure
 from rhubarbmount.yamlfile import YamlFile, read_yaml
 
 __all__ = [
     "Endpoint",
+    "FleetSettings",
     "LogSettings",
     "OperatorSettings",
     "PeerSettings",
@@ -67,6 +71,20 @@
     host_moves: float = 1.0
 
 
+@attrs.frozen(kw_only=True)
+class FleetSettings:
+    """Times of the fleet duties, and the pool that spares come from.
+
+    Without ``duties``, this entry host never contends for one.
+    """
+
+    duties: bool = True
+    buffer_pool: str = ""
+    lease: LeaseBounds = attrs.field(factory=LeaseBounds)
+    work: WorkBounds = attrs.field(factory=WorkBounds)
+    repair: RepairBounds = attrs.field(factory=RepairBounds)
+
+
 @attrs.frozen(kw_only=True)
 class OperatorSettings:
     """The SHA-256 digest of an operator's token, and the owners it speaks for."""
@@ -92,6 +110,7 @@
     stop_timeout_s: float = 30.0
     log: LogSettings = attrs.field(factory=LogSettings)
     weights: Weights = attrs.field(factory=Weights)
+    fleet: FleetSettings = attrs.field(factory=FleetSettings)
     operators_by_name: dict[str, OperatorSettings] = attrs.field(factory=dict)
 
 
--- a/rhubarbmount/standins/platform.py
+++ b/rhubarbmount/standins/platform.py
@@ -157,8 +157,8 @@
             self._nursery.start_soon(self._run_host_command, command)
 
     async def _run_host_command(self, command: HostCommand) -> None:
-        await self._list(command.host_id, leaving=True)
-        if command.action == "drain":
+        await self._list(command.host_id, leaving=command.action != "resume")
+        if command.action in ("drain", "resume"):
             return
         await trio.sleep(self.faults.reboot_s)
         self.memory.hosts = [
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -148,6 +148,7 @@
         self.backend_by_name = {}
         self.entry_host_by_name = {}
         self.relay_by_name = {}
+        self.earlier_runs = Counter()
         self._settings_by_name = {}
         self._reserve_block()
 
@@ -357,8 +358,11 @@
         return self.set_backend(name)
 
     def runs_by_id(self):
-        """Return how often the backend servers still alive ran each request."""
-        runs = Counter()
+        """Return how often the backend servers ran each request.
+
+        Those that ended count only as far as ``earlier_runs`` notes them.
+        """
+        runs = Counter(self.earlier_runs)
         for name, program in self.backend_by_name.items():
             if program.process.poll() is None:
                 runs.update(self.backend_state(name)["ran"])
--- /dev/null
+++ b/tests/scenarios/fleet.feature
@@ -0,0 +1,25 @@
+Feature: Fleet duties over separate processes
+
+  Scenario: A holder is killed between intent and effect
+    Given service "lodgements" with backend servers "h1, h2" in "dc-a"
+    And pool "spare" beside it
+    And quick fleet duties
+    And the platform
+    And entry hosts "e1, e2" in "dc-a"
+    When the holder of duty "hosts" is frozen
+    And the other entry host begins the move of "h1" to "spare"
+    And the holder of duty "hosts" is killed
+    Then host "h1" is in service in pool "spare" within 40 s
+    And the platform was told to drain "h1" 1 time
+
+  Scenario: A wave under load cuts no request
+    Given service "lodgements" with backend servers "h1, h2, h3" in "dc-a"
+    And quick fleet duties
+    And the platform
+    And entry hosts "e1, e2" in "dc-a"
+    And callers sending lodgements for "lodgements" to "e1, e2"
+    When an operator starts a wave
+    Then every host is rebooted once and the wave is done within 90 s
+    And at no time more than 1 host was out of service
+    And no promise to the callers was broken
+    And no caller was cut off
--- /dev/null
+++ b/tests/scenarios/test_fleet.py
@@ -0,0 +1,123 @@
+"""Fleet duties over separate processes: a killed holder, and a wave under load."""
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.deployment import BACKEND_PORT, wait_until
+
+scenarios("fleet.feature")
+
+QUICK_FLEET = {
+    "work": {"view_s": 2, "drain_s": 3, "reboot_min_s": 1, "warm_s": 1},
+    "lease": {"settle_s": 600},
+}
+
+
+@pytest.fixture
+def states():
+    """The numbers of hosts that were seen out of service."""
+    return []
+
+
+@given(parsers.parse('pool "{name}" beside it'))
+def add_pool(deployment, name):
+    deployment.add_pool(name, buffer_hosts=1)
+
+
+@given("quick fleet duties")
+def set_quick_duties(deployment):
+    deployment.extra_settings["fleet"] = QUICK_FLEET
+
+
+def holder_of(deployment, duty):
+    row = deployment.platform_call("GET", f"/tables/leases/rows/{duty}")
+    return row.json()["value"]["holder"].split("/")[0] if row.status == 200 else ""
+
+
+@pytest.fixture
+def frozen():
+    return []
+
+
+@when(parsers.parse('the holder of duty "{duty}" is frozen'))
+def freeze_holder(deployment, duty, frozen):
+    wait_until(lambda: holder_of(deployment, duty), 15, f"{duty} is held")
+    frozen.append(holder_of(deployment, duty))
+    deployment.entry_host_by_name[frozen[0]].freeze()
+
+
+@when(parsers.parse('the other entry host begins the move of "{host}" to "{pool}"'))
+def begin_move(deployment, frozen, host, pool):
+    other = next(name for name in deployment.entry_host_by_name if name != frozen[0])
+    answer = deployment.operate(other, "POST", f"/hosts/{host}/move", {"pool": pool})
+    assert answer.status == 202, answer
+
+
+@when(parsers.parse('the holder of duty "{duty}" is killed'))
+def kill_holder(deployment, frozen, duty):
+    assert drain_count(deployment, "h1") == 0
+    deployment.entry_host_by_name[frozen[0]].kill()
+
+
+@then(parsers.parse('host "{host}" is in service in pool "{pool}" within {limit:d} s'))
+def check_moved(deployment, host, pool, limit):
+    def has_moved():
+        value = deployment.read_row("hosts", host)["value"]
+        return (value["pool"], value["state"]) == (pool, "in-service")
+
+    wait_until(has_moved, limit, f"{host} is in {pool}")
+
+
+def drain_count(deployment, host):
+    lines = deployment.platform.log().splitlines()
+    wanted = f"event=host-command host={host} action=drain"
+    return sum(wanted in line for line in lines)
+
+
+@then(parsers.parse('the platform was told to drain "{host}" {count:d} time'))
+def check_drains(deployment, host, count):
+    assert drain_count(deployment, host) == count
+
+
+@when("an operator starts a wave")
+def start_wave(deployment):
+    answer = deployment.operate("e1", "POST", "/waves", {})
+    assert answer.status == 202, answer
+
+
+@then(
+    parsers.parse("every host is rebooted once and the wave is done within {limit:d} s")
+)
+def check_wave(deployment, states, limit):
+    """Restart each backend server while its row says that it is maintained."""
+    rebooted = []
+
+    def is_done():
+        rows = [deployment.read_row("hosts", host["host_id"]) for host in hosts]
+        values = [row["value"] for row in rows]
+        states.append(sum(value["state"] != "in-service" for value in values))
+        for value in values:
+            host_id = value["host_id"]
+            if value["state"] == "maintenance" and host_id not in rebooted:
+                rebooted.append(host_id)
+                restart(deployment, host_id)
+        waves = deployment.operate("e1", "GET", "/waves").json()["waves"]
+        return waves[0]["state"] == "done"
+
+    hosts = deployment.hosts
+    wait_until(is_done, limit, "the wave is done")
+    assert sorted(rebooted) == sorted(host["host_id"] for host in hosts)
+
+
+def restart(deployment, host_id):
+    program = deployment.backend_by_name[host_id]
+    ran = deployment.backend_state(host_id)["ran"]
+    deployment.earlier_runs.update(ran)
+    program.kill()
+    deployment.start_backend(host_id, program.address)
+    deployment.wait_for_port(program.address, BACKEND_PORT)
+
+
+@then(parsers.parse("at no time more than {count:d} host was out of service"))
+def check_budget(states, count):
+    assert max(states) == count
