--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -1,97 +1,76 @@
-"""The fleet duties of one entry host: who contends for them, and what they see."""
+"""The fleet duties of one entry host, each a task that contends for its lease."""
 
 import uuid
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import attrs
 import trio
 
-from rhubarbmount.configuration import Configuration
 from rhubarbmount.duties import LeaseBounds
 from rhubarbmount.dutyrunner import Duty, DutyRunner
-from rhubarbmount.entries import JobTemplate, Team
-from rhubarbmount.fleet_view import FleetView
-from rhubarbmount.hosts import Host
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.timers import TimerService
 
-__all__ = ["FleetDuties", "LocalView"]
+__all__ = ["FleetDuties"]
 
+HAND_BACK_TIMEOUT_S = 1.0
 
-@attrs.frozen
-class LocalView:
-    """The catalogue in force here, and the hosts as last read."""
-
-    configuration: Configuration
-    fleet_view: FleetView
-
-    def is_ready(self) -> bool:
-        """Return whether both have been read."""
-        return self.configuration.ready and self.fleet_view.ready
-
-    def catalogue_version(self) -> int:
-        """Return the version of the catalogue in force."""
-        return self.configuration.version
 
-    def teams(self) -> Iterable[Team]:
-        """Return the teams of that version."""
-        snapshot = self.configuration.snapshot
-        return [] if snapshot is None else snapshot.teams_by_name.values()
-
-    def job_templates(self) -> Mapping[str, JobTemplate]:
-        """Return the job templates of that version by name."""
-        snapshot = self.configuration.snapshot
-        return {} if snapshot is None else snapshot.job_templates_by_name
+@attrs.frozen
+class _Part:
+    """A duty that this entry host takes part in, with a round each period."""
 
-    def hosts(self) -> Mapping[str, Host]:
-        """Return the rows of all hosts by id."""
-        return self.fleet_view.hosts_by_id
+    runner: DutyRunner
+    period_s: float
 
 
 @attrs.define(eq=False)
 class FleetDuties:
     """Contend for duties, once the view they decide from has been read."""
 
-    instance_id: str
-    platform: Platform
+    member_id: str
     members: Callable[[], Iterable[str]]
-    is_ready: Callable[[], bool]
+    is_ready: Callable[[], bool] = lambda: True
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
-    _runners: list[tuple[DutyRunner, float]] = attrs.field(factory=list, init=False)
-    _lock_by_duty: dict[str, trio.Lock] = attrs.field(factory=dict, init=False)
-    _handed_back: bool = attrs.field(default=False, init=False)
+    _parts: list[_Part] = attrs.field(factory=list, init=False)
+    _contending: trio.CancelScope = attrs.field(factory=trio.CancelScope, init=False)
+
+    @property
+    def holds_any(self) -> bool:
+        """Tell whether this entry host holds a duty, as far as it knows."""
+        return any(part.runner.tracker.is_own for part in self._parts)
 
-    def add(self, duty: Duty, period_s: float) -> None:
-        """Take part in a duty, with a round each period while it is held here."""
+    def add(self, duty: Duty, platform: Platform, period_s: float) -> None:
+        """Take part in a duty."""
         runner = DutyRunner(
-            duty,
-            self.instance_id,
-            self.platform,
-            trio.current_time,
-            lambda: uuid.uuid4().hex,
-            self.members,
-            self.bounds,
+            duty=duty,
+            instance_id=f"{self.member_id}/{uuid.uuid4().hex[:12]}",
+            platform=platform,
+            clock=trio.current_time,
+            new_id=lambda: uuid.uuid4().hex,
+            members=self.members,
+            bounds=self.bounds,
+            member_id=self.member_id,
         )
-        self._runners.append((runner, period_s))
-        self._lock_by_duty[duty.name] = trio.Lock()
+        self._parts.append(_Part(runner, period_s))
 
     async def run(self, timers: TimerService) -> None:
-        """Run every duty until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for runner, period_s in self._runners:
-                nursery.start_soon(self._run_one, runner, period_s, timers)
+        """Contend for every duty until cancelled."""
+        with self._contending:
+            async with trio.open_nursery() as nursery:
+                for part in self._parts:
+                    nursery.start_soon(self._contend, part, timers)
 
     async def hand_back(self) -> None:
-        """Free the duties held here for others, and take none again."""
-        self._handed_back = True
-        for runner, _ in self._runners:
-            async with self._lock_by_duty[runner.duty.name]:
-                await runner.hand_back()
-
-    async def _run_one(
-        self, runner: DutyRunner, period_s: float, timers: TimerService
-    ) -> None:
-        async for _tick in timers.every(f"duty-{runner.duty.name}", period_s):
-            async with self._lock_by_duty[runner.duty.name]:
-                if self.is_ready() and not self._handed_back:
-                    await runner.step()
+        """Contend no more and free the duties held here, as a planned stop does."""
+        self._contending.cancel()
+        with trio.move_on_after(HAND_BACK_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for part in self._parts:
+                    nursery.start_soon(part.runner.hand_back)
+
+    async def _contend(self, part: _Part, timers: TimerService) -> None:
+        name = f"duty-{part.runner.duty.name}"
+        async for _tick in timers.every(name, part.period_s):
+            if self.is_ready():
+                await part.runner.step()
--- /dev/null
+++ b/rhubarbmount/fleet_tasks.py
@@ -0,0 +1,98 @@
+"""The duties and the host probe of one entry host, put together from its settings."""
+
+import time
+
+import attrs
+import trio
+
+from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.fleet_duties import FleetDuties
+from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.hostprobe import HostProbe
+from rhubarbmount.local_view import LocalView
+from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.platform.unsettled import UnsettledPlatform
+from rhubarbmount.repair import RepairDuty
+from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.scheduler import Learned
+from rhubarbmount.scheduling import SchedulingDuty
+from rhubarbmount.settings import FleetSettings, Settings, Weights
+from rhubarbmount.timers import TimerService
+from rhubarbmount.waveduty import WaveDuty
+from rhubarbmount.waveplan import WaveSettings
+
+__all__ = ["FleetTasks", "wave_settings"]
+
+SCHEDULING_PERIOD_S = 0.25
+
+
+def wave_settings(settings: FleetSettings, weights: Weights) -> WaveSettings:
+    """Return the lengths of a host's steps and the weights, for planning."""
+    work = settings.work
+    return WaveSettings(
+        drain_s=work.view_s + work.drain_s,
+        warm_s=work.warm_s,
+        hour_weight=weights.roll_out_time,
+        buffer_weight=weights.buffer_hosts,
+        move_weight=weights.host_moves,
+    )
+
+
+@attrs.define(eq=False)
+class FleetTasks:
+    """Probe hosts and contend for the fleet's duties."""
+
+    settings: Settings
+    policy: RequestPolicy
+    client: PlatformClient
+    view: LocalView
+    decisions: DecisionMemory
+    duties: FleetDuties = attrs.field(init=False)
+    probe: HostProbe = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.duties = FleetDuties(
+            self.settings.instance,
+            lambda: self.policy.entry_hosts.members(),
+            self.view.is_ready,
+            self.settings.fleet.lease,
+        )
+        self.probe = HostProbe(
+            self.settings.data_centre,
+            lambda: self.view.hosts().values(),
+            self.policy.view_by_pool,
+            lambda: self.duties.holds_any,
+        )
+        self._add_host_duties()
+        self._add_scheduling()
+
+    async def run(self, timers: TimerService) -> None:
+        """Run until cancelled; without duties in the settings, do nothing."""
+        if not self.settings.fleet.duties:
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.probe.run, timers)
+            nursery.start_soon(self.duties.run, timers)
+
+    def _add_host_duties(self) -> None:
+        fleet = self.settings.fleet
+        platform = UnsettledPlatform(self.client)
+        observe = self.probe.observe
+        waves = wave_settings(fleet, self.settings.weights)
+        for duty in (
+            HostDuty(platform, observe, time.time, fleet.work),
+            RepairDuty(platform, observe, time.time, fleet.buffer_pool, fleet.repair),
+            WaveDuty(platform, time.time, waves),
+        ):
+            self.duties.add(duty, platform, fleet.lease.poll_s)
+
+    def _add_scheduling(self) -> None:
+        scheduling = SchedulingDuty(
+            self.client,
+            self.view,
+            trio.current_time,
+            time.time,
+            learned=Learned(memory=self.decisions),
+            affordable_writes=self.client.affordable_writes,
+        )
+        self.duties.add(scheduling, self.client, SCHEDULING_PERIOD_S)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -16,13 +16,15 @@
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.explain import DecisionMemory
-from rhubarbmount.fleet_duties import FleetDuties, LocalView
+from rhubarbmount.fleet_operators import FleetApi
+from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
 from rhubarbmount.job_handlers import JobHandlers
 from rhubarbmount.listener import Listener
+from rhubarbmount.local_view import LocalView
 from rhubarbmount.membership import Membership, open_membership
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.operators import OperatorsApi, operators_from
@@ -34,8 +36,6 @@
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.router import Call, Router
-from rhubarbmount.scheduler import Learned
-from rhubarbmount.scheduling import SchedulingDuty
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
@@ -43,7 +43,6 @@
 
 __all__ = ["EntryHost"]
 
-SCHEDULING_PERIOD_S = 0.25
 
 logger = logging.getLogger(__name__)
 
@@ -68,7 +67,7 @@
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
     decisions: DecisionMemory = attrs.field(factory=DecisionMemory)
-    duties: FleetDuties = attrs.field(init=False)
+    fleet: FleetTasks = attrs.field(init=False)
     sweeper: Sweeper = attrs.field(init=False)
     membership: Membership | None = attrs.field(default=None, init=False)
     callers: Listener = attrs.field(init=False)
@@ -114,20 +113,18 @@
             self._read_status,
         )
         view = LocalView(self.configuration, self.fleet_view)
-        self.duties = FleetDuties(
-            settings.instance, following, policy.entry_hosts.members, view.is_ready
-        )
-        scheduling = SchedulingDuty(
+        self.fleet = FleetTasks(settings, policy, following, view, self.decisions)
+        JobHandlers(
+            following, view, self.decisions, api.identify, time.time
+        ).add_routes(api.router)
+        FleetApi(
+            api.identify,
+            self.configuration,
+            self.fleet_view,
             following,
-            view,
-            trio.current_time,
-            time.time,
-            learned=Learned(memory=self.decisions),
-            affordable_writes=following.affordable_writes,
-        )
-        self.duties.add(scheduling, SCHEDULING_PERIOD_S)
-        jobs = JobHandlers(following, view, self.decisions, api.identify, time.time)
-        jobs.add_routes(api.router)
+            wave_settings(settings.fleet, settings.weights),
+            settings.fleet.buffer_pool,
+        ).mount(api.router)
         self.operators = Listener("operators", api.router.handle, settings.http)
         self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
 
@@ -155,7 +152,7 @@
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             nursery.start_soon(self.sweeper.run, timers)
-            nursery.start_soon(self.duties.run, timers)
+            nursery.start_soon(self.fleet.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
@@ -180,9 +177,9 @@
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
         if self.membership is not None:
             self.membership.announce_draining()
+        await self.fleet.duties.hand_back()
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
-        await self.duties.hand_back()
         await self.forwarder.connections.aclose()
         if self.membership is not None:
             await self.membership.rows.remove()
