--- /dev/null
+++ b/rhubarbmount/answers.py
@@ -0,0 +1,42 @@
+"""Answers of the system's own, with the outcome that they tell."""
+
+import attrs
+
+from rhubarbmount.attempts import Attempt
+from rhubarbmount.http import HttpResponse
+from rhubarbmount.problem import Outcome, problem
+from rhubarbmount.retries import RetryDecision
+
+__all__ = ["Answer", "failure", "refusal"]
+
+RETRY_AFTER_S = 1
+
+
+@attrs.define
+class Answer:
+    """What a caller gets, with the outcome and code that it is counted under."""
+
+    response: HttpResponse
+    outcome: Outcome
+    code: str
+
+
+def refusal(
+    status: int,
+    code: str,
+    message: str,
+    outcome: Outcome,
+    retry_after_s: float | None = RETRY_AFTER_S,
+) -> Answer:
+    """Build an answer of the system's own."""
+    response = problem(status, code, message, outcome, retry_after_s)
+    return Answer(response, outcome, code)
+
+
+def failure(ended: Attempt, decision: RetryDecision, outcome: Outcome) -> Answer:
+    """Build the answer to a request that is given up on after an attempt."""
+    message = f"{ended.message} ({decision.reason})"
+    status = 504 if ended.code == "timeout" else 502
+    if outcome is Outcome.UNKNOWN:
+        return refusal(status, ended.code, message, outcome, None)
+    return refusal(503, ended.code, message, outcome)
--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -8,6 +8,7 @@
 import itertools
 import secrets
 from collections import deque
+from collections.abc import Collection
 
 import attrs
 import trio
@@ -66,6 +67,18 @@
             await self._put_back(address, connection)
         return answer
 
+    async def sweep(self, addresses: Collection[str]) -> None:
+        """Close the idle connections to other addresses, and those the peer closed."""
+        for address, idle in list(self._idle_by_address.items()):
+            if address not in addresses:
+                await self.close_idle(address)
+                continue
+            spent = [item for item in idle if not item.is_quiet()]
+            for connection in spent:
+                idle.remove(connection)
+            for connection in spent:
+                await connection.aclose()
+
     async def close_idle(self, address: str) -> None:
         """Close the idle connections to a backend server that is leaving."""
         for connection in self._idle_by_address.pop(address, ()):
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -7,6 +7,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.admission import Turn
+from rhubarbmount.answers import Answer, failure, refusal
 from rhubarbmount.attempts import Attempt, attempt, end_to_end_headers
 from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.backends import BackendConnections
@@ -23,10 +24,10 @@
 from rhubarbmount.strategies import Backend
 from rhubarbmount.timers import TimerService
 
-__all__ = ["Answer", "Forwarder", "service_name"]
+__all__ = ["Forwarder", "service_name"]
 
 ADMISSION_PERIOD_S = 0.1
-RETRY_AFTER_S = 1
+CONNECTIONS_PERIOD_S = 1.0
 KEY_HEADER = b"idempotency-key"
 RAN_HEADER = (OUTCOME_HEADER, Outcome.RAN.value.encode("ascii"))
 
@@ -58,27 +59,6 @@
     return Outcome.NOT_RUN if key is None else Outcome.UNKNOWN
 
 
-@attrs.define
-class Answer:
-    """What a caller gets, with the outcome and code that it is counted under."""
-
-    response: HttpResponse
-    outcome: Outcome
-    code: str
-
-
-def refusal(
-    status: int,
-    code: str,
-    message: str,
-    outcome: Outcome,
-    retry_after_s: float | None = RETRY_AFTER_S,
-) -> Answer:
-    """Build an answer of the system's own."""
-    response = problem(status, code, message, outcome, retry_after_s)
-    return Answer(response, outcome, code)
-
-
 @attrs.define
 class AttemptHistory:
     """A request's attempts so far, and what is known of them all."""
@@ -107,10 +87,19 @@
     connections: BackendConnections = attrs.field(factory=BackendConnections)
 
     async def run(self, timers: TimerService) -> None:
-        """Admit waiting requests as backend servers come back, until cancelled."""
+        """Keep the queues and connections in order until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._admit_waiting, timers)
+            nursery.start_soon(self._sweep_connections, timers)
+
+    async def _admit_waiting(self, timers: TimerService) -> None:
         async for _tick in timers.every("admission", ADMISSION_PERIOD_S):
             self.policy.limiter.admit_waiting(trio.current_time())
 
+    async def _sweep_connections(self, timers: TimerService) -> None:
+        async for _tick in timers.every("connections", CONNECTIONS_PERIOD_S):
+            await self.connections.sweep(self.policy.serving_addresses())
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request within the service's timeout."""
         service = self.policy.service_by_name.get(service_name(request.target))
@@ -183,7 +172,7 @@
                 return self._answer(service, ended.response)
             decision = self._decide_retry(service, request, ended, history, turn)
             if not decision.retry:
-                return _failure(ended, decision, history.outcome)
+                return failure(ended, decision, history.outcome)
             history.cause = decision.reason
 
     def _choose(
@@ -288,11 +277,3 @@
 
     def _log_refusal(self, service: Service, code: str) -> None:
         log.event(logger, "refused", service=service.name, code=code)
-
-
-def _failure(ended: Attempt, decision: RetryDecision, outcome: Outcome) -> Answer:
-    message = f"{ended.message} ({decision.reason})"
-    status = 504 if ended.code == "timeout" else 502
-    if outcome is Outcome.UNKNOWN:
-        return refusal(status, ended.code, message, outcome, None)
-    return refusal(503, ended.code, message, outcome)
--- a/rhubarbmount/request_policy.py
+++ b/rhubarbmount/request_policy.py
@@ -96,6 +96,15 @@
             if backend.own_in_flight
         }
 
+    def serving_addresses(self) -> set[str]:
+        """Return the addresses of the backend servers that may get new work."""
+        return {
+            backend.host.address
+            for view in self.view_by_pool.values()
+            for backend in view.by_host_id.values()
+            if backend.share
+        }
+
     def view_of(self, service: Service) -> PoolView:
         """Return the view of the service's pool."""
         return self._view(service.pool)
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -208,6 +208,8 @@
 
     def _take_over(self, host: Host, now_s: float) -> None:
         backend = self.by_host_id.get(host.host_id)
+        if backend is not None and backend.host is host:
+            return
         if backend is None or _moved(backend.host, host):
             self._remove(host.host_id)
             backend = self._add(host, now_s)
