--- /dev/null
+++ b/tests/scenarios/test_requests.py
@@ -0,0 +1,65 @@
+"""Where requests go, and what one service's flood does to another."""
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.deployment import wait_until
+from tests.load import Load
+
+scenarios("requests.feature")
+
+
+@pytest.fixture
+def flood():
+    """The callers that flood a service."""
+    loads = []
+    yield loads
+    for load in loads:
+        load.stop()
+
+
+@given(parsers.parse("entry hosts that run at most {count:d} requests at once"))
+def limit_requests(deployment, count):
+    deployment.extra_settings = {"max_in_flight": count}
+
+
+@when(parsers.parse('backend server "{host}" answers everything with an error'))
+def make_fail(deployment, host):
+    deployment.set_backend(host, status=500)
+
+
+@when(parsers.parse('{count:d} callers flood "{service}" at "{host}"'))
+def start_flood(deployment, flood, count, service, host):
+    flood.append(Load(deployment, service, [host], callers=count))
+    flood[0].__enter__()
+
+    def refused():
+        answers = list(flood[0].answer_by_id.values())
+        return sum(answer.status == 503 for answer in answers) >= 10
+
+    wait_until(refused, 20, "the flood is refused")
+
+
+@then(parsers.parse("at most {count:d} requests were answered with an error"))
+def check_errors(load, count):
+    statuses = [answer.status for answer in load[0].answer_by_id.values()]
+    assert 0 < statuses.count(500) <= count
+
+
+@then(parsers.parse("every lodgement was answered within {bound_s:g} s and ran"))
+def check_served(load, bound_s):
+    load[0].stop()
+    for answer in load[0].answer_by_id.values():
+        assert (answer.status, answer.outcome) == (200, "ran"), answer
+        assert answer.latency_s <= bound_s, answer
+
+
+@then(parsers.parse('every refused request of "{service}" surely did not run'))
+def check_refused(deployment, flood, service):
+    flood[0].stop()
+    runs = deployment.runs_by_id()
+    for request_id, answer in flood[0].answer_by_id.items():
+        if answer.status == 503:
+            assert int(answer.headers["retry-after"]) >= 1
+            assert answer.outcome in ("not-run", "unknown")
+            assert runs[request_id] == 0, answer
