Issue keys in an outage to services whose owners chose home; drop unprotected

While an entry host gets no answers from the platform, POST /-/keys/SERVICE issues a key that this process alone may claim, in its memory; all other processes, its successor under the same name included, tell unknown, also once the platform is back. It needs no agreement, membership or replica.

Ruled out as well: passing a request with an issued key on to its issuer.

Planted: issued keys claimed in the table failed both scenarios of issued_keys.feature; the seal unchecked failed these and three unit tests; issued keys of others claimed in the table, and claims forgotten early, failed the stateful test.

--- a/rhubarbmount/claim_guard.py
+++ b/rhubarbmount/claim_guard.py
@@ -19,36 +19,23 @@
     Claim,
     ClaimRefused,
     ClaimState,
+    HeldClaim,
     Verdict,
     judge,
     refusal,
     row_key,
 )
+from rhubarbmount.home_claims import HomeClaims, parse_home_key
 from rhubarbmount.platform.budget import Priority
 from rhubarbmount.platform.client import PlatformClient
 
-__all__ = ["Claims", "HeldClaim", "open_claims"]
+__all__ = ["Claims", "open_claims"]
 
 FLUSH_S = 2.0
 
 logger = logging.getLogger(__name__)
 
 
-@attrs.define(eq=False)
-class HeldClaim:
-    """A held claim; unless told otherwise, its request's outcome is unknown."""
-
-    claim: Claim
-
-    def ran(self, status: int) -> None:
-        """Record that a backend server ran the request and answered."""
-        self.claim = attrs.evolve(self.claim, state=ClaimState.FINISHED, status=status)
-
-    def not_run(self) -> None:
-        """Record that surely no backend server ran the request."""
-        self.claim = attrs.evolve(self.claim, state=ClaimState.RELEASED)
-
-
 @attrs.define(eq=False)
 class Claims:
     """Claim keys before dispatch and record what became of them."""
@@ -58,9 +45,11 @@
     wall_clock: Callable[[], float] = time.time
     batches: ClaimBatches = attrs.field(init=False)
     records: ClaimRecords = attrs.field(init=False)
+    home: HomeClaims = attrs.field(init=False)
     _by_row_key: dict[str, Claim] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
+        self.home = HomeClaims(self.instance)
         claiming = self.platform.at(Priority.CLAIM)
         self.batches = ClaimBatches(claiming, self._withdraw)
         self.records = ClaimRecords(self.platform.at(Priority.REST), self._forget)
@@ -76,8 +65,13 @@
         """Hold the key's claim for the length of the block. Raises ClaimRefused.
 
         The block dispatches the request at most once and says what became of it. A
-        claim that is not written by the deadline, on trio's clock, is withdrawn.
+        claim that is not written by the deadline, on trio's clock, is withdrawn. A
+        key that an entry host issued is claimed in its memory, any other in the table.
         """
+        if parse_home_key(idempotency_key) is not None:
+            with self.home.guard(service, idempotency_key, fingerprint) as held:
+                yield held
+            return
         claim = self._new_claim(service, idempotency_key, fingerprint)
         await self._acquire(claim, deadline_s)
         held = HeldClaim(claim)
--- a/rhubarbmount/claims.py
+++ b/rhubarbmount/claims.py
@@ -16,6 +16,7 @@
     "Claim",
     "ClaimRefused",
     "ClaimState",
+    "HeldClaim",
     "Ruling",
     "Verdict",
     "fingerprint",
@@ -63,6 +64,21 @@
         return values
 
 
+@attrs.define(eq=False)
+class HeldClaim:
+    """A held claim; unless told otherwise, its request's outcome is unknown."""
+
+    claim: Claim
+
+    def ran(self, status: int) -> None:
+        """Record that a backend server ran the request and answered."""
+        self.claim = attrs.evolve(self.claim, state=ClaimState.FINISHED, status=status)
+
+    def not_run(self) -> None:
+        """Record that surely no backend server ran the request."""
+        self.claim = attrs.evolve(self.claim, state=ClaimState.RELEASED)
+
+
 def load_claim(row: Row) -> Claim:
     """Build a claim from its row; fields of a newer version are passed over."""
     names = [field.name for field in attrs.fields(Claim) if field.name != "row_key"]
--- a/rhubarbmount/entries.py
+++ b/rhubarbmount/entries.py
@@ -36,11 +36,13 @@
 
 
 class OutageChoice(StrEnum):
-    """What happens to keyed non-idempotent requests while the platform is out."""
+    """What happens to keyed non-idempotent requests while the platform is out.
+
+    With ``home`` an entry host issues keys that it alone may claim, in its memory.
+    """
 
     REFUSE = "refuse"
     HOME = "home"
-    UNPROTECTED = "unprotected"
 
 
 @attrs.frozen(kw_only=True)
--- a/rhubarbmount/home_claims.py
+++ b/rhubarbmount/home_claims.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import logging
 import secrets
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -10,12 +11,13 @@
 import attrs
 import trio
 
-from rhubarbmount.claim_guard import HeldClaim
+from rhubarbmount import log
 from rhubarbmount.claims import (
     HELD,
     UNAVAILABLE,
     Claim,
     ClaimState,
+    HeldClaim,
     Ruling,
     Verdict,
     judge,
@@ -25,6 +27,8 @@
 
 __all__ = ["HomeClaims", "HomeKey", "parse_home_key"]
 
+logger = logging.getLogger(__name__)
+
 KEY_PREFIX = "home"
 KEY_LIFETIME_S = 600.0
 CLAIMS_LIMIT = 20000
@@ -45,15 +49,17 @@
 def parse_home_key(key: str) -> HomeKey | None:
     """Return the parts of an issued key, or None for a key of a caller's own.
 
-    >>> parse_home_key("home.entry-1.1500.ab.cd").instance
-    'entry-1'
+    >>> parse_home_key("home.entry.1.1500.ab.cd").instance
+    'entry.1'
     >>> parse_home_key("order-17") is None
     True
     """
-    parts = key.split(".")
-    if len(parts) != 5 or parts[0] != KEY_PREFIX or not parts[2].isdecimal():
+    prefix, _, rest = key.partition(".")
+    parts = rest.rsplit(".", 3)
+    if prefix != KEY_PREFIX or len(parts) != 4 or not parts[1].isdecimal():
         return None
-    return HomeKey(parts[1], int(parts[2]), parts[3], parts[4])
+    instance, issued_ms, nonce, seal = parts
+    return HomeKey(instance, int(issued_ms), nonce, seal)
 
 
 @attrs.define(eq=False)
@@ -95,6 +101,7 @@
             claimed_s=0.0,
         )
         verdict = self._acquire(service, idempotency_key, claim)
+        log.event(logger, "claim-in-memory", row=claim.row_key, ruling=verdict.ruling)
         if verdict is not HELD:
             raise refusal(verdict)
         held = HeldClaim(claim)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -17,6 +17,7 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.http import HttpResponse
+from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.listener import Listener
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.operators import OperatorsApi, operators_from
@@ -80,9 +81,10 @@
             Claims(settings.instance, self.platform),
             BackendConnections(settings.http.body_bytes),
         )
+        issuer = KeyIssuer(policy, self.forwarder.claims, self.forwarder.handle)
         self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
         self.callers = Listener(
-            "callers", self.forwarder.handle, settings.http, settings.max_connections
+            "callers", issuer.handle, settings.http, settings.max_connections
         )
         following = self.platform.at(Priority.DUTY)
         self.configuration = Configuration(platform=following)
--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -5,7 +5,9 @@
 import pytest
 import trio
 
+from rhubarbmount.entries import OutageChoice
 from rhubarbmount.http import HttpRequest
+from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.standins.faulty_platform import FaultyPlatform
 from tests.test_forward import answer, lose, not_connect, open_forwarder, told
 
@@ -100,3 +102,47 @@
     request = HttpRequest("POST", "/quotes/1", headers, b"battery")
     assert told(await forwarder.handle(request)) == (400, "not-run")
     assert not forwarder.connections.sent
+
+
+def issuer_for(forwarder, is_out):
+    issuer = KeyIssuer(forwarder.policy, forwarder.claims, forwarder.handle)
+    if is_out:
+        breaker = forwarder.claims.platform._shared.breaker
+        for _ in range(breaker.failures_to_open):
+            breaker.failed(trio.current_time())
+    return issuer
+
+
+ISSUE = HttpRequest("POST", "/-/keys/quotes")
+
+
+async def test_an_issued_key_runs_once_while_the_platform_is_out(
+    open_keyed, autojump_clock
+):
+    forwarder = open_keyed(answer, outage_choice=OutageChoice.HOME)
+    issuer = issuer_for(forwarder, is_out=True)
+    issued = await issuer.handle(ISSUE)
+    key = json.loads(issued.body)["key"].encode()
+    headers = [(b"idempotency-key", key)]
+    request = HttpRequest("POST", "/quotes/1", headers, b"battery")
+    assert told(await issuer.handle(request)) == (200, "ran")
+    assert told(await issuer.handle(request)) == (409, "ran")
+    assert told(await issuer.handle(keyed())) == (503, "unknown")
+    other = issuer_for(open_keyed(answer), is_out=False)
+    assert told(await other.handle(request)) == (503, "unknown")
+    assert len(forwarder.connections.sent) == 1
+
+
+@pytest.mark.parametrize(
+    ("choice", "is_out", "code"),
+    [
+        (OutageChoice.REFUSE, True, "keys-not-issued"),
+        (OutageChoice.HOME, False, "own-key"),
+    ],
+)
+async def test_keys_are_issued_in_an_outage_to_services_that_chose_it(
+    open_keyed, autojump_clock, choice, is_out, code
+):
+    issuer = issuer_for(open_keyed(answer, outage_choice=choice), is_out)
+    refused = await issuer.handle(ISSUE)
+    assert (refused.status, code_of(refused)) == (409, code)
