--- a/rhubarbmount/placement.py
+++ b/rhubarbmount/placement.py
@@ -7,8 +7,14 @@
 import attrs
 
 from rhubarbmount.entries import WorkClass
-from rhubarbmount.hosts import Shape
-from rhubarbmount.job_queue import JobGroup, JobQueue, TeamUsage, WaitingJob
+from rhubarbmount.job_queue import (
+    JobGroup,
+    JobLane,
+    JobQueue,
+    LaneKey,
+    TeamUsage,
+    WaitingJob,
+)
 from rhubarbmount.preemption import Eviction, choose_eviction
 from rhubarbmount.registry import Registry
 from rhubarbmount.rooms import Amount, HostRoom, PoolRooms
@@ -23,6 +29,7 @@
 
 CANDIDATES_WEIGHED = 8
 
+Refusal = tuple[str, str]
 Strategy = Callable[[PoolRooms, WaitingJob, int], HostRoom | None]
 strategies: Registry[Strategy] = Registry("placement strategy")
 
@@ -53,6 +60,13 @@
     code: str
     reason: str
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether a job of the group has not been told this reason."""
+        group = self.group
+        told = (group.code, group.reason) == (self.code, self.reason)
+        return not told or bool(group.unexplained)
+
 
 @strategies.register("first-fit")
 def first_fit(rooms: PoolRooms, waiting: WaitingJob, kept: int) -> HostRoom | None:
@@ -117,11 +131,6 @@
     queue: JobQueue = attrs.field(factory=JobQueue)
     kept: int = 0
 
-    def shapes(self) -> list[Shape]:
-        """Return the distinct shapes of the pool's hosts."""
-        shapes = {room.host.shape for room in self.rooms.room_by_host.values()}
-        return sorted(shapes, key=attrs.astuple)
-
     def room_now(self, waiting: WaitingJob, promised_id: str) -> str | None:
         """Return a host with room for a job that was promised a host being cleared."""
         promised = self.rooms.room_by_host[promised_id]
@@ -131,66 +140,109 @@
         return None if room is None else room.host.host_id
 
     def plan(
-        self, usage: TeamUsage, now_s: float, limit: int
+        self, usage: TeamUsage, now_s: float, limit: int, urgent: bool
     ) -> Iterable[Placement | Wait]:
-        """Yield decisions: urgent first, then the team with the least of its quota.
+        """Yield decisions about the urgent jobs, or about the others.
 
-        At most ``limit`` jobs are placed. The caller takes each placement into
+        Classes go in order, and within one the team with the least of its quota. At
+        most ``limit`` jobs are placed. The caller takes each placement into
         ``rooms`` and ``usage``, and the job out of the queue, before it asks for the
-        next one.
+        next one. A wait is yielded when it is new to a job of its group.
         """
-        order = [_order(group, usage) for group in self.queue]
+        refused: dict[LaneKey, Refusal] = {}
+        found: dict[LaneKey, Placement] = {}
+        order = []
+        for lane in self.queue.lanes(urgent):
+            if self._weigh(lane, now_s, refused, found):
+                order += [_order(group, usage) for group in lane.group_by_key.values()]
+            else:
+                yield from self._tell(lane, refused[lane.key])
         heapq.heapify(order)
-        refused: list[Amount] = []
-        decided = 0
-        while order and decided < limit:
-            rank, share, _, key = heapq.heappop(order)
+        placed = 0
+        while order and placed < limit:
+            _, share, _, key = heapq.heappop(order)
             group = self.queue.group_by_key[key]
             if share != usage.share(group.team):
                 heapq.heappush(order, _order(group, usage))
                 continue
-            decision = self._decide(group, usage, refused, now_s)
-            yield decision
+            decision = self._decide(group, usage, now_s, refused, found)
             if isinstance(decision, Wait):
+                if decision.is_new:
+                    yield decision
                 continue
-            decided += 1
+            yield decision
+            placed += 1
+            # The rooms have changed, so what was found before may not hold.
+            found.clear()
             if key in self.queue.group_by_key:
                 heapq.heappush(order, _order(group, usage))
 
+    def _weigh(
+        self,
+        lane: JobLane,
+        now_s: float,
+        refused: dict[LaneKey, Refusal],
+        found: dict[LaneKey, Placement],
+    ) -> bool:
+        waiting = next(iter(lane.group_by_key.values())).first
+        placement = self._find(waiting, now_s)
+        if placement is None:
+            refused[lane.key] = self._refuse(waiting.need)
+            return False
+        found[lane.key] = placement
+        return True
+
+    def _tell(self, lane: JobLane, refusal: Refusal) -> Iterable[Wait]:
+        if lane.told == refusal and not lane.has_new:
+            return
+        lane.told, lane.has_new = refusal, False
+        for group in list(lane.group_by_key.values()):
+            wait = Wait(group, *refusal)
+            if wait.is_new:
+                yield wait
+
     def _decide(
         self,
         group: JobGroup,
         usage: TeamUsage,
-        refused: list[Amount],
         now_s: float,
+        refused: dict[LaneKey, Refusal],
+        found: dict[LaneKey, Placement],
     ) -> Placement | Wait:
         waiting = group.first
-        need = waiting.need
-        if not usage.allows(group.team, need):
+        lane_key = group.lane_key
+        if not usage.allows(group.team, waiting.need):
+            self.queue.lane_by_key[lane_key].has_new = True
             return Wait(group, "wait-quota", f"team {group.team} is at its quota")
-        if not any(smaller.fits(need) for smaller in refused):
-            room = strategies.get(self.rule.strategy)(self.rooms, waiting, self.kept)
-            if room is not None:
-                return Placement(waiting, room.host.host_id)
-            found = self._evict_for(waiting, now_s)
-            if found is not None:
-                return Placement(waiting, found.host_id, found, "placed-by-eviction")
-            refused.append(need)
-        return self._wait(group, need)
-
-    def _evict_for(self, waiting: WaitingJob, now_s: float) -> Eviction | None:
+        # Room only shrinks within a plan, so what was refused once stays so.
+        if lane_key not in refused:
+            placement = found.get(lane_key)
+            if placement is None or placement.waiting is not waiting:
+                placement = self._find(waiting, now_s)
+            if placement is not None:
+                return placement
+            refused[lane_key] = self._refuse(waiting.need)
+        return Wait(group, *refused[lane_key])
+
+    def _find(self, waiting: WaitingJob, now_s: float) -> Placement | None:
+        room = strategies.get(self.rule.strategy)(self.rooms, waiting, self.kept)
+        if room is not None:
+            return Placement(waiting, room.host.host_id)
         if not self.rule.evicts or waiting.job.work_class is not WorkClass.URGENT:
             return None
-        return choose_eviction(self.rooms, waiting.need, now_s)
+        found = choose_eviction(self.rooms, waiting.need, now_s)
+        if found is None:
+            return None
+        return Placement(waiting, found.host_id, found, "placed-by-eviction")
 
-    def _wait(self, group: JobGroup, need: Amount) -> Wait:
+    def _refuse(self, need: Amount) -> Refusal:
         if next(self.rooms.free.search(need), None) is not None:
             reason = f"the room left in pool {self.pool} is kept for urgent jobs"
-            return Wait(group, "wait-headroom", reason)
-        reason = f"no host of pool {self.pool} has {need.describe()} free"
+            return "wait-headroom", reason
         if not self.rooms.room_by_host:
-            reason = f"pool {self.pool} has no host"
-        return Wait(group, "wait-room", reason)
+            return "wait-room", f"pool {self.pool} has no host"
+        reason = f"no host of pool {self.pool} has {need.describe()} free"
+        return "wait-room", reason
 
 
 def _order(
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -7,8 +7,9 @@
 import attrs
 import trio
 
-from rhubarbmount.entries import Team
+from rhubarbmount.entries import JobTemplate, Team
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.hostrows import Terms
 from rhubarbmount.hosts import Host
 from rhubarbmount.job_changes import (
     DUTY,
@@ -29,21 +30,15 @@
 from rhubarbmount.platform.interface import Platform, Precondition, TaskCommand, Write
 from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
 
-__all__ = ["FleetView", "HeldLease", "SchedulingDuty", "Terms"]
+__all__ = ["HeldLease", "SchedulingDuty", "SchedulingView"]
 
 logger = logging.getLogger(__name__)
 
 HEADS_TABLE = "heads"
 CHANGES_PER_COMMIT = 64
 COMMANDS_AT_ONCE = 32
-
-
-@attrs.frozen
-class Terms:
-    """The writes of a commit, and what must hold for it."""
-
-    preconditions: tuple[Precondition, ...]
-    writes: tuple[Write, ...]
+WRITES_PER_START = 5
+DEFAULT_WRITES_PER_ROUND = 1000
 
 
 class HeldLease(Protocol):
@@ -56,7 +51,7 @@
         """Commit the terms, fenced by the lease's token."""
 
 
-class FleetView(Protocol):
+class SchedulingView(Protocol):
     """What an entry host knows of the catalogue and of the hosts."""
 
     def catalogue_version(self) -> int:
@@ -65,6 +60,9 @@
     def teams(self) -> Iterable[Team]:
         """Return the teams of that version."""
 
+    def job_templates(self) -> Mapping[str, JobTemplate]:
+        """Return the job templates of that version by name."""
+
     def hosts(self) -> Mapping[str, Host]:
         """Return the rows of all hosts by id."""
 
@@ -76,15 +74,17 @@
     Rows go first and effects follow: a command is sent only after its intent has
     committed, and sent again under the same id until the platform has accepted it.
     Every commit also advances one row, ``heads/scheduling``, so that none can land
-    on rows other than those it was decided from.
+    on rows other than those it was decided from. Urgent jobs start at once; others
+    only as far as the rows are affordable.
     """
 
     platform: Platform
-    view: FleetView
+    view: SchedulingView
     clock: Callable[[], float]
     epoch_clock: Callable[[], float]
     rule: SchedulingRule = SchedulingRule()
     learned: Learned = attrs.field(factory=Learned)
+    affordable_writes: Callable[[], int] = lambda: DEFAULT_WRITES_PER_ROUND
     list_period_s: float = 1.0
     name: str = DUTY
     scheduler: Scheduler | None = None
@@ -116,6 +116,9 @@
         tasks = await self.platform.scan(TASKS_TABLE)
         intents = await self.platform.scan(INTENTS_TABLE, f"{DUTY}/")
         commands = [load_command(_without(row.value)) for row in intents]
+        after = await self.platform.read(HEADS_TABLE, DUTY)
+        if (after and after.value) != (head and head.value):
+            raise LeaseLost("rows changed while they were read")
         scheduler = Scheduler(rule=self.rule, learned=self.learned)
         self._set_time(scheduler)
         scheduler.set_teams(self.view.teams(), self.view.catalogue_version())
@@ -149,7 +152,8 @@
             scheduler.set_hosts(self.view.hosts())
             self._changes += scheduler.take_live_hosts(live)
         if self._changes or live is not None:
-            self._changes += scheduler.place()
+            limit = max(1, self.affordable_writes() // WRITES_PER_START)
+            self._changes += scheduler.place(limit)
 
     async def _list_hosts(self) -> set[str] | None:
         now_s = self.clock()
@@ -173,8 +177,8 @@
     async def _commit(self, lease: HeldLease, batch: list[JobChange]) -> None:
         head = {"sequence": self._sequence + 1}
         terms = Terms(
-            (self._head_condition(),),
-            (Write(HEADS_TABLE, DUTY, head), *writes_of(batch)),
+            [self._head_condition()],
+            [Write(HEADS_TABLE, DUTY, head), *writes_of(batch)],
         )
         if not await lease.commit(terms):
             raise LeaseLost("rows changed since they were read")
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import time
+from contextlib import AsyncExitStack
 from typing import Any
 
 import attrs
@@ -14,11 +15,16 @@
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
+from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.fleet_duties import FleetDuties, LocalView
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.http import HttpResponse
+from rhubarbmount.instances import ConfigurationStatus, weigh_status
 from rhubarbmount.issued_keys import KeyIssuer
+from rhubarbmount.job_handlers import JobHandlers
 from rhubarbmount.listener import Listener
+from rhubarbmount.membership import Membership, open_membership
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.operators import OperatorsApi, operators_from
 from rhubarbmount.platform import http as _http_adapter  # noqa: F401
@@ -29,6 +35,8 @@
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.router import Call, Router
+from rhubarbmount.scheduler import Learned
+from rhubarbmount.scheduling import SchedulingDuty
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
@@ -36,6 +44,8 @@
 
 __all__ = ["EntryHost"]
 
+SCHEDULING_PERIOD_S = 0.25
+
 logger = logging.getLogger(__name__)
 
 
@@ -56,9 +66,12 @@
     stopping: trio.Event = attrs.field(factory=trio.Event)
     platform: PlatformClient = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
-    sweeper: Sweeper = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
+    decisions: DecisionMemory = attrs.field(factory=DecisionMemory)
+    duties: FleetDuties = attrs.field(init=False)
+    sweeper: Sweeper = attrs.field(init=False)
+    membership: Membership | None = attrs.field(default=None, init=False)
     callers: Listener = attrs.field(init=False)
     operators: Listener = attrs.field(init=False)
     metrics: Listener = attrs.field(init=False)
@@ -91,10 +104,32 @@
         self.fleet_view = FleetView(platform=following)
         api = OperatorsApi(
             operators_from(settings.operators_by_name),
-            Acceptance(following, time.time, self.fleet_view.summarise),
+            Acceptance(
+                following,
+                time.time,
+                self.fleet_view.summarise,
+                self.configuration.offer,
+                lambda: self.configuration.version,
+            ),
             self.configuration,
             following,
+            self._read_status,
+        )
+        view = LocalView(self.configuration, self.fleet_view)
+        self.duties = FleetDuties(
+            settings.instance, following, policy.entry_hosts.members, view.is_ready
+        )
+        scheduling = SchedulingDuty(
+            following,
+            view,
+            trio.current_time,
+            time.time,
+            learned=Learned(memory=self.decisions),
+            affordable_writes=following.affordable_writes,
         )
+        self.duties.add(scheduling, SCHEDULING_PERIOD_S)
+        jobs = JobHandlers(following, view, self.decisions, api.identify, time.time)
+        jobs.add_routes(api.router)
         self.operators = Listener("operators", api.router.handle, settings.http)
         self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
 
@@ -107,8 +142,9 @@
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> int:
         """Serve until stopped; return the number of requests that the stop cut."""
         settings = self.settings
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery, AsyncExitStack() as stack:
             timers = TimerService(nursery)
+            await self._join_peers(stack, timers)
             for name in ("metrics", "operators", "callers"):
                 listener: Listener = getattr(self, name)
                 endpoint = getattr(settings, name)
@@ -121,17 +157,37 @@
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             nursery.start_soon(self.sweeper.run, timers)
+            nursery.start_soon(self.duties.run, timers)
             task_status.started()
             await self.stopping.wait()
             cut_count = await self._stop()
             nursery.cancel_scope.cancel()
         return cut_count
 
+    async def _join_peers(self, stack: AsyncExitStack, timers: TimerService) -> None:
+        if self.settings.peers is None:
+            return
+        opened = open_membership(
+            self.settings,
+            self.settings.peers,
+            self.platform,
+            self.configuration,
+            self.fleet_view,
+            self.forwarder.policy,
+            timers,
+        )
+        self.membership = await stack.enter_async_context(opened)
+
     async def _stop(self) -> int:
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
+        if self.membership is not None:
+            self.membership.announce_draining()
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
+        await self.duties.hand_back()
         await self.forwarder.connections.aclose()
+        if self.membership is not None:
+            await self.membership.rows.remove()
         log.event(logger, "stopped", cut=cut_count)
         return cut_count
 
@@ -148,6 +204,12 @@
                 changed.hosts_by_id.values(), trio.current_time()
             )
 
+    async def _read_status(self) -> ConfigurationStatus:
+        if self.membership is None:
+            version = self.configuration.version
+            return weigh_status(version, {}, {self.settings.instance: version})
+        return await self.membership.rows.read_status()
+
     def _metrics_router(self) -> Router:
         router = Router()
         router.add("GET", "/healthz", self._healthz)
