--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -22,6 +22,7 @@
 from rhubarbmount.forward import Forwarder
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
+from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.job_handlers import JobHandlers
 from rhubarbmount.listener import Listener
 from rhubarbmount.local_view import LocalView
@@ -92,9 +93,10 @@
             Claims(settings.instance, self.platform),
             BackendConnections(settings.http.body_bytes),
         )
+        issuer = KeyIssuer(policy, self.forwarder.claims, self.forwarder.handle)
         self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
         self.callers = Listener(
-            "callers", self.forwarder.handle, settings.http, settings.max_connections
+            "callers", issuer.handle, settings.http, settings.max_connections
         )
         following = self.platform.at(Priority.DUTY)
         self.configuration = Configuration(platform=following)
