--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -15,6 +15,7 @@
     "entry_list",
     "entry_remove",
     "entry_show",
+    "status",
     "token",
 ]
 
@@ -29,6 +30,11 @@
     return 0
 
 
+def status() -> int:
+    """Print the version in force as JSON, with the entry hosts that lag."""
+    return _print_json(_call("GET", "/status"))
+
+
 def entry_list(*, json: bool = False) -> int:
     """List the entries in force.
 
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -6,7 +6,7 @@
 
 from rhubarbmount import __version__
 
-__all__ = ["check", "commands", "serve", "standin_backend", "standin_platform"]
+__all__ = ["check", "commands", "keys", "serve", "standin_backend", "standin_platform"]
 
 
 def commands() -> dict[str, Any]:
@@ -23,8 +23,10 @@
             "apply": operator_commands.entry_apply,
             "remove": operator_commands.entry_remove,
         },
+        "status": operator_commands.status,
         "token": operator_commands.token,
         "standin": {"platform": standin_platform, "backend": standin_backend},
+        "keys": keys,
         "version": version,
     }
 
@@ -35,6 +37,16 @@
     return 0
 
 
+def keys() -> int:
+    """Print a new CURVE key pair for the peers' settings."""
+    from rhubarbmount.zmqtrio import CurveKeys
+
+    pair = CurveKeys.generate()
+    print(f"public_key: '{pair.public}'")
+    print(f"secret_key: '{pair.secret}'")
+    return 0
+
+
 def check(settings: str, *, seed: str | None = None) -> int:
     """Print every finding in a settings file, and in a seed file if one is named.
 
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -19,6 +19,7 @@
     "load_settings",
 ]
 
+CURVE_KEY_LENGTH = 40
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -41,7 +42,11 @@
 
 @attrs.frozen(kw_only=True)
 class PeerSettings:
-    """Where this host listens for peers, whom it calls first, and the keys."""
+    """Where this host listens for peers, whom it calls first, and the keys.
+
+    Addresses are ``IP:port``. All entry hosts of a deployment have the same CURVE key
+    pair, in Z85; none hears a peer without it.
+    """
 
     address: str
     port: int
@@ -121,6 +126,7 @@
         if not 0 <= port <= 65535:
             message = f"port {port} is not between 0 and 65535"
             findings.append(Finding(file.place((name, "port")), "bad-value", message))
+    findings.extend(_check_peer_keys(file, settings))
     if settings.stop_timeout_s <= 0:
         place = file.place(("stop_timeout_s",))
         findings.append(Finding(place, "bad-value", "must be above 0"))
@@ -128,3 +134,14 @@
         message = f"{settings.log.level!r} is not one of {', '.join(LOG_LEVELS)}"
         findings.append(Finding(file.place(("log", "level")), "bad-value", message))
     return findings
+
+
+def _check_peer_keys(file: YamlFile, settings: Settings) -> list[Finding]:
+    if settings.peers is None:
+        return []
+    findings = []
+    for name in ("public_key", "secret_key"):
+        if len(getattr(settings.peers, name)) != CURVE_KEY_LENGTH:
+            message = f"a CURVE key has {CURVE_KEY_LENGTH} characters; see 'keys'"
+            findings.append(Finding(file.place(("peers", name)), "bad-value", message))
+    return findings
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -64,3 +64,14 @@
 def test_version(capsys):
     assert cli.run(["version"]) == 0
     assert capsys.readouterr().out == f"{__version__}\n"
+
+
+def test_printed_keys_fit_the_settings(tmp_path, capsys):
+    assert cli.run(["keys"]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    example = (EXAMPLES / "collective" / "entry-host.yaml").read_text()
+    peers = ["peers:", "  address: 127.0.0.1", "  port: 8083"]
+    peers += [f"  {line}" for line in lines]
+    path = tmp_path / "entry-host.yaml"
+    path.write_text(example + "\n".join(peers) + "\n")
+    assert cli.run(["check", str(path)]) == 0, capsys.readouterr().err
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -44,3 +44,9 @@
         ("s.yaml:6", "bad-value"),
         ("s.yaml:7", "bad-value"),
     ]
+
+
+def test_peer_keys_are_checked():
+    text = GOOD + "peers: {address: 127.0.0.1, port: 8083, public_key: short}\n"
+    _settings, found = findings(text)
+    assert found == [("s.yaml:6", "bad-value"), ("s.yaml:6", "bad-value")]
