Prove that an open stop is not taken for an accepted one

A new holder that counted an open stop from its take-over ended the job while its task ran on: the test fails without the check and passes with it.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -304,6 +304,22 @@
     world.check()
 
 
+async def test_a_new_holder_does_not_take_an_open_stop_for_accepted():
+    world = World()
+    job_id = await world.submit()
+    await world.round()
+    for instance in world.instances:
+        instance.link.commands_down = True
+    await world.cancel(job_id)
+    await world.settle(2)
+    await world.settle(30, number=1)
+    assert world.state(job_id) == "stopping"
+    world.instances[1].link.commands_down = False
+    await world.settle(2, number=1)
+    assert world.state(job_id) == "cancelled"
+    assert not world.workers.running_by_id
+
+
 async def test_an_hour_without_the_platform_starts_and_loses_nothing():
     world = World()
     running, waiting = await world.submit(), None
