--- a/bench/placement.py
+++ b/bench/placement.py
@@ -19,7 +19,8 @@
 from rhubarbmount.jobs import Job, JobState, Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait
 from rhubarbmount.rooms import amount_needed
-from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
+from rhubarbmount.scheduler import Scheduler
+from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 
 POOLS = 25
 TEAMS = 220
@@ -108,7 +109,7 @@
             self._keep_batch_waiting(pool)
         for step in range(int(seconds / STEP_S)):
             now_s = step * STEP_S
-            self.scheduler.now_s = self.scheduler.clock_s = now_s
+            self.scheduler.set_time(now_s, now_s)
             self._pass_events(now_s)
             if step > 8:
                 self._arrive(now_s)
--- /dev/null
+++ b/rhubarbmount/job_decisions.py
@@ -0,0 +1,53 @@
+"""Records of the decisions about jobs and their hosts."""
+
+from typing import Any
+
+import attrs
+
+from rhubarbmount.explain import Decision, DecisionMemory
+from rhubarbmount.jobs import Job
+from rhubarbmount.placement import Wait
+from rhubarbmount.suspects import Blame
+
+__all__ = ["JobDecisions"]
+
+
+@attrs.define
+class JobDecisions:
+    """Record decisions with the configuration version and time of the step."""
+
+    memory: DecisionMemory
+    catalogue_version: int = 0
+    now_s: float = 0.0
+
+    def of_job(self, job: Job, code: str, reason: str = "", **inputs: Any) -> None:
+        """Record a decision about a job."""
+        shown = {"pool": job.pool, "class": job.work_class.value} | inputs
+        self._record("job", job.job_id, code, reason, shown)
+
+    def of_wait(self, wait: Wait) -> None:
+        """Record why a group waits, for the jobs that have not been told so."""
+        group = wait.group
+        changed = (group.code, group.reason) != (wait.code, wait.reason)
+        jobs = list(group.job_by_order.values()) if changed else group.unexplained
+        group.code, group.reason, group.unexplained = wait.code, wait.reason, []
+        for waiting in jobs:
+            self.of_job(waiting.job, wait.code, wait.reason)
+
+    def of_host(self, blame: Blame) -> None:
+        """Record what a host is suspected of."""
+        self._record(blame.kind, blame.subject_id, blame.code, blame.reason, {})
+
+    def _record(
+        self, kind: str, subject_id: str, code: str, reason: str, inputs: dict[str, Any]
+    ) -> None:
+        decision = Decision(
+            kind=kind,
+            subject_id=subject_id,
+            code=code,
+            reason=reason,
+            inputs=inputs,
+            catalogue_version=self.catalogue_version,
+            time_s=self.now_s,
+        )
+        self.memory.record(decision)
--- /dev/null
+++ b/rhubarbmount/job_ends.py
@@ -0,0 +1,44 @@
+"""What becomes of a job whose task has ended, and who is to blame for a failure."""
+
+import attrs
+
+from rhubarbmount.job_changes import EndReport
+from rhubarbmount.job_decisions import JobDecisions
+from rhubarbmount.jobs import Job, Task
+from rhubarbmount.suspects import Blame, Suspects, TaskOutcome
+
+__all__ = ["job_after", "observe_outcome"]
+
+FAILED_HOSTS_KEPT = 8
+
+
+def observe_outcome(
+    suspects: Suspects, task: Task, report: EndReport, now_s: float
+) -> Blame | None:
+    """Take in how a task ended; return what its host is now suspected of."""
+    if report.outcome not in ("succeeded", "failed"):
+        return None
+    failed = report.outcome == "failed"
+    suspects.observe(TaskOutcome(task.job_id, task.team, task.host_id, failed, now_s))
+    return suspects.judge_host(task.host_id, now_s) if failed else None
+
+
+def job_after(
+    job: Job, task: Task, report: EndReport, suspects: Suspects, decisions: JobDecisions
+) -> Job:
+    """Return the job after the end of its task: done, held, cancelled or waiting."""
+    now_s = decisions.now_s
+    if report.outcome == "succeeded":
+        decisions.of_job(job, "done", host=task.host_id)
+        return job.move("succeed", now_s, cause="")
+    progress_s = max(job.progress_s, report.progress_s)
+    job = attrs.evolve(job, progress_s=progress_s, cause=report.outcome)
+    if report.outcome == "failed":
+        failed_hosts = (*job.failed_hosts, task.host_id)[-FAILED_HOSTS_KEPT:]
+        job = attrs.evolve(job, failed_hosts=failed_hosts)
+        blame = suspects.judge_job(job.job_id, now_s)
+        if blame is not None:
+            decisions.of_job(job, blame.code, blame.reason, host=task.host_id)
+            return job.move("hold", now_s, cause=blame.reason)
+    decisions.of_job(job, f"task-{report.outcome}", host=task.host_id)
+    return job.move("requeue", now_s)
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -1,12 +1,10 @@
 """The state of scheduling and its decisions; free of I/O."""
 
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Any
 
 import attrs
 
 from rhubarbmount.entries import Team, WorkClass
-from rhubarbmount.explain import Decision, DecisionMemory
 from rhubarbmount.fleet_rooms import FleetRooms
 from rhubarbmount.hosts import Host
 from rhubarbmount.job_changes import (
@@ -18,54 +16,23 @@
     JobChange,
     JobRequest,
 )
+from rhubarbmount.job_decisions import JobDecisions
+from rhubarbmount.job_ends import job_after, observe_outcome
 from rhubarbmount.job_queue import TeamUsage, WaitingJob
 from rhubarbmount.jobs import ENDED_STATES, Job, JobState, Task
-from rhubarbmount.placement import Placement, PlacementRule, PoolPlacer, Wait
+from rhubarbmount.placement import Placement, PoolPlacer, Wait
 from rhubarbmount.platform.interface import TaskCommand
+from rhubarbmount.promises import Promises
 from rhubarbmount.rooms import amount_needed
-from rhubarbmount.sizes import SizeMemory, UsageReport
-from rhubarbmount.suspects import Blame, Suspects, TaskOutcome
+from rhubarbmount.scheduling_rule import Learned, SchedulingRule
+from rhubarbmount.sizes import UsageReport
 
-__all__ = ["Learned", "Scheduler", "SchedulingRule"]
+__all__ = ["Scheduler"]
 
 
 ACTIONS = ("start", "checkpoint", "stop")
 
 
-@attrs.frozen
-class SchedulingRule:
-    """Times and bounds of scheduling, in seconds.
-
-    A task whose host is missing from the list of live hosts for longer than the lag
-    of that list is told to stop. From the moment the platform has accepted a stop, no
-    lease of the task is renewed, so the task is over a lease later.
-    """
-
-    placement: PlacementRule = PlacementRule()
-    lease_s: float = 10.0
-    list_lag_s: float = 5.0
-    margin_s: float = 2.0
-
-    @property
-    def missing_after_s(self) -> float:
-        """Return how long a host must be missing before its tasks are stopped."""
-        return self.list_lag_s + self.margin_s
-
-    @property
-    def over_after_s(self) -> float:
-        """Return how long after an accepted stop a task is surely over."""
-        return self.lease_s + self.margin_s
-
-
-@attrs.define
-class Learned:
-    """What is learned from reports; losing it costs quality and no promise."""
-
-    sizes: SizeMemory = attrs.field(factory=SizeMemory)
-    suspects: Suspects = attrs.field(factory=Suspects)
-    memory: DecisionMemory = attrs.field(factory=DecisionMemory)
-
-
 @attrs.define
 class Scheduler:
     """Decide what to start, stop and checkpoint, one change of rows at a time.
@@ -77,20 +44,31 @@
 
     rule: SchedulingRule = SchedulingRule()
     learned: Learned = attrs.field(factory=Learned)
-    catalogue_version: int = 0
-    now_s: float = 0.0
     clock_s: float = 0.0
     job_by_id: dict[str, Job] = attrs.field(factory=dict)
     task_by_id: dict[str, Task] = attrs.field(factory=dict)
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     fleet: FleetRooms = attrs.field(init=False)
+    promises: Promises = attrs.field(init=False)
+    decisions: JobDecisions = attrs.field(init=False)
     _turn: int = attrs.field(default=0, init=False)
-    _promised: dict[str, tuple[WaitingJob, str]] = attrs.field(factory=dict, init=False)
     _stopped_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.fleet = FleetRooms(self.rule.placement)
+        self.promises = Promises(self.fleet, self.usage)
+        self.decisions = JobDecisions(self.learned.memory)
+
+    @property
+    def now_s(self) -> float:
+        """Return the time of the current step in seconds since the epoch."""
+        return self.decisions.now_s
+
+    def set_time(self, now_s: float, clock_s: float) -> None:
+        """Begin a step at a time since the epoch and a reading of the own clock."""
+        self.decisions.now_s = now_s
+        self.clock_s = clock_s
 
     def load(
         self,
@@ -113,7 +91,7 @@
 
     def set_teams(self, teams: Iterable[Team], version: int) -> None:
         """Take in the quotas of a catalogue version."""
-        self.catalogue_version = version
+        self.decisions.catalogue_version = version
         for team in teams:
             self.usage.set_team(team)
 
@@ -183,7 +161,7 @@
                 self._missing_since_s.pop(host_id, None)
                 continue
             since_s = self._missing_since_s.setdefault(host_id, self.clock_s)
-            self._break_promises(host_id)
+            self.promises.break_on(host_id)
             if self.clock_s - since_s <= self.rule.missing_after_s:
                 continue
             for task in self.fleet.tasks_on(host_id):
@@ -204,7 +182,8 @@
         """
         yield from self._clear_closed_hosts()
         self.fleet.end_avoidance(self.now_s)
-        yield from self._start_promised()
+        for waiting, host_id in self.promises.redeem():
+            yield self._start(waiting, host_id, "placed-by-eviction")
         for placer in self.fleet.placers():
             self.fleet.keep_headroom(placer, self.now_s)
             yield from self._plan(placer, len(placer.queue), urgent=True)
@@ -226,7 +205,7 @@
     ) -> Iterator[JobChange]:
         for decision in placer.plan(self.usage, self.now_s, limit, urgent):
             if isinstance(decision, Wait):
-                self._explain_wait(decision)
+                self.decisions.of_wait(decision)
             else:
                 yield from self._carry_out(placer, decision)
 
@@ -242,32 +221,20 @@
         if found.eviction is None:
             yield self._start(found.waiting, found.host_id, found.code)
             return
-        need = found.waiting.need
-        placer.rooms.promise(job.job_id, found.host_id, need)
-        self._promised[job.job_id] = found.waiting, found.host_id
-        self.usage.take(job.team, need)
+        self.promises.make(found.waiting, found.host_id)
         reason = f"host {found.host_id} is being cleared of batch"
-        self._explain(job, "wait-eviction", reason, host=found.host_id)
+        self.decisions.of_job(job, "wait-eviction", reason, host=found.host_id)
         for task_id in found.eviction.task_ids:
             victim = self.task_by_id[task_id]
             yield self._evict(victim, "evicted-urgent", f"urgent job {job.job_id}")
 
     def _clear_closed_hosts(self) -> Iterator[JobChange]:
         for host_id in self.fleet.closed_hosts():
-            self._break_promises(host_id)
+            self.promises.break_on(host_id)
             for task in self.fleet.evictable_on(host_id):
                 reason = f"host {host_id} is {self.fleet.state_of(host_id)}"
                 yield self._evict(task, "evicted-draining", reason)
 
-    def _start_promised(self) -> Iterator[JobChange]:
-        for job_id, (waiting, host_id) in list(self._promised.items()):
-            placer = self.fleet.placer(waiting.job.pool)
-            found = placer.room_now(waiting, host_id)
-            if found is None:
-                continue
-            self._withdraw(job_id)
-            yield self._start(waiting, found, "placed-by-eviction")
-
     def _start(self, waiting: WaitingJob, host_id: str, code: str) -> JobChange:
         job = waiting.job
         attempt = job.attempt + 1
@@ -291,7 +258,7 @@
         self.task_by_id[task.task_id] = task
         self.fleet.add_task(task)
         self.usage.take(job.team, waiting.need)
-        self._explain(job, code, host=host_id, reserved=waiting.need.describe())
+        self.decisions.of_job(job, code, host=host_id, reserved=waiting.need.describe())
         return JobChange(job=job, task=task, command=self._command(task))
 
     def _evict(self, task: Task, code: str, reason: str) -> JobChange:
@@ -301,13 +268,13 @@
         self.fleet.replace_task(task)
         job = self.job_by_id[task.job_id].move("evict", self.now_s, cause=code)
         self._keep(job)
-        self._explain(job, code, reason, host=task.host_id)
+        self.decisions.of_job(job, code, reason, host=task.host_id)
         return JobChange(job=job, task=task, command=self._command(task))
 
     def _give_up(self, task: Task) -> JobChange:
         job = self.job_by_id[task.job_id]
         reason = f"host {task.host_id} is missing from the list of live hosts"
-        self._explain(job, "task-given-up", reason, host=task.host_id)
+        self.decisions.of_job(job, "task-given-up", reason, host=task.host_id)
         if job.state is not JobState.EVICTING:
             job = job.move("evict", self.now_s, cause="host-missing")
             self._keep(job)
@@ -322,7 +289,7 @@
         self._dequeue(job)
         job = job.move("cancel", self.now_s, cause="cancelled")
         self._keep(job)
-        self._explain(job, "cancelled", f"an operator cancelled job {job.job_id}")
+        self.decisions.of_job(job, "cancelled", "an operator cancelled it")
         if job.state in ENDED_STATES:
             return JobChange(job=job, consumed=consumed)
         task = attrs.evolve(self.task_by_id[job.task_id], command="stop")
@@ -337,10 +304,14 @@
         self.fleet.remove_task(task)
         self.usage.give_back(task.team, amount_needed(task.reserved))
         job = self.job_by_id[task.job_id]
-        blame = None
-        if report.outcome in ("succeeded", "failed"):
-            blame = self._observe_outcome(task, report.outcome == "failed")
-        job = self._after_end(job, task, report)
+        suspects = self.learned.suspects
+        blame = observe_outcome(suspects, task, report, self.now_s)
+        if blame is not None:
+            self.decisions.of_host(blame)
+        avoid_until_s = suspects.avoid_until_s(task.host_id)
+        if avoid_until_s > self.now_s:
+            self.fleet.avoid(task.host_id, avoid_until_s)
+        job = job_after(job, task, report, suspects, self.decisions)
         self._keep(job)
         if job.state is JobState.WAITING:
             self._enqueue(job)
@@ -351,48 +322,6 @@
             blame=blame,
         )
 
-    def _after_end(self, job: Job, task: Task, report: EndReport) -> Job:
-        if report.outcome == "succeeded":
-            self._explain(job, "done", host=task.host_id)
-            return job.move("succeed", self.now_s, cause="")
-        progress_s = max(job.progress_s, report.progress_s)
-        failed_hosts = job.failed_hosts
-        blame = None
-        if report.outcome == "failed":
-            failed_hosts = (*failed_hosts, task.host_id)[-8:]
-            blame = self.learned.suspects.judge_job(job.job_id, self.now_s)
-        changes: dict[str, Any] = {
-            "progress_s": progress_s,
-            "failed_hosts": failed_hosts,
-            "cause": report.outcome,
-        }
-        if blame is not None:
-            self._explain(job, blame.code, blame.reason, host=task.host_id)
-            return job.move("hold", self.now_s, **changes | {"cause": blame.reason})
-        self._explain(job, f"task-{report.outcome}", host=task.host_id)
-        return job.move("requeue", self.now_s, **changes)
-
-    def _observe_outcome(self, task: Task, failed: bool) -> Blame | None:
-        suspects = self.learned.suspects
-        suspects.observe(
-            TaskOutcome(task.job_id, task.team, task.host_id, failed, self.now_s)
-        )
-        if not failed:
-            return None
-        self.fleet.avoid(task.host_id, suspects.avoid_until_s(task.host_id))
-        blame = suspects.judge_host(task.host_id, self.now_s)
-        if blame is not None:
-            decision = Decision(
-                kind="host",
-                subject_id=task.host_id,
-                code=blame.code,
-                reason=blame.reason,
-                catalogue_version=self.catalogue_version,
-                time_s=self.now_s,
-            )
-            self.learned.memory.record(decision)
-        return blame
-
     def _enqueue(self, job: Job) -> None:
         placer = self.fleet.placer(job.pool)
         estimate = self.learned.sizes.estimate(job, placer.rooms.hosts_by_shape)
@@ -402,26 +331,14 @@
             need = amount_needed(job.shape)
         if estimate.far_off:
             reason = f"{estimate.reports} reports of {job.kind} tell of another size"
-            self._explain(job, "size-learned", reason, reserved=need.describe())
+            self.decisions.of_job(job, "size-learned", reason, reserved=need.describe())
         if job.work_class is WorkClass.URGENT:
             self.fleet.observe_urgent(job.pool, need, self.now_s)
         placer.queue.add(WaitingJob(job, need))
 
     def _dequeue(self, job: Job) -> None:
         self.fleet.placer(job.pool).queue.remove(job)
-        if job.job_id in self._promised:
-            self._withdraw(job.job_id)
-
-    def _withdraw(self, job_id: str) -> None:
-        waiting, host_id = self._promised.pop(job_id)
-        self.fleet.placer(waiting.job.pool).rooms.withdraw(job_id, host_id)
-        self.usage.give_back(waiting.job.team, waiting.need)
-
-    def _break_promises(self, host_id: str) -> None:
-        for job_id, (waiting, promised_id) in list(self._promised.items()):
-            if promised_id == host_id:
-                self._withdraw(job_id)
-                self.fleet.placer(waiting.job.pool).queue.add(waiting)
+        self.promises.withdraw(job.job_id)
 
     def _keep(self, job: Job) -> None:
         if job.state in ENDED_STATES:
@@ -438,26 +355,6 @@
             lease_s=task.lease_s,
         )
 
-    def _explain_wait(self, wait: Wait) -> None:
-        group = wait.group
-        changed = (group.code, group.reason) != (wait.code, wait.reason)
-        jobs = list(group.job_by_order.values()) if changed else group.unexplained
-        group.code, group.reason, group.unexplained = wait.code, wait.reason, []
-        for waiting in jobs:
-            self._explain(waiting.job, wait.code, wait.reason)
-
-    def _explain(self, job: Job, code: str, reason: str = "", **inputs: Any) -> None:
-        decision = Decision(
-            kind="job",
-            subject_id=job.job_id,
-            code=code,
-            reason=reason,
-            inputs={"pool": job.pool, "class": job.work_class.value} | inputs,
-            catalogue_version=self.catalogue_version,
-            time_s=self.now_s,
-        )
-        self.learned.memory.record(decision)
-
 
 def _intent_id(task: Task, action: str) -> str:
     return f"{DUTY}/{task.task_id}/{action}"
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -28,7 +28,8 @@
 from rhubarbmount.jobs import JOBS_TABLE, TASKS_TABLE, load_job, load_task
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Precondition, TaskCommand, Write
-from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
+from rhubarbmount.scheduler import Scheduler
+from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 
 __all__ = ["HeldLease", "SchedulingDuty", "SchedulingView"]
 
@@ -239,8 +240,7 @@
                 accepted.append(command)
 
     def _set_time(self, scheduler: Scheduler) -> None:
-        scheduler.now_s = self.epoch_clock()
-        scheduler.clock_s = self.clock()
+        scheduler.set_time(self.epoch_clock(), self.clock())
 
     def _loaded(self) -> Scheduler:
         assert self.scheduler is not None
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -31,8 +31,8 @@
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.router import Call, Router
-from rhubarbmount.scheduler import Learned
 from rhubarbmount.scheduling import SchedulingDuty
+from rhubarbmount.scheduling_rule import Learned
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
