--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -8,53 +8,24 @@
 from rhubarbmount.budgets import decide, read_pool_rows
 from rhubarbmount.errors import ConflictError, NotFound, Refused
 from rhubarbmount.hostduty import Begun, begin_terms
-from rhubarbmount.hostrows import FleetView, HostRow, Terms
+from rhubarbmount.hostrows import HostRow, HostRows, Terms
 from rhubarbmount.hosts import HostState
 from rhubarbmount.hostwork import (
     INTENTS_TABLE,
     HostIntent,
-    Progress,
-    Step,
-    drain_step,
     dump_intent,
-    host_actions,
     intent_key,
     load_intent,
-    return_step,
 )
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
 
-__all__ = ["HostMover", "move_step", "restore_step"]
+__all__ = ["HostMover"]
 
 MOVE_ATTEMPTS = 5
 logger = logging.getLogger("rhubarbmount.moves")
 
 
-@host_actions.register("move")
-def move_step(progress: Progress) -> Step | None:
-    """Return the next step of a move to another pool."""
-    state = progress.host.state
-    if state is HostState.DRAINING:
-        return drain_step(progress)
-    if state is HostState.DRAINED:
-        return Step("move", pool=progress.intent.target_pool)
-    if state is HostState.RETURNING:
-        return return_step(progress)
-    return None
-
-
-@host_actions.register("restore")
-def restore_step(progress: Progress) -> Step | None:
-    """Return the next step of a host that goes back into service where it is."""
-    state = progress.host.state
-    if state in (HostState.DRAINING, HostState.DRAINED):
-        return Step("restore")
-    if state is HostState.RETURNING:
-        return return_step(progress)
-    return None
-
-
 @attrs.define
 class HostMover:
     """Begin and cancel moves; any entry host may, on an operator's word.
@@ -66,10 +37,10 @@
     platform: Platform
     wall_clock: Callable[[], float]
     new_id: Callable[[], str]
-    view: FleetView = attrs.field(init=False)
+    view: HostRows = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.view = FleetView(self.platform)
+        self.view = HostRows(self.platform)
 
     async def begin(self, host_id: str, target_pool: str, group: str = "") -> str:
         """Take the host out of service for a move and return the intent's id."""
