Prove that urgent jobs start within 2.5 s on a pool full of batch

Over separate processes with three entry hosts: 32 batch jobs of 300 s fill four hosts, then five urgent jobs start one after another, each within 2.5 s.

--- a/tests/scenarios/jobs.feature
+++ b/tests/scenarios/jobs.feature
@@ -31,3 +31,7 @@
     And the platform comes back
     Then all submitted jobs are done within 60 s
     And each submitted job was started 1 time
+
+  Scenario: Urgent work starts on a pool full of batch
+    When 32 batch jobs "d" fill the pool through "e1"
+    Then urgent jobs "u1, u2, u3, u4, u5" through "e2" start within 2.5 s
--- a/tests/scenarios/test_jobs.py
+++ b/tests/scenarios/test_jobs.py
@@ -10,6 +10,7 @@
 scenarios("jobs.feature")
 
 RUN_TIME_S = 1.0
+BATCH_RUN_TIME_S = 300.0
 SHAPE = {"processors": 32, "memory_gb": 64}
 
 
@@ -44,12 +45,38 @@
         submit_one(deployment, submitted, f"{name}-{number}", host, 4)
 
 
+@when(parsers.parse('{count:d} batch jobs "{name}" fill the pool through "{host}"'))
+def fill_pool(deployment, submitted, name, count, host):
+    batch = {"work_class": "batch", "run_time_s": BATCH_RUN_TIME_S}
+    for number in range(count):
+        submit_one(deployment, submitted, f"{name}-{number}", host, 4, batch)
+
+    def all_started():
+        return sum(deployment.set_platform()["starts_by_job"].values()) == count
+
+    wait_until(all_started, 60, "all batch started")
+
+
+@then(
+    parsers.parse('urgent jobs "{names}" through "{host}" start within {bound_s:g} s')
+)
+def check_urgent(deployment, submitted, names, host, bound_s):
+    for job_id in names.split(", "):
+        urgent = {"work_class": "urgent"}
+        submit_one(deployment, submitted, job_id, host, 4, urgent)
+
+        def started(job_id=job_id):
+            return job_id in deployment.set_platform()["starts_by_job"]
+
+        wait_until(started, bound_s, f"urgent job {job_id} started")
+
+
 @when(
     parsers.parse(
         'job "{job_id}" of {processors:d} processors is submitted to "{host}"'
     )
 )
-def submit_one(deployment, submitted, job_id, host, processors):
+def submit_one(deployment, submitted, job_id, host, processors, more=None):
     job = {
         "job_id": job_id,
         "team": "firm",
@@ -57,7 +84,7 @@
         "processors": processors,
         "memory_gb": 4,
         "run_time_s": RUN_TIME_S,
-    }
+    } | (more or {})
 
     def answered():
         answer = deployment.operate(host, "POST", "/jobs", job)
