Promise a host to a job that smaller ones keep passing

A large job waited for as long as smaller ones came: in the new test it had not started after 100 ends of tasks, and failed so with reservations switched off. A job that has waited for 60 s is now promised the host that will have room first, going by run times; one such job a pool. Ruled out: serving strictly in order, which leaves room idle in the whole pool behind one large job.

--- a/rhubarbmount/promises.py
+++ b/rhubarbmount/promises.py
@@ -1,4 +1,4 @@
-"""Room that is being cleared of batch for urgent jobs."""
+"""Room that is being cleared for jobs that wait for it."""
 
 from collections.abc import Iterator
 
@@ -12,7 +12,7 @@
 
 @attrs.define
 class Promises:
-    """Hold a host's room and the team's quota for each job that waits for evictions."""
+    """Hold a host's room and the team's quota for each job that waits for them."""
 
     fleet: FleetRooms
     usage: TeamUsage
@@ -36,6 +36,9 @@
         self.usage.give_back(waiting.job.team, waiting.need)
         return waiting
 
+    def __contains__(self, job_id: object) -> bool:
+        return job_id in self._promised
+
     def break_on(self, host_id: str) -> None:
         """Put the jobs that were promised a host back into their queues."""
         for job_id, (_, promised_id) in list(self._promised.items()):
--- /dev/null
+++ b/rhubarbmount/reservations.py
@@ -0,0 +1,86 @@
+"""Room kept for jobs that smaller ones would otherwise pass for ever."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from rhubarbmount.fleet_rooms import FleetRooms
+from rhubarbmount.job_queue import JobGroup, TeamUsage, WaitingJob
+from rhubarbmount.placement import PoolPlacer
+from rhubarbmount.promises import Promises
+from rhubarbmount.rooms import Amount, HostRoom, amount_needed
+
+__all__ = ["Reservations", "room_from_s"]
+
+RESERVE_AFTER_S = 60.0
+CHECK_PERIOD_S = 5.0
+
+
+@attrs.define
+class Reservations:
+    """Promise one host of each pool to the job that has waited too long."""
+
+    fleet: FleetRooms
+    promises: Promises
+    usage: TeamUsage
+    _job_by_pool: dict[str, str] = attrs.field(factory=dict, init=False)
+    _checked_s: float = attrs.field(default=float("-inf"), init=False)
+
+    def make(self, now_s: float) -> Iterator[tuple[WaitingJob, str]]:
+        """Yield each job that is promised a host now, with the host."""
+        if now_s - self._checked_s < CHECK_PERIOD_S:
+            return
+        self._checked_s = now_s
+        for placer in self.fleet.placers():
+            if self._job_by_pool.get(placer.pool) in self.promises:
+                continue
+            group = self._longest_waiting(placer, now_s)
+            host_id = _soonest_host(placer, group.first.need, now_s) if group else None
+            if group is None or host_id is None:
+                continue
+            waiting = group.first
+            placer.queue.remove(waiting.job)
+            self.promises.make(waiting, host_id)
+            self._job_by_pool[placer.pool] = waiting.job.job_id
+            yield waiting, host_id
+
+    def _longest_waiting(self, placer: PoolPlacer, now_s: float) -> JobGroup | None:
+        groups = [
+            group
+            for group in placer.queue
+            if not group.is_urgent
+            and now_s - group.first.job.submitted_s >= RESERVE_AFTER_S
+            and self.usage.allows(group.team, group.first.need)
+        ]
+        return min(groups, key=_order, default=None)
+
+
+def _order(group: JobGroup) -> tuple[int, float, str]:
+    job = group.first.job
+    return group.rank, job.submitted_s, job.job_id
+
+
+def _soonest_host(placer: PoolPlacer, need: Amount, now_s: float) -> str | None:
+    rooms = placer.rooms
+    times_s = [
+        (room_from_s(room, need, now_s), host_id)
+        for host_id, room in rooms.room_by_host.items()
+        if room.takes_work
+        and host_id not in rooms.avoided_hosts
+        and not room.promised_by_job
+        and need.fits(room.offered)
+    ]
+    return min(times_s)[1] if times_s else None
+
+
+def room_from_s(room: HostRoom, need: Amount, now_s: float) -> float:
+    """Return when a host will have the room, if its tasks end as estimated."""
+    free = room.unused
+    time_s = now_s
+    tasks = sorted(room.task_by_id.values(), key=lambda t: t.started_s + t.run_time_s)
+    for task in tasks:
+        if need.fits(free):
+            break
+        free = free.plus(amount_needed(task.reserved))
+        time_s = max(time_s, task.started_s + task.run_time_s)
+    return time_s
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -23,6 +23,7 @@
 from rhubarbmount.placement import Placement, PoolPlacer, Wait
 from rhubarbmount.platform.interface import TaskCommand
 from rhubarbmount.promises import Promises
+from rhubarbmount.reservations import Reservations
 from rhubarbmount.rooms import amount_needed
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 from rhubarbmount.sizes import UsageReport
@@ -50,6 +51,7 @@
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     fleet: FleetRooms = attrs.field(init=False)
     promises: Promises = attrs.field(init=False)
+    reservations: Reservations = attrs.field(init=False)
     decisions: JobDecisions = attrs.field(init=False)
     _turn: int = attrs.field(default=0, init=False)
     _stopped_s: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -58,6 +60,7 @@
     def __attrs_post_init__(self) -> None:
         self.fleet = FleetRooms(self.rule.placement)
         self.promises = Promises(self.fleet, self.usage)
+        self.reservations = Reservations(self.fleet, self.promises, self.usage)
         self.decisions = JobDecisions(self.learned.memory)
 
     @property
@@ -183,10 +186,13 @@
         yield from self._clear_closed_hosts()
         self.fleet.end_avoidance(self.now_s)
         for waiting, host_id in self.promises.redeem():
-            yield self._start(waiting, host_id, "placed-by-eviction")
+            yield self._start(waiting, host_id, "placed-as-promised")
         for placer in self.fleet.placers():
             self.fleet.keep_headroom(placer, self.now_s)
             yield from self._plan(placer, len(placer.queue), urgent=True)
+        for waiting, host_id in self.reservations.make(self.now_s):
+            reason = f"host {host_id} is kept for it until enough tasks end"
+            self.decisions.of_job(waiting.job, "wait-reserved", reason, host=host_id)
         for placer in self._in_turn():
             for change in self._plan(placer, limit, urgent=False):
                 limit -= 1
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -361,7 +361,7 @@
     assert world.state(urgent) == "running"
     explained = world.instances[0].duty.learned.memory.explain("job", urgent)
     codes = [decision.code for decision in explained.decisions]
-    assert codes == ["wait-eviction", "placed-by-eviction"]
+    assert codes == ["wait-eviction", "placed-as-promised"]
     world.check()
 
 
@@ -386,6 +386,29 @@
     world.check()
 
 
+async def test_smaller_jobs_do_not_pass_a_large_one_for_ever():
+    world = World(hosts=2)
+    for _ in range(6):
+        await world.submit(team="b")
+    await world.settle(1)
+    large = await world.submit(shape=Shape(4, 4))
+    for _ in range(100):
+        await world.settle(1)
+        oldest = min(
+            world.workers.running_by_id, key=lambda i: int(i[1:].split("/")[0])
+        )
+        if oldest.startswith(f"{large}/"):
+            break
+        world.workers.end(oldest, "succeeded")
+        await world.submit(team="b")
+        await world.submit(team="b")
+    assert world.state(large) == "running"
+    explained = world.instances[0].duty.learned.memory.explain("job", large)
+    codes = [decision.code for decision in explained.decisions]
+    assert codes == ["wait-room", "wait-reserved", "placed-as-promised"]
+    world.check()
+
+
 async def test_a_draining_host_gets_no_task_and_loses_those_that_can_checkpoint():
     world = World(hosts=2)
     jobs = [await world.submit() for _ in range(2)]
