--- a/rhubarbmount/job_changes.py
+++ b/rhubarbmount/job_changes.py
@@ -83,6 +83,7 @@
     ``task`` is a new value of a task's row; ``ended_task_id`` names a row to delete.
     ``closed_intents`` names effects that are accepted or no longer wanted; ``consumed``
     are (table, key) pairs of requests and reports that are now taken in.
+    ``cleared_host_id`` is a host of which nothing is suspected any more.
     """
 
     job: Job | None = None
@@ -92,6 +93,7 @@
     closed_intents: tuple[str, ...] = ()
     consumed: tuple[tuple[str, str], ...] = ()
     blame: Blame | None = None
+    cleared_host_id: str = ""
 
 
 def request_write(request: JobRequest) -> Write:
@@ -151,5 +153,7 @@
         yield Write(INTENTS_TABLE, intent_id, None)
     for table, key in change.consumed:
         yield Write(table, key, None)
+    if change.cleared_host_id:
+        yield Write(SUSPECTS_TABLE, change.cleared_host_id, None)
     if change.blame is not None:
         yield Write(SUSPECTS_TABLE, change.blame.subject_id, attrs.asdict(change.blame))
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -98,12 +98,15 @@
         for team in teams:
             self.usage.set_team(team)
 
-    def set_hosts(self, host_by_id: Mapping[str, Host]) -> None:
-        """Take in the rows of all hosts."""
+    def set_hosts(self, host_by_id: Mapping[str, Host]) -> list[JobChange]:
+        """Take in the rows of all hosts; clear those back in service of suspicion."""
+        changes = []
         for host in host_by_id.values():
             if self.fleet.set_host(host):
                 self.learned.suspects.forget_host(host.host_id)
+                changes.append(JobChange(cleared_host_id=host.host_id))
         self.fleet.remove_hosts(set(host_by_id))
+        return changes
 
     def take_request(self, request: JobRequest) -> JobChange:
         """Act on an operator's request."""
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -156,7 +156,7 @@
         is_due = self._is_due()
         if is_due:
             scheduler.set_teams(self.view.teams(), self.view.catalogue_version())
-            scheduler.set_hosts(self.view.hosts())
+            self._changes += scheduler.set_hosts(self.view.hosts())
         if self._changes or is_due:
             limit = max(1, self.affordable_writes() // WRITES_PER_START)
             self._changes += scheduler.place(limit)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -430,6 +430,10 @@
     assert len(world.workers.running_by_id) == 8
     assert "h0" in world.platform._table("host-suspects")
     assert {world.state(f"j{n + 1}") for n in range(8)} == {"running"}
+    for state in (HostState.QUARANTINED, HostState.IN_SERVICE):
+        world.hosts["h0"] = attrs.evolve(world.hosts["h0"], state=state)
+        await world.settle(2)
+    assert not world.platform._table("host-suspects")
     world.check()
 
 
