--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -14,8 +14,8 @@
 
 logger = logging.getLogger(__name__)
 
-SUBJECTS_LIMIT = 4096
-DECISIONS_PER_SUBJECT = 16
+SUBJECTS_LIMIT = 2048
+DECISIONS_PER_SUBJECT = 8
 
 _converter = cattrs.Converter()
 
