--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -14,8 +14,8 @@
 from rhubarbmount.platform.unsettled import UnsettledPlatform
 from rhubarbmount.repair import RepairDuty
 from rhubarbmount.request_policy import RequestPolicy
-from rhubarbmount.scheduler import Learned
 from rhubarbmount.scheduling import SchedulingDuty
+from rhubarbmount.scheduling_rule import Learned
 from rhubarbmount.settings import FleetSettings, Settings, Weights
 from rhubarbmount.timers import TimerService
 from rhubarbmount.waveduty import WaveDuty
