Let the weights choose a wave's spares, and refuse a wave over no pools

A wave that names no spares takes those that the plan finds cheapest, from the buffer pool if it is the operator's; that pool joins the wave, as the hosts that are replaced are maintained there.

Seen to fail first: an operator who owns no pool could begin a wave, and as no pools stands for all of them, it covered every pool of the others.

--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -18,7 +18,7 @@
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
-from rhubarbmount.waveplan import WaveSettings, lower_bound_s, plan_wave
+from rhubarbmount.waveplan import WavePlan, WaveSettings, plan_wave
 from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
 
 __all__ = ["FleetApi"]
@@ -85,6 +85,8 @@
         operator = self.identify(call)
         pools = self._pools(call, operator)
         spares = _spares(call, pools)
+        if spares is None:
+            spares = self._plan(pools, operator).spares_by_pool
         if spares:
             self._check_owner(operator, self.spares_pool)
         wave_id = await self.waves.start(pools, self.spares_pool, spares)
@@ -92,26 +94,28 @@
 
     async def _plan_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
-        names = set(self._pools(call, operator))
-        pools = [pool for pool in self._pool_by_name().values() if pool.name in names]
-        due = [host for host in self.fleet.hosts_by_id.values() if host.pool in names]
-        now_s = time.time()
-        spares_free = sum(
-            host.pool == self.spares_pool for host in self.fleet.hosts_by_id.values()
-        )
-        plan = plan_wave(pools, due, now_s, self.settings, spares_free)
+        plan = self._plan(self._pools(call, operator), operator)
         answer = {
             "roll_out_s": plan.roll_out_s,
-            "lower_bound_s": lower_bound_s(pools, due, now_s, self.settings),
             "buffer_hosts": plan.buffer_hosts,
             "moves": plan.moves,
-            "spares_by_pool": {
-                name: item.spares for name, item in plan.by_pool.items() if item.spares
-            },
+            "spares_by_pool": plan.spares_by_pool,
             "findings": [str(finding) for finding in plan.findings],
         }
         return json_response(answer)
 
+    def _plan(self, names: list[str], operator: Operator) -> WavePlan:
+        """Plan a wave with the spares of the buffer, if they are the operator's."""
+        pool_by_name = self._pool_by_name()
+        pools = [pool_by_name[name] for name in names if name != self.spares_pool]
+        hosts = self.fleet.hosts_by_id.values()
+        due = [host for host in hosts if host.pool in names]
+        spares_free = 0
+        buffer = pool_by_name.get(self.spares_pool)
+        if buffer is not None and buffer.owner in operator.owners:
+            spares_free = sum(host.pool == buffer.name for host in hosts)
+        return plan_wave(pools, due, time.time(), self.settings, spares_free)
+
     async def _control_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
         try:
@@ -131,7 +135,9 @@
         names = body.get("pools") if isinstance(body, dict) else None
         if names is None:
             pools = self._pool_by_name().values()
-            return [pool.name for pool in pools if pool.owner in operator.owners]
+            names = [pool.name for pool in pools if pool.owner in operator.owners]
+        if not names:
+            raise AccessDenied(f"no pool for operator {operator.name} to maintain")
         for name in names:
             self._check_owner(operator, name)
         return list(names)
@@ -163,9 +169,12 @@
     return body[name]
 
 
-def _spares(call: Call, pools: list[str]) -> dict[str, int]:
+def _spares(call: Call, pools: list[str]) -> dict[str, int] | None:
+    """Return the spares that the call names, or None if it leaves them to a plan."""
     body = call.json()
-    spares = body.get("spares_by_pool", {}) if isinstance(body, dict) else {}
+    spares = body.get("spares_by_pool") if isinstance(body, dict) else None
+    if spares is None:
+        return None
     if not isinstance(spares, dict) or not all(
         name in pools and isinstance(count, int) and count >= 0
         for name, count in spares.items()
--- a/rhubarbmount/waveplan.py
+++ b/rhubarbmount/waveplan.py
@@ -104,6 +104,12 @@
         """Return how many moves it takes."""
         return sum(plan.moves for plan in self.by_pool.values())
 
+    @property
+    def spares_by_pool(self) -> dict[str, int]:
+        """Return the pools that are given spares, and how many."""
+        plans = self.by_pool.items()
+        return {name: plan.spares for name, plan in plans if plan.spares}
+
     def cost(self, settings: WaveSettings) -> float:
         """Return the weighted cost."""
         return (
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -107,8 +107,10 @@
         spares_by_pool: Mapping[str, int] | None = None,
     ) -> str:
         """Start a wave and return its id; Refused if one covers a pool already."""
-        names = tuple(sorted(pools))
         spares = dict(spares_by_pool or {})
+        names = tuple(sorted(pools))
+        if names and spares:
+            names = tuple(sorted({*names, spares_pool}))
         terms = Terms()
         for row in await read_waves(self.platform):
             if row.wave.state == "open" and _overlap(row.wave.pools, names):
--- /dev/null
+++ b/tests/test_fleet_operators.py
@@ -0,0 +1,122 @@
+"""Operators' requests about hosts and waves."""
+
+import json
+
+import pytest
+
+from rhubarbmount.catalogue import Snapshot
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.edits import Operator
+from rhubarbmount.errors import AccessDenied
+from rhubarbmount.fleet_operators import FleetApi
+from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.http import HttpRequest
+from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.router import Router
+from rhubarbmount.waveplan import WaveSettings
+from tests.fleetkit import fill, make_host, make_pool
+
+OWNERS = {"ana": {"sfax"}, "rita": {"rival"}}
+HASTY = WaveSettings(hour_weight=1000, buffer_weight=1, move_weight=0.01)
+
+
+class Console:
+    """The operators' interface on the embedded platform."""
+
+    def __init__(self, platform, configuration, view, settings):
+        self.router = Router()
+        FleetApi(
+            self.identify, configuration, view, platform, settings, "buffer"
+        ).mount(self.router)
+
+    def identify(self, call):
+        name = dict(call.request.headers).get(b"operator", b"").decode()
+        if name not in OWNERS:
+            raise AccessDenied("who is it?")
+        return Operator(name, frozenset(OWNERS[name]))
+
+    async def ask(self, method, target, body=None, operator="ana"):
+        headers = [(b"operator", operator.encode())]
+        content = b"" if body is None else json.dumps(body).encode()
+        answer = await self.router.handle(HttpRequest(method, target, headers, content))
+        return answer.status, json.loads(answer.body)
+
+
+@pytest.fixture
+async def make_console():
+    async def make(settings=None):
+        platform = MemoryPlatform()
+        pools = [
+            make_pool(),
+            make_pool("parts", hosts_wanted=0),
+            make_pool("buffer", hosts_wanted=0, hosts_down_limit=4),
+        ]
+        hosts = [make_host(n) for n in range(8)]
+        hosts += [make_host(n, "buffer") for n in range(4)]
+        await fill(platform, pools, hosts)
+        configuration = Configuration(platform=platform)
+        snapshot = Snapshot()
+        for pool in pools:
+            snapshot = snapshot.with_entry("pool", pool)
+        configuration.offer(snapshot)
+        view = FleetView(platform=platform)
+        await view.summarise()
+        return Console(platform, configuration, view, settings or WaveSettings())
+
+    return make
+
+
+async def test_a_move_is_begun_once_and_can_be_cancelled(make_console):
+    console = await make_console()
+    status, _ = await console.ask("POST", "/hosts/q1/move", {"pool": "parts"})
+    assert status == 202
+    status, body = await console.ask("POST", "/hosts/q1/move", {"pool": "buffer"})
+    assert (status, body["code"]) == (409, "host-busy")
+    status, body = await console.ask("POST", "/hosts/q2/move", {"pool": "parts"})
+    assert (status, body["code"]) == (409, "hosts-exhausted")
+    status, body = await console.ask("DELETE", "/hosts/q1/move")
+    assert (status, body["result"]) == (202, "cancelled")
+
+
+async def test_an_operator_touches_no_pool_of_another_owner(make_console):
+    console = await make_console()
+    for method, target, body in (
+        ("POST", "/hosts/q1/move", {"pool": "parts"}),
+        ("POST", "/waves", {"pools": ["quotes"]}),
+        ("POST", "/waves", {"pools": []}),
+        ("POST", "/waves", {}),
+    ):
+        status, answer = await console.ask(method, target, body, operator="rita")
+        assert (status, answer["code"]) == (403, "access-denied")
+    status, body = await console.ask("POST", "/waves", {"pools": ["quotes"]})
+    target = f"/waves/{body['wave']}/control"
+    status, _ = await console.ask("POST", target, {"control": "paused"}, "rita")
+    assert status == 403
+    status, body = await console.ask("POST", target, {"control": "paused"})
+    assert (status, body["control"]) == (200, "paused")
+
+
+async def test_bad_orders_are_refused_with_their_reason(make_console):
+    console = await make_console()
+    for method, target, body, wanted in (
+        ("POST", "/hosts/q1/move", {}, 400),
+        ("POST", "/hosts/q1/move", {"pool": "nowhere"}, 404),
+        ("POST", "/hosts/nobody/move", {"pool": "parts"}, 404),
+        ("POST", "/waves", {"spares_by_pool": {"quotes": -1}}, 400),
+        ("POST", "/waves/none/control", {"control": "paused"}, 404),
+        ("POST", "/waves/none/control", {"control": "sideways"}, 400),
+    ):
+        status, _ = await console.ask(method, target, body)
+        assert status == wanted, (target, body)
+
+
+async def test_the_weights_decide_whether_a_wave_takes_spares(make_console):
+    thrifty, hasty = await make_console(), await make_console(HASTY)
+    _, body = await thrifty.ask("POST", "/waves/plan", {"pools": ["quotes"]})
+    assert (body["buffer_hosts"], body["moves"]) == (0, 0)
+    _, body = await hasty.ask("POST", "/waves/plan", {"pools": ["quotes"]})
+    assert body["spares_by_pool"] == {"quotes": 4}
+    await hasty.ask("POST", "/waves", {"pools": ["quotes"]})
+    _, body = await hasty.ask("GET", "/waves")
+    assert body["waves"][0]["spares_by_pool"] == {"quotes": 4}
+    assert body["waves"][0]["pools"] == ["buffer", "quotes"]
