Bring back the answer of a service removed in flight

Cause: the retry budget went with the service's entry, so that an answer which had come met a missing key, and the caller was told 500 with outcome unknown for a request that ran. A removed service's last requests now get no budget. Both new cases of test_forward failed before.

--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -239,7 +239,7 @@
             now_s=trio.current_time(),
             deadline_s=turn.deadline_s,
             expected_s=self.policy.limiter.duration_s(service.name),
-            budget=self.policy.budget_by_service[service.name],
+            budget=self.policy.budget_of(service),
         )
         self.metrics.count_retry(service.name, decision.retry, decision.reason)
         log.event(
@@ -256,7 +256,7 @@
 
     def _answer(self, service: Service, response: HttpResponse) -> Answer:
         if response.status < 500:
-            self.policy.budget_by_service[service.name].succeed()
+            self.policy.budget_of(service).succeed()
         headers = end_to_end_headers(response.headers)
         headers.append(RAN_HEADER)
         answer = HttpResponse(response.status, headers, response.body)
--- a/rhubarbmount/request_policy.py
+++ b/rhubarbmount/request_policy.py
@@ -109,6 +109,11 @@
         """Return the view of the service's pool."""
         return self._view(service.pool)
 
+    def budget_of(self, service: Service) -> RetryBudget:
+        """Return the service's retry budget; a removed one's last requests get none."""
+        budget = self.budget_by_service.get(service.name)
+        return RetryBudget(0.0, tokens=0.0) if budget is None else budget
+
     def _view(self, pool: str) -> PoolView:
         view = self.view_by_pool.get(pool)
         if view is None:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -233,3 +233,21 @@
     for _ in range(50):
         await forwarder.handle(POST)
     assert len(forwarder.connections.sent) <= 50 + 2 + 1
+
+
+@pytest.mark.parametrize(
+    ("acts", "seen"), [([answer], (200, "ran")), ([stall], (504, "unknown"))]
+)
+async def test_a_service_removed_in_flight_is_still_answered(
+    autojump_clock, acts, seen
+):
+    forwarder = open_forwarder(*acts)
+
+    async def remove():
+        await trio.sleep(0.01)
+        forwarder.policy.update_catalogue({}, {})
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(remove)
+        assert told(await forwarder.handle(POST)) == seen
+    assert forwarder.policy.limiter.running == 0
