Prove at most once for callers that send again elsewhere under faults

With unfinished and unknown claims taken over lodgements doubled and it failed; with keys dispatched unclaimed it failed at the outage's refusal.

--- a/tests/scenarios/claims.feature
+++ b/tests/scenarios/claims.feature
@@ -63,3 +63,22 @@
     When entry host "e1" is joined again with the platform
     And a caller sends lodgement "f" for "lodgements" to "e1" until it is told "ran"
     Then the backend servers ran "f" 1 time
+
+  Scenario: Callers send again elsewhere while hosts, answers and the platform fail
+    When backend server "h1" takes 0.3 s for each request
+    And backend server "h2" takes 0.3 s for each request
+    And callers send 60 lodgements for "lodgements" to "e1, e2" until they have run
+    And 5 lodgements were told to have run
+    And the platform loses the answer of the next write
+    And 10 lodgements were told to have run
+    And backend server "h1" cuts the next 2 answers
+    And 20 lodgements were told to have run
+    And entry host "e1" is killed
+    And 30 lodgements were told to have run
+    And the platform goes down
+    And a caller sends lodgement "x" for "lodgements" to "e2" until it is told "unknown"
+    And the platform comes back
+    And entry host "e1" is started again
+    And the callers have given up or were told that all has run
+    Then no lodgement ran twice and none was falsely told to have run
+    And at least 50 lodgements were told to have run in the end
