--- a/bench/placement.py
+++ b/bench/placement.py
@@ -16,10 +16,11 @@
 from rhubarbmount.hosts import Host, Shape
 from rhubarbmount.job_changes import EndReport, JobChange, JobRequest
 from rhubarbmount.job_queue import TeamUsage, WaitingJob
-from rhubarbmount.jobs import Job, Task
+from rhubarbmount.jobs import Job, JobState, Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait
 from rhubarbmount.rooms import amount_needed
-from rhubarbmount.scheduler import Learned, Scheduler, SchedulingRule
+from rhubarbmount.scheduler import Scheduler
+from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 
 POOLS = 25
 TEAMS = 220
@@ -78,9 +79,10 @@
     """Workers that obey commands with delays, in simulated time."""
 
     scheduler: Scheduler
-    rng: random.Random
+    seed: int
     hosts: dict[str, Host]
     pools: int
+    batch_run_s: float
     events: list[tuple[float, int, str, str]] = attrs.field(factory=list)
     count: itertools.count = attrs.field(factory=itertools.count)
     submitted_s: dict[str, float] = attrs.field(factory=dict)
@@ -92,6 +94,12 @@
     spent_s: float = 0.0
     filled: bool = False
     running: set[str] = attrs.field(factory=set)
+    arrivals: random.Random = attrs.field(init=False)
+    rng: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.arrivals = random.Random(self.seed)
+        self.rng = random.Random(self.seed + 1)
 
     def run(self, seconds: float) -> None:
         """Fill the pools with batch, then let urgent jobs arrive."""
@@ -102,7 +110,7 @@
             self._keep_batch_waiting(pool)
         for step in range(int(seconds / STEP_S)):
             now_s = step * STEP_S
-            self.scheduler.now_s = self.scheduler.clock_s = now_s
+            self.scheduler.set_time(now_s, now_s)
             self._pass_events(now_s)
             if step > 8:
                 self._arrive(now_s)
@@ -122,13 +130,13 @@
         wanted = hosts if self.filled else BATCH_PER_HOST * hosts
         for _ in range(wanted - len(queue)):
             shape = self.rng.choice(BATCH_SHAPES)
-            self._submit(pool, shape, WorkClass.BATCH, BATCH_RUN_S)
+            self._submit(pool, shape, WorkClass.BATCH, self.batch_run_s)
 
     def _arrive(self, now_s: float) -> None:
         for pool in range(self.pools):
-            if self.rng.random() >= URGENT_PER_POOL_S * STEP_S:
+            if self.arrivals.random() >= URGENT_PER_POOL_S * STEP_S:
                 continue
-            burst = self.rng.random() < BURST_SHARE
+            burst = self.arrivals.random() < BURST_SHARE
             for _ in range(BURST_SIZE if burst else 1):
                 self._submit(pool, URGENT_SHAPE, WorkClass.URGENT, URGENT_RUN_S)
 
@@ -185,30 +193,27 @@
 
     def waiting_urgent_s(self) -> list[float]:
         """Return how long the urgent jobs that never started have waited."""
-        waits = []
-        for placer in self.scheduler.fleet.placers():
-            for group in placer.queue:
-                if group.rank == 0:
-                    jobs = group.job_by_order.values()
-                    waits += [
-                        self.scheduler.now_s - self.submitted_s[w.job.job_id]
-                        for w in jobs
-                    ]
-        return waits
+        now_s = self.scheduler.now_s
+        jobs = self.scheduler.job_by_id.values()
+        return [
+            now_s - self.submitted_s[job.job_id]
+            for job in jobs
+            if job.work_class is WorkClass.URGENT and job.state is JobState.WAITING
+        ]
 
     def free_shares(self) -> tuple[float, float]:
-        """Return the free share of processors, and what of it no large job can use."""
+        """Return the free share of memory, and what of it no large job can use."""
         offered = free = usable = 0
         need = amount_needed(LARGE_SHAPE)
         for placer in self.scheduler.fleet.placers():
             for room in placer.rooms.room_by_host.values():
-                offered += room.offered[1]
-                free += room.unused[1]
+                offered += room.offered[2]
+                free += room.unused[2]
                 fitting = min(
                     have // want
                     for have, want in zip(room.unused[1:], need[1:], strict=True)
                 )
-                usable += fitting * need[1]
+                usable += fitting * need[2]
         return free / offered, 1 - usable / free if free else 0.0
 
 
@@ -218,9 +223,12 @@
     return ordered[int((len(ordered) - 1) * share)] if ordered else float("nan")
 
 
-def measure_policy(seed: int, seconds: float) -> None:
+def measure_policy(seed: int, seconds: float, batch_run_s: float) -> None:
     """Print how urgent jobs fare on full pools, by strategy."""
-    print(f"\n2,600 workers, {POOLS} pools full of batch, {seconds:g} s, seed {seed}")
+    print(
+        f"\n2,600 workers, {POOLS} pools full of batch of {batch_run_s:g} s in the mean"
+    )
+    print(f"{seconds:g} s, seed {seed}")
     print(
         f"{'strategy':22}{'urgent':>8}{'p50 s':>8}{'p99 s':>8}{'max s':>8}"
         f"{'evicted':>9}{'moves':>7}{'free %':>8}{'frag %':>8}{'step ms':>9}"
@@ -229,7 +237,7 @@
         learned = Learned(memory=DecisionMemory())
         scheduler = Scheduler(rule=SchedulingRule(placement=rule), learned=learned)
         hosts = make_hosts(2600, POOLS)
-        fleet = Fleet(scheduler, random.Random(seed), hosts, POOLS)
+        fleet = Fleet(scheduler, seed, hosts, POOLS, batch_run_s)
         fleet.run(seconds)
         waits = fleet.urgent_waits_s + fleet.waiting_urgent_s()
         free, fragmented = fleet.free_shares()
@@ -317,9 +325,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=7)
     parser.add_argument("--seconds", type=float, default=120.0)
+    parser.add_argument("--batch-run-s", type=float, default=BATCH_RUN_S)
     options = parser.parse_args()
     measure_speed(options.seed)
-    measure_policy(options.seed, options.seconds)
+    measure_policy(options.seed, options.seconds, options.batch_run_s)
 
 
 if __name__ == "__main__":
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -2,13 +2,17 @@
 
 import attrs
 
+from rhubarbmount.duties import LeaseBounds
 from rhubarbmount.errors import Finding, FindingsError
+from rhubarbmount.hostwork import WorkBounds
 from rhubarbmount.http import HttpLimits
+from rhubarbmount.repair import RepairBounds
 from rhubarbmount.structure import structure
 from rhubarbmount.yamlfile import YamlFile, read_yaml
 
 __all__ = [
     "Endpoint",
+    "FleetSettings",
     "LogSettings",
     "OperatorSettings",
     "PeerSettings",
@@ -19,6 +23,7 @@
     "load_settings",
 ]
 
+CURVE_KEY_LENGTH = 40
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -41,7 +46,11 @@
 
 @attrs.frozen(kw_only=True)
 class PeerSettings:
-    """Where this host listens for peers, whom it calls first, and the keys."""
+    """Where this host listens for peers, whom it calls first, and the keys.
+
+    Addresses are ``IP:port``. All entry hosts of a deployment have the same CURVE key
+    pair, in Z85; none hears a peer without it.
+    """
 
     address: str
     port: int
@@ -67,6 +76,20 @@
     host_moves: float = 1.0
 
 
+@attrs.frozen(kw_only=True)
+class FleetSettings:
+    """Times of the fleet duties, and the pool that spares come from.
+
+    Without ``duties``, this entry host never contends for one.
+    """
+
+    duties: bool = True
+    buffer_pool: str = ""
+    lease: LeaseBounds = attrs.field(factory=LeaseBounds)
+    work: WorkBounds = attrs.field(factory=WorkBounds)
+    repair: RepairBounds = attrs.field(factory=RepairBounds)
+
+
 @attrs.frozen(kw_only=True)
 class OperatorSettings:
     """The SHA-256 digest of an operator's token, and the owners it speaks for."""
@@ -92,6 +115,7 @@
     stop_timeout_s: float = 30.0
     log: LogSettings = attrs.field(factory=LogSettings)
     weights: Weights = attrs.field(factory=Weights)
+    fleet: FleetSettings = attrs.field(factory=FleetSettings)
     operators_by_name: dict[str, OperatorSettings] = attrs.field(factory=dict)
 
 
@@ -121,6 +145,7 @@
         if not 0 <= port <= 65535:
             message = f"port {port} is not between 0 and 65535"
             findings.append(Finding(file.place((name, "port")), "bad-value", message))
+    findings.extend(_check_peer_keys(file, settings))
     if settings.stop_timeout_s <= 0:
         place = file.place(("stop_timeout_s",))
         findings.append(Finding(place, "bad-value", "must be above 0"))
@@ -128,3 +153,14 @@
         message = f"{settings.log.level!r} is not one of {', '.join(LOG_LEVELS)}"
         findings.append(Finding(file.place(("log", "level")), "bad-value", message))
     return findings
+
+
+def _check_peer_keys(file: YamlFile, settings: Settings) -> list[Finding]:
+    if settings.peers is None:
+        return []
+    findings = []
+    for name in ("public_key", "secret_key"):
+        if len(getattr(settings.peers, name)) != CURVE_KEY_LENGTH:
+            message = f"a CURVE key has {CURVE_KEY_LENGTH} characters; see 'keys'"
+            findings.append(Finding(file.place(("peers", name)), "bad-value", message))
+    return findings
