Begin waves by cadence, and serialise the starts of waves

With the setting on, a pool gets a wave when three quarters of its cadence have passed since its oldest maintenance. Each start writes one shared row, so that two can't cover one pool.

Seen to fail first: two operators starting at once both succeeded; without the check of open waves the duty began a second wave over the pool.

--- /dev/null
+++ b/rhubarbmount/cadence.py
@@ -0,0 +1,94 @@
+"""Waves that begin by themselves, so that every host is maintained in its cadence."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from rhubarbmount.dutyrunner import Lease
+from rhubarbmount.entries import Pool, converter
+from rhubarbmount.hostrows import HostRows
+from rhubarbmount.hosts import Host
+from rhubarbmount.log import event
+from rhubarbmount.maintenance import DAY_S
+from rhubarbmount.platform.interface import Platform
+from rhubarbmount.waves import (
+    Wave,
+    WaveRow,
+    overlap,
+    read_waves,
+    start_terms,
+    wave_terms,
+)
+
+__all__ = ["CadenceDuty", "overdue_pools"]
+
+ENTRIES_TABLE = "entries"
+POOL_PREFIX = "pool/"
+BEGIN_SHARE = 0.75
+DUE_SHARE = 0.5
+LOOK_S = 60.0
+logger = logging.getLogger("rhubarbmount.cadence")
+
+
+def overdue_pools(
+    pools: Iterable[Pool], hosts: Iterable[Host], waves: Iterable[Wave], now_s: float
+) -> list[tuple[str, float]]:
+    """Return pools that need a wave now, and the time since which hosts are fresh.
+
+    A wave begins when three quarters of the cadence have passed since the oldest
+    maintenance, and takes every host not maintained within half of it.
+    """
+    covered = [wave.pools for wave in waves if wave.state == "open"]
+    oldest_s: dict[str, float] = {}
+    for host in hosts:
+        known_s = oldest_s.get(host.pool, now_s)
+        oldest_s[host.pool] = min(known_s, host.maintained_s)
+    found = []
+    for pool in pools:
+        cadence_s = pool.cadence_days * DAY_S
+        age_s = now_s - oldest_s.get(pool.name, now_s)
+        is_covered = any(overlap(names, (pool.name,)) for names in covered)
+        if age_s >= BEGIN_SHARE * cadence_s and not is_covered:
+            found.append((pool.name, now_s - DUE_SHARE * cadence_s))
+    return found
+
+
+@attrs.define
+class CadenceDuty:
+    """Begin a wave over each pool whose cadence asks for one."""
+
+    platform: Platform
+    wall_clock: Callable[[], float]
+    name: str = "cadence"
+    view: HostRows = attrs.field(init=False)
+    _looked_s: float = float("-inf")
+
+    def __attrs_post_init__(self) -> None:
+        self.view = HostRows(self.platform)
+
+    def forget(self) -> None:
+        """Drop what was remembered."""
+        self.view = HostRows(self.platform)
+        self._looked_s = float("-inf")
+
+    async def do_round(self, lease: Lease) -> None:
+        """Look once a minute, and begin at most one wave for each pool."""
+        now_s = lease.clock()
+        if now_s - self._looked_s < LOOK_S:
+            return
+        rows = await self.platform.scan(ENTRIES_TABLE, POOL_PREFIX)
+        pools = [converter.structure(dict(row.value["values"]), Pool) for row in rows]
+        await self.view.refresh()
+        hosts = [row.host for row in self.view.by_host_id.values()]
+        waves = [row.wave for row in await read_waves(self.platform)]
+        for pool, started_s in overdue_pools(pools, hosts, waves, self.wall_clock()):
+            await self._begin(pool, started_s, lease)
+        self._looked_s = now_s
+
+    async def _begin(self, pool: str, started_s: float, lease: Lease) -> None:
+        wave = Wave(wave_id=lease.new_id(), started_s=started_s, pools=(pool,))
+        terms = await start_terms(self.platform)
+        terms.add(wave_terms(WaveRow(wave, 0), wave))
+        result = "begun" if await lease.commit(terms) else "conflict"
+        event(logger, "cadence-wave", pool=pool, wave=wave.wave_id, result=result)
--- a/rhubarbmount/fleet_work.py
+++ b/rhubarbmount/fleet_work.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rhubarbmount.cadence import CadenceDuty
 from rhubarbmount.fleet_duties import FleetDuties
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.hostduty import HostDuty
@@ -45,6 +46,8 @@
         ROUND_S,
     )
     duties.add(WaveDuty(platform, time.time, waves), ROUND_S)
+    if fleet.cadence:
+        duties.add(CadenceDuty(platform, time.time), ROUND_S)
     return probe
 
 
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -75,10 +75,12 @@
 class FleetSettings:
     """Times of the fleet duties, and the pool that spares come from.
 
-    Without ``duties``, this entry host never contends for one.
+    Without ``duties``, this entry host never works on hosts. With ``cadence``, waves
+    begin by themselves when a pool's cadence asks for one.
     """
 
     duties: bool = True
+    cadence: bool = False
     buffer_pool: str = ""
     lease: LeaseBounds = attrs.field(factory=LeaseBounds)
     work: WorkBounds = attrs.field(factory=WorkBounds)
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -21,11 +21,14 @@
     "Wave",
     "WaveRow",
     "WaveOperator",
+    "overlap",
     "read_waves",
+    "start_terms",
     "wave_terms",
 ]
 
 WAVE_PREFIX = "wave/"
+STARTS_KEY = "waves"
 CONTROL_ATTEMPTS = 5
 logger = logging.getLogger("rhubarbmount.waves")
 _converter = cattrs.Converter()
@@ -86,6 +89,16 @@
     return terms
 
 
+async def start_terms(platform: Platform) -> Terms:
+    """Return what a transaction needs to start a wave beside no other start."""
+    row = await platform.read(INTENTS_TABLE, STARTS_KEY)
+    starts = row.value["starts"] if row else 0
+    terms = Terms()
+    terms.require(INTENTS_TABLE, STARTS_KEY, row.version if row else 0)
+    terms.write(INTENTS_TABLE, STARTS_KEY, {"starts": starts + 1})
+    return terms
+
+
 async def read_waves(platform: Platform) -> list[WaveRow]:
     """Return all waves in order of their ids."""
     rows = await platform.scan(INTENTS_TABLE, WAVE_PREFIX)
@@ -111,9 +124,9 @@
         names = tuple(sorted(pools))
         if names and spares:
             names = tuple(sorted({*names, spares_pool}))
-        terms = Terms()
+        terms = await start_terms(self.platform)
         for row in await read_waves(self.platform):
-            if row.wave.state == "open" and _overlap(row.wave.pools, names):
+            if row.wave.state == "open" and overlap(row.wave.pools, names):
                 raise Refused(f"wave {row.wave.wave_id} is open", code="wave-open")
             if row.wave.state == "done":
                 key = WAVE_PREFIX + row.wave.wave_id
@@ -164,5 +177,6 @@
         return (await self.platform.transact(transaction)).committed
 
 
-def _overlap(pools: tuple[str, ...], others: tuple[str, ...]) -> bool:
+def overlap(pools: tuple[str, ...], others: tuple[str, ...]) -> bool:
+    """Tell whether two waves over these pools have one in common."""
     return not pools or not others or bool(set(pools) & set(others))
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.dutyrunner import DutyRunner
-from rhubarbmount.errors import Refused
+from rhubarbmount.errors import ConflictError, Refused
 from rhubarbmount.hostduty import HostDuty
 from rhubarbmount.hosts import HostState
 from rhubarbmount.hostwork import Observation, WorkBounds
@@ -14,7 +14,7 @@
 from rhubarbmount.waveplan import WaveSettings
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
-from tests.fleetkit import fill, make_host, make_pool
+from tests.fleetkit import CountedPlatform, fill, make_host, make_pool
 from tests.interleave import World, pause, run_now
 
 QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
@@ -229,3 +229,18 @@
     assert world.settle(lambda: is_done(world, wave_id))
     assert reboots_of(world) == sorted(hosts_of(world.inner.tables))
     world.stop()
+
+
+def test_two_operators_cannot_start_waves_over_one_pool_at_once():
+    world = make_world()
+    platform = CountedPlatform(world.inner)
+    slow = WaveOperator(platform, world.clock, world.new_id)
+
+    async def after_another(transaction):
+        platform.on_transact = None
+        await operator_of(world).start(["quotes"])
+        return await world.inner.transact(transaction)
+
+    platform.on_transact = after_another
+    with pytest.raises(ConflictError):
+        run_now(slow.start())
