--- a/rhubarbmount/hostrows.py
+++ b/rhubarbmount/hostrows.py
@@ -59,6 +59,7 @@
     platform: Platform
     by_host_id: dict[str, HostRow] = attrs.field(factory=dict)
     head: Row | None = None
+    _ids_by_pool: dict[str, set[str]] = attrs.field(factory=dict)
 
     async def refresh(self) -> None:
         """Bring the view up to the head that is read first."""
@@ -73,22 +74,31 @@
 
     def of_pool(self, pool: str) -> list[HostRow]:
         """Return the hosts of a pool in order of host id."""
-        members = [row for row in self.by_host_id.values() if row.host.pool == pool]
-        return sorted(members, key=lambda row: row.host.host_id)
+        host_ids = sorted(self._ids_by_pool.get(pool, ()))
+        return [self.by_host_id[host_id] for host_id in host_ids]
 
     async def _scan(self) -> None:
         rows = await self.platform.scan(HOSTS_TABLE)
-        self.by_host_id = {
-            row.key: HostRow(load_host(dict(row.value)), row.version) for row in rows
-        }
+        self.by_host_id.clear()
+        self._ids_by_pool.clear()
+        for row in rows:
+            self._put(row)
 
     async def _read(self, host_id: str) -> None:
         row = await self.platform.read(HOSTS_TABLE, host_id)
-        if row is None:
-            self.by_host_id.pop(host_id, None)
-        else:
-            host = load_host(dict(row.value))
-            self.by_host_id[host_id] = HostRow(host, row.version)
+        self._drop(host_id)
+        if row is not None:
+            self._put(row)
+
+    def _put(self, row: Row) -> None:
+        host = load_host(dict(row.value))
+        self.by_host_id[row.key] = HostRow(host, row.version)
+        self._ids_by_pool.setdefault(host.pool, set()).add(row.key)
+
+    def _drop(self, host_id: str) -> None:
+        known = self.by_host_id.pop(host_id, None)
+        if known is not None:
+            self._ids_by_pool[known.host.pool].discard(host_id)
 
 
 def host_terms(head: Row | None, changes: Iterable[HostChange]) -> Terms:
--- a/rhubarbmount/waveduty.py
+++ b/rhubarbmount/waveduty.py
@@ -64,22 +64,17 @@
 
     async def _advance(self, row: WaveRow, lease: Lease) -> None:
         await self.view.refresh()
-        members = [
-            host_row
-            for host_row in self.view.by_host_id.values()
-            if row.wave.covers(host_row.host.pool)
-        ]
-        started_s = row.wave.started_s
         left = [
-            host_row
-            for host_row in members
-            if is_due(host_row.host, started_s)
+            host_row.host
+            for host_row in self.view.by_host_id.values()
+            if is_due(host_row.host, row.wave.started_s)
+            and row.wave.covers(host_row.host.pool)
             and host_row.host.state not in UNFIT_STATES
         ]
         if row.wave.control is Control.CANCELLED or not left:
             await self._close(row, lease)
         elif row.wave.control is Control.RUNNING:
-            for pool in sorted({host_row.host.pool for host_row in left}):
+            for pool in sorted({host.pool for host in left}):
                 await self._begin_in_pool(row, pool, lease)
 
     async def _close(self, row: WaveRow, lease: Lease) -> None:
