--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from rhubarbmount.cadence import CadenceDuty
 from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.fleet_duties import FleetDuties
 from rhubarbmount.hostduty import HostDuty
@@ -86,6 +87,8 @@
             WaveDuty(platform, time.time, waves),
         ):
             self.duties.add(duty, HOSTS_PERIOD_S)
+        if fleet.cadence:
+            self.duties.add(CadenceDuty(platform, time.time), HOSTS_PERIOD_S)
 
     def _add_scheduling(self) -> None:
         scheduling = SchedulingDuty(
