--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -15,6 +15,17 @@
     "entry_list",
     "entry_remove",
     "entry_show",
+    "explain",
+    "hosts_list",
+    "hosts_move",
+    "hosts_stay",
+    "jobs_cancel",
+    "jobs_list",
+    "jobs_submit",
+    "maintain_control",
+    "maintain_list",
+    "maintain_plan",
+    "maintain_start",
     "status",
     "token",
 ]
@@ -90,8 +101,115 @@
     return _print_accepted(_call("DELETE", path))
 
 
+def explain(kind: str, subject_id: str, *, json: bool = False) -> int:
+    """Show the decisions about one subject, and what keeps it as it is.
+
+    :param kind: host, pool, job, request or entry
+    :param subject_id: its name
+    :param json: print JSON
+    """
+    value = _call("GET", f"/explain/{_quote(kind)}/{_quote(subject_id)}")
+    return _show(value, value["decisions"], ("time_s", "code", "reason"), json)
+
+
+def hosts_list(*, pool: str | None = None, json: bool = False) -> int:
+    """List the hosts, with pool and state.
+
+    :param pool: only this pool
+    :param json: print JSON
+    """
+    value = _call("GET", "/hosts" if pool is None else f"/hosts?pool={_quote(pool)}")
+    columns = ("host_id", "pool", "data_centre", "rack", "state", "cause")
+    return _show(value, value["hosts"], columns, json)
+
+
+def hosts_move(host_id: str, pool: str) -> int:
+    """Begin the move of a host to another pool.
+
+    :param host_id: the host
+    :param pool: the pool that it is to belong to
+    """
+    return _print_json(_call("POST", f"/hosts/{_quote(host_id)}/move", {"pool": pool}))
+
+
+def hosts_stay(host_id: str) -> int:
+    """Cancel the move of a host that has not been committed.
+
+    :param host_id: the host
+    """
+    return _print_json(_call("DELETE", f"/hosts/{_quote(host_id)}/move"))
+
+
+def jobs_list(*, json: bool = False) -> int:
+    """List the jobs.
+
+    :param json: print JSON
+    """
+    value = _call("GET", "/jobs")
+    columns = ("job_id", "team", "pool", "work_class", "state")
+    return _show(value, value["jobs"], columns, json)
+
+
+def jobs_submit(file: str) -> int:
+    """Submit a job; one that could never run is refused at once.
+
+    :param file: YAML file with the job's values
+    """
+    return _print_json(_call("POST", "/jobs", read_yaml(file).values))
+
+
+def jobs_cancel(job_id: str) -> int:
+    """Cancel a job.
+
+    :param job_id: the job
+    """
+    return _print_json(_call("DELETE", f"/jobs/{_quote(job_id)}"))
+
+
+def maintain_plan(*, json: bool = False) -> int:
+    """Show how long a wave over your pools would take, and what it would cost.
+
+    :param json: print JSON
+    """
+    value = _call("POST", "/waves/plan", {})
+    rows = [{"field": key, "value": held} for key, held in value.items()]
+    return _show(value, rows, ("field", "value"), json)
+
+
+def maintain_start(*pools: str) -> int:
+    """Start a maintenance wave over pools, or over all that you own.
+
+    :param pools: the pools
+    """
+    body = {"pools": list(pools)} if pools else {}
+    return _print_json(_call("POST", "/waves", body))
+
+
+def maintain_list(*, json: bool = False) -> int:
+    """List the maintenance waves.
+
+    :param json: print JSON
+    """
+    value = _call("GET", "/waves")
+    return _show(value, value["waves"], ("wave_id", "control", "state", "pools"), json)
+
+
+def maintain_control(wave_id: str, control: str) -> int:
+    """Pause, resume or cancel a wave.
+
+    :param wave_id: the wave
+    :param control: running, paused or cancelled
+    """
+    path = f"/waves/{_quote(wave_id)}/control"
+    return _print_json(_call("POST", path, {"control": control}))
+
+
+def _quote(text: str) -> str:
+    return quote(text, safe="")
+
+
 def _entry_path(kind: str, name: str) -> str:
-    return f"/entries/{quote(kind, safe='')}/{quote(name, safe='')}"
+    return f"/entries/{_quote(kind)}/{_quote(name)}"
 
 
 def _call(method: str, path: str, value: Any = None) -> Any:
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -24,6 +24,24 @@
             "remove": operator_commands.entry_remove,
         },
         "status": operator_commands.status,
+        "explain": operator_commands.explain,
+        "hosts": {
+            "list": operator_commands.hosts_list,
+            "move": operator_commands.hosts_move,
+            "stay": operator_commands.hosts_stay,
+        },
+        "jobs": {
+            "list": operator_commands.jobs_list,
+            "submit": operator_commands.jobs_submit,
+            "cancel": operator_commands.jobs_cancel,
+        },
+        "maintain": {
+            "plan": operator_commands.maintain_plan,
+            "start": operator_commands.maintain_start,
+            "list": operator_commands.maintain_list,
+            "control": operator_commands.maintain_control,
+        },
+        "demo": demo,
         "token": operator_commands.token,
         "standin": {"platform": standin_platform, "backend": standin_backend},
         "keys": keys,
@@ -82,6 +100,18 @@
     return 0
 
 
+def demo(*, keep: bool = False) -> int:
+    """Show the whole system at work in one process, on loopback.
+
+    :param keep: go on running, and print calls to try
+    """
+    from rhubarbmount import log
+    from rhubarbmount.standins.demo import run_demo
+
+    log.configure("error")
+    return _run(run_demo, keep)
+
+
 def standin_platform(
     *, address: str = "127.0.0.1", port: int = 9000, seed: str | None = None
 ) -> int:
