Prove that a cut-off entry host hears of leaving from a peer

Cause: the leaving scenario covered entry hosts that reach the platform; one that is cut off has its peers' copies of the fleet, which no scenario showed.

Callers read in this scenario: a cut-off entry host refuses lodgements whose keys it can't claim, so their absence would prove nothing.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -87,6 +87,13 @@
     wait_until(lambda: len(load[0].answer_by_id) > 20, 10, "20 answers")
 
 
+@given(parsers.parse('callers reading from "{service}" at "{hosts}"'))
+def start_readers(deployment, load, service, hosts):
+    load.append(Load(deployment, service, names(hosts), method="GET"))
+    load[0].__enter__()
+    wait_until(lambda: len(load[0].answer_by_id) > 20, 10, "20 answers")
+
+
 @pytest.fixture
 def load(deployment):
     """The callers at work, if a step started them."""
@@ -114,6 +121,13 @@
     assert violations(load[0].answer_by_id, runs) == []
 
 
+@then("no caller was refused")
+def check_all_ran(load):
+    load[0].stop()
+    outcomes = Counter(answer.outcome for answer in load[0].answer_by_id.values())
+    assert set(outcomes) == {"ran"}, outcomes
+
+
 @then("no caller was cut off")
 def check_not_cut(load):
     assert cut_requests(load[0].answer_by_id) == []
--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -4,12 +4,23 @@
     Given service "lodgements" with backend servers "h1, h2" in "dc-a"
     And the platform
     And entry hosts "e1, e2" in "dc-a"
-    And callers sending lodgements for "lodgements" to "e1, e2"
 
   Scenario: The row says that it is leaving
+    Given callers sending lodgements for "lodgements" to "e1, e2"
     When the row of backend server "h1" says that it is leaving
     And 5 s pass under load
     Then backend server "h1" got no new work later than 3 s
     And backend server "h2" still got work later than 4 s
     And no promise to the callers was broken
     And no caller was cut off
+
+  Scenario: An entry host that is cut off from the platform hears it from a peer
+    Given callers reading from "lodgements" at "e1, e2"
+    When entry host "e1" is cut off from the platform
+    And 3 s pass under load
+    And the row of backend server "h1" says that it is leaving
+    And 5 s pass under load
+    Then backend server "h1" got no new work later than 3 s
+    And backend server "h2" still got work later than 4 s
+    And no promise to the callers was broken
+    And no caller was refused
