Send nothing more to a backend server that says it is leaving

Cause: entry hosts learnt of leaving from the row alone, at the platform or from peers. With both entry hosts cut off from the platform nothing told them, and a 503 with Rhubarbmount-Guard: leaving was passed on as an answer that ran.

Failed first, with the stand-in's new switch and nothing else: callers were told ran for requests that did not run (6 seen). Ruled out by trial: taking the word for a full guard's refusal; the probes that follow one asked the server again 3.6 s after its word (bound 3 s). Now it sits out for 30 s or until its row changes, then gets one request at a time until one succeeds.

Unit tests each failed with a fault planted: a changed row ignored (1 failed), the word taken for a full guard (5), no bound on the time (2), an unchanged row read again taken for news (1).

--- a/rhubarbmount/attempts.py
+++ b/rhubarbmount/attempts.py
@@ -34,23 +34,30 @@
 )
 GUARD_STATUS = 503
 GUARD_NOT_RUN = (GUARD_HEADER, b"not-run")
+GUARD_LEAVING = (GUARD_HEADER, b"leaving")
 ANSWERED = AttemptFacts(Ending.ANSWERED)
 GUARD_REFUSED = AttemptFacts(Ending.ANSWERED, guard_refused=True)
 
 
 @attrs.define
 class Attempt:
-    """An ended attempt: its facts, and the whole answer or a code and a message."""
+    """An ended attempt: its facts, and the whole answer or a code and a message.
+
+    ``leaving`` is true when the backend server itself said that it is leaving.
+    """
 
     facts: AttemptFacts
     response: HttpResponse | None = None
     code: str = ""
     message: str = ""
+    leaving: bool = False
 
     def result(self) -> AttemptResult:
         """Return what the attempt says about the backend server's health."""
         if not self.facts.bytes_left:
             return AttemptResult.UNREACHABLE
+        if self.leaving:
+            return AttemptResult.LEAVING
         if self.facts.guard_refused:
             return AttemptResult.GUARD_REFUSAL
         if self.response is None or self.response.status >= 500:
@@ -89,7 +96,15 @@
     if response is None:
         facts = AttemptFacts(Ending.TIMED_OUT, progress.bytes_left)
         return Attempt(facts, None, "timeout", "no answer in time")
-    if response.status == GUARD_STATUS and GUARD_NOT_RUN in response.headers:
-        message = "the backend server took no more requests"
-        return Attempt(GUARD_REFUSED, response, "guard-refused", message)
+    return _answered(response)
+
+
+def _answered(response: HttpResponse) -> Attempt:
+    if response.status == GUARD_STATUS:
+        if GUARD_LEAVING in response.headers:
+            message = "the backend server is leaving"
+            return Attempt(GUARD_REFUSED, response, "guard-leaving", message, True)
+        if GUARD_NOT_RUN in response.headers:
+            message = "the backend server took no more requests"
+            return Attempt(GUARD_REFUSED, response, "guard-refused", message)
     return Attempt(ANSWERED, response)
--- a/rhubarbmount/backend_health.py
+++ b/rhubarbmount/backend_health.py
@@ -24,7 +24,8 @@
     """How one attempt at a backend server ended, as its health sees it.
 
     ``FAILURE`` covers error statuses, broken answers and timeouts. ``GUARD_REFUSAL``
-    is the backend server's own word that it did not run the request.
+    is the backend server's own word that it did not run the request, ``LEAVING`` that
+    it will run no more.
     ``UNREACHABLE`` means that no connection came about. ``CANCELLED`` says nothing
     about the backend server.
     """
@@ -32,6 +33,7 @@
     SUCCESS = "success"
     FAILURE = "failure"
     GUARD_REFUSAL = "guard-refusal"
+    LEAVING = "leaving"
     UNREACHABLE = "unreachable"
     CANCELLED = "cancelled"
 
@@ -43,6 +45,7 @@
     EJECTION_CAPPED = "ejection-capped"
     UNREACHABLE = "unreachable"
     REFUSING = "refusing"
+    LEAVING = "leaving"
     LIMITED = "limited"
     RESTORED = "restored"
 
@@ -62,7 +65,8 @@
     """What is known of one backend server; times are on the caller's clock.
 
     ``guard_limit`` is the number of requests in flight above which its guard
-    refused. ``probing`` allows one request at a time until one succeeds.
+    refused. ``probing`` allows one request at a time until one succeeds. ``leaving``
+    holds while it sits out by its own word.
     """
 
     host_id: str
@@ -80,6 +84,7 @@
     absences: int = 0
     guard_limit: int | None = None
     suspect: bool = False
+    leaving: bool = False
 
     def start_slowly(self, now_s: float) -> None:
         """Begin the slow start at this time."""
@@ -125,6 +130,7 @@
         if self.out_until_s is not None and self.out_until_s <= now_s:
             self.out_until_s = None
             self.probing = True
+            self.leaving = False
         if self.guard_limit is not None and self.raise_s <= now_s:
             self.guard_limit += 1
             self.raise_s = now_s + GUARD_RECOVERY_S
--- a/rhubarbmount/health.py
+++ b/rhubarbmount/health.py
@@ -22,6 +22,7 @@
 UNREACHABLE_S = 0.5
 UNREACHABLE_LIMIT_S = 2.0
 SLOW_START_AFTER_ABSENCES = 3
+LEAVING_S = 30.0
 
 
 @attrs.define
@@ -31,7 +32,8 @@
     Ejecting a reachable backend server withholds capacity, so it stays within
     ``hosts_down_limit``, counted with ``hosts_down`` (hosts out by their row) and
     the unreachable ones. A backend server that can't be reached or takes nothing
-    has no capacity to withhold: it sits out for a short time without a cap.
+    has no capacity to withhold: it sits out for a short time without a cap. So does
+    one that says it is leaving, for ``LEAVING_S`` or until its row changes.
     """
 
     hosts_down_limit: int
@@ -70,6 +72,8 @@
         """Take in a result; ``others_in_flight`` counts our other requests there."""
         if result is AttemptResult.CANCELLED:
             return None
+        if result is AttemptResult.LEAVING:
+            return self._leave(health, now_s)
         did_not_run = result in (AttemptResult.UNREACHABLE, AttemptResult.GUARD_REFUSAL)
         if did_not_run and health.out_until_s is not None:
             return None
@@ -87,6 +91,20 @@
             return self._eject_within_limit(health, now_s)
         return None
 
+    def change_row(self, health: BackendHealth, now_s: float) -> None:
+        """Let a changed row replace the backend server's word that it is leaving."""
+        if health.leaving:
+            health.leaving = False
+            health.out_until_s = None
+            self.absent.discard(health.host_id)
+            health.start_slowly(now_s)
+
+    def _leave(self, health: BackendHealth, now_s: float) -> HealthChange | None:
+        if health.leaving:
+            return None
+        health.leaving = True
+        return self._leave_out(health, HealthAction.LEAVING, now_s + LEAVING_S)
+
     def _observe(
         self,
         health: BackendHealth,
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -215,6 +215,8 @@
             backend = self._add(host, now_s)
         elif host.state in TAKES_NEW_WORK and not self._serves(backend):
             backend.health.start_slowly(now_s)
+        if backend.host != host:
+            self.health.change_row(backend.health, now_s)
         backend.host = host
         self._divide(backend)
 
--- a/rhubarbmount/standins/backend.py
+++ b/rhubarbmount/standins/backend.py
@@ -35,11 +35,13 @@
     ``cut_answers``, ``truncate_answers`` and ``surplus_answers`` count coming
     requests: they run, and then the connection closes before the answer, in the
     midst of it, or after an answer too many. ``echo`` sends attempt ids back.
+    ``guard_full`` and ``leaving`` refuse each request before it runs.
     """
 
     delay_s: float = 0.0
     status: int = 200
     guard_full: bool = False
+    leaving: bool = False
     cut_answers: int = 0
     truncate_answers: int = 0
     surplus_answers: int = 0
@@ -58,6 +60,7 @@
     ran_by_request: Counter[str] = attrs.field(factory=Counter)
     ran_count: int = 0
     last_start_s: float = 0.0
+    last_request_s: float = 0.0
     in_flight: int = 0
     max_in_flight: int = 0
     guarded_count: int = 0
@@ -84,15 +87,21 @@
     async def _answer(self, connection: ServerConnection, request: HttpRequest) -> bool:
         if request.target == "/control":
             return await connection.send(self._control(request))
-        if self.faults.guard_full or self.in_flight >= self.slots:
+        self.last_request_s = time.time()
+        refusal = self._refusal()
+        if refusal is not None:
             self.guarded_count += 1
-            answer = problem(503, "guard", "no slot is free")
-            headers = [*answer.headers, (GUARD_HEADER, b"not-run")]
-            refusal = attrs.evolve(answer, headers=headers)
             return await connection.send(self._echo(request, refusal))
         answer = await self._run(request)
         return await self._send(connection, self._echo(request, answer))
 
+    def _refusal(self) -> HttpResponse | None:
+        if self.faults.leaving:
+            return _guard_answer(b"leaving", "the backend server is leaving")
+        if self.faults.guard_full or self.in_flight >= self.slots:
+            return _guard_answer(b"not-run", "no slot is free")
+        return None
+
     def _echo(self, request: HttpRequest, answer: HttpResponse) -> HttpResponse:
         attempt = header_value(request.headers, ATTEMPT_HEADER)
         if attempt is None or not self.faults.echo:
@@ -154,8 +163,14 @@
             "ran": dict(self.ran_by_request),
             "ran_count": self.ran_count,
             "last_start_s": self.last_start_s,
+            "last_request_s": self.last_request_s,
             "in_flight": self.in_flight,
             "max_in_flight": self.max_in_flight,
             "guarded_count": self.guarded_count,
         }
         return json_response(state)
+
+
+def _guard_answer(word: bytes, detail: str) -> HttpResponse:
+    answer = problem(503, "guard", detail)
+    return attrs.evolve(answer, headers=[*answer.headers, (GUARD_HEADER, word)])
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -243,6 +243,12 @@
     marked_s[name] = time.time()
 
 
+@when(parsers.parse('backend server "{name}" itself says that it is leaving'))
+def say_leaving(deployment, marked_s, name):
+    deployment.set_backend(name, leaving=True)
+    marked_s[name] = time.time()
+
+
 @when(parsers.parse("{seconds:g} s pass under load"))
 def let_pass(load, seconds):
     end_s = time.monotonic() + seconds
@@ -255,6 +261,14 @@
     assert last_s - marked_s[name] <= bound_s
 
 
+@then(
+    parsers.parse('backend server "{name}" was sent nothing later than {bound_s:g} s')
+)
+def check_nothing_sent(deployment, marked_s, name, bound_s):
+    last_s = deployment.backend_state(name)["last_request_s"]
+    assert last_s - marked_s[name] <= bound_s
+
+
 @then(parsers.parse('backend server "{name}" still got work later than {bound_s:g} s'))
 def check_new_work(deployment, marked_s, name, bound_s):
     (first_s,) = marked_s.values()
--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -24,3 +24,16 @@
     And backend server "h2" still got work later than 4 s
     And no promise to the callers was broken
     And no caller was refused
+
+  Scenario: Only the server itself says that it is leaving
+    Given callers reading from "lodgements" at "e1, e2"
+    When entry host "e1" is cut off from the platform
+    And entry host "e2" is cut off from the platform
+    And the row of backend server "h1" says that it is leaving
+    And backend server "h1" itself says that it is leaving
+    And 5 s pass under load
+    Then backend server "h1" got no new work later than 3 s
+    And backend server "h1" was sent nothing later than 3 s
+    And backend server "h2" still got work later than 4 s
+    And no promise to the callers was broken
+    And no caller was refused
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -51,6 +51,11 @@
     return HttpResponse(503, [(b"rhubarbmount-guard", b"not-run")])
 
 
+async def refuse_as_leaving(progress):
+    progress.bytes_left = True
+    return HttpResponse(503, [(b"rhubarbmount-guard", b"leaving")])
+
+
 async def lose(progress):
     progress.bytes_left = True
     raise AnswerLost("the connection failed")
@@ -126,6 +131,8 @@
         (POST, [stall, answer], (504, "unknown"), 1),
         (POST, [stall_before_sending, answer], (503, "not-run"), 1),
         (POST, [refuse], (503, "not-run"), 3),
+        (POST, [refuse_as_leaving, answer], (200, "ran"), 2),
+        (POST, [refuse_as_leaving], (503, "not-run"), 3),
         (POST, [not_connect], (503, "not-run"), 3),
         (GET, [lose, answer], (200, "ran"), 2),
         (GET, [garble, answer], (502, "unknown"), 1),
@@ -145,6 +152,17 @@
     assert_nothing_in_flight(forwarder)
 
 
+async def test_a_backend_server_that_says_it_is_leaving_gets_nothing_more(
+    autojump_clock,
+):
+    forwarder = open_forwarder(refuse_as_leaving, answer, hosts=2)
+    for _ in range(40):
+        assert told(await forwarder.handle(POST)) == (200, "ran")
+    (leaving, _), *later = forwarder.connections.sent
+    assert len(later) == 40
+    assert leaving not in {address for address, _ in later}
+
+
 async def test_headers_for_one_connection_are_not_passed_on(autojump_clock):
     forwarder = open_forwarder(answer)
     await forwarder.handle(POST)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.backend_health import AttemptResult
+from rhubarbmount.health import LEAVING_S
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.routing import TAKES_NEW_WORK, PoolView, RouteReason
 from rhubarbmount.shares import EntryHosts
@@ -81,6 +82,51 @@
     assert {decision.backend.host.host_id for decision in decisions} == {"w2"}
 
 
+def view_with_one_leaving(now_s):
+    view = open_view([host("w1"), host("w2")])
+    decision = view.choose(now_s)
+    answer(view, decision, now_s, result=AttemptResult.LEAVING)
+    return view, decision.backend.host
+
+
+def hosts_chosen(view, now_s):
+    decisions, _ = take_all(view, now_s)
+    return Counter(decision.backend.host.host_id for decision in decisions)
+
+
+def test_a_host_that_says_it_is_leaving_gets_no_new_work_for_a_bounded_time():
+    view, gone = view_with_one_leaving(0.0)
+    assert gone.host_id not in hosts_chosen(view, LEAVING_S - 0.1)
+    assert hosts_chosen(view, LEAVING_S) == {gone.host_id: 1}
+
+
+def test_a_probe_told_again_that_the_host_is_leaving_withholds_work_again():
+    view, gone = view_with_one_leaving(0.0)
+    hosts_chosen(view, 0.0)
+    probe = view.choose(LEAVING_S)
+    assert probe.backend.host is gone
+    answer(view, probe, LEAVING_S, result=AttemptResult.LEAVING)
+    assert view.choose(2 * LEAVING_S - 0.1).backend is None
+    assert view.choose(2 * LEAVING_S).backend.host is gone
+
+
+def test_late_results_do_not_bring_back_a_host_that_says_it_is_leaving():
+    view = open_view([host("w1")])
+    first, second, third = (view.choose(0.0) for _ in range(3))
+    answer(view, first, 0.0, result=AttemptResult.UNREACHABLE)
+    answer(view, second, 0.1, result=AttemptResult.LEAVING)
+    answer(view, third, 0.2)
+    assert view.choose(LEAVING_S).backend is None
+
+
+def test_a_changed_row_replaces_the_word_of_a_host_that_said_it_was_leaving():
+    view, gone = view_with_one_leaving(0.0)
+    view.update_hosts([host("w1"), host("w2")], 1.0)
+    assert gone.host_id not in hosts_chosen(view, 1.0)
+    view.update_host(attrs.evolve(gone, cause="returned"), 2.0)
+    assert hosts_chosen(view, 2.0) == {gone.host_id: 8}
+
+
 def test_a_host_moved_to_another_pool_leaves_the_view():
     view = open_view([host("w1")])
     decision = view.choose(0.0)
