--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -87,6 +87,13 @@
     wait_until(lambda: len(load[0].answer_by_id) > 20, 10, "20 answers")
 
 
+@given(parsers.parse('callers reading from "{service}" at "{hosts}"'))
+def start_readers(deployment, load, service, hosts):
+    load.append(Load(deployment, service, names(hosts), method="GET"))
+    load[0].__enter__()
+    wait_until(lambda: len(load[0].answer_by_id) > 20, 10, "20 answers")
+
+
 @pytest.fixture
 def load(deployment):
     """The callers at work, if a step started them."""
@@ -114,6 +121,13 @@
     assert violations(load[0].answer_by_id, runs) == []
 
 
+@then("no caller was refused")
+def check_all_ran(load):
+    load[0].stop()
+    outcomes = Counter(answer.outcome for answer in load[0].answer_by_id.values())
+    assert set(outcomes) == {"ran"}, outcomes
+
+
 @then("no caller was cut off")
 def check_not_cut(load):
     assert cut_requests(load[0].answer_by_id) == []
@@ -229,6 +243,12 @@
     marked_s[name] = time.time()
 
 
+@when(parsers.parse('backend server "{name}" itself says that it is leaving'))
+def say_leaving(deployment, marked_s, name):
+    deployment.set_backend(name, leaving=True)
+    marked_s[name] = time.time()
+
+
 @when(parsers.parse("{seconds:g} s pass under load"))
 def let_pass(load, seconds):
     end_s = time.monotonic() + seconds
@@ -241,6 +261,14 @@
     assert last_s - marked_s[name] <= bound_s
 
 
+@then(
+    parsers.parse('backend server "{name}" was sent nothing later than {bound_s:g} s')
+)
+def check_nothing_sent(deployment, marked_s, name, bound_s):
+    last_s = deployment.backend_state(name)["last_request_s"]
+    assert last_s - marked_s[name] <= bound_s
+
+
 @then(parsers.parse('backend server "{name}" still got work later than {bound_s:g} s'))
 def check_new_work(deployment, marked_s, name, bound_s):
     (first_s,) = marked_s.values()
