--- a/bench/placement.py
+++ b/bench/placement.py
@@ -18,7 +18,7 @@
 from rhubarbmount.job_queue import TeamUsage, WaitingJob
 from rhubarbmount.jobs import Job, JobState, Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait
-from rhubarbmount.rooms import amount_needed
+from rhubarbmount.rooms import HostRoom, amount_needed
 from rhubarbmount.scheduler import Scheduler
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 
@@ -35,6 +35,8 @@
 BATCH_SHAPES = (Shape(2, 4), Shape(4, 8), Shape(4, 16), Shape(8, 16))
 URGENT_SHAPE = Shape(4, 8)
 LARGE_SHAPE = Shape(8, 16)
+HALF_HOST = Shape(16, 32)
+FILL_SHARE = 0.75
 BATCH_RUN_S = 300.0
 URGENT_RUN_S = 30.0
 URGENT_PER_POOL_S = 0.1
@@ -288,6 +290,41 @@
     return decisions / (time.perf_counter() - began_s)
 
 
+def measure_fragmentation(seed: int, size: int = 260, changes: int = 8000) -> None:
+    """Print how much free memory large jobs can use after many changes."""
+    print(f"\none pool of {size} hosts, {FILL_SHARE:.0%} full, after {changes} changes")
+    print(f"{'strategy':12}{'free %':>8}{'usable by 16 processors, 32 GB %':>36}")
+    for strategy in ("first-fit", "best-fit", "spread"):
+        rng = random.Random(seed)
+        placer = PoolPlacer("p00", PlacementRule(strategy))
+        for host in make_hosts(size, 1).values():
+            placer.rooms.set_host(host)
+        usage = TeamUsage()
+        for team in make_teams():
+            usage.set_team(team)
+        offered = sum(room.offered[2] for room in placer.rooms.room_by_host.values())
+        tasks: list[str] = []
+        for number in range(changes):
+            while tasks and _used(placer) > FILL_SHARE * offered:
+                position = rng.randrange(len(tasks))
+                tasks[position], tasks[-1] = tasks[-1], tasks[position]
+                placer.rooms.remove_task(tasks.pop())
+            tasks.append(_place_one(placer, usage, rng, number))
+        free = offered - _used(placer)
+        usable = sum(_large_fits(room) for room in placer.rooms.room_by_host.values())
+        share = usable * amount_needed(HALF_HOST)[2] / free
+        print(f"{strategy:12}{free / offered * 100:8.1f}{share * 100:36.1f}")
+
+
+def _used(placer: PoolPlacer) -> int:
+    return sum(room.used[2] for room in placer.rooms.room_by_host.values())
+
+
+def _large_fits(room: HostRoom) -> int:
+    need = amount_needed(HALF_HOST)
+    return min(have // want for have, want in zip(room.free[1:], need[1:], strict=True))
+
+
 def _place_one(
     placer: PoolPlacer, usage: TeamUsage, rng: random.Random, number: int
 ) -> str:
@@ -328,6 +365,7 @@
     parser.add_argument("--batch-run-s", type=float, default=BATCH_RUN_S)
     options = parser.parse_args()
     measure_speed(options.seed)
+    measure_fragmentation(options.seed)
     measure_policy(options.seed, options.seconds, options.batch_run_s)
 
 
