--- /dev/null
+++ b/rhubarbmount/local_view.py
@@ -0,0 +1,42 @@
+"""What one entry host sees of the catalogue and the fleet."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from rhubarbmount.configuration import Configuration
+from rhubarbmount.entries import JobTemplate, Team
+from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.hosts import Host
+
+__all__ = ["LocalView"]
+
+
+@attrs.frozen
+class LocalView:
+    """The catalogue in force here, and the hosts as last read."""
+
+    configuration: Configuration
+    fleet_view: FleetView
+
+    def is_ready(self) -> bool:
+        """Return whether both have been read."""
+        return self.configuration.ready and self.fleet_view.ready
+
+    def catalogue_version(self) -> int:
+        """Return the version of the catalogue in force."""
+        return self.configuration.version
+
+    def teams(self) -> Iterable[Team]:
+        """Return the teams of that version."""
+        snapshot = self.configuration.snapshot
+        return [] if snapshot is None else snapshot.teams_by_name.values()
+
+    def job_templates(self) -> Mapping[str, JobTemplate]:
+        """Return the job templates of that version by name."""
+        snapshot = self.configuration.snapshot
+        return {} if snapshot is None else snapshot.job_templates_by_name
+
+    def hosts(self) -> Mapping[str, Host]:
+        """Return the rows of all hosts by id."""
+        return self.fleet_view.hosts_by_id
--- a/tests/scenarios/test_jobs.py
+++ b/tests/scenarios/test_jobs.py
@@ -97,7 +97,8 @@
 @when(parsers.parse('the entry host that holds duty "{duty}" is killed'))
 def kill_holder(deployment, duty):
     row = wait_until(lambda: deployment.read_row("leases", duty), 10, "a lease")
-    deployment.entry_host_by_name[row["value"]["holder"]].kill()
+    name = row["value"]["holder"].split("/")[0]
+    deployment.entry_host_by_name[name].kill()
 
 
 @given("the platform takes no task commands")
