--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -29,6 +29,7 @@
     """Contend for duties, once the view they decide from has been read."""
 
     member_id: str
+    platform: Platform
     members: Callable[[], Iterable[str]]
     is_ready: Callable[[], bool] = lambda: True
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
@@ -40,12 +41,12 @@
         """Tell whether this entry host holds a duty, as far as it knows."""
         return any(part.runner.tracker.is_own for part in self._parts)
 
-    def add(self, duty: Duty, platform: Platform, period_s: float) -> None:
+    def add(self, duty: Duty, period_s: float) -> None:
         """Take part in a duty."""
         runner = DutyRunner(
             duty=duty,
             instance_id=f"{self.member_id}/{uuid.uuid4().hex[:12]}",
-            platform=platform,
+            platform=self.platform,
             clock=trio.current_time,
             new_id=lambda: uuid.uuid4().hex,
             members=self.members,
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -11,7 +11,6 @@
 from rhubarbmount.hostprobe import HostProbe
 from rhubarbmount.local_view import LocalView
 from rhubarbmount.platform.client import PlatformClient
-from rhubarbmount.platform.unsettled import UnsettledPlatform
 from rhubarbmount.repair import RepairDuty
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.scheduling import SchedulingDuty
@@ -23,6 +22,7 @@
 
 __all__ = ["FleetTasks", "wave_settings"]
 
+HOSTS_PERIOD_S = 1.0
 SCHEDULING_PERIOD_S = 0.25
 
 
@@ -53,6 +53,7 @@
     def __attrs_post_init__(self) -> None:
         self.duties = FleetDuties(
             self.settings.instance,
+            self.client,
             lambda: self.policy.entry_hosts.members(),
             self.view.is_ready,
             self.settings.fleet.lease,
@@ -76,7 +77,7 @@
 
     def _add_host_duties(self) -> None:
         fleet = self.settings.fleet
-        platform = UnsettledPlatform(self.client)
+        platform = self.client
         observe = self.probe.observe
         waves = wave_settings(fleet, self.settings.weights)
         for duty in (
@@ -84,7 +85,7 @@
             RepairDuty(platform, observe, time.time, fleet.buffer_pool, fleet.repair),
             WaveDuty(platform, time.time, waves),
         ):
-            self.duties.add(duty, platform, fleet.lease.poll_s)
+            self.duties.add(duty, HOSTS_PERIOD_S)
 
     def _add_scheduling(self) -> None:
         scheduling = SchedulingDuty(
@@ -95,4 +96,4 @@
             learned=Learned(memory=self.decisions),
             affordable_writes=self.client.affordable_writes,
         )
-        self.duties.add(scheduling, self.client, SCHEDULING_PERIOD_S)
+        self.duties.add(scheduling, SCHEDULING_PERIOD_S)
