Keep a drain open while tasks run on the host

Cause: a drain ended once no request was in flight, so that a host could be rebooted, moved or released under tasks that can't checkpoint.

Ruled out: a scan of all tasks each round (a drain with tasks may last minutes); rows keyed by host (a second write for each start and end). The table is scanned only for hosts whose drain would otherwise end, then one known task of each host is read a round.

The scheduler already started nothing on a host out of service; now tested for each state and for a promised host.

--- a/rhubarbmount/hostduty.py
+++ b/rhubarbmount/hostduty.py
@@ -13,6 +13,7 @@
 from rhubarbmount.errors import NotFound, Refused
 from rhubarbmount.hostrows import HostChange, HostRow, HostRows, Terms, host_terms
 from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.hosttasks import HostTasks
 from rhubarbmount.hostwork import (
     EFFECT_BY_STATE,
     HOST_PREFIX,
@@ -120,14 +121,17 @@
     bounds: WorkBounds = attrs.field(factory=WorkBounds)
     name: str = "hosts"
     view: HostRows = attrs.field(init=False)
+    tasks: HostTasks = attrs.field(init=False)
     _watch_by_host_id: dict[str, Watch] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.view = HostRows(self.platform)
+        self.tasks = HostTasks(self.platform)
 
     def forget(self) -> None:
         """Drop what was remembered, so that every effect is sent again."""
         self.view = HostRows(self.platform)
+        self.tasks = HostTasks(self.platform)
         self._watch_by_host_id.clear()
 
     async def do_round(self, lease: Lease) -> None:
@@ -138,10 +142,8 @@
         self._watch(work, lease)
         await self._send_effects(work, lease)
         due_by_pool: dict[str, list[tuple[OpenWork, Step]]] = defaultdict(list)
-        for item in work:
-            step = self._step_of(item, lease)
-            if step is not None:
-                due_by_pool[item.row.host.pool].append((item, step))
+        for item, step in await self._due(work, lease):
+            due_by_pool[item.row.host.pool].append((item, step))
         for pool in sorted(due_by_pool):
             await self._take_steps(pool, due_by_pool[pool], lease)
 
@@ -183,12 +185,34 @@
         host_id, action = command.host_id, command.action
         event(logger, "host-command", host=host_id, action=action, result=result)
 
-    def _step_of(self, item: OpenWork, lease: Lease) -> Step | None:
+    async def _due(
+        self, work: list[OpenWork], lease: Lease
+    ) -> list[tuple[OpenWork, Step]]:
+        """Return the steps that are due, with running tasks counted in drains."""
+        steps = [(item, self._step_of(item, lease)) for item in work]
+        emptied = {
+            item.intent.host_id
+            for item, step in steps
+            if step is not None and step.event == "empty"
+        }
+        running = await self.tasks.count(emptied)
+        due = []
+        for item, step in steps:
+            tasks = running.get(item.intent.host_id, 0)
+            if tasks:
+                step = self._step_of(item, lease, tasks)
+            if step is not None:
+                due.append((item, step))
+        return due
+
+    def _step_of(self, item: OpenWork, lease: Lease, tasks: int = 0) -> Step | None:
         host = item.row.host
         watch = self._watch_by_host_id[host.host_id]
         if not watch.commanded and host.state in EFFECT_BY_STATE:
             return None
         seen = self.observe(host)
+        if tasks:
+            seen = attrs.evolve(seen, in_flight=(seen.in_flight or 0) + tasks)
         watch.was_unready = watch.was_unready or seen.ready is False
         progress = Progress(
             host=host,
--- /dev/null
+++ b/rhubarbmount/hosttasks.py
@@ -0,0 +1,63 @@
+"""Tasks that still run on hosts about to be drained, found with few reads."""
+
+import logging
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from rhubarbmount.jobs import TASKS_TABLE
+from rhubarbmount.log import event
+from rhubarbmount.platform.interface import Platform
+
+__all__ = ["HostTasks"]
+
+logger = logging.getLogger("rhubarbmount.hosttasks")
+
+
+@attrs.define
+class HostTasks:
+    """Count the tasks that have rows on some hosts.
+
+    The table is scanned once for hosts that no task is known of. Such hosts start no
+    new task, so that one known task that still has its row shows a host to be busy.
+    """
+
+    platform: Platform
+    _task_ids_by_host: dict[str, list[str]] = attrs.field(factory=dict, init=False)
+
+    async def count(self, host_ids: Iterable[str]) -> Mapping[str, int]:
+        """Return the number of tasks on each of these hosts, forgetting all others."""
+        known = self._task_ids_by_host
+        self._task_ids_by_host = {
+            host_id: known.get(host_id, []) for host_id in host_ids
+        }
+        for task_ids in self._task_ids_by_host.values():
+            await self._drop_ended(task_ids)
+        unknown = {
+            host_id
+            for host_id, task_ids in self._task_ids_by_host.items()
+            if not task_ids
+        }
+        if unknown:
+            await self._scan(unknown)
+        return {
+            host_id: len(task_ids)
+            for host_id, task_ids in self._task_ids_by_host.items()
+        }
+
+    async def _drop_ended(self, task_ids: list[str]) -> None:
+        """Drop tasks without a row, up to the first that has one."""
+        while task_ids:
+            if await self.platform.read(TASKS_TABLE, task_ids[-1]) is not None:
+                return
+            task_ids.pop()
+
+    async def _scan(self, host_ids: set[str]) -> None:
+        for row in await self.platform.scan(TASKS_TABLE):
+            host_id = row.value["host_id"]
+            if host_id in host_ids:
+                self._task_ids_by_host[host_id].append(row.key)
+        for host_id in sorted(host_ids):
+            tasks = len(self._task_ids_by_host[host_id])
+            if tasks:
+                event(logger, "drain-waits", host=host_id, tasks=tasks)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -421,6 +421,44 @@
     world.check()
 
 
+@pytest.mark.parametrize(
+    "state", [state for state in HostState if state is not HostState.IN_SERVICE]
+)
+async def test_nothing_starts_on_a_host_out_of_service(state):
+    world = World(hosts=1)
+    world.hosts["h0"] = attrs.evolve(world.hosts["h0"], state=state)
+    jobs = [await world.submit(work_class=kind) for kind in WorkClass]
+    await world.settle(5)
+    assert not world.workers.starts
+    world.hosts["h0"] = attrs.evolve(
+        world.hosts["h0"], state=HostState.IN_SERVICE, shape=Shape(16, 64)
+    )
+    await world.settle(2)
+    assert {world.state(job_id) for job_id in jobs} == {"running"}
+
+
+async def test_a_job_promised_a_host_does_not_start_there_once_it_drains():
+    world = World(hosts=1)
+    held = await world.submit(shape=Shape(3, 4), can_checkpoint=False)
+    batch = await world.submit(
+        shape=Shape(1, 4), can_checkpoint=False, work_class=WorkClass.BATCH
+    )
+    await world.settle(2)
+    urgent = await world.submit(
+        shape=Shape(1, 4), work_class=WorkClass.URGENT, team="b"
+    )
+    await world.round()
+    decisions = world.instances[0].duty.learned.memory.explain("job", urgent).decisions
+    assert decisions[-1].code == "wait-eviction"
+    world.hosts["h0"] = attrs.evolve(world.hosts["h0"], state=HostState.DRAINING)
+    await world.settle(2)
+    for task_id in list(world.workers.running_by_id):
+        world.workers.end(task_id, "succeeded")
+    await world.settle(20)
+    assert sorted(world.workers.starts) == [f"{held}/1", f"{batch}/1"]
+    assert world.state(urgent) == "waiting"
+
+
 async def test_a_worker_that_fails_everything_is_proposed_and_avoided():
     world = World(hosts=4)
     world.workers.failing_hosts = {"h0"}
