Let repair act on hosts that scheduling suspects

Cause: scheduling wrote host-suspects and nothing read it, so a worker that answers its port and fails every task stayed in service.

First failed: the 3 new tests of tests/test_repair.py (a suspect was never rebooted). With repair reading the rows, the 3 still failed where no scheduling holder had seen the host return: the row stayed. Scheduling's own clearing stays as it was.

Ruled out: clearing by scheduling alone (a holder that starts after the return never clears); deleting at quarantine (a task that fails during the drain writes the row again). Cost: one scan of a small table a round, one more write a return.

--- a/rhubarbmount/hostduty.py
+++ b/rhubarbmount/hostduty.py
@@ -29,6 +29,7 @@
     load_intent,
     work_cause,
 )
+from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import HostCommand, Platform, Row
 from rhubarbmount.statecharts import load_chart
@@ -254,6 +255,8 @@
             terms.require(INTENTS_TABLE, key, item.intent_version)
             if step.finished:
                 terms.write(INTENTS_TABLE, key, None)
+            if step.gone or step.event == "warm":
+                terms.write(SUSPECTS_TABLE, item.intent.host_id, None)
             if step.finished or step.pool:
                 released.append(item.intent.host_id)
         if any(host_id in rows.permits for host_id in released):
--- a/rhubarbmount/job_changes.py
+++ b/rhubarbmount/job_changes.py
@@ -24,6 +24,7 @@
     "EndReport",
     "JobChange",
     "JobRequest",
+    "SUSPECTS_TABLE",
     "dump_command",
     "load_command",
     "load_end",
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -12,6 +12,7 @@
 from rhubarbmount.hostrows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.hostwork import HostIntent, Observation, Step
+from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import LiveHost, Platform
 
@@ -30,8 +31,8 @@
     """When a host counts as failing, and when it is given up.
 
     A host that has not been ready for ``failing_s``, or not listed as live for
-    ``unlisted_s``, is quarantined; one that fails again within ``again_s`` of its
-    last repair is replaced.
+    ``unlisted_s``, is quarantined; a host suspected by scheduling counts as not
+    ready. One that fails again within ``again_s`` of its last repair is replaced.
     """
 
     failing_s: float = 30.0
@@ -65,9 +66,10 @@
     async def do_round(self, lease: Lease) -> None:
         """Take each failing host one step further."""
         live = await self.platform.live_hosts()
+        suspects = {row.key for row in await self.platform.scan(SUSPECTS_TABLE)}
         await self.view.refresh()
         now_s = lease.clock()
-        failing = self._unheld(self._failing(live, now_s), now_s)
+        failing = self._unheld(self._failing(live, suspects, now_s), now_s)
         for row in failing[:HOSTS_PER_ROUND]:
             await self._quarantine(row, live, lease)
         quarantined = self._unheld(self._in_state(HostState.QUARANTINED), now_s)
@@ -87,7 +89,9 @@
         rows = self.view.by_host_id.values()
         return [row for row in list(rows) if row.host.state is state]
 
-    def _failing(self, live: Iterable[LiveHost], now_s: float) -> list[HostRow]:
+    def _failing(
+        self, live: Iterable[LiveHost], suspects: set[str], now_s: float
+    ) -> list[HostRow]:
         listed = {item.host_id for item in live if not item.leaving}
         since_s: dict[tuple[str, str], float] = {}
         found = []
@@ -96,7 +100,7 @@
             limit_s = {}
             if host_id not in listed:
                 limit_s["unlisted"] = self.bounds.unlisted_s
-            if self.observe(row.host).ready is False:
+            if host_id in suspects or self.observe(row.host).ready is False:
                 limit_s["unready"] = self.bounds.failing_s
             for sign, wait_s in limit_s.items():
                 key = (host_id, sign)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -1,13 +1,16 @@
 """Failing hosts: quarantined, rebooted, replaced; and the buffer this takes."""
 
+import attrs
 import pytest
 
 from rhubarbmount.dutyrunner import DutyRunner
 from rhubarbmount.hostduty import HostDuty
 from rhubarbmount.hosts import HostState
 from rhubarbmount.hostwork import Observation, WorkBounds
-from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.job_changes import SUSPECTS_TABLE
+from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.repair import RepairBounds, RepairDuty, buffer_need
+from rhubarbmount.suspects import Blame
 from rhubarbmount.waveduty import WaveDuty
 from rhubarbmount.waves import WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
@@ -77,6 +80,16 @@
 
         world.actors.append(work())
 
+    def suspect(self, *host_ids):
+        blame = Blame("host", "", "host-suspect", "failed 3 jobs of 2 teams, ran 0")
+        writes = tuple(
+            Write(SUSPECTS_TABLE, host_id, attrs.asdict(blame)) for host_id in host_ids
+        )
+        run_now(self.world.inner.transact(Transaction(self.world.new_id(), (), writes)))
+
+    def suspects(self):
+        return set(self.world.inner.tables.get(SUSPECTS_TABLE, ()))
+
     def hosts(self):
         return hosts_of(self.world.inner.tables)
 
@@ -131,6 +144,35 @@
     assert ("q3", "release") in fleet.actions()
 
 
+def test_a_host_suspected_by_scheduling_is_rebooted_once_and_cleared(make_fleet):
+    fleet = make_fleet()
+    fleet.suspect("q3")
+    assert fleet.world.settle(lambda: fleet.hosts()["q3"].cause == "reboot:warm")
+    assert not fleet.suspects()
+    assert not fleet.world.settle(lambda: len(fleet.in_service()) < 8)
+    effects = [action for host_id, action in fleet.actions() if host_id == "q3"]
+    assert effects == ["drain", "reboot", "resume"]
+
+
+def test_suspects_are_taken_only_within_the_budget(make_fleet):
+    fleet = make_fleet(hosts_down_limit=1)
+    fleet.suspect("q0", "q1", "q2")
+    assert fleet.world.settle(lambda: not fleet.suspects(), rounds=8000)
+    rebooted = sorted(host for host, action in fleet.actions() if action == "reboot")
+    assert rebooted == ["q0", "q1", "q2"]
+    assert len(fleet.in_service()) == 8
+
+
+def test_a_host_suspected_again_after_its_reboot_is_replaced(make_fleet):
+    fleet = make_fleet()
+    fleet.suspect("q3")
+    assert fleet.world.settle(lambda: fleet.hosts()["q3"].cause == "reboot:warm")
+    fleet.suspect("q3")
+    assert fleet.world.settle(lambda: "q3" not in fleet.hosts(), rounds=8000)
+    assert fleet.world.settle(lambda: len(fleet.in_service()) == 8)
+    assert not fleet.suspects()
+
+
 def test_a_bad_host_is_kept_while_there_is_no_spare(make_fleet):
     fleet = make_fleet(spares=0)
     fleet.sick.add("q3")
