--- a/bench/idle.py
+++ b/bench/idle.py
@@ -1,7 +1,9 @@
 """Measure what control costs an idle entry host, by the size of the fleet.
 
 Starts the real program with the stand-in platform for each size and samples the
-process: memory, processor time, and calls to the platform.
+process: memory, processor time, and calls to the platform. The roles: "follower" takes
+no part in duties, "holder" holds all of them alone, "contender" holds none beside an
+entry host that holds them all.
 """
 
 import os
@@ -14,7 +16,8 @@
 
 from tests.deployment import Deployment
 
-SIZES = (26, 260, 1300, 2600)
+SIZES = (26, 260, 2600)
+ROLES = ("follower", "contender", "holder")
 HOSTS_PER_POOL = 104
 TEAMS_PER_POOL = 9
 SETTLE_S = 5.0
@@ -61,7 +64,18 @@
         )
 
 
-def measure(hosts: int) -> tuple[float, float, float]:
+def start(deployment: Deployment, role: str) -> None:
+    """Start the entry hosts that the role needs; e1 is the one to sample."""
+    if role == "contender":
+        deployment.extra_settings["fleet"] = {"lease": {"settle_s": 600}}
+        deployment.start_entry_host("e0", "dc-0")
+        time.sleep(SETTLE_S)
+    if role == "follower":
+        deployment.extra_settings["fleet"] = {"duties": False}
+    deployment.start_entry_host("e1", "dc-0")
+
+
+def measure(hosts: int, role: str) -> tuple[float, float, float]:
     """Return memory in MB, share of a core in percent, platform calls a second."""
     with (
         tempfile.TemporaryDirectory() as folder,
@@ -69,7 +83,7 @@
     ):
         fill(deployment, hosts)
         deployment.start_platform()
-        deployment.start_entry_host("e1", "dc-0")
+        start(deployment, role)
         time.sleep(SETTLE_S)
         pid = deployment.entry_host_by_name["e1"].process.pid
         before = sample(deployment, pid)
@@ -81,14 +95,17 @@
 
 
 def main() -> None:
-    """Print a table."""
+    """Print a table; the calls count both entry hosts beside a contender."""
     sizes = [int(size) for size in sys.argv[1:]] or SIZES
-    print(f"{'hosts':>6} {'memory MB':>10} {'core %':>7} {'platform calls/s':>17}")
-    for hosts in sizes:
-        memory_mb, core_percent, calls_per_s = measure(hosts)
-        print(
-            f"{hosts:>6} {memory_mb:>10.1f} {core_percent:>7.2f} {calls_per_s:>17.2f}"
-        )
+    print(f"{'role':<10} {'hosts':>6} {'memory MB':>10} {'core %':>7} {'calls/s':>8}")
+    for role in ROLES:
+        for hosts in sizes:
+            memory_mb, core_percent, calls_per_s = measure(hosts, role)
+            print(
+                f"{role:<10} {hosts:>6} {memory_mb:>10.1f} {core_percent:>7.2f}"
+                f" {calls_per_s:>8.2f}",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -7,18 +7,44 @@
 import trio
 
 from rhubarbmount.duties import LeaseBounds
-from rhubarbmount.dutyrunner import Duty, DutyRunner
+from rhubarbmount.dutyrunner import Duty, DutyRunner, Lease
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.timers import TimerService
 
-__all__ = ["FleetDuties"]
+__all__ = ["FleetDuties", "PacedDuty"]
 
 HAND_BACK_TIMEOUT_S = 1.0
 
 
+@attrs.define(eq=False)
+class PacedDuty:
+    """A duty whose rounds are at least a period apart, however often it is held."""
+
+    duty: Duty
+    period_s: float
+    name: str = attrs.field(init=False)
+    _next_s: float = attrs.field(default=0.0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.name = self.duty.name
+
+    async def do_round(self, lease: Lease) -> None:
+        """Do a round if one is due."""
+        now_s = trio.current_time()
+        if now_s < self._next_s:
+            return
+        await self.duty.do_round(lease)
+        self._next_s = now_s + self.period_s
+
+    def forget(self) -> None:
+        """Drop what was read, and let the next round be due."""
+        self._next_s = 0.0
+        self.duty.forget()
+
+
 @attrs.frozen
 class _Part:
-    """A duty that this entry host takes part in, with a round each period."""
+    """A duty that this entry host takes part in, with a step each period."""
 
     runner: DutyRunner
     period_s: float
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -7,7 +7,7 @@
 
 from rhubarbmount.cadence import CadenceDuty
 from rhubarbmount.explain import DecisionMemory
-from rhubarbmount.fleet_duties import FleetDuties
+from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
 from rhubarbmount.hostduty import HostDuty
 from rhubarbmount.hostprobe import HostProbe
 from rhubarbmount.local_view import LocalView
@@ -23,7 +23,9 @@
 
 __all__ = ["FleetTasks", "wave_settings"]
 
+CADENCE_PERIOD_S = 30.0
 HOSTS_PERIOD_S = 1.0
+REPAIR_PERIOD_S = 5.0
 SCHEDULING_PERIOD_S = 0.25
 
 
@@ -81,14 +83,17 @@
         platform = self.client
         observe = self.probe.observe
         waves = wave_settings(fleet, self.settings.weights)
-        for duty in (
-            HostDuty(platform, observe, time.time, fleet.work),
-            RepairDuty(platform, observe, time.time, fleet.buffer_pool, fleet.repair),
-            WaveDuty(platform, time.time, waves),
-        ):
-            self.duties.add(duty, HOSTS_PERIOD_S)
+        repair = RepairDuty(
+            platform, observe, time.time, fleet.buffer_pool, fleet.repair
+        )
+        self.duties.add(
+            HostDuty(platform, observe, time.time, fleet.work), HOSTS_PERIOD_S
+        )
+        self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
+        self.duties.add(WaveDuty(platform, time.time, waves), HOSTS_PERIOD_S)
         if fleet.cadence:
-            self.duties.add(CadenceDuty(platform, time.time), HOSTS_PERIOD_S)
+            cadence = CadenceDuty(platform, time.time)
+            self.duties.add(PacedDuty(cadence, CADENCE_PERIOD_S), HOSTS_PERIOD_S)
 
     def _add_scheduling(self) -> None:
         scheduling = SchedulingDuty(
