--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -92,6 +92,7 @@
             if owners is not None and pool is not None and pool.owner not in owners:
                 raise AccessDenied(f"pool {pool.name} belongs to {pool.owner}")
         await self.view.refresh()
+        head = self.view.head
         members = self.view.of_pool(host.pool)
         live = await self.platform.live_hosts()
         permission = decide(rows.view(members, live), host.host_id, host.rack)
@@ -102,9 +103,7 @@
                 f" pool {host.pool} are down",
                 code=permission.code.value,
             )
-        terms = begin_terms(
-            rows, self.view.head, [Begun(host_row, intent)], self.wall_clock()
-        )
+        terms = begin_terms(rows, head, [Begun(host_row, intent)], self.wall_clock())
         terms.add(target.entry_terms())
         return terms
 
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -11,6 +11,11 @@
 from tests.deployment import Deployment, wait_until
 from tests.load import Load
 
+QUICK_FLEET = {
+    "work": {"view_s": 2, "drain_s": 5, "reboot_min_s": 1, "warm_s": 1},
+    "lease": {"settle_s": 600},
+}
+
 
 def names(text):
     """Split a list of names."""
@@ -410,3 +415,13 @@
         for host in names(hosts):
             assert deployment.version_at(host) >= before[host]
         time.sleep(0.2)
+
+
+@given(parsers.parse('pool "{name}" beside it'))
+def add_pool(deployment, name):
+    deployment.add_pool(name, buffer_hosts=1)
+
+
+@given("quick fleet duties")
+def set_quick_duties(deployment):
+    deployment.extra_settings["fleet"] = QUICK_FLEET
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -3,17 +3,12 @@
 from collections import Counter
 
 import pytest
-from pytest_bdd import given, parsers, scenarios, then, when
+from pytest_bdd import parsers, scenarios, then, when
 
 from tests.deployment import BACKEND_PORT, wait_until
 
 scenarios("fleet.feature")
 
-QUICK_FLEET = {
-    "work": {"view_s": 2, "drain_s": 5, "reboot_min_s": 1, "warm_s": 1},
-    "lease": {"settle_s": 600},
-}
-
 
 @pytest.fixture
 def states():
@@ -21,16 +16,6 @@
     return []
 
 
-@given(parsers.parse('pool "{name}" beside it'))
-def add_pool(deployment, name):
-    deployment.add_pool(name, buffer_hosts=1)
-
-
-@given("quick fleet duties")
-def set_quick_duties(deployment):
-    deployment.extra_settings["fleet"] = QUICK_FLEET
-
-
 def holder_of(deployment, duty):
     row = deployment.platform_call("GET", f"/tables/leases/rows/{duty}")
     return row.json()["value"]["holder"].split("/")[0] if row.status == 200 else ""
