Make the log's destination work, add the release of jobs, split the entry host

Cause: log.destination was read and had no effect, found while the operators' page was written; a test of it failed to find the file before. Probes have a module of their own, and the entry host is put together in three steps.

--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -43,8 +43,8 @@
         self.mover = HostMover(self.platform, time.time, _new_id)
         self.waves = WaveOperator(self.platform, time.time, _new_id)
 
-    def mount(self, router: Router) -> None:
-        """Add the handlers to the operators' router."""
+    def add_routes(self, router: Router) -> None:
+        """File the handlers."""
         router.add("GET", "/hosts", self._list_hosts)
         router.add("POST", "/hosts/*/move", self._move)
         router.add("DELETE", "/hosts/*/move", self._cancel_move)
--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -2,15 +2,16 @@
 
 import json
 import logging
-import sys
 import time
-from typing import TextIO
+
+from rhubarbmount.errors import UsageError
 
 __all__ = ["configure", "event", "format_event"]
 
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,"
 )
+STDERR = "stderr"
 _SECRET_KEYS = frozenset({"token", "secret", "password", "secret_key"})
 
 
@@ -68,12 +69,25 @@
         return f"{self._prefix}.{int(record.msecs):03}"
 
 
-def configure(level: str, stream: TextIO | None = None) -> None:
-    """Send log lines of at least the level to the stream or standard error."""
+def configure(level: str, destination: str = STDERR) -> None:
+    """Send log lines of at least the level to a file or standard error.
+
+    Raises UsageError when the file can't be opened.
+    """
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = _open_handler(destination)
     handler.setFormatter(_LineFormatter())
     root = logging.getLogger("rhubarbmount")
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     root.propagate = False
+
+
+def _open_handler(destination: str) -> logging.Handler:
+    if destination == STDERR:
+        return logging.StreamHandler()
+    try:
+        return logging.FileHandler(destination, encoding="utf-8")
+    except OSError as error:
+        message = f"can't log to {destination}: {error.strerror}"
+        raise UsageError(message, code="log-unwritable") from None
--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -21,6 +21,7 @@
     "hosts_stay",
     "jobs_cancel",
     "jobs_list",
+    "jobs_release",
     "jobs_submit",
     "maintain_control",
     "maintain_list",
@@ -166,6 +167,14 @@
     return _print_json(_call("DELETE", f"/jobs/{_quote(job_id)}"))
 
 
+def jobs_release(job_id: str) -> int:
+    """Let a held job wait for a host again.
+
+    :param job_id: the job
+    """
+    return _print_json(_call("POST", f"/jobs/{_quote(job_id)}/release"))
+
+
 def maintain_plan(*, json: bool = False) -> int:
     """Show how long a wave over your pools would take, and what it would cost.
 
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -34,6 +34,7 @@
             "list": operator_commands.jobs_list,
             "submit": operator_commands.jobs_submit,
             "cancel": operator_commands.jobs_cancel,
+            "release": operator_commands.jobs_release,
         },
         "maintain": {
             "plan": operator_commands.maintain_plan,
@@ -94,7 +95,7 @@
     from rhubarbmount.settings import load_settings
 
     loaded = load_settings(settings)
-    log.configure(loaded.log.level)
+    log.configure(loaded.log.level, loaded.log.destination)
     host = EntryHost(loaded, open_platform(loaded.platform))
     _run(serve_until_signalled, host)
     return 0
--- /dev/null
+++ b/rhubarbmount/probes.py
@@ -0,0 +1,42 @@
+"""The interface that balancers and monitoring read: health, readiness, metrics."""
+
+from collections.abc import Callable
+
+import attrs
+import prometheus_client
+
+from rhubarbmount.http import HttpResponse
+from rhubarbmount.problem import json_response, problem
+from rhubarbmount.router import Call, Router
+
+__all__ = ["Probes"]
+
+
+@attrs.define(eq=False)
+class Probes:
+    """Handlers of the metrics endpoint."""
+
+    instance: str
+    is_ready: Callable[[], bool]
+    registry: prometheus_client.CollectorRegistry
+
+    def router(self) -> Router:
+        """Return a router with the handlers."""
+        router = Router()
+        router.add("GET", "/healthz", self._healthz)
+        router.add("GET", "/readyz", self._readyz)
+        router.add("GET", "/metrics", self._metrics)
+        return router
+
+    async def _healthz(self, call: Call) -> HttpResponse:
+        return json_response({"instance": self.instance})
+
+    async def _readyz(self, call: Call) -> HttpResponse:
+        if not self.is_ready():
+            return problem(503, "not-ready", "no configuration yet, or stopping")
+        return json_response({"ready": True})
+
+    async def _metrics(self, call: Call) -> HttpResponse:
+        body = prometheus_client.generate_latest(self.registry)
+        content_type = prometheus_client.CONTENT_TYPE_LATEST.encode("ascii")
+        return HttpResponse(200, [(b"content-type", content_type)], body)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -20,7 +20,6 @@
 from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
-from rhubarbmount.http import HttpResponse
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
 from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.job_handlers import JobHandlers
@@ -34,9 +33,8 @@
 from rhubarbmount.platform.budget import Priority
 from rhubarbmount.platform.client import PlatformClient, open_client
 from rhubarbmount.platform.interface import Platform, platforms
-from rhubarbmount.problem import json_response, problem
+from rhubarbmount.probes import Probes
 from rhubarbmount.request_policy import RequestPolicy
-from rhubarbmount.router import Call, Router
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
@@ -87,6 +85,14 @@
             live_entry_hosts=lambda: len(policy.entry_hosts.members()),
             deadline_s=settings.platform.timeout_s,
         )
+        self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
+        self._make_callers(policy)
+        self._make_operators(policy, self.platform.at(Priority.DUTY))
+        probes = Probes(settings.instance, self.is_ready, self.registry)
+        self.metrics = Listener("metrics", probes.router().handle, settings.http)
+
+    def _make_callers(self, policy: RequestPolicy) -> None:
+        settings = self.settings
         self.forwarder = Forwarder(
             policy,
             RequestMetrics(self.registry),
@@ -94,41 +100,42 @@
             BackendConnections(settings.http.body_bytes),
         )
         issuer = KeyIssuer(policy, self.forwarder.claims, self.forwarder.handle)
-        self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
         self.callers = Listener(
             "callers", issuer.handle, settings.http, settings.max_connections
         )
-        following = self.platform.at(Priority.DUTY)
-        self.configuration = Configuration(platform=following)
-        self.fleet_view = FleetView(platform=following)
+
+    def _make_operators(self, policy: RequestPolicy, platform: PlatformClient) -> None:
+        settings = self.settings
+        self.configuration = Configuration(platform=platform)
+        self.fleet_view = FleetView(platform=platform)
+        view = LocalView(self.configuration, self.fleet_view)
+        self.fleet = FleetTasks(settings, policy, platform, view, self.decisions)
+        acceptance = Acceptance(
+            platform,
+            time.time,
+            self.fleet_view.summarise,
+            self.configuration.offer,
+            lambda: self.configuration.version,
+        )
         api = OperatorsApi(
             operators_from(settings.operators_by_name),
-            Acceptance(
-                following,
-                time.time,
-                self.fleet_view.summarise,
-                self.configuration.offer,
-                lambda: self.configuration.version,
-            ),
+            acceptance,
             self.configuration,
-            following,
+            platform,
             self._read_status,
         )
-        view = LocalView(self.configuration, self.fleet_view)
-        self.fleet = FleetTasks(settings, policy, following, view, self.decisions)
-        JobHandlers(
-            following, view, self.decisions, api.identify, time.time
-        ).add_routes(api.router)
-        FleetApi(
+        jobs = JobHandlers(platform, view, self.decisions, api.identify, time.time)
+        jobs.add_routes(api.router)
+        fleet_api = FleetApi(
             api.identify,
             self.configuration,
             self.fleet_view,
-            following,
+            platform,
             wave_settings(settings.fleet, settings.weights),
             settings.fleet.buffer_pool,
-        ).mount(api.router)
+        )
+        fleet_api.add_routes(api.router)
         self.operators = Listener("operators", api.router.handle, settings.http)
-        self.metrics = Listener("metrics", self._metrics_router().handle, settings.http)
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
@@ -207,26 +214,6 @@
             return weigh_status(version, {}, {self.settings.instance: version})
         return await self.membership.rows.read_status()
 
-    def _metrics_router(self) -> Router:
-        router = Router()
-        router.add("GET", "/healthz", self._healthz)
-        router.add("GET", "/readyz", self._readyz)
-        router.add("GET", "/metrics", self._metrics)
-        return router
-
-    async def _healthz(self, call: Call) -> HttpResponse:
-        return json_response({"instance": self.settings.instance})
-
-    async def _readyz(self, call: Call) -> HttpResponse:
-        if not self.is_ready():
-            return problem(503, "not-ready", "no configuration yet, or stopping")
-        return json_response({"ready": True})
-
-    async def _metrics(self, call: Call) -> HttpResponse:
-        body = prometheus_client.generate_latest(self.registry)
-        content_type = prometheus_client.CONTENT_TYPE_LATEST.encode("ascii")
-        return HttpResponse(200, [(b"content-type", content_type)], body)
-
 
 async def serve_until_signalled(host: EntryHost) -> int:
     """Run an entry host until SIGTERM or SIGINT arrives."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """Exit codes and messages of the commands."""
 
+import logging
 import socket
 import subprocess
 import sys
@@ -7,7 +8,8 @@
 
 import pytest
 
-from rhubarbmount import __version__, cli
+from rhubarbmount import __version__, cli, log
+from rhubarbmount.errors import UsageError
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
@@ -61,6 +63,15 @@
     assert "Traceback" not in result.stderr
 
 
+def test_the_log_goes_to_the_file_in_the_settings(tmp_path):
+    path = tmp_path / "entry-host.log"
+    log.configure("info", str(path))
+    log.event(logging.getLogger("rhubarbmount.test"), "here", number=1)
+    assert path.read_text().endswith("level=INFO event=here number=1\n")
+    with pytest.raises(UsageError):
+        log.configure("info", str(tmp_path / "no-folder" / "log"))
+
+
 def test_version(capsys):
     assert cli.run(["version"]) == 0
     assert capsys.readouterr().out == f"{__version__}\n"
--- a/tests/test_fleet_operators.py
+++ b/tests/test_fleet_operators.py
@@ -27,7 +27,7 @@
         self.router = Router()
         FleetApi(
             self.identify, configuration, view, platform, settings, "buffer"
-        ).mount(self.router)
+        ).add_routes(self.router)
 
     def identify(self, call):
         name = dict(call.request.headers).get(b"operator", b"").decode()
