Start a server without the argument parser's memory

defopt brings docutils, 6 MB that a server never uses again. serve with one path now calls the command itself; everything else goes through defopt.

--- a/rhubarbmount/cli.py
+++ b/rhubarbmount/cli.py
@@ -15,10 +15,8 @@
 
 def run(arguments: list[str]) -> int:
     """Run a command; return its exit code."""
-    import defopt
-
     try:
-        return defopt.run(porcelain.commands(), argv=arguments) or 0
+        return _run(arguments)
     except FindingsError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
@@ -28,3 +26,13 @@
         return 1
     except KeyboardInterrupt:
         return 130
+
+
+def _run(arguments: list[str]) -> int:
+    """Run a command; a server is started without the argument parser's memory."""
+    match arguments:
+        case ["serve", settings] if not settings.startswith("-"):
+            return porcelain.serve(settings)
+    import defopt
+
+    return defopt.run(porcelain.commands(), argv=arguments) or 0
