--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -13,14 +13,8 @@
 import attrs
 import trio
 
-from rhubarbmount.http import (
-    AnswerLost,
-    ClientConnection,
-    HttpRequest,
-    HttpResponse,
-    connect,
-    header_value,
-)
+from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, header_value
+from rhubarbmount.http_client import ClientConnection, connect
 
 __all__ = ["ATTEMPT_HEADER", "GUARD_HEADER", "BackendConnections", "Progress"]
 
--- /dev/null
+++ b/rhubarbmount/http_client.py
@@ -0,0 +1,117 @@
+"""The client's side of HTTP/1.1 connections, with h11 over trio streams."""
+
+import select
+
+import attrs
+import h11
+import trio
+
+from rhubarbmount.http import (
+    READ_SIZE_BYTES,
+    AnswerLost,
+    HttpRequest,
+    HttpResponse,
+    NotSent,
+    without_length,
+)
+
+__all__ = ["ClientConnection", "connect"]
+
+
+@attrs.define
+class ClientConnection:
+    """Sends requests and reads responses, one at a time, on one connection."""
+
+    stream: trio.SocketStream
+    body_bytes: int = 1048576
+    reusable: bool = True
+    was_reused: bool = False
+    _protocol: h11.Connection = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    async def exchange(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and return its whole response.
+
+        Raises NotSent or AnswerLost. The connection is reusable afterwards only if
+        exactly one whole response was read.
+        """
+        self.reusable = False
+        data = self._encode(request)
+        try:
+            await self.stream.send_all(data)
+            response = await self._receive()
+        except (trio.BrokenResourceError, h11.RemoteProtocolError) as error:
+            raise AnswerLost(f"the connection failed: {error}") from None
+        self._finish_cycle()
+        return response
+
+    def is_quiet(self) -> bool:
+        """Tell whether the idle connection is open with nothing left to read."""
+        if not self.reusable:
+            return False
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def aclose(self) -> None:
+        """Close the connection without waiting for the peer."""
+        self.reusable = False
+        await trio.aclose_forcefully(self.stream)
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = without_length(request.headers)
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._protocol.send(head) or b""
+        if request.body:
+            data += self._protocol.send(h11.Data(data=request.body)) or b""
+        return data + (self._protocol.send(h11.EndOfMessage()) or b"")
+
+    async def _receive(self) -> HttpResponse:
+        head: h11.Response | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.stream.receive_some(READ_SIZE_BYTES)
+                self._protocol.receive_data(data)
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self.body_bytes:
+                    raise AnswerLost("the answer is too large", code="answer-broken")
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                body = b"".join(chunks)
+                return HttpResponse(head.status_code, list(head.headers), body)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise AnswerLost("the connection closed before the answer")
+
+    def _finish_cycle(self) -> None:
+        if self._protocol.trailing_data[0]:
+            return
+        if self._protocol.our_state is not h11.DONE:
+            return
+        if self._protocol.their_state is not h11.DONE:
+            return
+        self._protocol.start_next_cycle()
+        self.reusable = True
+
+
+async def connect(
+    address: str, port: int, timeout_s: float, body_bytes: int = 1048576
+) -> ClientConnection:
+    """Open a connection. Raises NotSent."""
+    try:
+        with trio.fail_after(timeout_s):
+            stream = await trio.open_tcp_stream(address, port)
+    except (OSError, trio.TooSlowError) as error:
+        raise NotSent(f"can't connect to {address}:{port}: {error}") from None
+    return ClientConnection(stream, body_bytes)
--- /dev/null
+++ b/rhubarbmount/http_server.py
@@ -0,0 +1,168 @@
+"""The server's side of HTTP/1.1 connections, with h11 over trio streams."""
+
+from typing import Any
+
+import attrs
+import h11
+import trio
+
+from rhubarbmount.http import (
+    READ_SIZE_BYTES,
+    BadRequest,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    header_value,
+    without_length,
+)
+
+__all__ = ["ServerConnection"]
+
+LINGER_TIMEOUT_S = 1.0
+
+
+@attrs.define
+class ServerConnection:
+    """Reads requests and writes responses on one accepted connection."""
+
+    stream: trio.SocketStream
+    limits: HttpLimits
+    _protocol: h11.Connection = attrs.field(init=False)
+    _method: str = ""
+
+    def __attrs_post_init__(self) -> None:
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
+        )
+
+    async def wait_for_request(self, scope: trio.CancelScope | None = None) -> bool:
+        """Wait for the first byte of a request; return False at the end.
+
+        Cancelling the scope ends the wait.
+        """
+        if self._protocol.trailing_data[0]:
+            return True
+        scope = trio.CancelScope() if scope is None else scope
+        scope.deadline = trio.current_time() + self.limits.idle_timeout_s
+        with scope:
+            data = await self._read()
+            self._protocol.receive_data(data)
+            return bool(data)
+        return False
+
+    async def receive(self) -> HttpRequest | None:
+        """Return the next whole request, or None when the peer has closed.
+
+        Raises BadRequest.
+        """
+        try:
+            return await self._receive()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise BadRequest(str(error), status, _bad_request_code(status)) from None
+
+    async def _receive(self) -> HttpRequest | None:
+        head = await self._receive_head()
+        if head is None:
+            return None
+        self._method = head.method.decode("ascii")
+        length = header_value(head.headers, b"content-length")
+        if length is not None and int(length) > self.limits.body_bytes:
+            raise BadRequest("the body is too large", 413, "body-too-large")
+        body = await self._receive_body()
+        target = head.target.decode("ascii")
+        return HttpRequest(self._method, target, list(head.headers), body)
+
+    async def _receive_head(self) -> h11.Request | None:
+        event = self._protocol.next_event()
+        if event is h11.NEED_DATA:
+            event = await self._await_head()
+        if not isinstance(event, h11.Request):
+            return None
+        if _head_size_bytes(event) > self.limits.header_bytes:
+            raise BadRequest("the headers are too large", 431, "headers-too-large")
+        return event
+
+    async def _await_head(self) -> Any:
+        with trio.move_on_after(self.limits.header_timeout_s):
+            return await self._next_event()
+        raise BadRequest("the headers took too long", 408, "header-timeout")
+
+    async def _receive_body(self) -> bytes:
+        chunks: list[bytes] = []
+        event = self._protocol.next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            with trio.move_on_after(self.limits.body_timeout_s) as scope:
+                await self._await_body(event, chunks)
+            if scope.cancelled_caught:
+                raise BadRequest("the body took too long", 408, "body-timeout")
+        return b"".join(chunks)
+
+    async def _await_body(self, event: object, chunks: list[bytes]) -> None:
+        if self._protocol.they_are_waiting_for_100_continue:
+            await self._send_continue()
+        size = 0
+        while event is h11.NEED_DATA or isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self.limits.body_bytes:
+                    raise BadRequest("the body is too large", 413, "body-too-large")
+                chunks.append(bytes(event.data))
+            event = await self._next_event()
+
+    async def send(self, response: HttpResponse, close: bool = False) -> bool:
+        """Send a response; return whether the connection can serve another."""
+        headers = without_length(response.headers)
+        headers.append((b"content-length", b"%d" % len(response.body)))
+        if close:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._protocol.send(head) or b""
+        if self._method != "HEAD" and response.body:
+            data += self._protocol.send(h11.Data(data=response.body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        await self.stream.send_all(data)
+        if self._protocol.our_state is h11.MUST_CLOSE:
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    async def refuse(self, response: HttpResponse) -> None:
+        """Answer a request that broke the protocol, then end the connection."""
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        await self.send(response, close=True)
+        with trio.move_on_after(LINGER_TIMEOUT_S):
+            await self.stream.send_eof()
+            while await self.stream.receive_some(READ_SIZE_BYTES):
+                pass
+
+    async def _send_continue(self) -> None:
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        await self.stream.send_all(self._protocol.send(event) or b"")
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        try:
+            return bytes(await self.stream.receive_some(READ_SIZE_BYTES))
+        except trio.BrokenResourceError:
+            return b""
+
+
+def _head_size_bytes(head: h11.Request) -> int:
+    fields = sum(len(key) + len(value) + 4 for key, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
+def _bad_request_code(status: int) -> str:
+    if status == 431:
+        return "headers-too-large"
+    return "bad-request"
--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -10,13 +10,8 @@
 
 from rhubarbmount import log
 from rhubarbmount.errors import RhubarbmountError
-from rhubarbmount.http import (
-    BadRequest,
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-    ServerConnection,
-)
+from rhubarbmount.http import BadRequest, HttpLimits, HttpRequest, HttpResponse
+from rhubarbmount.http_server import ServerConnection
 from rhubarbmount.problem import Outcome, problem
 
 __all__ = ["Handler", "Listener", "open_listener"]
--- a/rhubarbmount/operator_client.py
+++ b/rhubarbmount/operator_client.py
@@ -10,7 +10,8 @@
 import trio
 
 from rhubarbmount.errors import Finding, FindingsError, RhubarbmountError, UsageError
-from rhubarbmount.http import HttpRequest, HttpResponse, connect
+from rhubarbmount.http import HttpRequest, HttpResponse
+from rhubarbmount.http_client import connect
 
 __all__ = ["OperatorClient", "RemoteError", "format_table"]
 
--- a/rhubarbmount/platform/http.py
+++ b/rhubarbmount/platform/http.py
@@ -10,14 +10,8 @@
 import trio
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.http import (
-    AnswerLost,
-    ClientConnection,
-    HttpRequest,
-    HttpResponse,
-    NotSent,
-    connect,
-)
+from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, NotSent
+from rhubarbmount.http_client import ClientConnection, connect
 from rhubarbmount.platform.interface import (
     HostCommand,
     LiveHost,
--- a/rhubarbmount/standins/backend.py
+++ b/rhubarbmount/standins/backend.py
@@ -11,13 +11,8 @@
 
 from rhubarbmount import log
 from rhubarbmount.backends import ATTEMPT_HEADER, GUARD_HEADER
-from rhubarbmount.http import (
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-    ServerConnection,
-    header_value,
-)
+from rhubarbmount.http import HttpLimits, HttpRequest, HttpResponse, header_value
+from rhubarbmount.http_server import ServerConnection
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.router import Call
 
--- a/rhubarbmount/standins/demo_calls.py
+++ b/rhubarbmount/standins/demo_calls.py
@@ -12,9 +12,9 @@
     HttpRequest,
     HttpResponse,
     NotSent,
-    connect,
     header_value,
 )
+from rhubarbmount.http_client import connect
 from rhubarbmount.problem import OUTCOME_HEADER
 from rhubarbmount.standins.backend import REQUEST_ID_HEADER
 from rhubarbmount.standins.demo_fleet import DemoFleet
