--- a/bench/duties.py
+++ b/bench/duties.py
@@ -12,7 +12,7 @@
 import trio.testing
 
 from rhubarbmount.duties import LeaseBounds
-from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.timers import TimerService
 
--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -10,16 +10,16 @@
 import trio
 
 from bench.waves import HOUR_S, make_fleet
-from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.entries import Pool, dump_entry
-from rhubarbmount.hostduty import HostDuty
-from rhubarbmount.hostrows import HostChange, host_terms
+from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_rows import HostChange, host_terms
+from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import Host, HostState, Shape
-from rhubarbmount.hostwork import Observation, WorkBounds
 from rhubarbmount.platform.interface import LiveHost, Transaction
 from rhubarbmount.platform.memory import MemoryPlatform
-from rhubarbmount.waveduty import WaveDuty
-from rhubarbmount.waveplan import WaveSettings, lower_bound_s, plan_wave
+from rhubarbmount.wave_duty import WaveDuty
+from rhubarbmount.wave_plan import WaveSettings, lower_bound_s, plan_wave
 from rhubarbmount.waves import WaveOperator
 
 ROUND_S = 1.0
--- a/bench/waves.py
+++ b/bench/waves.py
@@ -10,7 +10,7 @@
 
 from rhubarbmount.entries import Pool
 from rhubarbmount.hosts import Host, Shape
-from rhubarbmount.waveplan import (
+from rhubarbmount.wave_plan import (
     WaveSettings,
     lower_bound_s,
     plan_one_at_a_time,
--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -6,7 +6,7 @@
 import attrs
 
 from rhubarbmount.entries import Pool, converter
-from rhubarbmount.hostrows import HostRow, Terms
+from rhubarbmount.host_rows import HostRow, Terms
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
 
--- a/rhubarbmount/cadence.py
+++ b/rhubarbmount/cadence.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from rhubarbmount.dutyrunner import Lease
+from rhubarbmount.duty_runner import Lease
 from rhubarbmount.entries import Pool, converter
-from rhubarbmount.hostrows import HostRows
+from rhubarbmount.host_rows import HostRows
 from rhubarbmount.hosts import Host
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import DAY_S
--- a/rhubarbmount/dutyrunner.py
+++ b/rhubarbmount/duty_runner.py
@@ -19,7 +19,7 @@
     OutcomeUnknown,
     PlatformUnavailable,
 )
-from rhubarbmount.hostrows import Terms
+from rhubarbmount.host_rows import Terms
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     HostCommand,
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -7,7 +7,7 @@
 import trio
 
 from rhubarbmount.duties import LeaseBounds
-from rhubarbmount.dutyrunner import Duty, DutyRunner, Lease
+from rhubarbmount.duty_runner import Duty, DutyRunner, Lease
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.timers import TimerService
 
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -18,7 +18,7 @@
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
-from rhubarbmount.waveplan import WavePlan, WaveSettings, plan_wave
+from rhubarbmount.wave_plan import WavePlan, WaveSettings, plan_wave
 from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
 
 __all__ = ["FleetApi"]
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -8,8 +8,8 @@
 from rhubarbmount.cadence import CadenceDuty
 from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
-from rhubarbmount.hostduty import HostDuty
-from rhubarbmount.hostprobe import HostProbe
+from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_probe import HostProbe
 from rhubarbmount.local_view import LocalView
 from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.repair import RepairDuty
@@ -18,8 +18,8 @@
 from rhubarbmount.scheduling_rule import Learned
 from rhubarbmount.settings import FleetSettings, Settings, Weights
 from rhubarbmount.timers import TimerService
-from rhubarbmount.waveduty import WaveDuty
-from rhubarbmount.waveplan import WaveSettings
+from rhubarbmount.wave_duty import WaveDuty
+from rhubarbmount.wave_plan import WaveSettings
 
 __all__ = ["FleetTasks", "wave_settings"]
 
--- a/rhubarbmount/hostactions.py
+++ b/rhubarbmount/host_actions.py
@@ -1,7 +1,7 @@
 """The steps of each kind of work on a host, as pure decisions."""
 
+from rhubarbmount.host_work import Progress, Step, host_actions
 from rhubarbmount.hosts import HostState
-from rhubarbmount.hostwork import Progress, Step, host_actions
 
 __all__ = [
     "maintain_step",
--- a/rhubarbmount/hostduty.py
+++ b/rhubarbmount/host_duty.py
@@ -7,14 +7,13 @@
 
 import attrs
 
-import rhubarbmount.hostactions  # noqa: F401
+import rhubarbmount.host_actions  # noqa: F401
 from rhubarbmount.budgets import PoolRows, read_pool_rows
-from rhubarbmount.dutyrunner import Lease
+from rhubarbmount.duty_runner import Lease
 from rhubarbmount.errors import NotFound, Refused
-from rhubarbmount.hostrows import HostChange, HostRow, HostRows, Terms, host_terms
-from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.hosttasks import HostTasks
-from rhubarbmount.hostwork import (
+from rhubarbmount.host_rows import HostChange, HostRow, HostRows, Terms, host_terms
+from rhubarbmount.host_tasks import HostTasks
+from rhubarbmount.host_work import (
     EFFECT_BY_STATE,
     HOST_PREFIX,
     INTENTS_TABLE,
@@ -29,6 +28,7 @@
     load_intent,
     work_cause,
 )
+from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import HostCommand, Platform, Row
@@ -36,7 +36,7 @@
 
 __all__ = ["Begun", "HostDuty", "begin_changes", "begin_terms", "next_host"]
 
-logger = logging.getLogger("rhubarbmount.hostduty")
+logger = logging.getLogger("rhubarbmount.host_duty")
 
 
 class OpenWork(NamedTuple):
--- a/rhubarbmount/hostprobe.py
+++ b/rhubarbmount/host_probe.py
@@ -5,8 +5,8 @@
 import attrs
 import trio
 
+from rhubarbmount.host_work import Observation
 from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.hostwork import Observation
 from rhubarbmount.routing import PoolView
 from rhubarbmount.timers import TimerService
 
--- a/rhubarbmount/hosttasks.py
+++ b/rhubarbmount/host_tasks.py
@@ -11,7 +11,7 @@
 
 __all__ = ["HostTasks"]
 
-logger = logging.getLogger("rhubarbmount.hosttasks")
+logger = logging.getLogger("rhubarbmount.host_tasks")
 
 
 @attrs.define
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -7,16 +7,16 @@
 
 from rhubarbmount.budgets import decide, read_pool_rows
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
-from rhubarbmount.hostduty import Begun, begin_terms
-from rhubarbmount.hostrows import HostRow, HostRows, Terms
-from rhubarbmount.hosts import HostState
-from rhubarbmount.hostwork import (
+from rhubarbmount.host_duty import Begun, begin_terms
+from rhubarbmount.host_rows import HostRow, HostRows, Terms
+from rhubarbmount.host_work import (
     INTENTS_TABLE,
     HostIntent,
     dump_intent,
     intent_key,
     load_intent,
 )
+from rhubarbmount.hosts import HostState
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
 
--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -7,7 +7,7 @@
 
 from rhubarbmount.edits import Operators
 from rhubarbmount.operator_client import OperatorClient, format_table
-from rhubarbmount.yamlfile import read_yaml
+from rhubarbmount.yaml_file import read_yaml
 
 __all__ = [
     "entry_apply",
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -74,7 +74,7 @@
     """
     from rhubarbmount.settings import check_settings
     from rhubarbmount.standins.seed import check_seed
-    from rhubarbmount.yamlfile import read_yaml
+    from rhubarbmount.yaml_file import read_yaml
 
     _settings, findings = check_settings(read_yaml(settings))
     if seed is not None:
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -7,11 +7,11 @@
 import attrs
 
 from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
-from rhubarbmount.dutyrunner import Lease
-from rhubarbmount.hostduty import Begun, begin_changes, next_host
-from rhubarbmount.hostrows import HostChange, HostRow, HostRows, host_terms
+from rhubarbmount.duty_runner import Lease
+from rhubarbmount.host_duty import Begun, begin_changes, next_host
+from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
+from rhubarbmount.host_work import HostIntent, Observation, Step
 from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.hostwork import HostIntent, Observation, Step
 from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import LiveHost, Platform
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -9,7 +9,7 @@
 
 from rhubarbmount.entries import JobTemplate, Team
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.hostrows import Terms
+from rhubarbmount.host_rows import Terms
 from rhubarbmount.hosts import Host
 from rhubarbmount.job_changes import (
     DUTY,
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -4,11 +4,11 @@
 
 from rhubarbmount.duties import LeaseBounds
 from rhubarbmount.errors import Finding, FindingsError
-from rhubarbmount.hostwork import WorkBounds
+from rhubarbmount.host_work import WorkBounds
 from rhubarbmount.http import HttpLimits
 from rhubarbmount.repair import RepairBounds
 from rhubarbmount.structure import structure
-from rhubarbmount.yamlfile import YamlFile, read_yaml
+from rhubarbmount.yaml_file import YamlFile, read_yaml
 
 __all__ = [
     "Endpoint",
--- a/rhubarbmount/standins/demo_fleet.py
+++ b/rhubarbmount/standins/demo_fleet.py
@@ -11,8 +11,8 @@
 from rhubarbmount.catalogue import Snapshot
 from rhubarbmount.edits import Operators
 from rhubarbmount.entries import Entry, Pool, Service, Team
+from rhubarbmount.host_work import WorkBounds
 from rhubarbmount.hosts import HOSTS_TABLE, Host, HostState, Shape, load_host
-from rhubarbmount.hostwork import WorkBounds
 from rhubarbmount.server import EntryHost
 from rhubarbmount.settings import (
     Endpoint,
--- a/rhubarbmount/standins/seed.py
+++ b/rhubarbmount/standins/seed.py
@@ -12,7 +12,7 @@
 from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host
 from rhubarbmount.platform.interface import Platform, Transaction, Write
 from rhubarbmount.structure import Fault, structure
-from rhubarbmount.yamlfile import YamlFile, read_yaml
+from rhubarbmount.yaml_file import YamlFile, read_yaml
 
 __all__ = ["Seed", "check_seed", "load_seed", "write_seed"]
 
--- a/rhubarbmount/swaps.py
+++ b/rhubarbmount/swaps.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rhubarbmount.hostrows import HostRow, HostRows
+from rhubarbmount.host_rows import HostRow, HostRows
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.maintenance import is_due
 from rhubarbmount.waves import Wave
--- a/rhubarbmount/waveduty.py
+++ b/rhubarbmount/wave_duty.py
@@ -6,21 +6,21 @@
 import attrs
 
 from rhubarbmount.budgets import PoolRows, read_pool_rows
-from rhubarbmount.dutyrunner import Lease
-from rhubarbmount.hostduty import Begun, begin_terms
-from rhubarbmount.hostrows import HostRow, HostRows
-from rhubarbmount.hosts import HostState
-from rhubarbmount.hostwork import (
+from rhubarbmount.duty_runner import Lease
+from rhubarbmount.host_duty import Begun, begin_terms
+from rhubarbmount.host_rows import HostRow, HostRows
+from rhubarbmount.host_work import (
     HOST_PREFIX,
     INTENTS_TABLE,
     HostIntent,
     load_intent,
 )
+from rhubarbmount.hosts import HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.swaps import spares_of, swap_wanted, swaps_hosts
-from rhubarbmount.waveplan import WaveSettings
+from rhubarbmount.wave_plan import WaveSettings
 from rhubarbmount.waves import (
     WAVE_PREFIX,
     Control,
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -9,8 +9,8 @@
 import cattrs
 
 from rhubarbmount.errors import ConflictError, NotFound, Refused
-from rhubarbmount.hostrows import HostRows, Terms
-from rhubarbmount.hostwork import (
+from rhubarbmount.host_rows import HostRows, Terms
+from rhubarbmount.host_work import (
     INTENTS_TABLE,
 )
 from rhubarbmount.log import event
--- a/tests/fleetkit.py
+++ b/tests/fleetkit.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rhubarbmount.entries import Pool, dump_entry
-from rhubarbmount.hostrows import HostChange, host_terms
+from rhubarbmount.host_rows import HostChange, host_terms
 from rhubarbmount.hosts import Host, Shape
 from rhubarbmount.platform.interface import LiveHost, Transaction
 from rhubarbmount.platform.memory import MemoryPlatform
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -10,7 +10,7 @@
     down_by_cause,
     read_pool_rows,
 )
-from rhubarbmount.hostrows import HostChange, HostRows, host_terms
+from rhubarbmount.host_rows import HostChange, HostRows, host_terms
 from rhubarbmount.hosts import HostState
 from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -12,9 +12,9 @@
     LeaseTracker,
     preference_rank,
 )
-from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.hostrows import Terms
+from rhubarbmount.host_rows import Terms
 from tests.fleetkit import CountedPlatform, ManualClock
 
 TAKE_UP_LIMIT_S = 15.0
--- a/tests/test_fleet_operators.py
+++ b/tests/test_fleet_operators.py
@@ -13,7 +13,7 @@
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.router import Router
-from rhubarbmount.waveplan import WaveSettings
+from rhubarbmount.wave_plan import WaveSettings
 from tests.fleetkit import fill, make_host, make_pool
 
 OWNERS = {"ana": {"sfax"}, "rita": {"rival"}}
--- a/tests/test_hostduty.py
+++ b/tests/test_host_duty.py
@@ -2,9 +2,8 @@
 
 import pytest
 
-from rhubarbmount.hostduty import HostDuty
-from rhubarbmount.hosts import HostState, Shape
-from rhubarbmount.hostwork import (
+from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_work import (
     INTENTS_TABLE,
     HostIntent,
     Observation,
@@ -12,6 +11,7 @@
     dump_intent,
     intent_key,
 )
+from rhubarbmount.hosts import HostState, Shape
 from rhubarbmount.jobs import TASKS_TABLE, Task, dump_task
 from rhubarbmount.platform.interface import Transaction, Write
 from tests.fleetchecks import hosts_of
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -8,7 +8,7 @@
 
 from rhubarbmount.budgets import BudgetView
 from rhubarbmount.maintenance import next_start_s, select
-from rhubarbmount.waveplan import (
+from rhubarbmount.wave_plan import (
     WaveSettings,
     lower_bound_s,
     plan_one_at_a_time,
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -5,11 +5,11 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.errors import RhubarbmountError
-from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
-from rhubarbmount.hostwork import Observation, WorkBounds
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Transaction, Write
 from tests.fleetchecks import EffectCheck, check_commit, hosts_of
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -3,15 +3,15 @@
 import attrs
 import pytest
 
-from rhubarbmount.dutyrunner import DutyRunner
-from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.duty_runner import DutyRunner
+from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
-from rhubarbmount.hostwork import Observation, WorkBounds
 from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.repair import RepairBounds, RepairDuty, buffer_need
 from rhubarbmount.suspects import Blame
-from rhubarbmount.waveduty import WaveDuty
+from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.waves import WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import fill, make_host, make_pool
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,7 +1,7 @@
 """Faults in settings files are reported together, each with its place."""
 
 from rhubarbmount.settings import check_settings
-from rhubarbmount.yamlfile import parse_yaml
+from rhubarbmount.yaml_file import parse_yaml
 
 GOOD = """\
 instance: e1
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -4,14 +4,14 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from rhubarbmount.dutyrunner import DutyRunner
+from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.errors import ConflictError, Refused
-from rhubarbmount.hostduty import HostDuty
+from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
-from rhubarbmount.hostwork import Observation, WorkBounds
 from rhubarbmount.platform.interface import LiveHost
-from rhubarbmount.waveduty import WaveDuty
-from rhubarbmount.waveplan import WaveSettings, plan_pool
+from rhubarbmount.wave_duty import WaveDuty
+from rhubarbmount.wave_plan import WaveSettings, plan_pool
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool
