--- a/rhubarbmount/standins/demo_fleet.py
+++ b/rhubarbmount/standins/demo_fleet.py
@@ -158,7 +158,8 @@
 
 
 def _catalogue() -> Snapshot:
-    snapshot = Snapshot().with_entry("team", Team(name=OWNER, owner=OWNER))
+    team = Team(name=OWNER, owner=OWNER, processors_quota=64, memory_quota_gb=256)
+    snapshot = Snapshot().with_entry("team", team)
     for service in SERVICES:
         entries: tuple[tuple[str, Entry], ...] = (
             ("pool", Pool(name=service, owner=OWNER, hosts_wanted=HOSTS_PER_SERVICE)),
