--- a/rhubarbmount/standins/seed.py
+++ b/rhubarbmount/standins/seed.py
@@ -7,7 +7,7 @@
 from rhubarbmount.acceptance import CATALOGUE_HEAD, ENTRIES_TABLE, HEADS_TABLE
 from rhubarbmount.catalogue import Snapshot, encode_snapshot
 from rhubarbmount.catalogue_checks import find_faults
-from rhubarbmount.entries import dump_entry, entry_kinds
+from rhubarbmount.entries import dump_entry, entry_key, entry_kinds
 from rhubarbmount.errors import Finding, FindingsError
 from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host
 from rhubarbmount.platform.interface import Platform, Transaction, Write
@@ -16,6 +16,8 @@
 
 __all__ = ["Seed", "check_seed", "load_seed", "write_seed"]
 
+Path = tuple[str | int, ...]
+
 SNAPSHOT_OBJECT = "catalogue/seed"
 
 
@@ -41,17 +43,22 @@
     if written is None:
         return None, _place(file, faults)
     snapshot = Snapshot()
+    path_by_key: dict[str, Path] = {}
     for kind, entries in written.entries.items():
         if kind not in entry_kinds:
             faults.append(Fault(("entries", kind), "unknown-kind", f"no kind {kind!r}"))
             continue
         for index, values in enumerate(entries):
-            path = ("entries", kind, index)
+            path: Path = ("entries", kind, index)
             entry, found = structure(values, entry_kinds.get(kind), path)
             faults.extend(found)
             if entry is not None:
                 snapshot = snapshot.with_entry(kind, entry)
-    findings = _place(file, faults) or find_faults(snapshot)
+                path_by_key[entry_key(kind, entry.name)] = path
+    findings = _place(file, faults) or [
+        attrs.evolve(finding, place=file.place(_path(finding.place, path_by_key)))
+        for finding in find_faults(snapshot)
+    ]
     findings += _unknown_pools(file, written.hosts, snapshot)
     return Seed(written.hosts, snapshot), findings
 
@@ -64,6 +71,15 @@
     return seed
 
 
+def _path(place: str, path_by_key: dict[str, Path]) -> Path:
+    """Return the path in the file of a fault that names an entry, or its field."""
+    key = max(
+        (key for key in path_by_key if place.startswith(key)), key=len, default=""
+    )
+    field = place.removeprefix(key).removeprefix(".")
+    return (*path_by_key.get(key, ("entries",)), field)
+
+
 async def write_seed(platform: Platform, seed: Seed) -> None:
     """Write the rows and the snapshot of a seed to an empty platform."""
     snapshot = seed.snapshot
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -33,6 +33,17 @@
     assert f"{path}:3: unknown-key: {hint}" in lines
 
 
+def test_check_places_faults_across_the_entries_of_a_seed(tmp_path, capsys):
+    path = tmp_path / "fleet.yaml"
+    path.write_text(
+        "entries:\n  team:\n  - {name: a, owner: a}\n  service:\n"
+        "  - {name: s, owner: a, pool: none}\n"
+    )
+    settings = EXAMPLES / "workshop" / "entry-host.yaml"
+    assert cli.run(["check", str(settings), f"--seed={path}"]) == 1
+    assert f"{path}:5: unknown-pool:" in capsys.readouterr().err
+
+
 def test_an_unreadable_file_is_one_line_and_exit_1(capsys):
     assert cli.run(["serve", "no-such-file.yaml"]) == 1
     expected = "no-such-file.yaml: unreadable: No such file or directory\n"
