--- a/rhubarbmount/job_queue.py
+++ b/rhubarbmount/job_queue.py
@@ -135,10 +135,6 @@
             if (key[0] == CLASS_RANK[WorkClass.URGENT]) == urgent
         ]
 
-    def group_of(self, job_id: str) -> JobGroup | None:
-        """Return the group in which a job waits."""
-        return self._group_by_job.get(job_id)
-
     def _remove_group(self, group: JobGroup) -> None:
         del self.group_by_key[group.key]
         lane = self.lane_by_key[group.lane_key]
--- a/rhubarbmount/problem.py
+++ b/rhubarbmount/problem.py
@@ -3,11 +3,10 @@
 import json
 import math
 
-from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.retries import Outcome
 
-__all__ = ["OUTCOME_HEADER", "Outcome", "from_error", "json_response", "problem"]
+__all__ = ["OUTCOME_HEADER", "Outcome", "json_response", "problem"]
 
 OUTCOME_HEADER = b"rhubarbmount-outcome"
 
@@ -35,11 +34,6 @@
     return HttpResponse(status, headers, json.dumps(body).encode("utf-8"))
 
 
-def from_error(error: RhubarbmountError, outcome: Outcome) -> HttpResponse:
-    """Build the answer for an error."""
-    return problem(error.status, error.code, error.message, outcome)
-
-
 def json_response(value: object, status: int = 200) -> HttpResponse:
     """Build a JSON answer."""
     body = json.dumps(value).encode("utf-8")
