Let peers listen at a free port, and hold addresses for the tests that name one

The demo bound free ports, closed them and named them to its entry hosts, which bound them later; in between another process took one. tests/test_peers.py picked ports the same way. Ruled out: retries in the demo, which would hide the race and not end it. Port 0 now takes a free port for peers too, as for the listeners; the demo's entry hosts learn the real ones. Tests that need a fixed address take one from a block that the process holds.

A peers' port in use also ended serve with a traceback; it is now one line and exit 1.

--- a/rhubarbmount/errors.py
+++ b/rhubarbmount/errors.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AccessDenied",
+    "AddressInUse",
     "ConflictError",
     "Finding",
     "FindingsError",
@@ -30,6 +31,12 @@
             self.code = code
 
 
+class AddressInUse(RhubarbmountError):
+    """The listening address can't be bound."""
+
+    code = "address-unavailable"
+
+
 class UsageError(RhubarbmountError):
     """A command was called in a way that can't work."""
 
--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -9,7 +9,7 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.errors import AddressInUse
 from rhubarbmount.http import BadRequest, HttpLimits, HttpRequest, HttpResponse
 from rhubarbmount.http_server import ServerConnection
 from rhubarbmount.problem import Outcome, problem
@@ -21,12 +21,6 @@
 logger = logging.getLogger(__name__)
 
 
-class AddressInUse(RhubarbmountError):
-    """The listening address can't be bound."""
-
-    code = "address-unavailable"
-
-
 @attrs.define(eq=False)
 class Listener:
     """One listening socket and the connections it accepted."""
--- a/rhubarbmount/membership.py
+++ b/rhubarbmount/membership.py
@@ -33,6 +33,11 @@
     peers: Peers
     rows: InstanceRows
 
+    @property
+    def address(self) -> str:
+        """Return the IP and port where peers reach this entry host."""
+        return self.peers.table.me.address
+
     async def run(self, timers: TimerService) -> None:
         """Announce versions and apply the peers' reports until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -94,7 +99,7 @@
         fleet_view.pull = peers.pull
         rows = InstanceRows(
             platform,
-            identity,
+            peers.table.me,
             lambda: configuration.version,
             lambda: peers.table.reports(peers.clock()),
             peers.table.learn_address,
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -277,17 +277,24 @@
     """Run the peers' task for the length of the block.
 
     ``addresses`` maps the addresses known at the start to data centres, or to "".
-    It listens at the identity's address unless another is given.
+    It listens at the identity's address unless another is given; port 0 takes a free
+    one. Raises AddressInUse.
     """
-    table = PeerTable(identity)
-    for address, data_centre in addresses.items():
-        table.learn_address(address, data_centre)
     async with open_zmq(keys, lambda key: key == keys.public) as context:
         with context.server(zmq.ROUTER) as router:
             router.bind(f"tcp://{bind_address or identity.address}")
+            table = PeerTable(_with_bound_port(identity, router))
+            for address, data_centre in addresses.items():
+                table.learn_address(address, data_centre)
             async with trio.open_nursery() as nursery:
                 peers = Peers(context, nursery, table, followers, in_flight)
                 nursery.start_soon(peers.run, router, timers)
                 yield peers
                 nursery.cancel_scope.cancel()
             peers.close()
+
+
+def _with_bound_port(identity: PeerIdentity, router: TrioSocket) -> PeerIdentity:
+    if not identity.address.endswith(":0"):
+        return identity
+    return attrs.evolve(identity, address=router.endpoint.removeprefix("tcp://"))
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -143,6 +143,11 @@
             return False
         return self.configuration.ready and self.fleet_view.ready
 
+    @property
+    def peer_address(self) -> str:
+        """Return the IP and port where peers reach this host; empty without peers."""
+        return "" if self.membership is None else self.membership.address
+
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> int:
         """Serve until stopped; return the number of requests that the stop cut."""
         settings = self.settings
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -49,7 +49,7 @@
     """Where this host listens for peers, whom it calls first, and the keys.
 
     Addresses are ``IP:port``. All entry hosts of a deployment have the same CURVE key
-    pair, in Z85; none hears a peer without it.
+    pair, in Z85; none hears a peer without it. Port 0 takes a free one.
     """
 
     address: str
@@ -142,8 +142,9 @@
 
 def _check_values(file: YamlFile, settings: Settings) -> list[Finding]:
     findings = []
-    for name in ("callers", "operators", "metrics"):
-        port = getattr(settings, name).port
+    for name in ("callers", "operators", "metrics", "peers"):
+        endpoint = getattr(settings, name)
+        port = 0 if endpoint is None else endpoint.port
         if not 0 <= port <= 65535:
             message = f"port {port} is not between 0 and 65535"
             findings.append(Finding(file.place((name, "port")), "bad-value", message))
--- a/rhubarbmount/standins/demo_fleet.py
+++ b/rhubarbmount/standins/demo_fleet.py
@@ -181,23 +181,19 @@
 ) -> list[EntryHost]:
     keys = CurveKeys.generate()
     operator = OperatorSettings(token_sha256=Operators.digest(token), owners=(OWNER,))
-    peers = [
-        f"{LOOPBACK}:{port}" for port in await _free_ports(len(ENTRY_HOST_CENTRES))
-    ]
-    entry_hosts = []
-    for number, centre in enumerate(ENTRY_HOST_CENTRES):
-        address, port = peers[number].rsplit(":", 1)
+    entry_hosts: list[EntryHost] = []
+    for number, centre in enumerate(ENTRY_HOST_CENTRES, start=1):
         any_port = Endpoint(address=LOOPBACK, port=0)
         settings = Settings(
-            instance=f"entry-{number + 1}",
+            instance=f"entry-{number}",
             data_centre=centre,
             callers=any_port,
             operators=any_port,
             metrics=any_port,
             peers=PeerSettings(
-                address=address,
-                port=int(port),
-                peers=tuple(peers),
+                address=LOOPBACK,
+                port=0,
+                peers=tuple(host.peer_address for host in entry_hosts),
                 public_key=keys.public,
                 secret_key=keys.secret,
             ),
@@ -211,13 +207,3 @@
         while not all(entry_host.is_ready() for entry_host in entry_hosts):
             await trio.sleep(0.05)
     return entry_hosts
-
-
-async def _free_ports(count: int) -> list[int]:
-    sockets = [
-        (await trio.open_tcp_listeners(0, host=LOOPBACK))[0] for _ in range(count)
-    ]
-    ports = [listener.socket.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        await listener.aclose()
-    return ports
--- a/rhubarbmount/zmqtrio.py
+++ b/rhubarbmount/zmqtrio.py
@@ -11,6 +11,7 @@
 import zmq
 from zmq.auth.base import Authenticator
 
+from rhubarbmount.errors import AddressInUse
 from rhubarbmount.log import event
 
 __all__ = ["CurveKeys", "TrioSocket", "ZmqContext", "open_zmq"]
@@ -66,8 +67,11 @@
         return cast(bytes, self._socket.last_endpoint).decode()
 
     def bind(self, endpoint: str) -> None:
-        """Listen at an endpoint such as tcp://127.0.0.1:0."""
-        self._socket.bind(endpoint)
+        """Listen at an endpoint such as tcp://127.0.0.1:0. Raises AddressInUse."""
+        try:
+            self._socket.bind(endpoint)
+        except zmq.ZMQError as error:
+            raise AddressInUse(f"can't listen on {endpoint}: {error}") from None
 
     def connect(self, endpoint: str) -> None:
         """Connect to an endpoint, and again after each loss."""
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import http.client
-import itertools
 import json
 import os
 import signal
@@ -19,6 +18,7 @@
 import yaml
 
 from rhubarbmount.zmqtrio import CurveKeys
+from tests.addresses import AddressBlock
 from tests.relay import Relay
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -28,12 +28,9 @@
 PEERS_PORT = 8083
 PLATFORM_PORT = 9000
 BACKEND_PORT = 9100
-RESERVATION_PORT = 9999
 START_TIMEOUT_S = 15.0
 UNUSED_ADDRESS = "127.0.0.1"
 
-_block_numbers = itertools.count(os.getpid())
-
 
 @attrs.frozen
 class Answer:
@@ -153,7 +150,7 @@
         self.earlier_runs = Counter()
         self.backend_delay_s = 0.0
         self._settings_by_name = {}
-        self._reserve_block()
+        self._block = AddressBlock()
 
     def __enter__(self):
         return self
@@ -165,23 +162,10 @@
         for program in [*programs, self.platform]:
             if program is not None:
                 program.end()
-        self._reservation.close()
-
-    def _reserve_block(self):
-        for number in _block_numbers:
-            block = f"127.{10 + number % 200}.{number // 200 % 250}"
-            self._reservation = socket.socket()
-            try:
-                self._reservation.bind((f"{block}.1", RESERVATION_PORT))
-            except OSError:
-                self._reservation.close()
-                continue
-            self._block = block
-            self._next_address = itertools.count(2)
-            return
+        self._block.close()
 
     def new_address(self):
-        return f"{self._block}.{next(self._next_address)}"
+        return self._block.new_address()
 
     def add_pool(self, name, owner="firm", **values):
         entry = {"name": name, "owner": owner, "hosts_wanted": 0} | values
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -56,12 +56,13 @@
     assert stopped.value.code == 2
 
 
-def test_a_port_in_use_is_one_clear_line(tmp_path):
+@pytest.mark.parametrize("port_in_example", ["8082", "8083"])
+def test_a_port_in_use_is_one_clear_line(tmp_path, port_in_example):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         port = taken.getsockname()[1]
         text = (EXAMPLES / "workshop" / "entry-host.yaml").read_text()
         path = tmp_path / "settings.yaml"
-        path.write_text(text.replace("8082", str(port)))
+        path.write_text(text.replace(port_in_example, str(port)))
         result = subprocess.run(
             [sys.executable, "-m", "rhubarbmount", "serve", str(path)],
             cwd=ROOT,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,5 @@
 """Entry hosts that speak with each other over loopback."""
 
-import socket
 from contextlib import asynccontextmanager
 
 import attrs
@@ -11,16 +10,19 @@
 from rhubarbmount.catalogue import Snapshot
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.entries import Team
-from rhubarbmount.errors import PlatformUnavailable
+from rhubarbmount.errors import AddressInUse, PlatformUnavailable
 from rhubarbmount.peer_messages import Heartbeat, encode_identity, encode_message
 from rhubarbmount.peers import Peers, new_identity, open_peers
 from rhubarbmount.timers import open_timers
 from rhubarbmount.zmqtrio import CurveKeys, open_zmq
+from tests.addresses import AddressBlock
 from tests.relay import Relay
 
 KEYS = CurveKeys.generate()
 CLOCK_RATE = 4
 TIMEOUT_S = 60
+ANY_PORT = "127.0.0.1:0"
+PEERS_PORT = 8083
 
 
 class NoPlatform:
@@ -34,6 +36,12 @@
     return mock_clock
 
 
+@pytest.fixture
+def block():
+    with AddressBlock() as block:
+        yield block
+
+
 def snapshot_at(version):
     snapshot = Snapshot()
     for quota in range(version):
@@ -42,11 +50,6 @@
     return snapshot
 
 
-def free_address():
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 @attrs.define
 class Node:
     peers: Peers
@@ -58,7 +61,7 @@
 async def node(name, addresses, data_centre="dc-a", address=None, **options):
     configuration = Configuration(platform=NoPlatform())
     counts = {}
-    identity = new_identity(name, data_centre, address or free_address())
+    identity = new_identity(name, data_centre, address or ANY_PORT)
     keys = options.pop("keys", KEYS)
     async with open_timers(seed=1) as timers:
         async with open_peers(
@@ -111,7 +114,7 @@
 
 async def test_a_stranger_who_knows_the_public_key_is_not_heard(clock):
     stranger = CurveKeys.generate()
-    identity = new_identity("x", "dc-a", free_address())
+    identity = new_identity("x", "dc-a", ANY_PORT)
     with trio.fail_after(TIMEOUT_S):
         async with node("a", {}) as a, open_zmq(stranger, lambda key: False) as context:
             at_a = a.peers.table.me.address
@@ -178,10 +181,10 @@
 
 
 @asynccontextmanager
-async def relayed(name):
+async def relayed(name, block):
     """Yield a node that others reach through a relay."""
-    behind = free_address()
-    front = free_address()
+    behind = f"{block.new_address()}:{PEERS_PORT}"
+    front = f"{block.new_address()}:{PEERS_PORT}"
     relay = Relay(split(front), split(behind))
     try:
         async with node(name, {}, address=front, bind_address=behind) as reached:
@@ -195,9 +198,9 @@
     return host, int(port)
 
 
-async def test_a_one_way_cut_silences_one_side_only(clock):
+async def test_a_one_way_cut_silences_one_side_only(clock, block):
     with trio.fail_after(TIMEOUT_S):
-        async with relayed("a") as (a, relay):
+        async with relayed("a", block) as (a, relay):
             async with node("b", {a.peers.table.me.address: "dc-a"}) as b:
                 b.loads["h1"] = 3
                 await until(lambda: loads_at(a) == {"h1": 3} and hears(b, "a"))
@@ -209,9 +212,9 @@
                 await until(lambda: hears(a, "b"))
 
 
-async def test_a_peer_held_up_for_long_comes_back_with_its_latest_loads(clock):
+async def test_a_peer_held_up_for_long_comes_back_with_its_latest_loads(clock, block):
     with trio.fail_after(TIMEOUT_S):
-        async with relayed("a") as (a, relay):
+        async with relayed("a", block) as (a, relay):
             async with node("b", {a.peers.table.me.address: "dc-a"}) as b:
                 b.loads["h1"] = 3
                 await until(lambda: loads_at(a) == {"h1": 3})
@@ -223,9 +226,9 @@
                 await until(lambda: loads_at(a) == {"h1": 7})
 
 
-async def test_a_new_instance_takes_the_address_of_a_dead_one(clock):
+async def test_a_new_instance_takes_the_address_of_a_dead_one(clock, block):
     with trio.fail_after(TIMEOUT_S):
-        address = free_address()
+        address = f"{block.new_address()}:{PEERS_PORT}"
         async with node("a", {address: "dc-a"}) as a:
             known = {a.peers.table.me.address: "dc-a"}
             async with node("old", known, address=address) as old:
@@ -247,3 +250,12 @@
                 await until(
                     lambda: a.peers.table.reports(a.peers.clock())["b"].draining
                 )
+
+
+async def test_an_address_in_use_is_said_so(block):
+    address = f"{block.new_address()}:{PEERS_PORT}"
+    async with node("a", {}, address=address):
+        with pytest.raises(BaseExceptionGroup) as refused:
+            async with node("b", {}, address=address):
+                pass
+    assert refused.group_contains(AddressInUse)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,3 +50,9 @@
     text = GOOD + "peers: {address: 127.0.0.1, port: 8083, public_key: short}\n"
     _settings, found = findings(text)
     assert found == [("s.yaml:6", "bad-value"), ("s.yaml:6", "bad-value")]
+
+
+def test_the_peers_port_is_checked():
+    text = GOOD + "peers: {address: 127.0.0.1, port: 70000, public_key: short}\n"
+    _settings, found = findings(text)
+    assert found == [("s.yaml:6", "bad-value")] * 3
