Take callers for a notice after a planned stop has begun

Cause: a stop closed the callers' listener as soon as /readyz turned; a balancer that checks each second went on sending. A scenario with callers on kept-alive connections behind such a balancer failed: 74 requests were refused or reset. Ruled out: requests in flight (the older scenario passes, cut=0). For stop_notice_s (2 s) the host now says not-ready, still answers, and ends each connection with its answer; duties are handed back meanwhile. The scenario passes with no request cut or refused.

A second scenario shows that a stop hands the duties on within 5 s, before a lease of 8 s lapses; it fails with the hand-back left out (planted).

--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -32,6 +32,7 @@
     port: int = 0
     stopping: bool = False
     cut_count: int = 0
+    _retiring: bool = False
     _active_count: int = 0
     _open_count: int = 0
     _idle_scopes: set[trio.CancelScope] = attrs.field(factory=set)
@@ -59,9 +60,14 @@
                     self._serve, listeners, handler_nursery=nursery
                 )
 
+    def retire_connections(self) -> None:
+        """Go on accepting, and end each connection with its next answer."""
+        self._retiring = True
+
     async def stop(self, timeout_s: float) -> int:
         """Finish the requests in flight; return how many the timeout cut."""
         self.stopping = True
+        self.retire_connections()
         self._accept_scope.cancel()
         for scope in list(self._idle_scopes):
             scope.cancel()
@@ -121,7 +127,7 @@
         if request is None:
             return False
         response = await self._handle(request)
-        return await connection.send(response, close=self.stopping)
+        return await connection.send(response, close=self._retiring)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         try:
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -191,7 +191,10 @@
         log.event(logger, "stopping", timeout_s=self.settings.stop_timeout_s)
         if self.membership is not None:
             self.membership.announce_draining()
-        await self.fleet.duties.hand_back()
+        self.callers.retire_connections()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.fleet.duties.hand_back)
+            await trio.sleep(self.settings.stop_notice_s)
         cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
         await self.forwarder.connections.aclose()
--- a/rhubarbmount/settings.py
+++ b/rhubarbmount/settings.py
@@ -114,6 +114,7 @@
     http: HttpLimits = attrs.field(factory=HttpLimits)
     max_connections: int = 1024
     max_in_flight: int = 512
+    stop_notice_s: float = 2.0
     stop_timeout_s: float = 30.0
     log: LogSettings = attrs.field(factory=LogSettings)
     weights: Weights = attrs.field(factory=Weights)
@@ -152,6 +153,9 @@
     if settings.stop_timeout_s <= 0:
         place = file.place(("stop_timeout_s",))
         findings.append(Finding(place, "bad-value", "must be above 0"))
+    if settings.stop_notice_s < 0:
+        place = file.place(("stop_notice_s",))
+        findings.append(Finding(place, "bad-value", "must not be below 0"))
     if settings.log.level not in LOG_LEVELS:
         message = f"{settings.log.level!r} is not one of {', '.join(LOG_LEVELS)}"
         findings.append(Finding(file.place(("log", "level")), "bad-value", message))
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -56,16 +56,23 @@
 
 def call(address, port, method, path, headers=None, body=None, timeout_s=15.0):
     """Send one request on a connection of its own."""
-    started = time.monotonic()
     connection = http.client.HTTPConnection(address, port, timeout=timeout_s)
+    try:
+        return exchange(connection, method, path, headers, body)
+    finally:
+        connection.close()
+
+
+def exchange(connection, method, path, headers=None, body=None):
+    """Send one request on a connection, which is closed when it fails."""
+    started = time.monotonic()
     try:
         connection.request(method, path, body=body, headers=headers or {})
         response = connection.getresponse()
         data = response.read()
     except (OSError, http.client.HTTPException) as error:
-        return Answer(0, {}, str(error).encode(), time.monotonic() - started)
-    finally:
         connection.close()
+        return Answer(0, {}, str(error).encode(), time.monotonic() - started)
     fields = {key.lower(): value for key, value in response.getheaders()}
     return Answer(response.status, fields, data, time.monotonic() - started)
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -1,8 +1,11 @@
 """Callers that send requests of their own until they are told to stop."""
 
+import http.client
 import threading
 import time
 
+from tests.deployment import CALLERS_PORT, METRICS_PORT, call, exchange
+
 
 class Load:
     """Callers in threads, spread over entry hosts, each request with its own id."""
@@ -40,13 +43,60 @@
         number = 0
         while not self._stopping.wait(self._pause_s):
             number += 1
-            entry_host = self._entry_hosts[(caller + number) % len(self._entry_hosts)]
             request_id = f"{self._service}-{caller}-{number}"
             self.sent_s_by_id[request_id] = time.monotonic()
-            self.answer_by_id[request_id] = self._deployment.request(
-                entry_host,
-                self._method,
-                f"/{self._service}/lodgements",
-                {"request-id": request_id, "idempotency-key": request_id},
-                "accounts",
-            )
+            entry_host = self._pick(caller + number)
+            self.answer_by_id[request_id] = self._send(caller, entry_host, request_id)
+
+    def _pick(self, number):
+        return self._entry_hosts[number % len(self._entry_hosts)]
+
+    def _send(self, caller, entry_host, request_id):
+        return self._deployment.request(
+            entry_host,
+            self._method,
+            f"/{self._service}/lodgements",
+            {"request-id": request_id, "idempotency-key": request_id},
+            "accounts",
+        )
+
+
+class BalancedLoad(Load):
+    """Callers on kept-alive connections, behind a balancer that checks readiness.
+
+    The balancer sends nothing to an entry host that was not ready at its last check.
+    """
+
+    def __init__(self, deployment, service, entry_hosts, check_period_s):
+        super().__init__(deployment, service, entry_hosts)
+        self._ready = list(entry_hosts)
+        self._check_period_s = check_period_s
+        self._connection_by_route = {}
+        self._threads.append(threading.Thread(target=self._check, daemon=True))
+
+    def stop(self):
+        super().stop()
+        for connection in self._connection_by_route.values():
+            connection.close()
+
+    def _check(self):
+        while not self._stopping.wait(self._check_period_s):
+            self._ready = [name for name in self._entry_hosts if self._is_ready(name)]
+
+    def _is_ready(self, entry_host):
+        address = self._deployment.entry_host_by_name[entry_host].address
+        return call(address, METRICS_PORT, "GET", "/readyz").status == 200
+
+    def _pick(self, number):
+        ready = self._ready
+        return ready[number % len(ready)]
+
+    def _send(self, caller, entry_host, request_id):
+        address = self._deployment.entry_host_by_name[entry_host].address
+        connection = self._connection_by_route.setdefault(
+            (caller, entry_host),
+            http.client.HTTPConnection(address, CALLERS_PORT, timeout=15),
+        )
+        headers = {"request-id": request_id, "idempotency-key": request_id}
+        path = f"/{self._service}/lodgements"
+        return exchange(connection, self._method, path, headers, "accounts")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -38,10 +38,12 @@
 
 def test_values_out_of_range_are_found():
     text = GOOD.replace("8080", "80800") + "stop_timeout_s: 0\nlog: {level: loud}\n"
+    text += "stop_notice_s: -1\n"
     _settings, found = findings(text)
     assert found == [
         ("s.yaml:3", "bad-value"),
         ("s.yaml:6", "bad-value"),
+        ("s.yaml:8", "bad-value"),
         ("s.yaml:7", "bad-value"),
     ]
 
