--- a/rhubarbmount/operator_client.py
+++ b/rhubarbmount/operator_client.py
@@ -2,7 +2,8 @@
 
 import json
 import os
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,7 @@
 DEFAULT_ADDRESS = "127.0.0.1:8081"
 CALL_TIMEOUT_S = 30.0
 ANSWER_LIMIT_BYTES = 64 * 1048576
+TITLE_BY_MOMENT = {"time_s": "time", "when_s": "when"}
 
 
 class RemoteError(RhubarbmountError):
@@ -79,20 +81,28 @@
     raise RemoteError(value.get("detail", ""), code=value.get("code", "remote"))
 
 
-def format_table(rows: Sequence[dict[str, Any]], columns: Sequence[str]) -> str:
-    """Format rows as columns under their names.
+def format_table(rows: Sequence[Mapping[str, Any]], columns: Sequence[str]) -> str:
+    """Format rows as columns under their names; moments are shown in UTC.
 
-    >>> print(format_table([{"a": 1, "b": "x"}], ["a", "b"]))
-    a  b
-    1  x
+    >>> print(format_table([{"time_s": 0, "inputs": {"x": 2}}], ["time_s", "inputs"]))
+    time                 inputs
+    1970-01-01T00:00:00  x=2
     """
-    cells = [[str(row.get(column, "")) for column in columns] for row in rows]
-    widths = [
-        max(len(line[index]) for line in [list(columns), *cells])
-        for index in range(len(columns))
-    ]
+    titles = [TITLE_BY_MOMENT.get(column, column) for column in columns]
+    cells = [[_cell(column, row.get(column, "")) for column in columns] for row in rows]
+    widths = [max(map(len, texts)) for texts in zip(titles, *cells, strict=True)]
     lines = [
         "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True))
-        for line in [list(columns), *cells]
+        for line in [titles, *cells]
     ]
     return "\n".join(line.rstrip() for line in lines)
+
+
+def _cell(column: str, value: Any) -> str:
+    if column in TITLE_BY_MOMENT and isinstance(value, int | float):
+        return datetime.fromtimestamp(value, UTC).strftime("%Y-%m-%dT%H:%M:%S")
+    if isinstance(value, Mapping):
+        return " ".join(f"{key}={held}" for key, held in value.items())
+    if isinstance(value, list):
+        return ",".join(map(str, value))
+    return str(value)
--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -42,9 +42,25 @@
     return 0
 
 
-def status() -> int:
-    """Print the version in force as JSON, with the entry hosts that lag."""
-    return _print_json(_call("GET", "/status"))
+def status(*, json: bool = False) -> int:
+    """Show which entry hosts run the version in force, and which lag.
+
+    :param json: print JSON
+    """
+    value = _call("GET", "/status")
+    rows = [
+        {"entry_host": name, "state": "current", "version": value["version"]}
+        for name in value["current"]
+    ]
+    for state in ("behind", "silent"):
+        rows += [
+            {"entry_host": name, "state": state, "version": version}
+            for name, version in value[state].items()
+        ]
+    if not json:
+        told = "in force everywhere" if value["in_force"] else "not in force everywhere"
+        print(f"version {value['version']} is {told}")
+    return _show(value, rows, ("entry_host", "state", "version"), json)
 
 
 def entry_list(*, json: bool = False) -> int:
