--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -27,6 +27,7 @@
     Refused,
     RhubarbmountError,
 )
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     Platform,
@@ -99,6 +100,7 @@
     summarise_fleet: Callable[[], Awaitable[FleetSummary | None]] | None = None
     on_accepted: Callable[[Snapshot], object] | None = None
     version_in_force: Callable[[], int] = _no_version
+    recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     seed: int | None = None
     _cached: Snapshot = attrs.field(factory=Snapshot, init=False)
     _cached_object: str = attrs.field(default="", init=False)
@@ -120,11 +122,14 @@
                 accepted = await self._apply(operator, edit)
         except (AccessDenied, OutcomeUnknown) as error:
             self._log(operator, edit, error.code, logging.WARNING)
+            self._record(operator, edit, error.code, error.message)
             raise
         except RhubarbmountError as error:
             self._log(operator, edit, error.code, logging.INFO)
+            self._record(operator, edit, error.code, error.message)
             raise
         self._log(operator, edit, "accepted", logging.INFO, accepted.version)
+        self._record(operator, edit, "accepted", version=accepted.version)
         return accepted
 
     async def _apply(self, operator: Operator, edit: Edit) -> Accepted:
@@ -239,6 +244,25 @@
             Write(HISTORY_TABLE, _operation_key(edit), operation),
         )
 
+    def _record(
+        self,
+        operator: Operator,
+        edit: Edit,
+        code: str,
+        reason: str = "",
+        version: int | None = None,
+    ) -> None:
+        expected = edit.expected_version
+        self.recorder.record(
+            "entry",
+            edit.key,
+            code,
+            reason,
+            version,
+            operator=operator.name,
+            expected_version=expected,
+        )
+
     def _log(
         self, operator: Operator, edit: Edit, result: str, level: int, version: int = 0
     ) -> None:
--- a/rhubarbmount/attempts.py
+++ b/rhubarbmount/attempts.py
@@ -11,7 +11,7 @@
     Progress,
 )
 from rhubarbmount.http import AnswerLost, Headers, HttpRequest, HttpResponse, NotSent
-from rhubarbmount.problem import OUTCOME_HEADER
+from rhubarbmount.problem import OUTCOME_HEADER, REQUEST_ID_HEADER
 from rhubarbmount.retries import AttemptFacts, Ending
 
 __all__ = ["Attempt", "attempt", "end_to_end_headers"]
@@ -30,6 +30,7 @@
         ATTEMPT_HEADER,
         GUARD_HEADER,
         OUTCOME_HEADER,
+        REQUEST_ID_HEADER,
     }
 )
 GUARD_STATUS = 503
--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -49,6 +49,10 @@
         """Tell whether the host may be taken out of service."""
         return self.code in (PermissionCode.ALLOWED, PermissionCode.ALREADY_DOWN)
 
+    def figures(self) -> dict[str, int]:
+        """Return the figures behind the answer by name."""
+        return {"hosts_down": self.hosts_down, "racks_down": self.racks_down}
+
 
 @attrs.frozen(kw_only=True)
 class BudgetView:
--- a/rhubarbmount/claim_guard.py
+++ b/rhubarbmount/claim_guard.py
@@ -28,6 +28,7 @@
 from rhubarbmount.home_claims import HomeClaims, parse_home_key
 from rhubarbmount.platform.budget import Priority
 from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.request_traces import note_claim, note_claim_refused
 
 __all__ = ["Claims", "open_claims"]
 
@@ -114,6 +115,7 @@
                 self._forget(claim)
         if verdict is not HELD:
             raise self._refused(claim, verdict)
+        note_claim(claim)
         log.event(logger, "claimed", row=claim.row_key, claim=claim.claim_id)
 
     def _finish(self, claim: Claim) -> None:
@@ -121,6 +123,7 @@
             claim = attrs.evolve(claim, state=ClaimState.UNKNOWN)
         self._by_row_key[claim.row_key] = claim
         self.records.add(claim)
+        note_claim(claim)
         log.event(
             logger,
             "claim-finished",
@@ -139,6 +142,7 @@
             del self._by_row_key[claim.row_key]
 
     def _refused(self, claim: Claim, verdict: Verdict) -> ClaimRefused:
+        note_claim_refused(claim, verdict)
         log.event(
             logger,
             "claim-refused",
--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -1,8 +1,9 @@
 """Bounded memory of decisions, and the answer to why things are as they are."""
 
 import logging
-from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+import time
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -10,12 +11,21 @@
 
 from rhubarbmount.log import event
 
-__all__ = ["Decision", "DecisionMemory", "Explanation", "merge_explanations"]
+__all__ = [
+    "KINDS",
+    "Decision",
+    "DecisionMemory",
+    "DecisionRecorder",
+    "Explanation",
+    "merge_explanations",
+]
 
 logger = logging.getLogger(__name__)
 
-SUBJECTS_LIMIT = 2048
+KINDS = ("host", "pool", "job", "request", "entry")
+SUBJECTS_LIMIT_BY_KIND = {"host": 3072, "pool": 64, "job": 2048, "entry": 1024}
 DECISIONS_PER_SUBJECT = 8
+TEXT_LIMIT = 200
 
 _converter = cattrs.Converter()
 
@@ -27,6 +37,7 @@
     ``kind`` is host, pool, job, request or entry. ``reason`` is the one thing that
     kept the decision from being another. ``time_s`` is in seconds since the epoch;
     equal decisions in a row count as one, made ``repeats`` times since ``first_s``.
+    ``source`` is the entry host that remembers it, or ``platform`` for a row.
     """
 
     kind: str
@@ -38,6 +49,7 @@
     time_s: float = 0.0
     first_s: float = attrs.field()
     repeats: int = 1
+    source: str = ""
 
     @first_s.default
     def _first_s(self) -> float:
@@ -70,19 +82,21 @@
 def merge_explanations(found: Iterable[Explanation]) -> Explanation:
     """Join what several entry hosts remember about one subject, in order of time."""
     parts = list(found)
-    decisions = {decision_key(d): d for part in parts for d in part.decisions}
+    decisions: dict[tuple[str, str, float, float], Decision] = {}
+    for decision in (decision for part in parts for decision in part.decisions):
+        decisions.setdefault(_decision_key(decision), decision)
     ordered = sorted(decisions.values(), key=lambda decision: decision.time_s)
     return Explanation(parts[0].kind, parts[0].subject_id, tuple(ordered))
 
 
-def decision_key(decision: Decision) -> tuple[str, str, float, float]:
+def _decision_key(decision: Decision) -> tuple[str, str, float, float]:
     """Return what tells two decisions about one subject apart."""
     return decision.code, decision.reason, decision.first_s, decision.time_s
 
 
 @attrs.define
 class DecisionMemory:
-    """Keep the latest decisions of the most recently decided subjects.
+    """Keep the latest decisions of the most recently decided subjects of each kind.
 
     >>> memory = DecisionMemory()
     >>> memory.record(Decision(kind="job", subject_id="j1", code="wait", reason="full"))
@@ -90,45 +104,102 @@
     'full'
     """
 
-    subjects_limit: int = SUBJECTS_LIMIT
+    limit_by_kind: Mapping[str, int] = attrs.field(factory=SUBJECTS_LIMIT_BY_KIND.copy)
     decisions_limit: int = DECISIONS_PER_SUBJECT
-    _by_subject: OrderedDict[tuple[str, str], deque[Decision]] = attrs.field(
-        factory=OrderedDict, init=False
+    _subjects_by_kind: dict[str, OrderedDict[str, list[Decision]]] = attrs.field(
+        factory=lambda: defaultdict(OrderedDict), init=False
     )
 
     def record(self, decision: Decision) -> None:
         """Remember a decision; log it unless it repeats the one before."""
-        subject = decision.kind, decision.subject_id
-        decisions = self._by_subject.get(subject)
-        if decisions is None:
-            decisions = self._add_subject(subject)
-        else:
-            self._by_subject.move_to_end(subject)
-        last = decisions[-1] if decisions else None
-        if last is not None and _same(last, decision):
-            decisions[-1] = attrs.evolve(
-                decision, first_s=last.first_s, repeats=last.repeats + 1
-            )
+        decision = _shortened(decision)
+        decisions = self._decisions_about(decision.kind, decision.subject_id)
+        if decisions and _same(decisions[-1], decision):
+            decisions[-1] = _repeated(decisions[-1], decision)
             return
         decisions.append(decision)
+        del decisions[: -self.decisions_limit]
         _log(decision)
 
     def explain(self, kind: str, subject_id: str) -> Explanation:
         """Return the remembered decisions about a subject, oldest first."""
-        decisions = self._by_subject.get((kind, subject_id), ())
+        decisions = self._subjects_by_kind[kind].get(subject_id, ())
         return Explanation(kind, subject_id, tuple(decisions))
 
     def __len__(self) -> int:
-        return len(self._by_subject)
-
-    def _add_subject(self, subject: tuple[str, str]) -> deque[Decision]:
-        while len(self._by_subject) >= self.subjects_limit:
-            self._by_subject.popitem(last=False)
-        decisions: deque[Decision] = deque(maxlen=self.decisions_limit)
-        self._by_subject[subject] = decisions
+        return sum(map(len, self._subjects_by_kind.values()))
+
+    def _decisions_about(self, kind: str, subject_id: str) -> list[Decision]:
+        """Return a subject's decisions to add to, as the latest decided of its kind."""
+        subjects = self._subjects_by_kind[kind]
+        decisions = subjects.get(subject_id)
+        if decisions is not None:
+            subjects.move_to_end(subject_id)
+            return decisions
+        if len(subjects) >= self.limit_by_kind[kind]:
+            subjects.popitem(last=False)
+        decisions = subjects[subject_id] = []
         return decisions
 
 
+def _no_version() -> int:
+    return 0
+
+
+@attrs.define
+class DecisionRecorder:
+    """Record decisions with the configuration version in force and the time."""
+
+    memory: DecisionMemory = attrs.field(factory=DecisionMemory)
+    catalogue_version: Callable[[], int] = _no_version
+    wall_clock: Callable[[], float] = time.time
+
+    def record(
+        self,
+        kind: str,
+        subject_id: str,
+        code: str,
+        reason: str = "",
+        version: int | None = None,
+        **inputs: Any,
+    ) -> None:
+        """Record a decision that was made now, by the version in force or another."""
+        if version is None:
+            version = self.catalogue_version()
+        decision = Decision(
+            kind=kind,
+            subject_id=subject_id,
+            code=code,
+            reason=reason,
+            inputs=inputs,
+            catalogue_version=version,
+            time_s=self.wall_clock(),
+        )
+        self.memory.record(decision)
+
+
+def _shortened(decision: Decision) -> Decision:
+    """Return the decision with its texts cut to the limit, which bounds the memory."""
+    inputs = decision.inputs
+    long_names = [name for name, value in inputs.items() if _is_long(value)]
+    if not long_names and len(decision.reason) <= TEXT_LIMIT:
+        return decision
+    cut = {name: str(inputs[name])[:TEXT_LIMIT] for name in long_names}
+    reason = decision.reason[:TEXT_LIMIT]
+    return attrs.evolve(decision, reason=reason, inputs={**inputs, **cut})
+
+
+def _is_long(value: object) -> bool:
+    if isinstance(value, (int, float)):
+        return False
+    text = value if isinstance(value, str) else str(value)
+    return len(text) > TEXT_LIMIT
+
+
+def _repeated(last: Decision, decision: Decision) -> Decision:
+    return attrs.evolve(decision, first_s=last.first_s, repeats=last.repeats + 1)
+
+
 def _same(last: Decision, decision: Decision) -> bool:
     return (last.code, last.reason, last.catalogue_version) == (
         decision.code,
--- /dev/null
+++ b/rhubarbmount/explain_operators.py
@@ -0,0 +1,173 @@
+"""The operators' HTTP interface to the decisions about one subject."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount.edits import Operator
+from rhubarbmount.errors import (
+    NotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    Refused,
+    UsageError,
+)
+from rhubarbmount.explain import (
+    KINDS,
+    Decision,
+    Explanation,
+    merge_explanations,
+)
+from rhubarbmount.http import HttpResponse
+from rhubarbmount.instances import ConfigurationStatus
+from rhubarbmount.platform.interface import Platform
+from rhubarbmount.problem import json_response
+from rhubarbmount.questions import Answers, AskPeers, InstanceMemory, ask_nobody
+from rhubarbmount.router import Call, Router
+from rhubarbmount.row_causes import row_causes
+
+__all__ = ["ExplainApi", "Told", "judge_in_force"]
+
+PLATFORM_TIMEOUT_S = 1.5
+QUESTIONS_LIMIT = 8
+
+
+@attrs.define
+class Told:
+    """An explanation, and who had a part in it.
+
+    ``platform`` tells whether the platform's table answered.
+    """
+
+    explanation: Explanation
+    answered: list[str]
+    silent: list[str]
+    platform: str
+
+    def dump(self) -> dict[str, Any]:
+        """Return plain values."""
+        who = {"answered": self.answered, "silent": self.silent}
+        return self.explanation.dump() | who | {"platform": self.platform}
+
+
+@attrs.define(eq=False)
+class ExplainApi:
+    """Answer operators from the memory of all entry hosts and from the rows.
+
+    ``status_of`` says which entry hosts run a configuration version, and
+    ``entry_version`` which version last changed an entry, as known here.
+    """
+
+    identify: Callable[[Call], Operator]
+    memory: InstanceMemory
+    platform: Platform
+    status_of: Callable[[int], ConfigurationStatus]
+    entry_version: Callable[[str], int]
+    wall_clock: Callable[[], float]
+    ask_others: AskPeers = ask_nobody
+    _open_questions: int = attrs.field(default=0, init=False)
+
+    def add_routes(self, router: Router) -> None:
+        """File the handlers."""
+        router.add("GET", "/explain/*/*", self.explain)
+
+    async def explain(self, call: Call) -> HttpResponse:
+        """Return the decisions about a subject and the reason that holds now."""
+        self.identify(call)
+        kind, subject_id = call.parts[1:]
+        if kind not in KINDS:
+            raise UsageError(f"no decisions about {kind!r}; known: {', '.join(KINDS)}")
+        if self._open_questions >= QUESTIONS_LIMIT:
+            raise Refused("too many questions at once", code="too-many-questions")
+        self._open_questions += 1
+        try:
+            told = await self._gather(kind, subject_id)
+        finally:
+            self._open_questions -= 1
+        if not told.explanation.decisions:
+            raise NotFound(_nothing_known(told))
+        return json_response(told.dump())
+
+    async def _gather(self, kind: str, subject_id: str) -> Told:
+        """Ask the platform's table and the other entry hosts at once."""
+        rows: list[Decision] | None = None
+        answers = Answers()
+
+        async def read_rows() -> None:
+            nonlocal rows
+            rows = await self._read_rows(kind, subject_id)
+
+        async def ask_others() -> None:
+            nonlocal answers
+            answers = await self.ask_others(kind, subject_id)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_rows)
+            nursery.start_soon(ask_others)
+        known = Explanation(kind, subject_id, tuple(rows or ()))
+        own = self.memory.explain(kind, subject_id)
+        merged = merge_explanations([known, own, *answers.found])
+        if kind == "entry":
+            merged = self._with_status(merged)
+        return Told(
+            merged,
+            sorted({self.memory.instance, *answers.answered}),
+            answers.silent,
+            "silent" if rows is None else "answered",
+        )
+
+    async def _read_rows(self, kind: str, subject_id: str) -> list[Decision] | None:
+        """Return what the rows hold, or None if the platform does not answer."""
+        try:
+            with trio.fail_after(PLATFORM_TIMEOUT_S):
+                return await row_causes.get(kind)(self.platform, subject_id)
+        except (PlatformUnavailable, OutcomeUnknown, trio.TooSlowError):
+            return None
+
+    def _with_status(self, explanation: Explanation) -> Explanation:
+        """Add where the entry's last accepted change is in force."""
+        key = explanation.subject_id
+        accepted = [d.catalogue_version for d in explanation.decisions if _accepts(d)]
+        version = max([self.entry_version(key), *accepted])
+        if version == 0:
+            return explanation
+        status = judge_in_force(key, version, self.status_of(version))
+        status = attrs.evolve(
+            status, source=self.memory.instance, time_s=self.wall_clock()
+        )
+        return attrs.evolve(explanation, decisions=(*explanation.decisions, status))
+
+
+def judge_in_force(key: str, version: int, status: ConfigurationStatus) -> Decision:
+    """Say whether a version that changed an entry is in force everywhere.
+
+    A silent entry host counts by the version that it last recorded.
+    """
+    unheard = sorted(name for name, ran in status.silent.items() if ran < version)
+    late = [f"{name} runs version {ran}" for name, ran in sorted(status.behind.items())]
+    late += [f"{name} is not heard" for name in unheard]
+    return Decision(
+        kind="entry",
+        subject_id=key,
+        code="not-in-force" if late else "in-force",
+        reason="; ".join(late),
+        inputs={"in_force_at": ",".join(status.current)},
+        catalogue_version=version,
+    )
+
+
+def _accepts(decision: Decision) -> bool:
+    return decision.code == "accepted"
+
+
+def _nothing_known(told: Told) -> str:
+    explanation = told.explanation
+    parts = [f"nothing about {explanation.kind} {explanation.subject_id!r} is known"]
+    parts.append(f"asked: {', '.join(told.answered)}")
+    if told.silent:
+        parts.append(f"silent: {', '.join(told.silent)}")
+    if told.platform == "silent":
+        parts.append("the platform does not answer")
+    return "; ".join(parts)
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -2,7 +2,8 @@
 
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 import cattrs
@@ -10,7 +11,13 @@
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.edits import Operator
 from rhubarbmount.entries import Pool
-from rhubarbmount.errors import AccessDenied, NotFound, UsageError
+from rhubarbmount.errors import (
+    AccessDenied,
+    NotFound,
+    RhubarbmountError,
+    UsageError,
+)
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.hosts import Host, dump_host
 from rhubarbmount.http import HttpResponse
@@ -36,6 +43,7 @@
     platform: Platform
     settings: WaveSettings
     spares_pool: str = ""
+    recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     mover: HostMover = attrs.field(init=False)
     waves: WaveOperator = attrs.field(init=False)
 
@@ -66,7 +74,14 @@
     async def _move(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
         target = _text(call, "pool")
-        intent_id = await self.mover.begin(call.parts[1], target, operator.owners)
+        host_id = call.parts[1]
+        inputs: dict[str, Any] = {"target_pool": target, "operator": operator.name}
+        try:
+            intent_id = await self.mover.begin(host_id, target, operator.owners)
+        except RhubarbmountError as error:
+            self._record_refused_move(host_id, error, inputs)
+            raise
+        self.recorder.record("host", host_id, "move-begun", **inputs)
         return json_response({"result": "begun", "intent": intent_id}, 202)
 
     async def _cancel_move(self, call: Call) -> HttpResponse:
@@ -74,6 +89,9 @@
         host = self._host(call.parts[1])
         self._check_owner(operator, host.pool)
         intent_id = await self.mover.cancel(host.host_id)
+        self.recorder.record(
+            "host", host.host_id, "move-cancelled", operator=operator.name
+        )
         return json_response({"result": "cancelled", "intent": intent_id}, 202)
 
     async def _list_waves(self, call: Call) -> HttpResponse:
@@ -90,6 +108,7 @@
         if spares:
             self._check_owner(operator, self.spares_pool)
         wave_id = await self.waves.start(pools, self.spares_pool, spares)
+        self._record_wave(pools, "wave-started", wave_id, operator)
         return json_response({"result": "started", "wave": wave_id}, 202)
 
     async def _plan_wave(self, call: Call) -> HttpResponse:
@@ -127,8 +146,29 @@
         for pool in wave.pools:
             self._check_owner(operator, pool)
         wave = await self.waves.control(wave.wave_id, control)
+        self._record_wave(wave.pools, f"wave-{control.value}", wave.wave_id, operator)
         return json_response(_converter.unstructure(wave))
 
+    def _record_refused_move(
+        self, host_id: str, error: RhubarbmountError, inputs: dict[str, Any]
+    ) -> None:
+        """Record why a move was refused, for the host and if it is known its pool."""
+        host = self.fleet.hosts_by_id.get(host_id)
+        record, reason = self.recorder.record, f"{error.code}: {error.message}"
+        record("host", host_id, "move-refused", reason, **inputs)
+        if host is not None:
+            record("pool", host.pool, "move-refused", reason, host=host_id, **inputs)
+
+    def _record_wave(
+        self, pools: Iterable[str], code: str, wave_id: str, operator: Operator
+    ) -> None:
+        paused = code == f"wave-{Control.PAUSED.value}"
+        reason = "the operator paused the wave" if paused else ""
+        for pool in pools:
+            self.recorder.record(
+                "pool", pool, code, reason, wave=wave_id, operator=operator.name
+            )
+
     def _pools(self, call: Call, operator: Operator) -> list[str]:
         """Return the pools that the call names, or all that the operator owns."""
         body = call.json()
--- a/rhubarbmount/fleet_rooms.py
+++ b/rhubarbmount/fleet_rooms.py
@@ -141,13 +141,15 @@
         demand = self._demand_by_pool.setdefault(pool, UrgentDemand())
         demand.observe(need, now_s)
 
-    def keep_headroom(self, placer: PoolPlacer, now_s: float) -> None:
-        """Set how much room the pool keeps for urgent jobs."""
+    def keep_headroom(self, placer: PoolPlacer, now_s: float) -> bool:
+        """Set how much room the pool keeps for urgent jobs; tell if hosts changed."""
         demand = self._demand_by_pool.get(placer.pool)
         if demand is None:
-            return
+            return False
+        kept_before = placer.kept
         placer.kept = demand.hosts_wanted(len(placer.rooms.room_by_host), now_s)
         placer.rooms.keep_headroom(demand.room_wanted())
+        return placer.kept != kept_before
 
     def refill(self, placer: PoolPlacer, now_s: float) -> Iterator[Eviction]:
         """Yield evictions until enough hosts have headroom or are getting it."""
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -6,7 +6,7 @@
 import trio
 
 from rhubarbmount.cadence import CadenceDuty
-from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_probe import HostProbe
@@ -49,7 +49,7 @@
     policy: RequestPolicy
     client: PlatformClient
     view: LocalView
-    decisions: DecisionMemory
+    recorder: DecisionRecorder
     duties: FleetDuties = attrs.field(init=False)
     probe: HostProbe = attrs.field(init=False)
 
@@ -86,11 +86,12 @@
         repair = RepairDuty(
             platform, observe, time.time, fleet.buffer_pool, fleet.repair
         )
-        self.duties.add(
-            HostDuty(platform, observe, time.time, fleet.work), HOSTS_PERIOD_S
-        )
+        hosts = HostDuty(platform, observe, time.time, fleet.work)
+        wave = WaveDuty(platform, time.time, waves)
+        repair.recorder = hosts.recorder = wave.recorder = self.recorder
+        self.duties.add(hosts, HOSTS_PERIOD_S)
         self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
-        self.duties.add(WaveDuty(platform, time.time, waves), HOSTS_PERIOD_S)
+        self.duties.add(wave, HOSTS_PERIOD_S)
         if fleet.cadence:
             cadence = CadenceDuty(platform, time.time)
             self.duties.add(PacedDuty(cadence, CADENCE_PERIOD_S), HOSTS_PERIOD_S)
@@ -101,7 +102,7 @@
             self.view,
             trio.current_time,
             time.time,
-            learned=Learned(memory=self.decisions),
+            learned=Learned(memory=self.recorder.memory),
             affordable_writes=self.client.affordable_writes,
         )
         self.duties.add(scheduling, SCHEDULING_PERIOD_S)
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -25,6 +25,7 @@
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.problem import OUTCOME_HEADER, Outcome, problem
 from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.request_traces import note_attempt, note_refusal, note_route
 from rhubarbmount.retries import RetryDecision, classify, decide_retry
 from rhubarbmount.routing import PoolView, RouteDecision, RouteReason
 from rhubarbmount.strategies import Backend
@@ -174,6 +175,7 @@
     ) -> Backend | None:
         decision = view.choose(trio.current_time(), history.tried)
         self.metrics.count_route(service.name, decision.reason)
+        note_route(decision, history.attempts + 1)
         if logger.isEnabledFor(logging.INFO):
             self._log_route(service, decision, history)
         return decision.backend
@@ -242,6 +244,7 @@
             budget=self.policy.budget_of(service),
         )
         self.metrics.count_retry(service.name, decision.retry, decision.reason)
+        note_attempt(history.tried[-1], ended.code, history.outcome, decision)
         log.event(
             logger,
             "attempt-failed",
@@ -270,4 +273,5 @@
         return refusal(503, admission.code, message, outcome, admission.retry_after_s)
 
     def _log_refusal(self, service: Service, code: str) -> None:
+        note_refusal(code)
         log.event(logger, "refused", service=service.name, code=code)
--- a/rhubarbmount/home_claims.py
+++ b/rhubarbmount/home_claims.py
@@ -24,6 +24,7 @@
     refusal,
     row_key,
 )
+from rhubarbmount.request_traces import note_claim, note_claim_refused
 
 __all__ = ["HomeClaims", "HomeKey", "parse_home_key"]
 
@@ -103,7 +104,9 @@
         verdict = self._acquire(service, idempotency_key, claim)
         log.event(logger, "claim-in-memory", row=claim.row_key, ruling=verdict.ruling)
         if verdict is not HELD:
+            note_claim_refused(claim, verdict)
             raise refusal(verdict)
+        note_claim(claim)
         held = HeldClaim(claim)
         try:
             yield held
@@ -128,10 +131,12 @@
     def _finish(self, claim: Claim) -> None:
         expires_s, _ = self._claims.pop(claim.row_key)
         if claim.state is ClaimState.RELEASED:
+            note_claim(claim)
             return
         if claim.state is ClaimState.CLAIMED:
             claim = attrs.evolve(claim, state=ClaimState.UNKNOWN)
         self._claims[claim.row_key] = (expires_s, claim)
+        note_claim(claim)
 
     def _forget_expired(self) -> None:
         """Forget old claims from the front; their keys are refused by their age."""
--- a/rhubarbmount/host_actions.py
+++ b/rhubarbmount/host_actions.py
@@ -23,7 +23,7 @@
         waited = progress.elapsed_s >= bounds.view_s + bounds.drain_s
         return Step("empty") if waited else None
     if progress.elapsed_s >= bounds.drain_limit_s:
-        return Step("restore")
+        return Step("restore", reason="requests are left at the drain limit")
     return None
 
 
@@ -34,7 +34,8 @@
     if progress.seen.ready and rebooted:
         return Step("ready")
     if progress.elapsed_s >= bounds.reboot_limit_s:
-        return Step("quarantine", finished=True)
+        reason = "the host was not back within the reboot limit"
+        return Step("quarantine", finished=True, reason=reason)
     return None
 
 
@@ -45,7 +46,8 @@
     if progress.seen.ready is not False:
         return Step("warm", finished=True)
     if progress.elapsed_s >= progress.bounds.reboot_limit_s:
-        return Step("quarantine", finished=True)
+        reason = "the host did not answer after its return"
+        return Step("quarantine", finished=True, reason=reason)
     return None
 
 
@@ -67,7 +69,7 @@
     """Return the next step of a host that goes back into service where it is."""
     state = progress.host.state
     if state in (HostState.DRAINING, HostState.DRAINED):
-        return Step("restore")
+        return Step("restore", reason="the move was cancelled")
     if state is HostState.RETURNING:
         return return_step(progress)
     return None
--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -11,8 +11,10 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
 from rhubarbmount.errors import NotFound, Refused
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, Terms, host_terms
 from rhubarbmount.host_tasks import HostTasks
+from rhubarbmount.host_waits import uncommanded, wait_reason
 from rhubarbmount.host_work import (
     EFFECT_BY_STATE,
     HOST_PREFIX,
@@ -36,6 +38,7 @@
 
 __all__ = ["Begun", "HostDuty", "begin_changes", "begin_terms", "next_host"]
 
+UNSEEN = Observation()
 logger = logging.getLogger("rhubarbmount.host_duty")
 
 
@@ -121,6 +124,7 @@
     wall_clock: Callable[[], float]
     bounds: WorkBounds = attrs.field(factory=WorkBounds)
     name: str = "hosts"
+    recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     view: HostRows = attrs.field(init=False)
     tasks: HostTasks = attrs.field(init=False)
     _watch_by_host_id: dict[str, Watch] = attrs.field(factory=dict)
@@ -210,6 +214,7 @@
         host = item.row.host
         watch = self._watch_by_host_id[host.host_id]
         if not watch.commanded and host.state in EFFECT_BY_STATE:
+            self._record_wait(item, uncommanded(host.state))
             return None
         seen = self.observe(host)
         if tasks:
@@ -223,7 +228,24 @@
             was_unready=watch.was_unready,
             bounds=self.bounds,
         )
-        return host_actions.get(item.intent.action)(progress)
+        step = host_actions.get(item.intent.action)(progress)
+        if step is None:
+            self._record_wait(item, wait_reason(progress), seen)
+        return step
+
+    def _record_wait(
+        self, item: OpenWork, reason: str, seen: Observation = UNSEEN
+    ) -> None:
+        self.recorder.record(
+            "host",
+            item.intent.host_id,
+            "waits",
+            reason,
+            action=item.intent.action,
+            state=item.row.host.state.value,
+            in_flight=seen.in_flight,
+            ready=seen.ready,
+        )
 
     async def _take_steps(
         self, pool: str, due: list[tuple[OpenWork, Step]], lease: Lease
@@ -236,6 +258,8 @@
         terms = await self._terms(rows, due)
         if not await lease.commit(terms):
             event(logger, "steps-conflict", pool=pool, hosts=len(due))
+            for item, _ in due:
+                self._record_wait(item, "another writer changed the rows")
             return
         for item, step in due:
             self._log_step(item, step)
@@ -270,7 +294,7 @@
             return step
         target = await read_pool_rows(self.platform, step.pool)
         if target.pool is None:
-            return Step("restore")
+            return Step("restore", reason="the pool to move to is gone")
         terms.add(target.entry_terms())
         return step
 
@@ -286,6 +310,15 @@
         return host
 
     def _log_step(self, item: OpenWork, step: Step) -> None:
+        self.recorder.record(
+            "host",
+            item.intent.host_id,
+            step.event,
+            step.reason,
+            action=item.intent.action,
+            pool=step.pool or item.row.host.pool,
+            intent=item.intent.intent_id,
+        )
         event(
             logger,
             "host-step",
--- /dev/null
+++ b/rhubarbmount/host_waits.py
@@ -0,0 +1,42 @@
+"""Why a host that is worked on takes no step now, as pure decisions."""
+
+from rhubarbmount.host_work import EFFECT_BY_STATE, Progress
+from rhubarbmount.hosts import HostState
+
+__all__ = ["uncommanded", "wait_reason"]
+
+
+def uncommanded(state: HostState) -> str:
+    """Return why a host waits whose command the platform has not accepted.
+
+    >>> uncommanded(HostState.DRAINING)
+    'the platform has not accepted the command to drain'
+    """
+    return f"the platform has not accepted the command to {EFFECT_BY_STATE[state]}"
+
+
+def wait_reason(progress: Progress) -> str:
+    """Return the one thing that keeps a host from its next step.
+
+    It names no figure that changes from round to round, so that it can be counted.
+    """
+    match progress.host.state:
+        case HostState.DRAINING:
+            return _drain_reason(progress)
+        case HostState.MAINTENANCE:
+            if progress.seen.ready is False:
+                return "the host is not back"
+            return "the host has not been seen to reboot"
+        case HostState.RETURNING:
+            if progress.elapsed_s < progress.bounds.warm_s:
+                return "slow start"
+            return "the host does not answer"
+    return f"nothing to do for {progress.intent.action} in this state"
+
+
+def _drain_reason(progress: Progress) -> str:
+    if progress.elapsed_s < progress.bounds.view_s:
+        return "entry hosts may not have seen that it drains"
+    if progress.seen.in_flight is None:
+        return "requests in flight can't be counted"
+    return "requests or tasks are in flight"
--- a/rhubarbmount/host_work.py
+++ b/rhubarbmount/host_work.py
@@ -95,13 +95,15 @@
 class Step:
     """An event of the host's state chart; ``finished`` closes the intent.
 
-    A host that is ``gone`` leaves the fleet with its row.
+    A host that is ``gone`` leaves the fleet with its row. ``reason`` says why the
+    work takes another course than the intent's.
     """
 
     event: str
     pool: str = ""
     finished: bool = False
     gone: bool = False
+    reason: str = attrs.field(default="", eq=False)
 
 
 host_actions: Registry[Callable[[Progress], Step | None]] = Registry("host action")
--- a/rhubarbmount/instances.py
+++ b/rhubarbmount/instances.py
@@ -159,6 +159,10 @@
 
     def status(self) -> ConfigurationStatus:
         """Say how far the version in force here has come."""
+        return self.status_of(self.version())
+
+    def status_of(self, version: int) -> ConfigurationStatus:
+        """Say how far a version has come, by what was last read and heard."""
         heard = {
             instance: report.configuration_version
             for instance, report in self.reports().items()
@@ -168,7 +172,7 @@
             record.instance: record.configuration_version
             for record in self.by_instance.values()
         }
-        return weigh_status(self.version(), recorded, heard)
+        return weigh_status(version, recorded, heard)
 
     async def _write(self) -> None:
         self._renewals += 1
--- a/rhubarbmount/job_decisions.py
+++ b/rhubarbmount/job_decisions.py
@@ -38,6 +38,10 @@
         """Record what a host is suspected of."""
         self._record(blame.kind, blame.subject_id, blame.code, blame.reason, {})
 
+    def of_headroom(self, pool: str, hosts: int) -> None:
+        """Record how many hosts of a pool keep room for urgent jobs."""
+        self._record("pool", pool, "headroom", "urgent arrivals", {"hosts": hosts})
+
     def _record(
         self, kind: str, subject_id: str, code: str, reason: str, inputs: dict[str, Any]
     ) -> None:
--- a/rhubarbmount/job_handlers.py
+++ b/rhubarbmount/job_handlers.py
@@ -1,7 +1,7 @@
 """What operators ask about jobs and decisions, over HTTP."""
 
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -14,14 +14,10 @@
     Finding,
     FindingsError,
     NotFound,
+    RhubarbmountError,
     UsageError,
 )
-from rhubarbmount.explain import (
-    Decision,
-    DecisionMemory,
-    Explanation,
-    merge_explanations,
-)
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.hosts import Shape
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.job_changes import HISTORY_TABLE, JobRequest, request_write
@@ -29,12 +25,12 @@
 from rhubarbmount.platform.interface import Platform, Precondition, Transaction, Write
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
+from rhubarbmount.row_causes import read_job_row
 from rhubarbmount.scheduling import SchedulingView
 from rhubarbmount.structure import structure
 
 __all__ = ["JobHandlers", "JobSubmission"]
 
-KINDS = ("host", "pool", "job", "request", "entry")
 TEMPLATE_KEYS = (
     "team",
     "pool",
@@ -80,23 +76,15 @@
         )
 
 
-async def _ask_nobody(kind: str, subject_id: str) -> list[Explanation]:
-    return []
-
-
 @attrs.define
 class JobHandlers:
-    """Answer operators about jobs, and explain decisions.
-
-    ``ask_others`` returns what the other entry hosts remember about a subject.
-    """
+    """Answer operators about jobs."""
 
     platform: Platform
     view: SchedulingView
-    memory: DecisionMemory
+    recorder: DecisionRecorder
     identify: Callable[[Call], Operator]
     epoch_clock: Callable[[], float]
-    ask_others: Callable[[str, str], Awaitable[list[Explanation]]] = _ask_nobody
 
     def add_routes(self, router: Router) -> None:
         """File the handlers."""
@@ -105,12 +93,18 @@
         router.add("GET", "/jobs/*", self.show)
         router.add("DELETE", "/jobs/*", self.cancel)
         router.add("POST", "/jobs/*/release", self.release)
-        router.add("GET", "/explain/*/*", self.explain)
 
     async def submit(self, call: Call) -> HttpResponse:
         """Accept a job, or refuse one that could never run."""
         operator = self.identify(call)
         job = self._build(call.json()).job(self.epoch_clock())
+        try:
+            return await self._submit(operator, job)
+        except RhubarbmountError as error:
+            self._record(job.job_id, "submission-refused", operator, error)
+            raise
+
+    async def _submit(self, operator: Operator, job: Job) -> HttpResponse:
         teams = {team.name: team for team in self.view.teams()}
         team = teams.get(job.team)
         if team is not None:
@@ -130,6 +124,7 @@
             ),
         )
         if committed:
+            self._record(job.job_id, "submitted", operator)
             return json_response(dump_job(job), 201)
         return json_response(dump_job(await self._same_job(job)))
 
@@ -154,21 +149,6 @@
         """Let a held job run again."""
         return await self._request(call, "release")
 
-    async def explain(self, call: Call) -> HttpResponse:
-        """Return the decisions about a subject and the reason that holds now."""
-        self.identify(call)
-        kind, subject_id = call.parts[1:]
-        if kind not in KINDS:
-            raise UsageError(f"no decisions about {kind!r}; known: {', '.join(KINDS)}")
-        found = [self.memory.explain(kind, subject_id)]
-        found += await self.ask_others(kind, subject_id)
-        merged = merge_explanations(found)
-        if not merged.decisions and kind == "job":
-            merged = _explain_row(await self._read(subject_id))
-        if not merged.decisions:
-            raise NotFound(f"no decision about {kind} {subject_id!r} is remembered")
-        return json_response(merged.dump())
-
     def _build(self, values: Any) -> JobSubmission:
         if not isinstance(values, dict):
             raise UsageError("a job is a mapping")
@@ -188,6 +168,16 @@
             )
         return submission
 
+    def _record(
+        self,
+        job_id: str,
+        code: str,
+        operator: Operator,
+        error: RhubarbmountError | None = None,
+    ) -> None:
+        reason = "" if error is None else error.message
+        self.recorder.record("job", job_id, code, reason, operator=operator.name)
+
     def _check_owner(self, operator: Operator, team_name: str) -> None:
         for team in self.view.teams():
             if team.name == team_name and team.owner in operator.owners:
@@ -205,6 +195,7 @@
         )
         if not committed:
             raise ConflictError(f"job {job.job_id} has ended", code="job-ended")
+        self._record(job.job_id, f"{action}-requested", operator)
         return json_response({"job_id": job.job_id, "requested": action}, 202)
 
     async def _same_job(self, job: Job) -> Job:
@@ -215,8 +206,7 @@
         return known
 
     async def _read(self, job_id: str) -> Job:
-        row = await self.platform.read(JOBS_TABLE, job_id)
-        row = row or await self.platform.read(HISTORY_TABLE, f"job/{job_id}")
+        row = await read_job_row(self.platform, job_id)
         if row is None:
             raise NotFound(f"no job {job_id!r}")
         return load_job(row.value)
@@ -241,15 +231,3 @@
 def _declared(job: Job) -> tuple[Any, ...]:
     shape = job.shape
     return job.team, job.pool, shape, job.work_class, job.run_time_s, job.template
-
-
-def _explain_row(job: Job) -> Explanation:
-    decision = Decision(
-        kind="job",
-        subject_id=job.job_id,
-        code=job.state.value,
-        reason=job.cause,
-        inputs={"pool": job.pool, "task": job.task_id, "attempt": job.attempt},
-        time_s=job.since_s,
-    )
-    return Explanation("job", job.job_id, (decision,))
--- a/rhubarbmount/membership.py
+++ b/rhubarbmount/membership.py
@@ -11,6 +11,7 @@
 from rhubarbmount.instances import InstanceRows
 from rhubarbmount.peers import Peers, new_identity, open_peers
 from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.questions import Answers, InstanceMemory, ask_peers
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.settings import PeerSettings, Settings
 from rhubarbmount.shares import EntryHosts
@@ -62,6 +63,14 @@
         in_flight = table.in_flight(host_ids, self.peers.clock())
         self.policy.set_peers_in_flight(in_flight)
 
+    async def ask_others(self, kind: str, subject_id: str) -> Answers:
+        """Ask all other entry hosts that are known what they remember."""
+        instance_by_address = self.peers.table.instance_by_address(self.peers.clock())
+        for record in self.rows.by_instance.values():
+            if record.instance != self.settings.instance:
+                instance_by_address[record.address] = record.instance
+        return await ask_peers(self.peers.ask, instance_by_address, kind, subject_id)
+
     def announce_draining(self) -> None:
         """Tell the peers that this entry host is about to stop."""
         self.peers.draining = True
@@ -80,6 +89,7 @@
     configuration: Configuration,
     fleet_view: FleetView,
     policy: RequestPolicy,
+    memory: InstanceMemory,
     timers: TimerService,
 ) -> AsyncIterator[Membership]:
     """Speak with the peers for the length of the block."""
@@ -94,6 +104,7 @@
         followers,
         timers,
         in_flight=policy.own_in_flight,
+        answer=memory.answer,
     ) as peers:
         configuration.pull = peers.pull
         fleet_view.pull = peers.pull
--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -106,11 +106,15 @@
     """Show the decisions about one subject, and what keeps it as it is.
 
     :param kind: host, pool, job, request or entry
-    :param subject_id: its name
+    :param subject_id: its name; an entry's is KIND/NAME, a request's its id, or
+        SERVICE/KEY for one with an idempotency key
     :param json: print JSON
     """
     value = _call("GET", f"/explain/{_quote(kind)}/{_quote(subject_id)}")
-    return _show(value, value["decisions"], ("time_s", "code", "reason"), json)
+    if not json:
+        _print_told(value)
+    columns = ("time_s", "source", "catalogue_version", "code", "reason", "inputs")
+    return _show(value, value["decisions"], columns, json)
 
 
 def hosts_list(*, pool: str | None = None, json: bool = False) -> int:
@@ -235,6 +239,15 @@
     return 0
 
 
+def _print_told(value: Any) -> None:
+    """Print the reason that holds now, and who did not answer."""
+    print(f"reason: {value['reason'] or '-'}")
+    if value["silent"]:
+        print(f"silent: {', '.join(value['silent'])}")
+    if value["platform"] == "silent":
+        print("the platform does not answer: its rows are not told")
+
+
 def _show(
     value: Any, rows: list[dict[str, Any]], columns: tuple[str, ...], as_json: bool
 ) -> int:
--- a/rhubarbmount/peer_messages.py
+++ b/rhubarbmount/peer_messages.py
@@ -13,6 +13,8 @@
     "PeerIdentity",
     "PullReply",
     "PullRequest",
+    "Question",
+    "QuestionReply",
     "Summary",
     "decode_identity",
     "decode_message",
@@ -85,9 +87,34 @@
     body: bytes | None
 
 
-Message = Heartbeat | Summary | PullRequest | PullReply
+@attrs.frozen
+class Question:
+    """Asks what an entry host remembers of the decisions about one subject."""
+
+    request_id: int
+    kind: str
+    subject_id: str
+
+
+@attrs.frozen
+class QuestionReply:
+    """Answers a Question; ``body`` holds an Explanation, cut to a size."""
 
-_TYPES: tuple[type, ...] = (Heartbeat, Summary, PullRequest, PullReply)
+    request_id: int
+    instance: str
+    body: bytes
+
+
+Message = Heartbeat | Summary | PullRequest | PullReply | Question | QuestionReply
+
+_TYPES: tuple[type, ...] = (
+    Heartbeat,
+    Summary,
+    PullRequest,
+    PullReply,
+    Question,
+    QuestionReply,
+)
 _TAG_BY_TYPE = {message_type: tag for tag, message_type in enumerate(_TYPES)}
 
 _converter = cattrs.Converter(
--- a/rhubarbmount/peer_table.py
+++ b/rhubarbmount/peer_table.py
@@ -90,6 +90,14 @@
         """Return the known addresses in a data centre, in order."""
         return sorted(a for a, name in self._addresses.items() if name == data_centre)
 
+    def instance_by_address(self, now_s: float) -> dict[str, str]:
+        """Return every known address, with the live peer's name or the address."""
+        names = {address: address for address in self._addresses}
+        for instance, report in self.reports(now_s).items():
+            names[report.identity.address] = instance
+        names.pop(self.me.address, None)
+        return names
+
     def knows(self, identity: PeerIdentity) -> bool:
         """Return whether this run of a peer was heard before."""
         record = self._by_instance.get(identity.instance)
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import attrs
 import trio
@@ -20,6 +20,8 @@
     PeerIdentity,
     PullReply,
     PullRequest,
+    Question,
+    QuestionReply,
     Summary,
     decode_identity,
     decode_message,
@@ -32,10 +34,13 @@
 
 __all__ = ["Peers", "new_identity", "open_peers"]
 
+CONNECTION_POLL_S = 0.02
 HEARTBEAT_PERIOD_S = 1.0
 PULL_ATTEMPTS = 3
 PULL_TIMEOUT_S = 0.4
 
+Reply = PullReply | QuestionReply
+
 _logger = logging.getLogger(__name__)
 
 
@@ -59,12 +64,17 @@
         return self.socket.send_nowait([self.routing_id, body])
 
 
+def _remember_nothing(kind: str, subject_id: str) -> bytes:
+    return b""
+
+
 @attrs.define(eq=False)
 class Peers:
     """Send heartbeats, summaries and copies of state; hear those of others.
 
     ``followers`` holds the states that peers may pull, by name. ``in_flight``
-    returns this instance's requests in flight by host id.
+    returns this instance's requests in flight by host id, ``answer`` what it
+    remembers of the decisions about a subject.
     """
 
     context: ZmqContext
@@ -72,13 +82,12 @@
     table: PeerTable
     followers: Mapping[str, Follower]
     in_flight: Callable[[], Mapping[str, int]] = dict
+    answer: Callable[[str, str], bytes] = _remember_nothing
     clock: Callable[[], float] = trio.current_time
     draining: bool = False
     messages_heard: int = 0
     _dealers_by_address: dict[str, TrioSocket] = attrs.field(factory=dict)
-    _waiting_by_id: dict[int, trio.MemorySendChannel[PullReply]] = attrs.field(
-        factory=dict
-    )
+    _waiting_by_id: dict[int, trio.MemorySendChannel[Reply]] = attrs.field(factory=dict)
     _request_ids: Iterator[int] = attrs.field(factory=itertools.count)
     _sequences: Iterator[int] = attrs.field(factory=itertools.count)
     _reporter: LoadReporter = attrs.field(factory=LoadReporter)
@@ -116,11 +125,39 @@
     async def pull(self, state: str, known_version: int) -> PulledState | None:
         """Ask peers for their copy, the latest first; None if none answers."""
         for link in self._pull_order()[:PULL_ATTEMPTS]:
-            reply = await self._ask(link, state, known_version)
-            if reply is not None and reply.version >= known_version:
+            request = PullRequest(next(self._request_ids), state, known_version)
+            reply = None
+            with trio.move_on_after(PULL_TIMEOUT_S):
+                reply = await self._ask(link, request)
+            if isinstance(reply, PullReply) and reply.version >= known_version:
                 return PulledState(reply.version, reply.age_s, reply.body)
         return None
 
+    async def ask(self, address: str, kind: str, subject_id: str) -> QuestionReply:
+        """Return what the peer at an address remembers; wait until it answers.
+
+        A peer of another data centre is asked over a connection for this question.
+        """
+        question = Question(next(self._request_ids), kind, subject_id)
+        if address in self._near_addresses():
+            link = self._link_to(address)
+            while True:
+                reply = await self._ask(link, question)
+                if isinstance(reply, QuestionReply):
+                    return reply
+                await trio.sleep(CONNECTION_POLL_S)
+        return await self._ask_far(address, question)
+
+    async def _ask_far(self, address: str, question: Question) -> QuestionReply:
+        me = attrs.evolve(self.table.me, incarnation=secrets.token_hex(4))
+        with self._new_dealer(address, me) as dealer:
+            while not _Link(dealer).send(question):
+                await trio.sleep(CONNECTION_POLL_S)
+            while True:
+                reply = decode_message((await dealer.receive())[0])
+                if isinstance(reply, QuestionReply):
+                    return reply
+
     def _near_addresses(self) -> list[str]:
         unknown = self.table.addresses("")
         return unknown + self.table.addresses(self.table.me.data_centre)
@@ -138,16 +175,18 @@
     def _link_to(self, address: str) -> _Link:
         dealer = self._dealers_by_address.get(address)
         if dealer is None:
-            dealer = self.context.client(
-                zmq.DEALER,
-                self.context.keys.public,
-                routing_id=encode_identity(self.table.me),
-            )
-            dealer.connect(f"tcp://{address}")
+            dealer = self._new_dealer(address, self.table.me)
             self._dealers_by_address[address] = dealer
             self.nursery.start_soon(self._receive_from_server, dealer)
         return _Link(dealer)
 
+    def _new_dealer(self, address: str, identity: PeerIdentity) -> TrioSocket:
+        dealer = self.context.client(
+            zmq.DEALER, self.context.keys.public, encode_identity(identity)
+        )
+        dealer.connect(f"tcp://{address}")
+        return dealer
+
     def _pull_order(self) -> list[_Link]:
         live = self.table.live(self.clock())
         self._random.shuffle(live)
@@ -158,19 +197,14 @@
         others += [a for a in self._dealers_by_address if a not in addresses]
         return [self._link_to(address) for address in dict.fromkeys(addresses + others)]
 
-    async def _ask(
-        self, link: _Link, state: str, known_version: int
-    ) -> PullReply | None:
-        request_id = next(self._request_ids)
-        send, receive = trio.open_memory_channel[PullReply](1)
-        self._waiting_by_id[request_id] = send
+    async def _ask(self, link: _Link, request: PullRequest | Question) -> Reply | None:
+        """Return the reply, or None if the request can't be sent now."""
+        send, receive = trio.open_memory_channel[Reply](1)
+        self._waiting_by_id[request.request_id] = send
         try:
-            if link.send(PullRequest(request_id, state, known_version)):
-                with trio.move_on_after(PULL_TIMEOUT_S):
-                    return await receive.receive()
-            return None
+            return await receive.receive() if link.send(request) else None
         finally:
-            del self._waiting_by_id[request_id]
+            del self._waiting_by_id[request.request_id]
 
     async def _receive_from_clients(self, router: TrioSocket) -> None:
         while True:
@@ -200,7 +234,9 @@
             self._hear_summary(link, message)
         elif isinstance(message, PullRequest):
             self._share(link, message)
-        elif isinstance(message, PullReply):
+        elif isinstance(message, Question):
+            self._answer(link, message)
+        elif isinstance(message, (PullReply, QuestionReply)):
             self._hear_reply(message)
 
     def _hear_heartbeat(self, identity: PeerIdentity, beat: Heartbeat) -> None:
@@ -245,10 +281,17 @@
         reply = PullReply(request.request_id, copy.version, copy.age_s, copy.body)
         link.send(reply)
 
-    def _hear_reply(self, reply: PullReply) -> None:
+    def _answer(self, link: _Link, question: Question) -> None:
+        body = self.answer(question.kind, question.subject_id)
+        reply = QuestionReply(question.request_id, self.table.me.instance, body)
+        link.send(reply)
+
+    def _hear_reply(self, reply: Reply) -> None:
+        """Hand a reply to who waits for it; a second one to a request is dropped."""
         waiting = self._waiting_by_id.get(reply.request_id)
         if waiting is not None:
-            waiting.send_nowait(reply)
+            with suppress(trio.WouldBlock):
+                waiting.send_nowait(reply)
 
     def forget_address(self, address: str) -> None:
         """Close the connection to an address where no peer is expected any more."""
@@ -273,6 +316,7 @@
     timers: TimerService,
     in_flight: Callable[[], Mapping[str, int]] = dict,
     bind_address: str = "",
+    answer: Callable[[str, str], bytes] = _remember_nothing,
 ) -> AsyncIterator[Peers]:
     """Run the peers' task for the length of the block.
 
@@ -287,7 +331,7 @@
             for address, data_centre in addresses.items():
                 table.learn_address(address, data_centre)
             async with trio.open_nursery() as nursery:
-                peers = Peers(context, nursery, table, followers, in_flight)
+                peers = Peers(context, nursery, table, followers, in_flight, answer)
                 nursery.start_soon(peers.run, router, timers)
                 yield peers
                 nursery.cancel_scope.cancel()
--- a/rhubarbmount/problem.py
+++ b/rhubarbmount/problem.py
@@ -6,9 +6,18 @@
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.retries import Outcome
 
-__all__ = ["OUTCOME_HEADER", "Outcome", "json_response", "problem"]
+__all__ = [
+    "OUTCOME_HEADER",
+    "PROBLEM_TYPE",
+    "REQUEST_ID_HEADER",
+    "Outcome",
+    "json_response",
+    "problem",
+]
 
 OUTCOME_HEADER = b"rhubarbmount-outcome"
+REQUEST_ID_HEADER = b"rhubarbmount-request-id"
+PROBLEM_TYPE = b"application/problem+json"
 
 
 def problem(
@@ -24,7 +33,7 @@
     (b'retry-after', b'1')
     """
     body: dict[str, object] = {"status": status, "code": code, "detail": message}
-    headers = [(b"content-type", b"application/problem+json")]
+    headers = [(b"content-type", PROBLEM_TYPE)]
     if outcome is not None:
         body["outcome"] = outcome.value
         headers.append((OUTCOME_HEADER, outcome.value.encode("ascii")))
--- /dev/null
+++ b/rhubarbmount/questions.py
@@ -0,0 +1,143 @@
+"""Questions to all entry hosts about the decisions on one subject."""
+
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Protocol
+
+import attrs
+import msgpack
+import trio
+
+from rhubarbmount.explain import DecisionMemory, Explanation
+from rhubarbmount.log import event
+from rhubarbmount.peer_messages import QuestionReply
+from rhubarbmount.request_traces import RequestTraces
+
+__all__ = [
+    "Answers",
+    "AskPeers",
+    "InstanceMemory",
+    "ask_nobody",
+    "ask_peers",
+    "decode_body",
+    "encode_body",
+]
+
+ANSWER_TIMEOUT_S = 1.0
+BODY_LIMIT_BYTES = 16384
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Answers:
+    """What the other entry hosts told, and the names of those that did not."""
+
+    found: list[Explanation] = attrs.field(factory=list)
+    answered: list[str] = attrs.field(factory=list)
+    silent: list[str] = attrs.field(factory=list)
+
+
+AskPeers = Callable[[str, str], Awaitable[Answers]]
+
+
+class Asks(Protocol):
+    """Asks the peer at an address, and waits until it answers."""
+
+    async def __call__(self, address: str, kind: str, subject_id: str) -> QuestionReply:
+        """Return the reply."""
+
+
+async def ask_nobody(kind: str, subject_id: str) -> Answers:
+    """Return the answers of no peers."""
+    return Answers()
+
+
+async def ask_peers(
+    ask: Asks,
+    instance_by_address: Mapping[str, str],
+    kind: str,
+    subject_id: str,
+    timeout_s: float = ANSWER_TIMEOUT_S,
+) -> Answers:
+    """Ask all addresses at once, and name as silent who does not answer in time."""
+    reply_by_address: dict[str, QuestionReply] = {}
+
+    async def ask_one(address: str) -> None:
+        reply_by_address[address] = await ask(address, kind, subject_id)
+
+    with trio.move_on_after(timeout_s):
+        async with trio.open_nursery() as nursery:
+            for address in instance_by_address:
+                nursery.start_soon(ask_one, address)
+    found = [_explanation(reply) for reply in reply_by_address.values()]
+    answered = {reply.instance for reply in reply_by_address.values()}
+    silent = {
+        name
+        for address, name in instance_by_address.items()
+        if address not in reply_by_address
+    }
+    return Answers(
+        [part for part in found if part is not None],
+        sorted(answered),
+        sorted(silent - answered),
+    )
+
+
+def encode_body(explanation: Explanation) -> bytes:
+    """Return an explanation as bytes, without the oldest decisions past the limit."""
+    while True:
+        body = msgpack.packb(explanation.dump(), default=str)
+        if len(body) <= BODY_LIMIT_BYTES:
+            return body
+        kept = explanation.decisions[1:]
+        explanation = attrs.evolve(explanation, decisions=kept)
+
+
+def decode_body(body: bytes) -> Explanation:
+    """Return the explanation in a peer's reply.
+
+    Raises ValueError, TypeError or KeyError on bytes that hold none.
+    """
+    values: Any = msgpack.unpackb(body)
+    return Explanation.load(values)
+
+
+def _explanation(reply: QuestionReply) -> Explanation | None:
+    try:
+        return decode_body(reply.body)
+    except (ValueError, TypeError, KeyError, ExceptionGroup) as error:
+        event(
+            _logger,
+            "answer-refused",
+            logging.WARNING,
+            instance=reply.instance,
+            reason=repr(error),
+        )
+        return None
+
+
+@attrs.frozen(eq=False)
+class InstanceMemory:
+    """All that one entry host remembers of decisions."""
+
+    instance: str
+    decisions: DecisionMemory
+    traces: RequestTraces
+
+    def explain(self, kind: str, subject_id: str) -> Explanation:
+        """Return what is remembered about a subject, under this instance's name."""
+        if kind == "request":
+            return self._named(self.traces.explain(subject_id))
+        return self._named(self.decisions.explain(kind, subject_id))
+
+    def answer(self, kind: str, subject_id: str) -> bytes:
+        """Return the same for a peer that asks."""
+        return encode_body(self.explain(kind, subject_id))
+
+    def _named(self, explanation: Explanation) -> Explanation:
+        named = tuple(
+            attrs.evolve(decision, source=self.instance)
+            for decision in explanation.decisions
+        )
+        return attrs.evolve(explanation, decisions=named)
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -2,12 +2,13 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
 from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
 from rhubarbmount.duty_runner import Lease
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.host_duty import Begun, begin_changes, next_host
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.host_work import HostIntent, Observation, Step
@@ -21,6 +22,7 @@
 DAY_S = 24 * 3600
 HOSTS_PER_ROUND = 8
 RECHECK_S = 15.0
+NONE: Mapping[str, int] = {}
 REBOOT_CAUSE = "repair:failing"
 REPLACE_CAUSE = "repair:failing-again"
 logger = logging.getLogger("rhubarbmount.repair")
@@ -50,6 +52,7 @@
     buffer_pool: str = ""
     bounds: RepairBounds = attrs.field(factory=RepairBounds)
     name: str = "repair"
+    recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     view: HostRows = attrs.field(init=False)
     _failing_since_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _held: dict[str, tuple[str, float]] = attrs.field(factory=dict)
@@ -126,6 +129,9 @@
         terms.add(host_terms(self.view.head, [HostChange(row, bad)]))
         if await lease.commit(terms):
             event(logger, "host-quarantined", host=host.host_id, cause=cause)
+            self.recorder.record(
+                "host", host.host_id, "quarantine", cause, pool=host.pool
+            )
         await self.view.refresh()
 
     async def _repair(self, row: HostRow, live: list[LiveHost], lease: Lease) -> None:
@@ -153,6 +159,11 @@
         if await lease.commit(terms):
             hosts = ",".join(change.after.host_id for change in changes if change.after)
             event(logger, "repair-begun", hosts=hosts, pool=host.pool, action=action)
+            for change in changes:
+                if change.after:
+                    self.recorder.record(
+                        "host", change.after.host_id, "drain", change.after.cause
+                    )
         await self.view.refresh()
 
     async def _spare(
@@ -185,11 +196,16 @@
         if permission.allowed:
             self._held.pop(host.host_id, None)
             return rows
-        self._hold(host, permission.code.value, now_s)
+        self._hold(host, permission.code.value, now_s, permission.figures())
         return None
 
-    def _hold(self, host: Host, code: str, now_s: float) -> None:
-        """Log once why a failing host can't be helped now."""
+    def _hold(
+        self, host: Host, code: str, now_s: float, figures: Mapping[str, int] = NONE
+    ) -> None:
+        """Log once why a failing host can't be helped now, and record it."""
+        record = self.recorder.record
+        record("host", host.host_id, "repair-held", code, pool=host.pool, **figures)
+        record("pool", host.pool, "repair-held", code, host=host.host_id, **figures)
         held_code, _ = self._held.get(host.host_id, ("", 0.0))
         if held_code != code:
             event(logger, "repair-held", host=host.host_id, pool=host.pool, code=code)
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -191,7 +191,8 @@
         for waiting, host_id in self.promises.redeem():
             yield self._start(waiting, host_id, "placed-as-promised")
         for placer in self.fleet.placers():
-            self.fleet.keep_headroom(placer, self.now_s)
+            if self.fleet.keep_headroom(placer, self.now_s):
+                self.decisions.of_headroom(placer.pool, placer.kept)
             yield from self._plan(placer, len(placer.queue), urgent=True)
         for waiting, host_id in self.reservations.make(self.now_s):
             reason = f"host {host_id} is kept for it until enough tasks end"
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -15,7 +15,8 @@
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
-from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.explain import DecisionRecorder
+from rhubarbmount.explain_operators import ExplainApi
 from rhubarbmount.fleet_operators import FleetApi
 from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
@@ -34,7 +35,9 @@
 from rhubarbmount.platform.client import PlatformClient, open_client
 from rhubarbmount.platform.interface import Platform, platforms
 from rhubarbmount.probes import Probes
+from rhubarbmount.questions import Answers, InstanceMemory
 from rhubarbmount.request_policy import RequestPolicy
+from rhubarbmount.request_traces import RequestTraces
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
@@ -65,7 +68,8 @@
     forwarder: Forwarder = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
     fleet_view: FleetView = attrs.field(init=False)
-    decisions: DecisionMemory = attrs.field(factory=DecisionMemory)
+    recorder: DecisionRecorder = attrs.field(init=False)
+    memory: InstanceMemory = attrs.field(init=False)
     fleet: FleetTasks = attrs.field(init=False)
     sweeper: Sweeper = attrs.field(init=False)
     membership: Membership | None = attrs.field(default=None, init=False)
@@ -86,6 +90,7 @@
             deadline_s=settings.platform.timeout_s,
         )
         self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
+        self.recorder = DecisionRecorder(catalogue_version=self._version)
         self._make_callers(policy)
         self._make_operators(policy, self.platform.at(Priority.DUTY))
         probes = Probes(settings.instance, self.is_ready, self.registry)
@@ -100,8 +105,10 @@
             BackendConnections(settings.http.body_bytes),
         )
         issuer = KeyIssuer(policy, self.forwarder.claims, self.forwarder.handle)
+        traces = RequestTraces(settings.instance, issuer.handle, self._version)
+        self.memory = InstanceMemory(settings.instance, self.recorder.memory, traces)
         self.callers = Listener(
-            "callers", issuer.handle, settings.http, settings.max_connections
+            "callers", traces.handle, settings.http, settings.max_connections
         )
 
     def _make_operators(self, policy: RequestPolicy, platform: PlatformClient) -> None:
@@ -109,13 +116,14 @@
         self.configuration = Configuration(platform=platform)
         self.fleet_view = FleetView(platform=platform)
         view = LocalView(self.configuration, self.fleet_view)
-        self.fleet = FleetTasks(settings, policy, platform, view, self.decisions)
+        self.fleet = FleetTasks(settings, policy, platform, view, self.recorder)
         acceptance = Acceptance(
             platform,
             time.time,
             self.fleet_view.summarise,
             self.configuration.offer,
-            lambda: self.configuration.version,
+            self._version,
+            self.recorder,
         )
         api = OperatorsApi(
             operators_from(settings.operators_by_name),
@@ -124,7 +132,7 @@
             platform,
             self._read_status,
         )
-        jobs = JobHandlers(platform, view, self.decisions, api.identify, time.time)
+        jobs = JobHandlers(platform, view, self.recorder, api.identify, time.time)
         jobs.add_routes(api.router)
         fleet_api = FleetApi(
             api.identify,
@@ -133,8 +141,19 @@
             platform,
             wave_settings(settings.fleet, settings.weights),
             settings.fleet.buffer_pool,
+            self.recorder,
         )
         fleet_api.add_routes(api.router)
+        explain = ExplainApi(
+            api.identify,
+            self.memory,
+            platform,
+            self._status_of,
+            self._entry_version,
+            time.time,
+            self._ask_others,
+        )
+        explain.add_routes(api.router)
         self.operators = Listener("operators", api.router.handle, settings.http)
 
     def is_ready(self) -> bool:
@@ -183,6 +202,7 @@
             self.configuration,
             self.fleet_view,
             self.forwarder.policy,
+            self.memory,
             timers,
         )
         self.membership = await stack.enter_async_context(opened)
@@ -215,10 +235,27 @@
 
     async def _read_status(self) -> ConfigurationStatus:
         if self.membership is None:
-            version = self.configuration.version
-            return weigh_status(version, {}, {self.settings.instance: version})
+            return self._status_of(self.configuration.version)
         return await self.membership.rows.read_status()
 
+    def _status_of(self, version: int) -> ConfigurationStatus:
+        if self.membership is None:
+            own_version = {self.settings.instance: self.configuration.version}
+            return weigh_status(version, {}, own_version)
+        return self.membership.rows.status_of(version)
+
+    def _version(self) -> int:
+        return self.configuration.version
+
+    def _entry_version(self, key: str) -> int:
+        snapshot = self.configuration.snapshot
+        return 0 if snapshot is None else snapshot.entry_version(key)
+
+    async def _ask_others(self, kind: str, subject_id: str) -> Answers:
+        if self.membership is None:
+            return Answers()
+        return await self.membership.ask_others(kind, subject_id)
+
 
 async def serve_until_signalled(host: EntryHost) -> int:
     """Run an entry host until SIGTERM or SIGINT arrives."""
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -7,6 +7,7 @@
 
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.host_duty import Begun, begin_terms
 from rhubarbmount.host_rows import HostRow, HostRows
 from rhubarbmount.host_work import (
@@ -20,6 +21,7 @@
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.swaps import spares_of, swap_wanted, swaps_hosts
+from rhubarbmount.wave_holds import why_held
 from rhubarbmount.wave_plan import WaveSettings
 from rhubarbmount.waves import (
     WAVE_PREFIX,
@@ -45,6 +47,7 @@
     wall_clock: Callable[[], float]
     settings: WaveSettings = attrs.field(factory=WaveSettings)
     name: str = "waves"
+    recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     view: HostRows = attrs.field(init=False)
     _held_by_pool: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -84,6 +87,19 @@
         done = attrs.evolve(row.wave, state="done")
         if await lease.commit(wave_terms(row, done)):
             event(logger, "wave-done", wave=done.wave_id, control=done.control.value)
+            self._record_done(done)
+
+    def _record_done(self, wave: Wave) -> None:
+        members = self.view.by_host_id.values()
+        pools = {row.host.pool for row in members if wave.covers(row.host.pool)}
+        for pool in sorted(pools):
+            self.recorder.record(
+                "pool",
+                pool,
+                "wave-done",
+                wave=wave.wave_id,
+                control=wave.control.value,
+            )
 
     async def _begin_in_pool(self, row: WaveRow, pool: str, lease: Lease) -> None:
         if self._is_held(row.wave, pool, lease.clock()):
@@ -107,6 +123,8 @@
             await self._bring(row, pool, swap.arriving, lease)
             await self.view.refresh()
         if not chosen:
+            held = why_held(rows, members, live, due.values(), self._in_window(rows))
+            self.recorder.record("pool", pool, "wave-held", held, due=len(due))
             self._hold(row.wave, pool, lease.clock(), due)
             return
         items = [
@@ -152,6 +170,7 @@
         terms = begin_terms(rows, self.view.head, items, self.wall_clock())
         terms.require(INTENTS_TABLE, WAVE_PREFIX + row.wave.wave_id, row.version)
         committed = await lease.commit(terms)
+        self._record_begin(row, rows.name, items, committed)
         event(
             logger,
             "wave-begin",
@@ -162,6 +181,17 @@
             result="begun" if committed else "conflict",
         )
 
+    def _record_begin(
+        self, row: WaveRow, pool: str, items: list[Begun], committed: bool
+    ) -> None:
+        reason = "" if committed else "another writer changed the rows"
+        code = "wave-begun" if committed else "wave-conflict"
+        record, wave = self.recorder.record, row.wave.wave_id
+        record("pool", pool, code, reason, wave=wave, hosts=len(items))
+        for item in items:
+            action = item.intent.action
+            record("host", item.intent.host_id, code, reason, wave=wave, action=action)
+
     def _intent(
         self, row: WaveRow, host_id: str, target_pool: str, lease: Lease
     ) -> HostIntent:
--- a/tests/test_job_handlers.py
+++ b/tests/test_job_handlers.py
@@ -1,12 +1,12 @@
-"""Operators submit, list, cancel and explain jobs."""
+"""Operators submit, list and cancel jobs."""
 
 import json
 
 import pytest
 
 from rhubarbmount.edits import Operator
-from rhubarbmount.errors import AccessDenied, ConflictError, FindingsError, NotFound
-from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.errors import AccessDenied, ConflictError, FindingsError
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.hosts import Shape
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.job_handlers import JobHandlers
@@ -23,11 +23,10 @@
     def __init__(self):
         super().__init__()
         duty = self.instances[0].duty
-        self.memory = DecisionMemory()
+        self.recorder = DecisionRecorder()
         self.handlers = JobHandlers(
-            self.platform, duty.view, self.memory, self.identify, self.workers.clock
+            self.platform, duty.view, self.recorder, self.identify, self.workers.clock
         )
-        duty.learned.memory = self.memory
 
     def identify(self, call):
         return Operator("ana", frozenset({"a"}))
@@ -111,22 +110,6 @@
     assert [job["job_id"] for job in answer["jobs"]] == [mine]
 
 
-async def test_explain_tells_why_a_job_waits_from_memory_or_from_its_row():
-    world = Operated()
-    job_id = await world.submit(team="b", shape=LARGE)
-    await world.submit(team="b", shape=LARGE)
-    waiting = await world.submit(team="b", shape=LARGE)
-    await world.settle(1)
-    path = f"/explain/job/{waiting}"
-    _, answer = await world.ask(world.handlers.explain, path)
-    assert answer["reason"] == "team b is at its quota"
-    world.handlers.memory = DecisionMemory()
-    _, answer = await world.ask(world.handlers.explain, f"/explain/job/{job_id}")
-    assert [decision["code"] for decision in answer["decisions"]] == ["running"]
-    with pytest.raises(NotFound):
-        await world.ask(world.handlers.explain, "/explain/host/h9")
-
-
 async def test_the_routes_reach_the_handlers():
     world = Operated()
     router = Router()
