Prove the explanations over separate processes and module by module

why_held first named the budget by the first due host alone; test_wave_holds showed a host that is down already taken for allowed, and racks named where hosts were exhausted. It now asks for the due host that is nearest to going.

--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -193,7 +193,8 @@
 
     def _end(self, trace: RequestTrace, response: HttpResponse) -> None:
         outcome = header_value(response.headers, OUTCOME_HEADER)
-        trace.add("answered", _problem_code(response), (response.status, outcome))
+        inputs = (response.status, outcome)
+        trace.steps.append((time.time(), "answered", _problem_code(response), inputs))
         if trace.notable or response.status >= 500:
             self._ordinary.pop(trace.request_id, None)
             _keep(self._notable, trace, self.notable_limit)
--- a/rhubarbmount/wave_holds.py
+++ b/rhubarbmount/wave_holds.py
@@ -17,14 +17,17 @@
     in_window: bool,
 ) -> str:
     """Return the one thing that holds a wave in a pool."""
-    first = min(due, key=lambda row: row.host.host_id, default=None)
     if rows.pool is None:
         return "the pool has no entry"
     if not in_window:
         return "outside the pool's maintenance window"
-    if first is None:
+    view = rows.view(members, live)
+    racks_down = set(view.down.values())
+    candidates = [row.host for row in due if row.host.host_id not in view.down]
+    if not candidates:
         return "all hosts that are due are out of service"
-    permission = decide(rows.view(members, live), first.host.host_id, first.host.rack)
+    nearest = min(candidates, key=lambda host: host.rack not in racks_down)
+    permission = decide(view, nearest.host_id, nearest.rack)
     if permission.allowed:
         return "the wave waits for spares"
     return permission.code.value
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -2,9 +2,12 @@
 
 import logging
 
+import attrs
+
 from rhubarbmount.explain import (
     Decision,
     DecisionMemory,
+    DecisionRecorder,
     Explanation,
     merge_explanations,
 )
@@ -65,3 +68,40 @@
     parts = [memory.explain("job", "j1") for memory in (second, first)]
     sent = [Explanation.load(part.dump()) for part in parts]
     assert [d.code for d in merge_explanations(sent).decisions] == ["wait", "placed"]
+
+
+def test_a_flood_of_jobs_pushes_out_no_host():
+    memory = DecisionMemory(limit_by_kind={"job": 10, "host": 10})
+    memory.record(attrs.evolve(decide("h1"), kind="host"))
+    for number in range(1000):
+        memory.record(decide(f"j{number}"))
+    assert len(memory) == 11
+    assert memory.explain("host", "h1").decisions
+
+
+def test_asking_about_what_nobody_decided_takes_no_room():
+    memory = DecisionMemory()
+    for number in range(100):
+        memory.explain("job", f"j{number}")
+    assert len(memory) == 0
+
+
+def test_long_texts_are_cut():
+    memory = DecisionMemory()
+    long = "x" * 10_000
+    memory.record(decide(reason=long, inputs={"hosts": long, "names": [long], "n": 3}))
+    (only,) = memory.explain("job", "j1").decisions
+    assert {len(only.reason), len(only.inputs["hosts"])} == {200}
+    assert len(only.inputs["names"]) == 200
+    assert only.inputs["n"] == 3
+
+
+def test_a_recorder_notes_version_and_time():
+    recorder = DecisionRecorder(DecisionMemory(), lambda: 7, lambda: 99.0)
+    recorder.record("host", "h1", "waits", "slow start", ready=True)
+    recorder.record("entry", "pool/p", "accepted", version=8)
+    (host,) = recorder.memory.explain("host", "h1").decisions
+    assert (host.catalogue_version, host.time_s) == (7, 99.0)
+    assert (host.reason, host.inputs) == ("slow start", {"ready": True})
+    (entry,) = recorder.memory.explain("entry", "pool/p").decisions
+    assert (entry.catalogue_version, entry.inputs) == (8, {})
--- a/tests/test_fleet_operators.py
+++ b/tests/test_fleet_operators.py
@@ -25,9 +25,10 @@
 
     def __init__(self, platform, configuration, view, settings):
         self.router = Router()
-        FleetApi(
+        self.api = FleetApi(
             self.identify, configuration, view, platform, settings, "buffer"
-        ).add_routes(self.router)
+        )
+        self.api.add_routes(self.router)
 
     def identify(self, call):
         name = dict(call.request.headers).get(b"operator", b"").decode()
@@ -120,3 +121,26 @@
     _, body = await hasty.ask("GET", "/waves")
     assert body["waves"][0]["spares_by_pool"] == {"quotes": 4}
     assert body["waves"][0]["pools"] == ["buffer", "quotes"]
+
+
+def told(console, kind, subject_id):
+    decisions = console.api.recorder.memory.explain(kind, subject_id).decisions
+    return [(decision.code, decision.reason) for decision in decisions]
+
+
+async def test_moves_and_controls_of_waves_are_told_with_their_reason(make_console):
+    console = await make_console()
+    await console.ask("POST", "/hosts/q1/move", {"pool": "parts"})
+    await console.ask("POST", "/hosts/q2/move", {"pool": "parts"})
+    await console.ask("DELETE", "/hosts/q1/move")
+    assert told(console, "host", "q1") == [("move-begun", ""), ("move-cancelled", "")]
+    held = "hosts-exhausted: 1 hosts in 1 racks of pool quotes are down"
+    assert told(console, "host", "q2") == [("move-refused", held)]
+    assert told(console, "pool", "quotes") == [("move-refused", held)]
+    _, body = await console.ask("POST", "/waves", {"pools": ["quotes"]})
+    control = {"control": "paused"}
+    await console.ask("POST", f"/waves/{body['wave']}/control", control)
+    assert told(console, "pool", "quotes")[1:] == [
+        ("wave-started", ""),
+        ("wave-paused", "the operator paused the wave"),
+    ]
--- a/tests/test_host_duty.py
+++ b/tests/test_host_duty.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rhubarbmount.errors import Refused
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import (
     INTENTS_TABLE,
@@ -187,3 +188,56 @@
     await fleet.rounds(26)
     assert fleet.task_reads() == (3 * 20, 1)
     assert {fleet.state(f"q{number}") for number in range(3)} == {HostState.DRAINING}
+
+
+def told(fleet, host_id="q0"):
+    decisions = fleet.duty.recorder.memory.explain("host", host_id).decisions
+    return [(decision.code, decision.reason) for decision in decisions]
+
+
+async def test_the_holder_records_each_step_and_why_it_is_not_due():
+    fleet = DrainingFleet()
+    await fleet.fill()
+    await fleet.start("j1/1")
+    await fleet.rounds(10)
+    assert told(fleet) == [
+        ("waits", "entry hosts may not have seen that it drains"),
+        ("waits", "requests or tasks are in flight"),
+    ]
+    last = fleet.duty.recorder.memory.explain("host", "q0").decisions[-1]
+    assert (last.inputs["in_flight"], last.repeats) == (1, 5)
+    await fleet.end("j1/1")
+    await fleet.rounds(2)
+    assert [code for code, _ in told(fleet)[2:]] == ["empty", "maintain"]
+
+
+async def test_a_drain_that_is_given_up_says_why():
+    fleet = DrainingFleet(in_flight=2)
+    await fleet.fill()
+    await fleet.rounds(62)
+    assert ("restore", "requests are left at the drain limit") in told(fleet)
+
+
+async def test_a_command_that_the_platform_refuses_is_told():
+    fleet = DrainingFleet()
+    await fleet.fill()
+
+    async def refuse(command):
+        raise Refused("no")
+
+    fleet.lease.command_host = refuse
+    await fleet.rounds(9)
+    wanted = "the platform has not accepted the command to drain"
+    assert told(fleet) == [("waits", wanted)]
+
+
+async def test_a_conflict_over_the_rows_is_told():
+    fleet = DrainingFleet()
+    await fleet.fill()
+
+    async def lose(terms):
+        return False
+
+    fleet.lease.commit = lose
+    await fleet.rounds(7)
+    assert told(fleet)[-1] == ("waits", "another writer changed the rows")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -259,3 +259,50 @@
             async with node("b", {}, address=address):
                 pass
     assert refused.group_contains(AddressInUse)
+
+
+def remembers(text):
+    return lambda kind, subject_id: f"{text} of {kind} {subject_id}".encode()
+
+
+async def test_a_question_is_answered_near_and_far(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}, answer=remembers("a")) as a:
+            at_a = a.peers.table.me.address
+            async with node("b", {at_a: "dc-a"}, answer=remembers("b")) as b:
+                async with node("c", {at_a: "dc-a"}, "dc-b") as c:
+                    reply = await b.peers.ask(at_a, "host", "h1")
+                    assert (reply.instance, reply.body) == ("a", b"a of host h1")
+                    for number in range(3):
+                        reply = await c.peers.ask(at_a, "host", f"h{number}")
+                        assert reply.body == f"a of host h{number}".encode()
+                    at_b = b.peers.table.me.address
+                    reply = await c.peers.ask(at_b, "host", "h1")
+                    assert reply.body == b"b of host h1"
+                    assert at_b not in c.peers._dealers_by_address
+
+
+async def test_questions_across_data_centres_silence_no_heartbeat(clock):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}, answer=remembers("a")) as a:
+            at_a = a.peers.table.me.address
+            async with node("b", {at_a: "dc-a"}, "dc-b") as b:
+                await until(lambda: "b" in a.peers.table.reports(a.peers.clock()))
+                for _ in range(5):
+                    await b.peers.ask(at_a, "host", "h1")
+                b.configuration.offer(snapshot_at(2))
+                b.peers.announce_version()
+                await until(lambda: a.configuration.version == 2)
+
+
+async def test_a_question_to_a_peer_that_is_cut_off_waits_and_is_given_up(clock, block):
+    with trio.fail_after(TIMEOUT_S):
+        async with relayed("a", block) as (a, relay):
+            at_a = a.peers.table.me.address
+            async with node("b", {at_a: "dc-a"}) as b:
+                await until(lambda: hears(a, "b"))
+                relay.cut()
+                with trio.move_on_after(1) as scope:
+                    await b.peers.ask(at_a, "host", "h1")
+                assert scope.cancelled_caught
+                assert not b.peers._waiting_by_id
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -56,15 +56,16 @@
 
     def add_holder(self):
         world, platform = self.world, self.world.platform()
+        self.repair = RepairDuty(
+            platform,
+            self.observe,
+            world.clock,
+            "buffer",
+            RepairBounds(failing_s=3, unlisted_s=3),
+        )
         duties = [
             HostDuty(platform, self.observe, world.clock, QUICK),
-            RepairDuty(
-                platform,
-                self.observe,
-                world.clock,
-                "buffer",
-                RepairBounds(failing_s=3, unlisted_s=3),
-            ),
+            self.repair,
             WaveDuty(platform, world.clock),
         ]
         runners = [
@@ -220,3 +221,19 @@
     assert need(repair_days=2.0) > need()
     assert need(racks_per_month=0.0) == need() - 4
     assert need(failures_per_day=0.0, racks_per_month=0.0) == 0
+
+
+def test_a_repair_that_is_held_is_told_of_the_host_and_of_the_pool(make_fleet):
+    fleet = make_fleet(hosts_down_limit=1)
+    fleet.sick.update({"q0", "q1", "q2"})
+    fleet.incurable.update({"q0", "q1", "q2"})
+    memory = fleet.repair.recorder.memory
+
+    def held(kind, subject_id):
+        decisions = memory.explain(kind, subject_id).decisions
+        return {d.reason for d in decisions if d.code == "repair-held"}
+
+    fleet.world.settle(lambda: held("pool", "quotes"))
+    assert held("pool", "quotes") == {"hosts-exhausted"}
+    assert memory.explain("host", "q0").decisions[0].code == "quarantine"
+    assert held("host", "q1") == {"hosts-exhausted"}
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -6,6 +6,7 @@
 
 from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.errors import ConflictError, Refused
+from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
@@ -30,8 +31,9 @@
     return world
 
 
-def add_holder(world, name, behind_s=0.0, bounds=QUICK):
+def add_holder(world, name, behind_s=0.0, bounds=QUICK, recorder=None):
     platform = world.platform()
+    recorder = recorder or DecisionRecorder()
     duties = [
         HostDuty(
             platform=platform,
@@ -39,7 +41,12 @@
             wall_clock=lambda: world.now_s - behind_s,
             bounds=bounds,
         ),
-        WaveDuty(platform=platform, wall_clock=world.clock, settings=WAVE),
+        WaveDuty(
+            platform=platform,
+            wall_clock=world.clock,
+            settings=WAVE,
+            recorder=recorder,
+        ),
     ]
     runners = [
         DutyRunner(
@@ -265,3 +272,31 @@
     platform.on_transact = after_another
     with pytest.raises(ConflictError):
         run_now(slow.start())
+
+
+def test_a_wave_tells_its_progress_and_what_holds_it():
+    world = make_world()
+    recorder = DecisionRecorder()
+    wave_id = run_now(operator_of(world).start())
+    add_holder(world, "a", recorder=recorder)
+
+    def decisions_of(kind, subject_id):
+        return recorder.memory.explain(kind, subject_id).decisions
+
+    def has_ended():
+        return "wave-done" in [d.code for d in decisions_of("pool", "quotes")]
+
+    assert world.settle(has_ended)
+    world.stop()
+    decisions = decisions_of("pool", "quotes")
+    assert decisions[-1].code == "wave-done"
+    held = [d for d in decisions if d.code == "wave-held"]
+    assert {d.reason for d in held} <= {
+        "hosts-exhausted",
+        "racks-exhausted",
+        "all hosts that are due are out of service",
+    }
+    begun = [d for d in decisions if d.code == "wave-begun"]
+    assert begun[0].inputs["wave"] == wave_id
+    (first, *_) = decisions_of("host", "q0")
+    assert (first.code, first.inputs["action"]) == ("wave-begun", "maintain")
