Keep decisions compactly, and bound them by number and not by subjects

A dict of inputs and an attrs object a decision took most.

Each kind now has a limit of decisions; the subjects decided on the longest ago are forgotten first. Inputs are kept as values beside names that all alike decisions share, and a repeat changes the kept one in place.

--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -23,7 +23,7 @@
 logger = logging.getLogger(__name__)
 
 KINDS = ("host", "pool", "job", "request", "entry")
-SUBJECTS_LIMIT_BY_KIND = {"host": 3072, "pool": 64, "job": 2048, "entry": 1024}
+DECISIONS_LIMIT_BY_KIND = {"host": 6144, "pool": 512, "job": 4096, "entry": 1024}
 DECISIONS_PER_SUBJECT = 8
 TEXT_LIMIT = 200
 
@@ -94,6 +94,71 @@
     return decision.code, decision.reason, decision.first_s, decision.time_s
 
 
+@attrs.define
+class _Kept:
+    """A decision in the form that takes the least memory."""
+
+    code: str
+    reason: str
+    names: tuple[str, ...]
+    values: tuple[Any, ...]
+    catalogue_version: int
+    time_s: float
+    first_s: float
+    repeats: int = 1
+
+    def repeat(self, decision: Decision) -> bool:
+        """Count an equal decision as a repeat; return False if it differs."""
+        if (self.code, self.reason, self.catalogue_version) != (
+            decision.code,
+            decision.reason,
+            decision.catalogue_version,
+        ):
+            return False
+        self.names = _shared_names(decision.inputs)
+        self.values = _short_values(decision.inputs)
+        self.time_s = decision.time_s
+        self.repeats += 1
+        return True
+
+    def decision(self, kind: str, subject_id: str) -> Decision:
+        """Return the whole decision."""
+        return Decision(
+            kind=kind,
+            subject_id=subject_id,
+            code=self.code,
+            reason=self.reason,
+            inputs=dict(zip(self.names, self.values, strict=True)),
+            catalogue_version=self.catalogue_version,
+            time_s=self.time_s,
+            first_s=self.first_s,
+            repeats=self.repeats,
+        )
+
+
+@attrs.define
+class _Subjects:
+    """The subjects of one kind, the latest decided last, and all their decisions."""
+
+    by_id: OrderedDict[str, list[_Kept]] = attrs.field(factory=OrderedDict)
+    decisions: int = 0
+
+    def about(self, subject_id: str) -> list[_Kept]:
+        """Return a subject's decisions to add to, as the latest decided."""
+        kept = self.by_id.get(subject_id)
+        if kept is None:
+            kept = self.by_id[subject_id] = []
+        else:
+            self.by_id.move_to_end(subject_id)
+        return kept
+
+    def forget_beyond(self, limit: int) -> None:
+        """Forget the subjects that were decided on the longest ago."""
+        while self.decisions > limit and len(self.by_id) > 1:
+            _, forgotten = self.by_id.popitem(last=False)
+            self.decisions -= len(forgotten)
+
+
 @attrs.define
 class DecisionMemory:
     """Keep the latest decisions of the most recently decided subjects of each kind.
@@ -104,42 +169,70 @@
     'full'
     """
 
-    limit_by_kind: Mapping[str, int] = attrs.field(factory=SUBJECTS_LIMIT_BY_KIND.copy)
+    limit_by_kind: Mapping[str, int] = attrs.field(factory=DECISIONS_LIMIT_BY_KIND.copy)
     decisions_limit: int = DECISIONS_PER_SUBJECT
-    _subjects_by_kind: dict[str, OrderedDict[str, list[Decision]]] = attrs.field(
-        factory=lambda: defaultdict(OrderedDict), init=False
+    _subjects_by_kind: dict[str, _Subjects] = attrs.field(
+        factory=lambda: defaultdict(_Subjects), init=False
     )
 
     def record(self, decision: Decision) -> None:
         """Remember a decision; log it unless it repeats the one before."""
-        decision = _shortened(decision)
-        decisions = self._decisions_about(decision.kind, decision.subject_id)
-        if decisions and _same(decisions[-1], decision):
-            decisions[-1] = _repeated(decisions[-1], decision)
+        subjects = self._subjects_by_kind[decision.kind]
+        kept = subjects.about(decision.subject_id)
+        if len(decision.reason) > TEXT_LIMIT:
+            decision = attrs.evolve(decision, reason=decision.reason[:TEXT_LIMIT])
+        if kept and kept[-1].repeat(decision):
             return
-        decisions.append(decision)
-        del decisions[: -self.decisions_limit]
+        kept.append(_keep(decision))
+        if len(kept) > self.decisions_limit:
+            del kept[0]
+        else:
+            subjects.decisions += 1
+            subjects.forget_beyond(self.limit_by_kind[decision.kind])
         _log(decision)
 
     def explain(self, kind: str, subject_id: str) -> Explanation:
         """Return the remembered decisions about a subject, oldest first."""
-        decisions = self._subjects_by_kind[kind].get(subject_id, ())
-        return Explanation(kind, subject_id, tuple(decisions))
+        kept = self._subjects_by_kind[kind].by_id.get(subject_id, ())
+        decisions = tuple(item.decision(kind, subject_id) for item in kept)
+        return Explanation(kind, subject_id, decisions)
 
     def __len__(self) -> int:
-        return sum(map(len, self._subjects_by_kind.values()))
+        return sum(len(subjects.by_id) for subjects in self._subjects_by_kind.values())
+
 
-    def _decisions_about(self, kind: str, subject_id: str) -> list[Decision]:
-        """Return a subject's decisions to add to, as the latest decided of its kind."""
-        subjects = self._subjects_by_kind[kind]
-        decisions = subjects.get(subject_id)
-        if decisions is not None:
-            subjects.move_to_end(subject_id)
-            return decisions
-        if len(subjects) >= self.limit_by_kind[kind]:
-            subjects.popitem(last=False)
-        decisions = subjects[subject_id] = []
-        return decisions
+_shared_by_names: dict[tuple[str, ...], tuple[str, ...]] = {}
+
+
+def _keep(decision: Decision) -> _Kept:
+    return _Kept(
+        decision.code,
+        decision.reason,
+        _shared_names(decision.inputs),
+        _short_values(decision.inputs),
+        decision.catalogue_version,
+        decision.time_s,
+        decision.first_s,
+        decision.repeats,
+    )
+
+
+def _shared_names(inputs: Mapping[str, Any]) -> tuple[str, ...]:
+    """Return the inputs' names, as one object for all decisions that have them."""
+    names = tuple(inputs)
+    return _shared_by_names.setdefault(names, names)
+
+
+def _short_values(inputs: Mapping[str, Any]) -> tuple[Any, ...]:
+    """Return the inputs' values, their texts cut to the limit that bounds memory."""
+    return tuple(map(_short_value, inputs.values()))
+
+
+def _short_value(value: Any) -> Any:
+    if value is None or isinstance(value, (int, float)):
+        return value
+    text = value if isinstance(value, str) else str(value)
+    return text if len(text) <= TEXT_LIMIT else text[:TEXT_LIMIT]
 
 
 def _no_version() -> int:
@@ -178,36 +271,6 @@
         self.memory.record(decision)
 
 
-def _shortened(decision: Decision) -> Decision:
-    """Return the decision with its texts cut to the limit, which bounds the memory."""
-    inputs = decision.inputs
-    long_names = [name for name, value in inputs.items() if _is_long(value)]
-    if not long_names and len(decision.reason) <= TEXT_LIMIT:
-        return decision
-    cut = {name: str(inputs[name])[:TEXT_LIMIT] for name in long_names}
-    reason = decision.reason[:TEXT_LIMIT]
-    return attrs.evolve(decision, reason=reason, inputs={**inputs, **cut})
-
-
-def _is_long(value: object) -> bool:
-    if isinstance(value, (int, float)):
-        return False
-    text = value if isinstance(value, str) else str(value)
-    return len(text) > TEXT_LIMIT
-
-
-def _repeated(last: Decision, decision: Decision) -> Decision:
-    return attrs.evolve(decision, first_s=last.first_s, repeats=last.repeats + 1)
-
-
-def _same(last: Decision, decision: Decision) -> bool:
-    return (last.code, last.reason, last.catalogue_version) == (
-        decision.code,
-        decision.reason,
-        decision.catalogue_version,
-    )
-
-
 def _log(decision: Decision) -> None:
     if not logger.isEnabledFor(logging.INFO):
         return
