--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -1,8 +1,9 @@
 """Bounded memory of decisions, and the answer to why things are as they are."""
 
 import logging
-from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+import time
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -10,12 +11,21 @@
 
 from rhubarbmount.log import event
 
-__all__ = ["Decision", "DecisionMemory", "Explanation", "merge_explanations"]
+__all__ = [
+    "KINDS",
+    "Decision",
+    "DecisionMemory",
+    "DecisionRecorder",
+    "Explanation",
+    "merge_explanations",
+]
 
 logger = logging.getLogger(__name__)
 
-SUBJECTS_LIMIT = 2048
+KINDS = ("host", "pool", "job", "request", "entry")
+DECISIONS_LIMIT_BY_KIND = {"host": 6144, "pool": 512, "job": 4096, "entry": 1024}
 DECISIONS_PER_SUBJECT = 8
+TEXT_LIMIT = 200
 
 _converter = cattrs.Converter()
 
@@ -27,6 +37,7 @@
     ``kind`` is host, pool, job, request or entry. ``reason`` is the one thing that
     kept the decision from being another. ``time_s`` is in seconds since the epoch;
     equal decisions in a row count as one, made ``repeats`` times since ``first_s``.
+    ``source`` is the entry host that remembers it, or ``platform`` for a row.
     """
 
     kind: str
@@ -38,6 +49,7 @@
     time_s: float = 0.0
     first_s: float = attrs.field()
     repeats: int = 1
+    source: str = ""
 
     @first_s.default
     def _first_s(self) -> float:
@@ -70,19 +82,86 @@
 def merge_explanations(found: Iterable[Explanation]) -> Explanation:
     """Join what several entry hosts remember about one subject, in order of time."""
     parts = list(found)
-    decisions = {decision_key(d): d for part in parts for d in part.decisions}
+    decisions: dict[tuple[str, str, float, float], Decision] = {}
+    for decision in (decision for part in parts for decision in part.decisions):
+        decisions.setdefault(_decision_key(decision), decision)
     ordered = sorted(decisions.values(), key=lambda decision: decision.time_s)
     return Explanation(parts[0].kind, parts[0].subject_id, tuple(ordered))
 
 
-def decision_key(decision: Decision) -> tuple[str, str, float, float]:
+def _decision_key(decision: Decision) -> tuple[str, str, float, float]:
     """Return what tells two decisions about one subject apart."""
     return decision.code, decision.reason, decision.first_s, decision.time_s
 
 
+@attrs.define
+class _Kept:
+    """A decision in the form that takes the least memory."""
+
+    code: str
+    reason: str
+    names: tuple[str, ...]
+    values: tuple[Any, ...]
+    catalogue_version: int
+    time_s: float
+    first_s: float
+    repeats: int = 1
+
+    def repeat(self, decision: Decision) -> bool:
+        """Count an equal decision as a repeat; return False if it differs."""
+        if (self.code, self.reason, self.catalogue_version) != (
+            decision.code,
+            decision.reason,
+            decision.catalogue_version,
+        ):
+            return False
+        self.names = _shared_names(decision.inputs)
+        self.values = _short_values(decision.inputs)
+        self.time_s = decision.time_s
+        self.repeats += 1
+        return True
+
+    def decision(self, kind: str, subject_id: str) -> Decision:
+        """Return the whole decision."""
+        return Decision(
+            kind=kind,
+            subject_id=subject_id,
+            code=self.code,
+            reason=self.reason,
+            inputs=dict(zip(self.names, self.values, strict=True)),
+            catalogue_version=self.catalogue_version,
+            time_s=self.time_s,
+            first_s=self.first_s,
+            repeats=self.repeats,
+        )
+
+
+@attrs.define
+class _Subjects:
+    """The subjects of one kind, the latest decided last, and all their decisions."""
+
+    by_id: OrderedDict[str, list[_Kept]] = attrs.field(factory=OrderedDict)
+    decisions: int = 0
+
+    def about(self, subject_id: str) -> list[_Kept]:
+        """Return a subject's decisions to add to, as the latest decided."""
+        kept = self.by_id.get(subject_id)
+        if kept is None:
+            kept = self.by_id[subject_id] = []
+        else:
+            self.by_id.move_to_end(subject_id)
+        return kept
+
+    def forget_beyond(self, limit: int) -> None:
+        """Forget the subjects that were decided on the longest ago."""
+        while self.decisions > limit and len(self.by_id) > 1:
+            _, forgotten = self.by_id.popitem(last=False)
+            self.decisions -= len(forgotten)
+
+
 @attrs.define
 class DecisionMemory:
-    """Keep the latest decisions of the most recently decided subjects.
+    """Keep the latest decisions of the most recently decided subjects of each kind.
 
     >>> memory = DecisionMemory()
     >>> memory.record(Decision(kind="job", subject_id="j1", code="wait", reason="full"))
@@ -90,53 +169,108 @@
     'full'
     """
 
-    subjects_limit: int = SUBJECTS_LIMIT
+    limit_by_kind: Mapping[str, int] = attrs.field(factory=DECISIONS_LIMIT_BY_KIND.copy)
     decisions_limit: int = DECISIONS_PER_SUBJECT
-    _by_subject: OrderedDict[tuple[str, str], deque[Decision]] = attrs.field(
-        factory=OrderedDict, init=False
+    _subjects_by_kind: dict[str, _Subjects] = attrs.field(
+        factory=lambda: defaultdict(_Subjects), init=False
     )
 
     def record(self, decision: Decision) -> None:
         """Remember a decision; log it unless it repeats the one before."""
-        subject = decision.kind, decision.subject_id
-        decisions = self._by_subject.get(subject)
-        if decisions is None:
-            decisions = self._add_subject(subject)
-        else:
-            self._by_subject.move_to_end(subject)
-        last = decisions[-1] if decisions else None
-        if last is not None and _same(last, decision):
-            decisions[-1] = attrs.evolve(
-                decision, first_s=last.first_s, repeats=last.repeats + 1
-            )
+        subjects = self._subjects_by_kind[decision.kind]
+        kept = subjects.about(decision.subject_id)
+        if len(decision.reason) > TEXT_LIMIT:
+            decision = attrs.evolve(decision, reason=decision.reason[:TEXT_LIMIT])
+        if kept and kept[-1].repeat(decision):
             return
-        decisions.append(decision)
+        kept.append(_keep(decision))
+        if len(kept) > self.decisions_limit:
+            del kept[0]
+        else:
+            subjects.decisions += 1
+            subjects.forget_beyond(self.limit_by_kind[decision.kind])
         _log(decision)
 
     def explain(self, kind: str, subject_id: str) -> Explanation:
         """Return the remembered decisions about a subject, oldest first."""
-        decisions = self._by_subject.get((kind, subject_id), ())
-        return Explanation(kind, subject_id, tuple(decisions))
+        kept = self._subjects_by_kind[kind].by_id.get(subject_id, ())
+        decisions = tuple(item.decision(kind, subject_id) for item in kept)
+        return Explanation(kind, subject_id, decisions)
 
     def __len__(self) -> int:
-        return len(self._by_subject)
+        return sum(len(subjects.by_id) for subjects in self._subjects_by_kind.values())
 
-    def _add_subject(self, subject: tuple[str, str]) -> deque[Decision]:
-        while len(self._by_subject) >= self.subjects_limit:
-            self._by_subject.popitem(last=False)
-        decisions: deque[Decision] = deque(maxlen=self.decisions_limit)
-        self._by_subject[subject] = decisions
-        return decisions
 
+_shared_by_names: dict[tuple[str, ...], tuple[str, ...]] = {}
 
-def _same(last: Decision, decision: Decision) -> bool:
-    return (last.code, last.reason, last.catalogue_version) == (
+
+def _keep(decision: Decision) -> _Kept:
+    return _Kept(
         decision.code,
         decision.reason,
+        _shared_names(decision.inputs),
+        _short_values(decision.inputs),
         decision.catalogue_version,
+        decision.time_s,
+        decision.first_s,
+        decision.repeats,
     )
 
 
+def _shared_names(inputs: Mapping[str, Any]) -> tuple[str, ...]:
+    """Return the inputs' names, as one object for all decisions that have them."""
+    names = tuple(inputs)
+    return _shared_by_names.setdefault(names, names)
+
+
+def _short_values(inputs: Mapping[str, Any]) -> tuple[Any, ...]:
+    """Return the inputs' values, their texts cut to the limit that bounds memory."""
+    return tuple(map(_short_value, inputs.values()))
+
+
+def _short_value(value: Any) -> Any:
+    if value is None or isinstance(value, (int, float)):
+        return value
+    text = value if isinstance(value, str) else str(value)
+    return text if len(text) <= TEXT_LIMIT else text[:TEXT_LIMIT]
+
+
+def _no_version() -> int:
+    return 0
+
+
+@attrs.define
+class DecisionRecorder:
+    """Record decisions with the configuration version in force and the time."""
+
+    memory: DecisionMemory = attrs.field(factory=DecisionMemory)
+    catalogue_version: Callable[[], int] = _no_version
+    wall_clock: Callable[[], float] = time.time
+
+    def record(
+        self,
+        kind: str,
+        subject_id: str,
+        code: str,
+        reason: str = "",
+        version: int | None = None,
+        **inputs: Any,
+    ) -> None:
+        """Record a decision that was made now, by the version in force or another."""
+        if version is None:
+            version = self.catalogue_version()
+        decision = Decision(
+            kind=kind,
+            subject_id=subject_id,
+            code=code,
+            reason=reason,
+            inputs=inputs,
+            catalogue_version=version,
+            time_s=self.wall_clock(),
+        )
+        self.memory.record(decision)
+
+
 def _log(decision: Decision) -> None:
     if not logger.isEnabledFor(logging.INFO):
         return
