--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -14,14 +14,27 @@
     encode_snapshot,
     split_key,
 )
-from rhubarbmount.catalogue_checks import FleetSummary, check_edit, dependents
-from rhubarbmount.edits import Accepted, Edit, Operator
-from rhubarbmount.entries import dump_entry
+from rhubarbmount.catalogue_checks import FleetSummary, check_edit
+from rhubarbmount.catalogue_rows import (
+    CATALOGUE_HEAD,
+    HEADS_TABLE,
+    HISTORY_TABLE,
+    edit_preconditions,
+    edit_writes,
+    operation_key,
+)
+from rhubarbmount.edits import (
+    Accepted,
+    Edit,
+    Operator,
+    check_owner,
+    check_version,
+    next_snapshot,
+)
 from rhubarbmount.errors import (
     AccessDenied,
     ConflictError,
     FindingsError,
-    NotFound,
     OutcomeUnknown,
     PlatformUnavailable,
     Refused,
@@ -31,26 +44,11 @@
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     Platform,
-    Precondition,
     Row,
     Transaction,
-    Write,
 )
 
-__all__ = [
-    "CATALOGUE_HEAD",
-    "ENTRIES_TABLE",
-    "HEADS_TABLE",
-    "HISTORY_TABLE",
-    "Acceptance",
-    "history_key",
-]
-
-CATALOGUE_HEAD = "catalogue"
-ENTRIES_TABLE = "entries"
-FLEET_HEAD = "fleet"
-HEADS_TABLE = "heads"
-HISTORY_TABLE = "history"
+__all__ = ["Acceptance"]
 
 MAX_ATTEMPTS = 16
 RETRY_DELAY_MAX_S = 0.02
@@ -71,15 +69,6 @@
         return 0 if self.row is None else self.row.version
 
 
-def history_key(key: str, version: int) -> str:
-    """Return the key of a history row; an entry's rows sort by version.
-
-    >>> history_key("pool/shared", 12)
-    'pool/shared/000000000012'
-    """
-    return f"{key}/{version:012d}"
-
-
 def _no_version() -> int:
     return 0
 
@@ -173,7 +162,7 @@
 
     async def _find_earlier(self, operator: Operator, edit: Edit) -> Accepted | None:
         """Return the acceptance of an earlier attempt; read after the head."""
-        row = await self.platform.read(HISTORY_TABLE, _operation_key(edit))
+        row = await self.platform.read(HISTORY_TABLE, operation_key(edit))
         if row is None:
             return None
         if (row.value["key"], row.value["operator"]) != (edit.key, operator.name):
@@ -187,9 +176,9 @@
         """Try to commit on top of the head; only one attempt on a head can."""
         if head.snapshot.version < self.version_in_force():
             return False
-        _check_owner(operator, edit, head.snapshot)
-        _check_version(edit, head.snapshot)
-        after = _next_snapshot(edit, head.snapshot)
+        check_owner(operator, edit, head.snapshot)
+        check_version(edit, head.snapshot)
+        after = next_snapshot(edit, head.snapshot)
         fleet = await self._summarise_fleet(edit)
         faults = check_edit(head.snapshot, after, fleet)
         if faults:
@@ -200,8 +189,8 @@
         result = await self.platform.transact(
             Transaction(
                 attempt_id,
-                _preconditions(edit, head, fleet),
-                self._writes(operator, edit, after, object_name),
+                edit_preconditions(edit, head.row_version, fleet),
+                edit_writes(operator, edit, after, object_name, self.wall_clock()),
             )
         )
         if result.committed:
@@ -226,24 +215,6 @@
         except OutcomeUnknown as error:
             raise PlatformUnavailable(f"object {name} was not stored") from error
 
-    def _writes(
-        self, operator: Operator, edit: Edit, after: Snapshot, object_name: str
-    ) -> tuple[Write, ...]:
-        version = after.version
-        values = None if edit.entry is None else dump_entry(edit.entry)
-        row = None if values is None else {"version": version, "values": values}
-        who = {"operator": operator.name, "when_s": self.wall_clock()}
-        history = {**who, "operation_id": edit.operation_id, "values": values}
-        operation = {**who, "key": edit.key, "version": version}
-        return (
-            Write(
-                HEADS_TABLE, CATALOGUE_HEAD, {"version": version, "object": object_name}
-            ),
-            Write(ENTRIES_TABLE, edit.key, row),
-            Write(HISTORY_TABLE, history_key(edit.key, version), history),
-            Write(HISTORY_TABLE, _operation_key(edit), operation),
-        )
-
     def _record(
         self,
         operator: Operator,
@@ -278,69 +249,7 @@
         )
 
 
-def _operation_key(edit: Edit) -> str:
-    return f"operation/{edit.operation_id}"
-
-
 def _unknown(edit: Edit) -> OutcomeUnknown:
     return OutcomeUnknown(
         f"operation {edit.operation_id} may be accepted; repeat it to learn"
     )
-
-
-def _check_owner(operator: Operator, edit: Edit, before: Snapshot) -> None:
-    current = before.by_key.get(edit.key)
-    for entry in (current, edit.entry):
-        if entry is not None and entry.owner not in operator.owners:
-            raise AccessDenied(
-                f"{operator.name} may not edit {edit.key} of owner {entry.owner}"
-            )
-
-
-def _check_version(edit: Edit, before: Snapshot) -> None:
-    version = before.entry_version(edit.key)
-    if edit.entry is None and version == 0:
-        raise NotFound(f"no entry {edit.key}")
-    if version != edit.expected_version:
-        raise ConflictError(
-            f"{edit.key} is at version {version}, not {edit.expected_version}",
-            code="version-conflict",
-        )
-
-
-def _next_snapshot(edit: Edit, before: Snapshot) -> Snapshot:
-    if edit.entry is not None:
-        kind, _ = split_key(edit.key)
-        return before.with_entry(kind, edit.entry)
-    others = dependents(before, edit.key)
-    if others:
-        raise Refused(
-            f"{edit.key} is named by {', '.join(others)}", code="has-dependents"
-        )
-    return before.without_entry(edit.key)
-
-
-def _preconditions(
-    edit: Edit, head: _Head, fleet: FleetSummary | None
-) -> tuple[Precondition, ...]:
-    conditions = [
-        Precondition(HEADS_TABLE, CATALOGUE_HEAD, version=head.row_version),
-        _entry_precondition(edit),
-        Precondition(HISTORY_TABLE, _operation_key(edit), version=0),
-    ]
-    if fleet is not None:
-        conditions.append(_fleet_precondition(fleet))
-    return tuple(conditions)
-
-
-def _entry_precondition(edit: Edit) -> Precondition:
-    if edit.expected_version == 0:
-        return Precondition(ENTRIES_TABLE, edit.key, version=0)
-    equals = {"version": edit.expected_version}
-    return Precondition(ENTRIES_TABLE, edit.key, equals=equals)
-
-
-def _fleet_precondition(fleet: FleetSummary) -> Precondition:
-    if fleet.version == 0:
-        return Precondition(HEADS_TABLE, FLEET_HEAD, version=0)
-    return Precondition(HEADS_TABLE, FLEET_HEAD, equals={"version": fleet.version})
--- /dev/null
+++ b/rhubarbmount/catalogue_rows.py
@@ -0,0 +1,84 @@
+"""The rows that hold the catalogue, and what an edit writes to them."""
+
+from rhubarbmount.catalogue import Snapshot
+from rhubarbmount.catalogue_checks import FleetSummary
+from rhubarbmount.edits import Edit, Operator
+from rhubarbmount.entries import dump_entry
+from rhubarbmount.platform.interface import Precondition, Write
+
+__all__ = [
+    "CATALOGUE_HEAD",
+    "ENTRIES_TABLE",
+    "HEADS_TABLE",
+    "HISTORY_TABLE",
+    "edit_preconditions",
+    "edit_writes",
+    "history_key",
+    "operation_key",
+]
+
+CATALOGUE_HEAD = "catalogue"
+ENTRIES_TABLE = "entries"
+FLEET_HEAD = "fleet"
+HEADS_TABLE = "heads"
+HISTORY_TABLE = "history"
+
+
+def history_key(key: str, version: int) -> str:
+    """Return the key of a history row; an entry's rows sort by version.
+
+    >>> history_key("pool/shared", 12)
+    'pool/shared/000000000012'
+    """
+    return f"{key}/{version:012d}"
+
+
+def operation_key(edit: Edit) -> str:
+    """Return the key of the history row that tells what became of an edit."""
+    return f"operation/{edit.operation_id}"
+
+
+def edit_writes(
+    operator: Operator, edit: Edit, after: Snapshot, object_name: str, when_s: float
+) -> tuple[Write, ...]:
+    """Return the rows that an edit writes; ``when_s`` is in seconds since the epoch."""
+    version = after.version
+    values = None if edit.entry is None else dump_entry(edit.entry)
+    row = None if values is None else {"version": version, "values": values}
+    who = {"operator": operator.name, "when_s": when_s}
+    history = {**who, "operation_id": edit.operation_id, "values": values}
+    operation = {**who, "key": edit.key, "version": version}
+    head = {"version": version, "object": object_name}
+    return (
+        Write(HEADS_TABLE, CATALOGUE_HEAD, head),
+        Write(ENTRIES_TABLE, edit.key, row),
+        Write(HISTORY_TABLE, history_key(edit.key, version), history),
+        Write(HISTORY_TABLE, operation_key(edit), operation),
+    )
+
+
+def edit_preconditions(
+    edit: Edit, head_version: int, fleet: FleetSummary | None
+) -> tuple[Precondition, ...]:
+    """Return what must still hold when an edit commits on a version of the head row."""
+    conditions = [
+        Precondition(HEADS_TABLE, CATALOGUE_HEAD, version=head_version),
+        _entry_precondition(edit),
+        Precondition(HISTORY_TABLE, operation_key(edit), version=0),
+    ]
+    if fleet is not None:
+        conditions.append(_fleet_precondition(fleet))
+    return tuple(conditions)
+
+
+def _entry_precondition(edit: Edit) -> Precondition:
+    if edit.expected_version == 0:
+        return Precondition(ENTRIES_TABLE, edit.key, version=0)
+    equals = {"version": edit.expected_version}
+    return Precondition(ENTRIES_TABLE, edit.key, equals=equals)
+
+
+def _fleet_precondition(fleet: FleetSummary) -> Precondition:
+    if fleet.version == 0:
+        return Precondition(HEADS_TABLE, FLEET_HEAD, version=0)
+    return Precondition(HEADS_TABLE, FLEET_HEAD, equals={"version": fleet.version})
--- a/rhubarbmount/configuration.py
+++ b/rhubarbmount/configuration.py
@@ -5,9 +5,9 @@
 import attrs
 import trio
 
-from rhubarbmount.acceptance import CATALOGUE_HEAD, HEADS_TABLE
 from rhubarbmount.broadcast import Broadcaster
 from rhubarbmount.catalogue import Snapshot, decode_snapshot, encode_snapshot
+from rhubarbmount.catalogue_rows import CATALOGUE_HEAD, HEADS_TABLE
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.follower import Follower, PulledState
 from rhubarbmount.log import event
--- a/rhubarbmount/edits.py
+++ b/rhubarbmount/edits.py
@@ -8,12 +8,21 @@
 
 import attrs
 
-from rhubarbmount.catalogue import build_entry
+from rhubarbmount.catalogue import Snapshot, build_entry, split_key
+from rhubarbmount.catalogue_checks import dependents
 from rhubarbmount.entries import Entry, entry_key
-from rhubarbmount.errors import AccessDenied
+from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.log import event
 
-__all__ = ["Accepted", "Edit", "Operator", "Operators"]
+__all__ = [
+    "Accepted",
+    "Edit",
+    "Operator",
+    "Operators",
+    "check_owner",
+    "check_version",
+    "next_snapshot",
+]
 
 _logger = logging.getLogger(__name__)
 
@@ -86,3 +95,38 @@
     version: int
     key: str
     operation_id: str
+
+
+def check_owner(operator: Operator, edit: Edit, before: Snapshot) -> None:
+    """Raise AccessDenied if the entry is or becomes another owner's."""
+    current = before.by_key.get(edit.key)
+    for entry in (current, edit.entry):
+        if entry is not None and entry.owner not in operator.owners:
+            raise AccessDenied(
+                f"{operator.name} may not edit {edit.key} of owner {entry.owner}"
+            )
+
+
+def check_version(edit: Edit, before: Snapshot) -> None:
+    """Raise NotFound or ConflictError if the entry is not as the edit expects it."""
+    version = before.entry_version(edit.key)
+    if edit.entry is None and version == 0:
+        raise NotFound(f"no entry {edit.key}")
+    if version != edit.expected_version:
+        raise ConflictError(
+            f"{edit.key} is at version {version}, not {edit.expected_version}",
+            code="version-conflict",
+        )
+
+
+def next_snapshot(edit: Edit, before: Snapshot) -> Snapshot:
+    """Return the version that the edit makes, or raise Refused."""
+    if edit.entry is not None:
+        kind, _ = split_key(edit.key)
+        return before.with_entry(kind, edit.entry)
+    others = dependents(before, edit.key)
+    if others:
+        raise Refused(
+            f"{edit.key} is named by {', '.join(others)}", code="has-dependents"
+        )
+    return before.without_entry(edit.key)
--- a/rhubarbmount/operators.py
+++ b/rhubarbmount/operators.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from rhubarbmount.acceptance import ENTRIES_TABLE, HISTORY_TABLE, Acceptance
+from rhubarbmount.acceptance import Acceptance
+from rhubarbmount.catalogue_rows import ENTRIES_TABLE, HISTORY_TABLE
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.edits import Accepted, Edit, Operator, Operators
 from rhubarbmount.entries import dump_entry, entry_key
--- a/rhubarbmount/row_causes.py
+++ b/rhubarbmount/row_causes.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from rhubarbmount.acceptance import ENTRIES_TABLE, HISTORY_TABLE, history_key
 from rhubarbmount.budgets import read_pool_rows
+from rhubarbmount.catalogue_rows import ENTRIES_TABLE, HISTORY_TABLE, history_key
 from rhubarbmount.claims import (
     CLAIMS_TABLE,
     Claim,
--- a/rhubarbmount/standins/seed.py
+++ b/rhubarbmount/standins/seed.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from rhubarbmount.acceptance import CATALOGUE_HEAD, ENTRIES_TABLE, HEADS_TABLE
 from rhubarbmount.catalogue import Snapshot, encode_snapshot
 from rhubarbmount.catalogue_checks import find_faults
+from rhubarbmount.catalogue_rows import CATALOGUE_HEAD, ENTRIES_TABLE, HEADS_TABLE
 from rhubarbmount.entries import dump_entry, entry_key, entry_kinds
 from rhubarbmount.errors import Finding, FindingsError
 from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host
