--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -175,8 +175,8 @@
         factory=lambda: defaultdict(_Subjects), init=False
     )
 
-    def record(self, decision: Decision) -> None:
-        """Remember a decision; log it unless it repeats the one before."""
+    def record(self, decision: Decision, *, logged: bool = True) -> None:
+        """Remember a decision; log it if wanted, unless it repeats the one before."""
         subjects = self._subjects_by_kind[decision.kind]
         kept = subjects.about(decision.subject_id)
         if len(decision.reason) > TEXT_LIMIT:
@@ -189,7 +189,8 @@
         else:
             subjects.decisions += 1
             subjects.forget_beyond(self.limit_by_kind[decision.kind])
-        _log(decision)
+        if logged:
+            _log(decision)
 
     def explain(self, kind: str, subject_id: str) -> Explanation:
         """Return the remembered decisions about a subject, oldest first."""
@@ -241,7 +242,10 @@
 
 @attrs.define
 class DecisionRecorder:
-    """Record decisions with the configuration version in force and the time."""
+    """Record decisions with the configuration version in force and the time.
+
+    Those who record have log lines of their own.
+    """
 
     memory: DecisionMemory = attrs.field(factory=DecisionMemory)
     catalogue_version: Callable[[], int] = _no_version
@@ -268,7 +272,7 @@
             catalogue_version=version,
             time_s=self.wall_clock(),
         )
-        self.memory.record(decision)
+        self.memory.record(decision, logged=False)
 
 
 def _log(decision: Decision) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -105,3 +105,12 @@
     assert (host.reason, host.inputs) == ("slow start", {"ready": True})
     (entry,) = recorder.memory.explain("entry", "pool/p").decisions
     assert (entry.catalogue_version, entry.inputs) == (8, {})
+
+
+def test_what_a_recorder_takes_is_not_logged_twice(caplog):
+    caplog.set_level(logging.INFO, "rhubarbmount.explain")
+    recorder = DecisionRecorder()
+    recorder.record("host", "h1", "waits", "slow start")
+    assert not caplog.records
+    recorder.memory.record(decide())
+    assert len(caplog.records) == 1
