Bound the names that decisions are remembered under

Cause: found in reading: a refused submission with a job id of a megabyte would have been remembered under it, and a question about an unknown kind left an entry behind.

--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -159,6 +159,9 @@
             self.decisions -= len(forgotten)
 
 
+NO_SUBJECTS = _Subjects()
+
+
 @attrs.define
 class DecisionMemory:
     """Keep the latest decisions of the most recently decided subjects of each kind.
@@ -176,7 +179,12 @@
     )
 
     def record(self, decision: Decision, *, logged: bool = True) -> None:
-        """Remember a decision; log it if wanted, unless it repeats the one before."""
+        """Remember a decision; log it if wanted, unless it repeats the one before.
+
+        A subject whose id is longer than the limit of texts is not remembered.
+        """
+        if len(decision.subject_id) > TEXT_LIMIT:
+            return
         subjects = self._subjects_by_kind[decision.kind]
         kept = subjects.about(decision.subject_id)
         if len(decision.reason) > TEXT_LIMIT:
@@ -194,7 +202,8 @@
 
     def explain(self, kind: str, subject_id: str) -> Explanation:
         """Return the remembered decisions about a subject, oldest first."""
-        kept = self._subjects_by_kind[kind].by_id.get(subject_id, ())
+        subjects = self._subjects_by_kind.get(kind, NO_SUBJECTS)
+        kept = subjects.by_id.get(subject_id, ())
         decisions = tuple(item.decision(kind, subject_id) for item in kept)
         return Explanation(kind, subject_id, decisions)
 
--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -185,7 +185,7 @@
     def _begin(self, request: HttpRequest) -> RequestTrace:
         request_id = f"{self._prefix}{next(self._numbers):x}"
         service = request.target[1 : NAME_LIMIT + 1].split("/", 1)[0].split("?", 1)[0]
-        received = (time.time(), "received", "", (service, request.method))
+        received = (time.time(), "received", "", (service, request.method[:NAME_LIMIT]))
         trace = RequestTrace(request_id, self.catalogue_version(), [received])
         _current.set(trace)
         _keep(self._ordinary, trace, self.ordinary_limit)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -83,6 +83,14 @@
     memory = DecisionMemory()
     for number in range(100):
         memory.explain("job", f"j{number}")
+        memory.explain(f"kind-{number}", "j1")
+    assert len(memory) == 0
+    assert not memory._subjects_by_kind
+
+
+def test_a_subject_with_a_huge_name_is_not_remembered():
+    memory = DecisionMemory()
+    memory.record(decide("j" * 1_000_000))
     assert len(memory) == 0
 
 
--- a/tests/test_request_traces.py
+++ b/tests/test_request_traces.py
@@ -160,6 +160,12 @@
     assert told[-1] == ("answered", "")
 
 
+async def test_long_names_are_cut():
+    to = traces(answering())
+    request = HttpRequest("M" * 10_000, "/" + "s" * 10_000)
+    assert len(str(to.explain(await send(to, request)).dump())) < 2000
+
+
 async def test_notes_outside_a_request_are_dropped():
     note_route(NONE_LEFT, 1)
     note_refusal("queue-full")
