--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -193,8 +193,9 @@
 
     def _end(self, trace: RequestTrace, response: HttpResponse) -> None:
         outcome = header_value(response.headers, OUTCOME_HEADER)
+        code = _problem_code(response) if response.status >= 400 else ""
         inputs = (response.status, outcome)
-        trace.steps.append((time.time(), "answered", _problem_code(response), inputs))
+        trace.steps.append((time.time(), "answered", code, inputs))
         if trace.notable or response.status >= 500:
             self._ordinary.pop(trace.request_id, None)
             _keep(self._notable, trace, self.notable_limit)
