Let no refused request hide the reason that holds

Cause: found in reading: any operator may ask for a move or submit a job again and be refused; the refusal was the last decision, so a job that waits for its quota was explained by another's refused submission. A refusal's reason now counts only where it is the last decision and no other holds; the new test failed before.

--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -26,6 +26,7 @@
 DECISIONS_LIMIT_BY_KIND = {"host": 6144, "pool": 512, "job": 4096, "entry": 1024}
 DECISIONS_PER_SUBJECT = 8
 TEXT_LIMIT = 200
+REFUSED_SUFFIX = "-refused"
 
 _converter = cattrs.Converter()
 
@@ -55,6 +56,11 @@
     def _first_s(self) -> float:
         return self.time_s
 
+    @property
+    def is_refusal(self) -> bool:
+        """Tell whether something that was asked for was refused."""
+        return self.code.endswith(REFUSED_SUFFIX)
+
 
 @attrs.frozen
 class Explanation:
@@ -66,8 +72,14 @@
 
     @property
     def reason(self) -> str:
-        """Return the reason that holds now, or the empty string."""
-        return self.decisions[-1].reason if self.decisions else ""
+        """Return the reason that holds now, or the empty string.
+
+        A refused request changes nothing: its reason counts if no other holds.
+        """
+        in_effect = [item for item in self.decisions if not item.is_refusal]
+        held = in_effect[-1].reason if in_effect else ""
+        refused = bool(self.decisions) and self.decisions[-1].is_refusal
+        return held or (self.decisions[-1].reason if refused else "")
 
     def dump(self) -> dict[str, Any]:
         """Return plain values, with the reason that holds now."""
--- a/rhubarbmount/job_handlers.py
+++ b/rhubarbmount/job_handlers.py
@@ -1,4 +1,4 @@
-"""What operators ask about jobs and decisions, over HTTP."""
+"""What operators ask about jobs, over HTTP."""
 
 import uuid
 from collections.abc import Callable
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -140,14 +140,16 @@
         """
         question = Question(next(self._request_ids), kind, subject_id)
         if address in self._near_addresses():
-            link = self._link_to(address)
-            while True:
-                reply = await self._ask(link, question)
-                if isinstance(reply, QuestionReply):
-                    return reply
-                await trio.sleep(CONNECTION_POLL_S)
+            return await self._ask_near(address, question)
         return await self._ask_far(address, question)
 
+    async def _ask_near(self, address: str, question: Question) -> QuestionReply:
+        while True:
+            reply = await self._ask(self._link_to(address), question)
+            if isinstance(reply, QuestionReply):
+                return reply
+            await trio.sleep(CONNECTION_POLL_S)
+
     async def _ask_far(self, address: str, question: Question) -> QuestionReply:
         me = attrs.evolve(self.table.me, incarnation=secrets.token_hex(4))
         with self._new_dealer(address, me) as dealer:
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -22,7 +22,8 @@
 DAY_S = 24 * 3600
 HOSTS_PER_ROUND = 8
 RECHECK_S = 15.0
-NONE: Mapping[str, int] = {}
+Figures = Mapping[str, int]
+NO_FIGURES: Figures = {}
 REBOOT_CAUSE = "repair:failing"
 REPLACE_CAUSE = "repair:failing-again"
 logger = logging.getLogger("rhubarbmount.repair")
@@ -162,7 +163,7 @@
             for change in changes:
                 if change.after:
                     self.recorder.record(
-                        "host", change.after.host_id, "drain", change.after.cause
+                        "host", change.after.host_id, "repair-begun", change.after.cause
                     )
         await self.view.refresh()
 
@@ -200,7 +201,11 @@
         return None
 
     def _hold(
-        self, host: Host, code: str, now_s: float, figures: Mapping[str, int] = NONE
+        self,
+        host: Host,
+        code: str,
+        now_s: float,
+        figures: Figures = NO_FIGURES,
     ) -> None:
         """Log once why a failing host can't be helped now, and record it."""
         record = self.recorder.record
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -122,3 +122,14 @@
     assert not caplog.records
     recorder.memory.record(decide())
     assert len(caplog.records) == 1
+
+
+def test_a_refused_request_hides_no_reason_that_holds():
+    memory = DecisionMemory()
+    memory.record(decide(code="submission-refused", reason="exists"))
+    assert memory.explain("job", "j1").reason == "exists"
+    memory.record(decide(code="wait-quota", reason="team b is at its quota"))
+    memory.record(decide(code="submission-refused", reason="exists"))
+    assert memory.explain("job", "j1").reason == "team b is at its quota"
+    memory.record(decide(code="placed"))
+    assert memory.explain("job", "j1").reason == ""
