--- a/rhubarbmount/explain.py
+++ b/rhubarbmount/explain.py
@@ -26,6 +26,7 @@
 DECISIONS_LIMIT_BY_KIND = {"host": 6144, "pool": 512, "job": 4096, "entry": 1024}
 DECISIONS_PER_SUBJECT = 8
 TEXT_LIMIT = 200
+REFUSED_SUFFIX = "-refused"
 
 _converter = cattrs.Converter()
 
@@ -55,6 +56,11 @@
     def _first_s(self) -> float:
         return self.time_s
 
+    @property
+    def is_refusal(self) -> bool:
+        """Tell whether something that was asked for was refused."""
+        return self.code.endswith(REFUSED_SUFFIX)
+
 
 @attrs.frozen
 class Explanation:
@@ -66,8 +72,14 @@
 
     @property
     def reason(self) -> str:
-        """Return the reason that holds now, or the empty string."""
-        return self.decisions[-1].reason if self.decisions else ""
+        """Return the reason that holds now, or the empty string.
+
+        A refused request changes nothing: its reason counts if no other holds.
+        """
+        in_effect = [item for item in self.decisions if not item.is_refusal]
+        held = in_effect[-1].reason if in_effect else ""
+        refused = bool(self.decisions) and self.decisions[-1].is_refusal
+        return held or (self.decisions[-1].reason if refused else "")
 
     def dump(self) -> dict[str, Any]:
         """Return plain values, with the reason that holds now."""
@@ -159,6 +171,9 @@
             self.decisions -= len(forgotten)
 
 
+NO_SUBJECTS = _Subjects()
+
+
 @attrs.define
 class DecisionMemory:
     """Keep the latest decisions of the most recently decided subjects of each kind.
@@ -175,8 +190,13 @@
         factory=lambda: defaultdict(_Subjects), init=False
     )
 
-    def record(self, decision: Decision) -> None:
-        """Remember a decision; log it unless it repeats the one before."""
+    def record(self, decision: Decision, *, logged: bool = True) -> None:
+        """Remember a decision; log it if wanted, unless it repeats the one before.
+
+        A subject whose id is longer than the limit of texts is not remembered.
+        """
+        if len(decision.subject_id) > TEXT_LIMIT:
+            return
         subjects = self._subjects_by_kind[decision.kind]
         kept = subjects.about(decision.subject_id)
         if len(decision.reason) > TEXT_LIMIT:
@@ -189,11 +209,13 @@
         else:
             subjects.decisions += 1
             subjects.forget_beyond(self.limit_by_kind[decision.kind])
-        _log(decision)
+        if logged:
+            _log(decision)
 
     def explain(self, kind: str, subject_id: str) -> Explanation:
         """Return the remembered decisions about a subject, oldest first."""
-        kept = self._subjects_by_kind[kind].by_id.get(subject_id, ())
+        subjects = self._subjects_by_kind.get(kind, NO_SUBJECTS)
+        kept = subjects.by_id.get(subject_id, ())
         decisions = tuple(item.decision(kind, subject_id) for item in kept)
         return Explanation(kind, subject_id, decisions)
 
@@ -241,7 +263,10 @@
 
 @attrs.define
 class DecisionRecorder:
-    """Record decisions with the configuration version in force and the time."""
+    """Record decisions with the configuration version in force and the time.
+
+    Those who record have log lines of their own.
+    """
 
     memory: DecisionMemory = attrs.field(factory=DecisionMemory)
     catalogue_version: Callable[[], int] = _no_version
@@ -268,7 +293,7 @@
             catalogue_version=version,
             time_s=self.wall_clock(),
         )
-        self.memory.record(decision)
+        self.memory.record(decision, logged=False)
 
 
 def _log(decision: Decision) -> None:
--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -185,7 +185,7 @@
     def _begin(self, request: HttpRequest) -> RequestTrace:
         request_id = f"{self._prefix}{next(self._numbers):x}"
         service = request.target[1 : NAME_LIMIT + 1].split("/", 1)[0].split("?", 1)[0]
-        received = (time.time(), "received", "", (service, request.method))
+        received = (time.time(), "received", "", (service, request.method[:NAME_LIMIT]))
         trace = RequestTrace(request_id, self.catalogue_version(), [received])
         _current.set(trace)
         _keep(self._ordinary, trace, self.ordinary_limit)
@@ -193,8 +193,9 @@
 
     def _end(self, trace: RequestTrace, response: HttpResponse) -> None:
         outcome = header_value(response.headers, OUTCOME_HEADER)
+        code = _problem_code(response) if response.status >= 400 else ""
         inputs = (response.status, outcome)
-        trace.steps.append((time.time(), "answered", _problem_code(response), inputs))
+        trace.steps.append((time.time(), "answered", code, inputs))
         if trace.notable or response.status >= 500:
             self._ordinary.pop(trace.request_id, None)
             _keep(self._notable, trace, self.notable_limit)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -83,6 +83,14 @@
     memory = DecisionMemory()
     for number in range(100):
         memory.explain("job", f"j{number}")
+        memory.explain(f"kind-{number}", "j1")
+    assert len(memory) == 0
+    assert not memory._subjects_by_kind
+
+
+def test_a_subject_with_a_huge_name_is_not_remembered():
+    memory = DecisionMemory()
+    memory.record(decide("j" * 1_000_000))
     assert len(memory) == 0
 
 
@@ -105,3 +113,23 @@
     assert (host.reason, host.inputs) == ("slow start", {"ready": True})
     (entry,) = recorder.memory.explain("entry", "pool/p").decisions
     assert (entry.catalogue_version, entry.inputs) == (8, {})
+
+
+def test_what_a_recorder_takes_is_not_logged_twice(caplog):
+    caplog.set_level(logging.INFO, "rhubarbmount.explain")
+    recorder = DecisionRecorder()
+    recorder.record("host", "h1", "waits", "slow start")
+    assert not caplog.records
+    recorder.memory.record(decide())
+    assert len(caplog.records) == 1
+
+
+def test_a_refused_request_hides_no_reason_that_holds():
+    memory = DecisionMemory()
+    memory.record(decide(code="submission-refused", reason="exists"))
+    assert memory.explain("job", "j1").reason == "exists"
+    memory.record(decide(code="wait-quota", reason="team b is at its quota"))
+    memory.record(decide(code="submission-refused", reason="exists"))
+    assert memory.explain("job", "j1").reason == "team b is at its quota"
+    memory.record(decide(code="placed"))
+    assert memory.explain("job", "j1").reason == ""
