--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -18,8 +18,10 @@
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.platform.interface import LiveHost, Transaction
 from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.wave_bounds import lower_bound_s
 from rhubarbmount.wave_duty import WaveDuty
-from rhubarbmount.wave_plan import WaveSettings, lower_bound_s, plan_wave
+from rhubarbmount.wave_plan import plan_wave
 from rhubarbmount.waves import WaveOperator
 
 ROUND_S = 1.0
--- a/bench/waves.py
+++ b/bench/waves.py
@@ -10,12 +10,9 @@
 
 from rhubarbmount.entries import Pool
 from rhubarbmount.hosts import Host, Shape
-from rhubarbmount.wave_plan import (
-    WaveSettings,
-    lower_bound_s,
-    plan_one_at_a_time,
-    plan_wave,
-)
+from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.wave_bounds import lower_bound_s, plan_one_at_a_time
+from rhubarbmount.wave_plan import plan_wave
 
 HOUR_S = 3600
 MB = 1024 * 1024
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -16,9 +16,10 @@
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Platform
+from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
-from rhubarbmount.wave_plan import WavePlan, WaveSettings, plan_wave
+from rhubarbmount.wave_plan import WavePlan, plan_wave
 from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
 
 __all__ = ["FleetApi"]
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -12,6 +12,7 @@
 from rhubarbmount.host_probe import HostProbe
 from rhubarbmount.local_view import LocalView
 from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairDuty
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.scheduling import SchedulingDuty
@@ -19,7 +20,6 @@
 from rhubarbmount.settings import FleetSettings, Settings, Weights
 from rhubarbmount.timers import TimerService
 from rhubarbmount.wave_duty import WaveDuty
-from rhubarbmount.wave_plan import WaveSettings
 
 __all__ = ["FleetTasks", "wave_settings"]
 
--- /dev/null
+++ b/rhubarbmount/wave_bounds.py
@@ -0,0 +1,54 @@
+"""What plans of waves are held against: one host at a time, and the lower bound."""
+
+import math
+from collections.abc import Iterable
+
+from rhubarbmount.entries import Pool
+from rhubarbmount.hosts import Host
+from rhubarbmount.maintenance import by_rack, next_start_s
+from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.wave_plan import WavePlan, hosts_by_pool, plan_in_place
+
+__all__ = ["lower_bound_s", "plan_one_at_a_time"]
+
+
+def plan_one_at_a_time(
+    pools: Iterable[Pool],
+    due: Iterable[Host],
+    start_s: float,
+    settings: WaveSettings,
+) -> WavePlan:
+    """Plan a wave that takes one host of each pool at a time."""
+    hosts = hosts_by_pool(due)
+    pool_by_name = {pool.name: pool for pool in pools if pool.name in hosts}
+    return plan_in_place(pool_by_name, hosts, start_s, settings, slots=1)
+
+
+def lower_bound_s(
+    pools: Iterable[Pool],
+    due: Iterable[Host],
+    start_s: float,
+    settings: WaveSettings,
+) -> float:
+    """Return the least time that budgets, racks and windows allow without spares."""
+    hosts = hosts_by_pool(due)
+    longest_s = 0.0
+    for pool in pools:
+        now_s = start_s
+        for _ in range(_rounds(pool, hosts.get(pool.name, []))):
+            opens_s = next_start_s(pool, now_s, settings.host_s)
+            if opens_s is None:
+                return math.inf
+            now_s = opens_s + settings.host_s
+        longest_s = max(longest_s, now_s - start_s)
+    return longest_s
+
+
+def _rounds(pool: Pool, due: Iterable[Host]) -> int:
+    """Return how many turns, one after another, the pool needs at least."""
+    sizes = [len(host_ids) for host_ids in by_rack(due).values()]
+    if not sizes:
+        return 0
+    by_host = math.ceil(sum(sizes) / pool.hosts_down_limit)
+    rack_turns = sum(math.ceil(size / pool.hosts_down_limit) for size in sizes)
+    return max(by_host, math.ceil(rack_turns / pool.racks_down_limit))
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -19,8 +19,8 @@
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
+from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.swaps import spares_of, swap_wanted, swaps_hosts
-from rhubarbmount.wave_plan import WaveSettings
 from rhubarbmount.waves import (
     WAVE_PREFIX,
     Control,
--- a/tests/test_fleet_operators.py
+++ b/tests/test_fleet_operators.py
@@ -12,8 +12,8 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.router import Router
-from rhubarbmount.wave_plan import WaveSettings
 from tests.fleetkit import fill, make_host, make_pool
 
 OWNERS = {"ana": {"sfax"}, "rita": {"rival"}}
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -8,12 +8,9 @@
 
 from rhubarbmount.budgets import BudgetView
 from rhubarbmount.maintenance import next_start_s, select
-from rhubarbmount.wave_plan import (
-    WaveSettings,
-    lower_bound_s,
-    plan_one_at_a_time,
-    plan_wave,
-)
+from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.wave_bounds import lower_bound_s, plan_one_at_a_time
+from rhubarbmount.wave_plan import plan_wave
 from tests.fleetkit import make_host, make_pool
 
 HOUR_S = 3600
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -10,8 +10,8 @@
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
 from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.pool_plan import WaveSettings, plan_pool
 from rhubarbmount.wave_duty import WaveDuty
-from rhubarbmount.wave_plan import WaveSettings, plan_pool
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool
