Maintain hosts in their pool while spares are away, and count the spares' budget

Cause 1: the planner did not read the entry of the pool that spares come from. The new test_a_plan_promises_no_more_than_the_budget_of_the_spares_pool_allows failed with one rack down there: 2,877 s carried out, 2,325 s planned, since the wave took three spares where the buffer let one be down. A plan now takes at most as many spares as serve there and as its hosts and racks may be down, each spare in a rack of its own.

Cause 2: with spares, a pool's budget lay idle while the spares were maintained, and every host was swapped, at two moves each.

--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -9,9 +9,9 @@
 import defopt
 import trio
 
-from bench.waves import HOUR_S, make_fleet
+from bench.waves import HOUR_S, make_fleet, spares_offer
 from rhubarbmount.duty_runner import DutyRunner
-from rhubarbmount.entries import Pool, dump_entry
+from rhubarbmount.entries import dump_entry
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_rows import HostChange, host_terms
 from rhubarbmount.host_work import Observation, WorkBounds
@@ -130,13 +130,7 @@
 
 def buffer_of(count):
     """Return a buffer pool and its hosts."""
-    pool = Pool(
-        name="buffer",
-        owner="bench",
-        hosts_wanted=0,
-        hosts_down_limit=count,
-        racks_down_limit=count,
-    )
+    pool = spares_offer(count).pool
     hosts = [
         Host(
             host_id=f"b{number:03}",
@@ -176,7 +170,7 @@
         pools, hosts = list(fleet.pools), list(fleet.hosts)
         share = {pool.name: spares // 5 for pool in pools} if spares else {}
         settings = attrs.evolve(WAVE, hour_weight=100.0, move_weight=0.0)
-        plan = plan_wave(pools, hosts, 0.0, settings, spares)
+        plan = plan_wave(pools, hosts, 0.0, settings, spares_offer(spares))
         bound_s = lower_bound_s(pools, hosts, 0.0, WAVE)
         if spares:
             pool, more = buffer_of(spares)
--- a/bench/waves.py
+++ b/bench/waves.py
@@ -12,7 +12,7 @@
 from rhubarbmount.hosts import Host, Shape
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.wave_bounds import lower_bound_s, plan_one_at_a_time
-from rhubarbmount.wave_plan import plan_wave
+from rhubarbmount.wave_plan import SparesOffer, plan_wave
 
 HOUR_S = 3600
 MB = 1024 * 1024
@@ -81,6 +81,18 @@
     )
 
 
+def spares_offer(count):
+    """Return the offer of a buffer whose budget lets all its hosts be away."""
+    pool = Pool(
+        name="buffer",
+        owner="bench",
+        hosts_wanted=0,
+        hosts_down_limit=count,
+        racks_down_limit=count,
+    )
+    return SparesOffer(pool, serving=count, members=count)
+
+
 def measure(function, *args, **kwargs):
     """Return the result, the seconds it took, and its peak memory in MB."""
     start_s = time.perf_counter()
@@ -109,7 +121,7 @@
             ("time first, spares", plan_wave, TIME_FIRST, fleet.spares),
             ("cost first, spares", plan_wave, COST_FIRST, fleet.spares),
         ):
-            extra = {} if spares is None else {"spares_free": spares}
+            extra = {} if spares is None else {"spares": spares_offer(spares)}
             args = (fleet.pools, fleet.hosts, 0.0, wave)
             plan, spent_s, peak_mb = measure(function, *args, **extra)
             bound_s = lower_bound_s(fleet.pools, fleet.hosts, 0.0, wave)
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -12,14 +12,14 @@
 from rhubarbmount.entries import Pool
 from rhubarbmount.errors import AccessDenied, NotFound, UsageError
 from rhubarbmount.fleet_view import FleetView
-from rhubarbmount.hosts import Host, dump_host
+from rhubarbmount.hosts import Host, HostState, dump_host
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
-from rhubarbmount.wave_plan import WavePlan, plan_wave
+from rhubarbmount.wave_plan import SparesOffer, WavePlan, plan_wave
 from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
 
 __all__ = ["FleetApi"]
@@ -111,11 +111,13 @@
         pools = [pool_by_name[name] for name in names if name != self.spares_pool]
         hosts = self.fleet.hosts_by_id.values()
         due = [host for host in hosts if host.pool in names]
-        spares_free = 0
         buffer = pool_by_name.get(self.spares_pool)
+        spares = None
         if buffer is not None and buffer.owner in operator.owners:
-            spares_free = sum(host.pool == buffer.name for host in hosts)
-        return plan_wave(pools, due, time.time(), self.settings, spares_free)
+            members = [host for host in hosts if host.pool == buffer.name]
+            serving = sum(host.state is HostState.IN_SERVICE for host in members)
+            spares = SparesOffer(buffer, serving, len(members))
+        return plan_wave(pools, due, time.time(), self.settings, spares)
 
     async def _control_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
--- a/rhubarbmount/pool_plan.py
+++ b/rhubarbmount/pool_plan.py
@@ -34,13 +34,14 @@
         return self.drain_s + self.reboot_s + self.warm_s
 
     @property
-    def swap_s(self) -> float:
-        """Return the time from a spare's arrival in a pool until it is free again.
+    def arrival_s(self) -> float:
+        """Return the time from a spare's choice until it serves in another pool."""
+        return self.drain_s + self.warm_s
 
-        The host it replaces moves to the buffer, is maintained there, and is the
-        next spare.
-        """
-        return 3 * self.drain_s + 3 * self.warm_s + self.reboot_s
+    @property
+    def away_s(self) -> float:
+        """Return the time from a swapped host's choice until it is maintained."""
+        return self.arrival_s + self.host_s
 
 
 @attrs.frozen
@@ -55,73 +56,99 @@
 
 @attrs.frozen
 class PoolPlan:
-    """How a wave runs through one pool."""
+    """How a wave runs through one pool; some of its hosts are swapped for spares."""
 
     pool: str
     spares: int
     finish_s: float
     hosts: tuple[PlannedHost, ...]
+    swapped: int = 0
 
     @property
     def moves(self) -> int:
         """Return the moves it needs: one out and one in for each swapped host."""
-        return 2 * len(self.hosts) if self.spares else 0
+        return 2 * self.swapped
 
 
 @attrs.define
 class _PoolRun:
     """A wave played through one pool, from event to event.
 
-    Without spares, a host holds its slot for its whole turn; with spares, only until
-    it has moved out, and its spare is taken for the length of a swap; the spares
-    are maintained before all others.
+    A host maintained in its pool holds its slot for its whole turn, one that is
+    swapped only until it has moved out. Spares are maintained first, and so are the
+    hosts that they replaced, before they are spares in turn.
     """
 
     pool: Pool
     waiting: dict[str, list[str]]
     now_s: float
-    slot_s: float
-    turn_s: float
+    settings: WaveSettings
     slots: int
-    spare_free_s: list[float]
+    spare_ready_s: list[float]
+    left: int = attrs.field(init=False)
+    swapped: int = 0
     running: list[tuple[float, str]] = attrs.field(factory=list)
     racks: Counter[str] = attrs.field(factory=Counter)
     planned: list[PlannedHost] = attrs.field(factory=list)
 
+    def __attrs_post_init__(self) -> None:
+        self.left = sum(map(len, self.waiting.values()))
+
     def play(self) -> bool:
         """Start every host; tell whether that was possible."""
-        while any(self.waiting.values()):
-            opens_s = next_start_s(self.pool, self.now_s, self.slot_s)
+        while self.left:
+            opens_s = next_start_s(self.pool, self.now_s, self.settings.host_s)
             if opens_s is None:
                 return False
             if opens_s <= self.now_s:
                 self._start()
             next_s = self._next_s(opens_s)
             if next_s is None:
-                return not any(self.waiting.values())
+                return not self.left
             self.now_s = next_s
             self._end()
         return True
 
     def _start(self) -> None:
+        """Swap hosts while spares are there; else maintain some in the pool."""
         free = self.slots - len(self.running)
-        if self.spare_free_s:
-            spares = sum(free_s <= self.now_s for free_s in self.spare_free_s)
-            free = min(free, spares)
-        used = [rack for rack, count in self.racks.items() if count]
+        ready = sum(ready_s <= self.now_s for ready_s in self.spare_ready_s)
+        swaps = min(free, ready, max(0, self.left - self.slots))
+        if swaps:
+            self._swap(swaps)
+        elif self.left <= self.slots or not self._spare_is_coming():
+            self._maintain(free)
+
+    def _spare_is_coming(self) -> bool:
+        soon_s = self.now_s + self.settings.arrival_s
+        return any(ready_s <= soon_s for ready_s in self.spare_ready_s[:1])
+
+    def _swap(self, count: int) -> None:
+        done_s = self.now_s + self.settings.away_s
+        for _ in self._take(count, self.settings.drain_s, done_s):
+            ready_s = done_s + self.settings.arrival_s
+            heapq.heapreplace(self.spare_ready_s, ready_s)
+            self.swapped += 1
+
+    def _maintain(self, count: int) -> None:
+        host_s = self.settings.host_s
+        self._take(count, host_s, self.now_s + host_s)
+
+    def _take(self, count: int, slot_s: float, end_s: float) -> list[tuple[str, str]]:
+        used = [rack for rack, hosts in self.racks.items() if hosts]
         limit = self.pool.racks_down_limit
-        for host_id, rack in choose(self.waiting, used, free, limit):
+        chosen = choose(self.waiting, used, count, limit)
+        for host_id, rack in chosen:
             self.waiting[rack].remove(host_id)
+            self.left -= 1
             self.racks[rack] += 1
-            heapq.heappush(self.running, (self.now_s + self.slot_s, rack))
-            end_s = self.now_s + self.turn_s
+            heapq.heappush(self.running, (self.now_s + slot_s, rack))
             self.planned.append(PlannedHost(host_id, rack, self.now_s, end_s))
-            if self.spare_free_s:
-                heapq.heapreplace(self.spare_free_s, end_s)
+        return chosen
 
     def _next_s(self, opens_s: float) -> float | None:
         times = [opens_s, *(end_s for end_s, _ in self.running[:1])]
-        times.extend(self.spare_free_s[:1])
+        times.extend(ready_s for ready_s in self.spare_ready_s)
         return min((time_s for time_s in times if time_s > self.now_s), default=None)
 
     def _end(self) -> None:
@@ -139,16 +166,16 @@
     slots: int | None = None,
 ) -> PoolPlan | None:
     """Play a wave through one pool, or return None if it could never be done."""
+    ready_s = start_s + settings.host_s + settings.arrival_s
     run = _PoolRun(
         pool=pool,
         waiting=by_rack(due),
         now_s=start_s,
-        slot_s=settings.drain_s if spares else settings.host_s,
-        turn_s=settings.swap_s if spares else settings.host_s,
+        settings=settings,
         slots=pool.hosts_down_limit if slots is None else slots,
-        spare_free_s=[start_s + settings.host_s] * spares,
+        spare_ready_s=[ready_s] * spares,
     )
     if not run.play():
         return None
     finish_s = max((turn.end_s for turn in run.planned), default=start_s)
-    return PoolPlan(pool.name, spares, finish_s, tuple(run.planned))
+    return PoolPlan(pool.name, spares, finish_s, tuple(run.planned), run.swapped)
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -100,12 +100,15 @@
         }
         chosen = self._choose(rows, members, live, due)
         target = ""
-        if swaps_hosts(row.wave, pool, self.view):
-            swap = swap_wanted(row.wave, pool, self.view)
-            chosen = chosen[: swap.leaving]
-            target = row.wave.spares_pool
-            await self._bring(row, pool, swap.arriving, lease)
+        if rows.pool is not None and swaps_hosts(row.wave, pool, self.view):
+            swap = swap_wanted(row.wave, rows.pool, self.view)
+            brought = await self._bring(row, pool, swap.arriving, lease)
             await self.view.refresh()
+            if swap.leaving:
+                chosen = chosen[: swap.leaving]
+                target = row.wave.spares_pool
+            elif brought or swap.is_expecting:
+                chosen = []
         if not chosen:
             self._hold(row.wave, pool, lease.clock(), due)
             return
@@ -126,17 +129,17 @@
         budget = rows.view(members, live)
         return select(budget, [item.host for item in due.values()])
 
-    async def _bring(self, row: WaveRow, pool: str, count: int, lease: Lease) -> None:
-        """Begin moves of maintained spares into a pool."""
+    async def _bring(self, row: WaveRow, pool: str, count: int, lease: Lease) -> int:
+        """Begin moves of maintained spares into a pool, and return how many."""
         if count <= 0:
-            return
+            return 0
         rows = await read_pool_rows(self.platform, row.wave.spares_pool)
         live = await self.platform.live_hosts()
         await self.view.refresh()
         members = self.view.of_pool(row.wave.spares_pool)
         spares = {item.host.host_id: item for item in spares_of(row.wave, members)}
         if rows.pool is None:
-            return
+            return 0
         chosen = select(
             rows.view(members, live), [item.host for item in spares.values()]
         )[:count]
@@ -145,6 +148,7 @@
         ]
         if items:
             await self._begin(row, rows, items, lease)
+        return len(items)
 
     async def _begin(
         self, row: WaveRow, rows: PoolRows, items: list[Begun], lease: Lease
--- a/rhubarbmount/wave_plan.py
+++ b/rhubarbmount/wave_plan.py
@@ -1,6 +1,5 @@
 """Plans of maintenance waves, weighed by time, buffer hosts and moves."""
 
-import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
@@ -12,7 +11,7 @@
 from rhubarbmount.maintenance import HOUR_S
 from rhubarbmount.pool_plan import PoolPlan, WaveSettings, plan_pool
 
-__all__ = ["WavePlan", "hosts_by_pool", "plan_in_place", "plan_wave"]
+__all__ = ["SparesOffer", "WavePlan", "hosts_by_pool", "plan_in_place", "plan_wave"]
 
 
 @attrs.frozen
@@ -55,14 +54,34 @@
         )
 
 
+@attrs.frozen
+class SparesOffer:
+    """The pool that spares come from, and how many of its hosts serve there."""
+
+    pool: Pool
+    serving: int
+    members: int
+
+    @property
+    def usable(self) -> int:
+        """Return how many spares its budget lets be away or down at once.
+
+        Each may be in a rack of its own, as swapped hosts keep their racks.
+        """
+        missing = max(0, self.pool.hosts_wanted - self.members)
+        slots = self.pool.hosts_down_limit - missing
+        return max(0, min(self.serving, slots, self.pool.racks_down_limit))
+
+
 def plan_wave(
     pools: Iterable[Pool],
     due: Iterable[Host],
     start_s: float,
     settings: WaveSettings,
-    spares_free: int = 0,
+    spares: SparesOffer | None = None,
 ) -> WavePlan:
     """Plan a wave, with the spares that make its weighted cost least."""
+    spares_free = spares.usable if spares else 0
     hosts = hosts_by_pool(due)
     pool_by_name = {pool.name: pool for pool in pools if pool.name in hosts}
     plan = plan_in_place(pool_by_name, hosts, start_s, settings)
@@ -90,9 +109,9 @@
     free: int,
 ) -> PoolPlan | None:
     """Return a faster plan of a pool, with the least spares that make it so."""
-    matching = math.floor(pool.hosts_down_limit * settings.swap_s / settings.host_s)
-    for spares in range(max(slowest.spares, matching) + 1, free + 1):
-        trial = plan_pool(pool, due, start_s, settings, spares)
+    hosts = list(due)
+    for spares in range(slowest.spares + 1, min(free, len(hosts)) + 1):
+        trial = plan_pool(pool, hosts, start_s, settings, spares)
         if trial is not None and trial.finish_s < slowest.finish_s:
             return trial
     return None
