Hold a wave to its owners while it runs, and return spares that pools don't need

Faults, each with a test in test_waves.py that failed first: - an entry that changed its owner, or was removed, while a wave ran: the wave maintained all 8 hosts of the new owner's pool, or never ended. Spares go back before a wave is done.

--- a/rhubarbmount/cadence.py
+++ b/rhubarbmount/cadence.py
@@ -15,7 +15,6 @@
 from rhubarbmount.waves import (
     Wave,
     WaveRow,
-    overlap,
     read_waves,
     start_terms,
     wave_terms,
@@ -39,7 +38,7 @@
     A wave begins when three quarters of the cadence have passed since the oldest
     maintenance, and takes every host not maintained within half of it.
     """
-    covered = [wave.pools for wave in waves if wave.state == "open"]
+    open_waves = [wave for wave in waves if wave.state == "open"]
     oldest_s: dict[str, float] = {}
     for host in hosts:
         known_s = oldest_s.get(host.pool, now_s)
@@ -48,7 +47,7 @@
     for pool in pools:
         cadence_s = pool.cadence_days * DAY_S
         age_s = now_s - oldest_s.get(pool.name, now_s)
-        is_covered = any(overlap(names, (pool.name,)) for names in covered)
+        is_covered = any(wave.covers(pool.name) for wave in open_waves)
         if age_s >= BEGIN_SHARE * cadence_s and not is_covered:
             found.append((pool.name, now_s - DUE_SHARE * cadence_s))
     return found
@@ -82,13 +81,20 @@
         await self.view.refresh()
         hosts = [row.host for row in self.view.by_host_id.values()]
         waves = [row.wave for row in await read_waves(self.platform)]
+        owner_by_pool = {pool.name: pool.owner for pool in pools}
         for pool, started_s in overdue_pools(pools, hosts, waves, self.wall_clock()):
-            await self._begin(pool, started_s, lease)
+            wave = Wave(
+                wave_id=lease.new_id(),
+                started_s=started_s,
+                pools=(pool,),
+                owner_by_pool={pool: owner_by_pool[pool]},
+            )
+            await self._begin(wave, lease)
         self._looked_s = now_s
 
-    async def _begin(self, pool: str, started_s: float, lease: Lease) -> None:
-        wave = Wave(wave_id=lease.new_id(), started_s=started_s, pools=(pool,))
+    async def _begin(self, wave: Wave, lease: Lease) -> None:
         terms = await start_terms(self.platform)
         terms.add(wave_terms(WaveRow(wave, 0), wave))
         result = "begun" if await lease.commit(terms) else "conflict"
+        pool = wave.pools[0]
         event(logger, "cadence-wave", pool=pool, wave=wave.wave_id, result=result)
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -90,7 +90,9 @@
             spares = self._plan(pools, operator).spares_by_pool
         if spares:
             self._check_owner(operator, self.spares_pool)
-        wave_id = await self.waves.start(pools, self.spares_pool, spares)
+        wave_id = await self.waves.start(
+            pools, self.spares_pool, spares, operator.owners
+        )
         return json_response({"result": "started", "wave": wave_id}, 202)
 
     async def _plan_wave(self, call: Call) -> HttpResponse:
@@ -127,7 +129,10 @@
             known = ", ".join(Control)
             raise UsageError(f"control is one of {known}") from None
         wave: Wave = (await self.waves.read(call.parts[1])).wave
-        for pool in wave.pools:
+        covered = [pool for pool in wave.pools if wave.covers(pool)]
+        if not covered:
+            raise AccessDenied("every pool of the wave has left it")
+        for pool in covered:
             self._check_owner(operator, pool)
         wave = await self.waves.control(wave.wave_id, control)
         return json_response(_converter.unstructure(wave))
--- a/rhubarbmount/host_work.py
+++ b/rhubarbmount/host_work.py
@@ -39,7 +39,8 @@
 class HostIntent:
     """Work begun on a host and not yet finished.
 
-    ``target_pool`` is set for moves. ``group`` names the wave it belongs to, if any,
+    ``target_pool`` is set for moves, with the team that owned it when the move began.
+    ``group`` names the wave it belongs to, if any,
     and ``group_started_s`` the time, since the epoch, at which that wave began.
     """
 
@@ -48,6 +49,7 @@
     action: str
     host_id: str
     target_pool: str = ""
+    target_owner: str = ""
     group: str = ""
     group_started_s: float = 0.0
     state: str = "open"
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -7,12 +7,10 @@
 
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
-from rhubarbmount.host_duty import Begun, begin_terms
 from rhubarbmount.host_rows import HostRow, HostRows
 from rhubarbmount.host_work import (
     HOST_PREFIX,
     INTENTS_TABLE,
-    HostIntent,
     load_intent,
 )
 from rhubarbmount.hosts import HostState
@@ -20,9 +18,9 @@
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.pool_plan import WaveSettings
-from rhubarbmount.swaps import spares_of, swap_wanted, swaps_hosts
+from rhubarbmount.swaps import swap_wanted, swaps_hosts
+from rhubarbmount.wave_work import WaveWork
 from rhubarbmount.waves import (
-    WAVE_PREFIX,
     Control,
     Wave,
     WaveRow,
@@ -75,20 +73,27 @@
             await self._close(row, lease)
         elif row.wave.control is Control.RUNNING:
             for pool in sorted({host.pool for host in left}):
-                await self._begin_in_pool(row, pool, lease)
+                if not await self._begin_in_pool(row, pool, lease):
+                    return
 
     async def _close(self, row: WaveRow, lease: Lease) -> None:
         intents = await self.platform.scan(INTENTS_TABLE, HOST_PREFIX)
         if _has_open(intents, row.wave.wave_id):
             return
+        if await self._work().send_back(row, lease):
+            return
         done = attrs.evolve(row.wave, state="done")
         if await lease.commit(wave_terms(row, done)):
             event(logger, "wave-done", wave=done.wave_id, control=done.control.value)
 
-    async def _begin_in_pool(self, row: WaveRow, pool: str, lease: Lease) -> None:
+    async def _begin_in_pool(self, row: WaveRow, pool: str, lease: Lease) -> bool:
+        """Begin what may begin; tell whether the wave's row stands as it was read."""
         if self._is_held(row.wave, pool, lease.clock()):
-            return
+            return True
         rows = await read_pool_rows(self.platform, pool)
+        if not row.wave.owns(rows):
+            await self._drop(row, rows, lease)
+            return False
         live = await self.platform.live_hosts()
         await self.view.refresh()
         members = self.view.of_pool(pool)
@@ -99,23 +104,43 @@
             and item.host.state is HostState.IN_SERVICE
         }
         chosen = self._choose(rows, members, live, due)
-        target = ""
+        target = None
         if rows.pool is not None and swaps_hosts(row.wave, pool, self.view):
+            spares = await read_pool_rows(self.platform, row.wave.spares_pool)
+            if not row.wave.owns(spares):
+                await self._drop(row, spares, lease)
+                return False
             swap = swap_wanted(row.wave, rows.pool, self.view)
-            brought = await self._bring(row, pool, swap.arriving, lease)
+            brought = await self._work().bring(row, spares, rows, swap.arriving, lease)
             await self.view.refresh()
             if swap.leaving:
                 chosen = chosen[: swap.leaving]
-                target = row.wave.spares_pool
+                target = spares
             elif brought or swap.is_expecting:
                 chosen = []
         if not chosen:
             self._hold(row.wave, pool, lease.clock(), due)
-            return
-        items = [
-            Begun(due[name], self._intent(row, name, target, lease)) for name in chosen
-        ]
-        await self._begin(row, rows, items, lease)
+            return True
+        leaving = [due[name] for name in chosen]
+        await self._work().begin(row, rows, leaving, target, lease)
+        return True
+
+    async def _drop(self, row: WaveRow, rows: PoolRows, lease: Lease) -> None:
+        """Leave a pool out of the wave, as its entry is gone or another team's."""
+        terms = wave_terms(row, row.wave.without(rows.name))
+        terms.add(rows.entry_terms())
+        if await lease.commit(terms):
+            cause = "pool-removed" if rows.pool is None else "owner-changed"
+            event(
+                logger,
+                "wave-pool-dropped",
+                wave=row.wave.wave_id,
+                pool=rows.name,
+                cause=cause,
+            )
+
+    def _work(self) -> WaveWork:
+        return WaveWork(self.platform, self.wall_clock, self.view)
 
     def _choose(
         self,
@@ -129,56 +154,6 @@
         budget = rows.view(members, live)
         return select(budget, [item.host for item in due.values()])
 
-    async def _bring(self, row: WaveRow, pool: str, count: int, lease: Lease) -> int:
-        """Begin moves of maintained spares into a pool, and return how many."""
-        if count <= 0:
-            return 0
-        rows = await read_pool_rows(self.platform, row.wave.spares_pool)
-        live = await self.platform.live_hosts()
-        await self.view.refresh()
-        members = self.view.of_pool(row.wave.spares_pool)
-        spares = {item.host.host_id: item for item in spares_of(row.wave, members)}
-        if rows.pool is None:
-            return 0
-        chosen = select(
-            rows.view(members, live), [item.host for item in spares.values()]
-        )[:count]
-        items = [
-            Begun(spares[name], self._intent(row, name, pool, lease)) for name in chosen
-        ]
-        if items:
-            await self._begin(row, rows, items, lease)
-        return len(items)
-
-    async def _begin(
-        self, row: WaveRow, rows: PoolRows, items: list[Begun], lease: Lease
-    ) -> None:
-        terms = begin_terms(rows, self.view.head, items, self.wall_clock())
-        terms.require(INTENTS_TABLE, WAVE_PREFIX + row.wave.wave_id, row.version)
-        committed = await lease.commit(terms)
-        event(
-            logger,
-            "wave-begin",
-            wave=row.wave.wave_id,
-            pool=rows.name,
-            action=items[0].intent.action,
-            hosts=",".join(item.intent.host_id for item in items),
-            result="begun" if committed else "conflict",
-        )
-
-    def _intent(
-        self, row: WaveRow, host_id: str, target_pool: str, lease: Lease
-    ) -> HostIntent:
-        return HostIntent(
-            intent_id=lease.new_id(),
-            duty="hosts",
-            action="move" if target_pool else "maintain",
-            host_id=host_id,
-            target_pool=target_pool,
-            group=row.wave.wave_id,
-            group_started_s=row.wave.started_s,
-        )
-
     def _in_window(self, rows: PoolRows) -> bool:
         now_s = self.wall_clock()
         return (
--- /dev/null
+++ b/rhubarbmount/wave_work.py
@@ -0,0 +1,125 @@
+"""What a wave begins on hosts: maintenance, swaps, and the return of spares."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from rhubarbmount.budgets import PoolRows, read_pool_rows
+from rhubarbmount.duty_runner import Lease
+from rhubarbmount.host_duty import Begun, begin_terms
+from rhubarbmount.host_rows import HostRow, HostRows
+from rhubarbmount.host_work import INTENTS_TABLE, HostIntent
+from rhubarbmount.hosts import HostState
+from rhubarbmount.log import event
+from rhubarbmount.maintenance import is_due, select
+from rhubarbmount.platform.interface import Platform
+from rhubarbmount.swaps import spares_of, surplus_of
+from rhubarbmount.waves import WAVE_PREFIX, WaveRow
+
+__all__ = ["WaveWork"]
+
+logger = logging.getLogger("rhubarbmount.waves")
+
+
+@attrs.define
+class WaveWork:
+    """Begin work on hosts, one transaction for each pool that they leave."""
+
+    platform: Platform
+    wall_clock: Callable[[], float]
+    view: HostRows
+
+    async def bring(
+        self, row: WaveRow, spares: PoolRows, target: PoolRows, count: int, lease: Lease
+    ) -> int:
+        """Begin moves of maintained spares into a pool, and return how many."""
+        if count <= 0 or spares.pool is None:
+            return 0
+        await self.view.refresh()
+        found = spares_of(row.wave, self.view.of_pool(spares.name))
+        chosen = await self._choose(spares, found, count)
+        await self.begin(row, spares, chosen, target, lease)
+        return len(chosen)
+
+    async def send_back(self, row: WaveRow, lease: Lease) -> bool:
+        """Return spares that pools no longer need; tell whether any are left."""
+        wave = row.wave
+        pending = False
+        for name in sorted(wave.spares_by_pool):
+            rows = await read_pool_rows(self.platform, name)
+            spares = await read_pool_rows(self.platform, wave.spares_pool)
+            if not wave.owns(rows) or not wave.owns(spares) or rows.pool is None:
+                continue
+            await self.view.refresh()
+            surplus = surplus_of(wave, rows.pool, self.view, self.wall_clock())
+            if surplus:
+                pending = True
+                serving = self._returnable(row, name)
+                chosen = await self._choose(rows, serving, surplus)
+                await self.begin(row, rows, chosen, spares, lease)
+        return pending
+
+    async def begin(
+        self,
+        row: WaveRow,
+        rows: PoolRows,
+        hosts: Iterable[HostRow],
+        target: PoolRows | None,
+        lease: Lease,
+    ) -> None:
+        """Take hosts of one pool out of service, to be maintained or moved."""
+        items = [
+            Begun(host_row, _intent(row, host_row.host.host_id, target, lease))
+            for host_row in hosts
+        ]
+        if not items:
+            return
+        terms = begin_terms(rows, self.view.head, items, self.wall_clock())
+        terms.require(INTENTS_TABLE, WAVE_PREFIX + row.wave.wave_id, row.version)
+        if target is not None:
+            terms.add(target.entry_terms())
+        committed = await lease.commit(terms)
+        event(
+            logger,
+            "wave-begin",
+            wave=row.wave.wave_id,
+            pool=rows.name,
+            action=items[0].intent.action,
+            hosts=",".join(item.intent.host_id for item in items),
+            result="begun" if committed else "conflict",
+        )
+
+    def _returnable(self, row: WaveRow, pool: str) -> list[HostRow]:
+        """Return the hosts that may leave: maintained ones, if there are any."""
+        members = [
+            item
+            for item in self.view.of_pool(pool)
+            if item.host.state is HostState.IN_SERVICE
+        ]
+        fresh = [item for item in members if not is_due(item.host, row.wave.started_s)]
+        return fresh or members
+
+    async def _choose(
+        self, rows: PoolRows, found: Iterable[HostRow], count: int
+    ) -> list[HostRow]:
+        by_host_id = {item.host.host_id: item for item in found}
+        live = await self.platform.live_hosts()
+        budget = rows.view(self.view.of_pool(rows.name), live)
+        chosen = select(budget, [item.host for item in by_host_id.values()])
+        return [by_host_id[host_id] for host_id in chosen[:count]]
+
+
+def _intent(
+    row: WaveRow, host_id: str, target: PoolRows | None, lease: Lease
+) -> HostIntent:
+    return HostIntent(
+        intent_id=lease.new_id(),
+        duty="hosts",
+        action="move" if target else "maintain",
+        host_id=host_id,
+        target_pool=target.name if target else "",
+        target_owner=target.pool.owner if target and target.pool else "",
+        group=row.wave.wave_id,
+        group_started_s=row.wave.started_s,
+    )
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -1,18 +1,17 @@
 """Maintenance waves: operators begin them, and a duty carries them out."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from enum import StrEnum
 from typing import Any
 
 import attrs
 import cattrs
 
-from rhubarbmount.errors import ConflictError, NotFound, Refused
+from rhubarbmount.budgets import PoolRows, read_pool_rows
+from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.host_rows import HostRows, Terms
-from rhubarbmount.host_work import (
-    INTENTS_TABLE,
-)
+from rhubarbmount.host_work import INTENTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
 
@@ -21,7 +20,6 @@
     "Wave",
     "WaveRow",
     "WaveOperator",
-    "overlap",
     "read_waves",
     "start_terms",
     "wave_terms",
@@ -48,7 +46,8 @@
 
     ``started_s`` is in seconds since the epoch. A pool with spares has its hosts
     replaced, one by one, from ``spares_pool``; its size is ``home_by_pool`` again
-    when the wave is over.
+    when the wave is over. A pool that has another owner than in ``owner_by_pool``, or
+    no entry, is left out from then on, as ``dropped_pools``.
     """
 
     wave_id: str
@@ -57,6 +56,8 @@
     spares_pool: str = ""
     spares_by_pool: Mapping[str, int] = attrs.field(factory=dict)
     home_by_pool: Mapping[str, int] = attrs.field(factory=dict)
+    owner_by_pool: Mapping[str, str] = attrs.field(factory=dict)
+    dropped_pools: tuple[str, ...] = ()
     control: Control = Control.RUNNING
     duty: str = "waves"
     action: str = "wave"
@@ -64,8 +65,26 @@
 
     def covers(self, pool: str) -> bool:
         """Tell whether a pool belongs to the wave."""
+        if pool in self.dropped_pools:
+            return False
         return not self.pools or pool in self.pools
 
+    def overlaps(self, names: Iterable[str]) -> bool:
+        """Tell whether a wave over these pools, or over all, would meet this one."""
+        wanted = tuple(names) or self.pools
+        return not wanted or any(self.covers(name) for name in wanted)
+
+    def owns(self, rows: PoolRows) -> bool:
+        """Tell whether a pool is still its owner's, as at the start."""
+        if rows.pool is None:
+            return False
+        owner = self.owner_by_pool.get(rows.name, rows.pool.owner)
+        return owner == rows.pool.owner
+
+    def without(self, pool: str) -> "Wave":
+        """Return the wave with a pool left out."""
+        return attrs.evolve(self, dropped_pools=(*self.dropped_pools, pool))
+
 
 @attrs.frozen
 class WaveRow:
@@ -118,15 +137,24 @@
         pools: Iterable[str] = (),
         spares_pool: str = "",
         spares_by_pool: Mapping[str, int] | None = None,
+        owners: Collection[str] | None = None,
     ) -> str:
-        """Start a wave and return its id; Refused if one covers a pool already."""
+        """Start a wave and return its id; Refused if one covers a pool already.
+
+        All pools must belong to the owners, if any are given.
+        """
         spares = dict(spares_by_pool or {})
         names = tuple(sorted(pools))
         if names and spares:
             names = tuple(sorted({*names, spares_pool}))
         terms = await start_terms(self.platform)
+        owner_by_pool = {}
+        for name in sorted({*names, *([spares_pool] if spares else [])}):
+            rows = await self._owned(name, owners)
+            terms.add(rows.entry_terms())
+            owner_by_pool[name] = rows.pool.owner if rows.pool else ""
         for row in await read_waves(self.platform):
-            if row.wave.state == "open" and overlap(row.wave.pools, names):
+            if row.wave.state == "open" and row.wave.overlaps(names):
                 raise Refused(f"wave {row.wave.wave_id} is open", code="wave-open")
             if row.wave.state == "done":
                 key = WAVE_PREFIX + row.wave.wave_id
@@ -139,6 +167,7 @@
             spares_pool=spares_pool,
             spares_by_pool=spares,
             home_by_pool=await self._sizes(spares),
+            owner_by_pool=owner_by_pool,
         )
         terms.add(wave_terms(WaveRow(wave, 0), wave))
         if not await self._commit(terms):
@@ -158,6 +187,14 @@
                 return wave
         raise ConflictError(f"other operators kept changing wave {wave_id}")
 
+    async def _owned(self, name: str, owners: Collection[str] | None) -> PoolRows:
+        rows = await read_pool_rows(self.platform, name)
+        if rows.pool is None:
+            raise NotFound(f"no pool {name!r}")
+        if owners is not None and rows.pool.owner not in owners:
+            raise AccessDenied(f"pool {name} belongs to {rows.pool.owner}")
+        return rows
+
     async def _sizes(self, pools: Iterable[str]) -> dict[str, int]:
         view = HostRows(self.platform)
         await view.refresh()
@@ -175,8 +212,3 @@
             self.new_id(), tuple(terms.preconditions), tuple(terms.writes)
         )
         return (await self.platform.transact(transaction)).committed
-
-
-def overlap(pools: tuple[str, ...], others: tuple[str, ...]) -> bool:
-    """Tell whether two waves over these pools have one in common."""
-    return not pools or not others or bool(set(pools) & set(others))
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,21 +1,23 @@
 """Waves carried out: pause, resume, cancel, and a holder that dies midway."""
 
+import attrs
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from rhubarbmount.duty_runner import DutyRunner
-from rhubarbmount.errors import ConflictError, Refused
+from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.host_duty import HostDuty
+from rhubarbmount.host_rows import HostChange, HostRow, host_terms
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.pool_plan import WaveSettings, plan_pool
 from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.wave_plan import SparesOffer, plan_wave
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
-from tests.fleetkit import CountedPlatform, fill, make_host, make_pool
+from tests.fleetkit import CountedPlatform, fill, make_host, make_pool, pool_row
 from tests.interleave import World, pause, run_now
 
 QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
@@ -293,3 +295,123 @@
     platform.on_transact = after_another
     with pytest.raises(ConflictError):
         run_now(slow.start())
+
+
+async def edit(world, name, pool, version):
+    """Write a pool's entry, or remove it."""
+    row = pool_row(pool, version) if pool else None
+    write = Write("entries", f"pool/{name}", row)
+    await world.inner.transact(Transaction(world.new_id(), (), (write,)))
+
+
+def test_a_wave_stops_in_a_pool_that_another_team_takes_over():
+    world = make_world()
+    wave_id = run_now(operator_of(world).start(["quotes"]))
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 2)
+    rival = attrs.evolve(make_pool(hosts_down_limit=2), owner="rival")
+    run_now(edit(world, "quotes", rival, 2))
+    begun = len(world.inner.tables["intents"]) + count_maintained(world)
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert count_maintained(world) <= begun < 8
+    assert is_quiet(world)
+    run_now(operator_of(world).start(["quotes"], owners={"rival"}))
+    world.stop()
+
+
+def test_a_wave_ends_when_its_pool_is_removed():
+    world = make_world()
+    world.check = None
+    wave_id = run_now(operator_of(world).start(["quotes"]))
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 2)
+    run_now(edit(world, "quotes", None, 2))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert count_maintained(world) < 8
+    world.stop()
+
+
+def test_a_wave_keeps_to_a_budget_that_shrinks_meanwhile():
+    world = make_world()
+    wave_id = run_now(operator_of(world).start(["quotes"]))
+    add_holder(world, "a")
+    assert world.settle(lambda: count_maintained(world) >= 2)
+    run_now(edit(world, "quotes", make_pool(hosts_down_limit=0), 2))
+    assert world.settle(lambda: is_quiet(world))
+    maintained = count_maintained(world)
+    assert not world.settle(lambda: not is_quiet(world), rounds=400)
+    run_now(edit(world, "quotes", make_pool(hosts_down_limit=1), 3))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert maintained < count_maintained(world) == 8
+    world.stop()
+
+
+def test_a_wave_starts_only_over_pools_of_its_owners():
+    world = make_world()
+    with pytest.raises(AccessDenied):
+        run_now(operator_of(world).start(["quotes"], owners={"rival"}))
+    with pytest.raises(NotFound):
+        run_now(operator_of(world).start(["nowhere"]))
+
+
+def test_a_wave_goes_on_in_place_when_the_spares_pool_changes_hands():
+    world = World()
+    hosts = [make_host(n) for n in range(3)] + [make_host(0, "buffer")]
+    run_now(fill(world.inner, [make_pool(hosts_wanted=3), buffer_pool()], hosts))
+    world.check = check_commit
+    wave_id = run_now(operator_of(world).start((), "buffer", {"quotes": 1}))
+    run_now(edit(world, "buffer", attrs.evolve(buffer_pool(), owner="rival"), 2))
+    add_holder(world, "a")
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert reboots_of(world) == ["q0", "q1", "q2"]
+    world.stop()
+
+
+def test_a_wave_returns_its_spare_when_a_host_fails_in_the_middle_of_a_swap():
+    world = World()
+    hosts = [make_host(n) for n in range(3)] + [make_host(0, "buffer")]
+    run_now(fill(world.inner, [make_pool(hosts_wanted=3), buffer_pool()], hosts))
+    world.check = check_commit
+    wave_id = run_now(operator_of(world).start((), "buffer", {"quotes": 1}))
+    add_holder(world, "a")
+
+    def in_quotes():
+        hosts = hosts_of(world.inner.tables).values()
+        return [host for host in hosts if host.pool == "quotes"]
+
+    assert world.settle(lambda: len(in_quotes()) == 4)
+    due = [host for host in in_quotes() if host.maintained_s < 1000.0]
+    for host in due:
+        row = world.inner.tables["hosts"][host.host_id]
+        done = attrs.evolve(host, maintained_s=world.now_s, cause="reboot:warm")
+        before = HostRow(host, row.version)
+        head = world.inner.tables["heads"]["fleet"]
+        terms = host_terms(head, [HostChange(before, done)])
+        transaction = Transaction(
+            world.new_id(), tuple(terms.preconditions), tuple(terms.writes)
+        )
+        assert run_now(world.inner.transact(transaction)).committed
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert len(in_quotes()) == 3
+    assert is_quiet(world)
+    world.stop()
+
+
+def test_a_cancelled_wave_returns_the_spare_that_has_arrived():
+    world = World()
+    hosts = [make_host(n) for n in range(6)] + [make_host(0, "buffer")]
+    run_now(fill(world.inner, [make_pool(hosts_wanted=6), buffer_pool()], hosts))
+    world.check = check_commit
+    operator = operator_of(world)
+    wave_id = run_now(operator.start((), "buffer", {"quotes": 1}))
+    add_holder(world, "a")
+
+    def size():
+        hosts = hosts_of(world.inner.tables).values()
+        return sum(host.pool == "quotes" for host in hosts)
+
+    assert world.settle(lambda: size() == 7)
+    run_now(operator.control(wave_id, Control.CANCELLED))
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert size() == 6
+    world.stop()
