End a move in its old pool when an entry no longer wants it

A move's last transaction required only that the target's entry exists. The intent now names the target's owner, and the step requires both entries as they were read. Failures in the source don't count here: they were weighed when the move began, and a spare that turned back would leave the failed host's pool short.

The step that was logged was the one asked for, not the one taken; it is the one taken now.

--- /dev/null
+++ b/rhubarbmount/host_begin.py
@@ -0,0 +1,72 @@
+"""The transaction that takes hosts of one pool out of service."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rhubarbmount.budgets import PoolRows
+from rhubarbmount.host_rows import HostChange, HostRow, Terms, host_terms
+from rhubarbmount.host_work import (
+    INTENTS_TABLE,
+    HostIntent,
+    Step,
+    dump_intent,
+    intent_key,
+    work_cause,
+)
+from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.platform.interface import Row
+from rhubarbmount.statecharts import load_chart
+
+__all__ = ["Begun", "begin_changes", "begin_terms", "next_host"]
+
+
+def next_host(host: Host, step: Step, now_s: float, cause: str) -> Host:
+    """Return the host after a step of its state chart."""
+    state = HostState(load_chart("host").next_state(host.state, step.event))
+    return attrs.evolve(
+        host,
+        state=state,
+        pool=step.pool or host.pool,
+        cause=cause,
+        since_s=now_s,
+    )
+
+
+@attrs.frozen
+class Begun:
+    """A host to take out of service, and the intent that says why."""
+
+    row: HostRow
+    intent: HostIntent
+
+
+def begin_terms(
+    rows: PoolRows, head: Row | None, begun: Iterable[Begun], now_s: float
+) -> Terms:
+    """Return what a transaction needs to take hosts of one pool out of service.
+
+    The permits, the intents and the hosts' new state are written together.
+    """
+    terms, changes = begin_changes(rows, begun, now_s)
+    terms.add(host_terms(head, changes))
+    return terms
+
+
+def begin_changes(
+    rows: PoolRows, begun: Iterable[Begun], now_s: float
+) -> tuple[Terms, list[HostChange]]:
+    """Return the permits and intents of one pool's hosts, and the hosts' changes."""
+    terms = Terms()
+    racks = {}
+    changes = []
+    for item in begun:
+        host, intent = item.row.host, item.intent
+        cause = work_cause(intent, "drain")
+        draining = next_host(host, Step("drain"), now_s, cause)
+        changes.append(HostChange(item.row, draining))
+        racks[host.host_id] = host.rack
+        terms.require(INTENTS_TABLE, intent_key(host.host_id), 0)
+        terms.write(INTENTS_TABLE, intent_key(host.host_id), dump_intent(intent))
+    terms.add(rows.grant_terms(racks))
+    return terms, changes
--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -11,6 +11,7 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
 from rhubarbmount.errors import NotFound, Refused
+from rhubarbmount.host_begin import next_host
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, Terms, host_terms
 from rhubarbmount.host_tasks import HostTasks
 from rhubarbmount.host_work import (
@@ -22,19 +23,17 @@
     Progress,
     Step,
     WorkBounds,
-    dump_intent,
     host_actions,
     intent_key,
     load_intent,
     work_cause,
 )
-from rhubarbmount.hosts import Host, HostState
+from rhubarbmount.hosts import Host
 from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import HostCommand, Platform, Row
-from rhubarbmount.statecharts import load_chart
 
-__all__ = ["Begun", "HostDuty", "begin_changes", "begin_terms", "next_host"]
+__all__ = ["HostDuty"]
 
 logger = logging.getLogger("rhubarbmount.host_duty")
 
@@ -57,57 +56,6 @@
     commanded: bool = False
 
 
-def next_host(host: Host, step: Step, now_s: float, cause: str) -> Host:
-    """Return the host after a step of its state chart."""
-    state = HostState(load_chart("host").next_state(host.state, step.event))
-    return attrs.evolve(
-        host,
-        state=state,
-        pool=step.pool or host.pool,
-        cause=cause,
-        since_s=now_s,
-    )
-
-
-@attrs.frozen
-class Begun:
-    """A host to take out of service, and the intent that says why."""
-
-    row: HostRow
-    intent: HostIntent
-
-
-def begin_terms(
-    rows: PoolRows, head: Row | None, begun: Iterable[Begun], now_s: float
-) -> Terms:
-    """Return what a transaction needs to take hosts of one pool out of service.
-
-    The permits, the intents and the hosts' new state are written together.
-    """
-    terms, changes = begin_changes(rows, begun, now_s)
-    terms.add(host_terms(head, changes))
-    return terms
-
-
-def begin_changes(
-    rows: PoolRows, begun: Iterable[Begun], now_s: float
-) -> tuple[Terms, list[HostChange]]:
-    """Return the permits and intents of one pool's hosts, and the hosts' changes."""
-    terms = Terms()
-    racks = {}
-    changes = []
-    for item in begun:
-        host, intent = item.row.host, item.intent
-        cause = work_cause(intent, "drain")
-        draining = next_host(host, Step("drain"), now_s, cause)
-        changes.append(HostChange(item.row, draining))
-        racks[host.host_id] = host.rack
-        terms.require(INTENTS_TABLE, intent_key(host.host_id), 0)
-        terms.write(INTENTS_TABLE, intent_key(host.host_id), dump_intent(intent))
-    terms.add(rows.grant_terms(racks))
-    return terms, changes
-
-
 @attrs.define
 class HostDuty:
     """Bring every open host intent one step further in each round.
@@ -233,7 +181,11 @@
         due = [(item, step) for item, step in due if self._is_current(item)]
         if not due:
             return
-        terms = await self._terms(rows, due)
+        terms = Terms()
+        due = [
+            (item, await self._settled(step, item, rows, terms)) for item, step in due
+        ]
+        terms.add(self._terms(rows, due))
         if not await lease.commit(terms):
             event(logger, "steps-conflict", pool=pool, hosts=len(due))
             return
@@ -244,12 +196,11 @@
         row = self.view.by_host_id.get(item.intent.host_id)
         return row is not None and row.version == item.row.version
 
-    async def _terms(self, rows: PoolRows, due: list[tuple[OpenWork, Step]]) -> Terms:
+    def _terms(self, rows: PoolRows, due: list[tuple[OpenWork, Step]]) -> Terms:
         changes = []
         terms = Terms()
         released = []
         for item, step in due:
-            step = await self._settled(step, item.row.host, terms)
             changes.append(HostChange(item.row, self._after(item, step)))
             key = intent_key(item.intent.host_id)
             terms.require(INTENTS_TABLE, key, item.intent_version)
@@ -264,14 +215,19 @@
         terms.add(host_terms(self.view.head, changes))
         return terms
 
-    async def _settled(self, step: Step, host: Host, terms: Terms) -> Step:
-        """Keep a host in its pool if the pool it should move to is gone."""
+    async def _settled(
+        self, step: Step, item: OpenWork, rows: PoolRows, terms: Terms
+    ) -> Step:
+        """Keep a host in its pool unless both pools' entries still allow its move."""
         if not step.pool:
             return step
         target = await read_pool_rows(self.platform, step.pool)
-        if target.pool is None:
+        if not _is_wanted(item.intent, target):
+            return Step("restore")
+        if not _is_spared(rows, self.view, item.row.host):
             return Step("restore")
         terms.add(target.entry_terms())
+        terms.add(rows.entry_terms())
         return step
 
     def _after(self, item: OpenWork, step: Step) -> Host | None:
@@ -295,3 +251,20 @@
             pool=step.pool or item.row.host.pool,
             intent=item.intent.intent_id,
         )
+
+
+def _is_wanted(intent: HostIntent, target: PoolRows) -> bool:
+    """Tell whether the target still is the pool that the move was begun for."""
+    if target.pool is None:
+        return False
+    return intent.target_owner in ("", target.pool.owner)
+
+
+def _is_spared(rows: PoolRows, view: HostRows, host: Host) -> bool:
+    """Tell whether the pool's entry still lets the host go, failures aside."""
+    if rows.pool is None:
+        return True
+    members = len(view.of_pool(rows.name)) - 1
+    missing = max(0, rows.pool.hosts_wanted - members)
+    planned = len(rows.permits.keys() - {host.host_id})
+    return not missing or planned + missing <= rows.pool.hosts_down_limit
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from rhubarbmount.budgets import decide, read_pool_rows
+from rhubarbmount.budgets import PoolRows, decide, read_pool_rows
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
-from rhubarbmount.host_duty import Begun, begin_terms
+from rhubarbmount.host_begin import Begun, begin_terms
 from rhubarbmount.host_rows import HostRow, HostRows, Terms
 from rhubarbmount.host_work import (
     INTENTS_TABLE,
@@ -86,11 +86,10 @@
         host = host_row.host
         rows = await read_pool_rows(self.platform, host.pool)
         target = await read_pool_rows(self.platform, intent.target_pool)
-        if target.pool is None:
-            raise NotFound(f"no pool {intent.target_pool!r}")
-        for pool in (rows.pool, target.pool):
-            if owners is not None and pool is not None and pool.owner not in owners:
-                raise AccessDenied(f"pool {pool.name} belongs to {pool.owner}")
+        for pool_rows in (rows, target):
+            _check_owner(pool_rows, owners)
+        if target.pool is not None:
+            intent = attrs.evolve(intent, target_owner=target.pool.owner)
         await self.view.refresh()
         head = self.view.head
         members = self.view.of_pool(host.pool)
@@ -137,3 +136,10 @@
             intent=intent.intent_id,
             result=result,
         )
+
+
+def _check_owner(rows: PoolRows, owners: Collection[str] | None) -> None:
+    if rows.pool is None:
+        raise NotFound(f"no pool {rows.name!r}")
+    if owners is not None and rows.pool.owner not in owners:
+        raise AccessDenied(f"pool {rows.name} belongs to {rows.pool.owner}")
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -8,7 +8,7 @@
 
 from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
 from rhubarbmount.duty_runner import Lease
-from rhubarbmount.host_duty import Begun, begin_changes, next_host
+from rhubarbmount.host_begin import Begun, begin_changes, next_host
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.host_work import HostIntent, Observation, Step
 from rhubarbmount.hosts import Host, HostState
@@ -143,7 +143,7 @@
                 self._hold(host, "no-spare", lease.clock())
                 return
             spare_rows, spare_row = spare
-            move = _intent(lease, "move", spare_row.host.host_id, host.pool)
+            move = _intent(lease, "move", spare_row.host.host_id, rows)
             more, moved = begin_changes(
                 spare_rows, [Begun(spare_row, move)], self.wall_clock()
             )
@@ -201,14 +201,15 @@
 
 
 def _intent(
-    lease: Lease, action: str, host_id: str, target_pool: str = ""
+    lease: Lease, action: str, host_id: str, target: PoolRows | None = None
 ) -> HostIntent:
     return HostIntent(
         intent_id=lease.new_id(),
         duty="hosts",
         action=action,
         host_id=host_id,
-        target_pool=target_pool,
+        target_pool=target.name if target else "",
+        target_owner=target.pool.owner if target and target.pool else "",
     )
 
 
--- a/rhubarbmount/wave_work.py
+++ b/rhubarbmount/wave_work.py
@@ -7,7 +7,7 @@
 
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
-from rhubarbmount.host_duty import Begun, begin_terms
+from rhubarbmount.host_begin import Begun, begin_terms
 from rhubarbmount.host_rows import HostRow, HostRows
 from rhubarbmount.host_work import INTENTS_TABLE, HostIntent
 from rhubarbmount.hosts import HostState
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -2,18 +2,20 @@
 
 import os
 
+import attrs
+import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from rhubarbmount.duty_runner import DutyRunner
-from rhubarbmount.errors import RhubarbmountError
+from rhubarbmount.errors import NotFound, RhubarbmountError
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Transaction, Write
 from tests.fleetchecks import EffectCheck, check_commit, hosts_of
-from tests.fleetkit import fill, make_host, make_pool, pool_row
+from tests.fleetkit import CountedPlatform, fill, make_host, make_pool, pool_row
 from tests.interleave import World, pause, run_now
 
 EXAMPLES = int(os.environ.get("INTERLEAVINGS", "300"))
@@ -34,9 +36,9 @@
     return world
 
 
-def add_holder(world, name):
+def add_holder(world, name, platform=None):
     duty = HostDuty(
-        platform=world.platform(),
+        platform=platform or world.platform(),
         observe=lambda host: Observation(in_flight=0, ready=True),
         wall_clock=world.clock,
         bounds=QUICK,
@@ -124,3 +126,66 @@
         row.value["permits"] for row in world.inner.tables.get("budgets", {}).values()
     )
     world.stop()
+
+
+async def edit(world, name, pool):
+    """Write a pool's entry, or remove it."""
+    row = pool_row(pool, 2) if pool else None
+    write = Write("entries", f"pool/{name}", row)
+    await world.inner.transact(Transaction(world.new_id(), (), (write,)))
+
+
+QUOTES, PARTS = (make_pool(name, hosts_wanted=2) for name in POOLS)
+
+
+@pytest.mark.parametrize(
+    ("name", "pool"),
+    [
+        ("parts", attrs.evolve(PARTS, owner="rival")),
+        ("parts", None),
+        ("quotes", attrs.evolve(QUOTES, hosts_wanted=3, hosts_down_limit=0)),
+    ],
+    ids=["target-changes-hands", "target-removed", "source-wants-the-host"],
+)
+def test_a_move_ends_in_its_old_pool_when_an_entry_no_longer_wants_it(name, pool):
+    world = make_world()
+    world.check = None
+    mover = HostMover(world.inner, world.clock, world.new_id)
+    run_now(mover.begin("q0", "parts"))
+    run_now(edit(world, name, pool))
+    add_holder(world, "a")
+    assert world.settle(lambda: not world.inner.tables.get("intents"))
+    host = hosts_of(world.inner.tables)["q0"]
+    assert (host.pool, host.state) == ("quotes", HostState.IN_SERVICE)
+    world.stop()
+
+
+def test_a_move_from_a_pool_without_an_entry_is_refused():
+    world = make_world()
+    run_now(edit(world, "quotes", None))
+    mover = HostMover(world.inner, world.clock, world.new_id)
+    with pytest.raises(NotFound):
+        run_now(mover.begin("q0", "parts"))
+
+
+def test_a_move_requires_the_source_entry_as_it_was_when_the_host_moves():
+    """An editor raises the source's wants between the read and the commit."""
+    world = make_world()
+    world.check = None
+    mover = HostMover(world.inner, world.clock, world.new_id)
+    run_now(mover.begin("q0", "parts"))
+    wanted = attrs.evolve(QUOTES, hosts_wanted=3, hosts_down_limit=0)
+    platform = CountedPlatform(world.inner)
+
+    async def edit_before_the_move(transaction):
+        moved = [write for write in transaction.writes if write.table == "hosts"]
+        if any(write.value["pool"] == "parts" for write in moved):
+            platform.on_transact = None
+            await edit(world, "quotes", wanted)
+        return await world.inner.transact(transaction)
+
+    platform.on_transact = edit_before_the_move
+    add_holder(world, "a", platform)
+    assert world.settle(lambda: not world.inner.tables.get("intents"))
+    assert hosts_of(world.inner.tables)["q0"].pool == "quotes"
+    world.stop()
