Leave a buffer's wanted hosts to failures, and let hosts fail in bench/wave_run

A wave's plan could take every host of the buffer; it now leaves as many as the buffer's entry wants (test_spares_stay_within_the_budget_and_the_reserve_of_their_pool failed before with 6 for 5).

bench/wave_run.py took a host's first drain for all later ones, so that a host that moved twice drained at once the second time; each command counts now. A run may have failures, reboot times of its own and the repair duty.

--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -19,17 +19,28 @@
 from rhubarbmount.platform.interface import LiveHost, Transaction
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.repair import RepairDuty
 from rhubarbmount.wave_bounds import lower_bound_s
 from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.wave_plan import plan_wave
 from rhubarbmount.waves import WaveOperator
 
 ROUND_S = 1.0
+GIVE_UP_S = 7 * 24 * HOUR_S
 WAVE = WaveSettings()
 WORK = WorkBounds(reboot_min_s=1.0, warm_s=WAVE.warm_s)
 SERVING = (HostState.IN_SERVICE, HostState.RETURNING)
 
 
+@attrs.frozen
+class Failure:
+    """Hosts that fail together; with ``away_s`` they come back by themselves."""
+
+    at_s: float
+    host_ids: tuple
+    away_s: float = 0.0
+
+
 @attrs.define
 class Run:
     """A fleet in virtual time, its duties held by one instance."""
@@ -43,6 +54,12 @@
     moves: int = 0
     breaks: int = 0
     ids: itertools.count = attrs.field(factory=itertools.count)
+    round_s: float = ROUND_S
+    failures: list = attrs.field(factory=list)
+    reboot_s_by_id: dict = attrs.field(factory=dict)
+    with_repair: bool = False
+    failed_s: dict = attrs.field(factory=dict)
+    away_until_s: dict = attrs.field(factory=dict)
 
     async def read(self, table, key):
         self.calls["read"] += 1
@@ -70,7 +87,8 @@
 
     async def command_host(self, command):
         self.calls["command"] += 1
-        self.command_s.setdefault((command.host_id, command.action), self.now_s)
+        if command.intent_id not in self.platform.host_commands:
+            self.command_s[command.host_id, command.action] = self.now_s
         await self.platform.command_host(command)
 
     async def check(self, transaction, pool_by_host):
@@ -89,12 +107,47 @@
 
     def observe(self, host):
         """Return a host empty after its drain, and ready after its reboot."""
-        drained_s = self.command_s.get((host.host_id, "drain"), self.now_s)
-        rebooted_s = self.command_s.get((host.host_id, "reboot"), 0.0)
+        host_id = host.host_id
+        drained_s = self.command_s.get((host_id, "drain"), self.now_s)
+        rebooted_s = self.command_s.get((host_id, "reboot"), 0.0)
+        reboot_s = self.reboot_s_by_id.get(host_id, WAVE.reboot_s)
         is_empty = self.now_s - drained_s >= WAVE.drain_s
-        is_ready = self.now_s - rebooted_s >= WAVE.reboot_s
+        is_ready = (
+            self.now_s - rebooted_s >= reboot_s
+            and self.failed_s.get(host_id, -1.0) < rebooted_s
+            and self.away_until_s.get(host_id, 0.0) <= self.now_s
+        )
         return Observation(0 if is_empty else 1, is_ready)
 
+    def strike(self):
+        """Let the failures that are due happen; a lost rack leaves the live list."""
+        while self.failures and self.failures[0].at_s <= self.now_s:
+            failure = self.failures.pop(0)
+            for host_id in failure.host_ids:
+                if failure.away_s:
+                    self.away_until_s[host_id] = self.now_s + failure.away_s
+                else:
+                    self.failed_s[host_id] = self.now_s
+        away = {key for key, end_s in self.away_until_s.items() if end_s > self.now_s}
+        self.platform.hosts = [
+            LiveHost(host.host_id) for host in self.hosts if host.host_id not in away
+        ]
+
+    def runners(self, buffer_pool):
+        """Return the duties that the one instance holds."""
+        duties = [
+            HostDuty(self, self.observe, lambda: self.now_s, WORK),
+            WaveDuty(self, lambda: self.now_s, WAVE),
+        ]
+        if self.with_repair:
+            duties.append(
+                RepairDuty(self, self.observe, lambda: self.now_s, buffer_pool)
+            )
+        return [
+            DutyRunner(duty, "a", self, lambda: self.now_s, self.new_id, lambda: ("a",))
+            for duty in duties
+        ]
+
     def new_id(self):
         return f"id{next(self.ids)}"
 
@@ -111,18 +164,14 @@
         await self.fill()
         operator = WaveOperator(self.platform, lambda: self.now_s, self.new_id)
         wave_id = await operator.start((), spares_pool, spares_by_pool)
-        duties = (
-            HostDuty(self, self.observe, lambda: self.now_s, WORK),
-            WaveDuty(self, lambda: self.now_s, WAVE),
-        )
-        runners = [
-            DutyRunner(duty, "a", self, lambda: self.now_s, self.new_id, lambda: ("a",))
-            for duty in duties
-        ]
+        runners = self.runners(spares_pool)
         self.calls.clear()
         start_s, spent_s = self.now_s, time.process_time()
         while (await operator.read(wave_id)).wave.state == "open":
-            self.now_s += ROUND_S
+            self.now_s += self.round_s
+            if self.now_s - start_s > GIVE_UP_S:
+                break
+            self.strike()
             for runner in runners:
                 await runner.step()
         return self.now_s - start_s, time.process_time() - spent_s
--- a/rhubarbmount/wave_plan.py
+++ b/rhubarbmount/wave_plan.py
@@ -66,11 +66,13 @@
     def usable(self) -> int:
         """Return how many spares its budget lets be away or down at once.
 
-        Each may be in a rack of its own, as swapped hosts keep their racks.
+        The hosts that the pool wants stay there for failures. Each spare may be in a
+        rack of its own, as swapped hosts keep their racks.
         """
-        missing = max(0, self.pool.hosts_wanted - self.members)
-        slots = self.pool.hosts_down_limit - missing
-        return max(0, min(self.serving, slots, self.pool.racks_down_limit))
+        wanted = self.pool.hosts_wanted
+        slots = self.pool.hosts_down_limit - max(0, wanted - self.members)
+        spare = self.serving - wanted
+        return max(0, min(spare, slots, self.pool.racks_down_limit))
 
 
 def plan_wave(
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -146,3 +146,21 @@
     plan = plan_wave(pools, due, 0.0, WaveSettings())
     assert [finding.place for finding in plan.findings] == ["pool/quotes"]
     assert set(plan.by_pool) == {"parts"}
+
+
+@pytest.mark.parametrize(
+    ("serving", "limits", "usable"),
+    [
+        (8, {"hosts_wanted": 0}, 6),
+        (8, {"hosts_wanted": 3}, 5),
+        (8, {"hosts_wanted": 9}, 0),
+        (8, {"hosts_wanted": 0, "racks_down_limit": 2}, 2),
+        (3, {"hosts_wanted": 3}, 0),
+    ],
+)
+def test_spares_stay_within_the_budget_and_the_reserve_of_their_pool(
+    serving, limits, usable
+):
+    limits = {"hosts_down_limit": 6, "racks_down_limit": 6, **limits}
+    offer = SparesOffer(make_pool("buffer", **limits), serving, members=8)
+    assert offer.usable == usable
