Export metrics of the fleet, from rows in memory

The fleet duties had log lines only. A collector works the figures out at each scrape: hosts by pool and state, budget left, buffer hosts and open waves, which all entry hosts see alike, come from the holder of the duty alone while its lease surely holds; moves, quarantines, held repairs and the time of plans are counted where they arise.

--- a/bench/measures.py
+++ b/bench/measures.py
@@ -24,8 +24,8 @@
 RACK_AWAY_S = 1800.0
 HORIZON_S = 2 * DAY_S
 FIXED_SHARE = 0.1
-TIME_FIRST = attrs.evolve(WAVE, hour_weight=100, buffer_weight=1, move_weight=0.1)
-BUFFER_FIRST = attrs.evolve(WAVE, hour_weight=10, buffer_weight=1, move_weight=0.1)
+COLLECTIVE = attrs.evolve(WAVE, hour_weight=50, buffer_weight=1, move_weight=0.1)
+WORKSHOP = attrs.evolve(WAVE, hour_weight=5, buffer_weight=1, move_weight=0.1)
 CURVE_SPARES = (0, 1, 2, 3, 5, 10, 15, 20, 25)
 
 
@@ -130,8 +130,8 @@
     each = {pool.name: share for pool in pools}
     yield Way("fixed buffer, 10%", pools, fixed, each)
     yield Way("product, no spares", pools)
-    yield planned_way("product, buffer first", fleet, BUFFER_FIRST, fleet.spares)
-    yield planned_way("product, time first", fleet, TIME_FIRST, fleet.spares)
+    yield planned_way("workshop's weights", fleet, WORKSHOP, fleet.spares)
+    yield planned_way("collective's weights", fleet, COLLECTIVE, fleet.spares)
 
 
 def curve_ways(fleet):
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -67,6 +67,14 @@
         """Tell whether this entry host holds a duty, as far as it knows."""
         return any(part.runner.tracker.is_own for part in self._parts)
 
+    def holds(self, name: str) -> bool:
+        """Tell whether this entry host surely holds that duty now."""
+        now_s = trio.current_time()
+        trackers = [
+            part.runner.tracker for part in self._parts if part.runner.duty.name == name
+        ]
+        return any(item.is_own and now_s < item.deadline_s for item in trackers)
+
     def add(self, duty: Duty, period_s: float) -> None:
         """Take part in a duty."""
         runner = DutyRunner(
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -11,6 +11,7 @@
 from rhubarbmount.edits import Operator
 from rhubarbmount.entries import Pool
 from rhubarbmount.errors import AccessDenied, NotFound, UsageError
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.hosts import Host, HostState, dump_host
 from rhubarbmount.http import HttpResponse
@@ -37,6 +38,7 @@
     platform: Platform
     settings: WaveSettings
     spares_pool: str = ""
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     mover: HostMover = attrs.field(init=False)
     waves: WaveOperator = attrs.field(init=False)
 
@@ -121,7 +123,10 @@
             members = [host for host in hosts if host.pool == buffer.name]
             serving = sum(host.state is HostState.IN_SERVICE for host in members)
             spares = SparesOffer(buffer, serving, len(members))
-        return plan_wave(pools, due, time.time(), self.settings, spares)
+        start_s = time.perf_counter()
+        plan = plan_wave(pools, due, time.time(), self.settings, spares)
+        self.counters.add_plan(time.perf_counter() - start_s)
+        return plan
 
     async def _control_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -7,6 +7,7 @@
 
 from rhubarbmount.cadence import CadenceDuty
 from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_probe import HostProbe
@@ -50,6 +51,7 @@
     client: PlatformClient
     view: LocalView
     decisions: DecisionMemory
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     duties: FleetDuties = attrs.field(init=False)
     probe: HostProbe = attrs.field(init=False)
 
@@ -84,13 +86,21 @@
         observe = self.probe.observe
         waves = wave_settings(fleet, self.settings.weights)
         repair = RepairDuty(
-            platform, observe, time.time, fleet.buffer_pool, fleet.repair
+            platform,
+            observe,
+            time.time,
+            fleet.buffer_pool,
+            fleet.repair,
+            self.counters,
         )
         self.duties.add(
-            HostDuty(platform, observe, time.time, fleet.work), HOSTS_PERIOD_S
+            HostDuty(platform, observe, time.time, fleet.work, self.counters),
+            HOSTS_PERIOD_S,
         )
         self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
-        self.duties.add(WaveDuty(platform, time.time, waves), HOSTS_PERIOD_S)
+        self.duties.add(
+            WaveDuty(platform, time.time, waves, self.counters), HOSTS_PERIOD_S
+        )
         if fleet.cadence:
             cadence = CadenceDuty(platform, time.time)
             self.duties.add(PacedDuty(cadence, CADENCE_PERIOD_S), HOSTS_PERIOD_S)
--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -11,6 +11,7 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
 from rhubarbmount.errors import NotFound, Refused
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_begin import next_host
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, Terms, host_terms
 from rhubarbmount.host_tasks import HostTasks
@@ -68,6 +69,7 @@
     observe: Callable[[Host], Observation]
     wall_clock: Callable[[], float]
     bounds: WorkBounds = attrs.field(factory=WorkBounds)
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     name: str = "hosts"
     view: HostRows = attrs.field(init=False)
     tasks: HostTasks = attrs.field(init=False)
@@ -191,6 +193,7 @@
             return
         for item, step in due:
             self._log_step(item, step)
+            self._count(item, step)
 
     def _is_current(self, item: OpenWork) -> bool:
         row = self.view.by_host_id.get(item.intent.host_id)
@@ -241,6 +244,12 @@
             host = attrs.evolve(host, maintained_s=maintained_s)
         return host
 
+    def _count(self, item: OpenWork, step: Step) -> None:
+        if step.pool:
+            self.counters.moves_by_pool[step.pool] += 1
+        if step.event == "quarantine":
+            self.counters.quarantines_by_pool[item.row.host.pool] += 1
+
     def _log_step(self, item: OpenWork, step: Step) -> None:
         event(
             logger,
--- a/rhubarbmount/local_view.py
+++ b/rhubarbmount/local_view.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rhubarbmount.configuration import Configuration
-from rhubarbmount.entries import JobTemplate, Team
+from rhubarbmount.entries import JobTemplate, Pool, Team
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.hosts import Host
 
@@ -32,6 +32,11 @@
         snapshot = self.configuration.snapshot
         return [] if snapshot is None else snapshot.teams_by_name.values()
 
+    def pools(self) -> Iterable[Pool]:
+        """Return the pools of that version."""
+        snapshot = self.configuration.snapshot
+        return [] if snapshot is None else snapshot.pools_by_name.values()
+
     def job_templates(self) -> Mapping[str, JobTemplate]:
         """Return the job templates of that version by name."""
         snapshot = self.configuration.snapshot
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
 from rhubarbmount.duty_runner import Lease
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_begin import Begun, begin_changes, next_host
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.host_work import HostIntent, Observation, Step
@@ -49,6 +50,7 @@
     wall_clock: Callable[[], float]
     buffer_pool: str = ""
     bounds: RepairBounds = attrs.field(factory=RepairBounds)
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     name: str = "repair"
     view: HostRows = attrs.field(init=False)
     _failing_since_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
@@ -125,6 +127,7 @@
         terms = rows.touch_terms()
         terms.add(host_terms(self.view.head, [HostChange(row, bad)]))
         if await lease.commit(terms):
+            self.counters.quarantines_by_pool[host.pool] += 1
             event(logger, "host-quarantined", host=host.host_id, cause=cause)
         await self.view.refresh()
 
@@ -192,6 +195,7 @@
         """Log once why a failing host can't be helped now."""
         held_code, _ = self._held.get(host.host_id, ("", 0.0))
         if held_code != code:
+            self.counters.held_by_code[code] += 1
             event(logger, "repair-held", host=host.host_id, pool=host.pool, code=code)
         self._held[host.host_id] = (code, now_s)
 
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -16,6 +16,7 @@
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.explain import DecisionMemory
+from rhubarbmount.fleet_metrics import FleetCollector
 from rhubarbmount.fleet_operators import FleetApi
 from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
@@ -133,8 +134,18 @@
             platform,
             wave_settings(settings.fleet, settings.weights),
             settings.fleet.buffer_pool,
+            self.fleet.counters,
         )
         fleet_api.add_routes(api.router)
+        self.registry.register(
+            FleetCollector(
+                self.fleet.counters,
+                lambda: view.hosts().values(),
+                view.pools,
+                self.fleet.duties.holds,
+                settings.fleet.buffer_pool,
+            )
+        )
         self.operators = Listener("operators", api.router.handle, settings.http)
 
     def is_ready(self) -> bool:
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_rows import HostRow, HostRows
 from rhubarbmount.host_work import (
     HOST_PREFIX,
@@ -43,6 +44,7 @@
     platform: Platform
     wall_clock: Callable[[], float]
     settings: WaveSettings = attrs.field(factory=WaveSettings)
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     name: str = "waves"
     view: HostRows = attrs.field(init=False)
     _held_by_pool: dict[str, tuple[int, float]] = attrs.field(factory=dict)
@@ -57,9 +59,12 @@
 
     async def do_round(self, lease: Lease) -> None:
         """Begin as many hosts as may go now, and close waves that are over."""
-        for row in await read_waves(self.platform):
-            if row.wave.state == "open":
-                await self._advance(row, lease)
+        rows = await read_waves(self.platform)
+        open_rows = [row for row in rows if row.wave.state == "open"]
+        controls = Counter(row.wave.control.value for row in open_rows)
+        self.counters.open_waves_by_control = controls
+        for row in open_rows:
+            await self._advance(row, lease)
 
     async def _advance(self, row: WaveRow, lease: Lease) -> None:
         await self.view.refresh()
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -9,6 +9,7 @@
 
 from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_rows import HostChange, HostRow, host_terms
 from rhubarbmount.host_work import Observation, WorkBounds
@@ -35,7 +36,8 @@
     return world
 
 
-def add_holder(world, name, behind_s=0.0, bounds=QUICK):
+def add_holder(world, name, behind_s=0.0, bounds=QUICK, counters=None):
+    counters = counters or FleetCounters()
     platform = world.platform()
     duties = [
         HostDuty(
@@ -43,8 +45,9 @@
             observe=lambda host: Observation(in_flight=0, ready=True),
             wall_clock=lambda: world.now_s - behind_s,
             bounds=bounds,
+            counters=counters,
         ),
-        WaveDuty(platform=platform, wall_clock=world.clock, settings=WAVE),
+        WaveDuty(platform, world.clock, WAVE, counters),
     ]
     runners = [
         DutyRunner(
@@ -195,8 +198,10 @@
     world.check = check
     bounds = WorkBounds(view_s=5, drain_s=30, reboot_min_s=600, warm_s=30)
     wave_id = run_now(operator_of(world).start((), "buffer", spares_by_pool))
-    add_holder(world, "a", bounds=bounds)
+    counters = FleetCounters()
+    add_holder(world, "a", bounds=bounds, counters=counters)
     assert world.settle(lambda: is_done(world, wave_id), rounds=40_000)
+    assert counters.moves_by_pool.total() == len(moves)
     world.stop()
     return world, moves
 
