Measure a buffer under failures for good, and bound waves with spares

The lower bound of a wave with any number of spares is that each host holds its slot for a drain; a property test holds plans with spares against it, against the budgets and against the plan without spares. The examples' weights are tested: the collective's plan takes spares, the workshop's takes none.

--- a/bench/measures.py
+++ b/bench/measures.py
@@ -174,6 +174,9 @@
         ]
         report(fleet, kind, way, outcomes, bound_h)
     print(f"{fleet.name:22} {kind:9} {'lower bound, no spares':22} {bound_h:7.2f}")
+    least_s = lower_bound_s(fleet.pools, fleet.hosts, 0.0, WAVE, with_spares=True)
+    name = "lower bound, spares"
+    print(f"{fleet.name:22} {kind:9} {name:22} {least_s / HOUR_S:7.2f}", flush=True)
 
 
 def main(
--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 import time
 from collections import Counter
 
@@ -34,11 +35,15 @@
 
 @attrs.frozen
 class Failure:
-    """Hosts that fail together; with ``away_s`` they come back by themselves."""
+    """Hosts that fail together.
+
+    With ``away_s`` they come back by themselves; ``for_good``, no reboot helps them.
+    """
 
     at_s: float
     host_ids: tuple
     away_s: float = 0.0
+    for_good: bool = False
 
 
 @attrs.define
@@ -60,6 +65,10 @@
     with_repair: bool = False
     failed_s: dict = attrs.field(factory=dict)
     away_until_s: dict = attrs.field(factory=dict)
+    spares_at_once: int = 0
+    waits_for_repair: bool = False
+    unreplaced_host_s: float = 0.0
+    repair: RepairDuty | None = None
 
     async def read(self, table, key):
         self.calls["read"] += 1
@@ -95,7 +104,8 @@
         for write in transaction.writes:
             if write.table == "hosts":
                 old = pool_by_host[write.key]
-                self.moves += old is not None and old != write.value["pool"]
+                stays = old is not None and write.value is not None
+                self.moves += stays and old != write.value["pool"]
             if write.table == "budgets":
                 entry = await self.platform.read("entries", f"pool/{write.key}")
                 limits = entry.value["values"]
@@ -127,7 +137,8 @@
                 if failure.away_s:
                     self.away_until_s[host_id] = self.now_s + failure.away_s
                 else:
-                    self.failed_s[host_id] = self.now_s
+                    end_s = math.inf if failure.for_good else self.now_s
+                    self.failed_s[host_id] = end_s
         away = {key for key, end_s in self.away_until_s.items() if end_s > self.now_s}
         self.platform.hosts = [
             LiveHost(host.host_id) for host in self.hosts if host.host_id not in away
@@ -140,9 +151,10 @@
             WaveDuty(self, lambda: self.now_s, WAVE),
         ]
         if self.with_repair:
-            duties.append(
-                RepairDuty(self, self.observe, lambda: self.now_s, buffer_pool)
+            self.repair = RepairDuty(
+                self, self.observe, lambda: self.now_s, buffer_pool
             )
+            duties.append(self.repair)
         return [
             DutyRunner(duty, "a", self, lambda: self.now_s, self.new_id, lambda: ("a",))
             for duty in duties
@@ -163,23 +175,43 @@
         """Run the wave; return its length and the processor seconds it took."""
         await self.fill()
         operator = WaveOperator(self.platform, lambda: self.now_s, self.new_id)
-        wave_id = await operator.start((), spares_pool, spares_by_pool)
+        wave_id = await operator.start(
+            (), spares_pool, spares_by_pool, spares_at_once=self.spares_at_once
+        )
         runners = self.runners(spares_pool)
         self.calls.clear()
         start_s, spent_s = self.now_s, time.process_time()
-        while (await operator.read(wave_id)).wave.state == "open":
+        done_s = None
+        while done_s is None or (self.waits_for_repair and await self.is_repairing()):
             self.now_s += self.round_s
             if self.now_s - start_s > GIVE_UP_S:
                 break
             self.strike()
             for runner in runners:
                 await runner.step()
-        return self.now_s - start_s, time.process_time() - spent_s
+            self.unreplaced_host_s += self.round_s * self.count_unreplaced()
+            wave = (await operator.read(wave_id)).wave
+            if wave.state == "done" and done_s is None:
+                done_s = self.now_s
+        return (done_s or self.now_s) - start_s, time.process_time() - spent_s
+
+    def count_unreplaced(self):
+        """Return how many bad hosts wait for a spare."""
+        if self.repair is None:
+            return 0
+        return sum(code == "no-spare" for code, _ in self.repair._held.values())
+
+    async def is_repairing(self):
+        """Tell whether hosts are bad, or work on hosts is open."""
+        rows = await self.platform.scan("hosts")
+        intents = await self.platform.scan("intents", "host/")
+        states = {row.value["state"] for row in rows}
+        return bool(intents) or HostState.QUARANTINED in states
 
 
-def buffer_of(count):
-    """Return a buffer pool and its hosts."""
-    pool = spares_offer(count).pool
+def buffer_of(count, reserve=0):
+    """Return a buffer pool and its hosts; the reserve is left to failures."""
+    pool = attrs.evolve(spares_offer(count).pool, hosts_wanted=reserve)
     hosts = [
         Host(
             host_id=f"b{number:03}",
--- a/rhubarbmount/wave_bounds.py
+++ b/rhubarbmount/wave_bounds.py
@@ -29,8 +29,13 @@
     due: Iterable[Host],
     start_s: float,
     settings: WaveSettings,
+    with_spares: bool = False,
 ) -> float:
-    """Return the least time that budgets, racks and windows allow without spares."""
+    """Return the least time that budgets, racks and windows allow.
+
+    With spares, however many, a host still holds its slot for the length of a drain.
+    """
+    slot_s = settings.drain_s if with_spares else settings.host_s
     hosts = hosts_by_pool(due)
     longest_s = 0.0
     for pool in pools:
@@ -39,8 +44,8 @@
             opens_s = next_start_s(pool, now_s, settings.host_s)
             if opens_s is None:
                 return math.inf
-            now_s = opens_s + settings.host_s
-        longest_s = max(longest_s, now_s - start_s)
+            now_s = opens_s + slot_s
+            longest_s = max(longest_s, opens_s + settings.host_s - start_s)
     return longest_s
 
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,19 +1,24 @@
 """Which hosts may go now, and plans of waves beside baseline and lower bound."""
 
 import itertools
+from pathlib import Path
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from rhubarbmount.budgets import BudgetView
+from rhubarbmount.fleet_tasks import wave_settings
 from rhubarbmount.maintenance import next_start_s, select
 from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.settings import load_settings
 from rhubarbmount.wave_bounds import lower_bound_s, plan_one_at_a_time
 from rhubarbmount.wave_plan import SparesOffer, plan_wave
 from tests.fleetkit import make_host, make_pool
 
 HOUR_S = 3600
+EXAMPLES = Path(__file__).parent.parent / "examples"
 TIME_LIMIT_OVER_BOUND = 1.1
 SPARES_POOL = make_pool(
     "buffer", hosts_wanted=0, hosts_down_limit=8, racks_down_limit=8
@@ -164,3 +169,67 @@
     limits = {"hosts_down_limit": 6, "racks_down_limit": 6, **limits}
     offer = SparesOffer(make_pool("buffer", **limits), serving, members=8)
     assert offer.usable == usable
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=100)
+@given(
+    sizes=st.lists(st.integers(1, 4), min_size=2, max_size=8),
+    hosts_down_limit=st.integers(1, 4),
+    racks_down_limit=st.integers(1, 3),
+    spares=st.integers(0, 8),
+)
+def test_a_plan_with_spares_keeps_to_every_budget_and_is_not_slower(
+    sizes, hosts_down_limit, racks_down_limit, spares
+):
+    wave = WaveSettings(hour_weight=1, buffer_weight=0, move_weight=0)
+    limits = {
+        "hosts_down_limit": hosts_down_limit,
+        "racks_down_limit": racks_down_limit,
+    }
+    pools = [make_pool(**limits), make_pool("parts", **limits)]
+    due = [
+        make_host(10 * rack + n, pool, rack=f"{pool}{rack}")
+        for pool in ("quotes", "parts")
+        for rack, size in enumerate(sizes)
+        for n in range(size)
+    ]
+    plan = plan_wave(pools, due, 0.0, wave, attrs.evolve(OFFER, serving=spares))
+    in_place = plan_wave(pools, due, 0.0, wave)
+    turns = [turn for pool in plan.by_pool.values() for turn in pool.hosts]
+    assert sorted(turn.host_id for turn in turns) == sorted(h.host_id for h in due)
+    assert plan.roll_out_s <= in_place.roll_out_s
+    assert plan.roll_out_s >= lower_bound_s(pools, due, 0.0, wave, with_spares=True)
+    swapped = [turn for turn in turns if turn.end_s - turn.start_s == wave.away_s]
+    for turn in swapped:
+        away = [t for t in swapped if t.start_s <= turn.start_s < t.end_s]
+        assert len(away) <= plan.buffer_hosts <= spares
+    for pool in plan.by_pool.values():
+        for turn in pool.hosts:
+            down = [t for t in pool.hosts if is_down(t, turn.start_s, wave)]
+            assert len(down) <= hosts_down_limit
+            assert len({t.rack for t in down}) <= racks_down_limit
+
+
+def is_down(turn, now_s, wave):
+    """Tell whether a host takes a slot of its pool, which a swapped one soon frees."""
+    is_swapped = turn.end_s - turn.start_s == wave.away_s
+    end_s = turn.start_s + wave.drain_s if is_swapped else turn.end_s
+    return turn.start_s <= now_s < end_s
+
+
+@pytest.mark.parametrize(
+    ("user", "takes_spares"), [("collective", True), ("workshop", False)]
+)
+def test_the_weights_of_the_examples_take_spares_for_the_collective_only(
+    user, takes_spares
+):
+    loaded = load_settings(str(EXAMPLES / user / "entry-host.yaml"))
+    wave = wave_settings(loaded.fleet, loaded.weights)
+    pools = [make_pool(f"pool{n}", hosts_wanted=6) for n in range(5)]
+    due = [
+        make_host(10 * n + i, f"pool{n}", rack=f"p{n}r{i // 4}")
+        for n in range(5)
+        for i in range(6)
+    ]
+    plan = plan_wave(pools, due, 0.0, wave, OFFER)
+    assert (plan.buffer_hosts > 0) == takes_spares
