--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -20,7 +20,7 @@
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.pool_plan import WaveSettings
-from rhubarbmount.swaps import swap_wanted, swaps_hosts
+from rhubarbmount.swaps import Swap, swap_wanted, swaps_hosts
 from rhubarbmount.wave_work import WaveWork
 from rhubarbmount.waves import (
     Control,
@@ -100,40 +100,55 @@
         if self._is_held(row.wave, pool, lease.clock()):
             return True
         rows = await read_pool_rows(self.platform, pool)
-        if not row.wave.owns(rows):
-            await self._drop(row, rows, lease)
-            return False
+        spares = await self._spares(row.wave, pool)
+        for needed in (rows, spares):
+            if needed is not None and not row.wave.owns(needed):
+                await self._drop(row, needed, lease)
+                return False
         live = await self.platform.live_hosts()
         await self.view.refresh()
-        members = self.view.of_pool(pool)
-        due = {
-            item.host.host_id: item
-            for item in members
-            if is_due(item.host, row.wave.started_s)
-            and item.host.state is HostState.IN_SERVICE
-        }
-        chosen = self._choose(rows, members, live, due)
+        due = self._due(row.wave, pool)
+        chosen = self._choose(rows, self.view.of_pool(pool), live, due)
         target = None
-        if rows.pool is not None and swaps_hosts(row.wave, pool, self.view):
-            spares = await read_pool_rows(self.platform, row.wave.spares_pool)
-            if not row.wave.owns(spares):
-                await self._drop(row, spares, lease)
-                return False
-            swap = swap_wanted(row.wave, rows.pool, self.view)
-            brought = await self._work().bring(row, spares, rows, swap.arriving, lease)
-            await self.view.refresh()
+        if spares is not None:
+            swap = await self._swap(row, rows, spares, lease)
             if swap.leaving:
                 chosen = chosen[: swap.leaving]
                 target = spares
-            elif brought or swap.is_expecting:
+            elif swap.is_expecting:
                 chosen = []
-        if not chosen:
+        if chosen:
+            leaving = [due[name] for name in chosen]
+            await self._work().begin(row, rows, leaving, target, lease)
+        else:
             self._hold(row.wave, pool, lease.clock(), due)
-            return True
-        leaving = [due[name] for name in chosen]
-        await self._work().begin(row, rows, leaving, target, lease)
         return True
 
+    async def _spares(self, wave: Wave, pool: str) -> PoolRows | None:
+        """Return the pool that spares come from, if hosts of this one are swapped."""
+        if not swaps_hosts(wave, pool, self.view):
+            return None
+        return await read_pool_rows(self.platform, wave.spares_pool)
+
+    def _due(self, wave: Wave, pool: str) -> dict[str, HostRow]:
+        return {
+            item.host.host_id: item
+            for item in self.view.of_pool(pool)
+            if is_due(item.host, wave.started_s)
+            and item.host.state is HostState.IN_SERVICE
+        }
+
+    async def _swap(
+        self, row: WaveRow, rows: PoolRows, spares: PoolRows, lease: Lease
+    ) -> Swap:
+        """Bring spares, and return what may leave for them."""
+        if rows.pool is None:
+            return Swap(arriving=0, leaving=0, is_expecting=False)
+        swap = swap_wanted(row.wave, rows.pool, self.view)
+        brought = await self._work().bring(row, spares, rows, swap.arriving, lease)
+        await self.view.refresh()
+        return attrs.evolve(swap, is_expecting=swap.is_expecting or brought > 0)
+
     async def _drop(self, row: WaveRow, rows: PoolRows, lease: Lease) -> None:
         """Leave a pool out of the wave, as its entry is gone or another team's."""
         terms = wave_terms(row, row.wave.without(rows.name))
