Let the repair of a failing host go before the next host of a wave

A host in service that does not answer was not counted as down by the wave, which took the pool's budget again whenever a host was done, and repair met hosts-exhausted until the wave was over: test_a_wave_lets_the_repair_of_a_failing_host_go_first failed with all 8 hosts maintained before the reboot. The holder of the waves now counts hosts that its own probe finds not ready as failed, as repair does.

--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -155,7 +155,7 @@
         """Return the duties that the one instance holds."""
         duties = [
             HostDuty(self, self.observe, lambda: self.now_s, WORK),
-            WaveDuty(self, lambda: self.now_s, WAVE),
+            WaveDuty(self, lambda: self.now_s, WAVE, observe=self.observe),
         ]
         if self.with_repair:
             self.repair = RepairDuty(
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -99,7 +99,7 @@
         )
         self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
         self.duties.add(
-            WaveDuty(platform, time.time, waves, self.counters), HOSTS_PERIOD_S
+            WaveDuty(platform, time.time, waves, self.counters, observe), HOSTS_PERIOD_S
         )
         if fleet.cadence:
             cadence = CadenceDuty(platform, time.time)
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -13,9 +13,10 @@
 from rhubarbmount.host_work import (
     HOST_PREFIX,
     INTENTS_TABLE,
+    Observation,
     load_intent,
 )
-from rhubarbmount.hosts import HostState
+from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
@@ -39,12 +40,17 @@
 
 @attrs.define
 class WaveDuty:
-    """Begin the maintenance of hosts as budgets and windows allow."""
+    """Begin the maintenance of hosts as budgets and windows allow.
+
+    A host that ``observe`` says is not ready counts as failed, so that its repair
+    gets the budget first.
+    """
 
     platform: Platform
     wall_clock: Callable[[], float]
     settings: WaveSettings = attrs.field(factory=WaveSettings)
     counters: FleetCounters = attrs.field(factory=FleetCounters)
+    observe: Callable[[Host], Observation] = lambda host: Observation()
     name: str = "waves"
     view: HostRows = attrs.field(init=False)
     _held_by_pool: dict[str, tuple[int, float]] = attrs.field(factory=dict)
@@ -107,8 +113,9 @@
                 return False
         live = await self.platform.live_hosts()
         await self.view.refresh()
+        members = self.view.of_pool(pool)
         due = self._due(row.wave, pool)
-        chosen = self._choose(rows, self.view.of_pool(pool), live, due)
+        chosen = self._choose(rows, members, self._answering(members, live), due)
         target = None
         if spares is not None:
             swap = await self._swap(row, rows, spares, lease)
@@ -166,6 +173,17 @@
     def _work(self) -> WaveWork:
         return WaveWork(self.platform, self.wall_clock, self.view)
 
+    def _answering(
+        self, members: Iterable[HostRow], live: Iterable[LiveHost]
+    ) -> list[LiveHost]:
+        """Return the live hosts without those that are seen to fail."""
+        failing = {
+            item.host.host_id
+            for item in members
+            if self.observe(item.host).ready is False
+        }
+        return [item for item in live if item.host_id not in failing]
+
     def _choose(
         self,
         rows: PoolRows,
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -16,6 +16,7 @@
 from rhubarbmount.hosts import HostState
 from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.repair import RepairBounds, RepairDuty
 from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.wave_plan import SparesOffer, plan_wave, plan_with
 from rhubarbmount.waves import Control, WaveOperator
@@ -36,19 +37,33 @@
     return world
 
 
-def add_holder(world, name, behind_s=0.0, bounds=QUICK, counters=None):
+def answers(host):
+    return Observation(in_flight=0, ready=True)
+
+
+def add_holder(
+    world,
+    name,
+    behind_s=0.0,
+    bounds=QUICK,
+    counters=None,
+    observe=answers,
+    repair=None,
+):
     counters = counters or FleetCounters()
     platform = world.platform()
     duties = [
         HostDuty(
             platform=platform,
-            observe=lambda host: Observation(in_flight=0, ready=True),
+            observe=observe,
             wall_clock=lambda: world.now_s - behind_s,
             bounds=bounds,
             counters=counters,
         ),
-        WaveDuty(platform, world.clock, WAVE, counters),
+        WaveDuty(platform, world.clock, WAVE, counters, observe),
     ]
+    if repair is not None:
+        duties.append(RepairDuty(platform, observe, world.clock, bounds=repair))
     runners = [
         DutyRunner(
             duty=duty,
@@ -455,3 +470,28 @@
     assert sizes == {"quotes": 4, "parts": 4, "buffer": 3}
     assert most == 1
     world.stop()
+
+
+def test_a_wave_lets_the_repair_of_a_failing_host_go_first():
+    world = make_world(hosts_down_limit=1)
+    bad = set()
+    world.inner.on_host_command = lambda command: (
+        command.action == "reboot" and bad.discard(command.host_id)
+    )
+
+    def observe(host):
+        return Observation(in_flight=0, ready=host.host_id not in bad)
+
+    add_holder(world, "a", observe=observe, repair=RepairBounds(failing_s=2))
+    wave_id = run_now(operator_of(world).start())
+    assert world.settle(lambda: count_maintained(world) >= 2)
+    failed = next(
+        host.host_id
+        for host in hosts_of(world.inner.tables).values()
+        if host.maintained_s
+    )
+    bad.add(failed)
+    assert world.settle(lambda: not bad)
+    assert count_maintained(world) <= 4
+    assert world.settle(lambda: is_done(world, wave_id))
+    world.stop()
