Give pools their spares in turn

The duty let the first pool of a round take all that it may hold, so that the last of five got one where the plan gave it two or three. Each pool now takes one spare a round; test_pools_get_spares_in_turn failed before (3 and 1 of 4 for three pools).

--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -122,8 +122,10 @@
             if swap.leaving:
                 chosen = chosen[: swap.leaving]
                 target = spares
-            elif swap.is_expecting:
+            elif swap.arriving or swap.is_expecting:
                 chosen = []
+            if swap.arriving and not chosen:
+                return True
         if chosen:
             leaving = [due[name] for name in chosen]
             await self._work().begin(row, rows, leaving, target, lease)
@@ -148,13 +150,17 @@
     async def _swap(
         self, row: WaveRow, rows: PoolRows, spares: PoolRows, lease: Lease
     ) -> Swap:
-        """Bring spares, and return what may leave for them."""
+        """Bring a spare, and return what may leave for the spares that serve.
+
+        One at a time, so that the pools after this one in the round get theirs.
+        """
         if rows.pool is None:
             return Swap(arriving=0, leaving=0, is_expecting=False)
         swap = swap_wanted(row.wave, rows.pool, self.view)
-        brought = await self._work().bring(row, spares, rows, swap.arriving, lease)
+        count = min(1, swap.arriving)
+        brought = await self._work().bring(row, spares, rows, count, lease)
         await self.view.refresh()
-        return attrs.evolve(swap, is_expecting=swap.is_expecting or brought > 0)
+        return attrs.evolve(swap, arriving=brought)
 
     async def _drop(self, row: WaveRow, rows: PoolRows, lease: Lease) -> None:
         """Leave a pool out of the wave, as its entry is gone or another team's."""
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -495,3 +495,29 @@
     assert count_maintained(world) <= 4
     assert world.settle(lambda: is_done(world, wave_id))
     world.stop()
+
+
+def test_pools_get_spares_in_turn():
+    names = ("quotes", "parts", "clinics")
+    pools = [make_pool(name, hosts_wanted=6) for name in names]
+    pools.append(
+        make_pool("buffer", hosts_wanted=0, hosts_down_limit=4, racks_down_limit=4)
+    )
+    hosts = [make_host(n, name) for name in names for n in range(6)]
+    hosts += [make_host(n, "buffer", maintained_s=5000.0) for n in range(4)]
+    world = World()
+    run_now(fill(world.inner, pools, hosts))
+    run_now(operator_of(world).start((), "buffer", dict.fromkeys(names, 3)))
+    duty = WaveDuty(world.inner, world.clock, WAVE)
+    runner = DutyRunner(
+        duty, "a", world.inner, world.clock, world.new_id, lambda: ("a",)
+    )
+    for _ in range(4):
+        run_now(runner.step())
+        world.now_s += 1.0
+    coming = Counter(
+        host.cause.rpartition(":")[2]
+        for host in hosts_of(world.inner.tables).values()
+        if host.pool == "buffer" and host.cause
+    )
+    assert sorted(coming.values()) == [1, 1, 2]
