--- a/bench/buffer_wave.py
+++ b/bench/buffer_wave.py
@@ -9,7 +9,7 @@
 
 from bench.wave_run import WAVE, Failure, Run, buffer_of
 from bench.waves import HOUR_S, make_fleet
-from rhubarbmount.wave_plan import hosts_by_pool, plan_with
+from rhubarbmount.wave_plan import hosts_by_pool, plan_with_spares
 
 FAILURES = 3
 WITHIN_S = 1800.0
@@ -36,7 +36,9 @@
     for failure in draw_failures(fleet, seed):
         at_s = run.now_s + failure.at_s
         run.failures.append(Failure(at_s, failure.host_ids, for_good=True))
-    plan = plan_with(fleet.pools, hosts_by_pool(fleet.hosts), 0.0, WAVE, spares=spares)
+    plan = plan_with_spares(
+        fleet.pools, hosts_by_pool(fleet.hosts), 0.0, WAVE, spares=spares
+    )
     length_s, _ = trio.run(run.carry_out, "buffer", plan.spares_by_pool)
     return run, length_s / HOUR_S
 
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -16,7 +16,7 @@
 from bench.wave_run import WAVE, Failure, Run, buffer_of
 from bench.waves import HOUR_S, make_fleet, spares_offer
 from rhubarbmount.wave_bounds import lower_bound_s
-from rhubarbmount.wave_plan import hosts_by_pool, plan_wave, plan_with
+from rhubarbmount.wave_plan import hosts_by_pool, plan_wave, plan_with_spares
 
 DAY_S = 24 * HOUR_S
 HOST_FAILURES_PER_S = 23 / 2600 / DAY_S
@@ -143,7 +143,7 @@
 def shared_way(fleet, spares):
     """Return the way that shares this many spares between the pools."""
     hosts = hosts_by_pool(fleet.hosts)
-    plan = plan_with(fleet.pools, hosts, 0.0, WAVE, spares=spares)
+    plan = plan_with_spares(fleet.pools, hosts, 0.0, WAVE, spares=spares)
     return Way(f"{spares} spares", fleet.pools, spares, plan.spares_by_pool)
 
 
--- a/rhubarbmount/wave_bounds.py
+++ b/rhubarbmount/wave_bounds.py
@@ -7,7 +7,7 @@
 from rhubarbmount.hosts import Host
 from rhubarbmount.maintenance import by_rack, next_start_s
 from rhubarbmount.pool_plan import WaveSettings
-from rhubarbmount.wave_plan import WavePlan, hosts_by_pool, plan_with
+from rhubarbmount.wave_plan import WavePlan, hosts_by_pool, plan_with_spares
 
 __all__ = ["lower_bound_s", "plan_one_at_a_time"]
 
@@ -21,7 +21,7 @@
     """Plan a wave that takes one host of each pool at a time."""
     hosts = hosts_by_pool(due)
     wanted = [pool for pool in pools if pool.name in hosts]
-    return plan_with(wanted, hosts, start_s, settings, slots=1)
+    return plan_with_spares(wanted, hosts, start_s, settings, slots=1)
 
 
 def lower_bound_s(
--- a/rhubarbmount/wave_plan.py
+++ b/rhubarbmount/wave_plan.py
@@ -12,7 +12,7 @@
 from rhubarbmount.pool_plan import PoolPlan, WaveSettings
 from rhubarbmount.wave_play import play_wave
 
-__all__ = ["SparesOffer", "WavePlan", "hosts_by_pool", "plan_with", "plan_wave"]
+__all__ = ["SparesOffer", "WavePlan", "hosts_by_pool", "plan_with_spares", "plan_wave"]
 
 EXHAUSTIVE_HOSTS = 4000
 SMALL_SPARES = 4
@@ -96,7 +96,7 @@
 
     def cost(count: int) -> float:
         if count not in plan_by_spares:
-            plan = plan_with(wanted, hosts, start_s, settings, spares=count)
+            plan = plan_with_spares(wanted, hosts, start_s, settings, spares=count)
             plan_by_spares[count] = plan
         return plan_by_spares[count].cost(settings)
 
@@ -119,7 +119,7 @@
     return counts
 
 
-def plan_with(
+def plan_with_spares(
     pools: Iterable[Pool],
     hosts: Mapping[str, list[Host]],
     start_s: float,
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -18,7 +18,7 @@
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairBounds, RepairDuty
 from rhubarbmount.wave_duty import WaveDuty
-from rhubarbmount.wave_plan import SparesOffer, plan_wave, plan_with
+from rhubarbmount.wave_plan import SparesOffer, plan_wave, plan_with_spares
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool, pool_row
@@ -225,7 +225,7 @@
     settings = WaveSettings(drain_s=35, reboot_s=600, warm_s=30)
     hosts = [make_host(n) for n in range(6)]
     pools = [make_pool(hosts_wanted=6)]
-    return plan_with(pools, {"quotes": hosts}, 1000.0, settings, spares=spares)
+    return plan_with_spares(pools, {"quotes": hosts}, 1000.0, settings, spares=spares)
 
 
 def test_spares_shorten_a_wave_and_every_pool_keeps_its_size():
