Release a bad host without a spare when its pool has enough hosts

Each of the three pools held a spare and a quarantined host: the budget let nothing begin, and repair waited for a spare from the buffer, whose hosts all stood in those pools. A bad host is now released without a spare while its pool serves as many hosts as it wants without it. test_a_spare_that_has_arrived_replaces_a_host_that_fails_for_good failed before (the wave never ended).

--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -6,7 +6,13 @@
 
 import attrs
 
-from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
+from rhubarbmount.budgets import (
+    SERVING_STATES,
+    PermissionCode,
+    PoolRows,
+    decide,
+    read_pool_rows,
+)
 from rhubarbmount.duty_runner import Lease
 from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_begin import Begun, begin_changes, next_host
@@ -140,7 +146,7 @@
         action = "reboot" if host.cause == REBOOT_CAUSE else "replace"
         bad = Begun(row, _intent(lease, action, host.host_id))
         terms, changes = begin_changes(rows, [bad], self.wall_clock())
-        if action == "replace":
+        if action == "replace" and self._is_needed(host, rows):
             spare = await self._spare(host.pool, live)
             if spare is None:
                 self._hold(host, "no-spare", lease.clock())
@@ -158,6 +164,12 @@
             event(logger, "repair-begun", hosts=hosts, pool=host.pool, action=action)
         await self.view.refresh()
 
+    def _is_needed(self, host: Host, rows: PoolRows) -> bool:
+        """Tell whether the pool has too few hosts without this one."""
+        members = self.view.of_pool(host.pool)
+        serving = sum(row.host.state in SERVING_STATES for row in members)
+        return rows.pool is None or serving < rows.pool.hosts_wanted
+
     async def _spare(
         self, pool: str, live: list[LiveHost]
     ) -> tuple[PoolRows, HostRow] | None:
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -521,3 +521,28 @@
         if host.pool == "buffer" and host.cause
     )
     assert sorted(coming.values()) == [1, 1, 2]
+
+
+def test_a_spare_that_has_arrived_replaces_a_host_that_fails_for_good():
+    world = World()
+    hosts = [make_host(n) for n in range(4)] + [make_host(0, "buffer")]
+    run_now(fill(world.inner, [make_pool(hosts_wanted=4), buffer_pool()], hosts))
+    world.check = check_commit
+    wave_id = run_now(operator_of(world).start((), "buffer", {"quotes": 1}))
+    bad = set()
+
+    def observe(host):
+        return Observation(in_flight=0, ready=host.host_id not in bad)
+
+    def in_quotes():
+        hosts = hosts_of(world.inner.tables).values()
+        return {host.host_id for host in hosts if host.pool == "quotes"}
+
+    bounds = attrs.evolve(QUICK, reboot_limit_s=5)
+    repair = RepairBounds(failing_s=2)
+    add_holder(world, "a", bounds=bounds, observe=observe, repair=repair)
+    assert world.settle(lambda: "b0" in in_quotes())
+    bad.add("q1")
+    assert world.settle(lambda: is_done(world, wave_id))
+    assert in_quotes() == {"q0", "q2", "q3", "b0"}
+    world.stop()
