--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -18,14 +18,16 @@
     UsageError,
 )
 from rhubarbmount.explain import DecisionRecorder
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.fleet_view import FleetView
-from rhubarbmount.hosts import Host, dump_host
+from rhubarbmount.hosts import Host, HostState, dump_host
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Platform
+from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
-from rhubarbmount.wave_plan import WavePlan, WaveSettings, plan_wave
+from rhubarbmount.wave_plan import SparesOffer, WavePlan, plan_wave
 from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
 
 __all__ = ["FleetApi"]
@@ -44,6 +46,7 @@
     settings: WaveSettings
     spares_pool: str = ""
     recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     mover: HostMover = attrs.field(init=False)
     waves: WaveOperator = attrs.field(init=False)
 
@@ -103,11 +106,15 @@
         operator = self.identify(call)
         pools = self._pools(call, operator)
         spares = _spares(call, pools)
+        spares_at_once = 0
         if spares is None:
-            spares = self._plan(pools, operator).spares_by_pool
+            plan = self._plan(pools, operator)
+            spares, spares_at_once = plan.spares_by_pool, plan.buffer_hosts
         if spares:
             self._check_owner(operator, self.spares_pool)
-        wave_id = await self.waves.start(pools, self.spares_pool, spares)
+        wave_id = await self.waves.start(
+            pools, self.spares_pool, spares, operator.owners, spares_at_once
+        )
         self._record_wave(pools, "wave-started", wave_id, operator)
         return json_response({"result": "started", "wave": wave_id}, 202)
 
@@ -129,11 +136,16 @@
         pools = [pool_by_name[name] for name in names if name != self.spares_pool]
         hosts = self.fleet.hosts_by_id.values()
         due = [host for host in hosts if host.pool in names]
-        spares_free = 0
         buffer = pool_by_name.get(self.spares_pool)
+        spares = None
         if buffer is not None and buffer.owner in operator.owners:
-            spares_free = sum(host.pool == buffer.name for host in hosts)
-        return plan_wave(pools, due, time.time(), self.settings, spares_free)
+            members = [host for host in hosts if host.pool == buffer.name]
+            serving = sum(host.state is HostState.IN_SERVICE for host in members)
+            spares = SparesOffer(buffer, serving, len(members))
+        start_s = time.perf_counter()
+        plan = plan_wave(pools, due, time.time(), self.settings, spares)
+        self.counters.add_plan(time.perf_counter() - start_s)
+        return plan
 
     async def _control_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
@@ -143,7 +155,10 @@
             known = ", ".join(Control)
             raise UsageError(f"control is one of {known}") from None
         wave: Wave = (await self.waves.read(call.parts[1])).wave
-        for pool in wave.pools:
+        covered = [pool for pool in wave.pools if wave.covers(pool)]
+        if not covered:
+            raise AccessDenied("every pool of the wave has left it")
+        for pool in covered:
             self._check_owner(operator, pool)
         wave = await self.waves.control(wave.wave_id, control)
         self._record_wave(wave.pools, f"wave-{control.value}", wave.wave_id, operator)
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -7,11 +7,13 @@
 
 from rhubarbmount.cadence import CadenceDuty
 from rhubarbmount.explain import DecisionRecorder
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_probe import HostProbe
 from rhubarbmount.local_view import LocalView
 from rhubarbmount.platform.client import PlatformClient
+from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairDuty
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.scheduling import SchedulingDuty
@@ -19,7 +21,6 @@
 from rhubarbmount.settings import FleetSettings, Settings, Weights
 from rhubarbmount.timers import TimerService
 from rhubarbmount.wave_duty import WaveDuty
-from rhubarbmount.wave_plan import WaveSettings
 
 __all__ = ["FleetTasks", "wave_settings"]
 
@@ -50,6 +51,7 @@
     client: PlatformClient
     view: LocalView
     recorder: DecisionRecorder
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     duties: FleetDuties = attrs.field(init=False)
     probe: HostProbe = attrs.field(init=False)
 
@@ -84,10 +86,15 @@
         observe = self.probe.observe
         waves = wave_settings(fleet, self.settings.weights)
         repair = RepairDuty(
-            platform, observe, time.time, fleet.buffer_pool, fleet.repair
+            platform,
+            observe,
+            time.time,
+            fleet.buffer_pool,
+            fleet.repair,
+            self.counters,
         )
-        hosts = HostDuty(platform, observe, time.time, fleet.work)
-        wave = WaveDuty(platform, time.time, waves)
+        hosts = HostDuty(platform, observe, time.time, fleet.work, self.counters)
+        wave = WaveDuty(platform, time.time, waves, self.counters, observe)
         repair.recorder = hosts.recorder = wave.recorder = self.recorder
         self.duties.add(hosts, HOSTS_PERIOD_S)
         self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
--- /dev/null
+++ b/rhubarbmount/pool_plan.py
@@ -0,0 +1,163 @@
+"""How a maintenance wave runs through one pool."""
+
+import heapq
+from collections import Counter
+
+import attrs
+
+from rhubarbmount.entries import Pool
+from rhubarbmount.maintenance import choose, next_start_s
+
+__all__ = ["PlannedHost", "PoolPlan", "PoolRun", "WaveSettings"]
+
+
+@attrs.frozen(kw_only=True)
+class WaveSettings:
+    """How long a host's steps take, and what an operator weighs.
+
+    The weights are the costs of an hour of roll-out, of a buffer host that the wave
+    needs, and of a move of a host between pools.
+    """
+
+    drain_s: float = 35.0
+    reboot_s: float = 600.0
+    warm_s: float = 30.0
+    hour_weight: float = 1.0
+    buffer_weight: float = 1.0
+    move_weight: float = 0.05
+
+    @property
+    def host_s(self) -> float:
+        """Return the time a host is out of service when maintained in its pool."""
+        return self.drain_s + self.reboot_s + self.warm_s
+
+    @property
+    def arrival_s(self) -> float:
+        """Return the time from a spare's choice until it serves in another pool."""
+        return self.drain_s + self.warm_s
+
+    @property
+    def away_s(self) -> float:
+        """Return the time from a swapped host's choice until it is maintained."""
+        return self.arrival_s + self.host_s
+
+
+@attrs.frozen
+class PlannedHost:
+    """A host's turn; times are seconds since the epoch."""
+
+    host_id: str
+    rack: str
+    start_s: float
+    end_s: float
+
+
+@attrs.frozen
+class PoolPlan:
+    """How a wave runs through one pool, ``swapped`` of its hosts for spares.
+
+    ``spares`` is the most that it takes at once.
+    """
+
+    pool: str
+    spares: int
+    finish_s: float
+    hosts: tuple[PlannedHost, ...]
+    swapped: int = 0
+
+    @property
+    def moves(self) -> int:
+        """Return the moves it needs: one out and one in for each swapped host."""
+        return 2 * self.swapped
+
+
+@attrs.define
+class PoolRun:
+    """A wave played through one pool, from event to event.
+
+    A host maintained in its pool holds its slot for its whole turn, one that is
+    swapped only until it has moved out.
+    """
+
+    pool: Pool
+    waiting: dict[str, list[str]]
+    settings: WaveSettings
+    slots: int
+    left: int = attrs.field(init=False)
+    swapped: int = 0
+    spares_at_once: int = 0
+    running: list[tuple[float, str]] = attrs.field(factory=list)
+    racks: Counter[str] = attrs.field(factory=Counter)
+    spare_ready_s: list[float] = attrs.field(factory=list)
+    planned: list[PlannedHost] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.left = sum(map(len, self.waiting.values()))
+
+    @property
+    def turns_to_spare(self) -> float:
+        """Return how many turns a spare could still save; 0 if it would save none."""
+        hosts = self.left - len(self.spare_ready_s) - self.slots
+        return max(0.0, hosts / self.slots) if self.slots else 0.0
+
+    def bring_spare(self, ready_s: float) -> None:
+        """Let a spare serve here from that time on."""
+        self.spare_ready_s.append(ready_s)
+        self.spares_at_once = max(self.spares_at_once, len(self.spare_ready_s))
+
+    def act(self, now_s: float) -> list[float]:
+        """Start the hosts that may go; return when those swapped are maintained."""
+        while self.running and self.running[0][0] <= now_s:
+            _, rack = heapq.heappop(self.running)
+            self.racks[rack] -= 1
+        opens_s = next_start_s(self.pool, now_s, self.settings.host_s)
+        if opens_s is None or opens_s > now_s:
+            return []
+        free = self.slots - len(self.running)
+        ready = sum(ready_s <= now_s for ready_s in self.spare_ready_s)
+        swaps = min(free, ready, max(0, self.left - self.slots))
+        if swaps:
+            return self._swap(swaps, now_s)
+        if self.left <= self.slots or not self.spare_ready_s:
+            host_s = self.settings.host_s
+            self._take(free, now_s, host_s, now_s + host_s)
+        return []
+
+    def next_s(self, now_s: float) -> float | None:
+        """Return when something may begin next, or None if nothing ever will."""
+        if not self.left:
+            return None
+        opens_s = next_start_s(self.pool, now_s, self.settings.host_s)
+        if opens_s is None:
+            return None
+        times = [opens_s, *self.spare_ready_s]
+        times.extend(end_s for end_s, _ in self.running[:1])
+        return min((time_s for time_s in times if time_s > now_s), default=None)
+
+    def plan(self, start_s: float) -> PoolPlan:
+        """Return what was played."""
+        finish_s = max((turn.end_s for turn in self.planned), default=start_s)
+        hosts = tuple(self.planned)
+        return PoolPlan(
+            self.pool.name, self.spares_at_once, finish_s, hosts, self.swapped
+        )
+
+    def _swap(self, count: int, now_s: float) -> list[float]:
+        done_s = now_s + self.settings.away_s
+        taken = self._take(count, now_s, self.settings.drain_s, done_s)
+        for _ in range(taken):
+            self.spare_ready_s.remove(min(self.spare_ready_s))
+        self.swapped += taken
+        return [done_s] * taken
+
+    def _take(self, count: int, now_s: float, slot_s: float, end_s: float) -> int:
+        used = [rack for rack, hosts in self.racks.items() if hosts]
+        limit = self.pool.racks_down_limit
+        chosen = choose(self.waiting, used, count, limit)
+        for host_id, rack in chosen:
+            self.waiting[rack].remove(host_id)
+            self.left -= 1
+            self.racks[rack] += 1
+            heapq.heappush(self.running, (now_s + slot_s, rack))
+            self.planned.append(PlannedHost(host_id, rack, now_s, end_s))
+        return len(chosen)
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -6,10 +6,17 @@
 
 import attrs
 
-from rhubarbmount.budgets import PermissionCode, PoolRows, decide, read_pool_rows
+from rhubarbmount.budgets import (
+    SERVING_STATES,
+    PermissionCode,
+    PoolRows,
+    decide,
+    read_pool_rows,
+)
 from rhubarbmount.duty_runner import Lease
 from rhubarbmount.explain import DecisionRecorder
-from rhubarbmount.host_duty import Begun, begin_changes, next_host
+from rhubarbmount.fleet_counters import FleetCounters
+from rhubarbmount.host_begin import Begun, begin_changes, next_host
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.host_work import HostIntent, Observation, Step
 from rhubarbmount.hosts import Host, HostState
@@ -52,6 +59,7 @@
     wall_clock: Callable[[], float]
     buffer_pool: str = ""
     bounds: RepairBounds = attrs.field(factory=RepairBounds)
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
     name: str = "repair"
     recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     view: HostRows = attrs.field(init=False)
@@ -129,6 +137,7 @@
         terms = rows.touch_terms()
         terms.add(host_terms(self.view.head, [HostChange(row, bad)]))
         if await lease.commit(terms):
+            self.counters.quarantines_by_pool[host.pool] += 1
             event(logger, "host-quarantined", host=host.host_id, cause=cause)
             self.recorder.record(
                 "host", host.host_id, "quarantine", cause, pool=host.pool
@@ -144,13 +153,13 @@
         action = "reboot" if host.cause == REBOOT_CAUSE else "replace"
         bad = Begun(row, _intent(lease, action, host.host_id))
         terms, changes = begin_changes(rows, [bad], self.wall_clock())
-        if action == "replace":
+        if action == "replace" and self._is_needed(host, rows):
             spare = await self._spare(host.pool, live)
             if spare is None:
                 self._hold(host, "no-spare", lease.clock())
                 return
             spare_rows, spare_row = spare
-            move = _intent(lease, "move", spare_row.host.host_id, host.pool)
+            move = _intent(lease, "move", spare_row.host.host_id, rows)
             more, moved = begin_changes(
                 spare_rows, [Begun(spare_row, move)], self.wall_clock()
             )
@@ -167,6 +176,12 @@
                     )
         await self.view.refresh()
 
+    def _is_needed(self, host: Host, rows: PoolRows) -> bool:
+        """Tell whether the pool has too few hosts without this one."""
+        members = self.view.of_pool(host.pool)
+        serving = sum(row.host.state in SERVING_STATES for row in members)
+        return rows.pool is None or serving < rows.pool.hosts_wanted
+
     async def _spare(
         self, pool: str, live: list[LiveHost]
     ) -> tuple[PoolRows, HostRow] | None:
@@ -213,6 +228,7 @@
         record("pool", host.pool, "repair-held", code, host=host.host_id, **figures)
         held_code, _ = self._held.get(host.host_id, ("", 0.0))
         if held_code != code:
+            self.counters.held_by_code[code] += 1
             event(logger, "repair-held", host=host.host_id, pool=host.pool, code=code)
         self._held[host.host_id] = (code, now_s)
 
@@ -222,14 +238,15 @@
 
 
 def _intent(
-    lease: Lease, action: str, host_id: str, target_pool: str = ""
+    lease: Lease, action: str, host_id: str, target: PoolRows | None = None
 ) -> HostIntent:
     return HostIntent(
         intent_id=lease.new_id(),
         duty="hosts",
         action=action,
         host_id=host_id,
-        target_pool=target_pool,
+        target_pool=target.name if target else "",
+        target_owner=target.pool.owner if target and target.pool else "",
     )
 
 
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -17,6 +17,7 @@
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.explain_operators import ExplainApi
+from rhubarbmount.fleet_metrics import FleetCollector
 from rhubarbmount.fleet_operators import FleetApi
 from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
@@ -142,6 +143,7 @@
             wave_settings(settings.fleet, settings.weights),
             settings.fleet.buffer_pool,
             self.recorder,
+            self.fleet.counters,
         )
         fleet_api.add_routes(api.router)
         explain = ExplainApi(
@@ -154,6 +156,15 @@
             self._ask_others,
         )
         explain.add_routes(api.router)
+        self.registry.register(
+            FleetCollector(
+                self.fleet.counters,
+                lambda: view.hosts().values(),
+                view.pools,
+                self.fleet.duties.holds,
+                settings.fleet.buffer_pool,
+            )
+        )
         self.operators = Listener("operators", api.router.handle, settings.http)
 
     def is_ready(self) -> bool:
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -1,6 +1,7 @@
 """The duty that carries out maintenance waves."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -8,23 +9,23 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.duty_runner import Lease
 from rhubarbmount.explain import DecisionRecorder
-from rhubarbmount.host_duty import Begun, begin_terms
+from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_rows import HostRow, HostRows
 from rhubarbmount.host_work import (
     HOST_PREFIX,
     INTENTS_TABLE,
-    HostIntent,
+    Observation,
     load_intent,
 )
-from rhubarbmount.hosts import HostState
+from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
-from rhubarbmount.swaps import spares_of, swap_wanted, swaps_hosts
+from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.swaps import Swap, swap_wanted, swaps_hosts
 from rhubarbmount.wave_holds import why_held
-from rhubarbmount.wave_plan import WaveSettings
+from rhubarbmount.wave_work import WaveWork
 from rhubarbmount.waves import (
-    WAVE_PREFIX,
     Control,
     Wave,
     WaveRow,
@@ -41,11 +42,17 @@
 
 @attrs.define
 class WaveDuty:
-    """Begin the maintenance of hosts as budgets and windows allow."""
+    """Begin the maintenance of hosts as budgets and windows allow.
+
+    A host that ``observe`` says is not ready counts as failed, so that its repair
+    gets the budget first.
+    """
 
     platform: Platform
     wall_clock: Callable[[], float]
     settings: WaveSettings = attrs.field(factory=WaveSettings)
+    counters: FleetCounters = attrs.field(factory=FleetCounters)
+    observe: Callable[[Host], Observation] = lambda host: Observation()
     name: str = "waves"
     recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     view: HostRows = attrs.field(init=False)
@@ -61,9 +68,12 @@
 
     async def do_round(self, lease: Lease) -> None:
         """Begin as many hosts as may go now, and close waves that are over."""
-        for row in await read_waves(self.platform):
-            if row.wave.state == "open":
-                await self._advance(row, lease)
+        rows = await read_waves(self.platform)
+        open_rows = [row for row in rows if row.wave.state == "open"]
+        controls = Counter(row.wave.control.value for row in open_rows)
+        self.counters.open_waves_by_control = controls
+        for row in open_rows:
+            await self._advance(row, lease)
 
     async def _advance(self, row: WaveRow, lease: Lease) -> None:
         await self.view.refresh()
@@ -77,13 +87,19 @@
         if row.wave.control is Control.CANCELLED or not left:
             await self._close(row, lease)
         elif row.wave.control is Control.RUNNING:
-            for pool in sorted({host.pool for host in left}):
-                await self._begin_in_pool(row, pool, lease)
+            left_by_pool = Counter(host.pool for host in left)
+            for pool in sorted(
+                left_by_pool, key=lambda name: (-left_by_pool[name], name)
+            ):
+                if not await self._begin_in_pool(row, pool, lease):
+                    return
 
     async def _close(self, row: WaveRow, lease: Lease) -> None:
         intents = await self.platform.scan(INTENTS_TABLE, HOST_PREFIX)
         if _has_open(intents, row.wave.wave_id):
             return
+        if await self._work().send_back(row, lease):
+            return
         done = attrs.evolve(row.wave, state="done")
         if await lease.commit(wave_terms(row, done)):
             event(logger, "wave-done", wave=done.wave_id, control=done.control.value)
@@ -101,36 +117,99 @@
                 control=wave.control.value,
             )
 
-    async def _begin_in_pool(self, row: WaveRow, pool: str, lease: Lease) -> None:
+    async def _begin_in_pool(self, row: WaveRow, pool: str, lease: Lease) -> bool:
+        """Begin what may begin; tell whether the wave's row stands as it was read."""
         if self._is_held(row.wave, pool, lease.clock()):
-            return
+            return True
         rows = await read_pool_rows(self.platform, pool)
+        spares = await self._spares(row.wave, pool)
+        for needed in (rows, spares):
+            if needed is not None and not row.wave.owns(needed):
+                await self._drop(row, needed, lease)
+                return False
         live = await self.platform.live_hosts()
         await self.view.refresh()
         members = self.view.of_pool(pool)
-        due = {
-            item.host.host_id: item
-            for item in members
-            if is_due(item.host, row.wave.started_s)
-            and item.host.state is HostState.IN_SERVICE
-        }
+        due = self._due(row.wave, pool)
+        live = self._answering(members, live)
         chosen = self._choose(rows, members, live, due)
-        target = ""
-        if swaps_hosts(row.wave, pool, self.view):
-            swap = swap_wanted(row.wave, pool, self.view)
-            chosen = chosen[: swap.leaving]
-            target = row.wave.spares_pool
-            await self._bring(row, pool, swap.arriving, lease)
-            await self.view.refresh()
-        if not chosen:
+        target = None
+        if spares is not None:
+            swap = await self._swap(row, rows, spares, lease)
+            if swap.leaving:
+                chosen = chosen[: swap.leaving]
+                target = spares
+            elif swap.arriving or swap.is_expecting:
+                chosen = []
+            if swap.arriving and not chosen:
+                return True
+        if chosen:
+            leaving = [due[name] for name in chosen]
+            await self._work().begin(row, rows, leaving, target, lease)
+        else:
             held = why_held(rows, members, live, due.values(), self._in_window(rows))
             self.recorder.record("pool", pool, "wave-held", held, due=len(due))
             self._hold(row.wave, pool, lease.clock(), due)
-            return
-        items = [
-            Begun(due[name], self._intent(row, name, target, lease)) for name in chosen
-        ]
-        await self._begin(row, rows, items, lease)
+        return True
+
+    async def _spares(self, wave: Wave, pool: str) -> PoolRows | None:
+        """Return the pool that spares come from, if hosts of this one are swapped."""
+        if not swaps_hosts(wave, pool, self.view):
+            return None
+        return await read_pool_rows(self.platform, wave.spares_pool)
+
+    def _due(self, wave: Wave, pool: str) -> dict[str, HostRow]:
+        return {
+            item.host.host_id: item
+            for item in self.view.of_pool(pool)
+            if is_due(item.host, wave.started_s)
+            and item.host.state is HostState.IN_SERVICE
+        }
+
+    async def _swap(
+        self, row: WaveRow, rows: PoolRows, spares: PoolRows, lease: Lease
+    ) -> Swap:
+        """Bring a spare, and return what may leave for the spares that serve.
+
+        One at a time, so that the pools after this one in the round get theirs.
+        """
+        if rows.pool is None:
+            return Swap(arriving=0, leaving=0, is_expecting=False)
+        swap = swap_wanted(row.wave, rows.pool, self.view)
+        count = min(1, swap.arriving)
+        brought = await self._work().bring(row, spares, rows, count, lease)
+        await self.view.refresh()
+        return attrs.evolve(swap, arriving=brought)
+
+    async def _drop(self, row: WaveRow, rows: PoolRows, lease: Lease) -> None:
+        """Leave a pool out of the wave, as its entry is gone or another team's."""
+        terms = wave_terms(row, row.wave.without(rows.name))
+        terms.add(rows.entry_terms())
+        if await lease.commit(terms):
+            cause = "pool-removed" if rows.pool is None else "owner-changed"
+            record, wave_id = self.recorder.record, row.wave.wave_id
+            record("pool", rows.name, "wave-pool-dropped", cause, wave=wave_id)
+            event(
+                logger,
+                "wave-pool-dropped",
+                wave=wave_id,
+                pool=rows.name,
+                cause=cause,
+            )
+
+    def _work(self) -> WaveWork:
+        return WaveWork(self.platform, self.wall_clock, self.view, self.recorder)
+
+    def _answering(
+        self, members: Iterable[HostRow], live: Iterable[LiveHost]
+    ) -> list[LiveHost]:
+        """Return the live hosts without those that are seen to fail."""
+        failing = {
+            item.host.host_id
+            for item in members
+            if self.observe(item.host).ready is False
+        }
+        return [item for item in live if item.host_id not in failing]
 
     def _choose(
         self,
@@ -144,67 +223,6 @@
         budget = rows.view(members, live)
         return select(budget, [item.host for item in due.values()])
 
-    async def _bring(self, row: WaveRow, pool: str, count: int, lease: Lease) -> None:
-        """Begin moves of maintained spares into a pool."""
-        if count <= 0:
-            return
-        rows = await read_pool_rows(self.platform, row.wave.spares_pool)
-        live = await self.platform.live_hosts()
-        await self.view.refresh()
-        members = self.view.of_pool(row.wave.spares_pool)
-        spares = {item.host.host_id: item for item in spares_of(row.wave, members)}
-        if rows.pool is None:
-            return
-        chosen = select(
-            rows.view(members, live), [item.host for item in spares.values()]
-        )[:count]
-        items = [
-            Begun(spares[name], self._intent(row, name, pool, lease)) for name in chosen
-        ]
-        if items:
-            await self._begin(row, rows, items, lease)
-
-    async def _begin(
-        self, row: WaveRow, rows: PoolRows, items: list[Begun], lease: Lease
-    ) -> None:
-        terms = begin_terms(rows, self.view.head, items, self.wall_clock())
-        terms.require(INTENTS_TABLE, WAVE_PREFIX + row.wave.wave_id, row.version)
-        committed = await lease.commit(terms)
-        self._record_begin(row, rows.name, items, committed)
-        event(
-            logger,
-            "wave-begin",
-            wave=row.wave.wave_id,
-            pool=rows.name,
-            action=items[0].intent.action,
-            hosts=",".join(item.intent.host_id for item in items),
-            result="begun" if committed else "conflict",
-        )
-
-    def _record_begin(
-        self, row: WaveRow, pool: str, items: list[Begun], committed: bool
-    ) -> None:
-        reason = "" if committed else "another writer changed the rows"
-        code = "wave-begun" if committed else "wave-conflict"
-        record, wave = self.recorder.record, row.wave.wave_id
-        record("pool", pool, code, reason, wave=wave, hosts=len(items))
-        for item in items:
-            action = item.intent.action
-            record("host", item.intent.host_id, code, reason, wave=wave, action=action)
-
-    def _intent(
-        self, row: WaveRow, host_id: str, target_pool: str, lease: Lease
-    ) -> HostIntent:
-        return HostIntent(
-            intent_id=lease.new_id(),
-            duty="hosts",
-            action="move" if target_pool else "maintain",
-            host_id=host_id,
-            target_pool=target_pool,
-            group=row.wave.wave_id,
-            group_started_s=row.wave.started_s,
-        )
-
     def _in_window(self, rows: PoolRows) -> bool:
         now_s = self.wall_clock()
         return (
