Keep idle connections in one pool, for backend servers and the platform alike

The pick of a quiet idle connection and the way back stood twice. The platform's connections are marked as reused now too, which nothing there reads.

--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -7,14 +7,12 @@
 
 import itertools
 import secrets
-from collections import deque
 from collections.abc import Collection
 
 import attrs
-import trio
 
 from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, header_value
-from rhubarbmount.http_client import ClientConnection, connect
+from rhubarbmount.http_client import ClientConnection, ConnectionPool
 
 __all__ = ["ATTEMPT_HEADER", "GUARD_HEADER", "BackendConnections", "Progress"]
 
@@ -36,7 +34,7 @@
     """Idle connections by backend server address; a suspect one is never reused."""
 
     body_bytes: int = 1048576
-    _idle_by_address: dict[str, deque[ClientConnection]] = attrs.field(factory=dict)
+    _pool_by_address: dict[str, ConnectionPool] = attrs.field(factory=dict)
     _prefix: str = attrs.field(factory=lambda: secrets.token_hex(4))
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -51,55 +49,41 @@
         headers = [pair for pair in request.headers if pair[0] != ATTEMPT_HEADER]
         headers.append((ATTEMPT_HEADER, attempt.encode("ascii")))
         marked = HttpRequest(request.method, request.target, headers, request.body)
-        connection = await self._take(address)
+        connection = await self._pool(address).take()
         try:
             if progress is not None:
                 progress.bytes_left = True
             answer = await connection.exchange(marked)
             _check_echo(connection, answer, attempt)
         finally:
-            await self._put_back(address, connection)
+            await self._pool(address).put_back(connection)
         return answer
 
     async def sweep(self, addresses: Collection[str]) -> None:
         """Close the idle connections to other addresses, and those the peer closed."""
-        for address, idle in list(self._idle_by_address.items()):
-            if address not in addresses:
+        for address, pool in list(self._pool_by_address.items()):
+            if address in addresses:
+                await pool.sweep()
+            else:
                 await self.close_idle(address)
-                continue
-            spent = [item for item in idle if not item.is_quiet()]
-            for connection in spent:
-                idle.remove(connection)
-            for connection in spent:
-                await connection.aclose()
 
     async def close_idle(self, address: str) -> None:
         """Close the idle connections to a backend server that is leaving."""
-        for connection in self._idle_by_address.pop(address, ()):
-            await connection.aclose()
+        pool = self._pool_by_address.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
 
     async def aclose(self) -> None:
         """Close every idle connection."""
-        for address in list(self._idle_by_address):
+        for address in list(self._pool_by_address):
             await self.close_idle(address)
 
-    async def _put_back(self, address: str, connection: ClientConnection) -> None:
-        if not connection.reusable:
-            with trio.CancelScope(shield=True):
-                await connection.aclose()
-            return
-        connection.was_reused = True
-        self._idle_by_address.setdefault(address, deque()).append(connection)
-
-    async def _take(self, address: str) -> ClientConnection:
-        idle = self._idle_by_address.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_quiet():
-                return connection
-            await connection.aclose()
-        host, port = address.rsplit(":", 1)
-        return await connect(host, int(port), CONNECT_TIMEOUT_S, self.body_bytes)
+    def _pool(self, address: str) -> ConnectionPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(address, CONNECT_TIMEOUT_S, self.body_bytes)
+            self._pool_by_address[address] = pool
+        return pool
 
 
 def _check_echo(
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -1,6 +1,7 @@
 """The client's side of HTTP/1.1 connections, with h11 over trio streams."""
 
 import select
+from collections import deque
 
 import attrs
 import h11
@@ -15,7 +16,7 @@
     without_length,
 )
 
-__all__ = ["ClientConnection", "connect"]
+__all__ = ["ClientConnection", "ConnectionPool", "connect"]
 
 
 @attrs.define
@@ -115,3 +116,48 @@
     except (OSError, trio.TooSlowError) as error:
         raise NotSent(f"can't connect to {address}:{port}: {error}") from None
     return ClientConnection(stream, body_bytes)
+
+
+@attrs.define(eq=False)
+class ConnectionPool:
+    """Connections to one address, one request in flight on each.
+
+    ``idle`` holds those that may be used again, the last used at its right end.
+    """
+
+    address: str
+    connect_timeout_s: float
+    body_bytes: int = 1048576
+    idle: deque[ClientConnection] = attrs.field(factory=deque)
+
+    async def take(self) -> ClientConnection:
+        """Return a quiet idle connection, or else a new one. Raises NotSent."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.aclose()
+        host, port = self.address.rsplit(":", 1)
+        return await connect(host, int(port), self.connect_timeout_s, self.body_bytes)
+
+    async def put_back(self, connection: ClientConnection) -> None:
+        """Keep a reusable connection for the next request, and close any other."""
+        if connection.reusable:
+            connection.was_reused = True
+            self.idle.append(connection)
+            return
+        with trio.CancelScope(shield=True):
+            await connection.aclose()
+
+    async def sweep(self) -> None:
+        """Close the idle connections that the peer closed or wrote to."""
+        spent = [item for item in self.idle if not item.is_quiet()]
+        for connection in spent:
+            self.idle.remove(connection)
+        for connection in spent:
+            await connection.aclose()
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            await self.idle.pop().aclose()
--- a/rhubarbmount/platform/http.py
+++ b/rhubarbmount/platform/http.py
@@ -1,7 +1,6 @@
 """The platform over HTTP and JSON."""
 
 import json
-from collections import deque
 from typing import Any
 from urllib.parse import quote
 
@@ -11,7 +10,7 @@
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, NotSent
-from rhubarbmount.http_client import ClientConnection, connect
+from rhubarbmount.http_client import ClientConnection, ConnectionPool
 from rhubarbmount.platform.interface import (
     HostCommand,
     LiveHost,
@@ -36,7 +35,12 @@
 
     address: str
     timeout_s: float = 2.0
-    _idle: deque[ClientConnection] = attrs.field(factory=deque)
+    _connections: ConnectionPool = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._connections = ConnectionPool(
+            self.address, self.timeout_s, OBJECT_LIMIT_BYTES
+        )
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return the row, or None."""
@@ -84,13 +88,12 @@
 
     async def aclose(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            await self._idle.pop().aclose()
+        await self._connections.aclose()
 
     async def _call(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
         try:
             with trio.fail_after(self.timeout_s):
-                connection = await self._connection()
+                connection = await self._connections.take()
                 answer = await self._exchange(connection, method, path, body)
         except trio.TooSlowError:
             raise _failure(method, "no answer in time") from None
@@ -107,20 +110,7 @@
         try:
             return await connection.exchange(HttpRequest(method, path, headers, body))
         finally:
-            if connection.reusable:
-                self._idle.append(connection)
-            else:
-                with trio.CancelScope(shield=True):
-                    await connection.aclose()
-
-    async def _connection(self) -> ClientConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_quiet():
-                return connection
-            await connection.aclose()
-        host, port = self.address.rsplit(":", 1)
-        return await connect(host, int(port), self.timeout_s, OBJECT_LIMIT_BYTES)
+            await self._connections.put_back(connection)
 
 
 def _checked(method: str, answer: HttpResponse) -> HttpResponse:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -55,7 +55,7 @@
     async with open_backend() as (address, streams):
         connections = BackendConnections()
         await connections.exchange(address, REQUEST)
-        idle = connections._idle_by_address[address]
+        idle = connections._pool_by_address[address].idle
         await trio.testing.wait_all_tasks_blocked()
         await streams[0].send_eof()
         await wait_until(lambda: not idle[0].is_quiet())
