Exit with 3 when a planned stop cut requests

Cause: serve ended with 0 also when requests in flight outlasted stop_timeout_s, and only the log said so, which nobody who supervises the process reads. Ruled out: 1, which is any error, and 2, which the argument parser uses. First failed: tests/test_planned_stop.py, over separate processes, at: exit code 0 with event=stopped cut=1. Passes now; a stop that cuts nothing still exits with 0.

--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -9,6 +9,9 @@
 __all__ = ["check", "commands", "keys", "serve", "standin_backend", "standin_platform"]
 
 
+EXIT_REQUESTS_CUT = 3
+
+
 def commands() -> dict[str, Any]:
     """Return the commands by name; a nested mapping is a group."""
     from rhubarbmount import operator_commands
@@ -88,6 +91,8 @@
 def serve(settings: str) -> int:
     """Run one entry host until it is told to stop.
 
+    The exit code is 0, or 3 if the stop cut requests in flight.
+
     :param settings: path of the YAML file
     """
     from rhubarbmount import log
@@ -97,8 +102,8 @@
     loaded = load_settings(settings)
     log.configure(loaded.log.level, loaded.log.destination)
     host = EntryHost(loaded, open_platform(loaded.platform))
-    _run(serve_until_signalled, host)
-    return 0
+    cut_count = _run(serve_until_signalled, host)
+    return EXIT_REQUESTS_CUT if cut_count else 0
 
 
 def demo(*, keep: bool = False) -> int:
