--- a/bench/path.py
+++ b/bench/path.py
@@ -13,13 +13,21 @@
 
 import attrs
 import trio
-
-from tests.deployment import BACKEND_PORT, CALLERS_PORT, Deployment
+import yaml
+
+from tests.deployment import (
+    BACKEND_PORT,
+    CALLERS_PORT,
+    METRICS_PORT,
+    Deployment,
+    call,
+    wait_until,
+)
 
 RELAY_PORT = 9200
 CALLERS = 16
-ROUNDS = 24
-LATENCY_REQUESTS = 100
+ROUNDS = 60
+LATENCY_REQUESTS = 40
 IDLE_CONNECTIONS = 400
 SLOTS = 128
 REQUEST = (
@@ -131,8 +139,11 @@
 
 
 @contextmanager
-def open_targets(log_level: str) -> Iterator[list[Target]]:
-    """Start a backend server, a bare relay and an entry host in front of it."""
+def open_targets(log_level: str, baseline: Path | None) -> Iterator[list[Target]]:
+    """Start a backend server, a bare relay and an entry host in front of it.
+
+    A baseline is a checkout of another revision, whose entry host is started too.
+    """
     folder = Path(tempfile.mkdtemp())
     with Deployment(folder) as deployment:
         deployment.add_pool("quotes")
@@ -140,6 +151,8 @@
         deployment.add_backend("w1", "quotes", "dc1", slots=SLOTS)
         deployment.start_platform()
         deployment.extra_settings = {"log": {"level": log_level}}
+        if baseline is not None:
+            deployment.start_entry_host("duty-holder", "dc1")
         deployment.start_entry_host("e1", "dc1")
         backend = deployment.backend_by_name["w1"]
         entry_host = deployment.entry_host_by_name["e1"]
@@ -151,7 +164,7 @@
         )
         try:
             deployment.wait_for_port(address, RELAY_PORT)
-            yield [
+            targets = [
                 Target("direct", (backend.address, BACKEND_PORT), backend.process.pid),
                 Target("bare relay", (address, RELAY_PORT), relay.pid),
                 Target(
@@ -160,11 +173,49 @@
                     entry_host.process.pid,
                 ),
             ]
+            with open_baseline(deployment, baseline) as others:
+                yield targets + others
         finally:
             relay.kill()
             relay.wait()
 
 
+@contextmanager
+def open_baseline(
+    deployment: Deployment, baseline: Path | None
+) -> Iterator[list[Target]]:
+    """Start the baseline's entry host; like the other one, it holds no duties."""
+    if baseline is None:
+        yield []
+        return
+    settings = yaml.safe_load((deployment.folder / "e1.yaml").read_text())
+    address = deployment.new_address()
+    settings["instance"] = "e2"
+    for listener in ("callers", "operators", "metrics", "peers"):
+        settings[listener]["address"] = address
+    path = deployment.folder / "e2.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    log = deployment.folder / "e2.log"
+    with log.open("wb") as output:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "rhubarbmount", "serve", str(path)],
+            cwd=baseline,
+            env=dict(os.environ, PYTHONPATH=str(baseline)),
+            stderr=output,
+        )
+    try:
+        deployment.wait_for_port(address, METRICS_PORT)
+        wait_until(
+            lambda: call(address, METRICS_PORT, "GET", "/readyz").status == 200,
+            10.0,
+            "the baseline is ready",
+        )
+        yield [Target("baseline", (address, CALLERS_PORT), process.pid)]
+    finally:
+        process.kill()
+        process.wait()
+
+
 async def measure(targets: list[Target], length_s: float) -> None:
     """Measure all targets in turn, several times."""
     for _ in range(ROUNDS):
@@ -180,11 +231,16 @@
     return sorted(values)[len(values) // 4]
 
 
+def paired(values: list[float], others: list[float]) -> float:
+    """Return the median over the rounds of one target's value by another's."""
+    return statistics.median(a / b for a, b in zip(values, others, strict=True))
+
+
 def show(targets: list[Target]) -> None:
     """Print medians, and ratios to the bare relay and to no relay.
 
     Other work on the machine makes processor time a request longer, never shorter:
-    its ratio is also given between the lower quartiles.
+    its ratio is given within each round, and between the lower quartiles.
     """
     columns = "requests/s   CPU us/request   p50 us   p99 us   KB/connection"
     print(f"{'':<14} {columns}")
@@ -195,14 +251,11 @@
             f"{statistics.median(target.p50_us):>9.0f}"
             f"{statistics.median(target.p99_us):>9.0f}{target.connection_kb:>16.1f}"
         )
-    direct, relay, entry = targets
-    middle = statistics.median(entry.cpu_us) / statistics.median(relay.cpu_us)
-    lower = lower_quartile(entry.cpu_us) / lower_quartile(relay.cpu_us)
-    print(
-        f"CPU a request, entry host / bare relay: {middle:.2f},"
-        f" between lower quartiles {lower:.2f}"
-        f" ({lower_quartile(entry.cpu_us):.0f} / {lower_quartile(relay.cpu_us):.0f} us)"
-    )
+    direct, relay, entry = targets[:3]
+    for target in targets[2:]:
+        show_cpu_ratio(target, relay)
+    for target in targets[3:]:
+        show_cpu_ratio(entry, target)
     for name, values in (("requests a second", "per_s"), ("p50", "p50_us")):
         medians = [statistics.median(getattr(target, values)) for target in targets]
         print(
@@ -213,13 +266,25 @@
     print(f"added latency, p50: {added_us:.0f} us")
 
 
+def show_cpu_ratio(target: Target, other: Target) -> None:
+    """Print the ratio of two targets' processor time a request."""
+    low, other_low = lower_quartile(target.cpu_us), lower_quartile(other.cpu_us)
+    print(
+        f"CPU a request, {target.name} / {other.name}:"
+        f" {paired(target.cpu_us, other.cpu_us):.2f} within rounds,"
+        f" {low / other_low:.2f} between lower quartiles"
+        f" ({low:.0f} / {other_low:.0f} us)"
+    )
+
+
 def main() -> None:
     """Print one table."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=0.3)
+    parser.add_argument("--seconds", type=float, default=0.1)
     parser.add_argument("--log-level", default="info")
+    parser.add_argument("--baseline", type=Path, help="a checkout to compare with")
     arguments = parser.parse_args()
-    with open_targets(arguments.log_level) as targets:
+    with open_targets(arguments.log_level, arguments.baseline) as targets:
         trio.run(measure, targets, arguments.seconds)
     show(targets)
 
