Leave slots of a shared pool free for services that a flood would crowd out

Cause: a service over its fair share left places of the entry host free, but took every slot of the pool it shares: a neighbour's request waited for one to end. Tests: has_room became pool_room, and three tests that used it ask the same of it; four new ones hold when slots are left and when not.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -12,7 +12,7 @@
 from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.entries import Service
 from rhubarbmount.hosts import Host, Shape
-from rhubarbmount.limits import Admission, AdmissionCode, Limiter
+from rhubarbmount.limits import Admission, AdmissionCode, Limiter, PoolRoom
 from rhubarbmount.retries import (
     AttemptFacts,
     Ending,
@@ -239,7 +239,7 @@
             )
             view.update_hosts([w.host for w in world.workers.values()], 0.0)
             self.views[pool] = view
-        self.limiter = Limiter(total, generator=world.policy, has_room=self._has_room)
+        self.limiter = Limiter(total, generator=world.policy, pool_room=self._pool_room)
         self.limiter.update_services(services, members.members(), members.own_id)
         self._tick()
 
@@ -283,9 +283,8 @@
         self.limiter.admit_waiting(self.world.clock.now_s)
         self.world.clock.after(0.1, self._tick)
 
-    def _has_room(self, service: str, now_s: float) -> bool:
-        view = self.views[self.services[service].pool]
-        return view.has_room(now_s)
+    def _pool_room(self, service: str, now_s: float) -> PoolRoom:
+        return self.views[self.services[service].pool].room(now_s)
 
     def _refuse(self, request: Request, code: str, retry_after_s: int | None) -> None:
         totals = self.world.totals
--- a/rhubarbmount/limits.py
+++ b/rhubarbmount/limits.py
@@ -11,10 +11,12 @@
 from rhubarbmount.entries import Service, WorkClass
 from rhubarbmount.shares import share_of
 
-__all__ = ["Admission", "AdmissionCode", "Limiter", "Waiting"]
+__all__ = ["Admission", "AdmissionCode", "Limiter", "PoolRoom", "Waiting"]
 
 WEIGHT_BY_CLASS = {WorkClass.URGENT: 8, WorkClass.NORMAL: 4, WorkClass.BATCH: 1}
 HEADROOM_SHARE = 0.1
+POOL_HEADROOM_ROOTS = 0.5
+ACTIVE_S = 10.0
 DURATION_WEIGHT = 0.05
 RETRY_AFTER_LIMIT_S = 30
 RETRY_AFTER_SPREAD_S = 2
@@ -57,11 +59,23 @@
     retry_after_s: int | None = None
 
 
+@attrs.frozen
+class PoolRoom:
+    """An entry host's slots in a pool: all of them, and those free."""
+
+    total: int
+    free: int
+
+
+UNBOUNDED = PoolRoom(2**30, 2**30)
+
+
 @attrs.define
 class ServiceLimit:
     """One service's limits and use on this entry host."""
 
     name: str
+    pool: str = ""
     weight: int = 1
     concurrency: int = 1
     queue_length: int = 0
@@ -69,8 +83,13 @@
     running: int = 0
     queued: int = 0
     duration_s: float = 0.0
+    offered_s: float = -math.inf
     queue: deque[Waiting] = attrs.field(factory=deque)
 
+    def is_active(self, now_s: float) -> bool:
+        """Tell whether requests run, wait or came a short time ago."""
+        return bool(self.running or self.queued) or now_s - self.offered_s < ACTIVE_S
+
     def wait_s(self) -> float:
         """Return the expected wait of a request that joins the queue now."""
         if self.running == 0:
@@ -82,8 +101,9 @@
     """Admit requests to one entry host, at most ``total`` at a time.
 
     Room goes to the waiting service that uses the least for its weight. A service
-    over its fair share leaves a tenth of the total free for the others.
-    ``has_room`` tells whether a service's pool has a slot free at a time.
+    over its fair share leaves a tenth of the total free for the others, and half the
+    square root of its pool's slots for the other services that use the pool.
+    ``pool_room`` tells the slots of a service's pool at a time.
     """
 
     def __init__(
@@ -91,14 +111,14 @@
         total: int,
         *,
         generator: random.Random,
-        has_room: Callable[[str, float], bool] = lambda service, now_s: True,
+        pool_room: Callable[[str, float], PoolRoom] = lambda service, now_s: UNBOUNDED,
     ) -> None:
         self.total = total
         self.headroom = max(1, int(total * HEADROOM_SHARE))
         self.running = 0
         self.by_service: dict[str, ServiceLimit] = {}
         self._weights = 0
-        self._has_room = has_room
+        self._pool_room = pool_room
         self._generator = generator
 
     def update_services(
@@ -126,6 +146,7 @@
         limit = self.by_service.get(service)
         if limit is None:
             return Admission(AdmissionCode.UNKNOWN_SERVICE)
+        limit.offered_s = now_s
         if limit.queued == 0 and self._may_run(limit, now_s):
             return self._admit(limit)
         if limit.queued >= limit.queue_length:
@@ -222,7 +243,22 @@
         fair_share = self.total * limit.weight / self._weights
         if limit.running >= fair_share and free <= self.headroom:
             return False
-        return self._has_room(limit.name, now_s)
+        return self._may_use_pool(limit, now_s)
+
+    def _may_use_pool(self, limit: ServiceLimit, now_s: float) -> bool:
+        room = self._pool_room(limit.name, now_s)
+        headroom = math.ceil(POOL_HEADROOM_ROOTS * math.sqrt(room.total))
+        if room.free > headroom:
+            return True
+        if room.free <= 0:
+            return False
+        weights = sum(
+            other.weight
+            for other in self.by_service.values()
+            if other.pool == limit.pool and other.is_active(now_s)
+        )
+        alone = weights <= limit.weight
+        return alone or limit.running < room.total * limit.weight / weights
 
     def _refuse(self, limit: ServiceLimit, code: AdmissionCode) -> Admission:
         wait_s = math.ceil(limit.wait_s()) + self._generator.randrange(
@@ -237,6 +273,7 @@
         if limit is None:
             limit = ServiceLimit(service.name)
             self.by_service[service.name] = limit
+        limit.pool = service.pool
         limit.weight = WEIGHT_BY_CLASS[service.work_class]
         limit.concurrency = _at_least_one(service.concurrency, members, own_id)
         limit.queue_length = _at_least_one(service.queue_length, members, own_id)
--- a/rhubarbmount/request_policy.py
+++ b/rhubarbmount/request_policy.py
@@ -8,13 +8,15 @@
 
 from rhubarbmount.entries import Pool, Service
 from rhubarbmount.hosts import Host
-from rhubarbmount.limits import Limiter
+from rhubarbmount.limits import Limiter, PoolRoom
 from rhubarbmount.retries import RetryBudget
 from rhubarbmount.routing import PoolView
 from rhubarbmount.shares import EntryHosts
 
 __all__ = ["RequestPolicy"]
 
+NO_ROOM = PoolRoom(0, 0)
+
 
 @attrs.define(eq=False)
 class RequestPolicy:
@@ -34,7 +36,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.limiter = Limiter(
-            self.max_in_flight, generator=self.generator, has_room=self._has_room
+            self.max_in_flight, generator=self.generator, pool_room=self._pool_room
         )
 
     def update_catalogue(
@@ -128,6 +130,8 @@
         members = self.entry_hosts.members()
         self.limiter.update_services(services, members, self.entry_hosts.own_id)
 
-    def _has_room(self, service_name: str, now_s: float) -> bool:
+    def _pool_room(self, service_name: str, now_s: float) -> PoolRoom:
         service = self.service_by_name.get(service_name)
-        return service is not None and self._view(service.pool).has_room(now_s)
+        if service is None:
+            return NO_ROOM
+        return self._view(service.pool).room(now_s)
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -12,6 +12,7 @@
 from rhubarbmount.health import PoolHealth
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.latency import MeanLatency
+from rhubarbmount.limits import PoolRoom
 from rhubarbmount.shares import EntryHosts, share_of
 from rhubarbmount.strategies import Backend, strategies
 from rhubarbmount.zones import Zone
@@ -76,6 +77,8 @@
         self._due: list[tuple[float, str]] = []
         self._members_by_data_centre: dict[str, tuple[list[str], list[str]]] = {}
         self._started = False
+        self._slots = 0
+        self._in_flight = 0
 
     def update_hosts(self, hosts: Iterable[Host], now_s: float) -> None:
         """Take over the pool's rows: hosts not among them leave the view."""
@@ -112,10 +115,12 @@
         for host_id, backend in self.by_host_id.items():
             backend.peers_in_flight = by_host_id.get(host_id, 0)
 
-    def has_room(self, now_s: float) -> bool:
-        """Tell whether a request could be placed now."""
+    def room(self, now_s: float) -> PoolRoom:
+        """Return the slots that this entry host may use now, and those free."""
         self._wake(now_s)
-        return bool(self._local.available or self._remote.available)
+        if not self._local.available and not self._remote.available:
+            return PoolRoom(self._slots, 0)
+        return PoolRoom(self._slots, max(1, self._slots - self._in_flight))
 
     def in_service(self) -> int:
         """Return the number of hosts that take new work by their row."""
@@ -123,7 +128,7 @@
 
     def slots(self) -> int:
         """Return this entry host's share of the slots now in use or free."""
-        return sum(backend.limit for backend in self.by_host_id.values())
+        return self._slots
 
     def choose(self, now_s: float, tried: Collection[str] = ()) -> RouteDecision:
         """Choose a backend server and count the request as in flight there."""
@@ -132,6 +137,7 @@
         backend, reason = self._choose(now_s, tried)
         if backend is not None:
             backend.own_in_flight += 1
+            self._in_flight += 1
             if backend.own_in_flight >= backend.limit:
                 self._zone(backend).drop(backend)
         return RouteDecision(backend, reason, available)
@@ -150,6 +156,7 @@
         Give the latency of attempts that got an answer or timed out.
         """
         backend.own_in_flight -= 1
+        self._in_flight -= 1
         if self.by_host_id.get(backend.host.host_id) is not backend:
             return None
         change = self.health.record(
@@ -255,6 +262,7 @@
         zone = self._zone(backend)
         limit = backend.health.cap(backend.share)
         zone.serving += (limit > 0) - (backend.limit > 0)
+        self._slots += limit - backend.limit
         backend.limit = limit
         zone.place(backend)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.entries import Service, WorkClass
-from rhubarbmount.limits import AdmissionCode, Limiter
+from rhubarbmount.limits import AdmissionCode, Limiter, PoolRoom
 
 exact = settings(derandomize=True, deadline=None, database=None)
 ADMITTED, QUEUED = AdmissionCode.ADMITTED, AdmissionCode.QUEUED
@@ -122,7 +122,9 @@
         service("night", concurrency=500, queue_length=500, work_class=WorkClass.BATCH),
     ]
     limiter = open_limiter(
-        services, total=1000, has_room=lambda name, now_s: limiter.running < 20
+        services,
+        total=1000,
+        pool_room=lambda name, now_s: PoolRoom(20, 20 - limiter.running),
     )
     callers = Callers(limiter)
     callers.flood("night", 400)
@@ -136,10 +138,57 @@
     assert night.running == 4
 
 
+def open_shared_pool(pool_of_quotes="shared"):
+    """Return a limiter whose service ``parts`` floods a pool of 20 slots."""
+    services = [service("quotes", pool=pool_of_quotes)]
+    limits = {"concurrency": 500, "queue_length": 500, "queue_timeout_ms": 60_000}
+    services.append(service("parts", pool="shared", **limits))
+    limiter = open_limiter(
+        services,
+        total=1000,
+        pool_room=lambda name, now_s: PoolRoom(
+            20, 20 - limiter.by_service["parts"].running
+        ),
+    )
+    return Callers(limiter)
+
+
+def test_a_flood_leaves_slots_of_its_pool_free_for_a_service_that_is_active():
+    callers = open_shared_pool()
+    assert callers.offer("quotes").code is ADMITTED
+    callers.limiter.finish("quotes", 0.0, 0.1)
+    callers.flood("parts", 100)
+    assert callers.limiter.by_service["parts"].running == 17
+
+
+def test_a_flood_uses_its_whole_pool_when_no_other_service_is_active():
+    callers = open_shared_pool()
+    callers.flood("parts", 100)
+    assert callers.limiter.by_service["parts"].running == 20
+
+
+def test_slots_are_not_left_free_for_a_service_of_another_pool():
+    callers = open_shared_pool(pool_of_quotes="other")
+    assert callers.offer("quotes").code is ADMITTED
+    callers.flood("parts", 100)
+    assert callers.limiter.by_service["parts"].running == 20
+
+
+def test_slots_left_free_are_used_some_time_after_the_last_request_of_the_others():
+    callers = open_shared_pool()
+    callers.offer("quotes")
+    callers.limiter.finish("quotes", 0.0, 0.1)
+    callers.flood("parts", 100)
+    callers.limiter.admit_waiting(9.0)
+    assert callers.limiter.by_service["parts"].running == 17
+    callers.limiter.admit_waiting(11.0)
+    assert callers.limiter.by_service["parts"].running == 20
+
+
 def test_a_full_pool_holds_only_its_own_services_back():
     limiter = open_limiter(
         [service("quotes"), service("parts")],
-        has_room=lambda name, now_s: name == "parts",
+        pool_room=lambda name, now_s: PoolRoom(20, 20 if name == "parts" else 0),
     )
     callers = Callers(limiter)
     assert callers.offer("quotes").code is QUEUED
