Let a slow backend server hold few requests, and rest, where ejection is not allowed

Cause: with one of eight workers five times slower and no ejection allowed, the choice avoids it until the others are full, and then it gets 2.5% of the requests at 0.7 of the capacity: more than the hundredth that a p99 bears. A server at least twice as slow as the others after ten results now holds its share of slots over the square of its slowness. The count of results before a server is slow stood in two modules; it stands in one.

--- a/rhubarbmount/backend_health.py
+++ b/rhubarbmount/backend_health.py
@@ -15,6 +15,8 @@
 SOUND_SUCCESS_RATE = 0.95
 FADE_S = 10.0
 EJECT_SLOW_AFTER_RESULTS = 10
+CAP_SLOWNESS = 2.0
+REST_LIMIT_S = 2.0
 GUARD_RECOVERY_S = 1.0
 SLOW_START_S = 10.0
 SLOW_START_FLOOR = 0.1
@@ -66,7 +68,8 @@
 
     ``guard_limit`` is the number of requests in flight above which its guard
     refused. ``probing`` allows one request at a time until one succeeds. ``leaving``
-    holds while it sits out by its own word.
+    holds while it sits out by its own word. ``rest_until_s`` is set while a slow one
+    gets no work, so that its few requests are spread over time.
     """
 
     host_id: str
@@ -85,6 +88,7 @@
     guard_limit: int | None = None
     suspect: bool = False
     leaving: bool = False
+    rest_until_s: float | None = None
 
     def start_slowly(self, now_s: float) -> None:
         """Begin the slow start at this time."""
@@ -110,23 +114,47 @@
         return (slowness / success) ** 2 / max(ramp, SLOW_START_FLOOR)
 
     def cap(self, limit: int) -> int:
-        """Return how many of the limit's requests this backend server may hold."""
-        if self.out_until_s is not None:
+        """Return how many of the limit's requests this backend server may hold.
+
+        A slow one holds fewer, as each stays longer.
+        """
+        if self.out_until_s is not None or self.rest_until_s is not None:
             return 0
         if self.probing:
             return min(limit, 1)
         if self.guard_limit is not None:
-            return min(limit, self.guard_limit)
+            limit = min(limit, self.guard_limit)
+        if self._is_slow() and limit > 1:
+            return max(1, int(limit / self.relative_slowness**2))
         return limit
 
+    def rest(self, now_s: float, latency_s: float, share: int) -> None:
+        """Let a slow one rest after a request when even one at a time is too many.
+
+        It would hold less than one request for its share of slots over the square of
+        its slowness.
+        """
+        held = share / self.relative_slowness**2
+        if self._is_slow() and held < 1.0:
+            pause_s = min(latency_s * (1.0 / held - 1.0), REST_LIMIT_S)
+            self.rest_until_s = now_s + pause_s
+
+    def _is_slow(self) -> bool:
+        slow = self.relative_slowness >= CAP_SLOWNESS
+        return self.suspect and slow and self.results >= EJECT_SLOW_AFTER_RESULTS
+
     def due_s(self) -> float | None:
         """Return when ``wake`` is next to be called, if at all."""
         if self.out_until_s is not None:
             return self.out_until_s
+        if self.rest_until_s is not None:
+            return self.rest_until_s
         return self.raise_s if self.guard_limit is not None else None
 
     def wake(self, now_s: float, share: int) -> None:
-        """Do what has come due: probe again, or raise the guard limit by one."""
+        """Do what has come due: probe, end a rest, or raise the guard limit by one."""
+        if self.rest_until_s is not None and self.rest_until_s <= now_s:
+            self.rest_until_s = None
         if self.out_until_s is not None and self.out_until_s <= now_s:
             self.out_until_s = None
             self.probing = True
--- a/rhubarbmount/health.py
+++ b/rhubarbmount/health.py
@@ -3,6 +3,7 @@
 import attrs
 
 from rhubarbmount.backend_health import (
+    EJECT_SLOW_AFTER_RESULTS,
     GUARD_RECOVERY_S,
     AttemptResult,
     BackendHealth,
@@ -16,7 +17,6 @@
 EJECT_AFTER_RESULTS = 5
 EJECT_MARGIN = 0.3
 EJECT_SLOWNESS = 2.5
-EJECT_SLOW_AFTER_RESULTS = 10
 EJECTION_S = 5.0
 EJECTION_LIMIT_S = 60.0
 UNREACHABLE_S = 0.5
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -166,8 +166,10 @@
             slowness=self._slowness(service, result, latency_s, now_s),
             others_in_flight=backend.own_in_flight,
         )
-        if change is not None:
-            self._schedule(backend)
+        others_serve = self._local.serving + self._remote.serving > 1
+        if latency_s is not None and others_serve and backend.share:
+            backend.health.rest(now_s, latency_s, backend.share)
+        self._schedule(backend)
         self._settle(backend)
         return change
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -182,3 +182,41 @@
     pool.record(rare, SUCCESS, 60.0, slowness=1.0)
     assert pool.absent == set()
     assert rare.penalty(60.0) == 1.0
+
+
+def open_pool_with_a_slow_member(slowness, hosts_down_limit=0):
+    """Return a pool of eight whose first member is this many times slower."""
+    pool, members = open_pool(8, hosts_down_limit)
+    for _ in range(40):
+        for health in members[1:]:
+            pool.record(health, SUCCESS, 0.0, slowness=1.0)
+        pool.record(members[0], SUCCESS, 0.0, slowness=slowness)
+    return pool, members[0]
+
+
+def test_a_slow_member_that_may_not_be_ejected_holds_fewer_requests():
+    pool, slow = open_pool_with_a_slow_member(3.0)
+    assert pool.absent == set()
+    assert slow.cap(64) in (7, 8)
+    assert slow.cap(2) == 1
+
+
+def test_a_slow_member_rests_between_requests_when_one_at_a_time_is_too_many():
+    _, slow = open_pool_with_a_slow_member(5.0)
+    slow.rest(10.0, 0.1, 2)
+    assert slow.cap(2) == 0
+    assert 11.0 < slow.due_s() <= 12.0
+    slow.wake(slow.due_s(), 2)
+    assert slow.cap(2) == 1
+
+
+def test_the_rest_of_a_slow_member_has_a_bound():
+    _, slow = open_pool_with_a_slow_member(9.0)
+    slow.rest(10.0, 5.0, 1)
+    assert slow.due_s() == 12.0
+
+
+def test_a_member_that_is_as_fast_as_the_others_does_not_rest():
+    _, even = open_pool_with_a_slow_member(1.2)
+    even.rest(10.0, 5.0, 2)
+    assert even.cap(2) == 2
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -310,3 +310,24 @@
         assert backend.own_in_flight == held.count(backend)
     serving = sum(backend.limit > 0 for backend in view.by_host_id.values())
     assert serving == view._local.serving + view._remote.serving
+
+
+def serve(view, slow_id, end_s, step_s=0.02):
+    """Serve one request after another; the slow one takes five times as long."""
+    taken = Counter()
+    for step in range(int(end_s / step_s)):
+        decision = view.choose(step * step_s)
+        host_id = decision.backend.host.host_id
+        taken[host_id] += 1
+        latency_s = 0.25 if host_id == slow_id else 0.05
+        answer(view, decision, step * step_s, SUCCESS, latency_s)
+    return taken
+
+
+def test_the_only_host_that_serves_gets_work_however_slow_it_was():
+    view = open_view([host("w1"), host("w2")], hosts_down_limit=0)
+    serve(view, "w1", 4.0)
+    view.update_host(host("w2", state=HostState.DRAINING), 4.0)
+    for step in range(20):
+        now_s = 6.0 + step * 0.1
+        answer(view, view.choose(now_s), now_s, SUCCESS, 0.25)
