--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -58,12 +58,6 @@
         self._second = 0
         self._prefix = ""
 
-    def format(self, record: logging.LogRecord) -> str:
-        """Return one line, and the traceback if there is one."""
-        if record.args or record.exc_info or record.stack_info:
-            return super().format(record)
-        return f"time={self.formatTime(record)} level={record.levelname} {record.msg}"
-
     def formatTime(  # noqa: N802
         self, record: logging.LogRecord, datefmt: str | None = None
     ) -> str:
