--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -13,7 +13,7 @@
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.latency import MeanLatency
 from rhubarbmount.limits import PoolRoom
-from rhubarbmount.shares import EntryHosts, share_of
+from rhubarbmount.shares import EntryHosts, SlotShares
 from rhubarbmount.strategies import Backend, strategies
 from rhubarbmount.zones import Zone
 
@@ -66,7 +66,7 @@
     ) -> None:
         self.pool = pool
         self.entry_hosts = entry_hosts
-        self.spill_share = spill_share
+        self._shares = SlotShares(entry_hosts, spill_share)
         self.health = PoolHealth(hosts_down_limit)
         self.by_host_id: dict[str, Backend] = {}
         self.latency_by_service: dict[str, MeanLatency] = defaultdict(MeanLatency)
@@ -75,7 +75,6 @@
         self._remote = Zone(make_strategy(generator), generator)
         self._leaving: frozenset[str] = frozenset()
         self._due: list[tuple[float, str]] = []
-        self._members_by_data_centre: dict[str, tuple[list[str], list[str]]] = {}
         self._started = False
         self._slots = 0
         self._in_flight = 0
@@ -107,7 +106,7 @@
     def set_entry_hosts(self, entry_hosts: EntryHosts) -> None:
         """Divide the slots anew among the entry hosts that are live."""
         self.entry_hosts = entry_hosts
-        self._members_by_data_centre.clear()
+        self._shares = SlotShares(entry_hosts, self._shares.spill_share)
         self._divide_slots()
 
     def set_peers_in_flight(self, by_host_id: Mapping[str, int]) -> None:
@@ -257,7 +256,8 @@
             self._divide(backend)
 
     def _divide(self, backend: Backend) -> None:
-        backend.share = self._share(backend.host) if self._serves(backend) else 0
+        serves = self._serves(backend)
+        backend.share = self._shares.slots_of(backend.host) if serves else 0
         self._settle(backend)
 
     def _settle(self, backend: Backend) -> None:
@@ -272,23 +272,6 @@
         serving = sum(map(self._serves, self.by_host_id.values()))
         self.health.hosts_down = len(self.by_host_id) - serving
 
-    def _share(self, host: Host) -> int:
-        near, far = self._members(host.data_centre)
-        own_id = self.entry_hosts.own_id
-        spill = int(host.slots * self.spill_share) if near else host.slots
-        if own_id in far:
-            return share_of(spill, far, own_id, host.host_id)
-        reserved = spill if far else 0
-        return share_of(host.slots - reserved, near, own_id, host.host_id)
-
-    def _members(self, data_centre: str) -> tuple[list[str], list[str]]:
-        members = self._members_by_data_centre.get(data_centre)
-        if members is None:
-            near = self.entry_hosts.near(data_centre)
-            members = (near, self.entry_hosts.far(data_centre))
-            self._members_by_data_centre[data_centre] = members
-        return members
-
     def _schedule(self, backend: Backend) -> None:
         due_s = backend.health.due_s()
         if due_s is not None and not backend.scheduled:
--- a/rhubarbmount/shares.py
+++ b/rhubarbmount/shares.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-__all__ = ["EntryHosts", "share_of"]
+from rhubarbmount.hosts import Host
+
+__all__ = ["EntryHosts", "SlotShares", "share_of"]
 
 
 def share_of(total: int, members: Sequence[str], member: str, item: str) -> int:
@@ -46,3 +48,36 @@
         if entry_host == self.own_id:
             return self.data_centre
         return self.data_centre_by_id[entry_host]
+
+
+@attrs.define
+class SlotShares:
+    """One entry host's shares of the slots of backend servers.
+
+    ``spill_share`` is the part of the slots that is kept for the entry hosts of other
+    data centres. It goes to those of the own data centre when there are no others.
+    """
+
+    entry_hosts: EntryHosts
+    spill_share: float
+    _members_by_data_centre: dict[str, tuple[list[str], list[str]]] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def slots_of(self, host: Host) -> int:
+        """Return how many of the host's slots this entry host may use."""
+        near, far = self._members(host.data_centre)
+        own_id = self.entry_hosts.own_id
+        spill = int(host.slots * self.spill_share) if near else host.slots
+        if own_id in far:
+            return share_of(spill, far, own_id, host.host_id)
+        reserved = spill if far else 0
+        return share_of(host.slots - reserved, near, own_id, host.host_id)
+
+    def _members(self, data_centre: str) -> tuple[list[str], list[str]]:
+        members = self._members_by_data_centre.get(data_centre)
+        if members is None:
+            near = self.entry_hosts.near(data_centre)
+            members = (near, self.entry_hosts.far(data_centre))
+            self._members_by_data_centre[data_centre] = members
+        return members
