Send nothing once the deadline has passed

Before, the checkpoint kept it back, but it was told as unknown though no byte had left. First failed: tests/test_attempts.py, at: the backend server ran the request. Now it ends as not-run, and says nothing about the backend server's health.

--- a/rhubarbmount/attempts.py
+++ b/rhubarbmount/attempts.py
@@ -54,6 +54,8 @@
 
     def result(self) -> AttemptResult:
         """Return what the attempt says about the backend server's health."""
+        if self.facts.ending is Ending.CANCELLED:
+            return AttemptResult.CANCELLED
         if not self.facts.bytes_left:
             return AttemptResult.UNREACHABLE
         if self.leaving:
@@ -80,7 +82,12 @@
     request: HttpRequest,
     deadline_s: float,
 ) -> Attempt:
-    """Send a request to a backend server and wait for its whole answer."""
+    """Send a request to a backend server and wait for its whole answer.
+
+    Nothing is sent after the deadline.
+    """
+    if trio.current_time() >= deadline_s:
+        return _timed_out(AttemptFacts(Ending.CANCELLED, bytes_left=False))
     progress = Progress()
     response = None
     try:
@@ -94,11 +101,14 @@
         ending = Ending.CONNECTION_LOST if lost else Ending.BROKEN_ANSWER
         return Attempt(AttemptFacts(ending), None, error.code, error.message)
     if response is None:
-        facts = AttemptFacts(Ending.TIMED_OUT, progress.bytes_left)
-        return Attempt(facts, None, "timeout", "no answer in time")
+        return _timed_out(AttemptFacts(Ending.TIMED_OUT, progress.bytes_left))
     return _answered(response)
 
 
+def _timed_out(facts: AttemptFacts) -> Attempt:
+    return Attempt(facts, None, "timeout", "no answer in time")
+
+
 def _answered(response: HttpResponse) -> Attempt:
     if response.status == GUARD_STATUS:
         if GUARD_LEAVING in response.headers:
