--- a/bench/path_load.py
+++ b/bench/path_load.py
@@ -279,16 +279,16 @@
 
 
 def main() -> None:
-    """Print the ratios of the cases named, or of all."""
+    """Print the ratios of all cases, or of those named."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("cases", nargs="*", choices=[*CASES, []], default=[])
+    parser.add_argument("--only", choices=list(CASES), action="append")
     parser.add_argument("--seconds", type=float, default=20.0)
     arguments = parser.parse_args()
     print(
         f"{WORKERS} workers of {SLOTS} slots, {SERVICE_TIME_S * 1000:.0f} ms a request,"
         f" {CAPACITY_PER_S:.0f} requests/s in all, {len(ENTRY_HOSTS)} entry hosts"
     )
-    for name in arguments.cases or CASES:
+    for name in arguments.only or CASES:
         print(f"\n{name}")
         CASES[name](arguments.seconds)
 
