--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -123,14 +123,24 @@
         assert await listener.stop(timeout_s=0.05) == 1
 
 
-async def test_a_stop_serves_a_request_that_has_arrived_and_was_not_read_yet():
+@pytest.mark.parametrize("arrived", [10, 30])
+async def test_a_stop_serves_a_request_that_has_arrived_and_was_not_read_yet(arrived):
+    request = b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n"
+    answers = []
+
+    async def send_the_rest(stream):
+        await trio.sleep(0.1)
+        await stream.send_all(request[arrived:])
+        answers.append(await stream.receive_some())
+
     async with open_listener(Listener("t", echo, LIMITS), "127.0.0.1", 0) as listener:
         async with trio.open_nursery() as nursery:
             stream = await trio.open_tcp_stream("127.0.0.1", listener.port)
             await trio.sleep(0.05)
-            await stream.send_all(b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n")
-            nursery.start_soon(listener.stop, 1)
-            assert b"/late" in await stream.receive_some()
+            await stream.send_all(request[:arrived])
+            nursery.start_soon(send_the_rest, stream)
+            await listener.stop(timeout_s=1)
+    assert b"/late" in answers[0]
 
 
 async def test_an_idle_connection_is_ended_after_the_limit():
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -312,22 +312,30 @@
     assert serving == view._local.serving + view._remote.serving
 
 
-def serve(view, slow_id, end_s, step_s=0.02):
-    """Serve one request after another; the slow one takes five times as long."""
-    taken = Counter()
-    for step in range(int(end_s / step_s)):
-        decision = view.choose(step * step_s)
-        host_id = decision.backend.host.host_id
-        taken[host_id] += 1
-        latency_s = 0.25 if host_id == slow_id else 0.05
-        answer(view, decision, step * step_s, SUCCESS, latency_s)
-    return taken
-
-
-def test_the_only_host_that_serves_gets_work_however_slow_it_was():
-    view = open_view([host("w1"), host("w2")], hosts_down_limit=0)
-    serve(view, "w1", 4.0)
+def answer_all(view, now_s, slow_id):
+    """Fill all slots and answer: the slow host takes five times as long."""
+    for decision in take_all(view, now_s)[0]:
+        slow = decision.backend.host.host_id == slow_id
+        answer(view, decision, now_s, SUCCESS, 0.25 if slow else 0.05)
+
+
+def open_view_with_a_slow_host():
+    hosts = [host("w1", slots=2), host("w2", slots=2)]
+    view = open_view(hosts, hosts_down_limit=0)
+    for step in range(40):
+        answer_all(view, step * 0.1, "w1")
+    return view
+
+
+def test_a_slow_host_rests_while_another_serves():
+    view = open_view_with_a_slow_host()
+    chosen = {decision.backend.host.host_id for decision in take_all(view, 3.9)[0]}
+    assert chosen == {"w2"}
+
+
+def test_the_only_host_that_serves_gets_work_however_slow_it_is():
+    view = open_view_with_a_slow_host()
     view.update_host(host("w2", state=HostState.DRAINING), 4.0)
     for step in range(20):
-        now_s = 6.0 + step * 0.1
+        now_s = 7.0 + step * 0.1
         answer(view, view.choose(now_s), now_s, SUCCESS, 0.25)
