--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -12,7 +12,7 @@
 from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.entries import Service
 from rhubarbmount.hosts import Host, Shape
-from rhubarbmount.limits import Admission, AdmissionCode, Limiter
+from rhubarbmount.limits import Admission, AdmissionCode, Limiter, PoolRoom
 from rhubarbmount.retries import (
     AttemptFacts,
     Ending,
@@ -80,6 +80,7 @@
     deadline_s: float
     attempts: int = 0
     resends: int = 0
+    unplaced: bool = True
     tried: list[str] = attrs.field(factory=list)
 
 
@@ -239,7 +240,7 @@
             )
             view.update_hosts([w.host for w in world.workers.values()], 0.0)
             self.views[pool] = view
-        self.limiter = Limiter(total, generator=world.policy, has_room=self._has_room)
+        self.limiter = Limiter(total, generator=world.policy, pool_room=self._pool_room)
         self.limiter.update_services(services, members.members(), members.own_id)
         self._tick()
 
@@ -283,9 +284,8 @@
         self.limiter.admit_waiting(self.world.clock.now_s)
         self.world.clock.after(0.1, self._tick)
 
-    def _has_room(self, service: str, now_s: float) -> bool:
-        view = self.views[self.services[service].pool]
-        return view.has_room(now_s)
+    def _pool_room(self, service: str, now_s: float) -> PoolRoom:
+        return self.views[self.services[service].pool].room(now_s)
 
     def _refuse(self, request: Request, code: str, retry_after_s: int | None) -> None:
         totals = self.world.totals
@@ -299,6 +299,9 @@
         now_s = world.clock.now_s
         view = self.views[self.services[request.service].pool]
         decision = view.choose(now_s, request.tried)
+        if request.unplaced:
+            self.limiter.place(request.service)
+            request.unplaced = False
         if decision.backend is None:
             self._put_back(request)
             return
@@ -312,6 +315,7 @@
 
     def _put_back(self, request: Request) -> None:
         request.tried.clear()
+        request.unplaced = True
         admission = self.limiter.put_back(
             request.service,
             self.world.clock.now_s,
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -12,7 +12,8 @@
 from rhubarbmount.health import PoolHealth
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.latency import MeanLatency
-from rhubarbmount.shares import EntryHosts, share_of
+from rhubarbmount.limits import PoolRoom
+from rhubarbmount.shares import EntryHosts, SlotShares
 from rhubarbmount.strategies import Backend, strategies
 from rhubarbmount.zones import Zone
 
@@ -65,7 +66,7 @@
     ) -> None:
         self.pool = pool
         self.entry_hosts = entry_hosts
-        self.spill_share = spill_share
+        self._shares = SlotShares(entry_hosts, spill_share)
         self.health = PoolHealth(hosts_down_limit)
         self.by_host_id: dict[str, Backend] = {}
         self.latency_by_service: dict[str, MeanLatency] = defaultdict(MeanLatency)
@@ -74,8 +75,9 @@
         self._remote = Zone(make_strategy(generator), generator)
         self._leaving: frozenset[str] = frozenset()
         self._due: list[tuple[float, str]] = []
-        self._members_by_data_centre: dict[str, tuple[list[str], list[str]]] = {}
         self._started = False
+        self._slots = 0
+        self._in_flight = 0
 
     def update_hosts(self, hosts: Iterable[Host], now_s: float) -> None:
         """Take over the pool's rows: hosts not among them leave the view."""
@@ -104,7 +106,7 @@
     def set_entry_hosts(self, entry_hosts: EntryHosts) -> None:
         """Divide the slots anew among the entry hosts that are live."""
         self.entry_hosts = entry_hosts
-        self._members_by_data_centre.clear()
+        self._shares = SlotShares(entry_hosts, self._shares.spill_share)
         self._divide_slots()
 
     def set_peers_in_flight(self, by_host_id: Mapping[str, int]) -> None:
@@ -112,10 +114,12 @@
         for host_id, backend in self.by_host_id.items():
             backend.peers_in_flight = by_host_id.get(host_id, 0)
 
-    def has_room(self, now_s: float) -> bool:
-        """Tell whether a request could be placed now."""
+    def room(self, now_s: float) -> PoolRoom:
+        """Return the slots that this entry host may use now, and those free."""
         self._wake(now_s)
-        return bool(self._local.available or self._remote.available)
+        if not self._local.available and not self._remote.available:
+            return PoolRoom(self._slots, 0)
+        return PoolRoom(self._slots, max(1, self._slots - self._in_flight))
 
     def in_service(self) -> int:
         """Return the number of hosts that take new work by their row."""
@@ -123,7 +127,7 @@
 
     def slots(self) -> int:
         """Return this entry host's share of the slots now in use or free."""
-        return sum(backend.limit for backend in self.by_host_id.values())
+        return self._slots
 
     def choose(self, now_s: float, tried: Collection[str] = ()) -> RouteDecision:
         """Choose a backend server and count the request as in flight there."""
@@ -132,6 +136,7 @@
         backend, reason = self._choose(now_s, tried)
         if backend is not None:
             backend.own_in_flight += 1
+            self._in_flight += 1
             if backend.own_in_flight >= backend.limit:
                 self._zone(backend).drop(backend)
         return RouteDecision(backend, reason, available)
@@ -150,6 +155,7 @@
         Give the latency of attempts that got an answer or timed out.
         """
         backend.own_in_flight -= 1
+        self._in_flight -= 1
         if self.by_host_id.get(backend.host.host_id) is not backend:
             return None
         change = self.health.record(
@@ -159,8 +165,10 @@
             slowness=self._slowness(service, result, latency_s, now_s),
             others_in_flight=backend.own_in_flight,
         )
-        if change is not None:
-            self._schedule(backend)
+        others_serve = self._local.serving + self._remote.serving > 1
+        if latency_s is not None and others_serve and backend.share:
+            backend.health.rest(now_s, latency_s, backend.share)
+        self._schedule(backend)
         self._settle(backend)
         return change
 
@@ -248,13 +256,15 @@
             self._divide(backend)
 
     def _divide(self, backend: Backend) -> None:
-        backend.share = self._share(backend.host) if self._serves(backend) else 0
+        serves = self._serves(backend)
+        backend.share = self._shares.slots_of(backend.host) if serves else 0
         self._settle(backend)
 
     def _settle(self, backend: Backend) -> None:
         zone = self._zone(backend)
         limit = backend.health.cap(backend.share)
         zone.serving += (limit > 0) - (backend.limit > 0)
+        self._slots += limit - backend.limit
         backend.limit = limit
         zone.place(backend)
 
@@ -262,23 +272,6 @@
         serving = sum(map(self._serves, self.by_host_id.values()))
         self.health.hosts_down = len(self.by_host_id) - serving
 
-    def _share(self, host: Host) -> int:
-        near, far = self._members(host.data_centre)
-        own_id = self.entry_hosts.own_id
-        spill = int(host.slots * self.spill_share) if near else host.slots
-        if own_id in far:
-            return share_of(spill, far, own_id, host.host_id)
-        reserved = spill if far else 0
-        return share_of(host.slots - reserved, near, own_id, host.host_id)
-
-    def _members(self, data_centre: str) -> tuple[list[str], list[str]]:
-        members = self._members_by_data_centre.get(data_centre)
-        if members is None:
-            near = self.entry_hosts.near(data_centre)
-            members = (near, self.entry_hosts.far(data_centre))
-            self._members_by_data_centre[data_centre] = members
-        return members
-
     def _schedule(self, backend: Backend) -> None:
         due_s = backend.health.due_s()
         if due_s is not None and not backend.scheduled:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -245,7 +245,7 @@
 def test_a_pool_out_of_reach_is_probed_and_comes_back():
     view = open_view([host("w1")])
     answer(view, view.choose(0.0), 0.0, AttemptResult.UNREACHABLE, None)
-    assert not view.has_room(0.1)
+    assert view.room(0.1).free == 0
     assert view.choose(0.1).reason is RouteReason.ALL_OUT
     probe = view.choose(0.6)
     assert probe.backend is not None
@@ -310,3 +310,32 @@
         assert backend.own_in_flight == held.count(backend)
     serving = sum(backend.limit > 0 for backend in view.by_host_id.values())
     assert serving == view._local.serving + view._remote.serving
+
+
+def answer_all(view, now_s, slow_id):
+    """Fill all slots and answer: the slow host takes five times as long."""
+    for decision in take_all(view, now_s)[0]:
+        slow = decision.backend.host.host_id == slow_id
+        answer(view, decision, now_s, SUCCESS, 0.25 if slow else 0.05)
+
+
+def open_view_with_a_slow_host():
+    hosts = [host("w1", slots=2), host("w2", slots=2)]
+    view = open_view(hosts, hosts_down_limit=0)
+    for step in range(40):
+        answer_all(view, step * 0.1, "w1")
+    return view
+
+
+def test_a_slow_host_rests_while_another_serves():
+    view = open_view_with_a_slow_host()
+    chosen = {decision.backend.host.host_id for decision in take_all(view, 3.9)[0]}
+    assert chosen == {"w2"}
+
+
+def test_the_only_host_that_serves_gets_work_however_slow_it_is():
+    view = open_view_with_a_slow_host()
+    view.update_host(host("w2", state=HostState.DRAINING), 4.0)
+    for step in range(20):
+        now_s = 7.0 + step * 0.1
+        answer(view, view.choose(now_s), now_s, SUCCESS, 0.25)
