Take back the streams of our own, and bind again where a port is in use

A transport is left to its library even where that is slower; and an idle connection was ended by shutting its reading side after a check, so a request that came in between was lost.

--- a/rhubarbmount/http.py
+++ b/rhubarbmount/http.py
@@ -4,9 +4,11 @@
 all.
 """
 
+import select
 from collections.abc import Sequence
 
 import attrs
+import trio
 
 from rhubarbmount.errors import RhubarbmountError
 
@@ -19,6 +21,7 @@
     "HttpResponse",
     "NotSent",
     "READ_SIZE_BYTES",
+    "has_input",
     "header_value",
     "without_length",
 ]
@@ -83,6 +86,13 @@
     body: bytes = b""
 
 
+def has_input(stream: trio.SocketStream) -> bool:
+    """Tell whether a read would not block: data, the end or an error is there."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def header_value(headers: Headers, name: bytes) -> str | None:
     """Return the first value of a header, or None.
 
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -13,9 +13,9 @@
     HttpRequest,
     HttpResponse,
     NotSent,
+    has_input,
     without_length,
 )
-from rhubarbmount.tcp import TcpStream, connect_tcp
 
 __all__ = ["ClientConnection", "ConnectionPool", "connect"]
 
@@ -24,7 +24,7 @@
 class ClientConnection:
     """Sends requests and reads responses, one at a time, on one connection."""
 
-    stream: TcpStream
+    stream: trio.SocketStream
     body_bytes: int = 1048576
     reusable: bool = True
     was_reused: bool = False
@@ -53,7 +53,7 @@
 
     def is_quiet(self) -> bool:
         """Tell whether the idle connection is open with nothing left to read."""
-        return self.reusable and self.stream.is_quiet()
+        return self.reusable and not has_input(self.stream)
 
     async def aclose(self) -> None:
         """Close the connection without waiting for the peer."""
@@ -116,7 +116,7 @@
     """Open a connection. Raises NotSent."""
     try:
         with trio.fail_after(timeout_s):
-            stream = await connect_tcp(address, port)
+            stream = await trio.open_tcp_stream(address, port)
     except (OSError, trio.TooSlowError) as error:
         raise NotSent(f"can't connect to {address}:{port}: {error}") from None
     return ClientConnection(stream, body_bytes)
--- a/rhubarbmount/http_server.py
+++ b/rhubarbmount/http_server.py
@@ -13,6 +13,7 @@
     HttpLimits,
     HttpRequest,
     HttpResponse,
+    has_input,
     header_value,
     without_length,
 )
@@ -26,7 +27,7 @@
 class ServerConnection:
     """Reads requests and writes responses on one accepted connection."""
 
-    stream: trio.abc.HalfCloseableStream
+    stream: trio.SocketStream
     limits: HttpLimits
     _protocol: h11.Connection = attrs.field(init=False)
     _method: str = ""
@@ -36,14 +37,18 @@
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
 
-    async def wait_for_request(self) -> bool:
-        """Wait for the first byte of a request; return False at the end."""
+    async def wait_for_request(self, scope: trio.CancelScope | None = None) -> bool:
+        """Wait for the first byte of a request; return False at the end.
+
+        Cancelling the scope ends the wait, unless a request has arrived.
+        """
         if self._protocol.trailing_data[0]:
-            await trio.lowlevel.checkpoint()
             return True
-        data = await self._read()
-        self._protocol.receive_data(data)
-        return bool(data)
+        scope = trio.CancelScope() if scope is None else scope
+        scope.deadline = trio.current_time() + self.limits.idle_timeout_s
+        with scope:
+            return await self._read_more()
+        return has_input(self.stream) and await self._read_more()
 
     async def receive(self) -> HttpRequest | None:
         """Return the next whole request, or None when the peer has closed.
@@ -146,6 +151,11 @@
                 return event
             self._protocol.receive_data(await self._read())
 
+    async def _read_more(self) -> bool:
+        data = await self._read()
+        self._protocol.receive_data(data)
+        return bool(data)
+
     async def _read(self) -> bytes:
         try:
             return bytes(await self.stream.receive_some(READ_SIZE_BYTES))
--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -13,14 +13,11 @@
 from rhubarbmount.http import BadRequest, HttpLimits, HttpRequest, HttpResponse
 from rhubarbmount.http_server import ServerConnection
 from rhubarbmount.problem import Outcome, problem
-from rhubarbmount.tcp import TcpStream
 
 __all__ = ["Handler", "Listener", "open_listener"]
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
-IDLE_SWEEP_PERIOD_S = 1.0
-
 logger = logging.getLogger(__name__)
 
 
@@ -38,7 +35,7 @@
     _retiring: bool = False
     _active_count: int = 0
     _open_count: int = 0
-    _idle_since_s_by_stream: dict[TcpStream, float] = attrs.field(factory=dict)
+    _idle_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     _accept_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _all_closed: trio.Event = attrs.field(factory=trio.Event)
     _nursery: trio.Nursery | None = None
@@ -57,7 +54,6 @@
         self.port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._sweep_idle)
             task_status.started()
             with self._accept_scope:
                 await trio.serve_listeners(
@@ -73,8 +69,8 @@
         self.stopping = True
         self.retire_connections()
         self._accept_scope.cancel()
-        for stream in self._idle_since_s_by_stream:
-            stream.end_reading()
+        for scope in list(self._idle_scopes):
+            scope.cancel()
         if self._open_count:
             with trio.move_on_after(timeout_s):
                 await self._all_closed.wait()
@@ -83,10 +79,10 @@
             self._nursery.cancel_scope.cancel()
         return self.cut_count
 
-    async def _serve(self, accepted: trio.SocketStream) -> None:
+    async def _serve(self, stream: trio.SocketStream) -> None:
         self._open_count += 1
         try:
-            async with TcpStream.adopt(accepted) as stream:
+            async with stream:
                 await self._serve_connection(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log.event(logger, "connection-broken", logging.DEBUG, listener=self.name)
@@ -95,7 +91,7 @@
             if self.stopping and not self._open_count:
                 self._all_closed.set()
 
-    async def _serve_connection(self, stream: TcpStream) -> None:
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
         connection = ServerConnection(stream, self.limits)
         if self._open_count > self.max_connections:
             message = "too many connections"
@@ -103,7 +99,7 @@
                 problem(503, "connection-limit", message, Outcome.NOT_RUN, 1)
             )
             return
-        while await self._wait_for_request(connection, stream):
+        while await self._wait_for_request(connection):
             self._active_count += 1
             try:
                 if not await self._serve_request(connection):
@@ -111,25 +107,15 @@
             finally:
                 self._active_count -= 1
 
-    async def _wait_for_request(
-        self, connection: ServerConnection, stream: TcpStream
-    ) -> bool:
+    async def _wait_for_request(self, connection: ServerConnection) -> bool:
         if self.stopping:
             return False
-        self._idle_since_s_by_stream[stream] = trio.current_time()
+        scope = trio.CancelScope()
+        self._idle_scopes.add(scope)
         try:
-            return await connection.wait_for_request()
+            return await connection.wait_for_request(scope)
         finally:
-            del self._idle_since_s_by_stream[stream]
-
-    async def _sweep_idle(self) -> None:
-        """End the connections that have been idle for longer than the limit."""
-        while True:
-            await trio.sleep(IDLE_SWEEP_PERIOD_S)
-            oldest_s = trio.current_time() - self.limits.idle_timeout_s
-            for stream, since_s in self._idle_since_s_by_stream.items():
-                if since_s < oldest_s:
-                    stream.end_reading()
+            self._idle_scopes.discard(scope)
 
     async def _serve_request(self, connection: ServerConnection) -> bool:
         try:
--- a/tests/test_zmqtrio.py
+++ b/tests/test_zmqtrio.py
@@ -7,6 +7,7 @@
 import trio.testing
 import zmq
 
+from rhubarbmount.errors import AddressInUse
 from rhubarbmount.zmqtrio import CurveKeys, open_zmq
 
 SERVER = CurveKeys.generate()
@@ -171,5 +172,5 @@
     while True:
         try:
             return socket.bind(endpoint)
-        except zmq.ZMQError:
+        except AddressInUse:
             await trio.sleep(0.01)
