--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -83,12 +83,17 @@
         platform = self.client
         observe = self.probe.observe
         waves = wave_settings(fleet, self.settings.weights)
+        recorder = self.recorder
         repair = RepairDuty(
-            platform, observe, time.time, fleet.buffer_pool, fleet.repair
+            platform,
+            observe,
+            time.time,
+            fleet.buffer_pool,
+            fleet.repair,
+            recorder=recorder,
         )
-        hosts = HostDuty(platform, observe, time.time, fleet.work)
-        wave = WaveDuty(platform, time.time, waves)
-        repair.recorder = hosts.recorder = wave.recorder = self.recorder
+        hosts = HostDuty(platform, observe, time.time, fleet.work, recorder=recorder)
+        wave = WaveDuty(platform, time.time, waves, recorder=recorder)
         self.duties.add(hosts, HOSTS_PERIOD_S)
         self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
         self.duties.add(wave, HOSTS_PERIOD_S)
