--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -85,6 +85,7 @@
         platform = self.client
         observe = self.probe.observe
         waves = wave_settings(fleet, self.settings.weights)
+        recorder = self.recorder
         repair = RepairDuty(
             platform,
             observe,
@@ -92,10 +93,19 @@
             fleet.buffer_pool,
             fleet.repair,
             self.counters,
+            recorder=recorder,
+        )
+        hosts = HostDuty(
+            platform,
+            observe,
+            time.time,
+            fleet.work,
+            self.counters,
+            recorder=recorder,
+        )
+        wave = WaveDuty(
+            platform, time.time, waves, self.counters, observe, recorder=recorder
         )
-        hosts = HostDuty(platform, observe, time.time, fleet.work, self.counters)
-        wave = WaveDuty(platform, time.time, waves, self.counters, observe)
-        repair.recorder = hosts.recorder = wave.recorder = self.recorder
         self.duties.add(hosts, HOSTS_PERIOD_S)
         self.duties.add(PacedDuty(repair, REPAIR_PERIOD_S), HOSTS_PERIOD_S)
         self.duties.add(wave, HOSTS_PERIOD_S)
