--- a/rhubarbmount/host_work.py
+++ b/rhubarbmount/host_work.py
@@ -39,9 +39,9 @@
 class HostIntent:
     """Work begun on a host and not yet finished.
 
-    ``target_pool`` is set for moves, with the team that owned it when the move began.
-    ``group`` names the wave it belongs to, if any,
-    and ``group_started_s`` the time, since the epoch, at which that wave began.
+    ``target_pool`` is set for moves, ``target_owner`` to the team that owned it when
+    the move began. ``group`` names the wave it belongs to, if any, and
+    ``group_started_s`` the time, since the epoch, at which that wave began.
     """
 
     intent_id: str
--- a/rhubarbmount/pool_plan.py
+++ b/rhubarbmount/pool_plan.py
@@ -76,7 +76,8 @@
     """A wave played through one pool, from event to event.
 
     A host maintained in its pool holds its slot for its whole turn, one that is
-    swapped only until it has moved out.
+    swapped only until it has moved out. ``running`` holds the time at which each slot
+    in use is free, and its rack; ``spare_ready_s`` when each spare serves here.
     """
 
     pool: Pool
--- a/rhubarbmount/wave_plan.py
+++ b/rhubarbmount/wave_plan.py
@@ -14,7 +14,7 @@
 
 __all__ = ["SparesOffer", "WavePlan", "hosts_by_pool", "plan_with_spares", "plan_wave"]
 
-EXHAUSTIVE_HOSTS = 4000
+MAX_EXHAUSTIVE_TURNS = 4000
 SMALL_SPARES = 4
 
 
@@ -100,7 +100,7 @@
             plan_by_spares[count] = plan
         return plan_by_spares[count].cost(settings)
 
-    if most * waiting <= EXHAUSTIVE_HOSTS:
+    if most * waiting <= MAX_EXHAUSTIVE_TURNS:
         return plan_by_spares[min(range(most + 1), key=cost)]
     best = min(_first_counts(most), key=cost)
     step = max(1, best // 2)
