--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -46,9 +46,9 @@
 
     ``started_s`` is in seconds since the epoch. A pool with spares has its hosts
     replaced, one by one, from ``spares_pool``; its size is ``home_by_pool`` again
-    when the wave is over; ``reserve`` hosts of the
-    spares' pool always stay in service there. A pool that has another owner than in
-    ``owner_by_pool``, or no entry, is left out from then on, as ``dropped_pools``.
+    when the wave is over, and ``reserve`` hosts of the spares' pool always stay in
+    service there. A pool that has another owner than in ``owner_by_pool``, or no
+    entry, is left out from then on, as one of ``dropped_pools``.
     """
 
     wave_id: str
