Cut whole data centres from each other in the scenarios, and watch rows and versions

Scenarios ran in one data centre, and cuts were only between an entry host and the platform. Each pair of processes in different data centres now has a relay of its own, which tests/routed.py leads the program's connections through; the product is not changed for it. A relay that is cut drops new connections as a network does: it fills the listener's queue, so that the kernel drops each further SYN. A refusal at once was ruled out, as the product would learn of the cut sooner than over a network.

The stand-in platform can leave hosts off its list of live hosts (lost_hosts).

The check of racing.feature on two pools uses the shared one, which also asks for a known pool.

--- a/rhubarbmount/standins/platform.py
+++ b/rhubarbmount/standins/platform.py
@@ -34,7 +34,7 @@
     """What the stand-in does wrong; each switch stays until it is set again.
 
     ``lost_answers`` is the number of coming writes that take effect and whose answer
-    is lost.
+    is lost. ``lost_hosts`` are missing from the list of live hosts.
     """
 
     down: bool = False
@@ -43,6 +43,7 @@
     host_list_lag_s: float = 0.0
     reboot_s: float = 0.5
     refuses_task_commands: bool = False
+    lost_hosts: list[str] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
@@ -149,7 +150,9 @@
 
     async def _live_hosts(self, call: Call) -> HttpResponse:
         hosts = self._listed if self.faults.host_list_lag_s else self.memory.hosts
-        return json_response([attrs.asdict(host) for host in hosts])
+        lost = self.faults.lost_hosts
+        found = [host for host in hosts if host.host_id not in lost]
+        return json_response([attrs.asdict(host) for host in found])
 
     async def _command_host(self, call: Call) -> HttpResponse:
         command = _converter.structure(call.json(), HostCommand)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -19,6 +19,7 @@
 
 from rhubarbmount.zmqtrio import CurveKeys
 from tests.addresses import AddressBlock
+from tests.network import Network
 from tests.relay import Relay
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -84,18 +85,18 @@
 class Program:
     """One process of the program, with its log in a file."""
 
-    def __init__(self, name, address, arguments, folder):
+    def __init__(self, name, address, arguments, folder, module=("rhubarbmount",)):
         self.name = name
         self.address = address
         self.log_path = folder / f"{name}.log"
-        self._arguments = arguments
+        self._arguments = [*module, *arguments]
         self.start()
 
     def start(self):
         environment = dict(os.environ, PYTHONPATH=str(ROOT))
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "rhubarbmount", *self._arguments],
+                [sys.executable, "-m", *self._arguments],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -151,12 +152,13 @@
         self.backend_delay_s = 0.0
         self._settings_by_name = {}
         self._block = AddressBlock()
+        self.network = Network(folder, self.new_address)
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exception):
-        for relay in self.relay_by_name.values():
+        for relay in [*self.relay_by_name.values(), *self.network.relays()]:
             relay.close()
         programs = [*self.entry_host_by_name.values(), *self.backend_by_name.values()]
         for program in [*programs, self.platform]:
@@ -195,6 +197,7 @@
             if entry["name"] == pool:
                 entry["hosts_wanted"] += 1
         if start:
+            self.network.add_listener(name, data_centre, (address, BACKEND_PORT))
             self.start_backend(name, address, slots)
 
     def start_backend(self, name, address, slots=8):
@@ -254,7 +257,13 @@
         } | self.extra_settings
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
-        program = Program(name, address, ["serve", str(path)], self.folder)
+        self.network.add_listener(name, data_centre, (address, PEERS_PORT))
+        routes = self.network.add_caller(name, data_centre)
+        module = (
+            ("tests.routed", routes) if self.network.is_split else ("rhubarbmount",)
+        )
+        arguments = ["serve", str(path)]
+        program = Program(name, address, arguments, self.folder, module)
         self.entry_host_by_name[name] = program
         if ready:
             self.wait_ready(name)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -7,9 +7,17 @@
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from tests.checkers import cut_requests, is_own, violations
+from tests.checkers import (
+    cut_requests,
+    is_own,
+    misplaced_hosts,
+    reverted_versions,
+    violations,
+)
 from tests.deployment import Deployment, wait_until
 from tests.load import Load
+from tests.resend import Resenders
+from tests.watch import Watch
 
 QUICK_FLEET = {
     "work": {"view_s": 2, "drain_s": 5, "reboot_min_s": 1, "warm_s": 1},
@@ -56,7 +64,10 @@
 
 
 @when(
-    parsers.parse('a caller sends lodgement "{request_id}" for "{service}" to "{host}"')
+    parsers.re(
+        'a caller sends lodgement "(?P<request_id>[^"]*)" for "(?P<service>[^"]*)"'
+        ' to "(?P<host>[^"]*)"'
+    )
 )
 def send_lodgement(deployment, answers, request_id, service, host):
     headers = {"request-id": request_id, "idempotency-key": request_id}
@@ -254,8 +265,9 @@
     marked_s[name] = time.time()
 
 
-@when(parsers.parse("{seconds:g} s pass under load"))
-def let_pass(load, seconds):
+@when(parsers.re("(?P<seconds>[0-9.]+) s pass(?: under load)?"))
+def let_pass(seconds):
+    seconds = float(seconds)
     end_s = time.monotonic() + seconds
     wait_until(lambda: time.monotonic() > end_s, seconds + 5)
 
@@ -425,3 +437,91 @@
 @given("quick fleet duties")
 def set_quick_duties(deployment):
     deployment.extra_settings["fleet"] = QUICK_FLEET
+
+
+@pytest.fixture
+def watch(deployment):
+    """Look at the rows and versions from the first step that asks for it."""
+    watch = Watch(deployment)
+    yield watch
+    watch.stop()
+
+
+@when("host rows and versions are watched")
+def start_watch(watch):
+    wait_until(lambda: watch.looks, 5, "a first look")
+
+
+@then("at no time a host was in two pools or in none")
+def check_one_pool(deployment, watch):
+    watch.stop()
+    host_ids = [host["host_id"] for host in deployment.hosts]
+    pools = [entry["name"] for entry in deployment.entries["pool"]]
+    assert misplaced_hosts(watch.looks, host_ids, pools) == []
+
+
+@then("no version fell")
+def check_versions(watch):
+    watch.stop()
+    assert all(watch.versions_by_host.values()), watch.versions_by_host
+    assert reverted_versions(watch.versions_by_host) == []
+
+
+@when(
+    parsers.parse(
+        'a caller sends lodgement "{key}" for "{service}" to "{host}" until it is told'
+        ' "{outcome}"'
+    )
+)
+def send_until(deployment, answers, key, service, host, outcome):
+    def is_told():
+        send_lodgement(deployment, answers, key, service, host)
+        return answers[key].outcome == outcome
+
+    wait_until(is_told, 10, f"{key} is told {outcome}")
+
+
+@pytest.fixture
+def resenders():
+    """The callers at work, if a step started them."""
+    started = []
+    yield started
+    for item in started:
+        item.join()
+
+
+@when(
+    parsers.parse(
+        'callers send {count:d} lodgements for "{service}" to "{hosts}" until they have'
+        " run"
+    )
+)
+def start_resenders(deployment, resenders, count, service, hosts):
+    resenders.append(Resenders(deployment, service, names(hosts), count))
+
+
+@when(parsers.parse("{count:d} lodgements were told to have run"))
+def wait_for_runs(resenders, count):
+    what = f"{count} lodgements told to have run"
+    wait_until(lambda: len(resenders[0].told_ran()) >= count, 30, what)
+
+
+@when("the callers have given up or were told that all has run")
+def join_resenders(resenders):
+    resenders[0].join()
+
+
+@then("no lodgement ran twice and none was falsely told to have run")
+def check_runs_of_all(deployment, resenders):
+    assert resenders[0].violations(deployment.runs_by_id()) == []
+
+
+@then(parsers.parse("at least {count:d} lodgements were told to have run in the end"))
+def check_told_ran(resenders, count):
+    assert len(resenders[0].told_ran()) >= count
+
+
+@when("an operator starts a wave")
+def start_wave(deployment):
+    answer = deployment.operate("e1", "POST", "/waves", {})
+    assert answer.status == 202, answer
--- a/tests/scenarios/test_claims.py
+++ b/tests/scenarios/test_claims.py
@@ -6,7 +6,6 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.deployment import wait_until
-from tests.resend import Resenders
 from tests.scenarios.conftest import names, send_lodgement
 
 scenarios("claims.feature", "issued_keys.feature")
@@ -57,20 +56,6 @@
     assert found == names(wanted)
 
 
-@when(
-    parsers.parse(
-        'a caller sends lodgement "{key}" for "{service}" to "{host}" until it is told'
-        ' "{outcome}"'
-    )
-)
-def send_until(deployment, answers, key, service, host, outcome):
-    def is_told():
-        send_lodgement(deployment, answers, key, service, host)
-        return answers[key].outcome == outcome
-
-    wait_until(is_told, 10, f"{key} is told {outcome}")
-
-
 @given(parsers.parse('the owner of "{service}" chose "{choice}" for outages'))
 def choose_for_outages(deployment, service, choice):
     for entry in deployment.entries["service"]:
@@ -116,43 +101,3 @@
 @when(parsers.parse('entry host "{host}" is ready again'))
 def wait_ready_again(deployment, host):
     deployment.wait_ready(host)
-
-
-@pytest.fixture
-def resenders():
-    """The callers at work, if a step started them."""
-    started = []
-    yield started
-    for item in started:
-        item.join()
-
-
-@when(
-    parsers.parse(
-        'callers send {count:d} lodgements for "{service}" to "{hosts}" until they have'
-        " run"
-    )
-)
-def start_resenders(deployment, resenders, count, service, hosts):
-    resenders.append(Resenders(deployment, service, names(hosts), count))
-
-
-@when(parsers.parse("{count:d} lodgements were told to have run"))
-def wait_for_runs(resenders, count):
-    what = f"{count} lodgements told to have run"
-    wait_until(lambda: len(resenders[0].told_ran()) >= count, 30, what)
-
-
-@when("the callers have given up or were told that all has run")
-def join_resenders(resenders):
-    resenders[0].join()
-
-
-@then("no lodgement ran twice and none was falsely told to have run")
-def check_runs_of_all(deployment, resenders):
-    assert resenders[0].violations(deployment.runs_by_id()) == []
-
-
-@then(parsers.parse("at least {count:d} lodgements were told to have run in the end"))
-def check_told_ran(resenders, count):
-    assert len(resenders[0].told_ran()) >= count
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -80,12 +80,6 @@
     assert outcomes["unknown"] == 0 < outcomes["ran"], outcomes
 
 
-@when("an operator starts a wave")
-def start_wave(deployment):
-    answer = deployment.operate("e1", "POST", "/waves", {})
-    assert answer.status == 202, answer
-
-
 @then(
     parsers.parse("every host is rebooted once and the wave is done within {limit:d} s")
 )
--- a/tests/scenarios/test_jobs.py
+++ b/tests/scenarios/test_jobs.py
@@ -1,7 +1,5 @@
 """Jobs over separate processes."""
 
-import time
-
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -120,12 +118,6 @@
     wait_until(are_open, 20, "open intents")
 
 
-@when(parsers.parse("{seconds:g} s pass"))
-def let_pass(seconds):
-    end_s = time.monotonic() + seconds
-    wait_until(lambda: time.monotonic() > end_s, seconds + 5)
-
-
 @then(parsers.parse("all submitted jobs are done within {timeout_s:g} s"))
 def check_done(deployment, submitted, timeout_s):
     def done():
--- a/tests/scenarios/test_racing.py
+++ b/tests/scenarios/test_racing.py
@@ -10,8 +10,6 @@
 
 scenarios("racing.feature")
 
-HOSTS = {"h1", "h2", "h3"}
-
 
 def at_once(calls):
     """Make calls in threads that start together; return their answers."""
@@ -30,33 +28,6 @@
     return answers
 
 
-class Watch:
-    """Looks at all host rows until it is stopped."""
-
-    def __init__(self, deployment):
-        self.seen = []
-        self._deployment = deployment
-        self._stopping = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
-
-    def stop(self):
-        self._stopping.set()
-        self._thread.join()
-
-    def _run(self):
-        while not self._stopping.wait(0.02):
-            rows = self._deployment.platform_call("GET", "/tables/hosts").json()
-            self.seen.append([(row["key"], row["value"]) for row in rows])
-
-
-@pytest.fixture
-def watch(deployment):
-    watch = Watch(deployment)
-    yield watch
-    watch.stop()
-
-
 @pytest.fixture
 def raced():
     return []
@@ -85,26 +56,19 @@
 @then(parsers.parse("every host is in service in one pool within {bound_s:g} s"))
 def check_settled(watch, bound_s):
     def settled():
-        if not watch.seen:
+        if not watch.looks:
             return False
-        states = [(value["state"], value["pool"]) for _, value in watch.seen[-1]]
+        states = [(value["state"], value["pool"]) for _, value in watch.looks[-1].rows]
         left = sum(pool != "lodgements" for _, pool in states)
         return left == 1 and all(state == "in-service" for state, _ in states)
 
     wait_until(settled, bound_s, "the begun move is done")
 
 
-@then("at no time a host was in two pools or in none")
-def check_one_pool(watch):
-    watch.stop()
-    for rows in watch.seen:
-        assert sorted(key for key, _ in rows) == sorted(HOSTS)
-        assert all(value["pool"] for _, value in rows)
-
-
 @then(parsers.parse('at no time more than {limit:d} host of "{pool}" had left service'))
 def check_down(watch, limit, pool):
-    for rows in watch.seen:
+    for look in watch.looks:
+        rows = look.rows
         gone = [v for _, v in rows if v["pool"] != pool or v["state"] != "in-service"]
         assert len(gone) <= limit
 
