Let the news of a version and of leaving hosts cross data centres without the platform

Found by two new scenarios: a data centre whose entry hosts could not reach the platform never took a version accepted elsewhere, and never heard that a host was leaving, with the other data centres within reach. An entry host asked its own data centre first and took the first answer, which was as old as its own copy; the far peers that had the version were never asked. It now goes on asking until a copy is fresh, confirmed by the platform within 3 s: two near peers, then one in another data centre, if it is the one that speaks to it. The latest answer is kept. Ruled out: asking all at once (three copies of the fleet at each start), and asking only on news of a version (summaries do not carry the fleet's).

Second fault: a connection to a peer that was begun during a cut waited for the kernel's next SYN, whose pauses double. Connecting now gives up after 1 s and tries again.

--- a/rhubarbmount/follower.py
+++ b/rhubarbmount/follower.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Follower", "Pull", "PulledState"]
 
-PEERS_TIMEOUT_S = 1.0
+PEERS_TIMEOUT_S = 1.5
 POLL_PERIOD_S = 1.0
 
 _logger = logging.getLogger(__name__)
--- a/rhubarbmount/peer_table.py
+++ b/rhubarbmount/peer_table.py
@@ -186,6 +186,17 @@
         members = [record.identity.instance for record in self.live(now_s)]
         return rank([*members, self.me.instance], data_centre)[0] == self.me.instance
 
+    def far_addresses(self, now_s: float) -> list[str]:
+        """Return one address in each data centre that this instance speaks to."""
+        names = self.remote_data_centres()
+        return [self._far_address(n) for n in names if self.is_delegate(n, now_s)]
+
+    def _far_address(self, data_centre: str) -> str:
+        """Return the address to try next; one that does not answer is passed over."""
+        order = rank(self.addresses(data_centre), self.me.data_centre)
+        tries = self._tries_by_name[data_centre]
+        return order[tries // TRIES_PER_ADDRESS % len(order)]
+
     def owe_summaries(self, now_s: float) -> None:
         """Make a summary due at once to each data centre this instance speaks to."""
         names = self.remote_data_centres()
@@ -201,9 +212,7 @@
         for name in self.remote_data_centres():
             if not self._is_due(name, now_s) or not self.is_delegate(name, now_s):
                 continue
-            order = rank(self.addresses(name), self.me.data_centre)
-            tries = self._tries_by_name[name]
-            due.append((name, order[tries // TRIES_PER_ADDRESS % len(order)]))
+            due.append((name, self._far_address(name)))
         return due
 
     def note_summary(self, data_centre: str, sent: bool, now_s: float) -> None:
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -33,7 +33,9 @@
 __all__ = ["Peers", "new_identity", "open_peers"]
 
 HEARTBEAT_PERIOD_S = 1.0
+FRESH_COPY_S = 3.0
 PULL_ATTEMPTS = 3
+NEAR_PULL_ATTEMPTS = 2
 PULL_TIMEOUT_S = 0.4
 
 _logger = logging.getLogger(__name__)
@@ -114,12 +116,20 @@
         self._send_due_summaries()
 
     async def pull(self, state: str, known_version: int) -> PulledState | None:
-        """Ask peers for their copy, the latest first; None if none answers."""
-        for link in self._pull_order()[:PULL_ATTEMPTS]:
+        """Ask peers for their copy until one is fresh; return the latest, if any."""
+        best: PulledState | None = None
+        for link in self._pull_order():
             reply = await self._ask(link, state, known_version)
-            if reply is not None and reply.version >= known_version:
-                return PulledState(reply.version, reply.age_s, reply.body)
-        return None
+            if reply is None or reply.version < known_version:
+                continue
+            if best is None or (reply.version, -reply.age_s) > (
+                best.version,
+                -best.age_s,
+            ):
+                best = PulledState(reply.version, reply.age_s, reply.body)
+            if reply.age_s <= FRESH_COPY_S:
+                break
+        return best
 
     def _near_addresses(self) -> list[str]:
         unknown = self.table.addresses("")
@@ -155,8 +165,16 @@
         addresses = [record.identity.address for record in live]
         others = [a for a in self._near_addresses() if a not in addresses]
         self._random.shuffle(others)
-        others += [a for a in self._dealers_by_address if a not in addresses]
-        return [self._link_to(address) for address in dict.fromkeys(addresses + others)]
+        near = list(dict.fromkeys(addresses + others))
+        order = near[:NEAR_PULL_ATTEMPTS] + self._far_addresses()
+        order += near[NEAR_PULL_ATTEMPTS:]
+        return [self._link_to(address) for address in order[:PULL_ATTEMPTS]]
+
+    def _far_addresses(self) -> list[str]:
+        """Return peers of other data centres, those already connected first."""
+        far = self.table.far_addresses(self.clock())
+        self._random.shuffle(far)
+        return sorted(far, key=lambda address: address not in self._dealers_by_address)
 
     async def _ask(
         self, link: _Link, state: str, known_version: int
--- a/rhubarbmount/zmqtrio.py
+++ b/rhubarbmount/zmqtrio.py
@@ -16,6 +16,7 @@
 
 __all__ = ["CurveKeys", "TrioSocket", "ZmqContext", "open_zmq"]
 
+CONNECT_TIMEOUT_MS = 1000
 CONNECTION_TIMEOUT_MS = 5000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 QUEUE_MESSAGES = 64
@@ -190,6 +191,7 @@
         socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.reconnect_ivl = RECONNECT_MIN_MS
         socket.reconnect_ivl_max = RECONNECT_MAX_MS
+        socket.connect_timeout = CONNECT_TIMEOUT_MS
         socket.handshake_ivl = CONNECTION_TIMEOUT_MS
         socket.tcp_maxrt = CONNECTION_TIMEOUT_MS
         return socket
--- a/tests/scenarios/data_centres.feature
+++ b/tests/scenarios/data_centres.feature
@@ -61,6 +61,34 @@
     And no version fell
     And at no time a host was in two pools or in none
 
+  Scenario: After a long cut the news comes from the others, while the platform is away
+    When the entry hosts know that their configuration is in force
+    And host rows and versions are watched
+    And data centre "dc-b" is cut off from the others
+    And the connections over the cut end
+    And data centre "dc-b" is cut off from the platform
+    And operator "admin" sets "concurrency" of service "lodgements" to 20
+    And 20 s pass
+    Then the edit is accepted
+    When data centre "dc-b" is joined again with the others
+    Then within 5 s it is in force at "e3, e4"
+    And no version fell
+
+  Scenario: A data centre is cut off from the platform, the others within reach
+    Given callers reading from "lodgements" at "e3, e4"
+    When the entry hosts know that their configuration is in force
+    And data centre "dc-b" is cut off from the platform
+    And 5 s pass under load
+    And operator "admin" sets "concurrency" of service "lodgements" to 20
+    Then the edit is accepted
+    And within 5 s it is in force at "e3, e4"
+    When the row of backend server "h3" says that it is leaving
+    And 6 s pass under load
+    Then backend server "h3" got no new work later than 4 s
+    And backend server "h4" still got work later than 5 s
+    And no promise to the callers was broken
+    And no caller was refused
+
   Scenario: One key is sent again and again on both sides of a cut
     When the entry hosts know that their configuration is in force
     And callers send 60 lodgements for "lodgements" to "e1, e3" until they have run
