--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 TEST_PROCESSES ?= 4
+SOAK_S ?= 600
 BINARY ?= dist/rhubarbmount
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
@@ -32,6 +33,9 @@
 test: setup
 	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) --dist worksteal
 
+soak: setup
+	$(BIN)/python -m tests.soak --seconds $(SOAK_S)
+
 binary: setup
 	mkdir -p $(dir $(BINARY))
 	$(BIN)/python -m shiv --compressed --console-script rhubarbmount \
--- a/tests/scenarios/fleet.feature
+++ b/tests/scenarios/fleet.feature
@@ -24,3 +24,34 @@
     And at no time more than 1 host was out of service
     And no promise to the callers was broken
     And no request was cut in flight
+
+  Scenario: The holder of a duty is killed, and its successor before it has finished
+    Given service "lodgements" with backend servers "h1, h2" in "dc-a"
+    And pool "spare" beside it
+    And quick fleet duties
+    And the platform
+    And entry hosts "e1, e2, e3" in "dc-a"
+    When the holder of duty "hosts" is frozen
+    And the other entry host begins the move of "h1" to "spare"
+    And the holder of duty "hosts" is killed
+    And the successor of duty "hosts" has begun to drain "h1"
+    And the holder of duty "hosts" is killed after its drain
+    Then host "h1" is in service in pool "spare" within 40 s
+    And the platform was told to drain "h1" 1 time
+
+  Scenario: The platform is slow, and a holder frozen past its lease wakes and acts
+    Given service "lodgements" with backend servers "h1, h2" in "dc-a"
+    And pool "spare" beside it
+    And quick fleet duties
+    And the platform
+    And entry hosts "e1, e2" in "dc-a"
+    When host rows and versions are watched
+    And the holder of duty "hosts" is frozen
+    And the platform takes 0.3 s for each call
+    And the other entry host begins the move of "h1" to "spare"
+    And the successor of duty "hosts" has begun to drain "h1"
+    And the frozen holder is resumed
+    Then host "h1" is in service in pool "spare" within 60 s
+    And the platform was told to drain "h1" 1 time
+    And at no time a host was in two pools or in none
+    And no version fell
--- a/tests/scenarios/test_fleet.py
+++ b/tests/scenarios/test_fleet.py
@@ -46,6 +46,30 @@
     deployment.entry_host_by_name[frozen[0]].kill()
 
 
+@when(parsers.parse('the successor of duty "{duty}" has begun to drain "{host}"'))
+def wait_for_successor(deployment, frozen, duty, host):
+    def has_begun():
+        holder = holder_of(deployment, duty)
+        return holder not in ("", *frozen) and drain_count(deployment, host) == 1
+
+    wait_until(has_begun, 30, f"a successor drains {host}")
+
+
+@when(parsers.parse('the holder of duty "{duty}" is killed after its drain'))
+def kill_successor(deployment, duty):
+    deployment.entry_host_by_name[holder_of(deployment, duty)].kill()
+
+
+@when("the frozen holder is resumed")
+def resume_holder(deployment, frozen):
+    deployment.entry_host_by_name[frozen[0]].resume()
+
+
+@when(parsers.parse("the platform takes {delay_s:g} s for each call"))
+def slow_platform(deployment, delay_s):
+    deployment.set_platform(delay_s=delay_s)
+
+
 @then(parsers.parse('host "{host}" is in service in pool "{pool}" within {limit:d} s'))
 def check_moved(deployment, host, pool, limit):
     def has_moved():
