--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -122,10 +122,7 @@
             reply = await self._ask(link, state, known_version)
             if reply is None or reply.version < known_version:
                 continue
-            if best is None or (reply.version, -reply.age_s) > (
-                best.version,
-                -best.age_s,
-            ):
+            if best is None or _is_later(reply, best):
                 best = PulledState(reply.version, reply.age_s, reply.body)
             if reply.age_s <= FRESH_COPY_S:
                 break
@@ -282,6 +279,11 @@
         self._dealers_by_address.clear()
 
 
+def _is_later(reply: PullReply, best: PulledState) -> bool:
+    """Tell whether a reply has a later version, or the same confirmed later."""
+    return (reply.version, -reply.age_s) > (best.version, -best.age_s)
+
+
 @asynccontextmanager
 async def open_peers(
     identity: PeerIdentity,
--- a/tests/network.py
+++ b/tests/network.py
@@ -57,12 +57,12 @@
     def cut(self, data_centre, hears=False, is_heard=False):
         """Cut a data centre from all others, unless it hears them or is heard."""
         for pair, relay in self._relay_by_pair.items():
-            if data_centre in self._data_centres(pair):
-                outwards = self._data_centre_by_caller[pair[0]] == data_centre
-                pass_forward, pass_back = (
-                    (is_heard, hears) if outwards else (hears, is_heard)
-                )
-                relay.cut(forward=not pass_forward, back=not pass_back)
+            if data_centre not in self._data_centres(pair):
+                continue
+            if self._data_centre_by_caller[pair[0]] == data_centre:
+                relay.cut(forward=not is_heard, back=not hears)
+            else:
+                relay.cut(forward=not hears, back=not is_heard)
 
     def heal(self, data_centre):
         """Join a data centre with all others."""
