Read all duty leases at once, for whichever contender is due first

A contender read one row for each of five duties. Now a poll scans the leases, and every duty of the entry host that is held elsewhere takes in its row. What is overheard counts as seen only then, so the wait for a silent holder grows no shorter; a reading sent before the last own one, or about a lease that is held or uncertain here, is left out. After a lost answer or a freeze the row is still read by itself.

Also lets a paced duty go on without a pause while it has work.

--- a/rhubarbmount/duties.py
+++ b/rhubarbmount/duties.py
@@ -3,12 +3,14 @@
 import hashlib
 from collections.abc import Iterable
 from enum import StrEnum
+from functools import lru_cache
 
 import attrs
 
 __all__ = ["Action", "LeaseBounds", "LeaseRow", "LeaseTracker", "preference_rank"]
 
 POLL_SLACK = 0.8
+WEIGHTS_CACHED = 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -33,9 +35,13 @@
 
 
 class Action(StrEnum):
-    """What a contender or holder does next about a lease."""
+    """What a contender or holder does next about a lease.
+
+    A poll may be answered by a reading made for another duty; a read may not.
+    """
 
     WAIT = "wait"
+    POLL = "poll"
     READ = "read"
     TAKE = "take"
     RENEW = "renew"
@@ -65,6 +71,7 @@
     return sum(_weight(duty, other) > own for other in others)
 
 
+@lru_cache(WEIGHTS_CACHED)
 def _weight(duty: str, instance_id: str) -> bytes:
     return hashlib.blake2b(f"{duty}/{instance_id}".encode(), digest_size=8).digest()
 
@@ -101,6 +108,15 @@
         self._read_s = now_s
         self._checked_s = now_s
 
+    def overhear(self, row: LeaseRow | None, sent_s: float, now_s: float) -> None:
+        """Take in another's lease from a reading sent at ``sent_s``, if it is news.
+
+        It counts as seen only now: the wait for a silent holder grows no shorter.
+        """
+        if self._must_read or self.is_own or sent_s <= self._read_s:
+            return
+        self.observe(row, now_s)
+
     def committed(self, row: LeaseRow, sent_s: float, now_s: float) -> None:
         """Take in an own write, sent at ``sent_s``, that committed."""
         self.observe(row, now_s)
@@ -148,7 +164,7 @@
         prompt = rank < self.bounds.prompt_contenders
         poll_s = self.bounds.poll_s if prompt else self.bounds.slow_poll_s
         if now_s - self._read_s >= POLL_SLACK * poll_s:
-            return Action.READ
+            return Action.POLL
         if self._is_free(now_s, rank):
             return Action.TAKE
         return Action.WAIT
--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -20,6 +20,7 @@
     PlatformUnavailable,
 )
 from rhubarbmount.host_rows import Terms
+from rhubarbmount.lease_reads import LEASES_TABLE, LeaseReads
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     HostCommand,
@@ -31,7 +32,6 @@
 
 __all__ = ["Duty", "DutyRunner", "Lease"]
 
-LEASES_TABLE = "leases"
 STEPS_PER_TICK = 3
 logger = logging.getLogger("rhubarbmount.duties")
 
@@ -89,7 +89,8 @@
 
     ``instance_id`` is new at each start of the program, so that it never takes an
     older lease for its own. ``member_id`` is the name by which ``members``, the
-    instances thought to be live, lists this one.
+    instances thought to be live, lists this one. ``reads`` is shared by the runners
+    of one entry host.
     """
 
     duty: Duty
@@ -100,6 +101,11 @@
     members: Callable[[], Iterable[str]]
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
     member_id: str = ""
+    reads: LeaseReads = attrs.field(
+        default=attrs.Factory(
+            lambda self: LeaseReads(self.platform, self.clock), takes_self=True
+        )
+    )
     tracker: LeaseTracker = attrs.field(init=False)
     _idle_code: str = ""
     _round_token: int = 0
@@ -140,21 +146,26 @@
 
     async def _settle(self) -> None:
         self.tracker.may_act(self.clock())
+        self._overhear()
         for _ in range(STEPS_PER_TICK):
             own_id = self.member_id or self.instance_id
             rank = preference_rank(self.duty.name, own_id, self.members())
             action = self.tracker.decide(self.clock(), rank)
             if action is Action.WAIT:
                 return
-            if action is Action.READ:
-                await self._read()
+            if action is Action.POLL:
+                await self.reads.read_all()
+                self._overhear()
+            elif action is Action.READ:
+                row = await self.reads.read(self.duty.name)
+                self.tracker.observe(row, self.clock())
             else:
                 await self._write(action)
 
-    async def _read(self) -> None:
-        row = await self.platform.read(LEASES_TABLE, self.duty.name)
-        seen = LeaseRow(**row.value) if row else None
-        self.tracker.observe(seen, self.clock())
+    def _overhear(self) -> None:
+        seen = self.reads.seen
+        row = seen.row_by_duty.get(self.duty.name)
+        self.tracker.overhear(row, seen.sent_s, self.clock())
 
     async def _write(self, action: Action) -> None:
         name = self.duty.name
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount.duties import LeaseBounds
 from rhubarbmount.duty_runner import Duty, DutyRunner, Lease
+from rhubarbmount.lease_reads import LeaseReads
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.timers import TimerService
 
@@ -18,10 +19,14 @@
 
 @attrs.define(eq=False)
 class PacedDuty:
-    """A duty whose rounds are at least a period apart, however often it is held."""
+    """A duty whose rounds are at least a period apart, however often it is held.
+
+    The pause is cut short while ``may_pause`` returns False.
+    """
 
     duty: Duty
     period_s: float
+    may_pause: Callable[[], bool] = lambda: True
     name: str = attrs.field(init=False)
     _next_s: float = attrs.field(default=0.0, init=False)
 
@@ -31,7 +36,7 @@
     async def do_round(self, lease: Lease) -> None:
         """Do a round if one is due."""
         now_s = trio.current_time()
-        if now_s < self._next_s:
+        if now_s < self._next_s and self.may_pause():
             return
         await self.duty.do_round(lease)
         self._next_s = now_s + self.period_s
@@ -59,9 +64,13 @@
     members: Callable[[], Iterable[str]]
     is_ready: Callable[[], bool] = lambda: True
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
+    _reads: LeaseReads = attrs.field(init=False)
     _parts: list[_Part] = attrs.field(factory=list, init=False)
     _contending: trio.CancelScope = attrs.field(factory=trio.CancelScope, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        self._reads = LeaseReads(self.platform, trio.current_time)
+
     @property
     def holds_any(self) -> bool:
         """Tell whether this entry host holds a duty, as far as it knows."""
@@ -78,6 +87,7 @@
             members=self.members,
             bounds=self.bounds,
             member_id=self.member_id,
+            reads=self._reads,
         )
         self._parts.append(_Part(runner, period_s))
 
--- /dev/null
+++ b/rhubarbmount/lease_reads.py
@@ -0,0 +1,46 @@
+"""One reading of all duty leases, shared by the duties of an entry host."""
+
+from collections.abc import Callable
+
+import attrs
+
+from rhubarbmount.duties import LeaseRow
+from rhubarbmount.platform.interface import Platform, Row
+
+__all__ = ["LEASES_TABLE", "LeaseReads", "LeasesSeen"]
+
+LEASES_TABLE = "leases"
+
+
+@attrs.frozen
+class LeasesSeen:
+    """The leases as they were at some moment after ``sent_s``."""
+
+    sent_s: float = float("-inf")
+    row_by_duty: dict[str, LeaseRow] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class LeaseReads:
+    """Scan the leases for whichever contender is due first; the others use it too."""
+
+    platform: Platform
+    clock: Callable[[], float]
+    seen: LeasesSeen = attrs.field(factory=LeasesSeen)
+
+    async def read_all(self) -> None:
+        """Read the leases of all duties, for duties held by other instances."""
+        sent_s = self.clock()
+        rows = await self.platform.scan(LEASES_TABLE)
+        if sent_s >= self.seen.sent_s:
+            row_by_duty = {row.key: _load(row) for row in rows}
+            self.seen = LeasesSeen(sent_s, row_by_duty)
+
+    async def read(self, duty: str) -> LeaseRow | None:
+        """Return one duty's lease as it is now."""
+        row = await self.platform.read(LEASES_TABLE, duty)
+        return _load(row) if row else None
+
+
+def _load(row: Row) -> LeaseRow:
+    return LeaseRow(**row.value)
--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -32,3 +32,11 @@
     paced.forget()
     await paced.do_round(None)
     assert duty.rounds == 3
+
+
+async def test_a_duty_that_may_not_pause_does_a_round_at_once(autojump_clock):
+    duty = CountedDuty()
+    paced = PacedDuty(duty, 5.0, may_pause=lambda: duty.rounds >= 3)
+    for _ in range(10):
+        await paced.do_round(None)
+    assert duty.rounds == 3
