Hold one copy of the names, shapes and amounts that many jobs share

Rows come as JSON, which gives each row strings and numbers of its own. Names of teams, pools, templates and hosts, shapes, run times and the amounts worked out from shapes are now shared, and a waiting job no longer has a tuple beside it to be ordered by.

--- a/rhubarbmount/job_queue.py
+++ b/rhubarbmount/job_queue.py
@@ -22,6 +22,10 @@
     need: Amount
 
 
+def _order(waiting: WaitingJob) -> tuple[float, str]:
+    return waiting.job.submitted_s, waiting.job.job_id
+
+
 GroupKey = tuple[int, str, Amount]
 LaneKey = tuple[int, Amount]
 
@@ -35,7 +39,7 @@
     """
 
     key: GroupKey
-    ordered: list[tuple[float, str, WaitingJob]] = attrs.field(factory=list)
+    ordered: list[WaitingJob] = attrs.field(factory=list)
     code: str = ""
     reason: str = ""
     unexplained: list["WaitingJob"] = attrs.field(factory=list)
@@ -48,24 +52,22 @@
     @property
     def first(self) -> WaitingJob:
         """Return the job that has waited longest."""
-        return self.ordered[0][2]
+        return self.ordered[0]
 
     @property
     def jobs(self) -> list[WaitingJob]:
         """Return the jobs in order."""
-        return [waiting for _, _, waiting in self.ordered]
+        return list(self.ordered)
 
     def add(self, waiting: WaitingJob) -> None:
         """Add a job in its order."""
-        job = waiting.job
-        bisect.insort(self.ordered, (job.submitted_s, job.job_id, waiting))
+        bisect.insort(self.ordered, waiting, key=_order)
         self.unexplained.append(waiting)
 
     def remove(self, job: Job) -> None:
         """Take a job out."""
-        del self.ordered[
-            bisect.bisect_left(self.ordered, (job.submitted_s, job.job_id))
-        ]
+        place = job.submitted_s, job.job_id
+        del self.ordered[bisect.bisect_left(self.ordered, place, key=_order)]
 
     @property
     def rank(self) -> int:
--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -1,7 +1,9 @@
 """Jobs that teams submit, and the tasks that run them on hosts."""
 
+import sys
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
+from functools import lru_cache
 from typing import Any
 
 import attrs
@@ -33,6 +35,11 @@
 JOBS_TABLE = "jobs"
 TASKS_TABLE = "tasks"
 
+SHAPES_SHARED = 4096
+NUMBERS_SHARED = 1024
+SHARED_NAMES = ("team", "pool", "template", "kind", "host_id")
+SHARED_NUMBERS = ("run_time_s", "lease_s", "progress_s")
+
 _converter = cattrs.Converter()
 
 
@@ -120,7 +127,7 @@
 
 def load_job(values: Mapping[str, Any]) -> Job:
     """Build a job from the plain values of its row."""
-    return _converter.structure(values, Job)
+    return _converter.structure(_with_shared(values), Job)
 
 
 def dump_job(job: Job) -> dict[str, Any]:
@@ -130,7 +137,40 @@
 
 def load_task(values: Mapping[str, Any]) -> Task:
     """Build a task from the plain values of its row."""
-    return _converter.structure(values, Task)
+    return _converter.structure(_with_shared(values), Task)
+
+
+def _with_shared(values: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the values with one copy of each that many rows have."""
+    shared = dict(values)
+    for name in SHARED_NAMES:
+        if type(shared.get(name)) is str:
+            shared[name] = sys.intern(shared[name])
+    for name in SHARED_NUMBERS:
+        if name in shared:
+            shared[name] = _shared_number(float(shared[name]))
+    return shared
+
+
+@lru_cache(NUMBERS_SHARED)
+def _shared_number(number: float) -> float:
+    return number
+
+
+@lru_cache(SHAPES_SHARED)
+def _shared_shape(processors: float, memory_gb: float, accelerators: int) -> Shape:
+    return Shape(processors, memory_gb, accelerators)
+
+
+def _load_shape(values: Mapping[str, Any], _kind: Any) -> Shape:
+    return _shared_shape(
+        float(values["processors"]),
+        float(values["memory_gb"]),
+        int(values.get("accelerators", 0)),
+    )
+
+
+_converter.register_structure_hook(Shape, _load_shape)
 
 
 def dump_task(task: Task) -> dict[str, Any]:
--- a/rhubarbmount/rooms.py
+++ b/rhubarbmount/rooms.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import lru_cache
 from math import ceil, floor
 from typing import NamedTuple
 
@@ -26,6 +27,7 @@
 
 PARTS_PER_PROCESSOR = 4
 PARTS_PER_GB = 4
+AMOUNTS_SHARED = 4096
 
 
 class Amount(NamedTuple):
@@ -64,6 +66,7 @@
 NOTHING = Amount(0, 0, 0)
 
 
+@lru_cache(AMOUNTS_SHARED)
 def amount_needed(shape: Shape) -> Amount:
     """Return what a job asks for, rounded up.
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,5 +1,8 @@
 """Jobs, tasks and what is refused at submission."""
 
+import json
+
+import attrs
 import pytest
 
 from rhubarbmount.entries import Team, WorkClass
@@ -89,3 +92,12 @@
 @pytest.mark.parametrize("shape", [Shape(0, 1), Shape(1, -1), Shape(1, 1, -1)])
 def test_an_empty_shape_is_refused(shape):
     assert codes(make_job(shape), hosts=[make_host(Shape(8, 64))]) == ["shape-empty"]
+
+
+def test_loaded_rows_share_what_many_of_them_have():
+    template = make_job(template="report")
+    text = json.dumps([dump_job(attrs.evolve(template, job_id=f"j{n}")) for n in "12"])
+    first, second = (load_job(values) for values in json.loads(text))
+    assert first == attrs.evolve(second, job_id="j1")
+    for name in ("team", "pool", "template", "shape", "run_time_s"):
+        assert getattr(first, name) is getattr(second, name)
