Step a duty that is held elsewhere no more often than its lease is polled

A contender for scheduling stepped 4 times a second to no end. Planted: with the short period for all the new test counts 28 steps in 7 s, where 9 are allowed.

--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -108,6 +108,14 @@
 
     async def _contend(self, part: _Part, timers: TimerService) -> None:
         name = f"duty-{part.runner.duty.name}"
-        async for _tick in timers.every(name, part.period_s):
+        ticks = timers.every(name, part.period_s)
+        async for _tick in ticks:
             if self.is_ready():
                 await part.runner.step()
+            ticks.period_s = self._period_s(part)
+
+    def _period_s(self, part: _Part) -> float:
+        """Return the time between steps, which is short only for a duty held here."""
+        if part.runner.tracker.is_own:
+            return part.period_s
+        return max(part.period_s, self.bounds.poll_s)
--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -3,7 +3,10 @@
 import attrs
 import trio
 
-from rhubarbmount.fleet_duties import PacedDuty
+from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
+from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.timers import TimerService
 
 
 @attrs.define
@@ -40,3 +43,23 @@
     for _ in range(10):
         await paced.do_round(None)
     assert duty.rounds == 3
+
+
+async def test_a_contender_for_a_prompt_duty_looks_no_more_often_than_it_polls(
+    autojump_clock, nursery
+):
+    looks = []
+
+    def members():
+        looks.append(trio.current_time())
+        return ("a", "b")
+
+    platform = MemoryPlatform()
+    held = {"holder": "b", "token": 1, "renewals": 0}
+    await platform.transact(Transaction("x", (), (Write("leases", "counted", held),)))
+    duties = FleetDuties("a", platform, members)
+    duties.add(CountedDuty(), 0.25)
+    nursery.start_soon(duties.run, TimerService(seed=1))
+    await trio.sleep(7.0)
+    assert len(set(looks)) <= 7.0 / (0.9 * duties.bounds.poll_s) + 2
+    nursery.cancel_scope.cancel()
