--- a/rhubarbmount/platform/http.py
+++ b/rhubarbmount/platform/http.py
@@ -102,7 +102,7 @@
         held = self._held.get(path)
         headers = [(b"accept-encoding", b"gzip")]
         if held is not None:
-            headers.append((b"if-none-match", held.tag.encode("ascii")))
+            headers.append((b"if-none-match", held.tag.encode("latin-1")))
         answer = await self._call("GET", path, headers=headers)
         if answer.status == 304 and held is not None:
             return held.value
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -70,6 +70,11 @@
         """Return the time of the current step in seconds since the epoch."""
         return self.decisions.now_s
 
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether any job waits for room."""
+        return any(len(placer.queue) for placer in self.fleet.placers())
+
     def set_time(self, now_s: float, clock_s: float) -> None:
         """Begin a step at a time since the epoch and a reading of the own clock."""
         self.decisions.now_s = now_s
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -84,7 +84,7 @@
     Every commit also advances one row, ``heads/scheduling``, so that none can land
     on rows other than those it was decided from. Urgent jobs start at once; others
     only as far as the rows are affordable. ``is_idle`` tells that the last round had
-    nothing to do.
+    nothing to do and that no job waits.
     """
 
     platform: Platform
@@ -168,7 +168,7 @@
         if self._changes or is_due:
             limit = max(1, self.affordable_writes() // WRITES_PER_START)
             self._changes += scheduler.place(limit)
-        self.is_idle = not self._changes
+        self.is_idle = not self._changes and not scheduler.has_waiting
 
     def _is_due(self) -> bool:
         """Tell whether to place again though nothing has changed."""
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -630,3 +630,18 @@
         trio.run(interleave, operations)
     except* AssertionError as group:
         pytest.fail(str(group.exceptions[0]))
+
+
+async def test_only_a_round_without_work_and_without_waiting_jobs_is_idle():
+    world = World(hosts=1)
+    duty = world.instances[0].duty
+    await world.settle(2)
+    assert duty.is_idle
+    for _ in range(3):
+        await world.submit()
+    await world.settle(3)
+    assert world.state("j3") == "waiting"
+    assert not duty.is_idle
+    await world.cancel("j3")
+    await world.settle(3)
+    assert duty.is_idle
