--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -57,6 +57,11 @@
             await self._pool(address).put_back(connection)
         return answer
 
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether any connection is kept for the next request."""
+        return any(pool.idle for pool in self._pool_by_address.values())
+
     async def sweep(self, addresses: Collection[str]) -> None:
         """Close the idle connections to other addresses, and those the peer closed."""
         for address, pool in list(self._pool_by_address.items()):
--- a/rhubarbmount/membership.py
+++ b/rhubarbmount/membership.py
@@ -1,6 +1,6 @@
 """Wires the peers to the decisions of one entry host."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 import attrs
@@ -33,6 +33,7 @@
     policy: RequestPolicy
     peers: Peers
     rows: InstanceRows
+    _peers_in_flight: Mapping[str, int] = attrs.field(factory=dict, init=False)
 
     @property
     def address(self) -> str:
@@ -61,7 +62,9 @@
             )
         host_ids = self.fleet_view.hosts_by_id
         in_flight = table.in_flight(host_ids, self.peers.clock())
-        self.policy.set_peers_in_flight(in_flight)
+        if in_flight or self._peers_in_flight:
+            self.policy.set_peers_in_flight(in_flight)
+        self._peers_in_flight = in_flight
 
     async def ask_others(self, kind: str, subject_id: str) -> Answers:
         """Ask all other entry hosts that are known what they remember."""
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -75,9 +75,9 @@
         self._remote = Zone(make_strategy(generator), generator)
         self._leaving: frozenset[str] = frozenset()
         self._due: list[tuple[float, str]] = []
-        self._started = False
+        self.started = False
+        self.own_in_flight = 0
         self._slots = 0
-        self._in_flight = 0
 
     def update_hosts(self, hosts: Iterable[Host], now_s: float) -> None:
         """Take over the pool's rows: hosts not among them leave the view."""
@@ -87,7 +87,7 @@
         for host in rows.values():
             self._take_over(host, now_s)
         self._count_down()
-        self._started = True
+        self.started = True
 
     def update_host(self, host: Host, now_s: float) -> None:
         """Take over one changed row; a host of another pool leaves the view."""
@@ -119,7 +119,7 @@
         self._wake(now_s)
         if not self._local.available and not self._remote.available:
             return PoolRoom(self._slots, 0)
-        return PoolRoom(self._slots, max(1, self._slots - self._in_flight))
+        return PoolRoom(self._slots, max(1, self._slots - self.own_in_flight))
 
     def in_service(self) -> int:
         """Return the number of hosts that take new work by their row."""
@@ -136,7 +136,7 @@
         backend, reason = self._choose(now_s, tried)
         if backend is not None:
             backend.own_in_flight += 1
-            self._in_flight += 1
+            self.own_in_flight += 1
             if backend.own_in_flight >= backend.limit:
                 self._zone(backend).drop(backend)
         return RouteDecision(backend, reason, available)
@@ -155,7 +155,7 @@
         Give the latency of attempts that got an answer or timed out.
         """
         backend.own_in_flight -= 1
-        self._in_flight -= 1
+        self.own_in_flight -= 1
         if self.by_host_id.get(backend.host.host_id) is not backend:
             return None
         change = self.health.record(
@@ -230,7 +230,7 @@
 
     def _add(self, host: Host, now_s: float) -> Backend:
         health: BackendHealth = self.health.add(host.host_id)
-        if self._started:
+        if self.started:
             health.start_slowly(now_s)
         backend = Backend(host, health)
         self.by_host_id[host.host_id] = backend
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -182,7 +182,7 @@
         """Serve until stopped; return the number of requests that the stop cut."""
         settings = self.settings
         async with trio.open_nursery() as nursery, AsyncExitStack() as stack:
-            timers = TimerService(nursery)
+            timers = TimerService()
             await self._join_peers(stack, timers)
             for name in ("metrics", "operators", "callers"):
                 listener: Listener = getattr(self, name)
@@ -243,8 +243,8 @@
 
     async def _apply_fleet(self) -> None:
         async for changed in self.fleet_view.subscribe():
-            self.forwarder.policy.update_hosts(
-                changed.hosts_by_id.values(), trio.current_time()
+            self.forwarder.policy.update_changed(
+                changed.hosts_by_id, changed.changed, trio.current_time()
             )
 
     async def _read_status(self) -> ConfigurationStatus:
