Let a holder read its lease again within a round, where calls are slow

Cause: a holder took a gap of more than freeze_s (1.5 s) between two checks of its lease for a freeze, and gave the round up. Ruled out: a longer freeze_s, which only moves the limit and breaks the check that a holder reads again after a freeze. The holder now reads its row at that moment and goes on if it still holds the lease; a row that another took ends the round, and the lease's end on the own clock does as before.

--- a/rhubarbmount/duties.py
+++ b/rhubarbmount/duties.py
@@ -83,7 +83,7 @@
     instance_id: str
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
     row: LeaseRow | None = None
-    _must_read: bool = True
+    must_read: bool = True
     _read_s: float = float("-inf")
     _unchanged_since_s: float = float("inf")
     _counts_from_s: float = float("-inf")
@@ -104,7 +104,7 @@
         if row is None or row.holder != self.instance_id:
             self._outranked_since_s = None
         self.row = row
-        self._must_read = False
+        self.must_read = False
         self._read_s = now_s
         self._checked_s = now_s
 
@@ -113,7 +113,7 @@
 
         It counts as seen only now: the wait for a silent holder grows no shorter.
         """
-        if self._must_read or self.is_own or sent_s <= self._read_s:
+        if self.must_read or self.is_own or sent_s <= self._read_s:
             return
         self.observe(row, now_s)
 
@@ -125,14 +125,14 @@
 
     def uncertain(self) -> None:
         """Demand that the row is read before anything else is done."""
-        self._must_read = True
+        self.must_read = True
 
     def may_act(self, now_s: float) -> bool:
         """Tell whether the lease is surely held now."""
         if self._has_thawed(now_s):
-            self._must_read = True
+            self.must_read = True
         self._checked_s = now_s
-        return self.is_own and not self._must_read and now_s < self.deadline_s
+        return self.is_own and not self.must_read and now_s < self.deadline_s
 
     @property
     def deadline_s(self) -> float:
@@ -141,7 +141,7 @@
 
     def decide(self, now_s: float, rank: int) -> Action:
         """Return what to do now, at this rank in the order of preference."""
-        if self._must_read:
+        if self.must_read:
             return Action.READ
         if not self.is_own:
             return self._contend(now_s, rank)
--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -57,15 +57,21 @@
     platform: Platform
     clock: Callable[[], float]
     new_id: Callable[[], str]
+    reads: LeaseReads
 
-    def check(self) -> None:
-        """Raise LeaseLost unless the lease is surely held now."""
+    async def confirm(self) -> None:
+        """Read the lease after a pause. Raises LeaseLost unless it is surely held."""
+        if self.tracker.may_act(self.clock()):
+            return
+        if self.tracker.must_read:
+            row = await self.reads.read(self.duty)
+            self.tracker.observe(row, self.clock())
         if not self.tracker.may_act(self.clock()):
             raise LeaseLost(f"the lease on {self.duty} is not surely held")
 
     async def commit(self, terms: Terms) -> bool:
         """Commit the terms if the lease's token is still the newest."""
-        self.check()
+        await self.confirm()
         row = self.tracker.row or LeaseRow()
         held = {"holder": row.holder, "token": row.token}
         fence = Precondition(LEASES_TABLE, self.duty, equals=held)
@@ -79,7 +85,7 @@
 
     async def command_host(self, command: HostCommand) -> None:
         """Send the command to the platform."""
-        self.check()
+        await self.confirm()
         await self.platform.command_host(command)
 
 
@@ -189,7 +195,12 @@
 
     def _lease(self) -> Lease:
         return Lease(
-            self.duty.name, self.tracker, self.platform, self.clock, self.new_id
+            self.duty.name,
+            self.tracker,
+            self.platform,
+            self.clock,
+            self.new_id,
+            self.reads,
         )
 
     def _log_idle(self, code: str, message: str) -> None:
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -52,7 +52,7 @@
 class HeldLease(Protocol):
     """A duty lease, as far as this duty uses it."""
 
-    def check(self) -> None:
+    async def confirm(self) -> None:
         """Raise LeaseLost unless the lease is surely held now."""
 
     async def commit(self, terms: Terms) -> bool:
@@ -110,7 +110,7 @@
 
     async def do_round(self, lease: HeldLease) -> None:
         """Take in requests and reports, decide, commit, and send commands."""
-        lease.check()
+        await lease.confirm()
         try:
             if self.scheduler is None:
                 await self._load()
@@ -249,7 +249,7 @@
         async with limiter:
             for command in commands:
                 try:
-                    lease.check()
+                    await lease.confirm()
                     await self.platform.command_task(command)
                 except (LeaseLost, OutcomeUnknown, PlatformUnavailable) as error:
                     event(
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -176,6 +176,32 @@
     assert all(not runner.tracker.is_own for runner in contenders)
 
 
+async def test_a_round_of_slow_calls_reads_its_lease_again_and_goes_on():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    runner = make_runner("a", clock, platform, notes)
+    pause_s = 1.2 * runner.bounds.freeze_s
+    runner.duty.before_commit = lambda: setattr(clock, "now_s", clock.now_s + pause_s)
+    await run_until(clock, [runner], lambda: len(notes) > 3, TAKE_UP_LIMIT_S)
+
+
+async def test_a_round_stops_when_another_took_the_lease_in_a_pause():
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    runner = make_runner("a", clock, platform, notes)
+    await run_until(clock, [runner], lambda: notes, 5.0)
+    notes.clear()
+
+    def lose_the_lease():
+        row = platform.inner.tables["leases"]["waves"]
+        stolen = {"holder": "b", "token": 2, "renewals": 0}
+        platform.inner.tables["leases"]["waves"] = attrs.evolve(row, value=stolen)
+        clock.now_s += 1.2 * runner.bounds.freeze_s
+
+    runner.duty.before_commit = lose_the_lease
+    clock.now_s += 1.0
+    await runner.step()
+    assert notes == []
+
+
 async def test_a_write_under_an_old_token_changes_nothing():
     clock, platform, notes = ManualClock(), CountedPlatform(), []
     old = make_runner("a", clock, platform, notes)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -61,12 +61,12 @@
     until_s: float = 0.0
     ids = itertools.count()
 
-    def check(self):
+    async def confirm(self):
         if self.workers.now_s >= self.until_s:
             raise LeaseLost("lapsed")
 
     async def commit(self, terms):
-        self.check()
+        await self.confirm()
         fence = Precondition("leases", "scheduling", equals={"token": self.token})
         transaction = Transaction(
             f"o{next(self.ids)}", (fence, *terms.preconditions), terms.writes
