Miss no host when the kept changes begin within a transaction

A reader now scans when the oldest kept change is newer than its own version, as fleet_view does. tests/test_host_rows.py failed before.

--- a/rhubarbmount/host_rows.py
+++ b/rhubarbmount/host_rows.py
@@ -143,6 +143,6 @@
         return []
     known_version = known.value["version"]
     changes = head.value["changes"]
-    if not changes or changes[0][0] > known_version + 1:
+    if not changes or changes[0][0] > known_version:
         return None
     return sorted({host_id for version, host_id in changes if version > known_version})
--- /dev/null
+++ b/tests/test_host_rows.py
@@ -0,0 +1,34 @@
+"""The fleet as last read, after bursts of changes."""
+
+import attrs
+
+from rhubarbmount.host_rows import CHANGES_KEPT, HostChange, HostRows, host_terms
+from rhubarbmount.platform.memory import MemoryPlatform
+from tests.fleetkit import commit, fill, make_host, make_pool
+
+
+async def change(platform, name, rows):
+    """Change these hosts in one transaction, as another writer does."""
+    writer = HostRows(platform)
+    await writer.refresh()
+    changes = [
+        HostChange(writer.by_host_id[key], attrs.evolve(row.host, cause=name))
+        for key, row in writer.by_host_id.items()
+        if key in rows
+    ]
+    assert (await commit(platform, name, host_terms(writer.head, changes))).committed
+
+
+async def test_no_change_is_missed_when_the_kept_ones_begin_within_a_transaction():
+    platform = MemoryPlatform()
+    hosts = [make_host(n) for n in range(CHANGES_KEPT + 8)]
+    await fill(platform, [make_pool()], hosts)
+    view = HostRows(platform)
+    await view.refresh()
+    ids = sorted(view.by_host_id)
+    await change(platform, "first", ids[:8])
+    await change(platform, "second", ids[8 : CHANGES_KEPT + 4])
+    await view.refresh()
+    fresh = HostRows(platform)
+    await fresh.refresh()
+    assert view.by_host_id == fresh.by_host_id
