Split the connections to peers from what is said over them

Behaviour is unchanged; the tests name the new places. 55 tests of peers, explanations, configuration and leaving pass.

--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 
 import attrs
 import trio
@@ -13,6 +13,7 @@
 
 from rhubarbmount.follower import Follower, PulledState
 from rhubarbmount.log import event
+from rhubarbmount.peer_links import PeerLink, PeerLinks
 from rhubarbmount.peer_loads import LoadReporter
 from rhubarbmount.peer_messages import (
     Heartbeat,
@@ -25,8 +26,6 @@
     Summary,
     decode_identity,
     decode_message,
-    encode_identity,
-    encode_message,
 )
 from rhubarbmount.peer_table import PeerTable
 from rhubarbmount.timers import TimerService
@@ -41,8 +40,6 @@
 NEAR_PULL_ATTEMPTS = 2
 PULL_TIMEOUT_S = 0.4
 
-Reply = PullReply | QuestionReply
-
 _logger = logging.getLogger(__name__)
 
 
@@ -51,21 +48,6 @@
     return PeerIdentity(instance, data_centre, address, secrets.token_hex(4))
 
 
-@attrs.frozen
-class _Link:
-    """A way to one peer: our connection to it, or its connection to us."""
-
-    socket: TrioSocket
-    routing_id: bytes | None = None
-
-    def send(self, message: Message) -> bool:
-        """Queue a message; return False if it can't be queued now."""
-        body = encode_message(message)
-        if self.routing_id is None:
-            return self.socket.send_nowait([body])
-        return self.socket.send_nowait([self.routing_id, body])
-
-
 def _remember_nothing(kind: str, subject_id: str) -> bytes:
     return b""
 
@@ -88,13 +70,16 @@
     clock: Callable[[], float] = trio.current_time
     draining: bool = False
     messages_heard: int = 0
-    _dealers_by_address: dict[str, TrioSocket] = attrs.field(factory=dict)
-    _waiting_by_id: dict[int, trio.MemorySendChannel[Reply]] = attrs.field(factory=dict)
-    _request_ids: Iterator[int] = attrs.field(factory=itertools.count)
+    links: PeerLinks = attrs.field(init=False)
     _sequences: Iterator[int] = attrs.field(factory=itertools.count)
     _reporter: LoadReporter = attrs.field(factory=LoadReporter)
     _random: random.Random = attrs.field(factory=random.Random)
 
+    def __attrs_post_init__(self) -> None:
+        self.links = PeerLinks(
+            self.context, self.nursery, self.table.me, self._receive_from_server
+        )
+
     @property
     def version(self) -> int:
         """Return the configuration version that is in force here."""
@@ -116,7 +101,7 @@
             self._reporter.report(self.in_flight()),
         )
         for address in self._near_addresses():
-            self._link_to(address).send(beat)
+            self.links.to(address).send(beat)
 
     def announce_version(self) -> None:
         """Tell the peers, and the data centres this host speaks to, at once."""
@@ -128,10 +113,10 @@
         """Ask peers for their copy until one is fresh; return the latest, if any."""
         best: PulledState | None = None
         for link in self._pull_order():
-            request = PullRequest(next(self._request_ids), state, known_version)
+            request = PullRequest(self.links.new_request_id(), state, known_version)
             reply = None
             with trio.move_on_after(PULL_TIMEOUT_S):
-                reply = await self._ask(link, request)
+                reply = await self.links.ask(link, request)
             if not isinstance(reply, PullReply) or reply.version < known_version:
                 continue
             if best is None or _is_later(reply, best):
@@ -145,22 +130,22 @@
 
         A peer of another data centre is asked over a connection for this question.
         """
-        question = Question(next(self._request_ids), kind, subject_id)
+        question = Question(self.links.new_request_id(), kind, subject_id)
         if address in self._near_addresses():
             return await self._ask_near(address, question)
         return await self._ask_far(address, question)
 
     async def _ask_near(self, address: str, question: Question) -> QuestionReply:
         while True:
-            reply = await self._ask(self._link_to(address), question)
+            reply = await self.links.ask(self.links.to(address), question)
             if isinstance(reply, QuestionReply):
                 return reply
             await trio.sleep(CONNECTION_POLL_S)
 
     async def _ask_far(self, address: str, question: Question) -> QuestionReply:
         me = attrs.evolve(self.table.me, incarnation=secrets.token_hex(4))
-        with self._new_dealer(address, me) as dealer:
-            while not _Link(dealer).send(question):
+        with self.links.new_dealer(address, me) as dealer:
+            while not PeerLink(dealer).send(question):
                 await trio.sleep(CONNECTION_POLL_S)
             while True:
                 reply = decode_message((await dealer.receive())[0])
@@ -174,29 +159,14 @@
     def _send_due_summaries(self) -> None:
         now_s = self.clock()
         for data_centre, address in self.table.due_summaries(now_s):
-            sent = self._link_to(address).send(self._summary(reply_wanted=True))
+            sent = self.links.to(address).send(self._summary(reply_wanted=True))
             self.table.note_summary(data_centre, sent, now_s)
 
     def _summary(self, reply_wanted: bool) -> Summary:
         summary = self.table.summarise(self.version, self.draining, self.clock())
         return attrs.evolve(summary, reply_wanted=reply_wanted)
 
-    def _link_to(self, address: str) -> _Link:
-        dealer = self._dealers_by_address.get(address)
-        if dealer is None:
-            dealer = self._new_dealer(address, self.table.me)
-            self._dealers_by_address[address] = dealer
-            self.nursery.start_soon(self._receive_from_server, dealer)
-        return _Link(dealer)
-
-    def _new_dealer(self, address: str, identity: PeerIdentity) -> TrioSocket:
-        dealer = self.context.client(
-            zmq.DEALER, self.context.keys.public, encode_identity(identity)
-        )
-        dealer.connect(f"tcp://{address}")
-        return dealer
-
-    def _pull_order(self) -> list[_Link]:
+    def _pull_order(self) -> list[PeerLink]:
         live = self.table.live(self.clock())
         self._random.shuffle(live)
         live.sort(key=lambda record: -record.configuration_version)
@@ -206,22 +176,13 @@
         near = list(dict.fromkeys(addresses + others))
         order = near[:NEAR_PULL_ATTEMPTS] + self._far_addresses()
         order += near[NEAR_PULL_ATTEMPTS:]
-        return [self._link_to(address) for address in order[:PULL_ATTEMPTS]]
+        return [self.links.to(address) for address in order[:PULL_ATTEMPTS]]
 
     def _far_addresses(self) -> list[str]:
         """Return peers of other data centres, those already connected first."""
         far = self.table.far_addresses(self.clock())
         self._random.shuffle(far)
-        return sorted(far, key=lambda address: address not in self._dealers_by_address)
-
-    async def _ask(self, link: _Link, request: PullRequest | Question) -> Reply | None:
-        """Return the reply, or None if the request can't be sent now."""
-        send, receive = trio.open_memory_channel[Reply](1)
-        self._waiting_by_id[request.request_id] = send
-        try:
-            return await receive.receive() if link.send(request) else None
-        finally:
-            del self._waiting_by_id[request.request_id]
+        return sorted(far, key=lambda address: not self.links.has(address))
 
     async def _receive_from_clients(self, router: TrioSocket) -> None:
         while True:
@@ -229,7 +190,7 @@
             identity = decode_identity(routing_id)
             message = decode_message(bodies[0]) if bodies else None
             if identity is not None and message is not None:
-                self._handle(identity, _Link(router, routing_id), message)
+                self._handle(identity, PeerLink(router, routing_id), message)
 
     async def _receive_from_server(self, dealer: TrioSocket) -> None:
         while True:
@@ -239,10 +200,10 @@
                 return
             message = decode_message(bodies[0])
             if message is not None:
-                self._handle(None, _Link(dealer), message)
+                self._handle(None, PeerLink(dealer), message)
 
     def _handle(
-        self, identity: PeerIdentity | None, link: _Link, message: Message
+        self, identity: PeerIdentity | None, link: PeerLink, message: Message
     ) -> None:
         self.messages_heard += 1
         if isinstance(message, Heartbeat) and identity is not None:
@@ -254,7 +215,7 @@
         elif isinstance(message, Question):
             self._answer(link, message)
         elif isinstance(message, (PullReply, QuestionReply)):
-            self._hear_reply(message)
+            self.links.hear_reply(message)
 
     def _hear_heartbeat(self, identity: PeerIdentity, beat: Heartbeat) -> None:
         known = self.table.knows(identity)
@@ -270,7 +231,7 @@
             )
         self._hear_version(beat.configuration_version)
 
-    def _hear_summary(self, link: _Link, summary: Summary) -> None:
+    def _hear_summary(self, link: PeerLink, summary: Summary) -> None:
         if self.table.hear_summary(summary, self.clock()):
             self._relay(summary)
         for member in summary.members:
@@ -283,13 +244,13 @@
         if summary.relayed:
             return
         for address in self.table.addresses(self.table.me.data_centre):
-            self._link_to(address).send(relayed)
+            self.links.to(address).send(relayed)
 
     def _hear_version(self, version: int) -> None:
         if version > self.version:
             self.nursery.start_soon(self.followers["catalogue"].hear, version)
 
-    def _share(self, link: _Link, request: PullRequest) -> None:
+    def _share(self, link: PeerLink, request: PullRequest) -> None:
         follower = self.followers.get(request.state)
         copy = None if follower is None else follower.share(request.known_version)
         if copy is None:
@@ -298,30 +259,15 @@
         reply = PullReply(request.request_id, copy.version, copy.age_s, copy.body)
         link.send(reply)
 
-    def _answer(self, link: _Link, question: Question) -> None:
+    def _answer(self, link: PeerLink, question: Question) -> None:
         body = self.answer(question.kind, question.subject_id)
         reply = QuestionReply(question.request_id, self.table.me.instance, body)
         link.send(reply)
 
-    def _hear_reply(self, reply: Reply) -> None:
-        """Hand a reply to who waits for it; a second one to a request is dropped."""
-        waiting = self._waiting_by_id.get(reply.request_id)
-        if waiting is not None:
-            with suppress(trio.WouldBlock):
-                waiting.send_nowait(reply)
-
     def forget_address(self, address: str) -> None:
         """Close the connection to an address where no peer is expected any more."""
         self.table.forget_address(address)
-        dealer = self._dealers_by_address.pop(address, None)
-        if dealer is not None:
-            dealer.close()
-
-    def close(self) -> None:
-        """Close the connections to peers."""
-        for dealer in self._dealers_by_address.values():
-            dealer.close()
-        self._dealers_by_address.clear()
+        self.links.forget(address)
 
 
 def _is_later(reply: PullReply, best: PulledState) -> bool:
@@ -357,7 +303,7 @@
                 nursery.start_soon(peers.run, router, timers)
                 yield peers
                 nursery.cancel_scope.cancel()
-            peers.close()
+            peers.links.close()
 
 
 def _with_bound_port(identity: PeerIdentity, router: TrioSocket) -> PeerIdentity:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -284,7 +284,7 @@
                     at_b = b.peers.table.me.address
                     reply = await c.peers.ask(at_b, "host", "h1")
                     assert reply.body == b"b of host h1"
-                    assert at_b not in c.peers._dealers_by_address
+                    assert not c.peers.links.has(at_b)
 
 
 async def test_a_question_to_another_data_centre_breaks_no_connection(clock):
@@ -293,12 +293,12 @@
             at_a = a.peers.table.me.address
             async with node("b", {at_a: "dc-a"}, "dc-b") as b:
                 await until(lambda: "b" in a.peers.table.reports(a.peers.clock()))
-                standing = b.peers._link_to(at_a)
+                standing = b.peers.links.to(at_a)
                 for number in range(5):
                     await b.peers.ask(at_a, "host", "h1")
                     with trio.fail_after(5):
                         question = Question(1000 + number, "host", "h2")
-                        reply = await b.peers._ask(standing, question)
+                        reply = await b.peers.links.ask(standing, question)
                     assert reply.body == b"a of host h2"
 
 
@@ -312,4 +312,4 @@
                 with trio.move_on_after(1) as scope:
                     await b.peers.ask(at_a, "host", "h1")
                 assert scope.cancelled_caught
-                assert not b.peers._waiting_by_id
+                assert not b.peers.links._waiting_by_id
