--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -247,6 +247,7 @@
         tempfile.TemporaryDirectory() as folder,
         Deployment(Path(folder)) as deployment,
     ):
+        deployment.cuts_data_centres = False
         deployment.operators_by_name["admin"]["owners"] = ["team-0"]
         fill(deployment, hosts)
         deployment.start_platform()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -138,7 +138,8 @@
 class Deployment:
     """A platform, backend servers and entry hosts, each at its own address.
 
-    Seeds take effect when the platform starts: name hosts and entries before.
+    Seeds take effect when the platform starts: name hosts and entries before. Without
+    ``cuts_data_centres``, no relays stand between data centres.
     """
 
     def __init__(self, folder):
@@ -160,6 +161,7 @@
         self._settings_by_name = {}
         self._block = AddressBlock()
         self.network = Network(folder, self.new_address)
+        self.cuts_data_centres = True
 
     def __enter__(self):
         return self
@@ -264,17 +266,21 @@
         } | self.extra_settings
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
-        self.network.add_listener(name, data_centre, (address, PEERS_PORT))
-        routes = self.network.add_caller(name, data_centre)
-        module = (
-            ("tests.routed", routes) if self.network.is_split else ("rhubarbmount",)
-        )
+        module = self._module(name, data_centre, address)
         arguments = ["serve", str(path)]
         program = Program(name, address, arguments, self.folder, module)
         self.entry_host_by_name[name] = program
         if ready:
             self.wait_ready(name)
 
+    def _module(self, name, data_centre, address):
+        """Return what runs an entry host, with relays to other data centres if any."""
+        if not self.cuts_data_centres:
+            return ("rhubarbmount",)
+        self.network.add_listener(name, data_centre, (address, PEERS_PORT))
+        routes = self.network.add_caller(name, data_centre)
+        return ("tests.routed", routes) if self.network.is_split else ("rhubarbmount",)
+
     def _peer_settings(self, address):
         known = [program.address for program in self.entry_host_by_name.values()]
         return {
