Name the platform's tables in one place

Five names of tables and heads stood in two to four modules each. tables.py has them all; every module takes them from there. Behaviour is unchanged.

--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -15,14 +15,7 @@
     split_key,
 )
 from rhubarbmount.catalogue_checks import FleetSummary, check_edit
-from rhubarbmount.catalogue_rows import (
-    CATALOGUE_HEAD,
-    HEADS_TABLE,
-    HISTORY_TABLE,
-    edit_preconditions,
-    edit_writes,
-    operation_key,
-)
+from rhubarbmount.catalogue_rows import edit_preconditions, edit_writes, operation_key
 from rhubarbmount.edits import (
     Accepted,
     Edit,
@@ -47,6 +40,7 @@
     Row,
     Transaction,
 )
+from rhubarbmount.tables import CATALOGUE_HEAD, HEADS_TABLE, HISTORY_TABLE
 
 __all__ = ["Acceptance"]
 
--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -9,6 +9,7 @@
 from rhubarbmount.host_rows import HostRow, Terms
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
+from rhubarbmount.tables import BUDGETS_TABLE, ENTRIES_TABLE
 
 __all__ = [
     "BudgetView",
@@ -20,8 +21,6 @@
     "read_pool_rows",
 ]
 
-BUDGETS_TABLE = "budgets"
-ENTRIES_TABLE = "entries"
 SERVING_STATES = frozenset({HostState.IN_SERVICE, HostState.RETURNING})
 
 
--- a/rhubarbmount/cadence.py
+++ b/rhubarbmount/cadence.py
@@ -12,6 +12,7 @@
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import DAY_S
 from rhubarbmount.platform.interface import Platform
+from rhubarbmount.tables import ENTRIES_TABLE
 from rhubarbmount.waves import (
     Wave,
     WaveRow,
@@ -22,7 +23,6 @@
 
 __all__ = ["CadenceDuty", "overdue_pools"]
 
-ENTRIES_TABLE = "entries"
 POOL_PREFIX = "pool/"
 BEGIN_SHARE = 0.75
 DUE_SHARE = 0.5
--- a/rhubarbmount/catalogue_rows.py
+++ b/rhubarbmount/catalogue_rows.py
@@ -5,24 +5,21 @@
 from rhubarbmount.edits import Edit, Operator
 from rhubarbmount.entries import dump_entry
 from rhubarbmount.platform.interface import Precondition, Write
+from rhubarbmount.tables import (
+    CATALOGUE_HEAD,
+    ENTRIES_TABLE,
+    FLEET_HEAD,
+    HEADS_TABLE,
+    HISTORY_TABLE,
+)
 
 __all__ = [
-    "CATALOGUE_HEAD",
-    "ENTRIES_TABLE",
-    "HEADS_TABLE",
-    "HISTORY_TABLE",
     "edit_preconditions",
     "edit_writes",
     "history_key",
     "operation_key",
 ]
 
-CATALOGUE_HEAD = "catalogue"
-ENTRIES_TABLE = "entries"
-FLEET_HEAD = "fleet"
-HEADS_TABLE = "heads"
-HISTORY_TABLE = "history"
-
 
 def history_key(key: str, version: int) -> str:
     """Return the key of a history row; an entry's rows sort by version.
--- a/rhubarbmount/claim_batches.py
+++ b/rhubarbmount/claim_batches.py
@@ -7,7 +7,6 @@
 import trio
 
 from rhubarbmount.claims import (
-    CLAIMS_TABLE,
     HELD,
     UNAVAILABLE,
     Claim,
@@ -20,6 +19,7 @@
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.platform.interface import Precondition, Transaction, Write
+from rhubarbmount.tables import CLAIMS_TABLE
 
 __all__ = ["ClaimBatches", "ClaimRequest"]
 
--- a/rhubarbmount/claim_records.py
+++ b/rhubarbmount/claim_records.py
@@ -8,10 +8,11 @@
 import attrs
 import trio
 
-from rhubarbmount.claims import CLAIMS_TABLE, Claim, ClaimState, load_claim
+from rhubarbmount.claims import Claim, ClaimState, load_claim
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+from rhubarbmount.tables import CLAIMS_TABLE
 
 __all__ = ["ClaimRecords", "Withdrawal"]
 
--- a/rhubarbmount/claims.py
+++ b/rhubarbmount/claims.py
@@ -10,7 +10,6 @@
 from rhubarbmount.platform.interface import Row
 
 __all__ = [
-    "CLAIMS_TABLE",
     "HELD",
     "UNAVAILABLE",
     "Claim",
@@ -26,7 +25,6 @@
     "row_key",
 ]
 
-CLAIMS_TABLE = "claims"
 RETRY_AFTER_S = 2.0
 KEY_DIGITS = 32
 
--- a/rhubarbmount/configuration.py
+++ b/rhubarbmount/configuration.py
@@ -7,11 +7,11 @@
 
 from rhubarbmount.broadcast import Broadcaster
 from rhubarbmount.catalogue import Snapshot, decode_snapshot, encode_snapshot
-from rhubarbmount.catalogue_rows import CATALOGUE_HEAD, HEADS_TABLE
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.follower import Follower, PulledState
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform
+from rhubarbmount.tables import CATALOGUE_HEAD, HEADS_TABLE
 
 __all__ = ["Configuration", "SnapshotInForce"]
 
--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -20,7 +20,7 @@
     PlatformUnavailable,
 )
 from rhubarbmount.host_rows import Terms
-from rhubarbmount.lease_reads import LEASES_TABLE, LeaseReads
+from rhubarbmount.lease_reads import LeaseReads
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     HostCommand,
@@ -29,6 +29,7 @@
     Transaction,
     Write,
 )
+from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["Duty", "DutyRunner", "Lease"]
 
--- a/rhubarbmount/fleet_view.py
+++ b/rhubarbmount/fleet_view.py
@@ -16,14 +16,13 @@
 from rhubarbmount.catalogue_checks import FleetSummary
 from rhubarbmount.errors import Finding, FindingsError
 from rhubarbmount.follower import PEERS_TIMEOUT_S, Follower, PulledState
-from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host, load_host
+from rhubarbmount.hosts import Host, dump_host, load_host
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.tables import FLEET_HEAD, HEADS_TABLE, HOSTS_TABLE
 
 __all__ = ["FleetChanged", "FleetView", "changed_hosts"]
 
-FLEET_HEAD = "fleet"
-HEADS_TABLE = "heads"
 CHANGES_READ_SINGLY = 16
 MAX_DECODED_BYTES = 64 * 1024 * 1024
 
--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -20,7 +20,6 @@
 from rhubarbmount.host_work import (
     EFFECT_BY_STATE,
     HOST_PREFIX,
-    INTENTS_TABLE,
     HostIntent,
     Observation,
     Progress,
@@ -32,9 +31,9 @@
     work_cause,
 )
 from rhubarbmount.hosts import Host
-from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import HostCommand, Platform, Row
+from rhubarbmount.tables import INTENTS_TABLE, SUSPECTS_TABLE
 
 __all__ = ["HostDuty"]
 
--- a/rhubarbmount/host_rows.py
+++ b/rhubarbmount/host_rows.py
@@ -5,13 +5,12 @@
 
 import attrs
 
-from rhubarbmount.hosts import HOSTS_TABLE, Host, dump_host, load_host
+from rhubarbmount.hosts import Host, dump_host, load_host
 from rhubarbmount.platform.interface import Platform, Precondition, Row, Write
+from rhubarbmount.tables import FLEET_HEAD, HEADS_TABLE, HOSTS_TABLE
 
 __all__ = ["HostRows", "HostChange", "HostRow", "Terms", "host_terms"]
 
-HEADS_TABLE = "heads"
-FLEET_HEAD = "fleet"
 CHANGES_KEPT = 32
 
 
--- a/rhubarbmount/host_tasks.py
+++ b/rhubarbmount/host_tasks.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from rhubarbmount.jobs import TASKS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform
+from rhubarbmount.tables import TASKS_TABLE
 
 __all__ = ["HostTasks"]
 
--- a/rhubarbmount/host_work.py
+++ b/rhubarbmount/host_work.py
@@ -11,7 +11,6 @@
 
 __all__ = [
     "EFFECT_BY_STATE",
-    "INTENTS_TABLE",
     "HostIntent",
     "Observation",
     "Progress",
@@ -24,7 +23,6 @@
     "work_cause",
 ]
 
-INTENTS_TABLE = "intents"
 HOST_PREFIX = "host/"
 EFFECT_BY_STATE: Mapping[HostState, str] = {
     HostState.DRAINING: "drain",
--- a/rhubarbmount/hosts.py
+++ b/rhubarbmount/hosts.py
@@ -6,9 +6,8 @@
 import attrs
 import cattrs
 
-__all__ = ["HOSTS_TABLE", "Host", "HostState", "Shape", "dump_host", "load_host"]
+__all__ = ["Host", "HostState", "Shape", "dump_host", "load_host"]
 
-HOSTS_TABLE = "hosts"
 
 _converter = cattrs.Converter()
 
--- a/rhubarbmount/instances.py
+++ b/rhubarbmount/instances.py
@@ -13,11 +13,11 @@
 from rhubarbmount.peer_messages import MemberReport, PeerIdentity
 from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+from rhubarbmount.tables import INSTANCES_TABLE
 from rhubarbmount.timers import TimerService
 
 __all__ = ["ConfigurationStatus", "InstanceRecord", "InstanceRows", "weigh_status"]
 
-INSTANCES_TABLE = "instances"
 RENEWAL_PERIOD_S = 30.0
 ABANDONED_AFTER_S = 7200.0
 
--- a/rhubarbmount/job_changes.py
+++ b/rhubarbmount/job_changes.py
@@ -6,25 +6,24 @@
 import attrs
 import cattrs
 
-from rhubarbmount.jobs import (
-    ENDED_STATES,
-    JOBS_TABLE,
-    TASKS_TABLE,
-    Job,
-    Task,
-    dump_job,
-    dump_task,
-)
+from rhubarbmount.jobs import ENDED_STATES, Job, Task, dump_job, dump_task
 from rhubarbmount.platform.interface import TaskCommand, Write
 from rhubarbmount.sizes import UsageReport
 from rhubarbmount.suspects import Blame
+from rhubarbmount.tables import (
+    HISTORY_TABLE,
+    INTENTS_TABLE,
+    JOBS_TABLE,
+    REQUESTS_TABLE,
+    SUSPECTS_TABLE,
+    TASKS_TABLE,
+)
 
 __all__ = [
     "DUTY",
     "EndReport",
     "JobChange",
     "JobRequest",
-    "SUSPECTS_TABLE",
     "dump_command",
     "load_command",
     "load_end",
@@ -35,11 +34,6 @@
 ]
 
 DUTY = "scheduling"
-HISTORY_TABLE = "history"
-INTENTS_TABLE = "intents"
-REQUESTS_TABLE = "job-requests"
-REPORTS_TABLE = "task-reports"
-SUSPECTS_TABLE = "host-suspects"
 ENDED_PREFIX = "ended/"
 USAGE_PREFIX = "usage/"
 
--- a/rhubarbmount/job_handlers.py
+++ b/rhubarbmount/job_handlers.py
@@ -20,14 +20,15 @@
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.hosts import Shape
 from rhubarbmount.http import HttpResponse
-from rhubarbmount.job_changes import HISTORY_TABLE, JobRequest, request_write
-from rhubarbmount.jobs import JOBS_TABLE, Job, check_submission, dump_job, load_job
+from rhubarbmount.job_changes import JobRequest, request_write
+from rhubarbmount.jobs import Job, check_submission, dump_job, load_job
 from rhubarbmount.platform.interface import Platform, Precondition, Transaction, Write
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
 from rhubarbmount.row_causes import read_job_row
 from rhubarbmount.scheduling import SchedulingView
 from rhubarbmount.structure import structure
+from rhubarbmount.tables import HISTORY_TABLE, JOBS_TABLE
 
 __all__ = ["JobHandlers", "JobSubmission"]
 
--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -16,8 +16,6 @@
 
 __all__ = [
     "ENDED_STATES",
-    "JOBS_TABLE",
-    "TASKS_TABLE",
     "Job",
     "JobState",
     "Task",
@@ -32,8 +30,6 @@
     "quota_shape",
 ]
 
-JOBS_TABLE = "jobs"
-TASKS_TABLE = "tasks"
 
 SHAPES_SHARED = 4096
 NUMBERS_SHARED = 1024
--- a/rhubarbmount/lease_reads.py
+++ b/rhubarbmount/lease_reads.py
@@ -6,10 +6,9 @@
 
 from rhubarbmount.duties import LeaseRow
 from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.tables import LEASES_TABLE
 
-__all__ = ["LEASES_TABLE", "LeaseReads", "LeasesSeen"]
-
-LEASES_TABLE = "leases"
+__all__ = ["LeaseReads", "LeasesSeen"]
 
 
 @attrs.frozen
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -9,16 +9,11 @@
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.host_begin import Begun, begin_terms
 from rhubarbmount.host_rows import HostRow, HostRows, Terms
-from rhubarbmount.host_work import (
-    INTENTS_TABLE,
-    HostIntent,
-    dump_intent,
-    intent_key,
-    load_intent,
-)
+from rhubarbmount.host_work import HostIntent, dump_intent, intent_key, load_intent
 from rhubarbmount.hosts import HostState
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
+from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = ["HostMover"]
 
--- a/rhubarbmount/operators.py
+++ b/rhubarbmount/operators.py
@@ -6,7 +6,6 @@
 import attrs
 
 from rhubarbmount.acceptance import Acceptance
-from rhubarbmount.catalogue_rows import ENTRIES_TABLE, HISTORY_TABLE
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.edits import Accepted, Edit, Operator, Operators
 from rhubarbmount.entries import dump_entry, entry_key
@@ -17,6 +16,7 @@
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
 from rhubarbmount.settings import OperatorSettings
+from rhubarbmount.tables import ENTRIES_TABLE, HISTORY_TABLE
 
 __all__ = ["OperatorsApi", "operators_from"]
 
--- a/rhubarbmount/platform/settlement.py
+++ b/rhubarbmount/platform/settlement.py
@@ -11,9 +11,9 @@
     TransactionResult,
     Write,
 )
+from rhubarbmount.tables import OPERATIONS_TABLE
 
 __all__ = [
-    "OPERATIONS_TABLE",
     "abort",
     "has_operation_conflict",
     "is_committed",
@@ -22,7 +22,6 @@
     "without_operation",
 ]
 
-OPERATIONS_TABLE = "operations"
 KEY_DIGITS = 32
 COMMITTED = "committed"
 ABORTED = "aborted"
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -20,9 +20,9 @@
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.host_work import HostIntent, Observation, Step
 from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.job_changes import SUSPECTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import LiveHost, Platform
+from rhubarbmount.tables import SUSPECTS_TABLE
 
 __all__ = ["BufferNeed", "RepairBounds", "RepairDuty", "buffer_need"]
 
--- a/rhubarbmount/row_causes.py
+++ b/rhubarbmount/row_causes.py
@@ -4,20 +4,22 @@
 from typing import Any
 
 from rhubarbmount.budgets import read_pool_rows
-from rhubarbmount.catalogue_rows import ENTRIES_TABLE, HISTORY_TABLE, history_key
-from rhubarbmount.claims import (
-    CLAIMS_TABLE,
-    Claim,
-    ClaimState,
-    load_claim,
-    row_key,
-)
+from rhubarbmount.catalogue_rows import history_key
+from rhubarbmount.claims import Claim, ClaimState, load_claim, row_key
 from rhubarbmount.explain import Decision
-from rhubarbmount.host_work import INTENTS_TABLE, intent_key, load_intent
-from rhubarbmount.hosts import HOSTS_TABLE, load_host
-from rhubarbmount.jobs import JOBS_TABLE, load_job
+from rhubarbmount.host_work import intent_key, load_intent
+from rhubarbmount.hosts import load_host
+from rhubarbmount.jobs import load_job
 from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.registry import Registry
+from rhubarbmount.tables import (
+    CLAIMS_TABLE,
+    ENTRIES_TABLE,
+    HISTORY_TABLE,
+    HOSTS_TABLE,
+    INTENTS_TABLE,
+    JOBS_TABLE,
+)
 from rhubarbmount.waves import Control, Wave, read_waves
 
 __all__ = ["PLATFORM_SOURCE", "read_job_row", "row_causes"]
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -9,8 +9,6 @@
 from rhubarbmount.hosts import Host
 from rhubarbmount.job_changes import (
     DUTY,
-    REPORTS_TABLE,
-    REQUESTS_TABLE,
     USAGE_PREFIX,
     EndReport,
     JobChange,
@@ -27,6 +25,7 @@
 from rhubarbmount.rooms import amount_needed
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 from rhubarbmount.sizes import UsageReport
+from rhubarbmount.tables import REPORTS_TABLE, REQUESTS_TABLE
 
 __all__ = ["Scheduler"]
 
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -14,9 +14,6 @@
 from rhubarbmount.job_changes import (
     DUTY,
     ENDED_PREFIX,
-    INTENTS_TABLE,
-    REPORTS_TABLE,
-    REQUESTS_TABLE,
     USAGE_PREFIX,
     JobChange,
     load_command,
@@ -25,7 +22,7 @@
     load_usage,
     writes_of,
 )
-from rhubarbmount.jobs import JOBS_TABLE, TASKS_TABLE, load_job, load_task
+from rhubarbmount.jobs import load_job, load_task
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     Platform,
@@ -36,12 +33,19 @@
 )
 from rhubarbmount.scheduler import Scheduler
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
+from rhubarbmount.tables import (
+    HEADS_TABLE,
+    INTENTS_TABLE,
+    JOBS_TABLE,
+    REPORTS_TABLE,
+    REQUESTS_TABLE,
+    TASKS_TABLE,
+)
 
 __all__ = ["HeldLease", "SchedulingDuty", "SchedulingView"]
 
 logger = logging.getLogger(__name__)
 
-HEADS_TABLE = "heads"
 CHANGES_PER_COMMIT = 64
 COMMANDS_AT_ONCE = 32
 WRITES_PER_START = 5
--- a/rhubarbmount/standins/demo_fleet.py
+++ b/rhubarbmount/standins/demo_fleet.py
@@ -12,7 +12,7 @@
 from rhubarbmount.edits import Operators
 from rhubarbmount.entries import Entry, Pool, Service, Team
 from rhubarbmount.host_work import WorkBounds
-from rhubarbmount.hosts import HOSTS_TABLE, Host, HostState, Shape, load_host
+from rhubarbmount.hosts import Host, HostState, Shape, load_host
 from rhubarbmount.server import EntryHost
 from rhubarbmount.settings import (
     Endpoint,
@@ -24,6 +24,7 @@
 from rhubarbmount.standins.backend import BackendStandin
 from rhubarbmount.standins.platform import PlatformStandin
 from rhubarbmount.standins.seed import Seed
+from rhubarbmount.tables import HOSTS_TABLE
 from rhubarbmount.zmqtrio import CurveKeys
 
 __all__ = ["DemoFleet", "open_fleet"]
--- a/rhubarbmount/standins/workers.py
+++ b/rhubarbmount/standins/workers.py
@@ -8,10 +8,11 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.job_changes import ENDED_PREFIX, REPORTS_TABLE, USAGE_PREFIX
-from rhubarbmount.jobs import TASKS_TABLE, Task, load_task
+from rhubarbmount.job_changes import ENDED_PREFIX, USAGE_PREFIX
+from rhubarbmount.jobs import Task, load_task
 from rhubarbmount.platform.interface import TaskCommand, Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.tables import REPORTS_TABLE, TASKS_TABLE
 
 __all__ = ["WorkerFaults", "Workers"]
 
--- a/rhubarbmount/sweep.py
+++ b/rhubarbmount/sweep.py
@@ -10,11 +10,10 @@
 import attrs
 
 from rhubarbmount import log
-from rhubarbmount.claims import CLAIMS_TABLE
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
-from rhubarbmount.platform.settlement import OPERATIONS_TABLE
+from rhubarbmount.tables import CLAIMS_TABLE, OPERATIONS_TABLE
 from rhubarbmount.timers import TimerService
 
 __all__ = ["Sweeper"]
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -11,18 +11,14 @@
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_rows import HostRow, HostRows
-from rhubarbmount.host_work import (
-    HOST_PREFIX,
-    INTENTS_TABLE,
-    Observation,
-    load_intent,
-)
+from rhubarbmount.host_work import HOST_PREFIX, Observation, load_intent
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, next_start_s, select
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.swaps import Swap, swap_wanted, swaps_hosts
+from rhubarbmount.tables import INTENTS_TABLE
 from rhubarbmount.wave_holds import why_held
 from rhubarbmount.wave_work import WaveWork
 from rhubarbmount.waves import (
--- a/rhubarbmount/wave_work.py
+++ b/rhubarbmount/wave_work.py
@@ -10,12 +10,13 @@
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.host_begin import Begun, begin_terms
 from rhubarbmount.host_rows import HostRow, HostRows
-from rhubarbmount.host_work import INTENTS_TABLE, HostIntent
+from rhubarbmount.host_work import HostIntent
 from rhubarbmount.hosts import HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, select
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.swaps import spares_of, surplus_of
+from rhubarbmount.tables import INTENTS_TABLE
 from rhubarbmount.waves import WAVE_PREFIX, WaveRow
 
 __all__ = ["WaveWork"]
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -11,9 +11,9 @@
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.host_rows import HostRows, Terms
-from rhubarbmount.host_work import INTENTS_TABLE
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
+from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = [
     "Control",
--- a/tests/test_host_duty.py
+++ b/tests/test_host_duty.py
@@ -5,7 +5,6 @@
 from rhubarbmount.errors import Refused
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import (
-    INTENTS_TABLE,
     HostIntent,
     Observation,
     WorkBounds,
@@ -13,8 +12,9 @@
     intent_key,
 )
 from rhubarbmount.hosts import HostState, Shape
-from rhubarbmount.jobs import TASKS_TABLE, Task, dump_task
+from rhubarbmount.jobs import Task, dump_task
 from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.tables import INTENTS_TABLE, TASKS_TABLE
 from tests.fleetchecks import hosts_of
 from tests.fleetkit import (
     CountedPlatform,
--- a/tests/test_row_causes.py
+++ b/tests/test_row_causes.py
@@ -4,7 +4,7 @@
 
 from rhubarbmount.acceptance import Acceptance
 from rhubarbmount.budgets import read_pool_rows
-from rhubarbmount.claims import CLAIMS_TABLE, Claim, ClaimState, row_key
+from rhubarbmount.claims import Claim, ClaimState, row_key
 from rhubarbmount.edits import Edit, Operator
 from rhubarbmount.entries import Team
 from rhubarbmount.hosts import HostState
@@ -12,6 +12,7 @@
 from rhubarbmount.platform.interface import Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.row_causes import row_causes
+from rhubarbmount.tables import CLAIMS_TABLE
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetkit import fill, make_host, make_pool
 
