Flood a service from a process of its own in its scenario

The 30 flooding callers ran as threads of the process that measured the others, and took its time. They run in a process of their own now; their number, what they do and the bound of 1 s are as before.

--- a/tests/scenarios/test_requests.py
+++ b/tests/scenarios/test_requests.py
@@ -3,8 +3,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from tests.deployment import wait_until
-from tests.load import Load
+from tests.flood import Flood
 
 scenarios("requests.feature")
 
@@ -30,14 +29,9 @@
 
 @when(parsers.parse('{count:d} callers flood "{service}" at "{host}"'))
 def start_flood(deployment, flood, count, service, host):
-    flood.append(Load(deployment, service, [host], callers=count))
-    flood[0].__enter__()
-
-    def refused():
-        answers = list(flood[0].answer_by_id.values())
-        return sum(answer.status == 503 for answer in answers) >= 10
-
-    wait_until(refused, 20, "the flood is refused")
+    address = deployment.entry_host_by_name[host].address
+    flood.append(Flood(address, service, count))
+    flood[0].wait_refused(20)
 
 
 @then(parsers.parse("at most {count:d} requests were answered with an error"))
