--- a/rhubarbmount/platform/client.py
+++ b/rhubarbmount/platform/client.py
@@ -74,11 +74,6 @@
         """Whether the last calls got no answer."""
         return self._shared.breaker.is_open
 
-    @property
-    def reads_spent(self) -> float:
-        """How many reads this host has paid for."""
-        return self._shared.reads.spent
-
     @property
     def writes_spent(self) -> float:
         """How many row writes this host has paid for."""
