--- a/bench/idle.py
+++ b/bench/idle.py
@@ -26,11 +26,18 @@
 
 
 @attrs.frozen
-class Sample:
-    """The state of a process at one moment."""
+class ProcessUse:
+    """The processor time and the memory of a process at one moment."""
 
     processor_s: float
     resident_mb: float
+
+
+@attrs.frozen
+class Sample:
+    """The state of a process, and what passed to the platform, at one moment."""
+
+    process: ProcessUse
     platform_calls: int
     platform_bytes: int
 
@@ -45,15 +52,20 @@
     bytes_per_s: float
 
 
-def sample(deployment: Deployment, pid: int) -> Sample:
+def read_use(pid: int) -> ProcessUse:
     """Read a process's processor time and memory."""
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     processor_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
     status = Path(f"/proc/{pid}/status").read_text()
     resident = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return ProcessUse(processor_s, int(resident.split()[1]) / 1024)
+
+
+def sample(deployment: Deployment, pid: int) -> Sample:
+    """Read what a process uses, and what passed to the platform."""
     calls = deployment.set_platform()["calls"]
     sent = deployment.relay_by_name["e1-platform"].byte_count
-    return Sample(processor_s, int(resident.split()[1]) / 1024, calls, sent)
+    return Sample(read_use(pid), calls, sent)
 
 
 def fill(deployment: Deployment, hosts: int) -> None:
@@ -102,8 +114,8 @@
         time.sleep(SAMPLE_S)
         after = sample(deployment, pid)
     return Cost(
-        after.resident_mb,
-        100 * (after.processor_s - before.processor_s) / SAMPLE_S,
+        after.process.resident_mb,
+        100 * (after.process.processor_s - before.process.processor_s) / SAMPLE_S,
         (after.platform_calls - before.platform_calls) / SAMPLE_S,
         (after.platform_bytes - before.platform_bytes) / SAMPLE_S,
     )
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -16,7 +16,7 @@
 import attrs
 import defopt
 
-from bench.idle import CLOCK_TICKS_PER_S, fill
+from bench.idle import fill, read_use
 from tests.deployment import Deployment, wait_until
 
 START_TIMEOUT_S = 180.0
@@ -29,23 +29,6 @@
 DUTIES = ("hosts", "waves", "repair", "scheduling")
 
 
-@attrs.frozen
-class NodeSample:
-    """The processor time and the memory of one entry host at one moment."""
-
-    processor_s: float
-    resident_mb: float
-
-
-def sample(pid: int) -> NodeSample:
-    """Read a process's processor time and memory."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    processor_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
-    status = Path(f"/proc/{pid}/status").read_text()
-    resident = next(line for line in status.splitlines() if line.startswith("VmRSS"))
-    return NodeSample(processor_s, int(resident.split()[1]) / 1024)
-
-
 @attrs.define
 class Nodes:
     """The entry hosts of a deployment, by name."""
@@ -147,9 +130,9 @@
     }
     holders = {nodes.holder(duty) for duty in DUTIES}
     calls = nodes.deployment.set_platform()["calls"]
-    before = {name: sample(pid) for name, pid in pid_by_name.items()}
+    before = {name: read_use(pid) for name, pid in pid_by_name.items()}
     time.sleep(SAMPLE_S)
-    after = {name: sample(pid) for name, pid in pid_by_name.items()}
+    after = {name: read_use(pid) for name, pid in pid_by_name.items()}
     calls = nodes.deployment.set_platform()["calls"] - calls
     print(f"platform calls a second, all nodes: {calls / SAMPLE_S:.0f}")
     print(
