Hear leaving hosts in time where the platform is cut off

A peer's copy counted as fresh when the platform had confirmed it within 3 s, also the copy of a peer that is cut off itself; a second passes until the next question. Besides, no peer was asked while a read of the platform hung.

Ruled out: the machine's load.

A copy is fresh within 1.5 s, and a stale copy is asked for once a second while a read of the platform is waited for.

--- a/rhubarbmount/follower.py
+++ b/rhubarbmount/follower.py
@@ -15,6 +15,7 @@
 
 PEERS_TIMEOUT_S = 1.5
 POLL_PERIOD_S = 1.0
+STALE_S = 1.5
 
 _logger = logging.getLogger(__name__)
 
@@ -50,6 +51,7 @@
     version: int = attrs.field(default=0, init=False)
     confirmed_s: float | None = attrs.field(default=None, init=False)
     _hearing: bool = attrs.field(default=False, init=False)
+    _awaiting_platform: bool = attrs.field(default=False, init=False)
     _platform_answers: bool = attrs.field(default=True, init=False)
 
     state_name = "state"
@@ -68,8 +70,16 @@
 
     async def run(self, timers: TimerService) -> None:
         """Refresh the copy once a second until cancelled."""
-        async for _ in timers.every(self.state_name, POLL_PERIOD_S):
-            await self.refresh()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ask_peers_meanwhile, timers)
+            async for _ in timers.every(self.state_name, POLL_PERIOD_S):
+                await self.refresh()
+
+    async def _ask_peers_meanwhile(self, timers: TimerService) -> None:
+        """Ask peers for a stale copy while the platform is waited for."""
+        async for _ in timers.every(f"{self.state_name}-peers", POLL_PERIOD_S):
+            if self._awaiting_platform and self.age_s() > STALE_S:
+                await self._from_peers()
 
     async def hear(self, version: int) -> None:
         """Take a later version that a peer is known to have, from a peer first."""
@@ -93,6 +103,7 @@
 
     async def _from_platform(self) -> bool:
         asked_s = self.clock()
+        self._awaiting_platform = True
         try:
             with trio.fail_after(self.platform_timeout_s):
                 await self._read_platform()
@@ -104,6 +115,8 @@
         ) as error:
             self._note_platform(False, repr(error))
             return False
+        finally:
+            self._awaiting_platform = False
         self._confirm(asked_s)
         self._note_platform(True)
         return True
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -35,7 +35,7 @@
 
 CONNECTION_POLL_S = 0.02
 HEARTBEAT_PERIOD_S = 1.0
-FRESH_COPY_S = 3.0
+FRESH_COPY_S = 1.5
 PULL_ATTEMPTS = 3
 NEAR_PULL_ATTEMPTS = 2
 PULL_TIMEOUT_S = 0.4
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -18,6 +18,7 @@
     encode_message,
 )
 from rhubarbmount.peers import Peers, new_identity, open_peers
+from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.timers import open_timers
 from rhubarbmount.zmqtrio import CurveKeys, open_zmq
 from tests.addresses import AddressBlock
@@ -28,6 +29,7 @@
 TIMEOUT_S = 60
 ANY_PORT = "127.0.0.1:0"
 PEERS_PORT = 8083
+HEARD_WITHIN_S = 4.0
 
 
 class NoPlatform:
@@ -35,6 +37,11 @@
         raise PlatformUnavailable("none")
 
 
+class SilentPlatform:
+    async def read(self, table, key):
+        await trio.sleep_forever()
+
+
 @pytest.fixture
 def clock(mock_clock):
     mock_clock.rate = CLOCK_RATE
@@ -63,8 +70,10 @@
 
 
 @asynccontextmanager
-async def node(name, addresses, data_centre="dc-a", address=None, **options):
-    configuration = Configuration(platform=NoPlatform())
+async def node(
+    name, addresses, data_centre="dc-a", address=None, follows=False, **options
+):
+    configuration = Configuration(platform=options.pop("platform", NoPlatform()))
     counts = {}
     identity = new_identity(name, data_centre, address or ANY_PORT)
     keys = options.pop("keys", KEYS)
@@ -79,7 +88,11 @@
             **options,
         ) as peers:
             configuration.pull = peers.pull
-            yield Node(peers, configuration, counts)
+            async with trio.open_nursery() as nursery:
+                if follows:
+                    nursery.start_soon(configuration.run, timers)
+                yield Node(peers, configuration, counts)
+                nursery.cancel_scope.cancel()
 
 
 async def until(condition):
@@ -185,6 +198,26 @@
                 assert b.configuration.snapshot == snapshot_at(2)
 
 
+@pytest.mark.parametrize("platform", [NoPlatform(), SilentPlatform()])
+async def test_a_data_centre_cut_off_from_the_platform_hears_in_time(clock, platform):
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}, platform=MemoryPlatform(), follows=True) as a:
+            known = {a.peers.table.me.address: "dc-a"}
+            cut_off = {"data_centre": "dc-b", "platform": platform, "follows": True}
+            async with node("b1", known, **cut_off) as b1:
+                known = {**known, b1.peers.table.me.address: "dc-b"}
+                async with node("b2", known, **cut_off) as b2:
+                    followers = (b1.configuration, b2.configuration)
+                    await until(lambda: all(each.ready for each in followers))
+                    ages_s = [await age_after(0.05, followers) for _ in range(400)]
+    assert max(ages_s) < HEARD_WITHIN_S
+
+
+async def age_after(time_s, followers):
+    await trio.sleep(time_s)
+    return max(each.age_s() for each in followers)
+
+
 @asynccontextmanager
 async def relayed(name, block):
     """Yield a node that others reach through a relay."""
