--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+from collections.abc import Iterator
 from typing import Any
 from urllib.parse import quote
 
@@ -72,13 +73,14 @@
     return _show(value, value["entries"], ("key", "owner", "version"), json)
 
 
-def entry_show(kind: str, name: str) -> int:
-    """Show one entry as JSON.
+def entry_show(kind: str, name: str, *, json: bool = False) -> int:
+    """Show one entry.
 
     :param kind: service, pool, team or job-template
     :param name: the entry's name
+    :param json: print JSON
     """
-    return _print_json(_call("GET", _entry_path(kind, name)))
+    return _show_fields(_call("GET", _entry_path(kind, name)), json)
 
 
 def entry_history(kind: str, name: str, *, json: bool = False) -> int:
@@ -92,30 +94,36 @@
     return _show(value, value["changes"], ("version", "operator", "when_s"), json)
 
 
-def entry_apply(kind: str, file: str, *, expected_version: int | None = None) -> int:
+def entry_apply(
+    kind: str, file: str, *, expected_version: int | None = None, json: bool = False
+) -> int:
     """Add or replace an entry; print the version that holds it.
 
     :param kind: service, pool, team or job-template
     :param file: YAML file with the entry's values
     :param expected_version: refuse if the entry was changed since this version
+    :param json: print JSON
     """
     values = read_yaml(file).values
     body = {"values": values, "expected_version": expected_version}
     name = values.get("name", "") if isinstance(values, dict) else ""
-    return _print_accepted(_call("PUT", _entry_path(kind, name), body))
+    return _show_accepted(_call("PUT", _entry_path(kind, name), body), json)
 
 
-def entry_remove(kind: str, name: str, *, expected_version: int | None = None) -> int:
+def entry_remove(
+    kind: str, name: str, *, expected_version: int | None = None, json: bool = False
+) -> int:
     """Remove an entry that no other entry names.
 
     :param kind: service, pool, team or job-template
     :param name: the entry's name
     :param expected_version: refuse if the entry was changed since this version
+    :param json: print JSON
     """
     path = _entry_path(kind, name)
     if expected_version is not None:
         path += f"?expected_version={expected_version}"
-    return _print_accepted(_call("DELETE", path))
+    return _show_accepted(_call("DELETE", path), json)
 
 
 def explain(kind: str, subject_id: str, *, json: bool = False) -> int:
@@ -144,21 +152,24 @@
     return _show(value, value["hosts"], columns, json)
 
 
-def hosts_move(host_id: str, pool: str) -> int:
+def hosts_move(host_id: str, pool: str, *, json: bool = False) -> int:
     """Begin the move of a host to another pool.
 
     :param host_id: the host
     :param pool: the pool that it is to belong to
+    :param json: print JSON
     """
-    return _print_json(_call("POST", f"/hosts/{_quote(host_id)}/move", {"pool": pool}))
+    path = f"/hosts/{_quote(host_id)}/move"
+    return _show_fields(_call("POST", path, {"pool": pool}), json)
 
 
-def hosts_stay(host_id: str) -> int:
+def hosts_stay(host_id: str, *, json: bool = False) -> int:
     """Cancel the move of a host that has not been committed.
 
     :param host_id: the host
+    :param json: print JSON
     """
-    return _print_json(_call("DELETE", f"/hosts/{_quote(host_id)}/move"))
+    return _show_fields(_call("DELETE", f"/hosts/{_quote(host_id)}/move"), json)
 
 
 def jobs_list(*, json: bool = False) -> int:
@@ -171,28 +182,31 @@
     return _show(value, value["jobs"], columns, json)
 
 
-def jobs_submit(file: str) -> int:
+def jobs_submit(file: str, *, json: bool = False) -> int:
     """Submit a job; one that could never run is refused at once.
 
     :param file: YAML file with the job's values
+    :param json: print JSON
     """
-    return _print_json(_call("POST", "/jobs", read_yaml(file).values))
+    return _show_fields(_call("POST", "/jobs", read_yaml(file).values), json)
 
 
-def jobs_cancel(job_id: str) -> int:
+def jobs_cancel(job_id: str, *, json: bool = False) -> int:
     """Cancel a job.
 
     :param job_id: the job
+    :param json: print JSON
     """
-    return _print_json(_call("DELETE", f"/jobs/{_quote(job_id)}"))
+    return _show_fields(_call("DELETE", f"/jobs/{_quote(job_id)}"), json)
 
 
-def jobs_release(job_id: str) -> int:
+def jobs_release(job_id: str, *, json: bool = False) -> int:
     """Let a held job wait for a host again.
 
     :param job_id: the job
+    :param json: print JSON
     """
-    return _print_json(_call("POST", f"/jobs/{_quote(job_id)}/release"))
+    return _show_fields(_call("POST", f"/jobs/{_quote(job_id)}/release"), json)
 
 
 def maintain_plan(*, json: bool = False) -> int:
@@ -201,17 +215,17 @@
     :param json: print JSON
     """
     value = _call("POST", "/waves/plan", {})
-    rows = [{"field": key, "value": held} for key, held in value.items()]
-    return _show(value, rows, ("field", "value"), json)
+    return _show_fields(value, json)
 
 
-def maintain_start(*pools: str) -> int:
+def maintain_start(*pools: str, json: bool = False) -> int:
     """Start a maintenance wave over pools, or over all that you own.
 
     :param pools: the pools
+    :param json: print JSON
     """
     body = {"pools": list(pools)} if pools else {}
-    return _print_json(_call("POST", "/waves", body))
+    return _show_fields(_call("POST", "/waves", body), json)
 
 
 def maintain_list(*, json: bool = False) -> int:
@@ -223,14 +237,15 @@
     return _show(value, value["waves"], ("wave_id", "control", "state", "pools"), json)
 
 
-def maintain_control(wave_id: str, control: str) -> int:
+def maintain_control(wave_id: str, control: str, *, json: bool = False) -> int:
     """Pause, resume or cancel a wave.
 
     :param wave_id: the wave
     :param control: running, paused or cancelled
+    :param json: print JSON
     """
     path = f"/waves/{_quote(wave_id)}/control"
-    return _print_json(_call("POST", path, {"control": control}))
+    return _show_fields(_call("POST", path, {"control": control}), json)
 
 
 def _quote(text: str) -> str:
@@ -245,7 +260,9 @@
     return OperatorClient.from_environment().call(method, path, value)
 
 
-def _print_accepted(value: Any) -> int:
+def _show_accepted(value: Any, as_json: bool) -> int:
+    if as_json:
+        return _print_json(value)
     print(f"accepted {value['key']} in version {value['version']}")
     return 0
 
@@ -271,3 +288,21 @@
         return _print_json(value)
     print(format_table(rows, columns))
     return 0
+
+
+def _show_fields(value: Any, as_json: bool) -> int:
+    rows = [{"field": field, "value": held} for field, held in _fields(value)]
+    return _show(value, rows, ("field", "value"), as_json)
+
+
+def _fields(value: dict[str, Any], prefix: str = "") -> Iterator[tuple[str, Any]]:
+    """Yield the fields of an answer, those of a mapping within it by dotted names.
+
+    >>> list(_fields({"key": "pool/a", "values": {"name": "a"}}))
+    [('key', 'pool/a'), ('values.name', 'a')]
+    """
+    for key, held in value.items():
+        if isinstance(held, dict):
+            yield from _fields(held, f"{prefix}{key}.")
+        else:
+            yield f"{prefix}{key}", held
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -40,9 +40,15 @@
         yield run
 
 
+def has_row(table, field, value):
+    return re.search(rf"^{field} +{value}$", table, re.MULTILINE) is not None
+
+
 def test_every_command_answers_in_a_table_or_in_json(run):
     assert re.search(r"^pool/quotes +firm +\d+$", run("entry list"), re.MULTILINE)
-    assert json.loads(run("entry show pool quotes"))["values"]["name"] == "quotes"
+    assert has_row(run("entry show pool quotes"), "values.name", "quotes")
+    shown = json.loads(run("entry show pool quotes --json"))
+    assert shown["values"]["name"] == "quotes"
     accepted = run("entry apply pool pool.yaml")
     assert re.fullmatch(r"accepted pool/spare in version \d+\n", accepted)
     history = run("entry history pool spare").splitlines()
@@ -55,16 +61,19 @@
     assert re.search(
         r"^h1 +quotes +dc-a", run("hosts list --pool quotes"), re.MULTILINE
     )
-    assert json.loads(run("hosts move h1 spare"))
-    assert json.loads(run("hosts stay h1"))
-    assert json.loads(run("jobs submit job.yaml"))
+    assert has_row(run("hosts move h1 spare"), "result", "begun")
+    assert "result" in json.loads(run("hosts stay h1 --json"))
+    assert has_row(run("jobs submit job.yaml"), "job_id", "night")
     wait_until(lambda: "night" in run("jobs list"), 5)
-    assert json.loads(run("jobs cancel night"))
+    assert json.loads(run("jobs cancel night --json"))["job_id"] == "night"
     assert run("explain job night")
     assert "buffer_hosts" in run("maintain plan")
-    wave = json.loads(run("maintain start quotes"))["wave"]
+    assert json.loads(run("maintain plan --json"))["buffer_hosts"] >= 0
+    wave = json.loads(run("maintain start quotes --json"))["wave"]
     assert wave in run("maintain list")
-    assert json.loads(run(f"maintain control {wave} cancelled"))
+    assert has_row(run(f"maintain control {wave} paused"), "control", "paused")
+    ended = json.loads(run(f"maintain control {wave} cancelled --json"))
+    assert ended["wave_id"] == wave
     assert run("entry remove pool spare").startswith("accepted pool/spare")
 
 
