--- a/rhubarbmount/explain_operators.py
+++ b/rhubarbmount/explain_operators.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from rhubarbmount.decisions import KINDS, Decision, Explanation, merge_explanations
 from rhubarbmount.edits import Operator
 from rhubarbmount.errors import (
     NotFound,
@@ -14,12 +15,6 @@
     Refused,
     UsageError,
 )
-from rhubarbmount.explain import (
-    KINDS,
-    Decision,
-    Explanation,
-    merge_explanations,
-)
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.instances import ConfigurationStatus
 from rhubarbmount.platform.interface import Platform
--- a/rhubarbmount/job_decisions.py
+++ b/rhubarbmount/job_decisions.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from rhubarbmount.explain import Decision, DecisionMemory
+from rhubarbmount.decisions import Decision
+from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.jobs import Job
 from rhubarbmount.placement import Wait
 from rhubarbmount.suspects import Blame
--- a/rhubarbmount/questions.py
+++ b/rhubarbmount/questions.py
@@ -8,7 +8,8 @@
 import msgpack
 import trio
 
-from rhubarbmount.explain import DecisionMemory, Explanation
+from rhubarbmount.decisions import Explanation
+from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.log import event
 from rhubarbmount.peer_messages import QuestionReply
 from rhubarbmount.request_traces import RequestTraces
--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -12,7 +12,7 @@
 import attrs
 
 from rhubarbmount.claims import Claim, Verdict, row_key
-from rhubarbmount.explain import Decision, Explanation
+from rhubarbmount.decisions import Decision, Explanation
 from rhubarbmount.http import HttpRequest, HttpResponse, header_value
 from rhubarbmount.listener import Handler
 from rhubarbmount.problem import (
--- a/rhubarbmount/row_causes.py
+++ b/rhubarbmount/row_causes.py
@@ -6,7 +6,7 @@
 from rhubarbmount.budgets import read_pool_rows
 from rhubarbmount.catalogue_rows import history_key
 from rhubarbmount.claims import Claim, ClaimState, load_claim, row_key
-from rhubarbmount.explain import Decision
+from rhubarbmount.decisions import Decision
 from rhubarbmount.host_work import intent_key, load_intent
 from rhubarbmount.hosts import load_host
 from rhubarbmount.jobs import load_job
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,13 +4,8 @@
 
 import attrs
 
-from rhubarbmount.explain import (
-    Decision,
-    DecisionMemory,
-    DecisionRecorder,
-    Explanation,
-    merge_explanations,
-)
+from rhubarbmount.decisions import Decision, Explanation, merge_explanations
+from rhubarbmount.explain import DecisionMemory, DecisionRecorder
 
 
 def decide(subject_id="j1", code="wait", time_s=0.0, **fields):
--- a/tests/test_explain_operators.py
+++ b/tests/test_explain_operators.py
@@ -6,9 +6,10 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
+from rhubarbmount.decisions import Decision, Explanation
 from rhubarbmount.edits import Operator
 from rhubarbmount.errors import PlatformUnavailable
-from rhubarbmount.explain import Decision, DecisionMemory, Explanation
+from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.explain_operators import ExplainApi, judge_in_force
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from rhubarbmount.explain import Decision, Explanation
+from rhubarbmount.decisions import Decision, Explanation
 from rhubarbmount.peer_messages import (
     Question,
     QuestionReply,
