--- a/bench/measures.py
+++ b/bench/measures.py
@@ -13,6 +13,7 @@
 import defopt
 import trio
 
+from bench.plot import Point, draw_curve
 from bench.wave_run import WAVE, Failure, Run, buffer_of
 from bench.waves import HOUR_S, make_fleet, spares_offer
 from rhubarbmount.wave_bounds import lower_bound_s
@@ -177,7 +178,7 @@
 
 
 def run_fleet(fleet, ways, seeds, is_harsh, rate, round_s):
-    """Carry all ways of a fleet out under the same seeds, and print them."""
+    """Carry all ways of a fleet out under the same seeds; print and return them."""
     kind = "far off" if is_harsh else "declared"
     if rate != 1.0:
         kind = f"x{rate:g}"
@@ -195,14 +196,56 @@
                 for seed in range(1, seeds + 1)
             ]
         report(fleet, kind, way, outcomes_by_plan[way.plan], bound_h)
+    print_bounds(fleet, kind, bound_h)
+    return [(way, outcomes_by_plan[way.plan]) for way in ways]
+
+
+def print_bounds(fleet, kind, bound_h):
+    """Print the least time without spares, and with as many as one likes."""
     print(f"{fleet.name:22} {kind:9} {'lower bound, no spares':22} {bound_h:7.2f}")
     least_s = lower_bound_s(fleet.pools, fleet.hosts, 0.0, WAVE, with_spares=True)
     name = "lower bound, spares"
     print(f"{fleet.name:22} {kind:9} {name:22} {least_s / HOUR_S:7.2f}", flush=True)
 
 
+def run_curve(users, seeds):
+    """Print the measures by number of spares, and return the points of the curve."""
+    points = []
+    for fleet, settings in users:
+        chosen = planned_way("chosen", fleet, settings, fleet.spares).spares
+        ways = list(curve_ways(fleet))
+        for way, outcomes in run_fleet(fleet, ways, seeds, False, 1.0, 1.0):
+            points.append(point_of(fleet, way, outcomes, way.spares == chosen))
+    return points
+
+
+def point_of(fleet, way, outcomes, is_chosen):
+    """Return the means of a way as a point."""
+    return Point(
+        fleet.name,
+        way.spares,
+        statistics.mean(item.hours for item in outcomes),
+        statistics.mean(item.buffer_host_hours for item in outcomes),
+        is_chosen,
+    )
+
+
+def run_users(users, seeds, stress):
+    """Print the measures of all ways: declared, far off, and with more failures."""
+    for fleet, _settings in users:
+        ways = list(ways_of(fleet))
+        run_fleet(fleet, ways, seeds, False, 1.0, 1.0)
+        run_fleet(fleet, ways, seeds, True, 1.0, 1.0)
+        run_fleet(fleet, ways, seeds, False, stress, 1.0)
+
+
 def main(
-    *, seeds: int = 3, large: bool = False, curve: bool = False, stress: float = 100.0
+    *,
+    seeds: int = 3,
+    large: bool = False,
+    curve: bool = False,
+    plot: str = "",
+    stress: float = 100.0,
 ) -> None:
     """Print the three measures at both users' sizes.
 
@@ -210,6 +253,7 @@
     :param large: 2,600 workers in 25 pools in place of the users' sizes, one seed,
         in rounds of 5 s; bench.waves has the plan of one at a time
     :param curve: print the measures by number of spares in place of the ways
+    :param plot: write the curve to this file, as its suffix says; implies curve
     :param stress: print the users' sizes also with failures this many times as often
     """
     logging.disable(logging.INFO)
@@ -222,15 +266,15 @@
         run_fleet(fleet, list(large_ways(fleet)), 1, False, 1.0, LARGE_ROUND_S)
         return
     users = (
-        make_fleet("collective 5x6, 1 down", 5, 6, 3, (1, 1), 25, 1),
-        make_fleet("workshop 5x8, 1 down", 5, 8, 4, (1, 1), 25, 1),
+        (make_fleet("collective 5x6, 1 down", 5, 6, 3, (1, 1), 25, 1), COLLECTIVE),
+        (make_fleet("workshop 5x8, 1 down", 5, 8, 4, (1, 1), 25, 1), WORKSHOP),
     )
-    for fleet in users:
-        ways = list(curve_ways(fleet) if curve else ways_of(fleet))
-        run_fleet(fleet, ways, seeds, False, 1.0, 1.0)
-        if not curve:
-            run_fleet(fleet, ways, seeds, True, 1.0, 1.0)
-            run_fleet(fleet, ways, seeds, False, stress, 1.0)
+    if not curve and not plot:
+        run_users(users, seeds, stress)
+        return
+    points = run_curve(users, seeds)
+    if plot:
+        draw_curve(points, plot)
 
 
 if __name__ == "__main__":
