Refuse operators' requests with odd values instead of failing

Random values at the boundaries: settings and entries with values replaced, dropped and added, jobs, peers' messages and lists of members, answers of the platform. Two faults found, both answered 500 with a traceback in the log: a job whose template is a list (unhashable), and a JSON body nested 100,000 deep (recursion). Both are refused with 400 or 422 now, as are an expected_version that is no whole number and an operation_id that is no text.

--- a/rhubarbmount/job_handlers.py
+++ b/rhubarbmount/job_handlers.py
@@ -153,12 +153,7 @@
     def _build(self, values: Any) -> JobSubmission:
         if not isinstance(values, dict):
             raise UsageError("a job is a mapping")
-        templates = self.view.job_templates()
-        template = templates.get(values.get("template", ""))
-        if template is None and values.get("template"):
-            message = f"no job template {values['template']!r}"
-            raise FindingsError([Finding("job.template", "unknown-template", message)])
-        merged = (_defaults(template) if template else {}) | values
+        merged = self._template_values(values.get("template")) | values
         submission, faults = structure(merged, JobSubmission, ("job",))
         if faults:
             raise FindingsError(
@@ -169,6 +164,15 @@
             )
         return submission
 
+    def _template_values(self, name: Any) -> dict[str, Any]:
+        if not name:
+            return {}
+        template = self.view.job_templates().get(str(name))
+        if template is None:
+            message = f"no job template {name!r}"
+            raise FindingsError([Finding("job.template", "unknown-template", message)])
+        return _defaults(template)
+
     def _record(
         self,
         job_id: str,
--- a/rhubarbmount/operators.py
+++ b/rhubarbmount/operators.py
@@ -93,7 +93,11 @@
         version = body.get("expected_version")
         if version is None:
             version = await self._stored_version(entry_key(kind, name))
+        elif type(version) is not int:
+            raise UsageError("expected_version is a whole number")
         operation_id = body.get("operation_id") or uuid.uuid4().hex
+        if not isinstance(operation_id, str):
+            raise UsageError("operation_id is a text")
         edit = Edit.from_values(kind, values, version, operation_id)
         return _accepted(await self.acceptance.apply(operator, edit))
 
--- a/rhubarbmount/router.py
+++ b/rhubarbmount/router.py
@@ -26,7 +26,7 @@
         """Return the body's value. Raises UsageError."""
         try:
             return json.loads(self.request.body or b"{}")
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise UsageError(f"the body is not JSON: {error}") from None
 
 
