--- a/bench/placement.py
+++ b/bench/placement.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from rhubarbmount.amounts import amount_needed
 from rhubarbmount.entries import Team, WorkClass
 from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.hosts import Host, Shape
@@ -18,7 +19,7 @@
 from rhubarbmount.job_queue import TeamUsage, WaitingJob
 from rhubarbmount.jobs import Job, JobState, Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait
-from rhubarbmount.rooms import HostRoom, amount_needed
+from rhubarbmount.rooms import HostRoom
 from rhubarbmount.scheduler import Scheduler
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 
--- /dev/null
+++ b/rhubarbmount/amounts.py
@@ -0,0 +1,73 @@
+"""Amounts of processors, memory and accelerators in whole parts."""
+
+from functools import lru_cache
+from math import ceil, floor
+from typing import NamedTuple
+
+from rhubarbmount.hosts import Shape
+from rhubarbmount.jobs import describe
+
+__all__ = ["NOTHING", "Amount", "amount_needed", "amount_offered"]
+
+PARTS_PER_PROCESSOR = 4
+PARTS_PER_GB = 4
+AMOUNTS_SHARED = 4096
+
+
+class Amount(NamedTuple):
+    """A shape in accelerators, quarters of a processor and quarters of a GB.
+
+    Whole numbers keep sums exact, and free rooms few enough to be indexed by value.
+    """
+
+    accelerators: int
+    processor_parts: int
+    memory_parts: int
+
+    def plus(self, other: "Amount") -> "Amount":
+        """Return the sum."""
+        return Amount(self[0] + other[0], self[1] + other[1], self[2] + other[2])
+
+    def minus(self, other: "Amount") -> "Amount":
+        """Return the difference, which may be negative."""
+        return Amount(self[0] - other[0], self[1] - other[1], self[2] - other[2])
+
+    def fits(self, room: "Amount") -> bool:
+        """Return whether the room has enough of everything."""
+        return self[0] <= room[0] and self[1] <= room[1] and self[2] <= room[2]
+
+    def shape(self) -> Shape:
+        """Return the amount as a shape."""
+        return Shape(
+            self[1] / PARTS_PER_PROCESSOR, self[2] / PARTS_PER_GB, self.accelerators
+        )
+
+    def describe(self) -> str:
+        """Return the amount in words."""
+        return describe(self.shape())
+
+
+NOTHING = Amount(0, 0, 0)
+
+
+@lru_cache(AMOUNTS_SHARED)
+def amount_needed(shape: Shape) -> Amount:
+    """Return what a job asks for, rounded up.
+
+    >>> amount_needed(Shape(0.5, 1.5))
+    Amount(accelerators=0, processor_parts=2, memory_parts=6)
+    """
+    return Amount(
+        shape.accelerators,
+        ceil(shape.processors * PARTS_PER_PROCESSOR),
+        ceil(shape.memory_gb * PARTS_PER_GB),
+    )
+
+
+def amount_offered(shape: Shape) -> Amount:
+    """Return what a host offers, rounded down."""
+    return Amount(
+        shape.accelerators,
+        floor(shape.processors * PARTS_PER_PROCESSOR),
+        floor(shape.memory_gb * PARTS_PER_GB),
+    )
--- a/rhubarbmount/fleet_rooms.py
+++ b/rhubarbmount/fleet_rooms.py
@@ -4,12 +4,13 @@
 
 import attrs
 
+from rhubarbmount.amounts import Amount
 from rhubarbmount.headroom import UrgentDemand
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.jobs import Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer
 from rhubarbmount.preemption import Eviction, choose_eviction
-from rhubarbmount.rooms import Amount, HostRoom, PoolRooms
+from rhubarbmount.rooms import HostRoom, PoolRooms
 
 __all__ = ["FleetRooms"]
 
--- a/rhubarbmount/headroom.py
+++ b/rhubarbmount/headroom.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rhubarbmount.rooms import NOTHING, Amount
+from rhubarbmount.amounts import NOTHING, Amount
 
 __all__ = ["HeadroomRule", "UrgentDemand"]
 
--- a/rhubarbmount/job_queue.py
+++ b/rhubarbmount/job_queue.py
@@ -5,9 +5,9 @@
 
 import attrs
 
+from rhubarbmount.amounts import NOTHING, Amount, amount_offered
 from rhubarbmount.entries import Team, WorkClass
 from rhubarbmount.jobs import Job, quota_shape
-from rhubarbmount.rooms import NOTHING, Amount, amount_offered
 
 __all__ = ["JobGroup", "JobLane", "JobQueue", "TeamUsage", "WaitingJob"]
 
--- a/rhubarbmount/placement.py
+++ b/rhubarbmount/placement.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from rhubarbmount.amounts import Amount
 from rhubarbmount.entries import WorkClass
 from rhubarbmount.job_queue import (
     JobGroup,
@@ -17,7 +18,7 @@
 )
 from rhubarbmount.preemption import Eviction, choose_eviction
 from rhubarbmount.registry import Registry
-from rhubarbmount.rooms import Amount, HostRoom, PoolRooms
+from rhubarbmount.rooms import HostRoom, PoolRooms
 
 __all__ = [
     "PlacementRule",
--- a/rhubarbmount/preemption.py
+++ b/rhubarbmount/preemption.py
@@ -5,8 +5,9 @@
 
 import attrs
 
+from rhubarbmount.amounts import Amount, amount_needed
 from rhubarbmount.jobs import Task
-from rhubarbmount.rooms import Amount, HostRoom, PoolRooms, amount_needed, is_evictable
+from rhubarbmount.rooms import HostRoom, PoolRooms, is_evictable
 
 __all__ = ["Eviction", "choose_eviction"]
 
--- a/rhubarbmount/reservations.py
+++ b/rhubarbmount/reservations.py
@@ -4,11 +4,12 @@
 
 import attrs
 
+from rhubarbmount.amounts import Amount, amount_needed
 from rhubarbmount.fleet_rooms import FleetRooms
 from rhubarbmount.job_queue import JobGroup, TeamUsage, WaitingJob
 from rhubarbmount.placement import PoolPlacer
 from rhubarbmount.promises import Promises
-from rhubarbmount.rooms import Amount, HostRoom, amount_needed
+from rhubarbmount.rooms import HostRoom
 
 __all__ = ["Reservations", "room_from_s"]
 
--- a/rhubarbmount/rooms.py
+++ b/rhubarbmount/rooms.py
@@ -1,92 +1,19 @@
-"""The free room of a pool's hosts, indexed so that a search skips most of them."""
+"""The free room of a pool's hosts, and the tasks that take it."""
 
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
-from functools import lru_cache
-from math import ceil, floor
-from typing import NamedTuple
 
 import attrs
 from sortedcontainers import SortedDict, SortedList
 
+from rhubarbmount.amounts import NOTHING, Amount, amount_needed, amount_offered
 from rhubarbmount.entries import WorkClass
 from rhubarbmount.hosts import Host, HostState, Shape
-from rhubarbmount.jobs import Task, describe
+from rhubarbmount.jobs import Task
+from rhubarbmount.room_index import RoomIndex
 
-__all__ = [
-    "NOTHING",
-    "Amount",
-    "HostRoom",
-    "PoolRooms",
-    "RoomIndex",
-    "amount_needed",
-    "amount_offered",
-    "is_evictable",
-]
-
-PARTS_PER_PROCESSOR = 4
-PARTS_PER_GB = 4
-AMOUNTS_SHARED = 4096
-
-
-class Amount(NamedTuple):
-    """A shape in accelerators, quarters of a processor and quarters of a GB.
-
-    Whole numbers keep sums exact, and free rooms few enough to be indexed by value.
-    """
-
-    accelerators: int
-    processor_parts: int
-    memory_parts: int
-
-    def plus(self, other: "Amount") -> "Amount":
-        """Return the sum."""
-        return Amount(self[0] + other[0], self[1] + other[1], self[2] + other[2])
-
-    def minus(self, other: "Amount") -> "Amount":
-        """Return the difference, which may be negative."""
-        return Amount(self[0] - other[0], self[1] - other[1], self[2] - other[2])
-
-    def fits(self, room: "Amount") -> bool:
-        """Return whether the room has enough of everything."""
-        return self[0] <= room[0] and self[1] <= room[1] and self[2] <= room[2]
-
-    def shape(self) -> Shape:
-        """Return the amount as a shape."""
-        return Shape(
-            self[1] / PARTS_PER_PROCESSOR, self[2] / PARTS_PER_GB, self.accelerators
-        )
-
-    def describe(self) -> str:
-        """Return the amount in words."""
-        return describe(self.shape())
-
-
-NOTHING = Amount(0, 0, 0)
-
-
-@lru_cache(AMOUNTS_SHARED)
-def amount_needed(shape: Shape) -> Amount:
-    """Return what a job asks for, rounded up.
-
-    >>> amount_needed(Shape(0.5, 1.5))
-    Amount(accelerators=0, processor_parts=2, memory_parts=6)
-    """
-    return Amount(
-        shape.accelerators,
-        ceil(shape.processors * PARTS_PER_PROCESSOR),
-        ceil(shape.memory_gb * PARTS_PER_GB),
-    )
-
-
-def amount_offered(shape: Shape) -> Amount:
-    """Return what a host offers, rounded down."""
-    return Amount(
-        shape.accelerators,
-        floor(shape.processors * PARTS_PER_PROCESSOR),
-        floor(shape.memory_gb * PARTS_PER_GB),
-    )
+__all__ = ["HostRoom", "PoolRooms", "is_evictable"]
 
 
 @attrs.define
@@ -124,70 +51,6 @@
         return self.host.state is HostState.IN_SERVICE
 
 
-@attrs.define
-class RoomIndex:
-    """Hosts by an amount of room, then by rack.
-
-    A search visits distinct amounts and skips those that are too small in one step,
-    so its cost grows more slowly than the number of hosts.
-    """
-
-    _racks_by_amount: SortedDict = attrs.field(factory=SortedDict)
-    _place_by_host: dict[str, tuple[Amount, str]] = attrs.field(factory=dict)
-
-    def add(self, host_id: str, rack: str, amount: Amount) -> None:
-        """File a host under its room."""
-        self._place_by_host[host_id] = amount, rack
-        racks = self._racks_by_amount.setdefault(amount, SortedDict())
-        racks.setdefault(rack, {})[host_id] = None
-
-    def discard(self, host_id: str) -> None:
-        """Take a host out, if it is in."""
-        place = self._place_by_host.pop(host_id, None)
-        if place is None:
-            return
-        amount, rack = place
-        racks = self._racks_by_amount[amount]
-        hosts = racks[rack]
-        del hosts[host_id]
-        if not hosts:
-            del racks[rack]
-        if not racks:
-            del self._racks_by_amount[amount]
-
-    def search(self, need: Amount, after_rack: str = "") -> Iterator[str]:
-        """Yield hosts with enough room, least room first, one rack after another.
-
-        Racks are taken in turn, beginning behind ``after_rack``.
-        """
-        amounts = self._racks_by_amount.keys()
-        position = self._racks_by_amount.bisect_left(need)
-        while position < len(amounts):
-            amount = amounts[position]
-            if need.fits(amount):
-                yield from _in_turn(self._racks_by_amount[amount], after_rack)
-                position += 1
-            elif amount[1] < need[1]:
-                ahead = Amount(amount[0], need[1], need[2])
-                position = self._racks_by_amount.bisect_left(ahead)
-            else:
-                ahead = Amount(amount[0], amount[1], need[2])
-                position = self._racks_by_amount.bisect_left(ahead)
-
-
-def _in_turn(hosts_by_rack: SortedDict, after_rack: str) -> Iterator[str]:
-    count = len(hosts_by_rack)
-    first = hosts_by_rack.bisect_right(after_rack)
-    rest = []
-    for step in range(count):
-        _, hosts = hosts_by_rack.peekitem((first + step) % count)
-        others = iter(hosts)
-        yield next(others)
-        rest.append(others)
-    for others in rest:
-        yield from others
-
-
 @attrs.define
 class PoolRooms:
     """The hosts of one pool, their tasks, and indexes over their room.
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rhubarbmount.amounts import amount_needed
 from rhubarbmount.entries import Team, WorkClass
 from rhubarbmount.fleet_rooms import FleetRooms
 from rhubarbmount.hosts import Host
@@ -22,7 +23,6 @@
 from rhubarbmount.platform.interface import TaskCommand
 from rhubarbmount.promises import Promises
 from rhubarbmount.reservations import Reservations
-from rhubarbmount.rooms import amount_needed
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 from rhubarbmount.sizes import UsageReport
 from rhubarbmount.tables import REPORTS_TABLE, REQUESTS_TABLE
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rhubarbmount.amounts import Amount, amount_needed
 from rhubarbmount.entries import Team, WorkClass
 from rhubarbmount.fleet_rooms import FleetRooms
 from rhubarbmount.headroom import HeadroomRule, UrgentDemand
@@ -14,7 +15,7 @@
 from rhubarbmount.jobs import Job, Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait, strategies
 from rhubarbmount.preemption import choose_eviction
-from rhubarbmount.rooms import Amount, PoolRooms, amount_needed
+from rhubarbmount.rooms import PoolRooms
 
 NOW_S = 1000.0
 URGENT, NORMAL, BATCH = WorkClass.URGENT, WorkClass.NORMAL, WorkClass.BATCH
