Keep jobs and tasks, and each change of one, beside the scheduler's choices

Nothing behaves differently; test_placement.py, test_scheduling.py, test_jobs.py, test_sizes.py and test_suspects.py pass.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -176,7 +176,7 @@
 
     def _start(self, task: Task, now_s: float) -> None:
         started_s = now_s + COMMIT_AND_COMMAND_S + TASK_START_S
-        self.scheduler.take_delivery(self.scheduler._command(task))
+        self.scheduler.take_delivery(self.scheduler.records.command(task))
         self.running.add(task.task_id)
         self.restarts += task.token > 1
         if task.work_class is WorkClass.URGENT:
--- /dev/null
+++ b/rhubarbmount/job_records.py
@@ -0,0 +1,173 @@
+"""The jobs and tasks that are known, and each change of one; free of I/O."""
+
+import attrs
+
+from rhubarbmount.amounts import amount_needed
+from rhubarbmount.entries import WorkClass
+from rhubarbmount.fleet_rooms import FleetRooms
+from rhubarbmount.job_changes import DUTY, EndReport, JobChange
+from rhubarbmount.job_decisions import JobDecisions
+from rhubarbmount.job_ends import job_after, observe_outcome
+from rhubarbmount.job_queue import TeamUsage, WaitingJob
+from rhubarbmount.jobs import ENDED_STATES, Job, JobState, Task
+from rhubarbmount.platform.interface import TaskCommand
+from rhubarbmount.promises import Promises
+from rhubarbmount.scheduling_rule import Learned
+
+__all__ = ["JobRecords"]
+
+ACTIONS = ("start", "checkpoint", "stop")
+
+
+@attrs.define(kw_only=True)
+class JobRecords:
+    """Keep jobs in step with their tasks, the hosts' rooms and the teams' usage.
+
+    ``stopped_s`` holds when the stop of a task was accepted, on the monotonic clock.
+    """
+
+    job_by_id: dict[str, Job]
+    task_by_id: dict[str, Task]
+    fleet: FleetRooms
+    usage: TeamUsage
+    promises: Promises
+    learned: Learned
+    decisions: JobDecisions
+    lease_s: float
+    stopped_s: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def start(self, waiting: WaitingJob, host_id: str, code: str) -> JobChange:
+        """Start a waiting job on a host."""
+        job = waiting.job
+        attempt = job.attempt + 1
+        task = Task(
+            task_id=f"{job.job_id}/{attempt}",
+            job_id=job.job_id,
+            team=job.team,
+            pool=job.pool,
+            host_id=host_id,
+            reserved=waiting.need.shape(),
+            kind=job.kind,
+            work_class=job.work_class,
+            can_checkpoint=job.can_checkpoint,
+            token=attempt,
+            lease_s=self.lease_s,
+            run_time_s=job.run_time_s,
+            started_s=self.decisions.now_s,
+        )
+        job = job.move(
+            "place", self.decisions.now_s, attempt=attempt, task_id=task.task_id
+        )
+        self.keep(job)
+        self.task_by_id[task.task_id] = task
+        self.fleet.add_task(task)
+        self.usage.take(job.team, waiting.need)
+        self.decisions.of_job(job, code, host=host_id, reserved=waiting.need.describe())
+        return JobChange(job=job, task=task, command=self.command(task))
+
+    def evict(self, task: Task, code: str, reason: str) -> JobChange:
+        """Ask a task to end, with a checkpoint if it can make one."""
+        action = "checkpoint" if task.can_checkpoint else "stop"
+        task = attrs.evolve(task, command=action)
+        self.task_by_id[task.task_id] = task
+        self.fleet.replace_task(task)
+        job = self.job_by_id[task.job_id].move(
+            "evict", self.decisions.now_s, cause=code
+        )
+        self.keep(job)
+        self.decisions.of_job(job, code, reason, host=task.host_id)
+        return JobChange(job=job, task=task, command=self.command(task))
+
+    def give_up(self, task: Task) -> JobChange:
+        """Stop a task whose host is missing."""
+        job = self.job_by_id[task.job_id]
+        reason = f"host {task.host_id} is missing from the list of live hosts"
+        self.decisions.of_job(job, "task-given-up", reason, host=task.host_id)
+        if job.state is not JobState.EVICTING:
+            job = job.move("evict", self.decisions.now_s, cause="host-missing")
+            self.keep(job)
+        task = attrs.evolve(task, command="stop")
+        self.task_by_id[task.task_id] = task
+        self.fleet.replace_task(task)
+        return JobChange(job=job, task=task, command=self.command(task))
+
+    def cancel(self, job: Job, consumed: tuple[tuple[str, str], ...]) -> JobChange:
+        """Act on an operator's request to cancel."""
+        if job.state is JobState.STOPPING:
+            return JobChange(consumed=consumed)
+        self._dequeue(job)
+        job = job.move("cancel", self.decisions.now_s, cause="cancelled")
+        self.keep(job)
+        self.decisions.of_job(job, "cancelled", "an operator cancelled it")
+        if job.state in ENDED_STATES:
+            return JobChange(job=job, consumed=consumed)
+        task = attrs.evolve(self.task_by_id[job.task_id], command="stop")
+        self.task_by_id[task.task_id] = task
+        self.fleet.replace_task(task)
+        command = self.command(task)
+        return JobChange(job=job, task=task, command=command, consumed=consumed)
+
+    def end(self, task: Task, report: EndReport) -> JobChange:
+        """Take a task off its host, and its job to what comes next."""
+        del self.task_by_id[task.task_id]
+        self.stopped_s.pop(task.task_id, None)
+        self.fleet.remove_task(task)
+        self.usage.give_back(task.team, amount_needed(task.reserved))
+        job = self.job_by_id[task.job_id]
+        suspects = self.learned.suspects
+        blame = observe_outcome(suspects, task, report, self.decisions.now_s)
+        if blame is not None:
+            self.decisions.of_host(blame)
+        avoid_until_s = suspects.avoid_until_s(task.host_id)
+        if avoid_until_s > self.decisions.now_s:
+            self.fleet.avoid(task.host_id, avoid_until_s)
+        job = job_after(job, task, report, suspects, self.decisions)
+        self.keep(job)
+        if job.state is JobState.WAITING:
+            self.enqueue(job)
+        return JobChange(
+            job=job,
+            ended_task_id=task.task_id,
+            closed_intents=tuple(_intent_id(task, action) for action in ACTIONS),
+            blame=blame,
+        )
+
+    def enqueue(self, job: Job) -> None:
+        """File a job among those that wait, with the size it needs."""
+        placer = self.fleet.placer(job.pool)
+        estimate = self.learned.sizes.estimate(job, placer.rooms.hosts_by_shape)
+        need = amount_needed(estimate.shape)
+        quota = self.usage.quota_by_team.get(job.team)
+        if quota is not None and not need.fits(quota):
+            need = amount_needed(job.shape)
+        if estimate.far_off:
+            reason = f"{estimate.reports} reports of {job.kind} tell of another size"
+            self.decisions.of_job(job, "size-learned", reason, reserved=need.describe())
+        if job.work_class is WorkClass.URGENT:
+            self.fleet.observe_urgent(job.pool, need, self.decisions.now_s)
+        placer.queue.add(WaitingJob(job, need))
+
+    def keep(self, job: Job) -> None:
+        """Take in a change of a job; forget it once it has ended."""
+        if job.state in ENDED_STATES:
+            self.job_by_id.pop(job.job_id, None)
+        else:
+            self.job_by_id[job.job_id] = job
+
+    def command(self, task: Task) -> TaskCommand:
+        """Return the effect that the task was last asked for."""
+        return TaskCommand(
+            intent_id=_intent_id(task, task.command),
+            host_id=task.host_id,
+            task_id=task.task_id,
+            action=task.command,
+            lease_s=task.lease_s,
+        )
+
+    def _dequeue(self, job: Job) -> None:
+        self.fleet.placer(job.pool).queue.remove(job)
+        self.promises.withdraw(job.job_id)
+
+
+def _intent_id(task: Task, action: str) -> str:
+    return f"{DUTY}/{task.task_id}/{action}"
