--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -134,7 +134,7 @@
                 identity, keys, addresses, {"catalogue": configuration}, timers
             )
             peers = await stack.enter_async_context(opened)
-            configuration.pull = peers.pull
+            configuration.pull = peers.requests.pull
             nursery.start_soon(configuration.run, timers)
             nursery.start_soon(announce, configuration, peers)
             nodes.append((configuration, peers))
--- a/bench/explain.py
+++ b/bench/explain.py
@@ -223,7 +223,7 @@
             latencies_ms.append((time.perf_counter() - begin_s) * 1000)
             silent += len(answers.silent)
         cpu_ms = (processor_s() - begin_cpu_s) * 1000 / QUESTIONS
-        reply = await asker.ask(next(iter(names)), "host", "h1")
+        reply = await asker.requests.ask(next(iter(names)), "host", "h1")
         size = len(encode_message(reply)) * len(names)
         print(
             f"{len(names):>6}{silent:>8}{statistics.median(latencies_ms):>8.0f}"
--- a/rhubarbmount/membership.py
+++ b/rhubarbmount/membership.py
@@ -72,7 +72,9 @@
         for record in self.rows.by_instance.values():
             if record.instance != self.settings.instance:
                 instance_by_address[record.address] = record.instance
-        return await ask_peers(self.peers.ask, instance_by_address, kind, subject_id)
+        return await ask_peers(
+            self.peers.requests.ask, instance_by_address, kind, subject_id
+        )
 
     def announce_draining(self) -> None:
         """Tell the peers that this entry host is about to stop."""
@@ -109,8 +111,8 @@
         in_flight=policy.own_in_flight,
         answer=memory.answer,
     ) as peers:
-        configuration.pull = peers.pull
-        fleet_view.pull = peers.pull
+        configuration.pull = peers.requests.pull
+        fleet_view.pull = peers.requests.pull
         rows = InstanceRows(
             platform,
             peers.table.me,
--- /dev/null
+++ b/rhubarbmount/peer_requests.py
@@ -0,0 +1,103 @@
+"""Requests to peers: copies of state, and what they remember of decisions."""
+
+import random
+import secrets
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from rhubarbmount.follower import PulledState
+from rhubarbmount.peer_links import PeerLink, PeerLinks
+from rhubarbmount.peer_messages import (
+    PullReply,
+    PullRequest,
+    Question,
+    QuestionReply,
+    decode_message,
+)
+from rhubarbmount.peer_table import PeerTable
+
+__all__ = ["PeerRequests"]
+
+CONNECTION_POLL_S = 0.02
+FRESH_COPY_S = 1.5
+PULL_ATTEMPTS = 3
+NEAR_PULL_ATTEMPTS = 2
+PULL_TIMEOUT_S = 0.4
+
+
+@attrs.define(eq=False)
+class PeerRequests:
+    """Ask peers, those of the own data centre first."""
+
+    table: PeerTable
+    links: PeerLinks
+    clock: Callable[[], float] = trio.current_time
+    _random: random.Random = attrs.field(factory=random.Random)
+
+    async def pull(self, state: str, known_version: int) -> PulledState | None:
+        """Ask peers for their copy until one is fresh; return the latest, if any."""
+        best: PulledState | None = None
+        for link in self._pull_order():
+            request = PullRequest(self.links.new_request_id(), state, known_version)
+            reply = None
+            with trio.move_on_after(PULL_TIMEOUT_S):
+                reply = await self.links.ask(link, request)
+            if not isinstance(reply, PullReply) or reply.version < known_version:
+                continue
+            if best is None or _is_later(reply, best):
+                best = PulledState(reply.version, reply.age_s, reply.body)
+            if reply.age_s <= FRESH_COPY_S:
+                break
+        return best
+
+    async def ask(self, address: str, kind: str, subject_id: str) -> QuestionReply:
+        """Return what the peer at an address remembers; wait until it answers.
+
+        A peer of another data centre is asked over a connection for this question.
+        """
+        question = Question(self.links.new_request_id(), kind, subject_id)
+        if address in self.table.near_addresses():
+            return await self._ask_near(address, question)
+        return await self._ask_far(address, question)
+
+    async def _ask_near(self, address: str, question: Question) -> QuestionReply:
+        while True:
+            reply = await self.links.ask(self.links.to(address), question)
+            if isinstance(reply, QuestionReply):
+                return reply
+            await trio.sleep(CONNECTION_POLL_S)
+
+    async def _ask_far(self, address: str, question: Question) -> QuestionReply:
+        me = attrs.evolve(self.table.me, incarnation=secrets.token_hex(4))
+        with self.links.new_dealer(address, me) as dealer:
+            while not PeerLink(dealer).send(question):
+                await trio.sleep(CONNECTION_POLL_S)
+            while True:
+                reply = decode_message((await dealer.receive())[0])
+                if isinstance(reply, QuestionReply):
+                    return reply
+
+    def _pull_order(self) -> list[PeerLink]:
+        live = self.table.live(self.clock())
+        self._random.shuffle(live)
+        live.sort(key=lambda record: -record.configuration_version)
+        addresses = [record.identity.address for record in live]
+        others = [a for a in self.table.near_addresses() if a not in addresses]
+        self._random.shuffle(others)
+        near = list(dict.fromkeys(addresses + others))
+        order = near[:NEAR_PULL_ATTEMPTS] + self._far_addresses()
+        order += near[NEAR_PULL_ATTEMPTS:]
+        return [self.links.to(address) for address in order[:PULL_ATTEMPTS]]
+
+    def _far_addresses(self) -> list[str]:
+        """Return peers of other data centres, those already connected first."""
+        far = self.table.far_addresses(self.clock())
+        self._random.shuffle(far)
+        return sorted(far, key=lambda address: not self.links.has(address))
+
+
+def _is_later(reply: PullReply, best: PulledState) -> bool:
+    """Tell whether a reply has a later version, or the same confirmed later."""
+    return (reply.version, -reply.age_s) > (best.version, -best.age_s)
--- a/rhubarbmount/peer_table.py
+++ b/rhubarbmount/peer_table.py
@@ -90,6 +90,10 @@
         """Return the known addresses in a data centre, in order."""
         return sorted(a for a, name in self._addresses.items() if name == data_centre)
 
+    def near_addresses(self) -> list[str]:
+        """Return those of the own data centre, after those that may be in it."""
+        return self.addresses("") + self.addresses(self.me.data_centre)
+
     def instance_by_address(self, now_s: float) -> dict[str, str]:
         """Return every known address, with the live peer's name or the address."""
         names = {address: address for address in self._addresses}
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -2,7 +2,6 @@
 
 import itertools
 import logging
-import random
 import secrets
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager
@@ -11,7 +10,7 @@
 import trio
 import zmq
 
-from rhubarbmount.follower import Follower, PulledState
+from rhubarbmount.follower import Follower
 from rhubarbmount.log import event
 from rhubarbmount.peer_links import PeerLink, PeerLinks
 from rhubarbmount.peer_loads import LoadReporter
@@ -27,18 +26,14 @@
     decode_identity,
     decode_message,
 )
+from rhubarbmount.peer_requests import PeerRequests
 from rhubarbmount.peer_table import PeerTable
 from rhubarbmount.timers import TimerService
 from rhubarbmount.zmqtrio import CurveKeys, TrioSocket, ZmqContext, open_zmq
 
 __all__ = ["Peers", "new_identity", "open_peers"]
 
-CONNECTION_POLL_S = 0.02
 HEARTBEAT_PERIOD_S = 1.0
-FRESH_COPY_S = 1.5
-PULL_ATTEMPTS = 3
-NEAR_PULL_ATTEMPTS = 2
-PULL_TIMEOUT_S = 0.4
 
 _logger = logging.getLogger(__name__)
 
@@ -71,14 +66,15 @@
     draining: bool = False
     messages_heard: int = 0
     links: PeerLinks = attrs.field(init=False)
+    requests: PeerRequests = attrs.field(init=False)
     _sequences: Iterator[int] = attrs.field(factory=itertools.count)
     _reporter: LoadReporter = attrs.field(factory=LoadReporter)
-    _random: random.Random = attrs.field(factory=random.Random)
 
     def __attrs_post_init__(self) -> None:
         self.links = PeerLinks(
             self.context, self.nursery, self.table.me, self._receive_from_server
         )
+        self.requests = PeerRequests(self.table, self.links, self.clock)
 
     @property
     def version(self) -> int:
@@ -100,7 +96,7 @@
             self.draining,
             self._reporter.report(self.in_flight()),
         )
-        for address in self._near_addresses():
+        for address in self.table.near_addresses():
             self.links.to(address).send(beat)
 
     def announce_version(self) -> None:
@@ -109,53 +105,6 @@
         self.table.owe_summaries(self.clock())
         self._send_due_summaries()
 
-    async def pull(self, state: str, known_version: int) -> PulledState | None:
-        """Ask peers for their copy until one is fresh; return the latest, if any."""
-        best: PulledState | None = None
-        for link in self._pull_order():
-            request = PullRequest(self.links.new_request_id(), state, known_version)
-            reply = None
-            with trio.move_on_after(PULL_TIMEOUT_S):
-                reply = await self.links.ask(link, request)
-            if not isinstance(reply, PullReply) or reply.version < known_version:
-                continue
-            if best is None or _is_later(reply, best):
-                best = PulledState(reply.version, reply.age_s, reply.body)
-            if reply.age_s <= FRESH_COPY_S:
-                break
-        return best
-
-    async def ask(self, address: str, kind: str, subject_id: str) -> QuestionReply:
-        """Return what the peer at an address remembers; wait until it answers.
-
-        A peer of another data centre is asked over a connection for this question.
-        """
-        question = Question(self.links.new_request_id(), kind, subject_id)
-        if address in self._near_addresses():
-            return await self._ask_near(address, question)
-        return await self._ask_far(address, question)
-
-    async def _ask_near(self, address: str, question: Question) -> QuestionReply:
-        while True:
-            reply = await self.links.ask(self.links.to(address), question)
-            if isinstance(reply, QuestionReply):
-                return reply
-            await trio.sleep(CONNECTION_POLL_S)
-
-    async def _ask_far(self, address: str, question: Question) -> QuestionReply:
-        me = attrs.evolve(self.table.me, incarnation=secrets.token_hex(4))
-        with self.links.new_dealer(address, me) as dealer:
-            while not PeerLink(dealer).send(question):
-                await trio.sleep(CONNECTION_POLL_S)
-            while True:
-                reply = decode_message((await dealer.receive())[0])
-                if isinstance(reply, QuestionReply):
-                    return reply
-
-    def _near_addresses(self) -> list[str]:
-        unknown = self.table.addresses("")
-        return unknown + self.table.addresses(self.table.me.data_centre)
-
     def _send_due_summaries(self) -> None:
         now_s = self.clock()
         for data_centre, address in self.table.due_summaries(now_s):
@@ -166,24 +115,6 @@
         summary = self.table.summarise(self.version, self.draining, self.clock())
         return attrs.evolve(summary, reply_wanted=reply_wanted)
 
-    def _pull_order(self) -> list[PeerLink]:
-        live = self.table.live(self.clock())
-        self._random.shuffle(live)
-        live.sort(key=lambda record: -record.configuration_version)
-        addresses = [record.identity.address for record in live]
-        others = [a for a in self._near_addresses() if a not in addresses]
-        self._random.shuffle(others)
-        near = list(dict.fromkeys(addresses + others))
-        order = near[:NEAR_PULL_ATTEMPTS] + self._far_addresses()
-        order += near[NEAR_PULL_ATTEMPTS:]
-        return [self.links.to(address) for address in order[:PULL_ATTEMPTS]]
-
-    def _far_addresses(self) -> list[str]:
-        """Return peers of other data centres, those already connected first."""
-        far = self.table.far_addresses(self.clock())
-        self._random.shuffle(far)
-        return sorted(far, key=lambda address: not self.links.has(address))
-
     async def _receive_from_clients(self, router: TrioSocket) -> None:
         while True:
             routing_id, *bodies = await router.receive()
@@ -270,11 +201,6 @@
         self.links.forget(address)
 
 
-def _is_later(reply: PullReply, best: PulledState) -> bool:
-    """Tell whether a reply has a later version, or the same confirmed later."""
-    return (reply.version, -reply.age_s) > (best.version, -best.age_s)
-
-
 @asynccontextmanager
 async def open_peers(
     identity: PeerIdentity,
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -11,7 +11,7 @@
 from rhubarbmount.errors import FindingsError, PlatformUnavailable
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.hosts import Host, HostState, Shape, dump_host
-from rhubarbmount.peers import PULL_ATTEMPTS
+from rhubarbmount.peer_requests import PULL_ATTEMPTS
 from rhubarbmount.platform.interface import Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -87,7 +87,7 @@
             in_flight=lambda: counts,
             **options,
         ) as peers:
-            configuration.pull = peers.pull
+            configuration.pull = peers.requests.pull
             async with trio.open_nursery() as nursery:
                 if follows:
                     nursery.start_soon(configuration.run, timers)
@@ -309,13 +309,13 @@
             at_a = a.peers.table.me.address
             async with node("b", {at_a: "dc-a"}, answer=remembers("b")) as b:
                 async with node("c", {at_a: "dc-a"}, "dc-b") as c:
-                    reply = await b.peers.ask(at_a, "host", "h1")
+                    reply = await b.peers.requests.ask(at_a, "host", "h1")
                     assert (reply.instance, reply.body) == ("a", b"a of host h1")
                     for number in range(3):
-                        reply = await c.peers.ask(at_a, "host", f"h{number}")
+                        reply = await c.peers.requests.ask(at_a, "host", f"h{number}")
                         assert reply.body == f"a of host h{number}".encode()
                     at_b = b.peers.table.me.address
-                    reply = await c.peers.ask(at_b, "host", "h1")
+                    reply = await c.peers.requests.ask(at_b, "host", "h1")
                     assert reply.body == b"b of host h1"
                     assert not c.peers.links.has(at_b)
 
@@ -328,7 +328,7 @@
                 await until(lambda: "b" in a.peers.table.reports(a.peers.clock()))
                 standing = b.peers.links.to(at_a)
                 for number in range(5):
-                    await b.peers.ask(at_a, "host", "h1")
+                    await b.peers.requests.ask(at_a, "host", "h1")
                     with trio.fail_after(5):
                         question = Question(1000 + number, "host", "h2")
                         reply = await b.peers.links.ask(standing, question)
@@ -343,6 +343,6 @@
                 await until(lambda: hears(a, "b"))
                 relay.cut()
                 with trio.move_on_after(1) as scope:
-                    await b.peers.ask(at_a, "host", "h1")
+                    await b.peers.requests.ask(at_a, "host", "h1")
                 assert scope.cancelled_caught
                 assert not b.peers.links._waiting_by_id
