--- a/bench/placement.py
+++ b/bench/placement.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from rhubarbmount.amounts import amount_needed
 from rhubarbmount.entries import Team, WorkClass
 from rhubarbmount.explain import DecisionMemory
 from rhubarbmount.hosts import Host, Shape
@@ -18,7 +19,7 @@
 from rhubarbmount.job_queue import TeamUsage, WaitingJob
 from rhubarbmount.jobs import Job, JobState, Task
 from rhubarbmount.placement import PlacementRule, PoolPlacer, Wait
-from rhubarbmount.rooms import HostRoom, amount_needed
+from rhubarbmount.rooms import HostRoom
 from rhubarbmount.scheduler import Scheduler
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 
@@ -175,7 +176,7 @@
 
     def _start(self, task: Task, now_s: float) -> None:
         started_s = now_s + COMMIT_AND_COMMAND_S + TASK_START_S
-        self.scheduler.take_delivery(self.scheduler._command(task))
+        self.scheduler.take_delivery(self.scheduler.records.command(task))
         self.running.add(task.task_id)
         self.restarts += task.token > 1
         if task.work_class is WorkClass.URGENT:
