Change rows in the tests of a view as the program does

PoolView.update_host was called by tests alone; the program gives a view all rows of its pool. The tests do so too now, and the method is gone.

--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -89,14 +89,6 @@
         self._count_down()
         self.started = True
 
-    def update_host(self, host: Host, now_s: float) -> None:
-        """Take over one changed row; a host of another pool leaves the view."""
-        if host.pool == self.pool:
-            self._take_over(host, now_s)
-        else:
-            self._remove(host.host_id)
-        self._count_down()
-
     def set_leaving(self, host_ids: Collection[str]) -> None:
         """Withhold new work from hosts said to leave by another source than the row."""
         self._leaving = frozenset(host_ids)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -43,6 +43,13 @@
     return view
 
 
+def change_row(view, row, now_s):
+    """Give the view all rows anew, one of them changed, as the program does."""
+    rows = {host_id: known.host for host_id, known in view.by_host_id.items()}
+    rows[row.host_id] = row
+    view.update_hosts(rows.values(), now_s)
+
+
 def take_all(view, now_s=0.0):
     """Choose until nothing has room; return the decisions with a backend server."""
     decisions = []
@@ -69,7 +76,7 @@
 @pytest.mark.parametrize("state", sorted(set(HostState) - TAKES_NEW_WORK))
 def test_a_host_out_of_service_gets_no_new_work(state):
     view = open_view([host("w1"), host("w2")])
-    view.update_host(host("w1", state=state), 1.0)
+    change_row(view, host("w1", state=state), 1.0)
     decisions, _ = take_all(view, 1.0)
     assert {decision.backend.host.host_id for decision in decisions} == {"w2"}
 
@@ -77,7 +84,7 @@
 def test_a_host_said_to_leave_by_another_source_gets_no_new_work():
     view = open_view([host("w1"), host("w2")])
     view.set_leaving({"w1"})
-    view.update_host(host("w1"), 1.0)
+    change_row(view, host("w1"), 1.0)
     decisions, _ = take_all(view, 1.0)
     assert {decision.backend.host.host_id for decision in decisions} == {"w2"}
 
@@ -123,14 +130,14 @@
     view, gone = view_with_one_leaving(0.0)
     view.update_hosts([host("w1"), host("w2")], 1.0)
     assert gone.host_id not in hosts_chosen(view, 1.0)
-    view.update_host(attrs.evolve(gone, cause="returned"), 2.0)
+    change_row(view, attrs.evolve(gone, cause="returned"), 2.0)
     assert hosts_chosen(view, 2.0) == {gone.host_id: 8}
 
 
 def test_a_host_moved_to_another_pool_leaves_the_view():
     view = open_view([host("w1")])
     decision = view.choose(0.0)
-    view.update_host(host("w1", pool="parts"), 1.0)
+    change_row(view, host("w1", pool="parts"), 1.0)
     assert view.choose(1.0).reason is RouteReason.NO_BACKEND
     assert answer(view, decision, 2.0, AttemptResult.UNREACHABLE) is None
     assert view.health.absent == set()
@@ -204,7 +211,7 @@
 
 def test_a_host_back_from_maintenance_starts_slowly():
     view = open_view([host("w1", state=HostState.MAINTENANCE), host("w2")])
-    view.update_host(host("w1"), 100.0)
+    change_row(view, host("w1"), 100.0)
     early = [view.choose(100.0).backend.host.host_id for _ in range(6)]
     late = [view.choose(120.0).backend.host.host_id for _ in range(6)]
     assert early == ["w2"] * 6
@@ -290,7 +297,7 @@
         elif kind == "host":
             host_id = f"w{first}"
             hosts[host_id] = attrs.evolve(hosts[host_id], state=second)
-            view.update_host(hosts[host_id], now_s)
+            change_row(view, hosts[host_id], now_s)
         elif kind == "members":
             places = {f"e{n}": f"dc{n % 2}" for n in range(1, first + 1)}
             view.set_entry_hosts(EntryHosts("e1", "dc1", places))
@@ -335,7 +342,7 @@
 
 def test_the_only_host_that_serves_gets_work_however_slow_it_is():
     view = open_view_with_a_slow_host()
-    view.update_host(host("w2", state=HostState.DRAINING), 4.0)
+    change_row(view, host("w2", state=HostState.DRAINING), 4.0)
     for step in range(20):
         now_s = 7.0 + step * 0.1
         answer(view, view.choose(now_s), now_s, SUCCESS, 0.25)
