--- a/bench/explain.py
+++ b/bench/explain.py
@@ -31,7 +31,7 @@
     RequestTraces,
     note_route,
 )
-from rhubarbmount.routing import RouteDecision, RouteReason
+from rhubarbmount.route_decisions import RouteDecision, RouteReason
 from rhubarbmount.timers import open_timers
 from rhubarbmount.zmqtrio import CurveKeys
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -12,7 +12,7 @@
 from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.entries import Service
 from rhubarbmount.hosts import Host, Shape
-from rhubarbmount.limits import Admission, AdmissionCode, Limiter, PoolRoom
+from rhubarbmount.limits import Admission, AdmissionCode, Limiter
 from rhubarbmount.retries import (
     AttemptFacts,
     Ending,
@@ -21,6 +21,7 @@
     decide_retry,
 )
 from rhubarbmount.routing import PoolView
+from rhubarbmount.service_limits import PoolRoom
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.strategies import Backend
 
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -27,7 +27,8 @@
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.request_traces import note_attempt, note_refusal, note_route
 from rhubarbmount.retries import RetryDecision, classify, decide_retry
-from rhubarbmount.routing import PoolView, RouteDecision, RouteReason
+from rhubarbmount.route_decisions import RouteDecision, RouteReason
+from rhubarbmount.routing import PoolView
 from rhubarbmount.strategies import Backend
 from rhubarbmount.timers import TimerService
 
--- a/rhubarbmount/latency.py
+++ b/rhubarbmount/latency.py
@@ -1,8 +1,12 @@
-"""Mean latency over time."""
+"""Mean latency over time, and how slow an answer is beside it."""
+
+from collections import defaultdict
 
 import attrs
 
-__all__ = ["MeanLatency"]
+from rhubarbmount.backend_health import AttemptResult
+
+__all__ = ["MeanLatency", "ServiceLatencies"]
 
 MEAN_PERIOD_S = 10.0
 
@@ -29,3 +33,35 @@
         weight = min(max(age_s / MEAN_PERIOD_S, 1.0 / self.count), 1.0)
         self.mean_s += weight * (latency_s - self.mean_s)
         self.updated_s = now_s
+
+
+@attrs.define
+class ServiceLatencies:
+    """The mean latency of each service, which its answers are held against."""
+
+    by_service: dict[str, MeanLatency] = attrs.field(
+        factory=lambda: defaultdict(MeanLatency)
+    )
+
+    def slowness(
+        self,
+        service: str,
+        result: AttemptResult,
+        latency_s: float | None,
+        now_s: float,
+    ) -> float | None:
+        """Take in an attempt's latency and return it over the service's mean.
+
+        A failure that came faster than the mean says nothing.
+        """
+        if latency_s is None:
+            return None
+        mean = self.by_service[service]
+        if result is AttemptResult.SUCCESS:
+            mean.add(latency_s, now_s)
+        if not mean.mean_s:
+            return None
+        slowness = latency_s / mean.mean_s
+        if result is AttemptResult.FAILURE and slowness < 1.0:
+            return None
+        return slowness
--- a/rhubarbmount/limits.py
+++ b/rhubarbmount/limits.py
@@ -2,21 +2,21 @@
 
 import math
 import random
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable
 from enum import StrEnum
 
 import attrs
 
 from rhubarbmount.entries import Service, WorkClass
+from rhubarbmount.service_limits import PoolRoom, ServiceLimit, Waiting
 from rhubarbmount.shares import share_of
 
-__all__ = ["Admission", "AdmissionCode", "Limiter", "PoolRoom", "Waiting"]
+__all__ = ["Admission", "AdmissionCode", "Limiter"]
 
 WEIGHT_BY_CLASS = {WorkClass.URGENT: 8, WorkClass.NORMAL: 4, WorkClass.BATCH: 1}
 HEADROOM_SHARE = 0.1
 POOL_HEADROOM_ROOTS = 0.5
-ACTIVE_S = 10.0
 DURATION_WEIGHT = 0.05
 RETRY_AFTER_LIMIT_S = 30
 RETRY_AFTER_SPREAD_S = 2
@@ -33,20 +33,6 @@
     UNKNOWN_SERVICE = "unknown-service"
 
 
-@attrs.define(eq=False)
-class Waiting:
-    """A request in a queue, to be given up at ``give_up_s`` by whoever waits for it.
-
-    Once ``admitted`` it counts as running and is to be finished.
-    """
-
-    service: str
-    give_up_s: float
-    wake: Callable[[], None]
-    left: bool = False
-    admitted: bool = False
-
-
 @attrs.define
 class Admission:
     """The answer to a request for admission.
@@ -59,45 +45,9 @@
     retry_after_s: int | None = None
 
 
-@attrs.frozen
-class PoolRoom:
-    """An entry host's slots in a pool: all of them, and those free."""
-
-    total: int
-    free: int
-
-
 UNBOUNDED = PoolRoom(2**30, 2**30)
 
 
-@attrs.define
-class ServiceLimit:
-    """One service's limits and use on this entry host."""
-
-    name: str
-    pool: str = ""
-    weight: int = 1
-    concurrency: int = 1
-    queue_length: int = 0
-    queue_timeout_s: float = 1.0
-    running: int = 0
-    unplaced: int = 0
-    queued: int = 0
-    duration_s: float = 0.0
-    offered_s: float = -math.inf
-    queue: deque[Waiting] = attrs.field(factory=deque)
-
-    def is_active(self, now_s: float) -> bool:
-        """Tell whether requests run, wait or came a short time ago."""
-        return bool(self.running or self.queued) or now_s - self.offered_s < ACTIVE_S
-
-    def wait_s(self) -> float:
-        """Return the expected wait of a request that joins the queue now."""
-        if self.running == 0:
-            return 0.0
-        return (self.queued + 1) * self.duration_s / self.running
-
-
 class Limiter:
     """Admit requests to one entry host, at most ``total`` at a time.
 
--- a/rhubarbmount/request_policy.py
+++ b/rhubarbmount/request_policy.py
@@ -8,9 +8,10 @@
 
 from rhubarbmount.entries import Pool, Service
 from rhubarbmount.hosts import Host
-from rhubarbmount.limits import Limiter, PoolRoom
+from rhubarbmount.limits import Limiter
 from rhubarbmount.retries import RetryBudget
 from rhubarbmount.routing import PoolView
+from rhubarbmount.service_limits import PoolRoom
 from rhubarbmount.shares import EntryHosts
 
 __all__ = ["RequestPolicy"]
--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -22,7 +22,7 @@
     Outcome,
 )
 from rhubarbmount.retries import RetryDecision
-from rhubarbmount.routing import RouteDecision
+from rhubarbmount.route_decisions import RouteDecision
 
 __all__ = [
     "RequestTraces",
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -2,22 +2,19 @@
 
 import heapq
 import random
-from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
-from enum import StrEnum
-
-import attrs
 
 from rhubarbmount.backend_health import AttemptResult, BackendHealth, HealthChange
 from rhubarbmount.health import PoolHealth
 from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.latency import MeanLatency
-from rhubarbmount.limits import PoolRoom
+from rhubarbmount.latency import ServiceLatencies
+from rhubarbmount.route_decisions import RouteDecision, RouteReason
+from rhubarbmount.service_limits import PoolRoom
 from rhubarbmount.shares import EntryHosts, SlotShares
 from rhubarbmount.strategies import Backend, strategies
 from rhubarbmount.zones import Zone
 
-__all__ = ["PoolView", "RouteDecision", "RouteReason", "TAKES_NEW_WORK"]
+__all__ = ["PoolView", "TAKES_NEW_WORK"]
 
 TAKES_NEW_WORK = frozenset({HostState.IN_SERVICE, HostState.RETURNING})
 DEFAULT_STRATEGY = "two-choices"
@@ -25,28 +22,6 @@
 SPILL_PENALTY = 16.0
 
 
-class RouteReason(StrEnum):
-    """Why a request went where it went, or nowhere."""
-
-    LOCAL = "local"
-    SPILL_FULL = "spill-local-full"
-    SPILL_ABSENT = "spill-no-local"
-    SPILL_UNSOUND = "spill-local-unsound"
-    ALL_TRIED = "all-tried"
-    ALL_FULL = "all-full"
-    ALL_OUT = "all-out"
-    NO_BACKEND = "no-backend-server"
-
-
-@attrs.define
-class RouteDecision:
-    """The backend server chosen, if any, with the reason and the room there was."""
-
-    backend: Backend | None
-    reason: RouteReason
-    available: int
-
-
 class PoolView:
     """One entry host's view of a pool's backend servers, and its choices among them.
 
@@ -69,7 +44,7 @@
         self._shares = SlotShares(entry_hosts, spill_share)
         self.health = PoolHealth(hosts_down_limit)
         self.by_host_id: dict[str, Backend] = {}
-        self.latency_by_service: dict[str, MeanLatency] = defaultdict(MeanLatency)
+        self._latencies = ServiceLatencies()
         make_strategy = strategies.get(strategy)
         self._local = Zone(make_strategy(generator), generator)
         self._remote = Zone(make_strategy(generator), generator)
@@ -154,7 +129,7 @@
             backend.health,
             result,
             now_s,
-            slowness=self._slowness(service, result, latency_s, now_s),
+            slowness=self._latencies.slowness(service, result, latency_s, now_s),
             others_in_flight=backend.own_in_flight,
         )
         others_serve = self._local.serving + self._remote.serving > 1
@@ -187,25 +162,6 @@
             return RouteReason.ALL_FULL
         return RouteReason.ALL_OUT if self.by_host_id else RouteReason.NO_BACKEND
 
-    def _slowness(
-        self,
-        service: str,
-        result: AttemptResult,
-        latency_s: float | None,
-        now_s: float,
-    ) -> float | None:
-        if latency_s is None:
-            return None
-        mean = self.latency_by_service[service]
-        if result is AttemptResult.SUCCESS:
-            mean.add(latency_s, now_s)
-        if not mean.mean_s:
-            return None
-        slowness = latency_s / mean.mean_s
-        if result is AttemptResult.FAILURE and slowness < 1.0:
-            return None
-        return slowness
-
     def _take_over(self, host: Host, now_s: float) -> None:
         backend = self.by_host_id.get(host.host_id)
         if backend is not None and backend.host is host:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,8 @@
 
 from rhubarbmount.admission import Turn
 from rhubarbmount.entries import Service
-from rhubarbmount.limits import Limiter, PoolRoom
+from rhubarbmount.limits import Limiter
+from rhubarbmount.service_limits import PoolRoom
 
 
 @pytest.fixture
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.entries import Service, WorkClass
-from rhubarbmount.limits import AdmissionCode, Limiter, PoolRoom
+from rhubarbmount.limits import AdmissionCode, Limiter
+from rhubarbmount.service_limits import PoolRoom
 
 exact = settings(derandomize=True, deadline=None, database=None)
 ADMITTED, QUEUED = AdmissionCode.ADMITTED, AdmissionCode.QUEUED
--- a/tests/test_request_traces.py
+++ b/tests/test_request_traces.py
@@ -15,7 +15,7 @@
     note_route,
 )
 from rhubarbmount.retries import RetryDecision, RetryReason
-from rhubarbmount.routing import RouteDecision, RouteReason
+from rhubarbmount.route_decisions import RouteDecision, RouteReason
 from rhubarbmount.strategies import Backend
 from tests.fleetkit import make_host
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,7 +9,8 @@
 from rhubarbmount.backend_health import AttemptResult
 from rhubarbmount.health import LEAVING_S
 from rhubarbmount.hosts import Host, HostState, Shape
-from rhubarbmount.routing import TAKES_NEW_WORK, PoolView, RouteReason
+from rhubarbmount.route_decisions import RouteReason
+from rhubarbmount.routing import TAKES_NEW_WORK, PoolView
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.strategies import strategies
 
