Name the request in each log line of its decisions

Cause: route, health, attempt-failed, refused and claim lines carried no id, so that the lines of one request could not be found by the id that its answer names.

log.event adds request= from a context variable, set by RequestTraces from the request's arrival until its answer is known.

--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -133,7 +133,10 @@
         try:
             return await self.handler(request)
         except Exception:
-            logger.exception("event=handler-failed listener=%s", self.name)
+            request = log.request_id.get() or "-"
+            logger.exception(
+                "event=handler-failed request=%s listener=%s", request, self.name
+            )
             return problem(500, "internal", "an internal error", Outcome.UNKNOWN)
 
 
--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -3,15 +3,17 @@
 import json
 import logging
 import time
+from contextvars import ContextVar
 
 from rhubarbmount.errors import UsageError
 
-__all__ = ["configure", "event", "format_event"]
+__all__ = ["configure", "event", "format_event", "request_id"]
 
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,"
 )
 STDERR = "stderr"
+request_id: ContextVar[str] = ContextVar("request_id", default="")
 _SECRET_KEYS = frozenset({"token", "secret", "password", "secret_key"})
 
 
@@ -44,9 +46,11 @@
 def event(
     logger: logging.Logger, name: str, level: int = logging.INFO, **fields: object
 ) -> None:
-    """Log one event when its level is enabled."""
+    """Log one event when its level is enabled, with the request that it is about."""
     if logger.isEnabledFor(level):
-        line = format_event(name, fields)
+        request = request_id.get()
+        shown = {"request": request, **fields} if request else fields
+        line = format_event(name, shown)
         logger.handle(logger.makeRecord(logger.name, level, "", 0, line, (), None))
 
 
--- a/rhubarbmount/request_traces.py
+++ b/rhubarbmount/request_traces.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from rhubarbmount import log
 from rhubarbmount.claims import Claim, Verdict, row_key
 from rhubarbmount.explain import Decision, Explanation
 from rhubarbmount.http import HttpRequest, HttpResponse, header_value
@@ -160,10 +161,14 @@
         self._prefix = f"{self.instance}-{secrets.token_hex(3)}-"
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request under an id of its own, which the answer names."""
+        """Answer one request under an id of its own, which the answer names.
+
+        The id is also in each log line until the answer is known.
+        """
         trace = self._begin(request)
         response = await self.next_handler(request)
         self._end(trace, response)
+        log.request_id.set("")
         named = (REQUEST_ID_HEADER, trace.request_id.encode("ascii", "replace"))
         return HttpResponse(response.status, [*response.headers, named], response.body)
 
@@ -188,6 +193,7 @@
         received = (time.time(), "received", "", (service, request.method[:NAME_LIMIT]))
         trace = RequestTrace(request_id, self.catalogue_version(), [received])
         _current.set(trace)
+        log.request_id.set(request_id)
         _keep(self._ordinary, trace, self.ordinary_limit)
         return trace
 
