--- a/rhubarbmount/listener.py
+++ b/rhubarbmount/listener.py
@@ -133,9 +133,9 @@
         try:
             return await self.handler(request)
         except Exception:
-            request = log.request_id.get() or "-"
+            request_id = log.request_id.get() or "-"
             logger.exception(
-                "event=handler-failed request=%s listener=%s", request, self.name
+                "event=handler-failed request=%s listener=%s", request_id, self.name
             )
             return problem(500, "internal", "an internal error", Outcome.UNKNOWN)
 
