Part the transaction of a host's step from the duty that takes it

What a step writes, and whether a move may still end, are pure and now in host_steps.py. No behaviour and no check is changed.

--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -3,7 +3,6 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 import attrs
 
@@ -13,27 +12,30 @@
 from rhubarbmount.errors import NotFound, Refused
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.fleet_counters import FleetCounters
-from rhubarbmount.host_begin import next_host
-from rhubarbmount.host_rows import HostChange, HostRow, HostRows, Terms, host_terms
+from rhubarbmount.host_rows import HostRows, Terms
+from rhubarbmount.host_steps import (
+    DueStep,
+    OpenWork,
+    is_spared,
+    is_wanted,
+    step_terms,
+)
 from rhubarbmount.host_tasks import HostTasks
 from rhubarbmount.host_waits import uncommanded, wait_reason
 from rhubarbmount.host_work import (
     EFFECT_BY_STATE,
     HOST_PREFIX,
-    HostIntent,
     Observation,
     Progress,
     Step,
     WorkBounds,
     host_actions,
-    intent_key,
     load_intent,
-    work_cause,
 )
 from rhubarbmount.hosts import Host
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import HostCommand, Platform, Row
-from rhubarbmount.tables import INTENTS_TABLE, SUSPECTS_TABLE
+from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = ["HostDuty"]
 
@@ -41,14 +43,6 @@
 logger = logging.getLogger("rhubarbmount.host_duty")
 
 
-class OpenWork(NamedTuple):
-    """An open intent with the rows it was read from."""
-
-    intent: HostIntent
-    intent_version: int
-    row: HostRow
-
-
 @attrs.define
 class Watch:
     """How long this holder has seen a host in one state of one intent."""
@@ -98,9 +92,9 @@
         work = list(self._open_work(rows))
         self._watch(work, lease)
         await self._send_effects(work, lease)
-        due_by_pool: dict[str, list[tuple[OpenWork, Step]]] = defaultdict(list)
-        for item, step in await self._due(work, lease):
-            due_by_pool[item.row.host.pool].append((item, step))
+        due_by_pool: dict[str, list[DueStep]] = defaultdict(list)
+        for taken in await self._due(work, lease):
+            due_by_pool[taken.item.row.host.pool].append(taken)
         for pool in sorted(due_by_pool):
             await self._take_steps(pool, due_by_pool[pool], lease)
 
@@ -142,9 +136,7 @@
         host_id, action = command.host_id, command.action
         event(logger, "host-command", host=host_id, action=action, result=result)
 
-    async def _due(
-        self, work: list[OpenWork], lease: Lease
-    ) -> list[tuple[OpenWork, Step]]:
+    async def _due(self, work: list[OpenWork], lease: Lease) -> list[DueStep]:
         """Return the steps that are due, with running tasks counted in drains."""
         steps = [(item, self._step_of(item, lease)) for item in work]
         emptied = {
@@ -159,7 +151,7 @@
             if tasks:
                 step = self._step_of(item, lease, tasks)
             if step is not None:
-                due.append((item, step))
+                due.append(DueStep(item, step))
         return due
 
     def _step_of(self, item: OpenWork, lease: Lease, tasks: int = 0) -> Step | None:
@@ -199,19 +191,18 @@
             ready=seen.ready,
         )
 
-    async def _take_steps(
-        self, pool: str, due: list[tuple[OpenWork, Step]], lease: Lease
-    ) -> None:
+    async def _take_steps(self, pool: str, due: list[DueStep], lease: Lease) -> None:
         rows = await read_pool_rows(self.platform, pool)
         await self.view.refresh()
-        due = [(item, step) for item, step in due if self._is_current(item)]
+        due = [taken for taken in due if self._is_current(taken.item)]
         if not due:
             return
         terms = Terms()
         due = [
-            (item, await self._settled(step, item, rows, terms)) for item, step in due
+            DueStep(item, await self._settled(step, item, rows, terms))
+            for item, step in due
         ]
-        terms.add(self._terms(rows, due))
+        terms.add(step_terms(rows, self.view.head, due, self.wall_clock()))
         if not await lease.commit(terms):
             event(logger, "steps-conflict", pool=pool, hosts=len(due))
             for item, _ in due:
@@ -225,25 +216,6 @@
         row = self.view.by_host_id.get(item.intent.host_id)
         return row is not None and row.version == item.row.version
 
-    def _terms(self, rows: PoolRows, due: list[tuple[OpenWork, Step]]) -> Terms:
-        changes = []
-        terms = Terms()
-        released = []
-        for item, step in due:
-            changes.append(HostChange(item.row, self._after(item, step)))
-            key = intent_key(item.intent.host_id)
-            terms.require(INTENTS_TABLE, key, item.intent_version)
-            if step.finished:
-                terms.write(INTENTS_TABLE, key, None)
-            if step.gone or step.event == "warm":
-                terms.write(SUSPECTS_TABLE, item.intent.host_id, None)
-            if step.finished or step.pool:
-                released.append(item.intent.host_id)
-        if any(host_id in rows.permits for host_id in released):
-            terms.add(rows.release_terms(released))
-        terms.add(host_terms(self.view.head, changes))
-        return terms
-
     async def _settled(
         self, step: Step, item: OpenWork, rows: PoolRows, terms: Terms
     ) -> Step:
@@ -251,25 +223,15 @@
         if not step.pool:
             return step
         target = await read_pool_rows(self.platform, step.pool)
-        if not _is_wanted(item.intent, target):
+        members = self.view.of_pool(rows.name)
+        if not is_wanted(item.intent, target):
             return Step("restore", reason="the pool to move to no longer wants it")
-        if not _is_spared(rows, self.view, item.row.host):
+        if not is_spared(rows, members, item.row.host):
             return Step("restore", reason="its pool can't do without it")
         terms.add(target.entry_terms())
         terms.add(rows.entry_terms())
         return step
 
-    def _after(self, item: OpenWork, step: Step) -> Host | None:
-        if step.gone:
-            return None
-        now_s = self.wall_clock()
-        cause = work_cause(item.intent, step.event)
-        host = next_host(item.row.host, step, now_s, cause)
-        if step.event == "ready":
-            maintained_s = max(now_s, item.intent.group_started_s)
-            host = attrs.evolve(host, maintained_s=maintained_s)
-        return host
-
     def _count(self, item: OpenWork, step: Step) -> None:
         if step.pool:
             self.counters.moves_by_pool[step.pool] += 1
@@ -295,20 +257,3 @@
             pool=step.pool or item.row.host.pool,
             intent=item.intent.intent_id,
         )
-
-
-def _is_wanted(intent: HostIntent, target: PoolRows) -> bool:
-    """Tell whether the target still is the pool that the move was begun for."""
-    if target.pool is None:
-        return False
-    return intent.target_owner in ("", target.pool.owner)
-
-
-def _is_spared(rows: PoolRows, view: HostRows, host: Host) -> bool:
-    """Tell whether the pool's entry still lets the host go, failures aside."""
-    if rows.pool is None:
-        return True
-    members = len(view.of_pool(rows.name)) - 1
-    missing = max(0, rows.pool.hosts_wanted - members)
-    planned = len(rows.permits.keys() - {host.host_id})
-    return not missing or planned + missing <= rows.pool.hosts_down_limit
