Build each operators' interface of an entry host in a function of its own

server.py's set-up of the operators' listener took 55 lines in one function, and `Callable[[Call], Operator]` stood in three modules: it is `Identify` now. Signals are handled in signals.py. No behaviour changed.

--- a/rhubarbmount/edits.py
+++ b/rhubarbmount/edits.py
@@ -3,7 +3,7 @@
 import hashlib
 import logging
 import uuid
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -13,10 +13,12 @@
 from rhubarbmount.entries import Entry, entry_key
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.log import event
+from rhubarbmount.router import Call
 
 __all__ = [
     "Accepted",
     "Edit",
+    "Identify",
     "Operator",
     "Operators",
     "check_owner",
@@ -35,6 +37,9 @@
     owners: frozenset[str]
 
 
+Identify = Callable[[Call], Operator]
+
+
 @attrs.frozen
 class Operators:
     """The operators, found by the SHA-256 digest of their tokens.
--- a/rhubarbmount/explain_operators.py
+++ b/rhubarbmount/explain_operators.py
@@ -7,7 +7,7 @@
 import trio
 
 from rhubarbmount.decisions import KINDS, Decision, Explanation, merge_explanations
-from rhubarbmount.edits import Operator
+from rhubarbmount.edits import Identify
 from rhubarbmount.errors import (
     NotFound,
     OutcomeUnknown,
@@ -55,7 +55,7 @@
     ``entry_version`` which version last changed an entry, as known here.
     """
 
-    identify: Callable[[Call], Operator]
+    identify: Identify
     memory: InstanceMemory
     platform: Platform
     status_of: Callable[[int], ConfigurationStatus]
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -2,14 +2,14 @@
 
 import time
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
 import cattrs
 
 from rhubarbmount.configuration import Configuration
-from rhubarbmount.edits import Operator
+from rhubarbmount.edits import Identify, Operator
 from rhubarbmount.entries import Pool
 from rhubarbmount.errors import (
     AccessDenied,
@@ -39,7 +39,7 @@
 class FleetApi:
     """Handlers of the operators' requests about the fleet."""
 
-    identify: Callable[[Call], Operator]
+    identify: Identify
     configuration: Configuration
     fleet: FleetView
     platform: Platform
--- a/rhubarbmount/job_handlers.py
+++ b/rhubarbmount/job_handlers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rhubarbmount.edits import Operator
+from rhubarbmount.edits import Identify, Operator
 from rhubarbmount.entries import JobTemplate, WorkClass
 from rhubarbmount.errors import (
     AccessDenied,
@@ -84,7 +84,7 @@
     platform: Platform
     view: SchedulingView
     recorder: DecisionRecorder
-    identify: Callable[[Call], Operator]
+    identify: Identify
     epoch_clock: Callable[[], float]
 
     def add_routes(self, router: Router) -> None:
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -96,8 +96,9 @@
     :param settings: path of the YAML file
     """
     from rhubarbmount import log
-    from rhubarbmount.server import EntryHost, open_platform, serve_until_signalled
+    from rhubarbmount.server import EntryHost, open_platform
     from rhubarbmount.settings import load_settings
+    from rhubarbmount.signals import serve_until_signalled
 
     loaded = load_settings(settings)
     log.configure(loaded.log.level, loaded.log.destination)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -1,7 +1,6 @@
 """One entry host: its tasks, what they share, and its graceful stop."""
 
 import logging
-import signal
 import time
 from contextlib import AsyncExitStack
 from typing import Any
@@ -15,6 +14,7 @@
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.claim_guard import Claims
 from rhubarbmount.configuration import Configuration
+from rhubarbmount.edits import Identify
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.explain_operators import ExplainApi
 from rhubarbmount.fleet_metrics import FleetCollector
@@ -118,6 +118,16 @@
         self.fleet_view = FleetView(platform=platform)
         view = LocalView(self.configuration, self.fleet_view)
         self.fleet = FleetTasks(settings, policy, platform, view, self.recorder)
+        entries = self._entries_api(platform)
+        identify, router = entries.identify, entries.router
+        jobs = JobHandlers(platform, view, self.recorder, identify, time.time)
+        jobs.add_routes(router)
+        self._fleet_api(identify, platform).add_routes(router)
+        self._explain_api(identify, platform).add_routes(router)
+        self.operators = Listener("operators", router.handle, settings.http)
+        self.registry.register(self._fleet_collector(view))
+
+    def _entries_api(self, platform: PlatformClient) -> OperatorsApi:
         acceptance = Acceptance(
             platform,
             time.time,
@@ -126,17 +136,18 @@
             self._version,
             self.recorder,
         )
-        api = OperatorsApi(
-            operators_from(settings.operators_by_name),
+        return OperatorsApi(
+            operators_from(self.settings.operators_by_name),
             acceptance,
             self.configuration,
             platform,
             self._read_status,
         )
-        jobs = JobHandlers(platform, view, self.recorder, api.identify, time.time)
-        jobs.add_routes(api.router)
-        fleet_api = FleetApi(
-            api.identify,
+
+    def _fleet_api(self, identify: Identify, platform: PlatformClient) -> FleetApi:
+        settings = self.settings
+        return FleetApi(
+            identify,
             self.configuration,
             self.fleet_view,
             platform,
@@ -145,9 +156,10 @@
             self.recorder,
             self.fleet.counters,
         )
-        fleet_api.add_routes(api.router)
-        explain = ExplainApi(
-            api.identify,
+
+    def _explain_api(self, identify: Identify, platform: PlatformClient) -> ExplainApi:
+        return ExplainApi(
+            identify,
             self.memory,
             platform,
             self._status_of,
@@ -155,17 +167,15 @@
             time.time,
             self._ask_others,
         )
-        explain.add_routes(api.router)
-        self.registry.register(
-            FleetCollector(
-                self.fleet.counters,
-                lambda: view.hosts().values(),
-                view.pools,
-                self.fleet.duties.holds,
-                settings.fleet.buffer_pool,
-            )
+
+    def _fleet_collector(self, view: LocalView) -> FleetCollector:
+        return FleetCollector(
+            self.fleet.counters,
+            lambda: view.hosts().values(),
+            view.pools,
+            self.fleet.duties.holds,
+            self.settings.fleet.buffer_pool,
         )
-        self.operators = Listener("operators", api.router.handle, settings.http)
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
@@ -269,24 +279,3 @@
         if self.membership is None:
             return Answers()
         return await self.membership.ask_others(kind, subject_id)
-
-
-async def serve_until_signalled(host: EntryHost) -> int:
-    """Run an entry host until SIGTERM or SIGINT arrives."""
-    cut_counts = []
-
-    async def run() -> None:
-        cut_counts.append(await host.run())
-
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(run)
-            nursery.start_soon(_stop_on_signal, signals, host, nursery)
-            await host.stopping.wait()
-    return cut_counts[0] if cut_counts else 0
-
-
-async def _stop_on_signal(signals: Any, host: EntryHost, nursery: trio.Nursery) -> None:
-    async for _number in signals:
-        host.stopping.set()
-        return
