--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -3,7 +3,8 @@
 import logging
 import random
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 import attrs
 import trio
@@ -40,6 +41,7 @@
     Row,
     Transaction,
 )
+from rhubarbmount.shared_rows import NOTHING
 from rhubarbmount.tables import CATALOGUE_HEAD, HEADS_TABLE, HISTORY_TABLE
 
 __all__ = ["Acceptance"]
@@ -57,6 +59,11 @@
     row: Row | None
     snapshot: Snapshot
 
+    @property
+    def values(self) -> Mapping[str, Any]:
+        """Return the values of the row, none before the first edit."""
+        return NOTHING if self.row is None else self.row.value
+
     @property
     def row_version(self) -> int:
         """Return the version of the row, 0 before the first edit."""
@@ -184,7 +191,9 @@
             Transaction(
                 attempt_id,
                 edit_preconditions(edit, head.row_version, fleet),
-                edit_writes(operator, edit, after, object_name, self.wall_clock()),
+                edit_writes(
+                    operator, edit, after, object_name, self.wall_clock(), head.values
+                ),
             )
         )
         if result.committed:
--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
+from typing import Any
 
 import attrs
 
-from rhubarbmount.entries import Pool, converter
+from rhubarbmount.entries import Pool, load_pool
 from rhubarbmount.host_rows import HostRow, Terms
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.platform.interface import LiveHost, Platform, Row
+from rhubarbmount.shared_rows import NOTHING
 from rhubarbmount.tables import BUDGETS_TABLE, ENTRIES_TABLE
 
 __all__ = [
@@ -145,6 +147,7 @@
     entry_version: int
     permits: Mapping[str, str]
     permits_version: int
+    unknown: Mapping[str, Any] = NOTHING
 
     def view(self, members: Iterable[HostRow], live: Iterable[LiveHost]) -> BudgetView:
         """Return the budget; the hosts must have been read after these rows."""
@@ -191,7 +194,9 @@
     def _terms(self, permits: Mapping[str, str]) -> Terms:
         terms = Terms()
         terms.require(BUDGETS_TABLE, self.name, self.permits_version)
-        terms.write(BUDGETS_TABLE, self.name, {"permits": dict(permits)})
+        terms.write(
+            BUDGETS_TABLE, self.name, {**self.unknown, "permits": dict(permits)}
+        )
         return terms
 
 
@@ -199,16 +204,18 @@
     """Read a pool's entry and its permits."""
     entry = await platform.read(ENTRIES_TABLE, f"pool/{name}")
     permits = await platform.read(BUDGETS_TABLE, name)
+    values = dict(permits.value) if permits else {"permits": {}}
     return PoolRows(
         name=name,
         pool=_pool_of(entry),
         entry_version=entry.version if entry else 0,
-        permits=dict(permits.value["permits"]) if permits else {},
+        permits=dict(values.pop("permits")),
         permits_version=permits.version if permits else 0,
+        unknown=values,
     )
 
 
 def _pool_of(entry: Row | None) -> Pool | None:
     if entry is None:
         return None
-    return converter.structure(dict(entry.value["values"]), Pool)
+    return load_pool(entry.value["values"])
--- a/rhubarbmount/cadence.py
+++ b/rhubarbmount/cadence.py
@@ -6,7 +6,7 @@
 import attrs
 
 from rhubarbmount.duty_runner import Lease
-from rhubarbmount.entries import Pool, converter
+from rhubarbmount.entries import Pool, load_pool
 from rhubarbmount.host_rows import HostRows
 from rhubarbmount.hosts import Host
 from rhubarbmount.log import event
@@ -77,7 +77,7 @@
         if now_s - self._looked_s < LOOK_S:
             return
         rows = await self.platform.scan(ENTRIES_TABLE, POOL_PREFIX)
-        pools = [converter.structure(dict(row.value["values"]), Pool) for row in rows]
+        pools = [load_pool(row.value["values"]) for row in rows]
         await self.view.refresh()
         hosts = [row.host for row in self.view.by_host_id.values()]
         waves = [row.wave for row in await read_waves(self.platform)]
--- a/rhubarbmount/catalogue.py
+++ b/rhubarbmount/catalogue.py
@@ -18,8 +18,10 @@
     dump_entry,
     entry_key,
     load_entry,
+    read_entry,
 )
-from rhubarbmount.errors import Finding, FindingsError, NotFound
+from rhubarbmount.errors import Finding, FindingsError
+from rhubarbmount.shared_rows import FORMAT
 
 __all__ = [
     "Snapshot",
@@ -37,7 +39,8 @@
     """The whole catalogue at one version; never changed once made.
 
     ``changed_by_key`` holds the catalogue version that last changed each entry,
-    which is the version an edit of that entry has to expect.
+    which is the version an edit of that entry has to expect. ``format`` is the lowest
+    format that a reader has to know, since it may pass over unknown fields of these.
 
     >>> team = Team(name="quotes-team", owner="quotes-team")
     >>> snapshot = Snapshot().with_entry("team", team)
@@ -50,6 +53,7 @@
     version: int = 0
     by_key: Mapping[str, Entry] = attrs.field(factory=dict)
     changed_by_key: Mapping[str, int] = attrs.field(factory=dict)
+    format: int = 1
 
     @cached_property
     def services_by_name(self) -> dict[str, Service]:
@@ -83,13 +87,14 @@
             version,
             {**self.by_key, key: entry},
             {**self.changed_by_key, key: version},
+            self.format,
         )
 
     def without_entry(self, key: str) -> "Snapshot":
         """Return the next version, with the entry gone."""
         by_key = {k: entry for k, entry in self.by_key.items() if k != key}
         changed_by_key = {k: n for k, n in self.changed_by_key.items() if k != key}
-        return Snapshot(self.version + 1, by_key, changed_by_key)
+        return Snapshot(self.version + 1, by_key, changed_by_key, self.format)
 
     def _of_type(self, entry_type: type) -> dict[str, Any]:
         return {
@@ -110,18 +115,23 @@
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Return the snapshot as compressed bytes, every field written out."""
+    """Return the snapshot as compressed bytes, every field written out.
+
+    The format is named only when it is above the first, which not all readers expect.
+    """
     rows = [
         [key, snapshot.changed_by_key[key], dump_entry(entry)]
         for key, entry in sorted(snapshot.by_key.items())
     ]
-    return zlib.compress(msgpack.packb([snapshot.version, rows]))
+    formats = [snapshot.format] if snapshot.format > 1 else []
+    return zlib.compress(msgpack.packb([snapshot.version, rows, *formats]))
 
 
 def decode_snapshot(body: bytes) -> Snapshot:
     """Return the snapshot that the bytes hold.
 
-    Raises FindingsError for bytes that hold no whole snapshot.
+    What this version doesn't know is kept. Raises FindingsError for bytes that hold no
+    whole snapshot, or one that asks for a format this version doesn't know.
     """
     try:
         return _decode_snapshot(body)
@@ -131,7 +141,6 @@
         TypeError,
         msgpack.UnpackException,
         cattrs.BaseValidationError,
-        NotFound,
     ) as error:
         fault = Finding("snapshot", "undecodable", str(error) or repr(error))
         raise FindingsError([fault]) from error
@@ -142,20 +151,23 @@
     packed = decompressor.decompress(body, MAX_DECODED_BYTES)
     if not decompressor.eof:
         raise ValueError("truncated or too large")
-    version, rows = msgpack.unpackb(packed)
+    version, rows, *formats = msgpack.unpackb(packed)
+    needed = formats[0] if formats else 1
+    if needed > FORMAT:
+        raise ValueError(f"format {needed} is newer than this program's, {FORMAT}")
     by_key = {}
     changed_by_key = {}
     for key, changed, values in rows:
         kind, _ = split_key(key)
         by_key[key] = load_entry(kind, values)
         changed_by_key[key] = changed
-    return Snapshot(version, by_key, changed_by_key)
+    return Snapshot(version, by_key, changed_by_key, needed)
 
 
 def build_entry(kind: str, values: dict[str, Any]) -> Entry:
     """Build an entry from an operator's values, or raise all their faults."""
     try:
-        return load_entry(kind, values)
+        return read_entry(kind, values)
     except cattrs.BaseValidationError as error:
         place = entry_key(kind, str(values.get("name", "?")))
         messages = cattrs.transform_error(error)
--- a/rhubarbmount/catalogue_checks.py
+++ b/rhubarbmount/catalogue_checks.py
@@ -1,6 +1,7 @@
 """Checks within and across the entries of a catalogue."""
 
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
@@ -61,12 +62,16 @@
 
 
 def dependents(snapshot: Snapshot, key: str) -> list[str]:
-    """Return the keys of the entries that name an entry, in order."""
+    """Return the keys of the entries that name an entry, in order.
+
+    What this version doesn't know of an entry counts if the name occurs in it.
+    """
     kind, name = split_key(key)
     return [
         other
         for other, entry in sorted(snapshot.by_key.items())
-        if other != key and (kind, name) in _references(entry)
+        if other != key
+        and ((kind, name) in _references(entry) or _occurs(name, entry.unknown))
     ]
 
 
@@ -111,6 +116,15 @@
     return references
 
 
+def _occurs(name: str, values: Any) -> bool:
+    """Tell whether a text occurs as a value or a key anywhere in plain values."""
+    if isinstance(values, Mapping):
+        return name in values or any(_occurs(name, v) for v in values.values())
+    if isinstance(values, list | tuple):
+        return any(_occurs(name, value) for value in values)
+    return values == name
+
+
 def _name_faults(key: str, entry: Entry) -> list[Finding]:
     name = entry.name
     if 0 < len(name) <= MAX_NAME_LENGTH and _NAME_CHARACTERS.issuperset(name):
--- a/rhubarbmount/catalogue_rows.py
+++ b/rhubarbmount/catalogue_rows.py
@@ -1,10 +1,14 @@
 """The rows that hold the catalogue, and what an edit writes to them."""
 
+from collections.abc import Mapping
+from typing import Any
+
 from rhubarbmount.catalogue import Snapshot
 from rhubarbmount.catalogue_checks import FleetSummary
 from rhubarbmount.edits import Edit, Operator
 from rhubarbmount.entries import dump_entry
 from rhubarbmount.platform.interface import Precondition, Write
+from rhubarbmount.shared_rows import NOTHING
 from rhubarbmount.tables import (
     CATALOGUE_HEAD,
     ENTRIES_TABLE,
@@ -36,16 +40,25 @@
 
 
 def edit_writes(
-    operator: Operator, edit: Edit, after: Snapshot, object_name: str, when_s: float
+    operator: Operator,
+    edit: Edit,
+    after: Snapshot,
+    object_name: str,
+    when_s: float,
+    head: Mapping[str, Any] = NOTHING,
 ) -> tuple[Write, ...]:
-    """Return the rows that an edit writes; ``when_s`` is in seconds since the epoch."""
+    """Return the rows that an edit writes over a head's values.
+
+    ``when_s`` is in seconds since the epoch.
+    """
     version = after.version
-    values = None if edit.entry is None else dump_entry(edit.entry)
+    entry = after.by_key.get(edit.key)
+    values = None if entry is None else dump_entry(entry)
     row = None if values is None else {"version": version, "values": values}
     who = {"operator": operator.name, "when_s": when_s}
     history = {**who, "operation_id": edit.operation_id, "values": values}
     operation = {**who, "key": edit.key, "version": version}
-    head = {"version": version, "object": object_name}
+    head = {**head, "version": version, "object": object_name}
     return (
         Write(HEADS_TABLE, CATALOGUE_HEAD, head),
         Write(ENTRIES_TABLE, edit.key, row),
--- a/rhubarbmount/claims.py
+++ b/rhubarbmount/claims.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.platform.interface import Row
+from rhubarbmount.shared_rows import read_choice
 
 __all__ = [
     "HELD",
@@ -81,7 +82,7 @@
     """Build a claim from its row; fields of a newer version are passed over."""
     names = [field.name for field in attrs.fields(Claim) if field.name != "row_key"]
     known = {name: row.value[name] for name in names}
-    known["state"] = ClaimState(known["state"])
+    known["state"] = read_choice(known["state"], ClaimState)
     return Claim(row_key=row.key, **known)
 
 
@@ -138,7 +139,8 @@
 def judge(wanted: Claim, found: Claim | None) -> Verdict:
     """Decide what the wanted claim is told, given the claim that was found.
 
-    A claim left unfinished is never taken over: its request may have run.
+    A claim left unfinished is never taken over: its request may have run. So is one
+    in a state of a newer version.
     """
     if found is None:
         return VACANT
@@ -147,7 +149,7 @@
         return Verdict(Ruling.KEY_REUSED, outcome)
     if found.claim_id == wanted.claim_id and found.state is ClaimState.CLAIMED:
         return HELD
-    return Verdict(_RULINGS[found.state], outcome, found.status)
+    return Verdict(_RULINGS.get(found.state, Ruling.UNKNOWN), outcome, found.status)
 
 
 class ClaimRefused(RhubarbmountError):
--- a/rhubarbmount/duties.py
+++ b/rhubarbmount/duties.py
@@ -1,16 +1,28 @@
 """Duty leases: one holder for each fleet duty, moved without any shared clock."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from functools import lru_cache
+from typing import Any
 
 import attrs
 
-__all__ = ["Action", "LeaseBounds", "LeaseRow", "LeaseTracker", "preference_rank"]
+from rhubarbmount.shared_rows import SharedRow, new_converter
+
+__all__ = [
+    "Action",
+    "LeaseBounds",
+    "LeaseRow",
+    "LeaseTracker",
+    "dump_lease",
+    "load_lease",
+    "preference_rank",
+]
 
 POLL_SLACK = 0.8
 WEIGHTS_CACHED = 1024
+_converter = new_converter()
 
 
 @attrs.frozen(kw_only=True)
@@ -49,7 +61,7 @@
 
 
 @attrs.frozen
-class LeaseRow:
+class LeaseRow(SharedRow):
     """A lease as kept in the table; no two writes of it are equal.
 
     An empty holder means that the duty was handed back.
@@ -60,6 +72,16 @@
     renewals: int = 0
 
 
+def load_lease(values: Mapping[str, Any]) -> LeaseRow:
+    """Build a lease from the plain values of its row."""
+    return _converter.structure(values, LeaseRow)
+
+
+def dump_lease(row: LeaseRow) -> dict[str, Any]:
+    """Return the plain values of a lease."""
+    return _converter.unstructure(row)
+
+
 def preference_rank(duty: str, instance_id: str, instance_ids: Iterable[str]) -> int:
     """Return an instance's place, 0 first, in the duty's rendezvous order.
 
@@ -155,9 +177,10 @@
         """Return the row that the action writes over the one last seen."""
         row = self.row or LeaseRow()
         if action is Action.TAKE:
-            return LeaseRow(self.instance_id, row.token + 1, 0)
+            token = row.token + 1
+            return attrs.evolve(row, holder=self.instance_id, token=token, renewals=0)
         if action is Action.HAND_BACK:
-            return LeaseRow("", row.token, row.renewals + 1)
+            return attrs.evolve(row, holder="", renewals=row.renewals + 1)
         return attrs.evolve(row, renewals=row.renewals + 1)
 
     def _contend(self, now_s: float, rank: int) -> Action:
--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -11,6 +11,7 @@
     LeaseBounds,
     LeaseRow,
     LeaseTracker,
+    dump_lease,
     preference_rank,
 )
 from rhubarbmount.errors import (
@@ -181,8 +182,8 @@
         if before is None:
             unchanged = Precondition(LEASES_TABLE, name, version=0)
         else:
-            unchanged = Precondition(LEASES_TABLE, name, equals=attrs.asdict(before))
-        write = Write(LEASES_TABLE, name, attrs.asdict(after))
+            unchanged = Precondition(LEASES_TABLE, name, equals=dump_lease(before))
+        write = Write(LEASES_TABLE, name, dump_lease(after))
         sent_s = self.clock()
         self.tracker.uncertain()
         result = await self.platform.transact(
--- a/rhubarbmount/edits.py
+++ b/rhubarbmount/edits.py
@@ -10,9 +10,10 @@
 
 from rhubarbmount.catalogue import Snapshot, build_entry, split_key
 from rhubarbmount.catalogue_checks import dependents
-from rhubarbmount.entries import Entry, entry_key
+from rhubarbmount.entries import Entry, UnknownEntry, dump_entry, entry_key
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.log import event
+from rhubarbmount.shared_rows import unknown_names
 
 __all__ = [
     "Accepted",
@@ -76,10 +77,18 @@
 
     @classmethod
     def from_values(
-        cls, kind: str, values: dict[str, Any], expected_version: int, operation_id: str
+        cls,
+        kind: str,
+        values: dict[str, Any],
+        expected_version: int,
+        operation_id: str,
+        stored: Entry | None = None,
     ) -> "Edit":
-        """Build an edit from plain values, or raise FindingsError."""
-        entry = build_entry(kind, values)
+        """Build an edit from plain values, or raise FindingsError.
+
+        What this version doesn't know may be passed back as it is stored.
+        """
+        entry = _build(kind, values, stored)
         return cls(
             key=entry_key(kind, entry.name),
             entry=entry,
@@ -120,13 +129,36 @@
 
 
 def next_snapshot(edit: Edit, before: Snapshot) -> Snapshot:
-    """Return the version that the edit makes, or raise Refused."""
+    """Return the version that the edit makes, or raise Refused.
+
+    Fields of the entry that this version doesn't know stay as they are.
+    """
+    kind, _ = split_key(edit.key)
+    current = before.by_key.get(edit.key)
     if edit.entry is not None:
-        kind, _ = split_key(edit.key)
-        return before.with_entry(kind, edit.entry)
+        unknown = edit.entry.unknown if current is None else current.unknown
+        entry = attrs.evolve(edit.entry, unknown=unknown)
+        return before.with_entry(kind, entry)
+    if isinstance(current, UnknownEntry):
+        message = f"this version doesn't know entries of kind {kind}"
+        raise Refused(message, code="newer-kind")
     others = dependents(before, edit.key)
     if others:
         raise Refused(
             f"{edit.key} is named by {', '.join(others)}", code="has-dependents"
         )
     return before.without_entry(edit.key)
+
+
+def _build(kind: str, values: dict[str, Any], stored: Entry | None) -> Entry:
+    if stored is None:
+        return build_entry(kind, values)
+    as_stored = dump_entry(stored)
+    passed_back = {
+        name
+        for name in unknown_names(stored) & values.keys()
+        if values[name] == as_stored[name]
+    }
+    known = {name: values[name] for name in values if name not in passed_back}
+    choices = {name: getattr(stored, name) for name in passed_back - {*stored.unknown}}
+    return attrs.evolve(build_entry(kind, known), **choices)
--- a/rhubarbmount/entries.py
+++ b/rhubarbmount/entries.py
@@ -1,12 +1,15 @@
 """Catalogue entries: what teams write about their services, pools and jobs."""
 
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 from typing import Any
 
 import attrs
 import cattrs
+from cattrs.gen import make_dict_structure_fn, override
 
 from rhubarbmount.registry import Registry
+from rhubarbmount.shared_rows import SharedRow, new_converter
 
 __all__ = [
     "Entry",
@@ -15,15 +18,18 @@
     "Pool",
     "Service",
     "Team",
+    "UnknownEntry",
     "WorkClass",
-    "converter",
     "entry_key",
     "entry_kinds",
     "load_entry",
+    "load_pool",
     "dump_entry",
+    "read_entry",
 ]
 
-converter = cattrs.Converter(forbid_extra_keys=True)
+_converter = new_converter()
+_input_converter = cattrs.Converter(forbid_extra_keys=True)
 entry_kinds: Registry[type["Entry"]] = Registry("entry kind")
 
 
@@ -46,7 +52,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Entry:
+class Entry(SharedRow):
     """What every entry has: a name, and the team that may edit it."""
 
     name: str
@@ -114,6 +120,11 @@
     run_time_s: float = 60.0
 
 
+@attrs.frozen(kw_only=True)
+class UnknownEntry(Entry):
+    """An entry of a kind that a newer version has; it is passed on as it is."""
+
+
 def entry_key(kind: str, name: str) -> str:
     """Return the key of an entry in the catalogue.
 
@@ -123,11 +134,36 @@
     return f"{kind}/{name}"
 
 
-def load_entry(kind: str, values: dict[str, Any]) -> Entry:
-    """Build an entry from plain values, refusing unknown keys."""
-    return converter.structure(values, entry_kinds.get(kind))
+def load_entry(kind: str, values: Mapping[str, Any]) -> Entry:
+    """Build an entry from shared values, keeping what this version doesn't know."""
+    entry_type = entry_kinds.get(kind) if kind in entry_kinds else UnknownEntry
+    return _converter.structure(values, entry_type)
+
+
+def load_pool(values: Mapping[str, Any]) -> Pool:
+    """Build a pool from shared values, as load_entry does."""
+    return _converter.structure(values, Pool)
+
+
+def read_entry(kind: str, values: Mapping[str, Any]) -> Entry:
+    """Build an entry from an operator's values, refusing what isn't known."""
+    return _input_converter.structure(values, entry_kinds.get(kind))
 
 
 def dump_entry(entry: Entry) -> dict[str, Any]:
     """Return the plain values of an entry."""
-    return converter.unstructure(entry)
+    return _converter.unstructure(entry)
+
+
+def _input_fn(entry_type: type[Entry]) -> Callable[[Any, Any], Entry]:
+    return make_dict_structure_fn(
+        entry_type,
+        _input_converter,
+        _cattrs_forbid_extra_keys=True,
+        unknown=override(omit=True),
+    )
+
+
+_input_converter.register_structure_hook_factory(
+    lambda cls: isinstance(cls, type) and issubclass(cls, Entry), _input_fn
+)
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import attrs
-import cattrs
 
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.edits import Operator
@@ -28,12 +27,10 @@
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
 from rhubarbmount.wave_plan import SparesOffer, WavePlan, plan_wave
-from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
+from rhubarbmount.waves import Control, Wave, WaveOperator, dump_wave, read_waves
 
 __all__ = ["FleetApi"]
 
-_converter = cattrs.Converter()
-
 
 @attrs.define(eq=False)
 class FleetApi:
@@ -100,7 +97,7 @@
     async def _list_waves(self, call: Call) -> HttpResponse:
         self.identify(call)
         rows = await read_waves(self.platform)
-        return json_response({"waves": [_converter.unstructure(r.wave) for r in rows]})
+        return json_response({"waves": [dump_wave(row.wave) for row in rows]})
 
     async def _start_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
@@ -162,7 +159,7 @@
             self._check_owner(operator, pool)
         wave = await self.waves.control(wave.wave_id, control)
         self._record_wave(wave.pools, f"wave-{control.value}", wave.wave_id, operator)
-        return json_response(_converter.unstructure(wave))
+        return json_response(dump_wave(wave))
 
     def _record_refused_move(
         self, host_id: str, error: RhubarbmountError, inputs: dict[str, Any]
--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -108,7 +108,8 @@
         for row in rows:
             intent = load_intent(row.value)
             host_row = self.view.by_host_id.get(intent.host_id)
-            if host_row is not None and intent.state == "open":
+            is_open = intent.state == "open" and intent.action in host_actions
+            if host_row is not None and is_open:
                 yield OpenWork(intent, row.version, host_row)
 
     def _watch(self, work: list[OpenWork], lease: Lease) -> None:
--- a/rhubarbmount/host_rows.py
+++ b/rhubarbmount/host_rows.py
@@ -128,10 +128,11 @@
 
 
 def _advanced(head: Row | None, host_ids: list[str]) -> dict[str, Any]:
-    version = (head.value["version"] if head else 0) + 1
-    changes = list(head.value["changes"]) if head else []
+    value: dict[str, Any] = dict(head.value) if head else {"version": 0, "changes": []}
+    version = value["version"] + 1
+    changes = list(value["changes"])
     changes += [[version, host_id] for host_id in host_ids]
-    return {"version": version, "changes": changes[-CHANGES_KEPT:]}
+    return value | {"version": version, "changes": changes[-CHANGES_KEPT:]}
 
 
 def _changed_since(known: Row | None, head: Row | None) -> list[str] | None:
--- a/rhubarbmount/host_work.py
+++ b/rhubarbmount/host_work.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import attrs
-import cattrs
 
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.registry import Registry
+from rhubarbmount.shared_rows import SharedRow, new_converter
 
 __all__ = [
     "EFFECT_BY_STATE",
@@ -30,11 +30,11 @@
     HostState.RETURNING: "resume",
     HostState.LEAVING: "release",
 }
-_converter = cattrs.Converter()
+_converter = new_converter()
 
 
 @attrs.frozen(kw_only=True)
-class HostIntent:
+class HostIntent(SharedRow):
     """Work begun on a host and not yet finished.
 
     ``target_pool`` is set for moves, ``target_owner`` to the team that owned it when
--- a/rhubarbmount/hosts.py
+++ b/rhubarbmount/hosts.py
@@ -4,12 +4,12 @@
 from typing import Any
 
 import attrs
-import cattrs
 
-__all__ = ["Host", "HostState", "Shape", "dump_host", "load_host"]
+from rhubarbmount.shared_rows import SharedRow, new_converter
 
+__all__ = ["Host", "HostState", "Shape", "dump_host", "load_host"]
 
-_converter = cattrs.Converter()
+_converter = new_converter()
 
 
 class HostState(StrEnum):
@@ -34,7 +34,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Host:
+class Host(SharedRow):
     """A host of the fleet; ``pool`` is the one pool it belongs to.
 
     ``address`` is the IP and port of its backend server. ``since_s`` is the time of
--- a/rhubarbmount/instances.py
+++ b/rhubarbmount/instances.py
@@ -8,15 +8,23 @@
 import cattrs
 import trio
 
+from rhubarbmount import __version__
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.log import event
 from rhubarbmount.peer_messages import MemberReport, PeerIdentity
 from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+from rhubarbmount.shared_rows import FORMAT
 from rhubarbmount.tables import INSTANCES_TABLE
 from rhubarbmount.timers import TimerService
 
-__all__ = ["ConfigurationStatus", "InstanceRecord", "InstanceRows", "weigh_status"]
+__all__ = [
+    "ConfigurationStatus",
+    "InstanceRecord",
+    "InstanceRows",
+    "ProgramVersion",
+    "weigh_status",
+]
 
 RENEWAL_PERIOD_S = 30.0
 ABANDONED_AFTER_S = 7200.0
@@ -27,7 +35,11 @@
 
 @attrs.frozen(kw_only=True)
 class InstanceRecord:
-    """An entry host's row; ``renewals`` rises while it lives."""
+    """An entry host's row; ``renewals`` rises while it lives.
+
+    ``program`` is its version, and ``format`` the newest of shared rows that it knows;
+    versions that tell neither leave them empty.
+    """
 
     instance: str
     data_centre: str
@@ -35,6 +47,16 @@
     incarnation: str
     configuration_version: int = 0
     renewals: int = 0
+    program: str = ""
+    format: int = 0
+
+
+@attrs.frozen
+class ProgramVersion:
+    """What an entry host runs; empty and 0 if it does not tell."""
+
+    program: str = __version__
+    format: int = FORMAT
 
 
 @attrs.frozen
@@ -42,13 +64,15 @@
     """How far a configuration version has come.
 
     ``behind`` maps live instances to the earlier version that they run; ``silent``
-    maps those not heard from here to the version that they last recorded.
+    maps those not heard from here to the version that they last recorded. ``programs``
+    tells what each runs, by its row.
     """
 
     version: int
     current: list[str]
     behind: dict[str, int]
     silent: dict[str, int]
+    programs: dict[str, ProgramVersion] = attrs.field(factory=dict)
 
     @property
     def in_force(self) -> bool:
@@ -172,7 +196,15 @@
             record.instance: record.configuration_version
             for record in self.by_instance.values()
         }
-        return weigh_status(version, recorded, heard)
+        status = weigh_status(version, recorded, heard)
+        return attrs.evolve(status, programs=self._programs())
+
+    def _programs(self) -> dict[str, ProgramVersion]:
+        programs = {
+            record.instance: ProgramVersion(record.program, record.format)
+            for record in self.by_instance.values()
+        }
+        return programs | {self.me.instance: ProgramVersion()}
 
     async def _write(self) -> None:
         self._renewals += 1
@@ -183,6 +215,8 @@
             incarnation=self.me.incarnation,
             configuration_version=self.version(),
             renewals=self._renewals,
+            program=__version__,
+            format=FORMAT,
         )
         write = Write(INSTANCES_TABLE, self.me.instance, _converter.unstructure(record))
         await self._transact(f"renew-{self._renewals}", (), write)
--- a/rhubarbmount/job_changes.py
+++ b/rhubarbmount/job_changes.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import attrs
-import cattrs
 
 from rhubarbmount.jobs import ENDED_STATES, Job, Task, dump_job, dump_task
 from rhubarbmount.platform.interface import TaskCommand, Write
+from rhubarbmount.shared_rows import new_converter
 from rhubarbmount.sizes import UsageReport
 from rhubarbmount.suspects import Blame
 from rhubarbmount.tables import (
@@ -37,7 +37,7 @@
 ENDED_PREFIX = "ended/"
 USAGE_PREFIX = "usage/"
 
-_converter = cattrs.Converter()
+_converter = new_converter()
 
 
 @attrs.frozen
--- a/rhubarbmount/job_queue.py
+++ b/rhubarbmount/job_queue.py
@@ -110,7 +110,8 @@
     def add(self, waiting: WaitingJob) -> JobGroup:
         """Add a job to its group and return the group."""
         job = waiting.job
-        key = CLASS_RANK[job.work_class], job.team, waiting.need
+        rank = CLASS_RANK.get(job.work_class, CLASS_RANK[WorkClass.NORMAL])
+        key = rank, job.team, waiting.need
         group = self.group_by_key.setdefault(key, JobGroup(key))
         lane = self.lane_by_key.setdefault(group.lane_key, JobLane(group.lane_key))
         lane.group_by_key[key] = group
--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 import attrs
-import cattrs
 
 from rhubarbmount.entries import Team, WorkClass
 from rhubarbmount.errors import Finding
 from rhubarbmount.hosts import Host, Shape
+from rhubarbmount.shared_rows import SharedRow, new_converter
 from rhubarbmount.statecharts import load_chart
 
 __all__ = [
@@ -36,7 +36,7 @@
 SHARED_NAMES = ("team", "pool", "template", "kind", "host_id")
 SHARED_NUMBERS = ("run_time_s", "lease_s", "progress_s")
 
-_converter = cattrs.Converter()
+_converter = new_converter()
 
 
 class JobState(StrEnum):
@@ -56,7 +56,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Job:
+class Job(SharedRow):
     """A job of a team; ``attempt`` counts its starts and ``task_id`` names the last.
 
     ``progress_s`` is the run time that its checkpoint saves. ``failed_hosts`` holds
@@ -97,7 +97,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Task:
+class Task(SharedRow):
     """A start of a job on a host, under a lease that the worker renews.
 
     ``token`` is the job's attempt, so that a later start is told from an earlier.
--- a/rhubarbmount/lease_reads.py
+++ b/rhubarbmount/lease_reads.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rhubarbmount.duties import LeaseRow
+from rhubarbmount.duties import LeaseRow, load_lease
 from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.tables import LEASES_TABLE
 
@@ -42,4 +42,4 @@
 
 
 def _load(row: Row) -> LeaseRow:
-    return LeaseRow(**row.value)
+    return load_lease(row.value)
--- a/rhubarbmount/limits.py
+++ b/rhubarbmount/limits.py
@@ -286,7 +286,9 @@
             limit = ServiceLimit(service.name)
             self.by_service[service.name] = limit
         limit.pool = service.pool
-        limit.weight = WEIGHT_BY_CLASS[service.work_class]
+        limit.weight = WEIGHT_BY_CLASS.get(
+            service.work_class, WEIGHT_BY_CLASS[WorkClass.NORMAL]
+        )
         limit.concurrency = _at_least_one(service.concurrency, members, own_id)
         limit.queue_length = _at_least_one(service.queue_length, members, own_id)
         limit.queue_timeout_s = service.queue_timeout_ms / 1000
--- a/rhubarbmount/operator_commands.py
+++ b/rhubarbmount/operator_commands.py
@@ -43,7 +43,7 @@
 
 
 def status(*, json: bool = False) -> int:
-    """Show which entry hosts run the version in force, and which lag.
+    """Show which entry hosts run the version in force, which lag, and their programs.
 
     :param json: print JSON
     """
@@ -57,10 +57,16 @@
             {"entry_host": name, "state": state, "version": version}
             for name, version in value[state].items()
         ]
+    for row in rows:
+        told = value.get("programs", {}).get(row["entry_host"], {})
+        row["program"] = told.get("program") or "not told"
+        row["format"] = told.get("format", 0)
     if not json:
         told = "in force everywhere" if value["in_force"] else "not in force everywhere"
         print(f"version {value['version']} is {told}")
-    return _show(value, rows, ("entry_host", "state", "version"), json)
+    return _show(
+        value, rows, ("entry_host", "state", "version", "program", "format"), json
+    )
 
 
 def entry_list(*, json: bool = False) -> int:
--- a/rhubarbmount/operators.py
+++ b/rhubarbmount/operators.py
@@ -2,14 +2,15 @@
 
 import uuid
 from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 import attrs
 
 from rhubarbmount.acceptance import Acceptance
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.edits import Accepted, Edit, Operator, Operators
-from rhubarbmount.entries import dump_entry, entry_key
-from rhubarbmount.errors import AccessDenied, NotFound, UsageError
+from rhubarbmount.entries import dump_entry, entry_key, load_entry
+from rhubarbmount.errors import AccessDenied, FindingsError, NotFound, UsageError
 from rhubarbmount.http import HttpResponse, header_value
 from rhubarbmount.instances import ConfigurationStatus
 from rhubarbmount.platform.interface import Platform, Row
@@ -94,7 +95,7 @@
         if version is None:
             version = await self._stored_version(entry_key(kind, name))
         operation_id = body.get("operation_id") or uuid.uuid4().hex
-        edit = Edit.from_values(kind, values, version, operation_id)
+        edit = await self._build_edit(kind, values, version, operation_id)
         return _accepted(await self.acceptance.apply(operator, edit))
 
     async def _remove_entry(self, call: Call) -> HttpResponse:
@@ -124,6 +125,20 @@
         shown["confirmed_s_ago"] = age_s if self.configuration.ready else None
         return json_response(shown)
 
+    async def _build_edit(
+        self, kind: str, values: dict[str, Any], version: int, operation_id: str
+    ) -> Edit:
+        try:
+            return Edit.from_values(kind, values, version, operation_id)
+        except FindingsError:
+            row = await self.platform.read(
+                ENTRIES_TABLE, entry_key(kind, values["name"])
+            )
+            if row is None:
+                raise
+        stored = load_entry(kind, row.value["values"])
+        return Edit.from_values(kind, values, version, operation_id, stored)
+
     async def _stored_version(self, key: str) -> int:
         row = await self.platform.read(ENTRIES_TABLE, key)
         return 0 if row is None else row.value["version"]
--- a/rhubarbmount/registry.py
+++ b/rhubarbmount/registry.py
@@ -43,5 +43,8 @@
             raise NotFound(f"no {self.kind} {name!r}; known: {known}")
         return self._by_name[name]
 
+    def __contains__(self, name: object) -> bool:
+        return name in self._by_name
+
     def __iter__(self) -> Iterator[str]:
         return iter(sorted(self._by_name))
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import trio
@@ -102,7 +102,7 @@
     name: str = DUTY
     is_idle: bool = False
     scheduler: Scheduler | None = None
-    _sequence: int = 0
+    _head: dict[str, Any] = attrs.field(factory=lambda: {"sequence": 0}, init=False)
     _open: dict[str, TaskCommand] = attrs.field(factory=dict, init=False)
     _changes: list[JobChange] = attrs.field(factory=list, init=False)
     _listed_s: float | None = None
@@ -144,7 +144,7 @@
             [load_task(row.value) for row in tasks],
             commands,
         )
-        self._sequence = head.value["sequence"] if head else 0
+        self._head = dict(head.value) if head else {"sequence": 0}
         self._open = {command.intent_id: command for command in commands}
         self._changes = []
         self._listed_s = self._placed_s = None
@@ -215,19 +215,20 @@
         ]
 
     async def _commit(self, lease: HeldLease, batch: list[JobChange]) -> None:
-        head = {"sequence": self._sequence + 1}
+        head = self._head | {"sequence": self._head["sequence"] + 1}
         terms = Terms(
             [self._head_condition()],
             [Write(HEADS_TABLE, DUTY, head), *writes_of(batch)],
         )
         if not await lease.commit(terms):
             raise LeaseLost("rows changed since they were read")
-        self._sequence += 1
+        self._head = head
 
     def _head_condition(self) -> Precondition:
-        if self._sequence == 0:
+        sequence = self._head["sequence"]
+        if sequence == 0:
             return Precondition(HEADS_TABLE, DUTY, version=0)
-        return Precondition(HEADS_TABLE, DUTY, equals={"sequence": self._sequence})
+        return Precondition(HEADS_TABLE, DUTY, equals={"sequence": sequence})
 
     async def _send_commands(self, lease: HeldLease) -> None:
         commands_by_task: dict[str, list[TaskCommand]] = {}
--- /dev/null
+++ b/rhubarbmount/shared_rows.py
@@ -0,0 +1,148 @@
+"""Rows that several versions share: what a reader doesn't know of them, it keeps."""
+
+from collections.abc import Callable, Mapping
+from enum import StrEnum
+from functools import lru_cache
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+import cattrs
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+__all__ = [
+    "FORMAT",
+    "NOTHING",
+    "SharedRow",
+    "new_converter",
+    "read_choice",
+    "unknown_names",
+]
+
+FORMAT = 1
+NOTHING: Mapping[str, Any] = MappingProxyType({})
+CHOICES_KEPT = 256
+
+Values = Mapping[str, Any]
+
+
+@attrs.frozen(kw_only=True)
+class SharedRow:
+    """What a row holds beyond the fields that this version knows, as plain values.
+
+    Fields of a known field's value are under that field's name.
+    """
+
+    unknown: Values = attrs.field(
+        default=NOTHING, hash=False, repr=False, metadata={"is_kept": True}
+    )
+
+
+@lru_cache(CHOICES_KEPT)
+def read_choice(value: str, choices: type[StrEnum]) -> StrEnum:
+    """Return the choice of a value; one of a newer version equals no known one.
+
+    >>> from rhubarbmount.hosts import HostState
+    >>> read_choice("draining", HostState) is HostState.DRAINING
+    True
+    >>> read_choice("asleep", HostState).value, "asleep" in list(HostState)
+    ('asleep', False)
+    """
+    if value in choices._value2member_map_:
+        return choices(value)
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no text")
+    choice = str.__new__(choices, value)
+    choice._name_ = choice._value_ = value
+    return choice
+
+
+def unknown_names(row: SharedRow) -> set[str]:
+    """Return the names of the fields that hold what this version doesn't know."""
+    known = {field.name: getattr(row, field.name) for field in attrs.fields(type(row))}
+    choices = {
+        name
+        for name, value in known.items()
+        if isinstance(value, StrEnum) and value not in list(type(value))
+    }
+    return choices | row.unknown.keys()
+
+
+def new_converter() -> cattrs.Converter:
+    """Return a converter that keeps what it doesn't know of shared rows."""
+    converter = cattrs.Converter()
+    converter.register_structure_hook(StrEnum, read_choice)
+    converter.register_structure_hook_factory(
+        _is_shared, lambda cls: _structure_fn(cls, converter)
+    )
+    converter.register_unstructure_hook_factory(
+        _is_shared, lambda cls: _unstructure_fn(cls, converter)
+    )
+    return converter
+
+
+def _is_shared(cls: Any) -> bool:
+    return isinstance(cls, type) and issubclass(cls, SharedRow)
+
+
+def _structure_fn(
+    cls: type, converter: cattrs.Converter
+) -> Callable[[Values, Any], Any]:
+    known: Callable[[Values, Any], Any] = make_dict_structure_fn(
+        cls, converter, unknown=override(omit=True)
+    )
+    beyond = _beyond(cls)
+
+    def structure(values: Values, kind: Any) -> Any:
+        built = known(values, kind)
+        unknown = beyond(values)
+        return attrs.evolve(built, unknown=unknown) if unknown else built
+
+    return structure
+
+
+def _unstructure_fn(
+    cls: type, converter: cattrs.Converter
+) -> Callable[[Any], dict[str, Any]]:
+    known: Callable[[Any], dict[str, Any]] = make_dict_unstructure_fn(
+        cls, converter, unknown=override(omit=True)
+    )
+
+    def unstructure(row: Any) -> dict[str, Any]:
+        values = known(row)
+        return _merged(values, row.unknown) if row.unknown else values
+
+    return unstructure
+
+
+def _beyond(cls: type) -> Callable[[Values], dict[str, Any]]:
+    """Return what finds the fields that a class lacks, and those of classes in it."""
+    attrs.resolve_types(cls)
+    names = {field.name for field in attrs.fields(cls)} - {"unknown"}
+    parts = {
+        field.name: _beyond(field.type)
+        for field in attrs.fields(cls)
+        if attrs.has(field.type) and not _is_shared(field.type)
+    }
+
+    def beyond(values: Values) -> dict[str, Any]:
+        found = {}
+        if not values.keys() <= names:
+            found = {key: values[key] for key in values if key not in names}
+        for name, part in parts.items():
+            inner = part(values[name]) if name in values else None
+            if inner:
+                found[name] = inner
+        return found
+
+    return beyond
+
+
+def _merged(values: dict[str, Any], unknown: Values) -> dict[str, Any]:
+    for key, value in unknown.items():
+        known = values.get(key)
+        if isinstance(known, dict):
+            values[key] = _merged(known, value)
+        else:
+            values[key] = value
+    return values
--- a/rhubarbmount/structure.py
+++ b/rhubarbmount/structure.py
@@ -43,7 +43,11 @@
     if not isinstance(values, Mapping):
         return None, [Fault(path, "wrong-type", "expected a mapping")]
     attrs.resolve_types(cls)
-    field_by_name = {field.name: field for field in attrs.fields(cls)}
+    field_by_name = {
+        field.name: field
+        for field in attrs.fields(cls)
+        if not field.metadata.get("is_kept")
+    }
     faults = _unknown_keys(values, list(field_by_name), path)
     arguments = {}
     for name, field in field_by_name.items():
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 import attrs
-import cattrs
 
 from rhubarbmount.budgets import PoolRows, read_pool_rows
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.host_rows import HostRows, Terms
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Transaction
+from rhubarbmount.shared_rows import SharedRow, new_converter
 from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = [
@@ -20,6 +20,8 @@
     "Wave",
     "WaveRow",
     "WaveOperator",
+    "dump_wave",
+    "load_wave",
     "read_waves",
     "start_terms",
     "wave_terms",
@@ -29,7 +31,7 @@
 STARTS_KEY = "waves"
 CONTROL_ATTEMPTS = 5
 logger = logging.getLogger("rhubarbmount.waves")
-_converter = cattrs.Converter()
+_converter = new_converter()
 
 
 class Control(StrEnum):
@@ -41,7 +43,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Wave:
+class Wave(SharedRow):
     """Every host of the pools once; no pools means all of them.
 
     ``started_s`` is in seconds since the epoch. A pool with spares has its hosts
@@ -101,22 +103,27 @@
     return _converter.structure(dict(values), Wave)
 
 
+def dump_wave(wave: Wave) -> dict[str, Any]:
+    """Return the plain values of a wave."""
+    return _converter.unstructure(wave)
+
+
 def wave_terms(row: WaveRow, wave: Wave) -> Terms:
     """Return what a transaction needs to change a wave."""
     terms = Terms()
     key = WAVE_PREFIX + wave.wave_id
     terms.require(INTENTS_TABLE, key, row.version)
-    terms.write(INTENTS_TABLE, key, _converter.unstructure(wave))
+    terms.write(INTENTS_TABLE, key, dump_wave(wave))
     return terms
 
 
 async def start_terms(platform: Platform) -> Terms:
     """Return what a transaction needs to start a wave beside no other start."""
     row = await platform.read(INTENTS_TABLE, STARTS_KEY)
-    starts = row.value["starts"] if row else 0
+    value = {"starts": 0} | (dict(row.value) if row else {})
     terms = Terms()
     terms.require(INTENTS_TABLE, STARTS_KEY, row.version if row else 0)
-    terms.write(INTENTS_TABLE, STARTS_KEY, {"starts": starts + 1})
+    terms.write(INTENTS_TABLE, STARTS_KEY, value | {"starts": value["starts"] + 1})
     return terms
 
 
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -50,7 +50,9 @@
     assert re.search(r" admin +\d{4}-\d\d-\d\dT", history[1])
     wait_until(lambda: "pool/spare" in run("entry list"), 5)
     wait_until(lambda: " is in force everywhere" in run("status"), 5)
-    assert re.search(r"^e1 +current +\d+$", run("status"), re.MULTILINE)
+    assert re.search(
+        r"^e1 +current +\d+ +\d+\.\d+\.\d+ +1$", run("status"), re.MULTILINE
+    )
     assert json.loads(run("status --json"))["current"] == ["e1"]
     assert re.search(
         r"^h1 +quotes +dc-a", run("hosts list --pool quotes"), re.MULTILINE
