Reboot a host once more that does not come back from its maintenance

It was quarantined after the reboot limit and then meant to be replaced at once, without the reboot that any other failing host gets. With no spare it held a slot and a rack to the end of the wave and was never maintained.

The new test of a wave without spares failed on the old code and passes; a host that stays bad after the second reboot is still replaced.

--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 import defopt
@@ -69,6 +70,8 @@
     waits_for_repair: bool = False
     unreplaced_host_s: float = 0.0
     repair: RepairDuty | None = None
+    started_s: float = 0.0
+    after_round: Callable = lambda: None
 
     async def read(self, table, key):
         self.calls["read"] += 1
@@ -126,15 +129,17 @@
         """Return a host empty after its drain, and ready after its reboot."""
         host_id = host.host_id
         drained_s = self.command_s.get((host_id, "drain"), self.now_s)
+        is_empty = self.now_s - drained_s >= WAVE.drain_s
+        return Observation(0 if is_empty else 1, self.is_ready(host_id))
+
+    def is_ready(self, host_id):
         rebooted_s = self.command_s.get((host_id, "reboot"), 0.0)
         reboot_s = self.reboot_s_by_id.get(host_id, WAVE.reboot_s)
-        is_empty = self.now_s - drained_s >= WAVE.drain_s
-        is_ready = (
+        return (
             self.now_s - rebooted_s >= reboot_s
             and self.failed_s.get(host_id, -1.0) < rebooted_s
             and self.away_until_s.get(host_id, 0.0) <= self.now_s
         )
-        return Observation(0 if is_empty else 1, is_ready)
 
     def strike(self):
         """Let the failures that are due happen; a lost rack leaves the live list."""
@@ -188,6 +193,7 @@
         runners = self.runners(spares_pool)
         self.calls.clear()
         start_s, spent_s = self.now_s, time.process_time()
+        self.started_s = start_s
         done_s = None
         while done_s is None or (self.waits_for_repair and await self.is_repairing()):
             self.now_s += self.round_s
@@ -196,6 +202,7 @@
             self.strike()
             for runner in runners:
                 await runner.step()
+            self.after_round()
             self.unreplaced_host_s += self.round_s * self.count_unreplaced()
             wave = (await operator.read(wave_id)).wave
             if wave.state == "done" and done_s is None:
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -33,6 +33,7 @@
 NO_FIGURES: Figures = {}
 REBOOT_CAUSE = "repair:failing"
 REPLACE_CAUSE = "repair:failing-again"
+REBOOT_FAILED_CAUSE = "reboot:quarantine"
 logger = logging.getLogger("rhubarbmount.repair")
 
 
@@ -150,7 +151,8 @@
         rows = await self._allowed(host, live, lease.clock())
         if rows is None:
             return
-        action = "reboot" if host.cause == REBOOT_CAUSE else "replace"
+        stays_bad = host.cause in (REPLACE_CAUSE, REBOOT_FAILED_CAUSE)
+        action = "replace" if stays_bad else "reboot"
         bad = Begun(row, _intent(lease, action, host.host_id))
         terms, changes = begin_changes(rows, [bad], self.wall_clock())
         if action == "replace" and self._is_needed(host, rows):
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -30,6 +30,7 @@
         self.world = World()
         self.sick = set()
         self.incurable = set()
+        self.maintenance_fails = set()
         pools = [
             make_pool(hosts_wanted=hosts, **limits),
             make_pool("buffer", hosts_wanted=0, hosts_down_limit=1),
@@ -49,6 +50,8 @@
     def obey(self, command):
         if command.action == "reboot":
             self.sick -= {command.host_id} - self.incurable
+            self.sick |= {command.host_id} & self.maintenance_fails
+            self.maintenance_fails.discard(command.host_id)
 
     def observe(self, host):
         sick = host.host_id in self.sick
@@ -145,6 +148,30 @@
     assert ("q3", "release") in fleet.actions()
 
 
+def test_a_host_that_fails_in_its_maintenance_is_rebooted_once_more(make_fleet):
+    fleet = make_fleet(hosts=4, spares=0)
+    fleet.maintenance_fails = {"q1"}
+    world = fleet.world
+    operator = WaveOperator(world.inner, world.clock, world.new_id)
+    run_now(operator.start(["quotes"]))
+    assert world.settle(
+        lambda: all(fleet.hosts()[f"q{n}"].maintained_s for n in range(4))
+    )
+    assert world.settle(lambda: len(fleet.in_service()) == 4)
+    assert fleet.actions().count(("q1", "reboot")) == 2
+
+
+def test_a_host_that_fails_in_its_maintenance_and_stays_bad_is_replaced(make_fleet):
+    fleet = make_fleet(hosts=4)
+    fleet.maintenance_fails = {"q1"}
+    fleet.incurable.add("q1")
+    world = fleet.world
+    operator = WaveOperator(world.inner, world.clock, world.new_id)
+    run_now(operator.start(["quotes"]))
+    assert world.settle(lambda: "q1" not in fleet.hosts())
+    assert world.settle(lambda: len(fleet.in_service()) == 4)
+
+
 def test_a_host_suspected_by_scheduling_is_rebooted_once_and_cleared(make_fleet):
     fleet = make_fleet()
     fleet.suspect("q3")
