--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -87,8 +87,8 @@
 class World:
     """Two instances over one platform and a few workers."""
 
-    def __init__(self, hosts=3, processors=4):
-        self.platform = MemoryPlatform()
+    def __init__(self, hosts=3, processors=4, platform=None):
+        self.platform = platform or MemoryPlatform()
         self.hosts = {
             f"h{n}": Host(
                 host_id=f"h{n}",
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -14,6 +14,7 @@
 from rhubarbmount.hosts import HostState
 from rhubarbmount.moves import HostMover
 from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.platform.memory import MemoryPlatform
 from tests.fleetchecks import EffectCheck, check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool, pool_row
 from tests.interleave import World, pause, run_now
@@ -23,8 +24,8 @@
 POOLS = ("quotes", "parts")
 
 
-def make_world():
-    world = World()
+def make_world(platform=None):
+    world = World(inner=platform or MemoryPlatform())
     pools = [
         make_pool(name, hosts_wanted=2, hosts_down_limit=1, racks_down_limit=1)
         for name in POOLS
--- a/tests/test_shared_rows.py
+++ b/tests/test_shared_rows.py
@@ -31,7 +31,7 @@
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.structure import structure
 from rhubarbmount.waves import Control, Wave, dump_wave, load_wave
-from tests import test_moves, test_scheduling, test_waves
+from tests import test_moves, wavekit
 from tests.fleetkit import make_host
 from tests.interleave import run_now
 from tests.newer import (
@@ -42,6 +42,7 @@
     missing,
     newer_snapshot,
 )
+from tests.scheduling_world import World
 
 SHAPE = Shape(2.0, 4.0)
 JOB = Job(job_id="j", team="t", pool="p", shape=SHAPE)
@@ -106,31 +107,27 @@
     assert "unknown" not in dump(row)
 
 
-def test_every_rewrite_of_a_wave_and_of_moves_keeps_newer_fields(monkeypatch):
+def test_every_rewrite_of_a_wave_and_of_moves_keeps_newer_fields():
     platform = NewerPlatform()
-    make = test_waves.World
-    monkeypatch.setattr(test_waves, "World", lambda: make(inner=platform))
-    world = test_waves.make_world()
-    wave_id = run_now(test_waves.operator_of(world).start())
-    test_waves.add_holder(world, "a")
-    assert world.settle(lambda: test_waves.count_maintained(world) >= 2)
+    world = wavekit.make_world(platform=platform)
+    wave_id = run_now(wavekit.operator_of(world).start())
+    wavekit.add_holder(world, "a")
+    assert world.settle(lambda: wavekit.count_maintained(world) >= 2)
     world.stop()
     platform.is_newer = False
-    run_now(test_waves.operator_of(world).control(wave_id, Control.PAUSED))
-    run_now(test_waves.operator_of(world).control(wave_id, Control.RUNNING))
-    test_waves.add_holder(world, "b")
-    assert world.settle(lambda: test_waves.is_done(world, wave_id))
+    run_now(wavekit.operator_of(world).control(wave_id, Control.PAUSED))
+    run_now(wavekit.operator_of(world).control(wave_id, Control.RUNNING))
+    wavekit.add_holder(world, "b")
+    assert world.settle(lambda: wavekit.is_done(world, wave_id))
     world.stop()
-    run_now(test_waves.operator_of(world).start())
+    run_now(wavekit.operator_of(world).start())
     assert platform.drops == []
     assert {"budgets", "heads", "hosts", "intents", "leases"} <= platform.kept
 
 
-def test_a_cancelled_move_keeps_newer_fields(monkeypatch):
+def test_a_cancelled_move_keeps_newer_fields():
     platform = NewerPlatform()
-    make = test_moves.World
-    monkeypatch.setattr(test_moves, "World", lambda: make(inner=platform))
-    world = test_moves.make_world()
+    world = test_moves.make_world(platform)
     mover = HostMover(platform, world.clock, world.new_id)
     run_now(mover.begin("q0", "parts"))
     platform.is_newer = False
@@ -140,10 +137,9 @@
     assert {"heads", "hosts", "intents"} <= platform.kept
 
 
-async def test_every_rewrite_of_jobs_keeps_newer_fields(monkeypatch):
+async def test_every_rewrite_of_jobs_keeps_newer_fields():
     platform = NewerPlatform()
-    monkeypatch.setattr(test_scheduling, "MemoryPlatform", lambda: platform)
-    world = test_scheduling.World()
+    world = World(platform=platform)
     first = await world.submit()
     second = await world.submit()
     await world.round()
@@ -176,25 +172,25 @@
 
 
 def test_the_work_of_an_unknown_action_holds_nothing_else_up():
-    world = test_waves.make_world(racks_down_limit=2)
+    world = wavekit.make_world(racks_down_limit=2)
     unknown = dump_intent(attrs.evolve(INTENT, action="defragment", host_id="q7"))
     write_newer(world, "intents", "host/q7", unknown)
     write_newer(world, "hosts", "q7", dump_host(make_host(7, state="draining")))
-    wave_id = run_now(test_waves.operator_of(world).start())
-    test_waves.add_holder(world, "a")
-    assert world.settle(lambda: test_waves.count_maintained(world) == 7)
-    assert not test_waves.is_done(world, wave_id)
+    wave_id = run_now(wavekit.operator_of(world).start())
+    wavekit.add_holder(world, "a")
+    assert world.settle(lambda: wavekit.count_maintained(world) == 7)
+    assert not wavekit.is_done(world, wave_id)
     assert world.inner.tables["intents"]["host/q7"].value == unknown
     world.stop()
 
 
 def test_a_host_in_an_unknown_state_serves_nobody_and_stays_in_it():
-    world = test_waves.make_world(racks_down_limit=2)
+    world = wavekit.make_world(racks_down_limit=2)
     values = dump_host(make_host(7)) | {"state": "asleep"}
     write_newer(world, "hosts", "q7", values)
-    run_now(test_waves.operator_of(world).start())
-    test_waves.add_holder(world, "a")
-    assert world.settle(lambda: test_waves.count_maintained(world) == 7)
+    run_now(wavekit.operator_of(world).start())
+    wavekit.add_holder(world, "a")
+    assert world.settle(lambda: wavekit.count_maintained(world) == 7)
     assert world.inner.tables["hosts"]["q7"].value["state"] == "asleep"
     assert load_host(values).state not in list(HostState)
     world.stop()
--- a/tests/wavekit.py
+++ b/tests/wavekit.py
@@ -6,6 +6,7 @@
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairDuty
 from rhubarbmount.wave_duty import WaveDuty
@@ -18,8 +19,8 @@
 WAVE = WaveSettings(drain_s=2, reboot_s=2, warm_s=1)
 
 
-def make_world(hosts=8, **limits):
-    world = World()
+def make_world(hosts=8, platform=None, **limits):
+    world = World(inner=platform or MemoryPlatform())
     members = [make_host(n) for n in range(hosts)]
     limits = {"hosts_wanted": hosts, "hosts_down_limit": 2, **limits}
     run_now(fill(world.inner, [make_pool(**limits)], members))
