Renew all leases of an entry host in one transaction, on a common beat

Cause: each held lease was renewed by itself, every 2 to 3 s, at ticks of its own, and each contender's task woke by itself. Now a beat a second wakes all duties of an entry host together; renewals that are asked for at the same moment go in one transaction, and polls share one scan sent after all were asked. Rounds that commit on the fleet's head begin 0.15 s apart, so that they don't meet. Each lease's row stays a precondition of its own: one that was lost is left out and the rest are sent again at once; an error or a cancelled sender leaves each lease uncertain, to be read before it is acted on.

So the worst case gains, a fleet whose duties lie apart does not.

--- a/bench/duties.py
+++ b/bench/duties.py
@@ -11,9 +11,7 @@
 import trio
 import trio.testing
 
-from rhubarbmount.duties import LeaseBounds
-from rhubarbmount.duty_runner import DutyRunner
-from rhubarbmount.lease_reads import LeaseReads
+from rhubarbmount.fleet_duties import FleetDuties
 from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.timers import TimerService
 
@@ -71,7 +69,7 @@
     instances: int
     seed: int
     store: SlowStore = attrs.field(factory=SlowStore)
-    scopes: dict = attrs.field(factory=dict)
+    scope_by_name: dict = attrs.field(factory=dict)
     members: list = attrs.field(factory=list)
     held_since: dict = attrs.field(factory=dict)
 
@@ -95,39 +93,23 @@
         return steady, take_up_s
 
     def start(self, nursery, timers, name):
-        scopes = self.scopes[name] = []
         self.members.append(name)
-        reads = LeaseReads(self.store, trio.current_time)
+        duties = FleetDuties(name, self.store, lambda: self.members)
         for duty in DUTIES:
-            runner = self.make_runner(name, duty, reads)
-            ticks = timers.every(f"{name}/{duty}", runner.bounds.poll_s)
-            nursery.start_soon(self.live, runner, ticks, scopes)
-
-    def make_runner(self, name, duty, reads):
-        numbers = itertools.count()
-        return DutyRunner(
-            duty=TimedRounds(name, self, duty),
-            instance_id=name,
-            platform=self.store,
-            clock=trio.current_time,
-            new_id=lambda: f"{name}-{duty}-{next(numbers)}",
-            members=lambda: self.members,
-            bounds=LeaseBounds(),
-            reads=reads,
-        )
+            duties.add(TimedRounds(name, self, duty), duties.bounds.poll_s)
+        scope = self.scope_by_name[name] = trio.CancelScope()
+        nursery.start_soon(self.live, duties, timers, scope)
 
-    async def live(self, runner, ticks, scopes):
-        with trio.CancelScope() as own_scope:
-            scopes.append(own_scope)
-            await runner.run(ticks)
+    async def live(self, duties, timers, scope):
+        with scope:
+            await duties.run(timers)
 
     async def kill_holder(self, nursery, chooser):
         await trio.sleep(chooser.random() * 2)
         holder, _ = self.held_since[chooser.choice(DUTIES)]
         held = [duty for duty in DUTIES if self.held_since[duty][0] == holder]
         died_s = trio.current_time()
-        for scope in self.scopes.pop(holder):
-            scope.cancel()
+        self.scope_by_name.pop(holder).cancel()
 
         async def forget_later():
             await trio.sleep(MEMBERS_DELAY_S)
--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -1,7 +1,7 @@
 """Running a duty: hold its lease, and do its rounds while the lease is held."""
 
 import logging
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 import attrs
@@ -21,13 +21,13 @@
 )
 from rhubarbmount.host_rows import Terms
 from rhubarbmount.lease_reads import LeaseReads
+from rhubarbmount.lease_renewals import LeaseChange, LeaseRenewals
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import (
     HostCommand,
     Platform,
     Precondition,
     Transaction,
-    Write,
 )
 from rhubarbmount.tables import LEASES_TABLE
 
@@ -96,8 +96,8 @@
 
     ``instance_id`` is new at each start of the program, so that it never takes an
     older lease for its own. ``member_id`` is the name by which ``members``, the
-    instances thought to be live, lists this one. ``reads`` is shared by the runners
-    of one entry host.
+    instances thought to be live, lists this one. ``reads`` and ``renewals`` are
+    shared by the runners of one entry host.
     """
 
     duty: Duty
@@ -113,6 +113,11 @@
             lambda self: LeaseReads(self.platform, self.clock), takes_self=True
         )
     )
+    renewals: LeaseRenewals = attrs.field(
+        default=attrs.Factory(
+            lambda self: LeaseRenewals(self.platform, self.new_id), takes_self=True
+        )
+    )
     tracker: LeaseTracker = attrs.field(init=False)
     _idle_code: str = ""
     _round_token: int = 0
@@ -120,20 +125,21 @@
     def __attrs_post_init__(self) -> None:
         self.tracker = LeaseTracker(self.instance_id, self.bounds)
 
-    async def run(self, ticks: AsyncIterator[object]) -> None:
-        """Take a step at each tick."""
-        async for _ in ticks:
-            await self.step()
-
     async def step(self) -> None:
         """Settle the lease and, while it is held, do one round of the duty."""
-        try:
-            await self._settle()
-            if self.tracker.may_act(self.clock()):
-                await self._do_round()
-            self._idle_code = ""
-        except (ConflictError, LeaseLost, OutcomeUnknown, PlatformUnavailable) as error:
-            self._log_idle(error.code, error.message)
+        if await self.settle():
+            await self.work()
+
+    async def settle(self) -> bool:
+        """Take, renew, watch or hand back the lease; return whether it is held."""
+        if not await self._attempt(self._settle):
+            return False
+        return self.tracker.may_act(self.clock())
+
+    async def work(self) -> None:
+        """Do one round of the duty if the lease is surely held."""
+        if self.tracker.may_act(self.clock()):
+            await self._attempt(self._do_round)
 
     async def hand_back(self) -> None:
         """Free the duty for another instance, as a planned stop does."""
@@ -144,6 +150,17 @@
         except (OutcomeUnknown, PlatformUnavailable) as error:
             self._log_idle(error.code, error.message)
 
+    async def _attempt(self, part: Callable[[], Awaitable[None]]) -> bool:
+        """Return whether a part of a step went through; log why not."""
+        try:
+            await part()
+        except (ConflictError, LeaseLost, OutcomeUnknown, PlatformUnavailable) as error:
+            self._log_idle(error.code, error.message)
+            return False
+        if part == self._do_round or not self.tracker.is_own:
+            self._idle_code = ""
+        return True
+
     async def _do_round(self) -> None:
         token = self.tracker.row.token if self.tracker.row else 0
         if token != self._round_token:
@@ -176,24 +193,22 @@
 
     async def _write(self, action: Action) -> None:
         name = self.duty.name
-        before = self.tracker.row
         after = self.tracker.next_row(action)
-        if before is None:
-            unchanged = Precondition(LEASES_TABLE, name, version=0)
-        else:
-            unchanged = Precondition(LEASES_TABLE, name, equals=attrs.asdict(before))
-        write = Write(LEASES_TABLE, name, attrs.asdict(after))
+        change = LeaseChange(name, self.tracker.row, after)
         sent_s = self.clock()
         self.tracker.uncertain()
-        result = await self.platform.transact(
-            Transaction(self.new_id(), (unchanged,), (write,))
-        )
-        if not result.committed:
+        if not await self._commit(action, change):
             return
         self.tracker.committed(after, sent_s, self.clock())
         if action is not Action.RENEW:
             event(logger, f"duty-{action}", duty=name, holder=self.instance_id)
 
+    async def _commit(self, action: Action, change: LeaseChange) -> bool:
+        if action is Action.RENEW:
+            return await self.renewals.renew(change)
+        transaction = Transaction(self.new_id(), (change.condition,), (change.write,))
+        return (await self.platform.transact(transaction)).committed
+
     def _lease(self) -> Lease:
         return Lease(
             self.duty.name,
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -1,7 +1,8 @@
 """The fleet duties of one entry host, each a task that contends for its lease."""
 
+import math
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import attrs
 import trio
@@ -9,12 +10,14 @@
 from rhubarbmount.duties import LeaseBounds
 from rhubarbmount.duty_runner import Duty, DutyRunner, Lease
 from rhubarbmount.lease_reads import LeaseReads
+from rhubarbmount.lease_renewals import LeaseRenewals
 from rhubarbmount.platform.interface import Platform
 from rhubarbmount.timers import TimerService
 
 __all__ = ["FleetDuties", "PacedDuty"]
 
 HAND_BACK_TIMEOUT_S = 1.0
+ROUNDS_APART_S = 0.15
 
 
 @attrs.define(eq=False)
@@ -33,10 +36,16 @@
     def __attrs_post_init__(self) -> None:
         self.name = self.duty.name
 
+    def pause_s(self) -> float:
+        """Return the time until a round is due."""
+        if not self.may_pause():
+            return 0.0
+        return max(0.0, self._next_s - trio.current_time())
+
     async def do_round(self, lease: Lease) -> None:
         """Do a round if one is due."""
         now_s = trio.current_time()
-        if now_s < self._next_s and self.may_pause():
+        if self.pause_s() > 0.0:
             return
         await self.duty.do_round(lease)
         self._next_s = now_s + self.period_s
@@ -49,10 +58,36 @@
 
 @attrs.frozen
 class _Part:
-    """A duty that this entry host takes part in, with a step each period."""
+    """A duty that this entry host takes part in.
+
+    Its rounds begin ``offset_s`` after a beat, and while it is held for every
+    ``period_s`` after a round unless a beat comes first.
+    """
 
     runner: DutyRunner
     period_s: float
+    offset_s: float
+
+
+@attrs.define(eq=False)
+class _Beats:
+    """Wake all duties of an entry host together, so that they share their calls."""
+
+    number: int = 0
+    _next: trio.Event = attrs.field(factory=trio.Event)
+
+    async def run(self, ticks: AsyncIterator[object]) -> None:
+        """Beat at each tick."""
+        async for _ in ticks:
+            self.number += 1
+            self._next.set()
+            self._next = trio.Event()
+
+    async def after(self, number: int) -> int:
+        """Return the number of the last beat, once it is later than this one."""
+        while self.number <= number:
+            await self._next.wait()
+        return self.number
 
 
 @attrs.define(eq=False)
@@ -65,11 +100,14 @@
     is_ready: Callable[[], bool] = lambda: True
     bounds: LeaseBounds = attrs.field(factory=LeaseBounds)
     _reads: LeaseReads = attrs.field(init=False)
+    _renewals: LeaseRenewals = attrs.field(init=False)
+    _beats: _Beats = attrs.field(factory=_Beats, init=False)
     _parts: list[_Part] = attrs.field(factory=list, init=False)
     _contending: trio.CancelScope = attrs.field(factory=trio.CancelScope, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._reads = LeaseReads(self.platform, trio.current_time)
+        self._renewals = LeaseRenewals(self.platform, _new_id)
 
     @property
     def holds_any(self) -> bool:
@@ -91,20 +129,25 @@
             instance_id=f"{self.member_id}/{uuid.uuid4().hex[:12]}",
             platform=self.platform,
             clock=trio.current_time,
-            new_id=lambda: uuid.uuid4().hex,
+            new_id=_new_id,
             members=self.members,
             bounds=self.bounds,
             member_id=self.member_id,
             reads=self._reads,
+            renewals=self._renewals,
         )
-        self._parts.append(_Part(runner, period_s))
+        offset_s = 0.0
+        if period_s >= self.bounds.poll_s:
+            offset_s = ROUNDS_APART_S * len(self._parts)
+        self._parts.append(_Part(runner, period_s, offset_s))
 
     async def run(self, timers: TimerService) -> None:
         """Contend for every duty until cancelled."""
         with self._contending:
             async with trio.open_nursery() as nursery:
                 for part in self._parts:
-                    nursery.start_soon(self._contend, part, timers)
+                    nursery.start_soon(self._contend, part)
+                await self._beats.run(timers.every("duties", self.bounds.poll_s))
 
     async def hand_back(self) -> None:
         """Contend no more and free the duties held here, as a planned stop does."""
@@ -114,16 +157,27 @@
                 for part in self._parts:
                     nursery.start_soon(part.runner.hand_back)
 
-    async def _contend(self, part: _Part, timers: TimerService) -> None:
-        name = f"duty-{part.runner.duty.name}"
-        ticks = timers.every(name, part.period_s)
-        async for _tick in ticks:
-            if self.is_ready():
-                await part.runner.step()
-            ticks.period_s = self._period_s(part)
-
-    def _period_s(self, part: _Part) -> float:
-        """Return the time between steps, which is short only for a duty held here."""
-        if part.runner.tracker.is_own:
-            return part.period_s
-        return max(part.period_s, self.bounds.poll_s)
+    async def _contend(self, part: _Part) -> None:
+        number = 0
+        while True:
+            with trio.move_on_after(self._pause_s(part)) as between:
+                number = await self._beats.after(number)
+            if not self.is_ready():
+                continue
+            if between.cancelled_caught:
+                await part.runner.work()
+            elif await part.runner.settle():
+                await trio.sleep(part.offset_s)
+                await part.runner.work()
+
+    def _pause_s(self, part: _Part) -> float:
+        """Return how long to wait for a beat before another round."""
+        if not part.runner.tracker.is_own or part.period_s >= self.bounds.poll_s:
+            return math.inf
+        duty = part.runner.duty
+        rest_s = duty.pause_s() if isinstance(duty, PacedDuty) else 0.0
+        return max(part.period_s, rest_s)
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
--- a/rhubarbmount/lease_reads.py
+++ b/rhubarbmount/lease_reads.py
@@ -6,6 +6,7 @@
 
 from rhubarbmount.duties import LeaseRow
 from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.shared_scans import SharedScans
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["LeaseReads", "LeasesSeen"]
@@ -26,11 +27,15 @@
     platform: Platform
     clock: Callable[[], float]
     seen: LeasesSeen = attrs.field(factory=LeasesSeen)
+    _scans: SharedScans = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._scans = SharedScans(self.platform, LEASES_TABLE)
 
     async def read_all(self) -> None:
         """Read the leases of all duties, for duties held by other instances."""
         sent_s = self.clock()
-        rows = await self.platform.scan(LEASES_TABLE)
+        rows = await self._scans.scan()
         if sent_s >= self.seen.sent_s:
             row_by_duty = {row.key: _load(row) for row in rows}
             self.seen = LeasesSeen(sent_s, row_by_duty)
--- /dev/null
+++ b/rhubarbmount/shared_scans.py
@@ -0,0 +1,54 @@
+"""One scan of a table for all that ask at the same moment."""
+
+import attrs
+import trio
+
+from rhubarbmount.errors import PlatformUnavailable
+from rhubarbmount.platform.interface import Platform, Row
+
+__all__ = ["SharedScans"]
+
+
+@attrs.define(eq=False)
+class _Answer:
+    """What a scan that was sent for several has brought."""
+
+    done: trio.Event = attrs.field(factory=trio.Event)
+    rows: list[Row] | None = None
+    reason: str = "who sent the scan has given it up"
+
+
+@attrs.define(eq=False)
+class SharedScans:
+    """Scan a table for whoever asks first; those that ask before it is sent join.
+
+    So the rows are never older than the question.
+    """
+
+    platform: Platform
+    table: str
+    _unsent: _Answer | None = attrs.field(default=None, init=False)
+
+    async def scan(self) -> list[Row]:
+        """Return all rows of the table. Raises PlatformUnavailable."""
+        if self._unsent is None:
+            return await self._send()
+        answer = self._unsent
+        await answer.done.wait()
+        if answer.rows is None:
+            raise PlatformUnavailable(answer.reason)
+        return answer.rows
+
+    async def _send(self) -> list[Row]:
+        answer = self._unsent = _Answer()
+        try:
+            await trio.lowlevel.checkpoint()
+            self._unsent = None
+            answer.rows = await self.platform.scan(self.table)
+        except PlatformUnavailable as error:
+            answer.reason = error.message
+            raise
+        finally:
+            self._unsent = None if self._unsent is answer else self._unsent
+            answer.done.set()
+        return answer.rows
