Read the heads of all followed states in one call a second

Cause: a follower of catalogue and fleet read two rows a second, each a call of its own, and woke four times: two refreshes and two looks whether peers should be asked meanwhile. Now all followers begin their turn together, and who asks for a head before the scan of the heads is sent shares it; so no head is older than the question. The head of scheduling, which each commit of jobs advances, moves to a table of its own (scheduling/head), since every entry host would have been sent it each second. A holder that finds no row there begins at sequence 0; commits of an older program's holder stay fenced by the lease's token.

First tried: asking peers only while a refresh runs. The test that a data centre without the platform hears in time failed in the case of a platform that hangs (a copy went unasked for up to 2 s), so a silent platform's follower asks at each turn.

--- a/rhubarbmount/configuration.py
+++ b/rhubarbmount/configuration.py
@@ -9,9 +9,10 @@
 from rhubarbmount.catalogue import Snapshot, decode_snapshot, encode_snapshot
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.follower import Follower, PulledState
+from rhubarbmount.head_reads import ReadHead, one_by_one
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform
-from rhubarbmount.tables import CATALOGUE_HEAD, HEADS_TABLE
+from rhubarbmount.tables import CATALOGUE_HEAD
 
 __all__ = ["Configuration", "SnapshotInForce"]
 
@@ -33,6 +34,9 @@
     """
 
     platform: Platform
+    read_head: ReadHead = attrs.field(
+        default=attrs.Factory(lambda self: one_by_one(self.platform), takes_self=True)
+    )
     snapshot: Snapshot | None = attrs.field(default=None, init=False)
     _broadcaster: Broadcaster[SnapshotInForce] = attrs.field(
         factory=Broadcaster, init=False
@@ -72,7 +76,7 @@
         return PulledState(self.version, self.age_s(), body)
 
     async def _read_platform(self) -> None:
-        row = await self.platform.read(HEADS_TABLE, CATALOGUE_HEAD)
+        row = await self.read_head(CATALOGUE_HEAD)
         head_version = 0 if row is None else row.value["version"]
         self._note_head(head_version)
         if row is None:
--- a/rhubarbmount/fleet_view.py
+++ b/rhubarbmount/fleet_view.py
@@ -16,10 +16,11 @@
 from rhubarbmount.catalogue_checks import FleetSummary
 from rhubarbmount.errors import Finding, FindingsError
 from rhubarbmount.follower import PEERS_TIMEOUT_S, Follower, PulledState
+from rhubarbmount.head_reads import ReadHead, one_by_one
 from rhubarbmount.hosts import Host, dump_host, load_host
 from rhubarbmount.log import event
 from rhubarbmount.platform.interface import Platform, Row
-from rhubarbmount.tables import FLEET_HEAD, HEADS_TABLE, HOSTS_TABLE
+from rhubarbmount.tables import FLEET_HEAD, HOSTS_TABLE
 
 __all__ = ["FleetChanged", "FleetView", "changed_hosts"]
 
@@ -62,6 +63,9 @@
     """Hold the hosts as last read; each view published is never changed."""
 
     platform: Platform
+    read_head: ReadHead = attrs.field(
+        default=attrs.Factory(lambda self: one_by_one(self.platform), takes_self=True)
+    )
     hosts_by_id: Mapping[str, Host] = attrs.field(factory=dict, init=False)
     _broadcaster: Broadcaster[FleetChanged] = attrs.field(
         factory=lambda: Broadcaster(FleetChanged.merge), init=False
@@ -96,7 +100,7 @@
         return await super()._from_platform()
 
     async def _read_platform(self) -> None:
-        head = await self.platform.read(HEADS_TABLE, FLEET_HEAD)
+        head = await self.read_head(FLEET_HEAD)
         if head is None or head.value["version"] <= self.version:
             return
         version = head.value["version"]
--- a/rhubarbmount/follower.py
+++ b/rhubarbmount/follower.py
@@ -1,7 +1,7 @@
 """Following of state that the platform keeps, from the platform or from peers."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import attrs
@@ -11,7 +11,7 @@
 from rhubarbmount.log import event
 from rhubarbmount.timers import TimerService
 
-__all__ = ["Follower", "Pull", "PulledState"]
+__all__ = ["Follower", "Pull", "PulledState", "run_followers"]
 
 PEERS_TIMEOUT_S = 1.5
 POLL_PERIOD_S = 1.0
@@ -51,6 +51,8 @@
     version: int = attrs.field(default=0, init=False)
     confirmed_s: float | None = attrs.field(default=None, init=False)
     _hearing: bool = attrs.field(default=False, init=False)
+    _refreshing: bool = attrs.field(default=False, init=False)
+    _asking: bool = attrs.field(default=False, init=False)
     _awaiting_platform: bool = attrs.field(default=False, init=False)
     _platform_answers: bool = attrs.field(default=True, init=False)
 
@@ -70,16 +72,32 @@
 
     async def run(self, timers: TimerService) -> None:
         """Refresh the copy once a second until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._ask_peers_meanwhile, timers)
-            async for _ in timers.every(self.state_name, POLL_PERIOD_S):
-                await self.refresh()
+        await run_followers([self], timers)
 
-    async def _ask_peers_meanwhile(self, timers: TimerService) -> None:
+    def begin_turn(self, nursery: trio.Nursery) -> None:
+        """Start a refresh, unless one runs, and ask peers if the platform is slow."""
+        waits = (
+            self._awaiting_platform if self._refreshing else not self._platform_answers
+        )
+        if waits and not self._asking and self.age_s() > STALE_S:
+            self._asking = True
+            nursery.start_soon(self._ask_peers_meanwhile)
+        if not self._refreshing:
+            self._refreshing = True
+            nursery.start_soon(self._refresh_once)
+
+    async def _refresh_once(self) -> None:
+        try:
+            await self.refresh()
+        finally:
+            self._refreshing = False
+
+    async def _ask_peers_meanwhile(self) -> None:
         """Ask peers for a stale copy while the platform is waited for."""
-        async for _ in timers.every(f"{self.state_name}-peers", POLL_PERIOD_S):
-            if self._awaiting_platform and self.age_s() > STALE_S:
-                await self._from_peers()
+        try:
+            await self._from_peers()
+        finally:
+            self._asking = False
 
     async def hear(self, version: int) -> None:
         """Take a later version that a peer is known to have, from a peer first."""
@@ -94,7 +112,7 @@
 
     async def refresh(self) -> None:
         """Take the copy from the platform, or else from a peer."""
-        if not await self._from_platform():
+        if not await self._from_platform() and not self._asking:
             await self._from_peers()
 
     def share(self, known_version: int) -> PulledState | None:
@@ -175,3 +193,11 @@
     def _adopt_body(self, body: bytes) -> None:
         """Replace the copy by the one in a peer's answer."""
         raise TypeError("a subclass adopts a body")
+
+
+async def run_followers(followers: Iterable[Follower], timers: TimerService) -> None:
+    """Give each follower its turn, all together once a second, until cancelled."""
+    async with trio.open_nursery() as nursery:
+        async for _ in timers.every("heads", POLL_PERIOD_S):
+            for follower in followers:
+                follower.begin_turn(nursery)
--- /dev/null
+++ b/rhubarbmount/head_reads.py
@@ -0,0 +1,38 @@
+"""The heads of the followed states, read from the platform."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.shared_scans import SharedScans
+from rhubarbmount.tables import HEADS_TABLE
+
+__all__ = ["HeadReads", "ReadHead", "one_by_one"]
+
+ReadHead = Callable[[str], Awaitable[Row | None]]
+
+
+def one_by_one(platform: Platform) -> ReadHead:
+    """Return what reads each head by itself."""
+
+    async def read(key: str) -> Row | None:
+        return await platform.read(HEADS_TABLE, key)
+
+    return read
+
+
+@attrs.define(eq=False)
+class HeadReads:
+    """Read all heads in one call for those that ask at the same moment."""
+
+    platform: Platform
+    _scans: SharedScans = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._scans = SharedScans(self.platform, HEADS_TABLE)
+
+    async def read(self, key: str) -> Row | None:
+        """Return a head as it is after the call. Raises PlatformUnavailable."""
+        rows = await self._scans.scan()
+        return next((row for row in rows if row.key == key), None)
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -34,11 +34,11 @@
 from rhubarbmount.scheduler import Scheduler
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 from rhubarbmount.tables import (
-    HEADS_TABLE,
     INTENTS_TABLE,
     JOBS_TABLE,
     REPORTS_TABLE,
     REQUESTS_TABLE,
+    SCHEDULING_TABLE,
     TASKS_TABLE,
 )
 
@@ -47,6 +47,7 @@
 logger = logging.getLogger(__name__)
 
 CHANGES_PER_COMMIT = 64
+HEAD = "head"
 COMMANDS_AT_ONCE = 32
 WRITES_PER_START = 5
 PLACE_PERIOD_S = 1.0
@@ -85,7 +86,7 @@
 
     Rows go first and effects follow: a command is sent only after its intent has
     committed, and sent again under the same id until the platform has accepted it.
-    Every commit also advances one row, ``heads/scheduling``, so that none can land
+    Every commit also advances one row, ``scheduling/head``, so that none can land
     on rows other than those it was decided from. Urgent jobs start at once; others
     only as far as the rows are affordable. ``is_idle`` tells that the last round had
     nothing to do and that no job waits.
@@ -127,12 +128,12 @@
             raise
 
     async def _load(self) -> None:
-        head = await self.platform.read(HEADS_TABLE, DUTY)
+        head = await self.platform.read(SCHEDULING_TABLE, HEAD)
         jobs = await self.platform.scan(JOBS_TABLE)
         tasks = await self.platform.scan(TASKS_TABLE)
         intents = await self.platform.scan(INTENTS_TABLE, f"{DUTY}/")
         commands = [load_command(_without(row.value)) for row in intents]
-        after = await self.platform.read(HEADS_TABLE, DUTY)
+        after = await self.platform.read(SCHEDULING_TABLE, HEAD)
         if (after and after.value) != (head and head.value):
             raise LeaseLost("rows changed while they were read")
         scheduler = Scheduler(rule=self.rule, learned=self.learned)
@@ -218,7 +219,7 @@
         head = {"sequence": self._sequence + 1}
         terms = Terms(
             [self._head_condition()],
-            [Write(HEADS_TABLE, DUTY, head), *writes_of(batch)],
+            [Write(SCHEDULING_TABLE, HEAD, head), *writes_of(batch)],
         )
         if not await lease.commit(terms):
             raise LeaseLost("rows changed since they were read")
@@ -226,8 +227,8 @@
 
     def _head_condition(self) -> Precondition:
         if self._sequence == 0:
-            return Precondition(HEADS_TABLE, DUTY, version=0)
-        return Precondition(HEADS_TABLE, DUTY, equals={"sequence": self._sequence})
+            return Precondition(SCHEDULING_TABLE, HEAD, version=0)
+        return Precondition(SCHEDULING_TABLE, HEAD, equals={"sequence": self._sequence})
 
     async def _send_commands(self, lease: HeldLease) -> None:
         commands_by_task: dict[str, list[TaskCommand]] = {}
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -21,7 +21,9 @@
 from rhubarbmount.fleet_operators import FleetApi
 from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
+from rhubarbmount.follower import run_followers
 from rhubarbmount.forward import Forwarder
+from rhubarbmount.head_reads import HeadReads
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
 from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.job_handlers import JobHandlers
@@ -114,8 +116,9 @@
 
     def _make_operators(self, policy: RequestPolicy, platform: PlatformClient) -> None:
         settings = self.settings
-        self.configuration = Configuration(platform=platform)
-        self.fleet_view = FleetView(platform=platform)
+        read_head = HeadReads(platform).read
+        self.configuration = Configuration(platform=platform, read_head=read_head)
+        self.fleet_view = FleetView(platform=platform, read_head=read_head)
         view = LocalView(self.configuration, self.fleet_view)
         self.fleet = FleetTasks(settings, policy, platform, view, self.recorder)
         acceptance = Acceptance(
@@ -191,8 +194,8 @@
                 log.event(logger, "listening", listener=name, port=listener.port)
             nursery.start_soon(self._apply_configuration)
             nursery.start_soon(self._apply_fleet)
-            nursery.start_soon(self.configuration.run, timers)
-            nursery.start_soon(self.fleet_view.run, timers)
+            followers = (self.configuration, self.fleet_view)
+            nursery.start_soon(run_followers, followers, timers)
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             nursery.start_soon(self.sweeper.run, timers)
--- a/rhubarbmount/tables.py
+++ b/rhubarbmount/tables.py
@@ -16,6 +16,7 @@
     "OPERATIONS_TABLE",
     "REPORTS_TABLE",
     "REQUESTS_TABLE",
+    "SCHEDULING_TABLE",
     "SUSPECTS_TABLE",
     "TASKS_TABLE",
 ]
@@ -35,5 +36,6 @@
 OPERATIONS_TABLE = "operations"
 REPORTS_TABLE = "task-reports"
 REQUESTS_TABLE = "job-requests"
+SCHEDULING_TABLE = "scheduling"
 SUSPECTS_TABLE = "host-suspects"
 TASKS_TABLE = "tasks"
