Look for room by time only while a request waits

Cause: the admission timer woke each process 10 times a second, also with no request in the queues. Now it sleeps until a request waits, and then looks each 0.1 s as before; room that comes with time is still given within a period.

--- a/rhubarbmount/admission.py
+++ b/rhubarbmount/admission.py
@@ -1,5 +1,7 @@
 """A request's turn to run: taken from the limiter, and given back at the end."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from types import TracebackType
 
 import attrs
@@ -7,7 +9,41 @@
 
 from rhubarbmount.limits import Admission, AdmissionCode, Limiter
 
-__all__ = ["Turn"]
+__all__ = ["Turn", "WaitingTurns", "admit_waiting"]
+
+ADMISSION_PERIOD_S = 0.1
+
+
+@attrs.define(eq=False)
+class WaitingTurns:
+    """How many requests wait here for their turn."""
+
+    count: int = 0
+    _any: trio.Event = attrs.field(factory=trio.Event)
+
+    @contextmanager
+    def one_more(self) -> Iterator[None]:
+        """Count a request as waiting for the length of the block."""
+        self.count += 1
+        self._any.set()
+        try:
+            yield
+        finally:
+            self.count -= 1
+            if self.count == 0:
+                self._any = trio.Event()
+
+    async def wait_for_any(self) -> None:
+        """Return once a request waits."""
+        await self._any.wait()
+
+
+async def admit_waiting(limiter: Limiter, waiting: WaitingTurns) -> None:
+    """Admit what fits as time passes, each period while a request waits."""
+    while True:
+        await waiting.wait_for_any()
+        await trio.sleep(ADMISSION_PERIOD_S)
+        limiter.admit_waiting(trio.current_time())
 
 
 @attrs.define(eq=False)
@@ -15,6 +51,7 @@
     """One request's place among those that run; leaving the block gives it back.
 
     ``duration_s`` is the time that a backend server took, once it has answered.
+    ``others`` counts all requests that wait on this entry host.
     """
 
     limiter: Limiter
@@ -23,6 +60,7 @@
     duration_s: float | None = None
     running: bool = False
     placed: bool = False
+    others: WaitingTurns = attrs.field(factory=WaitingTurns)
 
     def __enter__(self) -> "Turn":
         return self
@@ -69,7 +107,7 @@
             self.running = admission.code is AdmissionCode.ADMITTED
             return admission
         try:
-            with trio.move_on_at(waiting.give_up_s):
+            with self.others.one_more(), trio.move_on_at(waiting.give_up_s):
                 await woken.wait()
         finally:
             self.running = waiting.admitted
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -6,7 +6,7 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.admission import Turn
+from rhubarbmount.admission import Turn, WaitingTurns, admit_waiting
 from rhubarbmount.answers import Answer, failure, refusal
 from rhubarbmount.attempts import Attempt, attempt, end_to_end_headers
 from rhubarbmount.backend_health import AttemptResult
@@ -33,7 +33,6 @@
 
 __all__ = ["Forwarder", "service_name"]
 
-ADMISSION_PERIOD_S = 0.1
 CONNECTIONS_PERIOD_S = 1.0
 RAN_HEADER = (OUTCOME_HEADER, Outcome.RAN.value.encode("ascii"))
 
@@ -76,17 +75,14 @@
     metrics: RequestMetrics
     claims: Claims
     connections: BackendConnections = attrs.field(factory=BackendConnections)
+    waiting: WaitingTurns = attrs.field(factory=WaitingTurns)
 
     async def run(self, timers: TimerService) -> None:
         """Keep the queues and connections in order until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._admit_waiting, timers)
+            nursery.start_soon(admit_waiting, self.policy.limiter, self.waiting)
             nursery.start_soon(self._sweep_connections, timers)
 
-    async def _admit_waiting(self, timers: TimerService) -> None:
-        async for _tick in timers.every("admission", ADMISSION_PERIOD_S):
-            self.policy.limiter.admit_waiting(trio.current_time())
-
     async def _sweep_connections(self, timers: TimerService) -> None:
         async for _tick in timers.every("connections", CONNECTIONS_PERIOD_S):
             if self.connections.has_idle:
@@ -118,7 +114,8 @@
             self._log_refusal(service, RouteReason.NO_BACKEND)
             message = "no backend server is in service"
             return refusal(503, RouteReason.NO_BACKEND, message, unclaimed)
-        with Turn(self.policy.limiter, service.name, deadline_s) as turn:
+        limiter = self.policy.limiter
+        with Turn(limiter, service.name, deadline_s, others=self.waiting) as turn:
             admission = await turn.take()
             if admission.code is not AdmissionCode.ADMITTED:
                 return self._refuse(service, admission, unclaimed)
