--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -14,7 +14,7 @@
     reverted_versions,
     violations,
 )
-from tests.deployment import Deployment, wait_until
+from tests.deployment import BACKEND_PORT, Deployment, wait_until
 from tests.load import Load
 from tests.resend import Resenders
 from tests.watch import Watch
@@ -526,3 +526,52 @@
 def start_wave(deployment):
     answer = deployment.operate("e1", "POST", "/waves", {})
     assert answer.status == 202, answer
+
+
+@pytest.fixture
+def states():
+    """The numbers of hosts that were seen out of service."""
+    return []
+
+
+@then(parsers.parse('host "{host}" is in service in pool "{pool}" within {limit:d} s'))
+def check_moved(deployment, host, pool, limit):
+    def has_moved():
+        value = deployment.read_row("hosts", host)["value"]
+        return (value["pool"], value["state"]) == (pool, "in-service")
+
+    wait_until(has_moved, limit, f"{host} is in {pool}")
+
+
+@then(
+    parsers.parse("every host is rebooted once and the wave is done within {limit:d} s")
+)
+def check_wave(deployment, states, limit):
+    """Restart each backend server while its row says that it is maintained."""
+    rebooted = []
+
+    def is_done():
+        rows = [deployment.read_row("hosts", host["host_id"]) for host in hosts]
+        values = [row["value"] for row in rows]
+        states.append(sum(value["state"] != "in-service" for value in values))
+        for value in values:
+            host_id = value["host_id"]
+            if value["state"] == "maintenance" and host_id not in rebooted:
+                rebooted.append(host_id)
+                restart(deployment, host_id)
+        waves = deployment.operate("e1", "GET", "/waves").json()["waves"]
+        return waves[0]["state"] == "done"
+
+    hosts = deployment.hosts
+    wait_until(is_done, limit, "the wave is done")
+    assert sorted(rebooted) == sorted(host["host_id"] for host in hosts)
+
+
+def restart(deployment, host_id):
+    program = deployment.backend_by_name[host_id]
+    ran = deployment.backend_state(host_id)["ran"]
+    deployment.earlier_runs.update(ran)
+    program.kill()
+    deployment.start_backend(host_id, program.address)
+    deployment.wait_for_port(program.address, BACKEND_PORT)
+    deployment.set_backend(host_id, delay_s=deployment.backend_delay_s)
--- a/tests/scenarios/test_data_centres.py
+++ b/tests/scenarios/test_data_centres.py
@@ -8,8 +8,8 @@
 
 from tests.checkers import broken_budgets
 from tests.deployment import BACKEND_PORT, wait_until
-from tests.scenarios.conftest import names, send_lodgement
-from tests.scenarios.test_fleet import holder_of, restart
+from tests.scenarios.conftest import names, restart, send_lodgement
+from tests.scenarios.test_fleet import holder_of
 
 scenarios("data_centres.feature")
 
