Refuse a field that must not be passed over until every entry host knows it

A field of an entry may name the format since which it is known. Edits that need no format above the first pass beside entry hosts that tell none. No field needs it now: what can't be changed afterwards is the reader, and the gate is what its rule rests on.

--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -41,7 +41,7 @@
     Row,
     Transaction,
 )
-from rhubarbmount.shared_rows import NOTHING
+from rhubarbmount.shared_rows import FORMAT, NOTHING
 from rhubarbmount.tables import CATALOGUE_HEAD, HEADS_TABLE, HISTORY_TABLE
 
 __all__ = ["Acceptance"]
@@ -74,6 +74,10 @@
     return 0
 
 
+def _own_format() -> int:
+    return FORMAT
+
+
 @attrs.define
 class Acceptance:
     """Accept edits; ``summarise_fleet`` gives the fleet's size, if it is known.
@@ -82,6 +86,9 @@
     head that is behind ``version_in_force`` nothing is accepted, since no entry host
     would take it.
 
+    ``lowest_format`` returns the format that all entry hosts know; what needs a later
+    one is refused.
+
     ``wall_clock`` returns seconds since the epoch, for the history.
     """
 
@@ -90,6 +97,7 @@
     summarise_fleet: Callable[[], Awaitable[FleetSummary | None]] | None = None
     on_accepted: Callable[[Snapshot], object] | None = None
     version_in_force: Callable[[], int] = _no_version
+    lowest_format: Callable[[], int] = _own_format
     recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
     seed: int | None = None
     _cached: Snapshot = attrs.field(factory=Snapshot, init=False)
@@ -181,6 +189,7 @@
         check_version(edit, head.snapshot)
         after = next_snapshot(edit, head.snapshot)
         fleet = await self._summarise_fleet(edit)
+        self._check_format(after)
         faults = check_edit(head.snapshot, after, fleet)
         if faults:
             raise FindingsError(faults)
@@ -200,6 +209,15 @@
             self._note_committed(after, object_name)
         return result.committed
 
+    def _check_format(self, after: Snapshot) -> None:
+        known = max(1, self.lowest_format())
+        if after.format > known:
+            raise Refused(
+                f"the entry needs format {after.format}, and there are entry hosts that"
+                f" know {known}: status names them",
+                code="older-entry-hosts",
+            )
+
     def _note_committed(self, snapshot: Snapshot, object_name: str) -> None:
         self._cached = snapshot
         self._cached_object = object_name
--- a/rhubarbmount/catalogue.py
+++ b/rhubarbmount/catalogue.py
@@ -18,6 +18,7 @@
     dump_entry,
     entry_key,
     load_entry,
+    needed_format,
     read_entry,
 )
 from rhubarbmount.errors import Finding, FindingsError
@@ -39,8 +40,7 @@
     """The whole catalogue at one version; never changed once made.
 
     ``changed_by_key`` holds the catalogue version that last changed each entry,
-    which is the version an edit of that entry has to expect. ``format`` is the lowest
-    format that a reader has to know, since it may pass over unknown fields of these.
+    which is the version an edit of that entry has to expect.
 
     >>> team = Team(name="quotes-team", owner="quotes-team")
     >>> snapshot = Snapshot().with_entry("team", team)
@@ -53,7 +53,11 @@
     version: int = 0
     by_key: Mapping[str, Entry] = attrs.field(factory=dict)
     changed_by_key: Mapping[str, int] = attrs.field(factory=dict)
-    format: int = 1
+
+    @cached_property
+    def format(self) -> int:
+        """Return the lowest format that a reader has to know."""
+        return max(map(needed_format, self.by_key.values()), default=1)
 
     @cached_property
     def services_by_name(self) -> dict[str, Service]:
@@ -87,14 +91,13 @@
             version,
             {**self.by_key, key: entry},
             {**self.changed_by_key, key: version},
-            self.format,
         )
 
     def without_entry(self, key: str) -> "Snapshot":
         """Return the next version, with the entry gone."""
         by_key = {k: entry for k, entry in self.by_key.items() if k != key}
         changed_by_key = {k: n for k, n in self.changed_by_key.items() if k != key}
-        return Snapshot(self.version + 1, by_key, changed_by_key, self.format)
+        return Snapshot(self.version + 1, by_key, changed_by_key)
 
     def _of_type(self, entry_type: type) -> dict[str, Any]:
         return {
@@ -161,7 +164,7 @@
         kind, _ = split_key(key)
         by_key[key] = load_entry(kind, values)
         changed_by_key[key] = changed
-    return Snapshot(version, by_key, changed_by_key, needed)
+    return Snapshot(version, by_key, changed_by_key)
 
 
 def build_entry(kind: str, values: dict[str, Any]) -> Entry:
--- a/rhubarbmount/entries.py
+++ b/rhubarbmount/entries.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from enum import StrEnum
+from functools import cache
 from typing import Any
 
 import attrs
@@ -25,6 +26,7 @@
     "load_entry",
     "load_pool",
     "dump_entry",
+    "needed_format",
     "read_entry",
 ]
 
@@ -134,6 +136,30 @@
     return f"{kind}/{name}"
 
 
+def needed_format(entry: Entry) -> int:
+    """Return the lowest format whose readers may be given the entry.
+
+    A field that must not be passed over has ``since_format`` in its metadata; it counts
+    when it is not at its default.
+    """
+    entry_type: Any = type(entry)
+    formats = [
+        since
+        for name, default, since in _gated_fields(entry_type)
+        if getattr(entry, name) != default
+    ]
+    return max(formats, default=1)
+
+
+@cache
+def _gated_fields(entry_type: type[Entry]) -> tuple[tuple[str, Any, int], ...]:
+    return tuple(
+        (field.name, field.default, field.metadata["since_format"])
+        for field in attrs.fields(entry_type)
+        if "since_format" in field.metadata
+    )
+
+
 def load_entry(kind: str, values: Mapping[str, Any]) -> Entry:
     """Build an entry from shared values, keeping what this version doesn't know."""
     entry_type = entry_kinds.get(kind) if kind in entry_kinds else UnknownEntry
--- a/rhubarbmount/instances.py
+++ b/rhubarbmount/instances.py
@@ -199,6 +199,17 @@
         status = weigh_status(version, recorded, heard)
         return attrs.evolve(status, programs=self._programs())
 
+    def lowest_format(self) -> int:
+        """Return the format that every entry host is known to know; 0 if none is.
+
+        Silent ones count, and those whose rows are not read yet know none.
+        """
+        if self.me.instance not in self.by_instance:
+            return 0
+        formats = {name: told.format for name, told in self._programs().items()}
+        unread = self.reports().keys() - formats.keys()
+        return min([*formats.values(), *(0 for _ in unread)])
+
     def _programs(self) -> dict[str, ProgramVersion]:
         programs = {
             record.instance: ProgramVersion(record.program, record.format)
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -22,7 +22,7 @@
 from rhubarbmount.fleet_tasks import FleetTasks, wave_settings
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.forward import Forwarder
-from rhubarbmount.instances import ConfigurationStatus, weigh_status
+from rhubarbmount.instances import ConfigurationStatus, ProgramVersion, weigh_status
 from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.job_handlers import JobHandlers
 from rhubarbmount.listener import Listener
@@ -40,6 +40,7 @@
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.request_traces import RequestTraces
 from rhubarbmount.settings import PlatformSettings, Settings
+from rhubarbmount.shared_rows import FORMAT
 from rhubarbmount.shares import EntryHosts
 from rhubarbmount.sweep import Sweeper
 from rhubarbmount.timers import TimerService
@@ -124,6 +125,7 @@
             self.fleet_view.summarise,
             self.configuration.offer,
             self._version,
+            self._lowest_format,
             self.recorder,
         )
         api = OperatorsApi(
@@ -255,9 +257,15 @@
     def _status_of(self, version: int) -> ConfigurationStatus:
         if self.membership is None:
             own_version = {self.settings.instance: self.configuration.version}
-            return weigh_status(version, {}, own_version)
+            status = weigh_status(version, {}, own_version)
+            own_program = {self.settings.instance: ProgramVersion()}
+            return attrs.evolve(status, programs=own_program)
         return self.membership.rows.status_of(version)
 
+    def _lowest_format(self) -> int:
+        rows = self.membership.rows if self.membership else None
+        return rows.lowest_format() if rows else FORMAT
+
     def _version(self) -> int:
         return self.configuration.version
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -4,10 +4,17 @@
 import trio
 
 from rhubarbmount.errors import PlatformUnavailable
-from rhubarbmount.instances import ABANDONED_AFTER_S, InstanceRows, weigh_status
+from rhubarbmount.instances import (
+    ABANDONED_AFTER_S,
+    InstanceRows,
+    ProgramVersion,
+    weigh_status,
+)
 from rhubarbmount.peer_messages import MemberReport, PeerIdentity
 from rhubarbmount.platform.client import open_client
+from rhubarbmount.platform.interface import Transaction, Write
 from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.shared_rows import FORMAT
 
 
 class Instance:
@@ -129,3 +136,23 @@
 @pytest.mark.parametrize("heard", [{}, {"a": 1}])
 def test_nothing_recorded_and_nothing_later_is_in_force(heard):
     assert weigh_status(1, {}, heard).in_force
+
+
+async def test_the_lowest_format_counts_silent_and_unread_entry_hosts(autojump_clock):
+    platform = MemoryPlatform()
+    first, second = Instance(platform, "a"), Instance(platform, "b")
+    assert first.rows.lowest_format() == 0
+    await first.rows.renew()
+    assert first.rows.lowest_format() == FORMAT
+    first.hear(second)
+    assert first.rows.lowest_format() == 0
+    await second.rows.renew()
+    await first.rows.renew()
+    assert first.rows.lowest_format() == FORMAT
+    row = await platform.read("instances", "b")
+    older = {k: v for k, v in row.value.items() if k not in ("program", "format")}
+    write = Write("instances", "c", older | {"instance": "c", "address": "c:1"})
+    await platform.transact(Transaction("older", (), (write,)))
+    await first.rows.renew()
+    assert first.rows.lowest_format() == 0
+    assert first.rows.status().programs["c"] == ProgramVersion("", 0)
--- a/tests/test_shared_rows.py
+++ b/tests/test_shared_rows.py
@@ -342,12 +342,46 @@
         await apply(platform, "tenant", {}, "acme")
 
 
+@attrs.frozen(kw_only=True)
+class HedgedService(Service):
+    """A service of a version whose field must not be passed over."""
+
+    hedged: bool = attrs.field(default=False, metadata={"since_format": 2})
+
+
+@pytest.mark.parametrize(
+    ("hedged", "known", "code"),
+    [(True, 1, "older-entry-hosts"), (True, 2, ""), (False, 0, ""), (False, 1, "")],
+)
+async def test_a_field_not_to_be_passed_over_waits_for_all(
+    monkeypatch, hedged, known, code
+):
+    platform = await newer_platform()
+    acceptance = Acceptance(platform, lambda: 1.0, seed=1, lowest_format=lambda: known)
+    service = HedgedService(**attrs.asdict(SERVICE) | {"hedged": hedged})
+    edit = Edit(key="service/filing", entry=service, expected_version=4)
+    if code:
+        with pytest.raises(Refused) as caught:
+            await acceptance.apply(FIRM, edit)
+        assert caught.value.code == code
+        return
+    await acceptance.apply(FIRM, edit)
+    head = await platform.read("heads", "catalogue")
+    body = await platform.get_object(head.value["object"])
+    if not hedged:
+        assert decode_snapshot(body).version == 5
+        return
+    with pytest.raises(FindingsError, match="format 2"):
+        decode_snapshot(body)
+
+
 async def test_a_snapshot_of_a_newer_format_is_refused_and_the_last_one_serves():
     platform = await newer_platform()
     configuration = Configuration(platform=platform)
     await configuration.refresh()
     before = configuration.snapshot
-    body = encode_snapshot(attrs.evolve(before, version=5, format=2))
+    hedged = HedgedService(name="hedged", owner="firm-a", pool="shared", hedged=True)
+    body = encode_snapshot(before.with_entry("service", hedged))
     await platform.put_object("catalogue/5", body)
     head = {"version": 5, "object": "catalogue/5"}
     write = Write("heads", "catalogue", head)
