Let route lines wait in memory for up to a second

Texts of values are quoted once, and a line is put together without a format string. Ruled out: a queue and a thread, which cost a hand-over a line; letting claim lines wait too, since they are what is left of a killed process.

--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -90,6 +90,7 @@
 
     async def _sweep_connections(self, timers: TimerService) -> None:
         async for _tick in timers.every("connections", CONNECTIONS_PERIOD_S):
+            log.flush()
             if self.connections.has_idle:
                 await self.connections.sweep(self.policy.serving_addresses())
 
@@ -187,7 +188,7 @@
         self, service: Service, decision: RouteDecision, history: AttemptHistory
     ) -> None:
         backend = decision.backend
-        log.event(
+        log.frequent_event(
             logger,
             "route",
             service=service.name,
--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -1,18 +1,33 @@
 """Logging of events as single lines of key=value pairs."""
 
+import functools
 import json
 import logging
+import sys
 import time
+from contextlib import nullcontext, suppress
 from contextvars import ContextVar
+from typing import TextIO
 
 from rhubarbmount.errors import UsageError
 
-__all__ = ["configure", "event", "format_event", "request_id"]
+__all__ = [
+    "configure",
+    "event",
+    "flush",
+    "format_event",
+    "frequent_event",
+    "request_id",
+]
 
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,"
 )
 STDERR = "stderr"
+KNOWN_TEXTS = 1024
+KNOWN_TEXT_LIMIT = 32
+WAIT_LIMIT_S = 1.0
+WAITING_LINES_LIMIT = 256
 request_id: ContextVar[str] = ContextVar("request_id", default="")
 _SECRET_KEYS = frozenset({"token", "secret", "password", "secret_key"})
 
@@ -23,11 +38,18 @@
     if isinstance(value, float):
         return f"{value:.6g}"
     text = str(value)
+    return _quote_known(text) if len(text) <= KNOWN_TEXT_LIMIT else _quote(text)
+
+
+def _quote(text: str) -> str:
     if text and _PLAIN.issuperset(text):
         return text
     return json.dumps(text)
 
 
+_quote_known = functools.lru_cache(maxsize=KNOWN_TEXTS)(_quote)
+
+
 def format_event(name: str, fields: dict[str, object]) -> str:
     """Format an event as one line, whatever its values hold.
 
@@ -48,10 +70,35 @@
 ) -> None:
     """Log one event when its level is enabled, with the request that it is about."""
     if logger.isEnabledFor(level):
-        request = request_id.get()
-        shown = {"request": request, **fields} if request else fields
-        line = format_event(name, shown)
-        logger.handle(logger.makeRecord(logger.name, level, "", 0, line, (), None))
+        logger.handle(_make_record(logger, name, level, fields))
+
+
+def frequent_event(logger: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event of many, whose line may wait in memory for ``flush``.
+
+    It is written before any later line of another kind, and within a second while
+    frequent events go on. A process that is killed loses the lines that wait.
+    """
+    if logger.isEnabledFor(logging.INFO):
+        record = _make_record(logger, name, logging.INFO, fields)
+        record.may_wait = True
+        logger.handle(record)
+
+
+def flush() -> None:
+    """Write the lines that wait; a full disk doesn't end the caller."""
+    for handler in logging.getLogger("rhubarbmount").handlers:
+        with suppress(OSError):
+            handler.flush()
+
+
+def _make_record(
+    logger: logging.Logger, name: str, level: int, fields: dict[str, object]
+) -> logging.LogRecord:
+    request = request_id.get()
+    shown = {"request": request, **fields} if request else fields
+    line = format_event(name, shown)
+    return logger.makeRecord(logger.name, level, "", 0, line, (), None)
 
 
 class _LineFormatter(logging.Formatter):
@@ -62,6 +109,13 @@
         self._second = 0
         self._prefix = ""
 
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record's line, and those of its exception."""
+        if record.exc_info or record.stack_info:
+            return super().format(record)
+        time_text = self.formatTime(record)
+        return f"time={time_text} level={record.levelname} {record.getMessage()}"
+
     def formatTime(  # noqa: N802
         self, record: logging.LogRecord, datefmt: str | None = None
     ) -> str:
@@ -73,6 +127,39 @@
         return f"{self._prefix}.{int(record.msecs):03}"
 
 
+class _WaitingLines(logging.StreamHandler):
+    """Write lines to a stream; frequent ones wait for others, or a short time."""
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(stream)
+        self._lines: list[str] = []
+        self._due_s = 0.0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Take in a record, and write what waits unless it may wait too."""
+        try:
+            self._lines.append(self.format(record) + self.terminator)
+            if not self._may_wait(record):
+                self.flush()
+        except Exception:
+            self.handleError(record)
+
+    def flush(self) -> None:
+        """Write what waits."""
+        with self.lock or nullcontext():
+            lines, self._lines = self._lines, []
+            if lines:
+                self.stream.write("".join(lines))
+                self.stream.flush()
+
+    def _may_wait(self, record: logging.LogRecord) -> bool:
+        if not getattr(record, "may_wait", False):
+            return False
+        if len(self._lines) == 1:
+            self._due_s = record.created + WAIT_LIMIT_S
+        return len(self._lines) < WAITING_LINES_LIMIT and record.created < self._due_s
+
+
 def configure(level: str, destination: str = STDERR) -> None:
     """Send log lines of at least the level to a file or standard error.
 
@@ -89,9 +176,9 @@
 
 def _open_handler(destination: str) -> logging.Handler:
     if destination == STDERR:
-        return logging.StreamHandler()
+        return _WaitingLines(sys.stderr)
     try:
-        return logging.FileHandler(destination, encoding="utf-8")
+        return _WaitingLines(open(destination, "a", encoding="utf-8"))
     except OSError as error:
         message = f"can't log to {destination}: {error.strerror}"
         raise UsageError(message, code="log-unwritable") from None
