Let a failing worker that may not be ejected rest after each failure

Cause: it frees its slots at once, and at 0.7 of the capacity the others are often full, so that the choice has nothing else to offer; a penalty in the choice can't help there.

A rest by the success rate that fades with time leaves it a try about every 0.6 s (worked out, not run), so a rate that changes with results only counts.

It holds one request at a time and rests after a failure by the square of its success over that of the others, at most 5 s, unless nothing else serves. What is withheld is at most what would succeed. A pool that fails as a whole has no rests.

--- a/rhubarbmount/backend_health.py
+++ b/rhubarbmount/backend_health.py
@@ -17,6 +17,7 @@
 EJECT_SLOW_AFTER_RESULTS = 10
 CAP_SLOWNESS = 2.0
 REST_LIMIT_S = 2.0
+FAILING_REST_LIMIT_S = 5.0
 GUARD_RECOVERY_S = 1.0
 SLOW_START_S = 10.0
 SLOW_START_FLOOR = 0.1
@@ -68,12 +69,14 @@
 
     ``guard_limit`` is the number of requests in flight above which its guard
     refused. ``probing`` allows one request at a time until one succeeds. ``leaving``
-    holds while it sits out by its own word. ``rest_until_s`` is set while a slow one
-    gets no work, so that its few requests are spread over time.
+    holds while it sits out by its own word. ``rest_until_s`` is set while a slow or
+    failing one gets no work, so that its few requests are spread over time.
+    ``lasting_success_rate`` changes with results only, ``success_rate`` fades too.
     """
 
     host_id: str
     success_rate: float = 1.0
+    lasting_success_rate: float = 1.0
     slowness: float = 1.0
     relative_slowness: float = 1.0
     results: int = 0
@@ -88,6 +91,7 @@
     guard_limit: int | None = None
     suspect: bool = False
     leaving: bool = False
+    failing: bool = False
     rest_until_s: float | None = None
 
     def start_slowly(self, now_s: float) -> None:
@@ -120,7 +124,7 @@
         """
         if self.out_until_s is not None or self.rest_until_s is not None:
             return 0
-        if self.probing:
+        if self.probing or self.failing:
             return min(limit, 1)
         if self.guard_limit is not None:
             limit = min(limit, self.guard_limit)
@@ -139,6 +143,20 @@
             pause_s = min(latency_s * (1.0 / held - 1.0), REST_LIMIT_S)
             self.rest_until_s = now_s + pause_s
 
+    def rest_failing(
+        self, now_s: float, success: float, latency_s: float, share: int
+    ) -> None:
+        """Let a failing one rest after a failure, and hold one request at a time.
+
+        It gets about as many requests as its share of slots would do in the latency
+        of a sound one, times the square of its success over that of the others.
+        """
+        held = share * max(success, SUCCESS_FLOOR) ** 2
+        self.failing = True
+        if held < 1.0:
+            pause_s = min(latency_s * (1.0 / held - 1.0), FAILING_REST_LIMIT_S)
+            self.rest_until_s = now_s + pause_s
+
     def _is_slow(self) -> bool:
         slow = self.relative_slowness >= CAP_SLOWNESS
         return self.suspect and slow and self.results >= EJECT_SLOW_AFTER_RESULTS
@@ -175,6 +193,8 @@
         """Take in one result; slowness is its latency over the service's mean."""
         self.results += 1
         self.success_rate += SUCCESS_WEIGHT * (succeeded - self.success_rate)
+        lasting = self.lasting_success_rate
+        self.lasting_success_rate += SUCCESS_WEIGHT * (succeeded - lasting)
         if slowness is not None:
             sample = min(slowness, SLOWNESS_SAMPLE_LIMIT)
             self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
--- a/rhubarbmount/health.py
+++ b/rhubarbmount/health.py
@@ -91,6 +91,14 @@
             return self._eject_within_limit(health, now_s)
         return None
 
+    def success_beside_others(self, health: BackendHealth) -> float:
+        """Return the success rate over that of the others, 1 unless clearly lower."""
+        others = self._others_success_rate(health)
+        lasting = health.lasting_success_rate
+        if health.results < EJECT_AFTER_RESULTS or lasting > others - EJECT_MARGIN:
+            return 1.0
+        return lasting / others
+
     def change_row(self, health: BackendHealth, now_s: float) -> None:
         """Let a changed row replace the backend server's word that it is leaving."""
         if health.leaving:
--- a/rhubarbmount/latency.py
+++ b/rhubarbmount/latency.py
@@ -43,6 +43,10 @@
         factory=lambda: defaultdict(MeanLatency)
     )
 
+    def mean_s(self, service: str) -> float:
+        """Return the mean latency of the service's successes, 0 before the first."""
+        return self.by_service[service].mean_s
+
     def slowness(
         self,
         service: str,
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -132,13 +132,33 @@
             slowness=self._latencies.slowness(service, result, latency_s, now_s),
             others_in_flight=backend.own_in_flight,
         )
-        others_serve = self._local.serving + self._remote.serving > 1
-        if latency_s is not None and others_serve and backend.share:
-            backend.health.rest(now_s, latency_s, backend.share)
+        if latency_s is not None:
+            self._rest(backend, result, now_s, service, latency_s)
         self._schedule(backend)
         self._settle(backend)
         return change
 
+    def _rest(
+        self,
+        backend: Backend,
+        result: AttemptResult,
+        now_s: float,
+        service: str,
+        latency_s: float,
+    ) -> None:
+        health = backend.health
+        success = self.health.success_beside_others(health)
+        others_serve = self._local.serving + self._remote.serving > 1
+        if success == 1.0 or not others_serve:
+            health.failing = False
+        if not backend.share or not others_serve:
+            return
+        if result is AttemptResult.FAILURE and success < 1.0:
+            mean_s = self._latencies.mean_s(service) or latency_s
+            health.rest_failing(now_s, success, mean_s, backend.share)
+        else:
+            health.rest(now_s, latency_s, backend.share)
+
     def _choose(
         self, now_s: float, tried: Collection[str]
     ) -> tuple[Backend | None, RouteReason]:
