Let a runner by itself gather nobody

Since leases are renewed together, a runner paused once before each renewal, also where it shares its calls with no other. Only the duties of an entry host gather now.

--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -29,6 +29,7 @@
     Precondition,
     Transaction,
 )
+from rhubarbmount.shared_scans import at_once
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["Duty", "DutyRunner", "Lease"]
@@ -97,7 +98,7 @@
     ``instance_id`` is new at each start of the program, so that it never takes an
     older lease for its own. ``member_id`` is the name by which ``members``, the
     instances thought to be live, lists this one. ``reads`` and ``renewals`` are
-    shared by the runners of one entry host.
+    shared by the runners of one entry host; by default they are the runner's own.
     """
 
     duty: Duty
@@ -110,12 +111,13 @@
     member_id: str = ""
     reads: LeaseReads = attrs.field(
         default=attrs.Factory(
-            lambda self: LeaseReads(self.platform, self.clock), takes_self=True
+            lambda self: LeaseReads(self.platform, self.clock, at_once), takes_self=True
         )
     )
     renewals: LeaseRenewals = attrs.field(
         default=attrs.Factory(
-            lambda self: LeaseRenewals(self.platform, self.new_id), takes_self=True
+            lambda self: LeaseRenewals(self.platform, self.new_id, at_once),
+            takes_self=True,
         )
     )
     tracker: LeaseTracker = attrs.field(init=False)
--- a/rhubarbmount/lease_reads.py
+++ b/rhubarbmount/lease_reads.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable
 
 import attrs
+import trio
 
 from rhubarbmount.duties import LeaseRow
 from rhubarbmount.platform.interface import Platform, Row
-from rhubarbmount.shared_scans import SharedScans
+from rhubarbmount.shared_scans import Gather, SharedScans
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["LeaseReads", "LeasesSeen"]
@@ -26,11 +27,12 @@
 
     platform: Platform
     clock: Callable[[], float]
+    gather: Gather = trio.lowlevel.checkpoint
     seen: LeasesSeen = attrs.field(factory=LeasesSeen)
     _scans: SharedScans = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._scans = SharedScans(self.platform, LEASES_TABLE)
+        self._scans = SharedScans(self.platform, LEASES_TABLE, self.gather)
 
     async def read_all(self) -> None:
         """Read the leases of all duties, for duties held by other instances."""
--- a/rhubarbmount/lease_renewals.py
+++ b/rhubarbmount/lease_renewals.py
@@ -13,6 +13,7 @@
     Transaction,
     Write,
 )
+from rhubarbmount.shared_scans import Gather
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["LeaseChange", "LeaseRenewals"]
@@ -60,11 +61,12 @@
     """Renew together what is asked for before the transaction is sent.
 
     Each lease's row is a precondition of its own: one that was lost is left out, and
-    the others are sent again at once.
+    the others are sent again at once. ``gather`` lets all tasks that are due run once.
     """
 
     platform: Platform
     new_id: Callable[[], str]
+    gather: Gather = trio.lowlevel.checkpoint
     _unsent: _Batch | None = attrs.field(default=None, init=False)
 
     async def renew(self, change: LeaseChange) -> bool:
@@ -84,7 +86,7 @@
     async def _send(self, batch: _Batch) -> None:
         batch.error = OutcomeUnknown("who sent the renewals has given them up")
         try:
-            await trio.lowlevel.checkpoint()
+            await self.gather()
             self._unsent = None
             batch.renewed = await self._commit(batch.changes)
             batch.error = None
--- a/rhubarbmount/shared_scans.py
+++ b/rhubarbmount/shared_scans.py
@@ -1,12 +1,20 @@
 """One scan of a table for all that ask at the same moment."""
 
+from collections.abc import Awaitable, Callable
+
 import attrs
 import trio
 
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.platform.interface import Platform, Row
 
-__all__ = ["SharedScans"]
+__all__ = ["Gather", "SharedScans", "at_once"]
+
+Gather = Callable[[], Awaitable[None]]
+
+
+async def at_once() -> None:
+    """Wait for nobody, where nobody else can ask."""
 
 
 @attrs.define(eq=False)
@@ -22,11 +30,13 @@
 class SharedScans:
     """Scan a table for whoever asks first; those that ask before it is sent join.
 
-    So the rows are never older than the question.
+    So the rows are never older than the question. ``gather`` lets all tasks that are
+    due run once.
     """
 
     platform: Platform
     table: str
+    gather: Gather = trio.lowlevel.checkpoint
     _unsent: _Answer | None = attrs.field(default=None, init=False)
 
     async def scan(self) -> list[Row]:
@@ -42,7 +52,7 @@
     async def _send(self) -> list[Row]:
         answer = self._unsent = _Answer()
         try:
-            await trio.lowlevel.checkpoint()
+            await self.gather()
             self._unsent = None
             answer.rows = await self.platform.scan(self.table)
         except PlatformUnavailable as error:
