Encode a heartbeat once, and look only at hosts that can matter

Now repair observes those near only, and the rows are gone through when the view has changed. A heartbeat was encoded once for each peer, and each call to the platform opened a scope to wait for its budget, also where it could be paid at once.

--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -66,7 +66,7 @@
         )
         self.probe = HostProbe(
             self.settings.data_centre,
-            lambda: self.view.hosts().values(),
+            self.view.hosts,
             self.policy.view_by_pool,
             lambda: self.duties.holds_any,
         )
@@ -95,6 +95,7 @@
             fleet.repair,
             self.counters,
             recorder=recorder,
+            may_fail=self.probe.is_near,
         )
         hosts = HostDuty(
             platform,
--- a/rhubarbmount/host_probe.py
+++ b/rhubarbmount/host_probe.py
@@ -1,6 +1,6 @@
 """What one entry host sees of backend servers: requests in flight, and readiness."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 import trio
@@ -21,14 +21,17 @@
 class HostProbe:
     """Connect to hosts that come back, and read off the rest from routing.
 
-    ``wanted`` tells whether anything reads the probes now.
+    ``wanted`` tells whether anything reads the probes now. A mapping that ``hosts``
+    has returned is never changed.
     """
 
     data_centre: str
-    hosts: Callable[[], Iterable[Host]]
+    hosts: Callable[[], Mapping[str, Host]]
     view_by_pool: Mapping[str, PoolView]
     wanted: Callable[[], bool]
     _ready_by_host_id: dict[str, bool] = attrs.field(factory=dict)
+    _looked_at: Mapping[str, Host] = attrs.field(factory=dict)
+    _coming_back: list[Host] = attrs.field(factory=list)
 
     async def run(self, timers: TimerService) -> None:
         """Probe at each tick."""
@@ -46,11 +49,7 @@
                 nursery.start_soon(self._connect, host)
 
     def observe(self, host: Host) -> Observation:
-        """Return what is seen of a host now.
-
-        A host of another data centre may be out of this one's reach alone, so it
-        never counts as failing here.
-        """
+        """Return what is seen of a host now."""
         view = self.view_by_pool.get(host.pool)
         backend = view.by_host_id.get(host.host_id) if view else None
         if backend is None:
@@ -59,12 +58,24 @@
         ready = self._ready_by_host_id.get(host.host_id)
         if host.state is HostState.IN_SERVICE:
             out = backend.health.out_until_s is not None or backend.health.probing
-            near = host.data_centre == self.data_centre
-            ready = False if out and near else None
+            ready = False if out and self.is_near(host) else None
         return Observation(in_flight=in_flight or None, ready=ready)
 
+    def is_near(self, host: Host) -> bool:
+        """Tell whether what is seen here of a host in service may be its failure.
+
+        A host of another data centre may be out of this one's reach alone.
+        """
+        return host.data_centre == self.data_centre
+
     def _probed(self) -> list[Host]:
-        return [host for host in self.hosts() if host.state in PROBED_STATES]
+        hosts = self.hosts()
+        if hosts is not self._looked_at:
+            self._looked_at = hosts
+            self._coming_back = [
+                host for host in hosts.values() if host.state in PROBED_STATES
+            ]
+        return self._coming_back
 
     async def _connect(self, host: Host) -> None:
         address, _, port = host.address.rpartition(":")
--- a/rhubarbmount/peer_links.py
+++ b/rhubarbmount/peer_links.py
@@ -35,7 +35,10 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; return False if it can't be queued now."""
-        body = encode_message(message)
+        return self.send_encoded(encode_message(message))
+
+    def send_encoded(self, body: bytes) -> bool:
+        """Queue a message that is encoded already; return False if it can't be now."""
         if self.routing_id is None:
             return self.socket.send_nowait([body])
         return self.socket.send_nowait([self.routing_id, body])
--- a/rhubarbmount/peers.py
+++ b/rhubarbmount/peers.py
@@ -25,6 +25,7 @@
     Summary,
     decode_identity,
     decode_message,
+    encode_message,
 )
 from rhubarbmount.peer_requests import PeerRequests
 from rhubarbmount.peer_table import PeerTable
@@ -96,8 +97,7 @@
             self.draining,
             self._reporter.report(self.in_flight()),
         )
-        for address in self.table.near_addresses():
-            self.links.to(address).send(beat)
+        self._send_to(self.table.near_addresses(), beat)
 
     def announce_version(self) -> None:
         """Tell the peers, and the data centres this host speaks to, at once."""
@@ -174,8 +174,13 @@
         relayed = attrs.evolve(summary, reply_wanted=False, relayed=True)
         if summary.relayed:
             return
-        for address in self.table.addresses(self.table.me.data_centre):
-            self.links.to(address).send(relayed)
+        self._send_to(self.table.addresses(self.table.me.data_centre), relayed)
+
+    def _send_to(self, addresses: list[str], message: Message) -> None:
+        """Send the same bytes to each address."""
+        body = encode_message(message)
+        for address in addresses:
+            self.links.to(address).send_encoded(body)
 
     def _hear_version(self, version: int) -> None:
         if version > self.version:
--- a/rhubarbmount/platform/budget.py
+++ b/rhubarbmount/platform/budget.py
@@ -138,6 +138,14 @@
                 self._turns[0].is_first.set()
         self.spent += cost
 
+    def spend_at_once(self, cost: float, priority: Priority) -> bool:
+        """Pay for a call if nobody waits and it may go ahead now."""
+        may_borrow = priority is Priority.DUTY
+        if self._turns or not self._take(cost, may_borrow):
+            return False
+        self.spent += cost
+        return True
+
     def affordable(self) -> int:
         """Return the largest cost that is paid without debt."""
         return int(burst(self._share_per_s()))
@@ -152,8 +160,11 @@
     def _try_spend(self, turn: _Turn) -> bool:
         if self._turns[0] is not turn:
             return False
+        return self._take(turn.cost, turn.may_borrow)
+
+    def _take(self, cost: float, may_borrow: bool) -> bool:
         share = self._share_per_s()
-        return self._filled().take(turn.cost, share, self.clock(), turn.may_borrow)
+        return self._filled().take(cost, share, self.clock(), may_borrow)
 
     def _pause_s(self, turn: _Turn) -> float:
         share = self._share_per_s()
--- a/rhubarbmount/platform/client.py
+++ b/rhubarbmount/platform/client.py
@@ -182,10 +182,8 @@
         shared = self._shared
         if not shared.breaker.allows(shared.clock()):
             raise PlatformUnavailable("the platform does not answer")
-        with trio.move_on_after(shared.deadline_s) as scope:
-            await budget.spend(cost, self.priority)
-        if scope.cancelled_caught:
-            raise PlatformUnavailable("the platform budget is spent")
+        if not budget.spend_at_once(cost, self.priority):
+            await self._wait_to_spend(budget, cost)
         try:
             with trio.fail_after(shared.deadline_s):
                 answer = await call()
@@ -198,6 +196,12 @@
         shared.breaker.succeeded()
         return answer
 
+    async def _wait_to_spend(self, budget: Budget, cost: int) -> None:
+        with trio.move_on_after(self._shared.deadline_s) as scope:
+            await budget.spend(cost, self.priority)
+        if scope.cancelled_caught:
+            raise PlatformUnavailable("the platform budget is spent")
+
 
 def open_client(
     adapter: Platform,
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -50,9 +50,16 @@
     again_s: float = float(DAY_S)
 
 
+def _any_host(host: Host) -> bool:
+    return True
+
+
 @attrs.define
 class RepairDuty:
-    """Quarantine failing hosts, reboot them, and replace those that stay bad."""
+    """Quarantine failing hosts, reboot them, and replace those that stay bad.
+
+    Only hosts for which ``may_fail`` is true are observed; the others count as ready.
+    """
 
     platform: Platform
     observe: Callable[[Host], Observation]
@@ -62,6 +69,7 @@
     counters: FleetCounters = attrs.field(factory=FleetCounters)
     name: str = "repair"
     recorder: DecisionRecorder = attrs.field(factory=DecisionRecorder)
+    may_fail: Callable[[Host], bool] = _any_host
     view: HostRows = attrs.field(init=False)
     _failing_since_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _held: dict[str, tuple[str, float]] = attrs.field(factory=dict)
@@ -112,7 +120,7 @@
             limit_s = {}
             if host_id not in listed:
                 limit_s["unlisted"] = self.bounds.unlisted_s
-            if host_id in suspects or self.observe(row.host).ready is False:
+            if host_id in suspects or self._is_unready(row.host):
                 limit_s["unready"] = self.bounds.failing_s
             for sign, wait_s in limit_s.items():
                 key = (host_id, sign)
@@ -122,6 +130,9 @@
         self._failing_since_s = since_s
         return found
 
+    def _is_unready(self, host: Host) -> bool:
+        return self.may_fail(host) and self.observe(host).ready is False
+
     async def _quarantine(
         self, row: HostRow, live: list[LiveHost], lease: Lease
     ) -> None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -147,3 +147,18 @@
     await budget.spend(budget.affordable(), Priority.CLAIM)
     with trio.fail_after(0.01):
         await budget.spend(1, Priority.DUTY)
+
+
+async def test_who_spends_at_once_does_not_overtake_who_waits(autojump_clock):
+    budget = Budget(1.0, lambda: 1)
+    while budget.spend_at_once(1, Priority.REST):
+        pass
+    spent = budget.spent
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(budget.spend, 2, Priority.REST)
+        await trio.testing.wait_all_tasks_blocked()
+        assert not budget.spend_at_once(1, Priority.DUTY)
+        assert budget.spent == spent
+    await trio.sleep(5)
+    assert budget.spend_at_once(1, Priority.DUTY)
+    assert budget.spent == spent + 3
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 import trio
 import zmq
 
+from rhubarbmount import peer_links, peers
 from rhubarbmount.catalogue import Snapshot
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.entries import Team
@@ -346,3 +347,22 @@
                     await b.peers.requests.ask(at_a, "host", "h1")
                 assert scope.cancelled_caught
                 assert not b.peers.links._waiting_by_id
+
+
+async def test_a_heartbeat_is_encoded_once_for_all_peers(clock, monkeypatch):
+    encoded = []
+
+    def encode(message):
+        encoded.append(message)
+        return encode_message(message)
+
+    for module in (peers, peer_links):
+        monkeypatch.setattr(module, "encode_message", encode)
+    with trio.fail_after(TIMEOUT_S):
+        async with node("a", {}) as a, node("c", {}) as c:
+            addresses = [each.peers.table.me.address for each in (a, c)]
+            async with node("b", dict.fromkeys(addresses, "dc-a")) as b:
+                await until(lambda: hears(a, "b") and hears(c, "b"))
+                encoded.clear()
+                b.peers.announce()
+    assert [type(message) for message in encoded] == [Heartbeat]
