Split the steps of scenarios by what they are about

Steps now stand in tests/scenarios/steps, which tests/conftest.py registers as plugins, so that pytest rewrites their assertions; fixtures stay in conftest.py. No check is changed. Two steps that matched any words, of entry hosts and of the platform, now name their words: across modules the order in which pytest-bdd tries steps no longer follows the file.

Ruled out: importing steps into conftest.py, as their names are private.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,24 @@
-"""Passes over the tests that KNOWN-RED.txt lists, and prints them."""
+"""Registers the steps of scenarios, and passes over the tests of KNOWN-RED.txt."""
 
 from pathlib import Path
 
 import pytest
 
+pytest_plugins = [
+    f"tests.scenarios.steps.{name}"
+    for name in (
+        "requests",
+        "duties",
+        "callers",
+        "configuration",
+        "data_centres",
+        "faults",
+        "hosts",
+        "leaving",
+        "processes",
+        "waves",
+    )
+]
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
 
--- /dev/null
+++ b/tests/scenarios/steps/leaving.py
@@ -0,0 +1,37 @@
+"""Steps about backend servers that are leaving."""
+
+import time
+
+from pytest_bdd import parsers, then, when
+
+
+@when(parsers.parse('the row of backend server "{name}" says that it is leaving'))
+def mark_leaving(deployment, marked_s, name):
+    deployment.change_host(name, state="leaving", cause="test")
+    marked_s[name] = time.time()
+
+
+@when(parsers.parse('backend server "{name}" itself says that it is leaving'))
+def say_leaving(deployment, marked_s, name):
+    deployment.set_backend(name, leaving=True)
+    marked_s[name] = time.time()
+
+
+@then(parsers.parse('backend server "{name}" got no new work later than {bound_s:g} s'))
+def check_no_new_work(deployment, marked_s, name, bound_s):
+    last_s = deployment.backend_state(name)["last_start_s"]
+    assert last_s - marked_s[name] <= bound_s
+
+
+@then(
+    parsers.parse('backend server "{name}" was sent nothing later than {bound_s:g} s')
+)
+def check_nothing_sent(deployment, marked_s, name, bound_s):
+    last_s = deployment.backend_state(name)["last_request_s"]
+    assert last_s - marked_s[name] <= bound_s
+
+
+@then(parsers.parse('backend server "{name}" still got work later than {bound_s:g} s'))
+def check_new_work(deployment, marked_s, name, bound_s):
+    (first_s,) = marked_s.values()
+    assert deployment.backend_state(name)["last_start_s"] - first_s > bound_s
--- a/tests/scenarios/test_claims.py
+++ b/tests/scenarios/test_claims.py
@@ -6,7 +6,8 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.deployment import wait_until
-from tests.scenarios.conftest import names, send_lodgement
+from tests.scenarios.steps import names
+from tests.scenarios.steps.requests import send_lodgement
 
 scenarios("claims.feature", "issued_keys.feature")
 
--- a/tests/scenarios/test_explain.py
+++ b/tests/scenarios/test_explain.py
@@ -7,8 +7,9 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.deployment import wait_until
-from tests.scenarios.conftest import names, wait_for_status
-from tests.scenarios.test_fleet import holder_of
+from tests.scenarios.steps import names
+from tests.scenarios.steps.configuration import wait_for_status
+from tests.scenarios.steps.duties import holder_of
 
 scenarios("explain.feature")
 
--- a/tests/scenarios/test_racing.py
+++ b/tests/scenarios/test_racing.py
@@ -6,7 +6,7 @@
 from pytest_bdd import parsers, scenarios, then, when
 
 from tests.deployment import wait_until
-from tests.scenarios.conftest import names
+from tests.scenarios.steps import names
 
 scenarios("racing.feature")
 
--- a/tests/scenarios/test_whole_answer.py
+++ b/tests/scenarios/test_whole_answer.py
@@ -4,7 +4,8 @@
 
 from tests.deployment import wait_until
 from tests.load import BalancedLoad
-from tests.scenarios.conftest import check_ready, names
+from tests.scenarios.steps import names
+from tests.scenarios.steps.processes import check_ready
 
 scenarios("whole_answer.feature", "planned_stop.feature")
 
