--- a/tests/scenarios/upgrade.feature
+++ b/tests/scenarios/upgrade.feature
@@ -41,6 +41,9 @@
     And operator "admin" sets "concurrency" of service "lodgements" to 17
     Then the edit is refused with "findings"
     And for 3 s the version at "e1, e2" does not fall
+    When one more entry host "e3" starts in "dc-a"
+    Then within 15 s entry host "e3" is ready
+    And a lodgement sent to "e3" reads a whole answer
     And no caller was refused
     And no version fell
 
