Submit jobs from templates of a class that a newer version added

Cause: the values of a template are checked as if an operator had typed them, so an older entry host refused every job from a template whose class it does not know. A value that already is a choice is now taken; a text that names none is refused with its place as before. The new test failed before with job.work_class: bad-value.

--- a/rhubarbmount/structure.py
+++ b/rhubarbmount/structure.py
@@ -125,6 +125,8 @@
     if cls is Any:
         return value, []
     if issubclass(cls, Enum):
+        if isinstance(value, cls):
+            return value, []
         choices = [item.value for item in cls]
         if value in choices:
             return cls(value), []
--- a/tests/test_job_handlers.py
+++ b/tests/test_job_handlers.py
@@ -5,12 +5,14 @@
 import pytest
 
 from rhubarbmount.edits import Operator
+from rhubarbmount.entries import dump_entry, load_entry
 from rhubarbmount.errors import AccessDenied, ConflictError, FindingsError
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.hosts import Shape
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.job_handlers import JobHandlers
 from rhubarbmount.router import Call, Router
+from tests import test_scheduling
 from tests.test_scheduling import World
 
 LARGE = Shape(4, 16)
@@ -48,6 +50,21 @@
     assert world.state("n1") == "running"
 
 
+async def test_a_job_from_a_template_of_a_newer_class_runs_and_keeps_it(monkeypatch):
+    values = dump_entry(test_scheduling.NIGHTLY) | {"work_class": "frugal"}
+    newer = load_entry("job-template", values)
+    monkeypatch.setattr(test_scheduling, "NIGHTLY", newer)
+    world = Operated()
+    values = {"job_id": "n1", "template": "nightly"}
+    await world.ask(world.handlers.submit, "/jobs", values)
+    await world.settle(1)
+    job = (await world.platform.read("jobs", "n1")).value
+    assert (job["state"], job["work_class"]) == ("running", "frugal")
+    with pytest.raises(FindingsError, match="frugal"):
+        values = SMALL | {"job_id": "n2", "work_class": "frugal"}
+        await world.ask(world.handlers.submit, "/jobs", values)
+
+
 async def test_the_same_submission_again_is_one_job_even_after_it_ended():
     world = Operated()
     values = SMALL | {"job_id": "j"}
