Count the windows of the spares' pool in plans

Cause: a plan let spares and swapped hosts be maintained at once, whatever the windows of the spares' pool, while the duty keeps to them. Three pools of 12, one down, six spares whose window opens 73 minutes after the start: 6,797 s carried out where 3,845 s were planned, 1.77. A pool whose windows hold no maintenance was still planned as a source.

Ruled out: the duty, which has the windows from the entry at each begin.

After: the plan counts the wait, for the spares and for each swapped host, so that weights see it; the same wave is within the tenth the test asks for. Where no window is long enough no spares are planned. Both tests failed on the old code.

Conclusion: plans hold with windows of the spares' pool too. A plan takes the wait at the close of a window as it comes; it does not look for a better time to swap.

--- a/rhubarbmount/pool_plan.py
+++ b/rhubarbmount/pool_plan.py
@@ -1,6 +1,7 @@
 """How a maintenance wave runs through one pool."""
 
 import heapq
+import math
 from collections import Counter
 
 import attrs
@@ -8,7 +9,7 @@
 from rhubarbmount.entries import Pool
 from rhubarbmount.maintenance import choose, next_start_s
 
-__all__ = ["PlannedHost", "PoolPlan", "PoolRun", "WaveSettings"]
+__all__ = ["PlannedHost", "PoolPlan", "PoolRun", "WaveSettings", "maintained_s"]
 
 
 @attrs.frozen(kw_only=True)
@@ -36,11 +37,6 @@
         """Return the time from a spare's choice until it serves in another pool."""
         return self.drain_s + self.warm_s
 
-    @property
-    def away_s(self) -> float:
-        """Return the time from a swapped host's choice until it is maintained."""
-        return self.arrival_s + self.host_s
-
 
 @attrs.frozen
 class PlannedHost:
@@ -71,19 +67,27 @@
         return 2 * self.swapped
 
 
+def maintained_s(pool: Pool | None, now_s: float, settings: WaveSettings) -> float:
+    """Return when a host that awaits its maintenance in a pool is back in service."""
+    opens_s = next_start_s(pool, now_s, settings.host_s) if pool else now_s
+    return math.inf if opens_s is None else opens_s + settings.host_s
+
+
 @attrs.define
 class PoolRun:
     """A wave played through one pool, from event to event.
 
     A host maintained in its pool holds its slot for its whole turn, one that is
-    swapped only until it has moved out. ``running`` holds the time at which each slot
-    in use is free, and its rack; ``spare_ready_s`` when each spare serves here.
+    swapped only until it has moved out, to be maintained within the windows of the
+    ``spares_pool``. ``running`` holds the time at which each slot in use is free, and
+    its rack; ``spare_ready_s`` when each spare serves here.
     """
 
     pool: Pool
     waiting: dict[str, list[str]]
     settings: WaveSettings
     slots: int
+    spares_pool: Pool | None = None
     left: int = attrs.field(init=False)
     swapped: int = 0
     spares_at_once: int = 0
@@ -146,7 +150,8 @@
         )
 
     def _swap(self, count: int, now_s: float) -> list[float]:
-        done_s = now_s + self.settings.away_s
+        arrived_s = now_s + self.settings.arrival_s
+        done_s = maintained_s(self.spares_pool, arrived_s, self.settings)
         taken = self._take(count, now_s, self.settings.drain_s, done_s)
         for _ in range(taken):
             self.spare_ready_s.remove(min(self.spare_ready_s))
--- a/rhubarbmount/wave_plan.py
+++ b/rhubarbmount/wave_plan.py
@@ -1,5 +1,6 @@
 """Plans of maintenance waves, weighed by time, buffer hosts and moves."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
@@ -9,7 +10,7 @@
 from rhubarbmount.errors import Finding
 from rhubarbmount.hosts import Host
 from rhubarbmount.maintenance import HOUR_S
-from rhubarbmount.pool_plan import PoolPlan, WaveSettings
+from rhubarbmount.pool_plan import PoolPlan, WaveSettings, maintained_s
 from rhubarbmount.wave_play import play_wave
 
 __all__ = ["SparesOffer", "WavePlan", "hosts_by_pool", "plan_with_spares", "plan_wave"]
@@ -91,12 +92,18 @@
     hosts = hosts_by_pool(due)
     wanted = sorted((pool for pool in pools if pool.name in hosts), key=_name)
     waiting = sum(map(len, hosts.values()))
-    most = min(spares.usable, waiting) if spares else 0
+    source = spares.pool if spares else None
+    usable = spares.usable if spares else 0
+    if maintained_s(source, start_s, settings) == math.inf:
+        usable = 0
+    most = min(usable, waiting)
     plan_by_spares: dict[int, WavePlan] = {}
 
     def cost(count: int) -> float:
         if count not in plan_by_spares:
-            plan = plan_with_spares(wanted, hosts, start_s, settings, spares=count)
+            plan = plan_with_spares(
+                wanted, hosts, start_s, settings, spares=count, spares_pool=source
+            )
             plan_by_spares[count] = plan
         return plan_by_spares[count].cost(settings)
 
@@ -126,9 +133,12 @@
     settings: WaveSettings,
     slots: int | None = None,
     spares: int = 0,
+    spares_pool: Pool | None = None,
 ) -> WavePlan:
     """Plan a wave with this many spares; what can never be done is a finding."""
-    by_pool, never = play_wave(pools, hosts, start_s, settings, spares, slots)
+    by_pool, never = play_wave(
+        pools, hosts, start_s, settings, spares, slots, spares_pool
+    )
     message = "no budget or no window long enough for one host"
     findings = [Finding(f"pool/{name}", "never-possible", message) for name in never]
     return WavePlan(start_s, by_pool, tuple(findings), spares)
--- a/rhubarbmount/wave_play.py
+++ b/rhubarbmount/wave_play.py
@@ -8,7 +8,7 @@
 from rhubarbmount.entries import Pool
 from rhubarbmount.hosts import Host
 from rhubarbmount.maintenance import by_rack
-from rhubarbmount.pool_plan import PoolPlan, PoolRun, WaveSettings
+from rhubarbmount.pool_plan import PoolPlan, PoolRun, WaveSettings, maintained_s
 
 __all__ = ["play_wave"]
 
@@ -74,10 +74,12 @@
     settings: WaveSettings,
     spares: int = 0,
     slots: int | None = None,
+    spares_pool: Pool | None = None,
 ) -> tuple[dict[str, PoolPlan], list[str]]:
     """Return the plans of pools, and the names of those that can't be finished.
 
-    ``slots`` replaces the pools' limits of hosts down.
+    ``slots`` replaces the pools' limits of hosts down. The spares, and hosts swapped
+    for them, are maintained within the windows of the ``spares_pool``.
     """
     runs = [
         PoolRun(
@@ -85,9 +87,11 @@
             waiting=by_rack(hosts[pool.name]),
             settings=settings,
             slots=pool.hosts_down_limit if slots is None else slots,
+            spares_pool=spares_pool,
         )
         for pool in pools
     ]
-    _WaveRun(runs, settings, [start_s + settings.host_s] * spares).play(start_s)
+    spare_s = maintained_s(spares_pool, start_s, settings)
+    _WaveRun(runs, settings, [spare_s] * spares).play(start_s)
     done = {run.pool.name: run.plan(start_s) for run in runs if not run.left}
     return done, [run.pool.name for run in runs if run.left]
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -199,7 +199,7 @@
     assert sorted(turn.host_id for turn in turns) == sorted(h.host_id for h in due)
     assert plan.roll_out_s <= in_place.roll_out_s
     assert plan.roll_out_s >= lower_bound_s(pools, due, 0.0, wave, with_spares=True)
-    swapped = [turn for turn in turns if turn.end_s - turn.start_s == wave.away_s]
+    swapped = [turn for turn in turns if is_swapped(turn, wave)]
     for turn in swapped:
         away = [t for t in swapped if t.start_s <= turn.start_s < t.end_s]
         assert len(away) <= plan.buffer_hosts <= spares
@@ -210,13 +210,28 @@
             assert len({t.rack for t in down}) <= racks_down_limit
 
 
+def test_spares_that_no_window_lets_be_maintained_are_not_planned():
+    buffer = make_pool("buffer", hosts_wanted=0, hosts_down_limit=3, racks_down_limit=3)
+    buffer = attrs.evolve(buffer, window_start_hour=1, window_end_hour=2)
+    offer = SparesOffer(buffer, serving=3, members=3)
+    hosts = [make_host(n) for n in range(6)]
+    slow = WaveSettings(reboot_s=7200, hour_weight=1000, buffer_weight=0)
+    plan = plan_wave([make_pool(hosts_wanted=6)], hosts, 0.0, slow, offer)
+    assert plan.moves == 0
+    assert len(plan.by_pool["quotes"].hosts) == 6
+
+
 def is_down(turn, now_s, wave):
     """Tell whether a host takes a slot of its pool, which a swapped one soon frees."""
-    is_swapped = turn.end_s - turn.start_s == wave.away_s
-    end_s = turn.start_s + wave.drain_s if is_swapped else turn.end_s
+    end_s = turn.start_s + wave.drain_s if is_swapped(turn, wave) else turn.end_s
     return turn.start_s <= now_s < end_s
 
 
+def is_swapped(turn, wave):
+    """Tell whether a host leaves for the spares' pool, to be maintained there."""
+    return turn.end_s - turn.start_s == wave.arrival_s + wave.host_s
+
+
 @pytest.mark.parametrize(
     ("user", "takes_spares"), [("collective", True), ("workshop", False)]
 )
--- a/tests/test_swaps.py
+++ b/tests/test_swaps.py
@@ -117,6 +117,21 @@
     assert run.breaks == 0
 
 
+def test_a_plan_counts_the_window_of_the_spares_pool():
+    fleet = make_fleet("small pools", 3, 12, 3, (1, 1), 0, seed=1)
+    buffer, more = buffer_of(6)
+    buffer = attrs.evolve(buffer, window_start_hour=15, window_end_hour=13)
+    run = Run([*fleet.pools, buffer], [*fleet.hosts, *more], round_s=1.4)
+    offer = SparesOffer(buffer, serving=6, members=6)
+    weights = {"hour_weight": 1000, "buffer_weight": 0.01, "move_weight": 0}
+    settings = attrs.evolve(LARGE_WAVE, **weights)
+    plan = plan_wave(fleet.pools, fleet.hosts, run.now_s, settings, offer)
+    length_s, _ = trio.run(run.carry_out, "buffer", plan.spares_by_pool)
+    assert plan.moves > 0
+    assert length_s <= 1.1 * plan.roll_out_s
+    assert run.moves <= 1.1 * plan.moves
+
+
 def test_one_spare_shortens_a_wave():
     in_place, _ = run_swap_wave({})
     swapped, moves = run_swap_wave({"quotes": 1})
