Move no host for spares that shorten no wave

Cause: a plan swapped hosts wherever a spare saved a turn of a pool, though the wave ends with its last pool. With 1 and 2 spares for the collective's five pools it planned 4 and 8 moves and the same 3,990 s as in place; so did the workshop's with 1, 8 moves. Spares that an operator named were started as they were.

Ruled out: a rule in the duty, which sees one pool at a time and can't tell that the others end later.

Change: a plan finds the pools that would end after it in place, gives spares to these alone, and repeats while that helps; with none left it is the plan in place. Spares named by an operator are limits by pool in such a plan, within the windows of their pool, and the answer says what the wave takes.

Conclusion: moves are the plan's, and the plan has none that save no time for the whole wave. Pools that need some spares to be in time may still get more than they need.

--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -27,7 +27,13 @@
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
-from rhubarbmount.wave_plan import SparesOffer, WavePlan, plan_wave
+from rhubarbmount.wave_plan import (
+    SparesOffer,
+    WavePlan,
+    hosts_by_pool,
+    plan_wave,
+    plan_with_spares,
+)
 from rhubarbmount.waves import Control, Wave, WaveOperator, read_waves
 
 __all__ = ["FleetApi"]
@@ -105,18 +111,21 @@
     async def _start_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
         pools = self._pools(call, operator)
-        spares = _spares(call, pools)
-        spares_at_once = 0
-        if spares is None:
+        named = _spares(call, pools)
+        spares, spares_at_once = named, 0
+        if named is None:
             plan = self._plan(pools, operator)
             spares, spares_at_once = plan.spares_by_pool, plan.buffer_hosts
         if spares:
             self._check_owner(operator, self.spares_pool)
+        if named:
+            spares = self._useful(pools, named)
         wave_id = await self.waves.start(
             pools, self.spares_pool, spares, operator.owners, spares_at_once
         )
         self._record_wave(pools, "wave-started", wave_id, operator)
-        return json_response({"result": "started", "wave": wave_id}, 202)
+        answer = {"result": "started", "wave": wave_id, "spares_by_pool": spares}
+        return json_response(answer, 202)
 
     async def _plan_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
@@ -147,6 +156,23 @@
         self.counters.add_plan(time.perf_counter() - start_s)
         return plan
 
+    def _useful(self, names: list[str], spares: dict[str, int]) -> dict[str, int]:
+        """Return the spares, at most those named, with which the wave is shorter."""
+        pool_by_name = self._pool_by_name()
+        pools = [pool_by_name[name] for name in names if name != self.spares_pool]
+        due = [host for host in self.fleet.hosts_by_id.values() if host.pool in names]
+        hosts = hosts_by_pool(due)
+        plan = plan_with_spares(
+            [pool for pool in pools if pool.name in hosts],
+            hosts,
+            time.time(),
+            self.settings,
+            spares=sum(spares.values()),
+            spares_pool=pool_by_name.get(self.spares_pool),
+            limit_by_pool=spares,
+        )
+        return {name: spares[name] for name in plan.spares_by_pool}
+
     async def _control_wave(self, call: Call) -> HttpResponse:
         operator = self.identify(call)
         try:
--- a/rhubarbmount/pool_plan.py
+++ b/rhubarbmount/pool_plan.py
@@ -3,13 +3,14 @@
 import heapq
 import math
 from collections import Counter
+from collections.abc import Mapping
 
 import attrs
 
 from rhubarbmount.entries import Pool
 from rhubarbmount.maintenance import choose, next_start_s
 
-__all__ = ["PlannedHost", "PoolPlan", "PoolRun", "WaveSettings", "maintained_s"]
+__all__ = ["PlannedHost", "PoolPlan", "PoolRun", "SharedSpares", "WaveSettings"]
 
 
 @attrs.frozen(kw_only=True)
@@ -67,10 +68,29 @@
         return 2 * self.swapped
 
 
-def maintained_s(pool: Pool | None, now_s: float, settings: WaveSettings) -> float:
-    """Return when a host that awaits its maintenance in a pool is back in service."""
-    opens_s = next_start_s(pool, now_s, settings.host_s) if pool else now_s
-    return math.inf if opens_s is None else opens_s + settings.host_s
+@attrs.frozen
+class SharedSpares:
+    """Spares that the pools of a wave share, from a pool with windows of its own.
+
+    Only the pools in ``limit_by_pool`` take any, that many at once; None limits none.
+    """
+
+    count: int = 0
+    source: Pool | None = None
+    limit_by_pool: Mapping[str, int] | None = None
+
+    def limit(self, pool: str) -> int:
+        """Return how many spares a pool may have at once."""
+        if self.limit_by_pool is None:
+            return self.count
+        return self.limit_by_pool.get(pool, 0)
+
+    def maintained_s(self, now_s: float, settings: WaveSettings) -> float:
+        """Return when a host that arrives in the spares' pool is maintained there."""
+        opens_s: float | None = now_s
+        if self.source is not None:
+            opens_s = next_start_s(self.source, now_s, settings.host_s)
+        return math.inf if opens_s is None else opens_s + settings.host_s
 
 
 @attrs.define
@@ -78,16 +98,15 @@
     """A wave played through one pool, from event to event.
 
     A host maintained in its pool holds its slot for its whole turn, one that is
-    swapped only until it has moved out, to be maintained within the windows of the
-    ``spares_pool``. ``running`` holds the time at which each slot in use is free, and
-    its rack; ``spare_ready_s`` when each spare serves here.
+    swapped only until it has moved out. ``running`` holds the time at which each slot
+    in use is free, and its rack; ``spare_ready_s`` when each spare serves here.
     """
 
     pool: Pool
     waiting: dict[str, list[str]]
     settings: WaveSettings
     slots: int
-    spares_pool: Pool | None = None
+    spares: SharedSpares = attrs.field(factory=SharedSpares)
     left: int = attrs.field(init=False)
     swapped: int = 0
     spares_at_once: int = 0
@@ -102,7 +121,10 @@
     @property
     def turns_to_spare(self) -> float:
         """Return how many turns a spare could still save; 0 if it would save none."""
-        hosts = self.left - len(self.spare_ready_s) - self.slots
+        here = len(self.spare_ready_s)
+        if here >= self.spares.limit(self.pool.name):
+            return 0.0
+        hosts = self.left - here - self.slots
         return max(0.0, hosts / self.slots) if self.slots else 0.0
 
     def bring_spare(self, ready_s: float) -> None:
@@ -151,7 +173,7 @@
 
     def _swap(self, count: int, now_s: float) -> list[float]:
         arrived_s = now_s + self.settings.arrival_s
-        done_s = maintained_s(self.spares_pool, arrived_s, self.settings)
+        done_s = self.spares.maintained_s(arrived_s, self.settings)
         taken = self._take(count, now_s, self.settings.drain_s, done_s)
         for _ in range(taken):
             self.spare_ready_s.remove(min(self.spare_ready_s))
--- a/rhubarbmount/wave_plan.py
+++ b/rhubarbmount/wave_plan.py
@@ -10,7 +10,7 @@
 from rhubarbmount.errors import Finding
 from rhubarbmount.hosts import Host
 from rhubarbmount.maintenance import HOUR_S
-from rhubarbmount.pool_plan import PoolPlan, WaveSettings, maintained_s
+from rhubarbmount.pool_plan import PoolPlan, SharedSpares, WaveSettings
 from rhubarbmount.wave_play import play_wave
 
 __all__ = ["SparesOffer", "WavePlan", "hosts_by_pool", "plan_with_spares", "plan_wave"]
@@ -93,18 +93,15 @@
     wanted = sorted((pool for pool in pools if pool.name in hosts), key=_name)
     waiting = sum(map(len, hosts.values()))
     source = spares.pool if spares else None
-    usable = spares.usable if spares else 0
-    if maintained_s(source, start_s, settings) == math.inf:
-        usable = 0
-    most = min(usable, waiting)
+    planner = _Planner(wanted, hosts, start_s, settings, SharedSpares(source=source))
+    most = min(spares.usable, waiting) if spares else 0
+    if not planner.has_window:
+        most = 0
     plan_by_spares: dict[int, WavePlan] = {}
 
     def cost(count: int) -> float:
         if count not in plan_by_spares:
-            plan = plan_with_spares(
-                wanted, hosts, start_s, settings, spares=count, spares_pool=source
-            )
-            plan_by_spares[count] = plan
+            plan_by_spares[count] = planner.plan(count)
         return plan_by_spares[count].cost(settings)
 
     if most * waiting <= MAX_EXHAUSTIVE_TURNS:
@@ -118,6 +115,71 @@
     return plan_by_spares[best]
 
 
+@attrs.define
+class _Planner:
+    """Plans of one wave with different numbers of spares."""
+
+    pools: list[Pool]
+    hosts: Mapping[str, list[Host]]
+    start_s: float
+    settings: WaveSettings
+    spares: SharedSpares
+    slots: int | None = None
+    _in_place: WavePlan | None = None
+
+    @property
+    def has_window(self) -> bool:
+        """Tell whether spares can ever be maintained in their pool."""
+        return self.spares.maintained_s(self.start_s, self.settings) < math.inf
+
+    def plan(self, count: int) -> WavePlan:
+        """Plan with this many spares, for the pools that need them to end in time.
+
+        Pools that end as early in place take none.
+        """
+        limit_by_pool = self.spares.limit_by_pool
+        plan = self._play(count, limit_by_pool) if count else self.in_place
+        while plan.moves:
+            late = self._late_in_place(plan)
+            if plan.spares_by_pool.keys() <= late:
+                return plan
+            if not late:
+                return self.in_place
+            tighter = self._play(count, self._limits(late, count))
+            if tighter.roll_out_s > plan.roll_out_s:
+                return plan
+            plan = tighter
+        return plan
+
+    def _limits(self, pools: Iterable[str], count: int) -> dict[str, int]:
+        limits = attrs.evolve(self.spares, count=count)
+        return {name: limits.limit(name) for name in pools}
+
+    @property
+    def in_place(self) -> WavePlan:
+        """Return the plan without spares."""
+        if self._in_place is None:
+            self._in_place = self._play(0, None)
+        return self._in_place
+
+    def _late_in_place(self, plan: WavePlan) -> set[str]:
+        """Return the pools that would end after the plan if they took no spares."""
+        end_s = plan.start_s + plan.roll_out_s
+        by_pool = self.in_place.by_pool
+        return {name for name, pool in by_pool.items() if pool.finish_s > end_s}
+
+    def _play(self, count: int, limit_by_pool: Mapping[str, int] | None) -> WavePlan:
+        spares = attrs.evolve(self.spares, count=count, limit_by_pool=limit_by_pool)
+        by_pool, never = play_wave(
+            self.pools, self.hosts, self.start_s, self.settings, spares, self.slots
+        )
+        message = "no budget or no window long enough for one host"
+        findings = [
+            Finding(f"pool/{name}", "never-possible", message) for name in never
+        ]
+        return WavePlan(self.start_s, by_pool, tuple(findings), count)
+
+
 def _first_counts(most: int) -> list[int]:
     """Return the numbers of spares to look at first: small ones, then each twice."""
     counts = list(range(min(most, SMALL_SPARES) + 1))
@@ -134,14 +196,15 @@
     slots: int | None = None,
     spares: int = 0,
     spares_pool: Pool | None = None,
+    limit_by_pool: Mapping[str, int] | None = None,
 ) -> WavePlan:
-    """Plan a wave with this many spares; what can never be done is a finding."""
-    by_pool, never = play_wave(
-        pools, hosts, start_s, settings, spares, slots, spares_pool
-    )
-    message = "no budget or no window long enough for one host"
-    findings = [Finding(f"pool/{name}", "never-possible", message) for name in never]
-    return WavePlan(start_s, by_pool, tuple(findings), spares)
+    """Plan a wave with this many spares, if they shorten it.
+
+    What can never be done is a finding.
+    """
+    shared = SharedSpares(source=spares_pool, limit_by_pool=limit_by_pool)
+    planner = _Planner(list(pools), hosts, start_s, settings, shared, slots)
+    return planner.plan(spares)
 
 
 def _name(pool: Pool) -> str:
--- a/rhubarbmount/wave_play.py
+++ b/rhubarbmount/wave_play.py
@@ -8,7 +8,7 @@
 from rhubarbmount.entries import Pool
 from rhubarbmount.hosts import Host
 from rhubarbmount.maintenance import by_rack
-from rhubarbmount.pool_plan import PoolPlan, PoolRun, WaveSettings, maintained_s
+from rhubarbmount.pool_plan import PoolPlan, PoolRun, SharedSpares, WaveSettings
 
 __all__ = ["play_wave"]
 
@@ -72,14 +72,12 @@
     hosts: Mapping[str, list[Host]],
     start_s: float,
     settings: WaveSettings,
-    spares: int = 0,
+    spares: SharedSpares,
     slots: int | None = None,
-    spares_pool: Pool | None = None,
 ) -> tuple[dict[str, PoolPlan], list[str]]:
     """Return the plans of pools, and the names of those that can't be finished.
 
-    ``slots`` replaces the pools' limits of hosts down. The spares, and hosts swapped
-    for them, are maintained within the windows of the ``spares_pool``.
+    ``slots`` replaces the pools' limits of hosts down.
     """
     runs = [
         PoolRun(
@@ -87,11 +85,11 @@
             waiting=by_rack(hosts[pool.name]),
             settings=settings,
             slots=pool.hosts_down_limit if slots is None else slots,
-            spares_pool=spares_pool,
+            spares=spares,
         )
         for pool in pools
     ]
-    spare_s = maintained_s(spares_pool, start_s, settings)
-    _WaveRun(runs, settings, [spare_s] * spares).play(start_s)
+    free_s = [spares.maintained_s(start_s, settings)] * spares.count
+    _WaveRun(runs, settings, free_s).play(start_s)
     done = {run.pool.name: run.plan(start_s) for run in runs if not run.left}
     return done, [run.pool.name for run in runs if run.left]
--- a/tests/test_fleet_operators.py
+++ b/tests/test_fleet_operators.py
@@ -123,6 +123,22 @@
     assert body["waves"][0]["pools"] == ["buffer", "quotes"]
 
 
+async def test_spares_named_by_hand_are_taken_only_if_they_shorten_the_wave(
+    make_console,
+):
+    console = await make_console()
+    both = {"pools": ["parts", "quotes"], "spares_by_pool": {"parts": 1}}
+    status, body = await console.ask("POST", "/waves", both)
+    assert (status, body["spares_by_pool"]) == (202, {})
+    await console.ask(
+        "POST", f"/waves/{body['wave']}/control", {"control": "cancelled"}
+    )
+    other = await make_console()
+    one = {"pools": ["quotes"], "spares_by_pool": {"quotes": 2}}
+    status, body = await other.ask("POST", "/waves", one)
+    assert (status, body["spares_by_pool"]) == (202, {"quotes": 2})
+
+
 def told(console, kind, subject_id):
     decisions = console.api.recorder.memory.explain(kind, subject_id).decisions
     return [(decision.code, decision.reason) for decision in decisions]
