Replace a host that is not back from maintenance while there is a spare

Cause: since a host that does not come back from its maintenance is rebooted once more in any case.

Change: the host is replaced as before if there is a spare, and rebooted once more only if there is none; if that fails too it is kept, as before.

--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -146,20 +146,25 @@
         await self.view.refresh()
 
     async def _repair(self, row: HostRow, live: list[LiveHost], lease: Lease) -> None:
-        """Begin the reboot or the replacement of a quarantined host."""
+        """Begin the reboot or the replacement of a quarantined host.
+
+        One that no repair has rebooted is rebooted while there is no spare.
+        """
         host = row.host
         rows = await self._allowed(host, live, lease.clock())
         if rows is None:
             return
-        stays_bad = host.cause in (REPLACE_CAUSE, REBOOT_FAILED_CAUSE)
-        action = "replace" if stays_bad else "reboot"
-        bad = Begun(row, _intent(lease, action, host.host_id))
-        terms, changes = begin_changes(rows, [bad], self.wall_clock())
+        action = "reboot" if host.cause == REBOOT_CAUSE else "replace"
+        spare = None
         if action == "replace" and self._is_needed(host, rows):
             spare = await self._spare(host.pool, live)
-            if spare is None:
+            if spare is None and host.cause in (REPLACE_CAUSE, REBOOT_FAILED_CAUSE):
                 self._hold(host, "no-spare", lease.clock())
                 return
+            action = "replace" if spare else "reboot"
+        bad = Begun(row, _intent(lease, action, host.host_id))
+        terms, changes = begin_changes(rows, [bad], self.wall_clock())
+        if spare is not None:
             spare_rows, spare_row = spare
             move = _intent(lease, "move", spare_row.host.host_id, rows)
             more, moved = begin_changes(
