Hold waves with spares against a bound for their number of spares

The new one counts each spare's cycle and the slot time its swaps save; it is the stricter one, and the other is kept within it. A hypothesis test holds plans with limits by pool above it.

--- a/rhubarbmount/wave_bounds.py
+++ b/rhubarbmount/wave_bounds.py
@@ -9,7 +9,7 @@
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.wave_plan import WavePlan, hosts_by_pool, plan_with_spares
 
-__all__ = ["lower_bound_s", "plan_one_at_a_time"]
+__all__ = ["lower_bound_s", "plan_one_at_a_time", "spares_bound_s"]
 
 
 def plan_one_at_a_time(
@@ -49,6 +49,27 @@
     return longest_s
 
 
+def spares_bound_s(
+    pools: Iterable[Pool],
+    due: Iterable[Host],
+    start_s: float,
+    settings: WaveSettings,
+    spares: int,
+) -> float:
+    """Return the least time with this many spares, however the pools share them.
+
+    A spare is maintained first. Each swap keeps it for an arrival, and its host for a
+    drain, a warm-up and a turn; it saves a slot the rest of a turn.
+    """
+    pools, due = list(pools), list(due)
+    least_s = lower_bound_s(pools, due, start_s, settings, with_spares=True)
+    slots = sum(pool.hosts_down_limit for pool in pools)
+    cycle_s = 2 * settings.arrival_s + settings.host_s
+    saved = spares * (settings.host_s - settings.drain_s) / cycle_s
+    turns = len(due) + saved
+    return max(least_s, settings.host_s * turns / (slots + saved))
+
+
 def _rounds(pool: Pool, due: Iterable[Host]) -> int:
     """Return how many turns, one after another, the pool needs at least."""
     sizes = [len(host_ids) for host_ids in by_rack(due).values()]
--- a/tests/test_wave_plan.py
+++ b/tests/test_wave_plan.py
@@ -8,6 +8,7 @@
 
 from bench.wave_run import WAVE, Run, buffer_of
 from bench.waves import make_fleet
+from rhubarbmount.wave_bounds import spares_bound_s
 from rhubarbmount.wave_plan import (
     SparesOffer,
     hosts_by_pool,
@@ -79,6 +80,7 @@
         pools, hosts, 0.0, WAVE, spares=count, limit_by_pool=limit_by_pool
     )
     assert sum(len(pool.hosts) for pool in plan.by_pool.values()) == len(due)
+    assert plan.roll_out_s >= spares_bound_s(pools, due, 0.0, WAVE, count)
     for name, most in plan.spares_by_pool.items():
         assert most <= limit_by_pool[name]
     assert not plan.moves or plan.roll_out_s < in_place.roll_out_s
