--- a/rhubarbmount/wave_play.py
+++ b/rhubarbmount/wave_play.py
@@ -8,7 +8,7 @@
 from rhubarbmount.entries import Pool
 from rhubarbmount.hosts import Host
 from rhubarbmount.maintenance import by_rack
-from rhubarbmount.pool_plan import PoolPlan, PoolRun, WaveSettings
+from rhubarbmount.pool_plan import PoolPlan, PoolRun, SharedSpares, WaveSettings
 
 __all__ = ["play_wave"]
 
@@ -72,7 +72,7 @@
     hosts: Mapping[str, list[Host]],
     start_s: float,
     settings: WaveSettings,
-    spares: int = 0,
+    spares: SharedSpares,
     slots: int | None = None,
 ) -> tuple[dict[str, PoolPlan], list[str]]:
     """Return the plans of pools, and the names of those that can't be finished.
@@ -85,9 +85,11 @@
             waiting=by_rack(hosts[pool.name]),
             settings=settings,
             slots=pool.hosts_down_limit if slots is None else slots,
+            spares=spares,
         )
         for pool in pools
     ]
-    _WaveRun(runs, settings, [start_s + settings.host_s] * spares).play(start_s)
+    free_s = [spares.maintained_s(start_s, settings)] * spares.count
+    _WaveRun(runs, settings, free_s).play(start_s)
     done = {run.pool.name: run.plan(start_s) for run in runs if not run.left}
     return done, [run.pool.name for run in runs if run.left]
