Keep the deadlines of attempts by one task in place of a scope each

One task holds the deadlines of the exchanges under way. At a deadline it wakes the exchange that waits for its backend server (trio.lowlevel.notify_closing), and again each 10 ms until the exchange has ended, as it may be between two waits. The connection counts as broken and is closed. Connecting has its own scope, which now ends at the deadline too. What is told is the same: unknown once a byte may have left, else not-run.

Ruled out: trio's own deadline on a scope of the caller's connection, since its end would take the handler along that has to answer; a heap of deadlines, which holds a request's timeout of past ones, some 30,000 at 1,000 a second.

test_deadlines.py and test_attempts.py fail when the task is not told of an earlier deadline (6 tests), when nothing is woken (3), when it is woken once (1), when ended ones stay (2) and when a late connection is not told from a refused one (1). The stand-in connections of test_forward.py now keep the deadline that they are given, which attempt did before; the real ones are held to it in test_attempts.py.

--- a/rhubarbmount/attempts.py
+++ b/rhubarbmount/attempts.py
@@ -90,22 +90,25 @@
     if trio.current_time() >= deadline_s:
         return _timed_out(AttemptFacts(Ending.CANCELLED, bytes_left=False))
     progress = Progress()
-    response = None
     try:
-        with trio.CancelScope(deadline=deadline_s):
-            response = await connections.exchange(address, request, progress)
-    except NotSent as error:
-        facts = AttemptFacts(Ending.NOT_CONNECTED, bytes_left=False)
-        return Attempt(facts, None, error.code, error.message)
-    except AnswerLost as error:
-        lost = error.code == AnswerLost.code
-        ending = Ending.CONNECTION_LOST if lost else Ending.BROKEN_ANSWER
-        return Attempt(AttemptFacts(ending), None, error.code, error.message)
-    if response is None:
-        return _timed_out(AttemptFacts(Ending.TIMED_OUT, progress.bytes_left))
+        response = await connections.exchange(address, request, progress, deadline_s)
+    except (NotSent, AnswerLost) as error:
+        return _failed(error, progress)
     return _answered(response)
 
 
+def _failed(error: NotSent | AnswerLost, progress: Progress) -> Attempt:
+    if error.code == "timeout":
+        return _timed_out(AttemptFacts(Ending.TIMED_OUT, progress.bytes_left))
+    if isinstance(error, NotSent):
+        facts = AttemptFacts(Ending.NOT_CONNECTED, bytes_left=False)
+    elif error.code == AnswerLost.code:
+        facts = AttemptFacts(Ending.CONNECTION_LOST)
+    else:
+        facts = AttemptFacts(Ending.BROKEN_ANSWER)
+    return Attempt(facts, None, error.code, error.message)
+
+
 def _timed_out(facts: AttemptFacts) -> Attempt:
     return Attempt(facts, None, "timeout", "no answer in time")
 
--- a/rhubarbmount/backends.py
+++ b/rhubarbmount/backends.py
@@ -6,12 +6,21 @@
 """
 
 import itertools
+import math
 import secrets
 from collections.abc import Collection
 
 import attrs
-
-from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, header_value
+import trio
+
+from rhubarbmount.deadlines import Deadlines
+from rhubarbmount.http import (
+    AnswerLost,
+    HttpRequest,
+    HttpResponse,
+    NotSent,
+    header_value,
+)
 from rhubarbmount.http_client import ClientConnection, ConnectionPool
 
 __all__ = ["ATTEMPT_HEADER", "GUARD_HEADER", "BackendConnections", "Progress"]
@@ -37,21 +46,34 @@
     _pool_by_address: dict[str, ConnectionPool] = attrs.field(factory=dict)
     _prefix: str = attrs.field(factory=lambda: secrets.token_hex(4))
     _numbers: itertools.count = attrs.field(factory=itertools.count)
+    _deadlines: Deadlines = attrs.field(factory=Deadlines)
+
+    async def run(self) -> None:
+        """Keep the deadlines of exchanges until cancelled."""
+        await self._deadlines.run()
 
     async def exchange(
-        self, address: str, request: HttpRequest, progress: Progress | None = None
+        self,
+        address: str,
+        request: HttpRequest,
+        progress: Progress | None = None,
+        deadline_s: float = math.inf,
     ) -> HttpResponse:
         """Send a request, which has no attempt id yet, over an idle or new connection.
 
-        Raises NotSent, or AnswerLost also for the answer to another request.
+        Raises NotSent, or AnswerLost also for the answer to another request; either
+        has the code ``timeout`` at the deadline, on trio's clock.
         """
         attempt = f"{self._prefix}-{next(self._numbers)}"
         mark = (ATTEMPT_HEADER, attempt.encode("ascii"))
-        connection = await self._pool(address).take()
+        connection = await self._pool(address).take(deadline_s)
         try:
+            if trio.current_time() >= deadline_s:
+                raise NotSent("no connection in time", code="timeout")
             if progress is not None:
                 progress.bytes_left = True
-            answer = await connection.exchange(request, [mark])
+            with self._deadlines.at(deadline_s, connection):
+                answer = await connection.exchange(request, [mark])
             _check_echo(connection, answer, attempt)
         finally:
             await self._pool(address).put_back(connection)
--- /dev/null
+++ b/rhubarbmount/deadlines.py
@@ -0,0 +1,85 @@
+"""Deadlines of what waits for a peer, kept by one task in place of a scope each."""
+
+import math
+from types import TracebackType
+from typing import Protocol
+
+import attrs
+import trio
+
+__all__ = ["Deadline", "Deadlines", "Interruptible"]
+
+AGAIN_S = 0.01
+
+
+class Interruptible(Protocol):
+    """What may wait for a peer."""
+
+    def interrupt(self) -> None:
+        """End the wait that the task is in now, if it is in one."""
+
+
+@attrs.define(eq=False)
+class Deadlines:
+    """Interrupt what is not done by its deadline, again and again until it is.
+
+    Times are seconds on trio's clock. Nothing is interrupted while ``run`` isn't
+    running.
+    """
+
+    _waiting: dict["Deadline", float] = attrs.field(factory=dict)
+    _next_s: float = -math.inf
+    _sooner: trio.Event = attrs.field(factory=trio.Event)
+
+    def at(self, deadline_s: float, waiting: Interruptible) -> "Deadline":
+        """Return a block whose waits end at the deadline."""
+        return Deadline(self, deadline_s, waiting)
+
+    async def run(self) -> None:
+        """Interrupt what is due until cancelled."""
+        while True:
+            self._sooner = trio.Event()
+            self._next_s = self._interrupt_due(trio.current_time())
+            with trio.move_on_at(self._next_s):
+                await self._sooner.wait()
+
+    def add(self, deadline: "Deadline") -> None:
+        """Begin to watch."""
+        self._waiting[deadline] = deadline.deadline_s
+        if deadline.deadline_s < self._next_s:
+            self._next_s = deadline.deadline_s
+            self._sooner.set()
+
+    def remove(self, deadline: "Deadline") -> None:
+        """Watch no longer."""
+        del self._waiting[deadline]
+
+    def _interrupt_due(self, now_s: float) -> float:
+        next_s = math.inf
+        for deadline, deadline_s in self._waiting.items():
+            if deadline_s <= now_s:
+                deadline.waiting.interrupt()
+                deadline_s = now_s + AGAIN_S
+            next_s = min(next_s, deadline_s)
+        return next_s
+
+
+@attrs.define(eq=False)
+class Deadline:
+    """A block in which waits are interrupted from the deadline on."""
+
+    deadlines: Deadlines
+    deadline_s: float
+    waiting: Interruptible
+
+    def __enter__(self) -> "Deadline":
+        self.deadlines.add(self)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.deadlines.remove(self)
--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -83,6 +83,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._admit_waiting, timers)
             nursery.start_soon(self._sweep_connections, timers)
+            nursery.start_soon(self.connections.run)
 
     async def _admit_waiting(self, timers: TimerService) -> None:
         async for _tick in timers.every("admission", ADMISSION_PERIOD_S):
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -1,5 +1,6 @@
 """The client's side of HTTP/1.1 connections, with h11 over trio streams."""
 
+import math
 from collections import deque
 
 import attrs
@@ -48,11 +49,17 @@
         try:
             await self.stream.send_all(data)
             response = await self._receive()
+        except trio.ClosedResourceError:
+            raise AnswerLost("no answer in time", code="timeout") from None
         except (trio.BrokenResourceError, h11.RemoteProtocolError) as error:
             raise AnswerLost(f"the connection failed: {error}") from None
         self._finish_cycle()
         return response
 
+    def interrupt(self) -> None:
+        """Let an exchange that waits for the peer end with the code ``timeout``."""
+        trio.lowlevel.notify_closing(self.stream.socket)
+
     def is_quiet(self) -> bool:
         """Tell whether the idle connection is open with nothing left to read."""
         return self.reusable and not has_input(self.stream)
@@ -113,13 +120,19 @@
 
 
 async def connect(
-    address: str, port: int, timeout_s: float, body_bytes: int = 1048576
+    address: str,
+    port: int,
+    timeout_s: float,
+    body_bytes: int = 1048576,
+    deadline_s: float = math.inf,
 ) -> ClientConnection:
-    """Open a connection. Raises NotSent."""
+    """Open a connection. Raises NotSent, with the code ``timeout`` at the deadline."""
     try:
-        with trio.fail_after(timeout_s):
+        with trio.fail_at(min(trio.current_time() + timeout_s, deadline_s)):
             stream = await trio.open_tcp_stream(address, port)
     except (OSError, trio.TooSlowError) as error:
+        if trio.current_time() >= deadline_s:
+            raise NotSent("no connection in time", code="timeout") from None
         raise NotSent(f"can't connect to {address}:{port}: {error}") from None
     return ClientConnection(stream, body_bytes)
 
@@ -136,7 +149,7 @@
     body_bytes: int = 1048576
     idle: deque[ClientConnection] = attrs.field(factory=deque)
 
-    async def take(self) -> ClientConnection:
+    async def take(self, deadline_s: float = math.inf) -> ClientConnection:
         """Return a quiet idle connection, or else a new one. Raises NotSent."""
         while self.idle:
             connection = self.idle.pop()
@@ -144,7 +157,9 @@
                 return connection
             await connection.aclose()
         host, port = self.address.rsplit(":", 1)
-        return await connect(host, int(port), self.connect_timeout_s, self.body_bytes)
+        return await connect(
+            host, int(port), self.connect_timeout_s, self.body_bytes, deadline_s
+        )
 
     async def put_back(self, connection: ClientConnection) -> None:
         """Keep a reusable connection for the next request, and close any other."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,5 +1,8 @@
 """What is known of an attempt after it ended."""
 
+from contextlib import asynccontextmanager
+
+import pytest
 import trio
 
 from rhubarbmount.attempts import attempt
@@ -7,7 +10,7 @@
 from rhubarbmount.backends import BackendConnections
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.problem import Outcome
-from rhubarbmount.retries import classify
+from rhubarbmount.retries import Ending, classify
 from rhubarbmount.standins.backend import BackendStandin
 
 REQUEST = HttpRequest("GET", "/quotes/1", [(b"host", b"quotes")])
@@ -28,3 +31,81 @@
     assert late.result() is AttemptResult.CANCELLED
     await connections.aclose()
     nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def serving(answer):
+    """Run a backend server that answers with a function, and connections to it."""
+    async with trio.open_nursery() as nursery:
+        nursery.cancel_scope.deadline = trio.current_time() + 10.0
+        listeners = await nursery.start(trio.serve_tcp, answer, 0)
+        connections = BackendConnections()
+        nursery.start_soon(connections.run)
+        yield connections, f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+    assert trio.current_time() < nursery.cancel_scope.deadline
+
+
+async def never(stream):
+    async with stream:
+        await trio.sleep_forever()
+
+
+async def after_a_while(stream):
+    """Answer each request after 0.1 s; the one for /late after 0.4 s."""
+    async with stream:
+        while data := await stream.receive_some():
+            await trio.sleep(0.4 if b"/late" in data else 0.1)
+            mark = data.split(b"rhubarbmount-attempt: ")[1].split(b"\r\n")[0]
+            head = b"HTTP/1.1 200 OK\r\nrhubarbmount-attempt: " + mark
+            await stream.send_all(head + b"\r\ncontent-length: 2\r\n\r\nok")
+
+
+@pytest.mark.parametrize("size_bytes", [0, 1 << 24])
+async def test_an_attempt_ends_at_its_deadline_while_it_reads_or_sends(size_bytes):
+    request = HttpRequest("POST", "/quotes", REQUEST.headers, b"x" * size_bytes)
+    async with serving(never) as (connections, address):
+        begin_s = trio.current_time()
+        ended = await attempt(connections, address, request, begin_s + 0.2)
+        assert 0.2 <= trio.current_time() - begin_s < 1.0
+        assert (ended.code, ended.facts.ending) == ("timeout", Ending.TIMED_OUT)
+        assert classify(ended.facts) is Outcome.UNKNOWN
+        assert not connections.has_idle
+
+
+async def test_a_connection_that_takes_too_long_is_known_not_to_have_sent(monkeypatch):
+    async def open_slowly(address, port):
+        await trio.sleep(0.3)
+
+    async with serving(never) as (connections, address):
+        monkeypatch.setattr(trio, "open_tcp_stream", open_slowly)
+        ended = await attempt(connections, address, REQUEST, trio.current_time() + 0.1)
+        assert (ended.code, ended.facts.ending) == ("timeout", Ending.TIMED_OUT)
+        assert classify(ended.facts) is Outcome.NOT_RUN
+
+
+async def test_each_attempt_has_its_own_deadline_whatever_their_order():
+    lengths_s = [0.9, 0.3, 0.6, 0.15, 0.45]
+    ended_s = []
+
+    async def run(connections, address, length_s):
+        begin_s = trio.current_time()
+        await attempt(connections, address, REQUEST, begin_s + length_s)
+        ended_s.append(round(trio.current_time() - begin_s, 1))
+
+    async with serving(never) as (connections, address):
+        async with trio.open_nursery() as nursery:
+            for length_s in lengths_s:
+                await trio.sleep(0.001)
+                nursery.start_soon(run, connections, address, length_s)
+    assert ended_s == sorted(ended_s)
+    assert ended_s[-1] == 0.9
+
+
+async def test_the_deadline_of_an_ended_attempt_does_not_touch_the_next():
+    async with serving(after_a_while) as (connections, address):
+        now_s = trio.current_time()
+        first = await attempt(connections, address, REQUEST, now_s + 0.2)
+        late = HttpRequest("GET", "/late", REQUEST.headers)
+        second = await attempt(connections, address, late, now_s + 5.0)
+        assert [first.response.body, second.response.body] == [b"ok", b"ok"]
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,67 @@
+"""Deadlines kept by one task."""
+
+import pytest
+import trio
+
+from rhubarbmount.deadlines import Deadlines
+
+
+class Waiting:
+    """Goes on until it is interrupted while it waits."""
+
+    def __init__(self):
+        self.is_blocked = False
+        self.ended = trio.Event()
+
+    def interrupt(self):
+        if self.is_blocked:
+            self.ended.set()
+
+
+@pytest.fixture
+async def deadlines(nursery, autojump_clock):
+    deadlines = Deadlines()
+    nursery.start_soon(deadlines.run)
+    await trio.testing.wait_all_tasks_blocked()
+    return deadlines
+
+
+async def test_what_did_not_wait_at_its_deadline_is_interrupted_once_it_does(deadlines):
+    waiting = Waiting()
+    with trio.fail_after(10.0), deadlines.at(trio.current_time() + 1.0, waiting):
+        await trio.sleep(2.0)
+        assert not waiting.ended.is_set()
+        waiting.is_blocked = True
+        begin_s = trio.current_time()
+        await waiting.ended.wait()
+    assert trio.current_time() - begin_s <= 0.02
+
+
+@pytest.mark.parametrize("second_s", [0.5, 3.0])
+async def test_a_deadline_holds_beside_another(deadlines, second_s):
+    first, second = Waiting(), Waiting()
+    first.is_blocked = second.is_blocked = True
+    begin_s = trio.current_time()
+    with trio.fail_after(10.0), deadlines.at(begin_s + 1.0, first):
+        with deadlines.at(begin_s + second_s, second):
+            await second.ended.wait()
+            assert trio.current_time() - begin_s == pytest.approx(second_s, abs=0.02)
+        await first.ended.wait()
+
+
+async def test_what_is_done_in_time_is_left_alone(deadlines):
+    waiting = Waiting()
+    waiting.is_blocked = True
+    with deadlines.at(trio.current_time() + 1.0, waiting):
+        await trio.sleep(0.5)
+    await trio.sleep(5.0)
+    assert not waiting.ended.is_set()
+
+
+async def test_a_deadline_set_before_the_task_runs_holds(nursery, autojump_clock):
+    deadlines, waiting = Deadlines(), Waiting()
+    waiting.is_blocked = True
+    with trio.fail_after(10.0), deadlines.at(trio.current_time() + 1.0, waiting):
+        nursery.start_soon(deadlines.run)
+        await waiting.ended.wait()
+    assert trio.current_time() >= 1.0
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -29,10 +29,12 @@
         self.acts = list(acts)
         self.sent = []
 
-    async def exchange(self, address, request, progress):
+    async def exchange(self, address, request, progress, deadline_s):
         act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
         self.sent.append((address, request))
-        return await act(progress)
+        with trio.move_on_at(deadline_s):
+            return await act(progress)
+        raise (AnswerLost if progress.bytes_left else NotSent)("late", code="timeout")
 
 
 async def answer(progress):
