--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -83,6 +83,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(admit_waiting, self.policy.limiter, self.waiting)
             nursery.start_soon(self._sweep_connections, timers)
+            nursery.start_soon(self.connections.run)
 
     async def _sweep_connections(self, timers: TimerService) -> None:
         async for _tick in timers.every("connections", CONNECTIONS_PERIOD_S):
