--- /dev/null
+++ b/rhubarbmount/command_output.py
@@ -0,0 +1,58 @@
+"""Calls to an entry host for a command, and prints of what it answers."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+from urllib.parse import quote
+
+from rhubarbmount.operator_client import OperatorClient, format_table
+
+__all__ = ["call", "print_json", "quote_part", "show", "show_fields"]
+
+
+def quote_part(text: str) -> str:
+    """Return a name as one part of a path."""
+    return quote(text, safe="")
+
+
+def call(method: str, path: str, value: Any = None) -> Any:
+    """Return the answer of the entry host that the environment names.
+
+    Raises UsageError, FindingsError, RemoteError, NotSent or AnswerLost.
+    """
+    return OperatorClient.from_environment().call(method, path, value)
+
+
+def print_json(value: Any) -> int:
+    """Print an answer as JSON; return the exit code."""
+    print(json.dumps(value, indent=2))
+    return 0
+
+
+def show(
+    value: Any, rows: list[dict[str, Any]], columns: tuple[str, ...], as_json: bool
+) -> int:
+    """Print rows as a table, or the answer as JSON; return the exit code."""
+    if as_json:
+        return print_json(value)
+    print(format_table(rows, columns))
+    return 0
+
+
+def show_fields(value: Any, as_json: bool) -> int:
+    """Print an answer as a table of its fields, or as JSON; return the exit code."""
+    rows = [{"field": field, "value": held} for field, held in _fields(value)]
+    return show(value, rows, ("field", "value"), as_json)
+
+
+def _fields(value: dict[str, Any], prefix: str = "") -> Iterator[tuple[str, Any]]:
+    """Yield the fields of an answer, those of a mapping within it by dotted names.
+
+    >>> list(_fields({"key": "pool/a", "values": {"name": "a"}}))
+    [('key', 'pool/a'), ('values.name', 'a')]
+    """
+    for key, held in value.items():
+        if isinstance(held, dict):
+            yield from _fields(held, f"{prefix}{key}.")
+        else:
+            yield f"{prefix}{key}", held
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -14,39 +14,39 @@
 
 def commands() -> dict[str, Any]:
     """Return the commands by name; a nested mapping is a group."""
-    from rhubarbmount import operator_commands
+    from rhubarbmount import entry_commands, fleet_commands
 
     return {
         "serve": serve,
         "check": check,
         "entry": {
-            "list": operator_commands.entry_list,
-            "show": operator_commands.entry_show,
-            "history": operator_commands.entry_history,
-            "apply": operator_commands.entry_apply,
-            "remove": operator_commands.entry_remove,
+            "list": entry_commands.entry_list,
+            "show": entry_commands.entry_show,
+            "history": entry_commands.entry_history,
+            "apply": entry_commands.entry_apply,
+            "remove": entry_commands.entry_remove,
         },
-        "status": operator_commands.status,
-        "explain": operator_commands.explain,
+        "status": entry_commands.status,
+        "explain": entry_commands.explain,
         "hosts": {
-            "list": operator_commands.hosts_list,
-            "move": operator_commands.hosts_move,
-            "stay": operator_commands.hosts_stay,
+            "list": fleet_commands.hosts_list,
+            "move": fleet_commands.hosts_move,
+            "stay": fleet_commands.hosts_stay,
         },
         "jobs": {
-            "list": operator_commands.jobs_list,
-            "submit": operator_commands.jobs_submit,
-            "cancel": operator_commands.jobs_cancel,
-            "release": operator_commands.jobs_release,
+            "list": fleet_commands.jobs_list,
+            "submit": fleet_commands.jobs_submit,
+            "cancel": fleet_commands.jobs_cancel,
+            "release": fleet_commands.jobs_release,
         },
         "maintain": {
-            "plan": operator_commands.maintain_plan,
-            "start": operator_commands.maintain_start,
-            "list": operator_commands.maintain_list,
-            "control": operator_commands.maintain_control,
+            "plan": fleet_commands.maintain_plan,
+            "start": fleet_commands.maintain_start,
+            "list": fleet_commands.maintain_list,
+            "control": fleet_commands.maintain_control,
         },
         "demo": demo,
-        "token": operator_commands.token,
+        "token": entry_commands.token,
         "standin": {"platform": standin_platform, "backend": standin_backend},
         "keys": keys,
         "version": version,
