--- a/rhubarbmount/shared_rows.py
+++ b/rhubarbmount/shared_rows.py
@@ -26,7 +26,7 @@
 Values = Mapping[str, Any]
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, weakref_slot=False)
 class SharedRow:
     """What a row holds beyond the fields that this version knows, as plain values.
 
