Send no new work to hosts that only the platform's list calls leaving

RequestPolicy.set_leaving, which withholds work from such hosts, was called by tests alone: no part read the list for it. Of the host that the list alone called leaving, the scenario saw new work 5.06 s later, and 3 s are promised.

Each entry host now reads the list every 1.5 s; an unchanged list is not sent again. The last list holds for 30 s while the platform is silent. Weighed: a duty's holder that writes it into the rows (a gap of up to 15 s when it dies), and peers that tell each other (a further message); 70 nodes add 47 reads a second. While the list changes each node reads it whole.

The scenario failed before and passes after; test_idle_cost.py passes with the reads added. Stand-in: leaving_hosts shows hosts as leaving.

--- /dev/null
+++ b/rhubarbmount/leaving_list.py
@@ -0,0 +1,51 @@
+"""What the platform's lagging list says of hosts that are leaving."""
+
+from collections.abc import Callable, Collection
+
+import attrs
+import trio
+
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.interface import Platform
+from rhubarbmount.timers import TimerService
+
+__all__ = ["LeavingList"]
+
+POLL_PERIOD_S = 1.5
+HOLD_S = 30.0
+
+
+@attrs.define(eq=False)
+class LeavingList:
+    """Hand on the ids of the hosts that the list shows as leaving, when they change.
+
+    What was read last holds while the platform is silent, for ``HOLD_S``. ``clock``
+    returns monotonic seconds.
+    """
+
+    platform: Platform
+    set_leaving: Callable[[Collection[str]], None]
+    clock: Callable[[], float] = trio.current_time
+    _host_ids: frozenset[str] = frozenset()
+    _read_s: float = float("-inf")
+
+    async def run(self, timers: TimerService) -> None:
+        """Read the list until cancelled."""
+        async for _ in timers.every("leaving-list", POLL_PERIOD_S):
+            await self.refresh()
+
+    async def refresh(self) -> None:
+        """Read the list once."""
+        try:
+            listed = await self.platform.live_hosts()
+        except (OutcomeUnknown, PlatformUnavailable):
+            if self.clock() - self._read_s > HOLD_S:
+                self._take(frozenset())
+            return
+        self._read_s = self.clock()
+        self._take(frozenset(item.host_id for item in listed if item.leaving))
+
+    def _take(self, host_ids: frozenset[str]) -> None:
+        if host_ids != self._host_ids:
+            self._host_ids = host_ids
+            self.set_leaving(host_ids)
--- a/rhubarbmount/request_policy.py
+++ b/rhubarbmount/request_policy.py
@@ -33,6 +33,7 @@
     view_by_pool: dict[str, PoolView] = attrs.field(factory=dict, init=False)
     budget_by_service: dict[str, RetryBudget] = attrs.field(factory=dict, init=False)
     limiter: Limiter = attrs.field(init=False)
+    _leaving: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     def __attrs_post_init__(self) -> None:
         self.limiter = Limiter(
@@ -85,6 +86,7 @@
 
     def set_leaving(self, host_ids: Collection[str]) -> None:
         """Withhold new work from hosts that lists other than the rows call leaving."""
+        self._leaving = frozenset(host_ids)
         for view in self.view_by_pool.values():
             view.set_leaving(host_ids)
 
@@ -134,6 +136,7 @@
             view = PoolView(
                 pool, self.entry_hosts, hosts_down_limit=1, generator=self.generator
             )
+            view.set_leaving(self._leaving)
             self.view_by_pool[pool] = view
         return view
 
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -25,6 +25,7 @@
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
 from rhubarbmount.issued_keys import KeyIssuer
 from rhubarbmount.job_handlers import JobHandlers
+from rhubarbmount.leaving_list import LeavingList
 from rhubarbmount.listener import Listener
 from rhubarbmount.local_view import LocalView
 from rhubarbmount.membership import Membership, open_membership
@@ -72,6 +73,7 @@
     recorder: DecisionRecorder = attrs.field(init=False)
     memory: InstanceMemory = attrs.field(init=False)
     fleet: FleetTasks = attrs.field(init=False)
+    leaving: LeavingList = attrs.field(init=False)
     sweeper: Sweeper = attrs.field(init=False)
     membership: Membership | None = attrs.field(default=None, init=False)
     callers: Listener = attrs.field(init=False)
@@ -93,7 +95,9 @@
         self.sweeper = Sweeper(self.platform, lambda: list(policy.service_by_name))
         self.recorder = DecisionRecorder(catalogue_version=self._version)
         self._make_callers(policy)
-        self._make_operators(policy, self.platform.at(Priority.DUTY))
+        duty_platform = self.platform.at(Priority.DUTY)
+        self._make_operators(policy, duty_platform)
+        self.leaving = LeavingList(duty_platform, policy.set_leaving)
         probes = Probes(settings.instance, self.is_ready, self.registry)
         self.metrics = Listener("metrics", probes.router().handle, settings.http)
 
@@ -193,6 +197,7 @@
             nursery.start_soon(self._apply_fleet)
             nursery.start_soon(self.configuration.run, timers)
             nursery.start_soon(self.fleet_view.run, timers)
+            nursery.start_soon(self.leaving.run, timers)
             nursery.start_soon(self.forwarder.run, timers)
             nursery.start_soon(self.forwarder.claims.run)
             nursery.start_soon(self.sweeper.run, timers)
--- a/rhubarbmount/standins/platform.py
+++ b/rhubarbmount/standins/platform.py
@@ -35,7 +35,8 @@
     """What the stand-in does wrong; each switch stays until it is set again.
 
     ``lost_answers`` is the number of coming writes that take effect and whose answer
-    is lost. ``lost_hosts`` are missing from the list of live hosts.
+    is lost. ``lost_hosts`` are missing from the list of live hosts, and
+    ``leaving_hosts`` are shown as leaving there.
     """
 
     down: bool = False
@@ -45,6 +46,7 @@
     reboot_s: float = 0.5
     refuses_task_commands: bool = False
     lost_hosts: list[str] = attrs.field(factory=list)
+    leaving_hosts: list[str] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
@@ -152,9 +154,13 @@
     async def _live_hosts(self, call: Call) -> HttpResponse:
         hosts = self._listed if self.faults.host_list_lag_s else self.memory.hosts
         lost = self.faults.lost_hosts
-        found = [host for host in hosts if host.host_id not in lost]
+        found = [self._shown(host) for host in hosts if host.host_id not in lost]
         return json_response([attrs.asdict(host) for host in found])
 
+    def _shown(self, host: LiveHost) -> LiveHost:
+        leaving = host.leaving or host.host_id in self.faults.leaving_hosts
+        return LiveHost(host.host_id, leaving)
+
     async def _command_host(self, call: Call) -> HttpResponse:
         command = _converter.structure(call.json(), HostCommand)
         await self.memory.command_host(command)
--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -49,3 +49,14 @@
     And backend server "h2" still got work later than 4 s
     And no promise to the callers was broken
     And no caller was refused
+
+  Scenario: Only the platform's list says that it is leaving
+    Given callers reading from "lodgements" at "e1, e2"
+    When the list of live hosts says that "h1" is leaving
+    And 5 s pass under load
+    Then backend server "h1" got no new work later than 3 s
+    And backend server "h2" still got work later than 4 s
+    And no promise to the callers was broken
+    And no caller was refused
+    When the list of live hosts says that no host is leaving
+    Then within 5 s backend server "h1" gets new work
--- a/tests/scenarios/steps/leaving.py
+++ b/tests/scenarios/steps/leaving.py
@@ -47,3 +47,26 @@
         return all(f"host_id={host} action=ejected" in log for log in logs)
 
     wait_until(have_ejected, 30, f"{host} is ejected at {entry_hosts}")
+
+
+@when(parsers.parse('the list of live hosts says that "{name}" is leaving'))
+def list_as_leaving(deployment, marked_s, name):
+    deployment.set_platform(leaving_hosts=[name])
+    marked_s[name] = time.time()
+
+
+@when("the list of live hosts says that no host is leaving")
+def list_none_as_leaving(deployment):
+    deployment.set_platform(leaving_hosts=[])
+
+
+@then(parsers.parse('within {bound_s:g} s backend server "{name}" gets new work'))
+def check_work_again(deployment, bound_s, name):
+    before = deployment.backend_state(name)["ran_count"]
+
+    def gets_work():
+        for entry_host in deployment.entry_host_by_name:
+            deployment.request(entry_host, "GET", "/lodgements/x")
+        return deployment.backend_state(name)["ran_count"] > before
+
+    wait_until(gets_work, bound_s, f"{name} gets new work")
