--- a/tests/scenarios/steps/data_centres.py
+++ b/tests/scenarios/steps/data_centres.py
@@ -6,10 +6,9 @@
 
 from tests.deployment import BACKEND_PORT, wait_until
 from tests.scenarios.steps import names
-from tests.scenarios.steps.duties import holder_of
+from tests.scenarios.steps.duties import DUTIES, holder_of
 from tests.scenarios.steps.requests import send_lodgement
 
-DUTIES = ("hosts", "waves", "repair", "scheduling")
 CUTS = {
     "is cut off from the others": {},
     "hears the others and is not heard by them": {"hears": True},
@@ -66,6 +65,28 @@
         deployment.backend_by_name[name].kill()
 
 
+def hosts_in_rack(deployment, rack):
+    return [h["host_id"] for h in deployment.hosts if h["rack"] == rack]
+
+
+@when(parsers.parse('rack "{rack}" is lost'))
+def lose_rack(deployment, rebooter, rack):
+    with rebooter.lock:
+        for name in hosts_in_rack(deployment, rack):
+            deployment.earlier_runs.update(deployment.backend_state(name)["ran"])
+            deployment.backend_by_name[name].kill()
+    deployment.set_platform(lost_hosts=hosts_in_rack(deployment, rack))
+
+
+@when(parsers.parse('rack "{rack}" comes back'))
+def bring_rack_back(deployment, rack):
+    for name in hosts_in_rack(deployment, rack):
+        deployment.start_backend(name, deployment.backend_by_name[name].address)
+    for name in hosts_in_rack(deployment, rack):
+        deployment.wait_for_port(deployment.backend_by_name[name].address, BACKEND_PORT)
+    deployment.set_platform(lost_hosts=[])
+
+
 @when(parsers.parse('data centre "{centre}" is lost'))
 def lose_data_centre(deployment, rebooter, centre):
     deployment.network.cut(centre)
@@ -172,6 +193,16 @@
     wait_until(moved, bound_s, f"{centre} holds each duty")
 
 
+@then(parsers.parse('within {bound_s:g} s each duty is held outside "{centre}"'))
+def check_duties_elsewhere(deployment, bound_s, centre):
+    others = deployment.entry_host_by_name.keys() - entry_hosts_in(deployment, centre)
+
+    def moved():
+        return all(holder_of(deployment, duty) in others for duty in DUTIES)
+
+    wait_until(moved, bound_s, f"each duty is held outside {centre}")
+
+
 @then(
     parsers.parse(
         'for {time_s:g} s requests without a key to "{hosts}" run in "{centre}" under'
--- a/tests/scenarios/steps/faults.py
+++ b/tests/scenarios/steps/faults.py
@@ -71,3 +71,33 @@
 @when(parsers.parse("the platform takes {delay_s:g} s for each call"))
 def slow_platform(deployment, delay_s):
     deployment.set_platform(delay_s=delay_s)
+
+
+@when(parsers.parse("the platform loses the answers of the next {count:d} writes"))
+def lose_answers(deployment, count):
+    deployment.set_platform(lost_answers=count)
+
+
+@when(parsers.parse('the list of live hosts lacks "{hosts}"'))
+def lose_from_list(deployment, hosts):
+    deployment.set_platform(lost_hosts=names(hosts))
+
+
+@when("the list of live hosts is whole again")
+def make_list_whole(deployment):
+    deployment.set_platform(lost_hosts=[])
+
+
+@when(parsers.parse('backend server "{host}" answers everything with an error'))
+def make_fail(deployment, host):
+    deployment.set_backend(host, status=500)
+
+
+@when(parsers.parse('backend server "{host}" answers without errors again'))
+def make_succeed(deployment, host):
+    deployment.set_backend(host, status=200)
+
+
+@when(parsers.parse("the list of live hosts lags by {lag_s:g} s"))
+def delay_list(deployment, lag_s):
+    deployment.set_platform(host_list_lag_s=lag_s)
