Readmit an ejected backend server when the others are out of reach

Ejections and unreachable servers together may not exceed hosts_down_limit, and the limit was asked at the ejection only. A data centre cut off from the others whose own server had been ejected as slow (success rate 1, busy machine) sent its requests into the cut, three times 1 s, or refused them: seen once in each scenario of three_data_centres.feature, 2 reads with queue-timeout at the other data centre that was left alone, one request with attempts-spent.

--- a/rhubarbmount/health.py
+++ b/rhubarbmount/health.py
@@ -31,10 +31,10 @@
 
     Ejecting a reachable backend server withholds capacity, so it stays within
     ``hosts_down_limit``, counted with ``hosts_down`` (hosts out by their row) and
-    the unreachable ones; when more hosts leave, ejected ones are readmitted.
-    A backend server that can't be reached or takes nothing
-    has no capacity to withhold: it sits out for a short time without a cap. So does
-    one that says it is leaving, for ``LEAVING_S`` or until its row changes.
+        the unreachable ones; when more are out, ejected ones are readmitted. A backend
+    server that can't be reached or takes nothing has no capacity to withhold: it sits
+    out for a short time without a cap. So does one that says it is leaving, for
+    ``LEAVING_S`` or until its row changes.
     """
 
     hosts_down_limit: int
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -30,6 +30,9 @@
 DEFAULT_STRATEGY = "two-choices"
 SPILL_SHARE = 0.25
 SPILL_PENALTY = 16.0
+GONE_ACTIONS = frozenset(
+    {HealthAction.LEAVING, HealthAction.UNREACHABLE, HealthAction.REFUSING}
+)
 
 logger = logging.getLogger(__name__)
 
@@ -179,7 +182,7 @@
             backend.health.rest(now_s, latency_s, backend.share)
         self._schedule(backend)
         self._settle(backend)
-        if change is not None and change.action is HealthAction.LEAVING:
+        if change is not None and change.action in GONE_ACTIONS:
             self._readmit()
         return change
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -341,19 +341,28 @@
         answer(view, view.choose(now_s), now_s, SUCCESS, 0.25)
 
 
-@pytest.mark.parametrize("source", ["row", "list", "own word"])
+GONE_RESULTS = (
+    AttemptResult.LEAVING,
+    AttemptResult.UNREACHABLE,
+    AttemptResult.GUARD_REFUSAL,
+)
+
+
+@pytest.mark.parametrize("source", ["row", "list", *GONE_RESULTS])
 def test_an_ejected_host_serves_again_when_the_others_leave(source):
     view = open_view([host("w1"), host("w2")])
     for now_s in range(12):
         answer_all(view, float(now_s), slow_id="w2")
-    assert set(hosts_chosen(view, 12.0)) == {"w1"}
+    (last, *others), _ = take_all(view, 12.0)
+    assert {item.backend.host.host_id for item in (last, *others)} == {"w1"}
+    for decision in others:
+        answer(view, decision, 12.0)
     if source == "row":
         view.update_hosts([host("w1", state=HostState.LEAVING), host("w2")], 12.0)
     elif source == "list":
         view.set_leaving({"w1"})
     else:
-        backend = view.by_host_id["w1"]
-        view.finish(backend, AttemptResult.LEAVING, 12.0, service="quotes")
+        answer(view, last, 12.0, source)
     assert set(hosts_chosen(view, 12.0)) == {"w2"}
 
 
