Prove the refusals of jobs in an outage and of planned work over budget

jobs.feature: submissions, cancellations, releases and the list while the platform is out are refused at each entry host, and no refused submission leaves anything behind.

--- a/tests/scenarios/fleet.feature
+++ b/tests/scenarios/fleet.feature
@@ -55,3 +55,22 @@
     And the platform was told to drain "h1" 1 time
     And at no time a host was in two pools or in none
     And no version fell
+
+  Scenario: Planned work over the budget is refused, and failures go first
+    Given service "lodgements" with backend servers "h1, h2, h3" in "dc-a"
+    And pool "spare" beside it
+    And quick fleet duties
+    And drains of 1 s where requests can't be counted
+    And the platform
+    And entry hosts "e1, e2" in "dc-a"
+    When host rows and versions are watched
+    And the list of live hosts lacks "h2"
+    Then the move of "h1" to "spare" at "e1" is refused: hosts-exhausted
+    When the list of live hosts lacks "h2, h3"
+    Then the move of "h1" to "spare" at "e2" is refused: failures-first
+    And the platform was told to drain "h1, h2, h3" 0 time
+    When the list of live hosts is whole again
+    And operator "admin" moves "h1" to "spare" at "e2"
+    Then host "h1" is in service in pool "spare" within 40 s
+    And the platform was told to drain "h1" 1 time
+    And the budget of "lodgements" held
--- a/tests/scenarios/jobs.feature
+++ b/tests/scenarios/jobs.feature
@@ -35,3 +35,12 @@
   Scenario: Urgent work starts on a pool full of batch
     When 32 batch jobs "d" fill the pool through "e1"
     Then urgent jobs "u1, u2, u3, u4, u5" through "e2" start within 2.5 s
+
+  Scenario: While the platform is out, operators are refused with the reason
+    When 4 jobs "f" are submitted to "e1"
+    And the platform goes down
+    Then at "e1, e2, e3" all calls about job "f-0" are refused with "platform-unavailable"
+    When the platform comes back
+    Then all submitted jobs are done within 40 s
+    And each submitted job was started 1 time
+    And nothing is known of the refused submissions
--- a/tests/scenarios/steps/duties.py
+++ b/tests/scenarios/steps/duties.py
@@ -107,7 +107,7 @@
     for entry_host in names(hosts):
         for path, body in calls:
             answer = deployment.operate(entry_host, "POST", path, body)
-            assert (answer.status, answer.json()["code"]) == (503, code), answer
+            assert (answer.status, answer.json().get("code")) == (503, code), answer
 
 
 @then(parsers.parse("within {bound_s:g} s each duty is held again"))
@@ -122,3 +122,10 @@
         return all(new and new["holder"] and new != old for old, new in pairs)
 
     wait_until(changed, bound_s, "each lease is renewed or taken")
+
+
+@then(parsers.parse('the move of "{host}" to "{pool}" at "{where}" is refused: {code}'))
+def check_move_refused(deployment, host, pool, where, code):
+    path = f"/hosts/{host}/move"
+    answer = deployment.operate(where, "POST", path, {"pool": pool})
+    assert (answer.status, answer.json().get("code")) == (409, code), answer
--- a/tests/scenarios/test_jobs.py
+++ b/tests/scenarios/test_jobs.py
@@ -4,6 +4,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.deployment import wait_until
+from tests.scenarios.steps import names
 
 scenarios("jobs.feature")
 
@@ -12,6 +13,17 @@
 SHAPE = {"processors": 32, "memory_gb": 64}
 
 
+def job_values(job_id, processors):
+    return {
+        "job_id": job_id,
+        "team": "firm",
+        "pool": "night",
+        "processors": processors,
+        "memory_gb": 4,
+        "run_time_s": RUN_TIME_S,
+    }
+
+
 @pytest.fixture
 def submitted():
     """The ids of the jobs, with the answers."""
@@ -75,14 +87,7 @@
     )
 )
 def submit_one(deployment, submitted, job_id, host, processors, more=None):
-    job = {
-        "job_id": job_id,
-        "team": "firm",
-        "pool": "night",
-        "processors": processors,
-        "memory_gb": 4,
-        "run_time_s": RUN_TIME_S,
-    } | (more or {})
+    job = job_values(job_id, processors) | (more or {})
 
     def answered():
         answer = deployment.operate(host, "POST", "/jobs", job)
@@ -139,3 +144,36 @@
     (answer,) = submitted.values()
     assert answer.status == 422
     assert code in [finding["code"] for finding in answer.json()["findings"]]
+
+
+@pytest.fixture
+def refused():
+    """The ids of the jobs whose submission was refused."""
+    return []
+
+
+@then(
+    parsers.parse(
+        'at "{hosts}" all calls about job "{job_id}" are refused with "{code}"'
+    )
+)
+def check_unavailable(deployment, refused, hosts, job_id, code):
+    for host in names(hosts):
+        refused.append(f"refused-at-{host}")
+        calls = (
+            ("POST", "/jobs", job_values(refused[-1], 4)),
+            ("DELETE", f"/jobs/{job_id}", None),
+            ("POST", f"/jobs/{job_id}/release", {}),
+            ("GET", "/jobs", None),
+        )
+        for method, path, body in calls:
+            answer = deployment.operate(host, method, path, body)
+            assert (answer.status, answer.json().get("code")) == (503, code), answer
+
+
+@then("nothing is known of the refused submissions")
+def check_unknown(deployment, refused):
+    assert refused
+    for job_id in refused:
+        assert deployment.operate("e1", "GET", f"/jobs/{job_id}").status == 404
+        assert job_id not in deployment.set_platform()["starts_by_job"]
