Check budgets in the soak, with waves that follow each other

The soak ran no work on hosts, so that no budget could break. Each round now starts a wave if none is open, the hosts are rebooted as their rows want, and the looks at rows are checked for budgets. A run that maintained no host fails.

--- a/tests/reboots.py
+++ b/tests/reboots.py
@@ -6,9 +6,10 @@
 
 
 def begin_restart(deployment, host_id):
+    """End and start a backend server, which runs nothing after its runs were noted."""
     program = deployment.backend_by_name[host_id]
-    ran = deployment.backend_state(host_id)["ran"]
-    deployment.earlier_runs.update(ran)
+    state = deployment.set_backend(host_id, guard_full=True)
+    deployment.earlier_runs.update(state["ran"])
     program.kill()
     deployment.start_backend(host_id, program.address)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,8 +12,9 @@
 
 import defopt
 
-from tests.checkers import misplaced_hosts, reverted_versions
+from tests.checkers import broken_budgets, misplaced_hosts, reverted_versions
 from tests.deployment import Deployment, wait_until
+from tests.reboots import Rebooter
 from tests.resend import Resenders
 from tests.watch import Watch
 
@@ -21,6 +22,7 @@
 ENTRY_HOSTS = {"e1": "dc-a", "e2": "dc-a", "e3": "dc-b", "e4": "dc-b"}
 BACKENDS = {"h1": "dc-a", "h2": "dc-a", "h3": "dc-b", "h4": "dc-b"}
 LODGEMENTS = 40
+QUICK_WORK = {"view_s": 2, "drain_s": 1, "reboot_min_s": 3, "warm_s": 1}
 SETTLE_S = 30.0
 
 
@@ -86,14 +88,15 @@
     """Start the platform, backend servers and entry hosts."""
     deployment.add_pool(SERVICE)
     deployment.add_service(SERVICE)
+    deployment.extra_settings["fleet"] = {"work": QUICK_WORK}
     for name, data_centre in BACKENDS.items():
-        deployment.add_backend(name, SERVICE, data_centre)
+        deployment.add_backend(name, SERVICE, data_centre, rack=f"{data_centre}-rack")
     deployment.start_platform()
     for name, data_centre in ENTRY_HOSTS.items():
         deployment.start_entry_host(name, data_centre)
 
 
-def run_round(deployment, generator, number):
+def run_round(deployment, maintenance, generator, number):
     """Bring about two faults that overlap while lodgements are sent; return faults."""
     senders = Resenders(
         deployment, SERVICE, list(ENTRY_HOSTS), LODGEMENTS, prefix=f"round-{number}"
@@ -106,7 +109,32 @@
     senders.join()
     for name in ENTRY_HOSTS:
         deployment.wait_ready(name)
-    return senders.violations(deployment.runs_by_id())
+    with maintenance.rebooter.lock:
+        return senders.violations(deployment.runs_by_id())
+
+
+class Maintenance:
+    """Waves that follow each other, with each host rebooted as they want."""
+
+    def __init__(self, deployment):
+        self.waves = 0
+        self.reboots = 0
+        self._deployment = deployment
+        self.rebooter = Rebooter(deployment)
+
+    def start_wave(self):
+        """Start a wave unless one is open or the platform is out."""
+        answer = self._deployment.operate("e1", "POST", "/waves", {})
+        if answer.status == 202:
+            self.waves += 1
+            with self.rebooter.lock:
+                self.reboots += len(self.rebooter.host_ids)
+                self.rebooter.host_ids.clear()
+
+    def stop(self):
+        """End the rebooting of hosts."""
+        self.rebooter.stop()
+        self.reboots += len(self.rebooter.host_ids)
 
 
 def check_configuration(deployment, number):
@@ -144,17 +172,24 @@
     ):
         open_deployment(deployment)
         watch = Watch(deployment)
+        maintenance = Maintenance(deployment)
         end_s = time.monotonic() + seconds
         number = 0
         while time.monotonic() < end_s and not found:
             number += 1
             print(f"round={number}", flush=True)
-            found += run_round(deployment, generator, number)
+            maintenance.start_wave()
+            found += run_round(deployment, maintenance, generator, number)
             check_configuration(deployment, 20 + number)
+        maintenance.stop()
         watch.stop()
+        found += broken_budgets(watch.looks, SERVICE)
         found += misplaced_hosts(watch.looks, BACKENDS, (SERVICE,))
         found += reverted_versions(watch.versions_by_host)
-    print(f"seed={seed} rounds={number} broken={len(found)}")
+        if not maintenance.reboots:
+            found.append("no host was maintained: budgets were not tried")
+    print(f"seed={seed} rounds={number} waves={maintenance.waves}", end=" ")
+    print(f"reboots={maintenance.reboots} broken={len(found)}")
     sys.exit("\n".join(found) or 0)
 
 
