Read the platform's list of leaving hosts before rows that changed

A wave begins with one host once the list shows the other one back. The list is now read, for at most 0.5 s, before changed rows are taken over, so that a list as new as the one behind the change is known. Tried first and left: asking for the list right after the rows, which leaves the time of one call.

An answer overtaken by a later one is dropped. The list's word is held 20 s in place of 30 s while the platform is silent, below the 30 s that a host warms up by default, so that an entry host that is cut off does not miss its return.

--- a/rhubarbmount/leaving_list.py
+++ b/rhubarbmount/leaving_list.py
@@ -12,15 +12,18 @@
 __all__ = ["LeavingList"]
 
 POLL_PERIOD_S = 1.5
-HOLD_S = 30.0
+HOLD_S = 20.0
+BRIEF_S = 0.5
 
 
 @attrs.define(eq=False)
 class LeavingList:
     """Hand on the ids of the hosts that the list shows as leaving, when they change.
 
-    What was read last holds while the platform is silent, for ``HOLD_S``. ``clock``
-    returns monotonic seconds.
+    It is also read before rows that changed are taken over: work that was begun on a
+    host because the list shows another one back must not meet an older list here. What
+    was read last holds while the platform is silent, for ``HOLD_S``. ``clock`` returns
+    monotonic seconds.
     """
 
     platform: Platform
@@ -34,15 +37,23 @@
         async for _ in timers.every("leaving-list", POLL_PERIOD_S):
             await self.refresh()
 
+    async def refresh_briefly(self) -> None:
+        """Read the list, unless that takes too long to wait for."""
+        with trio.move_on_after(BRIEF_S):
+            await self.refresh()
+
     async def refresh(self) -> None:
         """Read the list once."""
+        sent_s = self.clock()
         try:
             listed = await self.platform.live_hosts()
         except (OutcomeUnknown, PlatformUnavailable):
             if self.clock() - self._read_s > HOLD_S:
                 self._take(frozenset())
             return
-        self._read_s = self.clock()
+        if sent_s < self._read_s:
+            return
+        self._read_s = sent_s
         self._take(frozenset(item.host_id for item in listed if item.leaving))
 
     def _take(self, host_ids: frozenset[str]) -> None:
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -248,6 +248,7 @@
 
     async def _apply_fleet(self) -> None:
         async for changed in self.fleet_view.subscribe():
+            await self.leaving.refresh_briefly()
             self.forwarder.policy.update_changed(
                 changed.hosts_by_id, changed.changed, trio.current_time()
             )
