Never eject the last backend server that serves

Cause: ejections were bounded by hosts_down_limit alone. The scenario had then been given a fourth backend server; it has three again.

The limit of ejections is at most the members of the pool less one, and those beyond it end when others leave, as with the entry's limit.

--- a/rhubarbmount/health.py
+++ b/rhubarbmount/health.py
@@ -202,8 +202,10 @@
         return failing and health.results >= EJECT_AFTER_RESULTS
 
     def _may_be_out(self, health: BackendHealth) -> bool:
+        """Tell whether the limit allows it and another is left to serve."""
+        limit = min(self.hosts_down_limit, len(self.by_host_id) - 1)
         others_out = len(self.absent - {health.host_id})
-        return self.hosts_down + others_out < self.hosts_down_limit
+        return self.hosts_down + others_out < limit
 
     def _end_ejection(self, health: BackendHealth) -> HealthChange:
         health.ejected = False
--- a/tests/scenarios/upgrade.feature
+++ b/tests/scenarios/upgrade.feature
@@ -1,7 +1,7 @@
 Feature: A newer version and this one share the platform
 
   Scenario: A newer version writes rows and the catalogue while everything goes on
-    Given service "lodgements" with backend servers "h1, h2, h3, h4" in "dc-a"
+    Given service "lodgements" with backend servers "h1, h2, h3" in "dc-a"
     And pool "spare" beside it
     And pool "lodgements" lets 2 hosts be down
     And quick fleet duties
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -46,6 +46,21 @@
     assert members[0].penalty(0.0) > 100
 
 
+def test_the_last_host_that_serves_is_not_ejected():
+    pool, (health, _drained) = open_pool(2, hosts_down_limit=2, hosts_down=1)
+    change = feed(pool, health, FAILURE, 20)
+    assert change.action is HealthAction.EJECTION_CAPPED
+    assert health.cap(8) == 8
+
+
+def test_ejections_end_when_nobody_else_serves():
+    pool, (health, _other) = open_pool(2, hosts_down_limit=2)
+    feed(pool, health, FAILURE, 5)
+    assert pool.readmit() == []
+    pool.hosts_down = 1
+    assert [change.host_id for change in pool.readmit()] == [health.host_id]
+
+
 def test_unreachable_hosts_sit_out_beyond_the_limit_but_not_for_long():
     pool, members = open_pool(4, hosts_down_limit=0)
     for health in members:
