End the rest of a slow backend server when no other serves

A slow server rests up to 2 s after a request unless nothing else serves, asked at the request only; one that was readmitted kept its rest. In one of 3 runs of three_data_centres.feature a request of a data centre that was cut off went into the cut three times while its own server, ejected and readmitted, rested. Both new cases of test_routing.py failed before.

--- a/rhubarbmount/health.py
+++ b/rhubarbmount/health.py
@@ -201,6 +201,7 @@
         health.ejected = False
         health.probing = False
         health.out_until_s = None
+        health.rest_until_s = None
         health.results = 0
         self.absent.discard(health.host_id)
         return self._change(health, HealthAction.READMITTED, health.updated_s)
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -291,6 +291,14 @@
         for change in self.health.readmit():
             log.event(logger, "health", pool=self.pool, **attrs.asdict(change))
             self._settle(self.by_host_id[change.host_id])
+        if not self._local.serving and not self._remote.serving:
+            self._end_rests()
+
+    def _end_rests(self) -> None:
+        for backend in self.by_host_id.values():
+            if backend.health.rest_until_s is not None:
+                backend.health.rest_until_s = None
+                self._settle(backend)
 
     def _schedule(self, backend: Backend) -> None:
         due_s = backend.health.due_s()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -373,3 +373,22 @@
         answer_all(view, float(now_s), slow_id="w2")
     view.set_leaving({"w1"})
     assert set(hosts_chosen(view, 12.0)) == {"w3"}
+
+
+def test_a_host_that_rests_serves_when_the_others_leave():
+    view = open_view_with_a_slow_host()
+    assert set(hosts_chosen(view, 3.9)) == {"w2"}
+    view.update_host(host("w2", state=HostState.DRAINING), 3.9)
+    assert set(hosts_chosen(view, 3.9)) == {"w1"}
+
+
+def test_an_ejected_host_that_rests_serves_when_the_others_are_out_of_reach():
+    view = open_view([host("w1", slots=2), host("w2", slots=2)])
+    for step in range(40):
+        answer_all(view, step * 0.1, "w2")
+    (last, *others), _ = take_all(view, 4.0)
+    assert last.backend.host.host_id == "w1"
+    for decision in others:
+        answer(view, decision, 4.0)
+    answer(view, last, 4.0, AttemptResult.UNREACHABLE)
+    assert set(hosts_chosen(view, 4.0)) == {"w2"}
