--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,5 +1,7 @@
 """Waves carried out: pause, resume, cancel, and a holder that dies midway."""
 
+import os
+
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
@@ -23,6 +25,8 @@
     reboots_of,
 )
 
+EXAMPLES = int(os.environ.get("INTERLEAVINGS", "60"))
+
 
 def test_a_wave_maintains_each_host_once_and_ends():
     world = make_world()
@@ -128,7 +132,7 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=60,
+    max_examples=EXAMPLES,
     phases=[Phase.generate],
 )
 @given(schedule=st.binary(min_size=150, max_size=400))
