--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -437,7 +437,8 @@
 def test_a_host_that_rests_serves_when_the_others_leave():
     view = open_view_with_a_slow_host()
     assert set(hosts_chosen(view, 3.9)) == {"w2"}
-    view.update_host(host("w2", state=HostState.DRAINING), 3.9)
+    draining = host("w2", slots=2, state=HostState.DRAINING)
+    view.update_hosts([host("w1", slots=2), draining], 3.9)
     assert set(hosts_chosen(view, 3.9)) == {"w1"}
 
 
