--- a/rhubarbmount/follower.py
+++ b/rhubarbmount/follower.py
@@ -76,16 +76,19 @@
 
     def begin_turn(self, nursery: trio.Nursery) -> None:
         """Start a refresh, unless one runs, and ask peers if the platform is slow."""
-        waits = (
-            self._awaiting_platform if self._refreshing else not self._platform_answers
-        )
-        if waits and not self._asking and self.age_s() > STALE_S:
+        if self._is_held_up() and not self._asking and self.age_s() > STALE_S:
             self._asking = True
             nursery.start_soon(self._ask_peers_meanwhile)
         if not self._refreshing:
             self._refreshing = True
             nursery.start_soon(self._refresh_once)
 
+    def _is_held_up(self) -> bool:
+        """Tell whether a refresh waits for the platform, or the last one failed."""
+        if self._refreshing:
+            return self._awaiting_platform
+        return not self._platform_answers
+
     async def _refresh_once(self) -> None:
         try:
             await self.refresh()
