--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -67,8 +67,8 @@
     assert "result" in json.loads(run("hosts stay h1 --json"))
     assert has_row(run("jobs submit job.yaml"), "job_id", "night")
     wait_until(lambda: "night" in run("jobs list"), 5)
-    assert json.loads(run("jobs cancel night --json"))["job_id"] == "night"
     assert has_row(run("jobs release night"), "job_id", "night")
+    assert json.loads(run("jobs cancel night --json"))["job_id"] == "night"
     assert run("explain job night")
     assert "buffer_hosts" in run("maintain plan")
     assert json.loads(run("maintain plan --json"))["buffer_hosts"] >= 0
