Give random schedules and the loop of duties one place in the tests

test_moves.py and test_waves.py had the same settings of random schedules, three files read INTERLEAVINGS, and the actor that steps duties for ever stood in test_moves.py, test_repair.py and wavekit.py. tests/interleave.py has them: schedules, example_count and World.add_runners. The numbers of examples (300 and 60), their derandomization and every assertion are as they were.

--- a/tests/interleave.py
+++ b/tests/interleave.py
@@ -1,8 +1,11 @@
 """Actors stepped one platform call at a time, with faults, in a given order."""
 
+import os
 import types
 
 import attrs
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.memory import MemoryPlatform
@@ -10,6 +13,27 @@
 FAULTS = ("none",) * 12 + ("refused", "lost-answer", "lost-request", "late")
 
 
+def example_count(default):
+    """Return how many interleavings to try: INTERLEAVINGS, or else the default."""
+    return int(os.environ.get("INTERLEAVINGS", default))
+
+
+def schedules(default):
+    """Give a test random schedules, the same ones in each run."""
+
+    def decorate(test):
+        given_schedule = given(schedule=st.binary(min_size=150, max_size=400))
+        return settings(
+            derandomize=True,
+            deadline=None,
+            database=None,
+            max_examples=example_count(default),
+            phases=[Phase.generate],
+        )(given_schedule(test))
+
+    return decorate
+
+
 @types.coroutine
 def pause():
     """Give control back to the scheduler."""
@@ -82,6 +106,17 @@
     def platform(self):
         return GatedPlatform(self.inner, self)
 
+    def add_runners(self, runners):
+        """Add an actor that steps duties in turn for ever."""
+
+        async def work():
+            while True:
+                for runner in runners:
+                    await runner.step()
+                await pause()
+
+        self.actors.append(work())
+
     async def transact(self, transaction):
         before = {name: dict(rows) for name, rows in self.inner.tables.items()}
         result = await self.inner.transact(transaction)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,11 +1,7 @@
 """Moves between pools, over interleavings of operators and duty holders."""
 
-import os
-
 import attrs
 import pytest
-from hypothesis import Phase, given, settings
-from hypothesis import strategies as st
 
 from rhubarbmount.duty_runner import DutyRunner
 from rhubarbmount.errors import NotFound, RhubarbmountError
@@ -17,9 +13,8 @@
 from rhubarbmount.platform.memory import MemoryPlatform
 from tests.fleetchecks import EffectCheck, check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool, pool_row
-from tests.interleave import World, pause, run_now
+from tests.interleave import World, pause, run_now, schedules
 
-EXAMPLES = int(os.environ.get("INTERLEAVINGS", "300"))
 QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
 POOLS = ("quotes", "parts")
 
@@ -52,13 +47,7 @@
         new_id=world.new_id,
         members=lambda: ("a", "b"),
     )
-
-    async def work():
-        while True:
-            await runner.step()
-            await pause()
-
-    world.actors.append(work())
+    world.add_runners([runner])
 
 
 def add_operator(world, orders):
@@ -103,14 +92,7 @@
 ORDERS = (("q0", "parts"), ("q0", ""), ("p1", "quotes"), ("q1", "parts"))
 
 
-@settings(
-    derandomize=True,
-    deadline=None,
-    database=None,
-    max_examples=EXAMPLES,
-    phases=[Phase.generate],
-)
-@given(schedule=st.binary(min_size=150, max_size=400))
+@schedules(300)
 def test_racing_operators_and_holders_keep_each_host_in_one_pool(schedule):
     world = make_world()
     add_holder(world, "a")
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -15,7 +15,7 @@
 from rhubarbmount.waves import WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import fill, make_host, make_pool
-from tests.interleave import World, pause, run_now
+from tests.interleave import World, run_now
 
 QUICK = WorkBounds(
     view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, reboot_limit_s=10, warm_s=1
@@ -75,14 +75,7 @@
             DutyRunner(duty, "a", platform, world.clock, world.new_id, lambda: ("a",))
             for duty in duties
         ]
-
-        async def work():
-            while True:
-                for runner in runners:
-                    await runner.step()
-                await pause()
-
-        world.actors.append(work())
+        world.add_runners(runners)
 
     def suspect(self, *host_ids):
         blame = Blame("host", "", "host-suspect", "failed 3 jobs of 2 teams, ran 0")
--- a/tests/test_scheduling_interleavings.py
+++ b/tests/test_scheduling_interleavings.py
@@ -1,7 +1,5 @@
 """The scheduling duty under operations and faults in any order."""
 
-import os
-
 import pytest
 import trio
 import trio.testing
@@ -9,9 +7,9 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.entries import WorkClass
+from tests.interleave import example_count
 from tests.scheduling_world import World
 
-INTERLEAVINGS = int(os.environ.get("INTERLEAVINGS", "300"))
 OPERATIONS = st.one_of(
     st.tuples(st.just("round"), st.integers(0, 1)),
     st.tuples(st.just("freeze"), st.integers(0, 1), st.integers(1, 14)),
@@ -140,7 +138,9 @@
 @example([SUBMIT, ("freeze", 0, 3), ("round", 1), END])
 @example([("freeze", 0, 3), SUBMIT, ("round", 1), ("round", 0)])
 @example([("round", 0), ("freeze", 0, 1), SUBMIT, ("lose", 1, 1), ("round", 1)])
-@settings(max_examples=INTERLEAVINGS, derandomize=True, deadline=None, database=None)
+@settings(
+    max_examples=example_count(300), derandomize=True, deadline=None, database=None
+)
 @given(st.lists(OPERATIONS, min_size=10, max_size=40))
 def test_no_interleaving_runs_a_job_twice_or_overfills_a_host_or_quota(operations):
     try:
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,10 +1,6 @@
 """Waves carried out: pause, resume, cancel, and a holder that dies midway."""
 
-import os
-
 import pytest
-from hypothesis import Phase, given, settings
-from hypothesis import strategies as st
 
 from rhubarbmount.errors import Refused
 from rhubarbmount.explain import DecisionRecorder
@@ -14,7 +10,7 @@
 from rhubarbmount.repair import RepairBounds
 from rhubarbmount.waves import Control
 from tests.fleetchecks import hosts_of
-from tests.interleave import run_now
+from tests.interleave import run_now, schedules
 from tests.wavekit import (
     add_holder,
     count_maintained,
@@ -25,8 +21,6 @@
     reboots_of,
 )
 
-EXAMPLES = int(os.environ.get("INTERLEAVINGS", "60"))
-
 
 def test_a_wave_maintains_each_host_once_and_ends():
     world = make_world()
@@ -128,14 +122,7 @@
     world.stop()
 
 
-@settings(
-    derandomize=True,
-    deadline=None,
-    database=None,
-    max_examples=EXAMPLES,
-    phases=[Phase.generate],
-)
-@given(schedule=st.binary(min_size=150, max_size=400))
+@schedules(60)
 def test_racing_holders_keep_the_budget_and_reboot_each_host_once(schedule):
     world = make_world(hosts=4)
     wave_id = run_now(operator_of(world).start())
--- a/tests/wavekit.py
+++ b/tests/wavekit.py
@@ -13,7 +13,7 @@
 from rhubarbmount.waves import WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
 from tests.fleetkit import fill, make_host, make_pool, pool_row
-from tests.interleave import World, pause, run_now
+from tests.interleave import World, run_now
 
 QUICK = WorkBounds(view_s=1, drain_s=1, drain_limit_s=5, reboot_min_s=1, warm_s=1)
 WAVE = WaveSettings(drain_s=2, reboot_s=2, warm_s=1)
@@ -75,14 +75,7 @@
         )
         for duty in duties
     ]
-
-    async def work():
-        while True:
-            for runner in runners:
-                await runner.step()
-            await pause()
-
-    world.actors.append(work())
+    world.add_runners(runners)
 
 
 def operator_of(world):
