Write the health line in one place

routing.py logged the end of an ejection with the line that forward.py has for every other change; both call log_health now.

--- a/rhubarbmount/forward.py
+++ b/rhubarbmount/forward.py
@@ -28,7 +28,7 @@
 from rhubarbmount.request_traces import note_attempt, note_refusal, note_route
 from rhubarbmount.retries import RetryDecision, classify, decide_retry
 from rhubarbmount.route_decisions import RouteDecision, RouteReason
-from rhubarbmount.routing import PoolView
+from rhubarbmount.routing import PoolView, log_health
 from rhubarbmount.strategies import Backend
 from rhubarbmount.timers import TimerService
 
@@ -222,7 +222,7 @@
             )
             if change is not None:
                 self.metrics.count_health_change(view.pool, change.action)
-                log.event(logger, "health", pool=view.pool, **attrs.asdict(change))
+                log_health(view.pool, change)
         if ended.response is not None and not ended.facts.guard_refused:
             turn.duration_s = latency_s
         return ended
--- a/rhubarbmount/routing.py
+++ b/rhubarbmount/routing.py
@@ -23,7 +23,7 @@
 from rhubarbmount.strategies import Backend, strategies
 from rhubarbmount.zones import Zone
 
-__all__ = ["PoolView", "TAKES_NEW_WORK"]
+__all__ = ["PoolView", "TAKES_NEW_WORK", "log_health"]
 
 TAKES_NEW_WORK = frozenset({HostState.IN_SERVICE, HostState.RETURNING})
 DEFAULT_STRATEGY = "two-choices"
@@ -36,6 +36,11 @@
 logger = logging.getLogger(__name__)
 
 
+def log_health(pool: str, change: HealthChange) -> None:
+    """Log a change of a backend server's standing."""
+    log.event(logger, "health", pool=pool, **attrs.asdict(change))
+
+
 class PoolView:
     """One entry host's view of a pool's backend servers, and its choices among them.
 
@@ -259,7 +264,7 @@
 
     def _readmit(self) -> None:
         for change in self.health.readmit():
-            log.event(logger, "health", pool=self.pool, **attrs.asdict(change))
+            log_health(self.pool, change)
             self._settle(self.by_host_id[change.host_id])
         if not self._local.serving and not self._remote.serving:
             self._end_rests()
