--- a/bench/claims_world.py
+++ b/bench/claims_world.py
@@ -12,9 +12,9 @@
 
 from rhubarbmount.claim_guard import Claims, open_claims
 from rhubarbmount.claims import HeldClaim
-from rhubarbmount.platform.client import PlatformClient, open_client
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.standins.faulty_platform import Faults, FaultyPlatform
+from rhubarbmount.store.client import PlatformClient, open_client
+from rhubarbmount.store.memory import MemoryPlatform
 
 __all__ = ["EntryHost", "Ledger", "NotRun", "Request", "World", "run_seeded"]
 
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -24,8 +24,8 @@
 from rhubarbmount.entries import Entry, JobTemplate, Pool, Service, Team
 from rhubarbmount.hosts import Host, Shape, dump_host, load_host
 from rhubarbmount.peers import Peers, new_identity, open_peers
-from rhubarbmount.platform.interface import Row, Transaction, TransactionResult
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Row, Transaction, TransactionResult
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import open_timers
 from rhubarbmount.zmqtrio import CurveKeys
 
--- a/bench/duties.py
+++ b/bench/duties.py
@@ -12,7 +12,7 @@
 import trio.testing
 
 from rhubarbmount.fleet_duties import FleetDuties
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import TimerService
 
 STORE_DELAY_S = 0.005
--- a/bench/outage.py
+++ b/bench/outage.py
@@ -20,7 +20,7 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.follower import Follower
 from rhubarbmount.peers import Peers, new_identity, open_peers
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import TimerService, open_timers
 from rhubarbmount.zmqtrio import CurveKeys
 
--- a/bench/scheduling_state.py
+++ b/bench/scheduling_state.py
@@ -24,8 +24,8 @@
     load_job,
     load_task,
 )
-from rhubarbmount.platform.interface import Row
 from rhubarbmount.scheduler import Scheduler
+from rhubarbmount.store.interface import Row
 
 POOLS = 25
 SHAPES = [Shape(1, 2), Shape(2, 4), Shape(4, 8), Shape(8, 16), Shape(4, 8, 1)]
--- a/bench/wave_run.py
+++ b/bench/wave_run.py
@@ -18,10 +18,10 @@
 from rhubarbmount.host_rows import HostChange, host_terms
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import Host, HostState, Shape
-from rhubarbmount.platform.interface import LiveHost, Transaction
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairDuty
+from rhubarbmount.store.interface import LiveHost, Transaction
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.wave_bounds import lower_bound_s
 from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.wave_plan import plan_wave
--- a/rhubarbmount/acceptance.py
+++ b/rhubarbmount/acceptance.py
@@ -36,12 +36,12 @@
 )
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import (
+from rhubarbmount.shared_rows import FORMAT, NOTHING
+from rhubarbmount.store.interface import (
     Platform,
     Row,
     Transaction,
 )
-from rhubarbmount.shared_rows import FORMAT, NOTHING
 from rhubarbmount.tables import CATALOGUE_HEAD, HEADS_TABLE, HISTORY_TABLE
 
 __all__ = ["Acceptance"]
--- a/rhubarbmount/budgets.py
+++ b/rhubarbmount/budgets.py
@@ -9,8 +9,8 @@
 from rhubarbmount.entries import Pool, load_pool
 from rhubarbmount.host_rows import HostRow, Terms
 from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.shared_rows import NOTHING
+from rhubarbmount.store.interface import LiveHost, Platform, Row
 from rhubarbmount.tables import BUDGETS_TABLE, ENTRIES_TABLE
 
 __all__ = [
--- a/rhubarbmount/cadence.py
+++ b/rhubarbmount/cadence.py
@@ -11,7 +11,7 @@
 from rhubarbmount.hosts import Host
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import DAY_S
-from rhubarbmount.platform.interface import Platform
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.tables import ENTRIES_TABLE
 from rhubarbmount.waves import (
     Wave,
--- a/rhubarbmount/catalogue_rows.py
+++ b/rhubarbmount/catalogue_rows.py
@@ -7,8 +7,8 @@
 from rhubarbmount.catalogue_checks import FleetSummary
 from rhubarbmount.edits import Edit, Operator
 from rhubarbmount.entries import dump_entry
-from rhubarbmount.platform.interface import Precondition, Write
 from rhubarbmount.shared_rows import NOTHING
+from rhubarbmount.store.interface import Precondition, Write
 from rhubarbmount.tables import (
     CATALOGUE_HEAD,
     ENTRIES_TABLE,
--- a/rhubarbmount/claim_batches.py
+++ b/rhubarbmount/claim_batches.py
@@ -17,8 +17,8 @@
     load_claim,
 )
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.client import PlatformClient
-from rhubarbmount.platform.interface import Precondition, Transaction, Write
+from rhubarbmount.store.client import PlatformClient
+from rhubarbmount.store.interface import Precondition, Transaction, Write
 from rhubarbmount.tables import CLAIMS_TABLE
 
 __all__ = ["ClaimBatches", "ClaimRequest"]
--- a/rhubarbmount/claim_guard.py
+++ b/rhubarbmount/claim_guard.py
@@ -26,9 +26,9 @@
     row_key,
 )
 from rhubarbmount.home_claims import HomeClaims, parse_home_key
-from rhubarbmount.platform.budget import Priority
-from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.request_traces import note_claim, note_claim_refused
+from rhubarbmount.store.budget import Priority
+from rhubarbmount.store.client import PlatformClient
 
 __all__ = ["Claims", "open_claims"]
 
--- a/rhubarbmount/claim_records.py
+++ b/rhubarbmount/claim_records.py
@@ -10,8 +10,8 @@
 
 from rhubarbmount.claims import Claim, ClaimState, load_claim
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.client import PlatformClient
-from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+from rhubarbmount.store.client import PlatformClient
+from rhubarbmount.store.interface import Precondition, Row, Transaction, Write
 from rhubarbmount.tables import CLAIMS_TABLE
 
 __all__ = ["ClaimRecords", "Withdrawal"]
--- a/rhubarbmount/claims.py
+++ b/rhubarbmount/claims.py
@@ -7,8 +7,8 @@
 import attrs
 
 from rhubarbmount.errors import RhubarbmountError
-from rhubarbmount.platform.interface import Row
 from rhubarbmount.shared_rows import read_choice
+from rhubarbmount.store.interface import Row
 
 __all__ = [
     "HELD",
--- a/rhubarbmount/configuration.py
+++ b/rhubarbmount/configuration.py
@@ -11,7 +11,7 @@
 from rhubarbmount.follower import Follower, PulledState
 from rhubarbmount.head_reads import ReadHead, one_by_one
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import Platform
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.tables import CATALOGUE_HEAD
 
 __all__ = ["Configuration", "SnapshotInForce"]
--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -23,13 +23,13 @@
 from rhubarbmount.lease_reads import LeaseReads
 from rhubarbmount.lease_renewals import LeaseChange, LeaseRenewals
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import (
+from rhubarbmount.shared_scans import at_once
+from rhubarbmount.store.interface import (
     HostCommand,
     Platform,
     Precondition,
     Transaction,
 )
-from rhubarbmount.shared_scans import at_once
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["Duty", "DutyRunner", "Lease"]
--- a/rhubarbmount/explain_operators.py
+++ b/rhubarbmount/explain_operators.py
@@ -17,11 +17,11 @@
 )
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.instances import ConfigurationStatus
-from rhubarbmount.platform.interface import Platform
 from rhubarbmount.problem import json_response
 from rhubarbmount.questions import Answers, AskPeers, InstanceMemory, ask_nobody
 from rhubarbmount.router import Call, Router
 from rhubarbmount.row_causes import row_causes
+from rhubarbmount.store.interface import Platform
 
 __all__ = ["ExplainApi", "Told", "judge_in_force"]
 
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -11,7 +11,7 @@
 from rhubarbmount.duty_runner import Duty, DutyRunner, Lease
 from rhubarbmount.lease_reads import LeaseReads
 from rhubarbmount.lease_renewals import LeaseRenewals
-from rhubarbmount.platform.interface import Platform
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.timers import TimerService
 
 __all__ = ["FleetDuties", "PacedDuty"]
--- a/rhubarbmount/fleet_operators.py
+++ b/rhubarbmount/fleet_operators.py
@@ -22,10 +22,10 @@
 from rhubarbmount.hosts import Host, HostState, dump_host
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.moves import HostMover
-from rhubarbmount.platform.interface import Platform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.wave_plan import (
     SparesOffer,
     WavePlan,
--- a/rhubarbmount/fleet_tasks.py
+++ b/rhubarbmount/fleet_tasks.py
@@ -12,13 +12,13 @@
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_probe import HostProbe
 from rhubarbmount.local_view import LocalView
-from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairDuty
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.scheduling import SchedulingDuty
 from rhubarbmount.scheduling_rule import Learned
 from rhubarbmount.settings import FleetSettings, Settings, Weights
+from rhubarbmount.store.client import PlatformClient
 from rhubarbmount.timers import TimerService
 from rhubarbmount.wave_duty import WaveDuty
 
--- a/rhubarbmount/fleet_view.py
+++ b/rhubarbmount/fleet_view.py
@@ -19,7 +19,7 @@
 from rhubarbmount.head_reads import ReadHead, one_by_one
 from rhubarbmount.hosts import Host, dump_host, load_host
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.store.interface import Platform, Row
 from rhubarbmount.tables import FLEET_HEAD, HOSTS_TABLE
 
 __all__ = ["FleetChanged", "FleetView", "changed_hosts"]
--- a/rhubarbmount/head_reads.py
+++ b/rhubarbmount/head_reads.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.shared_scans import SharedScans
+from rhubarbmount.store.interface import Platform, Row
 from rhubarbmount.tables import HEADS_TABLE
 
 __all__ = ["HeadReads", "ReadHead", "one_by_one"]
--- a/rhubarbmount/host_begin.py
+++ b/rhubarbmount/host_begin.py
@@ -8,8 +8,8 @@
 from rhubarbmount.host_rows import HostChange, HostRow, Terms, host_terms
 from rhubarbmount.host_work import HostIntent, Step, dump_intent, intent_key, work_cause
 from rhubarbmount.hosts import Host, HostState
-from rhubarbmount.platform.interface import Row
 from rhubarbmount.statecharts import load_chart
+from rhubarbmount.store.interface import Row
 from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = ["Begun", "begin_changes", "begin_terms", "next_host"]
--- a/rhubarbmount/host_duty.py
+++ b/rhubarbmount/host_duty.py
@@ -34,7 +34,7 @@
 )
 from rhubarbmount.hosts import Host
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import HostCommand, Platform, Row
+from rhubarbmount.store.interface import HostCommand, Platform, Row
 from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = ["HostDuty"]
--- a/rhubarbmount/host_rows.py
+++ b/rhubarbmount/host_rows.py
@@ -6,7 +6,7 @@
 import attrs
 
 from rhubarbmount.hosts import Host, HostState, dump_host, load_host
-from rhubarbmount.platform.interface import Platform, Precondition, Row, Write
+from rhubarbmount.store.interface import Platform, Precondition, Row, Write
 from rhubarbmount.tables import FLEET_HEAD, HEADS_TABLE, HOSTS_TABLE
 
 __all__ = ["HostRows", "HostChange", "HostRow", "Terms", "host_terms"]
--- a/rhubarbmount/host_steps.py
+++ b/rhubarbmount/host_steps.py
@@ -10,7 +10,7 @@
 from rhubarbmount.host_rows import HostChange, HostRow, Terms, host_terms
 from rhubarbmount.host_work import HostIntent, Step, intent_key, work_cause
 from rhubarbmount.hosts import Host
-from rhubarbmount.platform.interface import Row
+from rhubarbmount.store.interface import Row
 from rhubarbmount.tables import INTENTS_TABLE, SUSPECTS_TABLE
 
 __all__ = ["DueStep", "OpenWork", "is_spared", "is_wanted", "step_terms"]
--- a/rhubarbmount/host_tasks.py
+++ b/rhubarbmount/host_tasks.py
@@ -6,7 +6,7 @@
 import attrs
 
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import Platform
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.tables import TASKS_TABLE
 
 __all__ = ["HostTasks"]
--- a/rhubarbmount/instances.py
+++ b/rhubarbmount/instances.py
@@ -12,9 +12,9 @@
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.log import event
 from rhubarbmount.peer_messages import MemberReport, PeerIdentity
-from rhubarbmount.platform.client import PlatformClient
-from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
 from rhubarbmount.shared_rows import FORMAT
+from rhubarbmount.store.client import PlatformClient
+from rhubarbmount.store.interface import Precondition, Row, Transaction, Write
 from rhubarbmount.tables import INSTANCES_TABLE
 from rhubarbmount.timers import TimerService
 
--- a/rhubarbmount/job_changes.py
+++ b/rhubarbmount/job_changes.py
@@ -6,9 +6,9 @@
 import attrs
 
 from rhubarbmount.jobs import ENDED_STATES, Job, Task, dump_job, dump_task
-from rhubarbmount.platform.interface import TaskCommand, Write
 from rhubarbmount.shared_rows import new_converter
 from rhubarbmount.sizes import UsageReport
+from rhubarbmount.store.interface import TaskCommand, Write
 from rhubarbmount.suspects import Blame
 from rhubarbmount.tables import (
     HISTORY_TABLE,
--- a/rhubarbmount/job_handlers.py
+++ b/rhubarbmount/job_handlers.py
@@ -22,11 +22,11 @@
 from rhubarbmount.http import HttpResponse
 from rhubarbmount.job_changes import JobRequest, request_write
 from rhubarbmount.jobs import Job, check_submission, dump_job, load_job
-from rhubarbmount.platform.interface import Platform, Precondition, Transaction, Write
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
 from rhubarbmount.row_causes import read_job_row
 from rhubarbmount.scheduling import SchedulingView
+from rhubarbmount.store.interface import Platform, Precondition, Transaction, Write
 from rhubarbmount.structure import structure
 from rhubarbmount.tables import HISTORY_TABLE, JOBS_TABLE
 
--- a/rhubarbmount/job_records.py
+++ b/rhubarbmount/job_records.py
@@ -10,9 +10,9 @@
 from rhubarbmount.job_ends import job_after, observe_outcome
 from rhubarbmount.job_queue import TeamUsage, WaitingJob
 from rhubarbmount.jobs import ENDED_STATES, Job, JobState, Task
-from rhubarbmount.platform.interface import TaskCommand
 from rhubarbmount.promises import Promises
 from rhubarbmount.scheduling_rule import Learned
+from rhubarbmount.store.interface import TaskCommand
 
 __all__ = ["JobRecords"]
 
--- a/rhubarbmount/lease_reads.py
+++ b/rhubarbmount/lease_reads.py
@@ -6,8 +6,8 @@
 import trio
 
 from rhubarbmount.duties import LeaseRow, load_lease
-from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.shared_scans import Gather, SharedScans
+from rhubarbmount.store.interface import Platform, Row
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["LeaseReads", "LeasesSeen"]
--- a/rhubarbmount/lease_renewals.py
+++ b/rhubarbmount/lease_renewals.py
@@ -7,13 +7,13 @@
 
 from rhubarbmount.duties import LeaseRow, dump_lease
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.interface import (
+from rhubarbmount.shared_scans import Gather
+from rhubarbmount.store.interface import (
     Platform,
     Precondition,
     Transaction,
     Write,
 )
-from rhubarbmount.shared_scans import Gather
 from rhubarbmount.tables import LEASES_TABLE
 
 __all__ = ["LeaseChange", "LeaseRenewals"]
--- a/rhubarbmount/leaving_list.py
+++ b/rhubarbmount/leaving_list.py
@@ -6,7 +6,7 @@
 import trio
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.interface import Platform
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.timers import TimerService
 
 __all__ = ["LeavingList"]
--- a/rhubarbmount/membership.py
+++ b/rhubarbmount/membership.py
@@ -10,11 +10,11 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.instances import InstanceRows
 from rhubarbmount.peers import Peers, new_identity, open_peers
-from rhubarbmount.platform.client import PlatformClient
 from rhubarbmount.questions import Answers, InstanceMemory, ask_peers
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.settings import PeerSettings, Settings
 from rhubarbmount.shares import EntryHosts
+from rhubarbmount.store.client import PlatformClient
 from rhubarbmount.timers import TimerService
 from rhubarbmount.zmqtrio import CurveKeys
 
--- a/rhubarbmount/moves.py
+++ b/rhubarbmount/moves.py
@@ -12,7 +12,7 @@
 from rhubarbmount.host_work import HostIntent, dump_intent, intent_key, load_intent
 from rhubarbmount.hosts import HostState
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import Platform, Transaction
+from rhubarbmount.store.interface import Platform, Transaction
 from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = ["HostMover"]
--- a/rhubarbmount/operators.py
+++ b/rhubarbmount/operators.py
@@ -13,10 +13,10 @@
 from rhubarbmount.errors import AccessDenied, FindingsError, NotFound, UsageError
 from rhubarbmount.http import HttpResponse, header_value
 from rhubarbmount.instances import ConfigurationStatus
-from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.problem import json_response
 from rhubarbmount.router import Call, Router
 from rhubarbmount.settings import OperatorSettings
+from rhubarbmount.store.interface import Platform, Row
 from rhubarbmount.tables import ENTRIES_TABLE, HISTORY_TABLE
 
 __all__ = ["OperatorsApi", "operators_from"]
--- a/rhubarbmount/repair.py
+++ b/rhubarbmount/repair.py
@@ -21,7 +21,7 @@
 from rhubarbmount.host_work import HostIntent, Observation, Step
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import LiveHost, Platform
+from rhubarbmount.store.interface import LiveHost, Platform
 from rhubarbmount.tables import SUSPECTS_TABLE
 
 __all__ = ["BufferNeed", "RepairBounds", "RepairDuty", "buffer_need"]
--- a/rhubarbmount/row_causes.py
+++ b/rhubarbmount/row_causes.py
@@ -10,8 +10,8 @@
 from rhubarbmount.host_work import intent_key, load_intent
 from rhubarbmount.hosts import load_host
 from rhubarbmount.jobs import load_job
-from rhubarbmount.platform.interface import Platform, Row
 from rhubarbmount.registry import Registry
+from rhubarbmount.store.interface import Platform, Row
 from rhubarbmount.tables import (
     CLAIMS_TABLE,
     ENTRIES_TABLE,
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -19,11 +19,11 @@
 from rhubarbmount.job_records import JobRecords
 from rhubarbmount.jobs import Job, JobState, Task
 from rhubarbmount.placement import Placement, PoolPlacer, Wait
-from rhubarbmount.platform.interface import TaskCommand
 from rhubarbmount.promises import Promises
 from rhubarbmount.reservations import Reservations
 from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 from rhubarbmount.sizes import UsageReport
+from rhubarbmount.store.interface import TaskCommand
 from rhubarbmount.tables import REPORTS_TABLE, REQUESTS_TABLE
 
 __all__ = ["Scheduler"]
--- a/rhubarbmount/scheduling.py
+++ b/rhubarbmount/scheduling.py
@@ -24,15 +24,15 @@
 )
 from rhubarbmount.jobs import load_job, load_task
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import (
+from rhubarbmount.scheduler import Scheduler
+from rhubarbmount.scheduling_rule import Learned, SchedulingRule
+from rhubarbmount.store.interface import (
     Platform,
     Precondition,
     Row,
     TaskCommand,
     Write,
 )
-from rhubarbmount.scheduler import Scheduler
-from rhubarbmount.scheduling_rule import Learned, SchedulingRule
 from rhubarbmount.tables import (
     INTENTS_TABLE,
     JOBS_TABLE,
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -33,11 +33,6 @@
 from rhubarbmount.membership import Membership, open_membership
 from rhubarbmount.metrics import RequestMetrics
 from rhubarbmount.operators import OperatorsApi, operators_from
-from rhubarbmount.platform import http as _http_adapter  # noqa: F401
-from rhubarbmount.platform import memory as _memory_adapter  # noqa: F401
-from rhubarbmount.platform.budget import Priority
-from rhubarbmount.platform.client import PlatformClient, open_client
-from rhubarbmount.platform.interface import Platform, platforms
 from rhubarbmount.probes import Probes
 from rhubarbmount.questions import Answers, InstanceMemory
 from rhubarbmount.request_policy import RequestPolicy
@@ -45,6 +40,11 @@
 from rhubarbmount.settings import PlatformSettings, Settings
 from rhubarbmount.shared_rows import FORMAT
 from rhubarbmount.shares import EntryHosts
+from rhubarbmount.store import http as _http_adapter  # noqa: F401
+from rhubarbmount.store import memory as _memory_adapter  # noqa: F401
+from rhubarbmount.store.budget import Priority
+from rhubarbmount.store.client import PlatformClient, open_client
+from rhubarbmount.store.interface import Platform, platforms
 from rhubarbmount.sweep import Sweeper
 from rhubarbmount.timers import TimerService
 
--- a/rhubarbmount/shared_scans.py
+++ b/rhubarbmount/shared_scans.py
@@ -6,7 +6,7 @@
 import trio
 
 from rhubarbmount.errors import PlatformUnavailable
-from rhubarbmount.platform.interface import Platform, Row
+from rhubarbmount.store.interface import Platform, Row
 
 __all__ = ["Gather", "SharedScans", "at_once"]
 
--- a/rhubarbmount/standins/faulty_platform.py
+++ b/rhubarbmount/standins/faulty_platform.py
@@ -8,7 +8,7 @@
 import trio
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.interface import (
+from rhubarbmount.store.interface import (
     HostCommand,
     LiveHost,
     Platform,
--- a/rhubarbmount/standins/platform.py
+++ b/rhubarbmount/standins/platform.py
@@ -10,19 +10,19 @@
 from rhubarbmount import log
 from rhubarbmount.http import HttpLimits, HttpRequest, HttpResponse
 from rhubarbmount.listener import Listener
-from rhubarbmount.platform.http import OBJECT_LIMIT_BYTES
-from rhubarbmount.platform.interface import (
-    HostCommand,
-    LiveHost,
-    TaskCommand,
-    Transaction,
-)
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.problem import json_response, problem
 from rhubarbmount.router import Call, Router
 from rhubarbmount.standins.representation import represent
 from rhubarbmount.standins.seed import Seed, write_seed
 from rhubarbmount.standins.workers import WorkerFaults, Workers
+from rhubarbmount.store.http import OBJECT_LIMIT_BYTES
+from rhubarbmount.store.interface import (
+    HostCommand,
+    LiveHost,
+    TaskCommand,
+    Transaction,
+)
+from rhubarbmount.store.memory import MemoryPlatform
 
 __all__ = ["PlatformFaults", "PlatformStandin"]
 
--- a/rhubarbmount/standins/seed.py
+++ b/rhubarbmount/standins/seed.py
@@ -9,7 +9,7 @@
 from rhubarbmount.entries import dump_entry, entry_key, entry_kinds
 from rhubarbmount.errors import Finding, FindingsError
 from rhubarbmount.hosts import Host, dump_host
-from rhubarbmount.platform.interface import Platform, Transaction, Write
+from rhubarbmount.store.interface import Platform, Transaction, Write
 from rhubarbmount.structure import Fault, structure
 from rhubarbmount.tables import CATALOGUE_HEAD, ENTRIES_TABLE, HEADS_TABLE, HOSTS_TABLE
 from rhubarbmount.yaml_file import YamlFile, read_yaml
--- a/rhubarbmount/standins/workers.py
+++ b/rhubarbmount/standins/workers.py
@@ -10,8 +10,8 @@
 from rhubarbmount import log
 from rhubarbmount.job_changes import ENDED_PREFIX, USAGE_PREFIX
 from rhubarbmount.jobs import Task, load_task
-from rhubarbmount.platform.interface import TaskCommand, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import TaskCommand, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.tables import REPORTS_TABLE, TASKS_TABLE
 
 __all__ = ["WorkerFaults", "Workers"]
--- /dev/null
+++ b/rhubarbmount/store/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform that keeps what must last."""
--- /dev/null
+++ b/rhubarbmount/store/breaker.py
@@ -0,0 +1,54 @@
+"""A circuit breaker: stops calls to a platform that keeps failing."""
+
+import attrs
+
+__all__ = ["CircuitBreaker"]
+
+FAILURES_TO_OPEN = 5
+OPEN_S = 1.0
+
+
+@attrs.define
+class CircuitBreaker:
+    """Count failures and decide whether a call may be made.
+
+    After ``failures_to_open`` failures in a row no call is made for ``open_s``; then
+    one trial call at a time decides.
+
+    >>> breaker = CircuitBreaker(failures_to_open=1, open_s=2.0)
+    >>> breaker.failed(now_s=10.0)
+    >>> breaker.allows(now_s=11.0), breaker.allows(now_s=12.0), breaker.allows(12.1)
+    (False, True, False)
+    >>> breaker.succeeded()
+    >>> breaker.allows(now_s=12.2)
+    True
+    """
+
+    failures_to_open: int = FAILURES_TO_OPEN
+    open_s: float = OPEN_S
+    _failures: int = 0
+    _closed_to_s: float = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the last calls failed."""
+        return self._failures >= self.failures_to_open
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether a call may be made; reserves the trial call."""
+        if not self.is_open:
+            return True
+        if now_s < self._closed_to_s:
+            return False
+        self._closed_to_s = now_s + self.open_s
+        return True
+
+    def succeeded(self) -> None:
+        """Record a call that the platform answered."""
+        self._failures = 0
+
+    def failed(self, now_s: float) -> None:
+        """Record a call that the platform did not answer."""
+        self._failures += 1
+        if self.is_open:
+            self._closed_to_s = now_s + self.open_s
--- /dev/null
+++ b/rhubarbmount/store/client.py
@@ -0,0 +1,227 @@
+"""The platform as the rest of the program sees it: bounded, budgeted and settled."""
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import attrs
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.store import settlement
+from rhubarbmount.store.breaker import CircuitBreaker
+from rhubarbmount.store.budget import (
+    READS_PER_S,
+    WRITES_PER_S,
+    Budget,
+    Priority,
+)
+from rhubarbmount.store.interface import (
+    HostCommand,
+    LiveHost,
+    Platform,
+    Row,
+    TaskCommand,
+    Transaction,
+    TransactionResult,
+)
+
+__all__ = ["PlatformClient", "open_client"]
+
+DEADLINE_S = 2.0
+SETTLE_TRIES = 3
+
+logger = logging.getLogger(__name__)
+Answer = TypeVar("Answer")
+
+
+def _one_host() -> int:
+    return 1
+
+
+@attrs.define(eq=False)
+class _Shared:
+    """What all priorities of one client have in common."""
+
+    adapter: Platform
+    reads: Budget
+    writes: Budget
+    breaker: CircuitBreaker
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    deadline_s: float
+
+
+@attrs.define(eq=False)
+class PlatformClient:
+    """Call an adapter within a deadline, a circuit breaker and a budget.
+
+    Each call raises PlatformUnavailable when it surely had no effect and
+    OutcomeUnknown when it may have had one.
+    """
+
+    _shared: _Shared
+    priority: Priority = Priority.REST
+
+    def at(self, priority: Priority) -> "PlatformClient":
+        """Return the same client with its calls at another priority."""
+        return PlatformClient(self._shared, priority)
+
+    @property
+    def is_out(self) -> bool:
+        """Whether the last calls got no answer."""
+        return self._shared.breaker.is_open
+
+    @property
+    def writes_spent(self) -> float:
+        """How many row writes this host has paid for."""
+        return self._shared.writes.spent
+
+    def affordable_writes(self) -> int:
+        """Return how many rows one transaction may write without debt."""
+        return self._shared.writes.affordable()
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return the row, or None."""
+        return await self._read(lambda: self._shared.adapter.read(table, key))
+
+    async def scan(self, table: str, prefix: str = "") -> list[Row]:
+        """Return the rows whose keys start with the prefix, in key order."""
+        return await self._read(lambda: self._shared.adapter.scan(table, prefix))
+
+    async def transact(
+        self, transaction: Transaction, *, settled: bool = True
+    ) -> TransactionResult:
+        """Commit all writes together, or none of them, and find out which.
+
+        Call again with the same operation id to learn what became of it. Without
+        ``settled`` no operations row is written and a lost answer is raised as
+        OutcomeUnknown, for callers that settle it by reading rows of their own.
+        """
+        if not settled:
+            return await self._write(transaction)
+        operation_id = transaction.operation_id
+        now_s = self._shared.wall_clock()
+        try:
+            result = await self._write(settlement.recorded(transaction, now_s))
+        except OutcomeUnknown:
+            return await self._settle(operation_id)
+        if settlement.has_operation_conflict(result, operation_id):
+            return await self._read_outcome(operation_id)
+        return settlement.without_operation(result)
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object under a name that is never reused for another body."""
+        await self._effect(lambda: self._shared.adapter.put_object(name, body), 1)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return the object, or None."""
+        return await self._read(lambda: self._shared.adapter.get_object(name))
+
+    async def live_hosts(self) -> list[LiveHost]:
+        """Return the lagging list of live and leaving hosts."""
+        return await self._read(lambda: self._shared.adapter.live_hosts())
+
+    async def command_host(self, command: HostCommand) -> None:
+        """Ask the platform to act on a host; repeats of an intent do nothing."""
+        await self._effect(lambda: self._shared.adapter.command_host(command), 1)
+
+    async def command_task(self, command: TaskCommand) -> None:
+        """Ask the platform to act on a task; repeats of an intent do nothing."""
+        await self._effect(lambda: self._shared.adapter.command_task(command), 1)
+
+    async def _settle(self, operation_id: str) -> TransactionResult:
+        """Abort the operation unless it has committed. Raises OutcomeUnknown."""
+        now_s = self._shared.wall_clock()
+        for _ in range(SETTLE_TRIES):
+            try:
+                result = await self._write(settlement.abort(operation_id, now_s))
+            except OutcomeUnknown:
+                continue
+            except PlatformUnavailable:
+                break
+            if result.committed:
+                log.event(logger, "settled", operation=operation_id, state="aborted")
+                raise PlatformUnavailable(f"operation {operation_id} was aborted")
+            break
+        return await self._read_outcome(operation_id)
+
+    async def _read_outcome(self, operation_id: str) -> TransactionResult:
+        try:
+            key = settlement.operation_key(operation_id)
+            row = await self.read(settlement.OPERATIONS_TABLE, key)
+        except PlatformUnavailable:
+            row = None
+        if row is None:
+            raise OutcomeUnknown(f"operation {operation_id} may have taken effect")
+        if settlement.is_committed(row):
+            log.event(logger, "settled", operation=operation_id, state="committed")
+            return TransactionResult(True)
+        raise PlatformUnavailable(f"operation {operation_id} was aborted")
+
+    async def _write(self, transaction: Transaction) -> TransactionResult:
+        return await self._effect(
+            lambda: self._shared.adapter.transact(transaction),
+            max(1, len(transaction.writes)),
+        )
+
+    async def _read(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
+        try:
+            return await self._call(call, self._shared.reads, 1)
+        except OutcomeUnknown as error:
+            raise PlatformUnavailable(error.message) from None
+
+    async def _effect(self, call: Callable[[], Awaitable[Answer]], cost: int) -> Answer:
+        return await self._call(call, self._shared.writes, cost)
+
+    async def _call(
+        self, call: Callable[[], Awaitable[Answer]], budget: Budget, cost: int
+    ) -> Answer:
+        shared = self._shared
+        if not shared.breaker.allows(shared.clock()):
+            raise PlatformUnavailable("the platform does not answer")
+        if not budget.spend_at_once(cost, self.priority):
+            await self._wait_to_spend(budget, cost)
+        try:
+            with trio.fail_after(shared.deadline_s):
+                answer = await call()
+        except trio.TooSlowError:
+            shared.breaker.failed(shared.clock())
+            raise OutcomeUnknown("the platform gave no answer in time") from None
+        except (OutcomeUnknown, PlatformUnavailable):
+            shared.breaker.failed(shared.clock())
+            raise
+        shared.breaker.succeeded()
+        return answer
+
+    async def _wait_to_spend(self, budget: Budget, cost: int) -> None:
+        with trio.move_on_after(self._shared.deadline_s) as scope:
+            await budget.spend(cost, self.priority)
+        if scope.cancelled_caught:
+            raise PlatformUnavailable("the platform budget is spent")
+
+
+def open_client(
+    adapter: Platform,
+    *,
+    live_entry_hosts: Callable[[], int] = _one_host,
+    clock: Callable[[], float] = trio.current_time,
+    wall_clock: Callable[[], float] = time.time,
+    deadline_s: float = DEADLINE_S,
+    reads_per_s: float = READS_PER_S,
+    writes_per_s: float = WRITES_PER_S,
+) -> PlatformClient:
+    """Wrap an adapter; rates are those of all entry hosts together."""
+    return PlatformClient(
+        _Shared(
+            adapter,
+            Budget(reads_per_s, live_entry_hosts, clock),
+            Budget(writes_per_s, live_entry_hosts, clock),
+            CircuitBreaker(),
+            clock,
+            wall_clock,
+            deadline_s,
+        )
+    )
--- /dev/null
+++ b/rhubarbmount/store/http.py
@@ -0,0 +1,188 @@
+"""The platform over HTTP and JSON."""
+
+import json
+import zlib
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import cattrs
+import trio
+
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.http import (
+    AnswerLost,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    NotSent,
+    header_value,
+)
+from rhubarbmount.http_client import ClientConnection, ConnectionPool
+from rhubarbmount.store.held_answers import HeldAnswer, HeldAnswers
+from rhubarbmount.store.interface import (
+    HostCommand,
+    LiveHost,
+    Row,
+    TaskCommand,
+    Transaction,
+    TransactionResult,
+    platforms,
+)
+
+__all__ = ["HttpPlatform"]
+
+OBJECT_LIMIT_BYTES = 64 * 1048576
+GZIP_WINDOW_BITS = zlib.MAX_WBITS | 16
+
+_converter = cattrs.Converter()
+
+
+@platforms.register("http")
+@attrs.define(eq=False)
+class HttpPlatform:
+    """Call the platform; a connection carries one call at a time.
+
+    Reads are conditional on the tag of the answer held, if the platform gave one; it
+    may compress its answers.
+    """
+
+    address: str
+    timeout_s: float = 2.0
+    _held: HeldAnswers = attrs.field(factory=HeldAnswers)
+    _connections: ConnectionPool = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._connections = ConnectionPool(
+            self.address, self.timeout_s, OBJECT_LIMIT_BYTES
+        )
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return the row, or None."""
+        path = f"/tables/{quote(table, safe='')}/rows/{quote(key, safe='')}"
+        return await self._get(path, Row)
+
+    async def scan(self, table: str, prefix: str = "") -> list[Row]:
+        """Return the rows whose keys start with the prefix, in key order."""
+        path = f"/tables/{quote(table, safe='')}?prefix={quote(prefix, safe='')}"
+        return list(await self._get(path, list[Row]))
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Commit all writes together, or none of them."""
+        body = _converter.unstructure(transaction)
+        answer = await self._call("POST", "/transactions", _encode(body))
+        return _decode("POST", answer, TransactionResult)
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        await self._call("PUT", f"/objects/{quote(name, safe='')}", body)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return the object, or None."""
+        answer = await self._call("GET", f"/objects/{quote(name, safe='')}")
+        return None if answer.status == 404 else answer.body
+
+    async def live_hosts(self) -> list[LiveHost]:
+        """Return the lagging list of live and leaving hosts."""
+        return list(await self._get("/hosts", list[LiveHost]))
+
+    async def command_host(self, command: HostCommand) -> None:
+        """Ask the platform to act on a host."""
+        body = _encode(_converter.unstructure(command))
+        await self._call("POST", "/host-commands", body)
+
+    async def command_task(self, command: TaskCommand) -> None:
+        """Ask the platform to act on a task."""
+        body = _encode(_converter.unstructure(command))
+        await self._call("POST", "/task-commands", body)
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        await self._connections.aclose()
+
+    async def _get(self, path: str, kind: Any) -> Any:
+        """Return the decoded answer, or the held one; None if there is no row."""
+        held = self._held.get(path)
+        headers = [(b"accept-encoding", b"gzip")]
+        if held is not None:
+            headers.append((b"if-none-match", held.tag.encode("latin-1")))
+        answer = await self._call("GET", path, headers=headers)
+        if answer.status == 304 and held is not None:
+            return held.value
+        self._held.drop(path)
+        if answer.status == 404 and kind is Row:
+            return None
+        answer = _expanded(answer)
+        value = _decode("GET", answer, kind)
+        tag = header_value(answer.headers, b"etag") or ""
+        self._held.put(path, HeldAnswer(tag, len(answer.body), value))
+        return value
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", headers: Headers = ()
+    ) -> HttpResponse:
+        try:
+            with trio.fail_after(self.timeout_s):
+                connection = await self._connections.take()
+                host = (b"host", self.address.encode("ascii"))
+                request = HttpRequest(method, path, [host, *headers], body)
+                answer = await self._exchange(connection, request)
+        except trio.TooSlowError:
+            raise _failure(method, "no answer in time") from None
+        except NotSent as error:
+            raise PlatformUnavailable(error.message) from None
+        except AnswerLost as error:
+            raise _failure(method, error.message) from None
+        return _checked(method, answer)
+
+    async def _exchange(
+        self, connection: ClientConnection, request: HttpRequest
+    ) -> HttpResponse:
+        try:
+            return await connection.exchange(request)
+        finally:
+            await self._connections.put_back(connection)
+
+
+def _checked(method: str, answer: HttpResponse) -> HttpResponse:
+    """Return a success, or the answer that there is no such thing to read.
+
+    A refusal (4xx) and 503 mean no effect; another 5xx may hide one.
+    """
+    message = f"the platform answered {answer.status}"
+    if answer.status >= 500 and answer.status != 503:
+        raise _failure(method, message)
+    if answer.status >= 400 and (method, answer.status) != ("GET", 404):
+        raise PlatformUnavailable(message)
+    return answer
+
+
+def _expanded(answer: HttpResponse) -> HttpResponse:
+    """Return an answer without its compression. Raises PlatformUnavailable."""
+    if header_value(answer.headers, b"content-encoding") != "gzip":
+        return answer
+    decompressor = zlib.decompressobj(GZIP_WINDOW_BITS)
+    try:
+        body = decompressor.decompress(answer.body, OBJECT_LIMIT_BYTES)
+    except zlib.error as error:
+        raise PlatformUnavailable(f"the platform's answer is broken: {error}") from None
+    if not decompressor.eof:
+        raise PlatformUnavailable("the platform's answer is cut or too large")
+    return attrs.evolve(answer, body=body)
+
+
+def _failure(method: str, message: str) -> PlatformUnavailable | OutcomeUnknown:
+    if method == "GET":
+        return PlatformUnavailable(message)
+    return OutcomeUnknown(message)
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode("utf-8")
+
+
+def _decode(method: str, answer: HttpResponse, kind: Any) -> Any:
+    try:
+        return _converter.structure(json.loads(answer.body), kind)
+    except (ValueError, TypeError, KeyError, cattrs.BaseValidationError) as error:
+        raise _failure(method, f"the platform's answer is malformed: {error}") from None
--- a/rhubarbmount/sweep.py
+++ b/rhubarbmount/sweep.py
@@ -11,8 +11,8 @@
 
 from rhubarbmount import log
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.client import PlatformClient
-from rhubarbmount.platform.interface import Precondition, Row, Transaction, Write
+from rhubarbmount.store.client import PlatformClient
+from rhubarbmount.store.interface import Precondition, Row, Transaction, Write
 from rhubarbmount.tables import CLAIMS_TABLE, OPERATIONS_TABLE
 from rhubarbmount.timers import TimerService
 
--- a/rhubarbmount/wave_duty.py
+++ b/rhubarbmount/wave_duty.py
@@ -15,8 +15,8 @@
 from rhubarbmount.hosts import Host, HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, next_start_s, select
-from rhubarbmount.platform.interface import LiveHost, Platform, Row
 from rhubarbmount.pool_plan import WaveSettings
+from rhubarbmount.store.interface import LiveHost, Platform, Row
 from rhubarbmount.swaps import Swap, fair_share, swap_wanted, swaps_hosts
 from rhubarbmount.tables import INTENTS_TABLE
 from rhubarbmount.wave_holds import why_held
--- a/rhubarbmount/wave_holds.py
+++ b/rhubarbmount/wave_holds.py
@@ -4,7 +4,7 @@
 
 from rhubarbmount.budgets import PoolRows, decide
 from rhubarbmount.host_rows import HostRow
-from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.store.interface import LiveHost
 
 __all__ = ["why_held"]
 
--- a/rhubarbmount/wave_work.py
+++ b/rhubarbmount/wave_work.py
@@ -14,7 +14,7 @@
 from rhubarbmount.hosts import HostState
 from rhubarbmount.log import event
 from rhubarbmount.maintenance import is_due, select
-from rhubarbmount.platform.interface import Platform
+from rhubarbmount.store.interface import Platform
 from rhubarbmount.swaps import spares_of, surplus_of
 from rhubarbmount.tables import INTENTS_TABLE
 from rhubarbmount.waves import WAVE_PREFIX, WaveRow
--- a/rhubarbmount/waves.py
+++ b/rhubarbmount/waves.py
@@ -11,8 +11,8 @@
 from rhubarbmount.errors import AccessDenied, ConflictError, NotFound, Refused
 from rhubarbmount.host_rows import HostRows, Terms
 from rhubarbmount.log import event
-from rhubarbmount.platform.interface import Platform, Transaction
 from rhubarbmount.shared_rows import SharedRow, new_converter
+from rhubarbmount.store.interface import Platform, Transaction
 from rhubarbmount.tables import INTENTS_TABLE
 
 __all__ = [
--- a/tests/fleetkit.py
+++ b/tests/fleetkit.py
@@ -7,8 +7,8 @@
 from rhubarbmount.entries import Pool, dump_entry
 from rhubarbmount.host_rows import HostChange, host_terms
 from rhubarbmount.hosts import Host, Shape
-from rhubarbmount.platform.interface import LiveHost, Transaction
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import LiveHost, Transaction
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 def make_pool(name="quotes", **limits):
--- a/tests/interleave.py
+++ b/tests/interleave.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 
 FAULTS = ("none",) * 12 + ("refused", "lost-answer", "lost-request", "late")
 
--- a/tests/newer.py
+++ b/tests/newer.py
@@ -5,7 +5,7 @@
 import attrs
 import msgpack
 
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 
 FIELD = "x_newer"
 VALUE = {"of": "a newer version", "numbers": [1, 2]}
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -10,9 +10,9 @@
 from rhubarbmount.job_changes import JobRequest, request_write
 from rhubarbmount.job_queue import TeamUsage
 from rhubarbmount.jobs import Job, dump_job
-from rhubarbmount.platform.interface import Precondition, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.scheduling import SchedulingDuty
+from rhubarbmount.store.interface import Precondition, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from tests.workers import Link, Workers
 
 LEASE_S = 8.0
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -22,8 +22,8 @@
     Refused,
     RhubarbmountError,
 )
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 FIRM = Operator("ana", frozenset({"firm-a"}))
 RIVAL = Operator("ben", frozenset({"firm-b"}))
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -12,8 +12,8 @@
 )
 from rhubarbmount.host_rows import HostChange, HostRows, host_terms
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.interface import LiveHost, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import LiveHost, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from tests.fleetkit import CountedPlatform, commit, fill, make_host, make_pool, pool_row
 
 
--- a/tests/test_cadence.py
+++ b/tests/test_cadence.py
@@ -4,7 +4,7 @@
 
 from rhubarbmount.cadence import CadenceDuty, overdue_pools
 from rhubarbmount.duty_runner import DutyRunner
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.waves import Wave, read_waves
 from tests.fleetkit import ManualClock, fill, make_host, make_pool
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,10 +6,10 @@
 
 from rhubarbmount.claim_guard import open_claims
 from rhubarbmount.claims import ClaimRefused, ClaimState, load_claim, row_key
-from rhubarbmount.platform.client import open_client
-from rhubarbmount.platform.interface import Precondition, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.standins.faulty_platform import Faults, FaultyPlatform
+from rhubarbmount.store.client import open_client
+from rhubarbmount.store.interface import Precondition, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 @pytest.fixture
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,11 +5,11 @@
 import trio.testing
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.budget import Budget, Priority
-from rhubarbmount.platform.client import open_client
-from rhubarbmount.platform.interface import Precondition, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.standins.faulty_platform import Faults, FaultyPlatform
+from rhubarbmount.store.budget import Budget, Priority
+from rhubarbmount.store.client import open_client
+from rhubarbmount.store.interface import Precondition, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 def increment(operation_id, number):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,8 +10,8 @@
 from rhubarbmount.configuration import Configuration
 from rhubarbmount.entries import Team
 from rhubarbmount.errors import PlatformUnavailable
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import open_timers
 
 
--- a/tests/test_explain_operators.py
+++ b/tests/test_explain_operators.py
@@ -13,10 +13,10 @@
 from rhubarbmount.explain_operators import ExplainApi, judge_in_force
 from rhubarbmount.http import HttpRequest
 from rhubarbmount.instances import ConfigurationStatus, weigh_status
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.questions import Answers, InstanceMemory
 from rhubarbmount.request_traces import RequestTraces
 from rhubarbmount.router import Router
+from rhubarbmount.store.memory import MemoryPlatform
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool
 from tests.test_job_handlers import LARGE, Operated
 
--- a/tests/test_faulty_platform.py
+++ b/tests/test_faulty_platform.py
@@ -3,9 +3,9 @@
 import pytest
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.interface import LiveHost, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.standins.faulty_platform import Faults, FaultyPlatform
+from rhubarbmount.store.interface import LiveHost, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 async def test_the_list_of_hosts_lags_by_so_many_calls(nursery):
--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -4,8 +4,8 @@
 import trio
 
 from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import TimerService
 
 
--- a/tests/test_fleet_operators.py
+++ b/tests/test_fleet_operators.py
@@ -11,9 +11,9 @@
 from rhubarbmount.fleet_operators import FleetApi
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.http import HttpRequest
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.router import Router
+from rhubarbmount.store.memory import MemoryPlatform
 from tests.fleetkit import fill, make_host, make_pool
 
 OWNERS = {"ana": {"sfax"}, "rita": {"rival"}}
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -12,8 +12,8 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.hosts import Host, HostState, Shape, dump_host
 from rhubarbmount.peer_requests import PULL_ATTEMPTS
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 CHANGES_KEPT = 4
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -13,10 +13,10 @@
 from rhubarbmount.hosts import Host, HostState, Shape
 from rhubarbmount.http import AnswerLost, HttpRequest, HttpResponse, NotSent
 from rhubarbmount.metrics import RequestMetrics
-from rhubarbmount.platform.client import open_client
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.request_policy import RequestPolicy
 from rhubarbmount.shares import EntryHosts
+from rhubarbmount.store.client import open_client
+from rhubarbmount.store.memory import MemoryPlatform
 
 GET = HttpRequest("GET", "/quotes/1")
 POST = HttpRequest("POST", "/quotes/1", [(b"te", b"trailers")], b"battery")
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -28,11 +28,11 @@
     decode_message,
 )
 from rhubarbmount.peer_table import PeerTable
-from rhubarbmount.platform.http import _decode
-from rhubarbmount.platform.interface import LiveHost, Row, TransactionResult
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.router import Router
 from rhubarbmount.settings import Settings, check_settings
+from rhubarbmount.store.http import _decode
+from rhubarbmount.store.interface import LiveHost, Row, TransactionResult
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.yaml_file import parse_yaml
 from tests.test_job_handlers import SMALL, Operated
 from tests.test_settings import GOOD
--- a/tests/test_head_reads.py
+++ b/tests/test_head_reads.py
@@ -8,7 +8,7 @@
 from rhubarbmount.fleet_view import FleetView
 from rhubarbmount.follower import run_followers
 from rhubarbmount.head_reads import HeadReads
-from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.store.interface import Transaction, Write
 from rhubarbmount.timers import TimerService
 from tests.fleetkit import CountedPlatform
 
--- a/tests/test_host_duty.py
+++ b/tests/test_host_duty.py
@@ -13,7 +13,7 @@
 )
 from rhubarbmount.hosts import HostState, Shape
 from rhubarbmount.jobs import Task, dump_task
-from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.store.interface import Transaction, Write
 from rhubarbmount.tables import INTENTS_TABLE, TASKS_TABLE
 from tests.fleetchecks import hosts_of
 from tests.fleetkit import (
--- a/tests/test_host_rows.py
+++ b/tests/test_host_rows.py
@@ -4,7 +4,7 @@
 
 from rhubarbmount.host_rows import CHANGES_KEPT, HostChange, HostRows, host_terms
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 from tests.fleetkit import commit, fill, make_host, make_pool
 
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -11,10 +11,10 @@
     weigh_status,
 )
 from rhubarbmount.peer_messages import MemberReport, PeerIdentity
-from rhubarbmount.platform.client import open_client
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.shared_rows import FORMAT
+from rhubarbmount.store.client import open_client
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 class Instance:
--- a/tests/test_lease_renewals.py
+++ b/tests/test_lease_renewals.py
@@ -9,7 +9,7 @@
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.fleet_duties import FleetDuties
 from rhubarbmount.lease_renewals import LeaseChange, LeaseRenewals
-from rhubarbmount.platform.interface import Transaction, Write
+from rhubarbmount.store.interface import Transaction, Write
 from rhubarbmount.timers import TimerService
 from tests.fleetkit import CountedPlatform
 
--- a/tests/test_leaving_list.py
+++ b/tests/test_leaving_list.py
@@ -3,7 +3,7 @@
 
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.leaving_list import HOLD_S, LeavingList
-from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.store.interface import LiveHost
 
 
 class Listing:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,7 +1,7 @@
 """The embedded platform."""
 
-from rhubarbmount.platform.interface import Precondition, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Precondition, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 async def test_a_failed_precondition_leaves_every_row_alone():
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -9,8 +9,8 @@
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
 from rhubarbmount.moves import HostMover
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from tests.fleetchecks import EffectCheck, check_commit, hosts_of
 from tests.fleetkit import CountedPlatform, fill, make_host, make_pool, pool_row
 from tests.interleave import World, pause, run_now, schedules
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,7 +19,7 @@
     encode_message,
 )
 from rhubarbmount.peers import Peers, new_identity, open_peers
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import open_timers
 from rhubarbmount.zmqtrio import CurveKeys, open_zmq
 from tests.addresses import AddressBlock
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -9,9 +9,9 @@
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.http import HttpLimits, HttpResponse
 from rhubarbmount.listener import Listener
-from rhubarbmount.platform.http import HttpPlatform
-from rhubarbmount.platform.interface import Transaction
 from rhubarbmount.standins.representation import represent
+from rhubarbmount.store.http import HttpPlatform
+from rhubarbmount.store.interface import Transaction
 
 
 @pytest.fixture
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -7,8 +7,8 @@
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.repair import RepairBounds, RepairDuty, buffer_need
+from rhubarbmount.store.interface import LiveHost, Transaction, Write
 from rhubarbmount.suspects import Blame
 from rhubarbmount.tables import SUSPECTS_TABLE
 from rhubarbmount.wave_duty import WaveDuty
--- a/tests/test_row_causes.py
+++ b/tests/test_row_causes.py
@@ -9,9 +9,9 @@
 from rhubarbmount.entries import Team
 from rhubarbmount.hosts import HostState
 from rhubarbmount.moves import HostMover
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.row_causes import row_causes
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.tables import CLAIMS_TABLE
 from rhubarbmount.waves import Control, WaveOperator
 from tests.fleetkit import fill, make_host, make_pool
--- a/tests/test_shared_rows.py
+++ b/tests/test_shared_rows.py
@@ -27,8 +27,8 @@
 from rhubarbmount.jobs import Job, Task, dump_job, dump_task, load_job, load_task
 from rhubarbmount.moves import HostMover
 from rhubarbmount.peer_messages import Heartbeat, decode_message, encode_message
-from rhubarbmount.platform.interface import Row, Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import Row, Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.structure import structure
 from rhubarbmount.waves import Control, Wave, dump_wave, load_wave
 from tests import test_moves, wavekit
--- a/tests/test_swaps.py
+++ b/tests/test_swaps.py
@@ -10,10 +10,10 @@
 from rhubarbmount.host_rows import HostChange, HostRow, HostRows, host_terms
 from rhubarbmount.host_work import Observation, WorkBounds
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.interface import Transaction
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairBounds
+from rhubarbmount.store.interface import Transaction
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.swaps import swap_wanted
 from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.wave_plan import (
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -5,9 +5,9 @@
 import trio
 
 from rhubarbmount.claim_guard import open_claims
-from rhubarbmount.platform.client import open_client
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.client import open_client
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.sweep import CLAIM_RETENTION_S, PERIOD_S, Bucket, Sweeper
 from rhubarbmount.timers import open_timers
 
--- a/tests/test_wave_holds.py
+++ b/tests/test_wave_holds.py
@@ -5,7 +5,7 @@
 from rhubarbmount.budgets import PoolRows
 from rhubarbmount.host_rows import HostRow
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.interface import LiveHost
+from rhubarbmount.store.interface import LiveHost
 from rhubarbmount.wave_holds import why_held
 from tests.fleetkit import make_host, make_pool
 
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -6,8 +6,8 @@
 from rhubarbmount.explain import DecisionRecorder
 from rhubarbmount.host_work import Observation
 from rhubarbmount.hosts import HostState
-from rhubarbmount.platform.interface import LiveHost, Transaction, Write
 from rhubarbmount.repair import RepairBounds
+from rhubarbmount.store.interface import LiveHost, Transaction, Write
 from rhubarbmount.waves import Control
 from tests.fleetchecks import hosts_of
 from tests.interleave import run_now, schedules
--- a/tests/wavekit.py
+++ b/tests/wavekit.py
@@ -5,10 +5,10 @@
 from rhubarbmount.fleet_counters import FleetCounters
 from rhubarbmount.host_duty import HostDuty
 from rhubarbmount.host_work import Observation, WorkBounds
-from rhubarbmount.platform.interface import Transaction, Write
-from rhubarbmount.platform.memory import MemoryPlatform
 from rhubarbmount.pool_plan import WaveSettings
 from rhubarbmount.repair import RepairDuty
+from rhubarbmount.store.interface import Transaction, Write
+from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.wave_duty import WaveDuty
 from rhubarbmount.waves import WaveOperator
 from tests.fleetchecks import check_commit, hosts_of
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -6,8 +6,8 @@
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.hosts import Host
 from rhubarbmount.jobs import load_task
-from rhubarbmount.platform.interface import LiveHost, Row, TaskCommand
-from rhubarbmount.platform.memory import MemoryPlatform
+from rhubarbmount.store.interface import LiveHost, Row, TaskCommand
+from rhubarbmount.store.memory import MemoryPlatform
 
 
 @attrs.define
