--- a/rhubarbmount/batch/clocks.py
+++ b/rhubarbmount/batch/clocks.py
@@ -1,24 +1,40 @@
 """Clocks that leases are measured with."""
 
 import time
+from collections.abc import Callable
 
 import attrs
 
-__all__ = ["RATE_MARGIN", "ServerClock", "boot_s", "day_s"]
+__all__ = ["RATE_MARGIN", "ClockSource", "ServerClock", "boot_s", "day_s", "source"]
 
 # A backend server's clock may be 2% slow.
 RATE_MARGIN = 1.0205
 LAPSE_MARGIN_S = 0.1
 
 
+def _read_boot_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define
+class ClockSource:
+    """Where the clocks are read; tests put their own in."""
+
+    boot_s: Callable[[], float] = _read_boot_s
+    day_s: Callable[[], float] = time.time
+
+
+source = ClockSource()
+
+
 def boot_s() -> float:
     """Return a steady time in seconds that also counts suspended time."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return source.boot_s()
 
 
 def day_s() -> float:
     """Return the time of day in seconds since the epoch."""
-    return time.time()
+    return source.day_s()
 
 
 @attrs.define
--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -11,8 +11,6 @@
 LEASE_VALID_S = 1.6
 RENEWAL_PERIOD_S = 0.5
 NORMAL_GRANT_S = 5.0
-# From the end of a lease until the last run that it granted has lapsed.
-OUTAGE_GRANT_S = 8.0
 RENEWAL_OVERDUE_S = 1.0
 
 
@@ -58,12 +56,13 @@
         return now_s < self.valid_until_s
 
     def grant_until_s(self, now_s: float, limit_s: float) -> float:
-        """Return until when runs may be granted.
+        """Return until when runs may be granted, which is ``limit_s`` from now at most.
 
-        Runs outlast an outage of the store, yet end before another holder may take
-        them for ended.
+        Runs outlast an outage of the store. Another holder, which can't begin before
+        this lease has ended, waits longer than the limit until it takes what it can't
+        reach for ended.
         """
-        last_s = self.valid_until_s + OUTAGE_GRANT_S
+        last_s = self.valid_until_s + limit_s
         if now_s < self.renewed_at_s + RENEWAL_OVERDUE_S:
             return min(now_s + NORMAL_GRANT_S, now_s + limit_s, last_s)
         return min(now_s + limit_s, last_s)
--- a/rhubarbmount/batch/lease_keeper.py
+++ b/rhubarbmount/batch/lease_keeper.py
@@ -27,6 +27,7 @@
 
 CHECK_PERIOD_S = 0.2
 RETRY_S = 0.1
+RENEWAL_TIMEOUT_S = 0.9
 
 
 @attrs.define(eq=False)
@@ -131,7 +132,9 @@
         name = lease_row(self.shard)
         try:
             self._version = await self.store.commit(
-                {name: self._version}, {name: encode_lease(lease)}
+                {name: self._version},
+                {name: encode_lease(lease)},
+                timeout_s=RENEWAL_TIMEOUT_S,
             )
         except RowConflict as error:
             self._adopt_renewal(error, lease)
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -88,11 +88,9 @@
         callers = Listener("callers", self.front.handle)
         ready = Listener("ready", self._answer_ready)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.operator_rows.run)
-            nursery.start_soon(self.keeper.follower.run)
             await nursery.start(ready.run, *_split(settings.ready_address))
             await nursery.start(callers.run, *_split(settings.callers_address))
-            nursery.start_soon(self._hold_duties)
+            nursery.start_soon(self.run_duties)
             log.event(
                 logger,
                 "started",
@@ -105,6 +103,11 @@
             await self._stop(callers)
             nursery.cancel_scope.cancel()
 
+    @property
+    def is_holder(self) -> bool:
+        """Tell whether this host acts as the holder of the shard."""
+        return self._holder is not None
+
     # The operator's rows.
 
     def _apply_operator_rows(self, page: Page, is_whole: bool) -> None:
@@ -149,6 +152,13 @@
 
     # Duties.
 
+    async def run_duties(self) -> None:
+        """Follow the store, and hold the shard whenever its lease can be had."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.operator_rows.run)
+            nursery.start_soon(self.keeper.follower.run)
+            await self._hold_duties()
+
     async def _hold_duties(self) -> None:
         try:
             with self._duty_scope:
--- /dev/null
+++ b/rhubarbmount/standins/users_platform.py
@@ -0,0 +1,204 @@
+"""A stand-in of the users' whole platform: store, machines and backend servers."""
+
+import base64
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount.platform.calls import Answer
+from rhubarbmount.standins.users_servers import StandinServer, TaskWork
+from rhubarbmount.standins.users_store import StandinStore
+
+__all__ = ["StandinMachine", "UsersPlatform"]
+
+MOVE_S = 1.5
+MAINTENANCE_S = 2.0
+
+
+@attrs.define
+class StandinMachine:
+    """A machine; ``server`` is the lifetime that runs on it, if any."""
+
+    id: str
+    pool: str
+    rack: str
+    cpu_millicores: int
+    memory_mb: int
+    state: str = "up"
+    server: StandinServer | None = None
+    maintained_for: list[int] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class UsersPlatform:
+    """Machines in pools whose backend servers register in the store.
+
+    ``observe`` hears of what an operator or a caller could see: starts and ends of
+    runs, moves and maintenance.
+    """
+
+    nursery: trio.Nursery
+    work_of: Callable[[str], TaskWork]
+    observe: Callable[..., None] = lambda *event: None
+    store: StandinStore = attrs.field(factory=StandinStore)
+    machine_by_id: dict[str, StandinMachine] = attrs.field(factory=dict)
+    server_by_address: dict[str, StandinServer] = attrs.field(factory=dict)
+    standby_pools: set[str] = attrs.field(factory=set)
+    holder_orders: list[tuple[float, str, str, int]] = attrs.field(factory=list)
+    _life_count: int = 0
+
+    # The operator.
+
+    def put_catalogue(self, catalogue: Mapping[str, Any]) -> None:
+        """Write the configuration."""
+        self._put("op", "config", catalogue)
+        self.standby_pools = {
+            service["name"]
+            for service in catalogue["services"]
+            if service.get("standby")
+        }
+
+    def put_wave(self, number: int, machines: list[str], limit: int, s: float) -> None:
+        """Ask for the maintenance of machines within seconds."""
+        wave = {"wave": number, "machines": machines, "deadline_s": s, "cap": limit}
+        self._put("op", f"wave/{number}", wave)
+
+    def wave_state(self, number: int) -> str:
+        """Return what the system says of a wave."""
+        value = self.store.get("status", "", f"wave/{number}")
+        return json.loads(base64.b64decode(value))["state"] if value else ""
+
+    def _put(self, table: str, key: str, value: Mapping[str, Any]) -> None:
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self.store.put(table, key, text)
+
+    # Machines and lifetimes.
+
+    def add_machine(
+        self, machine_id: str, pool: str, rack: str, cpu: int = 8000, mb: int = 64000
+    ) -> None:
+        """Add a machine that is up."""
+        machine = StandinMachine(machine_id, pool, rack, cpu, mb)
+        self.machine_by_id[machine_id] = machine
+        self._begin_life(machine)
+
+    def _begin_life(self, machine: StandinMachine) -> None:
+        self._life_count += 1
+        number = list(self.machine_by_id).index(machine.id)
+        server = StandinServer(
+            id=f"i-{self._life_count}",
+            machine_id=machine.id,
+            service=machine.pool,
+            address=f"10.9.0.{number}:80",
+            cpu_millicores=machine.cpu_millicores,
+            memory_mb=machine.memory_mb,
+            work_of=self.work_of,
+            observe=self.observe,
+            nursery=self.nursery,
+            clock_offset_ms=100_000 * (self._life_count % 7 + 1),
+        )
+        machine.server = server
+        machine.state = "up"
+        self.server_by_address[server.address] = server
+        self.register(machine)
+
+    def register(self, machine: StandinMachine, state: str = "ready") -> None:
+        """Write the row of a machine's backend server."""
+        server = machine.server
+        if server is None:
+            return
+        row = {
+            "service": machine.pool,
+            "addr": server.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_ms": 0,
+            "capacity": {
+                "cpu": machine.cpu_millicores,
+                "mem_mb": machine.memory_mb,
+                "gpu": 0,
+            },
+            "labels": ["a", machine.rack],
+            "clock_ms": server.clock_ms(),
+            "seq": 1,
+        }
+        self._put("servers", server.id, row)
+
+    def crash(self, machine_id: str, down_s: float = 2.0) -> None:
+        """End the lifetime on a machine; another begins later, with its row."""
+        machine = self.machine_by_id[machine_id]
+        self._end_life(machine, "down")
+        self.nursery.start_soon(self._come_back, machine, machine.pool, down_s)
+
+    def _end_life(self, machine: StandinMachine, state: str) -> None:
+        machine.state = state
+        if machine.server is not None:
+            machine.server.end_everything()
+            self.server_by_address.pop(machine.server.address, None)
+            self.store.remove("servers", machine.server.id)
+        machine.server = None
+
+    async def _come_back(
+        self, machine: StandinMachine, pool: str, after_s: float
+    ) -> None:
+        await trio.sleep(after_s)
+        machine.pool = pool
+        self._begin_life(machine)
+
+    # Calls.
+
+    async def handle_machines(
+        self, method: str, path: str, headers: Mapping[bytes, bytes], body: Any
+    ) -> Answer:
+        """Answer a call about machines."""
+        if (method, path) == ("GET", "/machines"):
+            return Answer(200, {"machines": self._list(), "next_token": None})
+        machine = self.machine_by_id.get(body["machine"])
+        if machine is None:
+            return Answer(400, {})
+        self.holder_orders.append(
+            (
+                trio.current_time(),
+                machine.id,
+                headers[b"x-lease-holder"].decode(),
+                int(headers[b"x-fencing-token"]),
+            )
+        )
+        if machine.state != "up":
+            return Answer(409, {"reason": "busy"})
+        if path == "/machine-move":
+            if machine.pool == body["pool"]:
+                return Answer(200, {})
+            return self._leave(machine, "moving", body["pool"], MOVE_S)
+        if body["wave"] in machine.maintained_for:
+            return Answer(200, {})
+        machine.maintained_for.append(body["wave"])
+        return self._leave(machine, "upkeep", machine.pool, MAINTENANCE_S)
+
+    def _leave(
+        self, machine: StandinMachine, state: str, pool: str, for_s: float
+    ) -> Answer:
+        runs = list(machine.server.run_by_task) if machine.server else []
+        self.observe(state, machine, runs, pool)
+        self._end_life(machine, state)
+        self.nursery.start_soon(self._come_back, machine, pool, for_s)
+        return Answer(200, {})
+
+    def _list(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "machine": machine.id,
+                "pool": machine.pool,
+                "state": machine.state,
+                "zone": "a",
+                "labels": ["a", machine.rack],
+                "capacity": {"cpu": machine.cpu_millicores, "mem_mb": 1, "gpu": 0},
+                "id": machine.server.id if machine.server else "",
+            }
+            for machine in self.machine_by_id.values()
+        ]
--- /dev/null
+++ b/rhubarbmount/standins/users_servers.py
@@ -0,0 +1,208 @@
+"""A stand-in of the users' backend servers, by their published protocol."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount.platform.calls import Answer
+
+__all__ = ["Run", "StandinServer", "TaskWork"]
+
+MAX_HOLD_WAIT_S = 2.0
+# Lasting tasks are at work after a short start.
+LASTING_START_S = 0.5
+
+
+@attrs.frozen
+class TaskWork:
+    """What a task really needs; it fails when ``fails`` says so."""
+
+    work_s: float
+    cpu_millicores: int
+    memory_mb: int
+    is_lasting: bool = False
+    fails: bool = False
+
+
+@attrs.define(eq=False)
+class Run:
+    """A run on a backend server; times are the test's."""
+
+    task: str
+    run: int
+    work: TaskWork
+    started_s: float
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    stop_how: str = ""
+
+
+@attrs.define(eq=False)
+class StandinServer:
+    """One lifetime of a backend server.
+
+    ``observe`` hears of starts and ends, as callers of the platform would.
+    """
+
+    id: str
+    machine_id: str
+    service: str
+    address: str
+    cpu_millicores: int
+    memory_mb: int
+    work_of: Callable[[str], TaskWork]
+    observe: Callable[..., None]
+    nursery: trio.Nursery
+    clock_offset_ms: int = 100_000
+    slowness: float = 1.0
+    fails_everything: bool = False
+    is_gone: bool = False
+    fence: int = 0
+    expires_ms: int = 0
+    highest_ended: dict[str, int] = attrs.field(factory=dict)
+    run_by_task: dict[str, Run] = attrs.field(factory=dict)
+    ended: list[list[Any]] = attrs.field(factory=list)
+    _end_count: int = 0
+    _end_seen: trio.Event = attrs.field(factory=trio.Event)
+    _lapse_scope: trio.CancelScope | None = None
+
+    def clock_ms(self) -> int:
+        """Return the reading of the server's own clock."""
+        return self.clock_offset_ms + int(trio.current_time() * 1000)
+
+    async def handle(
+        self, path: str, expected_id: str, body: Mapping[str, Any]
+    ) -> Answer:
+        """Answer an order of the system."""
+        if expected_id and expected_id != self.id:
+            return Answer(421, {})
+        if body.get("fencing_token", 0) < self.fence:
+            return self._refusal("fence")
+        self.fence = body.get("fencing_token", 0)
+        match path:
+            case "/run-start":
+                return self._start(body)
+            case "/run-stop":
+                return self._stop(body)
+            case "/hold":
+                return await self._hold(body)
+            case "/pace":
+                return Answer(200, {"clock_ms": self.clock_ms()})
+        return Answer(404, {})
+
+    def end_everything(self) -> None:
+        """End the lifetime: everything that runs is gone."""
+        self.is_gone = True
+        for run in list(self.run_by_task.values()):
+            self._finish(run, "gone")
+
+    def _refusal(self, reason: str) -> Answer:
+        return Answer(409, {"clock_ms": self.clock_ms(), "reason": reason})
+
+    def _start(self, body: Mapping[str, Any]) -> Answer:
+        task, number = body["task_id"], body["run_id"]
+        running = self.run_by_task.get(task)
+        if running is not None and running.run == number:
+            return Answer(200, {"clock_ms": self.clock_ms()})
+        if body["expires_ms"] <= self.clock_ms():
+            return self._refusal("late")
+        self._prolong(body["expires_ms"])
+        if number <= self.highest_ended.get(task, 0) or running is not None:
+            return self._refusal("old")
+        work = self.work_of(task)
+        if not self._has_room(work):
+            return self._refusal("room")
+        run = Run(task, number, work, trio.current_time())
+        self.run_by_task[task] = run
+        self.observe("start", self, task, number)
+        self.nursery.start_soon(self._work, run)
+        return Answer(200, {"clock_ms": self.clock_ms()})
+
+    def _has_room(self, work: TaskWork) -> bool:
+        used = [run.work for run in self.run_by_task.values()]
+        cpu = sum(item.cpu_millicores for item in used) + work.cpu_millicores
+        memory = sum(item.memory_mb for item in used) + work.memory_mb
+        return cpu <= self.cpu_millicores and memory <= self.memory_mb
+
+    def _stop(self, body: Mapping[str, Any]) -> Answer:
+        task, number = body["task_id"], body["run_id"]
+        self.highest_ended[task] = max(self.highest_ended.get(task, 0), number)
+        run = self.run_by_task.get(task)
+        if run is not None and run.run <= number:
+            run.stop_how = "stopped"
+            run.scope.cancel()
+        return Answer(200, {"clock_ms": self.clock_ms()})
+
+    async def _hold(self, body: Mapping[str, Any]) -> Answer:
+        self._acknowledge(body["ack_cursor"])
+        if "expires_ms" in body:
+            self._prolong(body["expires_ms"])
+        wait_s = min(body.get("wait_ms", 0) / 1000, MAX_HOLD_WAIT_S)
+        if not self.ended and wait_s:
+            with trio.move_on_after(wait_s):
+                await self._end_seen.wait()
+        running = [
+            [run.task, run.run, "", self._percent(run), 0]
+            for run in self.run_by_task.values()
+        ]
+        return Answer(
+            200,
+            {
+                "clock_ms": self.clock_ms(),
+                "running": running,
+                "finished": list(self.ended),
+            },
+        )
+
+    def _acknowledge(self, number: int) -> None:
+        for end in self.ended:
+            if end[0] <= number:
+                self.observe("acknowledged", self, end[1], end[2], end[3])
+        self.ended = [end for end in self.ended if end[0] > number]
+
+    def _percent(self, run: Run) -> int:
+        elapsed_s = trio.current_time() - run.started_s
+        if run.work.is_lasting:
+            return 100 if elapsed_s >= LASTING_START_S else 0
+        return int(min(99.0, elapsed_s / max(run.work.work_s, 0.001) * 100))
+
+    def _prolong(self, expires_ms: int) -> None:
+        self.expires_ms = max(self.expires_ms, expires_ms)
+        if self._lapse_scope is None:
+            self._lapse_scope = trio.CancelScope()
+            self.nursery.start_soon(self._lapse)
+
+    async def _lapse(self) -> None:
+        while self.clock_ms() < self.expires_ms:
+            await trio.sleep((self.expires_ms - self.clock_ms()) / 1000 + 0.001)
+        self._lapse_scope = None
+        for run in list(self.run_by_task.values()):
+            run.stop_how = "lapsed"
+            run.scope.cancel()
+
+    async def _work(self, run: Run) -> None:
+        with run.scope:
+            await trio.sleep(
+                trio.current_time() + 1e9 if run.work.is_lasting else self._work_s(run)
+            )
+        if run.stop_how:
+            how = run.stop_how
+        else:
+            how = "failed" if run.work.fails or self.fails_everything else "done"
+        self._finish(run, how)
+
+    def _work_s(self, run: Run) -> float:
+        return run.work.work_s * self.slowness
+
+    def _finish(self, run: Run, how: str) -> None:
+        if self.run_by_task.get(run.task) is not run:
+            return
+        del self.run_by_task[run.task]
+        run.scope.cancel()
+        self.highest_ended[run.task] = max(self.highest_ended.get(run.task, 0), run.run)
+        self._end_count += 1
+        self.ended.append([self._end_count, run.task, run.run, how, ""])
+        self.observe(how, self, run.task, run.run)
+        self._end_seen.set()
+        self._end_seen = trio.Event()
--- /dev/null
+++ b/rhubarbmount/standins/users_store.py
@@ -0,0 +1,170 @@
+"""A stand-in of the users' platform's store, by its published protocol."""
+
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+import trio
+
+from rhubarbmount.platform.calls import Answer
+
+__all__ = ["StandinStore"]
+
+RowKey = tuple[str, str, str]
+NO_HISTORY = Answer(410, {})
+FORBIDDEN_TABLES = ("op", "servers")
+MAX_ENTRIES = 100
+MAX_PAGE_ROWS = 500
+
+
+@attrs.define
+class _Stored:
+    value: str
+    version: int
+
+
+@attrs.define(eq=False)
+class StandinStore:
+    """Rows with versions from one counter, and a feed of their changes."""
+
+    history_limit: int = 100_000
+    version: int = 0
+    call_count: int = 0
+    _row_by_key: dict[RowKey, _Stored] = attrs.field(factory=dict)
+    _changes: list[tuple[int, RowKey]] = attrs.field(factory=list)
+    _forgotten_to: int = 0
+    _changed: trio.Event = attrs.field(factory=trio.Event)
+
+    async def handle(
+        self, method: str, target: str, body: Mapping[str, Any] | None
+    ) -> Answer:
+        """Answer a call of the system."""
+        self.call_count += 1
+        url = urlsplit(target)
+        query = {key: values[-1] for key, values in parse_qs(url.query).items()}
+        if (method, url.path) == ("POST", "/rows-tx"):
+            return self._transact(body or {})
+        if (method, url.path) == ("GET", "/rows-get"):
+            return self._read(query)
+        if (method, url.path) == ("GET", "/rows-feed"):
+            return await self._feed(query)
+        return Answer(404, {})
+
+    def put(self, table: str, key: str, value: str, part: str = "") -> None:
+        """Write a row for the operator or a backend server; the value is base64."""
+        self._write((table, part, key), value)
+        self._publish()
+
+    def remove(self, table: str, key: str, part: str = "") -> None:
+        """Remove a row for the operator or a backend server."""
+        if (table, part, key) in self._row_by_key:
+            self._write((table, part, key), None)
+            self._publish()
+
+    def get(self, table: str, part: str, key: str) -> str | None:
+        """Return a row's value, as base64."""
+        stored = self._row_by_key.get((table, part, key))
+        return None if stored is None else stored.value
+
+    def keys(self, table: str, part: str) -> list[str]:
+        """Return the keys of a table."""
+        return sorted(k[2] for k in self._row_by_key if k[:2] == (table, part))
+
+    def drop_history(self) -> None:
+        """Forget the changes so far."""
+        self._forgotten_to = self.version
+        self._changes.clear()
+
+    def _transact(self, body: Mapping[str, Any]) -> Answer:
+        expected = [(_key(item), item["ver"]) for item in body["expected"]]
+        puts = [(_key(item), item["value"]) for item in body["puts"]]
+        removes = [_key(item) for item in body["remove"]]
+        keys = [key for key, _ in expected] + [key for key, _ in puts] + removes
+        if len(keys) > MAX_ENTRIES or len({key[1] for key in keys}) > 1:
+            return Answer(400, {})
+        if any(key[0] in FORBIDDEN_TABLES for key, _ in puts):
+            return Answer(403, {})
+        if any(self._version_of(key) != version for key, version in expected):
+            rows = [self._shown(key) for key, _ in expected]
+            shown = [row for row in rows if row is not None]
+            return Answer(412, {**self._stamp(), "rows": shown})
+        self.version += 1
+        for key, value in puts:
+            self._write(key, value, self.version)
+        for key in removes:
+            self._write(key, None, self.version)
+        self._publish()
+        return Answer(200, self._stamp())
+
+    def _read(self, query: Mapping[str, str]) -> Answer:
+        table, part = query["table"], query.get("part", "")
+        first, end = query.get("start_key", ""), query.get("target_version")
+        keys = sorted(
+            key
+            for key in self._row_by_key
+            if key[:2] == (table, part)
+            and key[2] >= first
+            and (end is None or key[2] < end)
+        )
+        limit = min(int(query.get("limit", MAX_PAGE_ROWS)), MAX_PAGE_ROWS)
+        rows = [self._shown(key) for key in keys[:limit]]
+        more = len(keys) > limit
+        return Answer(200, {**self._stamp(), "rows": rows, "more_pages": more})
+
+    async def _feed(self, query: Mapping[str, str]) -> Answer:
+        after = int(query["after"])
+        with trio.move_on_after(int(query["wait_ms"]) / 1000):
+            while after >= self._forgotten_to:
+                keys = self._changed_keys(query["table"], after)
+                if keys:
+                    break
+                await self._changed.wait()
+        if after < self._forgotten_to:
+            return NO_HISTORY
+        keys = self._changed_keys(query["table"], after)
+        rows = [self._shown(key) or {**_named(key), "deleted": True} for key in keys]
+        return Answer(200, {**self._stamp(), "rows": rows})
+
+    def _changed_keys(self, table: str, after: int) -> list[RowKey]:
+        keys: dict[RowKey, None] = {}
+        for version, key in self._changes:
+            if version > after and key[0] == table:
+                keys[key] = None
+        return list(keys)
+
+    def _write(self, key: RowKey, value: str | None, version: int = 0) -> None:
+        if not version:
+            self.version += 1
+        if value is None:
+            self._row_by_key.pop(key, None)
+        else:
+            self._row_by_key[key] = _Stored(value, self.version)
+        self._changes.append((self.version, key))
+        if len(self._changes) > self.history_limit:
+            self._forgotten_to = self._changes.pop(0)[0]
+
+    def _publish(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _version_of(self, key: RowKey) -> int:
+        stored = self._row_by_key.get(key)
+        return 0 if stored is None else stored.version
+
+    def _shown(self, key: RowKey) -> dict[str, Any] | None:
+        stored = self._row_by_key.get(key)
+        if stored is None:
+            return None
+        return {**_named(key), "value": stored.value, "ver": stored.version}
+
+    def _stamp(self) -> dict[str, Any]:
+        return {"ver": self.version, "now_ms": int(trio.current_time() * 1000)}
+
+
+def _key(item: Mapping[str, Any]) -> RowKey:
+    return item["table"], item["part"], item["key"]
+
+
+def _named(key: RowKey) -> dict[str, str]:
+    return {"table": key[0], "part": key[1], "key": key[2]}
--- /dev/null
+++ b/tests/batch/checkers.py
@@ -0,0 +1,89 @@
+"""What must hold of jobs, from what backend servers and callers see."""
+
+import attrs
+import trio
+
+from tests.batch.world import World
+
+
+@attrs.define(eq=False)
+class JobChecker:
+    """Collects breaches of the rules on runs."""
+
+    world: World
+    attempts: int = 3
+    after_by_step: dict[tuple[str, str], list[str]] = attrs.field(factory=dict)
+    count_by_step: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    cancelled_at_s: dict[str, float] = attrs.field(factory=dict)
+    refused: set[str] = attrs.field(factory=set)
+    running: dict[str, list] = attrs.field(factory=dict)
+    done: set[str] = attrs.field(factory=set)
+    noted_done: set[str] = attrs.field(factory=set)
+    noted_failures: dict[str, int] = attrs.field(factory=dict)
+    started: set[str] = attrs.field(factory=set)
+    breaches: list[str] = attrs.field(factory=list)
+    away_by_step: dict[tuple[str, str], set[str]] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.world.observers.append(self.see)
+
+    def add_job(self, job_id: str, phases: list[dict]) -> None:
+        """Remember the shape of a job."""
+        for at, phase in enumerate(phases):
+            key = job_id, str(at)
+            self.after_by_step[key] = [str(step) for step in phase.get("after", [])]
+            self.count_by_step[key] = phase["count"]
+
+    def see(self, what: str, where, *details) -> None:
+        """Take in an event."""
+        if what == "start":
+            self._see_start(where, *details)
+        elif what == "acknowledged":
+            self._see_acknowledged(*details)
+        elif what in ("moving", "upkeep"):
+            return
+        else:
+            task, run = details
+            self.running[task] = [
+                item for item in self.running.get(task, []) if item != (where, run)
+            ]
+            if what == "done":
+                self.done.add(task)
+
+    def _see_start(self, server, task: str, run: int) -> None:
+        job_id, _, step, _ = task.split(".")
+        now_s = trio.current_time()
+        self.started.add(job_id)
+        if self.running.get(task):
+            self._note("TWICE", task, run)
+        if task in self.noted_done:
+            self._note("TWICE after done", task, run)
+        if self.noted_failures.get(task, 0) >= self.attempts:
+            self._note("BUDGET", task, run)
+        if (job_id, step) not in self.count_by_step:
+            self._note("UNASKED", task, run)
+        if job_id in self.refused:
+            self._note("REFUSED", task, run)
+        if now_s > self.cancelled_at_s.get(job_id, 1e9) + 3.0:
+            self._note("UNASKED after cancel", task, run)
+        for before in self.after_by_step.get((job_id, step), []):
+            for number in range(self.count_by_step[job_id, before]):
+                if f"{job_id}.0.{before}.{number}" not in self.done:
+                    self._note("ORDER", task, run)
+        self.running.setdefault(task, []).append((server, run))
+
+    def _see_acknowledged(self, task: str, run: int, how: str) -> None:
+        if how == "done":
+            self.noted_done.add(task)
+        elif how == "failed":
+            self.noted_failures[task] = self.noted_failures.get(task, 0) + 1
+
+    def check_complete(self, job_id: str) -> None:
+        """Note a job that is shown as complete with tasks that are not done."""
+        for (of_job, step), count in self.count_by_step.items():
+            for number in range(count if of_job == job_id else 0):
+                if f"{job_id}.0.{step}.{number}" not in self.done:
+                    self._note("MIXED", f"{job_id}.0.{step}.{number}", 0)
+
+    def _note(self, rule: str, task: str, run: int) -> None:
+        self.breaches.append(f"{rule} at {trio.current_time():.3f} s: {task} run {run}")
--- /dev/null
+++ b/tests/batch/test_days.py
@@ -0,0 +1,346 @@
+"""Whole days in simulated time: jobs complete, whatever fails, and within the rules."""
+
+import random
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.standins.users_servers import TaskWork
+from tests.batch.checkers import JobChecker
+from tests.batch.world import World, catalogue, open_world, route
+
+POOLS = ["one", "two"]
+SPARE = "rest"
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+def start_platform(world: World, machines: int = 3) -> None:
+    routes = [route("/one/", "one"), route("/two/", "two")]
+    world.platform.put_catalogue(catalogue(1, routes, POOLS, SPARE))
+    for pool in (*POOLS, SPARE):
+        for number in range(machines):
+            world.platform.add_machine(f"m-{pool}-{number}", pool, f"r{number % 2}")
+
+
+def job(generator: random.Random) -> tuple[str, list[dict], list[TaskWork]]:
+    job_id = f"{generator.getrandbits(64):016x}"
+    phases, works = [], []
+    for at in range(generator.randint(1, 3)):
+        count = generator.randint(1, 5)
+        work_s = generator.uniform(0.2, 1.5)
+        phase = {
+            "count": count,
+            "cpu": 1000,
+            "mem_mb": 500,
+            "estimate_ms": int(work_s * 1000),
+        }
+        if at:
+            phase["after"] = [at - 1]
+        phases.append(phase)
+        works.append(TaskWork(work_s, 1000, 500))
+    return job_id, phases, works
+
+
+def lasting_job(generator: random.Random) -> tuple[str, list[dict], list[TaskWork]]:
+    phase = {
+        "count": 2,
+        "cpu": 500,
+        "mem_mb": 500,
+        "estimate_ms": 900,
+        "long_running": True,
+        "max_per_server": 1,
+        "max_unavailable": 1,
+    }
+    job_id = f"{generator.getrandbits(64):016x}"
+    return job_id, [phase], [TaskWork(0.9, 500, 500, is_lasting=True)]
+
+
+async def submit(world, checker, prefix, made, tries: int = 8) -> bool:
+    """Hand a job in as callers do: again after no answer, 502 and 504."""
+    job_id, phases, works = made
+    world.add_work(job_id, phases, works)
+    checker.add_job(job_id, phases)
+    saw_doubt = False
+    for _ in range(tries):
+        if world.node_by_id:
+            body = {"spec": job_id, "phases": phases}
+            status, _ = await world.call("POST", f"{prefix}{job_id}", body)
+            if status == 200:
+                return True
+            saw_doubt = saw_doubt or status not in (429, 503)
+        await trio.sleep(0.4)
+    if not saw_doubt:
+        checker.refused.add(job_id)
+    return False
+
+
+async def wait_complete(world, checker, prefix, job_ids, within_s: float) -> list[str]:
+    """Return the jobs that are not shown as complete in time."""
+    left = list(job_ids)
+    with trio.move_on_after(within_s):
+        while left:
+            for job_id in list(left):
+                status, body = await world.call("GET", f"{prefix}{job_id}")
+                if status == 200 and body["state"] == "complete":
+                    checker.check_complete(job_id)
+                    left.remove(job_id)
+            await trio.sleep(0.2)
+    return left
+
+
+async def test_a_calm_day(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch, seed=1) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        accepted = []
+        for _ in range(30):
+            made = job(world.generator)
+            assert await submit(world, checker, "/one/", made)
+            accepted.append(made[0])
+            await trio.sleep(0.1)
+        assert await wait_complete(world, checker, "/one/", accepted, 20.0) == []
+        assert checker.breaches == []
+        assert len(world.holders()) == 1
+
+
+async def test_a_job_handed_in_twice_is_one_job(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "ab":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        made = job(world.generator)
+        body = {"spec": made[0], "phases": made[1]}
+        world.add_work(*made)
+        checker.add_job(made[0], made[1])
+        for node in "abab":
+            status, _ = await world.call("POST", f"/one/{made[0]}", body, node)
+            assert status == 200
+            await trio.sleep(0.7)
+        assert await wait_complete(world, checker, "/one/", [made[0]], 20.0) == []
+        assert checker.breaches == []
+
+
+async def test_unknown_jobs_and_queues(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch) as world:
+        start_platform(world)
+        world.start_node("a")
+        status, _ = await world.call("POST", "/one/" + "0" * 16, {"phases": []})
+        assert status == 503
+        await trio.sleep(1.0)
+        assert (await world.call("GET", "/one/" + "0" * 16))[0] == 410
+        assert (await world.call("DELETE", "/one/" + "0" * 16))[0] == 410
+        assert (await world.call("GET", "/nowhere/" + "0" * 16))[0] == 404
+        assert (await world.call("POST", "/one/" + "0" * 16, {"phases": []}))[0] == 400
+        assert (await world.call("GET", "/one/")) == (200, {"pending": 0})
+
+
+async def test_a_cancelled_job_stops(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        world.start_node("a")
+        await trio.sleep(1.0)
+        made = lasting_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(1.5)
+        assert sum(bool(runs) for runs in checker.running.values()) == 2
+        assert (await world.call("DELETE", f"/one/{made[0]}"))[0] == 200
+        checker.cancelled_at_s[made[0]] = trio.current_time()
+        await trio.sleep(1.0)
+        assert not any(checker.running.values())
+        _, body = await world.call("GET", f"/one/{made[0]}")
+        assert body == {"state": "cancelled"}
+        assert checker.breaches == []
+
+
+async def test_a_job_that_always_fails_ends_after_its_attempts(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        world.start_node("a")
+        await trio.sleep(1.0)
+        job_id, phases, works = job(world.generator)
+        works = [TaskWork(0.2, 1000, 500, fails=True) for _ in works]
+        assert await submit(world, checker, "/one/", (job_id, phases, works))
+        await trio.sleep(8.0)
+        _, body = await world.call("GET", f"/one/{job_id}")
+        assert body == {"state": "failed"}
+        assert checker.breaches == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_holders_are_killed(monkeypatch, autojump_clock, seed):
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        accepted = []
+        for number in range(40):
+            made = job(world.generator)
+            if await submit(world, checker, "/one/", made):
+                accepted.append(made[0])
+            if number % 12 == 5:
+                for name in world.holders():
+                    world.kill_node(name)
+                    world.start_node(name)
+            elif number % 12 == 11:
+                for name in list(world.node_by_id):
+                    world.kill_node(name)
+                await trio.sleep(world.generator.uniform(0.5, 3.0))
+                for name in "abc":
+                    world.start_node(name)
+                await trio.sleep(0.5)
+            await trio.sleep(0.1)
+        assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
+        assert checker.breaches == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_the_holder_is_cut_from_the_store(monkeypatch, autojump_clock, seed):
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        accepted = []
+        for number in range(30):
+            made = job(world.generator)
+            if await submit(world, checker, "/one/", made):
+                accepted.append(made[0])
+            if number == 5:
+                world.faults.store_cut = set(world.holders())
+                if seed % 2:
+                    servers = list(world.platform.server_by_address)
+                    other = next(n for n in "abc" if n not in world.faults.store_cut)
+                    world.faults.servers_cut = {(other, at) for at in servers[:3]}
+            if number == 25:
+                world.faults.store_cut = set()
+                world.faults.servers_cut = set()
+            await trio.sleep(0.2)
+        assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
+        assert checker.breaches == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_orders_and_writes_are_late_or_unanswered(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        world.faults.orders_late = 0.1
+        world.faults.store_loses = 0.1
+        world.faults.store_is_late = 0.1 if seed % 2 else 0.0
+        accepted = []
+        for _ in range(25):
+            made = job(world.generator)
+            if await submit(world, checker, "/one/", made):
+                accepted.append(made[0])
+            await trio.sleep(0.2)
+        world.faults.orders_late = 0.0
+        world.faults.store_loses = world.faults.store_is_late = 0.0
+        assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
+        assert checker.breaches == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_servers_crash_and_are_cut_off(monkeypatch, autojump_clock, seed):
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        accepted = []
+        for number in range(40):
+            made = job(world.generator)
+            if await submit(world, checker, "/one/", made):
+                accepted.append(made[0])
+            up = [m for m in world.platform.machine_by_id.values() if m.server]
+            if number % 8 == 3 and up:
+                world.platform.crash(world.generator.choice(up).id)
+            if number == 10:
+                address = world.generator.choice(up).server.address
+                world.faults.servers_cut = {("*", address)}
+            if number == 38:
+                world.faults.servers_cut = set()
+            await trio.sleep(0.2)
+        assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
+        assert checker.breaches == []
+
+
+@pytest.mark.parametrize("how", ["silent", "busy"])
+async def test_running_work_outlasts_an_outage_of_the_store(
+    monkeypatch, autojump_clock, how
+):
+    async with open_world(monkeypatch, 3) as world:
+        checker = JobChecker(world)
+        lapsed = []
+        world.observers.append(
+            lambda what, *rest: lapsed.append(rest) if what == "lapsed" else None
+        )
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        made = lasting_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(2.0)
+        if how == "silent":
+            world.faults.store_is_down = True
+        else:
+            world.faults.store_refuses = True
+        await trio.sleep(8.0)
+        world.faults.store_is_down = world.faults.store_refuses = False
+        await trio.sleep(10.0)
+        assert sum(bool(runs) for runs in checker.running.values()) == 2
+        assert lapsed == []
+        assert checker.breaches == []
+
+
+async def test_a_wave_keeps_the_budget_of_lasting_work(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch, 5) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        ended, orders = [], []
+
+        def watch(what, where, *details):
+            if what == "stopped":
+                ended.append((trio.current_time(), details[0]))
+            if what == "upkeep":
+                orders.append((where.id, details[0]))
+
+        world.observers.append(watch)
+        for name in "ab":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        made = lasting_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(3.0)
+        machines = sorted(world.platform.machine_by_id)
+        world.platform.put_wave(1, machines, 3, 40.0)
+        await trio.sleep(35.0)
+        assert sorted(machine for machine, _ in orders) == machines
+        assert all(runs == [] for _, runs in orders)
+        times = sorted(at for at, _ in ended)
+        assert all(b - a > 0.5 for a, b in zip(times, times[1:], strict=False))
+        assert world.platform.wave_state(1) == "complete"
+        assert checker.breaches == []
--- /dev/null
+++ b/tests/batch/world.py
@@ -0,0 +1,228 @@
+"""Entry hosts against the stand-in platform, in one process and in simulated time."""
+
+import json
+import random
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount.batch import clocks
+from rhubarbmount.batch.node import Node
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.http import HttpRequest
+from rhubarbmount.platform.calls import Answer
+from rhubarbmount.platform.settings import Bounds, NodeSettings
+from rhubarbmount.standins.users_platform import UsersPlatform
+from rhubarbmount.standins.users_servers import TaskWork
+from rhubarbmount.timers import TimerService
+
+HOST = "jobs.example"
+EPOCH_S = 1_700_000_000.0
+STORE = "10.0.0.1:1"
+MACHINES = "10.0.0.2:1"
+LATENCY_S = 0.002
+BOUNDS = Bounds(
+    contact_s=3.0,
+    drain_s=2.0,
+    grace_s=6.0,
+    hold_max_s=10.0,
+    early_s=0.25,
+    status_s=120.0,
+    lease_s=3.0,
+    migrate_s=1.5,
+    notice_s=4.5,
+    checkpoint_s=1.0,
+    remote_factor=3.0,
+)
+
+
+@attrs.define
+class Faults:
+    """What goes wrong on the network now."""
+
+    # Nodes whose calls to the store go unanswered.
+    store_cut: set[str] = attrs.field(factory=set)
+    store_is_down: bool = False
+    store_refuses: bool = False
+    store_loses: float = 0.0
+    store_is_late: float = 0.0
+    orders_late: float = 0.0
+    # Pairs of a node and a backend server's address, or "*" for all nodes.
+    servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class SimulatedCaller:
+    """One node's calls, carried to the stand-in with delays and faults."""
+
+    node_id: str
+    world: "World"
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: Mapping[str, Any] | None = None,
+        timeout_s: float = 1.0,
+        headers: Any = (),
+    ) -> Answer:
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(LATENCY_S)
+            answer = await self._carry(address, method, target, body, dict(headers))
+            await trio.sleep(LATENCY_S)
+            return answer
+        raise OutcomeUnknown("no answer in time", code="timeout")
+
+    async def _carry(self, address, method, target, body, headers) -> Answer:
+        world, faults = self.world, self.world.faults
+        if address == STORE:
+            return await self._carry_to_store(method, target, body)
+        if address == MACHINES:
+            return await world.platform.handle_machines(method, target, headers, body)
+        cut = {(self.node_id, address), ("*", address)}
+        if cut & faults.servers_cut:
+            await trio.sleep_forever()
+        server = world.platform.server_by_address.get(address)
+        if server is None:
+            raise PlatformUnavailable("refused", code="not-sent")
+        expected = headers.get(b"x-expect-instance", b"").decode()
+        if target != "/hold" and world.generator.random() < faults.orders_late:
+            world.nursery.start_soon(self._carry_late, server, target, expected, body)
+            await trio.sleep_forever()
+        return await server.handle(target, expected, body)
+
+    async def _carry_late(self, server, target, expected, body) -> None:
+        await trio.sleep(self.world.generator.uniform(2.0, 12.0))
+        if not server.is_gone:
+            await server.handle(target, expected, body)
+
+    async def _carry_to_store(self, method, target, body) -> Answer:
+        world, faults = self.world, self.world.faults
+        if faults.store_is_down or self.node_id in faults.store_cut:
+            await trio.sleep_forever()
+        if faults.store_refuses:
+            return Answer(503, {})
+        store = world.platform.store
+        if method == "POST" and world.generator.random() < faults.store_is_late:
+            world.nursery.start_soon(self._write_late, target, body)
+            await trio.sleep_forever()
+        answer = await store.handle(method, target, body)
+        if method == "POST" and world.generator.random() < faults.store_loses:
+            await trio.sleep_forever()
+        return answer
+
+    async def _write_late(self, target, body) -> None:
+        await trio.sleep(self.world.generator.uniform(0.5, 4.0))
+        await self.world.platform.store.handle("POST", target, body)
+
+
+@attrs.define(eq=False)
+class World:
+    """A platform, entry hosts, and what callers and backend servers saw."""
+
+    nursery: trio.Nursery
+    seed: int = 0
+    faults: Faults = attrs.field(factory=Faults)
+    generator: random.Random = attrs.field(init=False)
+    platform: UsersPlatform = attrs.field(init=False)
+    node_by_id: dict[str, Node] = attrs.field(factory=dict)
+    scope_by_node: dict[str, trio.CancelScope] = attrs.field(factory=dict)
+    work_by_step: dict[tuple[str, str], TaskWork] = attrs.field(factory=dict)
+    observers: list[Any] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.generator = random.Random(self.seed)
+        self.platform = UsersPlatform(self.nursery, self.work_of, self.observe)
+
+    def work_of(self, task: str) -> TaskWork:
+        job_id, _, step, _ = task.split(".")
+        return self.work_by_step[job_id, step]
+
+    def observe(self, *event: Any) -> None:
+        for observer in self.observers:
+            observer(*event)
+
+    def start_node(self, node_id: str) -> Node:
+        settings = NodeSettings(
+            node_id=node_id,
+            ip="10.0.0.9",
+            data_centre="a",
+            callers_address="10.0.0.9:1",
+            ready_address="10.0.0.9:2",
+            store_address=STORE,
+            machines_address=MACHINES,
+            advice_address="",
+            first_port=1,
+            row_bytes=65536,
+            bounds=BOUNDS,
+        )
+        timers = TimerService(self.generator.randrange(2**31))
+        node = Node(settings, SimulatedCaller(node_id, self), timers)
+        self.node_by_id[node_id] = node
+        self.nursery.start_soon(self._run_node, node_id, node)
+        return node
+
+    async def _run_node(self, node_id: str, node: Node) -> None:
+        with trio.CancelScope() as scope:
+            self.scope_by_node[node_id] = scope
+            await node.run_duties()
+
+    def kill_node(self, node_id: str) -> None:
+        """End a node's process without any farewell."""
+        self.scope_by_node[node_id].cancel()
+        del self.node_by_id[node_id]
+
+    def holders(self) -> list[str]:
+        """Return the nodes that act as holders."""
+        return [name for name, node in self.node_by_id.items() if node.is_holder]
+
+    async def call(self, method: str, path: str, body: Any = None, node: str = ""):
+        """Send a caller's request to a node; return the status and the body."""
+        name = node or self.generator.choice(sorted(self.node_by_id))
+        data = b"" if body is None else json.dumps(body).encode()
+        headers = [(b"host", HOST.encode()), (b"x-deadline-ms", b"3000")]
+        request = HttpRequest(method, path, headers, data)
+        response = await self.node_by_id[name].front.handle(request)
+        return response.status, json.loads(response.body or b"{}")
+
+    def add_work(self, job_id: str, phases: list[dict], works: list[TaskWork]) -> None:
+        """Tell what the tasks of a job really need."""
+        for step, work in enumerate(works):
+            self.work_by_step[job_id, str(step)] = work
+
+
+def route(prefix: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a queue of the operator's configuration."""
+    return {
+        "name": prefix,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": "non_idempotent",
+        "timeout_ms": 3000,
+        "latency_slo_ms": 600,
+        "priority": 0,
+        "service": service,
+        "attempts": 3,
+        "slack_factor": 1.6,
+        **fields,
+    }
+
+
+def catalogue(version: int, routes: list[dict], pools: list[str], spare: str) -> dict:
+    """Return a configuration."""
+    services = [{"name": name, "standby": name == spare} for name in [*pools, spare]]
+    return {"version": version, "routes": routes, "services": services, "limits": {}}
+
+
+@asynccontextmanager
+async def open_world(monkeypatch, seed: int = 0):
+    """Run a world on trio's clock, which the test's fixture jumps forward."""
+    monkeypatch.setattr(clocks.source, "boot_s", trio.current_time)
+    monkeypatch.setattr(clocks.source, "day_s", lambda: EPOCH_S + trio.current_time())
+    async with trio.open_nursery() as nursery:
+        yield World(nursery, seed)
+        nursery.cancel_scope.cancel()
