Reset requests that were given up; order machines sooner after a takeover

The call was given up and its connection closed, but closing leaves the bytes to the kernel, which delivered the order after the cut had healed, 1.5 s after the next holder had ordered the same machine. Ruled out: the pause between holders (the orders came from fence 2 after fence 3). Connections in the middle of an exchange are now reset. The test saw an orderly end before, a reset after.

The last order to each machine is now stored before it is sent, and only those machines wait.

A new holder won a lease right after an outage of the store, as it counted the outage as silence of the holder; the wait begins anew after an outage. Hosts whose store does not answer refuse at once. Waves with time left wait while room is short. An unexpected error in a duty hands the lease over and leaves the host up.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -30,6 +30,10 @@
             self.version = version
             self.seen_at_s = now_s
 
+    def restart(self, now_s: float) -> None:
+        """Wait anew after an outage, in which the holder could not renew either."""
+        self.seen_at_s = max(self.seen_at_s, now_s)
+
     def may_take(self, now_s: float) -> bool:
         """Tell whether the last holder has surely stopped to act."""
         if self.lease is None or self.lease.is_released:
--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -12,6 +12,7 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import boot_s
 from rhubarbmount.batch.election import LeaseTerm
+from rhubarbmount.batch.machine_orders import MachineOrders
 from rhubarbmount.batch.model import Machine, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
@@ -50,15 +51,20 @@
 
 @attrs.define(eq=False)
 class FleetKeeper:
-    """Plans moves and waves each round; ``save_wave`` stores a wave's progress."""
+    """Plans moves and waves each round.
+
+    ``save_wave`` stores a wave's progress soon, and ``save_orders`` returns once the
+    record of orders is stored.
+    """
 
     shard: Shard
     placer: Placer
     term: LeaseTerm
     calls: MachineCalls
     timers: TimerService
-    may_order_from_s: float
+    orders: MachineOrders
     save_wave: Callable[[WaveProgress], None]
+    save_orders: Callable[[], Awaitable[None]]
     wake_scheduler: Callable[[], None]
     machine_by_id: dict[str, Machine] = attrs.field(factory=dict)
     wave_by_number: dict[int, WaveProgress] = attrs.field(factory=dict)
@@ -109,9 +115,7 @@
         now_s = boot_s()
         if self._is_list_due(now_s):
             await self._read_list()
-        if not self.machine_by_id or now_s < self.may_order_from_s:
-            return
-        if not self.term.is_valid(boot_s()):
+        if not self.machine_by_id or not self.term.is_valid(boot_s()):
             return
         self._plan_waves()
         self._plan_moves()
@@ -142,7 +146,12 @@
         self._pools_short_for_waves = set()
         if all(item.is_complete for item in self.wave_by_number.values()):
             return
-        plan = self.waves.plan(self.wave_by_number.values(), self.machine_by_id)
+        plan = self.waves.plan(
+            self.wave_by_number.values(),
+            self.machine_by_id,
+            boot_s(),
+            is_room_short=bool(self.placer.shortage_by_pool),
+        )
         for room in self.shard.room_by_server.values():
             room.is_closed = room.server.id in plan.closed_servers
             room.is_due = room.server.id in plan.due_servers
@@ -191,7 +200,7 @@
         moves = self.capacity.plan(
             boot_s(),
             self.catalogue,
-            [m for m in self.machine_by_id.values() if m.id not in self._in_flight],
+            [m for m in self.machine_by_id.values() if self._may_order(m.id)],
             self.shard.room_by_server,
             self._shortages(),
             self.shard.demand,
@@ -242,8 +251,11 @@
 
     # Orders.
 
+    def _may_order(self, machine_id: str) -> bool:
+        return machine_id not in self._in_flight and self.orders.may_order(machine_id)
+
     def _start_order(self, machine_id: str, act: Callable, decision: object) -> None:
-        if machine_id in self._in_flight or self._nursery is None:
+        if not self._may_order(machine_id) or self._nursery is None:
             return
         self._in_flight.add(machine_id)
         machine = self.machine_by_id[machine_id]
@@ -254,6 +266,8 @@
 
     async def _act(self, machine_id: str, act: Callable, decision: object) -> None:
         try:
+            self.orders.note(machine_id)
+            await self.save_orders()
             await act(decision)
         finally:
             self._in_flight.discard(machine_id)
--- a/rhubarbmount/batch/follow.py
+++ b/rhubarbmount/batch/follow.py
@@ -33,6 +33,7 @@
     on_page: Callable[[Page, bool], None]
     start_version: int | None = None
     wait_s: float = FEED_WAIT_S
+    on_regained: Callable[[], None] = lambda: None
     heard_at_s: float = 0.0
     _is_lost: bool = False
 
@@ -67,6 +68,7 @@
         if self._is_lost:
             self._is_lost = False
             log.event(logger, "store-regained", table=self.table)
+            self.on_regained()
 
     def _note_lost(self, code: str) -> None:
         if not self._is_lost:
--- a/rhubarbmount/batch/front.py
+++ b/rhubarbmount/batch/front.py
@@ -47,6 +47,7 @@
 RETRY_AFTER_S = 1.0
 PENDING_AGE_S = 0.3
 CALL_RETRY_S = 0.05
+WRITE_TIMEOUT_S = 1.2
 
 
 @attrs.define(eq=False)
@@ -78,6 +79,8 @@
         if queue is None:
             return self._decline(404, "no-queue", "no such queue", path)
         rest = path.removeprefix(queue.name.prefix)
+        if self.store.health.is_out_of_reach():
+            return _refusal(503, "store-out-of-reach", "the store can't be reached")
         if request.method == "GET" and not rest:
             return await self._show_pending(queue)
         if not is_job_id(rest):
@@ -118,6 +121,7 @@
         is_unknown = False
         while True:
             timeout_s = max(MIN_CALL_S, expires_s - trio.current_time())
+            timeout_s = min(timeout_s, WRITE_TIMEOUT_S)
             try:
                 version = await self.store.commit(
                     {name: 0}, {name: value}, timeout_s=timeout_s
@@ -130,7 +134,8 @@
                 is_unknown = True
             except PlatformUnavailable:
                 await trio.sleep(CALL_RETRY_S)
-            if trio.current_time() + MIN_CALL_S >= expires_s:
+            is_hopeless = self.store.health.is_out_of_reach()
+            if is_hopeless or trio.current_time() + MIN_CALL_S >= expires_s:
                 return ("unknown" if is_unknown else "not-stored"), 0
 
     # Showing.
@@ -179,7 +184,8 @@
                     timeout_s=max(MIN_CALL_S, min(1.0, left_s)),
                 )
             except (PlatformUnavailable, OutcomeUnknown):
-                if trio.current_time() + MIN_CALL_S >= expires_s:
+                is_hopeless = self.store.health.is_out_of_reach()
+                if is_hopeless or trio.current_time() + MIN_CALL_S >= expires_s:
                     raise
                 await trio.sleep(CALL_RETRY_S)
                 continue
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -20,6 +20,7 @@
     StartRequest,
     StopRequest,
 )
+from rhubarbmount.batch.machine_orders import MachineOrders
 from rhubarbmount.batch.model import (
     Assignment,
     Job,
@@ -41,10 +42,12 @@
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
+    MACHINE_ORDERS_TABLE,
     PROGRESS_TABLE,
     REQUESTS_TABLE,
     WAVES_TABLE,
     cancel_row,
+    machine_orders_row,
     pending_row,
     progress_row,
     request_row,
@@ -78,8 +81,6 @@
 # A run that is stopped may be listed nowhere for a moment.
 STOP_SETTLED_S = 0.5
 LAZY_COMMIT_S = 0.06
-# Orders of the last holder may arrive a little after it sent them.
-ORDER_MARGIN_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -95,7 +96,7 @@
     tickets: TicketDesk
     timers: TimerService
     bounds: Bounds
-    takes_over: bool
+    orders: MachineOrders = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     fleet: FleetKeeper = attrs.field(init=False)
@@ -106,6 +107,7 @@
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _puts: dict[RowName, bytes] = attrs.field(factory=dict)
     _removes: list[RowName] = attrs.field(factory=list)
+    _waiting_for_commit: list[trio.Event] = attrs.field(factory=list)
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = 0.0
@@ -116,16 +118,16 @@
         self.shard = Shard(Catalogue(0, {}, {}), day_s=day_s())
         self.placer = Placer(self.shard, self.tickets.by_step)
         self.wave_status = WaveStatusWriter(self.store)
-        # Orders of the last holder and of this one must not take turns.
-        pause_s = self.bounds.lease_s + ORDER_MARGIN_S if self.takes_over else 0.0
+        self.orders = MachineOrders(self.store.clock_s, self.bounds.lease_s)
         self.fleet = FleetKeeper(
             shard=self.shard,
             placer=self.placer,
             term=self.term,
             calls=self.machine_calls,
             timers=self.timers,
-            may_order_from_s=self._started_at_s + pause_s,
+            orders=self.orders,
             save_wave=self._save_wave,
+            save_orders=self._save_orders,
             wake_scheduler=self.wake,
         )
 
@@ -172,7 +174,10 @@
         requests = await self._read_all(REQUESTS_TABLE, self.name)
         progress = await self._read_all(PROGRESS_TABLE, self.name)
         waves = await self._read_all(WAVES_TABLE, self.name)
+        orders = await self._read_all(MACHINE_ORDERS_TABLE, self.name)
         servers = await self._read_all(SERVERS_TABLE, "")
+        for row in orders.rows:
+            self.orders.load(row.value)
         for row in waves.rows:
             self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
         for row in servers.rows:
@@ -490,7 +495,7 @@
 
     def _is_urgent(self) -> bool:
         """Tell whether a caller or a backend server waits for the next commit."""
-        if self.shard.stops or not self.shard.dirty:
+        if self.shard.stops or self._puts or not self.shard.dirty:
             return True
         return any(
             self.shard.job_by_id[job_id].state.is_final
@@ -511,6 +516,7 @@
         """Commit what changed, then let it take effect."""
         puts = self._take_puts()
         removes, self._removes = self._removes, []
+        waiting, self._waiting_for_commit = self._waiting_for_commit, []
         stops, self.shard.stops = self.shard.stops, []
         listed_by_link = {
             link: link.listed_to for link in self._link_by_server.values()
@@ -522,6 +528,8 @@
             await self.committer.commit({name: puts[name] for name in chunk})
         if removes:
             await self.committer.commit({}, tuple(removes))
+        for saved in waiting:
+            saved.set()
         for link, request in starts:
             link.send(request)
         for stop in stops:
@@ -567,6 +575,13 @@
             starts.append((link, StartRequest(task, assignment.run, payload, ticket)))
         return starts
 
+    async def _save_orders(self) -> None:
+        self._puts[machine_orders_row(self.name)] = self.orders.encode()
+        saved = trio.Event()
+        self._waiting_for_commit.append(saved)
+        self.wake()
+        await saved.wait()
+
     def _save_wave(self, progress: WaveProgress) -> None:
         record = WaveRecord(tuple(sorted(progress.begun)), progress.is_complete)
         self._puts[wave_row(self.name, progress.wave.number)] = record.encode()
--- a/rhubarbmount/batch/lease_keeper.py
+++ b/rhubarbmount/batch/lease_keeper.py
@@ -26,7 +26,9 @@
 logger = logging.getLogger(__name__)
 
 CHECK_PERIOD_S = 0.2
-RETRY_S = 0.1
+# Longer than a renewal takes, so that a silent store is noticed within a lease.
+FEED_WAIT_S = 0.8
+RETRY_S = 0.15
 RENEWAL_TIMEOUT_S = 0.9
 
 
@@ -44,10 +46,18 @@
     _version: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_read: bool = False
+    _is_failing: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.watch = LeaseWatch(self.node_id)
-        self.follower = TableFollower(self.store, LEASE_TABLE, self.shard, self._apply)
+        self.follower = TableFollower(
+            self.store,
+            LEASE_TABLE,
+            self.shard,
+            self._apply,
+            wait_s=FEED_WAIT_S,
+            on_regained=lambda: self.watch.restart(boot_s()),
+        )
 
     def _apply(self, page: Page, is_whole: bool) -> None:
         name = lease_row(self.shard)
@@ -91,7 +101,7 @@
         except RowConflict as error:
             return self._adopt(error, lease, sent_s)
         except (PlatformUnavailable, OutcomeUnknown) as error:
-            log.event(logger, "lease-not-taken", shard=self.shard, code=error.code)
+            self._note_failure("lease-not-taken", error.code)
             await trio.sleep(RETRY_S)
             return None
         return self._taken(fence, version, sent_s)
@@ -108,8 +118,15 @@
                 return self._taken(wanted.fence, row.version, self.watch.seen_at_s)
         return None
 
+    def _note_failure(self, event: str, code: str) -> None:
+        """Log the first of several failures in a row."""
+        if not self._is_failing:
+            self._is_failing = True
+            log.event(logger, event, logging.WARNING, shard=self.shard, code=code)
+
     def _taken(self, fence: int, version: int, sent_s: float) -> LeaseTerm:
         self._version = version
+        self._is_failing = False
         self.head_version = version
         log.event(logger, "lease-won", shard=self.shard, fence=fence, version=version)
         return LeaseTerm(fence, sent_s)
@@ -139,14 +156,9 @@
         except RowConflict as error:
             self._adopt_renewal(error, lease)
         except (PlatformUnavailable, OutcomeUnknown) as error:
-            log.event(
-                logger,
-                "lease-not-renewed",
-                logging.WARNING,
-                shard=self.shard,
-                code=error.code,
-            )
+            self._note_failure("lease-not-renewed", error.code)
             return False
+        self._is_failing = False
         return True
 
     def _adopt_renewal(self, error: RowConflict, lease: LeaseRow) -> None:
--- /dev/null
+++ b/rhubarbmount/batch/machine_orders.py
@@ -0,0 +1,51 @@
+"""When each machine was last ordered about, so that holders do not take turns."""
+
+import json
+from collections.abc import Callable
+
+import attrs
+
+__all__ = ["MachineOrders"]
+
+# Orders of the last holder may arrive a little after it sent them.
+ARRIVAL_MARGIN_S = 0.5
+KEPT_S = 30.0
+
+
+@attrs.define(eq=False)
+class MachineOrders:
+    """The store's time of the last order to each machine.
+
+    It is stored before the order is sent. Another holder leaves the machine alone for
+    the time that the platform wants between orders of two holders.
+    """
+
+    store_clock_s: Callable[[], float]
+    pause_s: float
+    _ordered_at_s: dict[str, float] = attrs.field(factory=dict)
+    _others_until_s: dict[str, float] = attrs.field(factory=dict)
+
+    def load(self, value: bytes) -> None:
+        """Take in what the last holder stored."""
+        self._ordered_at_s = json.loads(value)
+        self._others_until_s = {
+            machine_id: at_s + self.pause_s + ARRIVAL_MARGIN_S
+            for machine_id, at_s in self._ordered_at_s.items()
+        }
+
+    def may_order(self, machine_id: str) -> bool:
+        """Tell whether the last holder's order is old enough."""
+        until_s = self._others_until_s.get(machine_id)
+        return until_s is None or self.store_clock_s() >= until_s
+
+    def note(self, machine_id: str) -> None:
+        """Remember an order that is about to be sent."""
+        now_s = self.store_clock_s()
+        self._ordered_at_s[machine_id] = now_s
+        for other, at_s in list(self._ordered_at_s.items()):
+            if at_s < now_s - KEPT_S:
+                del self._ordered_at_s[other]
+
+    def encode(self) -> bytes:
+        """Return the row's value."""
+        return json.dumps(self._ordered_at_s).encode("ascii")
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -49,10 +49,10 @@
 
 logger = logging.getLogger(__name__)
 
-READY_SILENCE_S = 4.0
 # The balancer needs two checks, a second apart, to see that this host stops.
 LEAVE_ROTATION_S = 2.5
 STOP_MARGIN_S = 0.8
+FAULT_PAUSE_S = 3.0
 
 
 @attrs.define(eq=False)
@@ -173,7 +173,7 @@
         before = self.keeper.watch.lease
         term = await self.keeper.acquire()
         self._term = term
-        self._holder = self._make_holder(term, takes_over=term.fence > 1)
+        self._holder = self._make_holder(term)
         log.event(
             logger,
             "duty-begun",
@@ -185,6 +185,11 @@
         except* LeaseLost as lost:
             reasons = {error.message for error in _leaves(lost)}
             log.event(logger, "duty-lost", fence=term.fence, reason="; ".join(reasons))
+        except* Exception:
+            # A fault of the program must not end the host, which serves callers too.
+            logger.exception("event=duty-failed fence=%s", term.fence)
+            await self.keeper.release(term)
+            await trio.sleep(FAULT_PAUSE_S)
         finally:
             self._holder = None
 
@@ -194,7 +199,7 @@
             nursery.start_soon(self.keeper.keep, term)
             await holder.run(self.front.catalogue, self._wave_by_number)
 
-    def _make_holder(self, term: LeaseTerm, takes_over: bool) -> Holder:
+    def _make_holder(self, term: LeaseTerm) -> Holder:
         settings = self.settings
         committer = Committer(
             self.store,
@@ -215,16 +220,14 @@
             tickets=TicketDesk(AdviceCalls(self.caller, settings.advice_address)),
             timers=self.timers,
             bounds=settings.bounds,
-            takes_over=takes_over,
         )
 
     # Readiness and the end.
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
-        silence_s = trio.current_time() - self.operator_rows.heard_at_s
         if self.is_stopping:
             return problem(503, "stopping", "the host stops")
-        if self.front.catalogue is None or silence_s > READY_SILENCE_S:
+        if self.front.catalogue is None or self.store.health.is_out_of_reach():
             return problem(503, "no-store", "the store is out of reach")
         return json_response({})
 
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -5,10 +5,12 @@
 __all__ = [
     "CANCEL_SUFFIX",
     "LEASE_TABLE",
+    "MACHINE_ORDERS_TABLE",
     "PROGRESS_TABLE",
     "REQUESTS_TABLE",
     "cancel_row",
     "head_row",
+    "machine_orders_row",
     "lease_row",
     "pending_row",
     "progress_row",
@@ -21,6 +23,7 @@
 REQUESTS_TABLE = "requests"
 PROGRESS_TABLE = "progress"
 WAVES_TABLE = "waves"
+MACHINE_ORDERS_TABLE = "machine-orders"
 CANCEL_SUFFIX = ".cancel"
 
 
@@ -59,6 +62,11 @@
     return RowName("pending", shard, "counts")
 
 
+def machine_orders_row(shard: str) -> RowName:
+    """Return the row of the last orders to machines."""
+    return RowName(MACHINE_ORDERS_TABLE, shard, "last")
+
+
 def wave_row(shard: str, number: int) -> RowName:
     """Return the row of how far a wave is."""
     return RowName(WAVES_TABLE, shard, str(number))
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -11,6 +11,12 @@
 __all__ = ["Maintenance", "WavePlan", "WavePlanner", "WaveProgress"]
 
 
+# From the order to one machine of a wave until the next may follow.
+ROUND_S = 3.5
+# Lasting tasks leave their machines one after the other.
+LASTING_MARGIN_S = 8.0
+
+
 @attrs.define(eq=False)
 class WaveProgress:
     """How far a wave is; ``begun`` holds the machines whose maintenance began."""
@@ -52,14 +58,25 @@
     away_by_wave: dict[int, set[str]] = attrs.field(factory=dict)
 
     def plan(
-        self, waves: Iterable[WaveProgress], machines: Mapping[str, Machine]
+        self,
+        waves: Iterable[WaveProgress],
+        machines: Mapping[str, Machine],
+        now_s: float,
+        is_room_short: bool = False,
     ) -> WavePlan:
-        """Return what to do now."""
+        """Return what to do now; a wave with time left waits while room is short."""
         plan = WavePlan()
         taken: set[str] = set()
         for progress in sorted(waves, key=lambda item: item.due_at_s):
-            if not progress.is_complete:
-                self._plan_wave(progress, machines, plan, taken)
+            if progress.is_complete:
+                continue
+            left = self._left(progress, machines)
+            if not left:
+                plan.completed.append(progress)
+                continue
+            plan.due_servers.update(machine.server_id for machine in left)
+            if not is_room_short or now_s >= _latest_begin_s(progress, len(left)):
+                self._plan_wave(progress, left, machines, plan, taken)
         return plan
 
     def note_begun(self, wave: int, machine_id: str) -> None:
@@ -74,22 +91,22 @@
                 if machine is None or machine.state is MachineState.UP:
                     away.discard(machine_id)
 
+    @staticmethod
+    def _left(progress: WaveProgress, machines: Mapping[str, Machine]) -> list[Machine]:
+        return [
+            machines[machine_id]
+            for machine_id in progress.wave.machine_ids
+            if machine_id in machines and machine_id not in progress.begun
+        ]
+
     def _plan_wave(
         self,
         progress: WaveProgress,
+        left: list[Machine],
         machines: Mapping[str, Machine],
         plan: WavePlan,
         taken: set[str],
     ) -> None:
-        left = [
-            machines[machine_id]
-            for machine_id in progress.wave.machine_ids
-            if machine_id in machines and machine_id not in progress.begun
-        ]
-        if not left:
-            plan.completed.append(progress)
-            return
-        plan.due_servers.update(machine.server_id for machine in left)
         away = self._away_count(progress, machines)
         free_places = progress.wave.limit - away
         candidates = [
@@ -170,3 +187,9 @@
             if spread and other.fits(step):
                 return True
         return False
+
+
+def _latest_begin_s(progress: WaveProgress, left: int) -> float:
+    """Return when a wave must go on to be done in time, come what may."""
+    rounds = -(-left // progress.wave.limit)
+    return progress.due_at_s - rounds * ROUND_S - LASTING_MARGIN_S
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -1,7 +1,10 @@
 """The client's side of HTTP/1.1 connections, with h11 over trio streams."""
 
 import math
+import socket
+import struct
 from collections import deque
+from contextlib import suppress
 
 import attrs
 import h11
@@ -22,6 +25,9 @@
 
 __all__ = ["ClientConnection", "ConnectionPool", "connect"]
 
+# struct linger: on, for zero seconds.
+LINGER_OFF_AND_RESET = struct.pack("ii", 1, 0)
+
 
 @attrs.define
 class ClientConnection:
@@ -65,10 +71,22 @@
         return self.reusable and not has_input(self.stream)
 
     async def aclose(self) -> None:
-        """Close the connection without waiting for the peer."""
+        """Close the connection without waiting for the peer.
+
+        A connection in the middle of an exchange is reset, so that a request that is
+        held up on its way is not delivered after it was given up.
+        """
+        if not self.reusable:
+            self._drop_unsent()
         self.reusable = False
         await trio.aclose_forcefully(self.stream)
 
+    def _drop_unsent(self) -> None:
+        with suppress(OSError, trio.ClosedResourceError):
+            self.stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF_AND_RESET
+            )
+
     def _encode(self, request: HttpRequest, more_headers: Headers) -> bytes:
         headers = without_length(request.headers)
         headers.extend(more_headers)
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -2,12 +2,15 @@
 
 import base64
 import binascii
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 import attrs
+import trio
 
+from rhubarbmount.batch.clocks import boot_s
 from rhubarbmount.errors import (
     ConflictError,
     OutcomeUnknown,
@@ -16,12 +19,22 @@
 )
 from rhubarbmount.platform.calls import Answer, Caller
 
-__all__ = ["HistoryGone", "Page", "Row", "RowConflict", "RowName", "RowStore"]
+__all__ = [
+    "HistoryGone",
+    "Page",
+    "Row",
+    "RowConflict",
+    "RowName",
+    "RowStore",
+    "StoreHealth",
+]
 
 COMMIT_TIMEOUT_S = 1.5
 READ_TIMEOUT_S = 1.5
 FEED_MARGIN_S = 1.0
 PAGE_ROWS = 500
+FAILURES_IN_A_ROW = 2
+SILENCE_S = 0.7
 
 
 class RowName(NamedTuple):
@@ -65,6 +78,28 @@
     code = "history-gone"
 
 
+@attrs.define
+class StoreHealth:
+    """Whether the store answers this process; times are trio's."""
+
+    answered_at_s: float = -math.inf
+    failures_in_a_row: int = 0
+
+    def note_answer(self) -> None:
+        """Take in an answer that did what was asked, or said why not."""
+        self.answered_at_s = trio.current_time()
+        self.failures_in_a_row = 0
+
+    def note_failure(self) -> None:
+        """Take in a call that failed."""
+        self.failures_in_a_row += 1
+
+    def is_out_of_reach(self) -> bool:
+        """Tell whether another call would surely fail, as the last ones did."""
+        silence_s = trio.current_time() - self.answered_at_s
+        return self.failures_in_a_row >= FAILURES_IN_A_ROW and silence_s > SILENCE_S
+
+
 @attrs.define(eq=False)
 class RowStore:
     """Calls to the store.
@@ -75,6 +110,13 @@
 
     caller: Caller
     address: str
+    health: StoreHealth = attrs.field(factory=StoreHealth)
+    _clock_ms: int = 0
+    _clock_read_at_s: float = 0.0
+
+    def clock_s(self) -> float:
+        """Return the store's steady clock, as far as its last answer tells."""
+        return self._clock_ms / 1000 + boot_s() - self._clock_read_at_s
 
     async def commit(
         self,
@@ -94,12 +136,9 @@
             ],
             "remove": [name._asdict() for name in removes],
         }
-        answer = await self.caller.call(
-            self.address, "POST", "/rows-tx", body, timeout_s
-        )
+        answer = await self._call("POST", "/rows-tx", body, timeout_s)
         if answer.status == 412:
             raise RowConflict(_rows(answer))
-        _check(answer)
         return int(answer.body["ver"])
 
     async def read(
@@ -117,7 +156,6 @@
         if end_key:
             query["target_version"] = end_key
         answer = await self._get("/rows-get", query, timeout_s)
-        _check(answer)
         return _page(answer)
 
     async def read_all(self, table: str, part: str = "") -> Page:
@@ -145,12 +183,32 @@
         answer = await self._get("/rows-feed", query, wait_s + FEED_MARGIN_S)
         if answer.status == 410:
             raise HistoryGone(f"changes of {table} after {after} are gone")
-        _check(answer)
         return _page(answer)
 
     async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> Answer:
-        target = f"{path}?{urlencode(query)}"
-        return await self.caller.call(self.address, "GET", target, timeout_s=timeout_s)
+        return await self._call("GET", f"{path}?{urlencode(query)}", None, timeout_s)
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: Mapping[str, Any] | None,
+        timeout_s: float,
+    ) -> Answer:
+        try:
+            answer = await self.caller.call(
+                self.address, method, target, body, timeout_s
+            )
+            if answer.status not in (410, 412):
+                _check(answer)
+        except (PlatformUnavailable, OutcomeUnknown):
+            self.health.note_failure()
+            raise
+        self.health.note_answer()
+        if "now_ms" in answer.body:
+            self._clock_ms = int(answer.body["now_ms"])
+            self._clock_read_at_s = boot_s()
+        return answer
 
 
 def _check(answer: Answer) -> None:
