Begin stragglers again elsewhere, notice dark servers sooner, finish waves in time

Holds now wait 1 s, grants last 4 s, orders are repeated after 0.35 s, and a step that starts a lasting task is looked at more often.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -10,7 +10,7 @@
 # What a holder acts on is shorter than what others wait for.
 LEASE_VALID_S = 1.6
 RENEWAL_PERIOD_S = 0.5
-NORMAL_GRANT_S = 5.0
+NORMAL_GRANT_S = 4.0
 RENEWAL_OVERDUE_S = 1.0
 
 
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -25,6 +25,7 @@
     Assignment,
     Job,
     QueueName,
+    RunReport,
     Server,
     Task,
     TaskId,
@@ -40,6 +41,7 @@
 )
 from rhubarbmount.batch.rooms import ServerRoom
 from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.stragglers import is_straggling, needs_watch
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
     MACHINE_ORDERS_TABLE,
@@ -76,6 +78,7 @@
 PENDING_PERIOD_S = 0.5
 LOAD_RETRY_S = 0.1
 FULL_PAUSE_S = 0.15
+SLOW_PAUSE_S = 4.0
 FORGET_PERIOD_S = 10.0
 FORGET_AFTER_S = 60.0
 # A run that is stopped may be listed nowhere for a moment.
@@ -352,6 +355,7 @@
             hold_max_s=self.bounds.hold_max_s,
             taken_at_s=self._started_at_s,
             has_work=lambda: not room.is_idle,
+            is_watchful=lambda: needs_watch(room, boot_s()),
         )
         self._link_by_server[room.server.id] = link
         self._nursery.start_soon(link.run)
@@ -388,16 +392,43 @@
             task = self.shard.task(item.task)
             if task is None or not _is_run_of(task, item.run, link.server.id):
                 self._stop_stray(link, item.task, item.run)
-            elif item.checkpoint:
-                task.checkpoint = item.checkpoint
-            if task is not None and task.percent != item.percent:
-                task.percent = item.percent
-                task.progressed_s = now_s
+            else:
+                self._note_progress(room, task, item, now_s)
         for task in list(room.task_by_id.values()):
             if (task.id, task.run) not in running:
                 self._settle_missing(link, task, sent_s, now_s)
         self.wake()
 
+    def _note_progress(
+        self, room: ServerRoom, task: Task, report: RunReport, now_s: float
+    ) -> None:
+        if report.checkpoint:
+            task.checkpoint = report.checkpoint
+        if task.assigned_s == 0.0:
+            # The run of an earlier holder is judged from when it was first seen.
+            task.assigned_s = task.progressed_s = task.settled_s = now_s
+        if task.percent != report.percent:
+            task.percent = report.percent
+            task.progressed_s = now_s
+        task.looked_s = now_s
+        straggler = is_straggling(task, room.step_by_task[task.id], now_s)
+        if straggler is None:
+            return
+        log.event(
+            logger,
+            "straggler",
+            job=task.id.job_id,
+            task=task.id,
+            run=task.run,
+            server=room.server.id,
+            reason=straggler.reason,
+            percent=task.percent,
+            left_s=straggler.left_s,
+        )
+        task.failed_on = room.server.id
+        room.slow_until_s = now_s + SLOW_PAUSE_S
+        self.shard.stop_run(task)
+
     def _stop_stray(self, link: BackendLink, task_id: TaskId, run: int) -> None:
         key = (link.server.id, task_id, run)
         if boot_s() - self._stops_sent.get(key, -10.0) > 1.0:
--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -23,8 +23,8 @@
 
 logger = logging.getLogger(__name__)
 
-HOLD_WAIT_S = 1.9
-WATCHFUL_WAIT_S = 0.4
+HOLD_WAIT_S = 1.0
+WATCHFUL_WAIT_S = 0.3
 RETRY_S = 0.25
 COMMIT_WAIT_S = 0.25
 SENDER_COUNT = 4
@@ -96,12 +96,13 @@
     hold_max_s: float
     taken_at_s: float
     has_work: Callable[[], bool]
+    # Tells whether the percentages of its runs are wanted soon.
+    is_watchful: Callable[[], bool]
     clock: ServerClock = attrs.field(factory=ServerClock)
     # Ends up to this number are committed and may be acknowledged.
     committed: int = 0
     acknowledged: int = 0
     listed_to: int = 0
-    is_watchful: bool = False
     is_greeted: bool = False
     has_lapsed: bool = False
     _is_reached: bool = True
@@ -192,7 +193,7 @@
     def _wait_s(self) -> float:
         if not self.is_greeted or not self.has_work():
             return 0.0
-        return WATCHFUL_WAIT_S if self.is_watchful else HOLD_WAIT_S
+        return WATCHFUL_WAIT_S if self.is_watchful() else HOLD_WAIT_S
 
     def _take_in(
         self, answer: HoldAnswer, acknowledged: int, sent_s: float
@@ -295,7 +296,8 @@
         )
         try:
             answer = await self.calls.start(self.server, order)
-        except PlatformUnavailable:
+        except PlatformUnavailable as error:
+            self._note_silence(error.code)
             await trio.sleep(RETRY_S)
             return None
         except OutcomeUnknown:
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -143,6 +143,8 @@
     failed_on: str = ""
     assigned_s: float = 0.0
     percent: int = 0
+    # When the percentage was last read, and when it last changed.
+    looked_s: float = 0.0
     progressed_s: float = 0.0
     # When the backend server last answered an order about the run.
     settled_s: float = 0.0
--- a/rhubarbmount/batch/rooms.py
+++ b/rhubarbmount/batch/rooms.py
@@ -28,6 +28,8 @@
     # Its machine waits for maintenance.
     is_due: bool = False
     full_until_s: float = 0.0
+    # Runs here were seen to be slow or to stand still.
+    slow_until_s: float = 0.0
     failures_in_a_row: int = 0
     failed_at_s: float = 0.0
     used_cpu_millicores: int = 0
@@ -73,7 +75,11 @@
 
     def is_open(self, now_s: float) -> bool:
         """Tell whether new tasks may be assigned here."""
-        if self.is_closed or self.is_ordered or now_s < self.full_until_s:
+        if (
+            self.is_closed
+            or self.is_ordered
+            or now_s < max(self.full_until_s, self.slow_until_s)
+        ):
             return False
         if not self.is_listed or not self.is_reachable:
             return False
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -201,6 +201,7 @@
         task.run += 1
         task.server_id = room.server.id
         task.assigned_s = now_s
+        task.looked_s = now_s
         task.progressed_s = now_s
         task.percent = 0
         task.settled_s = 0.0
--- /dev/null
+++ b/rhubarbmount/batch/stragglers.py
@@ -0,0 +1,66 @@
+"""Runs that stand still or are much slower than others; free of I/O."""
+
+import attrs
+
+from rhubarbmount.batch.model import Step, Task
+from rhubarbmount.batch.rooms import ServerRoom
+
+__all__ = ["is_straggling", "needs_watch"]
+
+# A run whose percentage does not change for so long stands still.
+STALL_S = 1.0
+# Estimates are rough, so a run is slow only far beyond its own.
+SLOW_FACTOR = 2.2
+MIN_PERCENT_TO_JUDGE = 3
+RESTART_COST_S = 0.4
+OVERDUE_FACTOR = 1.3
+OVERDUE_MARGIN_S = 0.2
+
+
+@attrs.frozen
+class Straggler:
+    """Why a run should begin again on another backend server."""
+
+    reason: str
+    left_s: float
+
+
+def needs_watch(room: ServerRoom, now_s: float) -> bool:
+    """Tell whether a run on a backend server should be looked at soon."""
+    for task in room.task_by_id.values():
+        step = room.step_by_task[task.id]
+        if step.is_lasting:
+            if task.percent < 100:
+                return True
+        elif _elapsed_s(task, now_s) > _overdue_s(step):
+            return True
+    return False
+
+
+def is_straggling(task: Task, step: Step, now_s: float) -> Straggler | None:
+    """Return why a run should begin again elsewhere, if it should.
+
+    A run that stands still is told from one that has only just begun by its
+    percentage, and a slow one from a long one by how much is left.
+    """
+    if step.is_lasting or step.is_gang or task.is_stopping:
+        return None
+    if now_s - task.progressed_s > STALL_S and now_s - task.looked_s < STALL_S:
+        return Straggler("stalled", 0.0)
+    elapsed_s = _elapsed_s(task, now_s)
+    if task.percent < MIN_PERCENT_TO_JUDGE or elapsed_s < _overdue_s(step):
+        return None
+    total_s = elapsed_s * 100 / task.percent
+    left_s = total_s - elapsed_s
+    is_slow = total_s > SLOW_FACTOR * step.estimate_s + RESTART_COST_S
+    if is_slow and left_s > step.estimate_s + RESTART_COST_S:
+        return Straggler("slow", left_s)
+    return None
+
+
+def _elapsed_s(task: Task, now_s: float) -> float:
+    return now_s - task.assigned_s
+
+
+def _overdue_s(step: Step) -> float:
+    return step.estimate_s * OVERDUE_FACTOR + OVERDUE_MARGIN_S
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -1,5 +1,6 @@
 """Maintenance of machines in waves: in time, and a few at once; free of I/O."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -13,8 +14,7 @@
 
 # From the order to one machine of a wave until the next may follow.
 ROUND_S = 3.5
-# Lasting tasks leave their machines one after the other.
-LASTING_MARGIN_S = 8.0
+MARGIN_S = 5.0
 
 
 @attrs.define(eq=False)
@@ -75,7 +75,8 @@
                 plan.completed.append(progress)
                 continue
             plan.due_servers.update(machine.server_id for machine in left)
-            if not is_room_short or now_s >= _latest_begin_s(progress, len(left)):
+            latest_s = _latest_begin_s(progress, self._rounds(progress, left))
+            if not is_room_short or now_s >= latest_s:
                 self._plan_wave(progress, left, machines, plan, taken)
         return plan
 
@@ -99,6 +100,18 @@
             if machine_id in machines and machine_id not in progress.begun
         ]
 
+    def _rounds(self, progress: WaveProgress, left: list[Machine]) -> int:
+        """Return how many times a machine must wait for another.
+
+        Lasting tasks of a pool leave their machines one after the other.
+        """
+        rooms = [self.shard.room_by_server.get(machine.server_id) for machine in left]
+        lasting = Counter(
+            room.server.service for room in rooms if room and room.has_lasting
+        )
+        in_turn = -(-len(left) // progress.wave.limit)
+        return max([in_turn, *lasting.values()])
+
     def _plan_wave(
         self,
         progress: WaveProgress,
@@ -189,7 +202,6 @@
         return False
 
 
-def _latest_begin_s(progress: WaveProgress, left: int) -> float:
+def _latest_begin_s(progress: WaveProgress, rounds: int) -> float:
     """Return when a wave must go on to be done in time, come what may."""
-    rounds = -(-left // progress.wave.limit)
-    return progress.due_at_s - rounds * ROUND_S - LASTING_MARGIN_S
+    return progress.due_at_s - rounds * ROUND_S - MARGIN_S
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -12,7 +12,7 @@
 
 __all__ = ["BackendCalls", "HoldAnswer", "OrderAnswer", "OrderResult", "StartOrder"]
 
-ORDER_TIMEOUT_S = 0.6
+ORDER_TIMEOUT_S = 0.35
 HOLD_MARGIN_S = 0.8
 
 
