--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -12,10 +12,14 @@
 
 __all__ = ["CapacityPlanner", "Move", "PoolRoom"]
 
-IDLE_BEFORE_RETURN_S = 1.0
+IDLE_BEFORE_RETURN_S = 2.0
 MOVE_TIMEOUT_S = 6.0
 # Arriving work comes in bursts; some room is kept above its average.
-ARRIVAL_HEADROOM = 1.25
+ARRIVAL_HEADROOM = 1.35
+# From the order until a machine can run tasks.
+MOVE_LEAD_S = 1.6
+# A queue that is left when machines arrive should be gone so much later.
+DRAIN_S = 1.0
 
 
 @attrs.frozen
@@ -42,6 +46,7 @@
 
     needed_millicores: int = 0
     had_millicores: int = 0
+    lasting_millicores: int = 0
     missing_servers: int = 0
 
     @property
@@ -73,7 +78,7 @@
     ) -> list[Move]:
         """Return the moves to make now."""
         listed = list(machines)
-        self._settle(listed, room_by_server, now_s)
+        self._settle(catalogue, listed, room_by_server, now_s)
         free = self._free_machines(listed, room_by_server)
         rooms = self._pool_rooms(
             now_s, catalogue, listed, room_by_server, shortage_by_pool, demand
@@ -92,6 +97,7 @@
 
     def _settle(
         self,
+        catalogue: Catalogue,
         machines: list[Machine],
         room_by_server: Mapping[str, ServerRoom],
         now_s: float,
@@ -100,10 +106,11 @@
             order = self._order_by_machine.get(machine.id)
             if order is None:
                 continue
-            has_arrived = (
-                machine.pool == order.pool
-                and machine.state is MachineState.UP
-                and machine.server_id in room_by_server
+            is_there = machine.pool == order.pool and machine.state is MachineState.UP
+            # Machines of a standby pool are off and register no server.
+            has_server = machine.server_id in room_by_server
+            has_arrived = is_there and (
+                has_server or catalogue.is_standby(machine.pool)
             )
             if has_arrived or now_s > order.sent_at_s + MOVE_TIMEOUT_S:
                 del self._order_by_machine[machine.id]
@@ -133,13 +140,11 @@
             for pool in catalogue.pool_by_name.values()
             if not pool.is_standby
         }
-        used = dict.fromkeys(rooms, 0)
         for room in room_by_server.values():
             pool = rooms.get(room.server.service)
             if pool is not None and room.is_open(now_s):
                 pool.had_millicores += room.server.cpu_millicores
-                used[room.server.service] += room.used_cpu_millicores
-                pool.needed_millicores += room.lasting_cpu_millicores
+                pool.lasting_millicores += room.lasting_cpu_millicores
         cpu_by_machine = {machine.id: machine.cpu_millicores for machine in machines}
         for machine_id, order in self._order_by_machine.items():
             if order.pool in rooms:
@@ -148,9 +153,7 @@
                 rooms[order.pool].missing_servers -= 1
         for name, pool in rooms.items():
             shortage = shortage_by_pool.get(name, Shortage())
-            arriving = int(demand.cores(name, now_s) * ARRIVAL_HEADROOM * 1000)
-            present = used[name] + shortage.cpu_millicores
-            pool.needed_millicores = max(pool.needed_millicores + arriving, present)
+            pool.needed_millicores = _needed(pool, shortage, demand.cores(name, now_s))
             pool.missing_servers += shortage.servers
         return rooms
 
@@ -225,6 +228,20 @@
         return moves
 
 
+def _needed(pool: PoolRoom, shortage: Shortage, arriving_cores: float) -> int:
+    """Return what a pool needs to keep up, and to drain its queue soon.
+
+    A queue that the pool drains by itself before a machine could arrive needs none.
+    """
+    has_cores = (pool.had_millicores - pool.lasting_millicores) / 1000
+    drained_core_s = max(0.0, has_cores - arriving_cores) * MOVE_LEAD_S
+    left_core_s = max(0.0, shortage.work_core_s - drained_core_s)
+    cores = arriving_cores * ARRIVAL_HEADROOM
+    if left_core_s > 0:
+        cores = max(cores, has_cores) + left_core_s / DRAIN_S
+    return pool.lasting_millicores + int(cores * 1000)
+
+
 def _is_free(room: ServerRoom | None) -> bool:
     if room is None:
         return True
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -45,6 +45,8 @@
     cpu_millicores: int = 0
     servers: int = 0
     tasks: int = 0
+    # Estimated work of these tasks; lasting ones count as a second.
+    work_core_s: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -150,6 +152,7 @@
             had.cpu_millicores + cpu * count,
             max(had.servers, spread),
             had.tasks + count,
+            had.work_core_s + cpu / 1000 * count * (step.estimate_s or 1.0),
         )
 
 
