Empty machines with lasting tasks early, one a pool, and keep the place for them

Their lasting tasks had no other place, as servers full of short tasks did not count although those end soon; the machine that came for them was given back after 2 s while the tasks' budget was used up by a rack that went dark; and machines with lasting tasks came last.

The settings are read again when their file changes without a signal.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -1,6 +1,6 @@
 """Pools that follow their demand; free of I/O."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -48,6 +48,7 @@
     had_millicores: int = 0
     lasting_millicores: int = 0
     missing_servers: int = 0
+    is_holding: bool = False
 
     @property
     def is_short(self) -> bool:
@@ -56,9 +57,9 @@
 
     def can_spare(self, millicores: int) -> bool:
         """Tell whether the pool does without a machine."""
-        return not self.is_short and (
-            self.had_millicores - millicores >= self.needed_millicores
-        )
+        if self.is_short or self.is_holding:
+            return False
+        return self.had_millicores - millicores >= self.needed_millicores
 
 
 @attrs.define(eq=False)
@@ -75,14 +76,18 @@
         room_by_server: Mapping[str, ServerRoom],
         shortage_by_pool: Mapping[str, Shortage],
         demand: DemandMeter,
+        holding_pools: Collection[str] = (),
     ) -> list[Move]:
-        """Return the moves to make now."""
+        """Return the moves to make now; pools that hold give nothing away."""
         listed = list(machines)
         self._settle(catalogue, listed, room_by_server, now_s)
         free = self._free_machines(listed, room_by_server)
         rooms = self._pool_rooms(
             now_s, catalogue, listed, room_by_server, shortage_by_pool, demand
         )
+        for name in holding_pools:
+            if name in rooms:
+                rooms[name].is_holding = True
         moves = self._grow(catalogue, free, rooms)
         moves.extend(self._shrink(now_s, catalogue, free, room_by_server, rooms, moves))
         return moves
--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -73,6 +73,8 @@
     _listed_at_s: float = 0.0
     _wants_list: bool = True
     _pools_short_for_waves: set[str] = attrs.field(factory=set)
+    _pools_holding: set[str] = attrs.field(factory=set)
+    _wait_by_machine: dict[str, str] = attrs.field(factory=dict)
     _in_flight: set[str] = attrs.field(factory=set)
     _nursery: trio.Nursery | None = None
 
@@ -144,6 +146,7 @@
 
     def _plan_waves(self) -> None:
         self._pools_short_for_waves = set()
+        self._pools_holding = set()
         if all(item.is_complete for item in self.wave_by_number.values()):
             return
         plan = self.waves.plan(
@@ -156,6 +159,8 @@
             room.is_closed = room.server.id in plan.closed_servers
             room.is_due = room.server.id in plan.due_servers
         self._pools_short_for_waves = plan.short_pools
+        self._pools_holding = plan.holding_pools
+        self._log_waits(plan.wait_by_machine)
         for task in plan.evict:
             log.event(
                 logger, "evict", job=task.id.job_id, task=task.id, server=task.server_id
@@ -169,6 +174,12 @@
             log.event(logger, "wave-complete", wave=progress.wave.number)
             self.save_wave(progress)
 
+    def _log_waits(self, wait_by_machine: dict[str, str]) -> None:
+        for machine_id, reason in wait_by_machine.items():
+            if self._wait_by_machine.get(machine_id) != reason:
+                log.event(logger, "wave-waits", machine=machine_id, reason=reason)
+        self._wait_by_machine = wait_by_machine
+
     async def _maintain(self, maintenance: Maintenance) -> None:
         progress = self.wave_by_number[maintenance.wave]
         self.waves.note_begun(maintenance.wave, maintenance.machine_id)
@@ -204,6 +215,7 @@
             self.shard.room_by_server,
             self._shortages(),
             self.shard.demand,
+            self._pools_holding,
         )
         for move in moves:
             self._start_order(move.machine_id, self._move, move)
--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -29,6 +29,7 @@
 COMMIT_WAIT_S = 0.25
 SENDER_COUNT = 4
 START_TRIES = 4
+UNANSWERED_LIMIT = 2
 ORDER_QUEUE_SIZE = 10_000
 CLOCK_CHECK_S = 0.01
 
@@ -106,6 +107,7 @@
     is_greeted: bool = False
     has_lapsed: bool = False
     _is_reached: bool = True
+    _unanswered_in_a_row: int = 0
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _orders: Any = None
     _order_source: Any = None
@@ -191,7 +193,7 @@
         return self.hold_max_s * 0.95
 
     def _wait_s(self) -> float:
-        if not self.is_greeted or not self.has_work():
+        if not self.is_greeted or not self._is_reached or not self.has_work():
             return 0.0
         return WATCHFUL_WAIT_S if self.is_watchful() else HOLD_WAIT_S
 
@@ -300,8 +302,12 @@
             self._note_silence(error.code)
             await trio.sleep(RETRY_S)
             return None
-        except OutcomeUnknown:
+        except OutcomeUnknown as error:
+            self._unanswered_in_a_row += 1
+            if self._unanswered_in_a_row >= UNANSWERED_LIMIT:
+                self._note_silence(error.code)
             return None
+        self._unanswered_in_a_row = 0
         if answer.result is OrderResult.FENCED:
             raise LeaseLost(f"{self.server.id} has seen a higher fence")
         if answer.clock_ms:
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -53,6 +53,7 @@
 LEAVE_ROTATION_S = 2.5
 STOP_MARGIN_S = 0.8
 FAULT_PAUSE_S = 3.0
+SETTINGS_CHECK_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -91,6 +92,7 @@
             await nursery.start(ready.run, *_split(settings.ready_address))
             await nursery.start(callers.run, *_split(settings.callers_address))
             nursery.start_soon(self.run_duties)
+            nursery.start_soon(self._watch_settings)
             log.event(
                 logger,
                 "started",
@@ -240,6 +242,15 @@
                     return
                 self._reload()
 
+    async def _watch_settings(self) -> None:
+        """Read the settings again when their file changes without a signal."""
+        seen = _file_stamp()
+        async for _ in self.timers.every("settings", SETTINGS_CHECK_S):
+            stamp = _file_stamp()
+            if stamp != seen:
+                seen = stamp
+                self._reload()
+
     def _reload(self) -> None:
         try:
             settings = read_settings(settings_path())
@@ -273,6 +284,13 @@
     return host, int(port)
 
 
+def _file_stamp() -> float:
+    try:
+        return settings_path().stat().st_mtime
+    except OSError:
+        return 0.0
+
+
 def _leaves(group: BaseExceptionGroup) -> list[LeaseLost]:
     found: list[LeaseLost] = []
     for error in group.exceptions:
--- a/rhubarbmount/batch/rooms.py
+++ b/rhubarbmount/batch/rooms.py
@@ -100,6 +100,17 @@
             and self.used_gpu + step.gpu <= self.server.gpu
         )
 
+    def fits_among_lasting(self, step: Step) -> bool:
+        """Tell whether a task has room when all tasks that end have ended."""
+        lasting = [item for item in self.step_by_task.values() if item.is_lasting]
+        cpu = sum(item.cpu_millicores for item in lasting if not item.fills)
+        memory = sum(item.memory_mb for item in lasting)
+        added = 0 if step.fills else step.cpu_millicores
+        return (
+            cpu + added <= self.server.cpu_millicores
+            and memory + step.memory_mb <= self.server.memory_mb
+        )
+
     def count_of(self, task_id: TaskId) -> int:
         """Return how many tasks of the same step and occurrence are here."""
         return self.count_by_step.get(task_id[:3], 0)
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -43,8 +43,12 @@
     evict: list[Task] = attrs.field(factory=list)
     closed_servers: set[str] = attrs.field(factory=set)
     due_servers: set[str] = attrs.field(factory=set)
+    # Pools that need another server, and those that must keep the ones they have.
     short_pools: set[str] = attrs.field(factory=set)
+    holding_pools: set[str] = attrs.field(factory=set)
     completed: list[WaveProgress] = attrs.field(factory=list)
+    # Why machines that may go next have not gone yet.
+    wait_by_machine: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -76,8 +80,16 @@
                 continue
             plan.due_servers.update(machine.server_id for machine in left)
             latest_s = _latest_begin_s(progress, self._rounds(progress, left))
-            if not is_room_short or now_s >= latest_s:
-                self._plan_wave(progress, left, machines, plan, taken)
+            is_urgent = not is_room_short or now_s >= latest_s
+            candidates = [
+                machine
+                for machine in left
+                if machine.state is MachineState.UP
+                and machine.id not in taken
+                and (is_urgent or self._has_lasting(machine))
+            ]
+            free_places = progress.wave.limit - self._away_count(progress, machines)
+            self._prepare_some(progress, candidates, free_places, plan, taken)
         return plan
 
     def note_begun(self, wave: int, machine_id: str) -> None:
@@ -112,23 +124,28 @@
         in_turn = -(-len(left) // progress.wave.limit)
         return max([in_turn, *lasting.values()])
 
-    def _plan_wave(
+    def _has_lasting(self, machine: Machine) -> bool:
+        room = self.shard.room_by_server.get(machine.server_id)
+        return room is not None and room.has_lasting
+
+    def _prepare_some(
         self,
         progress: WaveProgress,
-        left: list[Machine],
-        machines: Mapping[str, Machine],
+        candidates: list[Machine],
+        free_places: int,
         plan: WavePlan,
         taken: set[str],
     ) -> None:
-        away = self._away_count(progress, machines)
-        free_places = progress.wave.limit - away
-        candidates = [
-            machine
-            for machine in left
-            if machine.state is MachineState.UP and machine.id not in taken
-        ]
-        candidates.sort(key=self._cost)
-        for machine in candidates[: max(0, free_places)]:
+        """Prepare easy machines first, and in each pool one with lasting tasks."""
+        emptied_pools: set[str] = set()
+        for machine in sorted(candidates, key=self._cost):
+            if free_places <= 0:
+                return
+            if self._has_lasting(machine):
+                if machine.pool in emptied_pools:
+                    continue
+                emptied_pools.add(machine.pool)
+            free_places -= 1
             taken.add(machine.id)
             self._prepare(progress, machine, plan)
 
@@ -163,10 +180,16 @@
                 plan.closed_servers.add(room.server.id)
             return
         plan.closed_servers.add(room.server.id)
-        self._evict(room, plan)
+        plan.wait_by_machine[machine.id] = self._evict(room, plan)
+
+    def _evict(self, room: ServerRoom, plan: WavePlan) -> str:
+        """Choose the lasting tasks that may be ended now, one of each step.
 
-    def _evict(self, room: ServerRoom, plan: WavePlan) -> None:
-        """Choose the lasting tasks that may be ended now, one of each step."""
+        Return what the machine waits for.
+        """
+        wait = "tasks"
+        if room.has_lasting:
+            plan.holding_pools.add(room.server.service)
         for task in room.task_by_id.values():
             step = room.step_by_task[task.id]
             if not step.is_lasting or task.is_stopping:
@@ -176,8 +199,13 @@
                 continue
             if not self._has_other_place(task, room):
                 plan.short_pools.add(room.server.service)
+                wait = "no-place"
             elif self._may_end(task, room):
                 plan.evict.append(task)
+                wait = "evicted"
+            else:
+                wait = "budget"
+        return wait
 
     def _may_end(self, task: Task, room: ServerRoom) -> bool:
         """Tell whether the step's budget of tasks away allows one more."""
@@ -188,6 +216,7 @@
         return others < limit
 
     def _has_other_place(self, task: Task, room: ServerRoom) -> bool:
+        """Tell whether another server has room, once its short tasks have ended."""
         step = room.step_by_task[task.id]
         for other in self.shard.room_by_server.values():
             if other is room or other.server.service != room.server.service:
@@ -197,7 +226,7 @@
             spread = not step.max_per_server or (
                 other.count_of(task.id) < step.max_per_server
             )
-            if spread and other.fits(step):
+            if spread and other.fits_among_lasting(step):
                 return True
         return False
 
--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 import time
+from collections.abc import Iterator
 from contextlib import nullcontext, suppress
 from contextvars import ContextVar
 from typing import TextIO
@@ -29,6 +30,8 @@
 KNOWN_TEXT_LIMIT = 32
 WAIT_LIMIT_S = 1.0
 WAITING_LINES_LIMIT = 256
+# Writes of up to 4 KiB to a pipe are not split.
+PIPE_PIECE_CHARS = 3500
 request_id: ContextVar[str] = ContextVar("request_id", default="")
 _SECRET_KEYS = frozenset({"token", "secret", "password", "secret_key"})
 
@@ -128,6 +131,18 @@
         return f"{self._prefix}.{int(record.msecs):03}"
 
 
+def _pieces(lines: list[str]) -> Iterator[str]:
+    """Join lines to pieces that a pipe takes whole."""
+    piece = ""
+    for line in lines:
+        if piece and len(piece) + len(line) > PIPE_PIECE_CHARS:
+            yield piece
+            piece = ""
+        piece += line
+    if piece:
+        yield piece
+
+
 class _WaitingLines(logging.StreamHandler):
     """Write lines to a stream; frequent ones wait for others, or a short time."""
 
@@ -149,8 +164,8 @@
         """Write what waits."""
         with self.lock or nullcontext():
             lines, self._lines = self._lines, []
-            if lines:
-                self.stream.write("".join(lines))
+            for piece in _pieces(lines):
+                self.stream.write(piece)
                 self.stream.flush()
 
     def _may_wait(self, record: logging.LogRecord) -> bool:
