Let leases of dark servers lapse, and end tasks that were done by an earlier run

Holds to a silent server grant nothing now. Ruled out: the percentage of lasting tasks, the room for them, the list of machines. The new test of a dark server failed before.

Cause 3: lasting tasks that left a machine of a wave were placed on another machine of that wave, back and forth.

--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -184,7 +184,8 @@
         return self._take_in(answer, acknowledged, sent_s)
 
     def _expiry(self, now_s: float) -> int | None:
-        if not self.clock.is_known:
+        # A lease that grows with each try would never be sure to have ended.
+        if not self.clock.is_known or not self._is_reached:
             return None
         until_s = self.term.grant_until_s(now_s, self._limit_s())
         return self.clock.grant(until_s, now_s)
@@ -257,10 +258,13 @@
                 await self._stop(order)
 
     async def _start(self, request: StartRequest) -> None:
-        for _ in range(START_TRIES):
+        for is_repeat in [False] + [True] * (START_TRIES - 1):
             await self._until_clock_known(request)
             if not request.is_wanted(self.server.id):
                 return
+            if not self._is_reached and not is_repeat:
+                self.listener.not_started(self, request, OrderResult.NOT_SENT)
+                return
             result = await self._try_start(request)
             if result is OrderResult.DONE or result is OrderResult.ENDED_BEFORE:
                 request.task.settled_s = boot_s()
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -164,8 +164,8 @@
     disturbs = (step.fills and room.has_goal) or (bool(step.goal_ms) and room.has_fills)
     return (
         is_far,
-        disturbs,
         step.is_lasting and room.is_due,
+        disturbs,
         not room.has_lasting,
         room.free_cpu_millicores,
         room.server.id,
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -216,6 +216,8 @@
         room = self.room_by_server.get(task.server_id)
         if room is not None:
             room.remove(task.id, now_s)
+        if task.state is TaskState.DONE:
+            return
         task.state = TaskState.WAITING
         task.server_id = ""
         task.is_stopping = False
@@ -242,9 +244,12 @@
         task = self.task(end.task)
         if task is None:
             return False
-        is_current = task.state is TaskState.ASSIGNED and (
-            task.run == end.run and task.server_id == server_id
-        )
+        is_last_run = task.run == end.run and task.server_id == server_id
+        if is_last_run and task.state is TaskState.DONE:
+            # It was done by an earlier run whose end was heard of late.
+            self._leave_room(task, end, now_s)
+            return False
+        is_current = is_last_run and task.state is TaskState.ASSIGNED
         if not is_current and not self._counts_anyway(task, end):
             return False
         job = self.job_by_id[end.task.job_id]
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -88,6 +88,9 @@
                 and machine.id not in taken
                 and (is_urgent or self._has_lasting(machine))
             ]
+            for machine in left:
+                if machine.state is not MachineState.UP:
+                    plan.wait_by_machine[machine.id] = machine.state.value
             free_places = progress.wave.limit - self._away_count(progress, machines)
             self._prepare_some(progress, candidates, free_places, plan, taken)
         return plan
@@ -221,7 +224,9 @@
         for other in self.shard.room_by_server.values():
             if other is room or other.server.service != room.server.service:
                 continue
-            if other.is_closed or other.server.is_draining or not other.is_reachable:
+            if other.is_closed or other.is_due or other.server.is_draining:
+                continue
+            if not other.is_reachable:
                 continue
             spread = not step.max_per_server or (
                 other.count_of(task.id) < step.max_per_server
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -17,7 +17,7 @@
 
 
 class OrderResult(enum.Enum):
-    """What a backend server made of an order."""
+    """What became of an order to a backend server."""
 
     DONE = "done"
     FENCED = "fenced"
@@ -27,6 +27,7 @@
     NO_TICKET = "no-ticket"
     NOT_DONE = "not-done"
     OTHER_LIFETIME = "other-lifetime"
+    NOT_SENT = "not-sent"
 
 
 RESULT_BY_REASON = {
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -287,6 +287,28 @@
         assert checker.breaches == []
 
 
+async def test_work_on_a_server_that_went_dark_begins_again(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch, 2) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        world.start_node("a")
+        await trio.sleep(1.0)
+        made = lasting_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(2.0)
+        dark = [runs[0][0] for runs in checker.running.values() if runs][0]
+        world.faults.servers_cut = {("*", dark.address)}
+        await trio.sleep(1.0)
+        world.platform.store.remove("servers", dark.id)
+        await trio.sleep(8.0)
+        at_work = [runs[0][0] for runs in checker.running.values() if runs]
+        assert len(at_work) == 2
+        assert dark not in at_work
+        assert checker.breaches == []
+
+
 @pytest.mark.parametrize("how", ["silent", "busy"])
 async def test_running_work_outlasts_an_outage_of_the_store(
     monkeypatch, autojump_clock, how
