--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -48,7 +48,9 @@
     had_millicores: int = 0
     lasting_millicores: int = 0
     missing_servers: int = 0
-    is_holding: bool = False
+    # Servers with nothing on them, and how many of these must stay.
+    free_servers: int = 0
+    kept_servers: int = 0
 
     @property
     def is_short(self) -> bool:
@@ -57,10 +59,15 @@
 
     def can_spare(self, millicores: int) -> bool:
         """Tell whether the pool does without a machine."""
-        if self.is_short or self.is_holding:
+        if self.is_short or self.free_servers <= self.kept_servers:
             return False
         return self.had_millicores - millicores >= self.needed_millicores
 
+    def give(self, millicores: int) -> None:
+        """Take away a free machine."""
+        self.had_millicores -= millicores
+        self.free_servers -= 1
+
 
 @attrs.define(eq=False)
 class CapacityPlanner:
@@ -78,7 +85,7 @@
         demand: DemandMeter,
         holding_pools: Collection[str] = (),
     ) -> list[Move]:
-        """Return the moves to make now; pools that hold give nothing away."""
+        """Return the moves to make now; pools that hold keep a free one."""
         listed = list(machines)
         self._settle(catalogue, listed, room_by_server, now_s)
         free = self._free_machines(listed, room_by_server)
@@ -87,7 +94,10 @@
         )
         for name in holding_pools:
             if name in rooms:
-                rooms[name].is_holding = True
+                rooms[name].kept_servers = 1
+        for machine in free:
+            if machine.pool in rooms:
+                rooms[machine.pool].free_servers += 1
         moves = self._grow(catalogue, free, rooms)
         moves.extend(self._shrink(now_s, catalogue, free, room_by_server, rooms, moves))
         return moves
@@ -202,7 +212,7 @@
                 continue
             if giver is None or giver.can_spare(machine.cpu_millicores):
                 if giver is not None:
-                    giver.had_millicores -= machine.cpu_millicores
+                    giver.give(machine.cpu_millicores)
                 return donors.pop(at)
         return None
 
@@ -228,7 +238,7 @@
                 continue
             if pool.can_spare(machine.cpu_millicores):
                 needed, had = pool.needed_millicores, pool.had_millicores
-                pool.had_millicores -= machine.cpu_millicores
+                pool.give(machine.cpu_millicores)
                 moves.append(Move(machine.id, standby[0], "idle", needed, had, idle_s))
         return moves
 
--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -13,6 +13,7 @@
 from rhubarbmount.batch.clocks import boot_s
 from rhubarbmount.batch.election import LeaseTerm
 from rhubarbmount.batch.machine_orders import MachineOrders
+from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Machine, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
@@ -62,6 +63,7 @@
     term: LeaseTerm
     calls: MachineCalls
     timers: TimerService
+    metrics: BatchMetrics
     orders: MachineOrders
     save_wave: Callable[[WaveProgress], None]
     save_orders: Callable[[], Awaitable[None]]
@@ -188,12 +190,14 @@
                 maintenance.machine_id, maintenance.wave, self.term.fence
             )
         )
+        outcome = result.value if result else "unknown"
+        self.metrics.machine_orders.labels("maintain", outcome).inc()
         log.event(
             logger,
             "maintain",
             machine=maintenance.machine_id,
             wave=maintenance.wave,
-            outcome=result.value if result else "unknown",
+            outcome=outcome,
             list_age_s=boot_s() - self._listed_at_s,
         )
         if result is MachineResult.DONE:
@@ -238,6 +242,8 @@
         result = await self._order(
             lambda: self.calls.move(move.machine_id, move.pool, self.term.fence)
         )
+        outcome = result.value if result else "unknown"
+        self.metrics.machine_orders.labels("move", outcome).inc()
         log.event(
             logger,
             "move",
@@ -247,7 +253,7 @@
             needed=move.needed_millicores,
             had=move.had_millicores,
             idle_s=move.idle_s,
-            outcome=result.value if result else "unknown",
+            outcome=outcome,
         )
         if result is MachineResult.DONE:
             self._note_gone(move.machine_id)
--- a/rhubarbmount/batch/front.py
+++ b/rhubarbmount/batch/front.py
@@ -9,6 +9,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import day_s
+from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import JobState, Queue, QueueName
 from rhubarbmount.batch.records import (
     decode_pending,
@@ -40,6 +41,7 @@
 
 logger = logging.getLogger(__name__)
 
+METHODS = ("POST", "GET", "DELETE")
 DEFAULT_DEADLINE_S = 3.0
 # Kept back for the answer's way to the caller.
 ANSWER_MARGIN_S = 0.2
@@ -55,6 +57,7 @@
     """Accepts, shows and cancels jobs; holds nothing that must last."""
 
     store: RowStore
+    metrics: BatchMetrics = attrs.field(factory=BatchMetrics)
     catalogue: Catalogue | None = None
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = -math.inf
@@ -63,10 +66,15 @@
         """Answer a caller's request."""
         request_id = header_value(request.headers, REQUEST_ID_HEADER) or "-"
         token = log.request_id.set(request_id)
+        begun_s = trio.current_time()
         try:
-            return await self._answer(request)
+            response = await self._answer(request)
         finally:
             log.request_id.reset(token)
+        act = request.method if request.method in METHODS else "other"
+        self.metrics.requests.labels(act, str(response.status)).inc()
+        self.metrics.request_s.labels(act).observe(trio.current_time() - begun_s)
+        return response
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         if self.catalogue is None:
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -21,6 +21,7 @@
     StopRequest,
 )
 from rhubarbmount.batch.machine_orders import MachineOrders
+from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
     Job,
@@ -99,6 +100,7 @@
     tickets: TicketDesk
     timers: TimerService
     bounds: Bounds
+    metrics: BatchMetrics
     orders: MachineOrders = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
@@ -114,6 +116,7 @@
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = 0.0
+    _begun_jobs: set[str] = attrs.field(factory=set)
     _stops_sent: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
     _nursery: trio.Nursery | None = None
 
@@ -128,6 +131,7 @@
             term=self.term,
             calls=self.machine_calls,
             timers=self.timers,
+            metrics=self.metrics,
             orders=self.orders,
             save_wave=self._save_wave,
             save_orders=self._save_orders,
@@ -354,6 +358,7 @@
             listener=self,
             hold_max_s=self.bounds.hold_max_s,
             taken_at_s=self._started_at_s,
+            metrics=self.metrics,
             has_work=lambda: not room.is_idle,
             is_watchful=lambda: needs_watch(room, boot_s()),
         )
@@ -377,6 +382,7 @@
         for end in answer.ended:
             if end.number > link.listed_to:
                 is_news = self.shard.end_run(link.server.id, end, now_s)
+                self.metrics.ends.labels(end.how).inc()
                 log.frequent_event(
                     logger,
                     "run-ended",
@@ -519,6 +525,8 @@
             self.shard.open_due()
             assignments = self.placer.place(boot_s())
             self._close_links()
+            waiting = sum(map(len, self.shard.waiting_by_step.values()))
+            self.metrics.waiting_tasks.set(waiting)
             if not assignments and not self._is_urgent():
                 await self._await_more()
                 assignments = self.placer.place(boot_s())
@@ -601,9 +609,15 @@
             link = self._link_by_server.get(assignment.server_id)
             if task is None or link is None:
                 continue
-            payload = self.shard.job_by_id[task.id.job_id].spec.payload
+            spec = self.shard.job_by_id[task.id.job_id].spec
+            if spec.job_id not in self._begun_jobs and task.run == 1:
+                self._begun_jobs.add(spec.job_id)
+                self.metrics.first_start_s.observe(
+                    max(0.0, self.shard.day_s - spec.accepted_s)
+                )
             ticket = self.tickets.find(task.id[:3], assignment.server_id)
-            starts.append((link, StartRequest(task, assignment.run, payload, ticket)))
+            request = StartRequest(task, assignment.run, spec.payload, ticket)
+            starts.append((link, request))
         return starts
 
     async def _save_orders(self) -> None:
@@ -640,6 +654,7 @@
         ]
         for job_id in old[: MAX_ROWS_PER_COMMIT // 3]:
             self.shard.forget(job_id)
+            self._begun_jobs.discard(job_id)
             names = (
                 request_row(self.name, job_id),
                 cancel_row(self.name, job_id),
--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -10,6 +10,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import ServerClock, boot_s
 from rhubarbmount.batch.election import LeaseTerm
+from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server, Task, TaskId
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import (
@@ -96,6 +97,7 @@
     listener: LinkListener
     hold_max_s: float
     taken_at_s: float
+    metrics: BatchMetrics
     has_work: Callable[[], bool]
     # Tells whether the percentages of its runs are wanted soon.
     is_watchful: Callable[[], bool]
@@ -312,6 +314,8 @@
                 self._note_silence(error.code)
             return None
         self._unanswered_in_a_row = 0
+        self.metrics.starts.labels(answer.result.value).inc()
+        self.metrics.start_s.observe(boot_s() - now_s)
         if answer.result is OrderResult.FENCED:
             raise LeaseLost(f"{self.server.id} has seen a higher fence")
         if answer.clock_ms:
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -18,6 +18,7 @@
 from rhubarbmount.batch.front import JobFront
 from rhubarbmount.batch.holder import Holder
 from rhubarbmount.batch.lease_keeper import LeaseKeeper
+from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Wave
 from rhubarbmount.batch.tables import shard_of
 from rhubarbmount.batch.tickets import TicketDesk
@@ -54,6 +55,9 @@
 STOP_MARGIN_S = 0.8
 FAULT_PAUSE_S = 3.0
 SETTINGS_CHECK_S = 1.0
+# As deploy/system.toml says.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
 
 
 @attrs.define(eq=False)
@@ -63,6 +67,7 @@
     settings: NodeSettings
     caller: Caller
     timers: TimerService
+    metrics: BatchMetrics = attrs.field(factory=BatchMetrics)
     store: RowStore = attrs.field(init=False)
     front: JobFront = attrs.field(init=False)
     keeper: LeaseKeeper = attrs.field(init=False)
@@ -75,8 +80,10 @@
     _duty_ended: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
-        self.store = RowStore(self.caller, self.settings.store_address)
-        self.front = JobFront(self.store)
+        self.store = RowStore(
+            self.caller, self.settings.store_address, self._observe_store_call
+        )
+        self.front = JobFront(self.store, self.metrics)
         shard = shard_of("", "", "")
         self.keeper = LeaseKeeper(self.store, shard, self.settings.node_id)
         self.operator_rows = TableFollower(
@@ -88,8 +95,10 @@
         settings = self.settings
         callers = Listener("callers", self.front.handle)
         ready = Listener("ready", self._answer_ready)
+        metrics = Listener("metrics", self._answer_metrics)
         async with trio.open_nursery() as nursery:
             await nursery.start(ready.run, *_split(settings.ready_address))
+            await nursery.start(metrics.run, settings.ip, METRICS_PORT)
             await nursery.start(callers.run, *_split(settings.callers_address))
             nursery.start_soon(self.run_duties)
             nursery.start_soon(self._watch_settings)
@@ -110,6 +119,16 @@
         """Tell whether this host acts as the holder of the shard."""
         return self._holder is not None
 
+    def _observe_store_call(self, call: str, outcome: str, took_s: float) -> None:
+        self.metrics.store_calls.labels(call, outcome).inc()
+        self.metrics.store_call_s.labels(call).observe(took_s)
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        if request.target != METRICS_PATH:
+            return problem(404, "not-found", f"nothing at {request.target}")
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        return HttpResponse(200, headers, self.metrics.text())
+
     # The operator's rows.
 
     def _apply_operator_rows(self, page: Page, is_whole: bool) -> None:
@@ -176,6 +195,7 @@
         term = await self.keeper.acquire()
         self._term = term
         self._holder = self._make_holder(term)
+        self.metrics.fence.set(term.fence)
         log.event(
             logger,
             "duty-begun",
@@ -194,6 +214,7 @@
             await trio.sleep(FAULT_PAUSE_S)
         finally:
             self._holder = None
+            self.metrics.fence.set(0)
 
     async def _run_holder(self, holder: Holder, term: LeaseTerm) -> None:
         assert self.front.catalogue is not None
@@ -222,6 +243,7 @@
             tickets=TicketDesk(AdviceCalls(self.caller, settings.advice_address)),
             timers=self.timers,
             bounds=settings.bounds,
+            metrics=self.metrics,
         )
 
     # Readiness and the end.
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
@@ -110,6 +110,8 @@
 
     caller: Caller
     address: str
+    # Hears of each call: its name, outcome and time in seconds.
+    observe: Callable[[str, str, float], None] = lambda call, outcome, took_s: None
     health: StoreHealth = attrs.field(factory=StoreHealth)
     _clock_ms: int = 0
     _clock_read_at_s: float = 0.0
@@ -195,15 +197,19 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
     ) -> Answer:
+        begun_s = trio.current_time()
+        name = target.partition("?")[0].removeprefix("/")
         try:
             answer = await self.caller.call(
                 self.address, method, target, body, timeout_s
             )
             if answer.status not in (410, 412):
                 _check(answer)
-        except (PlatformUnavailable, OutcomeUnknown):
+        except (PlatformUnavailable, OutcomeUnknown) as error:
             self.health.note_failure()
+            self.observe(name, error.code, trio.current_time() - begun_s)
             raise
+        self.observe(name, str(answer.status), trio.current_time() - begun_s)
         self.health.note_answer()
         if "now_ms" in answer.body:
             self._clock_ms = int(answer.body["now_ms"])
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -116,6 +116,18 @@
     assert moves == []
 
 
+def test_a_pool_that_empties_a_machine_gives_its_other_free_ones(planner):
+    """A turn begins elsewhere while a wave goes on."""
+    names = [f"s{n}" for n in range(4)]
+    machines = [machine(f"m-{name}", "one", server_id=name) for name in names]
+    rooms = {name: room(name, "one") for name in names}
+    shortage = {"two": Shortage(99000, 0, 99, 99.0)}
+    moves = planner.plan(
+        0.1, CATALOGUE, machines, rooms, shortage, DemandMeter(), {"one"}
+    )
+    assert [move.pool for move in moves] == ["two"] * 3
+
+
 def test_closed_and_draining_machines_stay(planner):
     machines = [machine("m0", "one", server_id="s0")]
     closed = room("s0", "one")
