--- a/rhubarbmount/platform/directory.py
+++ b/rhubarbmount/platform/directory.py
@@ -1,9 +1,10 @@
 """Rows that the operator and the backend servers write."""
 
+import functools
 import json
 import math
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 from rhubarbmount.batch.catalogue import Catalogue, Pool
 from rhubarbmount.batch.model import Queue, QueueName, Server, Wave
@@ -32,6 +33,9 @@
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+Value = TypeVar("Value")
+
+
 class UnreadableRow(RhubarbmountError):
     """Another writer's row lacks a field, or holds one of another type."""
 
@@ -58,6 +62,20 @@
     return value
 
 
+def _refuses_odd_values(decode: Callable[[Row], Value]) -> Callable[[Row], Value]:
+    """Turn any failure to convert a value into UnreadableRow."""
+
+    @functools.wraps(decode)
+    def wrapped(row: Row) -> Value:
+        try:
+            return decode(row)
+        except (AttributeError, OverflowError, TypeError, ValueError) as error:
+            raise UnreadableRow(f"{row.name.key}: {error}") from None
+
+    return wrapped
+
+
+@_refuses_odd_values
 def decode_server(row: Row) -> Server:
     """Return the backend server that a row describes. Raises UnreadableRow."""
     values = _object(row)
@@ -88,6 +106,7 @@
     )
 
 
+@_refuses_odd_values
 def decode_catalogue(row: Row) -> Catalogue:
     """Return the operator's configuration. Raises UnreadableRow."""
     values = _object(row)
@@ -118,6 +137,7 @@
     )
 
 
+@_refuses_odd_values
 def decode_wave(row: Row) -> Wave:
     """Return the maintenance wave that a row asks for. Raises UnreadableRow."""
     values = _object(row)
--- /dev/null
+++ b/tests/batch/test_election.py
@@ -0,0 +1,71 @@
+"""When a lease may be taken, and how long a holder may act."""
+
+from rhubarbmount.batch.clocks import RATE_MARGIN, ServerClock
+from rhubarbmount.batch.election import LEASE_TTL_S, LeaseTerm, LeaseWatch
+from rhubarbmount.batch.records import LeaseRow
+
+LEASE = LeaseRow("b", "1", 4)
+
+
+def test_a_free_lease_may_be_taken():
+    watch = LeaseWatch("a")
+    watch.note(None, 0, 1.0)
+    assert watch.may_take(1.0)
+
+
+def test_a_lease_may_be_taken_after_silence_only():
+    watch = LeaseWatch("a")
+    watch.note(LEASE, 7, 1.0)
+    watch.note(LEASE, 7, 2.0)
+    assert not watch.may_take(1.0 + LEASE_TTL_S - 0.01)
+    assert watch.may_take(1.0 + LEASE_TTL_S)
+    watch.note(LEASE, 8, 3.0)
+    assert not watch.may_take(3.1)
+
+
+def test_a_released_lease_and_ones_own_may_be_taken_at_once():
+    watch = LeaseWatch("a")
+    watch.note(LeaseRow("b", "1", 4, True), 7, 1.0)
+    assert watch.may_take(1.0)
+    watch.note(LeaseRow("a", "0", 5), 8, 1.0)
+    assert watch.may_take(1.0)
+
+
+def test_an_outage_of_the_store_is_no_silence_of_the_holder():
+    watch = LeaseWatch("a")
+    watch.note(LEASE, 7, 1.0)
+    watch.restart(9.0)
+    assert not watch.may_take(9.5)
+    assert watch.may_take(9.0 + LEASE_TTL_S)
+
+
+def test_a_holder_stops_before_others_begin():
+    term = LeaseTerm(1, 10.0)
+    assert term.is_valid(11.5)
+    assert not term.is_valid(10.0 + LEASE_TTL_S)
+
+
+def test_grants_end_before_another_holder_takes_them_for_ended():
+    """The next holder begins at the lease's end at the earliest and waits the limit."""
+    term, limit_s = LeaseTerm(1, 10.0), 9.5
+    next_holder_waits_until_s = 10.0 + LEASE_TTL_S + 10.0 * RATE_MARGIN
+    for now_s in (10.0, 11.0, 12.0, 15.0, 21.0):
+        granted_s = term.grant_until_s(now_s, limit_s)
+        assert granted_s <= now_s + limit_s
+        assert (granted_s - now_s) * RATE_MARGIN + now_s < next_holder_waits_until_s
+
+
+def test_a_lease_has_lapsed_only_when_a_slow_clock_says_so():
+    clock = ServerClock()
+    clock.note(50_000, 100.0)
+    assert clock.grant(104.0, 100.0) == 54_000
+    assert clock.lapses_at_s() > 104.0 / 1.0 + 0.02 * 4
+    clock.note(51_000, 101.0)
+    assert clock.lapses_at_s() > 101.0 + 3.0 * 1.02
+
+
+def test_an_older_reading_does_not_turn_the_clock_back():
+    clock = ServerClock()
+    clock.note(50_000, 100.0)
+    clock.note(49_000, 101.0)
+    assert (clock.read_ms, clock.read_at_s) == (50_000, 100.0)
--- /dev/null
+++ b/tests/batch/test_stragglers.py
@@ -0,0 +1,58 @@
+"""Runs that stand still or are much slower than others."""
+
+import pytest
+
+from rhubarbmount.batch.model import Step, Task, TaskId, TaskState
+from rhubarbmount.batch.stragglers import is_straggling
+
+STEP = Step(1, 1000, 500, estimate_s=1.0)
+
+
+def task(now_s, percent, progressed_s):
+    return Task(
+        TaskId("j", 0, 0, 0),
+        TaskState.ASSIGNED,
+        1,
+        "s1",
+        assigned_s=10.0,
+        looked_s=now_s,
+        progressed_s=progressed_s,
+        percent=percent,
+    )
+
+
+def reason(now_s, percent, progressed_s, step=STEP):
+    found = is_straggling(task(now_s, percent, progressed_s), step, now_s)
+    return found and found.reason
+
+
+def test_a_run_on_its_way_goes_on():
+    assert reason(10.5, 50, 10.5) is None
+    assert reason(11.6, 80, 11.6) is None
+
+
+def test_a_run_that_stands_still_is_found():
+    assert reason(11.2, 0, 10.0) == "stalled"
+    assert reason(12.0, 40, 10.8) == "stalled"
+
+
+def test_a_run_that_was_not_looked_at_is_not_judged():
+    late = task(12.0, 0, 10.0)
+    late.looked_s = 10.1
+    assert is_straggling(late, STEP, 12.0) is None
+
+
+def test_a_run_on_a_slow_server_is_found_while_much_is_left():
+    assert reason(12.0, 20, 12.0) == "slow"
+    assert reason(16.0, 90, 16.0) is None
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        Step(1, 1000, 500, estimate_s=1.0, is_lasting=True),
+        Step(2, 1000, 500, estimate_s=1.0, is_gang=True),
+    ],
+)
+def test_lasting_tasks_and_gangs_are_left_alone(step):
+    assert reason(15.0, 0, 10.0, step) is None
--- /dev/null
+++ b/tests/batch/test_waves.py
@@ -0,0 +1,142 @@
+"""Waves of maintenance: in time, a few at once, and within budgets."""
+
+import pytest
+
+from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.model import (
+    Job,
+    JobSpec,
+    Machine,
+    MachineState,
+    QueueName,
+    Server,
+    Step,
+    Wave,
+)
+from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.waves import WavePlanner, WaveProgress
+
+LASTING = Step(2, 500, 500, is_lasting=True, max_per_server=1, max_unavailable=1)
+
+
+@pytest.fixture
+def shard():
+    return Shard(Catalogue(0, {}, {}))
+
+
+def add_server(shard, name):
+    server = Server(
+        name, "one", f"{name}:1", "a", False, 8000, 8000, 0, frozenset(), "r", 1
+    )
+    return shard.put_server(server, 0.0)
+
+
+def machines(*names, state=MachineState.UP):
+    return {f"m-{n}": Machine(f"m-{n}", "one", state, n, 8000, "a") for n in names}
+
+
+def progress(*names, limit=2, due_at_s=100.0):
+    wave = Wave(1, tuple(f"m-{n}" for n in names), 100.0, limit)
+    return WaveProgress(wave, due_at_s)
+
+
+def run_lasting(shard):
+    """Start a job whose two tasks may not be away together."""
+    spec = JobSpec("j", QueueName("h", "/q/"), "one", "", (LASTING,), 0.0)
+    shard.add_job(Job(spec))
+    made = Placer(shard).place(0.0)
+    for assignment in made:
+        shard.task(assignment.task).percent = 100
+    return made
+
+
+def begun(plan):
+    return [item.machine_id for item in plan.begin]
+
+
+def test_idle_machines_begin_at_once_up_to_the_limit(shard):
+    for name in ("a", "b", "c"):
+        add_server(shard, name)
+    plan = WavePlanner(shard).plan([progress("a", "b", "c")], machines(*"abc"), 0.0)
+    assert begun(plan) == ["m-a", "m-b"]
+
+
+def test_machines_that_are_away_count(shard):
+    for name in ("a", "b", "c"):
+        add_server(shard, name)
+    planner = WavePlanner(shard)
+    planner.note_begun(1, "m-a")
+    wave = progress("a", "b", "c")
+    wave.begun.add("m-a")
+    assert begun(planner.plan([wave], machines(*"abc"), 0.0)) == ["m-b"]
+    planner.note_listed(machines(*"abc"))
+    assert begun(planner.plan([wave], machines(*"abc"), 0.0)) == ["m-b", "m-c"]
+
+
+def test_a_wave_with_time_left_waits_while_room_is_short(shard):
+    add_server(shard, "a")
+    planner = WavePlanner(shard)
+    wave = progress("a")
+    assert begun(planner.plan([wave], machines("a"), 0.0, True)) == []
+    assert begun(planner.plan([wave], machines("a"), 95.0, True)) == ["m-a"]
+
+
+def test_a_machine_with_tasks_is_closed_and_not_maintained(shard):
+    add_server(shard, "a")
+    spec = JobSpec("j", QueueName("h", "/q/"), "one", "", (Step(1, 500, 500),), 0.0)
+    shard.add_job(Job(spec))
+    Placer(shard).place(0.0)
+    plan = WavePlanner(shard).plan([progress("a")], machines("a"), 0.0)
+    assert begun(plan) == []
+    assert plan.closed_servers == {"a"}
+    assert plan.evict == []
+
+
+def test_tasks_of_one_step_leave_one_at_a_time(shard):
+    for name in ("a", "b"):
+        add_server(shard, name)
+    run_lasting(shard)
+    add_server(shard, "c")
+    planner = WavePlanner(shard)
+    plan = planner.plan([progress("a", "b")], machines(*"abc"), 0.0)
+    assert len(plan.evict) == 1
+    shard.stop_run(plan.evict[0])
+    again = planner.plan([progress("a", "b")], machines(*"abc"), 0.1)
+    assert again.evict == []
+
+
+def test_no_task_leaves_while_another_may_be_away(shard):
+    rooms = {name: add_server(shard, name) for name in ("a", "b")}
+    run_lasting(shard)
+    add_server(shard, "c")
+    rooms["b"].is_reachable = False
+    plan = WavePlanner(shard).plan([progress("a")], machines(*"abc"), 0.0)
+    assert plan.evict == []
+    assert plan.wait_by_machine == {"m-a": "budget"}
+
+
+def test_a_pool_without_another_place_asks_for_a_server(shard):
+    for name in ("a", "b"):
+        add_server(shard, name)
+    run_lasting(shard)
+    plan = WavePlanner(shard).plan([progress("a")], machines(*"ab"), 0.0)
+    assert plan.evict == []
+    assert plan.short_pools == {"one"}
+
+
+def test_a_machine_of_the_wave_is_no_other_place(shard):
+    rooms = {name: add_server(shard, name) for name in ("a", "b")}
+    run_lasting(shard)
+    add_server(shard, "c").is_due = True
+    assert not rooms["a"].is_idle
+    plan = WavePlanner(shard).plan([progress("a")], machines(*"abc"), 0.0)
+    assert plan.short_pools == {"one"}
+
+
+def test_a_wave_is_complete_when_none_that_stays_is_left(shard):
+    add_server(shard, "a")
+    wave = progress("a", "gone")
+    wave.begun.add("m-a")
+    plan = WavePlanner(shard).plan([wave], machines("a"), 0.0)
+    assert plan.completed == [wave]
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,71 @@
+"""The settings file of a process."""
+
+import pytest
+
+from rhubarbmount.errors import FindingsError, UsageError
+from rhubarbmount.platform.settings import read_settings
+
+TEXT = """
+node_id = "n1"
+ip = "10.1.0.9"
+zone = "a"
+port_range = [7060, 7075]
+advice = "10.200.1.9:8621"
+some_new_field = 3
+[listen]
+frontend = "10.1.0.9:8624"
+ready = "10.1.0.9:8622"
+[bounds]
+contact_ms = 3000
+drain_ms = 2000
+grace_s = 6
+hold_max_ms = 10000
+early_ms = 250
+status_s = 120
+lease_ms = 3000
+migrate_s = 1.5
+notice_ms = 4500
+checkpoint_s = 1
+remote_factor = 3
+[platform]
+addr = "10.200.1.7:8621"
+row_bytes = 65536
+[cloud_api]
+addr = "10.200.0.107:8621"
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    settings = read_settings(write(tmp_path, TEXT))
+    assert settings.node_id == "n1"
+    assert settings.store_address == "10.200.1.7:8621"
+    assert settings.bounds.hold_max_s == 10.0
+    assert settings.bounds.grace_s == 6.0
+
+
+def test_faults_are_reported_together_with_their_place(tmp_path):
+    text = TEXT.replace('node_id = "n1"', "node_id = 1")
+    text = text.replace("drain_ms = 2000", 'drain_ms = "long"')
+    text = text.replace('"10.1.0.9:8624"', '"10.1.0.9"')
+    with pytest.raises(FindingsError) as caught:
+        read_settings(write(tmp_path, text))
+    places = {finding.place for finding in caught.value.findings}
+    assert places == {"node_id", "bounds.drain_ms", "listen.frontend"}
+
+
+def test_advice_may_be_missing(tmp_path):
+    text = TEXT.replace('advice = "10.200.1.9:8621"', "")
+    assert read_settings(write(tmp_path, text)).advice_address == ""
+
+
+def test_a_file_that_is_no_settings_file_is_refused(tmp_path):
+    with pytest.raises(UsageError):
+        read_settings(write(tmp_path, "{"))
+    with pytest.raises(UsageError):
+        read_settings(tmp_path / "missing.toml")
