Keep leases and requests in parts of their own; place only on servers that answered

Leases and requests (eight parts) have parts of their own; a takeover first wins the lease and then raises the fence in the head row.

A list counts for machines whose order was settled before it. Test in test_waves.

Servers get tasks after their first answer, which also lists what runs there. Long waits are short while answers get lost.

--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -32,9 +32,17 @@
     shard: str
     fence: int
     writer: str
-    head_version: int
+    head_version: int = 0
     _sequence: int = 0
 
+    async def begin(self) -> None:
+        """Put the fence into the head row, so that lower ones commit no more.
+
+        Raises LeaseLost when a higher one is there.
+        """
+        while not await self._try({}, ()):
+            await trio.sleep(RETRY_S)
+
     async def commit(
         self, puts: Mapping[RowName, bytes], removes: tuple[RowName, ...] = ()
     ) -> None:
@@ -70,11 +78,12 @@
         return True
 
     def _adopt(self, error: RowConflict) -> None:
-        """Go on from a commit of ours whose answer was lost, or give up."""
+        """Go on from an earlier holder's commit or one of ours, or give up."""
         for row in error.rows:
             if row.name == head_row(self.shard) and row.version:
                 found = decode_head(row.value)
-                if found.fence == self.fence and found.writer == self.writer:
+                is_own = found.fence == self.fence and found.writer == self.writer
+                if is_own or found.fence < self.fence:
                     self.head_version = row.version
                     return
         raise LeaseLost(f"another process writes to {self.shard}")
--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -132,13 +132,15 @@
 
     async def _read_list(self) -> None:
         self._listed_at_s = boot_s()
+        ordered = set().union(*self.waves.away_by_wave.values())
+        settled = ordered - self._in_flight
         try:
             machines = await self.calls.list()
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.event(logger, "machines-not-listed", logging.WARNING, code=error.code)
             return
         self.machine_by_id = {machine.id: machine for machine in machines}
-        self.waves.note_listed(self.machine_by_id)
+        self.waves.note_listed(self.machine_by_id, settled)
         known = {machine.server_id for machine in machines}
         self._wants_list = any(
             server_id not in known for server_id in self.shard.room_by_server
--- a/rhubarbmount/batch/follow.py
+++ b/rhubarbmount/batch/follow.py
@@ -11,7 +11,7 @@
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import HistoryGone, Page, RowStore
 
-__all__ = ["TableFollower"]
+__all__ = ["TableFollower", "read_parts"]
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +20,13 @@
 RETRY_MAX_S = 0.3
 
 
+async def read_parts(store: RowStore, table: str, parts: tuple[str, ...]) -> Page:
+    """Return all rows of some parts; the version is that of the first one."""
+    pages = [await store.read_all(table, part) for part in parts]
+    rows = tuple(row for page in pages for row in page.rows)
+    return attrs.evolve(pages[0], rows=rows)
+
+
 @attrs.define(eq=False)
 class TableFollower:
     """Reads a table, then its changes; ``on_page`` tells whether a page is whole.
@@ -29,7 +36,7 @@
 
     store: RowStore
     table: str
-    part: str
+    parts: tuple[str, ...]
     on_page: Callable[[Page, bool], None]
     start_version: int | None = None
     wait_s: float = FEED_WAIT_S
@@ -53,7 +60,7 @@
 
     async def _step(self, version: int | None) -> int:
         if version is None:
-            page = await self.store.read_all(self.table, self.part)
+            page = await read_parts(self.store, self.table, self.parts)
             self._note_heard()
             self.on_page(page, True)
             return page.version
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -13,7 +13,7 @@
 from rhubarbmount.batch.demand import work_core_s
 from rhubarbmount.batch.election import LeaseTerm
 from rhubarbmount.batch.fleet_keeper import FleetKeeper, WaveRecord
-from rhubarbmount.batch.follow import TableFollower
+from rhubarbmount.batch.follow import TableFollower, read_parts
 from rhubarbmount.batch.link import (
     BackendLink,
     LinkListener,
@@ -53,6 +53,7 @@
     machine_orders_row,
     pending_row,
     progress_row,
+    request_parts,
     request_row,
     wave_row,
 )
@@ -80,8 +81,10 @@
 LOAD_RETRY_S = 0.1
 FULL_PAUSE_S = 0.15
 SLOW_PAUSE_S = 4.0
+DOUBT_S = 2.0
 FORGET_PERIOD_S = 10.0
 FORGET_AFTER_S = 60.0
+FORGET_AT_ONCE = 50
 # A run that is stopped may be listed nowhere for a moment.
 STOP_SETTLED_S = 0.5
 LAZY_COMMIT_S = 0.06
@@ -116,12 +119,15 @@
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = 0.0
+    _doubtful_until_s: float = 0.0
+    _request_parts: frozenset[str] = attrs.field(init=False)
     _begun_jobs: set[str] = attrs.field(factory=set)
     _stops_sent: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
     _nursery: trio.Nursery | None = None
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(Catalogue(0, {}, {}), day_s=day_s())
+        self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.by_step)
         self.wave_status = WaveStatusWriter(self.store)
         self.orders = MachineOrders(self.store.clock_s, self.bounds.lease_s)
@@ -145,6 +151,7 @@
         self.shard.catalogue = catalogue
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            await self.committer.begin()
             requests_version, servers_version = await self._load()
             for wave in waves.values():
                 self.put_wave(wave)
@@ -178,7 +185,7 @@
             self.wake()
 
     async def _load(self) -> tuple[int, int]:
-        requests = await self._read_all(REQUESTS_TABLE, self.name)
+        requests = await self._read_all(REQUESTS_TABLE, *request_parts(self.name))
         progress = await self._read_all(PROGRESS_TABLE, self.name)
         waves = await self._read_all(WAVES_TABLE, self.name)
         orders = await self._read_all(MACHINE_ORDERS_TABLE, self.name)
@@ -202,10 +209,10 @@
         )
         return requests.version, servers.version
 
-    async def _read_all(self, table: str, part: str) -> Page:
+    async def _read_all(self, table: str, *parts: str) -> Page:
         while True:
             try:
-                return await self.store.read_all(table, part)
+                return await read_parts(self.store, table, parts)
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 log.event(
                     logger, "load-failed", logging.WARNING, table=table, code=error.code
@@ -243,13 +250,13 @@
 
     def _follow(self, table: str, version: int) -> TableFollower:
         apply = self._apply_requests if table == REQUESTS_TABLE else self._apply_servers
-        part = self.name if table == REQUESTS_TABLE else ""
-        return TableFollower(self.store, table, part, apply, version)
+        parts = tuple(request_parts(self.name)) if table == REQUESTS_TABLE else ("",)
+        return TableFollower(self.store, table, parts, apply, version)
 
     def _apply_requests(self, page: Page, is_whole: bool) -> None:
         self.shard.day_s = day_s()
         for row in page.rows:
-            if row.name.part != self.name or not row.version:
+            if row.name.part not in self._request_parts or not row.version:
                 continue
             if row.name.key.endswith(CANCEL_SUFFIX):
                 self.shard.cancel(row.name.key.removesuffix(CANCEL_SUFFIX))
@@ -515,6 +522,14 @@
             room.is_reachable = is_reached
         self.wake()
 
+    def unanswered(self) -> None:
+        """Take in that an order to any backend server was not answered."""
+        self._doubtful_until_s = boot_s() + DOUBT_S
+
+    def is_doubtful(self) -> bool:
+        """Tell whether answers got lost lately, so that long waits cost much."""
+        return boot_s() < self._doubtful_until_s
+
     # Scheduling.
 
     async def _schedule(self) -> None:
@@ -652,15 +667,20 @@
             for job_id, job in self.shard.job_by_id.items()
             if job.state.is_final and job.ended_s < before_s
         ]
-        for job_id in old[: MAX_ROWS_PER_COMMIT // 3]:
-            self.shard.forget(job_id)
-            self._begun_jobs.discard(job_id)
-            names = (
-                request_row(self.name, job_id),
-                cancel_row(self.name, job_id),
-                progress_row(self.name, job_id),
-            )
-            self._removes.extend(names)
+        for job_id in old[:FORGET_AT_ONCE]:
+            await self._forget_job(job_id)
+
+    async def _forget_job(self, job_id: str) -> None:
+        """Remove a job's rows; one without progress would seem to be new."""
+        names = (request_row(self.name, job_id), cancel_row(self.name, job_id))
+        try:
+            await self.store.commit({}, {}, names)
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            log.event(logger, "job-not-forgotten", job=job_id, code=error.code)
+            return
+        self.shard.forget(job_id)
+        self._begun_jobs.discard(job_id)
+        self._removes.append(progress_row(self.name, job_id))
 
 
 def _is_run_of(task: Task | None, run: int, server_id: str) -> bool:
--- a/rhubarbmount/batch/lease_keeper.py
+++ b/rhubarbmount/batch/lease_keeper.py
@@ -11,13 +11,11 @@
 from rhubarbmount.batch.election import RENEWAL_PERIOD_S, LeaseTerm, LeaseWatch
 from rhubarbmount.batch.follow import TableFollower
 from rhubarbmount.batch.records import (
-    Head,
     LeaseRow,
     decode_lease,
-    encode_head,
     encode_lease,
 )
-from rhubarbmount.batch.tables import LEASE_TABLE, head_row, lease_row
+from rhubarbmount.batch.tables import LEASE_TABLE, lease_row
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import Page, Row, RowConflict, RowStore
 
@@ -42,7 +40,6 @@
     incarnation: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
-    head_version: int = 0
     _version: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_read: bool = False
@@ -53,7 +50,7 @@
         self.follower = TableFollower(
             self.store,
             LEASE_TABLE,
-            self.shard,
+            (lease_row(self.shard).part,),
             self._apply,
             wait_s=FEED_WAIT_S,
             on_regained=lambda: self.watch.restart(boot_s()),
@@ -89,14 +86,10 @@
         fence = 1 if seen is None else seen.fence + 1
         lease = LeaseRow(self.node_id, self.incarnation, fence)
         sent_s = boot_s()
-        head = Head(fence, self.incarnation, 0)
         try:
             version = await self.store.commit(
                 {lease_row(self.shard): self.watch.version},
-                {
-                    lease_row(self.shard): encode_lease(lease),
-                    head_row(self.shard): encode_head(head),
-                },
+                {lease_row(self.shard): encode_lease(lease)},
             )
         except RowConflict as error:
             return self._adopt(error, lease, sent_s)
@@ -127,7 +120,6 @@
     def _taken(self, fence: int, version: int, sent_s: float) -> LeaseTerm:
         self._version = version
         self._is_failing = False
-        self.head_version = version
         log.event(logger, "lease-won", shard=self.shard, fence=fence, version=version)
         return LeaseTerm(fence, sent_s)
 
--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -86,6 +86,13 @@
     def reached(self, link: "BackendLink", is_reached: bool) -> None:
         """Take in whether the backend server answers."""
 
+    def unanswered(self) -> None:
+        """Take in that an order to any backend server was not answered."""
+
+    def is_doubtful(self) -> bool:
+        """Tell whether answers got lost lately, so that long waits cost much."""
+        return False
+
 
 @attrs.define(eq=False)
 class BackendLink:
@@ -108,7 +115,7 @@
     listed_to: int = 0
     is_greeted: bool = False
     has_lapsed: bool = False
-    _is_reached: bool = True
+    _is_reached: bool = False
     _unanswered_in_a_row: int = 0
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _orders: Any = None
@@ -181,6 +188,7 @@
                 self._wait_s(),
             )
         except (PlatformUnavailable, OutcomeUnknown) as error:
+            self.listener.unanswered()
             self._note_silence(error.code)
             return None
         return self._take_in(answer, acknowledged, sent_s)
@@ -198,7 +206,8 @@
     def _wait_s(self) -> float:
         if not self.is_greeted or not self._is_reached or not self.has_work():
             return 0.0
-        return WATCHFUL_WAIT_S if self.is_watchful() else HOLD_WAIT_S
+        is_short = self.is_watchful() or self.listener.is_doubtful()
+        return WATCHFUL_WAIT_S if is_short else HOLD_WAIT_S
 
     def _take_in(
         self, answer: HoldAnswer, acknowledged: int, sent_s: float
@@ -231,7 +240,8 @@
         self.has_lapsed = False
         if not self._is_reached:
             self._is_reached = True
-            log.event(logger, "server-regained", server=self.server.id)
+            if self.is_greeted:
+                log.event(logger, "server-regained", server=self.server.id)
             self.listener.reached(self, True)
 
     def _note_silence(self, code: str) -> None:
@@ -309,6 +319,7 @@
             await trio.sleep(RETRY_S)
             return None
         except OutcomeUnknown as error:
+            self.listener.unanswered()
             self._unanswered_in_a_row += 1
             if self._unanswered_in_a_row >= UNANSWERED_LIMIT:
                 self._note_silence(error.code)
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -87,7 +87,7 @@
         shard = shard_of("", "", "")
         self.keeper = LeaseKeeper(self.store, shard, self.settings.node_id)
         self.operator_rows = TableFollower(
-            self.store, OPERATOR_TABLE, "", self._apply_operator_rows
+            self.store, OPERATOR_TABLE, ("",), self._apply_operator_rows
         )
 
     async def run(self) -> None:
@@ -229,7 +229,6 @@
             self.keeper.shard,
             term.fence,
             self.keeper.incarnation,
-            self.keeper.head_version,
         )
         return Holder(
             store=self.store,
--- a/rhubarbmount/batch/rooms.py
+++ b/rhubarbmount/batch/rooms.py
@@ -22,7 +22,8 @@
     server: Server
     idle_since_s: float
     is_listed: bool = True
-    is_reachable: bool = True
+    # Not before its first answer to this holder, which lists what runs there.
+    is_reachable: bool = False
     is_closed: bool = False
     is_ordered: bool = False
     # Its machine waits for maintenance.
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -14,6 +14,7 @@
     "lease_row",
     "pending_row",
     "progress_row",
+    "request_parts",
     "request_row",
     "shard_of",
     "wave_row",
@@ -25,16 +26,30 @@
 WAVES_TABLE = "waves"
 MACHINE_ORDERS_TABLE = "machine-orders"
 CANCEL_SUFFIX = ".cancel"
+SLICE_COUNT = 8
 
 
 def shard_of(host: str, prefix: str, job_id: str) -> str:
-    """Return the part that holds a job; one part holds all jobs today."""
+    """Return the shard that holds a job; one shard holds all jobs today."""
     return "shard-0"
 
 
+def request_parts(shard: str) -> list[str]:
+    """Return the parts that hold a shard's jobs as handed in.
+
+    A part carries out one transaction after another. A slow store would let callers
+    wait for each other and for the holder if they shared one.
+    """
+    return [f"{shard}.requests-{slice_number}" for slice_number in range(SLICE_COUNT)]
+
+
+def _request_part(shard: str, job_id: str) -> str:
+    return request_parts(shard)[int(job_id[:2], 16) % SLICE_COUNT]
+
+
 def lease_row(shard: str) -> RowName:
-    """Return the row that says who holds a shard."""
-    return RowName(LEASE_TABLE, shard, "lease")
+    """Return the row that says who holds a shard, in a part of its own."""
+    return RowName(LEASE_TABLE, f"{shard}.lease", "lease")
 
 
 def head_row(shard: str) -> RowName:
@@ -44,12 +59,13 @@
 
 def request_row(shard: str, job_id: str) -> RowName:
     """Return the row of a job as its caller handed it in."""
-    return RowName(REQUESTS_TABLE, shard, job_id)
+    return RowName(REQUESTS_TABLE, _request_part(shard, job_id), job_id)
 
 
 def cancel_row(shard: str, job_id: str) -> RowName:
     """Return the row that says that a caller gave a job up."""
-    return RowName(REQUESTS_TABLE, shard, job_id + CANCEL_SUFFIX)
+    part = _request_part(shard, job_id)
+    return RowName(REQUESTS_TABLE, part, job_id + CANCEL_SUFFIX)
 
 
 def progress_row(shard: str, job_id: str) -> RowName:
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -1,7 +1,7 @@
 """Maintenance of machines in waves: in time, and a few at once; free of I/O."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -99,10 +99,16 @@
         """Count a machine as down for its maintenance."""
         self.away_by_wave.setdefault(wave, set()).add(machine_id)
 
-    def note_listed(self, machines: Mapping[str, Machine]) -> None:
-        """Count machines as back that the platform lists as up."""
+    def note_listed(
+        self, machines: Mapping[str, Machine], settled: Collection[str]
+    ) -> None:
+        """Count machines as back that the platform lists as up.
+
+        A list says nothing of machines whose order was not settled before it was
+        asked for.
+        """
         for away in self.away_by_wave.values():
-            for machine_id in list(away):
+            for machine_id in away & set(settled):
                 machine = machines.get(machine_id)
                 if machine is None or machine.state is MachineState.UP:
                     away.discard(machine_id)
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -13,7 +13,7 @@
 __all__ = ["BackendCalls", "HoldAnswer", "OrderAnswer", "OrderResult", "StartOrder"]
 
 ORDER_TIMEOUT_S = 0.35
-HOLD_MARGIN_S = 0.5
+HOLD_MARGIN_S = 0.35
 
 
 class OrderResult(enum.Enum):
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -23,7 +23,7 @@
     server = Server(
         server_id, pool, "10.0.0.1:1", "a", False, CPU, 64000, 0, frozenset(), "r", 1
     )
-    return ServerRoom(server, idle_since_s)
+    return ServerRoom(server, idle_since_s, is_reachable=True)
 
 
 @pytest.fixture
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -54,11 +54,18 @@
     return Step(count, fields.pop("cpu_millicores", 1000), 500, **fields)
 
 
+def add(shard, server_id, **fields):
+    """Add a backend server that has answered the holder."""
+    room = shard.put_server(server(server_id, **fields), 0.0)
+    room.is_reachable = True
+    return room
+
+
 @pytest.fixture
 def shard():
     made = Shard(CATALOGUE)
     for name in ("s1", "s2"):
-        made.put_server(server(name), 0.0)
+        add(made, name)
     return made
 
 
@@ -175,16 +182,23 @@
 
 def test_a_label_binds(shard):
     assert start(shard, step(label="b")) == []
-    shard.put_server(server("s3", labels=frozenset({"b"})), 0.0)
+    add(shard, "s3", labels=frozenset({"b"}))
     assert [item.server_id for item in Placer(shard).place(1.0)] == ["s3"]
 
 
 def test_draining_and_closed_servers_get_nothing(shard):
-    shard.put_server(server("s1", is_draining=True), 0.0)
+    add(shard, "s1", is_draining=True)
     shard.room_by_server["s2"].is_closed = True
     assert start(shard, step()) == []
 
 
+def test_a_server_that_has_not_answered_yet_gets_nothing(shard):
+    """What runs there is known from its first answer only."""
+    for room in shard.room_by_server.values():
+        room.is_reachable = False
+    assert start(shard, step()) == []
+
+
 def test_room_is_never_overdrawn(shard):
     made = start(shard, step(9, cpu_millicores=1500))
     assert len(made) == 4
@@ -195,7 +209,7 @@
 def test_a_gang_starts_whole_or_not_at_all(shard):
     assert start(shard, step(9, is_gang=True)) == []
     assert all(room.is_idle for room in shard.room_by_server.values())
-    shard.put_server(server("s3"), 0.0)
+    add(shard, "s3")
     made = Placer(shard).place(2.0)
     assert len(made) == 9
     assert len({item.run for item in made}) == 1
@@ -234,7 +248,7 @@
 
 
 def test_a_queue_that_changes_pool_runs_there(shard):
-    shard.put_server(server("t1", service="two"), 0.0)
+    add(shard, "t1", service="two")
     moved = Queue(NAME, "two", 0, 2, 1.6, 0.6)
     shard.catalogue = Catalogue(2, {NAME: moved}, {})
     [made] = start(shard, step())
--- a/tests/batch/test_waves.py
+++ b/tests/batch/test_waves.py
@@ -29,7 +29,9 @@
     server = Server(
         name, "one", f"{name}:1", "a", False, 8000, 8000, 0, frozenset(), "r", 1
     )
-    return shard.put_server(server, 0.0)
+    room = shard.put_server(server, 0.0)
+    room.is_reachable = True
+    return room
 
 
 def machines(*names, state=MachineState.UP):
@@ -70,7 +72,9 @@
     wave = progress("a", "b", "c")
     wave.begun.add("m-a")
     assert begun(planner.plan([wave], machines(*"abc"), 0.0)) == ["m-b"]
-    planner.note_listed(machines(*"abc"))
+    planner.note_listed(machines(*"abc"), settled=())
+    assert begun(planner.plan([wave], machines(*"abc"), 0.0)) == ["m-b"]
+    planner.note_listed(machines(*"abc"), settled={"m-a"})
     assert begun(planner.plan([wave], machines(*"abc"), 0.0)) == ["m-b", "m-c"]
 
 
