Wait for the answer to a write by how quick the store has been

A write now waits six times what the last answer took, at least 0.25 s and at most 1.5 s, twice as long after each silence. The new test of lost answers failed before.

--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -22,6 +22,7 @@
 __all__ = [
     "HistoryGone",
     "Page",
+    "Patience",
     "Row",
     "RowConflict",
     "RowName",
@@ -29,7 +30,9 @@
     "StoreHealth",
 ]
 
-COMMIT_TIMEOUT_S = 1.5
+MIN_PATIENCE_S = 0.25
+MAX_PATIENCE_S = 1.5
+PATIENCE_FACTOR = 6.0
 READ_TIMEOUT_S = 1.5
 FEED_MARGIN_S = 1.0
 PAGE_ROWS = 500
@@ -100,6 +103,25 @@
         return self.failures_in_a_row >= FAILURES_IN_A_ROW and silence_s > SILENCE_S
 
 
+@attrs.define
+class Patience:
+    """How long to wait for the answer to a write before it is settled by another.
+
+    A lost answer costs little while the store is quick, and a slow store gets time.
+    """
+
+    timeout_s: float = MIN_PATIENCE_S
+
+    def note_answer(self, took_s: float) -> None:
+        """Take in how long an answer took."""
+        wanted_s = took_s * PATIENCE_FACTOR
+        self.timeout_s = min(MAX_PATIENCE_S, max(MIN_PATIENCE_S, wanted_s))
+
+    def note_silence(self) -> None:
+        """Take in that no answer came in time."""
+        self.timeout_s = min(MAX_PATIENCE_S, self.timeout_s * 2)
+
+
 @attrs.define(eq=False)
 class RowStore:
     """Calls to the store.
@@ -113,6 +135,7 @@
     # Hears of each call: its name, outcome and time in seconds.
     observe: Callable[[str, str, float], None] = lambda call, outcome, took_s: None
     health: StoreHealth = attrs.field(factory=StoreHealth)
+    patience: Patience = attrs.field(factory=Patience)
     _clock_ms: int = 0
     _clock_read_at_s: float = 0.0
 
@@ -125,9 +148,10 @@
         expected: Mapping[RowName, int],
         puts: Mapping[RowName, bytes],
         removes: Iterable[RowName] = (),
-        timeout_s: float = COMMIT_TIMEOUT_S,
+        timeout_s: float = MAX_PATIENCE_S,
     ) -> int:
         """Write all rows or none; return the new version. Raises RowConflict."""
+        timeout_s = min(timeout_s, self.patience.timeout_s)
         body = {
             "expected": [
                 {**name._asdict(), "ver": version} for name, version in expected.items()
@@ -138,7 +162,13 @@
             ],
             "remove": [name._asdict() for name in removes],
         }
-        answer = await self._call("POST", "/rows-tx", body, timeout_s)
+        begun_s = trio.current_time()
+        try:
+            answer = await self._call("POST", "/rows-tx", body, timeout_s)
+        except OutcomeUnknown:
+            self.patience.note_silence()
+            raise
+        self.patience.note_answer(trio.current_time() - begun_s)
         if answer.status == 412:
             raise RowConflict(_rows(answer))
         return int(answer.body["ver"])
--- /dev/null
+++ b/tests/batch/test_committer.py
@@ -0,0 +1,74 @@
+"""Commits under a fence, while answers are lost and writes are late."""
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.batch.committer import Committer
+from rhubarbmount.batch.tables import pending_row
+from rhubarbmount.errors import LeaseLost
+from rhubarbmount.platform.rows import RowStore
+from tests.batch.world import STORE, SimulatedCaller, World, open_world
+
+COMMITS = 40
+# A lost answer may hold the next commit up for so long on average.
+MAX_PAUSE_PER_LOSS_S = 0.75
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+def make_committer(world: World, fence: int, writer: str) -> Committer:
+    store = RowStore(SimulatedCaller(writer, world), STORE)
+    return Committer(store, "shard-0", fence, writer)
+
+
+@pytest.mark.parametrize("seed", range(5))
+async def test_a_lost_answer_holds_the_next_commit_up_only_shortly(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_world(monkeypatch, seed) as world:
+        committer = make_committer(world, 1, "a")
+        await committer.begin()
+        world.faults.store_loses = 0.3
+        begun_s, calls = trio.current_time(), world.platform.store.call_count
+        for number in range(COMMITS):
+            await committer.commit({pending_row("shard-0"): b"%d" % number})
+        lost = world.platform.store.call_count - calls - COMMITS
+        took_s = trio.current_time() - begun_s
+        assert lost > 0
+        assert took_s < COMMITS * 0.01 + lost * MAX_PAUSE_PER_LOSS_S
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_late_writes_never_overwrite_later_ones(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_world(monkeypatch, seed) as world:
+        committer = make_committer(world, 1, "a")
+        await committer.begin()
+        world.faults.store_is_late = 0.4
+        for number in range(20):
+            await committer.commit({pending_row("shard-0"): b"%d" % number})
+        world.faults.store_is_late = 0.0
+        await committer.commit({pending_row("shard-0"): b"last"})
+        await trio.sleep(10.0)
+        page = await committer.store.read_all("pending", "shard-0")
+        assert [row.value for row in page.rows] == [b"last"]
+
+
+async def test_a_lower_fence_commits_no_more(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch) as world:
+        first, second = (make_committer(world, n, f"w{n}") for n in (1, 2))
+        await first.begin()
+        await first.commit({pending_row("shard-0"): b"first"})
+        await second.begin()
+        with pytest.raises(LeaseLost):
+            await first.commit({pending_row("shard-0"): b"stale"})
+        with pytest.raises(LeaseLost):
+            await make_committer(world, 1, "w1").begin()
+        await second.commit({pending_row("shard-0"): b"second"})
+        page = await second.store.read_all("pending", "shard-0")
+        assert [row.value for row in page.rows] == [b"second"]
