Log without blocking and within a budget; tell ends of jobs and short pools

Lines go to standard output without blocking: what a slow reader leaves no room for is dropped and counted. New lines: job-ended with its time, runs and failures, pool-short once a second, commits-resumed with the time they were held up. Repeated failures are logged once.

--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -7,6 +7,7 @@
 import trio
 
 from rhubarbmount import log
+from rhubarbmount.batch.clocks import boot_s
 from rhubarbmount.batch.records import Head, decode_head, encode_head
 from rhubarbmount.batch.tables import head_row
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
@@ -34,6 +35,7 @@
     writer: str
     head_version: int = 0
     _sequence: int = 0
+    _failing_since_s: float | None = None
 
     async def begin(self) -> None:
         """Put the fence into the head row, so that lower ones commit no more.
@@ -66,16 +68,29 @@
             self._adopt(error)
             return False
         except (PlatformUnavailable, OutcomeUnknown) as error:
+            self._note_failure(len(puts), error.code)
+            return False
+        self._note_success()
+        return True
+
+    def _note_failure(self, rows: int, code: str) -> None:
+        """Log the first of several failures in a row."""
+        if self._failing_since_s is None:
+            self._failing_since_s = boot_s()
             log.event(
                 logger,
                 "commit-failed",
                 logging.WARNING,
                 shard=self.shard,
-                rows=len(puts),
-                code=error.code,
+                rows=rows,
+                code=code,
             )
-            return False
-        return True
+
+    def _note_success(self) -> None:
+        if self._failing_since_s is not None:
+            held_s = boot_s() - self._failing_since_s
+            self._failing_since_s = None
+            log.event(logger, "commits-resumed", shard=self.shard, held_s=held_s)
 
     def _adopt(self, error: RowConflict) -> None:
         """Go on from an earlier holder's commit or one of ours, or give up."""
--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -30,6 +30,7 @@
 LIST_PERIOD_S = 0.4
 CALM_LIST_PERIOD_S = 4.0
 ORDER_RETRY_S = 0.1
+SHORTAGE_LOG_PERIOD_S = 1.0
 
 
 @attrs.frozen
@@ -77,6 +78,7 @@
     _pools_short_for_waves: set[str] = attrs.field(factory=set)
     _pools_holding: set[str] = attrs.field(factory=set)
     _wait_by_host: dict[str, str] = attrs.field(factory=dict)
+    _shortages_logged_at_s: float = 0.0
     _in_flight: set[str] = attrs.field(factory=set)
     _nursery: trio.Nursery | None = None
 
@@ -167,7 +169,11 @@
         self._log_waits(plan.wait_by_host)
         for task in plan.evict:
             log.event(
-                logger, "evict", job=task.id.job_id, task=task.id, server=task.server_id
+                logger,
+                "evict",
+                job=task.id.job_id,
+                task=task.id.place,
+                server=task.server_id,
             )
             self.shard.stop_run(task)
             self.wake_scheduler()
@@ -223,9 +229,28 @@
             self.shard.demand,
             self._pools_holding,
         )
+        self._log_shortages()
         for move in moves:
             self._start_order(move.host_id, self._move, move)
 
+    def _log_shortages(self) -> None:
+        """Say once a second which pools have tasks that wait for room."""
+        now_s = boot_s()
+        if now_s < self._shortages_logged_at_s + SHORTAGE_LOG_PERIOD_S:
+            return
+        for pool, shortage in self.placer.shortage_by_pool.items():
+            self._shortages_logged_at_s = now_s
+            log.event(
+                logger,
+                "pool-short",
+                pool=pool,
+                tasks=shortage.tasks,
+                cpu=shortage.cpu_millicores,
+                work_core_s=shortage.work_core_s,
+                arriving_cores=self.shard.demand.cores(pool, now_s),
+                list_age_s=now_s - self._listed_at_s,
+            )
+
     def _shortages(self) -> dict[str, Shortage]:
         """Return what pools lack, with places for tasks that a wave must move."""
         shortages = dict(self.placer.shortage_by_pool)
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -394,7 +394,7 @@
                     logger,
                     "run-ended",
                     job=end.task.job_id,
-                    task=f"{end.task.occurrence}.{end.task.step}.{end.task.number}",
+                    task=end.task.place,
                     run=end.run,
                     server=link.server.id,
                     how=end.how,
@@ -431,7 +431,7 @@
             logger,
             "straggler",
             job=task.id.job_id,
-            task=task.id,
+            task=task.id.place,
             run=task.run,
             server=room.server.id,
             reason=straggler.reason,
@@ -462,7 +462,7 @@
                 "run-vanished",
                 logging.WARNING,
                 job=task.id.job_id,
-                task=task.id,
+                task=task.id.place,
                 run=task.run,
                 server=link.server.id,
             )
@@ -601,10 +601,27 @@
         for job_id in dirty:
             job = self.shard.job_by_id.get(job_id)
             if job is not None:
+                if job.state.is_final:
+                    self._log_job_end(job)
                 puts[progress_row(self.name, job_id)] = encode_progress(job)
         self._add_pending(puts)
         return puts
 
+    def _log_job_end(self, job: Job) -> None:
+        spec = job.spec
+        tasks = job.tasks()
+        log.frequent_event(
+            logger,
+            "job-ended",
+            job=spec.job_id,
+            queue=spec.queue.prefix,
+            state=job.state.value,
+            took_s=self.shard.day_s - spec.accepted_s,
+            runs=sum(task.run for task in tasks),
+            failures=sum(task.failures for task in tasks),
+            catalogue=self.shard.catalogue.version,
+        )
+
     def _add_pending(self, puts: dict[RowName, bytes]) -> None:
         now_s = boot_s()
         if now_s < self._pending_at_s + PENDING_PERIOD_S:
--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -293,7 +293,7 @@
             "start-unanswered",
             logging.WARNING,
             job=request.task.id.job_id,
-            task=request.task.id,
+            task=request.task.id.place,
             run=request.run,
             server=self.server.id,
         )
@@ -335,7 +335,7 @@
             logger,
             "start",
             job=request.task.id.job_id,
-            task=_short(request.task.id),
+            task=request.task.id.place,
             run=request.run,
             server=self.server.id,
             outcome=answer.result.value,
@@ -368,14 +368,10 @@
                 logger,
                 "stop",
                 job=request.task.job_id,
-                task=_short(request.task),
+                task=request.task.place,
                 run=request.run,
                 server=self.server.id,
                 outcome=answer.result.value,
             )
             self.listener.stopped(self, request)
             return
-
-
-def _short(task: TaskId) -> str:
-    return f"{task.occurrence}.{task.step}.{task.number}"
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -56,6 +56,15 @@
     step: int
     number: int
 
+    @property
+    def place(self) -> str:
+        """Return the place as a text, for logs.
+
+        >>> TaskId("j", 0, 1, 2).place
+        '0.1.2'
+        """
+        return f"{self.occurrence}.{self.step}.{self.number}"
+
 
 class QueueName(NamedTuple):
     """What selects a queue: a host name and a path prefix."""
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -191,8 +191,8 @@
     async def _hold_once(self) -> None:
         while self.front.catalogue is None:
             await trio.sleep(0.02)
-        before = self.keeper.watch.lease
         term = await self.keeper.acquire()
+        before = self.keeper.watch.lease
         self._term = term
         self._holder = self._make_holder(term)
         self.metrics.fence.set(term.fence)
--- a/rhubarbmount/log.py
+++ b/rhubarbmount/log.py
@@ -11,6 +11,7 @@
 from typing import TextIO
 
 from rhubarbmount.errors import UsageError
+from rhubarbmount.log_pipe import LineBudget, PipeStream
 
 __all__ = [
     "configure",
@@ -33,6 +34,7 @@
 # Writes of up to 4 KiB to a pipe are not split.
 PIPE_PIECE_CHARS = 3500
 request_id: ContextVar[str] = ContextVar("request_id", default="")
+_budget = LineBudget()
 _SECRET_KEYS = frozenset({"token", "secret", "password", "secret_key"})
 
 
@@ -81,9 +83,15 @@
     """Log one event of many, whose line may wait in memory for ``flush``.
 
     It is written before any later line of another kind, and within a second while
-    frequent events go on. A process that is killed loses the lines that wait.
+    frequent events go on; those beyond the budget of a second are counted instead.
+    A process that is killed loses the lines that wait.
     """
     if logger.isEnabledFor(logging.INFO):
+        now_s = time.time()
+        for kind, count in _budget.take_left_out(now_s).items():
+            event(logger, "lines-left-out", kind=kind, count=count)
+        if not _budget.allows(name):
+            return
         record = _make_record(logger, name, logging.INFO, fields)
         record.may_wait = True
         logger.handle(record)
@@ -146,7 +154,7 @@
 class _WaitingLines(logging.StreamHandler):
     """Write lines to a stream; frequent ones wait for others, or a short time."""
 
-    def __init__(self, stream: TextIO) -> None:
+    def __init__(self, stream: TextIO | PipeStream) -> None:
         super().__init__(stream)
         self._lines: list[str] = []
         self._due_s = 0.0
@@ -194,7 +202,7 @@
     if destination == STDERR:
         return _WaitingLines(sys.stderr)
     if destination == STDOUT:
-        return _WaitingLines(sys.stdout)
+        return _WaitingLines(PipeStream(sys.stdout.fileno()))
     try:
         return _WaitingLines(open(destination, "a", encoding="utf-8"))
     except OSError as error:
