--- a/rhubarbmount/batch/stragglers.py
+++ b/rhubarbmount/batch/stragglers.py
@@ -45,7 +45,12 @@
     """
     if step.is_long_running or step.is_gang or task.is_stopping:
         return None
-    if now_s - task.progressed_s > STALL_S and now_s - task.looked_s < STALL_S:
+    if not task.settled_s:
+        return None
+    if (
+        now_s - max(task.progressed_s, task.settled_s) > STALL_S
+        and now_s - task.looked_s < STALL_S
+    ):
         return Straggler("stalled", 0.0)
     elapsed_s = _elapsed_s(task, now_s)
     if task.percent < MIN_PERCENT_TO_JUDGE or elapsed_s < _overdue_s(step):
@@ -59,7 +64,8 @@
 
 
 def _elapsed_s(task: Task, now_s: float) -> float:
-    return now_s - task.assigned_s
+    """Return how long a run has been at work, as far as its server has said so."""
+    return now_s - max(task.assigned_s, task.settled_s)
 
 
 def _overdue_s(step: Step) -> float:
