--- /dev/null
+++ b/rhubarbmount/standins/users_http.py
@@ -0,0 +1,86 @@
+"""Serves the stand-in of the users' platform over HTTP on loopback."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+
+from rhubarbmount.http import HttpRequest, HttpResponse, header_value
+from rhubarbmount.listener import Handler, Listener
+from rhubarbmount.platform.calls import Answer
+from rhubarbmount.problem import json_response
+from rhubarbmount.standins.users_platform import UsersPlatform
+
+__all__ = ["PlatformHttp", "open_platform_http"]
+
+LOOPBACK = "127.0.0.1"
+
+
+@attrs.define(eq=False)
+class PlatformHttp:
+    """The listeners of a stand-in; addresses have the form ``IP:PORT``."""
+
+    platform: UsersPlatform
+    nursery: trio.Nursery
+    store_address: str = ""
+    machines_address: str = ""
+    server_addresses: list[str] = attrs.field(factory=list)
+
+    async def start(self, machine_count: int) -> None:
+        """Listen for calls to the store, about machines and to backend servers."""
+        self.store_address = await self._listen("store", self._answer_store)
+        self.machines_address = await self._listen("machines", self._answer_machines)
+        for number in range(machine_count):
+            handler = _ServerHandler(self, number)
+            address = await self._listen(f"server-{number}", handler.answer)
+            self.server_addresses.append(address)
+        self.platform.address_of = self.server_addresses.__getitem__
+
+    async def _listen(self, name: str, handler: Handler) -> str:
+        listener = Listener(name, handler)
+        await self.nursery.start(listener.run, LOOPBACK, 0)
+        return f"{LOOPBACK}:{listener.port}"
+
+    async def _answer_store(self, request: HttpRequest) -> HttpResponse:
+        body = json.loads(request.body) if request.body else None
+        store = self.platform.store
+        return _response(await store.handle(request.method, request.target, body))
+
+    async def _answer_machines(self, request: HttpRequest) -> HttpResponse:
+        body = json.loads(request.body) if request.body else None
+        answer = await self.platform.handle_machines(
+            request.method, request.target, dict(request.headers), body
+        )
+        return _response(answer)
+
+
+@attrs.define(eq=False)
+class _ServerHandler:
+    http: PlatformHttp
+    number: int
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer as the lifetime that is on the machine now."""
+        address = self.http.server_addresses[self.number]
+        server = self.http.platform.server_by_address.get(address)
+        if server is None:
+            return _response(Answer(421, {}))
+        expected = header_value(request.headers, b"x-expect-instance") or ""
+        body = json.loads(request.body)
+        return _response(await server.handle(request.target, expected, body))
+
+
+def _response(answer: Answer) -> HttpResponse:
+    return json_response(answer.body, answer.status)
+
+
+@asynccontextmanager
+async def open_platform_http(
+    platform: UsersPlatform, nursery: trio.Nursery, machine_count: int
+) -> AsyncIterator[PlatformHttp]:
+    """Serve a stand-in for the length of the block's nursery."""
+    http = PlatformHttp(platform, nursery)
+    await http.start(machine_count)
+    yield http
--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -43,6 +43,8 @@
     nursery: trio.Nursery
     work_of: Callable[[str], TaskWork]
     observe: Callable[..., None] = lambda *event: None
+    # Gives the address of the backend servers on a machine by its number.
+    address_of: Callable[[int], str] = "10.9.0.{}:80".format
     store: StandinStore = attrs.field(factory=StandinStore)
     machine_by_id: dict[str, StandinMachine] = attrs.field(factory=dict)
     server_by_address: dict[str, StandinServer] = attrs.field(factory=dict)
@@ -92,7 +94,7 @@
             id=f"i-{self._life_count}",
             machine_id=machine.id,
             service=machine.pool,
-            address=f"10.9.0.{number}:80",
+            address=self.address_of(number),
             cpu_millicores=machine.cpu_millicores,
             memory_mb=machine.memory_mb,
             work_of=self.work_of,
