--- a/tests/batch/test_process.py
+++ b/tests/batch/test_process.py
@@ -51,6 +51,12 @@
 WAIT_S = 30.0
 
 
+def own_ip(number):
+    """Return a loopback address that no other test process uses."""
+    pid = os.getpid()
+    return f"127.{1 + pid // 250 % 250}.{pid % 250}.{number + 2}"
+
+
 def free_port(ip):
     with socket.socket() as probe:
         probe.bind((ip, 0))
@@ -115,9 +121,7 @@
             for number in range(4):
                 platform.add_machine(f"m{number}", "one" if number < 2 else "rest", "r")
             hosts = [
-                await start_process(
-                    nursery, tmp_path, f"n{n}", f"127.0.0.{n + 2}", http
-                )
+                await start_process(nursery, tmp_path, f"n{n}", own_ip(n), http)
                 for n in range(count)
             ]
             try:
