--- /dev/null
+++ b/rhubarbmount/batch/job_remover.py
@@ -0,0 +1,63 @@
+"""Removes the rows of jobs that ended long ago."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from rhubarbmount import log
+from rhubarbmount.batch.clocks import day_s
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.tables import cancel_row, request_row
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.rows import RowStore
+from rhubarbmount.timers import TimerService
+
+__all__ = ["JobRemover"]
+
+logger = logging.getLogger(__name__)
+
+PERIOD_S = 10.0
+# Beyond the time for which the state of an ended job must be told.
+MARGIN_S = 60.0
+JOBS_AT_ONCE = 50
+
+
+@attrs.define(eq=False)
+class JobRemover:
+    """Removes a job's requests; ``on_removed`` then removes its progress."""
+
+    store: RowStore
+    shard_name: str
+    shard: Shard
+    timers: TimerService
+    kept_s: float
+    on_removed: Callable[[str], None]
+
+    async def run(self) -> None:
+        """Remove old jobs until cancelled."""
+        async for _ in self.timers.every("forget", PERIOD_S):
+            for job_id in self._old_jobs(day_s() - self.kept_s - MARGIN_S):
+                await self._remove(job_id)
+
+    def _old_jobs(self, before_s: float) -> list[str]:
+        old = [
+            job_id
+            for job_id, job in self.shard.job_by_id.items()
+            if job.state.is_final and job.ended_s < before_s
+        ]
+        return old[:JOBS_AT_ONCE]
+
+    async def _remove(self, job_id: str) -> None:
+        """Remove a job; one without progress would seem to be new."""
+        names = (
+            request_row(self.shard_name, job_id),
+            cancel_row(self.shard_name, job_id),
+        )
+        try:
+            await self.store.commit({}, {}, names)
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            log.event(logger, "job-not-forgotten", job=job_id, code=error.code)
+            return
+        self.shard.forget(job_id)
+        self.on_removed(job_id)
--- /dev/null
+++ b/rhubarbmount/batch/server_links.py
@@ -0,0 +1,277 @@
+"""What the holder of a shard hears from backend servers, and decides on it."""
+
+import logging
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.batch.clocks import boot_s, day_s
+from rhubarbmount.batch.election import LeaseTerm
+from rhubarbmount.batch.link import (
+    BackendLink,
+    LinkListener,
+    StartRequest,
+    StopRequest,
+)
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
+from rhubarbmount.batch.rooms import ServerRoom
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.stragglers import is_straggling, needs_watch
+from rhubarbmount.batch.tickets import TicketDesk
+from rhubarbmount.platform.backend import BackendCalls, OrderResult, RenewalAnswer
+
+__all__ = ["ServerLinks"]
+
+logger = logging.getLogger(__name__)
+
+FULL_PAUSE_S = 0.15
+SLOW_PAUSE_S = 4.0
+DOUBT_S = 2.0
+# A run that is stopped may be listed nowhere for a moment.
+STOP_SETTLED_S = 0.5
+STRAY_STOP_PERIOD_S = 1.0
+
+
+@attrs.define(eq=False)
+class ServerLinks(LinkListener):
+    """The links to all backend servers; ``wake`` lets the scheduler run soon."""
+
+    shard: Shard
+    calls: BackendCalls
+    term: LeaseTerm
+    max_lease_s: float
+    metrics: BatchMetrics
+    tickets: TicketDesk
+    nursery: trio.Nursery
+    wake: Callable[[], None]
+    want_host_list: Callable[[], None]
+    _started_at_s: float = attrs.field(factory=boot_s)
+    _by_server: dict[str, BackendLink] = attrs.field(factory=dict)
+    _ended_servers: set[str] = attrs.field(factory=set)
+    _doubtful_until_s: float = 0.0
+    _stop_sent_at_s: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
+
+    def __iter__(self) -> Iterator[BackendLink]:
+        return iter(list(self._by_server.values()))
+
+    def find(self, server_id: str) -> BackendLink | None:
+        """Return the link to a backend server, if there is one."""
+        return self._by_server.get(server_id)
+
+    def has_ended(self, server_id: str) -> bool:
+        """Tell whether a lifetime is surely over."""
+        return server_id in self._ended_servers
+
+    def open(self, room: ServerRoom) -> None:
+        """Open a link, or bring the one there is up to date."""
+        known = self._by_server.get(room.server.id)
+        if known is not None:
+            known.server = room.server
+            return
+        link = BackendLink(
+            server=room.server,
+            calls=self.calls,
+            term=self.term,
+            listener=self,
+            max_lease_s=self.max_lease_s,
+            taken_at_s=self._started_at_s,
+            metrics=self.metrics,
+            has_work=lambda: not room.is_idle,
+            is_watchful=lambda: needs_watch(room, boot_s()),
+        )
+        self._by_server[room.server.id] = link
+        self.nursery.start_soon(link.run)
+        self.want_host_list()
+
+    def close_lost(self) -> None:
+        """Close the links to lifetimes that are over."""
+        for server_id, link in list(self._by_server.items()):
+            if server_id not in self.shard.room_by_server:
+                link.close()
+                del self._by_server[server_id]
+
+    def listed(self, link: BackendLink, answer: RenewalAnswer, sent_s: float) -> None:
+        """Take in what a backend server lists."""
+        room = self.shard.room_by_server.get(link.server.id)
+        if room is None:
+            return
+        now_s = boot_s()
+        self.shard.day_s = day_s()
+        for end in answer.ended:
+            if end.number > link.listed_to:
+                self._note_end(link, end, now_s)
+        running = {(item.task, item.run): item for item in answer.running}
+        for item in answer.running:
+            task = self.shard.task(item.task)
+            if task is None or not _is_run_of(task, item.run, link.server.id):
+                self._stop_stray(link, item.task, item.run)
+            else:
+                self._note_progress(room, task, item, now_s)
+        for task in list(room.task_by_id.values()):
+            if (task.id, task.run) not in running:
+                self._settle_missing(link, task, sent_s, now_s)
+        self.wake()
+
+    def _note_end(self, link: BackendLink, end: RunEnd, now_s: float) -> None:
+        is_news = self.shard.end_run(link.server.id, end, now_s)
+        self.metrics.ends.labels(end.how).inc()
+        log.frequent_event(
+            logger,
+            "run-ended",
+            job=end.task.job_id,
+            task=end.task.place,
+            run=end.run,
+            server=link.server.id,
+            how=end.how,
+            is_news=is_news,
+        )
+
+    def _note_progress(
+        self, room: ServerRoom, task: Task, report: RunReport, now_s: float
+    ) -> None:
+        if report.checkpoint:
+            task.checkpoint = report.checkpoint
+        if task.assigned_s == 0.0:
+            # The run of an earlier holder is judged from when it was first seen.
+            task.assigned_s = task.progressed_s = task.settled_s = now_s
+        if task.percent != report.percent:
+            task.percent = report.percent
+            task.progressed_s = now_s
+        task.looked_s = now_s
+        self._judge_progress(room, task, now_s)
+
+    def _judge_progress(self, room: ServerRoom, task: Task, now_s: float) -> None:
+        """Let a straggler begin again elsewhere."""
+        straggler = is_straggling(task, room.step_by_task[task.id], now_s)
+        if straggler is None:
+            return
+        log.event(
+            logger,
+            "straggler",
+            job=task.id.job_id,
+            task=task.id.place,
+            run=task.run,
+            server=room.server.id,
+            reason=straggler.reason,
+            percent=task.percent,
+            left_s=straggler.left_s,
+        )
+        task.failed_on = room.server.id
+        room.slow_until_s = now_s + SLOW_PAUSE_S
+        self.shard.stop_run(task)
+
+    def _stop_stray(self, link: BackendLink, task_id: TaskId, run: int) -> None:
+        key = (link.server.id, task_id, run)
+        now_s = boot_s()
+        sent_at_s = self._stop_sent_at_s.get(key)
+        if sent_at_s is None or now_s > sent_at_s + STRAY_STOP_PERIOD_S:
+            self._stop_sent_at_s[key] = now_s
+            link.send(StopRequest(task_id, run))
+
+    def _settle_missing(
+        self, link: BackendLink, task: Task, sent_s: float, now_s: float
+    ) -> None:
+        """Decide on a run that should be there and isn't listed."""
+        is_of_last_holder = task.assigned_s == 0.0
+        if is_of_last_holder:
+            if not link.is_greeted:
+                self.shard.release(task, now_s)
+        elif 0.0 < task.settled_s < sent_s:
+            log.event(
+                logger,
+                "run-vanished",
+                logging.WARNING,
+                job=task.id.job_id,
+                task=task.id.place,
+                run=task.run,
+                server=link.server.id,
+            )
+            self.shard.release(task, now_s)
+
+    def not_started(
+        self, link: BackendLink, request: StartRequest, result: OrderResult
+    ) -> None:
+        """Let a task wait again whose run surely did not start."""
+        room = self.shard.room_by_server.get(link.server.id)
+        now_s = boot_s()
+        if room is not None:
+            room.full_until_s = now_s + FULL_PAUSE_S
+            if result is OrderResult.NOT_DONE:
+                room.failures_in_a_row += 1
+                room.failed_at_s = now_s
+        if result is OrderResult.NO_TICKET:
+            self.tickets.drop(request.task.id[:3], link.server.id)
+        if request.is_wanted(link.server.id):
+            self.shard.release(request.task, now_s)
+        self.wake()
+
+    def stopped(self, link: BackendLink, request: StopRequest) -> None:
+        """Take in that a run has been forbidden for good."""
+        room = self.shard.room_by_server.get(link.server.id)
+        task = room.task_by_id.get(request.task) if room is not None else None
+        if task is not None and task.run == request.run:
+            task.settled_s = boot_s() + STOP_SETTLED_S
+            if request.then_release:
+                self.shard.release(task, boot_s())
+                self.wake()
+
+    def ended(self, link: BackendLink) -> None:
+        """Take in that the lifetime is surely over."""
+        self.lose(link.server.id, "other-lifetime")
+
+    def lapsed(self, link: BackendLink) -> None:
+        """Take in that every lease granted there has surely ended."""
+        room = self.shard.room_by_server.get(link.server.id)
+        log.event(
+            logger,
+            "leases-lapsed",
+            logging.WARNING,
+            server=link.server.id,
+            tasks=len(room.task_by_id) if room else 0,
+        )
+        if room is not None and not room.is_listed:
+            self.lose(link.server.id, "lapsed")
+        else:
+            self.shard.lapse_runs(link.server.id, boot_s())
+        self.wake()
+
+    def reached(self, link: BackendLink, is_reached: bool) -> None:
+        """Take in whether the backend server answers."""
+        room = self.shard.room_by_server.get(link.server.id)
+        if room is not None:
+            room.is_reachable = is_reached
+        self.wake()
+
+    def unanswered(self) -> None:
+        """Take in that an order to any backend server was not answered."""
+        self._doubtful_until_s = boot_s() + DOUBT_S
+
+    def is_doubtful(self) -> bool:
+        """Tell whether answers got lost lately, so that long waits cost much."""
+        return boot_s() < self._doubtful_until_s
+
+    def lose(self, server_id: str, reason: str) -> None:
+        """Let everything on a lifetime that is surely over wait again."""
+        room = self.shard.room_by_server.get(server_id)
+        log.event(
+            logger,
+            "server-ended",
+            server=server_id,
+            reason=reason,
+            tasks=len(room.task_by_id) if room else 0,
+        )
+        self._ended_servers.add(server_id)
+        self.shard.lose_server(server_id, boot_s())
+        self.wake()
+
+
+def _is_run_of(task: Task | None, run: int, server_id: str) -> bool:
+    return (
+        task is not None
+        and task.state is TaskState.ASSIGNED
+        and task.run == run
+        and task.server_id == server_id
+    )
--- /dev/null
+++ b/rhubarbmount/batch/server_rows.py
@@ -0,0 +1,101 @@
+"""Rows in which backend servers report themselves to the holder of a shard."""
+
+import logging
+
+import attrs
+
+from rhubarbmount import log
+from rhubarbmount.batch.clocks import boot_s
+from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.rooms import ServerRoom
+from rhubarbmount.batch.server_links import ServerLinks
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.platform.directory import UnreadableRow, decode_server
+from rhubarbmount.platform.rows import Page, Row
+
+__all__ = ["ServerRows"]
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class ServerRows:
+    """Brings rooms and links up to date with the rows."""
+
+    shard: Shard
+    links: ServerLinks
+    drain_s: float
+
+    def apply(self, page: Page, is_whole: bool) -> None:
+        """Take in changed rows, or all of them."""
+        if is_whole:
+            listed = {row.name.key for row in page.rows}
+            for server_id in list(self.shard.room_by_server):
+                if server_id not in listed:
+                    self._unlist(server_id)
+        for row in page.rows:
+            self._put(row)
+        self.links.wake()
+
+    def _put(self, row: Row) -> None:
+        server_id = row.name.key
+        if not row.version:
+            self._unlist(server_id)
+            return
+        if self.links.has_ended(server_id):
+            return
+        server = self._decode(row)
+        if server is None:
+            self._unlist(server_id)
+            return
+        self._end_earlier_lifetime(server)
+        was_draining = self._is_draining(server_id)
+        room = self.shard.put_server(server, boot_s())
+        self.links.open(room)
+        if server.is_draining and not was_draining:
+            self._leave_draining(room)
+
+    @staticmethod
+    def _decode(row: Row) -> Server | None:
+        try:
+            return decode_server(row)
+        except UnreadableRow as error:
+            log.event(
+                logger,
+                "server-unreadable",
+                logging.WARNING,
+                server=row.name.key,
+                version=row.version,
+                reason=error.message,
+            )
+            return None
+
+    def _is_draining(self, server_id: str) -> bool:
+        room = self.shard.room_by_server.get(server_id)
+        return room is not None and room.server.is_draining
+
+    def _end_earlier_lifetime(self, server: Server) -> None:
+        for room in list(self.shard.room_by_server.values()):
+            other = room.server
+            is_same_place = other.address == server.address and other.id != server.id
+            if is_same_place and other.version < server.version:
+                self.links.lose(other.id, "address-reused")
+
+    def _unlist(self, server_id: str) -> None:
+        room = self.shard.room_by_server.get(server_id)
+        if room is None:
+            return
+        room.is_listed = False
+        log.event(logger, "server-unlisted", server=server_id)
+        if room.is_idle:
+            self.links.lose(server_id, "unlisted")
+
+    def _leave_draining(self, room: ServerRoom) -> None:
+        """Move what would not end before the server leaves."""
+        log.event(logger, "server-draining", server=room.server.id)
+        now_s = boot_s()
+        for task in list(room.task_by_id.values()):
+            step = room.step_by_task[task.id]
+            left_s = step.estimate_s - (now_s - task.assigned_s)
+            if step.is_long_running or left_s > self.drain_s:
+                self.shard.stop_run(task)
