--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -12,7 +12,7 @@
 
 __all__ = ["CapacityPlanner", "Move", "PoolRoom"]
 
-IDLE_BEFORE_RETURN_S = 2.0
+IDLE_BEFORE_RETURN_S = 1.2
 MOVE_TIMEOUT_S = 6.0
 # Arriving work comes in bursts; some room is kept above its average.
 ARRIVAL_HEADROOM = 1.35
