--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -1,6 +1,7 @@
 """Whole days in simulated time: jobs complete, whatever fails, and within the rules."""
 
 import random
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
@@ -95,13 +96,20 @@
     return left
 
 
-async def test_a_calm_day(monkeypatch, autojump_clock):
-    async with open_world(monkeypatch, seed=1) as world:
+@asynccontextmanager
+async def open_day(monkeypatch, seed=0, nodes="abc"):
+    """Run a platform and entry hosts that have chosen their holder."""
+    async with open_world(monkeypatch, seed) as world:
         checker = JobChecker(world)
         start_platform(world)
-        for name in "abc":
+        for name in nodes:
             world.start_node(name)
         await trio.sleep(1.0)
+        yield world, checker
+
+
+async def test_a_calm_day(monkeypatch, autojump_clock):
+    async with open_day(monkeypatch, 1) as (world, checker):
         accepted = []
         for _ in range(30):
             made = job(world.generator)
@@ -114,12 +122,7 @@
 
 
 async def test_a_job_handed_in_twice_is_one_job(monkeypatch, autojump_clock):
-    async with open_world(monkeypatch) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "ab":
-            world.start_node(name)
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, nodes="ab") as (world, checker):
         made = job(world.generator)
         body = {"spec": made[0], "phases": made[1]}
         world.add_work(*made)
@@ -147,11 +150,7 @@
 
 
 async def test_a_cancelled_job_stops(monkeypatch, autojump_clock):
-    async with open_world(monkeypatch) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        world.start_node("a")
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, nodes="a") as (world, checker):
         made = long_running_job(world.generator)
         assert await submit(world, checker, "/one/", made)
         await trio.sleep(1.5)
@@ -168,11 +167,7 @@
 async def test_a_job_that_always_fails_ends_after_its_attempts(
     monkeypatch, autojump_clock
 ):
-    async with open_world(monkeypatch) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        world.start_node("a")
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, nodes="a") as (world, checker):
         job_id, phases, works = job(world.generator)
         works = [TaskWork(0.2, 1000, 500, fails=True) for _ in works]
         assert await submit(world, checker, "/one/", (job_id, phases, works))
@@ -184,12 +179,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 async def test_holders_are_killed(monkeypatch, autojump_clock, seed):
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, seed) as (world, checker):
         accepted = []
         for number in range(40):
             made = job(world.generator)
@@ -213,12 +203,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 async def test_the_holder_is_cut_from_the_store(monkeypatch, autojump_clock, seed):
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, seed) as (world, checker):
         accepted = []
         for number in range(30):
             made = job(world.generator)
@@ -242,12 +227,7 @@
 async def test_orders_and_writes_are_late_or_unanswered(
     monkeypatch, autojump_clock, seed
 ):
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, seed) as (world, checker):
         world.faults.orders_late = 0.1
         world.faults.store_loses = 0.1
         world.faults.store_is_late = 0.1 if seed % 2 else 0.0
@@ -265,12 +245,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 async def test_servers_crash_and_are_cut_off(monkeypatch, autojump_clock, seed):
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, seed) as (world, checker):
         accepted = []
         for number in range(40):
             made = job(world.generator)
@@ -292,11 +267,7 @@
 async def test_work_on_a_server_that_went_dark_begins_again(
     monkeypatch, autojump_clock
 ):
-    async with open_world(monkeypatch, 2) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        world.start_node("a")
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, 2, nodes="a") as (world, checker):
         made = long_running_job(world.generator)
         assert await submit(world, checker, "/one/", made)
         await trio.sleep(2.0)
