--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -1,8 +1,15 @@
 """Pools that follow their demand."""
 
+import math
+
 import pytest
 
-from rhubarbmount.batch.capacity import IDLE_BEFORE_RETURN_S, CapacityPlanner, Move
+from rhubarbmount.batch.capacity import (
+    ARRIVAL_HEADROOM,
+    IDLE_BEFORE_RETURN_S,
+    CapacityPlanner,
+    Move,
+)
 from rhubarbmount.batch.catalogue import Catalogue, Pool
 from rhubarbmount.batch.demand import DemandMeter
 from rhubarbmount.batch.model import Host, HostState, Server
@@ -99,7 +106,8 @@
     demand = DemandMeter()
     demand.note("one", 12.0, 0.0)
     hosts = [host(f"m{n}", "rest") for n in range(4)]
-    assert len(plan(planner, 0.0, hosts, demand=demand)) >= 2
+    wanted = math.ceil(12.0 * ARRIVAL_HEADROOM * 1000 / CPU)
+    assert len(plan(planner, 0.0, hosts, demand=demand)) == wanted
 
 
 def test_an_idle_host_rests_after_a_while(planner):
