Answer writes of callers in one place, and drop a time nobody read

A submission and a cancellation ended in the same lines; the follower kept when it last heard the store, which the store's health has told since.

--- a/rhubarbmount/batch/follow.py
+++ b/rhubarbmount/batch/follow.py
@@ -41,7 +41,6 @@
     start_version: int | None = None
     wait_s: float = FEED_WAIT_S
     on_regained: Callable[[], None] = lambda: None
-    heard_at_s: float = 0.0
     _is_lost: bool = False
 
     async def run(self) -> None:
@@ -71,7 +70,6 @@
         return max(version, page.version)
 
     def _note_heard(self) -> None:
-        self.heard_at_s = trio.current_time()
         if self._is_lost:
             self._is_lost = False
             log.event(logger, "store-regained", table=self.table)
--- a/rhubarbmount/batch/front.py
+++ b/rhubarbmount/batch/front.py
@@ -128,12 +128,7 @@
         name = request_row(_shard(queue, job_id), job_id)
         outcome, version = await self._write_once(name, encode_spec(spec), expires_s)
         self._log_decision("submit", queue, job_id, outcome, version)
-        if outcome == "stored" or outcome == "stored-before":
-            return json_response({})
-        if outcome == "unknown":
-            message = "the store did not answer in time; ask again with the same ID"
-            return problem(504, "outcome-unknown", message, Outcome.UNKNOWN)
-        return _refusal(503, "store-unavailable", "the store can't be reached")
+        return _written(outcome, "ask again with the same ID")
 
     async def _write_once(
         self, name: RowName, value: bytes, expires_s: float
@@ -172,7 +167,7 @@
                     row = None
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._log_decision("show", queue, job_id, error.code, 0)
-            return _refusal(503, "store-unavailable", "the store can't be reached")
+            return _store_unavailable()
         if row is None:
             self._log_decision("show", queue, job_id, "unknown-job", 0)
             return problem(410, "no-job", "no such job")
@@ -187,7 +182,7 @@
                 row = await self._read_row(pending_row(shard), expires_s)
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 self._log_decision("pending", queue, "-", error.code, 0)
-                return _refusal(503, "store-unavailable", "the store can't be reached")
+                return _store_unavailable()
             self._pending = {} if row is None else decode_pending(row.value)
             self._pending_at_s = trio.current_time()
         return json_response(pending_body(self._pending.get(queue.name, 0)))
@@ -222,19 +217,14 @@
             row = await self._read_row(request_row(shard, job_id), expires_s)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._log_decision("cancel", queue, job_id, error.code, 0)
-            return _refusal(503, "store-unavailable", "the store can't be reached")
+            return _store_unavailable()
         if row is None:
             self._log_decision("cancel", queue, job_id, "unknown-job", 0)
             return problem(410, "no-job", "no such job")
         name = cancel_row(shard, job_id)
         outcome, version = await self._write_once(name, b"{}", expires_s)
         self._log_decision("cancel", queue, job_id, outcome, version)
-        if outcome == "stored" or outcome == "stored-before":
-            return json_response({})
-        if outcome == "unknown":
-            message = "the store did not answer in time; ask again"
-            return problem(504, "outcome-unknown", message, Outcome.UNKNOWN)
-        return _refusal(503, "store-unavailable", "the store can't be reached")
+        return _written(outcome, "ask again")
 
     # Logs.
 
@@ -268,6 +258,20 @@
     return shard_of(queue.name.host, queue.name.prefix, job_id)
 
 
+def _written(outcome: str, advice: str) -> HttpResponse:
+    """Return the answer to a request that was to create a row."""
+    if outcome in ("stored", "stored-before"):
+        return json_response({})
+    if outcome == "unknown":
+        message = f"the store did not answer in time; {advice}"
+        return problem(504, "outcome-unknown", message, Outcome.UNKNOWN)
+    return _store_unavailable()
+
+
+def _store_unavailable() -> HttpResponse:
+    return _refusal(503, "store-unavailable", "the store can't be reached")
+
+
 def _refusal(status: int, code: str, message: str) -> HttpResponse:
     log.frequent_event(logger, "refused", status=status, code=code)
     return problem(status, code, message, Outcome.NOT_RUN, RETRY_AFTER_S)
