Ask for hosts by the tasks that can run, and by growth beyond chance

A trial that logged the use of pools showed hosts asked for by the whole work of large jobs that had just come (22 hosts at 17.9 s, 6 of them used), since the meter took a job's work for a rate. Ruled out: long-running tasks (one host a pool). Growth counts as far as it exceeds the noise of a steady stream.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -14,8 +14,6 @@
 
 IDLE_BEFORE_RETURN_S = 1.2
 MOVE_TIMEOUT_S = 6.0
-# Arriving work comes in bursts; some room is kept above its average.
-ARRIVAL_HEADROOM = 1.35
 # From the order until a host can run tasks.
 MOVE_LEAD_S = 1.6
 # A queue that is left when hosts arrive should be gone so much later.
@@ -47,6 +45,7 @@
     needed_millicores: int = 0
     had_millicores: int = 0
     long_running_millicores: int = 0
+    used_millicores: int = 0
     missing_servers: int = 0
     # Servers with nothing on them, and how many of these must stay.
     free_servers: int = 0
@@ -158,6 +157,7 @@
             if pool is not None and room.is_open(now_s):
                 pool.had_millicores += room.server.cpu_millicores
                 pool.long_running_millicores += room.long_running_cpu_millicores
+                pool.used_millicores += room.used_cpu_millicores
         cpu_by_host = {host.id: host.cpu_millicores for host in hosts}
         for host_id, order in self._order_by_host.items():
             if order.pool in rooms:
@@ -166,7 +166,12 @@
                 rooms[order.pool].missing_servers -= 1
         for name, pool in rooms.items():
             shortage = shortage_by_pool.get(name, Shortage())
-            pool.needed_millicores = _needed(pool, shortage, demand.cores(name, now_s))
+            pool.needed_millicores = _needed(
+                pool,
+                shortage,
+                demand.ready_cores(name, now_s),
+                demand.growth_cores(name, MOVE_LEAD_S, now_s),
+            )
             pool.missing_servers += shortage.servers
         return rooms
 
@@ -241,17 +246,22 @@
         return moves
 
 
-def _needed(pool: PoolRoom, shortage: Shortage, arriving_cores: float) -> int:
+def _needed(
+    pool: PoolRoom, shortage: Shortage, ready_cores: float, growth_cores: float
+) -> int:
     """Return what a pool needs to keep up, and to drain its queue soon.
 
-    A queue that the pool drains by itself before a host could arrive needs none.
+    A queue that the pool drains by itself before a host could arrive needs none, and
+    no queue needs more than all of its tasks can use at once.
     """
     has_cores = (pool.had_millicores - pool.long_running_millicores) / 1000
-    drained_core_s = max(0.0, has_cores - arriving_cores) * MOVE_LEAD_S
+    drained_core_s = max(0.0, has_cores - ready_cores) * MOVE_LEAD_S
     left_core_s = max(0.0, shortage.work_core_s - drained_core_s)
-    cores = arriving_cores * ARRIVAL_HEADROOM
+    cores = ready_cores + growth_cores
     if left_core_s > 0:
-        cores = max(cores, has_cores) + left_core_s / DRAIN_S
+        used_cores = (pool.used_millicores - pool.long_running_millicores) / 1000
+        most_cores = used_cores + shortage.cpu_millicores / 1000 + growth_cores
+        cores = max(cores, min(has_cores + left_core_s / DRAIN_S, most_cores))
     return pool.long_running_millicores + int(cores * 1000)
 
 
--- a/rhubarbmount/batch/demand.py
+++ b/rhubarbmount/batch/demand.py
@@ -1,51 +1,79 @@
-"""How much work arrives for each pool; free of I/O."""
+"""How many cores each pool's work keeps busy, and will soon; free of I/O."""
 
+import heapq
 import math
+from collections import deque
 
 import attrs
 
-from rhubarbmount.batch.model import JobSpec
+from rhubarbmount.batch.model import JobSpec, Step
 
-__all__ = ["DemandMeter", "work_core_s"]
+__all__ = ["DemandMeter"]
 
-MEMORY_S = 1.0
+# Arrivals of the last such time are compared with those of the time before.
+GROWTH_WINDOW_S = 1.0
 
 
 @attrs.define
-class _Decayed:
-    amount: float = 0.0
-    at_s: float = 0.0
-
-    def after(self, now_s: float) -> float:
-        """Return what is left of the amount."""
-        return self.amount * math.exp(-max(0.0, now_s - self.at_s) / MEMORY_S)
+class _PoolDemand:
+    ready_cores: float = 0.0
+    # When the tasks of a step would have ended, and their cores.
+    ends: list[tuple[float, float]] = attrs.field(factory=list)
+    # When jobs arrived, and their work in core-seconds.
+    arrivals: deque[tuple[float, float]] = attrs.field(factory=deque)
 
 
 @attrs.define(eq=False)
 class DemandMeter:
-    """Averages arriving work over the last second or so.
+    """Sums the cores that ready tasks would keep busy if none had to wait.
 
-    A pool whose turn has just come is seen to need hosts before its queue is long.
+    A large job counts with the tasks that can run now and for as long as they take,
+    so that it brings no hosts for its later steps. Many small jobs whose number grows
+    bring hosts for those that will have come when the hosts are there.
     """
 
-    _by_pool: dict[str, _Decayed] = attrs.field(factory=dict)
-
-    def note(self, pool: str, core_s: float, now_s: float) -> None:
-        """Take in work that has arrived, in core-seconds."""
-        seen = self._by_pool.setdefault(pool, _Decayed())
-        seen.amount = seen.after(now_s) + core_s
-        seen.at_s = now_s
-
-    def cores(self, pool: str, now_s: float) -> float:
-        """Return how many cores the arriving work keeps busy."""
-        seen = self._by_pool.get(pool)
-        return 0.0 if seen is None else seen.after(now_s) / MEMORY_S
-
-
-def work_core_s(spec: JobSpec) -> float:
-    """Return the estimated work of a job's steps that end, in core-seconds."""
-    return sum(
-        step.count * step.estimate_s * step.cpu_millicores / 1000
-        for step in spec.steps
-        if not step.is_long_running
-    )
+    _by_pool: dict[str, _PoolDemand] = attrs.field(factory=dict)
+
+    def note_job(self, pool: str, spec: JobSpec, now_s: float) -> None:
+        """Take in a job that has arrived."""
+        work_core_s = sum(
+            step.cores * step.estimate_s for step in spec.steps if step.needs_room
+        )
+        if work_core_s:
+            self._of(pool).arrivals.append((now_s, work_core_s))
+
+    def note_step(self, pool: str, step: Step, now_s: float) -> None:
+        """Take in a step whose tasks have become ready."""
+        if not step.needs_room:
+            return
+        demand = self._of(pool)
+        demand.ready_cores += step.cores
+        heapq.heappush(demand.ends, (now_s + step.estimate_s, step.cores))
+
+    def ready_cores(self, pool: str, now_s: float) -> float:
+        """Return how many cores the ready tasks of a pool would keep busy."""
+        demand = self._of(pool)
+        while demand.ends and demand.ends[0][0] <= now_s:
+            demand.ready_cores -= heapq.heappop(demand.ends)[1]
+        if not demand.ends:
+            demand.ready_cores = 0.0
+        return demand.ready_cores
+
+    def growth_cores(self, pool: str, ahead_s: float, now_s: float) -> float:
+        """Return how many more cores will be busy after a while if growth goes on.
+
+        Growth counts as far as it exceeds what chance makes of a steady rate.
+        """
+        arrivals = self._of(pool).arrivals
+        while arrivals and arrivals[0][0] < now_s - 2 * GROWTH_WINDOW_S:
+            arrivals.popleft()
+        late = [work for at_s, work in arrivals if at_s >= now_s - GROWTH_WINDOW_S]
+        early_count = len(arrivals) - len(late)
+        more = len(late) - early_count - math.sqrt(len(arrivals))
+        if more <= 0:
+            return 0.0
+        work_core_s = sum(late) / len(late)
+        return more * work_core_s * ahead_s / GROWTH_WINDOW_S**2
+
+    def _of(self, pool: str) -> _PoolDemand:
+        return self._by_pool.setdefault(pool, _PoolDemand())
--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -247,7 +247,7 @@
                 tasks=shortage.tasks,
                 cpu=shortage.cpu_millicores,
                 work_core_s=shortage.work_core_s,
-                arriving_cores=self.shard.demand.cores(pool, now_s),
+                ready_cores=self.shard.demand.ready_cores(pool, now_s),
                 list_age_s=now_s - self._listed_at_s,
             )
 
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -10,7 +10,6 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import RATE_MARGIN, boot_s, day_s
 from rhubarbmount.batch.committer import MAX_ROWS_PER_COMMIT, Committer
-from rhubarbmount.batch.demand import work_core_s
 from rhubarbmount.batch.election import LeaseTerm
 from rhubarbmount.batch.fleet_keeper import FleetKeeper, WaveRecord
 from rhubarbmount.batch.follow import TableFollower
@@ -103,7 +102,7 @@
     _begun_jobs: set[str] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        self.shard = Shard(Catalogue(0, {}, {}), day_s=day_s())
+        self.shard = Shard(Catalogue(0, {}, {}), day_s=day_s(), now_s=boot_s())
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.by_step)
         self.wave_status = WaveStatusWriter(self.store)
@@ -228,7 +227,7 @@
         )
 
     def _apply_requests(self, page: Page, is_whole: bool) -> None:
-        self.shard.day_s = day_s()
+        self.shard.set_time(boot_s(), day_s())
         for row in page.rows:
             if row.name.part not in self._request_parts or not row.version:
                 continue
@@ -237,8 +236,7 @@
             elif row.name.key not in self.shard.job_by_id:
                 spec = decode_spec(row.value)
                 self.shard.add_job(Job(spec))
-                pool = self.shard.pool_of(spec)
-                self.shard.demand.note(pool, work_core_s(spec), boot_s())
+                self.shard.demand.note_job(self.shard.pool_of(spec), spec, boot_s())
                 log.frequent_event(
                     logger, "job-seen", job=row.name.key, version=row.version
                 )
@@ -250,7 +248,7 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            self.shard.day_s = day_s()
+            self.shard.set_time(boot_s(), day_s())
             self.shard.open_due()
             assignments = self.placer.place(boot_s())
             self.links.close_lost()
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -113,6 +113,16 @@
     fills: bool = False
     max_unavailable: int = 0
 
+    @property
+    def cores(self) -> float:
+        """Return how many cores all tasks use at once."""
+        return self.count * self.cpu_millicores / 1000
+
+    @property
+    def needs_room(self) -> bool:
+        """Tell whether the tasks take room for a while and then end."""
+        return not self.is_long_running and not self.fills
+
 
 @attrs.frozen
 class JobSpec:
--- a/rhubarbmount/batch/server_links.py
+++ b/rhubarbmount/batch/server_links.py
@@ -99,7 +99,7 @@
         if room is None:
             return
         now_s = boot_s()
-        self.shard.day_s = day_s()
+        self.shard.set_time(now_s, day_s())
         for end in answer.ended:
             if end.number > link.listed_to:
                 self._note_end(link, end, now_s)
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -47,8 +47,9 @@
     """Jobs by id, the steps that have tasks waiting, and rooms by server."""
 
     catalogue: Catalogue
-    # The time of day, set before each change.
+    # The time of day and a steady time, set before each change.
     day_s: float = 0.0
+    now_s: float = 0.0
     job_by_id: dict[str, Job] = attrs.field(factory=dict)
     room_by_server: dict[str, ServerRoom] = attrs.field(factory=dict)
     waiting_by_step: dict[StepKey, dict[int, Task]] = attrs.field(factory=dict)
@@ -59,6 +60,11 @@
     _timed_job_ids: set[str] = attrs.field(factory=set)
     _unknown_server_tasks: dict[str, list[Task]] = attrs.field(factory=dict)
 
+    def set_time(self, now_s: float, day_s: float) -> None:
+        """Set the times at which the next changes happen."""
+        self.now_s = now_s
+        self.day_s = day_s
+
     # Jobs.
 
     def add_job(self, job: Job) -> None:
@@ -109,6 +115,7 @@
                 )
                 tasks = [Task(task_id) for task_id in ids]
                 job.tasks_by_step[occurrence, at] = tasks
+                self.demand.note_step(self.pool_of(job.spec), step, self.now_s)
                 for task in tasks:
                     self._wait(task)
 
