Record silent servers for the next holder

Ruled out: restarting before the longest lease without a record (a holder that is cut from the store grants up to 9.5 s). Now a holder records, with the store's clock, when its grants to a silent server have lapsed, grants it nothing more, and grants again only once the record is gone; a lapse is noted when it comes, not with the next call.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -37,6 +37,7 @@
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.shard_rows import LoadedShard, load_shard
+from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
     REQUESTS_TABLE,
@@ -44,6 +45,7 @@
     pending_row,
     progress_row,
     request_parts,
+    silent_servers_row,
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketDesk
@@ -84,6 +86,7 @@
     bounds: Bounds
     metrics: BatchMetrics
     orders: HostOrders = attrs.field(init=False)
+    silent: SilentServers = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     fleet: FleetKeeper = attrs.field(init=False)
@@ -107,6 +110,7 @@
         self.placer = Placer(self.shard, self.tickets.by_step)
         self.wave_status = WaveStatusWriter(self.store)
         self.orders = HostOrders(self.store.clock_s, self.bounds.lease_s)
+        self.silent = SilentServers(self.store.clock_s)
         self.fleet = FleetKeeper(
             shard=self.shard,
             placer=self.placer,
@@ -151,6 +155,8 @@
             nursery=nursery,
             wake=self.wake,
             want_host_list=self.fleet.want_list,
+            silent=self.silent,
+            save_silent=self._save_silent,
         )
         self.servers = ServerRows(self.shard, self.links, self.bounds.drain_s)
 
@@ -188,6 +194,8 @@
         loaded = await load_shard(self.store, self.name)
         for row in loaded.orders.rows:
             self.orders.load(row.value)
+        for row in loaded.silent.rows:
+            self.silent.load(row.value)
         for row in loaded.waves.rows:
             self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
         self.servers.apply(loaded.servers, True)
@@ -208,7 +216,10 @@
 
     async def _lose_later(self, server_id: str) -> None:
         """Wait until nothing can run on a server that is not listed any more."""
-        await trio.sleep(self.bounds.max_lease_s * RATE_MARGIN + UNLISTED_MARGIN_S)
+        lapses_in_s = self.silent.lapses_in_s(server_id)
+        if lapses_in_s is None:
+            lapses_in_s = self.bounds.max_lease_s * RATE_MARGIN + UNLISTED_MARGIN_S
+        await trio.sleep(lapses_in_s)
         if server_id not in self.shard.room_by_server:
             self.shard.lose_server(server_id, boot_s())
             self.wake()
@@ -363,7 +374,14 @@
         return starts
 
     async def _save_orders(self) -> None:
-        self._puts[host_orders_row(self.name)] = self.orders.encode()
+        await self._save(host_orders_row(self.name), self.orders.encode())
+
+    async def _save_silent(self) -> None:
+        await self._save(silent_servers_row(self.name), self.silent.encode())
+
+    async def _save(self, name: RowName, value: bytes) -> None:
+        """Store a row with the next commit, and return once it is stored."""
+        self._puts[name] = value
         saved = trio.Event()
         self._waiting_for_commit.append(saved)
         self.wake()
--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -1,6 +1,7 @@
 """The holder's link to one lifetime of a backend server."""
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,8 @@
 WATCHFUL_WAIT_S = 0.3
 RETRY_S = 0.25
 COMMIT_WAIT_S = 0.25
+# A lost answer alone is not recorded as silence.
+RECORDED_SILENCES = 2
 SENDER_COUNT = 4
 START_TRIES = 4
 UNANSWERED_LIMIT = 2
@@ -86,6 +89,9 @@
     def reached(self, link: "BackendLink", is_reached: bool) -> None:
         """Take in whether the backend server answers."""
 
+    def stays_silent(self, link: "BackendLink") -> None:
+        """Take in that the backend server is granted nothing until further notice."""
+
     def unanswered(self) -> None:
         """Take in that an order to any backend server was not answered."""
 
@@ -115,7 +121,12 @@
     listed_to: int = 0
     is_greeted: bool = False
     has_lapsed: bool = False
+    # Its silence is or may be recorded for a next holder: nothing may be granted.
+    is_recorded: bool = False
+    # When the last holder's leases have lapsed, if that holder has recorded it.
+    last_holder_lapses_at_s: float | None = None
     _is_reached: bool = False
+    _silences_in_a_row: int = 0
     _unanswered_in_a_row: int = 0
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _orders: Any = None
@@ -179,23 +190,33 @@
     async def _renew_once(self) -> RenewalAnswer | None:
         sent_s = boot_s()
         acknowledged = self.committed
+        answer = None
         try:
-            answer = await self.calls.renew(
-                self.server,
-                self.term.fence,
-                acknowledged,
-                self._expiry(sent_s),
-                self._wait_s(),
-            )
+            with trio.move_on_after(self._give_up_after_s(sent_s)):
+                answer = await self.calls.renew(
+                    self.server,
+                    self.term.fence,
+                    acknowledged,
+                    self._expiry(sent_s),
+                    self._wait_s(),
+                )
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self.listener.unanswered()
             self._note_silence(error.code)
             return None
+        if answer is None:
+            self._note_silence("timeout")
+            return None
         return self._take_in(answer, acknowledged, sent_s)
 
+    def _give_up_after_s(self, now_s: float) -> float:
+        """Return how long to wait for an answer before the leases are looked at."""
+        left_s = self.lapses_at_s() - now_s
+        return left_s if not self._is_reached and left_s > 0 else math.inf
+
     def _expiry(self, now_s: float) -> int | None:
         # A lease that grows with each try would never be sure to have ended.
-        if not self.clock.is_known or not self._is_reached:
+        if not self.clock.is_known or not self._is_reached or self.is_recorded:
             return None
         until_s = self.term.grant_until_s(now_s, self._limit_s())
         return self.clock.grant(until_s, now_s)
@@ -230,12 +251,15 @@
 
     def lapses_at_s(self) -> float:
         """Return the steady time by which nothing started there can still run."""
+        if self.last_holder_lapses_at_s is not None:
+            return max(self.clock.lapses_at_s(), self.last_holder_lapses_at_s)
         last_holder = ServerClock(read_at_s=self.taken_at_s)
         last_holder.granted_ms = int(self.max_lease_s * 1000)
         return max(self.clock.lapses_at_s(), last_holder.lapses_at_s())
 
     def _note_answer(self) -> None:
         self.has_lapsed = False
+        self._silences_in_a_row = 0
         if not self._is_reached:
             self._is_reached = True
             if self.is_greeted:
@@ -254,6 +278,11 @@
                 lapses_in_s=self.lapses_at_s() - boot_s(),
             )
             self.listener.reached(self, False)
+        self._silences_in_a_row += 1
+        is_long = self._silences_in_a_row >= RECORDED_SILENCES
+        if self.is_greeted and is_long and not self.is_recorded:
+            self.is_recorded = True
+            self.listener.stays_silent(self)
         if boot_s() >= self.lapses_at_s() and not self.has_lapsed:
             self.has_lapsed = True
             self.listener.lapsed(self)
@@ -269,7 +298,7 @@
 
     async def _start(self, request: StartRequest) -> None:
         for is_repeat in [False] + [True] * (START_TRIES - 1):
-            await self._until_clock_known(request)
+            await self._until_it_may_grant(request)
             if not request.is_wanted(self.server.id):
                 return
             if not self._is_reached and not is_repeat:
@@ -300,12 +329,11 @@
 
     async def _try_start(self, request: StartRequest) -> OrderResult | None:
         now_s = boot_s()
-        until_s = self.term.grant_until_s(now_s, self._limit_s())
         order = StartOrder(
             task=request.task.id,
             run=request.run,
             payload=request.payload,
-            expires_ms=self.clock.grant(until_s, now_s),
+            expires_ms=self._expiry(now_s) or self.clock.granted_ms,
             fence=self.term.fence,
             checkpoint=request.task.checkpoint,
             ticket=request.ticket,
@@ -341,8 +369,10 @@
         )
         return answer.result
 
-    async def _until_clock_known(self, request: StartRequest) -> None:
-        while not self.clock.is_known and request.is_wanted(self.server.id):
+    async def _until_it_may_grant(self, request: StartRequest) -> None:
+        while request.is_wanted(self.server.id):
+            if self.clock.is_known and not (self._is_reached and self.is_recorded):
+                return
             await trio.sleep(CLOCK_CHECK_S)
 
     async def _stop(self, request: StopRequest) -> None:
--- a/rhubarbmount/batch/server_links.py
+++ b/rhubarbmount/batch/server_links.py
@@ -1,7 +1,7 @@
 """What the holder of a shard hears from backend servers, and decides on it."""
 
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import trio
@@ -19,6 +19,7 @@
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
 from rhubarbmount.batch.rooms import ServerRoom
 from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.stragglers import is_straggling, needs_watch
 from rhubarbmount.batch.tickets import TicketDesk
 from rhubarbmount.platform.backend import BackendCalls, OrderResult, RenewalAnswer
@@ -48,6 +49,9 @@
     nursery: trio.Nursery
     wake: Callable[[], None]
     want_host_list: Callable[[], None]
+    silent: SilentServers
+    # Stores the record of silent servers, and returns once it is stored.
+    save_silent: Callable[[], Awaitable[None]]
     _started_at_s: float = attrs.field(factory=boot_s)
     _by_server: dict[str, BackendLink] = attrs.field(factory=dict)
     _ended_servers: set[str] = attrs.field(factory=set)
@@ -82,6 +86,10 @@
             has_work=lambda: not room.is_idle,
             is_watchful=lambda: needs_watch(room, boot_s()),
         )
+        lapses_in_s = self.silent.lapses_in_s(room.server.id)
+        if lapses_in_s is not None:
+            link.is_recorded = True
+            link.last_holder_lapses_at_s = boot_s() + lapses_in_s
         self._by_server[room.server.id] = link
         self.nursery.start_soon(link.run)
         self.want_host_list()
@@ -243,8 +251,21 @@
         room = self.shard.room_by_server.get(link.server.id)
         if room is not None:
             room.is_reachable = is_reached
+        if is_reached and link.is_recorded:
+            self.nursery.start_soon(self._clear_record, link)
         self.wake()
 
+    def stays_silent(self, link: BackendLink) -> None:
+        """Record for a next holder that the server is granted nothing."""
+        self.silent.note(link.server.id, link.lapses_at_s() - boot_s())
+        self.nursery.start_soon(self.save_silent)
+
+    async def _clear_record(self, link: BackendLink) -> None:
+        """Let a server be granted leases again once its record is gone."""
+        self.silent.drop(link.server.id)
+        await self.save_silent()
+        link.is_recorded = False
+
     def unanswered(self) -> None:
         """Take in that an order to any backend server was not answered."""
         self._doubtful_until_s = boot_s() + DOUBT_S
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -15,6 +15,7 @@
     HOST_ORDERS_TABLE,
     PROGRESS_TABLE,
     REQUESTS_TABLE,
+    SILENT_SERVERS_TABLE,
     WAVES_TABLE,
     request_parts,
 )
@@ -37,6 +38,7 @@
     progress: Page
     waves: Page
     orders: Page
+    silent: Page
     servers: Page
 
     def add_jobs(self, shard: Shard) -> None:
@@ -62,6 +64,7 @@
         progress=await _read(store, PROGRESS_TABLE, name),
         waves=await _read(store, WAVES_TABLE, name),
         orders=await _read(store, HOST_ORDERS_TABLE, name),
+        silent=await _read(store, SILENT_SERVERS_TABLE, name),
         servers=await _read(store, SERVERS_TABLE, ""),
     )
 
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -8,6 +8,7 @@
     "HOST_ORDERS_TABLE",
     "PROGRESS_TABLE",
     "REQUESTS_TABLE",
+    "SILENT_SERVERS_TABLE",
     "cancel_row",
     "head_row",
     "host_orders_row",
@@ -17,6 +18,7 @@
     "request_parts",
     "request_row",
     "shard_of",
+    "silent_servers_row",
     "wave_row",
 ]
 
@@ -25,6 +27,7 @@
 PROGRESS_TABLE = "progress"
 WAVES_TABLE = "waves"
 HOST_ORDERS_TABLE = "host-orders"
+SILENT_SERVERS_TABLE = "silent-servers"
 CANCEL_SUFFIX = ".cancel"
 SLICE_COUNT = 8
 
@@ -83,6 +86,11 @@
     return RowName(HOST_ORDERS_TABLE, shard, "last")
 
 
+def silent_servers_row(shard: str) -> RowName:
+    """Return the row of backend servers that are granted nothing."""
+    return RowName(SILENT_SERVERS_TABLE, shard, "last")
+
+
 def wave_row(shard: str, number: int) -> RowName:
     """Return the row of how far a wave is."""
     return RowName(WAVES_TABLE, shard, str(number))
--- /dev/null
+++ b/tests/batch/test_silent_servers.py
@@ -0,0 +1,101 @@
+"""What a next holder knows of servers that were silent before it began."""
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
+from tests.batch.checkers import JobChecker
+from tests.batch.test_days import long_running_job, start_platform, submit
+from tests.batch.world import open_world
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+def test_a_next_holder_learns_when_leases_have_lapsed():
+    clock = [100.0]
+    first = SilentServers(lambda: clock[0])
+    first.note("s1", lapses_in_s=4.0)
+    clock[0] = 103.0
+    second = SilentServers(lambda: clock[0])
+    second.load(first.encode())
+    assert second.lapses_in_s("s1") == pytest.approx(1.0 + READING_MARGIN_S)
+    assert second.lapses_in_s("s2") is None
+
+
+def test_a_server_that_answers_again_is_not_recorded():
+    servers = SilentServers(lambda: 100.0)
+    servers.note("s1", lapses_in_s=4.0)
+    servers.drop("s1")
+    assert servers.lapses_in_s("s1") is None
+    assert servers.encode() == b"{}"
+
+
+def test_old_records_are_forgotten():
+    clock = [100.0]
+    servers = SilentServers(lambda: clock[0])
+    servers.note("s1", lapses_in_s=4.0)
+    clock[0] = 200.0
+    servers.note("s2", lapses_in_s=4.0)
+    assert b"s1" not in servers.encode()
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_work_of_a_dark_server_begins_again_soon_after_a_takeover(
+    monkeypatch, autojump_clock, seed
+):
+    """A server goes dark, and the holder dies before the leases there have lapsed."""
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        made = long_running_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        # Grants of a holder before this one, if any, have lapsed by then.
+        await trio.sleep(12.0)
+        dark = [runs[0][0] for runs in checker.running.values() if runs][0]
+        world.faults.servers_cut = {("*", dark.address)}
+        await trio.sleep(3.0 + seed * 0.3)
+        world.kill_node(world.holders()[0])
+        await trio.sleep(5.5)
+        at_work = [runs[0][0] for runs in checker.running.values() if runs]
+        assert len(at_work) == 2
+        assert dark not in at_work
+        assert checker.breaches == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_a_server_that_was_silent_for_a_while_runs_nothing_twice(
+    monkeypatch, autojump_clock, seed
+):
+    """It is cut off by turns from one holder and from all, while holders die."""
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        made = long_running_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(2.0)
+        for _ in range(6):
+            runs = [runs[0][0] for runs in checker.running.values() if runs]
+            holder = world.holders()[0]
+            who = world.generator.choice([holder, "*"])
+            world.faults.servers_cut = {(who, server.address) for server in runs[:1]}
+            await trio.sleep(world.generator.uniform(0.5, 3.0))
+            if world.generator.random() < 0.5:
+                world.faults.servers_cut = set()
+                await trio.sleep(world.generator.uniform(0.0, 0.5))
+            world.kill_node(holder)
+            world.start_node(holder)
+            await trio.sleep(world.generator.uniform(2.0, 6.0))
+        world.faults.servers_cut = set()
+        await trio.sleep(12.0)
+        assert sum(bool(runs) for runs in checker.running.values()) == 2
+        assert checker.breaches == []
