Take a server for lost at the second answer that does not come

Now the renewal is sent again at once, without granting more; the second silence is a loss, the third is recorded. The lapse of the leases is looked at when it comes.

--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -29,13 +29,14 @@
 WATCHFUL_WAIT_S = 0.3
 RETRY_S = 0.25
 COMMIT_WAIT_S = 0.25
-# A lost answer alone is not recorded as silence.
-RECORDED_SILENCES = 2
+# Answers that fail to come in a row: one may just be lost.
+LOST_SILENCES = 2
+RECORDED_SILENCES = 3
 SENDER_COUNT = 4
 START_TRIES = 4
-UNANSWERED_LIMIT = 2
 ORDER_QUEUE_SIZE = 10_000
 CLOCK_CHECK_S = 0.01
+LAPSE_CHECK_MARGIN_S = 0.01
 
 
 @attrs.frozen
@@ -127,7 +128,6 @@
     last_holder_lapses_at_s: float | None = None
     _is_reached: bool = False
     _silences_in_a_row: int = 0
-    _unanswered_in_a_row: int = 0
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _orders: Any = None
     _order_source: Any = None
@@ -171,11 +171,17 @@
                 continue
             answer = await self._renew_once()
             if answer is None:
-                await trio.sleep(RETRY_S)
+                await self._pause()
             elif answer.ended:
                 # Ends that wait for their commit are listed at once each time.
                 await self._await_commit()
 
+    async def _pause(self) -> None:
+        """Wait a little before a silent server is asked again."""
+        if not self._is_reached:
+            await trio.sleep(min(RETRY_S, self._until_lapse_s(boot_s())))
+            self._note_lapse()
+
     async def _await_commit(self) -> None:
         with trio.move_on_after(COMMIT_WAIT_S):
             while self.committed < self.listed_to:
@@ -192,7 +198,8 @@
         acknowledged = self.committed
         answer = None
         try:
-            with trio.move_on_after(self._give_up_after_s(sent_s)):
+            wait_s = math.inf if self._is_reached else self._until_lapse_s(sent_s)
+            with trio.move_on_after(wait_s):
                 answer = await self.calls.renew(
                     self.server,
                     self.term.fence,
@@ -209,14 +216,14 @@
             return None
         return self._take_in(answer, acknowledged, sent_s)
 
-    def _give_up_after_s(self, now_s: float) -> float:
-        """Return how long to wait for an answer before the leases are looked at."""
+    def _until_lapse_s(self, now_s: float) -> float:
+        """Return the time until the leases there have lapsed, infinity if they have."""
         left_s = self.lapses_at_s() - now_s
-        return left_s if not self._is_reached and left_s > 0 else math.inf
+        return left_s + LAPSE_CHECK_MARGIN_S if left_s > 0 else math.inf
 
     def _expiry(self, now_s: float) -> int | None:
         # A lease that grows with each try would never be sure to have ended.
-        if not self.clock.is_known or not self._is_reached or self.is_recorded:
+        if not self.clock.is_known or self._silences_in_a_row or self.is_recorded:
             return None
         until_s = self.term.grant_until_s(now_s, self._limit_s())
         return self.clock.grant(until_s, now_s)
@@ -225,7 +232,7 @@
         return self.max_lease_s * 0.95
 
     def _wait_s(self) -> float:
-        if not self.is_greeted or not self._is_reached or not self.has_work():
+        if not self.is_greeted or self._silences_in_a_row or not self.has_work():
             return 0.0
         is_short = self.is_watchful() or self.listener.is_doubtful()
         return WATCHFUL_WAIT_S if is_short else RENEWAL_WAIT_S
@@ -267,7 +274,8 @@
             self.listener.reached(self, True)
 
     def _note_silence(self, code: str) -> None:
-        if self._is_reached:
+        self._silences_in_a_row += 1
+        if self._is_reached and self._silences_in_a_row >= LOST_SILENCES:
             self._is_reached = False
             log.event(
                 logger,
@@ -278,11 +286,13 @@
                 lapses_in_s=self.lapses_at_s() - boot_s(),
             )
             self.listener.reached(self, False)
-        self._silences_in_a_row += 1
         is_long = self._silences_in_a_row >= RECORDED_SILENCES
         if self.is_greeted and is_long and not self.is_recorded:
             self.is_recorded = True
             self.listener.stays_silent(self)
+        self._note_lapse()
+
+    def _note_lapse(self) -> None:
         if boot_s() >= self.lapses_at_s() and not self.has_lapsed:
             self.has_lapsed = True
             self.listener.lapsed(self)
@@ -346,11 +356,10 @@
             return None
         except OutcomeUnknown as error:
             self.listener.unanswered()
-            self._unanswered_in_a_row += 1
-            if self._unanswered_in_a_row >= UNANSWERED_LIMIT:
-                self._note_silence(error.code)
+            self._note_silence(error.code)
             return None
-        self._unanswered_in_a_row = 0
+        if self._is_reached:
+            self._silences_in_a_row = 0
         self.metrics.starts.labels(answer.result.value).inc()
         self.metrics.start_s.observe(boot_s() - now_s)
         if answer.result is OrderResult.FENCED:
--- a/tests/batch/test_link.py
+++ b/tests/batch/test_link.py
@@ -5,7 +5,8 @@
 from rhubarbmount.batch.link import BackendLink, LinkListener
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server
-from rhubarbmount.platform.backend import BackendCalls
+from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.platform.backend import BackendCalls, OrderResult, RenewalAnswer
 from rhubarbmount.platform.calls import Caller
 
 MAX_LEASE_S = 10.0
@@ -42,3 +43,53 @@
     link.clock.note(80_000, 130.0)
     link.clock.grant(134.0, 130.0)
     assert 134.0 < link.lapses_at_s() < 134.5
+
+
+class SilentCalls:
+    """Backend servers that answer only some renewals."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.expiries = []
+
+    async def renew(self, server, fence, acknowledged, expires_ms, wait_s):
+        self.expiries.append(expires_ms)
+        if self.answers.pop(0):
+            return RenewalAnswer(OrderResult.DONE, 50_000)
+        raise OutcomeUnknown("no answer", code="timeout")
+
+
+class Reached(LinkListener):
+    """Remembers whether the backend server is taken to answer."""
+
+    def __init__(self):
+        self.seen = []
+
+    def reached(self, link, is_reached):
+        self.seen.append(is_reached)
+
+
+async def renew(*answers):
+    link = make_link()
+    link.calls = SilentCalls(answers)
+    link.listener = Reached()
+    for _ in answers:
+        await link._renew_once()
+    return link
+
+
+async def test_one_lost_answer_does_not_keep_new_work_away():
+    link = await renew(True, False, True)
+    assert link.listener.seen == [True]
+
+
+async def test_a_server_is_granted_nothing_from_its_first_silence_on():
+    link = await renew(True, True, False, False, False)
+    assert link.listener.seen == [True, False]
+    assert [expiry is None for expiry in link.calls.expiries] == [
+        True,
+        False,
+        False,
+        True,
+        True,
+    ]
