Run late jobs at their last chance before others

Cause: while a burst lasts, jobs that miss their objective wait behind all that can be in time. Ruled out: serving all late jobs in the order of that limit (late ones would push out those in time). A late job goes first only in its last 0.5 s; one that is of no use any more goes last, and is still run.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -1,18 +1,20 @@
 """Which backend server each waiting task goes to; free of I/O."""
 
+import enum
 from collections.abc import Callable, Mapping
 
 import attrs
 
 from rhubarbmount.batch.model import Assignment, Job, Step, Task
 from rhubarbmount.batch.rooms import ServerRoom
-from rhubarbmount.batch.shard import Shard, StepKey
+from rhubarbmount.batch.shard import LatestBegin, Shard, StepKey
 from rhubarbmount.registry import Registry
 
-__all__ = ["Placer", "Shortage", "placement_rules"]
+__all__ = ["Placer", "Shortage", "Urgency", "placement_rules", "urgency_of"]
 
 # Estimates are rough; a job that is a little behind may still be in time.
 ESTIMATE_TOLERANCE_S = 0.3
+LAST_CHANCE_S = 0.5
 
 PlacementRule = Callable[[ServerRoom, Step, Task], bool]
 placement_rules: Registry[PlacementRule] = Registry("placement rule")
@@ -38,6 +40,28 @@
     return task.failed_on != room.server.id
 
 
+class Urgency(enum.IntEnum):
+    """In which order waiting tasks get room."""
+
+    LONG_RUNNING = 0
+    # Late, and soon of no use any more.
+    LAST_CHANCE = 1
+    IN_TIME = 2
+    LATE = 3
+    TOO_LATE = 4
+
+
+def urgency_of(latest: LatestBegin, now_s: float) -> Urgency:
+    """Return how urgent the rest of a job is that must begin at certain times."""
+    if now_s <= latest.in_time_s + ESTIMATE_TOLERANCE_S:
+        return Urgency.IN_TIME
+    if now_s > latest.of_use_s + ESTIMATE_TOLERANCE_S:
+        return Urgency.TOO_LATE
+    if now_s >= latest.of_use_s - LAST_CHANCE_S:
+        return Urgency.LAST_CHANCE
+    return Urgency.LATE
+
+
 @attrs.frozen
 class Shortage:
     """What a pool lacked for the tasks that still wait."""
@@ -84,13 +108,13 @@
     def _ordered_steps(self) -> list[StepKey]:
         return sorted(self.shard.waiting_by_step, key=self._urgency)
 
-    def _urgency(self, key: StepKey) -> tuple[bool, bool, float, StepKey]:
-        """Return what goes first: jobs that miss their objective anyway go last."""
+    def _urgency(self, key: StepKey) -> tuple[Urgency, float, StepKey]:
+        """Return what goes first, least first."""
         job = self.shard.job_by_id[key[0]]
-        step = job.spec.steps[key[2]]
-        slack_end_s = self.shard.slack_end_s(job, key)
-        is_late = self.shard.day_s > slack_end_s + ESTIMATE_TOLERANCE_S
-        return not step.is_long_running, is_late, slack_end_s, key
+        if job.spec.steps[key[2]].is_long_running:
+            return Urgency.LONG_RUNNING, 0.0, key
+        latest = self.shard.latest_begin(job, key)
+        return urgency_of(latest, self.shard.day_s), latest.in_time_s, key
 
     def _eligible(
         self, rooms: "list[ServerRoom] | tuple[()]", job: Job, key: StepKey
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -26,9 +26,11 @@
 )
 from rhubarbmount.batch.rooms import ServerRoom
 
-__all__ = ["Shard", "StepKey", "Stop"]
+__all__ = ["LatestBegin", "Shard", "StepKey", "Stop"]
 
 StepKey = tuple[str, int, int]
+# Callers count a job as served up to this many times its objective.
+LATE_FACTOR = 3.0
 ENDED_DONE = "done"
 ENDED_FAILED = "failed"
 
@@ -42,6 +44,18 @@
     run: int
 
 
+@attrs.frozen
+class LatestBegin:
+    """When the rest of a job must begin, as times of day.
+
+    A job that ends within its objective is in time. Late, it is of use until it has
+    taken several times its objective.
+    """
+
+    in_time_s: float
+    of_use_s: float
+
+
 @attrs.define(eq=False)
 class Shard:
     """Jobs by id, the steps that have tasks waiting, and rooms by server."""
@@ -387,15 +401,19 @@
         """Return the servers that have tasks assigned and are not listed."""
         return list(self._unknown_server_tasks)
 
-    def slack_end_s(self, job: Job, key: StepKey) -> float:
-        """Return when the rest of a job must begin to end within its objective."""
-        queue = self.queue_of(job.spec)
+    def latest_begin(self, job: Job, key: StepKey) -> LatestBegin:
+        """Return when the rest of a job must begin to be of use."""
+        spec = job.spec
+        queue = self.queue_of(spec)
         if queue is None:
-            return job.spec.accepted_s
-        chain_s = _chain_s(job.spec.steps, 0)
-        rest_s = _chain_s(job.spec.steps, key[2])
+            return LatestBegin(spec.accepted_s, spec.accepted_s)
+        chain_s = _chain_s(spec.steps, 0)
+        rest_s = _chain_s(spec.steps, key[2])
         objective_s = queue.slack_factor * chain_s + queue.latency_objective_s
-        return job.spec.accepted_s + objective_s - rest_s
+        return LatestBegin(
+            in_time_s=spec.accepted_s + objective_s - rest_s,
+            of_use_s=spec.accepted_s + LATE_FACTOR * objective_s - rest_s,
+        )
 
 
 def _chain_s(steps: tuple[Step, ...], first: int) -> float:
