--- a/rhubarbmount/batch/demand.py
+++ b/rhubarbmount/batch/demand.py
@@ -62,7 +62,8 @@
     def growth_cores(self, pool: str, ahead_s: float, now_s: float) -> float:
         """Return how many more cores will be busy after a while if growth goes on.
 
-        Growth counts as far as it exceeds what chance makes of a steady rate.
+        Growth counts as far as it exceeds what chance makes of a steady rate, and at
+        most doubles what is ready: jobs that were held up arrive all at once.
         """
         arrivals = self._of(pool).arrivals
         while arrivals and arrivals[0][0] < now_s - 2 * GROWTH_WINDOW_S:
@@ -73,7 +74,8 @@
         if more <= 0:
             return 0.0
         work_core_s = sum(late) / len(late)
-        return more * work_core_s * ahead_s / GROWTH_WINDOW_S**2
+        growth_cores = more * work_core_s * ahead_s / GROWTH_WINDOW_S**2
+        return min(growth_cores, self.ready_cores(pool, now_s))
 
     def _of(self, pool: str) -> _PoolDemand:
         return self._by_pool.setdefault(pool, _PoolDemand())
--- a/tests/batch/test_demand.py
+++ b/tests/batch/test_demand.py
@@ -49,11 +49,24 @@
     assert demand.growth_cores("one", 1.0, 2.0) == 0.0
 
 
+def arrive(demand, at_s, step=STEP):
+    demand.note_job("one", spec(step), at_s)
+    demand.note_step("one", step, at_s)
+
+
 def test_a_stream_that_doubles_grows(demand):
     for at in range(60):
-        demand.note_job("one", spec(STEP), at / 20 if at < 20 else 1 + at / 60)
+        arrive(demand, at / 20 if at < 20 else 1 + at / 60)
     arrivals_more = 40 - 20 - 60**0.5
     work_core_s = 4.0
     assert demand.growth_cores("one", 1.5, 2.0) == pytest.approx(
         arrivals_more * work_core_s * 1.5
     )
+
+
+def test_jobs_that_were_held_up_and_arrive_at_once_do_not_count_beyond_twice(demand):
+    """The store's changes were not heard of for a second."""
+    for _ in range(50):
+        arrive(demand, 1.9)
+    ready_cores = demand.ready_cores("one", 2.0)
+    assert demand.growth_cores("one", 1.6, 2.0) == ready_cores == 100.0
