Read callers' requests while the store does not tell of them

Ruled out: shorter waits (an empty answer does not say that nothing has changed). A host that has stored a request and does not hear of it within 0.25 s reads the table for what is new.

--- a/rhubarbmount/batch/follow.py
+++ b/rhubarbmount/batch/follow.py
@@ -18,6 +18,8 @@
 FEED_WAIT_S = 2.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.3
+# A change that this process made itself is heard of within milliseconds.
+STALL_S = 0.25
 
 
 async def read_parts(store: RowStore, table: str, parts: tuple[str, ...]) -> Page:
@@ -31,7 +33,8 @@
 class TableFollower:
     """Reads a table, then its changes; ``on_page`` tells whether a page is whole.
 
-    ``start_version`` of None reads the table first.
+    ``start_version`` of None reads the table first. While a change that is known of
+    is not heard of, the table is read for what is new in it.
     """
 
     store: RowStore
@@ -42,13 +45,56 @@
     wait_s: float = FEED_WAIT_S
     on_regained: Callable[[], None] = lambda: None
     _is_lost: bool = False
+    _heard_version: int = 0
+    _expected_version: int = 0
+    _expects: trio.Event = attrs.field(factory=trio.Event)
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_while_stalled)
+            await self._follow()
+
+    def expect(self, version: int) -> None:
+        """Take in that the table has a change of a version, which is to be heard of."""
+        if version > self._heard_version:
+            self._expected_version = version
+            self._expects.set()
+
+    async def _read_while_stalled(self) -> None:
+        while True:
+            await self._expects.wait()
+            await trio.sleep(STALL_S)
+            if self._heard_version >= self._expected_version:
+                self._expects = trio.Event()
+            else:
+                await self._read_news()
+
+    async def _read_news(self) -> None:
+        """Read what the changes do not tell; rows heard of before are left out."""
+        log.event(
+            logger,
+            "changes-stalled",
+            logging.WARNING,
+            table=self.table,
+            heard=self._heard_version,
+            expected=self._expected_version,
+        )
+        try:
+            page = await read_parts(self.store, self.table, self.parts)
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            self._note_lost(error.code)
+            return
+        news = tuple(row for row in page.rows if row.version > self._heard_version)
+        self.on_page(attrs.evolve(page, rows=news), False)
+
+    async def _follow(self) -> None:
         version = self.start_version
+        self._heard_version = version or 0
         while True:
             try:
                 version = await self._step(version)
+                self._heard_version = version
             except HistoryGone as error:
                 log.event(logger, "history-gone", logging.WARNING, table=self.table)
                 self._note_lost(error.code)
--- a/rhubarbmount/batch/front.py
+++ b/rhubarbmount/batch/front.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -60,6 +61,8 @@
     store: RowStore
     metrics: BatchMetrics = attrs.field(factory=BatchMetrics)
     catalogue: Catalogue | None = None
+    # Hears of the versions of requests that were stored.
+    on_stored: Callable[[int], None] = lambda version: None
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = -math.inf
 
@@ -142,6 +145,7 @@
                 version = await self.store.commit(
                     {name: 0}, {name: value}, timeout_s=timeout_s
                 )
+                self.on_stored(version)
                 return "stored", version
             except RowConflict as error:
                 found = [row for row in error.rows if row.name == name]
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -103,6 +103,7 @@
     _pending_at_s: float = 0.0
     _request_parts: frozenset[str] = attrs.field(init=False)
     _begun_jobs: set[str] = attrs.field(factory=set)
+    _requests: TableFollower | None = None
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(Catalogue(0, {}, {}), day_s=day_s(), now_s=boot_s())
@@ -135,7 +136,8 @@
             loaded = await self._load()
             for wave in waves.values():
                 self.put_wave(wave)
-            nursery.start_soon(self._request_follower(loaded.requests.version).run)
+            self._requests = self._request_follower(loaded.requests.version)
+            nursery.start_soon(self._requests.run)
             nursery.start_soon(self._server_follower(loaded.servers.version).run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self.wave_status.run)
@@ -175,6 +177,11 @@
         self.shard.catalogue = catalogue
         self.wake()
 
+    def expect_request(self, version: int) -> None:
+        """Take in that this host has stored a caller's request."""
+        if self._requests is not None:
+            self._requests.expect(version)
+
     def put_wave(self, wave: Wave) -> None:
         """Take in a wave that the operator asks for."""
         record = self._wave_records.get(wave.number)
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -83,7 +83,9 @@
         self.store = RowStore(
             self.caller, self.settings.store_address, self._observe_store_call
         )
-        self.front = JobFront(self.store, self.metrics)
+        self.front = JobFront(
+            self.store, self.metrics, on_stored=self._note_stored_request
+        )
         shard = shard_of("", "", "")
         self.keeper = LeaseKeeper(self.store, shard, self.settings.node_id)
         self.operator_rows = TableFollower(
@@ -119,6 +121,10 @@
         """Tell whether this host acts as the holder of the shard."""
         return self._holder is not None
 
+    def _note_stored_request(self, version: int) -> None:
+        if self._holder is not None:
+            self._holder.expect_request(version)
+
     def _observe_store_call(self, call: str, outcome: str, took_s: float) -> None:
         self.metrics.store_calls.labels(call, outcome).inc()
         self.metrics.store_call_s.labels(call).observe(took_s)
