--- a/rhubarbmount/batch/link.py
+++ b/rhubarbmount/batch/link.py
@@ -13,6 +13,7 @@
 from rhubarbmount.batch.election import LeaseTerm
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.pacing import PaceOrder
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import (
     BackendCalls,
@@ -67,6 +68,9 @@
     then_release: bool = False
 
 
+Order = StartRequest | StopRequest | PaceOrder
+
+
 class LinkListener:
     """What the links tell their holder."""
 
@@ -134,7 +138,7 @@
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     def __attrs_post_init__(self) -> None:
-        channel = trio.open_memory_channel[StartRequest | StopRequest](ORDER_QUEUE_SIZE)
+        channel = trio.open_memory_channel[Order](ORDER_QUEUE_SIZE)
         self._orders, self._order_source = channel
 
     async def run(self) -> None:
@@ -149,7 +153,7 @@
         """End the link."""
         self._scope.cancel()
 
-    def send(self, order: StartRequest | StopRequest) -> None:
+    def send(self, order: Order) -> None:
         """Queue an order."""
         try:
             self._orders.send_nowait(order)
@@ -301,10 +305,13 @@
 
     async def _send_orders(self) -> None:
         async for order in self._order_source:
-            if isinstance(order, StartRequest):
-                await self._start(order)
-            else:
-                await self._stop(order)
+            match order:
+                case StartRequest():
+                    await self._start(order)
+                case StopRequest():
+                    await self._stop(order)
+                case PaceOrder():
+                    await self._set_pace(order)
 
     async def _start(self, request: StartRequest) -> None:
         for is_repeat in [False] + [True] * (START_TRIES - 1):
@@ -412,3 +419,28 @@
             )
             self.listener.stopped(self, request)
             return
+
+    async def _set_pace(self, order: PaceOrder) -> None:
+        """Order a pace once; the next look decides anew if it is not answered."""
+        task = order.task
+        try:
+            answer = await self.calls.set_pace(
+                self.server, task.id, order.run, order.percent, self.term.fence
+            )
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            self._note_silence(error.code)
+            return
+        if answer.result is OrderResult.FENCED:
+            raise LeaseLost(f"{self.server.id} has seen a higher fence")
+        if answer.result is OrderResult.DONE and task.run == order.run:
+            task.pace = order.percent
+        log.frequent_event(
+            logger,
+            "pace",
+            job=task.id.job_id,
+            task=task.id.place,
+            run=order.run,
+            server=self.server.id,
+            percent=order.percent,
+            outcome=answer.result.value,
+        )
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -162,6 +162,8 @@
     failed_on: str = ""
     assigned_s: float = 0.0
     percent: int = 0
+    # The share of its speed that its server has agreed to, in percent.
+    pace: int = 100
     # When the percentage was last read, and when it last changed.
     looked_s: float = 0.0
     progressed_s: float = 0.0
--- /dev/null
+++ b/rhubarbmount/batch/pacing.py
@@ -0,0 +1,90 @@
+"""How fast tasks that take what others leave may work beside those; free of I/O."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rhubarbmount.batch.model import RunReport, Task
+from rhubarbmount.batch.rooms import ServerRoom
+
+__all__ = ["FULL_PACE", "PaceControl", "PaceOrder"]
+
+FULL_PACE = 100
+REDUCED_PACE = 50
+PACE_STEP = 25
+# Response times below this share of their goal let the others work faster again.
+CALM_SHARE = 0.7
+CALM_BEFORE_STEP_S = 2.0
+
+
+@attrs.frozen
+class PaceOrder:
+    """A decision to let a run work at a share of its speed, in percent."""
+
+    task: Task
+    run: int
+    percent: int
+
+
+@attrs.define(eq=False)
+class PaceControl:
+    """Slows tasks that fill gaps while a task beside them misses its goal.
+
+    It slows them at once, to a half and then to a stop, and lets them gain speed in
+    steps while response times stay well below their goals.
+    """
+
+    _calm_since_s: dict[str, float] = attrs.field(factory=dict)
+
+    def decide(
+        self, room: ServerRoom, reports: Iterable[RunReport], now_s: float
+    ) -> list[PaceOrder]:
+        """Return the orders that a look at a backend server calls for."""
+        fillers = self._fillers(room)
+        if not fillers:
+            self._calm_since_s.pop(room.server.id, None)
+            return []
+        worst = self._worst_share(room, reports)
+        if worst > 1:
+            self._calm_since_s.pop(room.server.id, None)
+            return [_order(task, _slower(task.pace)) for task in fillers if task.pace]
+        if worst > CALM_SHARE:
+            self._calm_since_s.pop(room.server.id, None)
+            return []
+        return self._speed_up(room, fillers, now_s)
+
+    def _speed_up(
+        self, room: ServerRoom, fillers: list[Task], now_s: float
+    ) -> list[PaceOrder]:
+        since_s = self._calm_since_s.setdefault(room.server.id, now_s)
+        slowed = [task for task in fillers if task.pace < FULL_PACE]
+        if not slowed or now_s < since_s + CALM_BEFORE_STEP_S:
+            return []
+        self._calm_since_s[room.server.id] = now_s
+        return [_order(task, min(FULL_PACE, task.pace + PACE_STEP)) for task in slowed]
+
+    @staticmethod
+    def _fillers(room: ServerRoom) -> list[Task]:
+        return [
+            task
+            for task in room.task_by_id.values()
+            if room.step_by_task[task.id].fills and not task.is_stopping
+        ]
+
+    @staticmethod
+    def _worst_share(room: ServerRoom, reports: Iterable[RunReport]) -> float:
+        """Return the highest response time as a share of its goal."""
+        shares = [0.0]
+        for report in reports:
+            step = room.step_by_task.get(report.task)
+            if step is not None and step.goal_ms:
+                shares.append(report.gauge / step.goal_ms)
+        return max(shares)
+
+
+def _slower(pace: int) -> int:
+    return REDUCED_PACE if pace > REDUCED_PACE else 0
+
+
+def _order(task: Task, percent: int) -> PaceOrder:
+    return PaceOrder(task, task.run, percent)
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -41,9 +41,8 @@
 
 
 class Urgency(enum.IntEnum):
-    """In which order waiting tasks get room."""
+    """In which order waiting tasks of one priority get room."""
 
-    LONG_RUNNING = 0
     # Late, and soon of no use any more.
     LAST_CHANCE = 1
     IN_TIME = 2
@@ -108,13 +107,16 @@
     def _ordered_steps(self) -> list[StepKey]:
         return sorted(self.shard.waiting_by_step, key=self._urgency)
 
-    def _urgency(self, key: StepKey) -> tuple[Urgency, float, StepKey]:
-        """Return what goes first, least first."""
+    def _urgency(self, key: StepKey) -> tuple[bool, int, Urgency, float, StepKey]:
+        """Return what goes first, least first: long-running tasks before all others."""
         job = self.shard.job_by_id[key[0]]
+        queue = self.shard.queue_of(job.spec)
+        priority = queue.priority if queue is not None else 0
         if job.spec.steps[key[2]].is_long_running:
-            return Urgency.LONG_RUNNING, 0.0, key
+            return False, priority, Urgency.IN_TIME, 0.0, key
         latest = self.shard.latest_begin(job, key)
-        return urgency_of(latest, self.shard.day_s), latest.in_time_s, key
+        urgency = urgency_of(latest, self.shard.day_s)
+        return True, priority, urgency, latest.in_time_s, key
 
     def _eligible(
         self, rooms: "list[ServerRoom] | tuple[()]", job: Job, key: StepKey
--- a/rhubarbmount/batch/server_links.py
+++ b/rhubarbmount/batch/server_links.py
@@ -17,6 +17,7 @@
 )
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
+from rhubarbmount.batch.pacing import PaceControl
 from rhubarbmount.batch.rooms import ServerRoom
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.silent_servers import SilentServers
@@ -54,6 +55,7 @@
     save_silent: Callable[[], Awaitable[None]]
     _started_at_s: float = attrs.field(factory=boot_s)
     _by_server: dict[str, BackendLink] = attrs.field(factory=dict)
+    _pacing: PaceControl = attrs.field(factory=PaceControl)
     _ended_servers: set[str] = attrs.field(factory=set)
     _doubtful_until_s: float = 0.0
     _stop_sent_at_s: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
@@ -121,6 +123,8 @@
         for task in list(room.task_by_id.values()):
             if (task.id, task.run) not in running:
                 self._settle_missing(link, task, sent_s, now_s)
+        for order in self._pacing.decide(room, answer.running, now_s):
+            link.send(order)
         self.wake()
 
     def _note_end(self, link: BackendLink, end: RunEnd, now_s: float) -> None:
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -24,6 +24,7 @@
     TaskId,
     TaskState,
 )
+from rhubarbmount.batch.pacing import FULL_PACE
 from rhubarbmount.batch.rooms import ServerRoom
 
 __all__ = ["LatestBegin", "Shard", "StepKey", "Stop"]
@@ -225,6 +226,7 @@
         task.looked_s = now_s
         task.progressed_s = now_s
         task.percent = 0
+        task.pace = FULL_PACE
         task.settled_s = 0.0
         task.is_stopping = False
         job = self.job_by_id[task.id.job_id]
--- a/rhubarbmount/batch/stragglers.py
+++ b/rhubarbmount/batch/stragglers.py
@@ -3,6 +3,7 @@
 import attrs
 
 from rhubarbmount.batch.model import Step, Task
+from rhubarbmount.batch.pacing import FULL_PACE
 from rhubarbmount.batch.rooms import ServerRoom
 
 __all__ = ["is_straggling", "needs_watch"]
@@ -27,6 +28,8 @@
 
 def needs_watch(room: ServerRoom, now_s: float) -> bool:
     """Tell whether a run on a backend server should be looked at soon."""
+    if room.has_goal and room.has_fills:
+        return True
     for task in room.task_by_id.values():
         step = room.step_by_task[task.id]
         if step.is_long_running:
@@ -45,7 +48,7 @@
     """
     if step.is_long_running or step.is_gang or task.is_stopping:
         return None
-    if not task.settled_s:
+    if not task.settled_s or task.pace < FULL_PACE:
         return None
     if (
         now_s - max(task.progressed_s, task.settled_s) > STALL_S
--- a/tests/batch/test_urgency.py
+++ b/tests/batch/test_urgency.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from rhubarbmount.batch.model import Job
+from rhubarbmount.batch.model import Job, QueueName
 from rhubarbmount.batch.placing import LAST_CHANCE_S, Placer, Urgency, urgency_of
 from rhubarbmount.batch.shard import LATE_FACTOR, LatestBegin, Shard
 from tests.batch.test_shard import CATALOGUE, QUEUE, add, spec, step
@@ -58,3 +58,16 @@
     late_s = 100.0 - OBJECTIVE_S
     assert placed(make_shard(long_ago_s, late_s, now_s=100.0)) == ["j1"]
     assert placed(make_shard(long_ago_s, now_s=100.0)) == ["j0"]
+
+
+def test_a_queue_of_a_lower_priority_number_goes_first():
+    """Two queues share a pool: the urgent one does not wait for the other's burst."""
+    other_name = QueueName("a.example", "/other/")
+    other = attrs.evolve(QUEUE, name=other_name, priority=1)
+    urgent = attrs.evolve(QUEUE, priority=0)
+    shard = make_shard(100.0, now_s=100.0)
+    queues = {urgent.name: urgent, other_name: other}
+    shard.catalogue = attrs.evolve(CATALOGUE, queue_by_name=queues)
+    made = spec(step(estimate_s=ESTIMATE_S), job_id="a-first-by-name")
+    shard.add_job(Job(attrs.evolve(made, queue=other_name, accepted_s=90.0)))
+    assert placed(shard) == ["j0"]
