--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -15,11 +15,7 @@
 from rhubarbmount.batch.follow import TableFollower
 from rhubarbmount.batch.host_orders import HostOrders
 from rhubarbmount.batch.job_remover import JobRemover
-from rhubarbmount.batch.link import (
-    BackendLink,
-    StartRequest,
-    StopRequest,
-)
+from rhubarbmount.batch.link import BackendLink
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
@@ -27,6 +23,7 @@
     QueueName,
     Wave,
 )
+from rhubarbmount.batch.orders import StartRequest, StopRequest
 from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.records import (
     decode_spec,
--- /dev/null
+++ b/rhubarbmount/batch/orders.py
@@ -0,0 +1,251 @@
+"""Sends the holder's orders to one lifetime of a backend server."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import trio
+
+from rhubarbmount import log
+from rhubarbmount.batch.clocks import boot_s
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.pacing import PaceOrder
+from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.backend import BackendCalls, OrderResult, StartOrder
+
+__all__ = ["Order", "OrderListener", "OrderSender", "StartRequest", "StopRequest"]
+
+logger = logging.getLogger(__name__)
+
+SENDER_COUNT = 4
+START_TRIES = 4
+RETRY_S = 0.25
+QUEUE_SIZE = 10_000
+LEASE_CHECK_S = 0.01
+
+
+@attrs.frozen
+class StartRequest:
+    """A committed assignment to carry out; ``task`` tells whether it still holds."""
+
+    task: Task
+    run: int
+    payload: str
+    ticket: str
+
+    def is_wanted(self, server_id: str) -> bool:
+        """Tell whether the run is still the task's."""
+        task = self.task
+        return (
+            task.run == self.run
+            and task.server_id == server_id
+            and not task.is_stopping
+        )
+
+
+@attrs.frozen
+class StopRequest:
+    """A run to stop; ``then_release`` lets its task wait again."""
+
+    task: TaskId
+    run: int
+    then_release: bool = False
+
+
+Order = StartRequest | StopRequest | PaceOrder
+
+
+class OrderListener:
+    """What the senders of orders tell their holder."""
+
+    def not_started(
+        self, server_id: str, request: StartRequest, result: OrderResult
+    ) -> None:
+        """Take in that a run surely did not start."""
+
+    def stopped(self, server_id: str, request: StopRequest) -> None:
+        """Take in that a run has been forbidden for good."""
+
+    def ended(self, server_id: str) -> None:
+        """Take in that the lifetime is surely over."""
+
+    def unanswered(self) -> None:
+        """Take in that an order to any backend server was not answered."""
+
+
+@attrs.define(eq=False)
+class OrderSender:
+    """Sends orders in their order, a few at a time.
+
+    ``note_silence`` hears the code of each that was not answered.
+    """
+
+    server: Server
+    calls: BackendCalls
+    lease: ServerLease
+    listener: OrderListener
+    metrics: BatchMetrics
+    note_silence: Callable[[str], None]
+    _orders: Any = None
+    _source: Any = None
+
+    def __attrs_post_init__(self) -> None:
+        self._orders, self._source = trio.open_memory_channel[Order](QUEUE_SIZE)
+
+    def send(self, order: Order) -> None:
+        """Queue an order."""
+        try:
+            self._orders.send_nowait(order)
+        except trio.WouldBlock:
+            log.event(logger, "orders-dropped", logging.ERROR, server=self.server.id)
+
+    async def run(self) -> None:
+        """Send orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(SENDER_COUNT):
+                nursery.start_soon(self._send_all)
+
+    async def _send_all(self) -> None:
+        async for order in self._source:
+            match order:
+                case StartRequest():
+                    await self._start(order)
+                case StopRequest():
+                    await self._stop(order)
+                case PaceOrder():
+                    await self._set_pace(order)
+
+    async def _start(self, request: StartRequest) -> None:
+        for is_repeat in [False] + [True] * (START_TRIES - 1):
+            await self._until_it_may_grant(request)
+            if not request.is_wanted(self.server.id):
+                return
+            if not self.lease.is_reached and not is_repeat:
+                self.listener.not_started(self.server.id, request, OrderResult.NOT_SENT)
+                return
+            result = await self._try_start(request)
+            if result is OrderResult.DONE or result is OrderResult.ENDED_BEFORE:
+                request.task.settled_s = boot_s()
+                return
+            if result is OrderResult.OTHER_LIFETIME:
+                self.listener.ended(self.server.id)
+                return
+            if result not in (None, OrderResult.EXPIRED):
+                self.listener.not_started(self.server.id, request, result)
+                return
+        # It may be carried out late: forbid the run before the task goes elsewhere.
+        log.event(
+            logger,
+            "start-unanswered",
+            logging.WARNING,
+            job=request.task.id.job_id,
+            task=request.task.id.place,
+            run=request.run,
+            server=self.server.id,
+        )
+        request.task.is_stopping = True
+        await self._stop(StopRequest(request.task.id, request.run, True))
+
+    async def _try_start(self, request: StartRequest) -> OrderResult | None:
+        now_s = boot_s()
+        order = StartOrder(
+            task=request.task.id,
+            run=request.run,
+            payload=request.payload,
+            expires_ms=self.lease.start_expiry(now_s),
+            fence=self.lease.term.fence,
+            checkpoint=request.task.checkpoint,
+            ticket=request.ticket,
+        )
+        try:
+            answer = await self.calls.start(self.server, order)
+        except PlatformUnavailable as error:
+            self.note_silence(error.code)
+            await trio.sleep(RETRY_S)
+            return None
+        except OutcomeUnknown as error:
+            self.listener.unanswered()
+            self.note_silence(error.code)
+            return None
+        if self.lease.is_reached:
+            self.lease.silences_in_a_row = 0
+        self.metrics.starts.labels(answer.result.value).inc()
+        self.metrics.start_s.observe(boot_s() - now_s)
+        if answer.result is OrderResult.FENCED:
+            raise LeaseLost(f"{self.server.id} has seen a higher fence")
+        if answer.clock_ms:
+            self.lease.clock.note(answer.clock_ms, boot_s())
+        log.frequent_event(
+            logger,
+            "start",
+            job=request.task.id.job_id,
+            task=request.task.id.place,
+            run=request.run,
+            server=self.server.id,
+            outcome=answer.result.value,
+            took_ms=int((boot_s() - now_s) * 1000),
+        )
+        return answer.result
+
+    async def _until_it_may_grant(self, request: StartRequest) -> None:
+        while request.is_wanted(self.server.id):
+            if self.lease.may_start:
+                return
+            await trio.sleep(LEASE_CHECK_S)
+
+    async def _stop(self, request: StopRequest) -> None:
+        while not self.lease.has_lapsed:
+            try:
+                answer = await self.calls.stop(
+                    self.server, request.task, request.run, self.lease.term.fence
+                )
+            except (PlatformUnavailable, OutcomeUnknown):
+                await trio.sleep(RETRY_S)
+                continue
+            if answer.result is OrderResult.FENCED:
+                raise LeaseLost(f"{self.server.id} has seen a higher fence")
+            if answer.result is OrderResult.OTHER_LIFETIME:
+                self.listener.ended(self.server.id)
+                return
+            if answer.result is OrderResult.NOT_DONE:
+                await trio.sleep(RETRY_S)
+                continue
+            log.frequent_event(
+                logger,
+                "stop",
+                job=request.task.job_id,
+                task=request.task.place,
+                run=request.run,
+                server=self.server.id,
+                outcome=answer.result.value,
+            )
+            self.listener.stopped(self.server.id, request)
+            return
+
+    async def _set_pace(self, order: PaceOrder) -> None:
+        """Order a pace once; the next look decides anew if it is not answered."""
+        task = order.task
+        try:
+            answer = await self.calls.set_pace(
+                self.server, task.id, order.run, order.percent, self.lease.term.fence
+            )
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            self.note_silence(error.code)
+            return
+        if answer.result is OrderResult.FENCED:
+            raise LeaseLost(f"{self.server.id} has seen a higher fence")
+        if answer.result is OrderResult.DONE and task.run == order.run:
+            task.pace = order.percent
+        log.frequent_event(
+            logger,
+            "pace",
+            job=task.id.job_id,
+            task=task.id.place,
+            run=order.run,
+            server=self.server.id,
+            percent=order.percent,
+            outcome=answer.result.value,
+        )
--- a/rhubarbmount/batch/server_links.py
+++ b/rhubarbmount/batch/server_links.py
@@ -9,16 +9,13 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import boot_s, day_s
 from rhubarbmount.batch.election import LeaseTerm
-from rhubarbmount.batch.link import (
-    BackendLink,
-    LinkListener,
-    StartRequest,
-    StopRequest,
-)
+from rhubarbmount.batch.link import BackendLink, LinkListener
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
+from rhubarbmount.batch.orders import StartRequest, StopRequest
 from rhubarbmount.batch.pacing import PaceControl
 from rhubarbmount.batch.rooms import ServerRoom
+from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.stragglers import is_straggling, needs_watch
@@ -75,27 +72,30 @@
         """Open a link, or bring the one there is up to date."""
         known = self._by_server.get(room.server.id)
         if known is not None:
-            known.server = room.server
+            known.update(room.server)
             return
         link = BackendLink(
             server=room.server,
             calls=self.calls,
-            term=self.term,
+            lease=self._lease_of(room.server.id),
             listener=self,
-            max_lease_s=self.max_lease_s,
-            taken_at_s=self._started_at_s,
             metrics=self.metrics,
             has_work=lambda: not room.is_idle,
             is_watchful=lambda: needs_watch(room, boot_s()),
         )
-        lapses_in_s = self.silent.lapses_in_s(room.server.id)
-        if lapses_in_s is not None:
-            link.is_recorded = True
-            link.last_holder_lapses_at_s = boot_s() + lapses_in_s
         self._by_server[room.server.id] = link
         self.nursery.start_soon(link.run)
         self.want_host_list()
 
+    def _lease_of(self, server_id: str) -> ServerLease:
+        """Return the lease of a server, with what the last holder recorded of it."""
+        lease = ServerLease(self.term, self.max_lease_s, self._started_at_s)
+        lapses_in_s = self.silent.lapses_in_s(server_id)
+        if lapses_in_s is not None:
+            lease.is_recorded = True
+            lease.last_holder_lapses_at_s = boot_s() + lapses_in_s
+        return lease
+
     def close_lost(self) -> None:
         """Close the links to lifetimes that are over."""
         for server_id, link in list(self._by_server.items()):
@@ -204,10 +204,10 @@
             self.shard.release(task, now_s)
 
     def not_started(
-        self, link: BackendLink, request: StartRequest, result: OrderResult
+        self, server_id: str, request: StartRequest, result: OrderResult
     ) -> None:
         """Let a task wait again whose run surely did not start."""
-        room = self.shard.room_by_server.get(link.server.id)
+        room = self.shard.room_by_server.get(server_id)
         now_s = boot_s()
         if room is not None:
             room.full_until_s = now_s + FULL_PAUSE_S
@@ -215,14 +215,14 @@
                 room.failures_in_a_row += 1
                 room.failed_at_s = now_s
         if result is OrderResult.NO_TICKET:
-            self.tickets.drop(request.task.id[:3], link.server.id)
-        if request.is_wanted(link.server.id):
+            self.tickets.drop(request.task.id[:3], server_id)
+        if request.is_wanted(server_id):
             self.shard.release(request.task, now_s)
         self.wake()
 
-    def stopped(self, link: BackendLink, request: StopRequest) -> None:
+    def stopped(self, server_id: str, request: StopRequest) -> None:
         """Take in that a run has been forbidden for good."""
-        room = self.shard.room_by_server.get(link.server.id)
+        room = self.shard.room_by_server.get(server_id)
         task = room.task_by_id.get(request.task) if room is not None else None
         if task is not None and task.run == request.run:
             task.settled_s = boot_s() + STOP_SETTLED_S
@@ -230,9 +230,9 @@
                 self.shard.release(task, boot_s())
                 self.wake()
 
-    def ended(self, link: BackendLink) -> None:
+    def ended(self, server_id: str) -> None:
         """Take in that the lifetime is surely over."""
-        self.lose(link.server.id, "other-lifetime")
+        self.lose(server_id, "other-lifetime")
 
     def lapsed(self, link: BackendLink) -> None:
         """Take in that every lease granted there has surely ended."""
@@ -255,20 +255,20 @@
         room = self.shard.room_by_server.get(link.server.id)
         if room is not None:
             room.is_reachable = is_reached
-        if is_reached and link.is_recorded:
+        if is_reached and link.lease.is_recorded:
             self.nursery.start_soon(self._clear_record, link)
         self.wake()
 
     def stays_silent(self, link: BackendLink) -> None:
         """Record for a next holder that the server is granted nothing."""
-        self.silent.note(link.server.id, link.lapses_at_s() - boot_s())
+        self.silent.note(link.server.id, link.lease.lapses_at_s() - boot_s())
         self.nursery.start_soon(self.save_silent)
 
     async def _clear_record(self, link: BackendLink) -> None:
         """Let a server be granted leases again once its record is gone."""
         self.silent.drop(link.server.id)
         await self.save_silent()
-        link.is_recorded = False
+        link.lease.is_recorded = False
 
     def unanswered(self) -> None:
         """Take in that an order to any backend server was not answered."""
--- a/tests/batch/test_link.py
+++ b/tests/batch/test_link.py
@@ -5,6 +5,7 @@
 from rhubarbmount.batch.link import BackendLink, LinkListener
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.errors import OutcomeUnknown
 from rhubarbmount.platform.backend import BackendCalls, OrderResult, RenewalAnswer
 from rhubarbmount.platform.calls import Caller
@@ -13,15 +14,17 @@
 TAKEN_AT_S = 100.0
 
 
+def make_lease():
+    return ServerLease(LeaseTerm(2, TAKEN_AT_S), MAX_LEASE_S, TAKEN_AT_S)
+
+
 def make_link():
     server = Server("s", "one", "s:1", "a", False, 1, 1, 0, frozenset(), "r", 1)
     return BackendLink(
         server=server,
         calls=BackendCalls(Caller()),
-        term=LeaseTerm(2, TAKEN_AT_S),
+        lease=make_lease(),
         listener=LinkListener(),
-        max_lease_s=MAX_LEASE_S,
-        taken_at_s=TAKEN_AT_S,
         metrics=BatchMetrics(),
         has_work=lambda: True,
         is_watchful=lambda: False,
@@ -30,19 +33,19 @@
 
 def test_the_last_holder_may_have_granted_the_longest_lease():
     """Its runs go on although the next holder has granted only a short lease."""
-    link = make_link()
-    assert link.lapses_at_s() > TAKEN_AT_S + MAX_LEASE_S * RATE_MARGIN
-    link.clock.note(50_000, 100.5)
-    assert link.lapses_at_s() > TAKEN_AT_S + MAX_LEASE_S * RATE_MARGIN
-    link.clock.grant(104.5, 100.5)
-    assert link.lapses_at_s() > TAKEN_AT_S + MAX_LEASE_S * RATE_MARGIN
+    lease = make_lease()
+    assert lease.lapses_at_s() > TAKEN_AT_S + MAX_LEASE_S * RATE_MARGIN
+    lease.clock.note(50_000, 100.5)
+    assert lease.lapses_at_s() > TAKEN_AT_S + MAX_LEASE_S * RATE_MARGIN
+    lease.clock.grant(104.5, 100.5)
+    assert lease.lapses_at_s() > TAKEN_AT_S + MAX_LEASE_S * RATE_MARGIN
 
 
 def test_later_only_the_own_grants_count():
-    link = make_link()
-    link.clock.note(80_000, 130.0)
-    link.clock.grant(134.0, 130.0)
-    assert 134.0 < link.lapses_at_s() < 134.5
+    lease = make_lease()
+    lease.clock.note(80_000, 130.0)
+    lease.clock.grant(134.0, 130.0)
+    assert 134.0 < lease.lapses_at_s() < 134.5
 
 
 class SilentCalls:
