--- a/rhubarbmount/batch/front.py
+++ b/rhubarbmount/batch/front.py
@@ -92,7 +92,7 @@
             return self._decline(404, "no-queue", "no such queue", path)
         rest = path.removeprefix(queue.name.prefix)
         if self.store.health.is_out_of_reach():
-            return self._refuse_out_of_reach()
+            return self._refuse_out_of_reach(path)
         if request.method == "GET" and not rest:
             return await self._show_pending(queue)
         if not is_job_id(rest):
@@ -107,12 +107,18 @@
                 return await self._cancel(queue, rest, expires_s)
         return _refusal(405, "method", "POST, GET or DELETE")
 
-    def _refuse_out_of_reach(self) -> HttpResponse:
+    def _refuse_out_of_reach(self, about: str) -> HttpResponse:
         """Refuse at once; an outage that has lasted long will last longer."""
         silence_s = self.store.health.silence_s()
         retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, silence_s))
         log.frequent_event(
-            logger, "refused", code="store-out-of-reach", silence_s=silence_s
+            logger,
+            "refused",
+            status=503,
+            code="store-out-of-reach",
+            about=about,
+            silence_s=silence_s,
+            retry_after_s=retry_after_s,
         )
         message = "the store can't be reached"
         return problem(
@@ -277,7 +283,9 @@
 
 
 def _refusal(status: int, code: str, message: str) -> HttpResponse:
-    log.frequent_event(logger, "refused", status=status, code=code)
+    log.frequent_event(
+        logger, "refused", status=status, code=code, retry_after_s=RETRY_AFTER_S
+    )
     return problem(status, code, message, Outcome.NOT_RUN, RETRY_AFTER_S)
 
 
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -9,7 +9,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import RATE_MARGIN, boot_s, day_s
-from rhubarbmount.batch.committer import MAX_ROWS_PER_COMMIT, Committer
+from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.election import LeaseTerm
 from rhubarbmount.batch.fleet_keeper import FleetKeeper, WaveRecord
 from rhubarbmount.batch.follow import TableFollower
@@ -24,6 +24,7 @@
     Wave,
 )
 from rhubarbmount.batch.orders import StartRequest, StopRequest
+from rhubarbmount.batch.outbox import Outbox
 from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.records import (
     decode_spec,
@@ -92,9 +93,7 @@
     servers: ServerRows = attrs.field(init=False)
     _started_at_s: float = attrs.field(factory=boot_s)
     _wake: trio.Event = attrs.field(factory=trio.Event)
-    _puts: dict[RowName, bytes] = attrs.field(factory=dict)
-    _removes: list[RowName] = attrs.field(factory=list)
-    _waiting_for_commit: list[trio.Event] = attrs.field(factory=list)
+    _outbox: Outbox = attrs.field(init=False)
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = 0.0
@@ -104,6 +103,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(Catalogue(0, {}, {}), day_s=day_s(), now_s=boot_s())
+        self._outbox = Outbox(self.committer)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.by_step)
         self.wave_status = WaveStatusWriter(self.store)
@@ -276,7 +276,7 @@
 
     def _is_urgent(self) -> bool:
         """Tell whether a caller or a backend server waits for the next commit."""
-        if self.shard.stops or self._puts or not self.shard.dirty:
+        if self.shard.stops or self._outbox or not self.shard.dirty:
             return True
         return any(
             self.shard.job_by_id[job_id].state.is_final
@@ -295,20 +295,12 @@
 
     async def _carry_out(self, assignments: list[Assignment]) -> None:
         """Commit what changed, then let it take effect."""
-        puts = self._take_puts()
-        removes, self._removes = self._removes, []
-        waiting, self._waiting_for_commit = self._waiting_for_commit, []
+        self._put_changed_jobs()
+        self._put_pending()
         stops, self.shard.stops = self.shard.stops, []
         listed_by_link = {link: link.listed_to for link in self.links}
         starts = self._start_requests(assignments)
-        names = list(puts)
-        for at in range(0, len(names), MAX_ROWS_PER_COMMIT):
-            chunk = names[at : at + MAX_ROWS_PER_COMMIT]
-            await self.committer.commit({name: puts[name] for name in chunk})
-        if removes:
-            await self.committer.commit({}, tuple(removes))
-        for saved in waiting:
-            saved.set()
+        await self._outbox.commit()
         for link, request in starts:
             link.send(request)
         for stop in stops:
@@ -320,17 +312,14 @@
                 link.committed = number
                 link.wake()
 
-    def _take_puts(self) -> dict[RowName, bytes]:
-        puts, self._puts = self._puts, {}
+    def _put_changed_jobs(self) -> None:
         dirty, self.shard.dirty = self.shard.dirty, set()
         for job_id in dirty:
             job = self.shard.job_by_id.get(job_id)
             if job is not None:
                 if job.state.is_final:
                     self._log_job_end(job)
-                puts[progress_row(self.name, job_id)] = encode_progress(job)
-        self._add_pending(puts)
-        return puts
+                self._outbox.put(progress_row(self.name, job_id), encode_progress(job))
 
     def _log_job_end(self, job: Job) -> None:
         spec = job.spec
@@ -347,7 +336,7 @@
             catalogue=self.shard.catalogue.version,
         )
 
-    def _add_pending(self, puts: dict[RowName, bytes]) -> None:
+    def _put_pending(self) -> None:
         now_s = boot_s()
         if now_s < self._pending_at_s + PENDING_PERIOD_S:
             return
@@ -355,7 +344,7 @@
         if pending != self._pending or not self._pending_at_s:
             self._pending = pending
             self._pending_at_s = now_s
-            puts[pending_row(self.name)] = encode_pending(pending)
+            self._outbox.put(pending_row(self.name), encode_pending(pending))
 
     def _start_requests(
         self, assignments: list[Assignment]
@@ -385,15 +374,13 @@
 
     async def _save(self, name: RowName, value: bytes) -> None:
         """Store a row with the next commit, and return once it is stored."""
-        self._puts[name] = value
-        saved = trio.Event()
-        self._waiting_for_commit.append(saved)
+        saved = self._outbox.put_awaited(name, value)
         self.wake()
         await saved.wait()
 
     def _save_wave(self, progress: WaveProgress) -> None:
         record = WaveRecord(tuple(sorted(progress.begun)), progress.is_complete)
-        self._puts[wave_row(self.name, progress.wave.number)] = record.encode()
+        self._outbox.put(wave_row(self.name, progress.wave.number), record.encode())
         self.wave_status.put(progress.wave.number, progress.is_complete)
         self.wake()
 
@@ -406,4 +393,4 @@
 
     def _remove_progress(self, job_id: str) -> None:
         self._begun_jobs.discard(job_id)
-        self._removes.append(progress_row(self.name, job_id))
+        self._outbox.remove(progress_row(self.name, job_id))
--- /dev/null
+++ b/rhubarbmount/batch/outbox.py
@@ -0,0 +1,57 @@
+"""Rows of a shard that wait for the next commit."""
+
+import attrs
+import trio
+
+from rhubarbmount.batch.committer import MAX_ROWS_PER_COMMIT, Committer
+from rhubarbmount.platform.rows import RowName
+
+__all__ = ["Outbox"]
+
+
+@attrs.define(eq=False)
+class Outbox:
+    """Collects rows to write and to remove, and commits them in turn."""
+
+    committer: Committer
+    _puts: dict[RowName, bytes] = attrs.field(factory=dict)
+    _removes: list[RowName] = attrs.field(factory=list)
+    _saved_events: list[trio.Event] = attrs.field(factory=list)
+
+    def __bool__(self) -> bool:
+        """Tell whether a row waits to be written."""
+        return bool(self._puts)
+
+    def put(self, name: RowName, value: bytes) -> None:
+        """Write a row with the next commit."""
+        self._puts[name] = value
+
+    def remove(self, name: RowName) -> None:
+        """Remove a row with the next commit."""
+        self._removes.append(name)
+
+    def put_awaited(self, name: RowName, value: bytes) -> trio.Event:
+        """Write a row with the next commit; return what is set once it is stored."""
+        self.put(name, value)
+        saved = trio.Event()
+        self._saved_events.append(saved)
+        return saved
+
+    async def commit(self) -> None:
+        """Commit all rows that wait now. Raises LeaseLost."""
+        puts, self._puts = self._puts, {}
+        removes, self._removes = self._removes, []
+        saved_events, self._saved_events = self._saved_events, []
+        for names in _chunks(list(puts)):
+            await self.committer.commit({name: puts[name] for name in names})
+        for names in _chunks(removes):
+            await self.committer.commit({}, tuple(names))
+        for saved in saved_events:
+            saved.set()
+
+
+def _chunks(names: list[RowName]) -> list[list[RowName]]:
+    return [
+        names[at : at + MAX_ROWS_PER_COMMIT]
+        for at in range(0, len(names), MAX_ROWS_PER_COMMIT)
+    ]
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -6,8 +6,9 @@
 import attrs
 
 from rhubarbmount.batch.model import Assignment, Job, Step, Task
+from rhubarbmount.batch.objective import LatestBegin, latest_begin
 from rhubarbmount.batch.rooms import ServerRoom
-from rhubarbmount.batch.shard import LatestBegin, Shard, StepKey
+from rhubarbmount.batch.shard import Shard, StepKey
 from rhubarbmount.registry import Registry
 
 __all__ = ["Placer", "Shortage", "Urgency", "placement_rules", "urgency_of"]
@@ -114,7 +115,7 @@
         priority = queue.priority if queue is not None else 0
         if job.spec.steps[key[2]].is_long_running:
             return False, priority, Urgency.IN_TIME, 0.0, key
-        latest = self.shard.latest_begin(job, key)
+        latest = latest_begin(job.spec, queue, key[2])
         urgency = urgency_of(latest, self.shard.day_s)
         return True, priority, urgency, latest.in_time_s, key
 
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -4,7 +4,6 @@
 of the dirty jobs have been committed.
 """
 
-import math
 from collections.abc import Iterable
 
 import attrs
@@ -27,11 +26,9 @@
 from rhubarbmount.batch.pacing import FULL_PACE
 from rhubarbmount.batch.rooms import ServerRoom
 
-__all__ = ["LatestBegin", "Shard", "StepKey", "Stop"]
+__all__ = ["Shard", "StepKey", "Stop"]
 
 StepKey = tuple[str, int, int]
-# Callers count a job as served up to this many times its objective.
-LATE_FACTOR = 3.0
 ENDED_DONE = "done"
 ENDED_FAILED = "failed"
 
@@ -45,18 +42,6 @@
     run: int
 
 
-@attrs.frozen
-class LatestBegin:
-    """When the rest of a job must begin, as times of day.
-
-    A job that ends within its objective is in time. Late, it is of use until it has
-    taken several times its objective.
-    """
-
-    in_time_s: float
-    of_use_s: float
-
-
 @attrs.define(eq=False)
 class Shard:
     """Jobs by id, the steps that have tasks waiting, and rooms by server."""
@@ -402,26 +387,3 @@
     def unknown_servers(self) -> Iterable[str]:
         """Return the servers that have tasks assigned and are not listed."""
         return list(self._unknown_server_tasks)
-
-    def latest_begin(self, job: Job, key: StepKey) -> LatestBegin:
-        """Return when the rest of a job must begin to be of use."""
-        spec = job.spec
-        queue = self.queue_of(spec)
-        if queue is None:
-            return LatestBegin(spec.accepted_s, spec.accepted_s)
-        chain_s = _chain_s(spec.steps, 0)
-        rest_s = _chain_s(spec.steps, key[2])
-        objective_s = queue.slack_factor * chain_s + queue.latency_objective_s
-        return LatestBegin(
-            in_time_s=spec.accepted_s + objective_s - rest_s,
-            of_use_s=spec.accepted_s + LATE_FACTOR * objective_s - rest_s,
-        )
-
-
-def _chain_s(steps: tuple[Step, ...], first: int) -> float:
-    """Return the estimate of the longest chain that begins at a step or after it."""
-    longest: dict[int, float] = {}
-    for at in range(first, len(steps)):
-        before = [longest[i] for i in steps[at].after if i in longest]
-        longest[at] = max(before, default=0.0) + steps[at].estimate_s
-    return max(longest.values(), default=math.inf)
--- a/tests/batch/test_urgency.py
+++ b/tests/batch/test_urgency.py
@@ -4,8 +4,9 @@
 import pytest
 
 from rhubarbmount.batch.model import Job, QueueName
+from rhubarbmount.batch.objective import LATE_FACTOR, LatestBegin
 from rhubarbmount.batch.placing import LAST_CHANCE_S, Placer, Urgency, urgency_of
-from rhubarbmount.batch.shard import LATE_FACTOR, LatestBegin, Shard
+from rhubarbmount.batch.shard import Shard
 from tests.batch.test_shard import CATALOGUE, QUEUE, add, spec, step
 
 LATEST = LatestBegin(in_time_s=10.0, of_use_s=20.0)
