Read a shard's rows at once, and take its lease one after the other

All others wrote for the lease at once and again after 0.25 s without an answer, so that each write waited for the others' (lease won 3.2 s later), and the new holder read its 13 parts one after the other (1.8 s more): nothing started from 13.0 s to 18.0 s. Ruled out: the fence commit (0.4 s). Now the parts are read at once, a host waits a random while before it writes for another's lease, and a write without an answer is settled by the feed.

--- a/rhubarbmount/batch/follow.py
+++ b/rhubarbmount/batch/follow.py
@@ -2,16 +2,21 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 import attrs
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.errors import (
+    OutcomeUnknown,
+    PlatformUnavailable,
+    RhubarbmountError,
+)
 from rhubarbmount.platform.rows import HistoryGone, Page, RowStore
 
-__all__ = ["TableFollower", "read_parts"]
+__all__ = ["TableFollower", "read_parts", "run_all"]
 
 logger = logging.getLogger(__name__)
 
@@ -23,10 +28,34 @@
 
 
 async def read_parts(store: RowStore, table: str, parts: tuple[str, ...]) -> Page:
-    """Return all rows of some parts; the version is that of the first one."""
-    pages = [await store.read_all(table, part) for part in parts]
-    rows = tuple(row for page in pages for row in page.rows)
-    return attrs.evolve(pages[0], rows=rows)
+    """Return all rows of some parts, read at once; the version is the earliest."""
+    pages: dict[str, Page] = {}
+
+    async def read(part: str) -> None:
+        pages[part] = await store.read_all(table, part)
+
+    await run_all([partial(read, part) for part in parts])
+    rows = tuple(row for part in parts for row in pages[part].rows)
+    earliest = min(pages.values(), key=lambda page: page.version)
+    return attrs.evolve(earliest, rows=rows)
+
+
+async def run_all(calls: Sequence[Callable[[], Awaitable[None]]]) -> None:
+    """Make calls to the store at once. Raises the first of their errors."""
+    errors: list[RhubarbmountError] = []
+
+    async def run(call: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await call()
+        except RhubarbmountError as error:
+            errors.append(error)
+            nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        for call in calls:
+            nursery.start_soon(run, call)
+    if errors:
+        raise errors[0]
 
 
 @attrs.define(eq=False)
--- a/rhubarbmount/batch/lease_keeper.py
+++ b/rhubarbmount/batch/lease_keeper.py
@@ -1,6 +1,7 @@
 """Takes, renews and hands over the lease of a shard."""
 
 import logging
+import random
 import uuid
 
 import attrs
@@ -27,6 +28,7 @@
 # Longer than a renewal takes, so that a silent store is noticed within a lease.
 FEED_WAIT_S = 0.8
 RETRY_S = 0.15
+SETTLE_S = 1.5
 RENEWAL_TIMEOUT_S = 0.9
 
 
@@ -75,12 +77,24 @@
         """Wait until the lease can be taken, and return it."""
         while True:
             if self._is_read and self.watch.may_take(boot_s()):
-                term = await self._try_take()
+                term = await self._take_in_turn()
                 if term is not None:
                     return term
             with trio.move_on_after(CHECK_PERIOD_S):
                 await self._changed.wait()
 
+    async def _take_in_turn(self) -> LeaseTerm | None:
+        """Try to take the lease unless another host does so first.
+
+        Hosts that write at once make each other wait for as long as the store needs
+        for all their writes.
+        """
+        if self.watch.lease is not None:
+            await trio.sleep(random.uniform(0.0, self.store.patience.timeout_s))
+        if not self.watch.may_take(boot_s()):
+            return None
+        return await self._try_take()
+
     async def _try_take(self) -> LeaseTerm | None:
         seen = self.watch.lease
         fence = 1 if seen is None else seen.fence + 1
@@ -95,10 +109,21 @@
             return self._adopt(error, lease, sent_s)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._note_failure("lease-not-taken", error.code)
-            await trio.sleep(RETRY_S)
-            return None
+            return await self._settle(lease, sent_s)
         return self._taken(fence, version, sent_s)
 
+    async def _settle(self, wanted: LeaseRow, sent_s: float) -> LeaseTerm | None:
+        """Wait for the change that a write without an answer made, if it made one."""
+        with trio.move_on_after(SETTLE_S):
+            while True:
+                changed = self._changed
+                if self.watch.lease == wanted:
+                    return self._taken(wanted.fence, self.watch.version, sent_s)
+                if not self.watch.may_take(boot_s()):
+                    return None
+                await changed.wait()
+        return None
+
     def _adopt(
         self, error: RowConflict, wanted: LeaseRow, sent_s: float
     ) -> LeaseTerm | None:
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -58,18 +58,37 @@
 
 
 async def load_shard(store: RowStore, name: str) -> LoadedShard:
-    """Read the rows, however often that takes; requests come before progress."""
+    """Read all tables at once, however often that takes.
+
+    The fence has been raised before, so that nobody else changes the holder's rows.
+    """
+    pages: dict[str, Page] = {}
+
+    async def read(table: str, parts: tuple[str, ...]) -> None:
+        pages[table] = await _read(store, table, parts)
+
+    parts_by_table = {
+        REQUESTS_TABLE: tuple(request_parts(name)),
+        PROGRESS_TABLE: (name,),
+        WAVES_TABLE: (name,),
+        HOST_ORDERS_TABLE: (name,),
+        SILENT_SERVERS_TABLE: (name,),
+        SERVERS_TABLE: ("",),
+    }
+    async with trio.open_nursery() as nursery:
+        for table, parts in parts_by_table.items():
+            nursery.start_soon(read, table, parts)
     return LoadedShard(
-        requests=await _read(store, REQUESTS_TABLE, *request_parts(name)),
-        progress=await _read(store, PROGRESS_TABLE, name),
-        waves=await _read(store, WAVES_TABLE, name),
-        orders=await _read(store, HOST_ORDERS_TABLE, name),
-        silent=await _read(store, SILENT_SERVERS_TABLE, name),
-        servers=await _read(store, SERVERS_TABLE, ""),
+        requests=pages[REQUESTS_TABLE],
+        progress=pages[PROGRESS_TABLE],
+        waves=pages[WAVES_TABLE],
+        orders=pages[HOST_ORDERS_TABLE],
+        silent=pages[SILENT_SERVERS_TABLE],
+        servers=pages[SERVERS_TABLE],
     )
 
 
-async def _read(store: RowStore, table: str, *parts: str) -> Page:
+async def _read(store: RowStore, table: str, parts: tuple[str, ...]) -> Page:
     while True:
         try:
             return await read_parts(store, table, parts)
--- a/tests/batch/test_follow.py
+++ b/tests/batch/test_follow.py
@@ -4,7 +4,8 @@
 import trio
 from trio.testing import MockClock
 
-from rhubarbmount.batch.follow import STALL_S, TableFollower
+from rhubarbmount.batch.follow import STALL_S, TableFollower, read_parts
+from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.platform.rows import Page, Row, RowName
 
 PART = "p"
@@ -87,3 +88,32 @@
         assert seen == ["a", "b"]
         assert store.reads == 1
         nursery.cancel_scope.cancel()
+
+
+class SlowStore(Store):
+    """A store that takes its time for each read."""
+
+    async def read_all(self, table, part):
+        version = self.version
+        self.version += 1
+        await trio.sleep(0.3)
+        return Page((Row(RowName(table, part, "k"), b"", 1),), version, 0, False)
+
+
+async def test_the_parts_of_a_table_are_read_at_once(autojump_clock):
+    """The store is slow while a shard is taken over."""
+    page = await read_parts(SlowStore(), "t", ("a", "b", "c"))
+    assert trio.current_time() < 0.4
+    assert [row.name.part for row in page.rows] == ["a", "b", "c"]
+    assert page.version == 0
+
+
+async def test_one_part_that_cannot_be_read_fails_the_whole(autojump_clock):
+    store = SlowStore()
+
+    async def fail(table, part):
+        raise PlatformUnavailable("the store turns this host away", code="store-503")
+
+    store.read_all = fail
+    with pytest.raises(PlatformUnavailable):
+        await read_parts(store, "t", ("a", "b"))
--- /dev/null
+++ b/tests/batch/test_lease_keeper.py
@@ -0,0 +1,84 @@
+"""Taking a lease from a store that is slow or loses answers."""
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.batch import clocks
+from rhubarbmount.batch.lease_keeper import SETTLE_S, LeaseKeeper
+from rhubarbmount.batch.records import LeaseRow, encode_lease
+from rhubarbmount.batch.tables import lease_row
+from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.platform.rows import Page, Patience, Row
+
+SHARD = "shard-0"
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+class Store:
+    """Carries writes out late or never, and tells of no answer."""
+
+    def __init__(self, keeper_delay_s):
+        self.patience = Patience()
+        self.delay_s = keeper_delay_s
+        self.writes = 0
+        self.keeper = None
+
+    async def commit(self, expected, puts, removes=(), timeout_s=1.0):
+        self.writes += 1
+        self.nursery.start_soon(self._land, puts[lease_row(SHARD)], self.writes)
+        await trio.sleep(0.2)
+        raise OutcomeUnknown("no answer", code="timeout")
+
+    async def _land(self, value, version):
+        await trio.sleep(self.delay_s)
+        row = Row(lease_row(SHARD), value, version)
+        self.keeper._apply(Page((row,), version, 0, False), False)
+
+
+async def acquire(monkeypatch, nursery, delay_s, first=None):
+    monkeypatch.setattr(clocks.source, "boot_s", trio.current_time)
+    store = Store(delay_s)
+    store.nursery = nursery
+    keeper = store.keeper = LeaseKeeper(store, SHARD, "a")
+    rows = () if first is None else (Row(lease_row(SHARD), encode_lease(first), 1),)
+    keeper._apply(Page(rows, 1, 0, False), True)
+    with trio.move_on_after(10.0):
+        return store, await keeper.acquire()
+    return store, None
+
+
+async def test_a_write_that_was_not_answered_is_seen_in_the_feed(
+    monkeypatch, autojump_clock
+):
+    """Writing again at once would make a slow store slower."""
+    async with trio.open_nursery() as nursery:
+        store, term = await acquire(monkeypatch, nursery, 0.5)
+        assert term is not None and term.fence == 1
+        assert store.writes == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_write_that_never_lands_is_repeated(monkeypatch, autojump_clock):
+    async with trio.open_nursery() as nursery:
+        store, term = await acquire(monkeypatch, nursery, 100.0)
+        assert term is None
+        assert 10.0 / (SETTLE_S + 1.0) <= store.writes <= 10.0 / SETTLE_S
+        nursery.cancel_scope.cancel()
+
+
+async def test_hosts_do_not_all_try_to_take_a_released_lease_at_once(
+    monkeypatch, autojump_clock
+):
+    monkeypatch.setattr("random.uniform", lambda low, high: high)
+    released = LeaseRow("b", "1", 4, True)
+    async with trio.open_nursery() as nursery:
+        begun_s = trio.current_time()
+        _, term = await acquire(monkeypatch, nursery, 0.0, released)
+        assert term is not None and term.fence == 5
+        assert term.renewed_at_s >= begun_s + Patience().timeout_s
+        nursery.cancel_scope.cancel()
