Settle a forbidden run by a list that is asked for later

A server carried an order to start out and did not answer; after four tries (1.4 s) the run was forbidden, and the task began again at once, though the run had ended done in between, which the next list said. Ruled out: lapsed leases (granted until 2.6 s later) and moves.

--- a/rhubarbmount/batch/orders.py
+++ b/rhubarbmount/batch/orders.py
@@ -48,11 +48,10 @@
 
 @attrs.frozen
 class StopRequest:
-    """A run to stop; ``then_release`` lets its task wait again."""
+    """A run to stop."""
 
     task: TaskId
     run: int
-    then_release: bool = False
 
 
 Order = StartRequest | StopRequest | PaceOrder
@@ -136,7 +135,7 @@
             if result not in (None, OrderResult.EXPIRED):
                 self.listener.not_started(self.server.id, request, result)
                 return
-        # It may be carried out late: forbid the run before the task goes elsewhere.
+        # It may be carried out late: forbid the run. The list tells what became of it.
         log.event(
             logger,
             "start-unanswered",
@@ -147,7 +146,7 @@
             server=self.server.id,
         )
         request.task.is_stopping = True
-        await self._stop(StopRequest(request.task.id, request.run, True))
+        await self._stop(StopRequest(request.task.id, request.run))
 
     async def _try_start(self, request: StartRequest) -> OrderResult | None:
         now_s = boot_s()
--- a/rhubarbmount/batch/server_links.py
+++ b/rhubarbmount/batch/server_links.py
@@ -221,14 +221,15 @@
         self.wake()
 
     def stopped(self, server_id: str, request: StopRequest) -> None:
-        """Take in that a run has been forbidden for good."""
+        """Take in that a run has been forbidden for good.
+
+        It may have ended before. A list that is asked for later tells, or that the
+        run is not there and its task may wait again.
+        """
         room = self.shard.room_by_server.get(server_id)
         task = room.task_by_id.get(request.task) if room is not None else None
         if task is not None and task.run == request.run:
             task.settled_s = boot_s() + STOP_SETTLED_S
-            if request.then_release:
-                self.shard.release(task, boot_s())
-                self.wake()
 
     def ended(self, server_id: str) -> None:
         """Take in that the lifetime is surely over."""
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -66,6 +66,7 @@
     ended: list[list[Any]] = attrs.field(factory=list)
     _end_count: int = 0
     _end_seen: trio.Event = attrs.field(factory=trio.Event)
+    lapsed_at_s: float = -math.inf
     _lapse_scope: trio.CancelScope | None = None
 
     def clock_ms(self) -> int:
@@ -178,6 +179,7 @@
         while self.clock_ms() < self.expires_ms:
             await trio.sleep((self.expires_ms - self.clock_ms()) / 1000 + 0.001)
         self._lapse_scope = None
+        self.lapsed_at_s = trio.current_time()
         for run in list(self.run_by_task.values()):
             run.stop_how = "lapsed"
             run.scope.cancel()
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -19,6 +19,8 @@
     running: dict[str, list] = attrs.field(factory=dict)
     done: set[str] = attrs.field(factory=set)
     noted_done: set[str] = attrs.field(factory=set)
+    done_at_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    last_start_s: dict[str, float] = attrs.field(factory=dict)
     noted_failures: dict[str, int] = attrs.field(factory=dict)
     started: set[str] = attrs.field(factory=set)
     breaches: list[str] = attrs.field(factory=list)
@@ -39,7 +41,7 @@
         if what == "start":
             self._see_start(where, *details)
         elif what == "acknowledged":
-            self._see_acknowledged(*details)
+            self._see_acknowledged(where, *details)
         elif what in ("moving", "upkeep"):
             return
         else:
@@ -49,6 +51,7 @@
             ]
             if what == "done":
                 self.done.add(task)
+                self.done_at_s[task, run] = trio.current_time()
 
     def _see_start(self, server, task: str, run: int) -> None:
         job_id, _, step, _ = task.split(".")
@@ -71,10 +74,15 @@
                 if f"{job_id}.0.{before}.{number}" not in self.done:
                     self._note("ORDER", task, run)
         self.running.setdefault(task, []).append((server, run))
+        self.last_start_s[task] = now_s
 
-    def _see_acknowledged(self, task: str, run: int, how: str) -> None:
+    def _see_acknowledged(self, server, task: str, run: int, how: str) -> None:
         if how == "done":
             self.noted_done.add(task)
+            done_at_s = self.done_at_s[task, run]
+            has_lapsed = server.lapsed_at_s >= done_at_s
+            if self.last_start_s[task] > done_at_s and not has_lapsed:
+                self._note("TWICE before a done that was noted later", task, run)
         elif how == "failed":
             self.noted_failures[task] = self.noted_failures.get(task, 0) + 1
 
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -243,6 +243,24 @@
         assert checker.breaches == []
 
 
+@pytest.mark.parametrize("seed", range(6))
+async def test_servers_carry_orders_out_and_do_not_answer(
+    monkeypatch, autojump_clock, seed
+):
+    """A run may have ended by the time that it is forbidden."""
+    async with open_day(monkeypatch, seed) as (world, checker):
+        accepted = []
+        world.faults.answers_mute = 0.6
+        for _ in range(25):
+            made = job(world.generator)
+            if await submit(world, checker, "/one/", made):
+                accepted.append(made[0])
+            await trio.sleep(0.2)
+        world.faults.answers_mute = 0.0
+        assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
+        assert checker.breaches == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 async def test_servers_crash_and_are_cut_off(monkeypatch, autojump_clock, seed):
     async with open_day(monkeypatch, seed) as (world, checker):
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -50,6 +50,8 @@
     store_loses: float = 0.0
     store_is_late: float = 0.0
     orders_late: float = 0.0
+    # Share of calls to backend servers that are carried out and not answered.
+    answers_mute: float = 0.0
     # Pairs of a node and a backend server's address, or "*" for all nodes.
     servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
 
@@ -93,7 +95,10 @@
         if target != "/hold" and world.generator.random() < faults.orders_late:
             world.nursery.start_soon(self._carry_late, server, target, expected, body)
             await trio.sleep_forever()
-        return await server.handle(target, expected, body)
+        answer = await server.handle(target, expected, body)
+        if world.generator.random() < faults.answers_mute:
+            await trio.sleep_forever()
+        return answer
 
     async def _carry_late(self, server, target, expected, body) -> None:
         await trio.sleep(self.world.generator.uniform(2.0, 12.0))
