Say with a handed over lease when its grants end

Ruled out: the same for holders that die (they may have granted more while the store was away). A holder that hands over now writes when all that it and those before it granted has lapsed, by the store's clock; before it has loaded its shard it says nothing.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -45,10 +45,15 @@
 
 @attrs.define
 class LeaseTerm:
-    """A lease that is held; times are steady and count from the sending."""
+    """A lease that is held; times are steady and count from the sending.
+
+    ``last_grants_end_s`` is when the last holder's grants have lapsed, by the store's
+    clock, or 0 where that holder did not say.
+    """
 
     fence: int
     renewed_at_s: float
+    last_grants_end_s: float = 0.0
 
     @property
     def valid_until_s(self) -> float:
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -35,7 +35,7 @@
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.shard_rows import LoadedShard, load_shard
-from rhubarbmount.batch.silent_servers import SilentServers
+from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
     REQUESTS_TABLE,
@@ -98,6 +98,7 @@
     _pending: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = 0.0
     _request_parts: frozenset[str] = attrs.field(init=False)
+    _is_loaded: bool = False
     _begun_jobs: set[str] = attrs.field(factory=set)
     _requests: TableFollower | None = None
 
@@ -131,6 +132,7 @@
             self._open_links(nursery)
             await self.committer.begin()
             loaded = await self._load()
+            self._is_loaded = True
             for wave in waves.values():
                 self.put_wave(wave)
             self._requests = self._request_follower(loaded.requests.version)
@@ -149,6 +151,7 @@
             calls=self.backend_calls,
             term=self.term,
             max_lease_s=self.bounds.max_lease_s,
+            last_grants_lapse_in_s=self._last_grants_lapse_in_s(),
             metrics=self.metrics,
             tickets=self.tickets,
             nursery=nursery,
@@ -169,6 +172,21 @@
             self._remove_progress,
         )
 
+    def _last_grants_lapse_in_s(self) -> float | None:
+        if not self.term.last_grants_end_s:
+            return None
+        left_s = self.term.last_grants_end_s - self.store.clock_s()
+        return max(0.0, left_s + READING_MARGIN_S)
+
+    def grants_end_s(self) -> float:
+        """Return when all that was granted has lapsed, by the store's clock.
+
+        It is 0 before the shard is loaded, as the last holder's grants go on.
+        """
+        if not self._is_loaded:
+            return 0.0
+        return self.store.clock_s() + self.links.lapses_at_s() - boot_s()
+
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Go on under another configuration."""
         self.shard.catalogue = catalogue
@@ -221,6 +239,8 @@
     async def _lose_later(self, server_id: str) -> None:
         """Wait until nothing can run on a server that is not listed any more."""
         lapses_in_s = self.silent.lapses_in_s(server_id)
+        if lapses_in_s is None:
+            lapses_in_s = self._last_grants_lapse_in_s()
         if lapses_in_s is None:
             lapses_in_s = self.bounds.max_lease_s * RATE_MARGIN + UNLISTED_MARGIN_S
         await trio.sleep(lapses_in_s)
--- a/rhubarbmount/batch/lease_keeper.py
+++ b/rhubarbmount/batch/lease_keeper.py
@@ -43,6 +43,7 @@
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
     _version: int = 0
+    _last_grants_end_s: float = 0.0
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_read: bool = False
     _is_failing: bool = False
@@ -98,6 +99,7 @@
     async def _try_take(self) -> LeaseTerm | None:
         seen = self.watch.lease
         fence = 1 if seen is None else seen.fence + 1
+        self._last_grants_end_s = 0.0 if seen is None else seen.grants_end_s
         lease = LeaseRow(self.node_id, self.incarnation, fence)
         sent_s = boot_s()
         try:
@@ -146,7 +148,7 @@
         self._version = version
         self._is_failing = False
         log.event(logger, "lease-won", shard=self.shard, fence=fence, version=version)
-        return LeaseTerm(fence, sent_s)
+        return LeaseTerm(fence, sent_s, self._last_grants_end_s)
 
     async def keep(self, term: LeaseTerm) -> None:
         """Renew a lease until it is lost. Raises LeaseLost."""
@@ -188,10 +190,10 @@
         log.event(logger, "lease-lost", logging.WARNING, shard=self.shard)
         raise LeaseLost(f"another process holds {self.shard}")
 
-    async def release(self, term: LeaseTerm) -> None:
+    async def release(self, term: LeaseTerm, grants_end_s: float = 0.0) -> None:
         """Hand a lease over, so that the next holder need not wait."""
         name = lease_row(self.shard)
-        lease = LeaseRow(self.node_id, self.incarnation, term.fence, True)
+        lease = LeaseRow(self.node_id, self.incarnation, term.fence, True, grants_end_s)
         try:
             await self.store.commit({name: self._version}, {name: encode_lease(lease)})
         except (RowConflict, PlatformUnavailable, OutcomeUnknown) as error:
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -286,16 +286,20 @@
         self.settings = settings
         log.event(logger, "reloaded", store=settings.store_address)
 
+    async def hand_over(self) -> None:
+        """End the duties of a holder and let another host take the lease."""
+        holder, term = self._holder, self._term
+        self._duty_scope.cancel()
+        await self._duty_ended.wait()
+        if holder is not None and term is not None:
+            await self.keeper.release(term, holder.grants_end_s())
+
     async def _stop(self, callers: Listener) -> None:
         """Hand duties over, leave the balancer's rotation, and finish requests."""
         log.event(logger, "stopping", node=self.settings.node_id)
         self.is_stopping = True
         begun_s = trio.current_time()
-        term = self._term if self._holder is not None else None
-        self._duty_scope.cancel()
-        await self._duty_ended.wait()
-        if term is not None:
-            await self.keeper.release(term)
+        await self.hand_over()
         callers.retire_connections()
         await trio.sleep_until(begun_s + LEAVE_ROTATION_S)
         left_s = self.settings.bounds.grace_s - LEAVE_ROTATION_S - STOP_MARGIN_S
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -50,12 +50,17 @@
 
 @attrs.frozen
 class LeaseRow:
-    """Who holds a shard; ``incarnation`` tells one process from the next."""
+    """Who holds a shard; ``incarnation`` tells one process from the next.
+
+    A holder that hands over says when all that it granted to backend servers has
+    lapsed, by the store's clock; 0 where it is not known.
+    """
 
     holder: str
     incarnation: str
     fence: int
     is_released: bool = False
+    grants_end_s: float = 0.0
 
 
 def _dump(value: Any) -> bytes:
--- a/rhubarbmount/batch/server_links.py
+++ b/rhubarbmount/batch/server_links.py
@@ -42,6 +42,8 @@
     calls: BackendCalls
     term: LeaseTerm
     max_lease_s: float
+    # When the last holder's grants have lapsed, if it said so.
+    last_grants_lapse_in_s: float | None
     metrics: BatchMetrics
     tickets: TicketDesk
     nursery: trio.Nursery
@@ -90,12 +92,22 @@
     def _lease_of(self, server_id: str) -> ServerLease:
         """Return the lease of a server, with what the last holder recorded of it."""
         lease = ServerLease(self.term, self.max_lease_s, self._started_at_s)
+        if self.last_grants_lapse_in_s is not None:
+            lapses_at_s = self._started_at_s + self.last_grants_lapse_in_s
+            lease.last_holder_lapses_at_s = lapses_at_s
         lapses_in_s = self.silent.lapses_in_s(server_id)
         if lapses_in_s is not None:
             lease.is_recorded = True
             lease.last_holder_lapses_at_s = boot_s() + lapses_in_s
         return lease
 
+    def lapses_at_s(self) -> float:
+        """Return when all that this holder and those before it granted has lapsed."""
+        by_server = [link.lease.lapses_at_s() for link in self]
+        unknown = [self._lease_of(name) for name in self.shard.unknown_servers()]
+        by_server.extend(lease.lapses_at_s() for lease in unknown)
+        return max(by_server, default=boot_s())
+
     def close_lost(self) -> None:
         """Close the links to lifetimes that are over."""
         for server_id, link in list(self._by_server.items()):
--- a/rhubarbmount/batch/silent_servers.py
+++ b/rhubarbmount/batch/silent_servers.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["SilentServers"]
+__all__ = ["READING_MARGIN_S", "SilentServers"]
 
 # How much later than the store's answer it may have been read.
 READING_MARGIN_S = 1.0
--- a/tests/batch/test_silent_servers.py
+++ b/tests/batch/test_silent_servers.py
@@ -69,6 +69,48 @@
         assert checker.breaches == []
 
 
+@pytest.mark.parametrize("seed", range(4))
+async def test_work_begins_again_soon_when_a_server_goes_dark_after_a_handover(
+    monkeypatch, autojump_clock, seed
+):
+    """Hosts are stopped in turn while a rack fails."""
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        for name in "abc":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        made = long_running_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(12.0)
+        dark = [runs[0][0] for runs in checker.running.values() if runs][0]
+        await world.stop_node(world.holders()[0])
+        await trio.sleep(seed * 0.2)
+        world.faults.servers_cut = {("*", dark.address)}
+        await trio.sleep(8.5)
+        at_work = [runs[0][0] for runs in checker.running.values() if runs]
+        assert len(at_work) == 2
+        assert dark not in at_work
+        assert checker.breaches == []
+
+
+async def test_a_holder_that_has_not_loaded_its_shard_says_nothing_of_grants(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        start_platform(world)
+        node = world.start_node("a")
+        while not node.is_holder:
+            await trio.sleep(0.001)
+        await node.hand_over()
+        with trio.move_on_after(2.0):
+            while not node.keeper.watch.lease.is_released:
+                await trio.sleep(0.01)
+        lease = node.keeper.watch.lease
+        assert lease.is_released
+        assert lease.grants_end_s == 0.0
+
+
 @pytest.mark.parametrize("seed", range(6))
 async def test_a_server_that_was_silent_for_a_while_runs_nothing_twice(
     monkeypatch, autojump_clock, seed
@@ -92,7 +134,10 @@
             if world.generator.random() < 0.5:
                 world.faults.servers_cut = set()
                 await trio.sleep(world.generator.uniform(0.0, 0.5))
-            world.kill_node(holder)
+            if world.generator.random() < 0.5:
+                world.kill_node(holder)
+            else:
+                await world.stop_node(holder)
             world.start_node(holder)
             await trio.sleep(world.generator.uniform(2.0, 6.0))
         world.faults.servers_cut = set()
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -181,6 +181,11 @@
         self.scope_by_node[node_id].cancel()
         del self.node_by_id[node_id]
 
+    async def stop_node(self, node_id: str) -> None:
+        """Let a node hand over, and end its process."""
+        await self.node_by_id[node_id].hand_over()
+        self.kill_node(node_id)
+
     def holders(self) -> list[str]:
         """Return the nodes that act as holders."""
         return [name for name, node in self.node_by_id.items() if node.is_holder]
