Take idle hosts of other pools before those at rest

Cause: a pool whose turn came took hosts from the standby pool, and the idle hosts of the pool before it went there 1.2 s later: two moves instead of one.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -182,8 +182,9 @@
         rooms: Mapping[str, PoolRoom],
     ) -> list[Move]:
         moves: list[Move] = []
+        # An idle host moves once; by way of the standby pool it would move twice.
         donors = sorted(
-            free, key=lambda m: (not catalogue.is_standby(m.pool), m.id), reverse=True
+            free, key=lambda m: (catalogue.is_standby(m.pool), m.id), reverse=True
         )
         # The pool that lacks the largest share of what it needs goes first.
         short = sorted(
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -135,6 +135,14 @@
     assert len(plan(planner, 2.0, hosts, demand=demand)) > ready_alone
 
 
+def test_an_idle_host_is_taken_before_one_at_rest(planner):
+    """Turns follow each other: what one pool no longer needs serves the next."""
+    hosts = [host("m0", "rest"), host("m1", "two", server_id="s1"), host("m2", "rest")]
+    shortage = {"one": Shortage(1000, 0, 1, 1.0)}
+    moves = plan(planner, 0.1, hosts, [room("s1", "two")], shortage)
+    assert [(move.host_id, move.pool) for move in moves] == [("m1", "one")]
+
+
 def test_an_idle_host_rests_after_a_while(planner):
     hosts = [host("m0", "one", server_id="s0")]
     before_s = IDLE_BEFORE_RETURN_S - 0.1
