Explain a failed request from files of the log

The on-call page told how to go from an ID to its cause by hand. explain-log finds the lines of a request or job and those of the hosts' surroundings, and names the cause of a refusal, a delay or a failure.

--- /dev/null
+++ b/rhubarbmount/batch/log_trace.py
@@ -0,0 +1,189 @@
+"""Finds the lines of the log that tell what became of a request or a job."""
+
+import shlex
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from datetime import datetime
+from pathlib import Path
+
+import attrs
+
+from rhubarbmount.errors import Finding, FindingsError
+
+__all__ = ["LogLine", "Trace", "parse_line", "read_logs", "trace"]
+
+# Lines of the hosts' surroundings, which may be the cause of what came late.
+CONTEXT_EVENTS = (
+    "store-lost",
+    "store-regained",
+    "changes-stalled",
+    "commit-failed",
+    "commits-resumed",
+    "lease-won",
+    "lease-lost",
+    "lease-not-taken",
+    "shard-loaded",
+    "pool-short",
+    "started",
+    "stopping",
+)
+SERVER_EVENTS = ("server-lost", "server-regained", "leases-lapsed", "server-ended")
+CONTEXT_BEFORE_S = 2.0
+# Shorter pauses between two lines of a job are as usual.
+SHORT_PAUSE_S = 0.5
+
+
+@attrs.frozen
+class LogLine:
+    """One line of a host's log; the time is in seconds since the epoch."""
+
+    host: str
+    time_s: float
+    time_text: str
+    event: str
+    fields: dict[str, str] = attrs.field(hash=False)
+
+    def __str__(self) -> str:
+        shown = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        return f"{self.time_text} {self.host} {self.event} {shown}"
+
+
+@attrs.frozen
+class Trace:
+    """What the log tells of a subject: its lines, those around it, and the cause."""
+
+    lines: tuple[LogLine, ...]
+    context: tuple[LogLine, ...]
+    cause: str
+
+
+def parse_line(text: str, host: str) -> LogLine | None:
+    """Return a line of the log, or None for other text.
+
+    A word just before the time, as collectors of logs put it, names the host.
+
+    >>> parse_line("e1 time=2026-05-01T00:00:01.500 level=INFO event=stop", "").host
+    'e1'
+    """
+    before, mark, rest = text.partition("time=")
+    if not mark or " event=" not in rest:
+        return None
+    try:
+        words = shlex.split(rest)
+        time_s = datetime.fromisoformat(words[0]).timestamp()
+    except ValueError:
+        return None
+    fields = dict(word.split("=", 1) for word in words[1:] if "=" in word)
+    fields.pop("level", None)
+    named = before.split()[-1:] or [host]
+    return LogLine(named[0], time_s, words[0], fields.pop("event"), fields)
+
+
+def read_logs(names: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the lines of files. Raises FindingsError for one that can't be read."""
+    for name in names:
+        try:
+            text = Path(name).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            reason = error.strerror or str(error)
+            raise FindingsError([Finding(name, "unreadable", reason)]) from None
+        for line_text in text.splitlines():
+            line = parse_line(line_text, Path(name).stem)
+            if line is not None:
+                yield line
+
+
+def trace(lines: Iterable[LogLine], subject: str) -> Trace:
+    """Return what the log tells of the ID of a request or a job."""
+    in_order = sorted(lines, key=lambda line: line.time_s)
+    jobs = {
+        line.fields["job"]
+        for line in in_order
+        if line.fields.get("request") == subject and "job" in line.fields
+    }
+    subjects = {subject, *jobs}
+    own = [line for line in in_order if _is_about(line, subjects)]
+    context = _context(in_order, own)
+    return Trace(tuple(own), tuple(context), _cause(own, context))
+
+
+def _is_about(line: LogLine, subjects: set[str]) -> bool:
+    named = {line.fields.get("request"), line.fields.get("job")}
+    about = line.fields.get("about", "").rpartition("/")[2]
+    return bool(subjects & {*named, about})
+
+
+def _context(in_order: list[LogLine], own: list[LogLine]) -> list[LogLine]:
+    if not own:
+        return []
+    first_s = own[0].time_s - CONTEXT_BEFORE_S
+    last_s = own[-1].time_s
+    servers = {line.fields["server"] for line in own if "server" in line.fields}
+    return [
+        line
+        for line in in_order
+        if first_s <= line.time_s <= last_s
+        and (
+            line.event in CONTEXT_EVENTS
+            or (line.event in SERVER_EVENTS and line.fields.get("server") in servers)
+        )
+    ]
+
+
+def _cause(own: list[LogLine], context: list[LogLine]) -> str:
+    if not own:
+        return "no line names it: it reached no host, or its lines were left out"
+    ended = [line for line in own if line.event == "job-ended"]
+    if ended and ended[-1].fields.get("state") == "failed":
+        return _cause_of_failure(own)
+    refused = [line for line in own if line.event in ("refused", "declined")]
+    was_stored = any(line.fields.get("outcome") == "stored" for line in own)
+    if refused and not was_stored:
+        return _cause_of_refusal(refused[-1], context)
+    return _cause_of_delay(own, context)
+
+
+def _cause_of_failure(own: list[LogLine]) -> str:
+    failed = [
+        line
+        for line in own
+        if line.event == "run-ended" and line.fields.get("how") == "failed"
+    ]
+    count_by_task = Counter(line.fields["task"] for line in failed)
+    if not count_by_task:
+        return "it was ended as failed, and the lines of its runs are not here"
+    task, count = count_by_task.most_common(1)[0]
+    servers = {line.fields["server"] for line in failed if line.fields["task"] == task}
+    suspect = "the task" if len(servers) > 1 else "the backend server"
+    return f"task {task} failed {count} times on {len(servers)} servers: {suspect}"
+
+
+def _cause_of_refusal(refused: LogLine, context: list[LogLine]) -> str:
+    code = refused.fields.get("code", "unknown")
+    lost = [
+        line
+        for line in context
+        if line.event == "store-lost" and line.host == refused.host
+    ]
+    since = f"; its store calls failed since {lost[0].time_text}" if lost else ""
+    return f"refused by {refused.host} with {code}{since}"
+
+
+def _cause_of_delay(own: list[LogLine], context: list[LogLine]) -> str:
+    pauses = [
+        (after.time_s - before.time_s, before, after)
+        for before, after in zip(own, own[1:], strict=False)
+        # Until the end of a run its work goes on.
+        if after.event != "run-ended"
+    ]
+    if not pauses:
+        return "one line only: see it"
+    pause_s, before, after = max(pauses, key=lambda pause: pause[0])
+    if pause_s < SHORT_PAUSE_S:
+        return "no pause of half a second or more"
+    within = [line for line in context if before.time_s <= line.time_s <= after.time_s]
+    events = ", ".join(dict.fromkeys(line.event for line in within)) or "nothing"
+    return (
+        f"{pause_s:.1f} s passed between {before.event} and {after.event};"
+        f" in between: {events}"
+    )
--- a/rhubarbmount/porcelain.py
+++ b/rhubarbmount/porcelain.py
@@ -28,6 +28,7 @@
         },
         "status": entry_commands.status,
         "explain": entry_commands.explain,
+        "explain-log": explain_log,
         "hosts": {
             "list": fleet_commands.hosts_list,
             "move": fleet_commands.hosts_move,
@@ -53,6 +54,22 @@
     }
 
 
+def explain_log(subject_id: str, *logs: str) -> int:
+    """Show what logs tell of a request or a job, with its cause.
+
+    :param subject_id: the ID of a request or a job
+    :param logs: files of lines; a file's name is its host unless its lines name one
+    """
+    from rhubarbmount.batch.log_trace import read_logs, trace
+
+    told = trace(read_logs(logs), subject_id)
+    for line in sorted({*told.lines, *told.context}, key=lambda line: line.time_s):
+        mark = " " if line in told.lines else "|"
+        print(f"{mark} {line}")
+    print(f"cause: {told.cause}")
+    return 0 if told.lines else 1
+
+
 def version() -> int:
     """Print the version."""
     print(__version__)
