--- a/tests/batch/test_silent_servers.py
+++ b/tests/batch/test_silent_servers.py
@@ -1,12 +1,13 @@
 """What a next holder knows of servers that were silent before it began."""
 
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 from trio.testing import MockClock
 
 from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
-from tests.batch.checkers import JobChecker
-from tests.batch.test_days import long_running_job, start_platform, submit
+from tests.batch.test_days import long_running_job, open_day, start_platform, submit
 from tests.batch.world import open_world
 
 
@@ -15,6 +16,21 @@
     return MockClock(rate=0.0, autojump_threshold=0.0)
 
 
+@asynccontextmanager
+async def open_lasting_day(monkeypatch, seed, calm_s=12.0):
+    """Run a long-running job of two tasks, until grants from before have lapsed."""
+    async with open_day(monkeypatch, seed) as (world, checker):
+        made = long_running_job(world.generator)
+        assert await submit(world, checker, "/one/", made)
+        await trio.sleep(calm_s)
+        yield world, checker
+
+
+def servers_at_work(checker):
+    """Return the servers that run a task."""
+    return [runs[0][0] for runs in checker.running.values() if runs]
+
+
 def test_a_next_holder_learns_when_leases_have_lapsed():
     clock = [100.0]
     first = SilentServers(lambda: clock[0])
@@ -48,22 +64,13 @@
     monkeypatch, autojump_clock, seed
 ):
     """A server goes dark, and the holder dies before the leases there have lapsed."""
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
-        made = long_running_job(world.generator)
-        assert await submit(world, checker, "/one/", made)
-        # Grants of a holder before this one, if any, have lapsed by then.
-        await trio.sleep(12.0)
-        dark = [runs[0][0] for runs in checker.running.values() if runs][0]
+    async with open_lasting_day(monkeypatch, seed) as (world, checker):
+        dark = servers_at_work(checker)[0]
         world.faults.servers_cut = {("*", dark.address)}
         await trio.sleep(3.0 + seed * 0.3)
         world.kill_node(world.holders()[0])
         await trio.sleep(5.5)
-        at_work = [runs[0][0] for runs in checker.running.values() if runs]
+        at_work = servers_at_work(checker)
         assert len(at_work) == 2
         assert dark not in at_work
         assert checker.breaches == []
@@ -74,21 +81,13 @@
     monkeypatch, autojump_clock, seed
 ):
     """Hosts are stopped in turn while a rack fails."""
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
-        made = long_running_job(world.generator)
-        assert await submit(world, checker, "/one/", made)
-        await trio.sleep(12.0)
-        dark = [runs[0][0] for runs in checker.running.values() if runs][0]
+    async with open_lasting_day(monkeypatch, seed) as (world, checker):
+        dark = servers_at_work(checker)[0]
         await world.stop_node(world.holders()[0])
         await trio.sleep(seed * 0.2)
         world.faults.servers_cut = {("*", dark.address)}
         await trio.sleep(8.5)
-        at_work = [runs[0][0] for runs in checker.running.values() if runs]
+        at_work = servers_at_work(checker)
         assert len(at_work) == 2
         assert dark not in at_work
         assert checker.breaches == []
@@ -116,17 +115,9 @@
     monkeypatch, autojump_clock, seed
 ):
     """It is cut off by turns from one holder and from all, while holders die."""
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
-        made = long_running_job(world.generator)
-        assert await submit(world, checker, "/one/", made)
-        await trio.sleep(2.0)
+    async with open_lasting_day(monkeypatch, seed, calm_s=2.0) as (world, checker):
         for _ in range(6):
-            runs = [runs[0][0] for runs in checker.running.values() if runs]
+            runs = servers_at_work(checker)
             holder = world.holders()[0]
             who = world.generator.choice([holder, "*"])
             world.faults.servers_cut = {(who, server.address) for server in runs[:1]}
@@ -142,5 +133,5 @@
             await trio.sleep(world.generator.uniform(2.0, 6.0))
         world.faults.servers_cut = set()
         await trio.sleep(12.0)
-        assert sum(bool(runs) for runs in checker.running.values()) == 2
+        assert len(servers_at_work(checker)) == 2
         assert checker.breaches == []
