Keep a wave's deadline when the holder changes

A new holder counted the time of a wave from its own start (18.5 s instead of 3.6 s) and let it wait while room was short. Ruled out: hosts with long-running tasks (they went early). The due time is stored now, by the store's clock; the new test fails without it.

--- a/rhubarbmount/batch/fleet_keeper.py
+++ b/rhubarbmount/batch/fleet_keeper.py
@@ -35,10 +35,11 @@
 
 @attrs.frozen
 class WaveRecord:
-    """How far a wave is, as stored."""
+    """How far a wave is, as stored; it is due at a time of the store's clock."""
 
     begun: tuple[str, ...]
     is_complete: bool
+    due_s: float = 0.0
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -48,7 +49,9 @@
     def decode(cls, value: bytes) -> "WaveRecord":
         """Return the record in a row's value."""
         values = json.loads(value)
-        return cls(tuple(values["begun"]), values["is_complete"])
+        return cls(
+            tuple(values["begun"]), values["is_complete"], values.get("due_s", 0.0)
+        )
 
 
 @attrs.define(eq=False)
@@ -91,6 +94,9 @@
             return
         progress = WaveProgress(wave, boot_s() + wave.deadline_s)
         if record is not None:
+            if record.due_s:
+                left_s = record.due_s - self.orders.store_clock_s()
+                progress.due_at_s = boot_s() + left_s
             progress.begun.update(record.begun)
             progress.is_complete = record.is_complete
         self.wave_by_number[wave.number] = progress
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -399,7 +399,8 @@
         await saved.wait()
 
     def _save_wave(self, progress: WaveProgress) -> None:
-        record = WaveRecord(tuple(sorted(progress.begun)), progress.is_complete)
+        due_s = self.store.clock_s() + progress.due_at_s - boot_s()
+        record = WaveRecord(tuple(sorted(progress.begun)), progress.is_complete, due_s)
         self._outbox.put(wave_row(self.name, progress.wave.number), record.encode())
         self.wave_status.put(progress.wave.number, progress.is_complete)
         self.wake()
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -377,3 +377,20 @@
         assert all(b - a > 0.5 for a, b in zip(times, times[1:], strict=False))
         assert world.platform.wave_state(1) == "complete"
         assert checker.breaches == []
+
+
+async def test_a_wave_keeps_its_deadline_when_the_holder_changes(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch) as (world, _):
+        world.platform.put_wave(1, sorted(world.platform.machine_by_id), 1, 60.0)
+        await trio.sleep(1.0)
+        due_at_s = []
+        for _ in range(3):
+            holder = world.holders()[0]
+            waves = world.node_by_id[holder]._holder.fleet.wave_by_number
+            due_at_s.append(waves[1].due_at_s)
+            world.kill_node(holder)
+            world.start_node(holder)
+            await trio.sleep(5.0)
+        assert due_at_s == pytest.approx([due_at_s[0]] * 3, abs=0.1)
