Let larger entry hosts become the holder first

Ruled out: memory, errors of the holder (none logged). A host that has less than a holder needs waits 0.5 s for each lack before it writes for the lease.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -4,16 +4,33 @@
 
 from rhubarbmount.batch.records import LeaseRow
 
-__all__ = ["LEASE_TTL_S", "RENEWAL_PERIOD_S", "LeaseTerm", "LeaseWatch"]
+__all__ = [
+    "LEASE_TTL_S",
+    "RENEWAL_PERIOD_S",
+    "WEAK_HOST_WAIT_S",
+    "LeaseTerm",
+    "LeaseWatch",
+    "candidate_wait_s",
+]
 
 LEASE_TTL_S = 2.0
 # What a holder acts on is shorter than what others wait for.
 LEASE_VALID_S = 1.6
 RENEWAL_PERIOD_S = 0.5
 NORMAL_GRANT_S = 4.0
+# What a holder needs to schedule some hundred backend servers.
+HOLDER_CORES = 1.0
+HOLDER_LINK_MBPS = 50.0
+WEAK_HOST_WAIT_S = 0.5
 RENEWAL_OVERDUE_S = 1.0
 
 
+def candidate_wait_s(cores: float, link_mbps: float) -> float:
+    """Return how long a host lets others try first to become a holder."""
+    lacks = (cores < HOLDER_CORES, link_mbps < HOLDER_LINK_MBPS)
+    return sum(lacks) * WEAK_HOST_WAIT_S
+
+
 @attrs.define
 class LeaseWatch:
     """What another process has seen of a shard's lease."""
--- a/rhubarbmount/batch/lease_keeper.py
+++ b/rhubarbmount/batch/lease_keeper.py
@@ -39,6 +39,8 @@
     store: RowStore
     shard: str
     node_id: str
+    # How long others are let try first.
+    wait_s: float = 0.0
     incarnation: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
@@ -90,8 +92,10 @@
         Hosts that write at once make each other wait for as long as the store needs
         for all their writes.
         """
+        wait_s = self.wait_s
         if self.watch.lease is not None:
-            await trio.sleep(random.uniform(0.0, self.store.patience.timeout_s))
+            wait_s += random.uniform(0.0, self.store.patience.timeout_s)
+        await trio.sleep(wait_s)
         if not self.watch.may_take(boot_s()):
             return None
         return await self._try_take()
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -13,7 +13,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.committer import Committer
-from rhubarbmount.batch.election import LeaseTerm
+from rhubarbmount.batch.election import LeaseTerm, candidate_wait_s
 from rhubarbmount.batch.follow import TableFollower
 from rhubarbmount.batch.front import JobFront
 from rhubarbmount.batch.holder import Holder
@@ -87,7 +87,8 @@
             self.store, self.metrics, on_stored=self._note_stored_request
         )
         shard = shard_of("", "", "")
-        self.keeper = LeaseKeeper(self.store, shard, self.settings.node_id)
+        wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
+        self.keeper = LeaseKeeper(self.store, shard, self.settings.node_id, wait_s)
         self.operator_rows = TableFollower(
             self.store, OPERATOR_TABLE, ("",), self._apply_operator_rows
         )
--- a/rhubarbmount/platform/settings.py
+++ b/rhubarbmount/platform/settings.py
@@ -49,6 +49,9 @@
     advice_address: str
     first_port: int
     row_bytes: int
+    # Processor time, as multiples of a plain core, and the rate of the host's own link.
+    cores: float
+    link_mbps: float
     bounds: Bounds
 
 
@@ -67,9 +70,11 @@
         self._refuse(path, "expected a text")
         return ""
 
-    def number(self, path: str, scale: float = 1.0) -> float:
+    def number(
+        self, path: str, scale: float = 1.0, default: float | None = None
+    ) -> float:
         """Return a finite number of zero or more, scaled."""
-        value = self._find(path, None)
+        value = self._find(path, default)
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
         if is_number and math.isfinite(value) and value >= 0:
             return float(value) * scale
@@ -133,6 +138,9 @@
         advice_address=reader.address("advice", ""),
         first_port=reader.first("port_range"),
         row_bytes=int(reader.number("platform.row_bytes")),
+        cores=reader.number("limits.cpu_share", default=1.0)
+        * reader.number("limits.cores", default=1.0),
+        link_mbps=reader.number("limits.link_mbps", default=1000.0),
         bounds=_decode_bounds(reader),
     )
 
--- a/tests/batch/test_election.py
+++ b/tests/batch/test_election.py
@@ -1,12 +1,31 @@
 """When a lease may be taken, and how long a holder may act."""
 
+import pytest
+
 from rhubarbmount.batch.clocks import RATE_MARGIN, ServerClock
-from rhubarbmount.batch.election import LEASE_TTL_S, LeaseTerm, LeaseWatch
+from rhubarbmount.batch.election import (
+    LEASE_TTL_S,
+    WEAK_HOST_WAIT_S,
+    LeaseTerm,
+    LeaseWatch,
+    candidate_wait_s,
+)
 from rhubarbmount.batch.records import LeaseRow
 
 LEASE = LeaseRow("b", "1", 4)
 
 
+@pytest.mark.parametrize(
+    ("cores", "link_mbps", "waits"),
+    [(1.07, 1000.0, 0), (0.52, 1000.0, 1), (2.15, 5.0, 1), (0.52, 5.0, 2)],
+)
+def test_hosts_with_little_processor_time_or_a_slow_link_let_others_try_first(
+    cores, link_mbps, waits
+):
+    """Hosts differ in size, and any of them would do the holder's work in need."""
+    assert candidate_wait_s(cores, link_mbps) == waits * WEAK_HOST_WAIT_S
+
+
 def test_a_free_lease_may_be_taken():
     watch = LeaseWatch("a")
     watch.note(None, 0, 1.0)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -163,6 +163,8 @@
             advice_address="",
             first_port=1,
             row_bytes=65536,
+            cores=1.0,
+            link_mbps=1000.0,
             bounds=BOUNDS,
         )
         timers = TimerService(self.generator.randrange(2**31))
