--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -19,14 +19,16 @@
 
 
 @pytest.fixture
-async def deadlines(nursery, autojump_clock):
+async def deadlines(nursery):
     deadlines = Deadlines()
     nursery.start_soon(deadlines.run)
     await trio.testing.wait_all_tasks_blocked()
     return deadlines
 
 
-async def test_what_did_not_wait_at_its_deadline_is_interrupted_once_it_does(deadlines):
+async def test_what_did_not_wait_at_its_deadline_is_interrupted_once_it_does(
+    autojump_clock, deadlines
+):
     waiting = Waiting()
     with trio.fail_after(10.0), deadlines.at(trio.current_time() + 1.0, waiting):
         await trio.sleep(2.0)
@@ -38,7 +40,7 @@
 
 
 @pytest.mark.parametrize("second_s", [0.5, 3.0])
-async def test_a_deadline_holds_beside_another(deadlines, second_s):
+async def test_a_deadline_holds_beside_another(autojump_clock, deadlines, second_s):
     first, second = Waiting(), Waiting()
     first.is_blocked = second.is_blocked = True
     begin_s = trio.current_time()
@@ -49,7 +51,7 @@
         await first.ended.wait()
 
 
-async def test_what_is_done_in_time_is_left_alone(deadlines):
+async def test_what_is_done_in_time_is_left_alone(autojump_clock, deadlines):
     waiting = Waiting()
     waiting.is_blocked = True
     with deadlines.at(trio.current_time() + 1.0, waiting):
