Report how long scheduling passes and commits take, and what a maintenance was decided on

The log could not tell a holder that is short of processor time from a pool that is short of hosts, nor a maintenance decided by this holder from one of the last. A line a second says how long the passes took and what waits; a line per decided maintenance says how many hosts of the wave were counted as away. No decision changes.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -184,12 +184,27 @@
             self.shard.stop_run(task)
             self.wake_scheduler()
         for maintenance in plan.begin:
-            self._start_command(maintenance.host_id, self._maintain, maintenance)
+            self._start_maintenance(maintenance)
         for progress in plan.completed:
             progress.is_complete = True
             log.event(logger, "wave-complete", wave=progress.wave.number)
             self.save_wave(progress)
 
+    def _start_maintenance(self, maintenance: Maintenance) -> None:
+        if not self._may_command(maintenance.host_id):
+            return
+        wave = self.wave_by_number[maintenance.wave].wave
+        log.event(
+            logger,
+            "maintenance-decided",
+            host=maintenance.host_id,
+            wave=wave.number,
+            unavailable=len(self.waves.unavailable_by_wave.get(wave.number, ())),
+            limit=wave.limit,
+            list_age_s=monotonic_s() - self._listed_at_s,
+        )
+        self._start_command(maintenance.host_id, self._maintain, maintenance)
+
     def _log_waits(self, wait_by_host: dict[str, str]) -> None:
         for host_id, reason in wait_by_host.items():
             if self._wait_reason_by_host.get(host_id) != reason:
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -27,6 +27,7 @@
     encode_pending,
     encode_progress,
 )
+from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
@@ -91,6 +92,7 @@
     wave_status: WaveStatusWriter = attrs.field(init=False)
     sessions: ServerSessions = attrs.field(init=False)
     servers: ServerRows = attrs.field(init=False)
+    meter: SchedulingMeter = attrs.field(init=False)
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
@@ -107,6 +109,7 @@
             Catalogue(0, {}, {}), wall_clock_s=wall_clock_s(), now_s=monotonic_s()
         )
         self._write_batch = WriteBatch(self.committer)
+        self.meter = SchedulingMeter(self.metrics)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
@@ -293,14 +296,28 @@
             self._wake = trio.Event()
             self.shard.set_time(monotonic_s(), wall_clock_s())
             self.shard.open_due()
-            assignments = self.placer.place(monotonic_s())
+            assignments = self._place()
             self.sessions.close_lost()
-            waiting = sum(map(len, self.shard.waiting_by_step.values()))
-            self.metrics.waiting_tasks.set(waiting)
             if not assignments and not self._is_urgent():
                 await self._await_more_changes()
-                assignments = self.placer.place(monotonic_s())
+                assignments = self._place()
+            committing_since_s = monotonic_s()
             await self._commit_and_send(assignments)
+            self._record_pass(monotonic_s() - committing_since_s, len(assignments))
+
+    def _place(self) -> list[Assignment]:
+        started_s = monotonic_s()
+        assignments = self.placer.place(started_s)
+        self.meter.record_placing(monotonic_s() - started_s)
+        return assignments
+
+    def _record_pass(self, committing_s: float, starts: int) -> None:
+        waiting_by_step = self.shard.waiting_by_step
+        waiting_tasks = sum(map(len, waiting_by_step.values()))
+        self.metrics.waiting_tasks.set(waiting_tasks)
+        self.meter.record_pass(
+            committing_s, starts, len(waiting_by_step), waiting_tasks
+        )
 
     def _is_urgent(self) -> bool:
         """Tell whether a caller or a backend server is waiting for the next commit."""
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -32,6 +32,8 @@
     ends: prometheus_client.Counter = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
+    placing_s: prometheus_client.Histogram = attrs.field(init=False)
+    committing_s: prometheus_client.Histogram = attrs.field(init=False)
     waiting_tasks: prometheus_client.Gauge = attrs.field(init=False)
     fencing_token: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -77,6 +79,16 @@
             "Time from the acceptance of a job to the start of its first task.",
             WAIT_BUCKETS_S,
         )
+        self.placing_s = self._histogram(
+            "placing_seconds",
+            "Duration of the placement of waiting tasks, per scheduling pass.",
+            CALL_BUCKETS_S,
+        )
+        self.committing_s = self._histogram(
+            "committing_seconds",
+            "Time until the changes of a scheduling pass are stored.",
+            CALL_BUCKETS_S,
+        )
         self.waiting_tasks = prometheus_client.Gauge(
             "rhubarbmount_batch_waiting_tasks",
             "Tasks of the shard that wait for capacity, at the holder.",
