Count a host towards its wave's limit from the decision on, over a change of the holder

Cause, of the class 'what is under way is counted only once it is stored': a host counted after the time of its command was stored, while planning went on; the next holder counted only hosts that the stored row called begun, which is written after the answer, so that it knew nothing of maintenance that the last one had commanded and not stored, nor of commands still under way.

The tests of the planner failed before too, as they use the new counting.

Now a wave holds the hosts that count; a host joins at the decision, the row with it is stored before the command is sent, the next holder restores it, a list that shows a host in maintenance adds it, whoever began it, and only a list asked for when no command of either holder can be under way takes it out. Hosts that may be about to go take no tasks.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -35,11 +35,16 @@
 
 @attrs.frozen
 class WaveRecord:
-    """The stored progress of a wave; ``due_s`` is by the store's clock."""
+    """The stored progress of a wave; ``due_s`` is by the store's clock.
+
+    ``unavailable`` holds every host whose maintenance has been decided; it is stored
+    before the host is commanded.
+    """
 
     begun: tuple[str, ...]
     is_complete: bool
     due_s: float = 0.0
+    unavailable: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """Return the record as the value of a row."""
@@ -50,7 +55,10 @@
         """Return the record stored as the value of a row."""
         values = json.loads(value)
         return cls(
-            tuple(values["begun"]), values["is_complete"], values.get("due_s", 0.0)
+            tuple(values["begun"]),
+            values["is_complete"],
+            values.get("due_s", 0.0),
+            tuple(values.get("unavailable", ())),
         )
 
 
@@ -98,6 +106,7 @@
                 left_s = record.due_s - self.command_times.store_clock_s()
                 progress.due_at_s = monotonic_s() + left_s
             progress.begun.update(record.begun)
+            progress.unavailable.update(record.unavailable)
             progress.is_complete = record.is_complete
         self.wave_by_number[wave.number] = progress
         log.event(
@@ -135,20 +144,27 @@
     def _is_list_due(self, now_s: float) -> bool:
         age_s = now_s - self._listed_at_s
         is_waiting = self._is_list_requested or bool(self._in_flight)
-        is_waiting = is_waiting or any(self.waves.unavailable_by_wave.values())
+        is_waiting = is_waiting or any(
+            progress.unavailable for progress in self.wave_by_number.values()
+        )
         return age_s >= (LIST_PERIOD_S if is_waiting else IDLE_LIST_PERIOD_S)
 
     async def _read_list(self) -> None:
         self._listed_at_s = monotonic_s()
-        commanded = set().union(*self.waves.unavailable_by_wave.values())
-        completed = commanded - self._in_flight
+        resolved_host_ids = {
+            host_id
+            for progress in self.wave_by_number.values()
+            for host_id in progress.unavailable
+            if self._may_command(host_id)
+        }
         try:
             hosts = await self.client.list()
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.event(logger, "hosts-not-listed", logging.WARNING, code=error.code)
             return
         self.host_by_id = {host.id: host for host in hosts}
-        self.waves.note_listed(self.host_by_id, completed)
+        for progress in self.wave_by_number.values():
+            progress.note_listed(self.host_by_id, resolved_host_ids)
         known = {host.server_id for host in hosts}
         self._is_list_requested = any(
             server_id not in known for server_id in self.shard.usage_by_server_id
@@ -193,16 +209,18 @@
     def _start_maintenance(self, maintenance: Maintenance) -> None:
         if not self._may_command(maintenance.host_id):
             return
-        wave = self.wave_by_number[maintenance.wave].wave
+        progress = self.wave_by_number[maintenance.wave]
         log.event(
             logger,
             "maintenance-decided",
             host=maintenance.host_id,
-            wave=wave.number,
-            unavailable=len(self.waves.unavailable_by_wave.get(wave.number, ())),
-            limit=wave.limit,
+            wave=maintenance.wave,
+            unavailable=len(progress.unavailable),
+            limit=progress.wave.limit,
             list_age_s=monotonic_s() - self._listed_at_s,
         )
+        progress.unavailable.add(maintenance.host_id)
+        self.save_wave(progress)
         self._start_command(maintenance.host_id, self._maintain, maintenance)
 
     def _log_waits(self, wait_by_host: dict[str, str]) -> None:
@@ -213,7 +231,6 @@
 
     async def _maintain(self, maintenance: Maintenance) -> None:
         progress = self.wave_by_number[maintenance.wave]
-        self.waves.note_begun(maintenance.wave, maintenance.host_id)
         result = await self._command(
             lambda: self.client.maintain(
                 maintenance.host_id, maintenance.wave, self.shard_lease.fencing_token
@@ -236,9 +253,7 @@
         elif result is HostResult.NOT_IN_WAVE or result is HostResult.REFUSED:
             progress.begun.add(maintenance.host_id)
         elif result is not None:
-            self.waves.unavailable_by_wave[maintenance.wave].discard(
-                maintenance.host_id
-            )
+            progress.unavailable.discard(maintenance.host_id)
 
     # Moves.
 
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -427,7 +427,12 @@
 
     def _save_wave(self, progress: WaveProgress) -> None:
         due_s = self.store.clock_s() + progress.due_at_s - monotonic_s()
-        record = WaveRecord(tuple(sorted(progress.begun)), progress.is_complete, due_s)
+        record = WaveRecord(
+            tuple(sorted(progress.begun)),
+            progress.is_complete,
+            due_s,
+            tuple(sorted(progress.unavailable)),
+        )
         self._write_batch.put(
             wave_row(self.name, progress.wave.number), record.encode()
         )
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -19,13 +19,46 @@
 
 @attrs.define(eq=False)
 class WaveProgress:
-    """Progress of a wave; ``begun`` holds the hosts whose maintenance has begun."""
+    """Progress of a wave.
+
+    ``begun`` holds the hosts whose maintenance has begun. ``unavailable`` holds those
+    that count towards the limit: from the decision to maintain them, before any command
+    is sent, until the platform lists them as up again.
+    """
 
     wave: Wave
     due_at_s: float
     begun: set[str] = attrs.field(factory=set)
+    unavailable: set[str] = attrs.field(factory=set)
     is_complete: bool = False
 
+    @property
+    def free_slots(self) -> int:
+        """Return how many more hosts may be in maintenance."""
+        return self.wave.limit - len(self.unavailable)
+
+    def note_listed(
+        self, hosts: Mapping[str, Host], resolved_host_ids: Collection[str]
+    ) -> None:
+        """Count the hosts that the platform lists as in maintenance, whoever began it.
+
+        Hosts that it lists as up, or no longer lists, count no more; nor do those that
+        are down before their maintenance began. A list says nothing about hosts to
+        which a command may have been under way when it was requested;
+        ``resolved_host_ids`` are the others.
+        """
+        for host_id in self.wave.host_ids:
+            host = hosts.get(host_id)
+            if host is not None and host.state is HostState.MAINTENANCE:
+                self.unavailable.add(host_id)
+            elif host_id in resolved_host_ids and self._is_available(host):
+                self.unavailable.discard(host_id)
+
+    def _is_available(self, host: Host | None) -> bool:
+        if host is None or host.state is HostState.UP:
+            return True
+        return host.id not in self.begun
+
 
 @attrs.frozen
 class Maintenance:
@@ -53,14 +86,9 @@
 
 @attrs.define(eq=False)
 class WavePlanner:
-    """Drains as many hosts as may be in maintenance at once, cheapest first.
-
-    ``unavailable_by_wave`` holds hosts whose maintenance has begun, until the
-    platform lists them as up again.
-    """
+    """Drains as many hosts as may be in maintenance at once, cheapest first."""
 
     shard: Shard
-    unavailable_by_wave: dict[int, set[str]] = attrs.field(factory=dict)
 
     def plan(
         self,
@@ -93,35 +121,17 @@
                 for host in remaining
                 if host.state is HostState.UP
                 and host.id not in chosen_host_ids
+                and host.id not in progress.unavailable
                 and (is_urgent or self._has_long_running(host))
             ]
             for host in remaining:
                 if host.state is not HostState.UP:
                     actions.wait_by_host[host.id] = host.state.value
-            free_slots = progress.wave.limit - self._unavailable_count(progress, hosts)
-            self._prepare_hosts(
-                progress, candidates, free_slots, actions, chosen_host_ids
-            )
+                elif host.id in progress.unavailable:
+                    actions.closed_servers.add(host.server_id)
+            self._prepare_hosts(progress, candidates, actions, chosen_host_ids)
         return actions
 
-    def note_begun(self, wave: int, host_id: str) -> None:
-        """Count a host as unavailable because of its maintenance."""
-        self.unavailable_by_wave.setdefault(wave, set()).add(host_id)
-
-    def note_listed(
-        self, hosts: Mapping[str, Host], resolved_host_ids: Collection[str]
-    ) -> None:
-        """Count hosts as available that the platform lists as up, or no longer lists.
-
-        A list says nothing about hosts whose command was still in flight when the list
-        was requested; ``resolved_host_ids`` are the others.
-        """
-        for unavailable in self.unavailable_by_wave.values():
-            for host_id in unavailable & set(resolved_host_ids):
-                host = hosts.get(host_id)
-                if host is None or host.state is HostState.UP:
-                    unavailable.discard(host_id)
-
     @staticmethod
     def _remaining_hosts(
         progress: WaveProgress, hosts: Mapping[str, Host]
@@ -154,12 +164,12 @@
         self,
         progress: WaveProgress,
         candidates: list[Host],
-        free_slots: int,
         actions: WaveActions,
         chosen_host_ids: set[str],
     ) -> None:
         """Prepare cheap hosts first, and per pool one with long-running tasks."""
         draining_pools: set[str] = set()
+        free_slots = progress.free_slots
         for host in sorted(candidates, key=self._drain_cost):
             if free_slots <= 0:
                 return
@@ -171,16 +181,6 @@
             chosen_host_ids.add(host.id)
             self._prepare_host(progress, host, actions)
 
-    def _unavailable_count(
-        self, progress: WaveProgress, hosts: Mapping[str, Host]
-    ) -> int:
-        unavailable = set(self.unavailable_by_wave.get(progress.wave.number, ()))
-        for host_id in progress.begun:
-            host = hosts.get(host_id)
-            if host is not None and host.state is HostState.MAINTENANCE:
-                unavailable.add(host_id)
-        return len(unavailable)
-
     def _drain_cost(self, host: Host) -> tuple[bool, bool, int, str]:
         usage = self.shard.usage_by_server_id.get(host.server_id)
         if usage is None:
--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -29,6 +29,7 @@
     memory_mb: int
     state: str = "up"
     server: StandinServer | None = None
+    next_pool: str = ""
     maintained_for: list[int] = attrs.field(factory=list)
 
 
@@ -37,7 +38,7 @@
     """Machines in pools whose backend servers register in the store.
 
     ``observe`` is called for each event that an operator or a caller could see: starts
-    and ends of runs, moves and maintenance.
+    and ends of runs, moves and maintenance, and machines that are up again.
     """
 
     nursery: trio.Nursery
@@ -151,6 +152,7 @@
         await trio.sleep(after_s)
         machine.pool = pool
         self._begin_lifetime(machine)
+        self.observe("up", machine)
 
     # Calls of the system under test.
 
@@ -171,15 +173,24 @@
                 int(headers[b"x-fencing-token"]),
             )
         )
+        if path == "/machine-move":
+            return self._move(machine, body["pool"])
+        return self._maintain(machine, body["wave"])
+
+    def _move(self, machine: StandinMachine, pool: str) -> JsonResponse:
+        is_done = machine.state == "up" and machine.pool == pool
+        if is_done or (machine.state == "moving" and machine.next_pool == pool):
+            return JsonResponse(200, {})
         if machine.state != "up":
             return JsonResponse(409, {"reason": "busy"})
-        if path == "/machine-move":
-            if machine.pool == body["pool"]:
-                return JsonResponse(200, {})
-            return self._take_down(machine, "moving", body["pool"], MOVE_S)
-        if body["wave"] in machine.maintained_for:
+        return self._take_down(machine, "moving", pool, MOVE_S)
+
+    def _maintain(self, machine: StandinMachine, wave: int) -> JsonResponse:
+        if wave in machine.maintained_for:
             return JsonResponse(200, {})
-        machine.maintained_for.append(body["wave"])
+        if machine.state != "up":
+            return JsonResponse(409, {"reason": "busy"})
+        machine.maintained_for.append(wave)
         return self._take_down(machine, "upkeep", machine.pool, MAINTENANCE_S)
 
     def _take_down(
@@ -187,6 +198,7 @@
     ) -> JsonResponse:
         runs = list(machine.server.run_by_task) if machine.server else []
         self.observe(state, machine, runs, pool)
+        machine.next_pool = pool
         self._end_lifetime(machine, state)
         self.nursery.start_soon(self._restart_after, machine, pool, for_s)
         return JsonResponse(200, {})
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -1,4 +1,4 @@
-"""Checks rules on runs of jobs by what backend servers and callers observe."""
+"""Checks rules on jobs and waves by what backend servers and callers observe."""
 
 import attrs
 import trio
@@ -48,7 +48,7 @@
             self._on_start(where, *details)
         elif what == "acknowledged":
             self._on_acknowledged(where, *details)
-        elif what in ("moving", "upkeep"):
+        elif what in ("moving", "upkeep", "up"):
             return
         else:
             task, run = details
@@ -105,3 +105,35 @@
 
     def _record_breach(self, rule: str, task: str, run: int) -> None:
         self.breaches.append(f"{rule} at {trio.current_time():.3f} s: {task} run {run}")
+
+
+@attrs.define(eq=False)
+class WaveChecker:
+    """Records breaches of the limit of one wave.
+
+    LIMIT: the maintenance of a machine begins while as many machines of the wave as it
+    allows are down for theirs.
+    """
+
+    world: World
+    wave: int
+    limit: int
+    in_maintenance: set[str] = attrs.field(factory=set)
+    maintained: set[str] = attrs.field(factory=set)
+    breaches: list[str] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.world.observers.append(self.on_event)
+
+    def on_event(self, what: str, where, *details) -> None:
+        """Handle an event of the platform."""
+        if what == "upkeep" and where.maintained_for[-1] == self.wave:
+            if len(self.in_maintenance) >= self.limit:
+                self.breaches.append(
+                    f"LIMIT at {trio.current_time():.3f} s: {where.id} beside "
+                    f"{sorted(self.in_maintenance)}"
+                )
+            self.in_maintenance.add(where.id)
+            self.maintained.add(where.id)
+        elif what == "up":
+            self.in_maintenance.discard(where.id)
--- a/tests/batch/test_waves.py
+++ b/tests/batch/test_waves.py
@@ -70,16 +70,52 @@
     for name in ("a", "b", "c"):
         add_server(shard, name)
     planner = WavePlanner(shard)
-    planner.note_begun(1, "m-a")
     wave = progress("a", "b", "c")
+    wave.unavailable.add("m-a")
     wave.begun.add("m-a")
     assert begun(planner.plan([wave], hosts(*"abc"), 0.0)) == ["m-b"]
-    planner.note_listed(hosts(*"abc"), resolved_host_ids=())
+    wave.note_listed(hosts(*"abc"), resolved_host_ids=())
     assert begun(planner.plan([wave], hosts(*"abc"), 0.0)) == ["m-b"]
-    planner.note_listed(hosts(*"abc"), resolved_host_ids={"m-a"})
+    wave.note_listed(hosts(*"abc"), resolved_host_ids={"m-a"})
     assert begun(planner.plan([wave], hosts(*"abc"), 0.0)) == ["m-b", "m-c"]
 
 
+# Guards against too many hosts in maintenance after a takeover.
+def test_hosts_whose_maintenance_the_last_holder_began_count(shard):
+    wave = progress(*"abcd")
+    listed = hosts(*"cd") | hosts(*"ab", state=HostState.MAINTENANCE)
+    wave.note_listed(listed, resolved_host_ids=())
+    assert begun(WavePlanner(shard).plan([wave], listed, 0.0)) == []
+
+
+# Guards against too many hosts in maintenance while decisions wait for the store.
+def test_a_host_that_became_cheaper_does_not_take_the_slot_of_one_decided(shard):
+    add_server(shard, "a")
+    planner = WavePlanner(shard)
+    wave = progress(*"abc")
+    wave.unavailable.update(["m-b", "m-c"])
+    shard.lose_server("a", 0.0)
+    assert begun(planner.plan([wave], hosts(*"abc"), 0.0)) == []
+
+
+def test_a_host_to_be_maintained_takes_no_tasks_and_no_second_slot(shard):
+    for name in ("a", "b"):
+        add_server(shard, name)
+    wave = progress("a", "b")
+    wave.unavailable.add("m-a")
+    plan = WavePlanner(shard).plan([wave], hosts(*"ab"), 0.0)
+    assert begun(plan) == ["m-b"]
+    assert plan.closed_servers == {"a", "b"}
+
+
+def test_a_host_that_is_down_before_its_maintenance_keeps_no_slot():
+    wave = progress(*"ab")
+    wave.unavailable.update(["m-a", "m-b"])
+    wave.begun.add("m-b")
+    wave.note_listed(hosts(*"ab", state=HostState.DOWN), {"m-a", "m-b"})
+    assert wave.unavailable == {"m-b"}
+
+
 def test_wave_waits_during_a_shortage_until_its_latest_start(shard):
     add_server(shard, "a")
     planner = WavePlanner(shard)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -52,6 +52,11 @@
     late_command_share: float = 0.0
     # Share of calls to backend servers that take effect but get no answer.
     lost_response_share: float = 0.0
+    # Share of commands to machines that take effect but get no answer.
+    lost_machine_response_share: float = 0.0
+    # Time that a command to a machine takes to arrive; the sender may give up before.
+    machine_command_delay_s: float = 0.0
+    store_delay_s: float = 0.0
     # Pairs of a node, or "*" for all nodes, and the address of a backend server that
     # it can't reach.
     servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
@@ -85,7 +90,7 @@
         if address == STORE:
             return await self._deliver_to_store(method, target, body)
         if address == MACHINES_ADDRESS:
-            return await world.platform.handle_machines(method, target, headers, body)
+            return await self._deliver_to_machines(method, target, headers, body)
         cut = {(self.node_id, address), ("*", address)}
         if cut & faults.servers_cut:
             await trio.sleep_forever()
@@ -106,12 +111,33 @@
         if not server.is_gone:
             await server.handle(target, expected, body)
 
+    async def _deliver_to_machines(self, method, target, headers, body) -> JsonResponse:
+        world, faults = self.world, self.world.faults
+        if method == "GET":
+            return await world.platform.handle_machines(method, target, headers, body)
+        answered = trio.Event()
+        responses = []
+
+        async def deliver() -> None:
+            await trio.sleep(faults.machine_command_delay_s)
+            responses.append(
+                await world.platform.handle_machines(method, target, headers, body)
+            )
+            answered.set()
+
+        world.nursery.start_soon(deliver)
+        if world.generator.random() < faults.lost_machine_response_share:
+            await trio.sleep_forever()
+        await answered.wait()
+        return responses[0]
+
     async def _deliver_to_store(self, method, target, body) -> JsonResponse:
         world, faults = self.world, self.world.faults
         if faults.store_is_down or self.node_id in faults.nodes_cut_from_store:
             await trio.sleep_forever()
         if faults.store_refuses:
             return JsonResponse(503, {})
+        await trio.sleep(faults.store_delay_s)
         store = world.platform.store
         if method == "POST" and world.generator.random() < faults.store_is_late:
             world.nursery.start_soon(self._write_late, target, body)
