Keep a command to a host under way until its outcome is known

Cause, of the class 'a refusal is taken for proof that nothing was done': a command without an answer was repeated, and if the repetition was refused as busy the host counted as available; without a valid lease it was given up, and the next list that said 'up' freed it. The first try could still take effect. A repetition could also be sent long after the one time that was stored before the first, so that the next holder could command the host within the pause that the platform asks for.

Evidence: three of the tests of the controller failed on the code before (the slot was free after a refusal, and after a gap in the lease; four commands under one stored time). Now the outcome is waited for as long as the holder is one, and each try falls under a stored time until which commands may be sent; a store slower than that window makes the window longer.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -29,7 +29,9 @@
 PLAN_PERIOD_S = 0.1
 LIST_PERIOD_S = 0.4
 IDLE_LIST_PERIOD_S = 4.0
-COMMAND_RETRY_S = 0.1
+COMMAND_RETRY_S = 0.25
+# How long a command may be sent and repeated after its time has been recorded.
+SEND_WINDOW_S = 0.5
 SHORTAGE_LOG_PERIOD_S = 1.0
 
 
@@ -232,18 +234,18 @@
     async def _maintain(self, maintenance: Maintenance) -> None:
         progress = self.wave_by_number[maintenance.wave]
         result = await self._command(
+            maintenance.host_id,
             lambda: self.client.maintain(
                 maintenance.host_id, maintenance.wave, self.shard_lease.fencing_token
-            )
+            ),
         )
-        outcome = result.value if result else "unknown"
-        self.metrics.host_orders.labels("maintain", outcome).inc()
+        self.metrics.host_orders.labels("maintain", result.value).inc()
         log.event(
             logger,
             "maintain",
             host=maintenance.host_id,
             wave=maintenance.wave,
-            outcome=outcome,
+            outcome=result.value,
             list_age_s=monotonic_s() - self._listed_at_s,
         )
         if result is HostResult.DONE:
@@ -252,7 +254,7 @@
             self._lose_server_of(maintenance.host_id)
         elif result is HostResult.NOT_IN_WAVE or result is HostResult.REFUSED:
             progress.begun.add(maintenance.host_id)
-        elif result is not None:
+        else:
             progress.unavailable.discard(maintenance.host_id)
 
     # Moves.
@@ -305,12 +307,12 @@
     async def _move(self, move: Move) -> None:
         self.capacity.note_command(move, monotonic_s())
         result = await self._command(
+            move.host_id,
             lambda: self.client.move(
                 move.host_id, move.pool, self.shard_lease.fencing_token
-            )
+            ),
         )
-        outcome = result.value if result else "unknown"
-        self.metrics.host_orders.labels("move", outcome).inc()
+        self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
             logger,
             "move",
@@ -320,11 +322,11 @@
             needed=move.needed_millicores,
             had=move.available_millicores,
             idle_s=move.idle_s,
-            outcome=outcome,
+            outcome=result.value,
         )
         if result is HostResult.DONE:
             self._lose_server_of(move.host_id)
-        elif result is not None:
+        else:
             self.capacity.drop_command(move.host_id)
 
     def _lose_server_of(self, host_id: str) -> None:
@@ -355,8 +357,6 @@
         self, host_id: str, action: Callable, decision: object
     ) -> None:
         try:
-            self.command_times.note(host_id)
-            await self.save_command_times()
             await action(decision)
         finally:
             self._in_flight.discard(host_id)
@@ -366,19 +366,35 @@
             if usage:
                 usage.has_pending_command = False
 
-    async def _command(self, send: Callable) -> HostResult | None:
-        """Send a command until its outcome is known; return None if it stays unknown.
+    async def _command(self, host_id: str, send: Callable) -> HostResult:
+        """Send a command until its outcome is known.
 
-        Commands are idempotent, so that one without an answer can be sent again.
+        Commands are idempotent, so that one without an answer can be sent again. After
+        a try without an answer, a refusal as busy settles nothing, since that try may
+        still take effect.
         """
-        is_sent = False
-        while self.shard_lease.is_valid(monotonic_s()):
-            try:
-                return await send()
-            except PlatformUnavailable:
-                if not is_sent:
-                    return HostResult.BUSY
-                await trio.sleep(COMMAND_RETRY_S)
-            except OutcomeUnknown:
-                is_sent = True
-        return None if is_sent else HostResult.BUSY
+        is_unsettled = False
+        while True:
+            await self._store_command_time(host_id)
+            if self.shard_lease.is_valid(monotonic_s()):
+                try:
+                    result = await send()
+                except PlatformUnavailable:
+                    result = HostResult.BUSY
+                except OutcomeUnknown:
+                    is_unsettled = True
+                    continue
+            else:
+                result = HostResult.BUSY
+            if result is not HostResult.BUSY or not is_unsettled:
+                return result
+            await trio.sleep(COMMAND_RETRY_S)
+
+    async def _store_command_time(self, host_id: str) -> None:
+        """Store until when commands to a host may be sent, unless that is stored."""
+        window_s = SEND_WINDOW_S
+        while not self.command_times.may_send(host_id):
+            self.command_times.note(host_id, window_s)
+            await self.save_command_times()
+            # A window that a slow store has used up has to be longer.
+            window_s *= 2
--- a/rhubarbmount/batch/host_command_times.py
+++ b/rhubarbmount/batch/host_command_times.py
@@ -14,10 +14,10 @@
 
 @attrs.define(eq=False)
 class HostCommandTimes:
-    """Time, by the store's clock, of the last command to each host.
+    """Time, by the store's clock, until which each host may be sent commands.
 
-    The time is stored before the command is sent. Another holder sends the host no
-    commands for the pause that the platform requires between commands of two holders.
+    The time is stored before a command is sent. After it, another holder sends the host
+    no commands for the pause that the platform requires between two holders.
     """
 
     store_clock_s: Callable[[], float]
@@ -38,10 +38,15 @@
         until_s = self._blocked_until_s.get(host_id)
         return until_s is None or self.store_clock_s() >= until_s
 
-    def note(self, host_id: str) -> None:
-        """Record a command that is about to be sent."""
+    def may_send(self, host_id: str) -> bool:
+        """Return whether the recorded time covers a command that is sent now."""
+        at_s = self._commanded_at_s.get(host_id)
+        return at_s is not None and self.store_clock_s() <= at_s
+
+    def note(self, host_id: str, window_s: float) -> None:
+        """Record that commands may be sent for the next ``window_s`` seconds."""
         now_s = self.store_clock_s()
-        self._commanded_at_s[host_id] = now_s
+        self._commanded_at_s[host_id] = now_s + window_s
         for other, at_s in list(self._commanded_at_s.items()):
             if at_s < now_s - RETENTION_S:
                 del self._commanded_at_s[other]
--- /dev/null
+++ b/tests/batch/test_fleet_controller.py
@@ -0,0 +1,173 @@
+"""Commands to hosts: what counts while their outcome is not known."""
+
+import attrs
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.batch import clocks
+from rhubarbmount.batch.catalogue import Catalogue, Pool
+from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.fleet_controller import FleetController
+from rhubarbmount.batch.host_command_times import HostCommandTimes
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.model import Host, HostState, Wave
+from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.platform.hosts import HostResult
+from rhubarbmount.timers import TimerService
+
+POOLS = {name: Pool(name, name == "rest") for name in ("one", "rest")}
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+@attrs.define
+class ScriptedHosts:
+    """Hosts that answer commands with the results given, the last one for good."""
+
+    hosts: list[Host]
+    results: list[HostResult | Exception]
+    answer_after_s: float = 0.01
+    commanded: list[str] = attrs.field(factory=list)
+
+    async def list(self):
+        return self.hosts
+
+    async def move(self, host_id, pool, fencing_token):
+        return await self._answer(host_id)
+
+    async def maintain(self, host_id, wave, fencing_token):
+        return await self._answer(host_id)
+
+    async def _answer(self, host_id):
+        self.commanded.append(host_id)
+        await trio.sleep(self.answer_after_s)
+        result = self.results.pop(0) if len(self.results) > 1 else self.results[0]
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+@attrs.define
+class Fleet:
+    """A controller under test, and the gate that its writes to the store wait at."""
+
+    client: ScriptedHosts
+    stored: trio.Event = attrs.field(factory=trio.Event)
+    stored_times: list[bytes] = attrs.field(factory=list)
+    controller: FleetController = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        shard = Shard(Catalogue(1, {}, POOLS))
+        times = HostCommandTimes(trio.current_time, 3.0)
+
+        async def save_command_times():
+            self.stored_times.append(times.encode())
+            await self.stored.wait()
+
+        self.controller = FleetController(
+            shard=shard,
+            placer=Placer(shard),
+            shard_lease=ShardLease(1, trio.current_time()),
+            client=self.client,
+            timers=TimerService(1),
+            metrics=BatchMetrics(),
+            command_times=times,
+            save_wave=lambda progress: None,
+            save_command_times=save_command_times,
+            wake_scheduler=lambda: None,
+        )
+
+    def add_wave(self, limit):
+        hosts = tuple(host.id for host in self.client.hosts)
+        self.controller.put_wave(Wave(1, hosts, 60.0, limit), None)
+
+    @property
+    def unavailable(self):
+        return self.controller.wave_by_number[1].unavailable
+
+    async def run_for(self, duration_s, is_lease_renewed=True):
+        """Run the controller for a time."""
+        with trio.move_on_after(duration_s):
+            async with trio.open_nursery() as nursery:
+                if is_lease_renewed:
+                    nursery.start_soon(self._renew)
+                nursery.start_soon(self.controller.run)
+
+    async def _renew(self):
+        while True:
+            self.controller.shard_lease.renewed_at_s = trio.current_time()
+            await trio.sleep(0.5)
+
+
+def rest_hosts(count):
+    return [Host(f"m{n}", "rest", HostState.UP, "", 8000, "a") for n in range(count)]
+
+
+@pytest.fixture
+def fleet_of(monkeypatch):
+    def make(count, *results):
+        monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
+        fleet = Fleet(ScriptedHosts(rest_hosts(count), list(results)))
+        fleet.stored.set()
+        return fleet
+
+    return make
+
+
+# Guards against a late command to a host that a refusal had freed.
+async def test_a_refusal_after_an_unanswered_try_does_not_free_the_slot(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_of(2, OutcomeUnknown("no answer"), HostResult.BUSY)
+    fleet.add_wave(limit=1)
+    await fleet.run_for(3.0)
+    assert set(fleet.client.commanded) == {"m0"}
+    assert fleet.unavailable == {"m0"}
+
+
+async def test_a_refusal_at_the_first_try_frees_the_slot(autojump_clock, fleet_of):
+    fleet = fleet_of(2, HostResult.BUSY)
+    fleet.add_wave(limit=1)
+    await fleet.run_for(0.05)
+    assert fleet.unavailable == set()
+
+
+# Guards against a late command to a host that was forgotten without a valid lease.
+async def test_an_unknown_outcome_outlasts_a_gap_in_the_lease(autojump_clock, fleet_of):
+    fleet = fleet_of(2, OutcomeUnknown("no answer"))
+    fleet.add_wave(limit=1)
+    await fleet.run_for(4.0, is_lease_renewed=False)
+    assert set(fleet.client.commanded) == {"m0"}
+    assert fleet.unavailable == {"m0"}
+
+
+# Guards against commands of two holders to one host within the pause between them.
+async def test_the_time_of_each_repetition_is_stored_before_it(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_of(1, *[OutcomeUnknown("no answer")] * 3, HostResult.DONE)
+    fleet.add_wave(limit=1)
+    fleet.client.answer_after_s = 1.0
+    await fleet.run_for(6.0)
+    assert len(fleet.client.commanded) == 4
+    assert len(fleet.stored_times) == 4
+
+
+async def test_a_store_slower_than_the_window_delays_commands_only(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_of(1, HostResult.DONE)
+    fleet.add_wave(limit=1)
+
+    async def save_slowly():
+        await trio.sleep(1.5)
+
+    fleet.controller.save_command_times = save_slowly
+    await fleet.run_for(6.0)
+    assert fleet.client.commanded == ["m0"]
--- a/tests/batch/test_host_command_times.py
+++ b/tests/batch/test_host_command_times.py
@@ -10,7 +10,7 @@
 def test_next_holder_leaves_recently_commanded_hosts_alone():
     clock = [100.0]
     first_holder = make_command_times(clock)
-    first_holder.note("m1")
+    first_holder.note("m1", 0.0)
     clock[0] = 101.0
     next_holder = make_command_times(clock)
     next_holder.load(first_holder.encode())
@@ -25,14 +25,30 @@
 def test_holder_is_not_delayed_by_its_own_commands():
     clock = [100.0]
     command_times = make_command_times(clock)
-    command_times.note("m1")
+    command_times.note("m1", 0.0)
     assert command_times.may_command("m1")
 
 
 def test_old_commands_are_removed():
     clock = [100.0]
     command_times = make_command_times(clock)
-    command_times.note("m1")
+    command_times.note("m1", 0.0)
     clock[0] = 140.0
-    command_times.note("m2")
+    command_times.note("m2", 0.0)
     assert b"m1" not in command_times.encode()
+
+
+def test_commands_may_be_sent_until_the_recorded_time():
+    clock = [100.0]
+    command_times = make_command_times(clock)
+    assert not command_times.may_send("m1")
+    command_times.note("m1", 0.5)
+    clock[0] = 100.5
+    assert command_times.may_send("m1")
+    next_holder = make_command_times(clock)
+    next_holder.load(command_times.encode())
+    clock[0] = 103.9
+    assert not command_times.may_send("m1")
+    assert not next_holder.may_command("m1")
+    clock[0] = 104.0
+    assert next_holder.may_command("m1")
