--- a/rhubarbmount/batch/scheduling_meter.py
+++ b/rhubarbmount/batch/scheduling_meter.py
@@ -1,7 +1,6 @@
 """Measures the scheduling passes of a holder for its log and metrics."""
 
 import logging
-import time
 
 import attrs
 
@@ -21,7 +20,6 @@
     """Sums over the passes since ``since_s``."""
 
     since_s: float
-    cpu_at_s: float
     passes: int = 0
     placing_s: float = 0.0
     longest_placing_s: float = 0.0
@@ -37,7 +35,7 @@
     _totals: _Totals = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._totals = _Totals(monotonic_s(), time.process_time())
+        self._totals = _Totals(monotonic_s())
 
     def record_placing(self, placing_s: float) -> None:
         """Record the seconds that a placement of waiting tasks took."""
@@ -63,7 +61,7 @@
         if now_s >= totals.since_s + REPORT_PERIOD_S:
             if totals.starts or waiting_tasks:
                 self._report(now_s, waiting_steps, waiting_tasks)
-            self._totals = _Totals(now_s, time.process_time())
+            self._totals = _Totals(now_s)
 
     def _report(self, now_s: float, waiting_steps: int, waiting_tasks: int) -> None:
         totals = self._totals
@@ -71,7 +69,6 @@
             logger,
             "scheduling",
             period_s=now_s - totals.since_s,
-            cpu_s=time.process_time() - totals.cpu_at_s,
             passes=totals.passes,
             placing_s=totals.placing_s,
             longest_placing_s=totals.longest_placing_s,
