Count a host as on its way from the decision to move it

Found by looking for the cause of the wave limit elsewhere: what is under way was counted only once it was stored. A move counted after its time was stored, and then with no processors until the platform had accepted it, as hosts under command were left out of the list that the planner gets. While the store is slow each round moved further hosts to the same pool.

Now a move counts at the decision, with the processors of its host; hosts that may not be commanded are named to the planner instead of hidden from it.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -86,11 +86,19 @@
         shortage_by_pool: Mapping[str, Shortage],
         demand: DemandMeter,
         holding_pools: Collection[str] = (),
+        blocked_host_ids: Collection[str] = (),
     ) -> list[Move]:
-        """Return the moves to make now; ``holding_pools`` keep one free host each."""
+        """Return the moves to make now; ``holding_pools`` keep one free host each.
+
+        Hosts in ``blocked_host_ids`` may not be commanded now.
+        """
         host_list = list(hosts)
         self._drop_finished_commands(catalogue, host_list, usage_by_server_id, now_s)
-        free_hosts = self._free_hosts(host_list, usage_by_server_id)
+        free_hosts = [
+            host
+            for host in self._free_hosts(host_list, usage_by_server_id)
+            if host.id not in blocked_host_ids
+        ]
         capacities = self._pool_capacities(
             now_s, catalogue, host_list, usage_by_server_id, shortage_by_pool, demand
         )
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -263,14 +263,16 @@
         moves = self.capacity.plan(
             monotonic_s(),
             self.catalogue,
-            [h for h in self.host_by_id.values() if self._may_command(h.id)],
+            self.host_by_id.values(),
             self.shard.usage_by_server_id,
             self._shortages(),
             self.shard.demand,
             self._pools_keeping_servers,
+            {name for name in self.host_by_id if not self._may_command(name)},
         )
         self._log_shortages()
         for move in moves:
+            self.capacity.note_command(move, monotonic_s())
             self._start_command(move.host_id, self._move, move)
 
     def _log_shortages(self) -> None:
@@ -305,7 +307,6 @@
         return self.shard.catalogue
 
     async def _move(self, move: Move) -> None:
-        self.capacity.note_command(move, monotonic_s())
         result = await self._command(
             move.host_id,
             lambda: self.client.move(
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -12,7 +12,7 @@
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Host, HostState, Wave
-from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.errors import OutcomeUnknown
 from rhubarbmount.platform.hosts import HostResult
@@ -159,6 +159,15 @@
     assert len(fleet.stored_times) == 4
 
 
+# Guards against moving a host for each round that the first move waits for the store.
+async def test_a_decided_move_counts_while_the_store_is_slow(autojump_clock, fleet_of):
+    fleet = fleet_of(8, HostResult.DONE)
+    fleet.stored = trio.Event()
+    fleet.controller.placer.shortage_by_pool = {"one": Shortage(16000, 2, 2, 16.0)}
+    await fleet.run_for(1.0)
+    assert len(fleet.stored_times) == 2
+
+
 async def test_a_store_slower_than_the_window_delays_commands_only(
     autojump_clock, fleet_of
 ):
