Do not look at every server for every step that waits

Cause: work that grows with the product of what waits and what serves, at the one host that everything waits for. Each pass tried each task of each waiting step on each open server of its pool, sorted anew for each step, though all were full, and computed each job's latest start again. A queue made passes longer and so itself.

A step that needs at least as much as one that found no server is answered without looking; servers that a step does not fit are left out before sorting; a server counts its long-running tasks as they come and go.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from rhubarbmount.batch.model import Assignment, Job, Step, Task
+from rhubarbmount.batch.model import Assignment, Job, Queue, Step, Task
 from rhubarbmount.batch.objective import LatestStart, latest_start
+from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard, StepKey
 from rhubarbmount.registry import Registry
@@ -85,29 +86,39 @@
     shard: Shard
     tickets: Mapping[StepKey, Mapping[str, str]] = attrs.field(factory=dict)
     shortage_by_pool: dict[str, Shortage] = attrs.field(factory=dict)
+    _filters: list[PlacementFilter] = attrs.field(init=False)
+    _latest_start_by_step: dict[StepKey, tuple[Queue | None, LatestStart]] = (
+        attrs.field(factory=dict)
+    )
+
+    def __attrs_post_init__(self) -> None:
+        self._filters = [placement_filters.get(name) for name in placement_filters]
 
     def place(self, now_s: float) -> list[Assignment]:
         """Assign the tasks that fit and record what each pool lacks."""
         self.shortage_by_pool = {}
-        usages_by_pool = self._open_usages(now_s)
+        servers_by_pool = group_by_pool(
+            usage
+            for usage in self.shard.usage_by_server_id.values()
+            if usage.is_open(now_s)
+        )
         assignments: list[Assignment] = []
         for step_key in self._steps_by_urgency():
             job = self.shard.job_by_id[step_key[0]]
             pool = self.shard.pool_of(job.spec)
-            usages = self._eligible(usages_by_pool.get(pool, ()), job, step_key)
-            assignments.extend(self._place_step(job, step_key, usages, now_s))
+            servers = servers_by_pool.get(pool, OpenServers())
+            assignments.extend(self._place_step(job, step_key, servers, now_s))
             if step_key in self.shard.waiting_by_step:
                 self._note_shortage(pool, job.spec.steps[step_key[2]], step_key)
         return assignments
 
-    def _open_usages(self, now_s: float) -> dict[str, list[ServerUsage]]:
-        usages_by_pool: dict[str, list[ServerUsage]] = {}
-        for usage in self.shard.usage_by_server_id.values():
-            if usage.is_open(now_s):
-                usages_by_pool.setdefault(usage.server.service, []).append(usage)
-        return usages_by_pool
-
     def _steps_by_urgency(self) -> list[StepKey]:
+        known = self._latest_start_by_step
+        self._latest_start_by_step = {
+            step_key: known[step_key]
+            for step_key in self.shard.waiting_by_step
+            if step_key in known
+        }
         return sorted(self.shard.waiting_by_step, key=self._sort_key)
 
     def _sort_key(self, step_key: StepKey) -> tuple[bool, int, Urgency, float, StepKey]:
@@ -117,41 +128,62 @@
         priority = queue.priority if queue is not None else 0
         if job.spec.steps[step_key[2]].is_long_running:
             return False, priority, Urgency.ON_TIME, 0.0, step_key
-        latest_start_times = latest_start(job.spec, queue, step_key[2])
+        latest_start_times = self._latest_start(step_key, job, queue)
         urgency = urgency_of(latest_start_times, self.shard.wall_clock_s)
         return True, priority, urgency, latest_start_times.on_time_s, step_key
 
+    def _latest_start(
+        self, step_key: StepKey, job: Job, queue: Queue | None
+    ) -> LatestStart:
+        """Return the latest start times, kept as long as the queue is the same."""
+        known = self._latest_start_by_step.get(step_key)
+        if known is None or known[0] is not queue:
+            known = queue, latest_start(job.spec, queue, step_key[2])
+            self._latest_start_by_step[step_key] = known
+        return known[1]
+
     def _eligible(
-        self, usages: "list[ServerUsage] | tuple[()]", job: Job, step_key: StepKey
+        self, usages: list[ServerUsage], job: Job, step_key: StepKey
     ) -> list[ServerUsage]:
         queue = self.shard.queue_of(job.spec)
-        if queue is not None and queue.has_advice:
-            granted = self.tickets.get(step_key, {})
-            return [usage for usage in usages if usage.server.id in granted]
-        return list(usages)
+        if queue is None or not queue.has_advice:
+            return usages
+        granted = self.tickets.get(step_key, {})
+        return [usage for usage in usages if usage.server.id in granted]
 
     def _place_step(
-        self, job: Job, step_key: StepKey, usages: list[ServerUsage], now_s: float
+        self, job: Job, step_key: StepKey, servers: OpenServers, now_s: float
     ) -> list[Assignment]:
         step = job.spec.steps[step_key[2]]
         tasks = list(self.shard.waiting_by_step[step_key].values())
         if step.is_gang and len(tasks) < step.count:
             return []
-        if step.needs_one_rack:
-            usages = _rack_with_most_free_cpu(usages)
-        usages.sort(key=lambda usage: _preference_key(usage, step))
-        assignments = [self._place_task(task, step, usages, now_s) for task in tasks]
+        candidates = self._eligible(servers.with_capacity(step), job, step_key)
+        if step.needs_one_rack and candidates:
+            rack = _rack_with_most_free_cpu(
+                self._eligible(servers.usages, job, step_key)
+            )
+            candidates = [usage for usage in candidates if usage.server.rack == rack]
+        candidates.sort(key=lambda usage: _preference_key(usage, step))
+        assignments = [
+            self._place_task(task, step, candidates, now_s) for task in tasks
+        ]
         if step.is_gang:
             return self._complete_or_release_gang(tasks, assignments, now_s)
         return [assignment for assignment in assignments if assignment is not None]
 
     def _place_task(
-        self, task: Task, step: Step, usages: list[ServerUsage], now_s: float
+        self, task: Task, step: Step, candidates: list[ServerUsage], now_s: float
     ) -> Assignment | None:
-        filters = [placement_filters.get(name) for name in placement_filters]
-        for usage in usages:
-            if all(accepts(usage, step, task) for accepts in filters):
+        """Assign a task to the first candidate that every placement rule accepts.
+
+        A candidate without capacity for the next task of the step is removed.
+        """
+        for usage in candidates:
+            if all(accepts(usage, step, task) for accepts in self._filters):
                 self.shard.assign(task, usage, now_s)
+                if not usage.fits(step):
+                    candidates.remove(usage)
                 return Assignment(task.id, task.run, usage.server.id)
         if task.failed_on:
             task.failed_on = ""
@@ -203,12 +235,9 @@
     )
 
 
-def _rack_with_most_free_cpu(usages: list[ServerUsage]) -> list[ServerUsage]:
+def _rack_with_most_free_cpu(usages: list[ServerUsage]) -> str:
     free_by_rack: dict[str, int] = {}
     for usage in usages:
         free = free_by_rack.get(usage.server.rack, 0) + usage.free_cpu_millicores
         free_by_rack[usage.server.rack] = free
-    if not free_by_rack:
-        return []
-    best = max(free_by_rack, key=lambda rack: (free_by_rack[rack], rack))
-    return [usage for usage in usages if usage.server.rack == best]
+    return max(free_by_rack, key=lambda rack: (free_by_rack[rack], rack))
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -37,24 +37,19 @@
     used_cpu_millicores: int = 0
     used_memory_mb: int = 0
     used_gpu: int = 0
+    long_running_cpu_millicores: int = 0
     task_by_id: dict[TaskId, Task] = attrs.field(factory=dict)
     step_by_task: dict[TaskId, Step] = attrs.field(factory=dict)
     count_by_step: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    _long_running_count: int = 0
+    _goal_count: int = 0
+    _fills_count: int = 0
 
     @property
     def free_cpu_millicores(self) -> int:
         """Return the CPU capacity that is not assigned."""
         return self.server.cpu_millicores - self.used_cpu_millicores
 
-    @property
-    def long_running_cpu_millicores(self) -> int:
-        """Return the CPU capacity reserved by long-running tasks."""
-        return sum(
-            step.cpu_millicores
-            for step in self.step_by_task.values()
-            if step.is_long_running and not step.fills
-        )
-
     @property
     def is_idle(self) -> bool:
         """Return whether no tasks are assigned to the server."""
@@ -63,17 +58,17 @@
     @property
     def has_long_running(self) -> bool:
         """Return whether a long-running task is assigned to the server."""
-        return any(step.is_long_running for step in self.step_by_task.values())
+        return self._long_running_count > 0
 
     @property
     def has_goal(self) -> bool:
         """Return whether an assigned task has a response time goal."""
-        return any(step.goal_ms for step in self.step_by_task.values())
+        return self._goal_count > 0
 
     @property
     def has_fills(self) -> bool:
         """Return whether an assigned task runs on otherwise unused CPU time."""
-        return any(step.fills for step in self.step_by_task.values())
+        return self._fills_count > 0
 
     def is_open(self, now_s: float) -> bool:
         """Return whether new tasks may be assigned to the server."""
@@ -139,7 +134,12 @@
         self.idle_since_s = now_s
 
     def _adjust_usage(self, step: Step, sign: int) -> None:
-        if not step.fills:
-            self.used_cpu_millicores += sign * step.cpu_millicores
+        cpu = 0 if step.fills else sign * step.cpu_millicores
+        self.used_cpu_millicores += cpu
         self.used_memory_mb += sign * step.memory_mb
         self.used_gpu += sign * step.gpu
+        self._goal_count += sign * bool(step.goal_ms)
+        self._fills_count += sign * step.fills
+        if step.is_long_running:
+            self._long_running_count += sign
+            self.long_running_cpu_millicores += cpu
