Bar a run whose start was not answered, whatever a repetition of it is told

Cause, of the class 'a refusal is taken for proof that nothing was done': a start without an answer was repeated; when the repetition was refused, the task went to another server as the next run, and nothing kept the first command from starting the run when it arrived. Ruled out by the order of events: a lapse, as run 2 began within the shortest lease.

Now a run with an unanswered try is stopped at that server before its task can go elsewhere; a start that was never sent frees its task at once.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -30,6 +30,8 @@
 START_ATTEMPTS = 4
 RETRY_S = 0.25
 QUEUE_SIZE = 10_000
+# Outcomes after which a start is worth another try at the same server.
+REPEATED_RESULTS = (CommandResult.EXPIRED, CommandResult.NOT_SENT)
 LEASE_POLL_S = 0.01
 
 
@@ -130,15 +132,21 @@
                     await self._set_pace(command)
 
     async def _start(self, request: StartRequest) -> None:
+        """Send a start until its outcome is known, at most START_ATTEMPTS times.
+
+        A try without an answer may still be carried out late. After one, no refusal
+        proves that the run will not start, so the run is barred; the next list shows
+        what became of it.
+        """
+        is_unsettled = False
+        result = None
         for is_repeat in [False] + [True] * (START_ATTEMPTS - 1):
             await self._wait_for_grant(request)
             if not request.is_current(self.server.id):
                 return
             if not self.lease.is_reachable and not is_repeat:
-                self.listener.on_not_started(
-                    self.server.id, request, CommandResult.NOT_SENT
-                )
-                return
+                result = CommandResult.NOT_SENT
+                break
             result = await self._try_start(request)
             if result is CommandResult.DONE or result is CommandResult.ENDED_BEFORE:
                 request.task.acknowledged_s = monotonic_s()
@@ -146,11 +154,19 @@
             if result is CommandResult.OTHER_LIFETIME:
                 self.listener.on_lifetime_end(self.server.id)
                 return
-            if result not in (None, CommandResult.EXPIRED):
-                self.listener.on_not_started(self.server.id, request, result)
-                return
-        # A start that was not answered may still be carried out late, so the run is
-        # stopped for good. The next list shows what became of it.
+            if result is None:
+                is_unsettled = True
+            elif result not in REPEATED_RESULTS:
+                break
+        if is_unsettled:
+            await self._bar(request, result)
+        else:
+            self.listener.on_not_started(
+                self.server.id, request, result or CommandResult.NOT_SENT
+            )
+
+    async def _bar(self, request: StartRequest, result: CommandResult | None) -> None:
+        """Stop a run for good whose start may still be under way."""
         log.event(
             logger,
             "start-unanswered",
@@ -159,11 +175,13 @@
             task=request.task.id.place,
             run=request.run,
             server=self.server.id,
+            last_outcome=result.value if result else "unanswered",
         )
         request.task.is_stopping = True
         await self._stop(StopRequest(request.task.id, request.run))
 
     async def _try_start(self, request: StartRequest) -> CommandResult | None:
+        """Send a start once; return None if it was not answered."""
         now_s = monotonic_s()
         command = StartCommand(
             task=request.task.id,
@@ -179,7 +197,7 @@
         except PlatformUnavailable as error:
             self.on_failure(error.code)
             await trio.sleep(RETRY_S)
-            return None
+            return CommandResult.NOT_SENT
         except OutcomeUnknown as error:
             self.listener.on_unanswered()
             self.on_failure(error.code)
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -271,6 +271,25 @@
         assert checker.breaches == []
 
 
+# Guards against a second run while a late start command of the first is under way.
+@pytest.mark.parametrize("seed", range(6))
+async def test_servers_shed_load_while_commands_are_late(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day(monkeypatch, seed) as (world, checker):
+        world.faults.late_command_share = 0.15
+        world.faults.refused_start_share = 0.5
+        accepted = []
+        for _ in range(25):
+            new_job = job(world.generator)
+            if await submit(world, checker, "/one/", new_job):
+                accepted.append(new_job[0])
+            await trio.sleep(0.2)
+        world.faults.late_command_share = world.faults.refused_start_share = 0.0
+        assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
+        assert checker.breaches == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 async def test_servers_crash_and_are_partitioned(monkeypatch, autojump_clock, seed):
     async with open_day(monkeypatch, seed) as (world, checker):
--- /dev/null
+++ b/tests/batch/test_server_commands.py
@@ -0,0 +1,110 @@
+"""Commands to a backend server: what an answer proves, and what it does not."""
+
+import attrs
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.batch import clocks
+from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.server_commands import (
+    CommandListener,
+    CommandSender,
+    StartRequest,
+)
+from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.backend import CommandResponse, CommandResult
+
+SERVER = Server("s", "one", "s:1", "a", False, 1, 1, 0, frozenset(), "r", 1)
+TASK = TaskId("j", 0, 0, 0)
+UNANSWERED = OutcomeUnknown("no answer")
+NOT_SENT = PlatformUnavailable("refused")
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+@attrs.define
+class ScriptedBackend:
+    """A backend server that answers starts in turn, and every stop."""
+
+    answers: list[CommandResult | Exception]
+    calls: list[str] = attrs.field(factory=list)
+
+    async def start(self, server, command):
+        self.calls.append("start")
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return CommandResponse(answer, 1000)
+
+    async def stop(self, server, task, run, fencing_token):
+        self.calls.append("stop")
+        return CommandResponse(CommandResult.DONE, 1000)
+
+
+@attrs.define
+class RecordingListener(CommandListener):
+    calls: list[str] = attrs.field(factory=list)
+
+    def on_not_started(self, server_id, request, result):
+        self.calls.append(f"not started: {result.value}")
+
+    def on_stopped(self, server_id, request):
+        self.calls.append("stopped")
+
+
+async def start(monkeypatch, *answers):
+    """Send a start that is answered so; return the calls and what was heard."""
+    monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
+    backend = ScriptedBackend(list(answers))
+    listener = RecordingListener()
+    lease = ServerLease(ShardLease(1, trio.current_time()), 10.0, trio.current_time())
+    lease.clock.note(1000, trio.current_time())
+    lease.record_response()
+    sender = CommandSender(
+        SERVER, backend, lease, listener, BatchMetrics(), on_failure=lambda code: None
+    )
+    task = Task(TASK, run=1, server_id="s")
+    sender.send(StartRequest(task, 1, "payload", ""))
+    with trio.move_on_after(5.0):
+        await sender.run()
+    return backend.calls, listener.calls, task
+
+
+# Guards against a second run while a late start command of the first is under way.
+@pytest.mark.parametrize(
+    "refusal",
+    [CommandResult.NOT_DONE, CommandResult.NO_ROOM, CommandResult.NO_TICKET],
+)
+async def test_a_refusal_after_an_unanswered_start_bars_the_run(
+    monkeypatch, autojump_clock, refusal
+):
+    calls, heard, task = await start(monkeypatch, UNANSWERED, refusal)
+    assert calls == ["start", "start", "stop"]
+    assert heard == ["stopped"]
+    assert task.is_stopping
+
+
+async def test_a_refusal_of_the_only_start_frees_the_task(monkeypatch, autojump_clock):
+    calls, heard, task = await start(monkeypatch, CommandResult.NO_ROOM)
+    assert calls == ["start"]
+    assert heard == ["not started: no-room"]
+    assert not task.is_stopping
+
+
+async def test_starts_that_were_never_sent_free_the_task(monkeypatch, autojump_clock):
+    calls, heard, _ = await start(monkeypatch, *[NOT_SENT] * 4)
+    assert calls == ["start"] * 4
+    assert heard == ["not started: not-sent"]
+
+
+async def test_starts_without_any_answer_bar_the_run(monkeypatch, autojump_clock):
+    calls, heard, _ = await start(monkeypatch, *[UNANSWERED] * 4)
+    assert calls == ["start"] * 4 + ["stop"]
+    assert heard == ["stopped"]
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -50,6 +50,8 @@
     store_loses: float = 0.0
     store_is_late: float = 0.0
     late_command_share: float = 0.0
+    # Share of start commands that backend servers refuse, as when they shed load.
+    refused_start_share: float = 0.0
     # Share of calls to backend servers that take effect but get no answer.
     lost_response_share: float = 0.0
     # Share of commands to machines that take effect but get no answer.
@@ -101,6 +103,9 @@
         if target != "/hold" and world.generator.random() < faults.late_command_share:
             world.nursery.start_soon(self._deliver_late, server, target, expected, body)
             await trio.sleep_forever()
+        is_refused = world.generator.random() < faults.refused_start_share
+        if target == "/run-start" and is_refused:
+            return JsonResponse(503, {})
         response = await server.handle(target, expected, body)
         if world.generator.random() < faults.lost_response_share:
             await trio.sleep_forever()
