Count runs that are being stopped towards the capacity of their server

A holder that took over knew nothing of the runs of jobs that had ended, whose tasks are not stored; it stopped them when a list showed them, and gave their place away at once. So did the end of a gang, of whose members some may still be listed. Servers that guard their capacity refuse such starts, which costs time; all pools of the four sites do.

Now a listed run that is no task's current one uses what its step needs until a list lacks it; beside a run whose needs are not known nothing is started.

--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -93,7 +93,7 @@
             lease=self._make_lease(usage.server.id),
             listener=self,
             metrics=self.metrics,
-            has_work=lambda: not usage.is_idle,
+            has_work=lambda: usage.has_runs,
             needs_fresh_progress=lambda: needs_watch(usage, monotonic_s()),
         )
         self._session_by_server_id[usage.server.id] = session
@@ -141,12 +141,16 @@
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s)
         running = {(item.task, item.run): item for item in response.running}
+        stray_steps = []
         for item in response.running:
             task = self.shard.task(item.task)
             if task is None or not _is_run_of(task, item.run, session.server.id):
                 self._stop_stray(session, item.task, item.run)
+                if not usage.has_run(item.task, item.run):
+                    stray_steps.append(self.shard.find_step(item.task))
             else:
                 self._record_progress(usage, task, item, now_s)
+        usage.set_strays(stray_steps)
         for task in list(usage.task_by_id.values()):
             if (task.id, task.run) not in running:
                 self._handle_missing_run(session, task, sent_s, now_s)
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -12,7 +12,10 @@
 
 @attrs.define(eq=False)
 class ServerUsage:
-    """Backend server with its assigned tasks and the resources that they use.
+    """Backend server with its assigned tasks and the resources that its runs use.
+
+    Runs that are not the current one of an assigned task, and are being stopped, use
+    resources until the server no longer lists them.
 
     No new tasks are assigned while ``is_closed`` is set, because the server is being
     drained, or while ``has_pending_command`` is set, because a command to its host is
@@ -41,6 +44,7 @@
     task_by_id: dict[TaskId, Task] = attrs.field(factory=dict)
     step_by_task: dict[TaskId, Step] = attrs.field(factory=dict)
     count_by_step: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    _stray_steps: list[Step | None] = attrs.field(factory=list)
     _long_running_count: int = 0
     _goal_count: int = 0
     _fills_count: int = 0
@@ -55,6 +59,11 @@
         """Return whether no tasks are assigned to the server."""
         return not self.task_by_id
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether anything may run on the server."""
+        return bool(self.task_by_id or self._stray_steps)
+
     @property
     def has_long_running(self) -> bool:
         """Return whether a long-running task is assigned to the server."""
@@ -78,7 +87,7 @@
             or now_s < max(self.full_until_s, self.slow_until_s)
         ):
             return False
-        if not self.is_listed or not self.is_reachable:
+        if not self.is_listed or not self.is_reachable or None in self._stray_steps:
             return False
         return not self.server.is_draining and not self.is_failing(now_s)
 
@@ -112,6 +121,11 @@
             and memory + step.memory_mb <= self.server.memory_mb
         )
 
+    def has_run(self, task_id: TaskId, run: int) -> bool:
+        """Return whether a run is the current one of a task of the server."""
+        task = self.task_by_id.get(task_id)
+        return task is not None and task.run == run
+
     def count_of(self, task_id: TaskId) -> int:
         """Return the number of assigned tasks of the same step and occurrence."""
         return self.count_by_step.get(task_id[:3], 0)
@@ -133,13 +147,28 @@
             self.count_by_step[task_id[:3]] = remaining
         self.idle_since_s = now_s
 
-    def _adjust_usage(self, step: Step, sign: int) -> None:
-        cpu = 0 if step.fills else sign * step.cpu_millicores
-        self.used_cpu_millicores += cpu
+    def set_strays(self, steps: list[Step | None]) -> None:
+        """Replace the steps of the runs that are being stopped; None is an unknown one.
+
+        No tasks are assigned beside a run whose needs are unknown.
+        """
+        for step in filter(None, self._stray_steps):
+            self._adjust_resources(step, -1)
+        for step in filter(None, steps):
+            self._adjust_resources(step, 1)
+        self._stray_steps = steps
+
+    def _adjust_resources(self, step: Step, sign: int) -> None:
+        if not step.fills:
+            self.used_cpu_millicores += sign * step.cpu_millicores
         self.used_memory_mb += sign * step.memory_mb
         self.used_gpu += sign * step.gpu
+
+    def _adjust_usage(self, step: Step, sign: int) -> None:
+        self._adjust_resources(step, sign)
         self._goal_count += sign * bool(step.goal_ms)
         self._fills_count += sign * step.fills
         if step.is_long_running:
             self._long_running_count += sign
-            self.long_running_cpu_millicores += cpu
+            if not step.fills:
+                self.long_running_cpu_millicores += sign * step.cpu_millicores
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -164,6 +164,13 @@
         """Return the step that a task belongs to."""
         return self.job_by_id[task_id.job_id].spec.steps[task_id.step]
 
+    def find_step(self, task_id: TaskId) -> Step | None:
+        """Return the step that a listed run belongs to, or None if it is unknown."""
+        job = self.job_by_id.get(task_id.job_id)
+        if job is None or not 0 <= task_id.step < len(job.spec.steps):
+            return None
+        return job.spec.steps[task_id.step]
+
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, or None if its job is unknown or its step has not started."""
         job = self.job_by_id.get(task_id.job_id)
--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -50,6 +50,7 @@
     machine_by_id: dict[str, StandinMachine] = attrs.field(factory=dict)
     server_by_address: dict[str, StandinServer] = attrs.field(factory=dict)
     standby_pools: set[str] = attrs.field(factory=set)
+    servers_guard_capacity: bool = True
     machine_commands: list[tuple[float, str, str, int]] = attrs.field(factory=list)
     _lifetime_count: int = 0
 
@@ -101,6 +102,7 @@
             work_of=self.work_of,
             observe=self.observe,
             nursery=self.nursery,
+            guards_capacity=self.servers_guard_capacity,
             clock_offset_ms=100_000 * (self._lifetime_count % 7 + 1),
         )
         machine.server = server
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -14,6 +14,8 @@
 MAX_RENEWAL_WAIT_S = 2.0
 # Start-up time after which a long-running task reports that it is at work.
 LONG_RUNNING_START_S = 0.5
+# Time that a stop takes, during which the run still uses its resources.
+STOP_S = 0.2
 
 
 @attrs.frozen
@@ -59,6 +61,8 @@
     clock_offset_ms: int = 100_000
     slowness: float = 1.0
     fails_all_runs: bool = False
+    # Whether starts that do not fit are refused; otherwise they are carried out.
+    guards_capacity: bool = True
     is_gone: bool = False
     fencing_token: int = 0
     expires_ms: int = 0
@@ -114,15 +118,16 @@
         if number <= self.highest_ended.get(task, 0) or running is not None:
             return self._refusal("old")
         work = self.work_of(task)
-        if not self._has_capacity(work):
+        if self.guards_capacity and not self.has_capacity(work):
             return self._refusal("room")
         run = Run(task, number, work, trio.current_time())
-        self.run_by_task[task] = run
         self.observe("start", self, task, number)
+        self.run_by_task[task] = run
         self.nursery.start_soon(self._work, run)
         return JsonResponse(200, {"clock_ms": self.clock_ms()})
 
-    def _has_capacity(self, work: TaskWork) -> bool:
+    def has_capacity(self, work: TaskWork) -> bool:
+        """Return whether a task fits beside the current runs."""
         used = [run.work for run in self.run_by_task.values()]
         cpu = sum(item.cpu_millicores for item in used) + work.cpu_millicores
         memory = sum(item.memory_mb for item in used) + work.memory_mb
@@ -134,9 +139,13 @@
         run = self.run_by_task.get(task)
         if run is not None and run.run <= number:
             run.stop_outcome = "stopped"
-            run.scope.cancel()
+            self.nursery.start_soon(self._end_stopped, run)
         return JsonResponse(200, {"clock_ms": self.clock_ms()})
 
+    async def _end_stopped(self, run: Run) -> None:
+        await trio.sleep(STOP_S)
+        run.scope.cancel()
+
     async def _renew(self, body: Mapping[str, Any]) -> JsonResponse:
         self._acknowledge(body["ack_cursor"])
         if "expires_ms" in body:
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -14,6 +14,7 @@
     its last attempt failed. UNASKED: its job was never submitted, or was cancelled more
     than 3 s ago. REFUSED: its job was refused. ORDER: it starts before the steps that
     it depends on are done. MIXED: its job is shown as complete before it is done.
+    LIMIT: it starts on a server that has no capacity for it.
     """
 
     world: World
@@ -75,12 +76,17 @@
             self._record_breach("REFUSED", task, run)
         if now_s > self.cancelled_at_s.get(job_id, 1e9) + 3.0:
             self._record_breach("UNASKED after cancel", task, run)
+        self._check_order(job_id, step, task, run)
+        if not server.has_capacity(self.world.work_of(task)):
+            self._record_breach("LIMIT", task, run)
+        self.running.setdefault(task, []).append((server, run))
+        self.last_start_s[task] = now_s
+
+    def _check_order(self, job_id: str, step: str, task: str, run: int) -> None:
         for before in self.after_by_step.get((job_id, step), []):
             for number in range(self.count_by_step[job_id, before]):
                 if f"{job_id}.0.{before}.{number}" not in self.done:
                     self._record_breach("ORDER", task, run)
-        self.running.setdefault(task, []).append((server, run))
-        self.last_start_s[task] = now_s
 
     def _on_acknowledged(self, server, task: str, run: int, how: str) -> None:
         if how == "done":
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -290,6 +290,44 @@
         assert checker.breaches == []
 
 
+def wide_job(
+    generator: random.Random, work_s: float
+) -> tuple[str, list[dict], list[TaskWork]]:
+    """Return a job whose tasks fill one server."""
+    estimate_ms = int(work_s * 1000)
+    phase = {"count": 8, "cpu": 1000, "mem_mb": 500, "estimate_ms": estimate_ms}
+    job_id = f"{generator.getrandbits(64):016x}"
+    return job_id, [phase], [TaskWork(work_s, 1000, 500)]
+
+
+# Guards against starts over the capacity of servers that do not refuse them.
+async def test_runs_being_stopped_count_after_a_takeover(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch, 1) as world:
+        world.platform.servers_guard_capacity = False
+        checker = JobChecker(world)
+        routes = [route("/one/", "one")]
+        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
+        world.platform.add_machine("m", "one", "r")
+        for name in "ab":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        cancelled, waiting = (wide_job(world.generator, s) for s in (30.0, 0.5))
+        assert await submit(world, checker, "/one/", cancelled)
+        await trio.sleep(1.0)
+        assert await submit(world, checker, "/one/", waiting)
+        await trio.sleep(0.5)
+        # The last holder ends before its commands to stop the runs arrive.
+        world.faults.late_command_share = 1.0
+        await world.call("DELETE", f"/one/{cancelled[0]}")
+        checker.cancelled_at_s[cancelled[0]] = trio.current_time()
+        await trio.sleep(0.3)
+        for name in world.holders():
+            await world.stop_node(name)
+        world.faults.late_command_share = 0.0
+        assert await wait_complete(world, checker, "/one/", [waiting[0]], 30.0) == []
+        assert checker.breaches == []
+
+
 @pytest.mark.parametrize("seed", range(4))
 async def test_servers_crash_and_are_partitioned(monkeypatch, autojump_clock, seed):
     async with open_day(monkeypatch, seed) as (world, checker):
