--- a/rhubarbmount/platform/job_messages.py
+++ b/rhubarbmount/platform/job_messages.py
@@ -21,6 +21,8 @@
 REQUEST_ID_HEADER = b"request-id"
 MAX_TASKS_PER_STEP = 10_000
 MAX_STEPS = 1_000
+# Integers up to this are exact in JSON; times in milliseconds are far below it.
+MAX_NUMBER = 2**53
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 # A running job has the name "active".
 NAME_BY_STATE = {state: state.value for state in JobState}
@@ -76,8 +78,9 @@
 
 def _non_negative_number(values: Mapping[str, Any], key: str) -> float:
     value = values.get(key) or 0
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise UsageError(f"{key!r} is not a non-negative number")
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= MAX_NUMBER:
+        raise UsageError(f"{key!r} is not a number from 0 to {MAX_NUMBER}")
     return value
 
 
@@ -85,6 +88,8 @@
     if not isinstance(values, dict):
         raise UsageError("a step is not an object")
     after = values.get("after") or []
+    if not isinstance(after, list):
+        raise UsageError("'after' is not a list")
     if not all(isinstance(item, int) and 0 <= item < index for item in after):
         raise UsageError("a step depends on one that does not precede it")
     count = int(_non_negative_number(values, "count"))
