--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -1,6 +1,7 @@
 """Client for hosts, which the platform calls machines: their list and commands."""
 
 import enum
+import math
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote
@@ -110,11 +111,13 @@
     state = STATE_BY_NAME.get(str(row.get("state")), HostState.DOWN)
     capacity = row.get("capacity")
     cpu = capacity.get("cpu") if isinstance(capacity, dict) else 0
+    if not isinstance(cpu, int | float) or not math.isfinite(cpu):
+        cpu = 0
     return Host(
         id=row["machine"],
         pool=str(row.get("pool") or ""),
         state=state,
         server_id=str(row.get("id") or ""),
-        cpu_millicores=int(cpu) if isinstance(cpu, int | float) else 0,
+        cpu_millicores=int(cpu),
         data_centre=str(row.get("zone") or ""),
     )
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -16,7 +16,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
-UNHEALTHY_STATUSES = (429, 503)
 
 
 @attrs.frozen
@@ -92,7 +91,7 @@
 def _decode(body: bytes) -> Mapping[str, Any]:
     try:
         value = json.loads(body) if body else {}
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
     return value if isinstance(value, dict) else {}
 
