Store the progress of large jobs, and split commits by size

Progress above 16 KB is stored compressed, which older builds cannot read; they could not have it stored either. A commit takes at most 600,000 bytes of values. Jobs of more than 50,000 tasks over all steps and occurrences are refused; before, repeats without a pause between them were limited by the memory of the holder only.

--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -13,11 +13,13 @@
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import RowConflict, RowName, RowStore
 
-__all__ = ["MAX_ROWS_PER_COMMIT", "Committer"]
+__all__ = ["MAX_BYTES_PER_COMMIT", "MAX_ROWS_PER_COMMIT", "Committer"]
 
 logger = logging.getLogger(__name__)
 
 MAX_ROWS_PER_COMMIT = 90
+# Sum of the values' sizes; encoded for a call they take a third more.
+MAX_BYTES_PER_COMMIT = 600_000
 RETRY_S = 0.08
 
 
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -1,6 +1,7 @@
 """Encoding of job, lease and head rows, in the project's own format."""
 
 import json
+import zlib
 from typing import Any
 
 import attrs
@@ -32,6 +33,9 @@
     "LeaseRow",
 ]
 
+# Progress above this size is compressed, as the store limits the size of a row.
+COMPRESS_ABOVE_BYTES = 16_384
+
 _STEP_DEFAULTS = {
     field.name: field.default
     for field in attrs.fields(Step)
@@ -129,7 +133,12 @@
             f"{occurrence}.{step}": [_encode_task(task) for task in tasks]
             for (occurrence, step), tasks in job.tasks_by_step.items()
         }
-    return _dump({"state": job.state.value, "ended_s": job.ended_s, "tasks": tasks})
+    value = _dump({"state": job.state.value, "ended_s": job.ended_s, "tasks": tasks})
+    return zlib.compress(value) if len(value) > COMPRESS_ABOVE_BYTES else value
+
+
+def _load_progress(value: bytes) -> dict[str, Any]:
+    return json.loads(value if value.startswith(b"{") else zlib.decompress(value))
 
 
 def _encode_task(task: Task) -> list[Any]:
@@ -146,7 +155,7 @@
 
 def decode_progress(value: bytes, job: Job) -> None:
     """Restore a job's state and tasks from its progress row."""
-    values = json.loads(value)
+    values = _load_progress(value)
     job.state = JobState(values["state"])
     job.ended_s = values["ended_s"]
     for name, rows in values["tasks"].items():
@@ -159,7 +168,7 @@
 
 def decode_state(value: bytes) -> JobState:
     """Decode only the job's state from its progress row."""
-    return JobState(json.loads(value)["state"])
+    return JobState(_load_progress(value)["state"])
 
 
 def _decode_task(task_id: TaskId, row: list[Any]) -> Task:
--- a/rhubarbmount/batch/write_batch.py
+++ b/rhubarbmount/batch/write_batch.py
@@ -1,9 +1,15 @@
 """Batches the row changes of a shard for its next commit."""
 
+from collections.abc import Iterator, Mapping
+
 import attrs
 import trio
 
-from rhubarbmount.batch.committer import MAX_ROWS_PER_COMMIT, Committer
+from rhubarbmount.batch.committer import (
+    MAX_BYTES_PER_COMMIT,
+    MAX_ROWS_PER_COMMIT,
+    Committer,
+)
 from rhubarbmount.platform.rows import RowName
 
 __all__ = ["WriteBatch"]
@@ -45,16 +51,25 @@
         puts, self._puts = self._puts, {}
         removes, self._removes = self._removes, []
         stored_events, self._stored_events = self._stored_events, []
-        for names in _chunks(list(puts)):
-            await self.committer.commit({name: puts[name] for name in names})
-        for names in _chunks(removes):
+        for chunk in _chunks(puts):
+            await self.committer.commit(chunk)
+        for at in range(0, len(removes), MAX_ROWS_PER_COMMIT):
+            names = removes[at : at + MAX_ROWS_PER_COMMIT]
             await self.committer.commit({}, tuple(names))
         for stored in stored_events:
             stored.set()
 
 
-def _chunks(names: list[RowName]) -> list[list[RowName]]:
-    return [
-        names[at : at + MAX_ROWS_PER_COMMIT]
-        for at in range(0, len(names), MAX_ROWS_PER_COMMIT)
-    ]
+def _chunks(puts: Mapping[RowName, bytes]) -> Iterator[dict[RowName, bytes]]:
+    """Split rows into chunks that the store accepts in one call."""
+    chunk: dict[RowName, bytes] = {}
+    size = 0
+    for name, value in puts.items():
+        is_full = len(chunk) == MAX_ROWS_PER_COMMIT
+        if chunk and (is_full or size + len(value) > MAX_BYTES_PER_COMMIT):
+            yield chunk
+            chunk, size = {}, 0
+        chunk[name] = value
+        size += len(value)
+    if chunk:
+        yield chunk
--- a/rhubarbmount/platform/job_messages.py
+++ b/rhubarbmount/platform/job_messages.py
@@ -21,6 +21,8 @@
 REQUEST_ID_HEADER = b"request-id"
 MAX_TASKS_PER_STEP = 10_000
 MAX_STEPS = 1_000
+# Over all steps and occurrences; the progress of more cannot be stored.
+MAX_TASKS_PER_JOB = 50_000
 # Integers up to this are exact in JSON; times in milliseconds are far below it.
 MAX_NUMBER = 2**53
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
@@ -63,6 +65,9 @@
     )
     if not 0 < len(steps) <= MAX_STEPS:
         raise UsageError("the job has no steps or too many steps")
+    repeats = int(_non_negative_number(values, "repeats"))
+    if sum(step.count for step in steps) * max(1, repeats) > MAX_TASKS_PER_JOB:
+        raise UsageError("the job has too many tasks")
     return JobSpec(
         job_id=job_id,
         queue=queue.name,
@@ -70,7 +75,7 @@
         payload=payload,
         steps=steps,
         accepted_s=accepted_s,
-        repeats=int(_non_negative_number(values, "repeats")),
+        repeats=repeats,
         start_s=_non_negative_number(values, "start_ms") / 1000,
         period_s=_non_negative_number(values, "period_ms") / 1000,
     )
--- a/rhubarbmount/standins/users_store.py
+++ b/rhubarbmount/standins/users_store.py
@@ -15,6 +15,8 @@
 NO_HISTORY = JsonResponse(410, {})
 FORBIDDEN_TABLES = ("op", "servers")
 MAX_ENTRIES = 100
+MAX_ROW_BYTES = 65536
+MAX_CALL_BYTES = 1_000_000
 MAX_PAGE_ROWS = 500
 
 
@@ -83,6 +85,9 @@
         keys = [key for key, _ in expected] + [key for key, _ in puts] + removes
         if len(keys) > MAX_ENTRIES or len({key[1] for key in keys}) > 1:
             return JsonResponse(400, {})
+        sizes = [len(value) for _, value in puts]
+        if max(sizes, default=0) * 3 / 4 > MAX_ROW_BYTES or sum(sizes) > MAX_CALL_BYTES:
+            return JsonResponse(400, {})
         if any(key[0] in FORBIDDEN_TABLES for key, _ in puts):
             return JsonResponse(403, {})
         if any(self._version_of(key) != version for key, version in expected):
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -127,6 +127,21 @@
         assert len(world.holders()) == 1
 
 
+# Guards against a shard that can store nothing more because of one large job.
+async def test_a_job_whose_progress_is_large_holds_up_no_other(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch, nodes="a") as (world, checker):
+        job_id = f"{world.generator.getrandbits(64):016x}"
+        phase = {"count": 5000, "cpu": 1000, "mem_mb": 500, "estimate_ms": 50}
+        large = job_id, [phase], [TaskWork(0.05, 1000, 500)]
+        small = job(world.generator)
+        assert await submit(world, checker, "/one/", large)
+        assert await submit(world, checker, "/two/", small)
+        assert await wait_complete(world, checker, "/two/", [small[0]], 20.0) == []
+        assert checker.breaches == []
+
+
 async def test_submitting_a_job_twice_is_idempotent(monkeypatch, autojump_clock):
     async with open_day(monkeypatch, nodes="ab") as (world, checker):
         new_job = job(world.generator)
--- a/tests/batch/test_write_batch.py
+++ b/tests/batch/test_write_batch.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from rhubarbmount.batch.committer import MAX_ROWS_PER_COMMIT
+from rhubarbmount.batch.committer import MAX_BYTES_PER_COMMIT, MAX_ROWS_PER_COMMIT
 from rhubarbmount.batch.write_batch import WriteBatch
 from rhubarbmount.platform.rows import RowName
 
@@ -41,6 +41,26 @@
     ]
 
 
+# Guards against commits that the store refuses for their size.
+async def test_commits_are_split_at_the_size_limit():
+    committer = RecordingCommitter()
+    write_batch = WriteBatch(committer)
+    for number in range(5):
+        write_batch.put(row(number), bytes(MAX_BYTES_PER_COMMIT // 2))
+    await write_batch.commit()
+    assert committer.sizes == [(2, 0), (2, 0), (1, 0)]
+
+
+async def test_a_row_over_the_size_limit_is_committed_alone():
+    committer = RecordingCommitter()
+    write_batch = WriteBatch(committer)
+    write_batch.put(row(1), b"")
+    write_batch.put(row(2), bytes(MAX_BYTES_PER_COMMIT + 1))
+    write_batch.put(row(3), b"")
+    await write_batch.commit()
+    assert committer.sizes == [(1, 0), (1, 0), (1, 0)]
+
+
 async def test_rows_put_during_a_commit_wait_for_the_next_one():
     committer = RecordingCommitter()
     write_batch = committer.write_batch = WriteBatch(committer)
--- a/tests/platform/test_job_messages.py
+++ b/tests/platform/test_job_messages.py
@@ -54,6 +54,14 @@
         decode({"phases": [STEP], key: value})
 
 
+# Guards against a job that takes the memory of each holder in turn.
+@pytest.mark.parametrize("repeats", [0, 10_000_000])
+def test_a_job_of_too_many_tasks_is_refused(repeats):
+    steps = [{**STEP, "count": 1 if repeats else 9_000}] * 10
+    with pytest.raises(UsageError):
+        decode({"phases": steps, "repeats": repeats})
+
+
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
     lambda inner: (
