--- a/tests/batch/test_wave_limit.py
+++ b/tests/batch/test_wave_limit.py
@@ -100,3 +100,45 @@
         world.faults.store_delay_s = 0.0
         await wait_maintained(world, checker)
         assert checker.breaches == []
+
+
+async def _change_holder(world):
+    for name in world.holders():
+        if world.generator.random() < 0.5:
+            await world.stop_node(name)
+        else:
+            world.kill_node(name)
+        world.start_node(name)
+
+
+async def _crash_machine(world):
+    up = [item.id for item in world.platform.machine_by_id.values() if item.server]
+    if up:
+        world.platform.crash(world.generator.choice(up), 0.7)
+
+
+async def _disturb_store(world):
+    world.faults.store_delay_s = world.generator.choice([0.0, 0.1, 0.3])
+    world.faults.store_loses = world.generator.choice([0.0, 0.2])
+
+
+async def _disturb_machines(world):
+    world.faults.lost_machine_response_share = world.generator.choice([0.0, 0.3])
+    world.faults.machine_command_delay_s = world.generator.choice([0.0, 0.2, 0.6])
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_a_wave_keeps_its_limit_under_faults_that_overlap(
+    monkeypatch, autojump_clock, seed
+):
+    events = [_change_holder, _crash_machine, _disturb_store, _disturb_machines]
+    async with open_world(monkeypatch, seed) as world:
+        checker = await start_wave(world, machines=24)
+        for _ in range(40):
+            await trio.sleep(world.generator.uniform(0.1, 0.9))
+            await world.generator.choice(events)(world)
+        world.faults.store_delay_s = world.faults.store_loses = 0.0
+        world.faults.lost_machine_response_share = 0.0
+        world.faults.machine_command_delay_s = 0.0
+        await wait_maintained(world, checker)
+        assert checker.breaches == []
