Release a duty at a planned stop though a write of its lease is under way

At a stop the tasks that contend are cancelled. If one was just writing its lease, the row in the store was newer than the one it had last read: the release failed its condition, was not tried again, and the next host waited 8 s for the lease to lapse; a lease just taken was not released at all. Load makes writes longer and so the case likelier.

Now the row is read before the release unless the last write was answered, and the release is tried again when the row has changed.

--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -151,11 +151,19 @@
             await self._attempt(self._do_round)
 
     async def release(self) -> None:
-        """Release the lease at a planned stop, so that another instance can take it."""
-        if not self.tracker.is_own:
-            return
+        """Release the lease at a planned stop, so that another instance can take it.
+
+        A write that was under way at the stop may have taken effect unnoticed, so the
+        row is read first unless the last write was answered.
+        """
         try:
-            await self._write(Action.RELEASE)
+            for _ in range(MAX_LEASE_STEPS):
+                if self.tracker.must_read:
+                    row = await self.reads.read(self.duty.name)
+                    self.tracker.observe(row, self.clock())
+                if not self.tracker.is_own:
+                    return
+                await self._write(Action.RELEASE)
         except (OutcomeUnknown, PlatformUnavailable) as error:
             self._log_idle(error.code, error.message)
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+import trio
 
 from rhubarbmount.duties import (
     Action,
@@ -269,6 +270,32 @@
     assert waited_s <= 3.0
 
 
+# Guards against a successor that waits for the lease to lapse after a planned stop.
+@pytest.mark.parametrize("held_before", [False, True])
+async def test_a_stop_during_a_write_of_the_lease_releases_the_duty(held_before):
+    clock, platform, notes = ManualClock(), CountedPlatform(), []
+    runner = make_runner("a", clock, platform, notes)
+    if held_before:
+        await run_until(clock, [runner], lambda: notes, 5.0)
+    stop = trio.CancelScope()
+
+    async def write_without_answer(transaction):
+        platform.on_transact = None
+        await platform.inner.transact(transaction)
+        stop.cancel()
+        await trio.sleep_forever()
+
+    with stop:
+        while True:
+            if runner.tracker.is_own is held_before:
+                platform.on_transact = write_without_answer
+            clock.now_s += 0.25
+            await runner.maintain_lease()
+    assert (await platform.read("leases", "waves")).value["holder"] == "a"
+    await runner.release()
+    assert (await platform.read("leases", "waves")).value["holder"] == ""
+
+
 async def test_a_duty_moves_to_the_preferred_instance_once_it_is_back():
     clock, platform, notes = ManualClock(), CountedPlatform(), []
     runners = [make_runner(name, clock, platform, notes) for name in ("a", "b")]
