Take no server for gone because of another row with its address

Cause, of the class 'the order of writes is taken for the order of events': of two lifetimes at one address, the one whose row was written last was taken for the living one. The row of a lifetime that had crashed behind a cut was written again when the cut healed, and ended the one that had followed it, with 13 tasks.

Now a shared address has the other lifetimes asked, and only a server's own answer, or the lapse of all grants, ends a lifetime.

--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -49,10 +49,10 @@
         if server is None:
             self._mark_unlisted(server_id)
             return
-        self._end_earlier_lifetime(server)
         was_draining = self._is_draining(server_id)
         usage = self.shard.put_server(server, monotonic_s())
         self.sessions.open(usage)
+        self._check_others_at_address(server)
         if server.is_draining and not was_draining:
             self._stop_runs_outlasting_drain(usage)
 
@@ -75,12 +75,16 @@
         usage = self.shard.usage_by_server_id.get(server_id)
         return usage is not None and usage.server.is_draining
 
-    def _end_earlier_lifetime(self, server: Server) -> None:
-        for usage in list(self.shard.usage_by_server_id.values()):
+    def _check_others_at_address(self, server: Server) -> None:
+        """Have other lifetimes at the address of a server asked whether they go on.
+
+        Which of two rows was written last does not tell which lifetime ended: the row
+        of one that ended may return.
+        """
+        for usage in self.shard.usage_by_server_id.values():
             other = usage.server
-            is_same_address = other.address == server.address and other.id != server.id
-            if is_same_address and other.version < server.version:
-                self.sessions.handle_server_end(other.id, "address-reused")
+            if other.address == server.address and other.id != server.id:
+                self.sessions.check(other.id)
 
     def _mark_unlisted(self, server_id: str) -> None:
         usage = self.shard.usage_by_server_id.get(server_id)
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -73,6 +73,7 @@
     acknowledged: int = 0
     listed_to: int = 0
     is_established: bool = False
+    _is_check_due: bool = False
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _command_sender: CommandSender = attrs.field(init=False)
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -112,6 +113,11 @@
         """Wake the renewal loop to check whether a renewal is due."""
         self._wake.set()
 
+    def check(self) -> None:
+        """Renew even if nothing runs there, to learn whether the lifetime goes on."""
+        self._is_check_due = True
+        self.wake()
+
     # Renewal.
 
     async def _renew_forever(self) -> None:
@@ -143,6 +149,7 @@
     def _needs_renewal(self) -> bool:
         return (
             not self.is_established
+            or (self._is_check_due and not self.lease.has_lapsed)
             or self.has_work()
             or self.acknowledged < self.listed_to
         )
@@ -199,6 +206,7 @@
         if response.result is not CommandResult.DONE:
             self._record_failure(response.result.value)
             return None
+        self._is_check_due = False
         self.lease.clock.note(response.clock_ms, monotonic_s())
         self._record_response()
         self.acknowledged = max(self.acknowledged, acknowledged)
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -77,6 +77,12 @@
         """Return the session with a backend server, or None."""
         return self._session_by_server_id.get(server_id)
 
+    def check(self, server_id: str) -> None:
+        """Ask a backend server soon whether its lifetime goes on."""
+        session = self._session_by_server_id.get(server_id)
+        if session is not None:
+            session.check()
+
     def has_ended(self, server_id: str) -> bool:
         """Return whether a server lifetime is known to be over."""
         return server_id in self._ended_server_ids
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -402,6 +402,59 @@
         assert await wait_complete(world, checker, "/one/", [new_job[0]], 20.0) == []
 
 
+# Guards against a second run beside one on a server that was wrongly taken for gone.
+async def test_a_row_of_an_earlier_lifetime_that_returns_ends_no_later_one(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch, 7) as world:
+        checker = JobChecker(world)
+        routes = [route("/one/", "one")]
+        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
+        for number in range(2):
+            world.platform.add_machine(f"m-{number}", "one", "r")
+        world.start_node("a")
+        await trio.sleep(0.5)
+        store = world.platform.store
+        machine = world.platform.machine_by_id["m-0"]
+        earlier = machine.server.id
+        row = store.get("servers", "", earlier)
+        world.platform.crash("m-0", 0.5)
+        await trio.sleep(1.0)
+        jobs = [wide_job(world.generator, 5.0) for _ in range(2)]
+        for new_job in jobs:
+            assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(1.0)
+        assert machine.server.run_by_task
+        store.put("servers", earlier, row)
+        ids = [new_job[0] for new_job in jobs]
+        assert await wait_complete(world, checker, "/one/", ids, 20.0) == []
+        assert checker.breaches == []
+
+
+async def test_tasks_move_on_when_an_address_goes_to_another_lifetime(
+    monkeypatch, autojump_clock
+):
+    """The row of the earlier lifetime stays; only the server tells that it is gone."""
+    async with open_world(monkeypatch, 7) as world:
+        checker = JobChecker(world)
+        routes = [route("/one/", "one")]
+        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
+        world.platform.add_machine("m-0", "one", "r")
+        world.start_node("a")
+        await trio.sleep(0.5)
+        new_job = wide_job(world.generator, 2.0)
+        assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(0.5)
+        store = world.platform.store
+        machine = world.platform.machine_by_id["m-0"]
+        earlier = machine.server.id
+        row = store.get("servers", "", earlier)
+        world.platform.crash("m-0", 0.2)
+        store.put("servers", earlier, row)
+        assert await wait_complete(world, checker, "/one/", [new_job[0]], 5.0) == []
+        assert checker.breaches == []
+
+
 @pytest.mark.parametrize("how", ["silent", "busy"])
 async def test_running_tasks_survive_a_store_outage(monkeypatch, autojump_clock, how):
     async with open_world(monkeypatch, 3) as world:
