Close idle connections once one of their pool has gone silent

Cause: a pool keeps as many idle connections as were ever in use at once. When a cut or a reset without notice silences them, each is found out by a timeout of its own.

Evidence: the new test, four connections of which all go silent, failed on the code before: the second call was unanswered too. Now a reused connection that fails takes with it those that have been idle since before it was used.

--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -38,6 +38,7 @@
     body_bytes: int = 1048576
     reusable: bool = True
     was_reused: bool = False
+    idle_since_s: float = 0.0
     _protocol: h11.Connection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -189,11 +190,20 @@
         """Return a connection to the pool, or close it if it is not reusable."""
         if connection.reusable:
             connection.was_reused = True
+            connection.idle_since_s = trio.current_time()
             self.idle.append(connection)
             return
         with trio.CancelScope(shield=True):
             await connection.aclose()
 
+    async def close_idle_since(self, before_s: float) -> None:
+        """Close the connections that have been idle since before a time."""
+        old = [item for item in self.idle if item.idle_since_s < before_s]
+        for connection in old:
+            self.idle.remove(connection)
+        for connection in old:
+            await connection.aclose()
+
     async def sweep(self) -> None:
         """Close idle connections that the peer closed or sent unexpected data on."""
         unusable = [item for item in self.idle if not item.is_quiet()]
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -76,10 +76,15 @@
             pool = ConnectionPool(address, CONNECT_TIMEOUT_S, BODY_LIMIT_BYTES)
             self._pool_by_address[address] = pool
         connection = await pool.take()
+        started_s = trio.current_time()
         try:
             response = await connection.exchange(request)
         finally:
             await pool.put_back(connection)
+            if connection.was_reused and not connection.reusable:
+                # What silenced this connection may have silenced the idle ones.
+                with trio.CancelScope(shield=True):
+                    await pool.close_idle_since(started_s)
         return JsonResponse(response.status, _decode(response.body))
 
 
--- /dev/null
+++ b/tests/platform/test_json_client.py
@@ -0,0 +1,76 @@
+"""Calls over pooled connections."""
+
+import h11
+import trio
+
+from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.platform.json_client import open_json_client
+
+
+class SilencedServer:
+    """Answers requests, but no more on connections that were open when silenced."""
+
+    def __init__(self):
+        self.open_count = 0
+        self._silenced_through = -1
+
+    def silence(self):
+        self._silenced_through = self.open_count
+
+    async def serve(self, stream):
+        self.open_count += 1
+        number = self.open_count
+        protocol = h11.Connection(h11.SERVER)
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await stream.receive_some(4096))
+            elif isinstance(event, h11.EndOfMessage):
+                if number <= self._silenced_through:
+                    await trio.sleep_forever()
+                await trio.sleep(0.02)
+                head = h11.Response(status_code=200, headers=[("content-length", "2")])
+                await stream.send_all(
+                    protocol.send(head)
+                    + protocol.send(h11.Data(data=b"{}"))
+                    + protocol.send(h11.EndOfMessage())
+                )
+                protocol.start_next_cycle()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+
+async def serve_quietly(server, stream):
+    async with stream:
+        try:
+            await server.serve(stream)
+        except (trio.BrokenResourceError, h11.RemoteProtocolError):
+            return
+
+
+# Guards against one timeout for each connection of a pool that has gone silent.
+async def test_idle_connections_are_not_used_after_one_of_them_was_silent(nursery):
+    server = SilencedServer()
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    nursery.start_soon(
+        trio.serve_listeners, lambda stream: serve_quietly(server, stream), listeners
+    )
+    async with open_json_client() as client:
+
+        async def call():
+            return await client.call(f"127.0.0.1:{port}", "GET", "/", timeout_s=0.5)
+
+        async with trio.open_nursery() as calls:
+            for _ in range(4):
+                calls.start_soon(call)
+        assert server.open_count == 4
+        server.silence()
+        outcomes = []
+        for _ in range(2):
+            try:
+                outcomes.append((await call()).status)
+            except OutcomeUnknown:
+                outcomes.append("unanswered")
+    assert outcomes == ["unanswered", 200]
+    nursery.cancel_scope.cancel()
