Let reads of whole tables take longer with each try

A lost answer cost all of it, and over a link on which the rows take longer the shard could never be loaded, by a host that holds the lease. The first try now has 0.5 s, and each next one twice that, up to 8 s; a follower of a table starts at 1.5 s. The two new tests, with rows that take 5 s to arrive, cannot run on the code before, as its reads took no time limit; it had 1.5 s for every try.

--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -21,13 +21,15 @@
 )
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.row_formats import SERVERS_TABLE
-from rhubarbmount.platform.rows import Page, RowStore
+from rhubarbmount.platform.rows import MAX_READ_TIMEOUT_S, Page, RowStore
 
 __all__ = ["LoadedShard", "load_shard"]
 
 logger = logging.getLogger(__name__)
 
 RETRY_S = 0.1
+# Doubled after each try: a lost answer costs little, and a slow link gets enough time.
+FIRST_READ_TIMEOUT_S = 0.5
 
 
 @attrs.frozen
@@ -90,11 +92,18 @@
 
 
 async def _read(store: RowStore, table: str, parts: tuple[str, ...]) -> Page:
+    timeout_s = FIRST_READ_TIMEOUT_S
     while True:
         try:
-            return await read_parts(store, table, parts)
+            return await read_parts(store, table, parts, timeout_s)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.event(
-                logger, "load-failed", logging.WARNING, table=table, code=error.code
+                logger,
+                "load-failed",
+                logging.WARNING,
+                table=table,
+                code=error.code,
+                timeout_s=timeout_s,
             )
+            timeout_s = min(MAX_READ_TIMEOUT_S, timeout_s * 2)
             await trio.sleep(RETRY_S)
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -14,7 +14,13 @@
     PlatformUnavailable,
     RhubarbmountError,
 )
-from rhubarbmount.platform.rows import HistoryGone, Page, RowStore
+from rhubarbmount.platform.rows import (
+    MAX_READ_TIMEOUT_S,
+    READ_TIMEOUT_S,
+    HistoryGone,
+    Page,
+    RowStore,
+)
 
 __all__ = ["TableFollower", "read_parts", "run_concurrently"]
 
@@ -27,8 +33,13 @@
 FEED_STALL_S = 0.25
 
 
-async def read_parts(store: RowStore, table: str, parts: tuple[str, ...]) -> Page:
-    """Return all rows of some parts, read concurrently.
+async def read_parts(
+    store: RowStore,
+    table: str,
+    parts: tuple[str, ...],
+    timeout_s: float = READ_TIMEOUT_S,
+) -> Page:
+    """Return all rows of some parts, read concurrently, with a timeout for each page.
 
     The page has the earliest version of the parts, so that following the feed from it
     misses no change.
@@ -36,7 +47,7 @@
     pages: dict[str, Page] = {}
 
     async def read(part: str) -> None:
-        pages[part] = await store.read_all(table, part)
+        pages[part] = await store.read_all(table, part, timeout_s)
 
     await run_concurrently([partial(read, part) for part in parts])
     rows = tuple(row for part in parts for row in pages[part].rows)
@@ -83,6 +94,7 @@
     wait_s: float = FEED_WAIT_S
     on_regained: Callable[[], None] = lambda: None
     _is_store_lost: bool = False
+    _read_timeout_s: float = READ_TIMEOUT_S
     _seen_version: int = 0
     _expected_version: int = 0
     _expectation_set: trio.Event = attrs.field(factory=trio.Event)
@@ -119,7 +131,7 @@
             expected=self._expected_version,
         )
         try:
-            page = await read_parts(self.store, self.table, self.parts)
+            page = await self._read_table()
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._record_failure(error.code)
             return
@@ -143,7 +155,7 @@
 
     async def _read_next(self, version: int | None) -> int:
         if version is None:
-            page = await read_parts(self.store, self.table, self.parts)
+            page = await self._read_table()
             self._record_success()
             self.on_page(page, True)
             return page.version
@@ -153,6 +165,18 @@
             self.on_page(page, False)
         return max(version, page.version)
 
+    async def _read_table(self) -> Page:
+        """Read all rows; a timeout doubles the time that the next try may take."""
+        try:
+            page = await read_parts(
+                self.store, self.table, self.parts, self._read_timeout_s
+            )
+        except OutcomeUnknown:
+            self._read_timeout_s = min(MAX_READ_TIMEOUT_S, self._read_timeout_s * 2)
+            raise
+        self._read_timeout_s = READ_TIMEOUT_S
+        return page
+
     def _record_success(self) -> None:
         if self._is_store_lost:
             self._is_store_lost = False
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -20,6 +20,8 @@
 from rhubarbmount.platform.json_client import JsonClient, JsonResponse
 
 __all__ = [
+    "MAX_READ_TIMEOUT_S",
+    "READ_TIMEOUT_S",
     "HistoryGone",
     "Page",
     "AdaptiveTimeout",
@@ -34,6 +36,8 @@
 MAX_WRITE_TIMEOUT_S = 1.5
 WRITE_TIMEOUT_FACTOR = 6.0
 READ_TIMEOUT_S = 1.5
+# For reads of many rows, which a slow link may take long to carry.
+MAX_READ_TIMEOUT_S = 8.0
 FEED_MARGIN_S = 1.0
 PAGE_ROWS = 500
 UNREACHABLE_FAILURES = 2
@@ -195,17 +199,22 @@
         response = await self._get("/rows-get", query, timeout_s)
         return _decode_page(response)
 
-    async def read_all(self, table: str, part: str = "") -> Page:
-        """Return all rows; the version is that of the first page."""
+    async def read_all(
+        self, table: str, part: str = "", timeout_s: float = READ_TIMEOUT_S
+    ) -> Page:
+        """Return all rows, with a timeout for each page.
+
+        The version is that of the first page.
+        """
         rows: list[Row] = []
-        page = await self.read(table, part)
+        page = await self.read(table, part, timeout_s=timeout_s)
         version = page.version
         while True:
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
                 return Page(tuple(rows), version, page.clock_ms, False)
             next_key = page.rows[-1].name.key + "\x00"
-            page = await self.read(table, part, next_key)
+            page = await self.read(table, part, next_key, timeout_s=timeout_s)
 
     async def feed(self, table: str, after: int, wait_s: float) -> Page:
         """Return the rows changed after a version, waiting up to ``wait_s`` for any.
--- a/tests/batch/test_table_follower.py
+++ b/tests/batch/test_table_follower.py
@@ -4,8 +4,9 @@
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch.shard_rows import load_shard
 from rhubarbmount.batch.table_follower import FEED_STALL_S, TableFollower, read_parts
-from rhubarbmount.errors import PlatformUnavailable
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import Page, Row, RowName
 
 PART = "p"
@@ -33,7 +34,7 @@
         self._changed = trio.Event()
         return self.version
 
-    async def read_all(self, table, part):
+    async def read_all(self, table, part, timeout_s):
         self.reads += 1
         return Page(tuple(self.rows.values()), self.version, 0, False)
 
@@ -93,7 +94,7 @@
 class SlowFakeStore(FakeStore):
     """Store that takes 0.3 s for each read."""
 
-    async def read_all(self, table, part):
+    async def read_all(self, table, part, timeout_s):
         version = self.version
         self.version += 1
         await trio.sleep(0.3)
@@ -111,9 +112,36 @@
 async def test_read_parts_fails_if_one_part_cannot_be_read(autojump_clock):
     store = SlowFakeStore()
 
-    async def fail(table, part):
+    async def fail(table, part, timeout_s):
         raise PlatformUnavailable("the store rejects this host", code="store-503")
 
     store.read_all = fail
     with pytest.raises(PlatformUnavailable):
         await read_parts(store, "t", ("a", "b"))
+
+
+class SlowLinkStore(FakeStore):
+    """Store whose tables take seconds to arrive over a slow link."""
+
+    read_s = 5.0
+
+    async def read_all(self, table, part, timeout_s):
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(self.read_s)
+            return await super().read_all(table, part, timeout_s)
+        raise OutcomeUnknown("no answer in time", code="timeout")
+
+
+# Guards against a holder that never loads its shard over a slow link.
+async def test_a_shard_is_loaded_over_a_slow_link(autojump_clock):
+    with trio.fail_after(30.0):
+        loaded = await load_shard(SlowLinkStore(), "shard-0")
+    assert loaded.progress.rows == ()
+
+
+async def test_a_table_is_followed_over_a_slow_link(autojump_clock, nursery):
+    store = SlowLinkStore()
+    store.put("a")
+    _, seen = await start_follower(nursery, store)
+    await trio.sleep(30.0)
+    assert seen == ["a"]
