Lose no status of a wave that is requested while another is written

Found while checking what the rows of waves cost: when the writing of 'active' ended after 'complete' had been requested, the request was dropped, and the operator saw the wave as active for ever. Each host that went had 'active' written again too, twice as often since a decision stores the wave. Both new tests failed on the code before: one status lost, five writes where two tell all. A status that is stored is not written again, and only a status that has been written is taken off the list.

--- a/rhubarbmount/batch/wave_status.py
+++ b/rhubarbmount/batch/wave_status.py
@@ -19,15 +19,21 @@
 
 @attrs.define(eq=False)
 class WaveStatusWriter:
-    """Writes the latest status of each wave, retrying until the store has it."""
+    """Writes the latest status of each wave, retrying until the store has it.
+
+    A status that this process has written already is not written again.
+    """
 
     store: RowStore
     _pending: dict[int, bool] = attrs.field(factory=dict)
+    _stored: dict[int, bool] = attrs.field(factory=dict)
     _version_by_wave: dict[int, int] = attrs.field(factory=dict)
     _wake: trio.Event = attrs.field(factory=trio.Event)
 
     def put(self, wave: int, is_complete: bool) -> None:
         """Request that the status of a wave be written."""
+        if wave not in self._pending and self._stored.get(wave) is is_complete:
+            return
         self._pending[wave] = is_complete
         self._wake.set()
 
@@ -36,7 +42,8 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
-            for wave, is_complete in list(self._pending.items()):
+            while self._pending:
+                wave, is_complete = next(iter(self._pending.items()))
                 await self._write(wave, is_complete)
 
     async def _write(self, wave: int, is_complete: bool) -> None:
@@ -52,7 +59,7 @@
                     current_rows[0].version if current_rows else 0
                 )
                 if current_rows and current_rows[0].value == value:
-                    del self._pending[wave]
+                    self._record_stored(wave, is_complete)
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 log.event(
                     logger,
@@ -64,4 +71,10 @@
                 await trio.sleep(RETRY_S)
             else:
                 self._version_by_wave[wave] = written
-                del self._pending[wave]
+                self._record_stored(wave, is_complete)
+
+    def _record_stored(self, wave: int, is_complete: bool) -> None:
+        """Record a written status; one requested meanwhile is still to be written."""
+        self._stored[wave] = is_complete
+        if self._pending[wave] is is_complete:
+            del self._pending[wave]
