--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -1,8 +1,7 @@
 """Moves hosts between pools and maintains them, for the holder of a shard."""
 
-import json
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -12,75 +11,43 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import ShardLease
-from rhubarbmount.batch.host_command_times import HostCommandTimes
+from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Host, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.waves import Maintenance, WavePlanner, WaveProgress
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.hosts import HostClient, HostResult
 from rhubarbmount.timers import TimerService
 
-__all__ = ["FleetController", "WaveRecord"]
+__all__ = ["FleetController"]
 
 logger = logging.getLogger(__name__)
 
 PLAN_PERIOD_S = 0.1
 LIST_PERIOD_S = 0.4
 IDLE_LIST_PERIOD_S = 4.0
-COMMAND_RETRY_S = 0.25
-# How long a command may be sent and repeated after its time has been recorded.
-SEND_WINDOW_S = 0.5
 SHORTAGE_LOG_PERIOD_S = 1.0
 
 
-@attrs.frozen
-class WaveRecord:
-    """The stored progress of a wave; ``due_s`` is by the store's clock.
-
-    ``unavailable`` holds every host whose maintenance has been decided; it is stored
-    before the host is commanded.
-    """
-
-    begun: tuple[str, ...]
-    is_complete: bool
-    due_s: float = 0.0
-    unavailable: tuple[str, ...] = ()
-
-    def encode(self) -> bytes:
-        """Return the record as the value of a row."""
-        return json.dumps(attrs.asdict(self)).encode("ascii")
-
-    @classmethod
-    def decode(cls, value: bytes) -> "WaveRecord":
-        """Return the record stored as the value of a row."""
-        values = json.loads(value)
-        return cls(
-            tuple(values["begun"]),
-            values["is_complete"],
-            values.get("due_s", 0.0),
-            tuple(values.get("unavailable", ())),
-        )
-
-
 @attrs.define(eq=False)
 class FleetController:
     """Plans moves and maintenance waves periodically and commands the hosts.
 
     ``save_wave`` stores the progress of a wave with the next commit.
-    ``save_command_times`` returns once the times of the commands are stored.
     """
 
     shard: Shard
     placer: Placer
     shard_lease: ShardLease
     client: HostClient
+    commands: HostCommands
     timers: TimerService
     metrics: BatchMetrics
-    command_times: HostCommandTimes
+    store_clock_s: Callable[[], float]
     save_wave: Callable[[WaveProgress], None]
-    save_command_times: Callable[[], Awaitable[None]]
     wake_scheduler: Callable[[], None]
     host_by_id: dict[str, Host] = attrs.field(factory=dict)
     wave_by_number: dict[int, WaveProgress] = attrs.field(factory=dict)
@@ -92,7 +59,6 @@
     _pools_keeping_servers: set[str] = attrs.field(factory=set)
     _wait_reason_by_host: dict[str, str] = attrs.field(factory=dict)
     _shortages_logged_at_s: float = 0.0
-    _in_flight: set[str] = attrs.field(factory=set)
     _nursery: trio.Nursery | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -105,7 +71,7 @@
         progress = WaveProgress(wave, monotonic_s() + wave.deadline_s)
         if record is not None:
             if record.due_s:
-                left_s = record.due_s - self.command_times.store_clock_s()
+                left_s = record.due_s - self.store_clock_s()
                 progress.due_at_s = monotonic_s() + left_s
             progress.begun.update(record.begun)
             progress.unavailable.update(record.unavailable)
@@ -145,7 +111,7 @@
 
     def _is_list_due(self, now_s: float) -> bool:
         age_s = now_s - self._listed_at_s
-        is_waiting = self._is_list_requested or bool(self._in_flight)
+        is_waiting = self._is_list_requested or bool(self.commands)
         is_waiting = is_waiting or any(
             progress.unavailable for progress in self.wave_by_number.values()
         )
@@ -157,7 +123,7 @@
             host_id
             for progress in self.wave_by_number.values()
             for host_id in progress.unavailable
-            if self._may_command(host_id)
+            if self.commands.may_command(host_id)
         }
         try:
             hosts = await self.client.list()
@@ -209,7 +175,7 @@
             self.save_wave(progress)
 
     def _start_maintenance(self, maintenance: Maintenance) -> None:
-        if not self._may_command(maintenance.host_id):
+        if not self.commands.may_command(maintenance.host_id):
             return
         progress = self.wave_by_number[maintenance.wave]
         log.event(
@@ -233,12 +199,7 @@
 
     async def _maintain(self, maintenance: Maintenance) -> None:
         progress = self.wave_by_number[maintenance.wave]
-        result = await self._command(
-            maintenance.host_id,
-            lambda: self.client.maintain(
-                maintenance.host_id, maintenance.wave, self.shard_lease.fencing_token
-            ),
-        )
+        result = await self.commands.maintain(maintenance.host_id, maintenance.wave)
         self.metrics.host_orders.labels("maintain", result.value).inc()
         log.event(
             logger,
@@ -268,7 +229,7 @@
             self._shortages(),
             self.shard.demand,
             self._pools_keeping_servers,
-            {name for name in self.host_by_id if not self._may_command(name)},
+            {name for name in self.host_by_id if not self.commands.may_command(name)},
         )
         self._log_shortages()
         for move in moves:
@@ -307,12 +268,7 @@
         return self.shard.catalogue
 
     async def _move(self, move: Move) -> None:
-        result = await self._command(
-            move.host_id,
-            lambda: self.client.move(
-                move.host_id, move.pool, self.shard_lease.fencing_token
-            ),
-        )
+        result = await self.commands.move(move.host_id, move.pool)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
             logger,
@@ -339,15 +295,10 @@
 
     # Commands to hosts.
 
-    def _may_command(self, host_id: str) -> bool:
-        return host_id not in self._in_flight and self.command_times.may_command(
-            host_id
-        )
-
     def _start_command(self, host_id: str, action: Callable, decision: object) -> None:
-        if not self._may_command(host_id) or self._nursery is None:
+        if not self.commands.may_command(host_id) or self._nursery is None:
             return
-        self._in_flight.add(host_id)
+        self.commands.reserve(host_id)
         host = self.host_by_id[host_id]
         usage = self.shard.usage_by_server_id.get(host.server_id)
         if usage is not None:
@@ -360,42 +311,9 @@
         try:
             await action(decision)
         finally:
-            self._in_flight.discard(host_id)
+            self.commands.release(host_id)
             self._is_list_requested = True
             host = self.host_by_id.get(host_id)
             usage = host and self.shard.usage_by_server_id.get(host.server_id)
             if usage:
                 usage.has_pending_command = False
-
-    async def _command(self, host_id: str, send: Callable) -> HostResult:
-        """Send a command until its outcome is known.
-
-        Commands are idempotent, so that one without an answer can be sent again. After
-        a try without an answer, a refusal as busy settles nothing, since that try may
-        still take effect.
-        """
-        is_unsettled = False
-        while True:
-            await self._store_command_time(host_id)
-            if self.shard_lease.is_valid(monotonic_s()):
-                try:
-                    result = await send()
-                except PlatformUnavailable:
-                    result = HostResult.BUSY
-                except OutcomeUnknown:
-                    is_unsettled = True
-                    continue
-            else:
-                result = HostResult.BUSY
-            if result is not HostResult.BUSY or not is_unsettled:
-                return result
-            await trio.sleep(COMMAND_RETRY_S)
-
-    async def _store_command_time(self, host_id: str) -> None:
-        """Store until when commands to a host may be sent, unless that is stored."""
-        window_s = SEND_WINDOW_S
-        while not self.command_times.may_send(host_id):
-            self.command_times.note(host_id, window_s)
-            await self.save_command_times()
-            # A window that a slow store has used up has to be longer.
-            window_s *= 2
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -11,8 +11,9 @@
 from rhubarbmount.batch.clocks import RATE_MARGIN, monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.election import ShardLease
-from rhubarbmount.batch.fleet_controller import FleetController, WaveRecord
+from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
+from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.job_remover import JobRemover
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
@@ -47,6 +48,7 @@
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.wave_status import WaveStatusWriter
 from rhubarbmount.batch.waves import WaveProgress
 from rhubarbmount.batch.write_batch import WriteBatch
@@ -120,11 +122,16 @@
             placer=self.placer,
             shard_lease=self.shard_lease,
             client=self.host_client,
+            commands=HostCommands(
+                self.host_client,
+                self.shard_lease,
+                self.command_times,
+                self._save_command_times,
+            ),
             timers=self.timers,
             metrics=self.metrics,
-            command_times=self.command_times,
+            store_clock_s=self.store.clock_s,
             save_wave=self._save_wave,
-            save_command_times=self._save_command_times,
             wake_scheduler=self.wake,
         )
 
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -10,6 +10,7 @@
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
+from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Host, HostState, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
@@ -70,16 +71,17 @@
             self.stored_times.append(times.encode())
             await self.stored.wait()
 
+        lease = ShardLease(1, trio.current_time())
         self.controller = FleetController(
             shard=shard,
             placer=Placer(shard),
-            shard_lease=ShardLease(1, trio.current_time()),
+            shard_lease=lease,
             client=self.client,
+            commands=HostCommands(self.client, lease, times, save_command_times),
             timers=TimerService(1),
             metrics=BatchMetrics(),
-            command_times=times,
+            store_clock_s=trio.current_time,
             save_wave=lambda progress: None,
-            save_command_times=save_command_times,
             wake_scheduler=lambda: None,
         )
 
@@ -177,6 +179,6 @@
     async def save_slowly():
         await trio.sleep(1.5)
 
-    fleet.controller.save_command_times = save_slowly
+    fleet.controller.commands.save_command_times = save_slowly
     await fleet.run_for(6.0)
     assert fleet.client.commanded == ["m0"]
