Let a backend server answer nothing between the note of its runs and its kill

The step that kills the servers of a rack read what they had run and then killed them; what ran and was answered between the two counted as lost. The server's answers are now stalled with the reading, so that the check stays as strict: nothing that runs later can be said to have run.

--- a/tests/scenarios/steps/data_centres.py
+++ b/tests/scenarios/steps/data_centres.py
@@ -61,8 +61,14 @@
 @when(parsers.parse('the backend servers of data centre "{centre}" are killed'))
 def kill_backends(deployment, centre):
     for name in backends_in(deployment, centre):
-        deployment.earlier_runs.update(deployment.backend_state(name)["ran"])
-        deployment.backend_by_name[name].kill()
+        kill_backend(deployment, name)
+
+
+def kill_backend(deployment, name):
+    """Kill a backend server, which answers nothing after its runs were noted."""
+    state = deployment.set_backend(name, stall=True)
+    deployment.earlier_runs.update(state["ran"])
+    deployment.backend_by_name[name].kill()
 
 
 def hosts_in_rack(deployment, rack):
@@ -73,8 +79,7 @@
 def lose_rack(deployment, rebooter, rack):
     with rebooter.lock:
         for name in hosts_in_rack(deployment, rack):
-            deployment.earlier_runs.update(deployment.backend_state(name)["ran"])
-            deployment.backend_by_name[name].kill()
+            kill_backend(deployment, name)
     deployment.set_platform(lost_hosts=hosts_in_rack(deployment, rack))
 
 
