Tell the host's own lateness from the silence of servers

Cause: a command counted as unanswered after 350 ms, whatever the host itself took. A holder without processor time or bandwidth read half of all answers after 221 ms; each one beyond 350 ms closed its connection, was sent again, made renewals three times as frequent and, after four tries, barred its run.

Ruled out: an answer that has arrived but was not read when its deadline passes is not lost, as the event loop hands out what has arrived before it lets deadlines pass.

Change: lateness.py follows the last answer of each server and the lag of the event loop. Servers that are silent while others answer are not taken for lateness. Lines host-late and host-on-time, metrics loop_lag_seconds and late.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -84,7 +84,9 @@
         """Return whether no other process can hold the lease."""
         return now_s < self.valid_until_s
 
-    def grant_until_s(self, now_s: float, limit_s: float) -> float:
+    def grant_until_s(
+        self, now_s: float, limit_s: float, wants_longest: bool = False
+    ) -> float:
         """Return until when runs may be granted, at most ``limit_s`` from now.
 
         Grants extend past the end of the lease so that runs survive a store outage.
@@ -92,6 +94,6 @@
         than ``limit_s`` before it considers runs on unreachable servers ended.
         """
         lease_limit_s = self.valid_until_s + limit_s
-        if now_s < self.renewed_at_s + RENEWAL_OVERDUE_S:
+        if now_s < self.renewed_at_s + RENEWAL_OVERDUE_S and not wants_longest:
             return min(now_s + NORMAL_GRANT_S, now_s + limit_s, lease_limit_s)
         return min(now_s + limit_s, lease_limit_s)
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -15,6 +15,7 @@
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.job_remover import JobRemover
+from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
@@ -67,6 +68,7 @@
 
 SCHEDULE_PERIOD_S = 0.25
 PENDING_PERIOD_S = 0.5
+LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
 UNLISTED_MARGIN_S = 0.2
@@ -81,6 +83,7 @@
     shard_lease: ShardLease
     committer: Committer
     backend_client: BackendClient
+    lateness: Lateness
     host_client: HostClient
     tickets: TicketCache
     timers: TimerService
@@ -144,6 +147,7 @@
         """
         self.shard.catalogue = catalogue
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._measure_lag)
             self._open_sessions(nursery)
             await self.committer.begin()
             loaded = await self._load()
@@ -168,6 +172,7 @@
             max_lease_s=self.bounds.max_lease_s,
             last_grants_lapse_in_s=self._last_grants_lapse_in_s(),
             metrics=self.metrics,
+            lateness=self.lateness,
             tickets=self.tickets,
             nursery=nursery,
             wake=self.wake,
@@ -228,6 +233,10 @@
         async for _ in self.timers.every("schedule", SCHEDULE_PERIOD_S):
             self.wake()
 
+    async def _measure_lag(self) -> None:
+        async for tick in self.timers.every("lag", LAG_PERIOD_S):
+            self.lateness.record_lag(max(0.0, trio.current_time() - tick.due_s))
+
     async def _load(self) -> LoadedShard:
         loaded = await load_shard(self.store, self.name)
         for row in loaded.command_times.rows:
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -37,6 +37,8 @@
     placing_s: prometheus_client.Histogram = attrs.field(init=False)
     committing_s: prometheus_client.Histogram = attrs.field(init=False)
     waiting_tasks: prometheus_client.Gauge = attrs.field(init=False)
+    loop_lag_s: prometheus_client.Histogram = attrs.field(init=False)
+    is_late: prometheus_client.Gauge = attrs.field(init=False)
     fencing_token: prometheus_client.Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -104,6 +106,16 @@
             "Tasks of the shard that wait for capacity, at the holder.",
             registry=self.registry,
         )
+        self.loop_lag_s = self._histogram(
+            "loop_lag_seconds",
+            "How much later than due the timers of the holder fired.",
+            CALL_BUCKETS_S,
+        )
+        self.is_late = prometheus_client.Gauge(
+            "rhubarbmount_batch_late",
+            "Whether this host reads the responses of most backend servers late.",
+            registry=self.registry,
+        )
         self.fencing_token = prometheus_client.Gauge(
             "rhubarbmount_batch_fence",
             "Fencing token of the lease that this host holds, or 0.",
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -16,6 +16,7 @@
 from rhubarbmount.batch.election import ShardLease, candidate_wait_s
 from rhubarbmount.batch.holder import Holder
 from rhubarbmount.batch.job_api import JobApi
+from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.lease_manager import LeaseManager
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Wave
@@ -239,6 +240,7 @@
 
     def _make_holder(self, shard_lease: ShardLease) -> Holder:
         settings = self.settings
+        lateness = Lateness(self.metrics)
         committer = Committer(
             self.store,
             self.lease_manager.shard,
@@ -250,7 +252,8 @@
             name=self.lease_manager.shard,
             shard_lease=shard_lease,
             committer=committer,
-            backend_client=BackendClient(self.client),
+            backend_client=BackendClient(self.client, lateness),
+            lateness=lateness,
             host_client=HostClient(
                 self.client, settings.hosts_address, settings.node_id
             ),
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -85,6 +85,10 @@
     def on_unanswered(self) -> None:
         """Handle that a call to some backend server was not answered."""
 
+    def is_late(self) -> bool:
+        """Return whether this host is late itself and should make fewer calls."""
+        return False
+
 
 @attrs.define(eq=False)
 class CommandSender:
@@ -187,7 +191,7 @@
             task=request.task.id,
             run=request.run,
             payload=request.payload,
-            expires_ms=self.lease.start_expiry_ms(now_s),
+            expires_ms=self.lease.start_expiry_ms(now_s, self.listener.is_late()),
             fencing_token=self.lease.shard_lease.fencing_token,
             checkpoint=request.task.checkpoint,
             ticket=request.ticket,
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -39,9 +39,10 @@
     last_holder_lapses_at_s: float | None = None
     consecutive_failures: int = 0
 
-    def renewal_expiry_ms(self, now_s: float) -> int | None:
+    def renewal_expiry_ms(self, now_s: float, is_late: bool = False) -> int | None:
         """Return the expiry to renew to, on the server's clock, or None not to renew.
 
+        A host that is late itself grants the longest lease.
         Nothing is granted after a failed call: if each unanswered retry extended the
         lease, it could never be known to have lapsed.
         """
@@ -52,13 +53,13 @@
         ):
             return None
         until_s = self.shard_lease.grant_until_s(
-            now_s, self.max_lease_s * MAX_GRANT_FRACTION
+            now_s, self.max_lease_s * MAX_GRANT_FRACTION, is_late
         )
         return self.clock.grant(until_s, now_s)
 
-    def start_expiry_ms(self, now_s: float) -> int:
+    def start_expiry_ms(self, now_s: float, is_late: bool = False) -> int:
         """Return the expiry of a start command; a silent server gets no later one."""
-        return self.renewal_expiry_ms(now_s) or self.clock.granted_ms
+        return self.renewal_expiry_ms(now_s, is_late) or self.clock.granted_ms
 
     @property
     def may_start(self) -> bool:
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -169,7 +169,7 @@
                     self.server,
                     self.lease.shard_lease.fencing_token,
                     acknowledged,
-                    self.lease.renewal_expiry_ms(sent_s),
+                    self.lease.renewal_expiry_ms(sent_s, self.listener.is_late()),
                     self._renewal_wait_s(),
                 )
         except (PlatformUnavailable, OutcomeUnknown) as error:
@@ -188,6 +188,8 @@
             or not self.has_work()
         ):
             return 0.0
+        if self.listener.is_late():
+            return RENEWAL_WAIT_S
         is_short_wait = (
             self.needs_fresh_progress() or self.listener.has_recent_response_loss()
         )
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -12,6 +12,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
 from rhubarbmount.batch.pacing import PaceControl
@@ -56,6 +57,7 @@
     # not record them.
     last_grants_lapse_in_s: float | None
     metrics: BatchMetrics
+    lateness: Lateness
     tickets: TicketCache
     nursery: trio.Nursery
     wake: Callable[[], None]
@@ -340,6 +342,10 @@
         """Return whether responses got lost recently, so that long waits are costly."""
         return monotonic_s() < self._response_loss_until_s
 
+    def is_late(self) -> bool:
+        """Return whether this host is late itself and should make fewer calls."""
+        return self.lateness.is_late
+
     def forget(self, server_id: str) -> None:
         """Drop the state kept for a server lifetime whose row has been removed."""
         self._ended_server_ids.discard(server_id)
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.model import RunEnd, RunReport, Server, TaskId
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.json_client import JsonClient, JsonResponse
@@ -81,6 +83,7 @@
     """Client for backend servers; calls raise PlatformUnavailable or OutcomeUnknown."""
 
     client: JsonClient
+    lateness: Lateness
 
     async def start(self, server: Server, command: StartCommand) -> CommandResponse:
         """Start a run."""
@@ -95,7 +98,7 @@
             body["checkpoint"] = command.checkpoint
         if command.ticket:
             body["ticket"] = command.ticket
-        return _decode_command_response(await self._call(server, "/run-start", body))
+        return await self._command(server, "/run-start", body)
 
     async def stop(
         self, server: Server, task: TaskId, run: int, fencing_token: int
@@ -106,7 +109,7 @@
             "run_id": run,
             "fencing_token": fencing_token,
         }
-        return _decode_command_response(await self._call(server, "/run-stop", body))
+        return await self._command(server, "/run-stop", body)
 
     async def set_pace(
         self, server: Server, task: TaskId, run: int, percent: int, fencing_token: int
@@ -118,7 +121,7 @@
             "percent": percent,
             "fencing_token": fencing_token,
         }
-        return _decode_command_response(await self._call(server, "/pace", body))
+        return await self._command(server, "/pace", body)
 
     async def renew(
         self,
@@ -137,7 +140,8 @@
             body["expires_ms"] = expires_ms
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        response = await self._call(server, "/hold", body, wait_s + RENEWAL_MARGIN_S)
+        timeout_s = wait_s + self.lateness.stretch_timeout_s(RENEWAL_MARGIN_S)
+        response = await self._call(server, "/hold", body, timeout_s)
         command_response = _decode_command_response(response)
         if command_response.result is not CommandResult.DONE:
             return RenewalResponse(command_response.result, command_response.clock_ms)
@@ -148,12 +152,22 @@
             tuple(_decode_run_ends(response.body.get("finished"))),
         )
 
+    async def _command(
+        self, server: Server, path: str, body: Mapping[str, Any]
+    ) -> CommandResponse:
+        """Send a command that the server answers at once."""
+        started_s = monotonic_s()
+        timeout_s = self.lateness.stretch_timeout_s(COMMAND_TIMEOUT_S)
+        try:
+            response = await self._call(server, path, body, timeout_s)
+        except OutcomeUnknown:
+            self.lateness.record_silence(server.id)
+            raise
+        self.lateness.record_response(server.id, monotonic_s() - started_s)
+        return _decode_command_response(response)
+
     async def _call(
-        self,
-        server: Server,
-        path: str,
-        body: Mapping[str, Any],
-        timeout_s: float = COMMAND_TIMEOUT_S,
+        self, server: Server, path: str, body: Mapping[str, Any], timeout_s: float
     ) -> JsonResponse:
         expected = [(b"x-expect-instance", server.id.encode("ascii"))]
         return await self.client.call(
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -30,6 +30,7 @@
     last_start_s: dict[str, float] = attrs.field(factory=dict)
     acknowledged_failures: dict[str, int] = attrs.field(factory=dict)
     started: set[str] = attrs.field(factory=set)
+    starts: list[str] = attrs.field(factory=list)
     breaches: list[str] = attrs.field(factory=list)
     away_by_step: dict[tuple[str, str], set[str]] = attrs.field(factory=dict)
 
@@ -64,6 +65,7 @@
         job_id, _, step, _ = task.split(".")
         now_s = trio.current_time()
         self.started.add(job_id)
+        self.starts.append(task)
         if self.running.get(task):
             self._record_breach("TWICE", task, run)
         if task in self.acknowledged_done:
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import re
 from contextlib import asynccontextmanager
 
 import pytest
@@ -529,3 +530,40 @@
             world.start_node(holder)
             await trio.sleep(5.0)
         assert due_at_s == pytest.approx([due_at_s[0]] * 3, abs=0.1)
+
+
+def short_wide_job(generator: random.Random) -> tuple[str, list[dict], list[TaskWork]]:
+    """Return a job of one step of eight tasks."""
+    phase = {"count": 8, "cpu": 1000, "mem_mb": 100, "estimate_ms": 1500}
+    return f"{generator.getrandbits(64):016x}", [phase], [TaskWork(1.5, 1000, 100)]
+
+
+# The holder has so little processor time or bandwidth that it reads each response
+# late. Nothing else is wrong.
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("cost_s", [0.012, 0.016])
+async def test_a_late_holder_gives_up_no_work(
+    monkeypatch, autojump_clock, caplog, seed, cost_s
+):
+    caplog.set_level("INFO")
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world, machines=12)
+        world.start_node("a")
+        await trio.sleep(1.0)
+        world.start_node("b")
+        world.faults.call_cost_s_by_node = {"a": cost_s}
+        accepted = []
+        for _ in range(4):
+            for _ in range(6):
+                new_job = short_wide_job(world.generator)
+                assert await submit(world, checker, "/one/", new_job)
+                accepted.append(new_job[0])
+            await trio.sleep(2.0)
+        assert await wait_complete(world, checker, "/one/", accepted, 30.0) == []
+        assert checker.breaches == []
+        events = re.findall(r"event=([a-z-]+)", caplog.text)
+        assert "start-unanswered" not in events
+        assert "run-vanished" not in events
+        assert len(checker.starts) == len(set(checker.starts)) == 24 * 8
+        assert "host-late" in events
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -59,6 +59,9 @@
     # Time that a command to a machine takes to arrive; the sender may give up before.
     machine_command_delay_s: float = 0.0
     store_delay_s: float = 0.0
+    # Time of its processor or link that each call takes from a node, one after another;
+    # half of it to send the request and half to read the response.
+    call_cost_s_by_node: dict[str, float] = attrs.field(factory=dict)
     # Pairs of a node, or "*" for all nodes, and the address of a backend server that
     # it can't reach.
     servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
@@ -70,6 +73,7 @@
 
     node_id: str
     world: "World"
+    _host: trio.Lock = attrs.field(factory=trio.Lock)
 
     async def call(
         self,
@@ -81,12 +85,20 @@
         headers: Any = (),
     ) -> JsonResponse:
         with trio.move_on_after(timeout_s):
+            await self._occupy_host()
             await trio.sleep(LATENCY_S)
             response = await self._deliver(address, method, target, body, dict(headers))
             await trio.sleep(LATENCY_S)
+            await self._occupy_host()
             return response
         raise OutcomeUnknown("no answer in time", code="timeout")
 
+    async def _occupy_host(self) -> None:
+        cost_s = self.world.faults.call_cost_s_by_node.get(self.node_id, 0.0)
+        if cost_s:
+            async with self._host:
+                await trio.sleep(cost_s / 2)
+
     async def _deliver(self, address, method, target, body, headers) -> JsonResponse:
         world, faults = self.world, self.world.faults
         if address == STORE:
