Load a shard page by page, within what the link takes

Cause: a takeover asked for all parts of all tables at once, and read a whole table again after each timeout. Over a weak link nothing came in time, renewals of the lease shared the link and failed, and the next host did the same.

Ruled out: silent connections; the host's link alone is busy then.

Change: each part is read by itself, page by page, and no page twice; pages and reads at once follow the bandwidth of the host; the time limit follows what reads took.

SlowLinkStore answers the reads of pages too, as loading uses them now.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -88,6 +88,7 @@
     tickets: TicketCache
     timers: TimerService
     bounds: Bounds
+    link_mbps: float
     metrics: BatchMetrics
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
@@ -238,7 +239,7 @@
             self.lateness.record_lag(max(0.0, trio.current_time() - tick.due_s))
 
     async def _load(self) -> LoadedShard:
-        loaded = await load_shard(self.store, self.name)
+        loaded = await load_shard(self.store, self.name, self.link_mbps)
         for row in loaded.command_times.rows:
             self.command_times.load(row.value)
         for row in loaded.silent_servers.rows:
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -260,6 +260,7 @@
             tickets=TicketCache(AdviceClient(self.client, settings.advice_address)),
             timers=self.timers,
             bounds=settings.bounds,
+            link_mbps=settings.link_mbps,
             metrics=self.metrics,
         )
 
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "MAX_READ_TIMEOUT_S",
+    "PAGE_ROWS",
     "READ_TIMEOUT_S",
     "HistoryGone",
     "Page",
@@ -189,9 +190,10 @@
         first_key: str = "",
         end_key: str = "",
         timeout_s: float = READ_TIMEOUT_S,
+        limit: int = PAGE_ROWS,
     ) -> Page:
         """Return one page of rows in key order; ``end_key`` is exclusive."""
-        query = {"table": table, "part": part, "limit": str(PAGE_ROWS)}
+        query = {"table": table, "part": part, "limit": str(limit)}
         if first_key:
             query["start_key"] = first_key
         if end_key:
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -17,6 +17,8 @@
 
 POOLS = ["one", "two"]
 SPARE = "rest"
+LARGE_TABLE_JOBS = 400
+PAYLOAD = "x" * 1200
 
 
 @pytest.fixture
@@ -67,7 +69,9 @@
     return job_id, [phase], [TaskWork(0.9, 500, 500, is_long_running=True)]
 
 
-async def submit(world, checker, prefix, new_job, tries: int = 8) -> bool:
+async def submit(
+    world, checker, prefix, new_job, tries: int = 8, payload: str = ""
+) -> bool:
     """Submit a job as callers do, which retry when they get no answer, 502 or 504.
 
     A job that was only ever answered 429 or 503 counts as refused and must not run.
@@ -78,7 +82,7 @@
     may_be_stored = False
     for _ in range(tries):
         if world.node_by_id:
-            body = {"spec": job_id, "phases": phases}
+            body = {"spec": job_id + payload, "phases": phases}
             status, _ = await world.call("POST", f"{prefix}{job_id}", body)
             if status == 200:
                 return True
@@ -567,3 +571,48 @@
         assert "run-vanished" not in events
         assert len(checker.starts) == len(set(checker.starts)) == 24 * 8
         assert "host-late" in events
+
+
+# All entry hosts have weak links, and the table of requests is large: a takeover that
+# reads everything at once leaves no bandwidth for renewals of the lease.
+@pytest.mark.parametrize("seed", range(3))
+async def test_a_takeover_over_a_weak_link_keeps_the_lease(
+    monkeypatch, autojump_clock, caplog, seed
+):
+    caplog.set_level("INFO")
+    link_mbps = 2.0
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        world.start_node("a", link_mbps)
+        await trio.sleep(2.0)
+        for _ in range(LARGE_TABLE_JOBS):
+            new_job = short_wide_job(world.generator)
+            assert await submit(world, checker, "/one/", new_job, payload=PAYLOAD)
+        for name in "bcd":
+            world.start_node(name, link_mbps)
+        await trio.sleep(2.0)
+        bytes_per_s = link_mbps * 1e6 / 8
+        world.faults.link_bytes_per_s_by_node = dict.fromkeys("bcd", bytes_per_s)
+        caplog.clear()
+        world.kill_node("a")
+        await trio.sleep(12.0)
+        events = re.findall(r"event=([a-z-]+)", caplog.text)
+        print(
+            [
+                e
+                for e in events
+                if e
+                in (
+                    "lease-won",
+                    "shard-loaded",
+                    "load-failed",
+                    "lease-not-renewed",
+                    "lease-lost",
+                )
+            ]
+        )
+        assert events.count("lease-won") == 1
+        assert events.count("shard-loaded") == 1
+        assert "lease-not-renewed" not in events
+        assert checker.breaches == []
--- a/tests/batch/test_table_follower.py
+++ b/tests/batch/test_table_follower.py
@@ -1,15 +1,19 @@
 """Tests for following a table whose change feed may stall."""
 
+import random
+
 import pytest
 import trio
 from trio.testing import MockClock
 
 from rhubarbmount.batch.shard_rows import load_shard
 from rhubarbmount.batch.table_follower import FEED_STALL_S, TableFollower, read_parts
+from rhubarbmount.batch.tables import PROGRESS_TABLE
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import Page, Row, RowName
 
 PART = "p"
+WEAK_LINK_MBPS = 2.0
 
 
 @pytest.fixture
@@ -131,14 +135,67 @@
             return await super().read_all(table, part, timeout_s)
         raise OutcomeUnknown("no answer in time", code="timeout")
 
+    async def read(self, table, part, first_key, timeout_s, limit):
+        return await self.read_all(table, part, timeout_s)
+
 
 # Guards against a holder that never loads its shard over a slow link.
 async def test_a_shard_is_loaded_over_a_slow_link(autojump_clock):
     with trio.fail_after(30.0):
-        loaded = await load_shard(SlowLinkStore(), "shard-0")
+        loaded = await load_shard(SlowLinkStore(), "shard-0", WEAK_LINK_MBPS)
     assert loaded.progress.rows == ()
 
 
+class PagedStore:
+    """Store with many rows in each part, of which some reads are not answered."""
+
+    rows_per_part = 40
+
+    def __init__(self):
+        self.answered = []
+        self.under_way = self.most_under_way = 0
+        self.generator = random.Random(1)
+
+    async def read(self, table, part, first_key, timeout_s, limit):
+        self.under_way += 1
+        self.most_under_way = max(self.most_under_way, self.under_way)
+        await trio.sleep(0.05)
+        self.under_way -= 1
+        if self.generator.random() < 0.3:
+            raise OutcomeUnknown("no answer in time", code="timeout")
+        start = int(first_key.rstrip("\x00") or -1) + 1
+        end = min(start + limit, self.rows_per_part)
+        self.answered.append((table, part, start))
+        names = [RowName(table, part, f"{number:03}") for number in range(start, end)]
+        rows = tuple(Row(name, b"{}", 1) for name in names)
+        return Page(rows, len(self.answered), 0, end < self.rows_per_part)
+
+
+# Guards against takeovers that read everything again after each answer that is lost,
+# and that leave a weak link no room for renewals.
+async def test_no_page_is_read_twice_when_a_shard_is_loaded(autojump_clock):
+    store = PagedStore()
+    with trio.fail_after(30.0):
+        loaded = await load_shard(store, "shard-0", WEAK_LINK_MBPS)
+    assert len(store.answered) == len(set(store.answered))
+    assert len(loaded.progress.rows) == store.rows_per_part
+    assert len(loaded.requests.rows) == store.rows_per_part * 8
+    assert store.most_under_way <= 4
+    # Following from the first page's version misses no change.
+    first_of_progress = next(
+        number
+        for number, (table, _, start) in enumerate(store.answered, 1)
+        if table == PROGRESS_TABLE
+    )
+    assert loaded.progress.version == first_of_progress
+
+
+async def test_a_strong_link_reads_all_parts_at_once(autojump_clock):
+    store = PagedStore()
+    await load_shard(store, "shard-0", 1000.0)
+    assert store.most_under_way > 8
+
+
 async def test_a_table_is_followed_over_a_slow_link(autojump_clock, nursery):
     store = SlowLinkStore()
     store.put("a")
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -24,6 +24,7 @@
 STORE = "10.0.0.1:1"
 MACHINES_ADDRESS = "10.0.0.2:1"
 LATENCY_S = 0.002
+PACKET_BYTES = 8192
 BOUNDS = Bounds(
     contact_s=3.0,
     drain_s=2.0,
@@ -62,6 +63,8 @@
     # Time of its processor or link that each call takes from a node, one after another;
     # half of it to send the request and half to read the response.
     call_cost_s_by_node: dict[str, float] = attrs.field(factory=dict)
+    # Bandwidth of a node's own link, which its responses share.
+    link_bytes_per_s_by_node: dict[str, float] = attrs.field(factory=dict)
     # Pairs of a node, or "*" for all nodes, and the address of a backend server that
     # it can't reach.
     servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
@@ -74,6 +77,7 @@
     node_id: str
     world: "World"
     _host: trio.Lock = attrs.field(factory=trio.Lock)
+    _link: trio.Lock = attrs.field(factory=trio.Lock)
 
     async def call(
         self,
@@ -89,6 +93,7 @@
             await trio.sleep(LATENCY_S)
             response = await self._deliver(address, method, target, body, dict(headers))
             await trio.sleep(LATENCY_S)
+            await self._occupy_link(response)
             await self._occupy_host()
             return response
         raise OutcomeUnknown("no answer in time", code="timeout")
@@ -99,6 +104,19 @@
             async with self._host:
                 await trio.sleep(cost_s / 2)
 
+    async def _occupy_link(self, response: JsonResponse) -> None:
+        bytes_per_s = self.world.faults.link_bytes_per_s_by_node.get(self.node_id)
+        if bytes_per_s is None:
+            return
+        left = len(json.dumps(response.body))
+        # Once sent by the peer, bytes take their time on the link, read or not.
+        with trio.CancelScope(shield=True):
+            while left > 0:
+                async with self._link:
+                    await trio.sleep(min(left, PACKET_BYTES) / bytes_per_s)
+                left -= PACKET_BYTES
+        await trio.lowlevel.checkpoint()
+
     async def _deliver(self, address, method, target, body, headers) -> JsonResponse:
         world, faults = self.world, self.world.faults
         if address == STORE:
@@ -195,7 +213,7 @@
         for observer in self.observers:
             observer(*event)
 
-    def start_node(self, node_id: str) -> Node:
+    def start_node(self, node_id: str, link_mbps: float = 1000.0) -> Node:
         settings = NodeSettings(
             node_id=node_id,
             ip="10.0.0.9",
@@ -208,7 +226,7 @@
             first_port=1,
             row_bytes=65536,
             cores=1.0,
-            link_mbps=1000.0,
+            link_mbps=link_mbps,
             bounds=BOUNDS,
         )
         timers = TimerService(self.generator.randrange(2**31))
