Let a malformed response end its call and nothing else

Cause: numbers and lists in responses of the store, of servers, of the list of hosts and of the advice service were converted without care; a ValueError or TypeError that no caller expects ended the duty, or through the followers the whole process.

Change: every conversion of a response raises OutcomeUnknown with answer-broken.

--- a/rhubarbmount/platform/advice.py
+++ b/rhubarbmount/platform/advice.py
@@ -3,7 +3,7 @@
 import attrs
 
 from rhubarbmount.errors import PlatformUnavailable
-from rhubarbmount.platform.json_client import JsonClient
+from rhubarbmount.platform.json_client import JsonClient, decoding_response
 
 __all__ = ["MAX_SERVERS_PER_CALL", "AdviceClient", "Ticket"]
 
@@ -40,9 +40,10 @@
         )
         if response.status != 200:
             raise PlatformUnavailable(f"advice service sent status {response.status}")
-        valid_s = float(response.body.get("valid_ms") or 0) / 1000
-        return [
-            Ticket(str(row[0]), str(row[1]), valid_s)
-            for row in response.body.get("granted") or ()
-            if isinstance(row, list) and len(row) >= 2
-        ]
+        with decoding_response():
+            valid_s = float(response.body.get("valid_ms") or 0) / 1000
+            return [
+                Ticket(str(row[0]), str(row[1]), valid_s)
+                for row in response.body.get("granted") or ()
+                if isinstance(row, list) and len(row) >= 2
+            ]
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -10,7 +10,11 @@
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.model import RunEnd, RunReport, Server, TaskId
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.json_client import JsonClient, JsonResponse
+from rhubarbmount.platform.json_client import (
+    JsonClient,
+    JsonResponse,
+    decoding_response,
+)
 
 __all__ = [
     "BackendClient",
@@ -142,15 +146,8 @@
             body["wait_ms"] = int(wait_s * 1000)
         timeout_s = wait_s + self.lateness.stretch_timeout_s(RENEWAL_MARGIN_S)
         response = await self._call(server, "/hold", body, timeout_s)
-        command_response = _decode_command_response(response)
-        if command_response.result is not CommandResult.DONE:
-            return RenewalResponse(command_response.result, command_response.clock_ms)
-        return RenewalResponse(
-            CommandResult.DONE,
-            command_response.clock_ms,
-            tuple(_decode_run_reports(response.body.get("running"))),
-            tuple(_decode_run_ends(response.body.get("finished"))),
-        )
+        with decoding_response():
+            return _decode_renewal_response(response)
 
     async def _command(
         self, server: Server, path: str, body: Mapping[str, Any]
@@ -164,7 +161,8 @@
             self.lateness.record_silence(server.id)
             raise
         self.lateness.record_response(server.id, monotonic_s() - started_s)
-        return _decode_command_response(response)
+        with decoding_response():
+            return _decode_command_response(response)
 
     async def _call(
         self, server: Server, path: str, body: Mapping[str, Any], timeout_s: float
@@ -205,6 +203,18 @@
     raise OutcomeUnknown(f"backend server responded with status {response.status}")
 
 
+def _decode_renewal_response(response: JsonResponse) -> RenewalResponse:
+    command_response = _decode_command_response(response)
+    if command_response.result is not CommandResult.DONE:
+        return RenewalResponse(command_response.result, command_response.clock_ms)
+    return RenewalResponse(
+        CommandResult.DONE,
+        command_response.clock_ms,
+        tuple(_decode_run_reports(response.body.get("running"))),
+        tuple(_decode_run_ends(response.body.get("finished"))),
+    )
+
+
 def _decode_run_reports(rows: Any) -> list[RunReport]:
     try:
         return [
--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -10,7 +10,11 @@
 
 from rhubarbmount.batch.model import Host, HostState
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.json_client import JsonClient, JsonResponse
+from rhubarbmount.platform.json_client import (
+    JsonClient,
+    JsonResponse,
+    decoding_response,
+)
 
 __all__ = ["HostClient", "HostResult"]
 
@@ -63,8 +67,9 @@
                 raise PlatformUnavailable(
                     f"host list request got status {response.status}"
                 )
-            rows = response.body.get("machines")
-            hosts.extend(filter(None, map(_decode_host, rows or ())))
+            with decoding_response():
+                rows = response.body.get("machines") or ()
+                hosts.extend(filter(None, map(_decode_host, rows)))
             page_token = str(response.body.get("next_token") or "")
             if not page_token:
                 return hosts
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -1,8 +1,8 @@
 """JSON client over HTTP, with pooled connections and a timeout for each call."""
 
 import json
-from collections.abc import Mapping, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
 import attrs
@@ -12,12 +12,22 @@
 from rhubarbmount.http import Headers, HttpRequest, NotSent, ResponseLost
 from rhubarbmount.http_client import ConnectionPool
 
-__all__ = ["JsonResponse", "JsonClient", "open_json_client"]
+__all__ = ["JsonResponse", "JsonClient", "decoding_response", "open_json_client"]
 
 CONNECT_TIMEOUT_S = 0.5
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 
 
+@contextmanager
+def decoding_response() -> Iterator[None]:
+    """Raise OutcomeUnknown where the block meets a value that it can't decode."""
+    try:
+        yield
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
+        message = f"malformed response: {error!r}"
+        raise OutcomeUnknown(message, code="answer-broken") from None
+
+
 @attrs.frozen
 class JsonResponse:
     """Status and decoded body of a response; ``body`` is empty unless a JSON object."""
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -17,7 +17,11 @@
     PlatformUnavailable,
     RhubarbmountError,
 )
-from rhubarbmount.platform.json_client import JsonClient, JsonResponse
+from rhubarbmount.platform.json_client import (
+    JsonClient,
+    JsonResponse,
+    decoding_response,
+)
 
 __all__ = [
     "MAX_READ_TIMEOUT_S",
@@ -179,9 +183,10 @@
             self.write_timeout.note_timeout()
             raise
         self.write_timeout.note_response(trio.current_time() - started_s)
-        if response.status == 412:
-            raise RowConflict(_decode_rows(response))
-        return int(response.body["ver"])
+        with decoding_response():
+            if response.status == 412:
+                raise RowConflict(_decode_rows(response))
+            return int(response.body["ver"])
 
     async def read(
         self,
@@ -199,7 +204,8 @@
         if end_key:
             query["target_version"] = end_key
         response = await self._get("/rows-get", query, timeout_s)
-        return _decode_page(response)
+        with decoding_response():
+            return _decode_page(response)
 
     async def read_all(
         self, table: str, part: str = "", timeout_s: float = READ_TIMEOUT_S
@@ -231,7 +237,8 @@
         response = await self._get("/rows-feed", query, wait_s + FEED_MARGIN_S)
         if response.status == 410:
             raise HistoryGone(f"changes of {table} after {after} are no longer kept")
-        return _decode_page(response)
+        with decoding_response():
+            return _decode_page(response)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -260,8 +267,9 @@
         self.observe(name, str(response.status), trio.current_time() - started_s)
         self.health.note_response()
         if "now_ms" in response.body:
-            self._clock_ms = int(response.body["now_ms"])
-            self._clock_read_at_s = monotonic_s()
+            with decoding_response():
+                self._clock_ms = int(response.body["now_ms"])
+                self._clock_read_at_s = monotonic_s()
         return response
 
 
