Go on after an unexpected error of a follower or of the watch of settings

Cause: an error in the task that follows the operator's rows, the lease or the settings file ended the process; only the scheduler's were caught.

Change: these tasks begin again after 3 s, with a traceback in the log.

Conclusion: one fault of ours costs 3 s of news in place of the host.

--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -3,7 +3,7 @@
 import logging
 import os
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -108,7 +108,7 @@
             await nursery.start(metrics.run, settings.ip, METRICS_PORT)
             await nursery.start(callers.run, *_split_address(settings.callers_address))
             nursery.start_soon(self.run_duties)
-            nursery.start_soon(self._watch_settings)
+            nursery.start_soon(_keep_running, "settings", self._watch_settings)
             log.event(
                 logger,
                 "started",
@@ -187,8 +187,8 @@
     async def run_duties(self) -> None:
         """Follow the store, and hold the shard whenever its lease can be acquired."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.operator_rows.run)
-            nursery.start_soon(self.lease_manager.follower.run)
+            nursery.start_soon(_keep_running, "operator-rows", self.operator_rows.run)
+            nursery.start_soon(_keep_running, "leases", self.lease_manager.follower.run)
             await self._hold_shard()
 
     async def _hold_shard(self) -> None:
@@ -323,6 +323,18 @@
         log.flush()
 
 
+async def _keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Run a task again after an unexpected error, which must not stop the host."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            logger.exception("event=task-failed task=%s", name)
+            await trio.sleep(RESTART_DELAY_S)
+        else:
+            return
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, port = address.rsplit(":", 1)
     return host, int(port)
--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -11,6 +11,7 @@
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch import node
 from rhubarbmount.standins.users_servers import TaskWork
 from tests.batch.checkers import JobChecker
 from tests.batch.world import World, catalogue, open_world, route
@@ -616,3 +617,26 @@
         assert events.count("shard-loaded") == 1
         assert "lease-not-renewed" not in events
         assert checker.breaches == []
+
+
+# A row that a decoder is not prepared for must not stop a host.
+async def test_an_unexpected_error_of_a_decoder_stops_no_host(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch, 7, nodes="ab") as (world, checker):
+        decode = node.decode_catalogue
+
+        def fail_once(row):
+            monkeypatch.setattr(node, "decode_catalogue", decode)
+            raise RuntimeError("a fault of the decoder")
+
+        monkeypatch.setattr(node, "decode_catalogue", fail_once)
+        routes = [route("/one/", "one"), route("/two/", "two"), route("/new/", "one")]
+        world.platform.put_catalogue(catalogue(2, routes, POOLS, SPARE))
+        await trio.sleep(6.0)
+        new_job = job(world.generator)
+        assert await submit(world, checker, "/new/", new_job)
+        assert await wait_complete(world, checker, "/new/", [new_job[0]], 20.0) == []
+        for name in "ab":
+            status, _ = await world.call("GET", "/new/", node=name)
+            assert status == 200
