Ask for the permission to command a host right before sending

Cause: whether the lease and the stored time of a command allowed it was asked before a connection was there. A host that opened the connection slowly, or a process paused meanwhile, sent up to a second (the time limit of the call) after its permission had run out; where fencing tokens are not checked, nothing else would have stopped it.

Ruled out: commands to backend servers (fencing tokens) and commits (versions of rows).

Change: the client asks once the connection is there, and sends nothing otherwise.

--- a/rhubarbmount/batch/host_commands.py
+++ b/rhubarbmount/batch/host_commands.py
@@ -53,14 +53,24 @@
         """Move a host to a pool."""
         return await self._send(
             host_id,
-            lambda: self.client.move(host_id, pool, self.shard_lease.fencing_token),
+            lambda: self.client.move(
+                host_id,
+                pool,
+                self.shard_lease.fencing_token,
+                lambda: self._may_send(host_id),
+            ),
         )
 
     async def maintain(self, host_id: str, wave: int) -> HostResult:
         """Maintain a host for a wave."""
         return await self._send(
             host_id,
-            lambda: self.client.maintain(host_id, wave, self.shard_lease.fencing_token),
+            lambda: self.client.maintain(
+                host_id,
+                wave,
+                self.shard_lease.fencing_token,
+                lambda: self._may_send(host_id),
+            ),
         )
 
     async def _send(
@@ -85,8 +95,6 @@
     ) -> HostResult | None:
         """Send a command once; return None if it may have taken effect unanswered."""
         await self._store_time(host_id)
-        if not self.shard_lease.is_valid(monotonic_s()):
-            return HostResult.BUSY
         try:
             return await call()
         except PlatformUnavailable:
@@ -94,6 +102,11 @@
         except OutcomeUnknown:
             return None
 
+    def _may_send(self, host_id: str) -> bool:
+        """Return whether no other holder can send commands to the host now."""
+        is_valid = self.shard_lease.is_valid(monotonic_s())
+        return is_valid and self.command_times.may_send(host_id)
+
     async def _store_time(self, host_id: str) -> None:
         """Store until when commands to a host may be sent, unless that is stored."""
         window_s = SEND_WINDOW_S
--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import quote
 
@@ -27,6 +27,10 @@
 }
 
 
+# Asked right before a command is sent.
+MaySend = Callable[[], bool]
+
+
 class HostResult(enum.Enum):
     """Outcome of a command to move or maintain a host."""
 
@@ -74,25 +78,33 @@
             if not page_token:
                 return hosts
 
-    async def move(self, host_id: str, pool: str, fencing_token: int) -> HostResult:
+    async def move(
+        self, host_id: str, pool: str, fencing_token: int, may_send: MaySend
+    ) -> HostResult:
         """Move a host to a pool; everything that runs on it ends immediately."""
         body = {"machine": host_id, "pool": pool}
-        return await self._command("/machine-move", body, fencing_token)
+        return await self._command("/machine-move", body, fencing_token, may_send)
 
-    async def maintain(self, host_id: str, wave: int, fencing_token: int) -> HostResult:
+    async def maintain(
+        self, host_id: str, wave: int, fencing_token: int, may_send: MaySend
+    ) -> HostResult:
         """Maintain a host for a wave; everything that runs on it ends immediately."""
         body = {"machine": host_id, "wave": wave}
-        return await self._command("/machine-upkeep", body, fencing_token)
+        return await self._command("/machine-upkeep", body, fencing_token, may_send)
 
     async def _command(
-        self, path: str, body: Mapping[str, Any], fencing_token: int
+        self,
+        path: str,
+        body: Mapping[str, Any],
+        fencing_token: int,
+        may_send: MaySend,
     ) -> HostResult:
         headers = [
             (b"x-lease-holder", self.holder.encode("ascii")),
             (b"x-fencing-token", b"%d" % fencing_token),
         ]
         response = await self.client.call(
-            self.address, "POST", path, body, CALL_TIMEOUT_S, headers
+            self.address, "POST", path, body, CALL_TIMEOUT_S, headers, may_send
         )
         return _decode_result(response)
 
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -1,7 +1,7 @@
 """JSON client over HTTP, with pooled connections and a timeout for each call."""
 
 import json
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
@@ -50,9 +50,12 @@
         body: Mapping[str, Any] | None = None,
         timeout_s: float = 1.0,
         headers: Headers = (),
+        may_send: Callable[[], bool] = lambda: True,
     ) -> JsonResponse:
         """Send a request and return the response.
 
+        ``may_send`` is asked once the connection is open: nothing is sent if a
+        permission has expired while this process waited for it or was paused.
         Raises PlatformUnavailable if nothing was sent, and OutcomeUnknown if the
         response was lost or did not arrive in time.
         """
@@ -60,7 +63,7 @@
         request = HttpRequest(method, target, _headers(address, headers), data)
         try:
             with trio.fail_after(timeout_s):
-                return await self._exchange(address, request)
+                return await self._exchange(address, request, may_send)
         except NotSent as error:
             raise PlatformUnavailable(error.message, code=error.code) from None
         except ResponseLost as error:
@@ -80,12 +83,17 @@
         for address in list(self._pool_by_address):
             await self.forget(address)
 
-    async def _exchange(self, address: str, request: HttpRequest) -> JsonResponse:
+    async def _exchange(
+        self, address: str, request: HttpRequest, may_send: Callable[[], bool]
+    ) -> JsonResponse:
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = ConnectionPool(address, CONNECT_TIMEOUT_S, BODY_LIMIT_BYTES)
             self._pool_by_address[address] = pool
         connection = await pool.take()
+        if not may_send():
+            await pool.put_back(connection)
+            raise NotSent("the permission to send has expired", code="expired")
         started_s = trio.current_time()
         try:
             response = await connection.exchange(request)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -2,7 +2,7 @@
 
 import json
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -87,9 +87,12 @@
         body: Mapping[str, Any] | None = None,
         timeout_s: float = 1.0,
         headers: Any = (),
+        may_send: Callable[[], bool] = lambda: True,
     ) -> JsonResponse:
         with trio.move_on_after(timeout_s):
             await self._occupy_host()
+            if not may_send():
+                raise PlatformUnavailable("not sent", code="expired")
             await trio.sleep(LATENCY_S)
             response = await self._deliver(address, method, target, body, dict(headers))
             await trio.sleep(LATENCY_S)
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -1,9 +1,11 @@
 """Calls over pooled connections."""
 
 import h11
+import pytest
 import trio
 
-from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.http_client import ConnectionPool
 from rhubarbmount.platform.json_client import open_json_client
 
 
@@ -12,6 +14,7 @@
 
     def __init__(self):
         self.open_count = 0
+        self.answered = 0
         self._silenced_through = -1
 
     def silence(self):
@@ -29,6 +32,7 @@
                 if number <= self._silenced_through:
                     await trio.sleep_forever()
                 await trio.sleep(0.02)
+                self.answered += 1
                 head = h11.Response(status_code=200, headers=[("content-length", "2")])
                 await stream.send_all(
                     protocol.send(head)
@@ -74,3 +78,36 @@
                 outcomes.append("unanswered")
     assert outcomes == ["unanswered", 200]
     nursery.cancel_scope.cancel()
+
+
+# A process that was paused while it opened a connection must not send a command for
+# which its lease has run out meanwhile.
+async def test_nothing_is_sent_after_a_permission_has_expired(nursery, monkeypatch):
+    server = SilencedServer()
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    nursery.start_soon(
+        trio.serve_listeners, lambda stream: serve_quietly(server, stream), listeners
+    )
+    lease = {"is_valid": True}
+    take = ConnectionPool.take
+
+    async def take_slowly(self, *args):
+        connection = await take(self, *args)
+        lease["is_valid"] = False
+        return connection
+
+    async with open_json_client() as client:
+
+        async def call():
+            return await client.call(
+                f"127.0.0.1:{port}", "POST", "/", may_send=lambda: lease["is_valid"]
+            )
+
+        assert (await call()).status == 200
+        monkeypatch.setattr(ConnectionPool, "take", take_slowly)
+        with pytest.raises(PlatformUnavailable) as caught:
+            await call()
+        assert caught.value.code == "expired"
+    assert server.answered == 1
+    nursery.cancel_scope.cancel()
