Take a shard over without waiting for every part of the requests

Cause: a holder scheduled nothing until it had read every part of the table of requests, as a run of a job that it doesn't know would have been stopped as a stray.

Change: the spec of a job is stored beside its progress, and no later, so that one part holds all jobs that may have runs. Requests are read beside the scheduling.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -15,35 +15,29 @@
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.job_remover import JobRemover
+from rhubarbmount.batch.job_rows import JobRows
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
     Job,
-    QueueName,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.records import (
-    decode_spec,
-    encode_pending,
-    encode_progress,
-)
+from rhubarbmount.batch.records import decode_progress, decode_spec
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.batch.shard_rows import LoadedShard, load_shard
+from rhubarbmount.batch.shard_rows import LoadedShard, ShardLoader
 from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
     REQUESTS_TABLE,
     host_orders_row,
-    pending_row,
-    progress_row,
     request_parts,
     silent_servers_row,
     wave_row,
@@ -58,7 +52,7 @@
 from rhubarbmount.platform.row_formats import (
     SERVERS_TABLE,
 )
-from rhubarbmount.platform.rows import Page, RowName, RowStore
+from rhubarbmount.platform.rows import Page, Row, RowName, RowStore
 from rhubarbmount.platform.settings import Bounds
 from rhubarbmount.timers import TimerService
 
@@ -67,7 +61,6 @@
 logger = logging.getLogger(__name__)
 
 SCHEDULE_PERIOD_S = 0.25
-PENDING_PERIOD_S = 0.5
 LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
@@ -103,19 +96,24 @@
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
-    _stored_pending: dict[QueueName, int] = attrs.field(factory=dict)
-    _pending_stored_at_s: float = 0.0
+    _job_rows: JobRows = attrs.field(init=False)
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
     _started_jobs: set[str] = attrs.field(factory=set)
     _requests: TableFollower | None = None
+    _loader: ShardLoader = attrs.field(init=False)
+    _are_requests_loaded: bool = False
+    # Progress stored by builds that did not store specs.
+    _progress_without_spec_by_id: dict[str, bytes] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(
             Catalogue(0, {}, {}), wall_clock_s=wall_clock_s(), now_s=monotonic_s()
         )
         self._write_batch = WriteBatch(self.committer)
+        self._job_rows = JobRows(self.name, self.shard, self._write_batch)
         self.meter = SchedulingMeter(self.metrics)
+        self._loader = ShardLoader(self.store, self.name, self.link_mbps)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
@@ -155,13 +153,13 @@
             self._is_loaded = True
             for wave in waves.values():
                 self.put_wave(wave)
-            self._requests = self._request_follower(loaded.requests.version)
+            self._requests = self._request_follower(loaded.version)
             nursery.start_soon(self._requests.run)
+            nursery.start_soon(self._load_requests)
             nursery.start_soon(self._server_follower(loaded.servers.version).run)
             nursery.start_soon(self.fleet_controller.run)
             nursery.start_soon(self.wave_status.run)
             nursery.start_soon(self._wake_regularly)
-            nursery.start_soon(self._remover().run)
             nursery.start_soon(self._poll_tickets)
             await self._schedule()
 
@@ -190,7 +188,7 @@
             self.shard,
             self.timers,
             self.bounds.status_s,
-            self._remove_progress,
+            self._remove_job_rows,
         )
 
     def _last_grants_lapse_in_s(self) -> float | None:
@@ -239,7 +237,13 @@
             self.lateness.record_lag(max(0.0, trio.current_time() - tick.due_s))
 
     async def _load(self) -> LoadedShard:
-        loaded = await load_shard(self.store, self.name, self.link_mbps)
+        loaded = await self._loader.load()
+        requests: list[Page] = []
+        if loaded.progress_without_spec_by_id:
+            # An earlier build stored no specs. Its jobs have to be known before any
+            # server lists its runs.
+            await self._loader.load_requests(requests.append)
+            self._are_requests_loaded = True
         for row in loaded.command_times.rows:
             self.command_times.load(row.value)
         for row in loaded.silent_servers.rows:
@@ -248,6 +252,10 @@
             self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
         self.servers.apply(loaded.servers, True)
         loaded.add_jobs(self.shard)
+        self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
+        self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
+        for page in requests:
+            self._apply_requests(page, False)
         for server_id in self.shard.unknown_servers():
             self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
         log.event(
@@ -262,6 +270,26 @@
         )
         return loaded
 
+    async def _load_requests(self) -> None:
+        """Add the jobs that no holder has seen yet, then begin to remove old ones.
+
+        Jobs with runs are known without them. A part that can't be read thus delays
+        its own new jobs only. Rows are removed after all of them have been read, as a
+        job whose request is read after its removal would begin again.
+        """
+        if not self._are_requests_loaded:
+            await self._loader.load_requests(
+                lambda page: self._apply_requests(page, False)
+            )
+        log.event(
+            logger,
+            "requests-loaded",
+            shard=self.name,
+            jobs=len(self.shard.job_by_id),
+            took_ms=int((monotonic_s() - self._started_at_s) * 1000),
+        )
+        await self._remover().run()
+
     async def _lose_unlisted_server(self, server_id: str) -> None:
         """Release the tasks of an unlisted server once its leases must have expired."""
         lapses_in_s = self.silent_servers.lapses_in_s(server_id)
@@ -295,19 +323,24 @@
             if row.name.key.endswith(CANCEL_SUFFIX):
                 self.shard.cancel(row.name.key.removesuffix(CANCEL_SUFFIX))
             elif row.name.key not in self.shard.job_by_id:
-                spec = decode_spec(row.value)
-                self.shard.add_job(Job(spec))
-                self.shard.demand.note_job(
-                    self.shard.pool_of(spec),
-                    spec,
-                    self.shard.expected_run_times_s(spec),
-                    monotonic_s(),
-                )
-                log.frequent_event(
-                    logger, "job-seen", job=row.name.key, version=row.version
-                )
+                self._add_requested_job(row)
         self.wake()
 
+    def _add_requested_job(self, row: Row) -> None:
+        spec = decode_spec(row.value)
+        job = Job(spec)
+        progress = self._progress_without_spec_by_id.pop(spec.job_id, None)
+        if progress is not None:
+            decode_progress(progress, job)
+        self.shard.add_job(job)
+        self.shard.demand.note_job(
+            self.shard.pool_of(spec),
+            spec,
+            self.shard.expected_run_times_s(spec),
+            monotonic_s(),
+        )
+        log.frequent_event(logger, "job-seen", job=spec.job_id, version=row.version)
+
     # Scheduling.
 
     async def _schedule(self) -> None:
@@ -360,8 +393,7 @@
 
     async def _commit_and_send(self, assignments: list[Assignment]) -> None:
         """Commit the changes, then send the commands that depend on them."""
-        self._put_changed_jobs()
-        self._put_pending()
+        self._job_rows.put_changed()
         stops, self.shard.stops = self.shard.stops, []
         listed_by_session = {session: session.listed_to for session in self.sessions}
         starts = self._start_requests(assignments)
@@ -377,42 +409,6 @@
                 session.committed = number
                 session.wake()
 
-    def _put_changed_jobs(self) -> None:
-        dirty, self.shard.dirty = self.shard.dirty, set()
-        for job_id in dirty:
-            job = self.shard.job_by_id.get(job_id)
-            if job is not None:
-                if job.state.is_final:
-                    self._log_job_end(job)
-                self._write_batch.put(
-                    progress_row(self.name, job_id), encode_progress(job)
-                )
-
-    def _log_job_end(self, job: Job) -> None:
-        spec = job.spec
-        tasks = job.tasks()
-        log.frequent_event(
-            logger,
-            "job-ended",
-            job=spec.job_id,
-            queue=spec.queue.prefix,
-            state=job.state.value,
-            took_s=self.shard.wall_clock_s - spec.accepted_s,
-            runs=sum(task.run for task in tasks),
-            failures=sum(task.failures for task in tasks),
-            catalogue=self.shard.catalogue.version,
-        )
-
-    def _put_pending(self) -> None:
-        now_s = monotonic_s()
-        if now_s < self._pending_stored_at_s + PENDING_PERIOD_S:
-            return
-        pending = self.shard.count_pending()
-        if pending != self._stored_pending or not self._pending_stored_at_s:
-            self._stored_pending = pending
-            self._pending_stored_at_s = now_s
-            self._write_batch.put(pending_row(self.name), encode_pending(pending))
-
     def _start_requests(
         self, assignments: list[Assignment]
     ) -> list[tuple[ServerSession, StartRequest]]:
@@ -466,6 +462,6 @@
             if await self.tickets.ask(self.shard, monotonic_s()):
                 self.wake()
 
-    def _remove_progress(self, job_id: str) -> None:
+    def _remove_job_rows(self, job_id: str) -> None:
         self._started_jobs.discard(job_id)
-        self._write_batch.remove(progress_row(self.name, job_id))
+        self._job_rows.remove(job_id)
--- /dev/null
+++ b/rhubarbmount/batch/job_rows.py
@@ -0,0 +1,81 @@
+"""Rows of a shard's jobs: progress, specs and the counts of waiting ones."""
+
+import logging
+
+import attrs
+
+from rhubarbmount import log
+from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.model import Job, QueueName
+from rhubarbmount.batch.records import encode_pending, encode_progress, encode_spec
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.tables import pending_row, progress_row, spec_row
+from rhubarbmount.batch.write_batch import WriteBatch
+
+__all__ = ["JobRows"]
+
+logger = logging.getLogger(__name__)
+
+PENDING_PERIOD_S = 0.5
+
+
+@attrs.define(eq=False)
+class JobRows:
+    """Puts the rows of changed jobs into the next commit of a shard."""
+
+    name: str
+    shard: Shard
+    write_batch: WriteBatch
+    stored_spec_ids: set[str] = attrs.field(factory=set)
+    _stored_pending: dict[QueueName, int] = attrs.field(factory=dict)
+    _pending_stored_at_s: float = 0.0
+
+    def put_changed(self) -> None:
+        """Write the jobs that have changed and, from time to time, the counts."""
+        dirty, self.shard.dirty = self.shard.dirty, set()
+        for job_id in dirty:
+            job = self.shard.job_by_id.get(job_id)
+            if job is not None:
+                self._put(job)
+        self._put_pending()
+
+    def remove(self, job_id: str) -> None:
+        """Remove the rows of a job, the spec last, as it is of no use alone."""
+        self.stored_spec_ids.discard(job_id)
+        self.write_batch.remove(progress_row(self.name, job_id))
+        self.write_batch.remove(spec_row(self.name, job_id))
+
+    def _put(self, job: Job) -> None:
+        job_id = job.spec.job_id
+        if job.state.is_final:
+            self._log_end(job)
+        if job_id not in self.stored_spec_ids:
+            self.stored_spec_ids.add(job_id)
+            # Before the first progress, so that no progress is stored without a spec.
+            self.write_batch.put(spec_row(self.name, job_id), encode_spec(job.spec))
+        self.write_batch.put(progress_row(self.name, job_id), encode_progress(job))
+
+    def _log_end(self, job: Job) -> None:
+        spec = job.spec
+        tasks = job.tasks()
+        log.frequent_event(
+            logger,
+            "job-ended",
+            job=spec.job_id,
+            queue=spec.queue.prefix,
+            state=job.state.value,
+            took_s=self.shard.wall_clock_s - spec.accepted_s,
+            runs=sum(task.run for task in tasks),
+            failures=sum(task.failures for task in tasks),
+            catalogue=self.shard.catalogue.version,
+        )
+
+    def _put_pending(self) -> None:
+        now_s = monotonic_s()
+        if now_s < self._pending_stored_at_s + PENDING_PERIOD_S:
+            return
+        pending = self.shard.count_pending()
+        if pending != self._stored_pending or not self._pending_stored_at_s:
+            self._stored_pending = pending
+            self._pending_stored_at_s = now_s
+            self.write_batch.put(pending_row(self.name), encode_pending(pending))
--- a/rhubarbmount/batch/log_trace.py
+++ b/rhubarbmount/batch/log_trace.py
@@ -173,9 +173,12 @@
 
 
 def _cause_of_delay(matching: list[LogLine], context: list[LogLine]) -> str:
+    # Each later holder hears of the job again, which ends no delay.
+    seen = [line for line in matching if line.event == "job-seen"]
+    told = [line for line in matching if line not in seen[1:]]
     pauses = [
         (after.time_s - before.time_s, before, after)
-        for before, after in zip(matching, matching[1:], strict=False)
+        for before, after in zip(told, told[1:], strict=False)
         # The time before the end of a run is execution time, not delay.
         if after.event != "run-ended"
     ]
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -1,6 +1,7 @@
 """Loads the rows of a shard when a host becomes its holder."""
 
 import logging
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -9,13 +10,12 @@
 from rhubarbmount.batch.model import Job
 from rhubarbmount.batch.records import decode_progress, decode_spec
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.batch.table_follower import join_pages
 from rhubarbmount.batch.tables import (
-    CANCEL_SUFFIX,
     HOST_ORDERS_TABLE,
     PROGRESS_TABLE,
     REQUESTS_TABLE,
     SILENT_SERVERS_TABLE,
+    SPECS_TABLE,
     WAVES_TABLE,
     request_parts,
 )
@@ -28,10 +28,17 @@
     RowStore,
 )
 
-__all__ = ["LoadedShard", "load_shard"]
+__all__ = ["LoadedShard", "ShardLoader"]
 
 logger = logging.getLogger(__name__)
 
+HOLDER_TABLES = (
+    PROGRESS_TABLE,
+    SPECS_TABLE,
+    WAVES_TABLE,
+    HOST_ORDERS_TABLE,
+    SILENT_SERVERS_TABLE,
+)
 RETRY_S = 0.1
 # A lost answer costs little, and a slow link gets enough time, as timeouts double.
 MIN_READ_TIMEOUT_S = 0.5
@@ -47,68 +54,92 @@
 
 @attrs.frozen
 class LoadedShard:
-    """The rows of a shard and of all backend servers."""
+    """The rows that a holder writes, and those of all backend servers."""
 
-    requests: Page
     progress: Page
+    specs: Page
     waves: Page
     command_times: Page
     silent_servers: Page
     servers: Page
 
+    @property
+    def version(self) -> int:
+        """Return a version of the store that every page is as new as."""
+        pages = (self.progress, self.specs, self.servers)
+        return min(page.version for page in pages)
+
+    @property
+    def progress_by_id(self) -> dict[str, bytes]:
+        """Return the stored progress of jobs."""
+        return {row.name.key: row.value for row in self.progress.rows}
+
+    @property
+    def progress_without_spec_by_id(self) -> dict[str, bytes]:
+        """Return the progress of jobs whose spec was not stored beside it."""
+        progress_by_id = self.progress_by_id
+        for row in self.specs.rows:
+            progress_by_id.pop(row.name.key, None)
+        return progress_by_id
+
     def add_jobs(self, shard: Shard) -> None:
-        """Add all jobs to a shard, each with its stored progress and cancellation."""
-        progress_by_id = {row.name.key: row.value for row in self.progress.rows}
-        cancelled = []
-        for row in self.requests.rows:
-            if row.name.key.endswith(CANCEL_SUFFIX):
-                cancelled.append(row.name.key.removesuffix(CANCEL_SUFFIX))
-                continue
-            job = Job(decode_spec(row.value))
-            if row.name.key in progress_by_id:
-                decode_progress(progress_by_id[row.name.key], job)
-            shard.add_job(job)
-        for job_id in cancelled:
-            shard.cancel(job_id)
-
-
-async def load_shard(store: RowStore, name: str, link_mbps: float) -> LoadedShard:
-    """Read all tables, retrying until each of them is read.
-
-    The caller has raised the fencing token before, so that no other process can change
-    the holder's rows meanwhile. No more is asked for at once than a link of
-    ``link_mbps`` takes quickly, since renewals of the lease share it.
+        """Add the jobs whose progress and spec are stored."""
+        progress_by_id = self.progress_by_id
+        for row in self.specs.rows:
+            progress = progress_by_id.get(row.name.key)
+            # A spec without progress belongs to a job that was being removed.
+            if progress is not None:
+                job = Job(decode_spec(row.value))
+                decode_progress(progress, job)
+                shard.add_job(job)
+
+
+@attrs.define(eq=False)
+class ShardLoader:
+    """Reads the rows of a shard when a host becomes its holder.
+
+    The holder has raised the fencing token before, so that no other process can change
+    its rows meanwhile. No more is asked for at once than a link of ``link_mbps`` takes
+    quickly, since renewals of the lease share it.
     """
-    reader = _Reader(store, *_share_of_link(link_mbps))
-    parts_by_table = {
-        REQUESTS_TABLE: tuple(request_parts(name)),
-        PROGRESS_TABLE: (name,),
-        WAVES_TABLE: (name,),
-        HOST_ORDERS_TABLE: (name,),
-        SILENT_SERVERS_TABLE: (name,),
-        SERVERS_TABLE: ("",),
-    }
-    page_by_part: dict[tuple[str, str], Page] = {}
-
-    async def read(table: str, part: str) -> None:
-        page_by_part[table, part] = await reader.read(table, part)
-
-    async with trio.open_nursery() as nursery:
-        for table, parts in parts_by_table.items():
-            for part in parts:
-                nursery.start_soon(read, table, part)
-    pages = {
-        table: join_pages([page_by_part[table, part] for part in parts])
-        for table, parts in parts_by_table.items()
-    }
-    return LoadedShard(
-        requests=pages[REQUESTS_TABLE],
-        progress=pages[PROGRESS_TABLE],
-        waves=pages[WAVES_TABLE],
-        command_times=pages[HOST_ORDERS_TABLE],
-        silent_servers=pages[SILENT_SERVERS_TABLE],
-        servers=pages[SERVERS_TABLE],
-    )
+
+    store: RowStore
+    name: str
+    link_mbps: float
+    _reader: "_Reader" = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._reader = _Reader(self.store, *_share_of_link(self.link_mbps))
+
+    async def load(self) -> LoadedShard:
+        """Read all tables but the requests, retrying until each of them is read."""
+        page_by_table: dict[str, Page] = {}
+
+        async def read(table: str, part: str) -> None:
+            page_by_table[table] = await self._reader.read(table, part)
+
+        async with trio.open_nursery() as nursery:
+            for table in HOLDER_TABLES:
+                nursery.start_soon(read, table, self.name)
+            nursery.start_soon(read, SERVERS_TABLE, "")
+        return LoadedShard(
+            progress=page_by_table[PROGRESS_TABLE],
+            specs=page_by_table[SPECS_TABLE],
+            waves=page_by_table[WAVES_TABLE],
+            command_times=page_by_table[HOST_ORDERS_TABLE],
+            silent_servers=page_by_table[SILENT_SERVERS_TABLE],
+            servers=page_by_table[SERVERS_TABLE],
+        )
+
+    async def load_requests(self, on_page: Callable[[Page], None]) -> None:
+        """Read the requests and pass each part on as soon as it can be read."""
+
+        async def read(part: str) -> None:
+            on_page(await self._reader.read(REQUESTS_TABLE, part))
+
+        async with trio.open_nursery() as nursery:
+            for part in request_parts(self.name):
+                nursery.start_soon(read, part)
 
 
 def _share_of_link(link_mbps: float) -> tuple[int, int]:
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -22,7 +22,7 @@
     RowStore,
 )
 
-__all__ = ["TableFollower", "join_pages", "read_parts", "run_concurrently"]
+__all__ = ["TableFollower", "read_parts", "run_concurrently"]
 
 logger = logging.getLogger(__name__)
 
@@ -49,13 +49,8 @@
         pages[part] = await store.read_all(table, part, timeout_s)
 
     await run_concurrently([partial(read, part) for part in parts])
-    return join_pages([pages[part] for part in parts])
-
-
-def join_pages(pages: Sequence[Page]) -> Page:
-    """Return the rows of some pages as one page with the earliest of their versions."""
-    rows = tuple(row for page in pages for row in page.rows)
-    earliest = min(pages, key=lambda page: page.version)
+    rows = tuple(row for part in parts for row in pages[part].rows)
+    earliest = min(pages.values(), key=lambda page: page.version)
     return attrs.evolve(earliest, rows=rows)
 
 
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -9,6 +9,7 @@
     "PROGRESS_TABLE",
     "REQUESTS_TABLE",
     "SILENT_SERVERS_TABLE",
+    "SPECS_TABLE",
     "cancel_row",
     "head_row",
     "host_orders_row",
@@ -19,12 +20,14 @@
     "request_row",
     "shard_of",
     "silent_servers_row",
+    "spec_row",
     "wave_row",
 ]
 
 LEASE_TABLE = "leases"
 REQUESTS_TABLE = "requests"
 PROGRESS_TABLE = "progress"
+SPECS_TABLE = "specs"
 WAVES_TABLE = "waves"
 HOST_ORDERS_TABLE = "host-orders"
 SILENT_SERVERS_TABLE = "silent-servers"
@@ -78,6 +81,15 @@
     return RowName(PROGRESS_TABLE, shard, job_id)
 
 
+def spec_row(shard: str, job_id: str) -> RowName:
+    """Return the holder's copy of a job's spec, in the same part as its progress.
+
+    It is written no later than the progress, so that a takeover knows all jobs that
+    may have runs whatever parts of the requests it can read.
+    """
+    return RowName(SPECS_TABLE, shard, job_id)
+
+
 def pending_row(shard: str) -> RowName:
     """Return the row with the number of jobs not yet started, by queue."""
     return RowName("pending", shard, "counts")
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import attrs
 import trio
@@ -47,6 +48,8 @@
     # Nodes whose calls to the store get no answer.
     nodes_cut_from_store: set[str] = attrs.field(factory=set)
     store_is_down: bool = False
+    # Parts of the store that do not answer.
+    store_parts_down: set[str] = attrs.field(factory=set)
     store_refuses: bool = False
     store_loses: float = 0.0
     store_is_late: float = 0.0
@@ -173,6 +176,8 @@
         world, faults = self.world, self.world.faults
         if faults.store_is_down or self.node_id in faults.nodes_cut_from_store:
             await trio.sleep_forever()
+        if faults.store_parts_down & _parts_of(target, body):
+            await trio.sleep_forever()
         if faults.store_refuses:
             return JsonResponse(503, {})
         await trio.sleep(faults.store_delay_s)
@@ -190,6 +195,13 @@
         await self.world.platform.store.handle("POST", target, body)
 
 
+def _parts_of(target: str, body: Mapping[str, Any] | None) -> set[str]:
+    """Return the parts that a call to the store reads or writes."""
+    entries = [*body["expected"], *body["puts"], *body["remove"]] if body else []
+    query = parse_qs(urlsplit(target).query)
+    return {entry["part"] for entry in entries} | set(query.get("part", ()))
+
+
 @attrs.define(eq=False)
 class World:
     """A platform and entry hosts; observers receive the events of backend servers."""
