Expect nothing of a run whose job is gone, and end lateness with the duty

Cause: found by reading the change: needs_watch looked up the job of every run, and an old job may be removed while a silent server still counts one of its runs; the gauge of lateness kept its value after the duty had been lost.

Tests: the first failed with KeyError before.

--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -231,6 +231,7 @@
         finally:
             self._holder = None
             self.metrics.fencing_token.set(0)
+            self.metrics.is_late.set(0)
 
     async def _run_holder(self, holder: Holder, shard_lease: ShardLease) -> None:
         assert self.job_api.catalogue is not None
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -186,8 +186,11 @@
         )
 
     def expected_run_time_of(self, task: Task) -> RunTime:
-        """Return what a run of a task is expected to take."""
-        return self.expected_run_time(self.job_by_id[task.id.job_id].spec, task.id.step)
+        """Return what a run of a task is expected to take; 0 s if its job is gone."""
+        job = self.job_by_id.get(task.id.job_id)
+        if job is None:
+            return RunTime(0.0)
+        return self.expected_run_time(job.spec, task.id.step)
 
     def siblings_of(self, task: Task) -> list[Task]:
         """Return all tasks of the step and occurrence that a task belongs to."""
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -300,3 +300,22 @@
 
 def test_task_id_has_named_fields():
     assert TaskId("j", 0, 1, 2).number == 2
+
+
+def test_a_run_of_a_removed_job_has_no_expected_time(shard):
+    assignment = place_job(shard, step(estimate_s=1.0))[0]
+    task = shard.task(assignment.task)
+    assert shard.expected_run_time_of(task).expected_s == 1.0
+    shard.forget("j1")
+    assert shard.expected_run_time_of(task).expected_s == 0.0
+
+
+def test_a_completed_run_is_learned_from(shard):
+    assignment = place_job(shard, step(estimate_s=1.0))[0]
+    task = shard.task(assignment.task)
+    task.progress.start(10_000)
+    end = RunEnd(1, assignment.task, assignment.run, "done", "")
+    shard.end_run(assignment.server_id, end, 2.0, clock_ms=14_000)
+    assert task.took_s == 4.0
+    later = spec(step(estimate_s=1.0), job_id="j2")
+    assert 1.0 < shard.expected_run_time(later, 0).expected_s < 4.0
