--- /dev/null
+++ b/tests/batch/test_takeovers.py
@@ -0,0 +1,158 @@
+"""Tests in simulated time of what a host knows and does when it becomes the holder."""
+
+import random
+import re
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.batch.tables import request_parts, request_row, shard_of, spec_row
+from tests.batch.checkers import JobChecker
+from tests.batch.test_days import (
+    POOLS,
+    SPARE,
+    job,
+    open_day,
+    short_wide_job,
+    start_platform,
+    submit,
+    wait_complete,
+)
+from tests.batch.world import catalogue, open_world, route
+
+LARGE_TABLE_JOBS = 400
+PAYLOAD = "x" * 1200
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+# All entry hosts have weak links, and the table of requests is large: a takeover that
+# reads everything at once leaves no bandwidth for renewals of the lease.
+@pytest.mark.parametrize("seed", range(3))
+async def test_a_takeover_over_a_weak_link_keeps_the_lease(
+    monkeypatch, autojump_clock, caplog, seed
+):
+    caplog.set_level("INFO")
+    link_mbps = 2.0
+    async with open_world(monkeypatch, seed) as world:
+        checker = JobChecker(world)
+        start_platform(world)
+        world.start_node("a", link_mbps)
+        await trio.sleep(2.0)
+        for _ in range(LARGE_TABLE_JOBS):
+            new_job = short_wide_job(world.generator)
+            assert await submit(world, checker, "/one/", new_job, payload=PAYLOAD)
+        for name in "bcd":
+            world.start_node(name, link_mbps)
+        await trio.sleep(2.0)
+        bytes_per_s = link_mbps * 1e6 / 8
+        world.faults.link_bytes_per_s_by_node = dict.fromkeys("bcd", bytes_per_s)
+        caplog.clear()
+        world.kill_node("a")
+        await trio.sleep(12.0)
+        events = re.findall(r"event=([a-z-]+)", caplog.text)
+        assert events.count("lease-won") == 1
+        assert events.count("shard-loaded") == 1
+        assert "lease-not-renewed" not in events
+        assert checker.breaches == []
+
+
+def job_in_part(generator: random.Random, number: int):
+    """Return a job whose request is stored in a part of the requests."""
+    parts = request_parts(shard_of("", "", ""))
+    while True:
+        new_job = short_wide_job(generator)
+        if request_row(shard_of("", "", ""), new_job[0]).part == parts[number]:
+            return new_job
+
+
+# Some parts of the store do not answer while the holder dies: the next one schedules
+# what it knows and can hear of, and neither stops nor repeats the rest.
+@pytest.mark.parametrize("seed", range(4))
+async def test_a_takeover_does_not_wait_for_parts_of_the_requests(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day(monkeypatch, seed, nodes="a") as (world, checker):
+        accepted = []
+        for number in range(8):
+            new_job = job_in_part(world.generator, number)
+            assert await submit(world, checker, "/one/", new_job)
+            accepted.append(new_job[0])
+        world.start_node("b")
+        await trio.sleep(1.0)
+        parts = request_parts(shard_of("", "", ""))
+        world.faults.store_parts_down = set(parts[:2])
+        world.kill_node("a")
+        await trio.sleep(3.0)
+        new_job = job_in_part(world.generator, 5)
+        assert await submit(world, checker, "/one/", new_job)
+        accepted.append(new_job[0])
+        await trio.sleep(3.0)
+        assert new_job[0] in checker.started
+        assert len(checker.starts) == len(set(checker.starts))
+        world.faults.store_parts_down = set()
+        new_job = job_in_part(world.generator, 0)
+        assert await submit(world, checker, "/one/", new_job)
+        accepted.append(new_job[0])
+        assert await wait_complete(world, checker, "/one/", accepted, 20.0) == []
+        assert checker.breaches == []
+
+
+async def test_a_shard_stored_without_specs_is_taken_over(monkeypatch, autojump_clock):
+    """Earlier builds stored the progress of jobs alone."""
+    async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
+        accepted = []
+        for _ in range(6):
+            new_job = short_wide_job(world.generator)
+            assert await submit(world, checker, "/one/", new_job)
+            accepted.append(new_job[0])
+        await trio.sleep(1.0)
+        world.kill_node("a")
+        for job_id in accepted:
+            row = spec_row(shard_of("", "", ""), job_id)
+            world.platform.store.remove(row.table, row.key, row.part)
+        world.start_node("b")
+        assert await wait_complete(world, checker, "/one/", accepted, 20.0) == []
+        assert checker.breaches == []
+        assert len(checker.starts) == len(set(checker.starts)) == 6 * 8
+
+
+# All entry hosts start again after a queue was withdrawn and a server began to leave.
+async def test_nothing_that_was_withdrawn_is_in_use_after_a_restart(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch, 4, nodes="ab") as (world, checker):
+        world.platform.put_catalogue(
+            catalogue(2, [route("/one/", "one")], POOLS, SPARE)
+        )
+        leaving = world.platform.machine_by_id["m-one-0"]
+        gone = world.platform.machine_by_id["m-one-1"].server
+        world.platform.register(leaving, "draining")
+        world.platform.crash("m-one-1", down_s=60.0)
+        await trio.sleep(0.5)
+        for name in "ab":
+            world.kill_node(name)
+        for name in "cd":
+            world.start_node(name)
+        await trio.sleep(3.0)
+        started_on = []
+        world.observers.append(
+            lambda what, where, *_: (
+                started_on.append(where) if what == "start" else None
+            )
+        )
+        assert (await world.call("GET", "/two/"))[0] == 404
+        accepted = []
+        for _ in range(6):
+            new_job = job(world.generator)
+            assert await submit(world, checker, "/one/", new_job)
+            accepted.append(new_job[0])
+        assert await wait_complete(world, checker, "/one/", accepted, 30.0) == []
+        assert started_on
+        assert leaving.server not in started_on
+        assert gone not in started_on
+        assert checker.breaches == []
