--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -107,11 +107,11 @@
 
 
 @asynccontextmanager
-async def open_day(monkeypatch, seed=0, nodes="abc"):
+async def open_day(monkeypatch, seed=0, nodes="abc", machines=3):
     """Run a platform and entry hosts, one of which has become the holder."""
     async with open_world(monkeypatch, seed) as world:
         checker = JobChecker(world)
-        start_platform(world)
+        start_platform(world, machines)
         for name in nodes:
             world.start_node(name)
         await trio.sleep(1.0)
@@ -549,11 +549,7 @@
     monkeypatch, autojump_clock, caplog, seed, cost_s
 ):
     caplog.set_level("INFO")
-    async with open_world(monkeypatch, seed) as world:
-        checker = JobChecker(world)
-        start_platform(world, machines=12)
-        world.start_node("a")
-        await trio.sleep(1.0)
+    async with open_day(monkeypatch, seed, "a", machines=12) as (world, checker):
         world.start_node("b")
         world.faults.call_cost_s_by_node = {"a": cost_s}
         accepted = []
