Log how long the tasks of a silent server wait after a takeover, and why

New: server-not-reached and server-not-listed with the time left and what it follows from, the same on leases-lapsed, server-ended reason=not-listed, and the counter lapsed_tasks. No decision changes.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -27,6 +27,11 @@
 from rhubarbmount.batch.records import decode_progress, decode_spec
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
+from rhubarbmount.batch.server_lease import (
+    BOUND_HANDED_OVER,
+    BOUND_LONGEST_LEASE,
+    BOUND_RECORDED,
+)
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
@@ -292,14 +297,33 @@
 
     async def _lose_unlisted_server(self, server_id: str) -> None:
         """Release the tasks of an unlisted server once its leases must have expired."""
+        bound = BOUND_RECORDED
         lapses_in_s = self.silent_servers.lapses_in_s(server_id)
         if lapses_in_s is None:
+            bound = BOUND_HANDED_OVER
             lapses_in_s = self._last_grants_lapse_in_s()
         if lapses_in_s is None:
+            bound = BOUND_LONGEST_LEASE
             lapses_in_s = self.bounds.max_lease_s * RATE_MARGIN + UNLISTED_MARGIN_S
+        log.event(
+            logger,
+            "server-not-listed",
+            logging.WARNING,
+            server=server_id,
+            lapses_in_s=lapses_in_s,
+            bound=bound,
+        )
         await trio.sleep(lapses_in_s)
         if server_id not in self.shard.usage_by_server_id:
-            self.shard.lose_server(server_id, monotonic_s())
+            tasks = self.shard.lose_server(server_id, monotonic_s())
+            self.metrics.lapsed_tasks.labels(bound).inc(tasks)
+            log.event(
+                logger,
+                "server-ended",
+                server=server_id,
+                reason="not-listed",
+                tasks=tasks,
+            )
             self.wake()
 
     # Rows written by other processes.
--- a/rhubarbmount/batch/log_trace.py
+++ b/rhubarbmount/batch/log_trace.py
@@ -27,7 +27,14 @@
     "started",
     "stopping",
 )
-SERVER_EVENTS = ("server-lost", "server-regained", "leases-lapsed", "server-ended")
+SERVER_EVENTS = (
+    "server-lost",
+    "server-not-reached",
+    "server-not-listed",
+    "server-regained",
+    "leases-lapsed",
+    "server-ended",
+)
 CONTEXT_BEFORE_S = 2.0
 # Shorter pauses between two log lines of a job are normal.
 MIN_REPORTED_PAUSE_S = 0.5
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -32,6 +32,7 @@
     ends: prometheus_client.Counter = attrs.field(init=False)
     stragglers: prometheus_client.Counter = attrs.field(init=False)
     discarded_core_s: prometheus_client.Counter = attrs.field(init=False)
+    lapsed_tasks: prometheus_client.Counter = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
     placing_s: prometheus_client.Histogram = attrs.field(init=False)
@@ -81,6 +82,12 @@
             "Work of runs stopped to begin again elsewhere, checkpoints not deducted.",
             ["reason"],
         )
+        self.lapsed_tasks = self._counter(
+            "lapsed_tasks",
+            "Tasks released as every lease on their silent server has lapsed, by what "
+            "told when those of earlier holders have.",
+            ["bound"],
+        )
         self.host_orders = self._counter(
             "host_orders",
             "Move and maintenance commands to hosts by outcome.",
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -7,7 +7,12 @@
 from rhubarbmount.batch.clocks import ServerClock
 from rhubarbmount.batch.election import ShardLease
 
-__all__ = ["ServerLease"]
+__all__ = [
+    "BOUND_HANDED_OVER",
+    "BOUND_LONGEST_LEASE",
+    "BOUND_RECORDED",
+    "ServerLease",
+]
 
 # Consecutive failed calls after which a server counts as unreachable. A single failure
 # may just be a lost response.
@@ -17,6 +22,10 @@
 # The longest grant as a fraction of the longest lease that the platform allows.
 MAX_GRANT_FRACTION = 0.95
 LAPSE_CHECK_MARGIN_S = 0.01
+# What tells when the grants of earlier holders have lapsed.
+BOUND_LONGEST_LEASE = "longest-lease"
+BOUND_HANDED_OVER = "handed-over"
+BOUND_RECORDED = "recorded"
 
 
 @attrs.define(eq=False)
@@ -37,6 +46,8 @@
     is_recorded_silent: bool = False
     has_lapsed: bool = False
     last_holder_lapses_at_s: float | None = None
+    # What ``lapses_at_s`` of earlier grants follows from, for the log.
+    bound: str = BOUND_LONGEST_LEASE
     consecutive_failures: int = 0
 
     def renewal_expiry_ms(self, now_s: float, is_late: bool = False) -> int | None:
@@ -97,6 +108,14 @@
             self.is_reachable = False
         return is_lost
 
+    @property
+    def is_never_reached(self) -> bool:
+        """Return whether a server has just failed to answer so often for the first time."""
+        return (
+            not self.clock.is_known
+            and self.consecutive_failures == SILENT_AFTER_FAILURES
+        )
+
     @property
     def must_record_silence(self) -> bool:
         """Return whether the silence must now be recorded for the next holder."""
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -234,6 +234,16 @@
                 lapses_in_s=self.lease.lapses_at_s() - monotonic_s(),
             )
             self.listener.on_reachability_change(self, False)
+        if self.lease.is_never_reached:
+            log.event(
+                logger,
+                "server-not-reached",
+                logging.WARNING,
+                server=self.server.id,
+                code=code,
+                lapses_in_s=self.lease.lapses_at_s() - monotonic_s(),
+                bound=self.lease.bound,
+            )
         if self.is_established and self.lease.must_record_silence:
             self.lease.is_recorded_silent = True
             self.listener.on_silent(self)
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -17,7 +17,11 @@
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
 from rhubarbmount.batch.pacing import PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
-from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.batch.server_lease import (
+    BOUND_HANDED_OVER,
+    BOUND_RECORDED,
+    ServerLease,
+)
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
@@ -116,10 +120,12 @@
         if self.last_grants_lapse_in_s is not None:
             lapses_at_s = self._started_at_s + self.last_grants_lapse_in_s
             lease.last_holder_lapses_at_s = lapses_at_s
+            lease.bound = BOUND_HANDED_OVER
         lapses_in_s = self.silent.lapses_in_s(server_id)
         if lapses_in_s is not None:
             lease.is_recorded_silent = True
             lease.last_holder_lapses_at_s = monotonic_s() + lapses_in_s
+            lease.bound = BOUND_RECORDED
         return lease
 
     def lapses_at_s(self) -> float:
@@ -299,13 +305,18 @@
     def on_lapse(self, session: ServerSession) -> None:
         """Handle that every grant to a server has lapsed."""
         usage = self.shard.usage_by_server_id.get(session.server.id)
+        tasks = len(usage.task_by_id) if usage else 0
         log.event(
             logger,
             "leases-lapsed",
             logging.WARNING,
             server=session.server.id,
-            tasks=len(usage.task_by_id) if usage else 0,
+            tasks=tasks,
+            bound=session.lease.bound,
+            held_s=monotonic_s() - self._started_at_s,
         )
+        if tasks:
+            self.metrics.lapsed_tasks.labels(session.lease.bound).inc(tasks)
         if usage is not None and not usage.is_listed:
             self.handle_server_end(session.server.id, "lapsed", is_over=False)
         else:
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -443,15 +443,23 @@
                 usage.add(task, self.step_of(task.id))
         return usage
 
-    def lose_server(self, server_id: str, now_s: float) -> None:
-        """Remove a server lifetime that must have ended; let its tasks wait again."""
+    def lose_server(self, server_id: str, now_s: float) -> int:
+        """Remove a server lifetime that must have ended; let its tasks wait again.
+
+        Returns the number of these tasks.
+        """
         usage = self.usage_by_server_id.pop(server_id, None)
         tasks = self._tasks_by_unknown_server_id.pop(server_id, [])
         if usage is not None:
             tasks.extend(usage.task_by_id.values())
-        for task in list(tasks):
-            if task.server_id == server_id and task.state is TaskState.ASSIGNED:
-                self.release(task, now_s)
+        lost = [
+            task
+            for task in tasks
+            if task.server_id == server_id and task.state is TaskState.ASSIGNED
+        ]
+        for task in lost:
+            self.release(task, now_s)
+        return len(lost)
 
     def lapse_runs(self, server_id: str, now_s: float) -> None:
         """Let the tasks of a server whose leases must have expired wait again."""
