Let the checker see LOST, and show it broken by takeovers beside a silent server

JobChecker now watches such tasks: away for 9 s after the last run, 10 s after the last fault, with room on a server of the pool or on one that can be moved there.

--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -110,7 +110,7 @@
 
     @property
     def is_never_reached(self) -> bool:
-        """Return whether a server has just failed to answer so often for the first time."""
+        """Return whether a server counts from now on as never reached."""
         return (
             not self.clock.is_known
             and self.consecutive_failures == SILENT_AFTER_FAILURES
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -3,7 +3,13 @@
 import attrs
 import trio
 
-from tests.batch.world import World
+from tests.batch.world import Faults, World
+
+CHECK_PERIOD_S = 0.5
+# A long-running task that is away must run again this long after its last run, and
+# after the last fault, if there is capacity for it.
+LOST_AFTER_RUN_S = 9.0
+LOST_AFTER_FAULT_S = 10.0
 
 
 @attrs.define(eq=False)
@@ -14,7 +20,8 @@
     its last attempt failed. UNASKED: its job was never submitted, or was cancelled more
     than 3 s ago. REFUSED: its job was refused. ORDER: it starts before the steps that
     it depends on are done. MIXED: its job is shown as complete before it is done.
-    LIMIT: it starts on a server that has no capacity for it.
+    LIMIT: it starts on a server that has no capacity for it. LOST: it is long-running
+    and does not run for long after the last fault, though there is capacity for it.
     """
 
     world: World
@@ -33,9 +40,12 @@
     starts: list[str] = attrs.field(factory=list)
     breaches: list[str] = attrs.field(factory=list)
     away_by_step: dict[tuple[str, str], set[str]] = attrs.field(factory=dict)
+    pool_of: dict[str, str] = attrs.field(factory=dict)
+    away_since_s: dict[str, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.world.observers.append(self.on_event)
+        self.world.nursery.start_soon(self._watch_long_running)
 
     def add_job(self, job_id: str, phases: list[dict]) -> None:
         """Record the steps of a job, their dependencies and their number of tasks."""
@@ -57,6 +67,8 @@
             self.running[task] = [
                 item for item in self.running.get(task, []) if item != (where, run)
             ]
+            if not self.running[task] and self.world.work_of(task).is_long_running:
+                self.away_since_s[task] = trio.current_time()
             if what == "done":
                 self.done.add(task)
                 self.done_at_s[task, run] = trio.current_time()
@@ -82,6 +94,8 @@
         if not server.has_capacity(self.world.work_of(task)):
             self._record_breach("LIMIT", task, run)
         self.running.setdefault(task, []).append((server, run))
+        self.pool_of[task] = server.service
+        self.away_since_s.pop(task, None)
         self.last_start_s[task] = now_s
 
     def _check_order(self, job_id: str, step: str, task: str, run: int) -> None:
@@ -104,6 +118,46 @@
                 self.acknowledged_failures.get(task, 0) + 1
             )
 
+    async def _watch_long_running(self) -> None:
+        """Record a breach for each long-running task that stays away for too long."""
+        calm_since_s = 0.0
+        faults_seen = None
+        while True:
+            await trio.sleep(CHECK_PERIOD_S)
+            now_s = trio.current_time()
+            faults = self.world.faults
+            others = attrs.evolve(faults, servers_cut=set())
+            seen = frozenset(faults.servers_cut), self.world.lost_nodes
+            if others != Faults() or seen != faults_seen:
+                calm_since_s, faults_seen = now_s, seen
+            if now_s < calm_since_s + LOST_AFTER_FAULT_S:
+                continue
+            for task, since_s in list(self.away_since_s.items()):
+                is_lost = now_s >= since_s + LOST_AFTER_RUN_S
+                if is_lost and self._must_run(task):
+                    self._record_breach("LOST", task, 0)
+                    del self.away_since_s[task]
+
+    def _must_run(self, task: str) -> bool:
+        """Return whether a task's job goes on and a server has room for it.
+
+        A server of a standby pool counts too, as its host can be moved in time.
+        """
+        if task.split(".")[0] in self.cancelled_at_s or not self.world.node_by_id:
+            return False
+        siblings = task.rpartition(".")[0]
+        cut = {address for _, address in self.world.faults.servers_cut}
+        work, platform = self.world.work_of(task), self.world.platform
+        with_room = [
+            server
+            for server in platform.server_by_address.values()
+            if server.service in {self.pool_of[task], *platform.standby_pools}
+            and server.address not in cut
+            and server.has_capacity(work)
+            and not any(name.startswith(siblings) for name in server.run_by_task)
+        ]
+        return bool(with_room)
+
     def check_complete(self, job_id: str) -> None:
         """Record a breach for each task not done of a job that is shown as complete."""
         for (counted_job_id, step), count in self.count_by_step.items():
--- a/tests/batch/test_silent_servers.py
+++ b/tests/batch/test_silent_servers.py
@@ -7,9 +7,12 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
+from tests.batch.checkers import LOST_AFTER_FAULT_S
 from tests.batch.test_days import long_running_job, open_day, start_platform, submit
 from tests.batch.world import open_world
 
+STEP_S = 0.1
+
 
 @pytest.fixture
 def autojump_clock():
@@ -17,9 +20,9 @@
 
 
 @asynccontextmanager
-async def run_long_running_job(monkeypatch, seed, settle_s=12.0):
+async def run_long_running_job(monkeypatch, seed, settle_s=12.0, machines=3):
     """Run a long-running job with two tasks until earlier grants have expired."""
-    async with open_day(monkeypatch, seed) as (world, checker):
+    async with open_day(monkeypatch, seed, machines=machines) as (world, checker):
         job = long_running_job(world.generator)
         assert await submit(world, checker, "/one/", job)
         await trio.sleep(settle_s)
@@ -31,6 +34,12 @@
     return [runs[0][0] for runs in checker.running.values() if runs]
 
 
+async def wait_until_both_run_without(checker, cut_server):
+    """Wait until both tasks run on servers other than the one that is cut off."""
+    while len(set(servers_running_tasks(checker)) - {cut_server}) < 2:
+        await trio.sleep(STEP_S)
+
+
 def test_next_holder_learns_when_leases_have_expired():
     clock = [100.0]
     first_holder = SilentServers(lambda: clock[0])
@@ -140,3 +149,75 @@
         await trio.sleep(12.0)
         assert len(servers_running_tasks(checker)) == 2
         assert checker.breaches == []
+
+
+async def lose_server_then_holders(monkeypatch, seed, kills_at_s):
+    """Cut off the server of a long-running task, then kill the holder at each time.
+
+    Return the checker's breaches, and how long after the last kill both tasks ran.
+    """
+    async with run_long_running_job(monkeypatch, seed, machines=5) as (
+        world,
+        checker,
+    ):
+        cut_server = servers_running_tasks(checker)[0]
+        world.faults.servers_cut = {("*", cut_server.address)}
+        cut_at_s = trio.current_time()
+        for kill_at_s in kills_at_s:
+            await trio.sleep_until(cut_at_s + kill_at_s)
+            while not world.holders():
+                await trio.sleep(0.01)
+            holder = world.holders()[0]
+            world.kill_node(holder)
+            world.start_node(holder)
+        last_kill_at_s = trio.current_time()
+        await wait_until_both_run_without(checker, cut_server)
+        return checker.breaches, trio.current_time() - last_kill_at_s
+
+
+# Guards against LOST: each holder waited anew for the leases on a silent server, and
+# left no record if the server had fallen silent before its takeover.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("kills_at_s", [(0.2, 9.0), (1.0, 9.0), (0.2, 5.0, 11.0)])
+async def test_a_takeover_does_not_begin_the_wait_for_a_silent_server_anew(
+    monkeypatch, autojump_clock, seed, kills_at_s
+):
+    breaches, away_s = await lose_server_then_holders(monkeypatch, seed, kills_at_s)
+    assert breaches == []
+    # The lease of the last holder must expire, which takes 2 s, before another begins.
+    assert away_s < 5.0
+
+
+# Guards against LOST: tasks waited for leases longer than the lost holder could grant.
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("kill_at_s", [0.05, 0.2, 1.0])
+async def test_tasks_restart_in_time_when_the_holder_is_lost_with_a_server(
+    monkeypatch, autojump_clock, seed, kill_at_s
+):
+    breaches, away_s = await lose_server_then_holders(monkeypatch, seed, [kill_at_s])
+    assert breaches == []
+    assert away_s < LOST_AFTER_FAULT_S
+
+
+# Guards against LOST: a holder that died while it loaded its shard began the wait anew.
+@pytest.mark.parametrize("seed", range(4))
+async def test_holders_that_die_while_loading_do_not_prolong_the_wait(
+    monkeypatch, autojump_clock, seed
+):
+    async with run_long_running_job(monkeypatch, seed, machines=5) as (
+        world,
+        checker,
+    ):
+        cut_server = servers_running_tasks(checker)[0]
+        world.faults.servers_cut = {("*", cut_server.address)}
+        cut_at_s = trio.current_time()
+        await trio.sleep(0.1)
+        for number in range(3):
+            while not world.holders():
+                await trio.sleep(0.001)
+            await trio.sleep(0.004)
+            world.kill_node(world.holders()[0])
+            world.start_node(f"new-{number}")
+        await wait_until_both_run_without(checker, cut_server)
+        assert trio.current_time() - cut_at_s < 12.0
+        assert checker.breaches == []
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -215,6 +215,8 @@
     scope_by_node: dict[str, trio.CancelScope] = attrs.field(factory=dict)
     work_by_step: dict[tuple[str, str], TaskWork] = attrs.field(factory=dict)
     observers: list[Any] = attrs.field(factory=list)
+    # How many nodes have been killed or stopped.
+    lost_nodes: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.generator = random.Random(self.seed)
@@ -259,6 +261,7 @@
         """Kill a node, which does not release its lease."""
         self.scope_by_node[node_id].cancel()
         del self.node_by_id[node_id]
+        self.lost_nodes += 1
 
     async def stop_node(self, node_id: str) -> None:
         """Stop a node after it has released its lease."""
