Let a takeover carry the wait for silent servers over instead of beginning it anew

What callers saw: a long-running task whose server had died ran again 22 s later (LOST). Cause: a silence was recorded for the next holder only at the third unanswered call, and only by a holder that had had an answer of that server. One that took over after the server went dark never had one, recorded nothing, and the next one waited for the longest lease from its own takeover. The class: what a holder measures from its own start and hands on to nobody begins anew with each takeover.

A holder now records every server with tasks as silent at its takeover, with the time by which earlier grants lapse, until the server has answered. While the record stands nothing is granted that lapses later, so that it stays true without delaying the takeover: running tasks are renewed at once up to that time. Before the record is stored, the time stands in a row written with the fencing token. One task writes the record, for all servers that answered meanwhile, in place of one a server.

--- a/rhubarbmount/batch/clocks.py
+++ b/rhubarbmount/batch/clocks.py
@@ -74,6 +74,11 @@
         self.granted_ms = max(self.granted_ms, expires_ms)
         return expires_ms
 
+    def latest_grant_s(self, lapsed_by_s: float) -> float:
+        """Return until when a lease may be granted that must have lapsed by a time."""
+        lease_s = (lapsed_by_s - LAPSE_MARGIN_S - self.read_at_s) / RATE_MARGIN
+        return self.read_at_s + lease_s
+
     def lapses_at_s(self) -> float:
         """Return the monotonic time by which all granted leases must have expired."""
         remaining_ms = max(0, self.granted_ms - self.read_ms)
--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -36,16 +36,22 @@
     fencing_token: int
     writer: str
     head_version: int = 0
+    # Token of the holder that committed last before this one, or 0.
+    previous_token: int = 0
     _sequence: int = 0
     _failing_since_s: float | None = None
 
-    async def begin(self) -> None:
+    async def begin(self, puts: Mapping[RowName, bytes]) -> None:
         """Write the fencing token to the head row, which bars commits with lower ones.
 
-        Raises LeaseLost if the row holds a higher one.
+        Writes ``puts`` with it. Raises LeaseLost if the row holds a higher one.
         """
-        while not await self._try_commit({}, ()):
-            await trio.sleep(RETRY_S)
+        tried_version = self.head_version
+        while not await self._try_commit(puts, ()):
+            # The first try fails as it can't know the version of the row yet.
+            if self.head_version == tried_version:
+                await trio.sleep(RETRY_S)
+            tried_version = self.head_version
 
     async def commit(
         self, puts: Mapping[RowName, bytes], removes: tuple[RowName, ...] = ()
@@ -110,5 +116,7 @@
                 )
                 if is_own or found.fence < self.fencing_token:
                     self.head_version = row.version
+                    if not is_own:
+                        self.previous_token = found.fence
                     return
         raise LeaseLost(f"another process commits to shard {self.shard}")
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -8,8 +8,16 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
-from rhubarbmount.batch.clocks import RATE_MARGIN, monotonic_s, wall_clock_s
+from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
+from rhubarbmount.batch.earlier_grants import (
+    CARRIED_OVER,
+    HANDED_OVER,
+    EarlierGrants,
+    carried_over,
+    encode_takeover,
+    longest_lease,
+)
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
@@ -27,11 +35,6 @@
 from rhubarbmount.batch.records import decode_progress, decode_spec
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
-from rhubarbmount.batch.server_lease import (
-    BOUND_HANDED_OVER,
-    BOUND_LONGEST_LEASE,
-    BOUND_RECORDED,
-)
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
@@ -45,6 +48,7 @@
     host_orders_row,
     request_parts,
     silent_servers_row,
+    takeover_row,
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
@@ -69,7 +73,6 @@
 LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
-UNLISTED_MARGIN_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -90,6 +93,7 @@
     metrics: BatchMetrics
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
+    earlier_grants: EarlierGrants = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     fleet_controller: FleetController = attrs.field(init=False)
@@ -124,6 +128,10 @@
         self.wave_status = WaveStatusWriter(self.store)
         self.command_times = HostCommandTimes(self.store.clock_s, self.bounds.lease_s)
         self.silent_servers = SilentServers(self.store.clock_s)
+        self.earlier_grants = EarlierGrants(
+            longest_lease(self._started_at_s, self.bounds.max_lease_s),
+            self.silent_servers,
+        )
         self.fleet_controller = FleetController(
             shard=self.shard,
             placer=self.placer,
@@ -153,12 +161,13 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._measure_lag)
             self._open_sessions(nursery)
-            await self.committer.begin()
+            await self._begin()
             loaded = await self._load()
             self._is_loaded = True
             for wave in waves.values():
                 self.put_wave(wave)
             self._requests = self._request_follower(loaded.version)
+            nursery.start_soon(self.sessions.keep_record)
             nursery.start_soon(self._requests.run)
             nursery.start_soon(self._load_requests)
             nursery.start_soon(self._server_follower(loaded.servers.version).run)
@@ -174,7 +183,7 @@
             client=self.backend_client,
             shard_lease=self.shard_lease,
             max_lease_s=self.bounds.max_lease_s,
-            last_grants_lapse_in_s=self._last_grants_lapse_in_s(),
+            earlier_grants=self.earlier_grants,
             metrics=self.metrics,
             lateness=self.lateness,
             tickets=self.tickets,
@@ -196,11 +205,21 @@
             self._remove_job_rows,
         )
 
-    def _last_grants_lapse_in_s(self) -> float | None:
-        if not self.shard_lease.last_grants_end_s:
-            return None
-        left_s = self.shard_lease.last_grants_end_s - self.store.clock_s()
-        return max(0.0, left_s + READING_MARGIN_S)
+    async def _begin(self) -> None:
+        """Bar earlier holders, and note when what they granted has lapsed."""
+        if self.shard_lease.last_grants_end_s:
+            self._tighten_earlier_grants(
+                self.shard_lease.last_grants_end_s, HANDED_OVER
+            )
+        left_s = self.earlier_grants.bound.at_s - monotonic_s()
+        row = takeover_row(self.name, self.shard_lease.fencing_token)
+        await self.committer.begin(
+            {row: encode_takeover(self.store.clock_s() + left_s)}
+        )
+
+    def _tighten_earlier_grants(self, at_store_s: float, source: str) -> None:
+        left_s = at_store_s + READING_MARGIN_S - self.store.clock_s()
+        self.earlier_grants.tighten(monotonic_s() + left_s, source)
 
     def grants_end_s(self) -> float:
         """Return when all leases granted to servers have expired, by the store's clock.
@@ -251,12 +270,12 @@
             self._are_requests_loaded = True
         for row in loaded.command_times.rows:
             self.command_times.load(row.value)
-        for row in loaded.silent_servers.rows:
-            self.silent_servers.load(row.value)
+        self._load_earlier_grants(loaded)
         for row in loaded.waves.rows:
             self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
-        self.servers.apply(loaded.servers, True)
         loaded.add_jobs(self.shard)
+        self._record_servers_with_tasks()
+        self.servers.apply(loaded.servers, True)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
@@ -275,6 +294,32 @@
         )
         return loaded
 
+    def _load_earlier_grants(self, loaded: LoadedShard) -> None:
+        for row in loaded.silent_servers.rows:
+            self.silent_servers.load(row.value)
+        at_store_s = carried_over(
+            {row.name.key: row.value for row in loaded.takeovers.rows},
+            self.committer.previous_token,
+        )
+        if at_store_s is not None:
+            self._tighten_earlier_grants(at_store_s, CARRIED_OVER)
+        for row in loaded.takeovers.rows:
+            self._write_batch.remove(row.name)
+
+    def _record_servers_with_tasks(self) -> None:
+        """Record every server with tasks as silent, until it answers this holder.
+
+        The rows of takeovers go once this record is stored.
+        """
+        now_s = monotonic_s()
+        for server_id in self.shard.unknown_servers():
+            bound = self.earlier_grants.bound_of(server_id, now_s)
+            self.silent_servers.note(server_id, bound.at_s - now_s)
+        self._write_batch.put(
+            silent_servers_row(self.name), self.silent_servers.encode()
+        )
+        self.wake()
+
     async def _load_requests(self) -> None:
         """Add the jobs that no holder has seen yet, then begin to remove old ones.
 
@@ -297,26 +342,20 @@
 
     async def _lose_unlisted_server(self, server_id: str) -> None:
         """Release the tasks of an unlisted server once its leases must have expired."""
-        bound = BOUND_RECORDED
-        lapses_in_s = self.silent_servers.lapses_in_s(server_id)
-        if lapses_in_s is None:
-            bound = BOUND_HANDED_OVER
-            lapses_in_s = self._last_grants_lapse_in_s()
-        if lapses_in_s is None:
-            bound = BOUND_LONGEST_LEASE
-            lapses_in_s = self.bounds.max_lease_s * RATE_MARGIN + UNLISTED_MARGIN_S
+        bound = self.earlier_grants.bound_of(server_id, monotonic_s())
+        lapses_in_s = max(0.0, bound.at_s - monotonic_s())
         log.event(
             logger,
             "server-not-listed",
             logging.WARNING,
             server=server_id,
             lapses_in_s=lapses_in_s,
-            bound=bound,
+            bound=bound.source,
         )
         await trio.sleep(lapses_in_s)
         if server_id not in self.shard.usage_by_server_id:
             tasks = self.shard.lose_server(server_id, monotonic_s())
-            self.metrics.lapsed_tasks.labels(bound).inc(tasks)
+            self.metrics.lapsed_tasks.labels(bound.source).inc(tasks)
             log.event(
                 logger,
                 "server-ended",
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -235,7 +235,7 @@
 
     async def _wait_for_grant(self, request: StartRequest) -> None:
         while request.is_current(self.server.id):
-            if self.lease.may_start:
+            if self.lease.may_start(monotonic_s()):
                 return
             await trio.sleep(LEASE_POLL_S)
 
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -5,12 +5,10 @@
 import attrs
 
 from rhubarbmount.batch.clocks import ServerClock
+from rhubarbmount.batch.earlier_grants import LapseBound
 from rhubarbmount.batch.election import ShardLease
 
 __all__ = [
-    "BOUND_HANDED_OVER",
-    "BOUND_LONGEST_LEASE",
-    "BOUND_RECORDED",
     "ServerLease",
 ]
 
@@ -22,32 +20,27 @@
 # The longest grant as a fraction of the longest lease that the platform allows.
 MAX_GRANT_FRACTION = 0.95
 LAPSE_CHECK_MARGIN_S = 0.01
-# What tells when the grants of earlier holders have lapsed.
-BOUND_LONGEST_LEASE = "longest-lease"
-BOUND_HANDED_OVER = "handed-over"
-BOUND_RECORDED = "recorded"
+# The least time that a lease granted with a start must have left.
+MIN_START_LEASE_S = 2.0
 
 
 @attrs.define(eq=False)
 class ServerLease:
     """The lease of everything that runs on one lifetime of a backend server.
 
-    Times are on the monotonic clock. While ``is_recorded_silent`` is set, the store
-    holds or may hold a record for the next holder that the server is silent, so nothing
-    may be granted. ``last_holder_lapses_at_s`` is when the grants of the previous
-    holder have lapsed, or None if it did not record that.
+    Times are on the monotonic clock. While ``recorded_lapse_s`` is set, the store holds
+    or may hold a record for the next holder that all leases will have lapsed then, so
+    nothing may be granted that lapses later. ``earlier`` is when the grants of earlier
+    holders have lapsed.
     """
 
     shard_lease: ShardLease
     max_lease_s: float
-    taken_at_s: float
+    earlier: LapseBound
     clock: ServerClock = attrs.field(factory=ServerClock)
     is_reachable: bool = False
-    is_recorded_silent: bool = False
+    recorded_lapse_s: float | None = None
     has_lapsed: bool = False
-    last_holder_lapses_at_s: float | None = None
-    # What ``lapses_at_s`` of earlier grants follows from, for the log.
-    bound: str = BOUND_LONGEST_LEASE
     consecutive_failures: int = 0
 
     def renewal_expiry_ms(self, now_s: float, is_late: bool = False) -> int | None:
@@ -57,15 +50,15 @@
         Nothing is granted after a failed call: if each unanswered retry extended the
         lease, it could never be known to have lapsed.
         """
-        if (
-            not self.clock.is_known
-            or self.consecutive_failures
-            or self.is_recorded_silent
-        ):
+        if not self.clock.is_known or self.consecutive_failures:
             return None
         until_s = self.shard_lease.grant_until_s(
             now_s, self.max_lease_s * MAX_GRANT_FRACTION, is_late
         )
+        if self.recorded_lapse_s is not None:
+            until_s = min(until_s, self.clock.latest_grant_s(self.recorded_lapse_s))
+            if until_s <= now_s:
+                return None
         return self.clock.grant(until_s, now_s)
 
     def start_expiry_ms(self, now_s: float, is_late: bool = False) -> int:
@@ -73,19 +66,20 @@
         return self.renewal_expiry_ms(now_s, is_late) or self.clock.granted_ms
 
     @property
-    def may_start(self) -> bool:
+    def is_recorded_silent(self) -> bool:
+        """Return whether a record limits what may be granted."""
+        return self.recorded_lapse_s is not None
+
+    def may_start(self, now_s: float) -> bool:
         """Return whether a start command may be sent now."""
-        return self.clock.is_known and not (
-            self.is_reachable and self.is_recorded_silent
-        )
+        if not self.clock.is_known or not self.is_reachable:
+            return self.clock.is_known
+        limit_s = self.recorded_lapse_s
+        return limit_s is None or now_s + MIN_START_LEASE_S < limit_s
 
     def lapses_at_s(self) -> float:
         """Return the time by which nothing started on the server can still run."""
-        if self.last_holder_lapses_at_s is not None:
-            return max(self.clock.lapses_at_s(), self.last_holder_lapses_at_s)
-        last_holder = ServerClock(read_at_s=self.taken_at_s)
-        last_holder.granted_ms = int(self.max_lease_s * 1000)
-        return max(self.clock.lapses_at_s(), last_holder.lapses_at_s())
+        return max(self.clock.lapses_at_s(), self.earlier.at_s)
 
     def until_lapse_s(self, now_s: float) -> float:
         """Return the time left until the lease has lapsed, or infinity if it has."""
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -49,7 +49,7 @@
         """Handle a change in whether the backend server answers."""
 
     def on_silent(self, session: "ServerSession") -> None:
-        """Handle that the server is granted nothing until its record is cleared."""
+        """Handle that the server is granted nothing more until it is heard of."""
 
     def has_recent_response_loss(self) -> bool:
         """Return whether responses got lost recently, so that long waits are costly."""
@@ -242,10 +242,10 @@
                 server=self.server.id,
                 code=code,
                 lapses_in_s=self.lease.lapses_at_s() - monotonic_s(),
-                bound=self.lease.bound,
+                bound=self.lease.earlier.source,
             )
         if self.is_established and self.lease.must_record_silence:
-            self.lease.is_recorded_silent = True
+            self.lease.recorded_lapse_s = self.lease.lapses_at_s()
             self.listener.on_silent(self)
         self._check_lapse()
 
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -11,17 +11,14 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
+from rhubarbmount.batch.earlier_grants import EarlierGrants
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
 from rhubarbmount.batch.pacing import PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
-from rhubarbmount.batch.server_lease import (
-    BOUND_HANDED_OVER,
-    BOUND_RECORDED,
-    ServerLease,
-)
+from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
@@ -57,9 +54,7 @@
     client: BackendClient
     shard_lease: ShardLease
     max_lease_s: float
-    # Seconds until the grants of the previous holder have lapsed, or None if it did
-    # not record them.
-    last_grants_lapse_in_s: float | None
+    earlier_grants: EarlierGrants
     metrics: BatchMetrics
     lateness: Lateness
     tickets: TicketCache
@@ -73,6 +68,9 @@
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
     _pacing: PaceControl = attrs.field(factory=PaceControl)
     _ended_server_ids: set[str] = attrs.field(factory=set)
+    # Servers that have answered and are still recorded as silent.
+    _heard: list[ServerSession] = attrs.field(factory=list)
+    _record_changed: trio.Event = attrs.field(factory=trio.Event)
     _response_loss_until_s: float = 0.0
     _stop_sent_at_s: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
 
@@ -116,26 +114,20 @@
 
     def _make_lease(self, server_id: str) -> ServerLease:
         """Return a new lease for a server, with what the previous holder recorded."""
-        lease = ServerLease(self.shard_lease, self.max_lease_s, self._started_at_s)
-        if self.last_grants_lapse_in_s is not None:
-            lapses_at_s = self._started_at_s + self.last_grants_lapse_in_s
-            lease.last_holder_lapses_at_s = lapses_at_s
-            lease.bound = BOUND_HANDED_OVER
-        lapses_in_s = self.silent.lapses_in_s(server_id)
-        if lapses_in_s is not None:
-            lease.is_recorded_silent = True
-            lease.last_holder_lapses_at_s = monotonic_s() + lapses_in_s
-            lease.bound = BOUND_RECORDED
+        now_s = monotonic_s()
+        earlier = self.earlier_grants.bound_of(server_id, now_s)
+        lease = ServerLease(self.shard_lease, self.max_lease_s, earlier)
+        if self.silent.has(server_id):
+            lease.recorded_lapse_s = now_s + self.silent.limit_in_s(server_id)
         return lease
 
     def lapses_at_s(self) -> float:
         """Return when every grant of this holder and of earlier holders has lapsed."""
+        now_s = monotonic_s()
         lapse_times = [session.lease.lapses_at_s() for session in self]
-        unknown = [
-            self._make_lease(server_id) for server_id in self.shard.unknown_servers()
-        ]
-        lapse_times.extend(lease.lapses_at_s() for lease in unknown)
-        return max(lapse_times, default=monotonic_s())
+        for server_id in self.shard.unknown_servers():
+            lapse_times.append(self.earlier_grants.bound_of(server_id, now_s).at_s)
+        return max(lapse_times, default=now_s)
 
     def close_lost(self) -> None:
         """Close the sessions of servers that are no longer part of the shard."""
@@ -312,11 +304,11 @@
             logging.WARNING,
             server=session.server.id,
             tasks=tasks,
-            bound=session.lease.bound,
+            bound=session.lease.earlier.source,
             held_s=monotonic_s() - self._started_at_s,
         )
         if tasks:
-            self.metrics.lapsed_tasks.labels(session.lease.bound).inc(tasks)
+            self.metrics.lapsed_tasks.labels(session.lease.earlier.source).inc(tasks)
         if usage is not None and not usage.is_listed:
             self.handle_server_end(session.server.id, "lapsed", is_over=False)
         else:
@@ -331,19 +323,29 @@
         if usage is not None:
             usage.is_reachable = is_reachable
         if is_reachable and session.lease.is_recorded_silent:
-            self.nursery.start_soon(self._clear_record, session)
+            self._heard.append(session)
+            self._record_changed.set()
         self.wake()
 
     def on_silent(self, session: ServerSession) -> None:
         """Record for the next holder that the server is granted nothing more."""
         self.silent.note(session.server.id, session.lease.lapses_at_s() - monotonic_s())
-        self.nursery.start_soon(self.save_silent)
+        self._record_changed.set()
 
-    async def _clear_record(self, session: ServerSession) -> None:
-        """Allow grants to a server again once its silence record has been removed."""
-        self.silent.drop(session.server.id)
-        await self.save_silent()
-        session.lease.is_recorded_silent = False
+    async def keep_record(self) -> None:
+        """Store the record of silent servers whenever it changes.
+
+        Once it is stored without a server, that server may be granted anything.
+        """
+        while True:
+            await self._record_changed.wait()
+            self._record_changed = trio.Event()
+            heard, self._heard = self._heard, []
+            for session in heard:
+                self.silent.drop(session.server.id)
+            await self.save_silent()
+            for session in heard:
+                session.lease.recorded_lapse_s = None
 
     def on_unanswered(self) -> None:
         """Note that a call to some backend server was not answered."""
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -6,6 +6,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch import clocks
+from rhubarbmount.batch.earlier_grants import longest_lease
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server, Task, TaskId
@@ -64,7 +65,8 @@
     monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
     backend = ScriptedBackend(list(answers))
     listener = RecordingListener()
-    lease = ServerLease(ShardLease(1, trio.current_time()), 10.0, trio.current_time())
+    now_s = trio.current_time()
+    lease = ServerLease(ShardLease(1, now_s), 10.0, longest_lease(now_s, 10.0))
     lease.clock.note(1000, trio.current_time())
     lease.record_response()
     sender = CommandSender(
--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -1,6 +1,7 @@
 """Tests for leases and renewals of backend servers that stop answering."""
 
 from rhubarbmount.batch.clocks import RATE_MARGIN
+from rhubarbmount.batch.earlier_grants import longest_lease
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
@@ -20,7 +21,9 @@
 
 
 def make_lease():
-    return ServerLease(ShardLease(2, TAKEN_AT_S), MAX_LEASE_S, TAKEN_AT_S)
+    return ServerLease(
+        ShardLease(2, TAKEN_AT_S), MAX_LEASE_S, longest_lease(TAKEN_AT_S, MAX_LEASE_S)
+    )
 
 
 def make_session():
--- a/tests/batch/test_silent_servers.py
+++ b/tests/batch/test_silent_servers.py
@@ -215,7 +215,8 @@
         for number in range(3):
             while not world.holders():
                 await trio.sleep(0.001)
-            await trio.sleep(0.004)
+            # Its fencing token is stored by then, and its rows are being read.
+            await trio.sleep(0.012)
             world.kill_node(world.holders()[0])
             world.start_node(f"new-{number}")
         await wait_until_both_run_without(checker, cut_server)
