Ask a server again after its leases have lapsed

Callers would see work that waits although a server has room: a holder that has taken a server for lost, and has released its tasks, never asked it again. Only a row that went and returned, or a takeover, brought the server back.

Cause: the renewal loop renews while something runs on the server. Once all leases there have lapsed nothing does, and the loop slept with the server still marked as not answering, so that the placing left it out. A cut between the holder and the server, or a pause of the server, leaves its row where it is.

Ruled out: that a check of the address, or the list of hosts, has the server asked; neither does while its row stays.

The loop now goes on while the server does not answer, once a second after its leases have lapsed. These calls do not count as lost answers, for which all other servers would be asked more often.

--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -29,6 +29,8 @@
 RENEWAL_WAIT_S = 1.0
 SHORT_RENEWAL_WAIT_S = 0.3
 RETRY_S = 0.25
+# How often a server on which nothing can run any more is asked whether it answers.
+LAPSED_RETRY_S = 1.0
 COMMIT_WAIT_S = 0.25
 
 
@@ -136,9 +138,11 @@
 
     async def _pause(self) -> None:
         """Wait before the next attempt to reach a server that does not answer."""
-        if not self.lease.is_reachable:
-            await trio.sleep(min(RETRY_S, self.lease.until_lapse_s(monotonic_s())))
-            self._check_lapse()
+        if self.lease.is_reachable:
+            return
+        retry_s = LAPSED_RETRY_S if self.lease.has_lapsed else RETRY_S
+        await trio.sleep(min(retry_s, self.lease.until_lapse_s(monotonic_s())))
+        self._check_lapse()
 
     async def _await_commit(self) -> None:
         with trio.move_on_after(COMMIT_WAIT_S):
@@ -149,7 +153,8 @@
     def _needs_renewal(self) -> bool:
         return (
             not self.is_established
-            or (self._is_check_due and not self.lease.has_lapsed)
+            or not self.lease.is_reachable
+            or self._is_check_due
             or self.has_work()
             or self.acknowledged < self.listed_to
         )
@@ -173,7 +178,8 @@
                     self._renewal_wait_s(),
                 )
         except (PlatformUnavailable, OutcomeUnknown) as error:
-            self.listener.on_unanswered()
+            if not self.lease.has_lapsed:
+                self.listener.on_unanswered()
             self._record_failure(error.code)
             return None
         if response is None:
--- /dev/null
+++ b/tests/batch/test_lost_tasks.py
@@ -0,0 +1,47 @@
+"""Tests that no task stays away for long from servers that have room for it."""
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from tests.batch.checkers import JobChecker
+from tests.batch.test_days import (
+    SPARE,
+    job,
+    submit,
+    wait_complete,
+)
+from tests.batch.world import catalogue, open_world, route
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+def start_one_pool(world, machines=1):
+    """Start a platform with one pool and no hosts in reserve."""
+    world.platform.put_catalogue(catalogue(1, [route("/one/", "one")], ["one"], SPARE))
+    for number in range(machines):
+        world.platform.add_machine(f"m-{number}", "one", f"r{number % 2}")
+
+
+# Guards against a server that is never asked again once its leases have lapsed.
+async def test_a_server_is_used_again_after_a_long_silence(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch, 1) as world:
+        checker = JobChecker(world)
+        start_one_pool(world)
+        world.start_node("a")
+        await trio.sleep(1.0)
+        first, second = job(world.generator), job(world.generator)
+        world.faults.servers_cut = {
+            ("*", address) for address in world.platform.server_by_address
+        }
+        assert await submit(world, checker, "/one/", first)
+        await trio.sleep(15.0)
+        world.faults.servers_cut = set()
+        await trio.sleep(1.0)
+        assert await submit(world, checker, "/one/", second)
+        ids = [first[0], second[0]]
+        assert await wait_complete(world, checker, "/one/", ids, 6.0) == []
+        assert checker.breaches == []
