Open a new session with a server whose row went and returned

Callers would see work that waits although a server has room, until the next takeover. An idle server whose row goes is lost at once; its session was closed by the next scheduling pass only, and a pass may wait for the store for seconds. A row that returned meanwhile got a new usage but the old session, which knows the old usage only: it saw no work and did not ask, so that the new usage was never marked as answering.

Ruled out: that tasks stay assigned to the old usage. A server with tasks is lost only once its leases have lapsed or its lifetime has ended, which releases them.

A server that is new to the shard now closes the sessions without usage first.

--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -50,6 +50,9 @@
             self._mark_unlisted(server_id)
             return
         was_draining = self._is_draining(server_id)
+        if server_id not in self.shard.usage_by_server_id:
+            # The session with a server that was lost knows its former usage only.
+            self.sessions.close_lost()
         usage = self.shard.put_server(server, monotonic_s())
         self.sessions.open(usage)
         self._check_others_at_address(server)
--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -10,6 +10,7 @@
     job,
     submit,
     wait_complete,
+    wide_job,
 )
 from tests.batch.world import catalogue, open_world, route
 
@@ -45,3 +46,35 @@
         ids = [first[0], second[0]]
         assert await wait_complete(world, checker, "/one/", ids, 6.0) == []
         assert checker.breaches == []
+
+
+# Guards against a server that is never used again because its row went and returned
+# while the scheduler waited for the store.
+async def test_a_server_is_used_whose_row_returns_during_a_commit(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch, 1) as world:
+        checker = JobChecker(world)
+        start_one_pool(world, 2)
+        node = world.start_node("a")
+        await trio.sleep(1.0)
+        world.faults.store_parts_down = {node.lease_manager.shard}
+        jobs = [wide_job(world.generator, 8.0) for _ in range(2)]
+        assert await submit(world, checker, "/one/", jobs[0])
+        await trio.sleep(0.3)
+        usages = node._holder.shard.usage_by_server_id.values()
+        idle = next(usage.server.id for usage in usages if usage.is_idle)
+        machine = next(
+            machine
+            for machine in world.platform.machine_by_id.values()
+            if machine.server.id == idle
+        )
+        world.platform.store.remove("servers", idle)
+        await trio.sleep(0.2)
+        world.platform.register(machine)
+        await trio.sleep(0.2)
+        world.faults.store_parts_down = set()
+        assert await submit(world, checker, "/one/", jobs[1])
+        await trio.sleep(2.0)
+        assert checker.started == {jobs[0][0], jobs[1][0]}
+        assert checker.breaches == []
