Let an answer about one run of a task change no other run

A task could stay assigned to a server for ever without being started there. When the last try of a start is not answered, the run is barred and the task marked as being stopped. If the task has gone to another server meanwhile (the leases on the first one lapsed during the try, which a late host lets last up to 2.5 s), the mark is on its next run: its start command finds the run being stopped and returns, no stop is sent, and no list proves the run gone. Only a lost server or a takeover freed it. In the same way a late answer of the first server acknowledged the next run, so that a list without it let the task begin a third time.

Ruled out: that the earlier checks of the request catch this; they precede the try.

Both changes are now made only while the run is still the task's current one.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -47,14 +47,13 @@
     payload: str
     ticket: str
 
+    def is_assigned(self, server_id: str) -> bool:
+        """Return whether this is still the current run of the task."""
+        return self.task.run == self.run and self.task.server_id == server_id
+
     def is_current(self, server_id: str) -> bool:
         """Return whether the task still has this run here and is not being stopped."""
-        task = self.task
-        return (
-            task.run == self.run
-            and task.server_id == server_id
-            and not task.is_stopping
-        )
+        return self.is_assigned(server_id) and not self.task.is_stopping
 
 
 @attrs.frozen
@@ -153,7 +152,8 @@
                 break
             result = await self._try_start(request)
             if result is CommandResult.DONE or result is CommandResult.ENDED_BEFORE:
-                request.task.acknowledged_s = monotonic_s()
+                if request.is_assigned(self.server.id):
+                    request.task.acknowledged_s = monotonic_s()
                 return
             if result is CommandResult.OTHER_LIFETIME:
                 self.listener.on_lifetime_end(self.server.id)
@@ -181,7 +181,8 @@
             server=self.server.id,
             last_outcome=result.value if result else "unanswered",
         )
-        request.task.is_stopping = True
+        if request.is_assigned(self.server.id):
+            request.task.is_stopping = True
         await self._stop(StopRequest(request.task.id, request.run))
 
     async def _try_start(self, request: StartRequest) -> CommandResult | None:
@@ -216,10 +217,8 @@
             )
         if response.clock_ms:
             self.lease.clock.note(response.clock_ms, monotonic_s())
-            if (
-                response.result is CommandResult.DONE
-                and request.task.run == request.run
-            ):
+            is_done = response.result is CommandResult.DONE
+            if is_done and request.is_assigned(self.server.id):
                 request.task.progress.start(response.clock_ms)
         log.frequent_event(
             logger,
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -108,3 +108,50 @@
     calls, heard, _ = await start(monkeypatch, *[UNANSWERED] * 4)
     assert calls == ["start"] * 4 + ["stop"]
     assert heard == ["stopped"]
+
+
+@attrs.define
+class ReleasingBackend(ScriptedBackend):
+    """A backend server whose task goes to another one while the last try is open."""
+
+    task: Task | None = None
+
+    async def start(self, server, command):
+        if len(self.answers) == 1:
+            self.task.run, self.task.server_id = 2, "other"
+        return await super().start(server, command)
+
+
+async def start_while_task_is_released(monkeypatch, *answers):
+    monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
+    await trio.sleep(1.0)
+    task = Task(TASK, run=1, server_id="s")
+    backend = ReleasingBackend(list(answers), task=task)
+    lease = ServerLease(ShardLease(1, trio.current_time()), 10.0, trio.current_time())
+    lease.clock.note(1000, trio.current_time())
+    lease.record_response()
+    sender = CommandSender(
+        SERVER, backend, lease, RecordingListener(), BatchMetrics(), lambda code: None
+    )
+    sender.send(StartRequest(task, 1, "payload", ""))
+    with trio.move_on_after(5.0):
+        await sender.run()
+    return backend.calls, task
+
+
+# Guards against a task that is assigned to a server for ever without being started
+# there: its earlier run, unanswered elsewhere, marks it as being stopped.
+async def test_barring_a_run_does_not_stop_the_next_run_of_its_task(
+    monkeypatch, autojump_clock
+):
+    calls, task = await start_while_task_is_released(monkeypatch, *[UNANSWERED] * 4)
+    assert calls == ["start"] * 4 + ["stop"]
+    assert not task.is_stopping
+
+
+# Guards against a task that is taken for gone from a server where it is just started.
+async def test_a_late_answer_does_not_acknowledge_the_next_run_of_the_task(
+    monkeypatch, autojump_clock
+):
+    _, task = await start_while_task_is_released(monkeypatch, CommandResult.DONE)
+    assert task.acknowledged_s == 0.0
