Move tasks that last off a server that drains at a takeover

Callers would see a task that lasts stay on a server until that leaves, and then wait for its leases to lapse, in place of a move while the server drains. The runs that outlast a drain were stopped when a holder saw the row change to draining. At a takeover the row already says so, and the rows of servers are applied before the jobs are known, so that nothing was stopped; later changes of the row are no news.

Ruled out: that the row's next change stops them; it is compared with the one before.

Without the fix the test printed "draining not in [...]" as false: 5 s after the takeover the task still ran on the draining server. A run of an earlier holder is now stopped when it is first listed by a draining server. Tasks that end on their own are left, as it is not known how long they have been running.

--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -195,12 +195,18 @@
         if report.checkpoint:
             task.checkpoint = report.checkpoint
         if task.assigned_s == 0.0:
-            # A run started by an earlier holder has no start time here: measure its
-            # progress from when this holder first saw it.
-            task.assigned_s = task.acknowledged_s = now_s
+            self._adopt_run(usage, task, now_s)
         task.progress.report(report.percent, clock_ms)
         self._stop_if_straggling(usage, task, now_s)
 
+    def _adopt_run(self, usage: ServerUsage, task: Task, now_s: float) -> None:
+        """Take over a run of an earlier holder, which may have heard of no drain."""
+        # Its start time is not known here: measure from when it was first seen.
+        task.assigned_s = task.acknowledged_s = now_s
+        is_long_running = self.shard.step_of(task.id).is_long_running
+        if usage.server.is_draining and is_long_running and not task.is_stopping:
+            self.shard.stop_run(task)
+
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
         """Stop a straggling run, so that its task restarts on another server."""
         expected = self.shard.expected_run_time_of(task)
--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -8,10 +8,13 @@
 from tests.batch.test_days import (
     SPARE,
     job,
+    long_running_job,
+    open_day,
     submit,
     wait_complete,
     wide_job,
 )
+from tests.batch.test_silent_servers import servers_running_tasks
 from tests.batch.world import catalogue, open_world, route
 
 
@@ -78,3 +81,22 @@
         await trio.sleep(2.0)
         assert checker.started == {jobs[0][0], jobs[1][0]}
         assert checker.breaches == []
+
+
+# Guards against a task that lasts and is left on a server until that leaves, because
+# the drain was reported while there was no holder.
+async def test_tasks_leave_a_server_that_drains_at_a_takeover(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
+        assert await submit(world, checker, "/one/", long_running_job(world.generator))
+        await trio.sleep(2.0)
+        draining = servers_running_tasks(checker)[0]
+        world.kill_node("a")
+        machine = world.platform.machine_by_id[draining.machine_id]
+        world.platform.register(machine, "draining")
+        world.start_node("b")
+        await trio.sleep(5.0)
+        assert len(servers_running_tasks(checker)) == 2
+        assert draining not in servers_running_tasks(checker)
+        assert checker.breaches == []
