Choose a rack by the tasks that it has room for

Callers would see a step that wants one rack wait for long although a rack has room for it. The rack was chosen by the free processor time of all its servers, also of those that can't take a task of the step: those with pieces that are too small, and those without the label. If the chosen rack had none that can, the step was not placed anywhere, and a gang was not if that rack could not take all of it.

Ruled out: other filters of the placing; servers of all racks that lack room or are to be avoided fall away one by one, and what a run failed on is dropped in one pass.

The rack is now the one that takes most tasks of the step, and among equals the one with most free processor time there.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -28,7 +28,11 @@
 
 
 @placement_filters.register("label")
-def _has_label(usage: ServerUsage, step: Step, task: Task) -> bool:
+def _accepts_label(usage: ServerUsage, step: Step, task: Task) -> bool:
+    return _has_label(usage, step)
+
+
+def _has_label(usage: ServerUsage, step: Step) -> bool:
     return not step.label or step.label in usage.server.labels
 
 
@@ -160,11 +164,8 @@
         if step.is_gang and len(tasks) < step.count:
             return []
         candidates = self._eligible(servers.with_capacity(step), job, step_key)
-        if step.needs_one_rack and candidates:
-            rack = _rack_with_most_free_cpu(
-                self._eligible(servers.usages, job, step_key)
-            )
-            candidates = [usage for usage in candidates if usage.server.rack == rack]
+        if step.needs_one_rack:
+            candidates = _on_best_rack(candidates, step)
         candidates.sort(key=lambda usage: _preference_key(usage, step))
         assignments = [
             self._place_task(task, step, candidates, now_s) for task in tasks
@@ -238,9 +239,18 @@
     )
 
 
-def _rack_with_most_free_cpu(usages: list[ServerUsage]) -> str:
-    free_by_rack: dict[str, int] = {}
-    for usage in usages:
-        free = free_by_rack.get(usage.server.rack, 0) + usage.free_cpu_millicores
-        free_by_rack[usage.server.rack] = free
-    return max(free_by_rack, key=lambda rack: (free_by_rack[rack], rack))
+def _on_best_rack(usages: list[ServerUsage], step: Step) -> list[ServerUsage]:
+    """Return the servers on the rack that takes most tasks of a step.
+
+    Each of ``usages`` has capacity for one. Among equals it is the rack where they have
+    the most free processor time.
+    """
+    best_rack, best = None, (0, 0, "")
+    for rack in {usage.server.rack for usage in usages}:
+        on_rack = [usage for usage in usages if usage.server.rack == rack]
+        accepting = [usage for usage in on_rack if _has_label(usage, step)]
+        places = min(step.count, sum(usage.places_for(step) for usage in accepting))
+        free = sum(usage.free_cpu_millicores for usage in accepting)
+        if (places, free, rack) > best:
+            best_rack, best = rack, (places, free, rack)
+    return [usage for usage in usages if usage.server.rack == best_rack]
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -108,6 +108,17 @@
             and self.used_gpu + step.gpu <= self.server.gpu
         )
 
+    def places_for(self, step: Step) -> int:
+        """Return how many more tasks of a step the free resources suffice for."""
+        cpu = 0 if step.fills else step.cpu_millicores
+        needs = (
+            (self.free_cpu_millicores, cpu),
+            (self.server.memory_mb - self.used_memory_mb, step.memory_mb),
+            (self.server.gpu - self.used_gpu, step.gpu),
+        )
+        limit = step.max_per_server or step.count
+        return max(0, min([limit, *(free // need for free, need in needs if need)]))
+
     def fits_among_long_running(self, step: Step) -> bool:
         """Return whether a task fits once only long-running tasks are left."""
         long_running_steps = [
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -90,3 +90,26 @@
     expected = place_by_trying_all(make_shard(server_cpus, steps))
     placed = Placer(make_shard(server_cpus, steps)).place(0.0)
     assert {item.task: item.server_id for item in placed} == expected
+
+
+# Guards against tasks that wait although a rack has room for them, because another
+# rack has more free processor time in pieces that are too small.
+def test_a_step_for_one_rack_goes_to_a_rack_with_room_for_its_tasks():
+    step = Step(1, 2000, 100, needs_one_rack=True)
+    shard = make_shard([1000, 2000, 1000, 0, 1000], [step])
+    assert [item.server_id for item in Placer(shard).place(0.0)] == ["s001"]
+
+
+def test_a_step_for_one_rack_goes_to_a_rack_with_its_label():
+    step = Step(1, 1000, 100, needs_one_rack=True, label="x")
+    shard = make_shard([4000, 2000], [step])
+    usage = shard.usage_by_server_id["s001"]
+    usage.server = attrs.evolve(usage.server, labels=frozenset({"x"}))
+    assert [item.server_id for item in Placer(shard).place(0.0)] == ["s001"]
+
+
+def test_a_gang_for_one_rack_goes_to_a_rack_with_room_for_all_of_it():
+    step = Step(4, 3000, 100, is_gang=True, needs_one_rack=True)
+    shard = make_shard([5000, 6000, 5000, 6000, 5000], [step])
+    placed = Placer(shard).place(0.0)
+    assert sorted(item.server_id for item in placed) == ["s001"] * 2 + ["s003"] * 2
