Ask for a host for tasks that no server of their pool can ever run

Callers would see a task that lasts wait for ever while hosts are in reserve. What a pool needs for waiting tasks is reckoned as work that the free processor time of its servers does before another host arrives. Tasks that last do not end: four servers with 2 cores left each never run one of 3 cores, though together they seem to do its work in time. Tasks that fill reserve no processor time, so that a pool without any server never got one for them. And a wave took a server for able to run an evicted task without looking at accelerators.

Ruled out: an empty pool for tasks that reserve processor time; the work asked for a host there before, as it does now.

Without the fix the tests printed "assert [] == ['one']" four times and "assert not True". A step that no server which stays could run among its tasks that last now lacks a server. An idle server that can't run it shows that more would not help.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -206,13 +206,31 @@
             task.checkpoint = checkpoint
         return [Assignment(task.id, run, task.server_id) for task in tasks]
 
+    def _lacks_server(self, pool: str, step: Step) -> bool:
+        """Return whether only another server can run a task that waits.
+
+        Long-running tasks do not end, so that processor time which they leave in pieces
+        never does the work of another one. An idle server shows that more do not help.
+        """
+        if not step.is_long_running and not step.fills:
+            return False
+        return not any(
+            not step.is_long_running
+            or usage.is_idle
+            or usage.fits_among_long_running(step)
+            for usage in self.shard.usage_by_server_id.values()
+            if usage.server.service == pool and usage.stays
+        )
+
     def _note_shortage(self, pool: str, job: Job, step_key: StepKey) -> None:
         step = job.spec.steps[step_key[2]]
         run_time_s = self.shard.expected_run_time(job.spec, step_key[2]).expected_s
         count = len(self.shard.waiting_by_step[step_key])
         previous = self.shortage_by_pool.get(pool, Shortage())
         cpu = 0 if step.fills else step.cpu_millicores
-        servers_needed = -(-count // step.max_per_server) if step.max_per_server else 0
+        servers_needed = int(self._lacks_server(pool, step))
+        if step.max_per_server:
+            servers_needed = -(-count // step.max_per_server)
         self.shortage_by_pool[pool] = Shortage(
             previous.cpu_millicores + cpu * count,
             max(previous.servers, servers_needed),
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -48,6 +48,8 @@
     _sound_run_ms: tuple[int, int] = (0, 0)
     _stray_steps: list[Step | None] = attrs.field(factory=list)
     _long_running_count: int = 0
+    _long_running_memory_mb: int = 0
+    _long_running_gpu: int = 0
     _goal_count: int = 0
     _fills_count: int = 0
 
@@ -81,6 +83,17 @@
         """Return whether an assigned task runs on otherwise unused CPU time."""
         return self._fills_count > 0
 
+    @property
+    def stays(self) -> bool:
+        """Return whether the server answers and is not about to leave its pool."""
+        is_leaving = self.is_closed or self.has_pending_command
+        return (
+            self.is_listed
+            and self.is_reachable
+            and not is_leaving
+            and not self.server.is_draining
+        )
+
     def is_open(self, now_s: float) -> bool:
         """Return whether new tasks may be assigned to the server."""
         if (
@@ -121,17 +134,11 @@
 
     def fits_among_long_running(self, step: Step) -> bool:
         """Return whether a task fits once only long-running tasks are left."""
-        long_running_steps = [
-            step for step in self.step_by_task.values() if step.is_long_running
-        ]
-        cpu = sum(
-            other.cpu_millicores for other in long_running_steps if not other.fills
-        )
-        memory = sum(other.memory_mb for other in long_running_steps)
-        added = 0 if step.fills else step.cpu_millicores
+        cpu = 0 if step.fills else step.cpu_millicores
         return (
-            cpu + added <= self.server.cpu_millicores
-            and memory + step.memory_mb <= self.server.memory_mb
+            self.long_running_cpu_millicores + cpu <= self.server.cpu_millicores
+            and self._long_running_memory_mb + step.memory_mb <= self.server.memory_mb
+            and self._long_running_gpu + step.gpu <= self.server.gpu
         )
 
     def has_run(self, task_id: TaskId, run: int) -> bool:
@@ -199,5 +206,7 @@
         self._fills_count += sign * step.fills
         if step.is_long_running:
             self._long_running_count += sign
+            self._long_running_memory_mb += sign * step.memory_mb
+            self._long_running_gpu += sign * step.gpu
             if not step.fills:
                 self.long_running_cpu_millicores += sign * step.cpu_millicores
--- /dev/null
+++ b/tests/batch/test_room.py
@@ -0,0 +1,116 @@
+"""Room for tasks that last, among short ones and in pools that are too small."""
+
+import attrs
+import pytest
+
+from rhubarbmount.batch.capacity import CapacityPlanner
+from rhubarbmount.batch.catalogue import Catalogue, Pool
+from rhubarbmount.batch.model import (
+    Host,
+    HostState,
+    Job,
+    JobSpec,
+    Queue,
+    QueueName,
+    Server,
+    Step,
+    Task,
+    TaskId,
+)
+from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.server_usage import ServerUsage
+from rhubarbmount.batch.shard import Shard
+
+NAME = QueueName("h", "/q/")
+QUEUE = Queue(NAME, "one", 0, 3, 1.6, 0.6)
+CATALOGUE = Catalogue(
+    1, {NAME: QUEUE}, {name: Pool(name, name == "rest") for name in ("one", "rest")}
+)
+SERVER = Server("s", "one", "a:1", "z", False, 8000, 8000, 0, frozenset(), "r", 1)
+RESERVE = [Host(f"m{n}", "rest", HostState.UP, "", 8000, "z") for n in range(3)]
+LASTING = Step(1, 3000, 100, estimate_s=0.9, is_long_running=True)
+SHORT = Step(1, 1000, 100, estimate_s=1.0)
+
+
+def make_shard(servers):
+    shard = Shard(CATALOGUE, wall_clock_s=100.0)
+    for number in range(servers):
+        server = attrs.evolve(SERVER, id=f"s{number}")
+        shard.put_server(server, 0.0).is_reachable = True
+    return shard
+
+
+def add(shard, *steps):
+    """Add a job of one step for each of ``steps``, and place what can be placed."""
+    for step in steps:
+        job_id = f"j{len(shard.job_by_id):04}"
+        shard.add_job(Job(JobSpec(job_id, NAME, "one", "", (step,), 100.0)))
+    return Placer(shard).place(0.0)
+
+
+def plan_moves(shard, hosts=RESERVE):
+    """Return the pools to which hosts move for the tasks that wait."""
+    placer = Placer(shard)
+    placer.place(0.0)
+    moves = CapacityPlanner().plan(
+        0.0,
+        CATALOGUE,
+        hosts,
+        shard.usage_by_server_id,
+        placer.shortage_by_pool,
+        shard.demand,
+    )
+    return [move.pool for move in moves]
+
+
+# Guards against a task that lasts and waits for ever, as the free pieces of servers
+# seem to be able to do its work before a host arrives.
+@pytest.mark.parametrize("servers", [1, 4])
+def test_a_lasting_task_that_fits_on_no_server_gets_a_host(servers):
+    shard = make_shard(servers)
+    assert len(add(shard, *[attrs.evolve(LASTING, cpu_millicores=6000)] * servers)) == (
+        servers
+    )
+    assert add(shard, LASTING) == []
+    assert plan_moves(shard) == ["one"]
+
+
+# Guards against tasks that wait for ever as they reserve no processor time.
+@pytest.mark.parametrize("is_long_running", [False, True])
+def test_tasks_that_fill_get_a_host_in_an_empty_pool(is_long_running):
+    shard = make_shard(0)
+    add(shard, Step(1, 1000, 100, fills=True, is_long_running=is_long_running))
+    assert plan_moves(shard) == ["one"]
+
+
+@pytest.mark.parametrize("step", [SHORT, LASTING])
+def test_a_task_gets_a_host_in_an_empty_pool(step):
+    shard = make_shard(0)
+    add(shard, step)
+    assert plan_moves(shard) == ["one"]
+
+
+# Guards against moving one host after the other for a task that no host can take.
+def test_a_task_too_large_for_an_empty_server_gets_no_further_host():
+    shard = make_shard(1)
+    add(shard, attrs.evolve(LASTING, memory_mb=9000))
+    assert plan_moves(shard) == []
+
+
+def test_a_lasting_task_that_waits_for_short_ones_lacks_no_server():
+    shard = make_shard(1)
+    add(shard, *[SHORT] * 8)
+    shard.add_job(Job(JobSpec("j", NAME, "one", "", (LASTING,), 100.0)))
+    placer = Placer(shard)
+    assert placer.place(0.0) == []
+    assert placer.shortage_by_pool["one"].servers == 0
+
+
+# Guards against a wave that evicts a task which no other server can run.
+def test_a_lasting_task_fits_among_others_only_with_its_accelerators():
+    usage = ServerUsage(attrs.evolve(SERVER, gpu=1), 0.0)
+    step = attrs.evolve(LASTING, gpu=1)
+    assert usage.fits_among_long_running(step)
+    usage.add(Task(TaskId("j", 0, 0, 0)), step)
+    assert not usage.fits_among_long_running(step)
+    assert usage.fits_among_long_running(LASTING)
