Keep one server from short tasks while a task that lasts has no room

Callers would see a task that lost its server wait for as long as a queue of short tasks lasts, in a pool that gets no more hosts. Tasks that last are placed first, but only where they fit at once, and each piece that a short task leaves went to the next short one before a larger one could grow.

Ruled out: the order of the placing; it puts them before all others already.

Without the fix the test printed "assert 0 == 1": after 12 ends on two servers, the task of 3 cores had not been started. In a pass that leaves a task that lasts waiting, one server of its pool now takes no short ones: the one with the most free processor time among those that could run it, by label, tickets and what lasts there. Gangs and steps for one rack, which need several, are left as they were.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -107,15 +107,49 @@
             if usage.is_open(now_s)
         )
         assignments: list[Assignment] = []
+        held_by_pool: dict[str, ServerUsage] = {}
         for step_key in self._steps_by_urgency():
             job = self.shard.job_by_id[step_key[0]]
             pool = self.shard.pool_of(job.spec)
             servers = servers_by_pool.get(pool, OpenServers())
+            if pool in held_by_pool and not job.spec.steps[step_key[2]].is_long_running:
+                servers.usages.remove(held_by_pool.pop(pool))
             assignments.extend(self._place_step(job, step_key, servers, now_s))
             if step_key in self.shard.waiting_by_step:
                 self._note_shortage(pool, job, step_key)
+                held = self._server_to_hold(job, step_key, servers)
+                if held is not None:
+                    held_by_pool.setdefault(pool, held)
         return assignments
 
+    def _server_to_hold(
+        self, job: Job, step_key: StepKey, servers: OpenServers
+    ) -> ServerUsage | None:
+        """Return the server that has room for a long-running task soonest.
+
+        Short tasks are kept from it, as they would take each piece that becomes free.
+        """
+        step = job.spec.steps[step_key[2]]
+        if not step.is_long_running or step.is_gang or step.needs_one_rack:
+            return None
+        task = next(iter(self.shard.waiting_by_step[step_key].values()))
+        candidates = [
+            usage
+            for usage in self._eligible(servers.usages, job, step_key)
+            if usage.fits_among_long_running(step)
+            and _has_label(usage, step)
+            and _is_below_max_per_server(usage, step, task)
+        ]
+        return max(
+            candidates,
+            key=lambda usage: (
+                not usage.is_due,
+                usage.free_cpu_millicores,
+                usage.server.id,
+            ),
+            default=None,
+        )
+
     def _steps_by_urgency(self) -> list[StepKey]:
         known = self._latest_start_by_step
         self._latest_start_by_step = {
--- a/tests/batch/test_room.py
+++ b/tests/batch/test_room.py
@@ -12,6 +12,7 @@
     JobSpec,
     Queue,
     QueueName,
+    RunEnd,
     Server,
     Step,
     Task,
@@ -114,3 +115,35 @@
     usage.add(Task(TaskId("j", 0, 0, 0)), step)
     assert not usage.fits_among_long_running(step)
     assert usage.fits_among_long_running(LASTING)
+
+
+# Guards against a task that lasts and never starts, as each piece that a short task
+# leaves goes to the next short one.
+def test_short_tasks_leave_room_for_a_lasting_one():
+    shard = make_shard(2)
+    running = add(shard, *[SHORT] * 40)
+    assert len(running) == 16
+    add(shard, LASTING)
+    started = []
+    for number in range(12):
+        # One of each server in turn ends.
+        ended = running.pop(number % 2 and len(running) // 2)
+        end = RunEnd(number, ended.task, ended.run, "done", "")
+        shard.end_run(ended.server_id, end, 1.0)
+        started += Placer(shard).place(1.0)
+    lasting = [item for item in started if item.task.job_id == "j0040"]
+    assert len(lasting) == 1
+    # The other server goes on as before.
+    others = {item.server_id for item in started[: started.index(lasting[0])]}
+    assert others == {"s0", "s1"} - {lasting[0].server_id}
+
+
+# Guards against servers that are kept free for a task which they may not run.
+@pytest.mark.parametrize("fields", [{"label": "x"}, {"memory_mb": 9000}])
+def test_no_room_is_left_for_a_lasting_task_that_no_server_can_run(fields):
+    shard = make_shard(2)
+    running = add(shard, *[SHORT] * 40)
+    add(shard, attrs.evolve(LASTING, **fields))
+    end = RunEnd(1, running[0].task, running[0].run, "done", "")
+    shard.end_run(running[0].server_id, end, 1.0)
+    assert len(Placer(shard).place(1.0)) == 1
