Tell runs of an earlier holder their pace anew

Callers would see a task that fills make no progress for ever. A task is slowed, down to a stop, while a neighbour misses its goal for response times. How slow is in the holder's memory only: the next one took every run to work at full speed, never sped the slowed ones up, and saw a task that lasts as running. Others were found to be stalled after 1 s and began again elsewhere.

Without the fix the test printed "assert [0, 0] == [100, 100]" 6 s after the takeover. The pace of a run that fills is now taken for just below full speed when it is first listed, so that the next step up, 2 s without missed goals later, tells it to work at full speed, and a missed goal slows it as before.

--- a/rhubarbmount/batch/pacing.py
+++ b/rhubarbmount/batch/pacing.py
@@ -7,11 +7,13 @@
 from rhubarbmount.batch.model import RunReport, Task
 from rhubarbmount.batch.server_usage import ServerUsage
 
-__all__ = ["FULL_PACE", "PaceControl", "PaceCommand"]
+__all__ = ["FULL_PACE", "UNKNOWN_PACE", "PaceCommand", "PaceControl"]
 
 FULL_PACE = 100
 REDUCED_PACE = 50
 PACE_INCREMENT = 25
+# Assumed of a run that an earlier holder paced, so that it is told its pace anew.
+UNKNOWN_PACE = FULL_PACE - PACE_INCREMENT
 # Below this ratio of response time to goal, best-effort tasks may speed up again.
 RECOVERY_RATIO = 0.7
 RECOVERY_DELAY_S = 2.0
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -15,7 +15,7 @@
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
-from rhubarbmount.batch.pacing import PaceControl
+from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
@@ -203,8 +203,10 @@
         """Take over a run of an earlier holder, which may have heard of no drain."""
         # Its start time is not known here: measure from when it was first seen.
         task.assigned_s = task.acknowledged_s = now_s
-        is_long_running = self.shard.step_of(task.id).is_long_running
-        if usage.server.is_draining and is_long_running and not task.is_stopping:
+        step = self.shard.step_of(task.id)
+        if step.fills:
+            task.pace = UNKNOWN_PACE
+        if usage.server.is_draining and step.is_long_running and not task.is_stopping:
             self.shard.stop_run(task)
 
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -4,6 +4,8 @@
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch.pacing import PaceCommand
+from rhubarbmount.standins.users_servers import StandinServer
 from tests.batch.checkers import JobChecker
 from tests.batch.test_days import (
     SPARE,
@@ -100,3 +102,32 @@
         assert len(servers_running_tasks(checker)) == 2
         assert draining not in servers_running_tasks(checker)
         assert checker.breaches == []
+
+
+# Guards against a task that stays as slow as an earlier holder made it, for ever.
+async def test_a_holder_speeds_up_what_an_earlier_one_slowed(
+    monkeypatch, autojump_clock
+):
+    pace_by_task = {}
+    handle = StandinServer.handle
+
+    async def record_pace(server, path, expected_id, body):
+        if path == "/pace":
+            pace_by_task[body["task_id"]] = body["percent"]
+        return await handle(server, path, expected_id, body)
+
+    monkeypatch.setattr(StandinServer, "handle", record_pace)
+    async with open_day(monkeypatch, 3, nodes="ab") as (world, checker):
+        job_id, [phase], works = long_running_job(world.generator)
+        phase |= {"fills": True}
+        assert await submit(world, checker, "/one/", (job_id, [phase], works))
+        await trio.sleep(2.0)
+        holder = world.node_by_id[world.holders()[0]]._holder
+        for task in holder.shard.job_by_id[job_id].tasks():
+            holder.sessions.find(task.server_id).send(PaceCommand(task, task.run, 0))
+        await trio.sleep(0.1)
+        assert list(pace_by_task.values()) == [0, 0]
+        world.kill_node(world.holders()[0])
+        await trio.sleep(6.0)
+        assert list(pace_by_task.values()) == [100, 100]
+        assert checker.breaches == []
