Take a list that can't be handled for no answer of its server

A fault of ours that one server's list brought to light would have ended the duty of each holder in turn: the error left the session, the holder and its nursery, the lease was released, and the next holder asked the same server.

Ruled out: malformed answers, which the client turns into failed calls before.

A list that can't be handled now counts as a call without an answer, with the error in the log: the server is granted nothing more, and after its leases have lapsed its tasks begin again elsewhere. Its ends are not acknowledged. A list is handled before the server counts as answering, so that it is given no tasks meanwhile.

--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -216,13 +216,27 @@
             return None
         self._is_check_due = False
         self.lease.clock.note(response.clock_ms, monotonic_s())
-        self._record_response()
         self.acknowledged = max(self.acknowledged, acknowledged)
-        self.listener.on_list(self, response, sent_s)
+        if not self._apply_list(response, sent_s):
+            self._record_failure("list-failed")
+            return None
+        self._record_response()
         self.listed_to = max([self.listed_to, *(end.number for end in response.ended)])
         self.is_established = True
         return response
 
+    def _apply_list(self, response: RenewalResponse, sent_s: float) -> bool:
+        """Pass a list on; return whether it could be handled.
+
+        A bug that one server's list brings to light must not stop all the others.
+        """
+        try:
+            self.listener.on_list(self, response, sent_s)
+        except Exception:
+            logger.exception("event=list-failed server=%s", self.server.id)
+            return False
+        return True
+
     def _record_response(self) -> None:
         if self.lease.record_response():
             if self.is_established:
--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -5,6 +5,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch.pacing import PaceCommand
+from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.standins.users_servers import StandinServer
 from tests.batch.checkers import JobChecker
 from tests.batch.test_days import (
@@ -131,3 +132,33 @@
         await trio.sleep(6.0)
         assert list(pace_by_task.values()) == [100, 100]
         assert checker.breaches == []
+
+
+# Guards against one server whose list we fail to handle taking the whole duty down, in
+# each holder in turn, and against its tasks staying there.
+async def test_a_list_that_can_not_be_handled_costs_its_server_only(
+    monkeypatch, autojump_clock, caplog
+):
+    bad_server_ids = set()
+    on_list = ServerSessions.on_list
+
+    def fail_for_bad_servers(sessions, session, response, sent_s):
+        if session.server.id in bad_server_ids:
+            raise KeyError("a fault in handling a list")
+        on_list(sessions, session, response, sent_s)
+
+    monkeypatch.setattr(ServerSessions, "on_list", fail_for_bad_servers)
+    async with open_day(monkeypatch, 3, nodes="ab") as (world, checker):
+        assert await submit(world, checker, "/one/", long_running_job(world.generator))
+        await trio.sleep(12.0)
+        holders = world.holders()
+        good_server, bad_server = servers_running_tasks(checker)
+        bad_server_ids.add(bad_server.id)
+        await trio.sleep(7.0)
+        assert good_server in servers_running_tasks(checker)
+        assert bad_server not in servers_running_tasks(checker)
+        assert len(servers_running_tasks(checker)) == 2
+        assert world.holders() == holders
+        assert "duty-failed" not in caplog.text
+        assert checker.starts.count(next(iter(checker.running))) <= 2
+        assert checker.breaches == []
--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -127,3 +127,25 @@
     await session._renew_once()
     await session._renew_once()
     assert session.client.waits_s[1] == RENEWAL_WAIT_S
+
+
+class FailingListener(ReachabilityRecorder):
+    """Fails to handle each list of its server, because of a fault of ours."""
+
+    def on_list(self, session, response, sent_s):
+        raise KeyError("a fault in handling a list")
+
+
+# Guards against one server whose list we fail to handle taking the whole duty down, in
+# each holder in turn.
+async def test_a_list_that_can_not_be_handled_counts_as_no_answer(caplog):
+    session = make_session()
+    session.client = UnreliableBackendClient([True] * 4)
+    session.listener = FailingListener()
+    for _ in range(4):
+        assert await session._renew_once() is None
+    assert not session.lease.is_reachable
+    assert session.listener.reachability == []
+    assert session.client.expiries == [None] * 4
+    assert session.listed_to == session.acknowledged == 0
+    assert "a fault in handling a list" in caplog.text
