Let a run of a removed job leave its server

A holder's duty would have ended, and that of the next ones while the run was listed: releasing a task looked its job up, which is gone if the job was cancelled or failed, kept for its time, and removed while the server had still not stopped a run of it.

Ruled out: that a takeover restores such a task; tasks of ended jobs are not stored.

Without the fix the test printed "KeyError: 'j1'". A task without a job now only leaves its server.

--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -273,8 +273,8 @@
         task.state = TaskState.WAITING
         task.server_id = ""
         task.is_stopping = False
-        job = self.job_by_id[task.id.job_id]
-        if not job.state.is_final:
+        job = self.job_by_id.get(task.id.job_id)
+        if job is not None and not job.state.is_final:
             self._add_waiting(task)
             self.dirty.add(task.id.job_id)
 
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -319,3 +319,16 @@
     assert task.took_s == 4.0
     later = spec(step(estimate_s=1.0), job_id="j2")
     assert 1.0 < shard.expected_run_time(later, 0).expected_s < 4.0
+
+
+# Guards against a duty that ends, in each holder in turn, because of a job that was
+# removed while a run of it had still not been stopped.
+def test_run_of_a_removed_job_leaves_its_server(shard):
+    [assignment] = place_job(shard, step())
+    shard.cancel("j1")
+    shard.forget("j1")
+    usage = shard.usage_by_server_id[assignment.server_id]
+    assert usage.has_runs
+    shard.lapse_runs(assignment.server_id, 3.0)
+    assert not usage.has_runs
+    assert usage.used_cpu_millicores == 0
