Stop runs of a cancelled job when their server is listed

A run of a cancelled job would go on, and use its server, until the next takeover. A job that is cancelled while a server with a run of it is not listed, as after a takeover, can't have that run stopped: there is no session, and the request to stop it was dropped. When the server was listed, its run was taken for the task's own.

Ruled out: that the list has it stopped; a run is stopped as stray only if it is not the current one of its task, which this is.

Without the fix the test printed "assert [] == ['j1']". A task that is being stopped is now stopped again when its server is listed.

--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -441,6 +441,8 @@
         for task in self._tasks_by_unknown_server_id.pop(server.id, ()):
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
                 usage.add(task, self.step_of(task.id))
+                if task.is_stopping:
+                    self.stop_run(task)
         return usage
 
     def lose_server(self, server_id: str, now_s: float) -> None:
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -332,3 +332,19 @@
     shard.lapse_runs(assignment.server_id, 3.0)
     assert not usage.has_runs
     assert usage.used_cpu_millicores == 0
+
+
+# Guards against a run of a cancelled job that goes on for ever: there was no session to
+# stop it with while its server was not listed.
+def test_cancelled_run_is_stopped_when_its_server_is_listed():
+    first_shard = Shard(CATALOGUE)
+    add(first_shard, "s1")
+    place_job(first_shard, step())
+    restored = Job(spec(step()))
+    decode_progress(encode_progress(first_shard.job_by_id["j1"]), restored)
+    next_shard = Shard(CATALOGUE)
+    next_shard.add_job(restored)
+    next_shard.cancel("j1")
+    next_shard.stops.clear()
+    next_shard.put_server(server("s1"), 1.0)
+    assert [stop.task.job_id for stop in next_shard.stops] == ["j1"]
