End the server for which a command to its host was decided

Two faults of one cause: when the answer to a command came, the host's server was looked up in the latest list of hosts. After a repeated move or maintenance that list may name the next lifetime on the host, which was taken for ended: its tasks began again elsewhere beside their runs, and it was not used again before its row changed, while the lifetime that had ended kept its tasks. And if the list named no server when a refusal came, the server that the command had closed to new tasks stayed closed for ever.

Ruled out: the list as it was at the decision; no command begins without one.

Without the fix the tests printed "assert ['s1'] == ['s2']" and "assert not True". The server of the decision is now the one that ends or is opened again.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -197,7 +197,8 @@
                 log.event(logger, "wave-waits", host=host_id, reason=reason)
         self._wait_reason_by_host = wait_by_host
 
-    async def _maintain(self, maintenance: Maintenance) -> None:
+    async def _maintain(self, maintenance: Maintenance) -> bool:
+        """Maintain a host; return whether this has ended its server."""
         progress = self.wave_by_number[maintenance.wave]
         result = await self.commands.maintain(maintenance.host_id, maintenance.wave)
         self.metrics.host_orders.labels("maintain", result.value).inc()
@@ -212,11 +213,11 @@
         if result is HostResult.DONE:
             progress.begun.add(maintenance.host_id)
             self.save_wave(progress)
-            self._lose_server_of(maintenance.host_id)
         elif result is HostResult.NOT_IN_WAVE or result is HostResult.REFUSED:
             progress.begun.add(maintenance.host_id)
         else:
             progress.unavailable.discard(maintenance.host_id)
+        return result is HostResult.DONE
 
     # Moves.
 
@@ -267,7 +268,8 @@
         """Return the current configuration."""
         return self.shard.catalogue
 
-    async def _move(self, move: Move) -> None:
+    async def _move(self, move: Move) -> bool:
+        """Move a host; return whether this has ended its server."""
         result = await self.commands.move(move.host_id, move.pool)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
@@ -281,17 +283,9 @@
             idle_s=move.idle_s,
             outcome=result.value,
         )
-        if result is HostResult.DONE:
-            self._lose_server_of(move.host_id)
-        else:
+        if result is not HostResult.DONE:
             self.capacity.drop_command(move.host_id)
-
-    def _lose_server_of(self, host_id: str) -> None:
-        """Drop the server of a host whose command was accepted, as it has ended."""
-        host = self.host_by_id.get(host_id)
-        if host is not None and host.server_id:
-            self.shard.lose_server(host.server_id, monotonic_s())
-            self.wake_scheduler()
+        return result is HostResult.DONE
 
     # Commands to hosts.
 
@@ -299,21 +293,25 @@
         if not self.commands.may_command(host_id) or self._nursery is None:
             return
         self.commands.reserve(host_id)
-        host = self.host_by_id[host_id]
-        usage = self.shard.usage_by_server_id.get(host.server_id)
+        server_id = self.host_by_id[host_id].server_id
+        usage = self.shard.usage_by_server_id.get(server_id)
         if usage is not None:
             usage.has_pending_command = True
-        self._nursery.start_soon(self._run_command, host_id, action, decision)
+        self._nursery.start_soon(
+            self._run_command, host_id, server_id, action, decision
+        )
 
     async def _run_command(
-        self, host_id: str, action: Callable, decision: object
+        self, host_id: str, server_id: str, action: Callable, decision: object
     ) -> None:
+        """Command a host on which a server ran when the command was decided."""
         try:
-            await action(decision)
+            if await action(decision):
+                self.shard.lose_server(server_id, monotonic_s())
+                self.wake_scheduler()
         finally:
             self.commands.release(host_id)
             self._is_list_requested = True
-            host = self.host_by_id.get(host_id)
-            usage = host and self.shard.usage_by_server_id.get(host.server_id)
-            if usage:
+            usage = self.shard.usage_by_server_id.get(server_id)
+            if usage is not None:
                 usage.has_pending_command = False
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -12,7 +12,7 @@
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Host, HostState, Wave
+from rhubarbmount.batch.model import Host, HostState, Server, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.errors import OutcomeUnknown
@@ -182,3 +182,50 @@
     fleet.controller.commands.save_command_times = save_slowly
     await fleet.run_for(6.0)
     assert fleet.client.commanded == ["m0"]
+
+
+def server_in_pool(server_id):
+    return Server(
+        server_id, "one", "a:1", "a", False, 8000, 8000, 0, frozenset(), "r", 1
+    )
+
+
+def fleet_with_server(fleet_of, *results):
+    """Return a fleet of one host in use, which is to be maintained."""
+    fleet = fleet_of(1, *results)
+    fleet.client.hosts = [Host("m0", "one", HostState.UP, "s1", 8000, "a")]
+    fleet.controller.shard.put_server(server_in_pool("s1"), 0.0).is_reachable = True
+    fleet.add_wave(limit=1)
+    return fleet
+
+
+# Guards against a second run of tasks, and a server that is never used again: the next
+# lifetime on a host was taken for the one that the command had ended.
+async def test_a_late_answer_ends_no_later_lifetime_on_the_host(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_with_server(fleet_of, OutcomeUnknown("no answer"), HostResult.DONE)
+    fleet.client.answer_after_s = 1.0
+    shard = fleet.controller.shard
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 4.0)
+        await trio.sleep(0.6)
+        fleet.client.hosts = [Host("m0", "one", HostState.UP, "s2", 8000, "a")]
+        shard.put_server(server_in_pool("s2"), 0.0)
+    assert len(fleet.client.commanded) == 2
+    assert list(shard.usage_by_server_id) == ["s2"]
+
+
+# Guards against a server that gets no tasks any more after a refused command, as the
+# list of hosts did not name it when the refusal came.
+async def test_a_refused_command_opens_its_server_again(autojump_clock, fleet_of):
+    fleet = fleet_with_server(fleet_of, HostResult.REFUSED)
+    fleet.client.answer_after_s = 2.0
+    usage = fleet.controller.shard.usage_by_server_id["s1"]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 4.0)
+        await trio.sleep(0.6)
+        assert usage.has_pending_command
+        fleet.client.hosts = [Host("m0", "one", HostState.UP, "", 8000, "a")]
+    assert not usage.has_pending_command
+    assert usage.is_open(4.0)
