Hand on when the grants end also after an error of ours

Callers would see the tasks of a silent server wait 10.2 s from the takeover in place of 4.2 s from the last renewal, if the last holder ended by an unexpected error. It released its lease without the time at which its grants end, as only a planned stop did, so that the next holder assumed the longest lease, and each one after it anew.

Ruled out: that a grant follows; all sessions have ended before the release, and a late start carries an expiry that was counted.

Without the fix the test printed "assert 1 == 2": 8.5 s after the cut and the error, the task of the silent server did not run.

--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -226,7 +226,8 @@
         except* Exception:
             # A bug in the scheduler must not stop the host, which also serves callers.
             logger.exception("event=duty-failed fence=%s", shard_lease.fencing_token)
-            await self.lease_manager.release(shard_lease)
+            grants_end_s = self._holder.grants_end_s()
+            await self.lease_manager.release(shard_lease, grants_end_s)
             await trio.sleep(RESTART_DELAY_S)
         finally:
             self._holder = None
--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -5,6 +5,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch.pacing import PaceCommand
+from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.standins.users_servers import StandinServer
 from tests.batch.checkers import JobChecker
@@ -162,3 +163,25 @@
         assert "duty-failed" not in caplog.text
         assert checker.starts.count(next(iter(checker.running))) <= 2
         assert checker.breaches == []
+
+
+# Guards against a wait of the longest lease in the holder after one that failed.
+async def test_a_holder_that_fails_hands_on_when_its_grants_end(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch, 3, nodes="ab") as (world, checker):
+        assert await submit(world, checker, "/one/", long_running_job(world.generator))
+        await trio.sleep(12.0)
+        silent = servers_running_tasks(checker)[0]
+        world.faults.servers_cut = {("*", silent.address)}
+        place = Placer.place
+
+        def fail_once(placer, now_s):
+            monkeypatch.setattr(Placer, "place", place)
+            raise KeyError("a fault in placing")
+
+        monkeypatch.setattr(Placer, "place", fail_once)
+        await trio.sleep(8.5)
+        assert len(servers_running_tasks(checker)) == 2
+        assert silent not in servers_running_tasks(checker)
+        assert checker.breaches == []
