--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -16,7 +16,7 @@
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
-from rhubarbmount.batch.pacing import PaceControl
+from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
@@ -193,12 +193,20 @@
         if report.checkpoint:
             task.checkpoint = report.checkpoint
         if task.assigned_s == 0.0:
-            # A run started by an earlier holder has no start time here: measure its
-            # progress from when this holder first saw it.
-            task.assigned_s = task.acknowledged_s = now_s
+            self._adopt_run(usage, task, now_s)
         task.progress.report(report.percent, clock_ms)
         self._stop_if_straggling(usage, task, now_s)
 
+    def _adopt_run(self, usage: ServerUsage, task: Task, now_s: float) -> None:
+        """Take over a run of an earlier holder, which may have heard of no drain."""
+        # Its start time is not known here: measure from when it was first seen.
+        task.assigned_s = task.acknowledged_s = now_s
+        step = self.shard.step_of(task.id)
+        if step.fills:
+            task.pace = UNKNOWN_PACE
+        if usage.server.is_draining and step.is_long_running and not task.is_stopping:
+            self.shard.stop_run(task)
+
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
         """Stop a straggling run, so that its task restarts on another server."""
         expected = self.shard.expected_run_time_of(task)
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -319,3 +319,32 @@
     assert task.took_s == 4.0
     later = spec(step(estimate_s=1.0), job_id="j2")
     assert 1.0 < shard.expected_run_time(later, 0).expected_s < 4.0
+
+
+# Guards against a duty that ends, in each holder in turn, because of a job that was
+# removed while a run of it had still not been stopped.
+def test_run_of_a_removed_job_leaves_its_server(shard):
+    [assignment] = place_job(shard, step())
+    shard.cancel("j1")
+    shard.forget("j1")
+    usage = shard.usage_by_server_id[assignment.server_id]
+    assert usage.has_runs
+    shard.lapse_runs(assignment.server_id, 3.0)
+    assert not usage.has_runs
+    assert usage.used_cpu_millicores == 0
+
+
+# Guards against a run of a cancelled job that goes on for ever: there was no session to
+# stop it with while its server was not listed.
+def test_cancelled_run_is_stopped_when_its_server_is_listed():
+    first_shard = Shard(CATALOGUE)
+    add(first_shard, "s1")
+    place_job(first_shard, step())
+    restored = Job(spec(step()))
+    decode_progress(encode_progress(first_shard.job_by_id["j1"]), restored)
+    next_shard = Shard(CATALOGUE)
+    next_shard.add_job(restored)
+    next_shard.cancel("j1")
+    next_shard.stops.clear()
+    next_shard.put_server(server("s1"), 1.0)
+    assert [stop.task.job_id for stop in next_shard.stops] == ["j1"]
