Take a lease that can't be read only once it is no longer renewed

A lease row that was damaged, or that a newer build had written with one more field, ended the follower of the leases again and again on every host: none held the shard, and jobs were accepted and never run.

Cause: decode_lease passed every field to a constructor and checked no type; the error went through the follower.

Fields that this build does not know are ignored. A row that can't be read counts as the lease of someone else: it is waited for like any other, as long as its version changes, and a holder that finds one in place of its own lease has lost it. The next token is the version of that row and one: a token is at most one above an earlier token or version, and versions come from one counter of the store, so that no token is above its row's version. When all grants end is unknown then, and a silent server is waited for longest.

Ruled out: taking it at once as a missing row (two holders, if a newer build renews it); a token read from the head row (the holder may not have written there yet).

Each is logged (own-row-unreadable) and counted by table.

--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -10,6 +10,8 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import RENEWAL_PERIOD_S, LeaseWatch, ShardLease
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import (
     LeaseRow,
     decode_lease,
@@ -17,6 +19,7 @@
 )
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import LEASE_TABLE, lease_row
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import Page, Row, RowConflict, RowStore
 
@@ -31,6 +34,8 @@
 RETRY_S = 0.15
 OUTCOME_WAIT_S = 1.5
 RENEWAL_TIMEOUT_S = 0.9
+# No host has this name.
+UNKNOWN_HOLDER = ""
 
 
 @attrs.define(eq=False)
@@ -42,6 +47,9 @@
     node_id: str
     # How long this host lets others try to acquire the lease first.
     take_delay_s: float = 0.0
+    unreadable_rows: UnreadableRows = attrs.field(
+        factory=lambda: UnreadableRows(BatchMetrics())
+    )
     incarnation: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
@@ -74,9 +82,21 @@
         self._changed = trio.Event()
 
     def _note_row(self, row: Row) -> None:
-        lease = decode_lease(row.value) if row.version else None
+        lease = self._decode(row) if row.version else None
         self.watch.note(lease, row.version, monotonic_s())
 
+    def _decode(self, row: Row) -> LeaseRow:
+        """Return the lease in a row; one that can't be read is held by someone else.
+
+        Each token is at most one above an earlier one or an earlier version of the row,
+        so that no lease has a token above its version.
+        """
+        try:
+            return decode_lease(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            return LeaseRow(UNKNOWN_HOLDER, "", fence=row.version)
+
     async def acquire(self) -> ShardLease:
         """Wait until the lease can be acquired, and return it."""
         while True:
@@ -144,7 +164,7 @@
             if row.name != lease_row(self.shard):
                 continue
             self._note_row(row)
-            if row.version and decode_lease(row.value) == wanted:
+            if row.version and self._decode(row) == wanted:
                 return self._note_acquired(
                     wanted.fence, row.version, self.watch.seen_at_s
                 )
@@ -202,11 +222,11 @@
 
     def _resolve_renewal_conflict(self, error: RowConflict, lease: LeaseRow) -> None:
         for row in error.rows:
-            if row.name == lease_row(self.shard) and row.version:
-                found = decode_lease(row.value)
-                if found == lease:
-                    self._version = row.version
-                    return
+            if row.name != lease_row(self.shard) or not row.version:
+                continue
+            if self._decode(row) == lease:
+                self._version = row.version
+                return
         log.event(logger, "lease-lost", logging.WARNING, shard=self.shard)
         raise LeaseLost(f"lease of {self.shard} was taken by another process")
 
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -40,6 +40,7 @@
     loop_lag_s: prometheus_client.Histogram = attrs.field(init=False)
     is_late: prometheus_client.Gauge = attrs.field(init=False)
     fencing_token: prometheus_client.Gauge = attrs.field(init=False)
+    unreadable_rows: prometheus_client.Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.requests = self._counter(
@@ -121,6 +122,11 @@
             "Fencing token of the lease that this host holds, or 0.",
             registry=self.registry,
         )
+        self.unreadable_rows = self._counter(
+            "unreadable_rows",
+            "Rows of the project's own that could not be read, by table.",
+            ["table"],
+        )
 
     def _counter(
         self, name: str, text: str, labels: list[str]
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -23,6 +23,7 @@
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import shard_of
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import LeaseLost, RhubarbmountError
 from rhubarbmount.http import HttpRequest, HttpResponse
 from rhubarbmount.listener import Listener
@@ -74,6 +75,7 @@
     job_api: JobApi = attrs.field(init=False)
     lease_manager: LeaseManager = attrs.field(init=False)
     operator_rows: TableFollower = attrs.field(init=False)
+    unreadable_rows: UnreadableRows = attrs.field(init=False)
     is_stopping: bool = False
     _wave_by_number: dict[int, Wave] = attrs.field(factory=dict)
     _holder: Holder | None = None
@@ -82,6 +84,7 @@
     _duty_ended: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
+        self.unreadable_rows = UnreadableRows(self.metrics)
         self.store = RowStore(
             self.client, self.settings.store_address, self._observe_store_call
         )
@@ -91,7 +94,7 @@
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
         self.lease_manager = LeaseManager(
-            self.store, shard, self.settings.node_id, wait_s
+            self.store, shard, self.settings.node_id, wait_s, self.unreadable_rows
         )
         self.operator_rows = TableFollower(
             self.store, OPERATOR_TABLE, ("",), self._apply_operator_rows
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -16,6 +16,11 @@
     TaskId,
     TaskState,
 )
+from rhubarbmount.batch.record_fields import (
+    build_record,
+    load_object,
+    raises_unreadable_record,
+)
 
 __all__ = [
     "decode_head",
@@ -87,9 +92,10 @@
     return _dump(attrs.asdict(lease))
 
 
+@raises_unreadable_record
 def decode_lease(value: bytes) -> LeaseRow:
-    """Decode a lease row."""
-    return LeaseRow(**json.loads(value))
+    """Decode a lease row. Raises UnreadableRecord."""
+    return build_record(LeaseRow, load_object(value))
 
 
 def encode_spec(spec: JobSpec) -> bytes:
