Replace a head row that can't be read only under a lease renewed since

A head row that was damaged, or that a newer build had written with one more field, ended the duty at its first commit, on every host that took it up: jobs were accepted and never run.

Cause: decode_head raised an error that nothing expects.

Fields that this build does not know are ignored. A head that can't be read is replaced once a renewal of the lease has succeeded that was sent after the head was read: its writer then came before this holder, and tokens of later leases are higher. A holder that was replaced never gets that far, as its renewals fail.

Ruled out: ending the duty (every host meets the same row); replacing it at once (its writer may hold a later lease).

--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -8,10 +8,14 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import Head, decode_head, encode_head
 from rhubarbmount.batch.tables import head_row
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.rows import RowConflict, RowName, RowStore
+from rhubarbmount.platform.rows import Row, RowConflict, RowName, RowStore
 
 __all__ = ["MAX_BYTES_PER_COMMIT", "MAX_ROWS_PER_COMMIT", "Committer"]
 
@@ -35,6 +39,12 @@
     shard: str
     fencing_token: int
     writer: str
+    # Proves, once it is renewed, that no later holder has written a head row that
+    # can't be read. Without it, such a row ends the duty.
+    shard_lease: ShardLease | None = None
+    unreadable_rows: UnreadableRows = attrs.field(
+        factory=lambda: UnreadableRows(BatchMetrics())
+    )
     head_version: int = 0
     _sequence: int = 0
     _failing_since_s: float | None = None
@@ -70,7 +80,7 @@
                 {name: self.head_version}, {**puts, name: encode_head(head)}, removes
             )
         except RowConflict as error:
-            self._adopt_head_version(error)
+            await self._adopt_head_version(error)
             return False
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._record_failure(len(puts), error.code)
@@ -97,18 +107,36 @@
             self._failing_since_s = None
             log.event(logger, "commits-resumed", shard=self.shard, held_s=outage_s)
 
-    def _adopt_head_version(self, error: RowConflict) -> None:
+    async def _adopt_head_version(self, error: RowConflict) -> None:
         """Take over the head version of an earlier holder's commit or of one of ours.
 
         Raises LeaseLost if anyone else has written the head row.
         """
         for row in error.rows:
-            if row.name == head_row(self.shard) and row.version:
-                found = decode_head(row.value)
-                is_own = (
-                    found.fence == self.fencing_token and found.writer == self.writer
-                )
-                if is_own or found.fence < self.fencing_token:
-                    self.head_version = row.version
-                    return
+            is_head = row.name == head_row(self.shard) and row.version
+            if is_head and await self._may_replace(row):
+                self.head_version = row.version
+                return
         raise LeaseLost(f"another process commits to shard {self.shard}")
+
+    async def _may_replace(self, row: Row) -> bool:
+        """Return whether an earlier holder or this one has written a head row."""
+        try:
+            found = decode_head(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            return await self._await_renewal()
+        is_own = found.fence == self.fencing_token and found.writer == self.writer
+        return is_own or found.fence < self.fencing_token
+
+    async def _await_renewal(self) -> bool:
+        """Wait for a renewal of the lease that is sent from now on.
+
+        No later holder can then have written what was read before.
+        """
+        if self.shard_lease is None:
+            return False
+        read_at_s = monotonic_s()
+        while self.shard_lease.renewed_at_s <= read_at_s:
+            await trio.sleep(RETRY_S)
+        return True
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -250,6 +250,8 @@
             self.lease_manager.shard,
             shard_lease.fencing_token,
             self.lease_manager.incarnation,
+            shard_lease,
+            self.unreadable_rows,
         )
         return Holder(
             store=self.store,
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -82,9 +82,10 @@
     return _dump(attrs.asdict(head))
 
 
+@raises_unreadable_record
 def decode_head(value: bytes) -> Head:
-    """Decode a head row."""
-    return Head(**json.loads(value))
+    """Decode a head row. Raises UnreadableRecord."""
+    return build_record(Head, load_object(value))
 
 
 def encode_lease(lease: LeaseRow) -> bytes:
--- a/tests/batch/test_committer.py
+++ b/tests/batch/test_committer.py
@@ -5,7 +5,8 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch.committer import Committer
-from rhubarbmount.batch.tables import pending_row
+from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.tables import head_row, pending_row
 from rhubarbmount.errors import LeaseLost
 from rhubarbmount.platform.rows import RowStore
 from tests.batch.world import STORE, SimulatedCaller, World, open_world
@@ -72,3 +73,26 @@
         await second.commit({pending_row("shard-0"): b"second"})
         page = await second.store.read_all("pending", "shard-0")
         assert [row.value for row in page.rows] == [b"second"]
+
+
+# Guards against a replaced holder that goes on, as it can't read the head of the next.
+@pytest.mark.parametrize("renewed_at_s", [0.0, 1.0])
+async def test_a_head_that_cant_be_read_is_not_replaced_without_a_renewal(
+    monkeypatch, autojump_clock, renewed_at_s
+):
+    async with open_world(monkeypatch) as world:
+        lease = ShardLease(1, 0.0)
+        store = RowStore(SimulatedCaller("a", world), STORE)
+        committer = Committer(store, "shard-0", 1, "a", lease)
+        await committer.begin()
+        await store.commit({}, {head_row("shard-0"): b"{"})
+        await trio.sleep(2.0)
+        # The head is met after that: a later holder may have written it.
+        lease.renewed_at_s = renewed_at_s
+        with trio.move_on_after(30.0) as scope:
+            await committer.commit({pending_row("shard-0"): b"stale"})
+        assert scope.cancelled_caught
+        lease.renewed_at_s = trio.current_time() + 0.1
+        await committer.commit({pending_row("shard-0"): b"renewed"})
+        page = await store.read_all("pending", "shard-0")
+        assert [row.value for row in page.rows] == [b"renewed"]
--- a/tests/batch/test_unreadable_rows.py
+++ b/tests/batch/test_unreadable_rows.py
@@ -8,7 +8,7 @@
 import trio
 from trio.testing import MockClock
 
-from rhubarbmount.batch.tables import lease_row, shard_of
+from rhubarbmount.batch.tables import head_row, lease_row, shard_of
 from rhubarbmount.platform.rows import RowName
 from tests.batch.checkers import JobChecker
 from tests.batch.test_days import job, open_day, submit, wait_complete
@@ -114,3 +114,37 @@
         assert len(world.holders()) == 1
         await run_jobs(world, checker)
         assert checker.breaches == []
+
+
+# Guards against a duty that ends on every host that takes it up.
+@pytest.mark.parametrize("value", DAMAGED_VALUES)
+async def test_a_head_that_cant_be_read_is_replaced_by_the_next_holder(
+    monkeypatch, autojump_clock, value
+):
+    async with open_restart(monkeypatch) as (world, checker):
+        write(world, head_row(SHARD), value)
+        world.start_node("b")
+        await trio.sleep(4.0)
+        assert world.holders() == ["b"]
+        assert unreadable_rows(world, "b", "heads") == 1
+        await run_jobs(world, checker)
+
+
+async def test_a_head_of_a_newer_build_is_replaced_by_the_next_holder(
+    monkeypatch, autojump_clock
+):
+    async with open_restart(monkeypatch) as (world, checker):
+        change(world, head_row(SHARD), zone="a")
+        world.start_node("b")
+        await run_jobs(world, checker)
+        assert not unreadable_rows(world, "b", "heads")
+
+
+async def test_a_holder_goes_on_after_its_head_was_damaged(monkeypatch, autojump_clock):
+    async with open_day(monkeypatch, 5, nodes="ab") as (world, checker):
+        await run_jobs(world, checker)
+        holders = world.holders()
+        write(world, head_row(SHARD), b"{")
+        await run_jobs(world, checker)
+        assert world.holders() == holders
+        assert checker.breaches == []
