Leave a job alone whose rows can't be read, and schedule the others

One row of a job (spec, progress or request) that was damaged, or that a newer build had written with a state that this one does not know, ended the duty at each takeover: the holder raised, waited 3 s and met the row again, on every host. No job of the shard ran. Callers who asked for the job got an unexpected error.

Cause: the decoders raised errors that the holder does not expect, from loading and from the follower of the requests.

Such a job is left alone: it is not started from its request as if it were new, its rows are not written, and GET answers 503 unreadable-record rather than a state. Its runs go on and count towards their server's capacity, and its host is not moved; a cancelled one's runs are stopped. A server forgets an end that is acknowledged, so that ends of its runs are stored in the table kept-ends first; the next holder that can read the job applies them and removes the row. The counts of waiting jobs are refused with 503 if their row can't be read. While such a job may have runs, a planned stop hands no time over by which grants have ended, as it is not known where they run.

Ruled out: not acknowledging its ends (a server lists at most 500, so that one job would in time hide the ends of all others there); taking the spec from the request (a takeover would wait for all parts of the requests).

Not covered: a wave that reaches the host of such a run maintains it, which ends the run; an earlier build as next holder does not know the table and may run such a task again.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -299,6 +299,9 @@
     if usage is None:
         return True
     is_unavailable = (
-        usage.is_closed or usage.has_pending_command or usage.server.is_draining
+        usage.is_closed
+        or usage.has_pending_command
+        or usage.has_runs_left_alone
+        or usage.server.is_draining
     )
     return usage.is_idle and not is_unavailable
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -20,18 +20,16 @@
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
-    Job,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.records import decode_progress, decode_spec
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.batch.shard_rows import LoadedShard, ShardLoader
+from rhubarbmount.batch.shard_rows import JobReader, LoadedShard, ShardLoader
 from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import (
@@ -43,6 +41,7 @@
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.wave_status import WaveStatusWriter
 from rhubarbmount.batch.waves import WaveProgress
@@ -83,6 +82,7 @@
     bounds: Bounds
     link_mbps: float
     metrics: BatchMetrics
+    unreadable_rows: UnreadableRows
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
@@ -102,9 +102,10 @@
     _started_jobs: set[str] = attrs.field(factory=set)
     _requests: TableFollower | None = None
     _loader: ShardLoader = attrs.field(init=False)
+    _job_reader: JobReader = attrs.field(init=False)
     _are_requests_loaded: bool = False
     # Progress stored by builds that did not store specs.
-    _progress_without_spec_by_id: dict[str, bytes] = attrs.field(factory=dict)
+    _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(
@@ -114,6 +115,7 @@
         self._job_rows = JobRows(self.name, self.shard, self._write_batch)
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
+        self._job_reader = JobReader(self.shard, self.unreadable_rows)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
@@ -201,9 +203,10 @@
         """Return when all leases granted to servers have expired, by the store's clock.
 
         The value is 0 until the shard is loaded, since leases granted by the previous
-        holder may still be in force.
+        holder may still be in force, and while a job that can't be read may have runs,
+        as it is not known where.
         """
-        if not self._is_loaded:
+        if not self._is_loaded or self.shard.unreadable_jobs.may_have_runs:
             return 0.0
         return self.store.clock_s() + self.sessions.lapses_at_s() - monotonic_s()
 
@@ -251,11 +254,13 @@
         for row in loaded.waves.rows:
             self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
         self.servers.apply(loaded.servers, True)
-        loaded.add_jobs(self.shard)
+        loaded.add_jobs(self._job_reader)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
             self._apply_requests(page, False)
+        for job_id in self._job_reader.apply_ends(monotonic_s()):
+            self._job_rows.remove_kept_ends(job_id)
         for server_id in self.shard.unknown_servers():
             self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
         log.event(
@@ -327,12 +332,11 @@
         self.wake()
 
     def _add_requested_job(self, row: Row) -> None:
-        spec = decode_spec(row.value)
-        job = Job(spec)
-        progress = self._progress_without_spec_by_id.pop(spec.job_id, None)
-        if progress is not None:
-            decode_progress(progress, job)
-        self.shard.add_job(job)
+        progress = self._progress_without_spec_by_id.pop(row.name.key, None)
+        job = self._job_reader.add(row, progress)
+        if job is None:
+            return
+        spec = job.spec
         self.shard.demand.note_job(
             self.shard.pool_of(spec),
             spec,
--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Callable
+from typing import TypeVar
 
 import attrs
 import trio
@@ -12,6 +13,7 @@
 from rhubarbmount.batch.clocks import wall_clock_s
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import JobState, Queue, QueueName
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import (
     decode_pending,
     decode_spec,
@@ -25,6 +27,7 @@
     request_row,
     shard_of,
 )
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable, UsageError
 from rhubarbmount.http import HttpRequest, HttpResponse, header_value
 from rhubarbmount.platform.job_messages import (
@@ -42,6 +45,8 @@
 
 logger = logging.getLogger(__name__)
 
+Value = TypeVar("Value")
+
 METHODS = ("POST", "GET", "DELETE")
 DEFAULT_DEADLINE_S = 3.0
 # Part of the deadline reserved for sending the response to the caller.
@@ -64,6 +69,9 @@
     catalogue: Catalogue | None = None
     # Called with the store version of each request row that was written.
     on_stored: Callable[[int], None] = lambda version: None
+    unreadable_rows: UnreadableRows = attrs.field(
+        factory=lambda: UnreadableRows(BatchMetrics())
+    )
     _pending_by_queue: dict[QueueName, int] = attrs.field(factory=dict)
     _pending_at_s: float = -math.inf
 
@@ -185,30 +193,45 @@
         shard = _shard(queue, job_id)
         try:
             row = await self._read_row(progress_row(shard, job_id), expires_s)
-            state = JobState.QUEUED if row is None else decode_state(row.value)
+            state = JobState.QUEUED if row is None else self._decode(decode_state, row)
             if row is None:
                 row = await self._read_row(request_row(shard, job_id), expires_s)
-                if row is not None and decode_spec(row.value).queue != queue.name:
+                if row and self._decode(decode_spec, row).queue != queue.name:
                     row = None
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._log_decision("show", queue, job_id, error.code, 0)
             return _store_unavailable()
+        except UnreadableRecord as error:
+            self._log_decision("show", queue, job_id, error.code, 0)
+            return _refusal(503, error.code, "the state of the job can't be read")
         if row is None:
             self._log_decision("show", queue, job_id, "unknown-job", 0)
             return problem(410, "no-job", "no such job")
         self._log_decision("show", queue, job_id, state.value, row.version)
         return json_response(state_body(state))
 
+    def _decode(self, decode: Callable[[bytes], Value], row: Row) -> Value:
+        """Decode a row; report it and raise UnreadableRecord if that fails."""
+        try:
+            return decode(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            raise
+
     async def _show_pending(self, queue: Queue) -> HttpResponse:
         shard = _shard(queue, "")
         if trio.current_time() - self._pending_at_s > MAX_PENDING_AGE_S:
             expires_s = trio.current_time() + DEFAULT_DEADLINE_S
             try:
                 row = await self._read_row(pending_row(shard), expires_s)
+                pending = {} if row is None else self._decode(decode_pending, row)
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 self._log_decision("pending", queue, "-", error.code, 0)
                 return _store_unavailable()
-            self._pending_by_queue = {} if row is None else decode_pending(row.value)
+            except UnreadableRecord as error:
+                self._log_decision("pending", queue, "-", error.code, 0)
+                return _refusal(503, error.code, "the counts can't be read")
+            self._pending_by_queue = pending
             self._pending_at_s = trio.current_time()
         return json_response(pending_body(self._pending_by_queue.get(queue.name, 0)))
 
--- a/rhubarbmount/batch/job_rows.py
+++ b/rhubarbmount/batch/job_rows.py
@@ -7,9 +7,19 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.model import Job, QueueName
-from rhubarbmount.batch.records import encode_pending, encode_progress, encode_spec
+from rhubarbmount.batch.records import (
+    encode_ends,
+    encode_pending,
+    encode_progress,
+    encode_spec,
+)
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.batch.tables import pending_row, progress_row, spec_row
+from rhubarbmount.batch.tables import (
+    kept_ends_row,
+    pending_row,
+    progress_row,
+    spec_row,
+)
 from rhubarbmount.batch.write_batch import WriteBatch
 
 __all__ = ["JobRows"]
@@ -37,8 +47,13 @@
             job = self.shard.job_by_id.get(job_id)
             if job is not None:
                 self._put(job)
+        self._put_kept_ends()
         self._put_pending()
 
+    def remove_kept_ends(self, job_id: str) -> None:
+        """Remove the ends kept for a job, whose progress is written before."""
+        self.write_batch.remove(kept_ends_row(self.name, job_id))
+
     def remove(self, job_id: str) -> None:
         """Remove the rows of a job, the spec last, as it is of no use alone."""
         self.stored_spec_ids.discard(job_id)
@@ -55,6 +70,13 @@
             self.write_batch.put(spec_row(self.name, job_id), encode_spec(job.spec))
         self.write_batch.put(progress_row(self.name, job_id), encode_progress(job))
 
+    def _put_kept_ends(self) -> None:
+        jobs = self.shard.unreadable_jobs
+        dirty, jobs.dirty = jobs.dirty, set()
+        for job_id in dirty:
+            ends = encode_ends(jobs.ends_of(job_id))
+            self.write_batch.put(kept_ends_row(self.name, job_id), ends)
+
     def _log_end(self, job: Job) -> None:
         spec = job.spec
         tasks = job.tasks()
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -89,7 +89,10 @@
             self.client, self.settings.store_address, self._observe_store_call
         )
         self.job_api = JobApi(
-            self.store, self.metrics, on_stored=self._note_stored_request
+            self.store,
+            self.metrics,
+            on_stored=self._note_stored_request,
+            unreadable_rows=self.unreadable_rows,
         )
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
@@ -268,6 +271,7 @@
             bounds=settings.bounds,
             link_mbps=settings.link_mbps,
             metrics=self.metrics,
+            unreadable_rows=self.unreadable_rows,
         )
 
     # Readiness and shutdown.
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -2,6 +2,7 @@
 
 import json
 import zlib
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -11,6 +12,7 @@
     JobSpec,
     JobState,
     QueueName,
+    RunEnd,
     Step,
     Task,
     TaskId,
@@ -21,14 +23,17 @@
     load_object,
     raises_unreadable_record,
 )
+from rhubarbmount.batch.unreadable_jobs import KeptEnd
 
 __all__ = [
+    "decode_ends",
     "decode_head",
     "decode_lease",
     "decode_pending",
     "decode_progress",
     "decode_spec",
     "decode_state",
+    "encode_ends",
     "encode_head",
     "encode_lease",
     "encode_pending",
@@ -121,15 +126,29 @@
     }
 
 
+@raises_unreadable_record
 def decode_spec(value: bytes) -> JobSpec:
-    """Decode the spec of a job."""
-    values = json.loads(value)
-    values["queue"] = QueueName(*values["queue"])
+    """Decode the spec of a job. Raises UnreadableRecord."""
+    values = load_object(value)
+    host, prefix = values["queue"]
+    _check_types((host, prefix), (str, str))
+    values["queue"] = QueueName(host, prefix)
     values["steps"] = tuple(
-        Step(**{**step, "after": tuple(step.get("after", ()))})
-        for step in values["steps"]
+        _decode_step(step, len(values["steps"])) for step in values["steps"]
     )
-    return JobSpec(**values)
+    return build_record(JobSpec, values)
+
+
+def _decode_step(values: dict[str, Any], step_count: int) -> Step:
+    after = tuple(values.get("after", ()))
+    if any(dependency not in range(step_count) for dependency in after):
+        raise ValueError("a step depends on one that does not exist")
+    return build_record(Step, {**values, "after": after})
+
+
+def _check_types(values: tuple[Any, ...], types: tuple[type, ...]) -> None:
+    if tuple(map(type, values)) != types:
+        raise TypeError(f"{values!r} does not have the types {types!r}")
 
 
 def encode_progress(job: Job) -> bytes:
@@ -141,11 +160,15 @@
             for (occurrence, step), tasks in job.tasks_by_step.items()
         }
     value = _dump({"state": job.state.value, "ended_s": job.ended_s, "tasks": tasks})
+    return _compress(value)
+
+
+def _compress(value: bytes) -> bytes:
     return zlib.compress(value) if len(value) > COMPRESS_ABOVE_BYTES else value
 
 
-def _load_progress(value: bytes) -> dict[str, Any]:
-    return json.loads(value if value.startswith(b"{") else zlib.decompress(value))
+def _load_compressed(value: bytes) -> dict[str, Any]:
+    return load_object(value if value.startswith(b"{") else zlib.decompress(value))
 
 
 def _encode_task(task: Task) -> list[Any]:
@@ -160,36 +183,86 @@
     ]
 
 
+@raises_unreadable_record
 def decode_progress(value: bytes, job: Job) -> None:
-    """Restore a job's state and tasks from its progress row."""
-    values = _load_progress(value)
-    job.state = JobState(values["state"])
-    job.ended_s = values["ended_s"]
+    """Restore a job's state and tasks from its progress row.
+
+    Raises UnreadableRecord and leaves the job as it was.
+    """
+    values, spec = _load_compressed(value), job.spec
+    state, ended_s = JobState(values["state"]), float(values["ended_s"])
+    tasks_by_step = {}
     for name, rows in values["tasks"].items():
         occurrence, step = (int(part) for part in name.split("."))
-        job.tasks_by_step[occurrence, step] = [
-            _decode_task(TaskId(job.spec.job_id, occurrence, step, index), row)
+        _check_step(spec, occurrence, step, len(rows))
+        tasks_by_step[occurrence, step] = [
+            _decode_task(TaskId(spec.job_id, occurrence, step, index), row)
             for index, row in enumerate(rows)
         ]
+    job.state, job.ended_s = state, ended_s
+    job.tasks_by_step.update(tasks_by_step)
 
 
+@raises_unreadable_record
 def decode_state(value: bytes) -> JobState:
-    """Decode only the job's state from its progress row."""
-    return JobState(_load_progress(value)["state"])
+    """Decode only the job's state from its progress row. Raises UnreadableRecord."""
+    return JobState(_load_compressed(value)["state"])
+
+
+def _check_step(spec: JobSpec, occurrence: int, step: int, count: int) -> None:
+    is_known = step in range(len(spec.steps))
+    if not is_known or occurrence not in range(spec.occurrence_count):
+        raise ValueError("a task belongs to a step that does not exist")
+    if count != spec.steps[step].count:
+        raise ValueError("a step has a wrong number of tasks")
 
 
 def _decode_task(task_id: TaskId, row: list[Any]) -> Task:
     if row[0] == TaskState.DONE:
         return Task(task_id, TaskState.DONE)
-    state, run, server_id, failures, checkpoint = row
+    state, run, server_id, failures, checkpoint = row[:5]
+    _check_types((run, server_id, failures, checkpoint), (int, str, int, str))
     return Task(task_id, TaskState(state), run, server_id, failures, checkpoint)
 
 
+def encode_ends(ends: Iterable[KeptEnd]) -> bytes:
+    """Encode the kept ends of a job's runs."""
+    rows = [
+        [kept.server_id, kept.end.number, *kept.end.task[1:], *_encode_end(kept.end)]
+        for kept in ends
+    ]
+    return _compress(_dump({"ends": rows}))
+
+
+def _encode_end(end: RunEnd) -> list[Any]:
+    return [end.run, end.outcome, end.checkpoint]
+
+
+@raises_unreadable_record
+def decode_ends(value: bytes, job_id: str) -> list[KeptEnd]:
+    """Decode the kept ends of a job's runs. Raises UnreadableRecord."""
+    return [_decode_end(row, job_id) for row in _load_compressed(value)["ends"]]
+
+
+def _decode_end(row: list[Any], job_id: str) -> KeptEnd:
+    server_id, number, occurrence, step, index, run, outcome, checkpoint = row[:8]
+    _check_types((server_id, outcome, checkpoint), (str, str, str))
+    _check_types((number, occurrence, step, index, run), (int, int, int, int, int))
+    task_id = TaskId(job_id, occurrence, step, index)
+    return KeptEnd(server_id, RunEnd(number, task_id, run, outcome, checkpoint))
+
+
 def encode_pending(count_by_queue: dict[QueueName, int]) -> bytes:
     """Encode the counts of jobs that have not begun, by queue."""
     return _dump([[*name, count] for name, count in count_by_queue.items()])
 
 
+@raises_unreadable_record
 def decode_pending(value: bytes) -> dict[QueueName, int]:
-    """Decode the counts of jobs that have not begun, by queue."""
-    return {QueueName(host, prefix): count for host, prefix, count in json.loads(value)}
+    """Decode the counts of jobs that have not begun. Raises UnreadableRecord."""
+    counts = {}
+    for row in json.loads(value):
+        host, prefix, count = row[:3]
+        _check_types((host, prefix, count), (str, str, int))
+        counts[QueueName(host, prefix)] = count
+    return counts
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -150,28 +150,46 @@
         for end in response.ended:
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s, response.clock_ms)
-        running = {(item.task, item.run): item for item in response.running}
+        self._apply_running(session, usage, response, now_s)
+        running = {(item.task, item.run) for item in response.running}
+        for task in list(usage.task_by_id.values()):
+            if (task.id, task.run) not in running:
+                self._handle_missing_run(session, task, sent_s, now_s)
+        for command in self._pacing.decide(usage, response.running, now_s):
+            session.send(command)
+        self.wake()
+
+    def _apply_running(
+        self,
+        session: ServerSession,
+        usage: ServerUsage,
+        response: RenewalResponse,
+        now_s: float,
+    ) -> None:
+        """Record the progress of listed runs, and stop those that should not be."""
         stray_steps = []
         for item in response.running:
             task = self.shard.task(item.task)
             if task is None or not _is_run_of(task, item.run, session.server.id):
-                self._stop_stray(session, item.task, item.run)
+                if not self.shard.unreadable_jobs.may_run(item.task.job_id):
+                    self._stop_stray(session, item.task, item.run)
                 if not usage.has_run(item.task, item.run):
                     stray_steps.append(self.shard.find_step(item.task))
             else:
                 self._record_progress(usage, task, item, now_s, response.clock_ms)
         usage.set_strays(stray_steps)
-        for task in list(usage.task_by_id.values()):
-            if (task.id, task.run) not in running:
-                self._handle_missing_run(session, task, sent_s, now_s)
-        for command in self._pacing.decide(usage, response.running, now_s):
-            session.send(command)
-        self.wake()
+        usage.has_runs_left_alone = any(
+            self.shard.unreadable_jobs.may_run(item.task.job_id)
+            for item in response.running
+        )
 
     def _record_end(
         self, session: ServerSession, end: RunEnd, now_s: float, clock_ms: int
     ) -> None:
-        is_news = self.shard.end_run(session.server.id, end, now_s, clock_ms)
+        if end.task.job_id in self.shard.unreadable_jobs:
+            is_news = self.shard.unreadable_jobs.keep_end(session.server.id, end)
+        else:
+            is_news = self.shard.end_run(session.server.id, end, now_s, clock_ms)
         self.metrics.ends.labels(end.outcome).inc()
         log.frequent_event(
             logger,
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -27,6 +27,7 @@
 from rhubarbmount.batch.run_progress import RunProgress
 from rhubarbmount.batch.run_times import RunTime, RunTimes, kind_of
 from rhubarbmount.batch.server_usage import ServerUsage
+from rhubarbmount.batch.unreadable_jobs import UnreadableJobs
 
 __all__ = ["Shard", "StepKey", "Stop"]
 
@@ -55,6 +56,7 @@
     wall_clock_s: float = 0.0
     now_s: float = 0.0
     job_by_id: dict[str, Job] = attrs.field(factory=dict)
+    unreadable_jobs: UnreadableJobs = attrs.field(factory=UnreadableJobs)
     usage_by_server_id: dict[str, ServerUsage] = attrs.field(factory=dict)
     waiting_by_step: dict[StepKey, dict[int, Task]] = attrs.field(factory=dict)
     dirty: set[str] = attrs.field(factory=set)
@@ -144,6 +146,7 @@
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job at its caller's request and stop its runs."""
+        self.unreadable_jobs.cancel(job_id)
         job = self.job_by_id.get(job_id)
         if job is not None and not job.state.is_final:
             self._finish(job, JobState.CANCELLED)
@@ -200,7 +203,9 @@
     def find_step(self, task_id: TaskId) -> Step | None:
         """Return the step that a listed run belongs to, or None if it is unknown."""
         job = self.job_by_id.get(task_id.job_id)
-        if job is None or not 0 <= task_id.step < len(job.spec.steps):
+        if job is None:
+            return self.unreadable_jobs.find_step(task_id)
+        if not 0 <= task_id.step < len(job.spec.steps):
             return None
         return job.spec.steps[task_id.step]
 
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -8,10 +8,12 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.model import Job
-from rhubarbmount.batch.records import decode_progress, decode_spec
+from rhubarbmount.batch.record_fields import UnreadableRecord
+from rhubarbmount.batch.records import decode_ends, decode_progress, decode_spec
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.tables import (
     HOST_ORDERS_TABLE,
+    KEPT_ENDS_TABLE,
     PROGRESS_TABLE,
     REQUESTS_TABLE,
     SILENT_SERVERS_TABLE,
@@ -19,22 +21,26 @@
     WAVES_TABLE,
     request_parts,
 )
+from rhubarbmount.batch.unreadable_jobs import KeptEnd
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.row_formats import SERVERS_TABLE
 from rhubarbmount.platform.rows import (
     MAX_READ_TIMEOUT_S,
     PAGE_ROWS,
     Page,
+    Row,
     RowStore,
 )
 
-__all__ = ["LoadedShard", "ShardLoader"]
+__all__ = ["JobReader", "LoadedShard", "ShardLoader"]
 
 logger = logging.getLogger(__name__)
 
 HOLDER_TABLES = (
     PROGRESS_TABLE,
     SPECS_TABLE,
+    KEPT_ENDS_TABLE,
     WAVES_TABLE,
     HOST_ORDERS_TABLE,
     SILENT_SERVERS_TABLE,
@@ -58,6 +64,7 @@
 
     progress: Page
     specs: Page
+    kept_ends: Page
     waves: Page
     command_times: Page
     silent_servers: Page
@@ -70,28 +77,81 @@
         return min(page.version for page in pages)
 
     @property
-    def progress_by_id(self) -> dict[str, bytes]:
-        """Return the stored progress of jobs."""
-        return {row.name.key: row.value for row in self.progress.rows}
+    def progress_by_id(self) -> dict[str, Row]:
+        """Return the rows of the progress of jobs."""
+        return {row.name.key: row for row in self.progress.rows}
 
     @property
-    def progress_without_spec_by_id(self) -> dict[str, bytes]:
+    def progress_without_spec_by_id(self) -> dict[str, Row]:
         """Return the progress of jobs whose spec was not stored beside it."""
         progress_by_id = self.progress_by_id
         for row in self.specs.rows:
             progress_by_id.pop(row.name.key, None)
         return progress_by_id
 
-    def add_jobs(self, shard: Shard) -> None:
+    def add_jobs(self, reader: "JobReader") -> None:
         """Add the jobs whose progress and spec are stored."""
+        for row in self.kept_ends.rows:
+            reader.note_ends(row)
         progress_by_id = self.progress_by_id
         for row in self.specs.rows:
             progress = progress_by_id.get(row.name.key)
             # A spec without progress belongs to a job that was being removed.
             if progress is not None:
-                job = Job(decode_spec(row.value))
-                decode_progress(progress, job)
-                shard.add_job(job)
+                reader.add(row, progress)
+
+
+@attrs.define(eq=False)
+class JobReader:
+    """Adds jobs to a shard from their rows; those that can't be read are left alone."""
+
+    shard: Shard
+    unreadable_rows: UnreadableRows
+    _ends_by_id: dict[str, list[KeptEnd]] = attrs.field(factory=dict)
+
+    def add(self, spec_row: Row, progress_row: Row | None) -> Job | None:
+        """Add a job from its spec, and from its progress if any; return it if read."""
+        job_id = spec_row.name.key
+        spec, row = None, spec_row
+        try:
+            spec = decode_spec(spec_row.value)
+            if spec.job_id != job_id:
+                raise UnreadableRecord(f"the spec is that of job {spec.job_id}")
+            job = Job(spec)
+            if progress_row is not None:
+                row = progress_row
+                decode_progress(progress_row.value, job)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            may_have_runs = progress_row is not None
+            self.shard.unreadable_jobs.add(job_id, spec, may_have_runs)
+            return None
+        if job_id in self.shard.unreadable_jobs:
+            # The ends of its runs can't be read.
+            self.shard.unreadable_jobs.add(job_id, spec, True)
+            return None
+        self.shard.add_job(job)
+        return job
+
+    def note_ends(self, row: Row) -> None:
+        """Note the ends of a job's runs that a holder kept which could not read it."""
+        try:
+            self._ends_by_id[row.name.key] = decode_ends(row.value, row.name.key)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self.shard.unreadable_jobs.add(row.name.key, None, True)
+
+    def apply_ends(self, now_s: float) -> list[str]:
+        """Apply noted ends; return the jobs whose kept ends are of no more use."""
+        settled = []
+        for job_id, ends in self._ends_by_id.items():
+            if job_id in self.shard.unreadable_jobs:
+                self.shard.unreadable_jobs.restore_ends(job_id, ends)
+                continue
+            settled.append(job_id)
+            for kept in ends:
+                self.shard.end_run(kept.server_id, kept.end, now_s)
+        return settled
 
 
 @attrs.define(eq=False)
@@ -125,6 +185,7 @@
         return LoadedShard(
             progress=page_by_table[PROGRESS_TABLE],
             specs=page_by_table[SPECS_TABLE],
+            kept_ends=page_by_table[KEPT_ENDS_TABLE],
             waves=page_by_table[WAVES_TABLE],
             command_times=page_by_table[HOST_ORDERS_TABLE],
             silent_servers=page_by_table[SILENT_SERVERS_TABLE],
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -6,6 +6,7 @@
     "CANCEL_SUFFIX",
     "LEASE_TABLE",
     "HOST_ORDERS_TABLE",
+    "KEPT_ENDS_TABLE",
     "PROGRESS_TABLE",
     "REQUESTS_TABLE",
     "SILENT_SERVERS_TABLE",
@@ -13,6 +14,7 @@
     "cancel_row",
     "head_row",
     "host_orders_row",
+    "kept_ends_row",
     "lease_row",
     "pending_row",
     "progress_row",
@@ -30,6 +32,7 @@
 SPECS_TABLE = "specs"
 WAVES_TABLE = "waves"
 HOST_ORDERS_TABLE = "host-orders"
+KEPT_ENDS_TABLE = "kept-ends"
 SILENT_SERVERS_TABLE = "silent-servers"
 CANCEL_SUFFIX = ".cancel"
 REQUEST_PART_COUNT = 8
@@ -90,6 +93,11 @@
     return RowName(SPECS_TABLE, shard, job_id)
 
 
+def kept_ends_row(shard: str, job_id: str) -> RowName:
+    """Return the row of ended runs of a job whose progress could not be read."""
+    return RowName(KEPT_ENDS_TABLE, shard, job_id)
+
+
 def pending_row(shard: str) -> RowName:
     """Return the row with the number of jobs not yet started, by queue."""
     return RowName("pending", shard, "counts")
--- a/tests/batch/test_unreadable_rows.py
+++ b/tests/batch/test_unreadable_rows.py
@@ -8,8 +8,17 @@
 import trio
 from trio.testing import MockClock
 
-from rhubarbmount.batch.tables import head_row, lease_row, shard_of
+from rhubarbmount.batch.tables import (
+    head_row,
+    lease_row,
+    pending_row,
+    progress_row,
+    request_row,
+    shard_of,
+    spec_row,
+)
 from rhubarbmount.platform.rows import RowName
+from rhubarbmount.standins.users_servers import TaskWork
 from tests.batch.checkers import JobChecker
 from tests.batch.test_days import job, open_day, submit, wait_complete
 from tests.batch.world import World
@@ -148,3 +157,146 @@
         await run_jobs(world, checker)
         assert world.holders() == holders
         assert checker.breaches == []
+
+
+def two_steps(world: World, work_s: float = 8.0):
+    """Return a job of two steps with equal tasks, which fit on the servers at once."""
+    step = {"count": 3, "cpu": 500, "mem_mb": 200, "estimate_ms": int(work_s * 1000)}
+    works = [TaskWork(work_s, 500, 200)] * 2
+    job_id = f"{world.generator.getrandbits(64):016x}"
+    return job_id, [step, {**step, "after": [0]}], works
+
+
+def running_of(checker: JobChecker, job_id: str) -> int:
+    return sum(bool(runs) for task, runs in checker.running.items() if job_id in task)
+
+
+def starts_of(checker: JobChecker, job_id: str) -> int:
+    return sum(job_id in task for task in checker.starts)
+
+
+@asynccontextmanager
+async def open_damaged_job(monkeypatch, damage):
+    """Have one holder start a job, damage its rows, and have another one go on."""
+    async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
+        new_job = two_steps(world)
+        assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(1.5)
+        assert running_of(checker, new_job[0]) == 3
+        world.kill_node("a")
+        damage(world, new_job[0])
+        world.start_node("b")
+        await trio.sleep(4.0)
+        assert world.holders() == ["b"]
+        assert running_of(checker, new_job[0]) == 3
+        yield world, checker, new_job[0]
+        assert checker.breaches == []
+
+
+def damage_progress(world, job_id):
+    write(world, progress_row(SHARD, job_id), b"{")
+
+
+def name_unknown_state(world, job_id):
+    change(world, progress_row(SHARD, job_id), state="paused")
+
+
+def damage_tasks(world, job_id):
+    change(world, progress_row(SHARD, job_id), tasks={"0.7": [[0, 0, "", 0, ""]]})
+
+
+def damage_spec(world, job_id):
+    write(world, spec_row(SHARD, job_id), b"[]")
+
+
+def damage_spec_and_request(world, job_id):
+    damage_spec(world, job_id)
+    write(world, request_row(SHARD, job_id), b"[]")
+
+
+def damage_progress_without_spec(world, job_id):
+    name = spec_row(SHARD, job_id)
+    world.platform.store.remove(name.table, name.key, name.part)
+    damage_progress(world, job_id)
+
+
+DAMAGES = [
+    damage_progress,
+    name_unknown_state,
+    damage_tasks,
+    damage_spec,
+    damage_spec_and_request,
+    damage_progress_without_spec,
+]
+
+
+# Guards against a duty that ends on every host because of one job, against a job that
+# runs again as its progress can't be read, and against ends that are forgotten.
+@pytest.mark.parametrize("damage", DAMAGES)
+async def test_a_job_that_cant_be_read_is_left_alone(
+    monkeypatch, autojump_clock, damage
+):
+    kept = {}
+
+    def keep_and_damage(world, job_id):
+        names = [row(SHARD, job_id) for row in (progress_row, spec_row, request_row)]
+        kept.update({name: read(world, name) for name in names})
+        damage(world, job_id)
+
+    async with open_damaged_job(monkeypatch, keep_and_damage) as (
+        world,
+        checker,
+        job_id,
+    ):
+        await run_jobs(world, checker)
+        await trio.sleep(10.0)
+        assert world.holders() == ["b"]
+        assert running_of(checker, job_id) == 0
+        assert starts_of(checker, job_id) == 3
+        # The next holder can read the job, of which the first step has ended meanwhile.
+        world.kill_node("b")
+        for name, value in kept.items():
+            write(world, name, value)
+        world.start_node("c")
+        assert await wait_complete(world, checker, "/one/", [job_id], 20.0) == []
+        assert starts_of(checker, job_id) == 6
+        assert world.platform.store.keys("kept-ends", SHARD) == []
+
+
+@pytest.mark.parametrize("damage", [damage_progress, name_unknown_state])
+async def test_a_job_that_cant_be_read_is_not_shown_as_something_else(
+    monkeypatch, autojump_clock, damage
+):
+    async with open_damaged_job(monkeypatch, damage) as (world, _, job_id):
+        status, body = await world.call("GET", f"/one/{job_id}")
+        assert (status, body["code"]) == (503, "unreadable-record")
+        assert unreadable_rows(world, "b", "progress") == 1
+
+
+async def test_a_cancelled_job_that_cant_be_read_stops(monkeypatch, autojump_clock):
+    async with open_damaged_job(monkeypatch, damage_progress) as (
+        world,
+        checker,
+        job_id,
+    ):
+        assert (await world.call("DELETE", f"/one/{job_id}"))[0] == 200
+        checker.cancelled_at_s[job_id] = trio.current_time()
+        await trio.sleep(1.5)
+        assert running_of(checker, job_id) == 0
+
+
+async def test_a_request_that_cant_be_read_is_left_alone(monkeypatch, autojump_clock):
+    async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
+        name = request_row(SHARD, "0" * 16)
+        write(world, name, b"{")
+        await run_jobs(world, checker)
+        assert (await world.call("GET", f"/one/{name.key}"))[0] == 503
+        assert unreadable_rows(world, "a", "requests") == 1
+        assert checker.breaches == []
+
+
+async def test_counts_that_cant_be_read_are_not_shown(monkeypatch, autojump_clock):
+    async with open_day(monkeypatch, 3, nodes="a") as (world, _):
+        write(world, pending_row(SHARD), b"{}}")
+        assert (await world.call("GET", "/one/"))[0] == 503
+        assert unreadable_rows(world, "a", "pending") == 1
