Leave a wave alone whose stored progress can't be read

The row of a wave that was damaged ended the duty at each takeover, on every host.

Cause: WaveRecord.decode raised errors that the holder does not expect.

Such a wave is not planned and its row not written, as it is not known which of its hosts were maintained and which count towards its limit; it stays active in its status. Other waves and jobs go on.

Ruled out: beginning it anew, with all hosts counted until they are listed as up. The platform answers 200 for a host that was maintained for the wave before, and its server would be taken for ended.

Fields of a newer build were ignored before, too.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -23,6 +23,7 @@
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_rows import ServerRows
@@ -96,6 +97,9 @@
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
+    # Waves whose progress can't be read. Which hosts were maintained is not known, so
+    # that nothing of them is planned.
+    _unreadable_waves: set[int] = attrs.field(factory=set)
     _job_rows: JobRows = attrs.field(init=False)
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
@@ -222,6 +226,8 @@
 
     def put_wave(self, wave: Wave) -> None:
         """Add a maintenance wave requested by the operator."""
+        if wave.number in self._unreadable_waves:
+            return
         record = self._wave_records.get(wave.number)
         self.fleet_controller.put_wave(wave, record)
         if record is not None:
@@ -252,7 +258,7 @@
         for row in loaded.silent_servers.rows:
             self.silent_servers.load(row.value)
         for row in loaded.waves.rows:
-            self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
+            self._load_wave(row)
         self.servers.apply(loaded.servers, True)
         loaded.add_jobs(self._job_reader)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
@@ -275,6 +281,14 @@
         )
         return loaded
 
+    def _load_wave(self, row: Row) -> None:
+        number = int(row.name.key)
+        try:
+            self._wave_records[number] = WaveRecord.decode(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self._unreadable_waves.add(number)
+
     async def _load_requests(self) -> None:
         """Add the jobs that no holder has seen yet, then begin to remove old ones.
 
--- a/rhubarbmount/batch/wave_record.py
+++ b/rhubarbmount/batch/wave_record.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+from rhubarbmount.batch.record_fields import (
+    build_record,
+    load_object,
+    raises_unreadable_record,
+)
+
 __all__ = ["WaveRecord"]
 
 
@@ -25,12 +31,12 @@
         return json.dumps(attrs.asdict(self)).encode("ascii")
 
     @classmethod
+    @raises_unreadable_record
     def decode(cls, value: bytes) -> "WaveRecord":
-        """Return the record stored as the value of a row."""
-        values = json.loads(value)
-        return cls(
-            tuple(values["begun"]),
-            values["is_complete"],
-            values.get("due_s", 0.0),
-            tuple(values.get("unavailable", ())),
-        )
+        """Return the record stored as the value of a row. Raises UnreadableRecord."""
+        values = load_object(value)
+        begun, unavailable = values["begun"], values.get("unavailable", ())
+        if not all(isinstance(host_id, str) for host_id in (*begun, *unavailable)):
+            raise TypeError("the id of a host is not a string")
+        lists = {"begun": tuple(begun), "unavailable": tuple(unavailable)}
+        return build_record(cls, {**values, **lists})
--- a/tests/batch/test_unreadable_rows.py
+++ b/tests/batch/test_unreadable_rows.py
@@ -16,6 +16,7 @@
     request_row,
     shard_of,
     spec_row,
+    wave_row,
 )
 from rhubarbmount.platform.rows import RowName
 from rhubarbmount.standins.users_servers import TaskWork
@@ -300,3 +301,51 @@
         write(world, pending_row(SHARD), b"{}}")
         assert (await world.call("GET", "/one/"))[0] == 503
         assert unreadable_rows(world, "a", "pending") == 1
+
+
+WAVE_HOSTS = {1: ["m-one-0", "m-two-0"], 2: ["m-one-1", "m-two-1"]}
+WAVE_DAMAGES = (b"{", b'{"begun":[7],"is_complete":false}', b'{"begun":[]}')
+
+
+@asynccontextmanager
+async def open_waves(monkeypatch):
+    """Leave a day with two waves to the next holder, each with one host maintained."""
+    async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
+        maintained = []
+        world.observers.append(
+            lambda what, where, *_: what == "upkeep" and maintained.append(where.id)
+        )
+        for number, hosts in WAVE_HOSTS.items():
+            world.platform.put_wave(number, hosts, 1, 60.0)
+        while len(maintained) < 2:
+            await trio.sleep(0.1)
+        world.kill_node("a")
+        yield world, maintained
+        assert checker.breaches == []
+
+
+# Guards against a duty that ends on every host because of one wave, and against hosts
+# that are maintained again or beyond the limit.
+@pytest.mark.parametrize("value", WAVE_DAMAGES)
+async def test_a_wave_whose_progress_cant_be_read_is_left_alone(
+    monkeypatch, autojump_clock, value
+):
+    async with open_waves(monkeypatch) as (world, maintained):
+        begun = list(maintained)
+        write(world, wave_row(SHARD, 1), value)
+        world.start_node("b")
+        await trio.sleep(30.0)
+        assert world.platform.wave_state(2) == "complete"
+        assert world.platform.wave_state(1) == "active"
+        assert sorted(maintained) == sorted({*begun, *WAVE_HOSTS[2]})
+        assert read(world, wave_row(SHARD, 1)) == value
+        assert unreadable_rows(world, "b", "waves") == 1
+
+
+async def test_fields_of_a_newer_wave_record_are_ignored(monkeypatch, autojump_clock):
+    async with open_waves(monkeypatch) as (world, maintained):
+        change(world, wave_row(SHARD, 1), zone="a")
+        world.start_node("b")
+        await trio.sleep(30.0)
+        assert world.platform.wave_state(1) == "complete"
+        assert len(maintained) == 4
