Send hosts no command for a while if the times of the last ones can't be read

The row with the times of the last commands to hosts ended the duty at each takeover, on every host, once it was damaged.

Cause: HostCommandTimes.load raised an error that the holder does not expect; numbers of another type were found only when they were used.

If it can't be read, no host is sent a command until the last holder's have surely arrived: the longest window that a holder stores, the platform's pause and the margin. The row is written anew with the next command.

Ruled out: going on without it (two holders may take turns on a host).

The 6 cases of the test over hosts failed before: the wave was "active", not complete.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -254,7 +254,7 @@
             await self._loader.load_requests(requests.append)
             self._are_requests_loaded = True
         for row in loaded.command_times.rows:
-            self.command_times.load(row.value)
+            self._load_command_times(row)
         for row in loaded.silent_servers.rows:
             self.silent_servers.load(row.value)
         for row in loaded.waves.rows:
@@ -281,6 +281,13 @@
         )
         return loaded
 
+    def _load_command_times(self, row: Row) -> None:
+        try:
+            self.command_times.load(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self.command_times.block_all()
+
     def _load_wave(self, row: Row) -> None:
         number = int(row.name.key)
         try:
--- a/tests/batch/test_host_command_times.py
+++ b/tests/batch/test_host_command_times.py
@@ -1,6 +1,9 @@
 """Commands of two holders to one host do not interleave."""
 
-from rhubarbmount.batch.host_command_times import HostCommandTimes
+import pytest
+
+from rhubarbmount.batch.host_command_times import MAX_WINDOW_S, HostCommandTimes
+from rhubarbmount.batch.record_fields import UnreadableRecord
 
 
 def make_command_times(clock, pause_s=3.0):
@@ -52,3 +55,25 @@
     assert not next_holder.may_command("m1")
     clock[0] = 104.0
     assert next_holder.may_command("m1")
+
+
+# Guards against two holders that take turns on a host.
+@pytest.mark.parametrize("value", [b"{", b"[]", b'{"m1":"x"}', b'{"m1":NaN}'])
+def test_no_host_is_commanded_soon_if_the_times_cant_be_read(value):
+    clock = [100.0]
+    first_holder = make_command_times(clock)
+    first_holder.note("m1", 1000.0)
+    latest_s = 100.0 + MAX_WINDOW_S
+    clock[0] = latest_s
+    assert first_holder.may_send("m1")
+    clock[0] = latest_s + 0.01
+    assert not first_holder.may_send("m1")
+    clock[0] = 100.0
+    next_holder = make_command_times(clock)
+    with pytest.raises(UnreadableRecord):
+        next_holder.load(value)
+    next_holder.block_all()
+    clock[0] = latest_s + 3.4
+    assert not next_holder.may_command("m1")
+    clock[0] = latest_s + 3.51
+    assert next_holder.may_command("m1")
--- a/tests/batch/test_unreadable_rows.py
+++ b/tests/batch/test_unreadable_rows.py
@@ -10,6 +10,7 @@
 
 from rhubarbmount.batch.tables import (
     head_row,
+    host_orders_row,
     lease_row,
     pending_row,
     progress_row,
@@ -349,3 +350,18 @@
         await trio.sleep(30.0)
         assert world.platform.wave_state(1) == "complete"
         assert len(maintained) == 4
+
+
+# Guards against a duty that ends on every host because of one row.
+@pytest.mark.parametrize("value", [*DAMAGED_VALUES[:5], b'{"m-one-0":"x"}'])
+async def test_times_of_commands_that_cant_be_read_stop_no_wave(
+    monkeypatch, autojump_clock, value
+):
+    async with open_waves(monkeypatch) as (world, maintained):
+        write(world, host_orders_row(SHARD), value)
+        world.start_node("b")
+        await trio.sleep(40.0)
+        assert world.platform.wave_state(1) == "complete"
+        assert world.platform.wave_state(2) == "complete"
+        assert len(maintained) == 4
+        assert unreadable_rows(world, "b", "host-orders") == 1
