--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -46,16 +46,22 @@
         factory=lambda: UnreadableRows(BatchMetrics())
     )
     head_version: int = 0
+    # Token of the holder that committed last before this one, or 0 if unknown.
+    previous_token: int = 0
     _sequence: int = 0
     _failing_since_s: float | None = None
 
-    async def begin(self) -> None:
+    async def begin(self, puts: Mapping[RowName, bytes]) -> None:
         """Write the fencing token to the head row, which bars commits with lower ones.
 
-        Raises LeaseLost if the row holds a higher one.
+        Writes ``puts`` with it. Raises LeaseLost if the row holds a higher one.
         """
-        while not await self._try_commit({}, ()):
-            await trio.sleep(RETRY_S)
+        tried_version = self.head_version
+        while not await self._try_commit(puts, ()):
+            # The first try fails as it can't know the version of the row yet.
+            if self.head_version == tried_version:
+                await trio.sleep(RETRY_S)
+            tried_version = self.head_version
 
     async def commit(
         self, puts: Mapping[RowName, bytes], removes: tuple[RowName, ...] = ()
@@ -125,9 +131,14 @@
             found = decode_head(row.value)
         except UnreadableRecord as error:
             self.unreadable_rows.report(row, error)
+            self.previous_token = 0
             return await self._await_renewal()
-        is_own = found.fence == self.fencing_token and found.writer == self.writer
-        return is_own or found.fence < self.fencing_token
+        if found.fence == self.fencing_token and found.writer == self.writer:
+            return True
+        if found.fence >= self.fencing_token:
+            return False
+        self.previous_token = found.fence
+        return True
 
     async def _await_renewal(self) -> bool:
         """Wait for a renewal of the lease that is sent from now on.
