Replace a record of silent servers that can't be read before anything is granted

The record of silent servers, once damaged, ended the duty at each takeover, on every host.

Cause: it was loaded unchecked; the error came out of json, or later where it was used.

A record that can't be read is reported and replaced by an empty one before sessions with servers are opened. Without a record the longest wait holds. It is replaced first, as a later holder of another build might read it, and take for lapsed what this one granted to a server that it names.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -31,7 +31,7 @@
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.record_fields import UnreadableRecord
+from rhubarbmount.batch.record_fields import UnreadableRecord, decode_numbers
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_rows import ServerRows
@@ -279,6 +279,8 @@
             self._are_requests_loaded = True
         for row in loaded.command_times.rows:
             self._load_command_times(row)
+        for row in loaded.silent_servers.rows:
+            await self._load_silent_servers(row)
         self._load_earlier_grants(loaded)
         for row in loaded.waves.rows:
             self._load_wave(row)
@@ -312,6 +314,20 @@
             self.unreadable_rows.report(row, error)
             self.command_times.block_all()
 
+    async def _load_silent_servers(self, row: Row) -> None:
+        """Load the record of silent servers; one that can't be read is replaced.
+
+        A server that it names must not be granted anything while a later holder may
+        still read it.
+        """
+        try:
+            decode_numbers(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            await self.committer.commit({row.name: self.silent_servers.encode()})
+        else:
+            self.silent_servers.load(row.value)
+
     def _load_wave(self, row: Row) -> None:
         number = int(row.name.key)
         try:
@@ -321,8 +337,6 @@
             self._unreadable_waves.add(number)
 
     def _load_earlier_grants(self, loaded: LoadedShard) -> None:
-        for row in loaded.silent_servers.rows:
-            self.silent_servers.load(row.value)
         at_store_s = carried_over(
             {row.name.key: row.value for row in loaded.takeovers.rows},
             self.committer.previous_token,
--- a/rhubarbmount/batch/host_command_times.py
+++ b/rhubarbmount/batch/host_command_times.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rhubarbmount.batch.record_fields import load_numbers, raises_unreadable_record
+from rhubarbmount.batch.record_fields import decode_numbers
 
 __all__ = ["HostCommandTimes"]
 
@@ -33,7 +33,7 @@
 
     def load(self, value: bytes) -> None:
         """Load the value that the last holder stored. Raises UnreadableRecord."""
-        self._commanded_at_s = _decode(value)
+        self._commanded_at_s = decode_numbers(value)
         self._blocked_until_s = {
             host_id: at_s + self.pause_s + ARRIVAL_MARGIN_S
             for host_id, at_s in self._commanded_at_s.items()
@@ -65,8 +65,3 @@
     def encode(self) -> bytes:
         """Return the value to store."""
         return json.dumps(self._commanded_at_s).encode("ascii")
-
-
-@raises_unreadable_record
-def _decode(value: bytes) -> dict[str, float]:
-    return load_numbers(value)
--- a/rhubarbmount/batch/record_fields.py
+++ b/rhubarbmount/batch/record_fields.py
@@ -14,7 +14,7 @@
 __all__ = [
     "UnreadableRecord",
     "build_record",
-    "load_numbers",
+    "decode_numbers",
     "load_object",
     "raises_unreadable_record",
 ]
@@ -68,8 +68,9 @@
     return values
 
 
-def load_numbers(value: bytes) -> dict[str, float]:
-    """Return the JSON object of finite numbers that a row holds."""
+@raises_unreadable_record
+def decode_numbers(value: bytes) -> dict[str, float]:
+    """Decode a JSON object of finite numbers. Raises UnreadableRecord."""
     values = load_object(value)
     for name, number in values.items():
         _check_type(name, number, float)
--- a/tests/batch/test_unreadable_rows.py
+++ b/tests/batch/test_unreadable_rows.py
@@ -16,6 +16,7 @@
     progress_row,
     request_row,
     shard_of,
+    silent_servers_row,
     spec_row,
     wave_row,
 )
@@ -365,3 +366,23 @@
         assert world.platform.wave_state(2) == "complete"
         assert len(maintained) == 4
         assert unreadable_rows(world, "b", "host-orders") == 1
+
+
+# Guards against a duty that ends on every host because of one row, and against runs
+# that begin again elsewhere by a record that the holder could not read.
+@pytest.mark.parametrize("value", [*DAMAGED_VALUES[:5], b'{"i-1":"x"}'])
+async def test_a_record_of_silent_servers_that_cant_be_read_is_replaced(
+    monkeypatch, autojump_clock, value
+):
+    async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
+        new_job = two_steps(world, 4.0)
+        assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(1.5)
+        world.kill_node("a")
+        write(world, silent_servers_row(SHARD), value)
+        world.start_node("b")
+        assert await wait_complete(world, checker, "/one/", new_job[:1], 20.0) == []
+        assert starts_of(checker, new_job[0]) == 6
+        assert json.loads(read(world, silent_servers_row(SHARD))) == {}
+        assert unreadable_rows(world, "b", "silent-servers") == 1
+        assert checker.breaches == []
