Never show a complete wave as active again

An operator would have seen a wave as active for ever though all its hosts were maintained.

Cause: a holder that was cut off from the store, or paused, with a status still to write adopted the version of the row that its successor had written and wrote its own status over it, in the moment before it learned that its lease was gone. The successor does not write a status twice.

A row that says complete is left: a wave does not become active again.

Ruled out: rows late in flight (they expect the version that they knew).

The test failed before: "['complete', 'active'] == ['complete', 'complete']".

--- a/rhubarbmount/batch/wave_status.py
+++ b/rhubarbmount/batch/wave_status.py
@@ -54,12 +54,7 @@
             try:
                 written = await self.store.commit({name: version}, {name: value})
             except RowConflict as error:
-                current_rows = [row for row in error.rows if row.name == name]
-                self._version_by_wave[wave] = (
-                    current_rows[0].version if current_rows else 0
-                )
-                if current_rows and current_rows[0].value == value:
-                    self._record_stored(wave, is_complete)
+                self._resolve_conflict(error, wave, is_complete)
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 log.event(
                     logger,
@@ -73,6 +68,20 @@
                 self._version_by_wave[wave] = written
                 self._record_stored(wave, is_complete)
 
+    def _resolve_conflict(
+        self, error: RowConflict, wave: int, is_complete: bool
+    ) -> None:
+        """Adopt the version of the current row; leave a row that says complete.
+
+        A wave that is complete stays so: a holder that says otherwise was replaced.
+        """
+        name = wave_status_row(wave)
+        current = next((row for row in error.rows if row.name == name), None)
+        self._version_by_wave[wave] = current.version if current else 0
+        kept_values = (encode_wave_status(is_complete), encode_wave_status(True))
+        if current is not None and current.value in kept_values:
+            self._record_stored(wave, is_complete)
+
     def _record_stored(self, wave: int, is_complete: bool) -> None:
         """Record a written status; one requested meanwhile is still to be written."""
         self._stored[wave] = is_complete
