--- a/rhubarbmount/batch/earlier_grants.py
+++ b/rhubarbmount/batch/earlier_grants.py
@@ -1,15 +1,17 @@
 """When the leases that earlier holders granted have lapsed; free of I/O."""
 
 import json
-import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
-from rhubarbmount import log
 from rhubarbmount.batch.clocks import ServerClock
+from rhubarbmount.batch.record_fields import (
+    build_record,
+    load_object,
+    raises_unreadable_record,
+)
 from rhubarbmount.batch.silent_servers import SilentServers
-from rhubarbmount.platform.rows import Row
 
 __all__ = [
     "CARRIED_OVER",
@@ -19,12 +21,10 @@
     "LapseBound",
     "Takeover",
     "carried_over",
-    "decode_takeovers",
+    "decode_takeover",
     "longest_lease",
 ]
 
-logger = logging.getLogger(__name__)
-
 RECORDED = "recorded"
 HANDED_OVER = "handed-over"
 CARRIED_OVER = "carried-over"
@@ -65,26 +65,10 @@
         return json.dumps(attrs.asdict(self)).encode("ascii")
 
 
-def decode_takeovers(rows: Iterable[Row]) -> dict[int, Takeover]:
-    """Return takeovers by fencing token; rows that can't be read are left out."""
-    takeover_by_token = {}
-    for row in rows:
-        try:
-            values = json.loads(row.value)
-            takeover_by_token[int(row.name.key)] = Takeover(
-                float(values["lapses_at_s"]),
-                float(values["longest_grant_s"]),
-                values["is_recorded"] is not False,
-            )
-        except (ValueError, TypeError, KeyError) as error:
-            log.event(
-                logger,
-                "takeover-unreadable",
-                logging.WARNING,
-                key=row.name.key,
-                reason=repr(error),
-            )
-    return takeover_by_token
+@raises_unreadable_record
+def decode_takeover(token: str, value: bytes) -> tuple[int, Takeover]:
+    """Decode a takeover and its fencing token. Raises UnreadableRecord."""
+    return int(token), build_record(Takeover, load_object(value))
 
 
 def carried_over(takeover_by_token: Mapping[int, Takeover], token: int) -> float | None:
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -17,7 +17,7 @@
     EarlierGrants,
     Takeover,
     carried_over,
-    decode_takeovers,
+    decode_takeover,
     longest_lease,
 )
 from rhubarbmount.batch.election import ShardLease, longest_grant_s
@@ -30,18 +30,17 @@
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
-    Job,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.records import decode_progress, decode_spec
+from rhubarbmount.batch.record_fields import UnreadableRecord, decode_numbers
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.batch.shard_rows import LoadedShard, ShardLoader
+from rhubarbmount.batch.shard_rows import JobReader, LoadedShard, ShardLoader
 from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import (
@@ -54,6 +53,7 @@
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.wave_status import WaveStatusWriter
 from rhubarbmount.batch.waves import WaveProgress
@@ -93,6 +93,7 @@
     bounds: Bounds
     link_mbps: float
     metrics: BatchMetrics
+    unreadable_rows: UnreadableRows
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
     earlier_grants: EarlierGrants = attrs.field(init=False)
@@ -107,15 +108,19 @@
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
+    # Waves whose progress can't be read. Which hosts were maintained is not known, so
+    # that nothing of them is planned.
+    _unreadable_waves: set[int] = attrs.field(factory=set)
     _job_rows: JobRows = attrs.field(init=False)
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
     _started_jobs: set[str] = attrs.field(factory=set)
     _requests: TableFollower | None = None
     _loader: ShardLoader = attrs.field(init=False)
+    _job_reader: JobReader = attrs.field(init=False)
     _are_requests_loaded: bool = False
     # Progress stored by builds that did not store specs.
-    _progress_without_spec_by_id: dict[str, bytes] = attrs.field(factory=dict)
+    _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(
@@ -125,6 +130,7 @@
         self._job_rows = JobRows(self.name, self.shard, self._write_batch)
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
+        self._job_reader = JobReader(self.shard, self.unreadable_rows)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
@@ -235,9 +241,10 @@
         """Return when all leases granted to servers have expired, by the store's clock.
 
         The value is 0 until the shard is loaded, since leases granted by the previous
-        holder may still be in force.
+        holder may still be in force, and while a job that can't be read may have runs,
+        as it is not known where.
         """
-        if not self._is_loaded:
+        if not self._is_loaded or self.shard.unreadable_jobs.may_have_runs:
             return 0.0
         return self.store.clock_s() + self.sessions.lapses_at_s() - monotonic_s()
 
@@ -253,6 +260,8 @@
 
     def put_wave(self, wave: Wave) -> None:
         """Add a maintenance wave requested by the operator."""
+        if wave.number in self._unreadable_waves:
+            return
         record = self._wave_records.get(wave.number)
         self.fleet_controller.put_wave(wave, record)
         if record is not None:
@@ -279,17 +288,21 @@
             await self._loader.load_requests(requests.append)
             self._are_requests_loaded = True
         for row in loaded.command_times.rows:
-            self.command_times.load(row.value)
+            self._load_command_times(row)
+        for row in loaded.silent_servers.rows:
+            await self._load_silent_servers(row)
         self._load_earlier_grants(loaded)
         for row in loaded.waves.rows:
-            self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
-        loaded.add_jobs(self.shard)
+            self._load_wave(row)
+        loaded.add_jobs(self._job_reader)
         self._record_servers_with_tasks()
         self.servers.apply(loaded.servers, True)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
             self._apply_requests(page, False)
+        for job_id in self._job_reader.apply_ends(monotonic_s()):
+            self._job_rows.remove_kept_ends(job_id)
         for server_id in self.shard.unknown_servers():
             self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
         log.event(
@@ -304,10 +317,43 @@
         )
         return loaded
 
-    def _load_earlier_grants(self, loaded: LoadedShard) -> None:
-        for row in loaded.silent_servers.rows:
+    def _load_command_times(self, row: Row) -> None:
+        try:
+            self.command_times.load(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self.command_times.block_all()
+
+    async def _load_silent_servers(self, row: Row) -> None:
+        """Load the record of silent servers; one that can't be read is replaced.
+
+        A server that it names must not be granted anything while a later holder may
+        still read it.
+        """
+        try:
+            decode_numbers(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            await self.committer.commit({row.name: self.silent_servers.encode()})
+        else:
             self.silent_servers.load(row.value)
-        takeover_by_token = decode_takeovers(loaded.takeovers.rows)
+
+    def _load_wave(self, row: Row) -> None:
+        number = int(row.name.key)
+        try:
+            self._wave_records[number] = WaveRecord.decode(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self._unreadable_waves.add(number)
+
+    def _load_earlier_grants(self, loaded: LoadedShard) -> None:
+        takeover_by_token: dict[int, Takeover] = {}
+        for row in loaded.takeovers.rows:
+            try:
+                token, takeover = decode_takeover(row.name.key, row.value)
+                takeover_by_token[token] = takeover
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
         previous_token = self.committer.previous_token
         at_store_s = carried_over(takeover_by_token, previous_token)
         if at_store_s is not None:
@@ -404,12 +450,11 @@
         self.wake()
 
     def _add_requested_job(self, row: Row) -> None:
-        spec = decode_spec(row.value)
-        job = Job(spec)
-        progress = self._progress_without_spec_by_id.pop(spec.job_id, None)
-        if progress is not None:
-            decode_progress(progress, job)
-        self.shard.add_job(job)
+        progress = self._progress_without_spec_by_id.pop(row.name.key, None)
+        job = self._job_reader.add(row, progress)
+        if job is None:
+            return
+        spec = job.spec
         self.shard.demand.note_job(
             self.shard.pool_of(spec),
             spec,
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -23,6 +23,7 @@
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import shard_of
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import LeaseLost, RhubarbmountError
 from rhubarbmount.http import HttpRequest, HttpResponse
 from rhubarbmount.listener import Listener
@@ -74,6 +75,7 @@
     job_api: JobApi = attrs.field(init=False)
     lease_manager: LeaseManager = attrs.field(init=False)
     operator_rows: TableFollower = attrs.field(init=False)
+    unreadable_rows: UnreadableRows = attrs.field(init=False)
     is_stopping: bool = False
     _wave_by_number: dict[int, Wave] = attrs.field(factory=dict)
     _holder: Holder | None = None
@@ -82,16 +84,20 @@
     _duty_ended: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
+        self.unreadable_rows = UnreadableRows(self.metrics)
         self.store = RowStore(
             self.client, self.settings.store_address, self._observe_store_call
         )
         self.job_api = JobApi(
-            self.store, self.metrics, on_stored=self._note_stored_request
+            self.store,
+            self.metrics,
+            on_stored=self._note_stored_request,
+            unreadable_rows=self.unreadable_rows,
         )
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
         self.lease_manager = LeaseManager(
-            self.store, shard, self.settings.node_id, wait_s
+            self.store, shard, self.settings.node_id, wait_s, self.unreadable_rows
         )
         self.operator_rows = TableFollower(
             self.store, OPERATOR_TABLE, ("",), self._apply_operator_rows
@@ -248,6 +254,8 @@
             self.lease_manager.shard,
             shard_lease.fencing_token,
             self.lease_manager.incarnation,
+            shard_lease,
+            self.unreadable_rows,
         )
         return Holder(
             store=self.store,
@@ -264,6 +272,7 @@
             bounds=settings.bounds,
             link_mbps=settings.link_mbps,
             metrics=self.metrics,
+            unreadable_rows=self.unreadable_rows,
         )
 
     # Readiness and shutdown.
