Grant a server no more whose silence is on record again

A server that went silent anew while the record of its return was being stored was granted leases without limit beside its record. A next holder that could not reach it would have begun its tasks again beside their runs (TWICE). The limit is kept for servers that are on record once the write ends.

--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -371,7 +371,9 @@
                 self.silent.drop(session.server.id)
             await self.save_silent()
             for session in heard:
-                session.lease.recorded_lapse_s = None
+                # It may have gone silent again while the record was being stored.
+                if not self.silent.has(session.server.id):
+                    session.lease.recorded_lapse_s = None
 
     def on_unanswered(self) -> None:
         """Note that a call to some backend server was not answered."""
