Let the lease row say when all grants end, in place of rows of takeovers

Now each renewal of the lease writes by when all grants will have lapsed, and nothing is granted beyond it. Until a new holder's record of silent servers is stored, it goes on writing the time of the earlier grants. Older builds read the field as before and leave 0, after which the longest lease is waited for. Rows and chain are gone.

The time is written by what the store's clock reads at most, and read by what it reads at least; both bounds narrow with each response. A fixed second was allowed for before, which is left for records and for the rows of planned stops, as older builds write these.

--- a/rhubarbmount/batch/committer.py
+++ b/rhubarbmount/batch/committer.py
@@ -46,18 +46,16 @@
         factory=lambda: UnreadableRows(BatchMetrics())
     )
     head_version: int = 0
-    # Token of the holder that committed last before this one, or 0 if unknown.
-    previous_token: int = 0
     _sequence: int = 0
     _failing_since_s: float | None = None
 
-    async def begin(self, puts: Mapping[RowName, bytes]) -> None:
+    async def begin(self) -> None:
         """Write the fencing token to the head row, which bars commits with lower ones.
 
-        Writes ``puts`` with it. Raises LeaseLost if the row holds a higher one.
+        Raises LeaseLost if the row holds a higher one.
         """
         tried_version = self.head_version
-        while not await self._try_commit(puts, ()):
+        while not await self._try_commit({}, ()):
             # The first try fails as it can't know the version of the row yet.
             if self.head_version == tried_version:
                 await trio.sleep(RETRY_S)
@@ -131,14 +129,10 @@
             found = decode_head(row.value)
         except UnreadableRecord as error:
             self.unreadable_rows.report(row, error)
-            self.previous_token = 0
             return await self._await_renewal()
         if found.fence == self.fencing_token and found.writer == self.writer:
             return True
-        if found.fence >= self.fencing_token:
-            return False
-        self.previous_token = found.fence
-        return True
+        return found.fence < self.fencing_token
 
     async def _await_renewal(self) -> bool:
         """Wait for a renewal of the lease that is sent from now on.
--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -4,17 +4,20 @@
 
 import attrs
 
-from rhubarbmount.batch.clocks import LAPSE_MARGIN_S, RATE_MARGIN
+from rhubarbmount.batch.clocks import LAPSE_MARGIN_S, RATE_MARGIN, ServerClock
 from rhubarbmount.batch.records import LeaseRow
 
 __all__ = [
+    "LEASE_ROW",
     "LEASE_TTL_S",
     "RENEWAL_PERIOD_S",
     "WEAK_HOST_WAIT_S",
-    "ShardLease",
+    "LapseBound",
     "LeaseWatch",
+    "ShardLease",
     "candidate_wait_s",
     "longest_grant_s",
+    "longest_lease",
 ]
 
 LEASE_TTL_S = 2.0
@@ -32,6 +35,9 @@
 MIN_HOLDER_LINK_MBPS = 50.0
 WEAK_HOST_WAIT_S = 0.5
 RENEWAL_OVERDUE_S = 1.0
+# What tells when the grants of earlier holders have lapsed: their lease row or nothing.
+LEASE_ROW = "lease-row"
+LONGEST_LEASE = "longest-lease"
 
 
 def candidate_wait_s(cores: float, link_mbps: float) -> float:
@@ -90,19 +96,32 @@
         return now_s >= self.seen_at_s + LEASE_TTL_S
 
 
+@attrs.frozen
+class LapseBound:
+    """A monotonic time by which earlier grants have lapsed, and what tells it."""
+
+    at_s: float
+    source: str
+
+
+def longest_lease(taken_at_s: float, max_lease_s: float) -> LapseBound:
+    """Return the bound for a previous holder that may have granted until the end."""
+    last = ServerClock(read_at_s=taken_at_s, granted_ms=int(max_lease_s * 1000))
+    return LapseBound(last.lapses_at_s(), LONGEST_LEASE)
+
+
 @attrs.define
 class ShardLease:
     """Held lease; times are monotonic and count from when the renewal was sent.
 
-    ``last_grants_end_s`` is the time, by the store's clock, at which the previous
-    holder's grants have expired, or 0 if that holder did not record it. The previous
-    holder renewed the lease at ``previous_renewed_by_s`` at the latest.
+    ``earlier`` is when the grants of earlier holders have lapsed. All grants of this
+    one lapse by ``grants_lapse_by_s``, which the lease row tells the next holder.
     """
 
     fencing_token: int
     renewed_at_s: float
-    last_grants_end_s: float = 0.0
-    previous_renewed_by_s: float = math.inf
+    earlier: LapseBound = LapseBound(0.0, LONGEST_LEASE)
+    grants_lapse_by_s: float = math.inf
 
     @property
     def valid_until_s(self) -> float:
@@ -117,10 +136,6 @@
         """Return whether renewals fail, so that the store may be away."""
         return now_s >= self.renewed_at_s + RENEWAL_OVERDUE_S
 
-    def grants_lapse_by_s(self, max_lease_s: float) -> float:
-        """Return when all grants must have lapsed, on whatever clock of a server."""
-        return self.renewed_at_s + longest_grant_s(max_lease_s)
-
     def grant_until_s(
         self, now_s: float, max_lease_s: float, wants_longest: bool = False
     ) -> float:
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -1,7 +1,7 @@
 """Scheduling of one shard by the entry host that holds its lease."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 import trio
@@ -10,17 +10,8 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
-from rhubarbmount.batch.earlier_grants import (
-    CARRIED_OVER,
-    HANDED_OVER,
-    LAST_RENEWAL,
-    EarlierGrants,
-    Takeover,
-    carried_over,
-    decode_takeover,
-    longest_lease,
-)
-from rhubarbmount.batch.election import ShardLease, longest_grant_s
+from rhubarbmount.batch.earlier_grants import EarlierGrants
+from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
@@ -41,7 +32,7 @@
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.shard_rows import JobReader, LoadedShard, ShardLoader
-from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
+from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
@@ -49,7 +40,6 @@
     host_orders_row,
     request_parts,
     silent_servers_row,
-    takeover_row,
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
@@ -94,6 +84,8 @@
     link_mbps: float
     metrics: BatchMetrics
     unreadable_rows: UnreadableRows
+    # Called once the record of servers that were silent at the takeover is stored.
+    on_recorded: Callable[[], None]
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
     earlier_grants: EarlierGrants = attrs.field(init=False)
@@ -137,8 +129,7 @@
         self.command_times = HostCommandTimes(self.store.clock_s, self.bounds.lease_s)
         self.silent_servers = SilentServers(self.store.clock_s)
         self.earlier_grants = EarlierGrants(
-            longest_lease(self._started_at_s, self.bounds.max_lease_s),
-            self.silent_servers,
+            self.shard_lease.earlier, self.silent_servers
         )
         self.fleet_controller = FleetController(
             shard=self.shard,
@@ -169,12 +160,13 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._measure_lag)
             self._open_sessions(nursery)
-            await self._begin()
+            await self.committer.begin()
             loaded = await self._load()
             self._is_loaded = True
             for wave in waves.values():
                 self.put_wave(wave)
             self._requests = self._request_follower(loaded.version)
+            nursery.start_soon(self._store_first_record)
             nursery.start_soon(self.sessions.keep_record)
             nursery.start_soon(self._requests.run)
             nursery.start_soon(self._load_requests)
@@ -213,40 +205,17 @@
             self._remove_job_rows,
         )
 
-    async def _begin(self) -> None:
-        """Bar earlier holders, and note when what they granted has lapsed."""
-        if self.shard_lease.last_grants_end_s:
-            self._tighten_earlier_grants(
-                self.shard_lease.last_grants_end_s, HANDED_OVER
-            )
-        takeover = self._takeover()
-        await self.committer.begin({self._takeover_row(): takeover.encode()})
-
-    def _takeover_row(self) -> RowName:
-        return takeover_row(self.name, self.shard_lease.fencing_token)
-
-    def _takeover(self, is_recorded: bool = False) -> Takeover:
-        left_s = self.earlier_grants.bound.at_s - monotonic_s()
-        return Takeover(
-            lapses_at_s=self.store.clock_s() + left_s,
-            longest_grant_s=longest_grant_s(self.bounds.max_lease_s),
-            is_recorded=is_recorded,
-        )
-
-    def _tighten_earlier_grants(self, at_store_s: float, source: str) -> None:
-        left_s = at_store_s + READING_MARGIN_S - self.store.clock_s()
-        self.earlier_grants.tighten(monotonic_s() + left_s, source)
-
     def grants_end_s(self) -> float:
         """Return when all leases granted to servers have expired, by the store's clock.
 
-        The value is 0 until the shard is loaded, since leases granted by the previous
-        holder may still be in force, and while a job that can't be read may have runs,
-        as it is not known where.
+        The value is 0, for unknown, until the shard is loaded, since leases granted by
+        the previous holder may still be in force, and while a job that can't be read
+        may have runs, as it is not known where.
         """
         if not self._is_loaded or self.shard.unreadable_jobs.may_have_runs:
             return 0.0
-        return self.store.clock_s() + self.sessions.lapses_at_s() - monotonic_s()
+        left_s = self.sessions.lapses_at_s() - monotonic_s()
+        return self.store.latest_clock_s() + left_s
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a new version of the configuration."""
@@ -291,7 +260,6 @@
             self._load_command_times(row)
         for row in loaded.silent_servers.rows:
             await self._load_silent_servers(row)
-        self._load_earlier_grants(loaded)
         for row in loaded.waves.rows:
             self._load_wave(row)
         loaded.add_jobs(self._job_reader)
@@ -346,39 +314,17 @@
             self.unreadable_rows.report(row, error)
             self._unreadable_waves.add(number)
 
-    def _load_earlier_grants(self, loaded: LoadedShard) -> None:
-        takeover_by_token: dict[int, Takeover] = {}
-        for row in loaded.takeovers.rows:
-            try:
-                token, takeover = decode_takeover(row.name.key, row.value)
-                takeover_by_token[token] = takeover
-            except UnreadableRecord as error:
-                self.unreadable_rows.report(row, error)
-        previous_token = self.committer.previous_token
-        at_store_s = carried_over(takeover_by_token, previous_token)
-        if at_store_s is not None:
-            self._tighten_earlier_grants(at_store_s, CARRIED_OVER)
-        previous = takeover_by_token.get(previous_token)
-        if previous is not None:
-            renewed_by_s = self.shard_lease.previous_renewed_by_s
-            self.earlier_grants.tighten(
-                renewed_by_s + previous.longest_grant_s, LAST_RENEWAL
-            )
-        for row in loaded.takeovers.rows:
-            if row.name != self._takeover_row():
-                self._write_batch.remove(row.name)
-
     def _record_servers_with_tasks(self) -> None:
         """Record every server with tasks as silent, until it answers this holder."""
         now_s = monotonic_s()
         for server_id in self.shard.unknown_servers():
             bound = self.earlier_grants.bound_of(server_id, now_s)
             self.silent_servers.note(server_id, bound.at_s - now_s)
-        self._write_batch.put(
-            silent_servers_row(self.name), self.silent_servers.encode()
-        )
-        self._write_batch.put(self._takeover_row(), self._takeover(True).encode())
-        self.wake()
+
+    async def _store_first_record(self) -> None:
+        """Store the record of silent servers; then grants may last longer than it."""
+        await self._save_silent_servers()
+        self.on_recorded()
 
     async def _load_requests(self) -> None:
         """Add the jobs that no holder has seen yet, then begin to remove old ones.
--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -9,7 +9,15 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
-from rhubarbmount.batch.election import RENEWAL_PERIOD_S, LeaseWatch, ShardLease
+from rhubarbmount.batch.election import (
+    LEASE_ROW,
+    RENEWAL_PERIOD_S,
+    LapseBound,
+    LeaseWatch,
+    ShardLease,
+    longest_grant_s,
+    longest_lease,
+)
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import (
@@ -17,6 +25,7 @@
     decode_lease,
     encode_lease,
 )
+from rhubarbmount.batch.silent_servers import READING_MARGIN_S
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import LEASE_TABLE, lease_row
 from rhubarbmount.batch.unreadable_rows import UnreadableRows
@@ -45,6 +54,7 @@
     store: RowStore
     shard: str
     node_id: str
+    max_lease_s: float
     # How long this host lets others try to acquire the lease first.
     take_delay_s: float = 0.0
     unreadable_rows: UnreadableRows = attrs.field(
@@ -54,8 +64,12 @@
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
     _version: int = 0
-    _last_grants_end_s: float = 0.0
-    _previous_renewed_by_s: float = 0.0
+    # Until when grants last by the row of the last holder, on the store's clock, and by
+    # the lease that is being written, with the same as a monotonic time.
+    _earlier_end_s: float = 0.0
+    _lapse_by_s_by_end: dict[float, float] = attrs.field(factory=dict)
+    _may_extend: bool = False
+    _renew_now: trio.Event = attrs.field(factory=trio.Event)
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_loaded: bool = False
     _is_failing: bool = False
@@ -125,38 +139,82 @@
     async def _try_take(self) -> ShardLease | None:
         seen = self.watch.lease
         fencing_token = 1 if seen is None else seen.fence + 1
-        self._last_grants_end_s = 0.0 if seen is None else seen.grants_end_s
-        self._previous_renewed_by_s = self.watch.seen_at_s
-        lease = LeaseRow(self.node_id, self.incarnation, fencing_token)
         sent_s = monotonic_s()
+        earlier = self._note_earlier_grants(seen, sent_s)
+        lease = LeaseRow(
+            self.node_id,
+            self.incarnation,
+            fencing_token,
+            grants_end_s=self._note_grants_end(sent_s),
+        )
+        taken = ShardLease(fencing_token, sent_s, earlier, 0.0)
         try:
             version = await self.store.commit(
                 {lease_row(self.shard): self.watch.version},
                 {lease_row(self.shard): encode_lease(lease)},
             )
         except RowConflict as error:
-            return self._resolve_conflict(error, lease, sent_s)
+            return self._resolve_conflict(error, lease, taken)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._note_failure("lease-not-taken", error.code)
-            return await self._await_outcome(lease, sent_s)
-        return self._note_acquired(fencing_token, version, sent_s)
+            return await self._await_outcome(lease, taken)
+        return self._note_acquired(taken, lease, version)
+
+    def _note_earlier_grants(self, seen: LeaseRow | None, now_s: float) -> LapseBound:
+        """Note until when earlier holders' grants last, by their row if it says so."""
+        self._may_extend = False
+        self._lapse_by_s_by_end.clear()
+        bound = longest_lease(now_s, self.max_lease_s)
+        self._earlier_end_s = self.store.latest_clock_s() + bound.at_s - now_s
+        if seen is None or not seen.grants_end_s:
+            return bound
+        # Older builds did not allow for late readings of the clock at a planned stop.
+        margin_s = READING_MARGIN_S if seen.is_released else 0.0
+        left_s = seen.grants_end_s + margin_s - self.store.clock_s()
+        if left_s > bound.at_s - now_s:
+            return bound
+        self._earlier_end_s = seen.grants_end_s + margin_s
+        return LapseBound(now_s + left_s, LEASE_ROW)
+
+    def _note_grants_end(self, sent_s: float) -> float:
+        """Return until when all grants will last, by the store's clock, for the row.
+
+        Until the record of silent servers is stored it is when those of earlier holders
+        end, so that the next holder need not wait longer for this one. If these have
+        ended, nothing is carried over.
+        """
+        latest_clock_s = self.store.latest_clock_s()
+        end_s = latest_clock_s + longest_grant_s(self.max_lease_s)
+        has_earlier = self._earlier_end_s > self.store.clock_s()
+        if has_earlier and (not self._may_extend or self._earlier_end_s > end_s):
+            end_s = self._earlier_end_s
+        self._lapse_by_s_by_end[end_s] = sent_s + end_s - latest_clock_s
+        return end_s
+
+    def extend_grants(self) -> None:
+        """Let grants last longer than those of earlier holders, with the next renewal.
+
+        What earlier holders granted must be on record by server before.
+        """
+        self._may_extend = True
+        self._renew_now.set()
 
     async def _await_outcome(
-        self, wanted: LeaseRow, sent_s: float
+        self, wanted: LeaseRow, taken: ShardLease
     ) -> ShardLease | None:
         """Wait for an unanswered write to appear in the change feed, if applied."""
         with trio.move_on_after(OUTCOME_WAIT_S):
             while True:
                 changed = self._changed
                 if self.watch.lease == wanted:
-                    return self._note_acquired(wanted.fence, self.watch.version, sent_s)
+                    return self._note_acquired(taken, wanted, self.watch.version)
                 if not self.watch.may_take(monotonic_s()):
                     return None
                 await changed.wait()
         return None
 
     def _resolve_conflict(
-        self, error: RowConflict, wanted: LeaseRow, sent_s: float
+        self, error: RowConflict, wanted: LeaseRow, taken: ShardLease
     ) -> ShardLease | None:
         """Return the lease if the conflicting row is our own, else None.
 
@@ -167,9 +225,7 @@
                 continue
             self._note_row(row)
             if row.version and self._decode(row) == wanted:
-                return self._note_acquired(
-                    wanted.fence, row.version, self.watch.seen_at_s
-                )
+                return self._note_acquired(taken, wanted, row.version)
         return None
 
     def _note_failure(self, event: str, code: str) -> None:
@@ -179,19 +235,21 @@
             log.event(logger, event, logging.WARNING, shard=self.shard, code=code)
 
     def _note_acquired(
-        self, fencing_token: int, version: int, sent_s: float
+        self, taken: ShardLease, lease: LeaseRow, version: int
     ) -> ShardLease:
         self._version = version
         self._is_failing = False
+        taken.grants_lapse_by_s = self._lapse_by_s_by_end[lease.grants_end_s]
         log.event(
-            logger, "lease-won", shard=self.shard, fence=fencing_token, version=version
-        )
-        return ShardLease(
-            fencing_token,
-            sent_s,
-            self._last_grants_end_s,
-            self._previous_renewed_by_s,
+            logger,
+            "lease-won",
+            shard=self.shard,
+            fence=taken.fencing_token,
+            version=version,
+            earlier_lapse_in_s=taken.earlier.at_s - monotonic_s(),
+            bound=taken.earlier.source,
         )
+        return taken
 
     async def renew_until_lost(self, shard_lease: ShardLease) -> None:
         """Renew the lease until another process takes it, then raise LeaseLost.
@@ -199,19 +257,37 @@
         The lease counts from the first attempt since the last success, as any of the
         attempts may be the one that the store carried out.
         """
-        lease = LeaseRow(self.node_id, self.incarnation, shard_lease.fencing_token)
         first_sent_s: float | None = None
         while True:
             sent_s = monotonic_s()
             first_sent_s = sent_s if first_sent_s is None else first_sent_s
-            if await self._renew(lease):
-                shard_lease.renewed_at_s = first_sent_s
-                first_sent_s = None
-                await trio.sleep(RENEWAL_PERIOD_S)
-            else:
+            lease = LeaseRow(
+                self.node_id,
+                self.incarnation,
+                shard_lease.fencing_token,
+                grants_end_s=self._note_grants_end(sent_s),
+            )
+            stored = await self._renew(lease)
+            if stored is None:
                 await trio.sleep(RETRY_S)
+                continue
+            self._apply_renewal(shard_lease, stored, first_sent_s)
+            first_sent_s = None
+            with trio.move_on_after(RENEWAL_PERIOD_S):
+                await self._renew_now.wait()
+            self._renew_now = trio.Event()
+
+    def _apply_renewal(
+        self, shard_lease: ShardLease, stored: LeaseRow, sent_s: float
+    ) -> None:
+        """Count the lease from ``sent_s``, and its grants as the stored row says."""
+        shard_lease.renewed_at_s = sent_s
+        lapse_by_s = self._lapse_by_s_by_end[stored.grants_end_s]
+        shard_lease.grants_lapse_by_s = max(shard_lease.grants_lapse_by_s, lapse_by_s)
+        self._lapse_by_s_by_end = {stored.grants_end_s: lapse_by_s}
 
-    async def _renew(self, lease: LeaseRow) -> bool:
+    async def _renew(self, lease: LeaseRow) -> LeaseRow | None:
+        """Return the lease as it is stored now, or None if that is not known."""
         name = lease_row(self.shard)
         try:
             self._version = await self.store.commit(
@@ -220,25 +296,33 @@
                 timeout_s=RENEWAL_TIMEOUT_S,
             )
         except RowConflict as error:
-            self._resolve_renewal_conflict(error, lease)
+            lease = self._resolve_renewal_conflict(error, lease)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._note_failure("lease-not-renewed", error.code)
-            return False
+            return None
         self._is_failing = False
-        return True
+        return lease
 
-    def _resolve_renewal_conflict(self, error: RowConflict, lease: LeaseRow) -> None:
+    def _resolve_renewal_conflict(
+        self, error: RowConflict, lease: LeaseRow
+    ) -> LeaseRow:
+        """Return the row that an earlier attempt has stored. Raises LeaseLost."""
         for row in error.rows:
             if row.name != lease_row(self.shard) or not row.version:
                 continue
-            if self._decode(row) == lease:
+            found = self._decode(row)
+            if attrs.evolve(found, grants_end_s=lease.grants_end_s) == lease:
                 self._version = row.version
-                return
+                return found
         log.event(logger, "lease-lost", logging.WARNING, shard=self.shard)
         raise LeaseLost(f"lease of {self.shard} was taken by another process")
 
     async def release(self, shard_lease: ShardLease, grants_end_s: float = 0.0) -> None:
-        """Release the lease, so that the next holder need not wait for it to expire."""
+        """Release the lease, so that the next holder need not wait for it to expire.
+
+        If ``grants_end_s`` is 0, the row goes on saying when all grants end.
+        """
+        grants_end_s = grants_end_s or max(self._lapse_by_s_by_end)
         name = lease_row(self.shard)
         lease = LeaseRow(
             self.node_id,
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -97,7 +97,12 @@
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
         self.lease_manager = LeaseManager(
-            self.store, shard, self.settings.node_id, wait_s, self.unreadable_rows
+            self.store,
+            shard,
+            self.settings.node_id,
+            self.settings.bounds.max_lease_s,
+            wait_s,
+            self.unreadable_rows,
         )
         self.operator_rows = TableFollower(
             self.store, OPERATOR_TABLE, ("",), self._apply_operator_rows
@@ -273,6 +278,7 @@
             link_mbps=settings.link_mbps,
             metrics=self.metrics,
             unreadable_rows=self.unreadable_rows,
+            on_recorded=self.lease_manager.extend_grants,
         )
 
     # Readiness and shutdown.
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -67,8 +67,8 @@
     """The lease row of a shard, which names its holder.
 
     ``incarnation`` distinguishes successive processes of the same holder.
-    ``grants_end_s`` is written by a holder that hands over: the time on the store's
-    clock by which all its grants to backend servers have lapsed, 0 if unknown.
+    ``grants_end_s`` is the time on the store's clock by which all grants to backend
+    servers will have lapsed, of this holder and earlier ones; 0 if unknown.
     """
 
     holder: str
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -5,8 +5,7 @@
 import attrs
 
 from rhubarbmount.batch.clocks import ServerClock
-from rhubarbmount.batch.earlier_grants import LapseBound
-from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.election import LapseBound, ShardLease
 
 __all__ = [
     "ServerLease",
@@ -51,13 +50,11 @@
         if not self.clock.is_known or self.consecutive_failures:
             return None
         until_s = self.shard_lease.grant_until_s(now_s, self.max_lease_s, is_late)
-        lapse_by_s = self.shard_lease.grants_lapse_by_s(self.max_lease_s)
+        lapse_by_s = self.shard_lease.grants_lapse_by_s
         if self.recorded_lapse_s is not None:
             lapse_by_s = min(lapse_by_s, self.recorded_lapse_s)
-            if self.clock.latest_grant_s(lapse_by_s) <= now_s:
-                return None
         until_s = min(until_s, self.clock.latest_grant_s(lapse_by_s))
-        return self.clock.grant(until_s, now_s)
+        return self.clock.grant(until_s, now_s) if until_s > now_s else None
 
     def start_expiry_ms(self, now_s: float, is_late: bool = False) -> int:
         """Return the expiry of a start command; a silent server gets no later one."""
@@ -72,8 +69,10 @@
         """Return whether a start command may be sent now."""
         if not self.clock.is_known or not self.is_reachable:
             return self.clock.is_known
-        limit_s = self.recorded_lapse_s
-        return limit_s is None or now_s + MIN_START_LEASE_S < limit_s
+        limit_s = self.shard_lease.grants_lapse_by_s
+        if self.recorded_lapse_s is not None:
+            limit_s = min(limit_s, self.recorded_lapse_s)
+        return now_s + MIN_START_LEASE_S < limit_s
 
     def lapses_at_s(self) -> float:
         """Return the time by which nothing started on the server can still run."""
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -18,7 +18,6 @@
     REQUESTS_TABLE,
     SILENT_SERVERS_TABLE,
     SPECS_TABLE,
-    TAKEOVERS_TABLE,
     WAVES_TABLE,
     request_parts,
 )
@@ -45,7 +44,6 @@
     WAVES_TABLE,
     HOST_ORDERS_TABLE,
     SILENT_SERVERS_TABLE,
-    TAKEOVERS_TABLE,
 )
 RETRY_S = 0.1
 # A lost answer costs little, and a slow link gets enough time, as timeouts double.
@@ -70,7 +68,6 @@
     waves: Page
     command_times: Page
     silent_servers: Page
-    takeovers: Page
     servers: Page
 
     @property
@@ -192,7 +189,6 @@
             waves=page_by_table[WAVES_TABLE],
             command_times=page_by_table[HOST_ORDERS_TABLE],
             silent_servers=page_by_table[SILENT_SERVERS_TABLE],
-            takeovers=page_by_table[TAKEOVERS_TABLE],
             servers=page_by_table[SERVERS_TABLE],
         )
 
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -23,8 +23,6 @@
     "shard_of",
     "silent_servers_row",
     "spec_row",
-    "takeover_row",
-    "TAKEOVERS_TABLE",
     "wave_row",
 ]
 
@@ -36,7 +34,6 @@
 HOST_ORDERS_TABLE = "host-orders"
 KEPT_ENDS_TABLE = "kept-ends"
 SILENT_SERVERS_TABLE = "silent-servers"
-TAKEOVERS_TABLE = "takeovers"
 CANCEL_SUFFIX = ".cancel"
 REQUEST_PART_COUNT = 8
 
@@ -116,11 +113,6 @@
     return RowName(SILENT_SERVERS_TABLE, shard, "last")
 
 
-def takeover_row(shard: str, fencing_token: int) -> RowName:
-    """Return the row of a holder that has not stored its record of servers yet."""
-    return RowName(TAKEOVERS_TABLE, shard, str(fencing_token))
-
-
 def wave_row(shard: str, number: int) -> RowName:
     """Return the row of a wave's progress."""
     return RowName(WAVES_TABLE, shard, str(number))
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -39,6 +39,7 @@
 
 MIN_WRITE_TIMEOUT_S = 0.25
 MAX_WRITE_TIMEOUT_S = 1.5
+CLOCK_RESOLUTION_S = 0.001
 WRITE_TIMEOUT_FACTOR = 6.0
 READ_TIMEOUT_S = 1.5
 # For reads of many rows, which a slow link may take long to carry.
@@ -136,6 +137,27 @@
         self.timeout_s = min(MAX_WRITE_TIMEOUT_S, self.timeout_s * 2)
 
 
+@attrs.define
+class ClockOffset:
+    """Bounds on the store's clock less the local one, from all of its responses."""
+
+    least_s: float = 0.0
+    most_s: float = 0.0
+    _is_known: bool = False
+
+    def note(self, clock_ms: int, sent_s: float, read_s: float) -> None:
+        """Record a reading that was made between a request and its response."""
+        least_s = clock_ms / 1000 - read_s
+        most_s = clock_ms / 1000 + CLOCK_RESOLUTION_S - sent_s
+        has_drifted = least_s > self.most_s or most_s < self.least_s
+        if has_drifted or not self._is_known:
+            self.least_s, self.most_s = least_s, most_s
+        else:
+            self.least_s = max(self.least_s, least_s)
+            self.most_s = min(self.most_s, most_s)
+        self._is_known = True
+
+
 @attrs.define(eq=False)
 class RowStore:
     """Client for the store.
@@ -150,12 +172,15 @@
     observe: Callable[[str, str, float], None] = lambda call, outcome, took_s: None
     health: StoreHealth = attrs.field(factory=StoreHealth)
     write_timeout: AdaptiveTimeout = attrs.field(factory=AdaptiveTimeout)
-    _clock_ms: int = 0
-    _clock_read_at_s: float = 0.0
+    _clock: ClockOffset = attrs.field(factory=ClockOffset)
 
     def clock_s(self) -> float:
-        """Return the store's monotonic clock, extrapolated from its last response."""
-        return self._clock_ms / 1000 + monotonic_s() - self._clock_read_at_s
+        """Return what the store's monotonic clock reads at least."""
+        return monotonic_s() + self._clock.least_s
+
+    def latest_clock_s(self) -> float:
+        """Return what the store's monotonic clock reads at most."""
+        return monotonic_s() + self._clock.most_s
 
     async def commit(
         self,
@@ -252,7 +277,7 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
     ) -> JsonResponse:
-        started_s = trio.current_time()
+        started_s, sent_s = trio.current_time(), monotonic_s()
         name = target.partition("?")[0].removeprefix("/")
         try:
             response = await self.client.call(
@@ -268,8 +293,8 @@
         self.health.note_response()
         if "now_ms" in response.body:
             with decoding_response():
-                self._clock_ms = int(response.body["now_ms"])
-                self._clock_read_at_s = monotonic_s()
+                now_ms = int(response.body["now_ms"])
+                self._clock.note(now_ms, sent_s, monotonic_s())
         return response
 
 
--- a/tests/batch/test_cleared_record.py
+++ b/tests/batch/test_cleared_record.py
@@ -7,8 +7,7 @@
 
 from rhubarbmount.batch import clocks
 from rhubarbmount.batch.catalogue import Catalogue
-from rhubarbmount.batch.earlier_grants import longest_lease
-from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.election import ShardLease, longest_lease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -6,8 +6,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch import clocks
-from rhubarbmount.batch.earlier_grants import longest_lease
-from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.election import ShardLease, longest_lease
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server, Task, TaskId
 from rhubarbmount.batch.server_commands import (
