Show that paused holders and hand-overs with commands under way send nothing twice

Tests only; both held from the start. In simulated time a paused process sends what it had decided once it goes on, whatever its timeouts were, and reads responses late. Commands to hosts of two holders are checked for the platform's pause between them.

--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -66,6 +66,9 @@
     # Time of its processor or link that each call takes from a node, one after another;
     # half of it to send the request and half to read the response.
     call_cost_s_by_node: dict[str, float] = attrs.field(factory=dict)
+    # Time until which a node is paused. What it had decided to send goes out after it,
+    # whatever its timeouts were, and responses are read after it.
+    paused_until_s_by_node: dict[str, float] = attrs.field(factory=dict)
     # Bandwidth of a node's own link, which its responses share.
     link_bytes_per_s_by_node: dict[str, float] = attrs.field(factory=dict)
     # Pairs of a node, or "*" for all nodes, and the address of a backend server that
@@ -94,6 +97,7 @@
     ) -> JsonResponse:
         with trio.move_on_after(timeout_s):
             await self._occupy_host()
+            await self._await_resumption()
             if not may_send():
                 raise PlatformUnavailable("not sent", code="expired")
             await trio.sleep(LATENCY_S)
@@ -101,6 +105,7 @@
             await trio.sleep(LATENCY_S)
             await self._occupy_link(response)
             await self._occupy_host()
+            await self._await_resumption()
             return response
         raise OutcomeUnknown("no answer in time", code="timeout")
 
@@ -110,6 +115,12 @@
             async with self._host:
                 await trio.sleep(cost_s / 2)
 
+    async def _await_resumption(self) -> None:
+        paused_until_s = self.world.faults.paused_until_s_by_node.get(self.node_id, 0.0)
+        if trio.current_time() < paused_until_s:
+            with trio.CancelScope(shield=True):
+                await trio.sleep_until(paused_until_s)
+
     async def _occupy_link(self, response: JsonResponse) -> None:
         bytes_per_s = self.world.faults.link_bytes_per_s_by_node.get(self.node_id)
         if bytes_per_s is None:
