--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -28,7 +28,11 @@
 
 
 @placement_filters.register("label")
-def _has_label(usage: ServerUsage, step: Step, task: Task) -> bool:
+def _accepts_label(usage: ServerUsage, step: Step, task: Task) -> bool:
+    return _has_label(usage, step)
+
+
+def _has_label(usage: ServerUsage, step: Step) -> bool:
     return not step.label or step.label in usage.server.labels
 
 
@@ -103,15 +107,49 @@
             if usage.is_open(now_s)
         )
         assignments: list[Assignment] = []
+        held_by_pool: dict[str, ServerUsage] = {}
         for step_key in self._steps_by_urgency():
             job = self.shard.job_by_id[step_key[0]]
             pool = self.shard.pool_of(job.spec)
             servers = servers_by_pool.get(pool, OpenServers())
+            if pool in held_by_pool and not job.spec.steps[step_key[2]].is_long_running:
+                servers.usages.remove(held_by_pool.pop(pool))
             assignments.extend(self._place_step(job, step_key, servers, now_s))
             if step_key in self.shard.waiting_by_step:
                 self._note_shortage(pool, job, step_key)
+                held = self._server_to_hold(job, step_key, servers)
+                if held is not None:
+                    held_by_pool.setdefault(pool, held)
         return assignments
 
+    def _server_to_hold(
+        self, job: Job, step_key: StepKey, servers: OpenServers
+    ) -> ServerUsage | None:
+        """Return the server that has room for a long-running task soonest.
+
+        Short tasks are kept from it, as they would take each piece that becomes free.
+        """
+        step = job.spec.steps[step_key[2]]
+        if not step.is_long_running or step.is_gang or step.needs_one_rack:
+            return None
+        task = next(iter(self.shard.waiting_by_step[step_key].values()))
+        candidates = [
+            usage
+            for usage in self._eligible(servers.usages, job, step_key)
+            if usage.fits_among_long_running(step)
+            and _has_label(usage, step)
+            and _is_below_max_per_server(usage, step, task)
+        ]
+        return max(
+            candidates,
+            key=lambda usage: (
+                not usage.is_due,
+                usage.free_cpu_millicores,
+                usage.server.id,
+            ),
+            default=None,
+        )
+
     def _steps_by_urgency(self) -> list[StepKey]:
         known = self._latest_start_by_step
         self._latest_start_by_step = {
@@ -160,11 +198,8 @@
         if step.is_gang and len(tasks) < step.count:
             return []
         candidates = self._eligible(servers.with_capacity(step), job, step_key)
-        if step.needs_one_rack and candidates:
-            rack = _rack_with_most_free_cpu(
-                self._eligible(servers.usages, job, step_key)
-            )
-            candidates = [usage for usage in candidates if usage.server.rack == rack]
+        if step.needs_one_rack:
+            candidates = _on_best_rack(candidates, step)
         candidates.sort(key=lambda usage: _preference_key(usage, step))
         assignments = [
             self._place_task(task, step, candidates, now_s) for task in tasks
@@ -205,13 +240,31 @@
             task.checkpoint = checkpoint
         return [Assignment(task.id, run, task.server_id) for task in tasks]
 
+    def _lacks_server(self, pool: str, step: Step) -> bool:
+        """Return whether only another server can run a task that waits.
+
+        Long-running tasks do not end, so that processor time which they leave in pieces
+        never does the work of another one. An idle server shows that more do not help.
+        """
+        if not step.is_long_running and not step.fills:
+            return False
+        return not any(
+            not step.is_long_running
+            or usage.is_idle
+            or usage.fits_among_long_running(step)
+            for usage in self.shard.usage_by_server_id.values()
+            if usage.server.service == pool and usage.stays
+        )
+
     def _note_shortage(self, pool: str, job: Job, step_key: StepKey) -> None:
         step = job.spec.steps[step_key[2]]
         run_time_s = self.shard.expected_run_time(job.spec, step_key[2]).expected_s
         count = len(self.shard.waiting_by_step[step_key])
         previous = self.shortage_by_pool.get(pool, Shortage())
         cpu = 0 if step.fills else step.cpu_millicores
-        servers_needed = -(-count // step.max_per_server) if step.max_per_server else 0
+        servers_needed = int(self._lacks_server(pool, step))
+        if step.max_per_server:
+            servers_needed = -(-count // step.max_per_server)
         self.shortage_by_pool[pool] = Shortage(
             previous.cpu_millicores + cpu * count,
             max(previous.servers, servers_needed),
@@ -238,9 +291,18 @@
     )
 
 
-def _rack_with_most_free_cpu(usages: list[ServerUsage]) -> str:
-    free_by_rack: dict[str, int] = {}
-    for usage in usages:
-        free = free_by_rack.get(usage.server.rack, 0) + usage.free_cpu_millicores
-        free_by_rack[usage.server.rack] = free
-    return max(free_by_rack, key=lambda rack: (free_by_rack[rack], rack))
+def _on_best_rack(usages: list[ServerUsage], step: Step) -> list[ServerUsage]:
+    """Return the servers on the rack that takes most tasks of a step.
+
+    Each of ``usages`` has capacity for one. Among equals it is the rack where they have
+    the most free processor time.
+    """
+    best_rack, best = None, (0, 0, "")
+    for rack in {usage.server.rack for usage in usages}:
+        on_rack = [usage for usage in usages if usage.server.rack == rack]
+        accepting = [usage for usage in on_rack if _has_label(usage, step)]
+        places = min(step.count, sum(usage.places_for(step) for usage in accepting))
+        free = sum(usage.free_cpu_millicores for usage in accepting)
+        if (places, free, rack) > best:
+            best_rack, best = rack, (places, free, rack)
+    return [usage for usage in usages if usage.server.rack == best_rack]
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -278,8 +278,8 @@
         task.state = TaskState.WAITING
         task.server_id = ""
         task.is_stopping = False
-        job = self.job_by_id[task.id.job_id]
-        if not job.state.is_final:
+        job = self.job_by_id.get(task.id.job_id)
+        if job is not None and not job.state.is_final:
             self._add_waiting(task)
             self.dirty.add(task.id.job_id)
 
@@ -446,6 +446,8 @@
         for task in self._tasks_by_unknown_server_id.pop(server.id, ()):
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
                 usage.add(task, self.step_of(task.id))
+                if task.is_stopping:
+                    self.stop_run(task)
         return usage
 
     def lose_server(self, server_id: str, now_s: float) -> int:
