Show that older configurations and lapsed server rows do no harm at a restart

A queue that was withdrawn stays so when its row returns by the feed or in the table read anew. Runs on servers whose rows are gone while all entry hosts restart begin again once at most, after their leases.

--- a/tests/batch/test_takeovers.py
+++ b/tests/batch/test_takeovers.py
@@ -8,11 +8,13 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch.tables import request_parts, request_row, shard_of, spec_row
+from rhubarbmount.standins.users_servers import TaskWork
 from tests.batch.checkers import JobChecker
 from tests.batch.test_days import (
     POOLS,
     SPARE,
     job,
+    long_running_job,
     open_day,
     short_wide_job,
     start_platform,
@@ -156,3 +158,69 @@
         assert leaving.server not in started_on
         assert gone not in started_on
         assert checker.breaches == []
+
+
+# The store shows an older configuration again, in the feed or in the table read anew.
+@pytest.mark.parametrize("is_history_gone", [False, True])
+async def test_a_withdrawn_queue_stays_withdrawn_when_an_older_row_returns(
+    monkeypatch, autojump_clock, is_history_gone
+):
+    async with open_day(monkeypatch, 4, nodes="ab") as (world, checker):
+        routes = [route("/one/", "one"), route("/two/", "two")]
+        world.platform.put_catalogue(catalogue(3, routes[:1], POOLS, SPARE))
+        await trio.sleep(0.5)
+        world.platform.put_catalogue(catalogue(2, routes, POOLS, SPARE))
+        if is_history_gone:
+            world.platform.store.drop_history()
+        await trio.sleep(3.0)
+        world.kill_node(world.holders()[0])
+        await trio.sleep(4.0)
+        assert (await world.call("GET", "/two/"))[0] == 404
+        assert await submit(world, checker, "/one/", job(world.generator))
+        assert world.holders()
+
+
+def job_of_one_step(generator: random.Random, count: int, work_s: float):
+    estimate_ms = int(work_s * 1000)
+    phase = {"count": count, "cpu": 500, "mem_mb": 200, "estimate_ms": estimate_ms}
+    job_id = f"{generator.getrandbits(64):016x}"
+    return job_id, [phase], [TaskWork(work_s, 500, 200)]
+
+
+def has_run_of(machine, job_id: str) -> bool:
+    runs = machine.server.run_by_task if machine.server else ()
+    return any(job_id in str(task) for task in runs)
+
+
+# The rows of servers lapse while all entry hosts restart, and return or not.
+@pytest.mark.parametrize("returns_after_s", [None, 0.5, 3.0, 11.0])
+async def test_runs_on_servers_without_a_row_at_a_restart_begin_again_once_at_most(
+    monkeypatch, autojump_clock, returns_after_s
+):
+    async with open_day(monkeypatch, 5, nodes="ab") as (world, checker):
+        lasting = long_running_job(world.generator)
+        assert await submit(world, checker, "/one/", lasting)
+        await trio.sleep(1.0)
+        machines = world.platform.machine_by_id.values()
+        # Keeps a server with room in the pool, where a run could begin again too soon.
+        room = job_of_one_step(world.generator, 6, 6.0)
+        assert await submit(world, checker, "/one/", room)
+        await trio.sleep(0.5)
+        busy = [machine for machine in machines if has_run_of(machine, lasting[0])]
+        assert len(busy) == 2
+        for name in "ab":
+            world.kill_node(name)
+        for machine in busy:
+            world.platform.store.remove("servers", machine.server.id)
+        for name in "cd":
+            world.start_node(name)
+        if returns_after_s is not None:
+            await trio.sleep(returns_after_s)
+            for machine in busy:
+                world.platform.register(machine, "ready")
+        await trio.sleep(25.0)
+        running = [task for task, runs in checker.running.items() if runs]
+        assert len(running) == 2
+        starts = sum(lasting[0] in task for task in checker.starts)
+        assert starts == 2 if returns_after_s == 0.5 else starts <= 4
+        assert checker.breaches == []
