Show that a pause and an unknown run hold nothing up for long

The pause after an earlier holder's command to a host is stored as a time: after two takeovers within it, the last holder sends its command at once. An unknown run closes its server only until it has been stopped. Planted fault: without the command to stop it, the task that lasts had not started 1 s after it came.

--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -202,3 +202,60 @@
             await trio.sleep(0.9)
             world.faults.store_refuses = False
         assert trio.current_time() < killed_at_s + 10.0
+
+
+# Guards against a pause after a command to a host that each takeover begins anew.
+async def test_the_pause_after_a_command_ends_through_takeovers(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch, 1) as world:
+        checker = JobChecker(world)
+        start_one_pool(world, 0)
+        world.platform.add_machine("m-rest", SPARE, "r0")
+        for name in "abcd":
+            world.start_node(name)
+        await trio.sleep(1.0)
+        # The first holder notes and sends a command, which does not arrive.
+        world.faults.machine_command_delay_s = 1000.0
+        new_job = job(world.generator)
+        assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(0.4)
+        noted_at_s = trio.current_time()
+        world.kill_node(world.holders()[0])
+        world.faults.machine_command_delay_s = 0.0
+        while not world.holders():
+            await trio.sleep(0.01)
+        await trio.sleep(0.3)
+        world.kill_node(world.holders()[0])
+        while new_job[0] not in checker.started:
+            await trio.sleep(0.1)
+        first_sent_s = world.platform.machine_commands[0][0]
+        # The last holder, which begins beyond the pause, need not wait.
+        assert 4.0 < first_sent_s - noted_at_s < 6.0
+        assert checker.breaches == []
+
+
+# Guards against a server that an unknown run closes for ever.
+async def test_a_server_with_an_unknown_run_is_soon_open_again(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch, 1) as world:
+        checker = JobChecker(world)
+        start_one_pool(world)
+        world.start_node("a")
+        await trio.sleep(1.0)
+        known, unknown = (wide_job(world.generator, 30.0) for _ in range(2))
+        lasting = long_running_job(world.generator)
+        known[1][0]["count"] = 1
+        world.add_work(*unknown)
+        assert await submit(world, checker, "/one/", known)
+        await trio.sleep(0.5)
+        [server] = world.platform.server_by_address.values()
+        expires_ms = server.clock_ms() + 3000
+        body = {"task_id": f"{unknown[0]}.0.0.0", "run_id": 1, "expires_ms": expires_ms}
+        response = await server.handle("/run-start", "", {**body, "fencing_token": 1})
+        assert response.status == 200
+        await trio.sleep(2.0)
+        assert await submit(world, checker, "/one/", lasting)
+        await trio.sleep(1.0)
+        assert lasting[0] in checker.started
