--- a/tests/batch/test_earlier_grants.py
+++ b/tests/batch/test_earlier_grants.py
@@ -9,18 +9,17 @@
     LapseBound,
     Takeover,
     carried_over,
-    decode_takeovers,
+    decode_takeover,
     longest_lease,
 )
 from rhubarbmount.batch.election import ShardLease, longest_grant_s
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.server_lease import MIN_START_LEASE_S, ServerLease
 from rhubarbmount.batch.silent_servers import (
     MAX_SERVERS,
     READING_MARGIN_S,
     SilentServers,
 )
-from rhubarbmount.batch.tables import takeover_row
-from rhubarbmount.platform.rows import Row, RowName
 from tests.batch.checkers import LOST_AFTER_FAULT_S
 
 MAX_LEASE_S = 10.0
@@ -62,16 +61,25 @@
     assert carried_over(takeovers("t3", t3=18.0, t4=20.0), 4) == 20.0
 
 
-def test_takeovers_are_read_back():
+def test_takeover_is_read_back():
     takeover = Takeover(20.0, 9.0)
-    row = Row(takeover_row("shard", 7), takeover.encode(), 1)
-    assert decode_takeovers([row]) == {7: takeover}
-
-
-@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"lapses_at_s": "x"}', b"\xff"])
-def test_unreadable_takeovers_are_left_out(value):
-    assert decode_takeovers([Row(takeover_row("shard", 7), value, 1)]) == {}
-    assert decode_takeovers([Row(RowName("takeovers", "s", "x"), b"{}", 1)]) == {}
+    assert decode_takeover("7", takeover.encode()) == (7, takeover)
+
+
+@pytest.mark.parametrize(
+    ("token", "value"),
+    [
+        ("7", b""),
+        ("7", b"[]"),
+        ("7", b"{}"),
+        ("7", b'{"lapses_at_s": "x", "longest_grant_s": 9.0}'),
+        ("7", b"\xff"),
+        ("x", Takeover(20.0, 9.0).encode()),
+    ],
+)
+def test_takeover_that_cannot_be_read_is_told(token, value):
+    with pytest.raises(UnreadableRecord):
+        decode_takeover(token, value)
 
 
 # Guards against TWICE: a holder that is cut off from the store grants on for a while,
