Ask the advice service about servers that can help, tasks that last first

Callers of queues with advice would see tasks wait for long, or for ever, although a server that may run them has room:

- Always the same 30 servers of a pool were asked about, those with most room.
If none of them may run a step, it was never started.
- Nothing more was asked while a step had any ticket.
A task that had lost its server waited until the ticket for that server expired, and a gang that needs more servers than one call names was never started.
- Steps were asked about in the order in which they began to wait.
Those that no server may run came again each second, before all later ones.

Ruled out: the placing; it takes every server with a ticket.

A step now asks while the servers that it has tickets for lack room for its waiting tasks, about servers that have not refused it, at most once a second, and after steps without tickets.

--- a/rhubarbmount/batch/tickets.py
+++ b/rhubarbmount/batch/tickets.py
@@ -1,10 +1,13 @@
 """Tickets for starting steps of queues that use the advice service."""
 
 import logging
+import math
 
 import attrs
 
 from rhubarbmount import log
+from rhubarbmount.batch.model import Step
+from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard, StepKey
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.advice import AdviceClient
@@ -27,6 +30,8 @@
     tickets_by_step: dict[StepKey, dict[str, str]] = attrs.field(factory=dict)
     _expires_at_s: dict[tuple[StepKey, str], float] = attrs.field(factory=dict)
     _requested_at_s: dict[StepKey, float] = attrs.field(factory=dict)
+    # Servers that may not run a step; this does not change.
+    _refused_by_step: dict[StepKey, set[str]] = attrs.field(factory=dict)
 
     def find(self, key: StepKey, server_id: str) -> str:
         """Return a ticket, or an empty string if there is none."""
@@ -38,18 +43,23 @@
         self._requested_at_s.pop(key, None)
 
     async def ask(self, shard: Shard, now_s: float) -> bool:
-        """Request tickets for the next step that has none; return whether any came."""
+        """Request tickets for the step that needs them most; return whether any came.
+
+        A step needs them while servers that it has tickets for lack room for its tasks.
+        """
         self._expire(now_s)
-        key = self._next_step(shard, now_s)
+        self._forget_refusals(shard)
+        key, servers = self._next_request(shard, now_s)
         if key is None:
             return False
-        self._requested_at_s[key] = now_s
-        servers = self._candidates(shard, key, now_s)
         try:
-            tickets = await self.client.ask(*key, servers) if servers else []
+            tickets = await self.client.ask(*key, servers)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.event(logger, "no-advice", logging.WARNING, job=key[0], code=error.code)
             return False
+        granted = {ticket.server_id for ticket in tickets}
+        refused = self._refused_by_step.setdefault(key, set())
+        refused.update(server_id for server_id in servers if server_id not in granted)
         ticket_by_server_id = self.tickets_by_step.setdefault(key, {})
         for ticket in tickets:
             ticket_by_server_id[ticket.server_id] = ticket.text
@@ -65,29 +75,76 @@
                 del self._expires_at_s[key, server_id]
                 self.drop(key, server_id)
 
-    def _next_step(self, shard: Shard, now_s: float) -> StepKey | None:
-        for key in shard.waiting_by_step:
-            queue = shard.queue_of(shard.job_by_id[key[0]].spec)
-            if queue is None or not queue.has_advice or self.tickets_by_step.get(key):
-                continue
-            if (
-                now_s - self._requested_at_s.get(key, -RETRY_INTERVAL_S)
-                >= RETRY_INTERVAL_S
-            ):
-                return key
-        return None
-
-    @staticmethod
-    def _candidates(shard: Shard, key: StepKey, now_s: float) -> list[str]:
+    def _forget_refusals(self, shard: Shard) -> None:
+        for key in [k for k in self._refused_by_step if k not in shard.waiting_by_step]:
+            del self._refused_by_step[key]
+
+    def _next_request(
+        self, shard: Shard, now_s: float
+    ) -> tuple[StepKey | None, list[str]]:
+        """Return the step to ask about next, and the servers; long-running ones first.
+
+        Each step is looked at once in a while only, whether or not there is something
+        to ask.
+        """
+        due = [
+            key
+            for key in shard.waiting_by_step
+            if now_s - self._requested_at_s.get(key, -math.inf) >= RETRY_INTERVAL_S
+            and _has_advice(shard, key)
+        ]
+        due.sort(key=lambda key: self._order_of(shard, key))
+        for key in due:
+            self._requested_at_s[key] = now_s
+            servers = self._candidates(shard, key, now_s)
+            if servers:
+                return key, servers
+        return None, []
+
+    def _order_of(self, shard: Shard, key: StepKey) -> tuple[bool, bool, float]:
+        step = shard.job_by_id[key[0]].spec.steps[key[2]]
+        return (
+            not step.is_long_running,
+            bool(self.tickets_by_step.get(key)),
+            self._requested_at_s.get(key, -math.inf),
+        )
+
+    def _candidates(self, shard: Shard, key: StepKey, now_s: float) -> list[str]:
+        """Return the servers to ask about: those with room before all others.
+
+        A step that has tickets needs more only for servers with room, and none if
+        those that it has tickets for have room for all its waiting tasks.
+        """
         spec = shard.job_by_id[key[0]].spec
         pool = shard.pool_of(spec)
         step = spec.steps[key[2]]
+        tickets = self.tickets_by_step.get(key, {})
+        refused = self._refused_by_step.get(key, set())
         usages = [
             usage
             for usage in shard.usage_by_server_id.values()
-            if usage.server.service == pool and usage.is_open(now_s)
+            if usage.server.service == pool
+            and usage.is_open(now_s)
+            and usage.server.id not in refused
         ]
+        if tickets:
+            usages = [usage for usage in usages if _has_room(usage, step, key)]
+            known = [usage for usage in usages if usage.server.id in tickets]
+            room = sum(usage.places_for(step) for usage in known)
+            if room >= len(shard.waiting_by_step[key]):
+                return []
+            usages = [usage for usage in usages if usage not in known]
         usages.sort(
             key=lambda usage: (not usage.fits(step), -usage.free_cpu_millicores)
         )
         return [usage.server.id for usage in usages[:MAX_SERVERS_PER_REQUEST]]
+
+
+def _has_advice(shard: Shard, key: StepKey) -> bool:
+    queue = shard.queue_of(shard.job_by_id[key[0]].spec)
+    return queue is not None and queue.has_advice
+
+
+def _has_room(usage: ServerUsage, step: Step, key: StepKey) -> bool:
+    count = usage.count_by_step.get(key, 0)
+    return usage.fits(step) and (not step.max_per_server or count < step.max_per_server)
