Queue a stop that is refused behind the other commands

A task could stay assigned to a server and not be started there for as long as the server refuses stops, though it renews leases: a stop was repeated in its place until it was settled, so that four of them took all senders of the server, and the start behind them was not even tried. A start that is refused has its task go elsewhere.

Ruled out: that the list releases the task; its start was never acknowledged.

Without the fix the test printed "assert 0 == 1": no start in 2 s beside eight stops. A stop that is not settled now goes to the end of the queue.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -239,38 +239,46 @@
             await trio.sleep(LEASE_POLL_S)
 
     async def _stop(self, request: StopRequest) -> None:
-        while not self.lease.has_lapsed:
-            try:
-                response = await self.client.stop(
-                    self.server,
-                    request.task,
-                    request.run,
-                    self.lease.shard_lease.fencing_token,
-                )
-            except (PlatformUnavailable, OutcomeUnknown):
-                await trio.sleep(RETRY_S)
-                continue
-            if response.result is CommandResult.FENCED:
-                raise LeaseLost(
-                    f"server {self.server.id} has accepted a higher fencing token"
-                )
-            if response.result is CommandResult.OTHER_LIFETIME:
-                self.listener.on_lifetime_end(self.server.id)
-                return
-            if response.result is CommandResult.NOT_DONE:
-                await trio.sleep(RETRY_S)
-                continue
-            log.frequent_event(
-                logger,
-                "stop",
-                job=request.task.job_id,
-                task=request.task.place,
-                run=request.run,
-                server=self.server.id,
-                outcome=response.result.value,
-            )
-            self.listener.on_stopped(self.server.id, request)
+        """Send a stop once; unless that settles it, queue it again behind the others.
+
+        Once all leases have lapsed there is nothing left to stop.
+        """
+        if self.lease.has_lapsed or await self._try_stop(request):
             return
+        await trio.sleep(RETRY_S)
+        self.send(request)
+
+    async def _try_stop(self, request: StopRequest) -> bool:
+        """Send a stop; return whether it is settled."""
+        try:
+            response = await self.client.stop(
+                self.server,
+                request.task,
+                request.run,
+                self.lease.shard_lease.fencing_token,
+            )
+        except (PlatformUnavailable, OutcomeUnknown):
+            return False
+        if response.result is CommandResult.FENCED:
+            raise LeaseLost(
+                f"server {self.server.id} has accepted a higher fencing token"
+            )
+        if response.result is CommandResult.OTHER_LIFETIME:
+            self.listener.on_lifetime_end(self.server.id)
+            return True
+        if response.result is CommandResult.NOT_DONE:
+            return False
+        log.frequent_event(
+            logger,
+            "stop",
+            job=request.task.job_id,
+            task=request.task.place,
+            run=request.run,
+            server=self.server.id,
+            outcome=response.result.value,
+        )
+        self.listener.on_stopped(self.server.id, request)
+        return True
 
     async def _set_pace(self, command: PaceCommand) -> None:
         """Send a pace command once.
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -14,6 +14,7 @@
     CommandListener,
     CommandSender,
     StartRequest,
+    StopRequest,
 )
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
@@ -157,3 +158,36 @@
 ):
     _, task = await start_while_task_is_released(monkeypatch, CommandResult.DONE)
     assert task.acknowledged_s == 0.0
+
+
+@attrs.define
+class SheddingBackend(ScriptedBackend):
+    """A backend server that refuses every stop, as when it sheds load."""
+
+    async def stop(self, server, task, run, fencing_token):
+        self.calls.append("stop")
+        return CommandResponse(CommandResult.NOT_DONE, 1000)
+
+
+# Guards against a task that is assigned to a server and never started there, as stops
+# that the server refuses again and again go before its start.
+async def test_stops_that_are_refused_hold_up_no_start(monkeypatch, autojump_clock):
+    monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
+    backend = SheddingBackend([CommandResult.DONE])
+    lease = ServerLease(
+        ShardLease(1, trio.current_time()),
+        10.0,
+        longest_lease(trio.current_time(), 10.0),
+    )
+    lease.clock.note(1000, trio.current_time())
+    lease.record_response()
+    sender = CommandSender(
+        SERVER, backend, lease, RecordingListener(), BatchMetrics(), lambda code: None
+    )
+    for number in range(8):
+        sender.send(StopRequest(TaskId("old", 0, 0, number), 1))
+    sender.send(StartRequest(Task(TASK, run=1, server_id="s"), 1, "payload", ""))
+    with trio.move_on_after(2.0):
+        await sender.run()
+    assert backend.calls.count("start") == 1
+    assert backend.calls.count("stop") > 8
