Send a request and read its response in one turn of the event loop

The holder's calls are small and go over idle connections, so that the socket takes a request at once and has no response yet when it is first asked. trio's streams give other tasks a turn after the send, fail one read, wait, and give another turn after the second read. Now the socket is written to directly, what it does not take goes by send_all, and a read comes after the wait. A call that was given up before it was sent still sends nothing.

The tests hold for the code before as well. Without the check for cancellation test_nothing_is_sent_once_the_call_has_been_given_up fails; without the send of the rest test_a_request_larger_than_the_buffers_of_the_socket_is_sent_whole does not end.

--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections, using h11 over trio streams."""
 
 import math
+import os
 import socket
 import struct
 from collections import deque
@@ -55,11 +56,15 @@
         self.reusable = False
         data = self._encode(request, extra_headers)
         try:
-            await self.stream.send_all(data)
+            await self._send(data)
             response = await self._receive()
         except trio.ClosedResourceError:
             raise ResponseLost("no response in time", code="timeout") from None
-        except (trio.BrokenResourceError, h11.RemoteProtocolError) as error:
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            h11.RemoteProtocolError,
+        ) as error:
             raise ResponseLost(f"the connection failed: {error}") from None
         self._finish_cycle()
         return response
@@ -126,9 +131,27 @@
             elif not isinstance(event, h11.InformationalResponse):
                 raise ResponseLost("connection closed before a response was received")
 
+    async def _send(self, data: bytes) -> None:
+        """Send data, without a turn of the event loop if the socket takes all of it.
+
+        The wait for the response lets other tasks run.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            sent = os.write(self.stream.socket.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            await self.stream.send_all(memoryview(data)[sent:])
+
     async def _read(self) -> None:
-        data = await self.stream.receive_some(READ_SIZE_BYTES)
-        self._protocol.receive_data(data)
+        """Wait for data, then read it: right after a request there is none yet."""
+        while True:
+            await trio.lowlevel.wait_readable(self.stream.socket)
+            with suppress(BlockingIOError):
+                data = os.read(self.stream.socket.fileno(), READ_SIZE_BYTES)
+                self._protocol.receive_data(data)
+                return
 
     def _finish_cycle(self) -> None:
         if self._protocol.trailing_data[0]:
