Keep the heads of requests that come again

The holder sends the same few heads to each address, differing in the length of the body, and h11 checks every header of each by regular expressions. Heads of the JSON client's requests, which h11 never changes, are now kept by method, target, headers and length, at most 2,048; those of callers' requests that are relayed are not.

--- a/rhubarbmount/http.py
+++ b/rhubarbmount/http.py
@@ -73,12 +73,17 @@
 
 @attrs.frozen
 class HttpRequest:
-    """A complete request; header names are lower case."""
+    """A complete request; header names are lower case.
+
+    The head of one that ``is_repeated``, with another body each time, is kept; its
+    headers are a tuple.
+    """
 
     method: str
     target: str
     headers: Headers = ()
     body: bytes = b""
+    is_repeated: bool = False
 
 
 @attrs.frozen
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client connections, using h11 over trio streams."""
 
+import functools
 import math
 import os
 import socket
@@ -29,6 +30,18 @@
 # struct linger with l_onoff=1 and l_linger=0: close() sends RST and discards unsent
 # data.
 ZERO_LINGER = struct.pack("ii", 1, 0)
+MAX_KEPT_HEADS = 2048
+
+
+def _make_head(method: str, target: str, headers: Headers, length: int) -> h11.Request:
+    framed = without_framing_headers(headers)
+    if length or method in ("POST", "PUT", "PATCH"):
+        framed.append((b"content-length", b"%d" % length))
+    return h11.Request(method=method, target=target, headers=framed)
+
+
+# h11 validates the headers of each request that it makes, and changes none later.
+_kept_head = functools.lru_cache(maxsize=MAX_KEPT_HEADS)(_make_head)
 
 
 @attrs.define
@@ -95,13 +108,12 @@
             )
 
     def _encode(self, request: HttpRequest, extra_headers: Headers) -> bytes:
-        headers = without_framing_headers(request.headers)
-        headers.extend(extra_headers)
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+        make_head = _kept_head if request.is_repeated else _make_head
+        length = len(request.body)
+        headers = (
+            [*request.headers, *extra_headers] if extra_headers else request.headers
         )
+        head = make_head(request.method, request.target, headers, length)
         data = self._protocol.send(head) or b""
         if request.body:
             data += self._protocol.send(h11.Data(data=request.body)) or b""
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -1,7 +1,7 @@
 """JSON client over HTTP, with pooled connections and a timeout for each call."""
 
 import json
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
@@ -60,7 +60,7 @@
         response was lost or did not arrive in time.
         """
         data = b"" if body is None else json.dumps(body).encode("utf-8")
-        request = HttpRequest(method, target, _headers(address, headers), data)
+        request = HttpRequest(method, target, _headers(address, headers), data, True)
         try:
             with trio.fail_after(timeout_s):
                 return await self._exchange(address, request, may_send)
@@ -106,9 +106,9 @@
         return JsonResponse(response.status, _decode(response.body))
 
 
-def _headers(address: str, more: Headers) -> Sequence[tuple[bytes, bytes]]:
+def _headers(address: str, more: Headers) -> Headers:
     host = (b"host", address.encode("ascii"))
-    return [host, (b"content-type", b"application/json"), *more]
+    return (host, (b"content-type", b"application/json"), *more)
 
 
 def _decode(body: bytes) -> Mapping[str, Any]:
