Leave a step that finds no server at once, and add shortages up in place

A step without any server for it called the placement of each of its tasks, about 30 calls for each start with 800 tasks that wait; and each step that waits made two shortages and a list of no servers anew. Both are needless; the same tasks are placed.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -1,7 +1,7 @@
 """Assigns waiting tasks to backend servers; performs no I/O."""
 
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -63,7 +63,7 @@
     return Urgency.LATE
 
 
-@attrs.frozen
+@attrs.define
 class Shortage:
     """Capacity that a pool lacked for the tasks that still wait."""
 
@@ -74,6 +74,15 @@
     # ones, count as 1 s.
     work_core_s: float = 0.0
 
+    def add(self, step: Step, count: int, run_time_s: float) -> None:
+        """Add tasks of a step that wait."""
+        cpu = 0 if step.fills else step.cpu_millicores
+        if step.max_per_server:
+            self.servers = max(self.servers, -(-count // step.max_per_server))
+        self.cpu_millicores += cpu * count
+        self.tasks += count
+        self.work_core_s += cpu / 1000 * count * (run_time_s or 1.0)
+
 
 @attrs.define(eq=False)
 class Placer:
@@ -106,7 +115,9 @@
         for step_key in self._steps_by_urgency():
             job = self.shard.job_by_id[step_key[0]]
             pool = self.shard.pool_of(job.spec)
-            servers = servers_by_pool.get(pool, OpenServers())
+            servers = servers_by_pool.get(pool)
+            if servers is None:
+                servers = servers_by_pool[pool] = OpenServers()
             assignments.extend(self._place_step(job, step_key, servers, now_s))
             if step_key in self.shard.waiting_by_step:
                 self._note_shortage(pool, job, step_key)
@@ -156,10 +167,14 @@
         self, job: Job, step_key: StepKey, servers: OpenServers, now_s: float
     ) -> list[Assignment]:
         step = job.spec.steps[step_key[2]]
-        tasks = list(self.shard.waiting_by_step[step_key].values())
-        if step.is_gang and len(tasks) < step.count:
+        waiting = self.shard.waiting_by_step[step_key]
+        if step.is_gang and len(waiting) < step.count:
             return []
         candidates = self._eligible(servers.with_capacity(step), job, step_key)
+        if not candidates:
+            _allow_failed_servers(waiting.values())
+            return []
+        tasks = list(waiting.values())
         if step.needs_one_rack and candidates:
             rack = _rack_with_most_free_cpu(
                 self._eligible(servers.usages, job, step_key)
@@ -208,16 +223,17 @@
     def _note_shortage(self, pool: str, job: Job, step_key: StepKey) -> None:
         step = job.spec.steps[step_key[2]]
         run_time_s = self.shard.expected_run_time(job.spec, step_key[2]).expected_s
-        count = len(self.shard.waiting_by_step[step_key])
-        previous = self.shortage_by_pool.get(pool, Shortage())
-        cpu = 0 if step.fills else step.cpu_millicores
-        servers_needed = -(-count // step.max_per_server) if step.max_per_server else 0
-        self.shortage_by_pool[pool] = Shortage(
-            previous.cpu_millicores + cpu * count,
-            max(previous.servers, servers_needed),
-            previous.tasks + count,
-            previous.work_core_s + cpu / 1000 * count * (run_time_s or 1.0),
-        )
+        shortage = self.shortage_by_pool.get(pool)
+        if shortage is None:
+            shortage = self.shortage_by_pool[pool] = Shortage()
+        shortage.add(step, len(self.shard.waiting_by_step[step_key]), run_time_s)
+
+
+def _allow_failed_servers(tasks: Iterable[Task]) -> None:
+    """Let tasks that found no server go to the one where they failed, next time."""
+    for task in tasks:
+        if task.failed_on:
+            task.failed_on = ""
 
 
 def _preference_key(
