Parse the name of a listed run once, and look run times up by a plain tuple

A run is listed by each renewal until it ends, and its name was parsed each time. What a run is expected to take is looked up for each of them, under a key whose hash was computed in Python.

--- a/rhubarbmount/batch/run_times.py
+++ b/rhubarbmount/batch/run_times.py
@@ -6,6 +6,7 @@
 
 import math
 from collections import deque
+from typing import NamedTuple
 
 import attrs
 
@@ -23,8 +24,7 @@
 PRIOR_SPREAD = 0.6
 
 
-@attrs.frozen
-class RunKind:
+class RunKind(NamedTuple):
     """Runs expected to take similar times: those at one position in jobs of a queue."""
 
     queue: QueueName
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -1,6 +1,7 @@
 """Client for backend servers: commands, lease renewals and reports of their runs."""
 
 import enum
+import functools
 from collections.abc import Mapping
 from typing import Any
 
@@ -26,6 +27,8 @@
 
 COMMAND_TIMEOUT_S = 0.35
 RENEWAL_MARGIN_S = 0.35
+# A run is listed by each renewal until it ends.
+MAX_KEPT_TASKS = 8192
 
 
 class CommandResult(enum.Enum):
@@ -182,6 +185,7 @@
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
+@functools.lru_cache(maxsize=MAX_KEPT_TASKS)
 def parse_task(text: str) -> TaskId:
     """Parse the wire format of a task ID. Raises ValueError."""
     job_id, occurrence, step, number = text.split(".")
