--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 client connections, using h11 over trio streams."""
 
+import functools
 import math
+import os
 import socket
 import struct
 from collections import deque
@@ -28,6 +30,18 @@
 # struct linger with l_onoff=1 and l_linger=0: close() sends RST and discards unsent
 # data.
 ZERO_LINGER = struct.pack("ii", 1, 0)
+MAX_KEPT_HEADS = 2048
+
+
+def _make_head(method: str, target: str, headers: Headers, length: int) -> h11.Request:
+    framed = without_framing_headers(headers)
+    if length or method in ("POST", "PUT", "PATCH"):
+        framed.append((b"content-length", b"%d" % length))
+    return h11.Request(method=method, target=target, headers=framed)
+
+
+# h11 validates the headers of each request that it makes, and changes none later.
+_kept_head = functools.lru_cache(maxsize=MAX_KEPT_HEADS)(_make_head)
 
 
 @attrs.define
@@ -55,11 +69,15 @@
         self.reusable = False
         data = self._encode(request, extra_headers)
         try:
-            await self.stream.send_all(data)
+            await self._send(data)
             response = await self._receive()
         except trio.ClosedResourceError:
             raise ResponseLost("no response in time", code="timeout") from None
-        except (trio.BrokenResourceError, h11.RemoteProtocolError) as error:
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            h11.RemoteProtocolError,
+        ) as error:
             raise ResponseLost(f"the connection failed: {error}") from None
         self._finish_cycle()
         return response
@@ -90,13 +108,12 @@
             )
 
     def _encode(self, request: HttpRequest, extra_headers: Headers) -> bytes:
-        headers = without_framing_headers(request.headers)
-        headers.extend(extra_headers)
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+        make_head = _kept_head if request.is_repeated else _make_head
+        length = len(request.body)
+        headers = (
+            [*request.headers, *extra_headers] if extra_headers else request.headers
         )
+        head = make_head(request.method, request.target, headers, length)
         data = self._protocol.send(head) or b""
         if request.body:
             data += self._protocol.send(h11.Data(data=request.body)) or b""
@@ -126,9 +143,27 @@
             elif not isinstance(event, h11.InformationalResponse):
                 raise ResponseLost("connection closed before a response was received")
 
+    async def _send(self, data: bytes) -> None:
+        """Send data, without a turn of the event loop if the socket takes all of it.
+
+        The wait for the response lets other tasks run.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            sent = os.write(self.stream.socket.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            await self.stream.send_all(memoryview(data)[sent:])
+
     async def _read(self) -> None:
-        data = await self.stream.receive_some(READ_SIZE_BYTES)
-        self._protocol.receive_data(data)
+        """Wait for data, then read it: right after a request there is none yet."""
+        while True:
+            await trio.lowlevel.wait_readable(self.stream.socket)
+            with suppress(BlockingIOError):
+                data = os.read(self.stream.socket.fileno(), READ_SIZE_BYTES)
+                self._protocol.receive_data(data)
+                return
 
     def _finish_cycle(self) -> None:
         if self._protocol.trailing_data[0]:
