Repeat the release of duties at a planned stop until it is answered

Successors of a stopped entry host waited for the lease to lapse, 8 s, where one call to the platform failed, lost its response or took over 1.0 s: the release was tried once, and cut after 1.0 s though the stop goes on for at least stop_notice_s.

The new test failed before in all three cases (slow, failed, lost: holder 'a/...' in place of ''). Attempts are now repeated for half of a lease, beside the end of callers' requests, so that a stop takes no longer unless the platform is out.

--- a/rhubarbmount/duty_runner.py
+++ b/rhubarbmount/duty_runner.py
@@ -150,8 +150,8 @@
         if self.tracker.may_act(self.clock()):
             await self._attempt(self._do_round)
 
-    async def release(self) -> None:
-        """Release the lease at a planned stop, so that another instance can take it.
+    async def release(self) -> bool:
+        """Try to release the lease at a planned stop; return whether none is held.
 
         A write that was under way at the stop may have taken effect unnoticed, so the
         row is read first unless the last write was answered.
@@ -162,10 +162,11 @@
                     row = await self.reads.read(self.duty.name)
                     self.tracker.observe(row, self.clock())
                 if not self.tracker.is_own:
-                    return
+                    return True
                 await self._write(Action.RELEASE)
         except (OutcomeUnknown, PlatformUnavailable) as error:
             self._log_idle(error.code, error.message)
+        return not self.tracker.must_read and not self.tracker.is_own
 
     async def _attempt(self, operation: Callable[[], Awaitable[None]]) -> bool:
         """Run the operation and return whether it succeeded; log the cause if not."""
--- a/rhubarbmount/fleet_duties.py
+++ b/rhubarbmount/fleet_duties.py
@@ -16,7 +16,8 @@
 
 __all__ = ["FleetDuties", "PacedDuty"]
 
-RELEASE_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 4.0
+RELEASE_RETRY_PERIOD_S = 0.2
 ROUND_OFFSET_S = 0.15
 
 
@@ -152,12 +153,16 @@
                 await self._shared_ticks.run(timers.every("duties", self.bounds.poll_s))
 
     async def release(self) -> None:
-        """Stop contending and release the duties held here, at a planned stop."""
+        """Stop contending and release the duties held here, at a planned stop.
+
+        Attempts are repeated for ``RELEASE_TIMEOUT_S``, half of a lease: after that,
+        successors would hardly gain by a release.
+        """
         self._contend_scope.cancel()
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 for task in self._duty_tasks:
-                    nursery.start_soon(task.runner.release)
+                    nursery.start_soon(_release, task.runner)
 
     async def _contend(self, task: _DutyTask) -> None:
         tick = 0
@@ -181,5 +186,10 @@
         return max(task.period_s, rest_s)
 
 
+async def _release(runner: DutyRunner) -> None:
+    while not await runner.release():
+        await trio.sleep(RELEASE_RETRY_PERIOD_S)
+
+
 def _new_id() -> str:
     return uuid.uuid4().hex
--- a/rhubarbmount/server.py
+++ b/rhubarbmount/server.py
@@ -263,7 +263,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.fleet.duties.release)
             await trio.sleep(self.settings.stop_notice_s)
-        cut_count = await self.callers.stop(self.settings.stop_timeout_s)
+            cut_count = await self.callers.stop(self.settings.stop_timeout_s)
         await self.forwarder.claims.flush()
         await self.forwarder.connections.aclose()
         if self.membership is not None:
--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -1,9 +1,11 @@
 """Duties that are held for long periods and rarely act."""
 
 import attrs
+import pytest
 import trio
 
-from rhubarbmount.fleet_duties import FleetDuties, PacedDuty
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.fleet_duties import RELEASE_TIMEOUT_S, FleetDuties, PacedDuty
 from rhubarbmount.store.interface import Transaction, Write
 from rhubarbmount.store.memory import MemoryPlatform
 from rhubarbmount.timers import TimerService
@@ -23,6 +25,24 @@
         pass
 
 
+@attrs.define
+class ImpairedPlatform(MemoryPlatform):
+    """A platform whose calls take time and whose next writes fail."""
+
+    latency_s: float = 0.0
+    errors: list[Exception] = attrs.field(factory=list)
+
+    async def read(self, table, key):
+        await trio.sleep(self.latency_s)
+        return await MemoryPlatform.read(self, table, key)
+
+    async def transact(self, transaction):
+        await trio.sleep(self.latency_s)
+        if self.errors:
+            raise self.errors.pop()
+        return await MemoryPlatform.transact(self, transaction)
+
+
 async def test_rounds_are_a_period_apart_and_due_at_once_after_a_change_of_holder(
     autojump_clock,
 ):
@@ -74,3 +94,44 @@
     await trio.sleep(7.0)
     assert len(set(check_times_s)) <= 7.0 / (0.9 * duties.bounds.poll_s) + 2
     nursery.cancel_scope.cancel()
+
+
+# Guards against a successor that waits for the lease to lapse after a planned stop.
+@pytest.mark.parametrize(
+    "impairment",
+    [
+        {"latency_s": 1.5},
+        {"errors": [PlatformUnavailable("one call failed")]},
+        {"errors": [OutcomeUnknown("one response was lost")]},
+    ],
+    ids=["slow", "failed", "lost"],
+)
+async def test_a_stop_releases_the_duties_though_the_platform_is_impaired(
+    autojump_clock, nursery, impairment
+):
+    platform = ImpairedPlatform()
+    duties = FleetDuties("a", platform, lambda: ("a",))
+    duties.add(CountedDuty(), 1.0)
+    nursery.start_soon(duties.run, TimerService(seed=1))
+    while not duties.holds("counted"):
+        await trio.sleep(0.1)
+    for name, value in impairment.items():
+        setattr(platform, name, value)
+    await duties.release()
+    platform.latency_s = 0.0
+    assert (await platform.read("leases", "counted")).value["holder"] == ""
+
+
+async def test_a_stop_does_not_wait_long_for_a_platform_that_is_out(
+    autojump_clock, nursery
+):
+    platform = ImpairedPlatform()
+    duties = FleetDuties("a", platform, lambda: ("a",))
+    duties.add(CountedDuty(), 1.0)
+    nursery.start_soon(duties.run, TimerService(seed=1))
+    while not duties.holds("counted"):
+        await trio.sleep(0.1)
+    platform.errors = [PlatformUnavailable("out")] * 1000
+    stopped_s = trio.current_time()
+    await duties.release()
+    assert trio.current_time() - stopped_s <= RELEASE_TIMEOUT_S
