Bound what a flood costs its neighbour without the time others take the processor

The scenario failed where the machine was busy: its neighbour was served, after 1.0 to 1.6 s in place of 1.0 s.

So the bound was the machine's. It is now 0.5 s in place of 1.0 s, on the latency without the time that the entry host was ready and had no processor, which is about none on an idle machine. A frozen entry host counts in full.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -113,6 +113,16 @@
     def log(self):
         return self.log_path.read_text(encoding="utf-8")
 
+    def starved_s(self):
+        """Return how long its main thread was ready to run but had no processor.
+
+        0 where the system doesn't tell.
+        """
+        with suppress(OSError):
+            fields = Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+            return int(fields[1]) / 1e9
+        return 0.0
+
     def signal(self, number):
         self.process.send_signal(number)
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -61,6 +61,29 @@
         )
 
 
+class MeasuredLoad(Load):
+    """Callers that note how long the entry host had no processor meanwhile."""
+
+    def __init__(self, deployment, service, entry_hosts):
+        super().__init__(deployment, service, entry_hosts)
+        self.starved_s_by_id = {}
+
+    def own_latency_s(self, request_id):
+        """Return a request's latency without the time that others took the processor.
+
+        A request also waits while the entry host starves on behalf of another one.
+        """
+        latency_s = self.answer_by_id[request_id].latency_s
+        return latency_s - self.starved_s_by_id[request_id]
+
+    def _send(self, caller, entry_host, request_id):
+        program = self._deployment.entry_host_by_name[entry_host]
+        starved_s = program.starved_s()
+        answer = super()._send(caller, entry_host, request_id)
+        self.starved_s_by_id[request_id] = program.starved_s() - starved_s
+        return answer
+
+
 class BalancedLoad(Load):
     """Callers on kept-alive connections, behind a balancer that checks readiness.
 
--- a/tests/scenarios/requests.feature
+++ b/tests/scenarios/requests.feature
@@ -16,9 +16,9 @@
     And entry hosts that run at most 8 requests at once
     And the platform
     And entry hosts "e1" in "dc-a"
-    And callers sending lodgements for "lodgements" to "e1"
+    And measured callers sending lodgements to "e1"
     When backend server "p1" takes 1 s for each request
     And 30 callers flood "parts" at "e1"
     And 100 more answers have come
-    Then every lodgement was answered within 1 s and ran
+    Then every lodgement ran and took the entry host at most 0.5 s beside the time that it had no processor
     And every refused request of "parts" surely did not run
--- a/tests/scenarios/test_requests.py
+++ b/tests/scenarios/test_requests.py
@@ -3,7 +3,10 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from tests.deployment import wait_until
 from tests.flood import Flood
+from tests.load import MeasuredLoad
+from tests.scenarios.steps import names
 
 scenarios("requests.feature")
 
@@ -22,6 +25,13 @@
     deployment.extra_settings = {"max_in_flight": count}
 
 
+@given(parsers.parse('measured callers sending lodgements to "{hosts}"'))
+def start_measured_load(deployment, load, hosts):
+    load.append(MeasuredLoad(deployment, "lodgements", names(hosts)))
+    load[0].__enter__()
+    wait_until(lambda: len(load[0].answer_by_id) > 20, 10, "20 answers")
+
+
 @when(parsers.parse('{count:d} callers flood "{service}" at "{host}"'))
 def start_flood(deployment, flood, count, service, host):
     address = deployment.entry_host_by_name[host].address
@@ -35,12 +45,18 @@
     assert 0 < statuses.count(500) <= count
 
 
-@then(parsers.parse("every lodgement was answered within {bound_s:g} s and ran"))
+@then(
+    parsers.parse(
+        "every lodgement ran and took the entry host at most {bound_s:g} s beside the "
+        "time that it had no processor"
+    )
+)
 def check_served(load, bound_s):
     load[0].stop()
-    for answer in load[0].answer_by_id.values():
+    for request_id, answer in load[0].answer_by_id.items():
         assert (answer.status, answer.outcome) == (200, "ran"), answer
-        assert answer.latency_s <= bound_s, answer
+        own_s = load[0].own_latency_s(request_id)
+        assert own_s <= bound_s, (own_s, answer)
 
 
 @then(parsers.parse('every refused request of "{service}" surely did not run'))
