Write an entry host's row again soon after a failure, so that status names it

An entry host whose first row could not be written wrote it again only 30 s later. Until then, if it froze, no status named it as silent: /status said in_force though it still ran the earlier version. This is what the scenario of laggards showed once beside load.

Shown by a run of that scenario's steps at, without load: the platform is down while e3 writes its first row ('instance-not-renewed code=platform-unavailable'), all three then report to each other, e3 is frozen, the edit is accepted: 'not within 10 s: e3 is named', with in_force true and no one silent. With this change e3 is named after 3.5 s. The new test failed before ('[] == ['a']').

By reading, nothing else leads to it: the step before it asserts that all report to all; a report lapses after 3.5 s; rows are read with each status, and only a missing row, or no read that succeeds within the whole scenario, leaves e3 out. Beside load a first write fails when it takes over 2 s.

A failed renewal is repeated each second; the first one in a row is logged.

--- a/rhubarbmount/instances.py
+++ b/rhubarbmount/instances.py
@@ -27,6 +27,7 @@
 ]
 
 RENEWAL_PERIOD_S = 30.0
+RETRY_PERIOD_S = 1.0
 ABANDONED_AFTER_S = 7200.0
 
 _converter = cattrs.Converter()
@@ -132,26 +133,32 @@
     clock: Callable[[], float] = trio.current_time
     by_instance: dict[str, InstanceRecord] = attrs.field(factory=dict, init=False)
     _renewals: int = attrs.field(default=0, init=False)
+    _is_overdue: bool = attrs.field(default=False, init=False)
     _last_renewal_by_instance: dict[str, _LastRenewal] = attrs.field(
         factory=dict, init=False
     )
 
     async def run(self, timers: TimerService) -> None:
         """Renew this instance's row and read the others until cancelled."""
-        await self.renew()
+        await self._renew_until_done(timers)
         async for _ in timers.every("instances", RENEWAL_PERIOD_S, jitter=0.2):
-            await self.renew()
+            await self._renew_until_done(timers)
 
-    async def renew(self) -> None:
-        """Write this instance's row and read the others; an outage is only logged.
+    async def renew(self) -> bool:
+        """Write this instance's row and read the others; return whether it succeeded.
 
-        The next period tries again.
+        The first failure in a row is logged.
         """
         try:
             await self._write()
             await self.read()
         except RhubarbmountError as error:
-            event(_logger, "instance-not-renewed", logging.WARNING, code=error.code)
+            if not self._is_overdue:
+                event(_logger, "instance-not-renewed", logging.WARNING, code=error.code)
+            self._is_overdue = True
+            return False
+        self._is_overdue = False
+        return True
 
     async def read(self) -> None:
         """Read all rows, update known addresses and delete abandoned rows."""
@@ -225,6 +232,13 @@
         }
         return programs | {self.own_identity.instance: ProgramVersion()}
 
+    async def _renew_until_done(self, timers: TimerService) -> None:
+        if await self.renew():
+            return
+        async for _ in timers.every("instance-retry", RETRY_PERIOD_S, jitter=0.2):
+            if await self.renew():
+                return
+
     async def _write(self) -> None:
         self._renewals += 1
         record = InstanceRecord(
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -15,6 +15,7 @@
 from rhubarbmount.store.client import open_client
 from rhubarbmount.store.interface import Transaction, Write
 from rhubarbmount.store.memory import MemoryPlatform
+from rhubarbmount.timers import TimerService
 
 
 class Instance:
@@ -135,6 +136,25 @@
     await first.rows.remove()
 
 
+# Guards against an entry host that no status names for 30 s, as its row is missing.
+async def test_a_row_that_could_not_be_written_is_soon_written_again(
+    autojump_clock, nursery
+):
+    class Impaired(MemoryPlatform):
+        refusals = 2
+
+        async def transact(self, transaction):
+            if self.refusals:
+                self.refusals -= 1
+                raise PlatformUnavailable("out")
+            return await MemoryPlatform.transact(self, transaction)
+
+    platform = Impaired()
+    nursery.start_soon(Instance(platform, "a").rows.run, TimerService(seed=1))
+    await trio.sleep(5.0)
+    assert await keys(platform) == ["a"]
+
+
 @pytest.mark.parametrize("heard", [{}, {"a": 1}])
 def test_nothing_recorded_and_nothing_later_is_in_force(heard):
     assert weigh_status(1, {}, heard).in_force
