Estimate the time of a run only once it is old enough to be overdue

needs_watch estimated each run's time on every renewal of its server, though a run younger than OVERDUE_MARGIN_S is never overdue, whatever the estimate (estimates are not negative). Behaviour is unchanged; tests/batch/test_stragglers.py passes.

--- a/rhubarbmount/batch/stragglers.py
+++ b/rhubarbmount/batch/stragglers.py
@@ -47,7 +47,7 @@
         if usage.step_by_task[task.id].is_long_running:
             if task.progress.percent < 100:
                 return True
-        elif _own_elapsed_s(task, now_s) > _overdue_after_s(expected_of(task)):
+        elif _is_overdue(task, now_s, expected_of):
             return True
     return False
 
@@ -119,5 +119,15 @@
     return now_s - max(task.assigned_s, task.acknowledged_s)
 
 
+def _is_overdue(
+    task: Task, now_s: float, expected_of: Callable[[Task], RunTime]
+) -> bool:
+    """Return whether a run is older than expected; young runs need no estimate."""
+    elapsed_s = _own_elapsed_s(task, now_s)
+    if elapsed_s <= OVERDUE_MARGIN_S:
+        return False
+    return elapsed_s > _overdue_after_s(expected_of(task))
+
+
 def _overdue_after_s(expected: RunTime) -> float:
     return expected.expected_s * OVERDUE_FACTOR + OVERDUE_MARGIN_S
