Ask once whether a host may be commanded before its maintenance

_start_maintenance asked may_command and _start_command asked again. _start_command now says whether the command was started; the wave's row is still noted before anything is sent, as the command's task runs only after the next checkpoint. Behaviour is unchanged: tests/batch/test_fleet_controller.py, test_wave_limit.py and test_host_commands.py pass.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -175,7 +175,7 @@
             self.save_wave(progress)
 
     def _start_maintenance(self, maintenance: Maintenance) -> None:
-        if not self.commands.may_command(maintenance.host_id):
+        if not self._start_command(maintenance.host_id, self._maintain, maintenance):
             return
         progress = self.wave_by_number[maintenance.wave]
         log.event(
@@ -189,7 +189,6 @@
         )
         progress.unavailable.add(maintenance.host_id)
         self.save_wave(progress)
-        self._start_command(maintenance.host_id, self._maintain, maintenance)
 
     def _log_waits(self, wait_by_host: dict[str, str]) -> None:
         for host_id, reason in wait_by_host.items():
@@ -295,15 +294,20 @@
 
     # Commands to hosts.
 
-    def _start_command(self, host_id: str, action: Callable, decision: object) -> None:
+    def _start_command(self, host_id: str, action: Callable, decision: object) -> bool:
+        """Start a command if the host may be sent one; return whether it was started.
+
+        Nothing is sent before the caller's next checkpoint.
+        """
         if not self.commands.may_command(host_id) or self._nursery is None:
-            return
+            return False
         self.commands.reserve(host_id)
         host = self.host_by_id[host_id]
         usage = self.shard.usage_by_server_id.get(host.server_id)
         if usage is not None:
             usage.has_pending_command = True
         self._nursery.start_soon(self._run_command, host_id, action, decision)
+        return True
 
     async def _run_command(
         self, host_id: str, action: Callable, decision: object
