Take a list of runs that can't be read for an unknown outcome

A response of a backend server whose list of runs or of run ends can't be read was raised as PlatformUnavailable, which says that nothing was sent. The renewal was sent and answered, so it has surely been received and may have extended leases and taken acknowledgements: OutcomeUnknown is true, as for any other response that can't be read. decoding_response now serves all of them, and knows lists that are too short.

Callers (server_session.py) treat both alike, apart from the code that they log: answer-broken in place of platform-unavailable.

--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -9,7 +9,7 @@
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.model import RunEnd, RunReport, Server, TaskId
-from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.errors import OutcomeUnknown
 from rhubarbmount.platform.json_client import (
     JsonClient,
     JsonResponse,
@@ -216,36 +216,26 @@
 
 
 def _decode_run_reports(rows: Any) -> list[RunReport]:
-    try:
-        return [
-            RunReport(
-                parse_task(row[0]),
-                int(row[1]),
-                str(row[2]),
-                int(row[3]),
-                float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
-            )
-            for row in rows or ()
-        ]
-    except (IndexError, TypeError, ValueError):
-        raise PlatformUnavailable(
-            "backend server sent a malformed list of runs"
-        ) from None
+    return [
+        RunReport(
+            parse_task(row[0]),
+            int(row[1]),
+            str(row[2]),
+            int(row[3]),
+            float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
+        )
+        for row in rows or ()
+    ]
 
 
 def _decode_run_ends(rows: Any) -> list[RunEnd]:
-    try:
-        return [
-            RunEnd(
-                int(row[0]),
-                parse_task(row[1]),
-                int(row[2]),
-                str(row[3]),
-                str(row[4] or ""),
-            )
-            for row in rows or ()
-        ]
-    except (IndexError, TypeError, ValueError):
-        raise PlatformUnavailable(
-            "backend server sent a malformed list of run ends"
-        ) from None
+    return [
+        RunEnd(
+            int(row[0]),
+            parse_task(row[1]),
+            int(row[2]),
+            str(row[3]),
+            str(row[4] or ""),
+        )
+        for row in rows or ()
+    ]
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -23,7 +23,13 @@
     """Raise OutcomeUnknown where the block meets a value that it can't decode."""
     try:
         yield
-    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        LookupError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         message = f"malformed response: {error!r}"
         raise OutcomeUnknown(message, code="answer-broken") from None
 
