Pause before a job's row is written again, and decline methods for good

Found by reading; both tests failed before.

- A write whose outcome is unknown was repeated at once: with connections that are reset, without a pause until the deadline (over 1,000 attempts).
It now waits STORE_RETRY_S, as after a refused one.
- A method that is not allowed got 405 with Retry-After and was logged as a refusal, as if it could be allowed later; there was no Allow (required by RFC 9110).
It is declined now, with Allow.

--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -43,6 +43,7 @@
 logger = logging.getLogger(__name__)
 
 METHODS = ("POST", "GET", "DELETE")
+ALLOWED_METHODS = ", ".join(METHODS)
 DEFAULT_DEADLINE_S = 3.0
 # Part of the deadline reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.2
@@ -112,7 +113,10 @@
                 return await self._show(queue, rest, expires_s)
             case "DELETE":
                 return await self._cancel(queue, rest, expires_s)
-        return _refusal(405, "method", "method not allowed: use POST, GET or DELETE")
+        message = f"method not allowed: use {ALLOWED_METHODS}"
+        response = self._decline(405, "method", message, path)
+        allow = (b"allow", ALLOWED_METHODS.encode("ascii"))
+        return attrs.evolve(response, headers=[*response.headers, allow])
 
     def _refuse_out_of_reach(self, about: str) -> HttpResponse:
         """Refuse a request at once because the store is out of reach.
@@ -171,10 +175,9 @@
             except RowConflict as error:
                 found = [row for row in error.rows if row.name == name]
                 return "stored-before", found[0].version if found else 0
-            except OutcomeUnknown:
-                is_unknown = True
-            except PlatformUnavailable:
-                await trio.sleep(STORE_RETRY_S)
+            except (OutcomeUnknown, PlatformUnavailable) as error:
+                is_unknown = is_unknown or isinstance(error, OutcomeUnknown)
+            await trio.sleep(STORE_RETRY_S)
             is_store_down = self.store.health.is_out_of_reach()
             if is_store_down or trio.current_time() + MIN_CALL_TIMEOUT_S >= expires_s:
                 return ("unknown" if is_unknown else "not-stored"), 0
--- a/tests/batch/test_job_api.py
+++ b/tests/batch/test_job_api.py
@@ -9,6 +9,7 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.job_api import JobApi
 from rhubarbmount.batch.model import Queue, QueueName
+from rhubarbmount.errors import OutcomeUnknown
 from rhubarbmount.http import HttpRequest, header_value
 from rhubarbmount.platform.rows import RowStore
 from tests.batch.world import HOST, STORE, SimulatedCaller, open_world
@@ -95,6 +96,42 @@
         assert waits[0] < waits[1] <= 5
 
 
+class ResettingStore:
+    """A store whose connections are reset at once, so that no outcome is known."""
+
+    def __init__(self):
+        self.attempts = 0
+        self.health = self
+
+    def is_out_of_reach(self):
+        return False
+
+    async def commit(self, *args, **options):
+        await trio.lowlevel.checkpoint()
+        self.attempts += 1
+        assert self.attempts < 1000, "repeated without a pause"
+        raise OutcomeUnknown("the connection was reset")
+
+
+# Guards against a write that is repeated without a pause until the deadline.
+async def test_a_write_of_unknown_outcome_is_repeated_after_a_pause(autojump_clock):
+    store = ResettingStore()
+    response = await call(JobApi(store, catalogue=CATALOGUE), "POST", body=BODY)
+    assert response.status == 504
+    assert 2 <= store.attempts <= 100
+
+
+# Guards against callers that are told to retry a method that is never allowed.
+async def test_a_method_that_is_not_allowed_is_declined_for_good(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        response = await call(make_job_api(world), "PUT")
+        assert response.status == 405
+        assert header_value(response.headers, b"allow") == "POST, GET, DELETE"
+        assert header_value(response.headers, b"retry-after") is None
+
+
 @pytest.mark.parametrize(
     "body",
     [
