End a session once the server answers as another lifetime

The session went on renewing until the next pass of the holder closed it: with a server that answered before, without a pause, as has_work stays true until then. Such renewals carry the lease of a lifetime that is known to be over.

--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -204,6 +204,7 @@
             )
         if response.result is CommandResult.OTHER_LIFETIME:
             self.listener.on_lifetime_end(self.server.id)
+            self.close()
             return None
         if response.result is not CommandResult.DONE:
             self._record_failure(response.result.value)
--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -1,5 +1,7 @@
 """Tests for leases and renewals of backend servers that stop answering."""
 
+import trio
+
 from rhubarbmount.batch.clocks import RATE_MARGIN
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
@@ -127,3 +129,25 @@
     await session._renew_once()
     await session._renew_once()
     assert session.client.waits_s[1] == RENEWAL_WAIT_S
+
+
+class EndedBackendClient:
+    """Backend client whose server answers each renewal as another lifetime."""
+
+    def __init__(self):
+        self.renewals = 0
+
+    async def renew(self, *args):
+        await trio.lowlevel.checkpoint()
+        self.renewals += 1
+        assert self.renewals < 100, "renewed without a pause"
+        return RenewalResponse(CommandResult.OTHER_LIFETIME, 0)
+
+
+# Guards against renewals that are sent to an address after its lifetime has ended.
+async def test_a_lifetime_that_has_ended_is_not_renewed_again(autojump_clock):
+    session = make_session()
+    session.client = EndedBackendClient()
+    with trio.move_on_after(5.0):
+        await session.run()
+    assert session.client.renewals == 1
