--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -9,7 +9,8 @@
 from rhubarbmount.batch.objective import LatestStart, latest_start
 from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
 from rhubarbmount.batch.server_usage import ServerUsage
-from rhubarbmount.batch.shard import Shard, StepKey
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.shard_jobs import StepKey
 from rhubarbmount.registry import Registry
 
 __all__ = ["Placer", "Shortage", "Urgency", "placement_filters", "urgency_of"]
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -1,293 +1,35 @@
-"""State of one shard: its jobs and the backend servers they run on; free of I/O.
-
-Each change adds the job's id to ``dirty``. Nothing takes effect outside the process
-before the rows of the dirty jobs have been committed.
-"""
+"""State of one shard: its jobs and the backend servers they run on; free of I/O."""
 
 from collections.abc import Iterable
 
 import attrs
 
-from rhubarbmount.batch.catalogue import Catalogue
-from rhubarbmount.batch.demand import DemandMeter
 from rhubarbmount.batch.model import (
     Job,
     JobSpec,
     JobState,
-    Queue,
-    QueueName,
     RunEnd,
     Server,
-    Step,
     Task,
     TaskId,
     TaskState,
 )
 from rhubarbmount.batch.pacing import FULL_PACE
-from rhubarbmount.batch.run_progress import RunProgress
-from rhubarbmount.batch.run_times import RunTime, RunTimes, kind_of
+from rhubarbmount.batch.run_times import kind_of
 from rhubarbmount.batch.server_usage import ServerUsage
+from rhubarbmount.batch.shard_jobs import ShardJobs
 
-__all__ = ["Shard", "StepKey", "Stop"]
+__all__ = ["Shard"]
 
-StepKey = tuple[str, int, int]
 OUTCOME_DONE = "done"
 OUTCOME_FAILED = "failed"
 # A run that took less than this many times the expected time shows a sound server.
 SOUND_FACTOR = 1.5
 
 
-@attrs.frozen
-class Stop:
-    """Request to stop a run."""
-
-    server_id: str
-    task: TaskId
-    run: int
-
-
 @attrs.define(eq=False)
-class Shard:
-    """Jobs by id, steps with waiting tasks, and resource usage by backend server."""
-
-    catalogue: Catalogue
-    # Wall-clock and monotonic time, set before each change.
-    wall_clock_s: float = 0.0
-    now_s: float = 0.0
-    job_by_id: dict[str, Job] = attrs.field(factory=dict)
-    usage_by_server_id: dict[str, ServerUsage] = attrs.field(factory=dict)
-    waiting_by_step: dict[StepKey, dict[int, Task]] = attrs.field(factory=dict)
-    dirty: set[str] = attrs.field(factory=set)
-    stops: list[Stop] = attrs.field(factory=list)
-    run_times: RunTimes = attrs.field(factory=RunTimes)
-    demand: DemandMeter = attrs.field(factory=DemandMeter)
-    _remaining_tasks_by_job_id: dict[str, int] = attrs.field(factory=dict)
-    _timed_job_ids: set[str] = attrs.field(factory=set)
-    _tasks_by_unknown_server_id: dict[str, list[Task]] = attrs.field(factory=dict)
-
-    def set_time(self, now_s: float, wall_clock_s: float) -> None:
-        """Set the times that the next changes are recorded with."""
-        self.now_s = now_s
-        self.wall_clock_s = wall_clock_s
-
-    # Jobs.
-
-    def add_job(self, job: Job) -> None:
-        """Add a job, either new or restored from its rows."""
-        spec = job.spec
-        if spec.job_id in self.job_by_id:
-            return
-        self.job_by_id[spec.job_id] = job
-        if job.state.is_final:
-            return
-        done = sum(task.state is TaskState.DONE for task in job.tasks())
-        total = sum(step.count for step in spec.steps) * spec.occurrence_count
-        self._remaining_tasks_by_job_id[spec.job_id] = total - done
-        for task in job.tasks():
-            self._index(task)
-        if spec.is_timed:
-            self._timed_job_ids.add(spec.job_id)
-        self.create_ready_tasks(job)
-
-    def _index(self, task: Task) -> None:
-        if task.state is TaskState.WAITING:
-            self._add_waiting(task)
-        elif task.state is TaskState.ASSIGNED:
-            usage = self.usage_by_server_id.get(task.server_id)
-            if usage is None:
-                self._tasks_by_unknown_server_id.setdefault(task.server_id, []).append(
-                    task
-                )
-            else:
-                usage.add(task, self.step_of(task.id))
-
-    def create_ready_tasks(self, job: Job) -> None:
-        """Create the tasks of steps that are due and whose dependencies are done."""
-        for occurrence in range(job.spec.occurrence_count):
-            if job.spec.is_timed:
-                due_s = job.spec.start_s + occurrence * job.spec.period_s
-                if self.wall_clock_s < due_s:
-                    return
-            self._create_ready_tasks_of(job, occurrence)
-        self._timed_job_ids.discard(job.spec.job_id)
-
-    def _create_ready_tasks_of(self, job: Job, occurrence: int) -> None:
-        for step_index, step in enumerate(job.spec.steps):
-            if (occurrence, step_index) in job.tasks_by_step:
-                continue
-            if all(
-                self._is_done(job, occurrence, dependency) for dependency in step.after
-            ):
-                ids = (
-                    TaskId(job.spec.job_id, occurrence, step_index, index)
-                    for index in range(step.count)
-                )
-                tasks = [Task(task_id) for task_id in ids]
-                job.tasks_by_step[occurrence, step_index] = tasks
-                self.demand.note_step(
-                    self.pool_of(job.spec),
-                    step,
-                    self.expected_run_time(job.spec, step_index).expected_s,
-                    self.now_s,
-                )
-                for task in tasks:
-                    self._add_waiting(task)
-
-    def _is_done(self, job: Job, occurrence: int, step: int) -> bool:
-        tasks = job.tasks_by_step.get((occurrence, step))
-        return tasks is not None and all(task.state is TaskState.DONE for task in tasks)
-
-    def open_due(self) -> None:
-        """Create the tasks of timed jobs whose next occurrences are due."""
-        for job_id in list(self._timed_job_ids):
-            self.create_ready_tasks(self.job_by_id[job_id])
-
-    def cancel(self, job_id: str) -> None:
-        """Cancel a job at its caller's request and stop its runs."""
-        job = self.job_by_id.get(job_id)
-        if job is not None and not job.state.is_final:
-            self._finish(job, JobState.CANCELLED)
-
-    def forget(self, job_id: str) -> None:
-        """Remove a job that has ended."""
-        self.job_by_id.pop(job_id, None)
-
-    def _finish(self, job: Job, state: JobState) -> None:
-        job.state = state
-        job.ended_s = self.wall_clock_s
-        self.dirty.add(job.spec.job_id)
-        self._timed_job_ids.discard(job.spec.job_id)
-        self._remaining_tasks_by_job_id.pop(job.spec.job_id, None)
-        for task in job.tasks():
-            self.waiting_by_step.pop(task.id[:3], None)
-            if task.state is TaskState.ASSIGNED:
-                self.stop_run(task)
-
-    def stop_run(self, task: Task) -> None:
-        """Request that the current run of a task be stopped."""
-        task.is_stopping = True
-        self.stops.append(Stop(task.server_id, task.id, task.run))
-
-    # Lookups.
-
-    def step_of(self, task_id: TaskId) -> Step:
-        """Return the step that a task belongs to."""
-        return self.job_by_id[task_id.job_id].spec.steps[task_id.step]
-
-    def expected_run_time(self, spec: JobSpec, step: int) -> RunTime:
-        """Return what a run of a step is expected to take."""
-        return self.run_times.estimate(kind_of(spec, step), spec.steps[step].estimate_s)
-
-    def expected_run_times_s(self, spec: JobSpec) -> tuple[float, ...]:
-        """Return the expected run time of a task of each step."""
-        return tuple(
-            self.expected_run_time(spec, step).expected_s
-            for step in range(len(spec.steps))
-        )
-
-    def expected_run_time_of(self, task: Task) -> RunTime:
-        """Return what a run of a task is expected to take; 0 s if its job is gone."""
-        job = self.job_by_id.get(task.id.job_id)
-        if job is None:
-            return RunTime(0.0)
-        return self.expected_run_time(job.spec, task.id.step)
-
-    def siblings_of(self, task: Task) -> list[Task]:
-        """Return all tasks of the step and occurrence that a task belongs to."""
-        job = self.job_by_id[task.id.job_id]
-        return job.tasks_by_step[task.id.occurrence, task.id.step]
-
-    def find_step(self, task_id: TaskId) -> Step | None:
-        """Return the step that a listed run belongs to, or None if it is unknown."""
-        job = self.job_by_id.get(task_id.job_id)
-        if job is None or not 0 <= task_id.step < len(job.spec.steps):
-            return None
-        return job.spec.steps[task_id.step]
-
-    def task(self, task_id: TaskId) -> Task | None:
-        """Return a task, or None if its job is unknown or its step has not started."""
-        job = self.job_by_id.get(task_id.job_id)
-        if job is None:
-            return None
-        tasks = job.tasks_by_step.get((task_id.occurrence, task_id.step), ())
-        return tasks[task_id.number] if task_id.number < len(tasks) else None
-
-    def queue_of(self, spec: JobSpec) -> Queue | None:
-        """Return the queue of a job in the current configuration, or None."""
-        return self.catalogue.queue_by_name.get(spec.queue)
-
-    def pool_of(self, spec: JobSpec) -> str:
-        """Return the pool that runs a job; a removed queue keeps its last pool."""
-        queue = self.queue_of(spec)
-        return spec.service if queue is None else queue.service
-
-    def count_pending(self) -> dict[QueueName, int]:
-        """Return the number of jobs in each queue that have not started."""
-        counts: dict[QueueName, int] = {}
-        for job_id in self._remaining_tasks_by_job_id:
-            job = self.job_by_id[job_id]
-            if job.state is JobState.QUEUED:
-                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
-        return counts
-
-    def unavailable_count(self, key: StepKey, besides: Task) -> int:
-        """Return how many other tasks of a long-running step may be unavailable."""
-        job = self.job_by_id[key[0]]
-        tasks = job.tasks_by_step.get((key[1], key[2]), ())
-        return sum(
-            task is not besides and not self._is_available(task) for task in tasks
-        )
-
-    def _is_available(self, task: Task) -> bool:
-        """Return whether a long-running task was recently seen to run at full speed."""
-        usage = self.usage_by_server_id.get(task.server_id)
-        if usage is None or not usage.is_reachable or task.is_stopping:
-            return False
-        return task.state is TaskState.ASSIGNED and task.progress.percent >= 100
-
-    # Assignments.
-
-    def assign(self, task: Task, usage: ServerUsage, now_s: float) -> None:
-        """Assign the next run of a waiting task to a backend server."""
-        self._remove_waiting(task)
-        task.state = TaskState.ASSIGNED
-        task.run += 1
-        task.server_id = usage.server.id
-        task.assigned_s = now_s
-        task.progress = RunProgress(is_whole=not task.checkpoint)
-        task.pace = FULL_PACE
-        task.acknowledged_s = 0.0
-        task.is_stopping = False
-        job = self.job_by_id[task.id.job_id]
-        job.state = JobState.ACTIVE
-        usage.add(task, self.step_of(task.id))
-        self.dirty.add(task.id.job_id)
-
-    def release(self, task: Task, now_s: float) -> None:
-        """Remove a task from its server; let it wait again unless it is done."""
-        usage = self.usage_by_server_id.get(task.server_id)
-        if usage is not None:
-            usage.remove(task.id, now_s)
-        if task.state is TaskState.DONE:
-            return
-        task.state = TaskState.WAITING
-        task.server_id = ""
-        task.is_stopping = False
-        job = self.job_by_id[task.id.job_id]
-        if not job.state.is_final:
-            self._add_waiting(task)
-            self.dirty.add(task.id.job_id)
-
-    def _add_waiting(self, task: Task) -> None:
-        self.waiting_by_step.setdefault(task.id[:3], {})[task.id.number] = task
-
-    def _remove_waiting(self, task: Task) -> None:
-        waiting = self.waiting_by_step.get(task.id[:3])
-        if waiting is None:
-            return
-        waiting.pop(task.id.number, None)
-        if not waiting:
-            del self.waiting_by_step[task.id[:3]]
+class Shard(ShardJobs):
+    """Jobs of a shard, the ends of their runs, and the backend servers they run on."""
 
     # Ends of runs.
 
@@ -393,16 +135,6 @@
                 task.state = TaskState.DONE
                 self._count_done(job)
 
-    def _count_done(self, job: Job) -> None:
-        if job.state.is_final:
-            return
-        remaining = self._remaining_tasks_by_job_id[job.spec.job_id] - 1
-        self._remaining_tasks_by_job_id[job.spec.job_id] = remaining
-        if remaining == 0:
-            self._finish(job, JobState.COMPLETE)
-        else:
-            self.create_ready_tasks(job)
-
     def _mark_failed(
         self, job: Job, task: Task, server_id: str, is_current: bool
     ) -> None:
--- a/rhubarbmount/batch/tickets.py
+++ b/rhubarbmount/batch/tickets.py
@@ -5,7 +5,8 @@
 import attrs
 
 from rhubarbmount import log
-from rhubarbmount.batch.shard import Shard, StepKey
+from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.shard_jobs import StepKey
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.advice import AdviceClient
 
