--- a/tests/batch/test_days.py
+++ b/tests/batch/test_days.py
@@ -106,6 +106,26 @@
     return left
 
 
+async def submit_all(world, checker, prefix, new_jobs) -> list[str]:
+    """Submit jobs one after the other, which must all be accepted; return their ids."""
+    accepted = []
+    for new_job in new_jobs:
+        assert await submit(world, checker, prefix, new_job)
+        accepted.append(new_job[0])
+    return accepted
+
+
+async def submit_some(world, checker, count: int, period_s: float) -> list[str]:
+    """Submit jobs a period apart, which may be refused; return the accepted ids."""
+    accepted = []
+    for _ in range(count):
+        new_job = job(world.generator)
+        if await submit(world, checker, "/one/", new_job):
+            accepted.append(new_job[0])
+        await trio.sleep(period_s)
+    return accepted
+
+
 @asynccontextmanager
 async def open_day(monkeypatch, seed=0, nodes="abc", machines=3):
     """Run a platform and entry hosts, one of which has become the holder."""
@@ -118,6 +138,24 @@
         yield world, checker
 
 
+@asynccontextmanager
+async def open_small_day(
+    monkeypatch, seed, machines, nodes="a", settle_s=0.5, guards_capacity=True
+):
+    """Run entry hosts and a platform with one queue and a few machines in one pool."""
+    async with open_world(monkeypatch, seed) as world:
+        world.platform.servers_guard_capacity = guards_capacity
+        checker = JobChecker(world)
+        routes = [route("/one/", "one")]
+        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
+        for name in machines:
+            world.platform.add_machine(name, "one", "r")
+        for name in nodes:
+            world.start_node(name)
+        await trio.sleep(settle_s)
+        yield world, checker
+
+
 async def test_jobs_complete_without_faults(monkeypatch, autojump_clock):
     async with open_day(monkeypatch, 1) as (world, checker):
         accepted = []
@@ -260,12 +298,7 @@
         world.faults.late_command_share = 0.1
         world.faults.store_loses = 0.1
         world.faults.store_is_late = 0.1 if seed % 2 else 0.0
-        accepted = []
-        for _ in range(25):
-            new_job = job(world.generator)
-            if await submit(world, checker, "/one/", new_job):
-                accepted.append(new_job[0])
-            await trio.sleep(0.2)
+        accepted = await submit_some(world, checker, 25, 0.2)
         world.faults.late_command_share = 0.0
         world.faults.store_loses = world.faults.store_is_late = 0.0
         assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
@@ -278,13 +311,8 @@
 ):
     """A run may have ended before the command that forbids it takes effect."""
     async with open_day(monkeypatch, seed) as (world, checker):
-        accepted = []
         world.faults.lost_response_share = 0.6
-        for _ in range(25):
-            new_job = job(world.generator)
-            if await submit(world, checker, "/one/", new_job):
-                accepted.append(new_job[0])
-            await trio.sleep(0.2)
+        accepted = await submit_some(world, checker, 25, 0.2)
         world.faults.lost_response_share = 0.0
         assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
         assert checker.breaches == []
@@ -298,12 +326,7 @@
     async with open_day(monkeypatch, seed) as (world, checker):
         world.faults.late_command_share = 0.15
         world.faults.refused_start_share = 0.5
-        accepted = []
-        for _ in range(25):
-            new_job = job(world.generator)
-            if await submit(world, checker, "/one/", new_job):
-                accepted.append(new_job[0])
-            await trio.sleep(0.2)
+        accepted = await submit_some(world, checker, 25, 0.2)
         world.faults.late_command_share = world.faults.refused_start_share = 0.0
         assert await wait_complete(world, checker, "/one/", accepted, 40.0) == []
         assert checker.breaches == []
@@ -321,15 +344,8 @@
 
 # Guards against starts over the capacity of servers that do not refuse them.
 async def test_runs_being_stopped_count_after_a_takeover(monkeypatch, autojump_clock):
-    async with open_world(monkeypatch, 1) as world:
-        world.platform.servers_guard_capacity = False
-        checker = JobChecker(world)
-        routes = [route("/one/", "one")]
-        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
-        world.platform.add_machine("m", "one", "r")
-        for name in "ab":
-            world.start_node(name)
-        await trio.sleep(1.0)
+    day = open_small_day(monkeypatch, 1, ["m"], "ab", 1.0, guards_capacity=False)
+    async with day as (world, checker):
         cancelled, waiting = (wide_job(world.generator, s) for s in (30.0, 0.5))
         assert await submit(world, checker, "/one/", cancelled)
         await trio.sleep(1.0)
@@ -390,13 +406,7 @@
     monkeypatch, autojump_clock
 ):
     """Server rows that expire in a store outage are registered again after it."""
-    async with open_world(monkeypatch, 6) as world:
-        checker = JobChecker(world)
-        routes = [route("/one/", "one")]
-        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
-        world.platform.add_machine("m", "one", "r")
-        world.start_node("a")
-        await trio.sleep(0.5)
+    async with open_small_day(monkeypatch, 6, ["m"]) as (world, checker):
         machine = world.platform.machine_by_id["m"]
         world.platform.store.remove("servers", machine.server.id)
         await trio.sleep(0.2)
@@ -410,14 +420,7 @@
 async def test_a_row_of_an_earlier_lifetime_that_returns_ends_no_later_one(
     monkeypatch, autojump_clock
 ):
-    async with open_world(monkeypatch, 7) as world:
-        checker = JobChecker(world)
-        routes = [route("/one/", "one")]
-        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
-        for number in range(2):
-            world.platform.add_machine(f"m-{number}", "one", "r")
-        world.start_node("a")
-        await trio.sleep(0.5)
+    async with open_small_day(monkeypatch, 7, ["m-0", "m-1"]) as (world, checker):
         store = world.platform.store
         machine = world.platform.machine_by_id["m-0"]
         earlier = machine.server.id
@@ -425,12 +428,10 @@
         world.platform.crash("m-0", 0.5)
         await trio.sleep(1.0)
         jobs = [wide_job(world.generator, 5.0) for _ in range(2)]
-        for new_job in jobs:
-            assert await submit(world, checker, "/one/", new_job)
+        ids = await submit_all(world, checker, "/one/", jobs)
         await trio.sleep(1.0)
         assert machine.server.run_by_task
         store.put("servers", earlier, row)
-        ids = [new_job[0] for new_job in jobs]
         assert await wait_complete(world, checker, "/one/", ids, 20.0) == []
         assert checker.breaches == []
 
@@ -439,13 +440,7 @@
     monkeypatch, autojump_clock
 ):
     """The row of the earlier lifetime stays; only the server tells that it is gone."""
-    async with open_world(monkeypatch, 7) as world:
-        checker = JobChecker(world)
-        routes = [route("/one/", "one")]
-        world.platform.put_catalogue(catalogue(1, routes, ["one"], SPARE))
-        world.platform.add_machine("m-0", "one", "r")
-        world.start_node("a")
-        await trio.sleep(0.5)
+    async with open_small_day(monkeypatch, 7, ["m-0"]) as (world, checker):
         new_job = wide_job(world.generator, 2.0)
         assert await submit(world, checker, "/one/", new_job)
         await trio.sleep(0.5)
@@ -461,16 +456,11 @@
 
 @pytest.mark.parametrize("how", ["silent", "busy"])
 async def test_running_tasks_survive_a_store_outage(monkeypatch, autojump_clock, how):
-    async with open_world(monkeypatch, 3) as world:
-        checker = JobChecker(world)
+    async with open_day(monkeypatch, 3) as (world, checker):
         lapsed = []
         world.observers.append(
             lambda what, *rest: lapsed.append(rest) if what == "lapsed" else None
         )
-        start_platform(world)
-        for name in "abc":
-            world.start_node(name)
-        await trio.sleep(1.0)
         new_job = long_running_job(world.generator)
         assert await submit(world, checker, "/one/", new_job)
         await trio.sleep(2.0)
@@ -489,9 +479,7 @@
 async def test_a_wave_respects_max_unavailable_of_long_running_tasks(
     monkeypatch, autojump_clock
 ):
-    async with open_world(monkeypatch, 5) as world:
-        checker = JobChecker(world)
-        start_platform(world)
+    async with open_day(monkeypatch, 5, nodes="ab") as (world, checker):
         ended, commands = [], []
 
         def watch(what, where, *details):
@@ -501,9 +489,6 @@
                 commands.append((where.id, details[0]))
 
         world.observers.append(watch)
-        for name in "ab":
-            world.start_node(name)
-        await trio.sleep(1.0)
         new_job = long_running_job(world.generator)
         assert await submit(world, checker, "/one/", new_job)
         await trio.sleep(3.0)
--- a/tests/batch/test_takeovers.py
+++ b/tests/batch/test_takeovers.py
@@ -17,6 +17,7 @@
     short_wide_job,
     start_platform,
     submit,
+    submit_all,
     wait_complete,
 )
 from tests.batch.world import catalogue, open_world, route
@@ -77,11 +78,8 @@
     monkeypatch, autojump_clock, seed
 ):
     async with open_day(monkeypatch, seed, nodes="a") as (world, checker):
-        accepted = []
-        for number in range(8):
-            new_job = job_in_part(world.generator, number)
-            assert await submit(world, checker, "/one/", new_job)
-            accepted.append(new_job[0])
+        new_jobs = (job_in_part(world.generator, number) for number in range(8))
+        accepted = await submit_all(world, checker, "/one/", new_jobs)
         world.start_node("b")
         await trio.sleep(1.0)
         parts = request_parts(shard_of("", "", ""))
@@ -105,11 +103,8 @@
 async def test_a_shard_stored_without_specs_is_taken_over(monkeypatch, autojump_clock):
     """Earlier builds stored the progress of jobs alone."""
     async with open_day(monkeypatch, 3, nodes="a") as (world, checker):
-        accepted = []
-        for _ in range(6):
-            new_job = short_wide_job(world.generator)
-            assert await submit(world, checker, "/one/", new_job)
-            accepted.append(new_job[0])
+        new_jobs = (short_wide_job(world.generator) for _ in range(6))
+        accepted = await submit_all(world, checker, "/one/", new_jobs)
         await trio.sleep(1.0)
         world.kill_node("a")
         for job_id in accepted:
@@ -146,11 +141,8 @@
             )
         )
         assert (await world.call("GET", "/two/"))[0] == 404
-        accepted = []
-        for _ in range(6):
-            new_job = job(world.generator)
-            assert await submit(world, checker, "/one/", new_job)
-            accepted.append(new_job[0])
+        new_jobs = (job(world.generator) for _ in range(6))
+        accepted = await submit_all(world, checker, "/one/", new_jobs)
         assert await wait_complete(world, checker, "/one/", accepted, 30.0) == []
         assert started_on
         assert leaving.server not in started_on
