--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -175,7 +175,7 @@
             self.save_wave(progress)
 
     def _start_maintenance(self, maintenance: Maintenance) -> None:
-        if not self.commands.may_command(maintenance.host_id):
+        if not self._start_command(maintenance.host_id, self._maintain, maintenance):
             return
         progress = self.wave_by_number[maintenance.wave]
         log.event(
@@ -189,7 +189,6 @@
         )
         progress.unavailable.add(maintenance.host_id)
         self.save_wave(progress)
-        self._start_command(maintenance.host_id, self._maintain, maintenance)
 
     def _log_waits(self, wait_by_host: dict[str, str]) -> None:
         for host_id, reason in wait_by_host.items():
@@ -289,9 +288,13 @@
 
     # Commands to hosts.
 
-    def _start_command(self, host_id: str, action: Callable, decision: object) -> None:
+    def _start_command(self, host_id: str, action: Callable, decision: object) -> bool:
+        """Start a command if the host may be sent one; return whether it was started.
+
+        Nothing is sent before the caller's next checkpoint.
+        """
         if not self.commands.may_command(host_id) or self._nursery is None:
-            return
+            return False
         self.commands.reserve(host_id)
         server_id = self.host_by_id[host_id].server_id
         usage = self.shard.usage_by_server_id.get(server_id)
@@ -300,6 +303,7 @@
         self._nursery.start_soon(
             self._run_command, host_id, server_id, action, decision
         )
+        return True
 
     async def _run_command(
         self, host_id: str, server_id: str, action: Callable, decision: object
--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -1,5 +1,7 @@
 """Tests for leases and renewals of backend servers that stop answering."""
 
+import trio
+
 from rhubarbmount.batch.clocks import RATE_MARGIN, monotonic_s
 from rhubarbmount.batch.election import ShardLease, longest_lease
 from rhubarbmount.batch.lateness import Lateness
@@ -151,3 +153,25 @@
     assert session.client.expiries == [None] * 4
     assert session.listed_to == session.acknowledged == 0
     assert "a fault in handling a list" in caplog.text
+
+
+class EndedBackendClient:
+    """Backend client whose server answers each renewal as another lifetime."""
+
+    def __init__(self):
+        self.renewals = 0
+
+    async def renew(self, *args):
+        await trio.lowlevel.checkpoint()
+        self.renewals += 1
+        assert self.renewals < 100, "renewed without a pause"
+        return RenewalResponse(CommandResult.OTHER_LIFETIME, 0)
+
+
+# Guards against renewals that are sent to an address after its lifetime has ended.
+async def test_a_lifetime_that_has_ended_is_not_renewed_again(autojump_clock):
+    session = make_session()
+    session.client = EndedBackendClient()
+    with trio.move_on_after(5.0):
+        await session.run()
+    assert session.client.renewals == 1
