Ask servers with tasks that are not listed at a takeover

Tasks of a server that lives are killed too, as nobody renews its lease before its row is back.

Cause: a holder knows only the id of such a server, from the tasks assigned to it. It can't ask it, and its host is unknown.

A next holder opens a session with each unlisted server that has tasks and a record; nothing is placed there before it is listed.

Ruled out: that the wait is needed for a server that is cut off; it is kept there (test that such tasks never run twice).

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -27,6 +27,7 @@
 from rhubarbmount.batch.records import decode_progress, decode_spec
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
+from rhubarbmount.batch.server_records import ServerRecords
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
@@ -39,6 +40,7 @@
     REQUESTS_TABLE,
     host_orders_row,
     request_parts,
+    server_records_row,
     silent_servers_row,
     wave_row,
 )
@@ -85,6 +87,7 @@
     metrics: BatchMetrics
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
+    server_records: ServerRecords = attrs.field(factory=ServerRecords)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     fleet_controller: FleetController = attrs.field(init=False)
@@ -248,6 +251,8 @@
             self.command_times.load(row.value)
         for row in loaded.silent_servers.rows:
             self.silent_servers.load(row.value)
+        for row in loaded.server_records.rows:
+            self.server_records.load(row.value)
         for row in loaded.waves.rows:
             self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
         self.servers.apply(loaded.servers, True)
@@ -256,6 +261,7 @@
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
             self._apply_requests(page, False)
+        self._restore_unlisted_servers()
         for server_id in self.shard.unknown_servers():
             self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
         log.event(
@@ -270,6 +276,13 @@
         )
         return loaded
 
+    def _restore_unlisted_servers(self) -> None:
+        """Ask the unlisted servers with tasks that the last holder has recorded."""
+        for server_id in self.shard.unknown_servers():
+            server = self.server_records.find(server_id)
+            if server is not None:
+                self.servers.restore(server)
+
     async def _load_requests(self) -> None:
         """Add the jobs that no holder has seen yet, then begin to remove old ones.
 
@@ -393,6 +406,7 @@
 
     async def _commit_and_send(self, assignments: list[Assignment]) -> None:
         """Commit the changes, then send the commands that depend on them."""
+        self._put_server_records(assignments)
         self._job_rows.put_changed()
         stops, self.shard.stops = self.shard.stops, []
         listed_by_session = {session: session.listed_to for session in self.sessions}
@@ -409,6 +423,17 @@
                 session.committed = number
                 session.wake()
 
+    def _put_server_records(self, assignments: list[Assignment]) -> None:
+        """Record the servers of assignments, no later than these are stored."""
+        usage_by_id = self.shard.usage_by_server_id
+        for assignment in assignments:
+            usage = usage_by_id.get(assignment.server_id)
+            if usage is not None:
+                self.server_records.note(usage.server)
+        records = self.server_records.encode_changed(usage_by_id)
+        for key, value in records.items():
+            self._write_batch.put(server_records_row(self.name, key), value)
+
     def _start_requests(
         self, assignments: list[Assignment]
     ) -> list[tuple[ServerSession, StartRequest]]:
--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -37,6 +37,19 @@
             self._apply_row(row)
         self.sessions.wake()
 
+    def restore(self, server: Server) -> None:
+        """Add a server that has tasks but no row, so that it is asked."""
+        log.event(
+            logger,
+            "server-restored",
+            server=server.id,
+            address=server.address,
+            host=server.host_id,
+        )
+        usage = self.shard.put_server(server, monotonic_s())
+        usage.is_listed = False
+        self.sessions.open(usage)
+
     def _apply_row(self, row: Row) -> None:
         server_id = row.name.key
         if not row.version:
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -14,6 +14,7 @@
     HOST_ORDERS_TABLE,
     PROGRESS_TABLE,
     REQUESTS_TABLE,
+    SERVER_RECORDS_TABLE,
     SILENT_SERVERS_TABLE,
     SPECS_TABLE,
     WAVES_TABLE,
@@ -38,6 +39,7 @@
     WAVES_TABLE,
     HOST_ORDERS_TABLE,
     SILENT_SERVERS_TABLE,
+    SERVER_RECORDS_TABLE,
 )
 RETRY_S = 0.1
 # A lost answer costs little, and a slow link gets enough time, as timeouts double.
@@ -61,6 +63,7 @@
     waves: Page
     command_times: Page
     silent_servers: Page
+    server_records: Page
     servers: Page
 
     @property
@@ -128,6 +131,7 @@
             waves=page_by_table[WAVES_TABLE],
             command_times=page_by_table[HOST_ORDERS_TABLE],
             silent_servers=page_by_table[SILENT_SERVERS_TABLE],
+            server_records=page_by_table[SERVER_RECORDS_TABLE],
             servers=page_by_table[SERVERS_TABLE],
         )
 
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -8,6 +8,7 @@
     "HOST_ORDERS_TABLE",
     "PROGRESS_TABLE",
     "REQUESTS_TABLE",
+    "SERVER_RECORDS_TABLE",
     "SILENT_SERVERS_TABLE",
     "SPECS_TABLE",
     "cancel_row",
@@ -19,6 +20,7 @@
     "request_parts",
     "request_row",
     "shard_of",
+    "server_records_row",
     "silent_servers_row",
     "spec_row",
     "wave_row",
@@ -30,6 +32,7 @@
 SPECS_TABLE = "specs"
 WAVES_TABLE = "waves"
 HOST_ORDERS_TABLE = "host-orders"
+SERVER_RECORDS_TABLE = "server-records"
 SILENT_SERVERS_TABLE = "silent-servers"
 CANCEL_SUFFIX = ".cancel"
 REQUEST_PART_COUNT = 8
@@ -100,6 +103,11 @@
     return RowName(HOST_ORDERS_TABLE, shard, "last")
 
 
+def server_records_row(shard: str, key: str) -> RowName:
+    """Return one of the rows that say where servers with tasks are reached."""
+    return RowName(SERVER_RECORDS_TABLE, shard, key)
+
+
 def silent_servers_row(shard: str) -> RowName:
     """Return the row of unresponsive backend servers, which are granted no leases."""
     return RowName(SILENT_SERVERS_TABLE, shard, "last")
--- a/tests/batch/test_lifetimes.py
+++ b/tests/batch/test_lifetimes.py
@@ -166,3 +166,55 @@
         await trio.sleep(2.0)
         assert machine.server.run_by_task
         assert checker.breaches == []
+
+
+# The server is dark, and its row is gone when the next holder takes over: no session
+# asks whether the lifetime goes on, and its tasks wait for the longest lease.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("how", RETURNS)
+async def test_tasks_of_a_server_that_is_not_listed_at_a_takeover_restart_on_proof(
+    monkeypatch, autojump_clock, how, seed
+):
+    async with open_day_with_long_tasks(monkeypatch, seed) as day:
+        world, checker, machine = day
+        lost = LostServer(world, checker, machine)
+        machine.address, pool = RETURNS[how]
+        world.kill_node(world.holders()[0])
+        world.platform.crash(machine.id, DARK_S, pool)
+        await trio.sleep(LONGEST_LEASE_S + 5.0)
+        assert lost.are_tasks_away_for_less_than(DARK_S + RESTART_S)
+        assert checker.breaches == []
+
+
+# Rows of servers that live have expired when the next holder takes over.
+@pytest.mark.parametrize("seed", range(3))
+async def test_tasks_of_a_server_whose_row_is_away_at_a_takeover_go_on(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day_with_long_tasks(monkeypatch, seed) as day:
+        world, checker, machine = day
+        lost = LostServer(world, checker, machine)
+        world.kill_node(world.holders()[0])
+        lost.remove_row()
+        await trio.sleep(6.0)
+        lost.put_row()
+        await trio.sleep(LONGEST_LEASE_S)
+        assert lost.away_s_by_task == {}
+        assert set(lost.tasks) <= set(lost.server.run_by_task)
+        assert checker.breaches == []
+
+
+# The server is neither listed at the takeover nor can it be reached, and runs on.
+@pytest.mark.parametrize("seed", range(3))
+async def test_tasks_of_an_unlisted_server_that_is_cut_off_never_run_twice(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day_with_long_tasks(monkeypatch, seed) as day:
+        world, checker, machine = day
+        lost = LostServer(world, checker, machine)
+        world.faults.servers_cut = {("*", machine.server.address)}
+        lost.remove_row()
+        world.kill_node(world.holders()[0])
+        await trio.sleep(LONGEST_LEASE_S + 5.0)
+        assert len(lost.away_s_by_task) == len(lost.tasks)
+        assert checker.breaches == []
