Take the answer to a repeated host command for no proof of a later lifetime's end

Not reported; found while looking at what is taken for proof that a lifetime is over. What callers would see: TWICE. Answers to moves are lost for 2.0 s or 2.8 s, the hosts get their next servers meanwhile, and tasks start there. When a repetition of the move is answered, these tasks start again elsewhere, beside their runs.

Cause: the server lost at the answer was the one that the list of hosts showed then, not the one that the host had when the command was decided. A repeated command is accepted when it has been carried out already, and ends nothing then.

The fix takes the server of the decision. It also clears the mark of a pending command at that server, which stayed when the list had changed meanwhile.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -197,7 +197,7 @@
                 log.event(logger, "wave-waits", host=host_id, reason=reason)
         self._wait_reason_by_host = wait_by_host
 
-    async def _maintain(self, maintenance: Maintenance) -> None:
+    async def _maintain(self, maintenance: Maintenance, server_id: str) -> None:
         progress = self.wave_by_number[maintenance.wave]
         result = await self.commands.maintain(maintenance.host_id, maintenance.wave)
         self.metrics.host_orders.labels("maintain", result.value).inc()
@@ -212,7 +212,7 @@
         if result is HostResult.DONE:
             progress.begun.add(maintenance.host_id)
             self.save_wave(progress)
-            self._lose_server_of(maintenance.host_id)
+            self._lose_server(server_id)
         elif result is HostResult.NOT_IN_WAVE or result is HostResult.REFUSED:
             progress.begun.add(maintenance.host_id)
         else:
@@ -267,7 +267,7 @@
         """Return the current configuration."""
         return self.shard.catalogue
 
-    async def _move(self, move: Move) -> None:
+    async def _move(self, move: Move, server_id: str) -> None:
         result = await self.commands.move(move.host_id, move.pool)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
@@ -282,15 +282,18 @@
             outcome=result.value,
         )
         if result is HostResult.DONE:
-            self._lose_server_of(move.host_id)
+            self._lose_server(server_id)
         else:
             self.capacity.drop_command(move.host_id)
 
-    def _lose_server_of(self, host_id: str) -> None:
-        """Drop the server of a host whose command was accepted, as it has ended."""
-        host = self.host_by_id.get(host_id)
-        if host is not None and host.server_id:
-            self.shard.lose_server(host.server_id, monotonic_s())
+    def _lose_server(self, server_id: str) -> None:
+        """Drop the server that a host had before a command that was accepted.
+
+        It has ended. The host may have another one by then, as a command is repeated
+        until its outcome is known.
+        """
+        if server_id:
+            self.shard.lose_server(server_id, monotonic_s())
             self.wake_scheduler()
 
     # Commands to hosts.
@@ -303,17 +306,16 @@
         usage = self.shard.usage_by_server_id.get(host.server_id)
         if usage is not None:
             usage.has_pending_command = True
-        self._nursery.start_soon(self._run_command, host_id, action, decision)
+        self._nursery.start_soon(self._run_command, host, action, decision)
 
     async def _run_command(
-        self, host_id: str, action: Callable, decision: object
+        self, host: Host, action: Callable, decision: object
     ) -> None:
         try:
-            await action(decision)
+            await action(decision, host.server_id)
         finally:
-            self.commands.release(host_id)
+            self.commands.release(host.id)
             self._is_list_requested = True
-            host = self.host_by_id.get(host_id)
-            usage = host and self.shard.usage_by_server_id.get(host.server_id)
-            if usage:
+            usage = self.shard.usage_by_server_id.get(host.server_id)
+            if usage is not None:
                 usage.has_pending_command = False
--- a/tests/batch/test_lifetimes.py
+++ b/tests/batch/test_lifetimes.py
@@ -16,7 +16,7 @@
 from rhubarbmount.standins.users_platform import StandinMachine
 from rhubarbmount.standins.users_servers import StandinServer, TaskWork
 from tests.batch.checkers import JobChecker
-from tests.batch.test_days import open_day, submit
+from tests.batch.test_days import open_day, submit, wait_complete, wide_job
 from tests.batch.world import World, catalogue, open_world, route
 
 LONG_RUNNING_TASKS = 6
@@ -218,3 +218,23 @@
         await trio.sleep(LONGEST_LEASE_S + 5.0)
         assert len(lost.away_s_by_task) == len(lost.tasks)
         assert checker.breaches == []
+
+
+# Moves get no answer and are repeated until the hosts have their next lifetimes, whose
+# runs must not be taken for ended when the answer comes.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("lost_s", [2.0, 2.8])
+async def test_the_answer_to_a_repeated_move_ends_no_later_lifetime(
+    monkeypatch, autojump_clock, seed, lost_s
+):
+    async with open_day(monkeypatch, seed, nodes="a") as (world, checker):
+        await trio.sleep(4.0)
+        world.faults.lost_machine_response_share = 1.0
+        jobs = [wide_job(world.generator, 4.0) for _ in range(3)]
+        for new_job in jobs:
+            assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(lost_s)
+        world.faults.lost_machine_response_share = 0.0
+        ids = [new_job[0] for new_job in jobs]
+        assert await wait_complete(world, checker, "/one/", ids, 40.0) == []
+        assert checker.breaches == []
