--- a/tests/batch/test_lifetimes.py
+++ b/tests/batch/test_lifetimes.py
@@ -16,7 +16,7 @@
 from rhubarbmount.standins.users_platform import StandinMachine
 from rhubarbmount.standins.users_servers import StandinServer, TaskWork
 from tests.batch.checkers import JobChecker
-from tests.batch.test_days import open_day, submit, wait_complete, wide_job
+from tests.batch.test_days import POOLS, open_day, submit, wait_complete, wide_job
 from tests.batch.world import World, catalogue, open_world, route
 
 LONG_RUNNING_TASKS = 6
@@ -238,3 +238,80 @@
         ids = [new_job[0] for new_job in jobs]
         assert await wait_complete(world, checker, "/one/", ids, 40.0) == []
         assert checker.breaches == []
+
+
+@attrs.define(eq=False)
+class Disturber:
+    """Lets servers crash, return elsewhere, be cut off or lose their rows by chance."""
+
+    world: World
+    _address_count: int = 0
+    _dead_rows: list[tuple[str, str]] = attrs.field(factory=list)
+
+    async def disturb(self) -> None:
+        """Do one thing to a server that is up, if any is."""
+        platform, generator = self.world.platform, self.world.generator
+        up = [item for item in platform.machine_by_id.values() if item.server]
+        if not up:
+            return
+        machine = generator.choice(up)
+        server = machine.server
+        row = platform.store.get("servers", "", server.id)
+        match generator.choice(["crash", "crash", "cut", "expire", "return"]):
+            case "crash":
+                if generator.random() < 0.5:
+                    self._address_count += 1
+                    machine.address = f"10.9.1.{self._address_count}:80"
+                pool = generator.choice(["", "", *POOLS])
+                platform.crash(machine.id, generator.uniform(0.1, 3.0), pool)
+                self._dead_rows.append((server.id, row))
+                if generator.random() < 0.5:
+                    platform.store.put("servers", server.id, row)
+            case "cut":
+                holder = generator.choice(["*", *self.world.holders()])
+                self.world.faults.servers_cut = {(holder, server.address)}
+            case "expire":
+                platform.store.remove("servers", server.id)
+                await trio.sleep(generator.uniform(0.1, 1.0))
+                if not server.is_gone:
+                    platform.register(machine)
+            case "return" if self._dead_rows:
+                platform.store.put("servers", *generator.choice(self._dead_rows))
+
+    async def change_holder(self) -> None:
+        """Kill or stop the holder, and start it again."""
+        for holder in self.world.holders():
+            if self.world.generator.random() < 0.7:
+                self.world.kill_node(holder)
+            else:
+                await self.world.stop_node(holder)
+            self.world.start_node(holder)
+
+
+# Servers end, return elsewhere and are cut off while their rows come and go and holders
+# change: none of it may have a run taken for ended that goes on.
+@pytest.mark.parametrize("seed", range(6))
+async def test_runs_are_not_repeated_whatever_rows_and_addresses_show(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day(monkeypatch, seed) as (world, checker):
+        world.faults.lost_machine_response_share = 0.2
+        assert await submit(
+            world, checker, "/one/", long_running_tasks(world.generator)
+        )
+        disturber = Disturber(world)
+        accepted = []
+        for _ in range(12):
+            new_job = wide_job(world.generator, 3.0)
+            if await submit(world, checker, "/one/", new_job):
+                accepted.append(new_job[0])
+            await disturber.disturb()
+            await trio.sleep(world.generator.uniform(0.2, 2.0))
+            if world.generator.random() < 0.3:
+                await disturber.change_holder()
+            if world.generator.random() < 0.3:
+                world.faults.servers_cut = set()
+        world.faults.servers_cut = set()
+        world.faults.lost_machine_response_share = 0.0
+        assert await wait_complete(world, checker, "/one/", accepted, 60.0) == []
+        assert checker.breaches == []
