--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -197,7 +197,8 @@
                 log.event(logger, "wave-waits", host=host_id, reason=reason)
         self._wait_reason_by_host = wait_by_host
 
-    async def _maintain(self, maintenance: Maintenance, server_id: str) -> None:
+    async def _maintain(self, maintenance: Maintenance) -> bool:
+        """Maintain a host; return whether this has ended its server."""
         progress = self.wave_by_number[maintenance.wave]
         result = await self.commands.maintain(maintenance.host_id, maintenance.wave)
         self.metrics.host_orders.labels("maintain", result.value).inc()
@@ -212,11 +213,11 @@
         if result is HostResult.DONE:
             progress.begun.add(maintenance.host_id)
             self.save_wave(progress)
-            self._lose_server(server_id)
         elif result is HostResult.NOT_IN_WAVE or result is HostResult.REFUSED:
             progress.begun.add(maintenance.host_id)
         else:
             progress.unavailable.discard(maintenance.host_id)
+        return result is HostResult.DONE
 
     # Moves.
 
@@ -267,7 +268,8 @@
         """Return the current configuration."""
         return self.shard.catalogue
 
-    async def _move(self, move: Move, server_id: str) -> None:
+    async def _move(self, move: Move) -> bool:
+        """Move a host; return whether this has ended its server."""
         result = await self.commands.move(move.host_id, move.pool)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
@@ -281,20 +283,9 @@
             idle_s=move.idle_s,
             outcome=result.value,
         )
-        if result is HostResult.DONE:
-            self._lose_server(server_id)
-        else:
+        if result is not HostResult.DONE:
             self.capacity.drop_command(move.host_id)
-
-    def _lose_server(self, server_id: str) -> None:
-        """Drop the server that a host had before a command that was accepted.
-
-        It has ended. The host may have another one by then, as a command is repeated
-        until its outcome is known.
-        """
-        if server_id:
-            self.shard.lose_server(server_id, monotonic_s())
-            self.wake_scheduler()
+        return result is HostResult.DONE
 
     # Commands to hosts.
 
@@ -302,20 +293,25 @@
         if not self.commands.may_command(host_id) or self._nursery is None:
             return
         self.commands.reserve(host_id)
-        host = self.host_by_id[host_id]
-        usage = self.shard.usage_by_server_id.get(host.server_id)
+        server_id = self.host_by_id[host_id].server_id
+        usage = self.shard.usage_by_server_id.get(server_id)
         if usage is not None:
             usage.has_pending_command = True
-        self._nursery.start_soon(self._run_command, host, action, decision)
+        self._nursery.start_soon(
+            self._run_command, host_id, server_id, action, decision
+        )
 
     async def _run_command(
-        self, host: Host, action: Callable, decision: object
+        self, host_id: str, server_id: str, action: Callable, decision: object
     ) -> None:
+        """Command a host on which a server ran when the command was decided."""
         try:
-            await action(decision, host.server_id)
+            if await action(decision):
+                self.shard.lose_server(server_id, monotonic_s())
+                self.wake_scheduler()
         finally:
-            self.commands.release(host.id)
+            self.commands.release(host_id)
             self._is_list_requested = True
-            usage = self.shard.usage_by_server_id.get(host.server_id)
+            usage = self.shard.usage_by_server_id.get(server_id)
             if usage is not None:
                 usage.has_pending_command = False
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -8,9 +8,19 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
-from rhubarbmount.batch.clocks import RATE_MARGIN, monotonic_s, wall_clock_s
+from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
-from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.earlier_grants import (
+    CARRIED_OVER,
+    HANDED_OVER,
+    LAST_RENEWAL,
+    EarlierGrants,
+    Takeover,
+    carried_over,
+    decode_takeover,
+    longest_lease,
+)
+from rhubarbmount.batch.election import ShardLease, longest_grant_s
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
@@ -20,11 +30,10 @@
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
-    Job,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.records import decode_progress, decode_spec
+from rhubarbmount.batch.record_fields import UnreadableRecord, decode_numbers
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_records import ServerRecords
@@ -32,7 +41,7 @@
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.batch.shard_rows import LoadedShard, ShardLoader
+from rhubarbmount.batch.shard_rows import JobReader, LoadedShard, ShardLoader
 from rhubarbmount.batch.silent_servers import READING_MARGIN_S, SilentServers
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import (
@@ -42,9 +51,11 @@
     request_parts,
     server_records_row,
     silent_servers_row,
+    takeover_row,
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.wave_status import WaveStatusWriter
 from rhubarbmount.batch.waves import WaveProgress
@@ -66,7 +77,6 @@
 LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
-UNLISTED_MARGIN_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -85,9 +95,11 @@
     bounds: Bounds
     link_mbps: float
     metrics: BatchMetrics
+    unreadable_rows: UnreadableRows
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
     server_records: ServerRecords = attrs.field(factory=ServerRecords)
+    earlier_grants: EarlierGrants = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     fleet_controller: FleetController = attrs.field(init=False)
@@ -99,15 +111,21 @@
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
     _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
+    # Waves whose progress can't be read. Which hosts were maintained is not known, so
+    # that nothing of them is planned.
+    _unreadable_waves: set[int] = attrs.field(factory=set)
     _job_rows: JobRows = attrs.field(init=False)
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
     _started_jobs: set[str] = attrs.field(factory=set)
     _requests: TableFollower | None = None
     _loader: ShardLoader = attrs.field(init=False)
+    _job_reader: JobReader = attrs.field(init=False)
     _are_requests_loaded: bool = False
+    # Set once the rows may be written without losing what they hold.
+    _are_server_records_loaded: bool = False
     # Progress stored by builds that did not store specs.
-    _progress_without_spec_by_id: dict[str, bytes] = attrs.field(factory=dict)
+    _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.shard = Shard(
@@ -117,11 +135,16 @@
         self._job_rows = JobRows(self.name, self.shard, self._write_batch)
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
+        self._job_reader = JobReader(self.shard, self.unreadable_rows)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
         self.command_times = HostCommandTimes(self.store.clock_s, self.bounds.lease_s)
         self.silent_servers = SilentServers(self.store.clock_s)
+        self.earlier_grants = EarlierGrants(
+            longest_lease(self._started_at_s, self.bounds.max_lease_s),
+            self.silent_servers,
+        )
         self.fleet_controller = FleetController(
             shard=self.shard,
             placer=self.placer,
@@ -151,13 +174,15 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._measure_lag)
             self._open_sessions(nursery)
-            await self.committer.begin()
+            await self._begin()
             loaded = await self._load()
             self._is_loaded = True
             for wave in waves.values():
                 self.put_wave(wave)
             self._requests = self._request_follower(loaded.version)
+            nursery.start_soon(self.sessions.keep_record)
             nursery.start_soon(self._requests.run)
+            nursery.start_soon(self._find_unlisted_servers)
             nursery.start_soon(self._load_requests)
             nursery.start_soon(self._server_follower(loaded.servers.version).run)
             nursery.start_soon(self.fleet_controller.run)
@@ -172,7 +197,7 @@
             client=self.backend_client,
             shard_lease=self.shard_lease,
             max_lease_s=self.bounds.max_lease_s,
-            last_grants_lapse_in_s=self._last_grants_lapse_in_s(),
+            earlier_grants=self.earlier_grants,
             metrics=self.metrics,
             lateness=self.lateness,
             tickets=self.tickets,
@@ -194,19 +219,38 @@
             self._remove_job_rows,
         )
 
-    def _last_grants_lapse_in_s(self) -> float | None:
-        if not self.shard_lease.last_grants_end_s:
-            return None
-        left_s = self.shard_lease.last_grants_end_s - self.store.clock_s()
-        return max(0.0, left_s + READING_MARGIN_S)
+    async def _begin(self) -> None:
+        """Bar earlier holders, and note when what they granted has lapsed."""
+        if self.shard_lease.last_grants_end_s:
+            self._tighten_earlier_grants(
+                self.shard_lease.last_grants_end_s, HANDED_OVER
+            )
+        takeover = self._takeover()
+        await self.committer.begin({self._takeover_row(): takeover.encode()})
+
+    def _takeover_row(self) -> RowName:
+        return takeover_row(self.name, self.shard_lease.fencing_token)
+
+    def _takeover(self, is_recorded: bool = False) -> Takeover:
+        left_s = self.earlier_grants.bound.at_s - monotonic_s()
+        return Takeover(
+            lapses_at_s=self.store.clock_s() + left_s,
+            longest_grant_s=longest_grant_s(self.bounds.max_lease_s),
+            is_recorded=is_recorded,
+        )
+
+    def _tighten_earlier_grants(self, at_store_s: float, source: str) -> None:
+        left_s = at_store_s + READING_MARGIN_S - self.store.clock_s()
+        self.earlier_grants.tighten(monotonic_s() + left_s, source)
 
     def grants_end_s(self) -> float:
         """Return when all leases granted to servers have expired, by the store's clock.
 
         The value is 0 until the shard is loaded, since leases granted by the previous
-        holder may still be in force.
+        holder may still be in force, and while a job that can't be read may have runs,
+        as it is not known where.
         """
-        if not self._is_loaded:
+        if not self._is_loaded or self.shard.unreadable_jobs.may_have_runs:
             return 0.0
         return self.store.clock_s() + self.sessions.lapses_at_s() - monotonic_s()
 
@@ -222,6 +266,8 @@
 
     def put_wave(self, wave: Wave) -> None:
         """Add a maintenance wave requested by the operator."""
+        if wave.number in self._unreadable_waves:
+            return
         record = self._wave_records.get(wave.number)
         self.fleet_controller.put_wave(wave, record)
         if record is not None:
@@ -248,22 +294,21 @@
             await self._loader.load_requests(requests.append)
             self._are_requests_loaded = True
         for row in loaded.command_times.rows:
-            self.command_times.load(row.value)
+            self._load_command_times(row)
         for row in loaded.silent_servers.rows:
-            self.silent_servers.load(row.value)
-        for row in loaded.server_records.rows:
-            self.server_records.load(row.value)
+            await self._load_silent_servers(row)
+        self._load_earlier_grants(loaded)
         for row in loaded.waves.rows:
-            self._wave_records[int(row.name.key)] = WaveRecord.decode(row.value)
+            self._load_wave(row)
+        loaded.add_jobs(self._job_reader)
+        self._record_servers_with_tasks()
         self.servers.apply(loaded.servers, True)
-        loaded.add_jobs(self.shard)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
             self._apply_requests(page, False)
-        self._restore_unlisted_servers()
-        for server_id in self.shard.unknown_servers():
-            self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
+        for job_id in self._job_reader.apply_ends(monotonic_s()):
+            self._job_rows.remove_kept_ends(job_id)
         log.event(
             logger,
             "shard-loaded",
@@ -276,12 +321,84 @@
         )
         return loaded
 
-    def _restore_unlisted_servers(self) -> None:
-        """Ask the unlisted servers with tasks that the last holder has recorded."""
+    async def _find_unlisted_servers(self) -> None:
+        """Ask the unlisted servers with tasks where the last holder reached them."""
+        page = await self._loader.load_server_records()
+        for row in page.rows:
+            try:
+                self.server_records.load(row.value)
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
+        self._are_server_records_loaded = True
         for server_id in self.shard.unknown_servers():
             server = self.server_records.find(server_id)
             if server is not None:
                 self.servers.restore(server)
+            else:
+                self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
+
+    def _load_command_times(self, row: Row) -> None:
+        try:
+            self.command_times.load(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self.command_times.block_all()
+
+    async def _load_silent_servers(self, row: Row) -> None:
+        """Load the record of silent servers; one that can't be read is replaced.
+
+        A server that it names must not be granted anything while a later holder may
+        still read it.
+        """
+        try:
+            decode_numbers(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            await self.committer.commit({row.name: self.silent_servers.encode()})
+        else:
+            self.silent_servers.load(row.value)
+
+    def _load_wave(self, row: Row) -> None:
+        number = int(row.name.key)
+        try:
+            self._wave_records[number] = WaveRecord.decode(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            self._unreadable_waves.add(number)
+
+    def _load_earlier_grants(self, loaded: LoadedShard) -> None:
+        takeover_by_token: dict[int, Takeover] = {}
+        for row in loaded.takeovers.rows:
+            try:
+                token, takeover = decode_takeover(row.name.key, row.value)
+                takeover_by_token[token] = takeover
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
+        previous_token = self.committer.previous_token
+        at_store_s = carried_over(takeover_by_token, previous_token)
+        if at_store_s is not None:
+            self._tighten_earlier_grants(at_store_s, CARRIED_OVER)
+        previous = takeover_by_token.get(previous_token)
+        if previous is not None:
+            renewed_by_s = self.shard_lease.previous_renewed_by_s
+            self.earlier_grants.tighten(
+                renewed_by_s + previous.longest_grant_s, LAST_RENEWAL
+            )
+        for row in loaded.takeovers.rows:
+            if row.name != self._takeover_row():
+                self._write_batch.remove(row.name)
+
+    def _record_servers_with_tasks(self) -> None:
+        """Record every server with tasks as silent, until it answers this holder."""
+        now_s = monotonic_s()
+        for server_id in self.shard.unknown_servers():
+            bound = self.earlier_grants.bound_of(server_id, now_s)
+            self.silent_servers.note(server_id, bound.at_s - now_s)
+        self._write_batch.put(
+            silent_servers_row(self.name), self.silent_servers.encode()
+        )
+        self._write_batch.put(self._takeover_row(), self._takeover(True).encode())
+        self.wake()
 
     async def _load_requests(self) -> None:
         """Add the jobs that no holder has seen yet, then begin to remove old ones.
@@ -305,14 +422,27 @@
 
     async def _lose_unlisted_server(self, server_id: str) -> None:
         """Release the tasks of an unlisted server once its leases must have expired."""
-        lapses_in_s = self.silent_servers.lapses_in_s(server_id)
-        if lapses_in_s is None:
-            lapses_in_s = self._last_grants_lapse_in_s()
-        if lapses_in_s is None:
-            lapses_in_s = self.bounds.max_lease_s * RATE_MARGIN + UNLISTED_MARGIN_S
+        bound = self.earlier_grants.bound_of(server_id, monotonic_s())
+        lapses_in_s = max(0.0, bound.at_s - monotonic_s())
+        log.event(
+            logger,
+            "server-not-listed",
+            logging.WARNING,
+            server=server_id,
+            lapses_in_s=lapses_in_s,
+            bound=bound.source,
+        )
         await trio.sleep(lapses_in_s)
         if server_id not in self.shard.usage_by_server_id:
-            self.shard.lose_server(server_id, monotonic_s())
+            tasks = self.shard.lose_server(server_id, monotonic_s())
+            self.metrics.lapsed_tasks.labels(bound.source).inc(tasks)
+            log.event(
+                logger,
+                "server-ended",
+                server=server_id,
+                reason="not-listed",
+                tasks=tasks,
+            )
             self.wake()
 
     # Rows written by other processes.
@@ -340,12 +470,11 @@
         self.wake()
 
     def _add_requested_job(self, row: Row) -> None:
-        spec = decode_spec(row.value)
-        job = Job(spec)
-        progress = self._progress_without_spec_by_id.pop(spec.job_id, None)
-        if progress is not None:
-            decode_progress(progress, job)
-        self.shard.add_job(job)
+        progress = self._progress_without_spec_by_id.pop(row.name.key, None)
+        job = self._job_reader.add(row, progress)
+        if job is None:
+            return
+        spec = job.spec
         self.shard.demand.note_job(
             self.shard.pool_of(spec),
             spec,
@@ -430,6 +559,8 @@
             usage = usage_by_id.get(assignment.server_id)
             if usage is not None:
                 self.server_records.note(usage.server)
+        if not self._are_server_records_loaded:
+            return
         records = self.server_records.encode_changed(usage_by_id)
         for key, value in records.items():
             self._write_batch.put(server_records_row(self.name, key), value)
--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -10,6 +10,8 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import RENEWAL_PERIOD_S, LeaseWatch, ShardLease
+from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import (
     LeaseRow,
     decode_lease,
@@ -17,6 +19,7 @@
 )
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import LEASE_TABLE, lease_row
+from rhubarbmount.batch.unreadable_rows import UnreadableRows
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import Page, Row, RowConflict, RowStore
 
@@ -31,6 +34,8 @@
 RETRY_S = 0.15
 OUTCOME_WAIT_S = 1.5
 RENEWAL_TIMEOUT_S = 0.9
+# No host has this name.
+UNKNOWN_HOLDER = ""
 
 
 @attrs.define(eq=False)
@@ -42,11 +47,15 @@
     node_id: str
     # How long this host lets others try to acquire the lease first.
     take_delay_s: float = 0.0
+    unreadable_rows: UnreadableRows = attrs.field(
+        factory=lambda: UnreadableRows(BatchMetrics())
+    )
     incarnation: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
     _version: int = 0
     _last_grants_end_s: float = 0.0
+    _previous_renewed_by_s: float = 0.0
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_loaded: bool = False
     _is_failing: bool = False
@@ -59,7 +68,7 @@
             (lease_row(self.shard).part,),
             self._apply,
             wait_s=FEED_WAIT_S,
-            on_regained=lambda: self.watch.restart(monotonic_s()),
+            on_regained=lambda lost_s: self.watch.restart(lost_s, monotonic_s()),
         )
 
     def _apply(self, page: Page, is_whole: bool) -> None:
@@ -74,9 +83,21 @@
         self._changed = trio.Event()
 
     def _note_row(self, row: Row) -> None:
-        lease = decode_lease(row.value) if row.version else None
+        lease = self._decode(row) if row.version else None
         self.watch.note(lease, row.version, monotonic_s())
 
+    def _decode(self, row: Row) -> LeaseRow:
+        """Return the lease in a row; one that can't be read is held by someone else.
+
+        Each token is at most one above an earlier one or an earlier version of the row,
+        so that no lease has a token above its version.
+        """
+        try:
+            return decode_lease(row.value)
+        except UnreadableRecord as error:
+            self.unreadable_rows.report(row, error)
+            return LeaseRow(UNKNOWN_HOLDER, "", fence=row.version)
+
     async def acquire(self) -> ShardLease:
         """Wait until the lease can be acquired, and return it."""
         while True:
@@ -105,6 +126,7 @@
         seen = self.watch.lease
         fencing_token = 1 if seen is None else seen.fence + 1
         self._last_grants_end_s = 0.0 if seen is None else seen.grants_end_s
+        self._previous_renewed_by_s = self.watch.seen_at_s
         lease = LeaseRow(self.node_id, self.incarnation, fencing_token)
         sent_s = monotonic_s()
         try:
@@ -144,7 +166,7 @@
             if row.name != lease_row(self.shard):
                 continue
             self._note_row(row)
-            if row.version and decode_lease(row.value) == wanted:
+            if row.version and self._decode(row) == wanted:
                 return self._note_acquired(
                     wanted.fence, row.version, self.watch.seen_at_s
                 )
@@ -164,7 +186,12 @@
         log.event(
             logger, "lease-won", shard=self.shard, fence=fencing_token, version=version
         )
-        return ShardLease(fencing_token, sent_s, self._last_grants_end_s)
+        return ShardLease(
+            fencing_token,
+            sent_s,
+            self._last_grants_end_s,
+            self._previous_renewed_by_s,
+        )
 
     async def renew_until_lost(self, shard_lease: ShardLease) -> None:
         """Renew the lease until another process takes it, then raise LeaseLost.
@@ -202,11 +229,11 @@
 
     def _resolve_renewal_conflict(self, error: RowConflict, lease: LeaseRow) -> None:
         for row in error.rows:
-            if row.name == lease_row(self.shard) and row.version:
-                found = decode_lease(row.value)
-                if found == lease:
-                    self._version = row.version
-                    return
+            if row.name != lease_row(self.shard) or not row.version:
+                continue
+            if self._decode(row) == lease:
+                self._version = row.version
+                return
         log.event(logger, "lease-lost", logging.WARNING, shard=self.shard)
         raise LeaseLost(f"lease of {self.shard} was taken by another process")
 
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -32,6 +32,7 @@
     ends: prometheus_client.Counter = attrs.field(init=False)
     stragglers: prometheus_client.Counter = attrs.field(init=False)
     discarded_core_s: prometheus_client.Counter = attrs.field(init=False)
+    lapsed_tasks: prometheus_client.Counter = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
     placing_s: prometheus_client.Histogram = attrs.field(init=False)
@@ -40,6 +41,7 @@
     loop_lag_s: prometheus_client.Histogram = attrs.field(init=False)
     is_late: prometheus_client.Gauge = attrs.field(init=False)
     fencing_token: prometheus_client.Gauge = attrs.field(init=False)
+    unreadable_rows: prometheus_client.Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.requests = self._counter(
@@ -81,6 +83,12 @@
             "Work of runs stopped to begin again elsewhere, checkpoints not deducted.",
             ["reason"],
         )
+        self.lapsed_tasks = self._counter(
+            "lapsed_tasks",
+            "Tasks released as every lease on their silent server has lapsed, by what "
+            "told when those of earlier holders have.",
+            ["bound"],
+        )
         self.host_orders = self._counter(
             "host_orders",
             "Move and maintenance commands to hosts by outcome.",
@@ -121,6 +129,11 @@
             "Fencing token of the lease that this host holds, or 0.",
             registry=self.registry,
         )
+        self.unreadable_rows = self._counter(
+            "unreadable_rows",
+            "Rows of the project's own that could not be read, by table.",
+            ["table"],
+        )
 
     def _counter(
         self, name: str, text: str, labels: list[str]
--- a/rhubarbmount/batch/server_records.py
+++ b/rhubarbmount/batch/server_records.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.record_fields import load_object, raises_unreadable_record
 
 __all__ = ["ServerRecords"]
 
@@ -32,10 +33,14 @@
     _record_by_server_id: dict[str, _Record] = attrs.field(factory=dict)
     _changed_keys: set[str] = attrs.field(factory=set)
 
+    @raises_unreadable_record
     def load(self, value: bytes) -> None:
-        """Load a row that an earlier holder stored."""
-        for server_id, (address, host_id) in json.loads(value).items():
-            self._record_by_server_id[server_id] = _Record(address, host_id)
+        """Load a row that an earlier holder stored. Raises UnreadableRecord."""
+        loaded = {
+            server_id: _decode_record(fields)
+            for server_id, fields in load_object(value).items()
+        }
+        self._record_by_server_id = loaded | self._record_by_server_id
 
     def note(self, server: Server) -> None:
         """Record a server before its first task is stored."""
@@ -88,6 +93,14 @@
         }
 
 
+def _decode_record(fields: list[str]) -> _Record:
+    address, host_id = fields
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not isinstance(host_id, str):
+        raise ValueError("not an address and a host")
+    return _Record(address, host_id)
+
+
 def _key_of(server_id: str) -> str:
     """Return the key of the row that holds the record of a server."""
     return str(zlib.crc32(server_id.encode("utf-8")) % ROW_COUNT)
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -11,11 +11,12 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
+from rhubarbmount.batch.earlier_grants import EarlierGrants
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
-from rhubarbmount.batch.pacing import PaceControl
+from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
@@ -53,9 +54,7 @@
     client: BackendClient
     shard_lease: ShardLease
     max_lease_s: float
-    # Seconds until the grants of the previous holder have lapsed, or None if it did
-    # not record them.
-    last_grants_lapse_in_s: float | None
+    earlier_grants: EarlierGrants
     metrics: BatchMetrics
     lateness: Lateness
     tickets: TicketCache
@@ -70,6 +69,9 @@
     _server_ids_by_host_id: dict[str, set[str]] = attrs.field(factory=dict)
     _pacing: PaceControl = attrs.field(factory=PaceControl)
     _ended_server_ids: set[str] = attrs.field(factory=set)
+    # Servers that have answered and are still recorded as silent.
+    _heard: list[ServerSession] = attrs.field(factory=list)
+    _record_changed: trio.Event = attrs.field(factory=trio.Event)
     _response_loss_until_s: float = 0.0
     _stop_sent_at_s: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
 
@@ -117,24 +119,20 @@
 
     def _make_lease(self, server_id: str) -> ServerLease:
         """Return a new lease for a server, with what the previous holder recorded."""
-        lease = ServerLease(self.shard_lease, self.max_lease_s, self._started_at_s)
-        if self.last_grants_lapse_in_s is not None:
-            lapses_at_s = self._started_at_s + self.last_grants_lapse_in_s
-            lease.last_holder_lapses_at_s = lapses_at_s
-        lapses_in_s = self.silent.lapses_in_s(server_id)
-        if lapses_in_s is not None:
-            lease.is_recorded_silent = True
-            lease.last_holder_lapses_at_s = monotonic_s() + lapses_in_s
+        now_s = monotonic_s()
+        earlier = self.earlier_grants.bound_of(server_id, now_s)
+        lease = ServerLease(self.shard_lease, self.max_lease_s, earlier)
+        if self.silent.has(server_id):
+            lease.recorded_lapse_s = now_s + self.silent.limit_in_s(server_id)
         return lease
 
     def lapses_at_s(self) -> float:
         """Return when every grant of this holder and of earlier holders has lapsed."""
+        now_s = monotonic_s()
         lapse_times = [session.lease.lapses_at_s() for session in self]
-        unknown = [
-            self._make_lease(server_id) for server_id in self.shard.unknown_servers()
-        ]
-        lapse_times.extend(lease.lapses_at_s() for lease in unknown)
-        return max(lapse_times, default=monotonic_s())
+        for server_id in self.shard.unknown_servers():
+            lapse_times.append(self.earlier_grants.bound_of(server_id, now_s).at_s)
+        return max(lapse_times, default=now_s)
 
     def close_lost(self) -> None:
         """Close the sessions of servers that are no longer part of the shard."""
@@ -164,17 +162,8 @@
         for end in response.ended:
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s, response.clock_ms)
-        running = {(item.task, item.run): item for item in response.running}
-        stray_steps = []
-        for item in response.running:
-            task = self.shard.task(item.task)
-            if task is None or not _is_run_of(task, item.run, session.server.id):
-                self._stop_stray(session, item.task, item.run)
-                if not usage.has_run(item.task, item.run):
-                    stray_steps.append(self.shard.find_step(item.task))
-            else:
-                self._record_progress(usage, task, item, now_s, response.clock_ms)
-        usage.set_strays(stray_steps)
+        self._apply_running(session, usage, response, now_s)
+        running = {(item.task, item.run) for item in response.running}
         for task in list(usage.task_by_id.values()):
             if (task.id, task.run) not in running:
                 self._handle_missing_run(session, task, sent_s, now_s)
@@ -197,10 +186,37 @@
             if other is not None and is_known and other.opened_at_s <= sent_s:
                 self.handle_server_end(server_id, "other-lifetime-on-host")
 
+    def _apply_running(
+        self,
+        session: ServerSession,
+        usage: ServerUsage,
+        response: RenewalResponse,
+        now_s: float,
+    ) -> None:
+        """Record the progress of listed runs, and stop those that should not be."""
+        stray_steps = []
+        for item in response.running:
+            task = self.shard.task(item.task)
+            if task is None or not _is_run_of(task, item.run, session.server.id):
+                if not self.shard.unreadable_jobs.may_run(item.task.job_id):
+                    self._stop_stray(session, item.task, item.run)
+                if not usage.has_run(item.task, item.run):
+                    stray_steps.append(self.shard.find_step(item.task))
+            else:
+                self._record_progress(usage, task, item, now_s, response.clock_ms)
+        usage.set_strays(stray_steps)
+        usage.has_runs_left_alone = any(
+            self.shard.unreadable_jobs.may_run(item.task.job_id)
+            for item in response.running
+        )
+
     def _record_end(
         self, session: ServerSession, end: RunEnd, now_s: float, clock_ms: int
     ) -> None:
-        is_news = self.shard.end_run(session.server.id, end, now_s, clock_ms)
+        if end.task.job_id in self.shard.unreadable_jobs:
+            is_news = self.shard.unreadable_jobs.keep_end(session.server.id, end)
+        else:
+            is_news = self.shard.end_run(session.server.id, end, now_s, clock_ms)
         self.metrics.ends.labels(end.outcome).inc()
         log.frequent_event(
             logger,
@@ -224,12 +240,20 @@
         if report.checkpoint:
             task.checkpoint = report.checkpoint
         if task.assigned_s == 0.0:
-            # A run started by an earlier holder has no start time here: measure its
-            # progress from when this holder first saw it.
-            task.assigned_s = task.acknowledged_s = now_s
+            self._adopt_run(usage, task, now_s)
         task.progress.report(report.percent, clock_ms)
         self._stop_if_straggling(usage, task, now_s)
 
+    def _adopt_run(self, usage: ServerUsage, task: Task, now_s: float) -> None:
+        """Take over a run of an earlier holder, which may have heard of no drain."""
+        # Its start time is not known here: measure from when it was first seen.
+        task.assigned_s = task.acknowledged_s = now_s
+        step = self.shard.step_of(task.id)
+        if step.fills:
+            task.pace = UNKNOWN_PACE
+        if usage.server.is_draining and step.is_long_running and not task.is_stopping:
+            self.shard.stop_run(task)
+
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
         """Stop a straggling run, so that its task restarts on another server."""
         expected = self.shard.expected_run_time_of(task)
@@ -328,13 +352,18 @@
     def on_lapse(self, session: ServerSession) -> None:
         """Handle that every grant to a server has lapsed."""
         usage = self.shard.usage_by_server_id.get(session.server.id)
+        tasks = len(usage.task_by_id) if usage else 0
         log.event(
             logger,
             "leases-lapsed",
             logging.WARNING,
             server=session.server.id,
-            tasks=len(usage.task_by_id) if usage else 0,
+            tasks=tasks,
+            bound=session.lease.earlier.source,
+            held_s=monotonic_s() - self._started_at_s,
         )
+        if tasks:
+            self.metrics.lapsed_tasks.labels(session.lease.earlier.source).inc(tasks)
         if usage is not None and not usage.is_listed:
             self.handle_server_end(session.server.id, "lapsed", is_over=False)
         else:
@@ -349,19 +378,31 @@
         if usage is not None:
             usage.is_reachable = is_reachable
         if is_reachable and session.lease.is_recorded_silent:
-            self.nursery.start_soon(self._clear_record, session)
+            self._heard.append(session)
+            self._record_changed.set()
         self.wake()
 
     def on_silent(self, session: ServerSession) -> None:
         """Record for the next holder that the server is granted nothing more."""
         self.silent.note(session.server.id, session.lease.lapses_at_s() - monotonic_s())
-        self.nursery.start_soon(self.save_silent)
+        self._record_changed.set()
+
+    async def keep_record(self) -> None:
+        """Store the record of silent servers whenever it changes.
 
-    async def _clear_record(self, session: ServerSession) -> None:
-        """Allow grants to a server again once its silence record has been removed."""
-        self.silent.drop(session.server.id)
-        await self.save_silent()
-        session.lease.is_recorded_silent = False
+        Once it is stored without a server, that server may be granted anything.
+        """
+        while True:
+            await self._record_changed.wait()
+            self._record_changed = trio.Event()
+            heard, self._heard = self._heard, []
+            for session in heard:
+                self.silent.drop(session.server.id)
+            await self.save_silent()
+            for session in heard:
+                # It may have gone silent again while the record was being stored.
+                if not self.silent.has(session.server.id):
+                    session.lease.recorded_lapse_s = None
 
     def on_unanswered(self) -> None:
         """Note that a call to some backend server was not answered."""
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -27,6 +27,7 @@
 from rhubarbmount.batch.run_progress import RunProgress
 from rhubarbmount.batch.run_times import RunTime, RunTimes, kind_of
 from rhubarbmount.batch.server_usage import ServerUsage
+from rhubarbmount.batch.unreadable_jobs import UnreadableJobs
 
 __all__ = ["Shard", "StepKey", "Stop"]
 
@@ -55,6 +56,7 @@
     wall_clock_s: float = 0.0
     now_s: float = 0.0
     job_by_id: dict[str, Job] = attrs.field(factory=dict)
+    unreadable_jobs: UnreadableJobs = attrs.field(factory=UnreadableJobs)
     usage_by_server_id: dict[str, ServerUsage] = attrs.field(factory=dict)
     waiting_by_step: dict[StepKey, dict[int, Task]] = attrs.field(factory=dict)
     dirty: set[str] = attrs.field(factory=set)
@@ -144,6 +146,7 @@
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job at its caller's request and stop its runs."""
+        self.unreadable_jobs.cancel(job_id)
         job = self.job_by_id.get(job_id)
         if job is not None and not job.state.is_final:
             self._finish(job, JobState.CANCELLED)
@@ -200,7 +203,9 @@
     def find_step(self, task_id: TaskId) -> Step | None:
         """Return the step that a listed run belongs to, or None if it is unknown."""
         job = self.job_by_id.get(task_id.job_id)
-        if job is None or not 0 <= task_id.step < len(job.spec.steps):
+        if job is None:
+            return self.unreadable_jobs.find_step(task_id)
+        if not 0 <= task_id.step < len(job.spec.steps):
             return None
         return job.spec.steps[task_id.step]
 
@@ -273,8 +278,8 @@
         task.state = TaskState.WAITING
         task.server_id = ""
         task.is_stopping = False
-        job = self.job_by_id[task.id.job_id]
-        if not job.state.is_final:
+        job = self.job_by_id.get(task.id.job_id)
+        if job is not None and not job.state.is_final:
             self._add_waiting(task)
             self.dirty.add(task.id.job_id)
 
@@ -441,17 +446,27 @@
         for task in self._tasks_by_unknown_server_id.pop(server.id, ()):
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
                 usage.add(task, self.step_of(task.id))
+                if task.is_stopping:
+                    self.stop_run(task)
         return usage
 
-    def lose_server(self, server_id: str, now_s: float) -> None:
-        """Remove a server lifetime that must have ended; let its tasks wait again."""
+    def lose_server(self, server_id: str, now_s: float) -> int:
+        """Remove a server lifetime that must have ended; let its tasks wait again.
+
+        Returns the number of these tasks.
+        """
         usage = self.usage_by_server_id.pop(server_id, None)
         tasks = self._tasks_by_unknown_server_id.pop(server_id, [])
         if usage is not None:
             tasks.extend(usage.task_by_id.values())
-        for task in list(tasks):
-            if task.server_id == server_id and task.state is TaskState.ASSIGNED:
-                self.release(task, now_s)
+        lost = [
+            task
+            for task in tasks
+            if task.server_id == server_id and task.state is TaskState.ASSIGNED
+        ]
+        for task in lost:
+            self.release(task, now_s)
+        return len(lost)
 
     def lapse_runs(self, server_id: str, now_s: float) -> None:
         """Let the tasks of a server whose leases must have expired wait again."""
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -6,6 +6,7 @@
     "CANCEL_SUFFIX",
     "LEASE_TABLE",
     "HOST_ORDERS_TABLE",
+    "KEPT_ENDS_TABLE",
     "PROGRESS_TABLE",
     "REQUESTS_TABLE",
     "SERVER_RECORDS_TABLE",
@@ -14,6 +15,7 @@
     "cancel_row",
     "head_row",
     "host_orders_row",
+    "kept_ends_row",
     "lease_row",
     "pending_row",
     "progress_row",
@@ -23,6 +25,8 @@
     "server_records_row",
     "silent_servers_row",
     "spec_row",
+    "takeover_row",
+    "TAKEOVERS_TABLE",
     "wave_row",
 ]
 
@@ -32,8 +36,10 @@
 SPECS_TABLE = "specs"
 WAVES_TABLE = "waves"
 HOST_ORDERS_TABLE = "host-orders"
+KEPT_ENDS_TABLE = "kept-ends"
 SERVER_RECORDS_TABLE = "server-records"
 SILENT_SERVERS_TABLE = "silent-servers"
+TAKEOVERS_TABLE = "takeovers"
 CANCEL_SUFFIX = ".cancel"
 REQUEST_PART_COUNT = 8
 
@@ -93,6 +99,11 @@
     return RowName(SPECS_TABLE, shard, job_id)
 
 
+def kept_ends_row(shard: str, job_id: str) -> RowName:
+    """Return the row of ended runs of a job whose progress could not be read."""
+    return RowName(KEPT_ENDS_TABLE, shard, job_id)
+
+
 def pending_row(shard: str) -> RowName:
     """Return the row with the number of jobs not yet started, by queue."""
     return RowName("pending", shard, "counts")
@@ -113,6 +124,11 @@
     return RowName(SILENT_SERVERS_TABLE, shard, "last")
 
 
+def takeover_row(shard: str, fencing_token: int) -> RowName:
+    """Return the row of a holder that has not stored its record of servers yet."""
+    return RowName(TAKEOVERS_TABLE, shard, str(fencing_token))
+
+
 def wave_row(shard: str, number: int) -> RowName:
     """Return the row of a wave's progress."""
     return RowName(WAVES_TABLE, shard, str(number))
--- a/tests/batch/test_server_records.py
+++ b/tests/batch/test_server_records.py
@@ -1,8 +1,10 @@
 """Record of where backend servers are reached, which a holder leaves for the next."""
 
 import attrs
+import pytest
 
 from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.server_records import ServerRecords
 
 SERVER = Server(
@@ -41,3 +43,13 @@
     assert records.find("s1") is None
     records.note(SERVER)
     assert b"s1" in b"".join(records.encode_changed({"s1", "s2"}).values())
+
+
+@pytest.mark.parametrize(
+    "value", [b"?", b"[]", b'{"s1":7}', b'{"s1":["nowhere","m"]}', b'{"s1":["s:1",7]}']
+)
+def test_a_row_that_can_not_be_read_is_reported_and_changes_nothing(value):
+    records = ServerRecords()
+    with pytest.raises(UnreadableRecord):
+        records.load(value)
+    assert records.find("s1") is None
