--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -27,6 +27,7 @@
 from rhubarbmount.batch.record_fields import UnreadableRecord, decode_numbers
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
+from rhubarbmount.batch.server_records import ServerRecords
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
@@ -39,6 +40,7 @@
     REQUESTS_TABLE,
     host_orders_row,
     request_parts,
+    server_records_row,
     silent_servers_row,
     wave_row,
 )
@@ -88,6 +90,7 @@
     on_recorded: Callable[[], None]
     command_times: HostCommandTimes = attrs.field(init=False)
     silent_servers: SilentServers = attrs.field(init=False)
+    server_records: ServerRecords = attrs.field(factory=ServerRecords)
     earlier_grants: EarlierGrants = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
@@ -111,6 +114,8 @@
     _loader: ShardLoader = attrs.field(init=False)
     _job_reader: JobReader = attrs.field(init=False)
     _are_requests_loaded: bool = False
+    # Set once the rows may be written without losing what they hold.
+    _are_server_records_loaded: bool = False
     # Progress stored by builds that did not store specs.
     _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
@@ -169,6 +174,7 @@
             nursery.start_soon(self._store_first_record)
             nursery.start_soon(self.sessions.keep_record)
             nursery.start_soon(self._requests.run)
+            nursery.start_soon(self._find_unlisted_servers)
             nursery.start_soon(self._load_requests)
             nursery.start_soon(self._server_follower(loaded.servers.version).run)
             nursery.start_soon(self.fleet_controller.run)
@@ -271,8 +277,6 @@
             self._apply_requests(page, False)
         for job_id in self._job_reader.apply_ends(monotonic_s()):
             self._job_rows.remove_kept_ends(job_id)
-        for server_id in self.shard.unknown_servers():
-            self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
         log.event(
             logger,
             "shard-loaded",
@@ -285,6 +289,22 @@
         )
         return loaded
 
+    async def _find_unlisted_servers(self) -> None:
+        """Ask the unlisted servers with tasks where the last holder reached them."""
+        page = await self._loader.load_server_records()
+        for row in page.rows:
+            try:
+                self.server_records.load(row.value)
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
+        self._are_server_records_loaded = True
+        for server_id in self.shard.unknown_servers():
+            server = self.server_records.find(server_id)
+            if server is not None:
+                self.servers.restore(server)
+            else:
+                self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
+
     def _load_command_times(self, row: Row) -> None:
         try:
             self.command_times.load(row.value)
@@ -461,6 +481,7 @@
 
     async def _commit_and_send(self, assignments: list[Assignment]) -> None:
         """Commit the changes, then send the commands that depend on them."""
+        self._put_server_records(assignments)
         self._job_rows.put_changed()
         stops, self.shard.stops = self.shard.stops, []
         listed_by_session = {session: session.listed_to for session in self.sessions}
@@ -477,6 +498,19 @@
                 session.committed = number
                 session.wake()
 
+    def _put_server_records(self, assignments: list[Assignment]) -> None:
+        """Record the servers of assignments, no later than these are stored."""
+        usage_by_id = self.shard.usage_by_server_id
+        for assignment in assignments:
+            usage = usage_by_id.get(assignment.server_id)
+            if usage is not None:
+                self.server_records.note(usage.server)
+        if not self._are_server_records_loaded:
+            return
+        records = self.server_records.encode_changed(usage_by_id)
+        for key, value in records.items():
+            self._write_batch.put(server_records_row(self.name, key), value)
+
     def _start_requests(
         self, assignments: list[Assignment]
     ) -> list[tuple[ServerSession, StartRequest]]:
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -16,6 +16,7 @@
     KEPT_ENDS_TABLE,
     PROGRESS_TABLE,
     REQUESTS_TABLE,
+    SERVER_RECORDS_TABLE,
     SILENT_SERVERS_TABLE,
     SPECS_TABLE,
     WAVES_TABLE,
@@ -192,6 +193,10 @@
             servers=page_by_table[SERVERS_TABLE],
         )
 
+    async def load_server_records(self) -> Page:
+        """Read where the servers with tasks are reached."""
+        return await self._reader.read(SERVER_RECORDS_TABLE, self.name)
+
     async def load_requests(self, on_page: Callable[[Page], None]) -> None:
         """Read the requests and pass each part on as soon as it can be read."""
 
