--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -10,14 +10,11 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import (
-    LEASE_ROW,
     RENEWAL_PERIOD_S,
-    LapseBound,
     LeaseWatch,
     ShardLease,
-    longest_grant_s,
-    longest_lease,
 )
+from rhubarbmount.batch.grants_end import GrantsEnd, StoreClock
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import (
@@ -25,7 +22,6 @@
     decode_lease,
     encode_lease,
 )
-from rhubarbmount.batch.silent_servers import READING_MARGIN_S
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import LEASE_TABLE, lease_row
 from rhubarbmount.batch.unreadable_rows import UnreadableRows
@@ -64,11 +60,7 @@
     watch: LeaseWatch = attrs.field(init=False)
     follower: TableFollower = attrs.field(init=False)
     _version: int = 0
-    # Until when grants last by the row of the last holder, on the store's clock, and by
-    # the lease that is being written, with the same as a monotonic time.
-    _earlier_end_s: float = 0.0
-    _lapse_by_s_by_end: dict[float, float] = attrs.field(factory=dict)
-    _may_extend: bool = False
+    _grants_end: GrantsEnd = attrs.field(init=False)
     _renew_now: trio.Event = attrs.field(factory=trio.Event)
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_loaded: bool = False
@@ -76,6 +68,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.watch = LeaseWatch(self.node_id)
+        self._grants_end = GrantsEnd(self.max_lease_s)
         self.follower = TableFollower(
             self.store,
             LEASE_TABLE,
@@ -139,15 +132,10 @@
     async def _try_take(self) -> ShardLease | None:
         seen = self.watch.lease
         fencing_token = 1 if seen is None else seen.fence + 1
-        sent_s = monotonic_s()
-        earlier = self._note_earlier_grants(seen, sent_s)
-        lease = LeaseRow(
-            self.node_id,
-            self.incarnation,
-            fencing_token,
-            grants_end_s=self._note_grants_end(sent_s),
-        )
-        taken = ShardLease(fencing_token, sent_s, earlier, 0.0)
+        clock = self._store_clock()
+        earlier = self._grants_end.begin(seen, clock)
+        lease = self._make_row(fencing_token, clock)
+        taken = ShardLease(fencing_token, clock.now_s, earlier, 0.0)
         try:
             version = await self.store.commit(
                 {lease_row(self.shard): self.watch.version},
@@ -160,45 +148,22 @@
             return await self._await_outcome(lease, taken)
         return self._note_acquired(taken, lease, version)
 
-    def _note_earlier_grants(self, seen: LeaseRow | None, now_s: float) -> LapseBound:
-        """Note until when earlier holders' grants last, by their row if it says so."""
-        self._may_extend = False
-        self._lapse_by_s_by_end.clear()
-        bound = longest_lease(now_s, self.max_lease_s)
-        self._earlier_end_s = self.store.latest_clock_s() + bound.at_s - now_s
-        if seen is None or not seen.grants_end_s:
-            return bound
-        # Older builds did not allow for late readings of the clock at a planned stop.
-        margin_s = READING_MARGIN_S if seen.is_released else 0.0
-        left_s = seen.grants_end_s + margin_s - self.store.clock_s()
-        if left_s > bound.at_s - now_s:
-            return bound
-        self._earlier_end_s = seen.grants_end_s + margin_s
-        return LapseBound(now_s + left_s, LEASE_ROW)
-
-    def _note_grants_end(self, sent_s: float) -> float:
-        """Return until when all grants will last, by the store's clock, for the row.
-
-        Until the record of silent servers is stored it is when those of earlier holders
-        end, so that the next holder need not wait longer for this one. If these have
-        ended, nothing is carried over.
-        """
-        latest_clock_s = self.store.latest_clock_s()
-        end_s = latest_clock_s + longest_grant_s(self.max_lease_s)
-        has_earlier = self._earlier_end_s > self.store.clock_s()
-        if has_earlier and (not self._may_extend or self._earlier_end_s > end_s):
-            end_s = self._earlier_end_s
-        self._lapse_by_s_by_end[end_s] = sent_s + end_s - latest_clock_s
-        return end_s
+    def _store_clock(self) -> StoreClock:
+        store = self.store
+        return StoreClock(monotonic_s(), store.clock_s(), store.latest_clock_s())
 
     def extend_grants(self) -> None:
-        """Let grants last longer than those of earlier holders, with the next renewal.
+        """Let grants last longer than those of earlier holders, and renew the lease.
 
-        What earlier holders granted must be on record by server before.
+        The record of servers that are silent since the takeover must be stored.
         """
-        self._may_extend = True
+        self._grants_end.extend()
         self._renew_now.set()
 
+    def _make_row(self, fencing_token: int, clock: StoreClock) -> LeaseRow:
+        end_s = self._grants_end.next_s(clock)
+        return LeaseRow(self.node_id, self.incarnation, fencing_token, False, end_s)
+
     async def _await_outcome(
         self, wanted: LeaseRow, taken: ShardLease
     ) -> ShardLease | None:
@@ -239,7 +204,7 @@
     ) -> ShardLease:
         self._version = version
         self._is_failing = False
-        taken.grants_lapse_by_s = self._lapse_by_s_by_end[lease.grants_end_s]
+        taken.grants_lapse_by_s = self._grants_end.note_stored(lease.grants_end_s)
         log.event(
             logger,
             "lease-won",
@@ -259,15 +224,10 @@
         """
         first_sent_s: float | None = None
         while True:
-            sent_s = monotonic_s()
-            first_sent_s = sent_s if first_sent_s is None else first_sent_s
-            lease = LeaseRow(
-                self.node_id,
-                self.incarnation,
-                shard_lease.fencing_token,
-                grants_end_s=self._note_grants_end(sent_s),
-            )
-            stored = await self._renew(lease)
+            clock = self._store_clock()
+            first_sent_s = clock.now_s if first_sent_s is None else first_sent_s
+            row = self._make_row(shard_lease.fencing_token, clock)
+            stored = await self._renew(row)
             if stored is None:
                 await trio.sleep(RETRY_S)
                 continue
@@ -282,9 +242,8 @@
     ) -> None:
         """Count the lease from ``sent_s``, and its grants as the stored row says."""
         shard_lease.renewed_at_s = sent_s
-        lapse_by_s = self._lapse_by_s_by_end[stored.grants_end_s]
+        lapse_by_s = self._grants_end.note_stored(stored.grants_end_s)
         shard_lease.grants_lapse_by_s = max(shard_lease.grants_lapse_by_s, lapse_by_s)
-        self._lapse_by_s_by_end = {stored.grants_end_s: lapse_by_s}
 
     async def _renew(self, lease: LeaseRow) -> LeaseRow | None:
         """Return the lease as it is stored now, or None if that is not known."""
@@ -322,7 +281,7 @@
 
         If ``grants_end_s`` is 0, the row goes on saying when all grants end.
         """
-        grants_end_s = grants_end_s or max(self._lapse_by_s_by_end)
+        grants_end_s = grants_end_s or self._grants_end.latest_s
         name = lease_row(self.shard)
         lease = LeaseRow(
             self.node_id,
