Let no removed job return with a page of requests that was read before

A job that ended minutes ago would have run again, all its tasks, with nobody asking.

Cause: rows of ended jobs are removed after their retention. While the requests are read anew (their changes are no longer kept, or the feed stalls), a page may be read before a removal and applied after it, as the parts are applied together and a slow one is waited for. The job is not known any more then, and its row counts as a new request.

The versions of removals are remembered; a request that is older than its removal is void. One that is written again under the same ID is newer and counts.

Ruled out: the feed alone (it delivers a removal after the row); a takeover (its progress is read first, and removed last).

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -24,7 +24,7 @@
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
-from rhubarbmount.batch.job_remover import JobRemover
+from rhubarbmount.batch.job_remover import JobRemover, RemovedJobs
 from rhubarbmount.batch.job_rows import JobRows
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
@@ -115,6 +115,7 @@
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
     _started_jobs: set[str] = attrs.field(factory=set)
+    _removed_jobs: RemovedJobs = attrs.field(factory=RemovedJobs)
     _requests: TableFollower | None = None
     _loader: ShardLoader = attrs.field(init=False)
     _job_reader: JobReader = attrs.field(init=False)
@@ -211,6 +212,7 @@
             self.timers,
             self.bounds.status_s,
             self._remove_job_rows,
+            self._removed_jobs,
         )
 
     async def _begin(self) -> None:
@@ -445,10 +447,14 @@
                 continue
             if row.name.key.endswith(CANCEL_SUFFIX):
                 self.shard.cancel(row.name.key.removesuffix(CANCEL_SUFFIX))
-            elif row.name.key not in self.shard.job_by_id:
+            elif not self._knows_job_of(row):
                 self._add_requested_job(row)
         self.wake()
 
+    def _knows_job_of(self, request: Row) -> bool:
+        is_listed = request.name.key in self.shard.job_by_id
+        return is_listed or self._removed_jobs.includes(request)
+
     def _add_requested_job(self, row: Row) -> None:
         progress = self._progress_without_spec_by_id.pop(row.name.key, None)
         job = self._job_reader.add(row, progress)
--- a/rhubarbmount/batch/job_remover.py
+++ b/rhubarbmount/batch/job_remover.py
@@ -10,10 +10,10 @@
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.tables import cancel_row, request_row
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.rows import RowStore
+from rhubarbmount.platform.rows import Row, RowStore
 from rhubarbmount.timers import TimerService
 
-__all__ = ["JobRemover"]
+__all__ = ["JobRemover", "RemovedJobs"]
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +21,28 @@
 # Added to the period for which the state of an ended job must remain available.
 RETENTION_MARGIN_S = 60.0
 MAX_JOBS_PER_ROUND = 50
+# Removed within an hour at least; no reading of a table takes that long.
+MAX_REMEMBERED_JOBS = 20_000
+
+
+@attrs.define(eq=False)
+class RemovedJobs:
+    """Versions of the store at which the requests of jobs were removed.
+
+    A page that was read before may still hold them when it is applied.
+    """
+
+    _version_by_id: dict[str, int] = attrs.field(factory=dict)
+
+    def add(self, job_id: str, version: int) -> None:
+        """Remember the removal of a job's request, and drop the earliest ones."""
+        self._version_by_id[job_id] = version
+        while len(self._version_by_id) > MAX_REMEMBERED_JOBS:
+            del self._version_by_id[next(iter(self._version_by_id))]
+
+    def includes(self, request: Row) -> bool:
+        """Return whether a request was removed, and not written again since."""
+        return request.version < self._version_by_id.get(request.name.key, 0)
 
 
 @attrs.define(eq=False)
@@ -33,6 +55,7 @@
     timers: TimerService
     retention_s: float
     on_removed: Callable[[str], None]
+    removed: RemovedJobs
 
     async def run(self) -> None:
         """Remove expired jobs periodically until cancelled."""
@@ -60,9 +83,10 @@
             cancel_row(self.shard_name, job_id),
         )
         try:
-            await self.store.commit({}, {}, names)
+            version = await self.store.commit({}, {}, names)
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.event(logger, "job-not-forgotten", job=job_id, code=error.code)
             return
+        self.removed.add(job_id, version)
         self.shard.forget(job_id)
         self.on_removed(job_id)
--- a/tests/batch/test_takeovers.py
+++ b/tests/batch/test_takeovers.py
@@ -7,7 +7,14 @@
 import trio
 from trio.testing import MockClock
 
-from rhubarbmount.batch.tables import request_parts, request_row, shard_of, spec_row
+from rhubarbmount.batch.table_follower import read_parts
+from rhubarbmount.batch.tables import (
+    REQUESTS_TABLE,
+    request_parts,
+    request_row,
+    shard_of,
+    spec_row,
+)
 from rhubarbmount.standins.users_servers import TaskWork
 from tests.batch.checkers import JobChecker
 from tests.batch.test_days import (
@@ -21,7 +28,7 @@
     submit,
     wait_complete,
 )
-from tests.batch.world import catalogue, open_world, route
+from tests.batch.world import BOUNDS, catalogue, open_world, route
 
 LARGE_TABLE_JOBS = 400
 PAYLOAD = "x" * 1200
@@ -224,3 +231,27 @@
         starts = sum(lasting[0] in task for task in checker.starts)
         assert starts == 2 if returns_after_s == 0.5 else starts <= 4
         assert checker.breaches == []
+
+
+# Guards against a job that runs again after its removal, as the table of requests was
+# being read (its changes were no longer kept) while its row was removed.
+async def test_a_removed_job_does_not_return_with_a_late_page_of_requests(
+    monkeypatch, autojump_clock
+):
+    async with open_day(monkeypatch, 5, nodes="a") as (world, checker):
+        new_job = job_of_one_step(world.generator, 3, 0.5)
+        assert await submit(world, checker, "/one/", new_job)
+        assert await wait_complete(world, checker, "/one/", [new_job[0]], 20.0) == []
+        node = world.node_by_id["a"]
+        parts = tuple(request_parts(shard_of("", "", "")))
+        late_page = await read_parts(node.store, REQUESTS_TABLE, parts)
+        assert [row.name.key for row in late_page.rows] == [new_job[0]]
+        await trio.sleep(BOUNDS.status_s + 80.0)
+        assert (await world.call("GET", f"/one/{new_job[0]}"))[0] == 410
+        node._holder._apply_requests(late_page, True)
+        await trio.sleep(5.0)
+        assert len(checker.starts) == 3
+        # The same ID may be used again.
+        assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(2.0)
+        assert len(checker.starts) == 6
