--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -1,8 +1,9 @@
 """Tests for leases and renewals of backend servers that stop answering."""
 
-from rhubarbmount.batch.clocks import RATE_MARGIN
-from rhubarbmount.batch.earlier_grants import longest_lease
-from rhubarbmount.batch.election import ShardLease
+import trio
+
+from rhubarbmount.batch.clocks import RATE_MARGIN, monotonic_s
+from rhubarbmount.batch.election import ShardLease, longest_lease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server
@@ -20,9 +21,9 @@
 TAKEN_AT_S = 100.0
 
 
-def make_lease():
+def make_lease(taken_at_s=TAKEN_AT_S):
     return ServerLease(
-        ShardLease(2, TAKEN_AT_S), MAX_LEASE_S, longest_lease(TAKEN_AT_S, MAX_LEASE_S)
+        ShardLease(2, taken_at_s), MAX_LEASE_S, longest_lease(taken_at_s, MAX_LEASE_S)
     )
 
 
@@ -31,7 +32,7 @@
     return ServerSession(
         server=server,
         client=BackendClient(JsonClient(), Lateness(BatchMetrics())),
-        lease=make_lease(),
+        lease=make_lease(monotonic_s()),
         listener=SessionListener(),
         metrics=BatchMetrics(),
         has_work=lambda: True,
@@ -152,3 +153,25 @@
     assert session.client.expiries == [None] * 4
     assert session.listed_to == session.acknowledged == 0
     assert "a fault in handling a list" in caplog.text
+
+
+class EndedBackendClient:
+    """Backend client whose server answers each renewal as another lifetime."""
+
+    def __init__(self):
+        self.renewals = 0
+
+    async def renew(self, *args):
+        await trio.lowlevel.checkpoint()
+        self.renewals += 1
+        assert self.renewals < 100, "renewed without a pause"
+        return RenewalResponse(CommandResult.OTHER_LIFETIME, 0)
+
+
+# Guards against renewals that are sent to an address after its lifetime has ended.
+async def test_a_lifetime_that_has_ended_is_not_renewed_again(autojump_clock):
+    session = make_session()
+    session.client = EndedBackendClient()
+    with trio.move_on_after(5.0):
+        await session.run()
+    assert session.client.renewals == 1
