--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 soak: setup
 	$(BIN)/python -m tests.soak --seconds $(SOAK_S)
+	$(BIN)/python -m tests.batch.soak --seconds $(SOAK_S)
 
 binary: setup
 	mkdir -p $(dir $(BINARY))
--- a/tests/batch/test_process.py
+++ b/tests/batch/test_process.py
@@ -6,7 +6,9 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import attrs
 import pytest
@@ -66,6 +68,8 @@
     port: int
     ready: int
     process: trio.Process
+    restart: Callable
+    log_path: Path
 
     async def call(self, method, path, body=None, port=None):
         connection = await connect(self.ip, port or self.port, 2.0)
@@ -91,12 +95,18 @@
             machines=http.machines_address,
         )
     )
-    process = await trio.lowlevel.open_process(
-        [sys.executable, "-m", "rhubarbmount", "serve"],
-        env={**os.environ, "RHUBARBMOUNT_NODE_FILE": str(path)},
-        stdout=(tmp_path / f"{node}.log").open("wb"),
-    )
-    return EntryHostProcess(ip, port, ready, process)
+
+    log_path = tmp_path / f"{node}.log"
+
+    async def start():
+        with log_path.open("ab") as log:
+            return await trio.lowlevel.open_process(
+                [sys.executable, "-m", "rhubarbmount", "serve"],
+                env={**os.environ, "RHUBARBMOUNT_NODE_FILE": str(path)},
+                stdout=log,
+            )
+
+    return EntryHostProcess(ip, port, ready, await start(), start, log_path)
 
 
 async def wait_until(condition):
@@ -106,16 +116,18 @@
 
 
 @asynccontextmanager
-async def entry_hosts(tmp_path, count):
+async def entry_hosts(
+    tmp_path, count, work_of=lambda task: WORK, observe=lambda *event: None
+):
     with AddressBlock() as block:
-        async with _entry_hosts(tmp_path, count, block) as started:
+        async with _entry_hosts(tmp_path, count, block, work_of, observe) as started:
             yield started
 
 
 @asynccontextmanager
-async def _entry_hosts(tmp_path, count, block):
+async def _entry_hosts(tmp_path, count, block, work_of, observe):
     async with trio.open_nursery() as nursery:
-        platform = UsersPlatform(nursery, lambda task: WORK)
+        platform = UsersPlatform(nursery, work_of, observe)
         async with open_platform_http(platform, nursery, 4) as http:
             platform.put_catalogue(
                 catalogue(1, [route("/one/", "one")], ["one"], "rest")
