Ask the other lifetimes of a host when one more becomes known

What callers would see: a server returns at another address or in another pool before the next holder has taken over, and is idle.

Cause: only an answer to a call that is sent after the earlier lifetime is known proves its end, and an idle server is not called. Its lifetimes are now asked when one more of the host becomes known.

--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -78,6 +78,7 @@
     # The lifetime began before this time, as its row had been read.
     opened_at_s: float = attrs.field(factory=monotonic_s)
     _is_check_due: bool = False
+    _check_requested_s: float = 0.0
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _command_sender: CommandSender = attrs.field(init=False)
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -120,6 +121,7 @@
     def check(self) -> None:
         """Renew even if nothing runs there, to learn whether the lifetime goes on."""
         self._is_check_due = True
+        self._check_requested_s = monotonic_s()
         self.wake()
 
     # Renewal.
@@ -219,7 +221,8 @@
         if response.result is not CommandResult.DONE:
             self._record_failure(response.result.value)
             return None
-        self._is_check_due = False
+        if sent_s >= self._check_requested_s:
+            self._is_check_due = False
         self.lease.clock.note(response.clock_ms, monotonic_s())
         self.acknowledged = max(self.acknowledged, acknowledged)
         if not self._apply_list(response, sent_s):
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -15,7 +15,14 @@
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import RunEnd, RunReport, Task, TaskId, TaskState
+from rhubarbmount.batch.model import (
+    RunEnd,
+    RunReport,
+    Server,
+    Task,
+    TaskId,
+    TaskState,
+)
 from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
@@ -94,10 +101,7 @@
 
     def open(self, usage: ServerUsage) -> None:
         """Open a session with a server, or update the existing one."""
-        host_id = usage.server.host_id
-        if host_id:
-            server_ids = self._server_ids_by_host_id.setdefault(host_id, set())
-            server_ids.add(usage.server.id)
+        self._add_to_host(usage.server)
         existing = self._session_by_server_id.get(usage.server.id)
         if existing is not None:
             existing.update(usage.server)
@@ -142,6 +146,16 @@
                 del self._session_by_server_id[server_id]
                 self._remove_from_host(session)
 
+    def _add_to_host(self, server: Server) -> None:
+        """Ask the other lifetimes on the host of a server, one of which may go on."""
+        if not server.host_id:
+            return
+        server_ids = self._server_ids_by_host_id.setdefault(server.host_id, set())
+        if server.id not in server_ids:
+            for other_id in server_ids:
+                self.check(other_id)
+            server_ids.add(server.id)
+
     def _remove_from_host(self, session: ServerSession) -> None:
         host_id = session.server.host_id
         server_ids = self._server_ids_by_host_id.get(host_id, set())
--- a/tests/batch/test_lifetimes.py
+++ b/tests/batch/test_lifetimes.py
@@ -22,6 +22,8 @@
 LONG_RUNNING_TASKS = 6
 SETTLE_S = 12.0
 DARK_S = 2.5
+# Until another host has taken over from one that was killed.
+TAKEOVER_S = 3.0
 # From the return of the server; a host may have to move to make room.
 RESTART_S = 2.0
 LONGEST_LEASE_S = 10.0
@@ -186,6 +188,24 @@
         assert checker.breaches == []
 
 
+# The next lifetime is listed and has answered before it is known where the earlier one
+# was reached, and is idle.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("how", RETURNS)
+async def test_tasks_restart_on_proof_if_the_server_returns_before_the_takeover(
+    monkeypatch, autojump_clock, how, seed
+):
+    async with open_day_with_long_tasks(monkeypatch, seed) as day:
+        world, checker, machine = day
+        lost = LostServer(world, checker, machine)
+        machine.address, pool = RETURNS[how]
+        world.kill_node(world.holders()[0])
+        world.platform.crash(machine.id, 0.5, pool)
+        await trio.sleep(LONGEST_LEASE_S + 5.0)
+        assert lost.are_tasks_away_for_less_than(TAKEOVER_S + RESTART_S)
+        assert checker.breaches == []
+
+
 # Rows of servers that live have expired when the next holder takes over.
 @pytest.mark.parametrize("seed", range(3))
 async def test_tasks_of_a_server_whose_row_is_away_at_a_takeover_go_on(
