--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,9 @@
 
 from pathlib import Path
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 pytest_plugins = [
     f"tests.scenarios.steps.{name}"
@@ -22,6 +24,15 @@
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
 
+@pytest.fixture(scope="session")
+def character_tables():
+    """Have Hypothesis make its tables of characters.
+
+    On a busy machine this takes longer than its check of slow tests allows.
+    """
+    hypothesis.find(strategies.text(), lambda text: True)
+
+
 def known_red(kind="test"):
     """Return the listed tests: those that fail, or those that do so at times."""
     if not KNOWN_RED.is_file():
@@ -34,6 +45,8 @@
 def pytest_collection_modifyitems(items):
     red, flaky = known_red(), known_red("flaky")
     for item in items:
+        if getattr(getattr(item, "obj", None), "is_hypothesis_test", False):
+            item.fixturenames.insert(0, "character_tables")
         if item.nodeid in flaky:
             reason = "fails at times, listed in KNOWN-RED.txt"
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
