Read the store's clock and ours at one time when the lease is written

A host that was paused between two readings took the grants of earlier holders for lapsed sooner than they are, by the length of the pause, and could have begun their tasks beside their runs (TWICE). One reading serves both now, and where two are left they are in the order that waits longer.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -340,7 +340,7 @@
         """Record every server with tasks as silent, until it answers this holder."""
         now_s = monotonic_s()
         for server_id in self.shard.unknown_servers():
-            bound = self.earlier_grants.bound_of(server_id, now_s)
+            bound = self.earlier_grants.bound_of(server_id)
             self.silent_servers.note(server_id, bound.at_s - now_s)
 
     async def _store_first_record(self) -> None:
@@ -370,7 +370,7 @@
 
     async def _lose_unlisted_server(self, server_id: str) -> None:
         """Release the tasks of an unlisted server once its leases must have expired."""
-        bound = self.earlier_grants.bound_of(server_id, monotonic_s())
+        bound = self.earlier_grants.bound_of(server_id)
         lapses_in_s = max(0.0, bound.at_s - monotonic_s())
         log.event(
             logger,
--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -149,8 +149,10 @@
         return self._note_acquired(taken, lease, version)
 
     def _store_clock(self) -> StoreClock:
-        store = self.store
-        return StoreClock(monotonic_s(), store.clock_s(), store.latest_clock_s())
+        # One reading, as the host may be paused between two.
+        now_s = monotonic_s()
+        least_s = self.store.clock_s(now_s)
+        return StoreClock(now_s, least_s, self.store.latest_clock_s(now_s))
 
     def extend_grants(self) -> None:
         """Let grants last longer than those of earlier holders, and renew the lease.
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -124,7 +124,7 @@
     def _make_lease(self, server_id: str) -> ServerLease:
         """Return a new lease for a server, with what the previous holder recorded."""
         now_s = monotonic_s()
-        earlier = self.earlier_grants.bound_of(server_id, now_s)
+        earlier = self.earlier_grants.bound_of(server_id)
         lease = ServerLease(self.shard_lease, self.max_lease_s, earlier)
         if self.silent.has(server_id):
             lease.recorded_lapse_s = now_s + self.silent.limit_in_s(server_id)
@@ -135,7 +135,7 @@
         now_s = monotonic_s()
         lapse_times = [session.lease.lapses_at_s() for session in self]
         for server_id in self.shard.unknown_servers():
-            lapse_times.append(self.earlier_grants.bound_of(server_id, now_s).at_s)
+            lapse_times.append(self.earlier_grants.bound_of(server_id).at_s)
         return max(lapse_times, default=now_s)
 
     def close_lost(self) -> None:
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -174,13 +174,13 @@
     write_timeout: AdaptiveTimeout = attrs.field(factory=AdaptiveTimeout)
     _clock: ClockOffset = attrs.field(factory=ClockOffset)
 
-    def clock_s(self) -> float:
-        """Return what the store's monotonic clock reads at least."""
-        return monotonic_s() + self._clock.least_s
+    def clock_s(self, now_s: float | None = None) -> float:
+        """Return what the store's monotonic clock reads at least, now or then."""
+        return (monotonic_s() if now_s is None else now_s) + self._clock.least_s
 
-    def latest_clock_s(self) -> float:
-        """Return what the store's monotonic clock reads at most."""
-        return monotonic_s() + self._clock.most_s
+    def latest_clock_s(self, now_s: float | None = None) -> float:
+        """Return what the store's monotonic clock reads at most, now or then."""
+        return (monotonic_s() if now_s is None else now_s) + self._clock.most_s
 
     async def commit(
         self,
--- a/tests/batch/test_earlier_grants.py
+++ b/tests/batch/test_earlier_grants.py
@@ -62,11 +62,11 @@
     silent = SilentServers(lambda: 1000.0)
     silent.note("early", lapses_in_s=3.0)
     silent.note("late", lapses_in_s=30.0)
-    grants = EarlierGrants(LapseBound(110.0, "longest-lease"), silent)
-    assert grants.bound_of("early", 100.0).at_s == pytest.approx(103 + READING_MARGIN_S)
-    assert grants.bound_of("early", 100.0).source == "recorded"
-    assert grants.bound_of("late", 100.0).at_s == 110.0
-    assert grants.bound_of("unknown", 100.0).at_s == 110.0
+    grants = EarlierGrants(LapseBound(110.0, "longest-lease"), silent, lambda: 100.0)
+    assert grants.bound_of("early").at_s == pytest.approx(103 + READING_MARGIN_S)
+    assert grants.bound_of("early").source == "recorded"
+    assert grants.bound_of("late").at_s == 110.0
+    assert grants.bound_of("unknown").at_s == 110.0
 
 
 # Guards against TWICE: the next holder takes all leases for lapsed at that time.
--- a/tests/batch/test_lease_manager.py
+++ b/tests/batch/test_lease_manager.py
@@ -34,11 +34,11 @@
         self.writes = 0
         self.lease_manager = None
 
-    def clock_s(self):
-        return STORE_CLOCK_S + trio.current_time()
+    def clock_s(self, now_s=None):
+        return STORE_CLOCK_S + (trio.current_time() if now_s is None else now_s)
 
-    def latest_clock_s(self):
-        return self.clock_s() + CLOCK_ERROR_S
+    def latest_clock_s(self, now_s=None):
+        return self.clock_s(now_s) + CLOCK_ERROR_S
 
     async def commit(self, expected, puts, removes=(), timeout_s=1.0):
         self.writes += 1
@@ -192,3 +192,39 @@
     async with hold(monkeypatch, 0.0) as (_, _, shard_lease):
         assert shard_lease.earlier.source == LONGEST_LEASE
         assert shard_lease.earlier.at_s > shard_lease.renewed_at_s + 10.0 * RATE_MARGIN
+
+
+class PausingStore(PromptStore):
+    """The host is paused while it reads the store's clock."""
+
+    def __init__(self, offset_s):
+        super().__init__()
+        self.offset_s = offset_s
+
+    def clock_s(self, now_s=None):
+        self.offset_s.append(0.7)
+        if now_s is None:
+            now_s = clocks.monotonic_s()
+        return STORE_CLOCK_S + now_s
+
+    def latest_clock_s(self, now_s=None):
+        return self.clock_s(now_s) + CLOCK_ERROR_S
+
+
+# Guards against TWICE: a host that was paused while it took the lease took earlier
+# grants for lapsed too soon.
+async def test_a_pause_while_taking_shortens_no_wait(monkeypatch, autojump_clock):
+    offset_s = [0.0]
+    monkeypatch.setattr(
+        clocks.source, "monotonic_s", lambda: trio.current_time() + sum(offset_s)
+    )
+    store = PausingStore(offset_s)
+    manager = store.lease_manager = LeaseManager(store, SHARD, "b", 10.0)
+    end_s = STORE_CLOCK_S + clocks.monotonic_s() + 8.0
+    seen = Row(lease_row(SHARD), encode_lease(LeaseRow("b", "1", 4, False, end_s)), 1)
+    manager._apply(Page((seen,), 1, 0, False), True)
+    shard_lease = await manager.acquire()
+    # The store's clock reads 5000 s more than ours, or CLOCK_ERROR_S more than that.
+    assert shard_lease.earlier.at_s >= end_s - STORE_CLOCK_S - 1e-6
+    told_s = store.lease.grants_end_s - STORE_CLOCK_S - CLOCK_ERROR_S
+    assert shard_lease.grants_lapse_by_s <= told_s + 1e-6
