Leave weak hosts time to renew the runs that they take over

Only the time of a lost holder is carried over now, and the record of servers with tasks says the longest grant of this one. - all servers were asked at once, and those with runs not first. They are now. - renewals waited 0.3 s at servers as soon as one of the lease was late, which is more calls for a host without time. They do so when grants can't last as long as usual.

Records of long ago were dropped before the row without them was stored, so that a session might have opened without limit beside the stored record; they are dropped when the row is written. Records are written by the latest reading of the store's clock, so that no second is lost to its error; the margin that older builds need is in them.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -136,6 +136,10 @@
         """Return whether renewals fail, so that the store may be away."""
         return now_s >= self.renewed_at_s + RENEWAL_OVERDUE_S
 
+    def grants_end_soon(self, now_s: float) -> bool:
+        """Return whether no grant can last as long as usual, as the store is away."""
+        return now_s + NORMAL_GRANT_S >= self.grants_lapse_by_s
+
     def grant_until_s(
         self, now_s: float, max_lease_s: float, wants_longest: bool = False
     ) -> float:
--- a/rhubarbmount/batch/grants_end.py
+++ b/rhubarbmount/batch/grants_end.py
@@ -33,7 +33,7 @@
 
     max_lease_s: float
     _earlier_end_s: float = 0.0
-    _is_recorded: bool = False
+    _is_carried_over: bool = False
     # Monotonic times by which grants lapse, by what the rows written lately say.
     _lapse_by_s_by_end: dict[float, float] = attrs.field(factory=dict)
 
@@ -44,7 +44,7 @@
 
     def begin(self, seen: LeaseRow | None, clock: StoreClock) -> LapseBound:
         """Begin to hold a lease; return when earlier holders' grants have lapsed."""
-        self._is_recorded = False
+        self._is_carried_over = False
         self._lapse_by_s_by_end.clear()
         bound = longest_lease(clock.now_s, self.max_lease_s)
         self._earlier_end_s = clock.most_s + bound.at_s - clock.now_s
@@ -56,6 +56,8 @@
         if at_s > bound.at_s:
             return bound
         self._earlier_end_s = seen.grants_end_s + margin_s
+        # After a planned stop too little time is left to renew everything within it.
+        self._is_carried_over = not seen.is_released
         return LapseBound(at_s, LEASE_ROW)
 
     def extend(self) -> None:
@@ -63,18 +65,18 @@
 
         The record of servers that are silent since the takeover must be stored.
         """
-        self._is_recorded = True
+        self._is_carried_over = False
 
     def next_s(self, clock: StoreClock) -> float:
         """Return what the next row says, which is sent now.
 
-        Until the record of silent servers is stored it is when the grants of earlier
-        holders end, so that the next holder need not wait longer for this one. If these
-        have ended, nothing is carried over.
+        If the last holder was lost, it is when the grants of earlier holders end until
+        the record of silent servers is stored, so that the next holder need not wait
+        longer for this one. If these have ended, nothing is carried over.
         """
         end_s = clock.most_s + longest_grant_s(self.max_lease_s)
         has_earlier = self._earlier_end_s > clock.least_s
-        if has_earlier and (not self._is_recorded or self._earlier_end_s > end_s):
+        if has_earlier and (self._is_carried_over or self._earlier_end_s > end_s):
             end_s = self._earlier_end_s
         self._lapse_by_s_by_end[end_s] = clock.now_s + end_s - clock.most_s
         return end_s
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -11,7 +11,7 @@
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.earlier_grants import EarlierGrants
-from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.election import ShardLease, longest_grant_s
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
@@ -133,7 +133,9 @@
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
         self.command_times = HostCommandTimes(self.store.clock_s, self.bounds.lease_s)
-        self.silent_servers = SilentServers(self.store.clock_s)
+        self.silent_servers = SilentServers(
+            self.store.clock_s, self.store.latest_clock_s
+        )
         self.earlier_grants = EarlierGrants(
             self.shard_lease.earlier, self.silent_servers
         )
@@ -337,11 +339,15 @@
             self._unreadable_waves.add(number)
 
     def _record_servers_with_tasks(self) -> None:
-        """Record every server with tasks as silent, until it answers this holder."""
+        """Record every server with tasks as silent, until it answers this holder.
+
+        The time leaves room to renew all of them before the record is stored anew.
+        """
         now_s = monotonic_s()
+        longest_s = longest_grant_s(self.bounds.max_lease_s)
         for server_id in self.shard.unknown_servers():
-            bound = self.earlier_grants.bound_of(server_id)
-            self.silent_servers.note(server_id, bound.at_s - now_s)
+            earlier_s = self.earlier_grants.bound_of(server_id).at_s - now_s
+            self.silent_servers.note(server_id, max(earlier_s, longest_s))
 
     async def _store_first_record(self) -> None:
         """Store the record of silent servers; then grants may last longer than it."""
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -32,6 +32,8 @@
 # How often a server on which nothing can run any more is asked whether it answers.
 LAPSED_RETRY_S = 1.0
 COMMIT_WAIT_S = 0.25
+# At a takeover servers with runs are asked first, as their leases end soon.
+IDLE_DELAY_S = 0.01
 
 
 class SessionListener(CommandListener):
@@ -96,6 +98,8 @@
     async def run(self) -> None:
         """Run the session until it is closed."""
         with self._scope:
+            if not self.has_work():
+                await trio.sleep(IDLE_DELAY_S)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._command_sender.run)
                 await self._renew_forever()
@@ -203,8 +207,8 @@
         is_short_wait = (
             self.needs_fresh_progress()
             or self.listener.has_recent_response_loss()
-            # Grants end soon, and have to be renewed as soon as the store is back.
-            or self.lease.shard_lease.is_overdue(monotonic_s())
+            # They have to be renewed as soon as the store is back.
+            or self.lease.shard_lease.grants_end_soon(monotonic_s())
         )
         return SHORT_RENEWAL_WAIT_S if is_short_wait else RENEWAL_WAIT_S
 
--- a/rhubarbmount/batch/silent_servers.py
+++ b/rhubarbmount/batch/silent_servers.py
@@ -25,7 +25,9 @@
     need not wait for the longest possible lease, nor begin to wait anew.
     """
 
+    # What the store's clock reads at least, and at most.
     store_clock_s: Callable[[], float]
+    latest_store_clock_s: Callable[[], float]
     _lapses_at_s: dict[str, float] = attrs.field(factory=dict)
 
     def load(self, value: bytes) -> None:
@@ -34,10 +36,8 @@
 
     def note(self, server_id: str, lapses_in_s: float) -> None:
         """Record a silent server, unless an earlier time is recorded already."""
-        now_s = self.store_clock_s()
-        for other, at_s in list(self._lapses_at_s.items()):
-            if at_s < now_s - RETENTION_S:
-                del self._lapses_at_s[other]
+        # Readers add the margin, as older builds wrote what the clock reads at least.
+        now_s = self.latest_store_clock_s() - READING_MARGIN_S
         if server_id in self._lapses_at_s or len(self._lapses_at_s) < MAX_SERVERS:
             known_s = self._lapses_at_s.get(server_id, math.inf)
             at_s = min(known_s, now_s + lapses_in_s)
@@ -61,8 +61,12 @@
     def limit_in_s(self, server_id: str) -> float:
         """Return within which time all that is granted must lapse; it may be past."""
         at_s = self._lapses_at_s.get(server_id, math.inf)
-        return at_s - READING_MARGIN_S - self.store_clock_s()
+        return at_s + READING_MARGIN_S - self.latest_store_clock_s()
 
     def encode(self) -> bytes:
-        """Return the value to store."""
+        """Return the value to store; records of long ago are left out from now on."""
+        oldest_s = self.store_clock_s() - RETENTION_S
+        for server_id, at_s in list(self._lapses_at_s.items()):
+            if at_s < oldest_s:
+                del self._lapses_at_s[server_id]
         return json.dumps(self._lapses_at_s).encode("ascii")
--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -1,5 +1,6 @@
 """Tests for leases and renewals of backend servers that stop answering."""
 
+import attrs
 import trio
 
 from rhubarbmount.batch.clocks import RATE_MARGIN, monotonic_s
@@ -175,3 +176,30 @@
     with trio.move_on_after(5.0):
         await session.run()
     assert session.client.renewals == 1
+
+
+class CallRecorder:
+    """Backend client that notes which servers were asked, and never answers."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def renew(self, server, *args):
+        self.asked.append(server.id)
+        await trio.sleep_forever()
+
+
+# Guards against runs that lapse at a takeover as servers without any are asked first.
+async def test_servers_with_runs_are_asked_first_at_a_takeover(autojump_clock):
+    client = CallRecorder()
+    async with trio.open_nursery() as nursery:
+        for number in range(20):
+            session = make_session()
+            session.server = attrs.evolve(session.server, id=f"s{number}")
+            session.client = client
+            session.has_work = lambda is_busy=number % 2 == 0: is_busy
+            nursery.start_soon(session.run)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert len(client.asked) == 20
+    assert all(int(server_id[1:]) % 2 == 0 for server_id in client.asked[:10])
