Count a lease from the first try to take it

A try without an answer may be the one that the store carried out. Only commands to hosts ask for this time.

--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -61,6 +61,9 @@
     follower: TableFollower = attrs.field(init=False)
     _version: int = 0
     _grants_end: GrantsEnd = attrs.field(init=False)
+    # The version of the row that this host last tried to replace, and since when.
+    _tried_version: int = -1
+    _tried_since_s: float = 0.0
     _renew_now: trio.Event = attrs.field(factory=trio.Event)
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _is_loaded: bool = False
@@ -135,7 +138,10 @@
         clock = self._store_clock()
         earlier = self._grants_end.begin(seen, clock)
         lease = self._make_row(fencing_token, clock)
-        taken = ShardLease(fencing_token, clock.now_s, earlier, 0.0)
+        if self._tried_version != self.watch.version:
+            self._tried_version, self._tried_since_s = self.watch.version, clock.now_s
+        # Any of the tries may be the one that the store has carried out.
+        taken = ShardLease(fencing_token, self._tried_since_s, earlier, 0.0)
         try:
             version = await self.store.commit(
                 {lease_row(self.shard): self.watch.version},
