--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -11,7 +11,7 @@
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.earlier_grants import EarlierGrants
-from rhubarbmount.batch.election import ShardLease, longest_grant_s
+from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
@@ -67,6 +67,8 @@
 LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
+# The least time of a record made at a takeover, as a fraction of the longest lease.
+RECORD_FRACTION = 0.8
 
 
 @attrs.define(eq=False)
@@ -344,10 +346,10 @@
         The time leaves room to renew all of them before the record is stored anew.
         """
         now_s = monotonic_s()
-        longest_s = longest_grant_s(self.bounds.max_lease_s)
+        least_s = self.bounds.max_lease_s * RECORD_FRACTION
         for server_id in self.shard.unknown_servers():
             earlier_s = self.earlier_grants.bound_of(server_id).at_s - now_s
-            self.silent_servers.note(server_id, max(earlier_s, longest_s))
+            self.silent_servers.note(server_id, max(earlier_s, least_s))
 
     async def _store_first_record(self) -> None:
         """Store the record of silent servers; then grants may last longer than it."""
