Decode the record of silent servers once

The holder decoded the row to check it and then again to load it. Loading checks it now, as HostCommandTimes.load does.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -24,7 +24,7 @@
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.record_fields import UnreadableRecord, decode_numbers
+from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_records import ServerRecords
@@ -325,12 +325,10 @@
         still read it.
         """
         try:
-            decode_numbers(row.value)
+            self.silent_servers.load(row.value)
         except UnreadableRecord as error:
             self.unreadable_rows.report(row, error)
             await self.committer.commit({row.name: self.silent_servers.encode()})
-        else:
-            self.silent_servers.load(row.value)
 
     def _load_wave(self, row: Row) -> None:
         number = int(row.name.key)
--- a/rhubarbmount/batch/silent_servers.py
+++ b/rhubarbmount/batch/silent_servers.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from rhubarbmount.batch.record_fields import decode_numbers
+
 __all__ = ["READING_MARGIN_S", "SilentServers"]
 
 # The store's clock is estimated from a response, which may be read this much later
@@ -31,8 +33,8 @@
     _lapses_at_s: dict[str, float] = attrs.field(factory=dict)
 
     def load(self, value: bytes) -> None:
-        """Load the value that the last holder stored."""
-        self._lapses_at_s = json.loads(value)
+        """Load the value that the last holder stored. Raises UnreadableRecord."""
+        self._lapses_at_s = decode_numbers(value)
 
     def note(self, server_id: str, lapses_in_s: float) -> None:
         """Record a silent server, unless an earlier time is recorded already."""
