--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -16,6 +16,8 @@
 
 MOVE_S = 1.5
 MAINTENANCE_S = 2.0
+# How long a machine is down after a task has crashed its server.
+TASK_CRASH_S = 3.0
 
 
 @attrs.define
@@ -40,7 +42,7 @@
     """Machines in pools whose backend servers register in the store.
 
     ``observe`` is called for each event that an operator or a caller could see: starts
-    and ends of runs, moves and maintenance, and machines that are up again.
+    and ends of runs, crashes, moves and maintenance, and machines that are up again.
     """
 
     nursery: trio.Nursery
@@ -104,6 +106,7 @@
             work_of=self.work_of,
             observe=self.observe,
             nursery=self.nursery,
+            crash=lambda: self.crash(machine.id, TASK_CRASH_S),
             guards_capacity=self.servers_guard_capacity,
             clock_offset_ms=100_000 * (self._lifetime_count % 7 + 1),
         )
@@ -143,6 +146,8 @@
         The other one is in ``pool`` if that is given.
         """
         machine = self.machine_by_id[machine_id]
+        runs = list(machine.server.run_by_task) if machine.server else []
+        self.observe("crash", machine, runs)
         self._end_lifetime(machine, "down")
         next_pool = pool or machine.pool
         self.nursery.start_soon(self._restart_after, machine, next_pool, down_s)
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -20,13 +20,22 @@
 
 @attrs.frozen
 class TaskWork:
-    """Actual duration and resource needs of a task, and whether it fails."""
+    """Actual duration and resource needs of a task, and whether it fails.
+
+    A run of a task with a finite ``crashes_after_s`` ends its server's lifetime.
+    """
 
     work_s: float
     cpu_millicores: int
     memory_mb: int
     is_long_running: bool = False
     fails: bool = False
+    crashes_after_s: float = math.inf
+
+    @property
+    def crashes_servers(self) -> bool:
+        """Return whether each run of the task ends its server's lifetime."""
+        return math.isfinite(self.crashes_after_s)
 
 
 @attrs.define(eq=False)
@@ -46,7 +55,7 @@
     """One lifetime of a backend server.
 
     ``observe`` is called for starts and ends of runs, as callers of the platform would
-    see them, and for ends that are acknowledged.
+    see them, and for ends that are acknowledged. ``crash`` ends the lifetime.
     """
 
     id: str
@@ -58,6 +67,7 @@
     work_of: Callable[[str], TaskWork]
     observe: Callable[..., None]
     nursery: trio.Nursery
+    crash: Callable[[], None] = lambda: None
     clock_offset_ms: int = 100_000
     slowness: float = 1.0
     fails_all_runs: bool = False
@@ -196,7 +206,11 @@
 
     async def _work(self, run: Run) -> None:
         with run.scope:
-            await trio.sleep(self._work_s(run))
+            await trio.sleep(min(self._work_s(run), run.work.crashes_after_s))
+        if run.work.crashes_servers and not run.stop_outcome:
+            if self.run_by_task.get(run.task) is run:
+                self.crash()
+            return
         if run.stop_outcome:
             outcome = run.stop_outcome
         else:
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -10,6 +10,9 @@
 # after the last fault, if there is capacity for it.
 LOST_AFTER_RUN_S = 9.0
 LOST_AFTER_FAULT_S = 10.0
+# A task that has crashed this many servers may not start this many times more.
+MAX_CRASHES = 3
+STARTS_AFTER_CRASHES = 3
 
 
 @attrs.define(eq=False)
@@ -17,7 +20,9 @@
     """Records breaches of the rules on runs.
 
     TWICE: a task runs twice at once, or again after it is done. BUDGET: it starts after
-    its last attempt failed. UNASKED: its job was never submitted, or was cancelled more
+    its last attempt failed, or crashes servers and starts three times more after it has
+    crashed three. FAILED: its job is shown as failed, though no task of it has failed so
+    often or crashes servers. UNASKED: its job was never submitted, or was cancelled more
     than 3 s ago. REFUSED: its job was refused. ORDER: it starts before the steps that
     it depends on are done. MIXED: its job is shown as complete before it is done.
     LIMIT: it starts on a server that has no capacity for it. LOST: it is long-running
@@ -26,6 +31,8 @@
 
     world: World
     attempts: int = 3
+    crash_count_by_task: dict[str, int] = attrs.field(factory=dict)
+    starts_after_crashes: dict[str, int] = attrs.field(factory=dict)
     after_by_step: dict[tuple[str, str], list[str]] = attrs.field(factory=dict)
     count_by_step: dict[tuple[str, str], int] = attrs.field(factory=dict)
     cancelled_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -61,6 +68,8 @@
             self._on_start(where, *details)
         elif what == "acknowledged":
             self._on_acknowledged(where, *details)
+        elif what == "crash":
+            self._on_crash(*details)
         elif what in ("moving", "upkeep", "up"):
             return
         else:
@@ -74,6 +83,13 @@
                 self.done.add(task)
                 self.done_at_s[task, run] = trio.current_time()
 
+    def _on_crash(self, tasks: list[str]) -> None:
+        for task in tasks:
+            if self.world.work_of(task).crashes_servers:
+                self.crash_count_by_task[task] = (
+                    self.crash_count_by_task.get(task, 0) + 1
+                )
+
     def _on_start(self, server, task: str, run: int) -> None:
         job_id, _, step, _ = task.split(".")
         now_s = trio.current_time()
@@ -85,6 +101,7 @@
             self._record_breach("TWICE after done", task, run)
         if self.acknowledged_failures.get(task, 0) >= self.attempts:
             self._record_breach("BUDGET", task, run)
+        self._check_crashes(task, run)
         if (job_id, step) not in self.count_by_step:
             self._record_breach("UNASKED", task, run)
         if job_id in self.refused:
@@ -99,6 +116,25 @@
         self.away_since_s.pop(task, None)
         self.last_start_s[task] = now_s
 
+    def _check_crashes(self, task: str, run: int) -> None:
+        if self.crash_count_by_task.get(task, 0) < MAX_CRASHES:
+            return
+        self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
+        if self.starts_after_crashes[task] == STARTS_AFTER_CRASHES:
+            self._record_breach("BUDGET of crashes", task, run)
+
+    def check_failed(self, job_id: str) -> None:
+        """Record a breach if a job that is shown as failed would have completed."""
+        prefix = f"{job_id}."
+        has_failed = any(
+            count >= self.attempts
+            for task, count in self.acknowledged_failures.items()
+            if task.startswith(prefix)
+        )
+        has_crashed = any(task.startswith(prefix) for task in self.crash_count_by_task)
+        if not has_failed and not has_crashed:
+            self._record_breach("FAILED", f"{prefix}0.0.0", 0)
+
     def _check_order(self, job_id: str, step: str, task: str, run: int) -> None:
         for before in self.after_by_step.get((job_id, step), []):
             for number in range(self.count_by_step[job_id, before]):
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -228,6 +228,8 @@
     node_by_id: dict[str, Node] = attrs.field(factory=dict)
     scope_by_node: dict[str, trio.CancelScope] = attrs.field(factory=dict)
     work_by_step: dict[tuple[str, str], TaskWork] = attrs.field(factory=dict)
+    # Work of single tasks that differs from the rest of their step.
+    work_by_task: dict[str, TaskWork] = attrs.field(factory=dict)
     observers: list[Any] = attrs.field(factory=list)
     # How many nodes have been killed or stopped.
     lost_nodes: int = 0
@@ -238,7 +240,7 @@
 
     def work_of(self, task: str) -> TaskWork:
         job_id, _, step, _ = task.split(".")
-        return self.work_by_step[job_id, step]
+        return self.work_by_task.get(task) or self.work_by_step[job_id, step]
 
     def observe(self, *event: Any) -> None:
         for observer in self.observers:
