Give up tasks that crash the servers that start them

Cause: what was lost with a server began again and nothing was counted; a crashed server lists no end, and only ends count as attempts.

Each task now keeps the servers that were lost under it, stored with its progress: whether the lifetime is known to be over, whether no other job ran there, whether other servers fell silent at that time, and how long the run had gone on. After two losses of its own, or three, it runs alone, one task of a job at a time; after three, two of them alone, its job fails. A run that outlives the ages of the earlier losses clears them, a server that answers again takes its losses back, and drained or commanded servers leave none. Tasks that lost a server together are placed apart. Lines run-lost and task-given-up, and metrics, tell what was lost and why.

The stand-in's crashed servers now answer no call that was waiting there.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -15,6 +15,7 @@
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Host, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
+from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.waves import Maintenance, WavePlanner, WaveProgress
@@ -312,7 +313,7 @@
         """Command a host on which a server ran when the command was decided."""
         try:
             if await action(decision):
-                self.shard.lose_server(server_id, monotonic_s())
+                self.shard.lose_server(server_id, monotonic_s(), ServerEnd.PLANNED)
                 self.wake_scheduler()
         finally:
             self.commands.release(host_id)
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -18,6 +18,7 @@
 from rhubarbmount.batch.job_remover import JobRemover, RemovedJobs
 from rhubarbmount.batch.job_rows import JobRows
 from rhubarbmount.batch.lateness import Lateness
+from rhubarbmount.batch.lost_run_log import report_lost_runs
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
@@ -27,6 +28,7 @@
 from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
+from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.server_records import ServerRecords
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
@@ -388,7 +390,7 @@
         )
         await trio.sleep(lapses_in_s)
         if server_id not in self.shard.usage_by_server_id:
-            tasks = self.shard.lose_server(server_id, monotonic_s())
+            tasks = self.shard.lose_server(server_id, monotonic_s(), ServerEnd.SILENT)
             self.metrics.lapsed_tasks.labels(bound.source).inc(tasks)
             log.event(
                 logger,
@@ -493,6 +495,8 @@
 
     async def _commit_and_send(self, assignments: list[Assignment]) -> None:
         """Commit the changes, then send the commands that depend on them."""
+        lost_runs, self.shard.losses.lost_runs = self.shard.losses.lost_runs, []
+        report_lost_runs(lost_runs, self.metrics)
         self._put_server_records(assignments)
         self._job_rows.put_changed()
         stops, self.shard.stops = self.shard.stops, []
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -33,6 +33,8 @@
     stragglers: prometheus_client.Counter = attrs.field(init=False)
     discarded_core_s: prometheus_client.Counter = attrs.field(init=False)
     lapsed_tasks: prometheus_client.Counter = attrs.field(init=False)
+    lost_runs: prometheus_client.Counter = attrs.field(init=False)
+    given_up_tasks: prometheus_client.Counter = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
     placing_s: prometheus_client.Histogram = attrs.field(init=False)
@@ -89,6 +91,14 @@
             "told when those of earlier holders have.",
             ["bound"],
         )
+        self.lost_runs = self._counter(
+            "lost_runs", "Runs lost with their server, by how it ended.", ["end"]
+        )
+        self.given_up_tasks = prometheus_client.Counter(
+            "rhubarbmount_batch_given_up_tasks",
+            "Tasks given up because they crash their servers; their jobs failed.",
+            registry=self.registry,
+        )
         self.host_orders = self._counter(
             "host_orders",
             "Move and maintenance commands to hosts by outcome.",
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -6,6 +6,7 @@
 import attrs
 
 from rhubarbmount.batch.run_progress import RunProgress
+from rhubarbmount.batch.server_losses import Losses, is_suspect
 
 __all__ = [
     "Assignment",
@@ -171,6 +172,17 @@
     # Time when the backend server last acknowledged a command for the run.
     acknowledged_s: float = 0.0
     is_stopping: bool = False
+    # Servers that were lost with a run of the task.
+    losses: Losses = ()
+    # Time since which the task has waited for a server of its own, or 0.
+    wants_own_server_since_s: float = 0.0
+    # Whether it has waited for that so long that it may share a server.
+    may_share_server: bool = False
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the task has to run alone, as it may crash its servers."""
+        return bool(self.losses) and is_suspect(self.losses)
 
 
 @attrs.define(eq=False)
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -5,7 +5,14 @@
 
 import attrs
 
-from rhubarbmount.batch.model import Assignment, Job, Queue, Step, Task
+from rhubarbmount.batch.model import (
+    Assignment,
+    Job,
+    Queue,
+    Step,
+    Task,
+    TaskState,
+)
 from rhubarbmount.batch.objective import LatestStart, latest_start
 from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -18,6 +25,8 @@
 # Estimates are rough; a job slightly past its latest start may still be on time.
 ESTIMATE_TOLERANCE_S = 0.3
 EXPIRING_WINDOW_S = 0.5
+# How long a task that has to run alone waits for a server without other tasks.
+OWN_SERVER_WAIT_S = 2.5
 
 PlacementFilter = Callable[[ServerUsage, Step, Task], bool]
 placement_filters: Registry[PlacementFilter] = Registry("placement rule")
@@ -47,6 +56,20 @@
     return task.failed_on != usage.server.id
 
 
+@placement_filters.register("suspects-apart")
+def _keeps_suspects_apart(usage: ServerUsage, step: Step, task: Task) -> bool:
+    """Return whether a task may crash the server without harm to others.
+
+    One that has waited long for a server of its own may share it with tasks that are
+    not suspected of anything.
+    """
+    if not usage.suspect_ids and not task.is_suspect:
+        return True
+    if usage.has_only(task.id[:3]) and (step.is_gang or usage.is_idle):
+        return True
+    return not usage.suspect_ids and task.may_share_server
+
+
 class Urgency(enum.IntEnum):
     """Order in which waiting tasks of the same priority are placed."""
 
@@ -118,6 +141,7 @@
         )
         assignments: list[Assignment] = []
         held_by_pool: dict[str, ServerUsage] = {}
+        emptying_pools: set[str] = set()
         for step_key in self._steps_by_urgency():
             job = self.shard.job_by_id[step_key[0]]
             pool = self.shard.pool_of(job.spec)
@@ -127,13 +151,47 @@
             if pool in held_by_pool and not job.spec.steps[step_key[2]].is_long_running:
                 servers.usages.remove(held_by_pool.pop(pool))
             assignments.extend(self._place_step(job, step_key, servers, now_s))
-            if step_key in self.shard.waiting_by_step:
-                self._note_shortage(pool, job, step_key)
-                held = self._server_to_hold(job, step_key, servers)
-                if held is not None:
-                    held_by_pool.setdefault(pool, held)
+            if step_key not in self.shard.waiting_by_step:
+                continue
+            self._note_shortage(pool, job, step_key)
+            if self._has_suspects(step_key):
+                if pool not in emptying_pools:
+                    emptying_pools.add(pool)
+                    self._hold_server_to_empty(job, step_key, servers)
+                continue
+            held = self._server_to_hold(job, step_key, servers)
+            if held is not None:
+                held_by_pool.setdefault(pool, held)
         return assignments
 
+    def _has_suspects(self, step_key: StepKey) -> bool:
+        """Return whether tasks of a step wait that have to run alone."""
+        if step_key not in self.shard.steps_with_losses:
+            return False
+        waiting = self.shard.waiting_by_step[step_key]
+        return any(task.is_suspect for task in waiting.values())
+
+    def _hold_server_to_empty(
+        self, job: Job, step_key: StepKey, servers: OpenServers
+    ) -> None:
+        """Keep other tasks from the server that a suspect can soon have to itself."""
+        step = job.spec.steps[step_key[2]]
+        candidates = [
+            usage
+            for usage in self._eligible(servers.usages, job, step_key)
+            if not usage.has_long_running
+            and not usage.suspect_ids
+            and usage.fits_among_long_running(step)
+            and _has_label(usage, step)
+        ]
+        held = min(
+            candidates,
+            key=lambda usage: (len(usage.task_by_id), usage.server.id),
+            default=None,
+        )
+        if held is not None:
+            servers.usages.remove(held)
+
     def _server_to_hold(
         self, job: Job, step_key: StepKey, servers: OpenServers
     ) -> ServerUsage | None:
@@ -169,7 +227,11 @@
             for step_key in self.shard.waiting_by_step
             if step_key in known
         }
-        return sorted(self.shard.waiting_by_step, key=self._sort_key)
+        return sorted(
+            self.shard.waiting_by_step,
+            # Suspects first, as each of them takes a server from all others.
+            key=lambda key: (not self._has_suspects(key), *self._sort_key(key)),
+        )
 
     def _sort_key(self, step_key: StepKey) -> tuple[bool, int, Urgency, float, StepKey]:
         """Return a sort key that puts long-running tasks before all others."""
@@ -216,6 +278,8 @@
             _allow_failed_servers(waiting.values())
             return []
         tasks = list(waiting.values())
+        if self._has_suspects(step_key) and not step.is_gang:
+            tasks = _with_one_suspect(job, tasks)
         candidates.sort(key=lambda usage: _preference_key(usage, step))
         assignments = [
             self._place_task(task, step, candidates, now_s) for task in tasks
@@ -231,7 +295,11 @@
 
         A candidate without capacity for the next task of the step is removed.
         """
-        for usage in candidates:
+        task.may_share_server = (
+            0.0 < task.wants_own_server_since_s <= now_s - OWN_SERVER_WAIT_S
+        )
+        is_apart = task.losses and not step.is_gang
+        for usage in _apart_from_losses(candidates) if is_apart else candidates:
             if all(accepts(usage, step, task) for accepts in self._filters):
                 self.shard.assign(task, usage, now_s)
                 if not usage.fits(step):
@@ -239,6 +307,8 @@
                 return Assignment(task.id, task.run, usage.server.id)
         if task.failed_on:
             task.failed_on = ""
+        if task.is_suspect and not task.wants_own_server_since_s:
+            task.wants_own_server_since_s = now_s
         return None
 
     def _complete_or_release_gang(
@@ -279,10 +349,32 @@
         if shortage is None:
             shortage = self.shortage_by_pool[pool] = Shortage()
         shortage.add(step, len(self.shard.waiting_by_step[step_key]), run_time_s)
-        if not step.max_per_server and self._lacks_server(pool, step):
+        if self._has_suspects(step_key) or (
+            not step.max_per_server and self._lacks_server(pool, step)
+        ):
             shortage.servers = max(shortage.servers, 1)
 
 
+def _apart_from_losses(usages: list[ServerUsage]) -> list[ServerUsage]:
+    """Return the servers with the fewest tasks that have lost servers first.
+
+    Tasks that lost a server together would otherwise lose the next one together too.
+    """
+    return sorted(usages, key=lambda usage: len(usage.ids_with_losses))
+
+
+def _with_one_suspect(job: Job, tasks: list[Task]) -> list[Task]:
+    """Return the tasks that may be placed now: of the suspects of a job one at a time.
+
+    If one of them crashes servers, the others needn't.
+    """
+    is_one_running = any(
+        task.state is TaskState.ASSIGNED and task.is_suspect for task in job.tasks()
+    )
+    suspects = [] if is_one_running else [task for task in tasks if task.is_suspect]
+    return suspects[:1] + [task for task in tasks if not task.is_suspect]
+
+
 def _allow_failed_servers(tasks: Iterable[Task]) -> None:
     """Let tasks that found no server go to the one where they failed, next time."""
     for task in tasks:
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -23,6 +23,7 @@
     load_object,
     raises_unreadable_record,
 )
+from rhubarbmount.batch.server_losses import ServerLoss
 from rhubarbmount.batch.unreadable_jobs import KeptEnd
 
 __all__ = [
@@ -174,13 +175,26 @@
 def _encode_task(task: Task) -> list[Any]:
     if task.state is TaskState.DONE:
         return [int(TaskState.DONE)]
-    return [
+    row = [
         int(task.state),
         task.run,
         task.server_id,
         task.failures,
         task.checkpoint,
     ]
+    return [*row, list(map(_encode_loss, task.losses))] if task.losses else row
+
+
+def _encode_loss(loss: ServerLoss) -> list[Any]:
+    flags = (loss.is_certain, loss.was_alone, loss.was_widespread)
+    return [loss.server_id, *map(int, flags), round(loss.age_s, 3)]
+
+
+def _decode_loss(row: list[Any]) -> ServerLoss:
+    server_id, is_certain, was_alone, was_widespread, age_s = row[:5]
+    _check_types((server_id,), (str,))
+    flags = (bool(is_certain), bool(was_alone), bool(was_widespread))
+    return ServerLoss(server_id, *flags, float(age_s))
 
 
 @raises_unreadable_record
@@ -222,7 +236,17 @@
         return Task(task_id, TaskState.DONE)
     state, run, server_id, failures, checkpoint = row[:5]
     _check_types((run, server_id, failures, checkpoint), (int, str, int, str))
-    return Task(task_id, TaskState(state), run, server_id, failures, checkpoint)
+    # Builds that kept no record of lost servers store none.
+    losses = tuple(map(_decode_loss, row[5])) if len(row) > 5 else ()
+    return Task(
+        task_id,
+        TaskState(state),
+        run,
+        server_id,
+        failures,
+        checkpoint,
+        losses=losses,
+    )
 
 
 def encode_ends(ends: Iterable[KeptEnd]) -> bytes:
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -77,6 +77,8 @@
     acknowledged: int = 0
     listed_to: int = 0
     is_established: bool = False
+    # Since when no call has been answered.
+    failing_since_s: float = 0.0
     # The lifetime began before this time, as its row had been read.
     opened_at_s: float = attrs.field(factory=monotonic_s)
     _is_check_due: bool = False
@@ -188,10 +190,10 @@
         except (PlatformUnavailable, OutcomeUnknown) as error:
             if not self.lease.has_lapsed:
                 self.listener.on_unanswered()
-            self._record_failure(error.code)
+            self._record_failure(error.code, sent_s)
             return None
         if response is None:
-            self._record_failure("timeout")
+            self._record_failure("timeout", sent_s)
             return None
         return self._handle_response(response, acknowledged, sent_s)
 
@@ -256,7 +258,12 @@
                 log.event(logger, "server-regained", server=self.server.id)
             self.listener.on_reachability_change(self, True)
 
-    def _record_failure(self, code: str) -> None:
+    def _record_failure(self, code: str, sent_s: float | None = None) -> None:
+        if not self.lease.consecutive_failures:
+            # Other failures show at once that the server is gone.
+            self.failing_since_s = monotonic_s()
+            if code == "timeout" and sent_s is not None:
+                self.failing_since_s = sent_s
         if self.lease.record_failure():
             log.event(
                 logger,
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -26,6 +26,7 @@
 from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
@@ -256,6 +257,8 @@
         if task.assigned_s == 0.0:
             self._adopt_run(usage, task, now_s)
         task.progress.report(report.percent, clock_ms)
+        if task.acknowledged_s:
+            self.shard.clear_losses_if_harmless(task, now_s)
         self._stop_if_straggling(usage, task, now_s)
 
     def _adopt_run(self, usage: ServerUsage, task: Task, now_s: float) -> None:
@@ -391,11 +394,28 @@
         usage = self.shard.usage_by_server_id.get(session.server.id)
         if usage is not None:
             usage.is_reachable = is_reachable
+        if is_reachable:
+            self.shard.retract_losses(session.server.id)
+        else:
+            self._note_silence(session)
         if is_reachable and session.lease.is_recorded_silent:
             self._heard.append(session)
             self._record_changed.set()
         self.wake()
 
+    def _note_silence(self, session: ServerSession) -> None:
+        """Record that a server fell silent; ask the others if it had a suspect.
+
+        What became silent with it has another cause than the suspect, and idle servers
+        are not asked otherwise.
+        """
+        server_id = session.server.id
+        self.shard.note_silence(server_id, session.failing_since_s, monotonic_s())
+        usage = self.shard.usage_by_server_id.get(server_id)
+        if usage is not None and usage.ids_with_losses:
+            for other in self:
+                other.check()
+
     def on_silent(self, session: ServerSession) -> None:
         """Record for the next holder that the server is granted nothing more."""
         self.silent.note(session.server.id, session.lease.lapses_at_s() - monotonic_s())
@@ -453,7 +473,8 @@
         )
         if is_over:
             self._ended_server_ids.add(server_id)
-        self.shard.lose_server(server_id, monotonic_s())
+        end = ServerEnd.CRASHED if is_over else ServerEnd.SILENT
+        self.shard.lose_server(server_id, monotonic_s(), end)
         self.wake()
 
 
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -46,6 +46,9 @@
     task_by_id: dict[TaskId, Task] = attrs.field(factory=dict)
     step_by_task: dict[TaskId, Step] = attrs.field(factory=dict)
     count_by_step: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    # Tasks that have lost servers before, and those of them that have to run alone.
+    ids_with_losses: set[TaskId] = attrs.field(factory=set)
+    suspect_ids: set[TaskId] = attrs.field(factory=set)
     # Start and end, on the server's clock, of the last run that took a normal time.
     _sound_run_ms: tuple[int, int] = (0, 0)
     _stray_steps: list[Step | None] = attrs.field(factory=list)
@@ -85,15 +88,19 @@
         """Return whether an assigned task runs on otherwise unused CPU time."""
         return self._fills_count > 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether a drain or a command to its host ends the lifetime."""
+        return self.has_pending_command or self.server.is_draining
+
     @property
     def stays(self) -> bool:
         """Return whether the server answers and is not about to leave its pool."""
-        is_leaving = self.is_closed or self.has_pending_command
         return (
             self.is_listed
             and self.is_reachable
-            and not is_leaving
-            and not self.server.is_draining
+            and not self.is_closed
+            and not self.is_leaving
         )
 
     def is_open(self, now_s: float) -> bool:
@@ -152,9 +159,29 @@
         """Return the number of assigned tasks of the same step and occurrence."""
         return self.count_by_step.get(task_id[:3], 0)
 
+    def has_only(self, step_key: tuple[str, int, int]) -> bool:
+        """Return whether nothing but tasks of one step runs on the server."""
+        count = self.count_by_step.get(step_key, 0)
+        return count == len(self.task_by_id) and not self._stray_steps
+
+    @property
+    def has_one_job(self) -> bool:
+        """Return whether all runs on the server are of the same job."""
+        job_ids = {task_id.job_id for task_id in self.task_by_id}
+        return len(job_ids) == 1 and not self._stray_steps
+
+    def clear_losses(self, task_id: TaskId) -> None:
+        """Let other tasks run beside a task that has proved harmless."""
+        self.ids_with_losses.discard(task_id)
+        self.suspect_ids.discard(task_id)
+
     def add(self, task: Task, step: Step) -> None:
         """Add a task and the resources that it uses."""
         self.task_by_id[task.id] = task
+        if task.losses:
+            self.ids_with_losses.add(task.id)
+        if task.is_suspect:
+            self.suspect_ids.add(task.id)
         self.step_by_task[task.id] = step
         self.count_by_step[task.id[:3]] = self.count_of(task.id) + 1
         self._adjust_usage(step, 1)
@@ -163,6 +190,7 @@
         """Remove a task and free its resources."""
         if self.task_by_id.pop(task_id, None) is None:
             return
+        self.clear_losses(task_id)
         self._adjust_usage(self.step_by_task.pop(task_id), -1)
         remaining = self.count_by_step.pop(task_id[:3]) - 1
         if remaining:
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rhubarbmount.batch.loss_tracker import LostRun
 from rhubarbmount.batch.model import (
     Job,
     JobSpec,
@@ -17,6 +18,12 @@
 )
 from rhubarbmount.batch.pacing import FULL_PACE
 from rhubarbmount.batch.run_times import kind_of
+from rhubarbmount.batch.server_losses import (
+    ServerEnd,
+    ServerLoss,
+    is_to_blame,
+    outlives,
+)
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard_jobs import ShardJobs
 
@@ -178,13 +185,17 @@
                     self.stop_run(task)
         return usage
 
-    def lose_server(self, server_id: str, now_s: float) -> int:
+    def lose_server(
+        self, server_id: str, now_s: float, end: ServerEnd = ServerEnd.CRASHED
+    ) -> int:
         """Remove a server lifetime that must have ended; let its tasks wait again.
 
         Returns the number of these tasks.
         """
         usage = self.usage_by_server_id.pop(server_id, None)
         tasks = self._tasks_by_unknown_server_id.pop(server_id, [])
+        if usage is not None and not usage.is_leaving:
+            self.losses.note_silence(server_id, usage, now_s, now_s)
         if usage is not None:
             tasks.extend(usage.task_by_id.values())
         lost = [
@@ -192,15 +203,106 @@
             for task in tasks
             if task.server_id == server_id and task.state is TaskState.ASSIGNED
         ]
-        for task in lost:
-            self.release(task, now_s)
+        self._lose_runs(server_id, lost, usage, end, now_s)
+        if end is ServerEnd.CRASHED:
+            for task in self.losses.confirm(server_id):
+                self._note_losses_changed(task)
+                self._give_up_if_to_blame(task)
         return len(lost)
 
     def lapse_runs(self, server_id: str, now_s: float) -> None:
         """Let the tasks of a server whose leases must have expired wait again."""
         usage = self.usage_by_server_id.get(server_id)
-        for task in list(usage.task_by_id.values()) if usage is not None else ():
+        if usage is not None:
+            tasks = list(usage.task_by_id.values())
+            self._lose_runs(server_id, tasks, usage, ServerEnd.SILENT, now_s)
+
+    def note_silence(self, server_id: str, since_s: float, now_s: float) -> None:
+        """Record that a server fell silent between two times."""
+        usage = self.usage_by_server_id.get(server_id)
+        if usage is not None:
+            self.losses.note_silence(server_id, usage, since_s, now_s)
+
+    def retract_losses(self, server_id: str) -> None:
+        """Record that a server answers, so that no task has lost it."""
+        for task in self.losses.retract(server_id):
+            self._note_losses_changed(task)
+
+    def clear_losses_if_harmless(self, task: Task, now_s: float) -> None:
+        """Forget the servers that a task lost if its run goes on for longer."""
+        if not task.losses or not outlives(task.losses, now_s - task.acknowledged_s):
+            return
+        task.losses = ()
+        usage = self.usage_by_server_id.get(task.server_id)
+        if usage is not None:
+            usage.clear_losses(task.id)
+        self._note_losses_changed(task)
+
+    def _lose_runs(
+        self,
+        server_id: str,
+        tasks: list[Task],
+        usage: ServerUsage | None,
+        end: ServerEnd,
+        now_s: float,
+    ) -> None:
+        """Let the tasks of a lost server wait again, except for those to blame."""
+        if usage is not None and usage.is_leaving:
+            end = ServerEnd.PLANNED
+        was_alone = (
+            usage.has_one_job
+            if usage is not None
+            else len({task.id.job_id for task in tasks}) == 1
+        )
+        silent_s = self.losses.silent_since_s(server_id, now_s)
+        for task in tasks:
+            run = task.run
+            started_s = task.acknowledged_s or silent_s
+            loss = ServerLoss(
+                server_id=server_id,
+                is_certain=end is ServerEnd.CRASHED,
+                was_alone=was_alone,
+                was_widespread=self.losses.is_widespread(server_id, task.id.job_id),
+                age_s=max(0.0, silent_s - started_s),
+            )
             self.release(task, now_s)
+            if end is not ServerEnd.PLANNED and task.id.job_id in self.job_by_id:
+                self._add_loss(task, loss)
+            is_given_up = self._give_up_if_to_blame(task)
+            self.losses.lost_runs.append(
+                LostRun(
+                    task=task.id,
+                    run=run,
+                    loss=loss,
+                    end=end,
+                    losses=len(task.losses),
+                    beside=len(tasks) - 1,
+                    is_given_up=is_given_up,
+                )
+            )
+
+    def _add_loss(self, task: Task, loss: ServerLoss) -> None:
+        """Add a loss to a task; the members of a gang run as one."""
+        is_gang = self.step_of(task.id).is_gang
+        for member in self.siblings_of(task) if is_gang else (task,):
+            self.losses.add(member, loss)
+        self._note_losses_changed(task)
+
+    def _note_losses_changed(self, task: Task) -> None:
+        job = self.job_by_id.get(task.id.job_id)
+        if job is not None and not job.state.is_final:
+            self.steps_with_losses.add(task.id[:3])
+            self.dirty.add(task.id.job_id)
+
+    def _give_up_if_to_blame(self, task: Task) -> bool:
+        """Fail the job of a task that crashes its servers; return whether it does."""
+        job = self.job_by_id.get(task.id.job_id)
+        if job is None or job.state.is_final or task.state is TaskState.DONE:
+            return False
+        if not is_to_blame(task.losses):
+            return False
+        self._finish(job, JobState.FAILED)
+        return True
 
     def unknown_servers(self) -> Iterable[str]:
         """Return the ids of servers that have tasks assigned but are not listed."""
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.demand import DemandMeter
+from rhubarbmount.batch.loss_tracker import LossTracker
 from rhubarbmount.batch.model import (
     Job,
     JobSpec,
@@ -55,6 +56,9 @@
     stops: list[Stop] = attrs.field(factory=list)
     run_times: RunTimes = attrs.field(factory=RunTimes)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
+    losses: LossTracker = attrs.field(factory=LossTracker)
+    # Steps with tasks that have lost servers.
+    steps_with_losses: set[StepKey] = attrs.field(factory=set)
     _remaining_tasks_by_job_id: dict[str, int] = attrs.field(factory=dict)
     _timed_job_ids: set[str] = attrs.field(factory=set)
     _tasks_by_unknown_server_id: dict[str, list[Task]] = attrs.field(factory=dict)
@@ -84,6 +88,9 @@
         self.create_ready_tasks(job)
 
     def _index(self, task: Task) -> None:
+        if task.losses:
+            self.losses.watch(task)
+            self.steps_with_losses.add(task.id[:3])
         if task.state is TaskState.WAITING:
             self._add_waiting(task)
         elif task.state is TaskState.ASSIGNED:
@@ -155,6 +162,7 @@
         self._remaining_tasks_by_job_id.pop(job.spec.job_id, None)
         for task in job.tasks():
             self.waiting_by_step.pop(task.id[:3], None)
+            self.steps_with_losses.discard(task.id[:3])
             if task.state is TaskState.ASSIGNED:
                 self.stop_run(task)
 
@@ -265,6 +273,7 @@
         task.pace = FULL_PACE
         task.acknowledged_s = 0.0
         task.is_stopping = False
+        task.wants_own_server_since_s = 0.0
         job = self.job_by_id[task.id.job_id]
         job.state = JobState.ACTIVE
         usage.add(task, self.step_of(task.id))
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -108,6 +108,12 @@
                 return JsonResponse(200, {"clock_ms": self.clock_ms()})
         return JsonResponse(404, {})
 
+    def break_run(self, task: str) -> None:
+        """End a run of a gang of which another member has ended."""
+        run = self.run_by_task.get(task)
+        if run is not None:
+            self._finish(run, "broken")
+
     def end_all_runs(self) -> None:
         """End the lifetime and with it all runs."""
         self.is_gone = True
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -156,6 +156,8 @@
         if target == "/run-start" and is_refused:
             return JsonResponse(503, {})
         response = await server.handle(target, expected, body)
+        if server.is_gone:
+            raise OutcomeUnknown("connection reset", code="answer-lost")
         await trio.sleep(faults.response_delay_s_by_server_id.get(server.id, 0.0))
         if world.generator.random() < faults.lost_response_share:
             await trio.sleep_forever()
