Send no start to a server that has shrunk since it was decided

A start that waits for its commit, for the lease or for an answer was sent whatever the server's row had come to say meanwhile (LIMIT, where servers do not refuse). A server that has no room for all that is assigned to it now gets no start: one that was never sent waits again, one that may be under way is barred.

test_a_start_that_was_held_up_is_not_sent_to_a_server_that_has_shrunk fails before with LIMIT. The stand-in's servers can shrink and grow, and the checker counts a smaller capacity 4.5 s later.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -103,6 +103,8 @@
     listener: CommandListener
     metrics: BatchMetrics
     on_failure: Callable[[str], None]
+    # Whether the server has room for all that is assigned to it.
+    has_room: Callable[[], bool] = lambda: True
     _send_channel: Any = None
     _receive_channel: Any = None
 
@@ -139,7 +141,7 @@
 
         A try without an answer may still be carried out late. After one, no refusal
         proves that the run will not start, so the run is barred; the next list shows
-        what became of it.
+        what became of it. A server may have shrunk since the assignment.
         """
         is_unsettled = False
         result = None
@@ -147,8 +149,9 @@
             await self._wait_for_grant(request)
             if not request.is_current(self.server.id):
                 return
-            if not self.lease.is_reachable and not is_repeat:
-                result = CommandResult.NOT_SENT
+            hindrance = self._hindrance_to_start(is_repeat)
+            if hindrance is not None:
+                result = hindrance
                 break
             result = await self._try_start(request)
             if result is CommandResult.DONE or result is CommandResult.ENDED_BEFORE:
@@ -169,6 +172,12 @@
                 self.server.id, request, result or CommandResult.NOT_SENT
             )
 
+    def _hindrance_to_start(self, is_repeat: bool) -> CommandResult | None:
+        """Return what a start would come to if it should not be sent now, or None."""
+        if not self.lease.is_reachable and not is_repeat:
+            return CommandResult.NOT_SENT
+        return None if self.has_room() else CommandResult.NO_ROOM
+
     async def _bar(self, request: StartRequest, result: CommandResult | None) -> None:
         """Stop a run for good whose start may still be under way."""
         log.event(
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -72,6 +72,8 @@
     has_work: Callable[[], bool]
     # Whether the progress percentages of its runs are needed soon.
     needs_fresh_progress: Callable[[], bool]
+    # Whether the server has room for all that is assigned to it.
+    has_room: Callable[[], bool] = lambda: True
     # Run ends up to this number are committed and may be acknowledged.
     committed: int = 0
     acknowledged: int = 0
@@ -95,6 +97,7 @@
             listener=self.listener,
             metrics=self.metrics,
             on_failure=self._record_failure,
+            has_room=self.has_room,
         )
 
     async def run(self) -> None:
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -114,6 +114,7 @@
             listener=self,
             metrics=self.metrics,
             has_work=lambda: usage.has_runs,
+            has_room=lambda: usage.is_within_capacity,
             needs_fresh_progress=lambda: needs_watch(
                 usage, monotonic_s(), self.shard.expected_run_time_of
             ),
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -121,6 +121,18 @@
             return False
         return now_s < self.failed_at_s + FAILURE_COOLDOWN_S
 
+    @property
+    def is_within_capacity(self) -> bool:
+        """Return whether the server has room for all that is assigned to it.
+
+        It may have shrunk since.
+        """
+        return (
+            self.used_cpu_millicores <= self.server.cpu_millicores
+            and self.used_memory_mb <= self.server.memory_mb
+            and self.used_gpu <= self.server.gpu
+        )
+
     def fits(self, step: Step) -> bool:
         """Return whether the free resources suffice for one more task of a step."""
         cpu = 0 if step.fills else step.cpu_millicores
--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -140,6 +140,20 @@
         }
         self._put("servers", server.id, row)
 
+    def resize(self, machine_id: str, cpu: int, mb: int, after_s: float) -> None:
+        """Change a machine's capacity; the server's row shows it ``after_s`` later."""
+        machine = self.machine_by_id[machine_id]
+        machine.cpu_millicores, machine.memory_mb = cpu, mb
+        if machine.server is not None:
+            machine.server.resize(cpu, mb)
+            self.nursery.start_soon(self._register_after, machine, after_s)
+
+    async def _register_after(self, machine: StandinMachine, after_s: float) -> None:
+        server = machine.server
+        await trio.sleep(after_s)
+        if machine.server is server:
+            self.register(machine)
+
     def crash(self, machine_id: str, down_s: float = 2.0, pool: str = "") -> None:
         """End the server lifetime on a machine; another registers after ``down_s``.
 
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -16,6 +16,8 @@
 LONG_RUNNING_START_S = 0.5
 # Time that a stop takes, during which the run still uses its resources.
 STOP_S = 0.2
+# How long after it has shrunk a capacity may be relied on: 3 s and one heartbeat.
+RESIZE_NOTICE_S = 3.0 + 1.5
 
 
 @attrs.frozen
@@ -82,6 +84,8 @@
     _end_count: int = 0
     _run_ended: trio.Event = attrs.field(factory=trio.Event)
     lapsed_at_s: float = -math.inf
+    # Larger capacities of before, each with the time until which it still counts.
+    _earlier_capacities: list[tuple[float, int, int]] = attrs.field(factory=list)
     _expiry_scope: trio.CancelScope | None = None
 
     def clock_ms(self) -> int:
@@ -142,12 +146,34 @@
         self.nursery.start_soon(self._work, run)
         return JsonResponse(200, {"clock_ms": self.clock_ms()})
 
+    def resize(self, cpu_millicores: int, memory_mb: int) -> None:
+        """Change the capacity; the earlier one may be relied on for a while."""
+        self._earlier_capacities.append(
+            (trio.current_time() + RESIZE_NOTICE_S, self.cpu_millicores, self.memory_mb)
+        )
+        self.cpu_millicores = cpu_millicores
+        self.memory_mb = memory_mb
+
     def has_capacity(self, work: TaskWork) -> bool:
         """Return whether a task fits beside the current runs."""
+        return self._fits(work, self.cpu_millicores, self.memory_mb)
+
+    def had_capacity(self, work: TaskWork) -> bool:
+        """Return whether a task fits by a capacity that may still be relied on."""
+        now_s = trio.current_time()
+        capacities = [
+            (cpu, memory)
+            for until_s, cpu, memory in self._earlier_capacities
+            if now_s <= until_s
+        ]
+        capacities.append((self.cpu_millicores, self.memory_mb))
+        return any(self._fits(work, cpu, memory) for cpu, memory in capacities)
+
+    def _fits(self, work: TaskWork, cpu_millicores: int, memory_mb: int) -> bool:
         used = [run.work for run in self.run_by_task.values()]
         cpu = sum(item.cpu_millicores for item in used) + work.cpu_millicores
         memory = sum(item.memory_mb for item in used) + work.memory_mb
-        return cpu <= self.cpu_millicores and memory <= self.memory_mb
+        return cpu <= cpu_millicores and memory <= memory_mb
 
     def _stop(self, body: Mapping[str, Any]) -> JsonResponse:
         task, number = body["task_id"], body["run_id"]
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -50,6 +50,8 @@
     store_is_down: bool = False
     # Parts of the store that do not answer.
     store_parts_down: set[str] = attrs.field(factory=set)
+    # Tables whose reads and feeds do not answer.
+    store_tables_down: set[str] = attrs.field(factory=set)
     store_refuses: bool = False
     store_loses: float = 0.0
     store_is_late: float = 0.0
@@ -194,6 +196,8 @@
             await trio.sleep_forever()
         if faults.store_parts_down & _parts_of(target, body):
             await trio.sleep_forever()
+        if faults.store_tables_down & _tables_of(target):
+            await trio.sleep_forever()
         if faults.store_refuses:
             return JsonResponse(503, {})
         await trio.sleep(faults.store_delay_s)
@@ -218,6 +222,11 @@
     return {entry["part"] for entry in entries} | set(query.get("part", ()))
 
 
+def _tables_of(target: str) -> set[str]:
+    """Return the table that a call reads or follows."""
+    return set(parse_qs(urlsplit(target).query).get("table", ()))
+
+
 @attrs.define(eq=False)
 class World:
     """A platform and entry hosts; observers receive the events of backend servers."""
