Start nothing by capacities that were read long ago

In pools whose servers do not guard their capacity nothing starts now once the last answer of the store on its table of servers is older than the platform's contact time less 0.25 s; in the others the servers refuse, and nothing changes.

--- a/rhubarbmount/batch/catalogue.py
+++ b/rhubarbmount/batch/catalogue.py
@@ -9,10 +9,14 @@
 
 @attrs.frozen
 class Pool:
-    """Pool of hosts; the hosts of a standby pool are powered off and cost nothing."""
+    """Pool of hosts; the hosts of a standby pool are powered off and cost nothing.
+
+    Servers that guard their capacity refuse what does not fit.
+    """
 
     name: str
     is_standby: bool
+    guards_capacity: bool = False
 
 
 @attrs.frozen
@@ -39,6 +43,11 @@
                 best = queue
         return best
 
+    def guards_capacity(self, pool: str) -> bool:
+        """Return whether a pool is known and its servers refuse what does not fit."""
+        entry = self.pool_by_name.get(pool)
+        return entry is not None and entry.guards_capacity
+
     def is_standby(self, pool: str) -> bool:
         """Return whether a pool is known and its hosts are powered off."""
         entry = self.pool_by_name.get(pool)
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -69,6 +69,8 @@
 LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
+# Time left for a start to be sent once capacities are too old to be relied on.
+CAPACITY_MARGIN_S = 0.25
 # The least time of a record made at a takeover, as a fraction of the longest lease.
 RECORD_FRACTION = 0.8
 
@@ -206,7 +208,12 @@
             silent=self.silent_servers,
             save_silent=self._save_silent_servers,
         )
-        self.servers = ServerRows(self.shard, self.sessions, self.bounds.drain_s)
+        self.servers = ServerRows(
+            self.shard,
+            self.sessions,
+            self.bounds.drain_s,
+            self.bounds.contact_s - CAPACITY_MARGIN_S,
+        )
 
     def _remover(self) -> JobRemover:
         return JobRemover(
@@ -263,6 +270,7 @@
             self.lateness.record_lag(max(0.0, trio.current_time() - tick.due_s))
 
     async def _load(self) -> LoadedShard:
+        read_from_s = monotonic_s()
         loaded = await self._loader.load()
         requests: list[Page] = []
         if loaded.progress_without_spec_by_id:
@@ -279,6 +287,7 @@
         loaded.add_jobs(self._job_reader)
         self._record_servers_with_tasks()
         self.servers.apply(loaded.servers, True)
+        self.servers.note_read(read_from_s)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
@@ -411,7 +420,12 @@
 
     def _server_follower(self, version: int) -> TableFollower:
         return TableFollower(
-            self.store, SERVERS_TABLE, ("",), self.servers.apply, version
+            self.store,
+            SERVERS_TABLE,
+            ("",),
+            self.servers.apply,
+            version,
+            on_answer=self.servers.note_answer,
         )
 
     def _apply_requests(self, page: Page, is_whole: bool) -> None:
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -137,7 +137,7 @@
         servers_by_pool = group_by_pool(
             usage
             for usage in self.shard.usage_by_server_id.values()
-            if usage.is_open(now_s)
+            if usage.is_open(now_s) and self.shard.knows_capacity(usage, now_s)
         )
         assignments: list[Assignment] = []
         held_by_pool: dict[str, ServerUsage] = {}
--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -25,6 +25,8 @@
     shard: Shard
     sessions: ServerSessions
     drain_s: float
+    # How long a capacity that was read may be relied on.
+    capacity_valid_s: float
 
     def apply(self, page: Page, is_whole: bool) -> None:
         """Apply changed rows, or the whole table if ``is_whole`` is set."""
@@ -37,6 +39,14 @@
             self._apply_row(row)
         self.sessions.wake()
 
+    def note_answer(self) -> None:
+        """Record that the store has told of all changes so far."""
+        self.note_read(monotonic_s())
+
+    def note_read(self, at_s: float) -> None:
+        """Record that all rows are known as they were at a time."""
+        self.shard.capacities_hold_until_s = at_s + self.capacity_valid_s
+
     def restore(self, server: Server) -> None:
         """Add a server that has tasks but no row, so that it is asked."""
         log.event(
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -114,7 +114,10 @@
             listener=self,
             metrics=self.metrics,
             has_work=lambda: usage.has_runs,
-            has_room=lambda: usage.is_within_capacity,
+            has_room=lambda: (
+                usage.is_within_capacity
+                and self.shard.knows_capacity(usage, monotonic_s())
+            ),
             needs_fresh_progress=lambda: needs_watch(
                 usage, monotonic_s(), self.shard.expected_run_time_of
             ),
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -4,6 +4,8 @@
 before the rows of the dirty jobs have been committed.
 """
 
+import math
+
 import attrs
 
 from rhubarbmount.batch.catalogue import Catalogue
@@ -56,6 +58,8 @@
     stops: list[Stop] = attrs.field(factory=list)
     run_times: RunTimes = attrs.field(factory=RunTimes)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
+    # Until when the capacities that were read last may be relied on.
+    capacities_hold_until_s: float = math.inf
     losses: LossTracker = attrs.field(factory=LossTracker)
     # Steps with tasks that have lost servers.
     steps_with_losses: set[StepKey] = attrs.field(factory=set)
@@ -227,6 +231,12 @@
         tasks = job.tasks_by_step.get((task_id.occurrence, task_id.step), ())
         return tasks[task_id.number] if task_id.number < len(tasks) else None
 
+    def knows_capacity(self, usage: ServerUsage, now_s: float) -> bool:
+        """Return whether a server may be filled up to the capacity that was read."""
+        if now_s <= self.capacities_hold_until_s:
+            return True
+        return self.catalogue.guards_capacity(usage.server.service)
+
     def queue_of(self, spec: JobSpec) -> Queue | None:
         """Return the queue of a job in the current configuration, or None."""
         return self.catalogue.queue_by_name.get(spec.queue)
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -94,6 +94,8 @@
     wait_s: float = FEED_WAIT_S
     # Called with the time since the last answer before the store was lost.
     on_regained: Callable[[float], None] = lambda lost_s: None
+    # Called with each answer of the store, also if nothing has changed.
+    on_answer: Callable[[], None] = lambda: None
     _is_store_lost: bool = False
     _answered_at_s: float = attrs.field(factory=monotonic_s)
     _read_timeout_s: float = READ_TIMEOUT_S
@@ -182,6 +184,7 @@
     def _record_success(self) -> None:
         lost_s = monotonic_s() - self._answered_at_s
         self._answered_at_s = monotonic_s()
+        self.on_answer()
         if self._is_store_lost:
             self._is_store_lost = False
             log.event(logger, "store-regained", table=self.table)
--- a/rhubarbmount/platform/row_formats.py
+++ b/rhubarbmount/platform/row_formats.py
@@ -122,7 +122,11 @@
     values = _decode_object(row)
     queues = [_decode_queue(item) for item in _required_field(values, "routes", list)]
     pools = [
-        Pool(_required_field(item, "name", str), bool(item.get("standby")))
+        Pool(
+            _required_field(item, "name", str),
+            is_standby=bool(item.get("standby")),
+            guards_capacity=bool(item.get("admission_control")),
+        )
         for item in _required_field(values, "services", list)
     ]
     return Catalogue(
