Tell deadly tasks from others while many servers crash

With four crashes a second every loss was taken for one that servers share, and such losses never counted.

Losses within 0.15 s of the start of an only run count whatever else is lost. Two losses of its own have to come at the same time after the start, and so have five shared ones. A task whose server was lost with others waits until no server is lost, 10 s at most, before it runs alone.

--- a/rhubarbmount/batch/loss_tracker.py
+++ b/rhubarbmount/batch/loss_tracker.py
@@ -12,6 +12,8 @@
 SAME_TIME_S = 0.1
 # Number of servers that have to fall silent at the same time to share a cause.
 WIDESPREAD_SERVERS = 2
+# Servers are calm once none has fallen silent for this long.
+CALM_S = 2.0
 # How long it is remembered that a server fell silent; longer than any lease.
 SILENCE_MEMORY_S = 60.0
 
@@ -85,6 +87,13 @@
         )
         return others + 1 >= WIDESPREAD_SERVERS
 
+    def is_calm(self, now_s: float) -> bool:
+        """Return whether no server has lately been lost for an unknown reason."""
+        return all(
+            silence.until_s < now_s - CALM_S or silence.is_explained("")
+            for silence in self._silence_by_server_id.values()
+        )
+
     def add(self, task: Task, loss: ServerLoss) -> None:
         """Add a loss to a task."""
         task.losses = add_loss(task.losses, loss)
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -27,6 +27,8 @@
 EXPIRING_WINDOW_S = 0.5
 # How long a task that has to run alone waits for a server without other tasks.
 OWN_SERVER_WAIT_S = 2.5
+# How long such a task waits at most for a time at which no servers are lost.
+CALM_WAIT_S = 10.0
 
 PlacementFilter = Callable[[ServerUsage, Step, Task], bool]
 placement_filters: Registry[PlacementFilter] = Registry("placement rule")
@@ -171,6 +173,19 @@
         waiting = self.shard.waiting_by_step[step_key]
         return any(task.is_suspect for task in waiting.values())
 
+    def _without_held_back(self, tasks: list[Task], now_s: float) -> list[Task]:
+        """Return the tasks without those that wait until no servers are lost."""
+        if self.shard.losses.is_calm(now_s):
+            return tasks
+        placeable = []
+        for task in tasks:
+            if _needs_calm(task):
+                task.wants_own_server_since_s = task.wants_own_server_since_s or now_s
+                if now_s < task.wants_own_server_since_s + CALM_WAIT_S:
+                    continue
+            placeable.append(task)
+        return placeable
+
     def _hold_server_to_empty(
         self, job: Job, step_key: StepKey, servers: OpenServers
     ) -> None:
@@ -279,7 +294,7 @@
             return []
         tasks = list(waiting.values())
         if self._has_suspects(step_key) and not step.is_gang:
-            tasks = _with_one_suspect(job, tasks)
+            tasks = self._without_held_back(_with_one_suspect(job, tasks), now_s)
         candidates.sort(key=lambda usage: _preference_key(usage, step))
         assignments = [
             self._place_task(task, step, candidates, now_s) for task in tasks
@@ -363,6 +378,14 @@
     return sorted(usages, key=lambda usage: len(usage.ids_with_losses))
 
 
+def _needs_calm(task: Task) -> bool:
+    """Return whether a task's last server was lost together with others.
+
+    Its next loss would tell nothing either while servers go on being lost.
+    """
+    return task.is_suspect and task.losses[-1].was_widespread
+
+
 def _with_one_suspect(job: Job, tasks: list[Task]) -> list[Task]:
     """Return the tasks that may be placed now: of the suspects of a job one at a time.
 
--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from itertools import pairwise
 
 import attrs
 
@@ -23,11 +24,15 @@
 # that they share, such as their rack.
 SUSPECT_LOSSES = 3
 SUSPECT_SEPARATE_LOSSES = 2
-# Losses after which a task is given up: at all, and with nothing beside it.
+# Losses after which a task is given up if two of them were its own.
 BLAMED_LOSSES = 3
-BLAMED_LOSSES_ALONE = 2
-# Losses after which a task is given up even if it rarely ran alone.
+# Losses after which a task is given up if one of them was its own, or if all came at
+# the same time after a start.
 MAX_LOSSES = 5
+# How much the times from a start to the loss of the server differ for one cause.
+SAME_AGE_S = 0.25
+# A server that is lost so soon after the start of its only run was crashed by it.
+PROMPT_CRASH_S = 0.15
 # A task that crashes its servers does so at about the same time after each start.
 AGE_FACTOR = 2.0
 AGE_TOLERANCE_S = 1.0
@@ -61,7 +66,13 @@
 
     @property
     def incriminates(self) -> bool:
-        """Return whether the run is the only known cause of the loss."""
+        """Return whether the run is the only likely cause of the loss."""
+        is_prompt = self.is_certain and self.was_alone and self.age_s < PROMPT_CRASH_S
+        return self.was_single or is_prompt
+
+    @property
+    def was_single(self) -> bool:
+        """Return whether one server was lost, with nothing else on it."""
         return self.is_certain and self.was_alone and not self.was_widespread
 
 
@@ -91,7 +102,13 @@
 
 def is_to_blame(losses: Losses) -> bool:
     """Return whether a task with these losses has to be given up."""
-    if len(losses) >= MAX_LOSSES:
-        return not all(loss.was_widespread for loss in losses)
-    alone = sum(loss.incriminates for loss in losses)
-    return len(losses) >= BLAMED_LOSSES and alone >= BLAMED_LOSSES_ALONE
+    if len(losses) < BLAMED_LOSSES:
+        return False
+    own_ages_s = sorted(loss.age_s for loss in losses if loss.incriminates)
+    if any(b - a <= SAME_AGE_S for a, b in pairwise(own_ages_s)):
+        return True
+    if len(losses) < MAX_LOSSES:
+        return False
+    ages_s = [loss.age_s for loss in losses]
+    has_same_age = max(ages_s) - min(ages_s) <= SAME_AGE_S
+    return has_same_age or any(loss.was_single for loss in losses)
--- a/tests/batch/test_deadly_tasks.py
+++ b/tests/batch/test_deadly_tasks.py
@@ -197,9 +197,10 @@
 
 
 def crash_some(world, share):
-    """Crash a share of the machines at once; the servers return after 2 s."""
+    """Crash a share of the machines at once, or one; the servers return after 2 s."""
     up = [m for m in world.platform.machine_by_id.values() if m.server]
-    for machine in world.generator.sample(up, max(1, int(len(up) * share))):
+    count = min(len(up), max(1, int(len(up) * share)))
+    for machine in world.generator.sample(up, count):
         world.platform.crash(machine.id)
 
 
@@ -256,3 +257,23 @@
         assert [breach.partition(" at ")[0] for breach in checker.breaches] == [
             "BUDGET of crashes"
         ]
+
+
+# Guards against a task that crashes servers on and on while others crash anyhow.
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("delay_s", [CRASH_DELAY_S, 0.5])
+async def test_a_task_that_crashes_its_servers_is_given_up_beside_other_crashes(
+    monkeypatch, autojump_clock, seed, delay_s
+):
+    async with open_day(monkeypatch, seed, machines=6) as (world, checker):
+        deadly = [deadly_job(world, delay_s) for _ in range(6)]
+        beside = await submit_ordinary(world, checker)
+        for new_job in deadly:
+            assert await submit(world, checker, "/one/", new_job)
+        for _ in range(6):
+            crash_some(world, 0.0)
+            await trio.sleep(world.generator.uniform(0.5, 5.0))
+        ids = [new_job[0] for new_job in deadly]
+        assert await wait_failed(world, checker, ids, DAY_S) == []
+        assert await wait_complete(world, checker, "/one/", beside, 40.0) == []
+        assert checker.breaches == []
--- /dev/null
+++ b/tests/batch/test_server_losses.py
@@ -0,0 +1,119 @@
+"""Which losses of servers make a task run alone, and which make it be given up."""
+
+import pytest
+
+from rhubarbmount.batch.loss_tracker import LossTracker
+from rhubarbmount.batch.model import Task, TaskId
+from rhubarbmount.batch.server_losses import (
+    ServerLoss,
+    add_loss,
+    is_suspect,
+    is_to_blame,
+)
+from rhubarbmount.batch.server_usage import ServerUsage
+from tests.batch.test_shard import server, step
+
+
+def loss(number, age_s=0.01, **fields):
+    values = {
+        "is_certain": True,
+        "was_alone": False,
+        "was_widespread": False,
+        "age_s": age_s,
+        **fields,
+    }
+    return ServerLoss(f"s{number}", **values)
+
+
+def losses(*ages_s, **fields):
+    """Return losses with the same circumstances at these ages."""
+    return tuple(loss(number, age_s, **fields) for number, age_s in enumerate(ages_s))
+
+
+def test_two_losses_of_its_own_make_a_task_run_alone():
+    assert not is_suspect(losses(0.01))
+    assert is_suspect(losses(0.01, 0.02))
+
+
+def test_losses_shared_with_other_servers_make_a_task_run_alone_later():
+    assert not is_suspect(losses(0.01, 0.02, was_widespread=True))
+    assert is_suspect(losses(0.01, 0.02, 0.03, was_widespread=True))
+
+
+def test_a_task_is_given_up_after_two_losses_alone_at_the_same_age():
+    beside = losses(0.3)
+    alone = (loss(7, 0.5, was_alone=True), loss(8, 0.6, was_alone=True))
+    assert not is_to_blame((*beside, alone[0]))
+    assert not is_to_blame(alone)
+    assert is_to_blame((*beside, *alone))
+
+
+def test_losses_alone_at_different_ages_have_different_causes():
+    alone = (loss(7, 0.2, was_alone=True), loss(8, 1.4, was_alone=True))
+    assert not is_to_blame((*losses(0.3), *alone))
+
+
+def test_losses_of_silent_servers_give_no_task_up_before_they_are_certain():
+    fields = {"was_alone": True, "is_certain": False}
+    assert not is_to_blame(losses(0.01, 0.3, 0.6, 0.9, **fields))
+
+
+# Guards against a task that is never given up while other servers crash all the time.
+def test_prompt_losses_alone_count_whatever_else_is_lost():
+    fields = {"was_alone": True, "was_widespread": True}
+    assert is_to_blame(losses(0.01, 0.02, 0.01, **fields))
+    assert not is_to_blame(losses(0.3, 0.4, 0.35, **fields))
+
+
+# Guards against a fourth start after the third crash of a task, and against power that
+# is lost five times.
+def test_five_losses_count_if_they_came_at_the_same_age():
+    assert is_to_blame(losses(0.5, 0.52, 0.51, 0.5, 0.53, was_widespread=True))
+    assert not is_to_blame(losses(0.1, 0.9, 0.5, 0.3, 0.7, was_widespread=True))
+
+
+def test_a_run_that_goes_on_for_longer_clears_earlier_losses():
+    earlier = losses(0.1, 0.2)
+    assert add_loss(earlier, loss(7, 1.0))[:2] == earlier
+    late = loss(7, 2.0)
+    assert add_loss(earlier, late) == (late,)
+
+
+def test_a_server_is_lost_once():
+    known = losses(0.1)
+    assert add_loss(known, loss(0, 0.2)) == known
+
+
+def make_usage(server_id, *job_ids):
+    usage = ServerUsage(server(server_id), 0.0)
+    for job_id in job_ids:
+        usage.add(Task(TaskId(job_id, 0, 0, 0)), step())
+    return usage
+
+
+@pytest.mark.parametrize(
+    ("other_jobs", "at_s", "is_widespread"),
+    [
+        ((), 10.05, True),
+        (("other",), 10.05, True),
+        (("mine", "other"), 10.05, False),
+        ((), 11.0, False),
+    ],
+)
+def test_servers_that_fall_silent_at_one_time_share_a_cause(
+    other_jobs, at_s, is_widespread
+):
+    tracker = LossTracker()
+    tracker.note_silence("a", make_usage("a", "mine"), 10.0, 10.0)
+    tracker.note_silence("b", make_usage("b", *other_jobs), at_s, at_s)
+    assert tracker.is_widespread("a", "mine") is is_widespread
+
+
+def test_a_server_that_answers_again_takes_its_losses_back():
+    tracker = LossTracker()
+    task = Task(TaskId("j", 0, 0, 0))
+    tracker.add(task, loss(1, is_certain=False))
+    tracker.add(task, loss(2, is_certain=False))
+    assert tracker.retract("s1") == [task]
+    assert tracker.confirm("s2") == [task]
+    assert task.losses == (loss(2),)
