Renew what runs on servers while a new holder loads its shard

If the shard is not loaded after 1 s, the holder reads the records of servers with tasks and of silent ones, records all of them as silent, and renews what runs there; what answers leaves the record again. The leases pass to the sessions, which know by when they lapse.

A holder lost while it loads has granted no more than is known to the next one, before and after.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -1,7 +1,7 @@
 """Scheduling of one shard by the entry host that holds its lease."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 import trio
@@ -11,6 +11,7 @@
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.earlier_grants import EarlierGrants
+from rhubarbmount.batch.early_renewals import EarlyRenewals
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.host_command_times import HostCommandTimes
@@ -22,6 +23,7 @@
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
+    Server,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
@@ -271,7 +273,12 @@
 
     async def _load(self) -> LoadedShard:
         read_from_s = monotonic_s()
-        loaded = await self._loader.load()
+        early = self._make_early_renewals()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(early.run)
+            loaded = await self._loader.load()
+            await early.stop()
+        self.sessions.early_lease_by_server_id = early.lease_by_server_id
         requests: list[Page] = []
         if loaded.progress_without_spec_by_id:
             # An earlier build stored no specs. Its jobs have to be known before any
@@ -280,12 +287,14 @@
             self._are_requests_loaded = True
         for row in loaded.command_times.rows:
             self._load_command_times(row)
-        for row in loaded.silent_servers.rows:
-            await self._load_silent_servers(row)
+        if not early.has_record:
+            for row in loaded.silent_servers.rows:
+                await self._load_silent_servers(row)
         for row in loaded.waves.rows:
             self._load_wave(row)
         loaded.add_jobs(self._job_reader)
-        self._record_servers_with_tasks()
+        servers_with_tasks = set(self.shard.unknown_servers())
+        self._record_as_silent(servers_with_tasks - early.heard_server_ids)
         self.servers.apply(loaded.servers, True)
         self.servers.note_read(read_from_s)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
@@ -308,12 +317,7 @@
 
     async def _find_unlisted_servers(self) -> None:
         """Ask the unlisted servers with tasks where the last holder reached them."""
-        page = await self._loader.load_server_records()
-        for row in page.rows:
-            try:
-                self.server_records.load(row.value)
-            except UnreadableRecord as error:
-                self.unreadable_rows.report(row, error)
+        await self._load_server_records()
         self._are_server_records_loaded = True
         for server_id in self.shard.unknown_servers():
             server = self.server_records.find(server_id)
@@ -322,6 +326,14 @@
             else:
                 self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
 
+    async def _load_server_records(self) -> None:
+        page = await self._loader.load_server_records()
+        for row in page.rows:
+            try:
+                self.server_records.load(row.value)
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
+
     def _load_command_times(self, row: Row) -> None:
         try:
             self.command_times.load(row.value)
@@ -349,14 +361,46 @@
             self.unreadable_rows.report(row, error)
             self._unreadable_waves.add(number)
 
-    def _record_servers_with_tasks(self) -> None:
-        """Record every server with tasks as silent, until it answers this holder.
+    def _make_early_renewals(self) -> EarlyRenewals:
+        return EarlyRenewals(
+            client=self.backend_client,
+            read_servers=self._read_recorded_servers,
+            store_record=self._store_early_record,
+            on_recorded=self.on_recorded,
+            make_lease=self.sessions.make_lease,
+        )
+
+    async def _read_recorded_servers(self) -> list[Server]:
+        """Return where earlier holders started tasks, and load what is silent there.
+
+        While that can't be read, nothing may be granted.
+        """
+        for row in (await self._loader.load_silent_servers()).rows:
+            try:
+                self.silent_servers.load(row.value)
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
+                return []
+        await self._load_server_records()
+        return self.server_records.all()
+
+    async def _store_early_record(
+        self, silent_ids: Iterable[str], answered_ids: Iterable[str]
+    ) -> None:
+        self._record_as_silent(silent_ids)
+        for server_id in answered_ids:
+            self.silent_servers.drop(server_id)
+        name = silent_servers_row(self.name)
+        await self.committer.commit({name: self.silent_servers.encode()})
+
+    def _record_as_silent(self, server_ids: Iterable[str]) -> None:
+        """Record servers with tasks as silent, until they answer this holder.
 
         The time leaves room to renew all of them before the record is stored anew.
         """
         now_s = monotonic_s()
         least_s = self.bounds.max_lease_s * RECORD_FRACTION
-        for server_id in self.shard.unknown_servers():
+        for server_id in server_ids:
             earlier_s = self.earlier_grants.bound_of(server_id).at_s - now_s
             self.silent_servers.note(server_id, max(earlier_s, least_s))
 
--- a/rhubarbmount/batch/server_records.py
+++ b/rhubarbmount/batch/server_records.py
@@ -69,6 +69,11 @@
             host_id=record.host_id,
         )
 
+    def all(self) -> list[Server]:
+        """Return all recorded servers."""
+        found = (self.find(server_id) for server_id in self._record_by_server_id)
+        return [server for server in found if server is not None]
+
     def encode_changed(self, server_ids_in_use: Container[str]) -> dict[str, bytes]:
         """Return the values of the rows that have changed, by key.
 
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -72,6 +72,8 @@
     silent: SilentServers
     # Writes the record of silent servers and returns once it is stored.
     save_silent: Callable[[], Awaitable[None]]
+    # Leases renewed before the shard was loaded, of servers without a session yet.
+    early_lease_by_server_id: dict[str, ServerLease] = attrs.field(factory=dict)
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
     _server_ids_by_host_id: dict[str, set[str]] = attrs.field(factory=dict)
@@ -110,7 +112,7 @@
         session = ServerSession(
             server=usage.server,
             client=self.client,
-            lease=self._make_lease(usage.server.id),
+            lease=self.make_lease(usage.server.id),
             listener=self,
             metrics=self.metrics,
             has_work=lambda: usage.has_runs,
@@ -126,8 +128,14 @@
         self.nursery.start_soon(session.run)
         self.want_host_list()
 
-    def _make_lease(self, server_id: str) -> ServerLease:
-        """Return a new lease for a server, with what the previous holder recorded."""
+    def make_lease(self, server_id: str) -> ServerLease:
+        """Return the lease for a server, with what the previous holder recorded.
+
+        It is the one that has been renewed before the shard was loaded, if any.
+        """
+        early_lease = self.early_lease_by_server_id.pop(server_id, None)
+        if early_lease is not None:
+            return early_lease
         now_s = monotonic_s()
         earlier = self.earlier_grants.bound_of(server_id)
         lease = ServerLease(self.shard_lease, self.max_lease_s, earlier)
@@ -139,6 +147,9 @@
         """Return when every grant of this holder and of earlier holders has lapsed."""
         now_s = monotonic_s()
         lapse_times = [session.lease.lapses_at_s() for session in self]
+        lapse_times += [
+            lease.lapses_at_s() for lease in self.early_lease_by_server_id.values()
+        ]
         for server_id in self.shard.unknown_servers():
             lapse_times.append(self.earlier_grants.bound_of(server_id).at_s)
         return max(lapse_times, default=now_s)
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -193,6 +193,10 @@
             servers=page_by_table[SERVERS_TABLE],
         )
 
+    async def load_silent_servers(self) -> Page:
+        """Read the record of silent servers."""
+        return await self._reader.read(SILENT_SERVERS_TABLE, self.name)
+
     async def load_server_records(self) -> Page:
         """Read where the servers with tasks are reached."""
         return await self._reader.read(SERVER_RECORDS_TABLE, self.name)
