Let all grants lapse 9.75 s after the last renewal of the lease

Tasks of a server that was lost together with the holder ran again 11.4 s later, where less than 10 s are allowed: nobody else knows whether the lost holder went on granting.

--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -25,6 +25,9 @@
 LEASE_VALID_S = 1.6
 RENEWAL_PERIOD_S = 0.5
 NORMAL_GRANT_S = 4.0
+# All grants have lapsed this long after the last renewal of the lease. If a holder is
+# lost together with backend servers, their tasks have to run again within 10 s.
+MAX_LAPSE_AFTER_RENEWAL_S = 9.75
 # The longest grant as a fraction of the longest lease that the platform allows.
 MAX_GRANT_FRACTION = 0.95
 # A holder needs at least this much to schedule some hundred backend servers.
@@ -48,8 +51,9 @@
 
 def longest_grant_s(max_lease_s: float) -> float:
     """Return how long after the last renewal of its lease a holder's grants lapse."""
-    return (
-        LEASE_VALID_S + max_lease_s * MAX_GRANT_FRACTION * RATE_MARGIN + LAPSE_MARGIN_S
+    return min(
+        LEASE_VALID_S + max_lease_s * MAX_GRANT_FRACTION * RATE_MARGIN + LAPSE_MARGIN_S,
+        MAX_LAPSE_AFTER_RENEWAL_S,
     )
 
 
