Give no count of waiting jobs that has not been made lately

The row now says when the jobs were counted, and is written each second. An entry host refuses at once, with 503 and Retry-After 1 s, what was counted over 4 s before; jobs accepted 5 s ago are in what it gives. A holder counts once it has read all requests, and a job counts until a run of it is known to have begun. counts-old and a histogram of ages tell how old the counts are. Rows of builds before have no age and are refused.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -133,7 +133,9 @@
             Catalogue(0, {}, {}), wall_clock_s=wall_clock_s(), now_s=monotonic_s()
         )
         self._write_batch = WriteBatch(self.committer)
-        self._job_rows = JobRows(self.name, self.shard, self._write_batch)
+        self._job_rows = JobRows(
+            self.name, self.shard, self._write_batch, self.store.clock_s
+        )
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
         self._job_reader = JobReader(self.shard, self.unreadable_rows)
@@ -420,6 +422,7 @@
             await self._loader.load_requests(
                 lambda page: self._apply_requests(page, False)
             )
+        self._job_rows.has_all_jobs = True
         log.event(
             logger,
             "requests-loaded",
--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -38,7 +38,7 @@
     pending_body,
     state_body,
 )
-from rhubarbmount.platform.rows import Row, RowConflict, RowName, RowStore
+from rhubarbmount.platform.rows import Page, Row, RowConflict, RowName, RowStore
 from rhubarbmount.problem import Outcome, json_response, problem
 
 __all__ = ["JobApi"]
@@ -55,8 +55,9 @@
 MIN_CALL_TIMEOUT_S = 0.1
 RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
-# How long the counts of pending jobs are served from memory.
-MAX_PENDING_AGE_S = 0.3
+# How long the counts of pending jobs are served from memory, and after they were made.
+PENDING_MEMORY_S = 0.3
+MAX_PENDING_AGE_S = 4.0
 STORE_RETRY_S = 0.05
 WRITE_TIMEOUT_S = 1.2
 
@@ -223,23 +224,46 @@
 
     async def _show_pending(self, queue: Queue) -> HttpResponse:
         shard = _shard(queue, "")
-        if trio.current_time() - self._pending_at_s > MAX_PENDING_AGE_S:
+        if trio.current_time() - self._pending_at_s > PENDING_MEMORY_S:
             expires_s = trio.current_time() + DEFAULT_DEADLINE_S
             try:
-                row = await self._read_row(pending_row(shard), expires_s)
-                pending = {} if row is None else self._decode(decode_pending, row)
+                page = await self._read_page(pending_row(shard), expires_s)
+                row = next(iter(page.rows), None)
+                pending = None if row is None else self._decode(decode_pending, row)
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 self._log_decision("pending", queue, "-", error.code, 0)
                 return _store_unavailable()
             except UnreadableRecord as error:
                 self._log_decision("pending", queue, "-", error.code, 0)
                 return _refusal(503, error.code, "the counts can't be read")
-            self._pending_by_queue = pending
+            age_s = math.inf
+            if pending is not None:
+                age_s = page.clock_ms / 1000 - pending.counted_at_s
+                self.metrics.pending_age_s.observe(max(0.0, age_s))
+            if pending is None or age_s > MAX_PENDING_AGE_S:
+                return self._refuse_old_counts(queue, age_s)
+            self._pending_by_queue = pending.count_by_queue
             self._pending_at_s = trio.current_time()
         return json_response(pending_body(self._pending_by_queue.get(queue.name, 0)))
 
+    def _refuse_old_counts(self, queue: Queue, age_s: float) -> HttpResponse:
+        """Refuse to give counts that no holder has made lately."""
+        log.frequent_event(
+            logger,
+            "counts-old",
+            queue=queue.name.prefix,
+            age_s=age_s,
+            limit_s=MAX_PENDING_AGE_S,
+        )
+        return _refusal(503, "counts-old", "the jobs have not been counted lately")
+
     async def _read_row(self, name: RowName, expires_s: float) -> Row | None:
-        """Return a row or None, retrying while the caller's deadline allows.
+        """Return a row or None; raise as ``_read_page`` does."""
+        page = await self._read_page(name, expires_s)
+        return next((row for row in page.rows if row.name == name), None)
+
+    async def _read_page(self, name: RowName, expires_s: float) -> Page:
+        """Return a page with a row, if there is one, while the deadline allows.
 
         Raises PlatformUnavailable or OutcomeUnknown at the deadline, and at once when
         the store is out of reach.
@@ -247,7 +271,7 @@
         while True:
             left_s = expires_s - trio.current_time()
             try:
-                page = await self.store.read(
+                return await self.store.read(
                     name.table,
                     name.part,
                     name.key,
@@ -262,8 +286,6 @@
                 ):
                     raise
                 await trio.sleep(STORE_RETRY_S)
-                continue
-            return next((row for row in page.rows if row.name == name), None)
 
     # Cancellation.
 
--- a/rhubarbmount/batch/job_rows.py
+++ b/rhubarbmount/batch/job_rows.py
@@ -1,6 +1,8 @@
 """Rows of a shard's jobs: progress, specs and the counts of waiting ones."""
 
 import logging
+import math
+from collections.abc import Callable
 
 import attrs
 
@@ -8,6 +10,7 @@
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.model import Job, QueueName
 from rhubarbmount.batch.records import (
+    PendingCounts,
     encode_ends,
     encode_pending,
     encode_progress,
@@ -26,7 +29,9 @@
 
 logger = logging.getLogger(__name__)
 
+# How often the counts of waiting jobs are stored: if they have changed, and at all.
 PENDING_PERIOD_S = 0.5
+PENDING_REFRESH_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -36,9 +41,12 @@
     name: str
     shard: Shard
     write_batch: WriteBatch
+    store_clock_s: Callable[[], float]
+    # Whether all jobs are known, so that they can be counted.
+    has_all_jobs: bool = False
     stored_spec_ids: set[str] = attrs.field(factory=set)
     _stored_pending: dict[QueueName, int] = attrs.field(factory=dict)
-    _pending_stored_at_s: float = 0.0
+    _pending_stored_at_s: float = -math.inf
 
     def put_changed(self) -> None:
         """Write the jobs that have changed and, from time to time, the counts."""
@@ -94,10 +102,12 @@
 
     def _put_pending(self) -> None:
         now_s = monotonic_s()
-        if now_s < self._pending_stored_at_s + PENDING_PERIOD_S:
+        age_s = now_s - self._pending_stored_at_s
+        if not self.has_all_jobs or age_s < PENDING_PERIOD_S:
             return
-        pending = self.shard.count_pending()
-        if pending != self._stored_pending or not self._pending_stored_at_s:
-            self._stored_pending = pending
+        counts = self.shard.count_pending()
+        if counts != self._stored_pending or age_s >= PENDING_REFRESH_S:
+            self._stored_pending = counts
             self._pending_stored_at_s = now_s
+            pending = PendingCounts(self.store_clock_s(), counts)
             self.write_batch.put(pending_row(self.name), encode_pending(pending))
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -42,6 +42,7 @@
     "encode_spec",
     "Head",
     "LeaseRow",
+    "PendingCounts",
 ]
 
 # Progress above this size is compressed, as the store limits the size of a row.
@@ -79,6 +80,14 @@
     grants_end_s: float = 0.0
 
 
+@attrs.frozen
+class PendingCounts:
+    """Jobs of each queue that had not begun at a time on the store's clock."""
+
+    counted_at_s: float
+    count_by_queue: dict[QueueName, int]
+
+
 def _dump(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode("utf-8")
 
@@ -276,17 +285,19 @@
     return KeptEnd(server_id, RunEnd(number, task_id, run, outcome, checkpoint))
 
 
-def encode_pending(count_by_queue: dict[QueueName, int]) -> bytes:
-    """Encode the counts of jobs that have not begun, by queue."""
-    return _dump([[*name, count] for name, count in count_by_queue.items()])
+def encode_pending(pending: PendingCounts) -> bytes:
+    """Encode the counts of jobs that have not begun."""
+    counts = [[*name, count] for name, count in pending.count_by_queue.items()]
+    return _dump({"counted_at_s": pending.counted_at_s, "counts": counts})
 
 
 @raises_unreadable_record
-def decode_pending(value: bytes) -> dict[QueueName, int]:
+def decode_pending(value: bytes) -> PendingCounts:
     """Decode the counts of jobs that have not begun. Raises UnreadableRecord."""
+    values = load_object(value)
     counts = {}
-    for row in json.loads(value):
+    for row in values["counts"]:
         host, prefix, count = row[:3]
         _check_types((host, prefix, count), (str, str, int))
         counts[QueueName(host, prefix)] = count
-    return counts
+    return PendingCounts(float(values["counted_at_s"]), counts)
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -64,6 +64,8 @@
     # Steps with tasks that have lost servers.
     steps_with_losses: set[StepKey] = attrs.field(factory=set)
     _remaining_tasks_by_job_id: dict[str, int] = attrs.field(factory=dict)
+    # Jobs of which no run is known to have begun.
+    _unbegun_job_ids: set[str] = attrs.field(factory=set)
     _timed_job_ids: set[str] = attrs.field(factory=set)
     _tasks_by_unknown_server_id: dict[str, list[Task]] = attrs.field(factory=dict)
 
@@ -87,6 +89,8 @@
         self._remaining_tasks_by_job_id[spec.job_id] = total - done
         for task in job.tasks():
             self._index(task)
+        if not _has_begun(job):
+            self._unbegun_job_ids.add(spec.job_id)
         if spec.is_timed:
             self._timed_job_ids.add(spec.job_id)
         self.create_ready_tasks(job)
@@ -164,6 +168,7 @@
         self.dirty.add(job.spec.job_id)
         self._timed_job_ids.discard(job.spec.job_id)
         self._remaining_tasks_by_job_id.pop(job.spec.job_id, None)
+        self._unbegun_job_ids.discard(job.spec.job_id)
         for task in job.tasks():
             self.waiting_by_step.pop(task.id[:3], None)
             self.steps_with_losses.discard(task.id[:3])
@@ -254,9 +259,11 @@
     def count_pending(self) -> dict[QueueName, int]:
         """Return the number of jobs in each queue that have not started."""
         counts: dict[QueueName, int] = {}
-        for job_id in self._remaining_tasks_by_job_id:
+        for job_id in list(self._unbegun_job_ids):
             job = self.job_by_id[job_id]
-            if job.state is JobState.QUEUED:
+            if _has_begun(job):
+                self._unbegun_job_ids.discard(job_id)
+            else:
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
 
@@ -300,6 +307,8 @@
         usage = self.usage_by_server_id.get(task.server_id)
         if usage is not None:
             usage.remove(task.id, now_s)
+        if _is_begun(task):
+            self._unbegun_job_ids.discard(task.id.job_id)
         if task.state is TaskState.DONE:
             return
         task.state = TaskState.WAITING
@@ -320,3 +329,14 @@
         waiting.pop(task.id.number, None)
         if not waiting:
             del self.waiting_by_step[task.id[:3]]
+
+
+def _is_begun(task: Task) -> bool:
+    """Return whether a task has ended, or its current run is known to have begun."""
+    if task.state is TaskState.DONE or task.failures or task.checkpoint:
+        return True
+    return task.state is TaskState.ASSIGNED and task.progress.started_ms > 0
+
+
+def _has_begun(job: Job) -> bool:
+    return job.state is not JobState.QUEUED and any(map(_is_begun, job.tasks()))
--- a/tests/batch/test_job_rows.py
+++ b/tests/batch/test_job_rows.py
@@ -24,7 +24,7 @@
     committer = RecordingCommitter()
     shard = Shard(CATALOGUE)
     shard.add_job(Job(spec(step())))
-    return committer, JobRows("shard-0", shard, WriteBatch(committer))
+    return committer, JobRows("shard-0", shard, WriteBatch(committer), lambda: 0.0)
 
 
 # A takeover in between must find no progress without its spec; a spec without progress
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -256,9 +256,30 @@
 
 
 def test_pending_count_covers_jobs_that_have_not_started(shard):
-    place_job(shard, step())
+    [assignment] = place_job(shard, step())
     shard.add_job(Job(spec(step(99), job_id="j2")))
+    assert shard.count_pending() == {NAME: 2}
+    shard.task(assignment.task).progress.start(10_000)
+    assert shard.count_pending() == {NAME: 1}
+
+
+# Guards against jobs that wait, uncounted, as their servers were lost before the start.
+def test_pending_count_covers_jobs_whose_servers_never_began(shard):
+    [assignment] = place_job(shard, step())
+    shard.lose_server(assignment.server_id, 2.0)
     assert shard.count_pending() == {NAME: 1}
+    restored = Job(shard.job_by_id["j1"].spec)
+    decode_progress(encode_progress(shard.job_by_id["j1"]), restored)
+    next_shard = Shard(CATALOGUE)
+    next_shard.add_job(restored)
+    assert next_shard.count_pending() == {NAME: 1}
+
+
+def test_a_job_whose_run_was_lost_has_begun(shard):
+    [assignment] = place_job(shard, step())
+    shard.task(assignment.task).progress.start(10_000)
+    shard.lose_server(assignment.server_id, 2.0)
+    assert shard.count_pending() == {}
 
 
 def test_job_is_restored_from_its_rows(shard):
