Log every task that is given up, and let waits for calm not shorten others

A task that had waited for a calm time was taken to have waited for a server of its own, and was placed beside others at once. Found by reading; no test failed.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -19,7 +19,7 @@
 from rhubarbmount.batch.job_remover import JobRemover, RemovedJobs
 from rhubarbmount.batch.job_rows import JobRows
 from rhubarbmount.batch.lateness import Lateness
-from rhubarbmount.batch.lost_run_log import report_lost_runs
+from rhubarbmount.batch.lost_run_log import report_losses
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
@@ -556,8 +556,7 @@
 
     async def _commit_and_send(self, assignments: list[Assignment]) -> None:
         """Commit the changes, then send the commands that depend on them."""
-        lost_runs, self.shard.losses.lost_runs = self.shard.losses.lost_runs, []
-        report_lost_runs(lost_runs, self.metrics)
+        report_losses(self.shard.losses, self.metrics)
         self._put_server_records(assignments)
         self._job_rows.put_changed()
         stops, self.shard.stops = self.shard.stops, []
--- a/rhubarbmount/batch/loss_tracker.py
+++ b/rhubarbmount/batch/loss_tracker.py
@@ -30,7 +30,6 @@
     losses: int
     # Number of other runs that were lost with the server.
     beside: int
-    is_given_up: bool = False
 
 
 @attrs.frozen
@@ -58,8 +57,9 @@
 class LossTracker:
     """Notes which servers fell silent, and the losses of tasks not yet certain."""
 
-    # Lost runs that have not been logged yet.
+    # Lost runs, and tasks given up for them, that have not been logged yet.
     lost_runs: list[LostRun] = attrs.field(factory=list)
+    given_up: list[Task] = attrs.field(factory=list)
     _silence_by_server_id: dict[str, _Silence] = attrs.field(factory=dict)
     _tasks_by_server_id: dict[str, list[Task]] = attrs.field(factory=dict)
 
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -176,6 +176,8 @@
     is_stopping: bool = False
     # Servers that were lost with a run of the task.
     losses: Losses = ()
+    # Time since which the task has waited until no servers are lost, or 0.
+    wants_calm_since_s: float = 0.0
     # Time since which the task has waited for a server of its own, or 0.
     wants_own_server_since_s: float = 0.0
     # Whether it has waited for that so long that it may share a server.
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -5,13 +5,7 @@
 
 import attrs
 
-from rhubarbmount.batch.model import (
-    Assignment,
-    Job,
-    Queue,
-    Step,
-    Task,
-)
+from rhubarbmount.batch.model import Assignment, Job, Queue, Step, Task
 from rhubarbmount.batch.objective import LatestStart, latest_start
 from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -26,7 +20,7 @@
 EXPIRING_WINDOW_S = 0.5
 # How long a task that has to run alone waits for a server without other tasks.
 OWN_SERVER_WAIT_S = 2.5
-# How long such a task waits at most for a time at which no servers are lost.
+# How long it waits before that, at most, for a time at which no servers are lost.
 CALM_WAIT_S = 10.0
 
 PlacementFilter = Callable[[ServerUsage, Step, Task], bool]
@@ -190,8 +184,8 @@
         placeable = []
         for task in tasks:
             if _needs_calm(task):
-                task.wants_own_server_since_s = task.wants_own_server_since_s or now_s
-                if now_s < task.wants_own_server_since_s + CALM_WAIT_S:
+                task.wants_calm_since_s = task.wants_calm_since_s or now_s
+                if now_s < task.wants_calm_since_s + CALM_WAIT_S:
                     continue
             placeable.append(task)
         return placeable
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -276,7 +276,7 @@
             is_known = task.id.job_id in self.job_by_id
             if end is not ServerEnd.PLANNED and may_have_run and is_known:
                 self._add_loss(task, loss)
-            is_given_up = self._give_up_if_to_blame(task)
+            self._give_up_if_to_blame(task)
             self.losses.lost_runs.append(
                 LostRun(
                     task=task.id,
@@ -285,7 +285,6 @@
                     end=end,
                     losses=len(task.losses),
                     beside=len(tasks) - 1,
-                    is_given_up=is_given_up,
                 )
             )
 
@@ -302,15 +301,14 @@
             self.steps_with_losses.add(task.id[:3])
             self.dirty.add(task.id.job_id)
 
-    def _give_up_if_to_blame(self, task: Task) -> bool:
-        """Fail the job of a task that crashes its servers; return whether it does."""
+    def _give_up_if_to_blame(self, task: Task) -> None:
+        """Fail the job of a task that crashes its servers."""
         job = self.job_by_id.get(task.id.job_id)
         if job is None or job.state.is_final or task.state is TaskState.DONE:
-            return False
-        if not is_to_blame(task.losses):
-            return False
-        self._finish(job, JobState.FAILED)
-        return True
+            return
+        if is_to_blame(task.losses):
+            self.losses.given_up.append(task)
+            self._finish(job, JobState.FAILED)
 
     def unknown_servers(self) -> Iterable[str]:
         """Return the ids of servers that have tasks assigned but are not listed."""
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -296,7 +296,7 @@
         task.pace = FULL_PACE
         task.acknowledged_s = 0.0
         task.is_stopping = False
-        task.wants_own_server_since_s = 0.0
+        task.wants_calm_since_s = task.wants_own_server_since_s = 0.0
         job = self.job_by_id[task.id.job_id]
         job.state = JobState.ACTIVE
         usage.add(task, self.step_of(task.id))
