Give up no task whose servers were lost at odd times after its starts

test_ordinary_crashes_fail_no_job failed in 1 of 120 runs of its cases with 40% of servers lost at once, and in most runs of one case in which all are: five losses counted if one was the task's own, whatever their times. Five losses count now if all but one came within 0.05 s of each other after the start, or close to that of an own loss; two own losses have to agree to a quarter second and a tenth.

--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -28,12 +28,16 @@
 SUSPECT_SEPARATE_LOSSES = 2
 # Losses after which a task is given up if two of them were its own.
 BLAMED_LOSSES = 3
-# Losses after which a task is given up if one of them was its own, or if all came at
-# the same time after a start.
+# Losses after which a task is given up if all but one came at the same time after a
+# start.
 MAX_LOSSES = 5
-# How much the times from a start to the loss of the server differ for one cause.
+# How much the times from a start to the loss of the server differ for one cause, at
+# least and as a share of them.
 SAME_AGE_S = 0.25
-SAME_AGE_SHARE = 0.5
+SUSPECT_AGE_SHARE = 0.5
+BLAMED_AGE_SHARE = 0.1
+# How much they differ at most if nothing else tells the cause.
+EQUAL_AGE_S = 0.05
 # A server that is lost so soon after the start of its only run was crashed by it.
 PROMPT_CRASH_S = 0.15
 # A task that crashes its servers does so at about the same time after each start.
@@ -101,30 +105,39 @@
     """Return whether a task with these losses has to run alone."""
     if len(losses) < SUSPECT_LOSSES:
         losses = tuple(loss for loss in losses if not loss.was_widespread)
-    return len(losses) >= SUSPECT_SEPARATE_LOSSES and _have_one_cause(losses)
+    if len(losses) < SUSPECT_SEPARATE_LOSSES:
+        return False
+    return _have_one_cause(losses, SUSPECT_AGE_SHARE)
 
 
 def is_to_blame(losses: Losses) -> bool:
     """Return whether a task with these losses has to be given up."""
     if len(losses) < BLAMED_LOSSES:
         return False
-    if _have_one_cause(loss for loss in losses if loss.incriminates):
+    own = [loss for loss in losses if loss.incriminates]
+    if _have_one_cause(own, BLAMED_AGE_SHARE):
         return True
-    if len(losses) < MAX_LOSSES:
-        return False
-    oldest = max(losses, key=lambda loss: loss.age_s)
-    return all(_is_same_age(oldest, loss) for loss in losses) or any(
-        loss.was_single for loss in losses
-    )
+    return len(losses) >= MAX_LOSSES and _have_all_one_cause(losses)
 
 
-def _is_same_age(one: ServerLoss, other: ServerLoss) -> bool:
-    """Return whether two losses came at about the same time after the start."""
-    difference_s = abs(one.age_s - other.age_s)
-    return difference_s <= SAME_AGE_S + SAME_AGE_SHARE * min(one.age_s, other.age_s)
-
-
-def _have_one_cause(losses: Iterable[ServerLoss]) -> bool:
+def _have_one_cause(losses: Iterable[ServerLoss], share: float) -> bool:
     """Return whether two of the losses came at about the same time after the start."""
     by_age = sorted(losses, key=lambda loss: loss.age_s)
-    return any(_is_same_age(one, other) for one, other in pairwise(by_age))
+    return any(_is_same_age(one, other, share) for one, other in pairwise(by_age))
+
+
+def _have_all_one_cause(losses: Losses) -> bool:
+    """Return whether the losses, but for one by chance, came at the same age."""
+    ages_s = sorted(loss.age_s for loss in losses)
+    if min(ages_s[-2] - ages_s[0], ages_s[-1] - ages_s[1]) <= EQUAL_AGE_S:
+        return True
+    return any(
+        sum(not _is_same_age(own, loss, SUSPECT_AGE_SHARE) for loss in losses) <= 1
+        for own in losses
+        if own.was_single
+    )
+
+
+def _is_same_age(one: ServerLoss, other: ServerLoss, share: float) -> bool:
+    difference_s = abs(one.age_s - other.age_s)
+    return difference_s <= SAME_AGE_S + share * min(one.age_s, other.age_s)
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -74,6 +74,15 @@
     assert not is_to_blame(losses(0.1, 0.9, 0.5, 0.3, 0.7, was_widespread=True))
 
 
+# Guards against work that is given up because its servers crashed for other reasons.
+def test_five_losses_at_odd_times_do_not_count_for_one_that_was_its_own():
+    own = loss(9, 0.48, was_alone=True)
+    shared = losses(0.14, 0.96, 1.39, 0.96, was_widespread=True)
+    assert not is_to_blame((*shared, own))
+    shared = losses(0.5, 0.01, 0.47, 0.49, was_widespread=True)
+    assert is_to_blame((*shared, own))
+
+
 def test_a_run_that_goes_on_for_longer_clears_earlier_losses():
     earlier = losses(0.1, 0.2)
     assert add_loss(earlier, loss(7, 1.0))[:2] == earlier
