Test the deadlines of concurrent attempts in simulated time

The attempts began one after another in real time, so that an event loop held up for 0.15 s between the second and the fourth let the attempt of 0.3 s end before that of 0.15 s, each at its own deadline.

The attempts share one beginning now and end in simulated time, each exactly at its own deadline; before, 0.05 s of lateness passed.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from trio.testing import MockClock
 
 from rhubarbmount.attempts import attempt
 from rhubarbmount.backend_health import AttemptResult
@@ -33,6 +34,11 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
 @asynccontextmanager
 async def serving(answer):
     """Run a backend server with a handler; yield connections to it and its address."""
@@ -84,22 +90,35 @@
         assert classify(ended.facts) is Outcome.NOT_RUN
 
 
-async def test_concurrent_attempts_end_at_their_own_deadlines():
+# Guards against attempts that end at the deadlines of others.
+async def test_concurrent_attempts_end_at_their_own_deadlines(
+    autojump_clock, monkeypatch
+):
     lengths_s = [0.9, 0.3, 0.6, 0.15, 0.45]
+    began_s = trio.current_time()
     ended_s = []
+    servers = []
 
-    async def run(connections, address, length_s):
-        begin_s = trio.current_time()
-        await attempt(connections, address, REQUEST, begin_s + length_s)
-        ended_s.append(round(trio.current_time() - begin_s, 1))
+    async def connect(address, port):
+        client, server = trio.socket.socketpair()
+        servers.append(server)
+        return trio.SocketStream(client)
 
-    async with serving(never_answer) as (connections, address):
-        async with trio.open_nursery() as nursery:
+    async def run(connections, length_s):
+        await attempt(connections, "10.0.0.1:80", REQUEST, began_s + length_s)
+        ended_s.append(round(trio.current_time() - began_s, 6))
+
+    monkeypatch.setattr(trio, "open_tcp_stream", connect)
+    connections = BackendConnections()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connections.run)
+        async with trio.open_nursery() as attempts:
             for length_s in lengths_s:
-                await trio.sleep(0.001)
-                nursery.start_soon(run, connections, address, length_s)
-    assert ended_s == sorted(ended_s)
-    assert ended_s[-1] == 0.9
+                attempts.start_soon(run, connections, length_s)
+        nursery.cancel_scope.cancel()
+    for server in servers:
+        server.close()
+    assert ended_s == sorted(lengths_s)
 
 
 async def test_the_deadline_of_an_ended_attempt_does_not_interrupt_the_next():
