Give up a task that loses two of its first five servers to other crashes

Five losses count now, too, if three came at the same age and one of these was the task's alone, with no other server lost at that time. For a task that is not to blame that takes a crash of just its server while it runs alone, and two more at the same age.

The new unit test fails before.

--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -29,8 +29,9 @@
 # Losses after which a task is given up if two of them were its own.
 BLAMED_LOSSES = 3
 # Losses after which a task is given up if all but one came at the same time after a
-# start.
+# start, or as many as OWN_LOSSES at that of one that was its own.
 MAX_LOSSES = 5
+OWN_LOSSES = 3
 # How much the times from a start to the loss of the server differ for one cause, at
 # least and as a share of them.
 SAME_AGE_S = 0.25
@@ -127,17 +128,23 @@
 
 
 def _have_all_one_cause(losses: Losses) -> bool:
-    """Return whether the losses, but for one by chance, came at the same age."""
+    """Return whether the losses, but for some by chance, came at the same age."""
     ages_s = sorted(loss.age_s for loss in losses)
     if min(ages_s[-2] - ages_s[0], ages_s[-1] - ages_s[1]) <= EQUAL_AGE_S:
         return True
     return any(
-        sum(not _is_same_age(own, loss, SUSPECT_AGE_SHARE) for loss in losses) <= 1
+        _count_same_age(own, losses, SUSPECT_AGE_SHARE) >= len(losses) - 1
+        or _count_same_age(own, losses, BLAMED_AGE_SHARE) >= OWN_LOSSES
         for own in losses
         if own.was_single
     )
 
 
+def _count_same_age(own: ServerLoss, losses: Losses, share: float) -> int:
+    """Return how many of the losses, the own one included, came at its age."""
+    return sum(_is_same_age(own, loss, share) for loss in losses)
+
+
 def _is_same_age(one: ServerLoss, other: ServerLoss, share: float) -> bool:
     difference_s = abs(one.age_s - other.age_s)
     return difference_s <= SAME_AGE_S + share * min(one.age_s, other.age_s)
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -83,6 +83,15 @@
     assert is_to_blame((*shared, own))
 
 
+# Guards against a sixth start of a task that lost two of five servers to other crashes.
+def test_five_losses_count_if_three_agree_with_one_of_its_own():
+    own = loss(9, 0.52, was_alone=True)
+    shared = losses(0.5, 0.02, 0.55, 1.6)
+    assert is_to_blame((*shared, own))
+    assert not is_to_blame((*losses(0.5, 0.02, 1.4, 1.6), own))
+    assert not is_to_blame((*shared, loss(9, 0.52)))
+
+
 def test_a_run_that_goes_on_for_longer_clears_earlier_losses():
     earlier = losses(0.1, 0.2)
     assert add_loss(earlier, loss(7, 1.0))[:2] == earlier
