--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -1,7 +1,7 @@
 """Scheduling of one shard by the entry host that holds its lease."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 import trio
@@ -10,11 +10,10 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
-from rhubarbmount.batch.earlier_grants import EarlierGrants
 from rhubarbmount.batch.early_renewals import EarlyRenewals
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.fleet_controller import FleetController
-from rhubarbmount.batch.host_command_times import HostCommandTimes
+from rhubarbmount.batch.handover_records import HandoverRecords
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.job_remover import JobRemover, RemovedJobs
 from rhubarbmount.batch.job_rows import JobRows
@@ -23,21 +22,17 @@
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     Assignment,
-    Server,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
-from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.scheduling_meter import SchedulingMeter
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_losses import ServerEnd
-from rhubarbmount.batch.server_records import ServerRecords
 from rhubarbmount.batch.server_rows import ServerRows
 from rhubarbmount.batch.server_session import ServerSession
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.shard_rows import JobReader, LoadedShard, ShardLoader
-from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.table_follower import TableFollower
 from rhubarbmount.batch.tables import (
     CANCEL_SUFFIX,
@@ -73,8 +68,6 @@
 COMMIT_DELAY_S = 0.06
 # Time left for a start to be sent once capacities are too old to be relied on.
 CAPACITY_MARGIN_S = 0.25
-# The least time of a record made at a takeover, as a fraction of the longest lease.
-RECORD_FRACTION = 0.8
 
 
 @attrs.define(eq=False)
@@ -96,10 +89,7 @@
     unreadable_rows: UnreadableRows
     # Called once the record of servers that were silent at the takeover is stored.
     on_recorded: Callable[[], None]
-    command_times: HostCommandTimes = attrs.field(init=False)
-    silent_servers: SilentServers = attrs.field(init=False)
-    server_records: ServerRecords = attrs.field(factory=ServerRecords)
-    earlier_grants: EarlierGrants = attrs.field(init=False)
+    records: HandoverRecords = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     fleet_controller: FleetController = attrs.field(init=False)
@@ -110,10 +100,6 @@
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
-    _wave_records: dict[int, WaveRecord] = attrs.field(factory=dict)
-    # Waves whose progress can't be read. Which hosts were maintained is not known, so
-    # that nothing of them is planned.
-    _unreadable_waves: set[int] = attrs.field(factory=set)
     _job_rows: JobRows = attrs.field(init=False)
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
@@ -123,8 +109,6 @@
     _loader: ShardLoader = attrs.field(init=False)
     _job_reader: JobReader = attrs.field(init=False)
     _are_requests_loaded: bool = False
-    # Set once the rows may be written without losing what they hold.
-    _are_server_records_loaded: bool = False
     # Progress stored by builds that did not store specs.
     _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
@@ -138,17 +122,19 @@
         )
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
+        self.records = HandoverRecords(
+            store=self.store,
+            name=self.name,
+            shard_lease=self.shard_lease,
+            committer=self.committer,
+            loader=self._loader,
+            bounds=self.bounds,
+            unreadable_rows=self.unreadable_rows,
+        )
         self._job_reader = JobReader(self.shard, self.unreadable_rows)
         self._request_parts = frozenset(request_parts(self.name))
         self.placer = Placer(self.shard, self.tickets.tickets_by_step)
         self.wave_status = WaveStatusWriter(self.store)
-        self.command_times = HostCommandTimes(self.store.clock_s, self.bounds.lease_s)
-        self.silent_servers = SilentServers(
-            self.store.clock_s, self.store.latest_clock_s
-        )
-        self.earlier_grants = EarlierGrants(
-            self.shard_lease.earlier, self.silent_servers
-        )
         self.fleet_controller = FleetController(
             shard=self.shard,
             placer=self.placer,
@@ -157,7 +143,7 @@
             commands=HostCommands(
                 self.host_client,
                 self.shard_lease,
-                self.command_times,
+                self.records.command_times,
                 self._save_command_times,
             ),
             timers=self.timers,
@@ -202,14 +188,14 @@
             client=self.backend_client,
             shard_lease=self.shard_lease,
             max_lease_s=self.bounds.max_lease_s,
-            earlier_grants=self.earlier_grants,
+            earlier_grants=self.records.earlier_grants,
             metrics=self.metrics,
             lateness=self.lateness,
             tickets=self.tickets,
             nursery=nursery,
             wake=self.wake,
             want_host_list=self.fleet_controller.request_list,
-            silent=self.silent_servers,
+            silent=self.records.silent_servers,
             save_silent=self._save_silent_servers,
         )
         self.servers = ServerRows(
@@ -254,9 +240,9 @@
 
     def put_wave(self, wave: Wave) -> None:
         """Add a maintenance wave requested by the operator."""
-        if wave.number in self._unreadable_waves:
+        if wave.number in self.records.unreadable_waves:
             return
-        record = self._wave_records.get(wave.number)
+        record = self.records.wave_by_number.get(wave.number)
         self.fleet_controller.put_wave(wave, record)
         if record is not None:
             self.wave_status.put(wave.number, record.is_complete)
@@ -287,16 +273,10 @@
             # server lists its runs.
             await self._loader.load_requests(requests.append)
             self._are_requests_loaded = True
-        for row in loaded.command_times.rows:
-            self._load_command_times(row)
-        if not early.has_record:
-            for row in loaded.silent_servers.rows:
-                await self._load_silent_servers(row)
-        for row in loaded.waves.rows:
-            self._load_wave(row)
+        await self.records.load(loaded, has_silent_servers=early.has_record)
         loaded.add_jobs(self._job_reader)
         servers_with_tasks = set(self.shard.unknown_servers())
-        self._record_as_silent(servers_with_tasks - early.heard_server_ids)
+        self.records.note_silent(servers_with_tasks - early.heard_server_ids)
         self.servers.apply(loaded.servers, True)
         self.servers.note_read(read_from_s)
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
@@ -319,93 +299,24 @@
 
     async def _find_unlisted_servers(self) -> None:
         """Ask the unlisted servers with tasks where the last holder reached them."""
-        await self._load_server_records()
-        self._are_server_records_loaded = True
+        await self.records.load_servers()
+        self.records.has_loaded_servers = True
         for server_id in self.shard.unknown_servers():
-            server = self.server_records.find(server_id)
+            server = self.records.servers.find(server_id)
             if server is not None:
                 self.servers.restore(server)
             else:
                 self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
 
-    async def _load_server_records(self) -> None:
-        page = await self._loader.load_server_records()
-        for row in page.rows:
-            try:
-                self.server_records.load(row.value)
-            except UnreadableRecord as error:
-                self.unreadable_rows.report(row, error)
-
-    def _load_command_times(self, row: Row) -> None:
-        try:
-            self.command_times.load(row.value)
-        except UnreadableRecord as error:
-            self.unreadable_rows.report(row, error)
-            self.command_times.block_all()
-
-    async def _load_silent_servers(self, row: Row) -> None:
-        """Load the record of silent servers; one that can't be read is replaced.
-
-        A server that it names must not be granted anything while a later holder may
-        still read it.
-        """
-        try:
-            self.silent_servers.load(row.value)
-        except UnreadableRecord as error:
-            self.unreadable_rows.report(row, error)
-            await self.committer.commit({row.name: self.silent_servers.encode()})
-
-    def _load_wave(self, row: Row) -> None:
-        number = int(row.name.key)
-        try:
-            self._wave_records[number] = WaveRecord.decode(row.value)
-        except UnreadableRecord as error:
-            self.unreadable_rows.report(row, error)
-            self._unreadable_waves.add(number)
-
     def _make_early_renewals(self) -> EarlyRenewals:
         return EarlyRenewals(
             client=self.backend_client,
-            read_servers=self._read_recorded_servers,
-            store_record=self._store_early_record,
+            read_servers=self.records.read_servers_to_renew,
+            store_record=self.records.store_silent,
             on_recorded=self.on_recorded,
             make_lease=self.sessions.make_lease,
         )
 
-    async def _read_recorded_servers(self) -> list[Server]:
-        """Return where earlier holders started tasks, and load what is silent there.
-
-        While that can't be read, nothing may be granted.
-        """
-        for row in (await self._loader.load_silent_servers()).rows:
-            try:
-                self.silent_servers.load(row.value)
-            except UnreadableRecord as error:
-                self.unreadable_rows.report(row, error)
-                return []
-        await self._load_server_records()
-        return self.server_records.all()
-
-    async def _store_early_record(
-        self, silent_ids: Iterable[str], answered_ids: Iterable[str]
-    ) -> None:
-        self._record_as_silent(silent_ids)
-        for server_id in answered_ids:
-            self.silent_servers.drop(server_id)
-        name = silent_servers_row(self.name)
-        await self.committer.commit({name: self.silent_servers.encode()})
-
-    def _record_as_silent(self, server_ids: Iterable[str]) -> None:
-        """Record servers with tasks as silent, until they answer this holder.
-
-        The time leaves room to renew all of them before the record is stored anew.
-        """
-        now_s = monotonic_s()
-        least_s = self.bounds.max_lease_s * RECORD_FRACTION
-        for server_id in server_ids:
-            earlier_s = self.earlier_grants.bound_of(server_id).at_s - now_s
-            self.silent_servers.note(server_id, max(earlier_s, least_s))
-
     async def _store_first_record(self) -> None:
         """Store the record of silent servers; then grants may last longer than it."""
         await self._save_silent_servers()
@@ -434,7 +345,7 @@
 
     async def _lose_unlisted_server(self, server_id: str) -> None:
         """Release the tasks of an unlisted server once its leases must have expired."""
-        bound = self.earlier_grants.bound_of(server_id)
+        bound = self.records.earlier_grants.bound_of(server_id)
         lapses_in_s = max(0.0, bound.at_s - monotonic_s())
         log.event(
             logger,
@@ -580,10 +491,10 @@
         for assignment in assignments:
             usage = usage_by_id.get(assignment.server_id)
             if usage is not None:
-                self.server_records.note(usage.server)
-        if not self._are_server_records_loaded:
+                self.records.servers.note(usage.server)
+        if not self.records.has_loaded_servers:
             return
-        records = self.server_records.encode_changed(usage_by_id)
+        records = self.records.servers.encode_changed(usage_by_id)
         for key, value in records.items():
             self._write_batch.put(server_records_row(self.name, key), value)
 
@@ -608,10 +519,14 @@
         return starts
 
     async def _save_command_times(self) -> None:
-        await self._save(host_orders_row(self.name), self.command_times.encode())
+        await self._save(
+            host_orders_row(self.name), self.records.command_times.encode()
+        )
 
     async def _save_silent_servers(self) -> None:
-        await self._save(silent_servers_row(self.name), self.silent_servers.encode())
+        await self._save(
+            silent_servers_row(self.name), self.records.silent_servers.encode()
+        )
 
     async def _save(self, name: RowName, value: bytes) -> None:
         """Write a row with the next commit and wait until it is stored."""
