Hold a job of the product's scheduler that loses host after host

A job that takes its hosts with it was requeued without limit: only the outcome failed counts towards a poison job, and a lost host reports none.

The hosts that a job loses soon after its starts, each by itself, are stored with it, so that they outlive a change of the holder; after three the job is held, which an operator can release. Tasks that lost a host together start apart: before, the two of them were placed together again at once, by the same tightest fit.

Three of the new tests fail without the hold and one without the placement. Hosts lost together with others, and those lost after long runs, hold nothing.

--- a/rhubarbmount/host_usage.py
+++ b/rhubarbmount/host_usage.py
@@ -1,7 +1,7 @@
 """Free capacity of a pool's hosts, and the tasks that use it."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 
 import attrs
@@ -50,6 +50,13 @@
         """Return whether a task on the host has been told to end."""
         return any(task.command != "start" for task in self.task_by_id.values())
 
+    def shares_losses(self, lost_hosts: Collection[str]) -> bool:
+        """Return whether a task on the host has lost one of these hosts before."""
+        return any(
+            not set(lost_hosts).isdisjoint(task.lost_hosts)
+            for task in self.task_by_id.values()
+        )
+
     @property
     def accepts_tasks(self) -> bool:
         """Return whether new tasks may start on the host."""
--- a/rhubarbmount/job_records.py
+++ b/rhubarbmount/job_records.py
@@ -54,6 +54,7 @@
             lease_s=self.lease_s,
             run_time_s=job.run_time_s,
             started_s=self.decisions.now_s,
+            lost_hosts=job.lost_hosts,
         )
         job = job.move(
             "place", self.decisions.now_s, attempt=attempt, task_id=task.task_id
@@ -80,13 +81,13 @@
         self.decisions.record_job(job, code, reason, host=task.host_id)
         return JobChange(job=job, task=task, command=self.command(task))
 
-    def stop_on_missing_host(self, task: Task) -> JobChange:
-        """Stop a task whose host is missing."""
+    def stop_on_missing_host(self, task: Task, cause: str) -> JobChange:
+        """Stop a task whose host is missing, alone or together with others."""
         job = self.job_by_id[task.job_id]
         reason = f"host {task.host_id} is missing from the list of live hosts"
         self.decisions.record_job(job, "task-given-up", reason, host=task.host_id)
         if job.state is not JobState.EVICTING:
-            job = job.move("evict", self.decisions.now_s, cause="host-missing")
+            job = job.move("evict", self.decisions.now_s, cause=cause)
             self.update_job(job)
         task = attrs.evolve(task, command="stop")
         self.task_by_id[task.task_id] = task
--- a/rhubarbmount/jobs.py
+++ b/rhubarbmount/jobs.py
@@ -61,7 +61,8 @@
 
     ``attempt`` counts its starts, and ``task_id`` is the task of the last one.
     ``progress_s`` is the run time preserved by its checkpoint. ``failed_hosts`` holds
-    one host id per failed start. Times are in seconds since the epoch.
+    one host id per failed start, and ``lost_hosts`` one per host that was lost soon
+    after a start. Times are in seconds since the epoch.
     """
 
     job_id: str
@@ -77,6 +78,7 @@
     task_id: str = ""
     progress_s: float = 0.0
     failed_hosts: tuple[str, ...] = ()
+    lost_hosts: tuple[str, ...] = ()
     cause: str = ""
     submitted_s: float = 0.0
     since_s: float = 0.0
@@ -107,6 +109,7 @@
     ``token`` is the job's attempt, which distinguishes a later start from an earlier
     one. ``reserved`` is what the host reserves, which may differ from the declared
     shape. ``command`` is the last command for the task: start, checkpoint or stop.
+    ``lost_hosts`` are those that the job had lost before.
     """
 
     task_id: str
@@ -123,6 +126,7 @@
     run_time_s: float = 60.0
     command: str = "start"
     started_s: float = 0.0
+    lost_hosts: tuple[str, ...] = ()
 
 
 def load_job(values: Mapping[str, Any]) -> Job:
--- a/rhubarbmount/placement.py
+++ b/rhubarbmount/placement.py
@@ -101,8 +101,9 @@
     """Choose, of the tightest fits, the rack with the fewest tasks of the kind.
 
     Of these candidates, a host on which the job has failed is chosen only if there is
-    no other. Only urgent jobs may use the last ``headroom_hosts`` hosts that have
-    headroom.
+    no other, or one with a task that has lost the same host before: one of the two may
+    take its hosts with it. Only urgent jobs may use the last ``headroom_hosts`` hosts
+    that have headroom.
     """
     job = waiting.job
     last_rack = pool_usage.last_rack_by_kind.get(job.kind, "")
@@ -115,8 +116,10 @@
     best = None
     best_cost: tuple[bool, int] | None = None
     for host_usage in islice(allowed, MAX_CANDIDATES):
-        failed_here = host_usage.host.host_id in job.failed_hosts
-        cost = (failed_here, pool_usage.tasks_in_rack(host_usage.host.rack, job.kind))
+        is_avoided = host_usage.host.host_id in job.failed_hosts or (
+            bool(job.lost_hosts) and host_usage.shares_losses(job.lost_hosts)
+        )
+        cost = (is_avoided, pool_usage.tasks_in_rack(host_usage.host.rack, job.kind))
         if best_cost is None or cost < best_cost:
             best, best_cost = host_usage, cost
     return best
--- a/rhubarbmount/scheduler.py
+++ b/rhubarbmount/scheduler.py
@@ -15,6 +15,7 @@
     JobRequest,
 )
 from rhubarbmount.job_decisions import JobDecisions
+from rhubarbmount.job_losses import missing_cause
 from rhubarbmount.job_queue import TeamUsage
 from rhubarbmount.job_records import JobRecords
 from rhubarbmount.jobs import Job, JobState, Task
@@ -140,7 +141,9 @@
             return JobChange(consumed=consumed)
         if request.action == "release" and known.state is JobState.HELD:
             self.learned.suspects.release_job(known.job_id)
-            released = known.move("release", self.now_s, failed_hosts=(), cause="")
+            released = known.move(
+                "release", self.now_s, failed_hosts=(), lost_hosts=(), cause=""
+            )
             self.records.update_job(released)
             self.records.enqueue(released)
             return JobChange(job=released, consumed=consumed)
@@ -188,9 +191,10 @@
             self.host_reservations.release_host(host_id)
             if self.clock_s - since_s <= self.policy.missing_after_s:
                 continue
+            cause = missing_cause(host_id, self._missing_since_s)
             for task in self.fleet.tasks_on(host_id):
                 if task.command != "stop":
-                    yield self.records.stop_on_missing_host(task)
+                    yield self.records.stop_on_missing_host(task, cause)
 
     def expire(self) -> Iterator[JobChange]:
         """End the tasks whose leases have expired since their stop was accepted."""
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -157,6 +157,9 @@
     async def cancel(self, job_id):
         await self.write(request_write(JobRequest(job_id, "cancel")))
 
+    async def release(self, job_id):
+        await self.write(request_write(JobRequest(job_id, "release")))
+
     async def round(self, number=0):
         await self.take_lease(number)
         await self.instances[number].round()
