--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -253,25 +253,12 @@
         """Let the tasks of a lost server wait again, except for those to blame."""
         if usage is not None and usage.is_leaving:
             end = ServerEnd.PLANNED
-        was_alone = (
-            usage.has_one_job
-            if usage is not None
-            else len({task.id.job_id for task in tasks}) == 1
-        )
+        was_alone = _has_one_job(usage, tasks)
         silent_s = self.losses.silent_since_s(server_id, now_s)
         for task in tasks:
             run = task.run
-            # What an earlier holder has started is not known to have run.
-            is_own_start = task.assigned_s > 0.0
-            started_s = task.acknowledged_s or task.sent_s or silent_s
-            loss = ServerLoss(
-                server_id=server_id,
-                is_certain=end is ServerEnd.CRASHED,
-                was_alone=was_alone and is_own_start,
-                was_widespread=self.losses.is_widespread(server_id, task.id.job_id),
-                age_s=max(0.0, silent_s - started_s),
-            )
-            may_have_run = task.sent_s > 0.0 or not is_own_start
+            loss = self._loss_of(task, end, was_alone, silent_s)
+            may_have_run = task.sent_s > 0.0 or not _is_own_start(task)
             self.release(task, now_s)
             is_known = task.id.job_id in self.job_by_id
             if end is not ServerEnd.PLANNED and may_have_run and is_known:
@@ -288,6 +275,19 @@
                 )
             )
 
+    def _loss_of(
+        self, task: Task, end: ServerEnd, was_alone: bool, silent_s: float
+    ) -> ServerLoss:
+        """Return the loss of the server of a task, which fell silent at a time."""
+        started_s = task.acknowledged_s or task.sent_s or silent_s
+        return ServerLoss(
+            server_id=task.server_id,
+            is_certain=end is ServerEnd.CRASHED,
+            was_alone=was_alone and _is_own_start(task),
+            was_widespread=self.losses.is_widespread(task.server_id, task.id.job_id),
+            age_s=max(0.0, silent_s - started_s),
+        )
+
     def _add_loss(self, task: Task, loss: ServerLoss) -> None:
         """Add a loss to a task; the members of a gang run as one."""
         is_gang = self.step_of(task.id).is_gang
@@ -334,3 +334,18 @@
                 }
             )
         return counts
+
+
+def _has_one_job(usage: ServerUsage | None, tasks: list[Task]) -> bool:
+    """Return whether all runs on a lost server, listed or not, were of one job."""
+    if usage is not None:
+        return usage.has_one_job
+    return len({task.id.job_id for task in tasks}) == 1
+
+
+def _is_own_start(task: Task) -> bool:
+    """Return whether this holder assigned the run.
+
+    What an earlier one has started is not known to have run.
+    """
+    return task.assigned_s > 0.0
