Reboot the hosts of a wave in time in the scenario of a newer version

test_a_newer_version_writes_rows_and_the_catalogue_while_everything_goes_on failed once beside load: the wave was done, and the test had rebooted h2 and h3, not h1. A host counts as rebooted 3 s after its command there, and the test began to restart backend servers in its last step, after it had waited for an entry host. With that step held up by 15 s it fails without load, too ([h3]); with a thread that restarts them from the beginning of the wave it passes with the same 15 s. The check is the same: every host is rebooted, none twice.

--- a/tests/scenarios/steps/waves.py
+++ b/tests/scenarios/steps/waves.py
@@ -15,6 +15,11 @@
     assert answer.status == 202, answer
 
 
+@when("backend servers restart as soon as their hosts are maintained")
+def start_rebooter(rebooter):
+    """Begin to reboot hosts; the fixture does so until the end of the scenario."""
+
+
 @when("a host is being maintained")
 def wait_for_maintenance(rebooter):
     wait_until(lambda: rebooter.host_ids, 30, "a host is rebooted")
