Cancel jobs whose cancellation is heard of before their request

A new holder follows the requests from the version of its load while it still reads them, part by part; a cancellation that came by the feed for a job in a part not read yet was dropped, and the job was added afterwards.

Cancellations of unknown jobs are kept while requests are read, and applied when the job is added.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -109,6 +109,8 @@
     _loader: ShardLoader = attrs.field(init=False)
     _job_reader: JobReader = attrs.field(init=False)
     _are_requests_loaded: bool = False
+    # Jobs whose cancellation was heard of before their requests were read.
+    _cancelled_before_read: set[str] = attrs.field(factory=set)
     # Progress stored by builds that did not store specs.
     _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
@@ -334,6 +336,7 @@
                 lambda page: self._apply_requests(page, False)
             )
         self._job_rows.has_all_jobs = True
+        self._cancelled_before_read.clear()
         log.event(
             logger,
             "requests-loaded",
@@ -392,11 +395,17 @@
             if row.name.part not in self._request_parts or not row.version:
                 continue
             if row.name.key.endswith(CANCEL_SUFFIX):
-                self.shard.cancel(row.name.key.removesuffix(CANCEL_SUFFIX))
+                self._cancel_job(row.name.key.removesuffix(CANCEL_SUFFIX))
             elif not self._knows_job_of(row):
                 self._add_requested_job(row)
         self.wake()
 
+    def _cancel_job(self, job_id: str) -> None:
+        """Cancel a job, or note that for when its request has been read."""
+        self.shard.cancel(job_id)
+        if job_id not in self.shard.job_by_id and not self._job_rows.has_all_jobs:
+            self._cancelled_before_read.add(job_id)
+
     def _knows_job_of(self, request: Row) -> bool:
         is_listed = request.name.key in self.shard.job_by_id
         return is_listed or self._removed_jobs.includes(request)
@@ -414,6 +423,8 @@
             monotonic_s(),
         )
         log.frequent_event(logger, "job-seen", job=spec.job_id, version=row.version)
+        if spec.job_id in self._cancelled_before_read:
+            self.shard.cancel(spec.job_id)
 
     # Scheduling.
 
--- a/tests/batch/test_takeovers.py
+++ b/tests/batch/test_takeovers.py
@@ -7,6 +7,7 @@
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch.shard_rows import ShardLoader
 from rhubarbmount.batch.table_follower import read_parts
 from rhubarbmount.batch.tables import (
     REQUESTS_TABLE,
@@ -247,3 +248,41 @@
         assert await submit(world, checker, "/one/", new_job)
         await trio.sleep(2.0)
         assert len(checker.starts) == 6
+
+
+def hold_up_requests(monkeypatch, held_up_s):
+    """Pass requests on so long after they were read, as if a later page was late."""
+    load_requests = ShardLoader.load_requests
+
+    async def load_late(self, on_page):
+        pages = []
+        await load_requests(self, pages.append)
+        await trio.sleep(held_up_s)
+        for page in pages:
+            on_page(page)
+
+    monkeypatch.setattr(ShardLoader, "load_requests", load_late)
+
+
+# Guards against a job that runs on after its cancellation, which the next holder heard
+# of before it had read the job's request.
+@pytest.mark.parametrize("seed", range(4))
+async def test_a_job_is_cancelled_whose_request_is_read_late(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day(monkeypatch, seed, nodes="ab") as (world, checker):
+        hold_up_requests(monkeypatch, 3.0)
+        world.kill_node(world.holders()[0])
+        new_job = job_of_one_step(world.generator, 3, 20.0)
+        assert await submit(world, checker, "/one/", new_job)
+        while not world.holders():
+            await trio.sleep(0.1)
+        await trio.sleep(world.generator.uniform(1.0, 2.0))
+        status, _ = await world.call("DELETE", f"/one/{new_job[0]}")
+        assert status == 200
+        checker.cancelled_at_s[new_job[0]] = trio.current_time()
+        await trio.sleep(8.0)
+        assert [task for task, runs in checker.running.items() if runs] == []
+        _, body = await world.call("GET", f"/one/{new_job[0]}")
+        assert body == {"state": "cancelled"}
+        assert checker.breaches == []
