Let one thread reboot the hosts in every scenario of a wave

The scenario of a newer version had got a step of its own that starts the thread, while check_wave went on restarting backend servers in its polling loop, a second copy that began late. The thread begins with the wave now and both checks look at what it rebooted; the step and the loop are gone. Hosts out of service are counted as before.

--- a/tests/reboots.py
+++ b/tests/reboots.py
@@ -20,11 +20,6 @@
     deployment.set_backend(host_id, delay_s=deployment.backend_delay_s)
 
 
-def restart(deployment, host_id):
-    begin_restart(deployment, host_id)
-    finish_restart(deployment, host_id)
-
-
 class Rebooter:
     """Restart the backend server of each host whose row says maintenance, once."""
 
--- a/tests/scenarios/steps/waves.py
+++ b/tests/scenarios/steps/waves.py
@@ -6,20 +6,15 @@
 
 from tests.checkers import broken_budgets
 from tests.deployment import wait_until
-from tests.reboots import restart
 
 
 @when("an operator starts a wave")
-def start_wave(deployment):
+def start_wave(deployment, rebooter):
+    """Start a wave; backend servers restart as soon as their hosts are maintained."""
     answer = deployment.operate("e1", "POST", "/waves", {})
     assert answer.status == 202, answer
 
 
-@when("backend servers restart as soon as their hosts are maintained")
-def start_rebooter(rebooter):
-    """Begin to reboot hosts; the fixture does so until the end of the scenario."""
-
-
 @when("a host is being maintained")
 def wait_for_maintenance(rebooter):
     wait_until(lambda: rebooter.host_ids, 30, "a host is rebooted")
@@ -40,25 +35,19 @@
 @then(
     parsers.parse("every host is rebooted once and the wave is done within {limit:d} s")
 )
-def check_wave(deployment, states, limit):
-    """Restart each backend server while its row says that it is maintained."""
-    rebooted = []
+def check_wave(deployment, rebooter, states, limit):
+    """Count the hosts that are out of service until the wave is done."""
 
     def is_done():
         rows = [deployment.read_row("hosts", host["host_id"]) for host in hosts]
-        values = [row["value"] for row in rows]
-        states.append(sum(value["state"] != "in-service" for value in values))
-        for value in values:
-            host_id = value["host_id"]
-            if value["state"] == "maintenance" and host_id not in rebooted:
-                rebooted.append(host_id)
-                restart(deployment, host_id)
+        out = [row for row in rows if row["value"]["state"] != "in-service"]
+        states.append(len(out))
         waves = deployment.operate("e1", "GET", "/waves").json()["waves"]
         return waves[0]["state"] == "done"
 
     hosts = deployment.hosts
     wait_until(is_done, limit, "the wave is done")
-    assert sorted(rebooted) == sorted(host["host_id"] for host in hosts)
+    assert sorted(rebooter.host_ids) == sorted(host["host_id"] for host in hosts)
 
 
 @when("another host is being maintained")
--- a/tests/scenarios/upgrade.feature
+++ b/tests/scenarios/upgrade.feature
@@ -20,12 +20,11 @@
     And host "h1" is in service in pool "spare" within 40 s
     When operator "admin" sets "concurency" of service "lodgements" to 18
     Then the edit is refused with "findings"
-    When backend servers restart as soon as their hosts are maintained
-    And an operator starts a wave
+    When an operator starts a wave
     And a newer version adds fields to the shared rows
     And one more entry host "e3" starts in "dc-a"
     Then within 15 s entry host "e3" is ready
-    And every host is rebooted and the wave is done within 90 s
+    And every host is rebooted once and the wave is done within 90 s
     And nothing that the newer version wrote was dropped
     And no promise to the callers was broken
     And no caller was refused
