--- a/tests/batch/test_pending_counts.py
+++ b/tests/batch/test_pending_counts.py
@@ -4,12 +4,15 @@
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch import clocks
+from rhubarbmount.batch.tables import REQUESTS_TABLE
 from tests.batch.test_days import job, long_running_job, open_day, submit
 from tests.batch.test_takeovers import job_in_part
 from tests.batch.world import BOUNDS
 
 KILLS_AT_S = (0.05, 2.3, 4.5)
 SHARD_PARTS = 8
+SUSPENDED_S = 6.0
 
 
 @pytest.fixture
@@ -104,3 +107,37 @@
         until_s = trio.current_time() + BOUNDS.contact_s
         assert (await ask_all(world, checker, until_s))[-1] == SHARD_PARTS
         assert checker.breaches == []
+
+
+# Guards against MIXED: a count says "now" and lacks requests that were not heard of.
+@pytest.mark.parametrize("seed", range(3))
+async def test_no_count_is_given_as_new_without_the_requests_of_that_time(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day(monkeypatch, seed, nodes="abc") as (world, checker):
+        await trio.sleep(2.0)
+        cut_all_servers(world)
+        world.faults.store_tables_down = {REQUESTS_TABLE}
+        until_s = trio.current_time() + 12.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit_for, world, checker, until_s)
+            answers = await ask_all(world, checker, until_s)
+        assert checker.breaches == []
+        assert answers[-1] == 503
+        world.faults.store_tables_down = set()
+        until_s = trio.current_time() + BOUNDS.contact_s
+        assert (await ask_all(world, checker, until_s))[-1] > 20
+
+
+# Guards against MIXED: an entry host that was suspended answers from its memory.
+async def test_a_suspended_host_gives_no_count_of_before(monkeypatch, autojump_clock):
+    async with open_day(monkeypatch, 2, nodes="abc") as (world, checker):
+        await trio.sleep(2.0)
+        name = next(name for name in "abc" if name not in world.holders())
+        assert (await world.call("GET", "/one/", node=name))[0] == 200
+        monkeypatch.setattr(
+            clocks.source, "monotonic_s", lambda: trio.current_time() + SUSPENDED_S
+        )
+        world.faults.nodes_cut_from_store = {name}
+        status, _ = await world.call("GET", "/one/", node=name)
+        assert status == 503
