Date counts of waiting jobs by what was heard of the requests

The holder dated a count by the time of counting; it counts the requests that it has heard of, and their feed may be behind while commits succeed: a poll without an answer costs 3 s, a table that is silent has no limit. The reader's limit on the age was thus kept and meant nothing.

The follower now tells up to when, by the store's clock, all changes have been passed on; counts carry that time, and are refused when it is over 4 s ago. A full page of the feed does not move it, nor does a read before its first page. A gauge tells the age at the holder.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -108,7 +108,8 @@
     _requests: TableFollower | None = None
     _loader: ShardLoader = attrs.field(init=False)
     _job_reader: JobReader = attrs.field(init=False)
-    _are_requests_loaded: bool = False
+    # Up to when the requests were known as they were loaded, by the store's clock.
+    _requests_loaded_until_s: float | None = None
     # Jobs whose cancellation was heard of before their requests were read.
     _cancelled_before_read: set[str] = attrs.field(factory=set)
     # Progress stored by builds that did not store specs.
@@ -120,7 +121,7 @@
         )
         self._write_batch = WriteBatch(self.committer)
         self._job_rows = JobRows(
-            self.name, self.shard, self._write_batch, self.store.clock_s
+            self.name, self.shard, self._write_batch, self._requests_known_until_s
         )
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
@@ -273,8 +274,9 @@
         if loaded.progress_without_spec_by_id:
             # An earlier build stored no specs. Its jobs have to be known before any
             # server lists its runs.
-            await self._loader.load_requests(requests.append)
-            self._are_requests_loaded = True
+            self._requests_loaded_until_s = await self._loader.load_requests(
+                requests.append
+            )
         await self.records.load(loaded, has_silent_servers=early.has_record)
         loaded.add_jobs(self._job_reader)
         servers_with_tasks = set(self.shard.unknown_servers())
@@ -331,8 +333,8 @@
         its own new jobs only. Rows are removed after all of them have been read, as a
         job whose request is read after its removal would begin again.
         """
-        if not self._are_requests_loaded:
-            await self._loader.load_requests(
+        if self._requests_loaded_until_s is None:
+            self._requests_loaded_until_s = await self._loader.load_requests(
                 lambda page: self._apply_requests(page, False)
             )
         self._job_rows.has_all_jobs = True
@@ -400,6 +402,11 @@
                 self._add_requested_job(row)
         self.wake()
 
+    def _requests_known_until_s(self) -> float:
+        """Return up to when all requests are known, by the store's clock."""
+        followed_s = self._requests.known_until_s if self._requests else 0.0
+        return max(followed_s, self._requests_loaded_until_s or 0.0)
+
     def _cancel_job(self, job_id: str) -> None:
         """Cancel a job, or note that for when its request has been read."""
         self.shard.cancel(job_id)
@@ -453,6 +460,8 @@
         waiting_by_step = self.shard.waiting_by_step
         waiting_tasks = sum(map(len, waiting_by_step.values()))
         self.metrics.waiting_tasks.set(waiting_tasks)
+        requests_age_s = self.store.clock_s() - self._requests_known_until_s()
+        self.metrics.requests_age_s.set(max(0.0, requests_age_s))
         self.meter.record_pass(
             committing_s, starts, len(waiting_by_step), waiting_tasks
         )
--- a/rhubarbmount/batch/job_rows.py
+++ b/rhubarbmount/batch/job_rows.py
@@ -41,7 +41,8 @@
     name: str
     shard: Shard
     write_batch: WriteBatch
-    store_clock_s: Callable[[], float]
+    # Returns up to when all requests are known, by the store's clock.
+    requests_known_until_s: Callable[[], float]
     # Whether all jobs are known, so that they can be counted.
     has_all_jobs: bool = False
     stored_spec_ids: set[str] = attrs.field(factory=set)
@@ -109,5 +110,5 @@
         if counts != self._stored_pending or age_s >= PENDING_REFRESH_S:
             self._stored_pending = counts
             self._pending_stored_at_s = now_s
-            pending = PendingCounts(self.store_clock_s(), counts)
+            pending = PendingCounts(self.requests_known_until_s(), counts)
             self.write_batch.put(pending_row(self.name), encode_pending(pending))
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -36,6 +36,7 @@
     lost_runs: prometheus_client.Counter = attrs.field(init=False)
     given_up_tasks: prometheus_client.Counter = attrs.field(init=False)
     pending_age_s: prometheus_client.Histogram = attrs.field(init=False)
+    requests_age_s: prometheus_client.Gauge = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
     placing_s: prometheus_client.Histogram = attrs.field(init=False)
@@ -125,6 +126,11 @@
             "Time until the changes of a scheduling pass are stored.",
             CALL_BUCKETS_S,
         )
+        self.requests_age_s = prometheus_client.Gauge(
+            "rhubarbmount_batch_requests_age_seconds",
+            "Time since which the holder may not have heard of all requests.",
+            registry=self.registry,
+        )
         self.waiting_tasks = prometheus_client.Gauge(
             "rhubarbmount_batch_waiting_tasks",
             "Tasks of the shard that wait for capacity, at the holder.",
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -201,15 +201,22 @@
         """Read where the servers with tasks are reached."""
         return await self._reader.read(SERVER_RECORDS_TABLE, self.name)
 
-    async def load_requests(self, on_page: Callable[[Page], None]) -> None:
-        """Read the requests and pass each part on as soon as it can be read."""
+    async def load_requests(self, on_page: Callable[[Page], None]) -> float:
+        """Read the requests and pass each part on as soon as it can be read.
+
+        Return the time on the store's clock up to which all of them are known.
+        """
+        known_until_s: list[float] = []
 
         async def read(part: str) -> None:
-            on_page(await self._reader.read(REQUESTS_TABLE, part))
+            page = await self._reader.read(REQUESTS_TABLE, part)
+            on_page(page)
+            known_until_s.append(page.clock_ms / 1000)
 
         async with trio.open_nursery() as nursery:
             for part in request_parts(self.name):
                 nursery.start_soon(read, part)
+        return min(known_until_s)
 
 
 def _share_of_link(link_mbps: float) -> tuple[int, int]:
@@ -233,15 +240,14 @@
         self._limiter = trio.CapacityLimiter(self.reads)
 
     async def read(self, table: str, part: str) -> Page:
-        """Return all rows of a part, with the version of the first page."""
-        page = await self._read_page(table, part, "")
+        """Return all rows of a part, with the version and clock of the first page."""
+        first = page = await self._read_page(table, part, "")
         rows = list(page.rows)
-        version = page.version
         while page.has_more and page.rows:
             next_key = page.rows[-1].name.key + "\x00"
             page = await self._read_page(table, part, next_key)
             rows.extend(page.rows)
-        return Page(tuple(rows), version, page.clock_ms, False)
+        return Page(tuple(rows), first.version, first.clock_ms, False)
 
     async def _read_page(self, table: str, part: str, first_key: str) -> Page:
         while True:
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -17,6 +17,7 @@
 )
 from rhubarbmount.platform.rows import (
     MAX_READ_TIMEOUT_S,
+    PAGE_ROWS,
     READ_TIMEOUT_S,
     HistoryGone,
     Page,
@@ -52,7 +53,8 @@
     await run_concurrently([partial(read, part) for part in parts])
     rows = tuple(row for part in parts for row in pages[part].rows)
     earliest = min(pages.values(), key=lambda page: page.version)
-    return attrs.evolve(earliest, rows=rows)
+    clock_ms = min(page.clock_ms for page in pages.values())
+    return attrs.evolve(earliest, rows=rows, clock_ms=clock_ms)
 
 
 async def run_concurrently(calls: Sequence[Callable[[], Awaitable[None]]]) -> None:
@@ -96,6 +98,8 @@
     on_regained: Callable[[float], None] = lambda lost_s: None
     # Called with each answer of the store, also if nothing has changed.
     on_answer: Callable[[], None] = lambda: None
+    # All changes up to this time on the store's clock have been passed on.
+    known_until_s: float = 0.0
     _is_store_lost: bool = False
     _answered_at_s: float = attrs.field(factory=monotonic_s)
     _read_timeout_s: float = READ_TIMEOUT_S
@@ -140,7 +144,7 @@
             self._record_failure(error.code)
             return
         missed = tuple(row for row in page.rows if row.version > self._seen_version)
-        self.on_page(attrs.evolve(page, rows=missed), False)
+        self._pass_on(attrs.evolve(page, rows=missed), False)
 
     async def _follow(self) -> None:
         version = self.start_version
@@ -161,14 +165,19 @@
         if version is None:
             page = await self._read_table()
             self._record_success()
-            self.on_page(page, True)
+            self._pass_on(page, True)
             return page.version
         page = await self.store.feed(self.table, version, self.wait_s)
         self._record_success()
-        if page.rows:
-            self.on_page(page, False)
+        self._pass_on(page, False)
         return max(version, page.version)
 
+    def _pass_on(self, page: Page, is_whole: bool) -> None:
+        if page.rows or is_whole:
+            self.on_page(page, is_whole)
+        if not page.has_more and len(page.rows) < PAGE_ROWS or is_whole:
+            self.known_until_s = max(self.known_until_s, page.clock_ms / 1000)
+
     async def _read_table(self) -> Page:
         """Read all rows; a timeout doubles the time that the next try may take."""
         try:
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -237,15 +237,14 @@
     ) -> Page:
         """Return all rows, with a timeout for each page.
 
-        The version is that of the first page.
+        The version and the clock are those of the first page.
         """
         rows: list[Row] = []
-        page = await self.read(table, part, timeout_s=timeout_s)
-        version = page.version
+        first = page = await self.read(table, part, timeout_s=timeout_s)
         while True:
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
-                return Page(tuple(rows), version, page.clock_ms, False)
+                return Page(tuple(rows), first.version, first.clock_ms, False)
             next_key = page.rows[-1].name.key + "\x00"
             page = await self.read(table, part, next_key, timeout_s=timeout_s)
 
--- a/tests/batch/test_table_follower.py
+++ b/tests/batch/test_table_follower.py
@@ -10,7 +10,7 @@
 from rhubarbmount.batch.table_follower import FEED_STALL_S, TableFollower, read_parts
 from rhubarbmount.batch.tables import PROGRESS_TABLE
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.rows import Page, Row, RowName
+from rhubarbmount.platform.rows import PAGE_ROWS, Page, Row, RowName
 
 PART = "p"
 WEAK_LINK_MBPS = 2.0
@@ -212,3 +212,36 @@
     _, seen = await start_follower(nursery, store)
     await trio.sleep(30.0)
     assert seen == ["a"]
+
+
+class FullPageStore(FakeStore):
+    """Store whose feed gives one page of the rows that have changed."""
+
+    clock_ms = 5000
+
+    async def feed(self, table, version, wait_s):
+        page = await super().feed(table, version, wait_s)
+        rows = page.rows[:PAGE_ROWS]
+        newest = rows[-1].version if rows else page.version
+        return Page(rows, newest, self.clock_ms, False)
+
+
+# Guards against MIXED: changes of a full page are not all that there are.
+async def test_a_full_page_does_not_tell_up_to_when_all_is_known(autojump_clock):
+    store = FullPageStore()
+    for number in range(PAGE_ROWS + 1):
+        store.put(f"{number:04}")
+    known = []
+    follower = TableFollower(
+        store,
+        "t",
+        (PART,),
+        lambda page, is_whole: known.append(follower.known_until_s),
+        start_version=0,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(0.1)
+        assert known == [0.0, 0.0]
+        assert follower.known_until_s == 5.0
+        nursery.cancel_scope.cancel()
