Limit the age of counts of waiting jobs at the answer, by the deployment's bound

An entry host that was suspended gave counts of before from its memory, as it measured 0.3 s on a clock that stops meanwhile; the time of the read did not count towards the age; and the limit of 4.0 s was a constant, though the time within which jobs have to be visible is a setting.

The age is now that at the answer, by the store's clock on a clock that counts suspended time, and the limit is the time to be visible, 2 s more and 0.5 s less.

--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -10,11 +10,12 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
-from rhubarbmount.batch.clocks import wall_clock_s
+from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import JobState, Queue, QueueName
+from rhubarbmount.batch.model import JobState, Queue
 from rhubarbmount.batch.record_fields import UnreadableRecord
 from rhubarbmount.batch.records import (
+    PendingCounts,
     decode_pending,
     decode_spec,
     decode_state,
@@ -55,9 +56,13 @@
 MIN_CALL_TIMEOUT_S = 0.1
 RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
-# How long the counts of pending jobs are served from memory, and after they were made.
+# How long the counts of pending jobs are served from memory.
 PENDING_MEMORY_S = 0.3
-MAX_PENDING_AGE_S = 4.0
+# How long after a job has to be visible it has to be counted, and the part of that
+# time which is left to the way of the answer.
+PENDING_DELAY_S = 2.0
+PENDING_ANSWER_S = 0.5
+DEFAULT_VISIBLE_S = 3.0
 STORE_RETRY_S = 0.05
 WRITE_TIMEOUT_S = 1.2
 
@@ -74,8 +79,10 @@
     unreadable_rows: UnreadableRows = attrs.field(
         factory=lambda: UnreadableRows(BatchMetrics())
     )
-    _pending_by_queue: dict[QueueName, int] = attrs.field(factory=dict)
-    _pending_at_s: float = -math.inf
+    # Time after which accepted jobs have to be visible.
+    visible_s: float = DEFAULT_VISIBLE_S
+    _pending: PendingCounts | None = None
+    _pending_read_at_s: float = -math.inf
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle a request and count it in the metrics."""
@@ -223,28 +230,35 @@
             raise
 
     async def _show_pending(self, queue: Queue) -> HttpResponse:
-        shard = _shard(queue, "")
-        if trio.current_time() - self._pending_at_s > PENDING_MEMORY_S:
-            expires_s = trio.current_time() + DEFAULT_DEADLINE_S
+        if monotonic_s() - self._pending_read_at_s > PENDING_MEMORY_S:
             try:
-                page = await self._read_page(pending_row(shard), expires_s)
-                row = next(iter(page.rows), None)
-                pending = None if row is None else self._decode(decode_pending, row)
+                self._pending = await self._read_pending(_shard(queue, ""))
             except (PlatformUnavailable, OutcomeUnknown) as error:
                 self._log_decision("pending", queue, "-", error.code, 0)
                 return _store_unavailable()
             except UnreadableRecord as error:
                 self._log_decision("pending", queue, "-", error.code, 0)
                 return _refusal(503, error.code, "the counts can't be read")
-            age_s = math.inf
-            if pending is not None:
-                age_s = page.clock_ms / 1000 - pending.counted_at_s
-                self.metrics.pending_age_s.observe(max(0.0, age_s))
-            if pending is None or age_s > MAX_PENDING_AGE_S:
-                return self._refuse_old_counts(queue, age_s)
-            self._pending_by_queue = pending.count_by_queue
-            self._pending_at_s = trio.current_time()
-        return json_response(pending_body(self._pending_by_queue.get(queue.name, 0)))
+            self._pending_read_at_s = monotonic_s()
+        # Their age is that at the answer, which a slow read or a suspended host delays.
+        if self._pending is None:
+            return self._refuse_old_counts(queue, math.inf)
+        age_s = self.store.latest_clock_s() - self._pending.counted_at_s
+        self.metrics.pending_age_s.observe(max(0.0, age_s))
+        if age_s > self._max_pending_age_s():
+            return self._refuse_old_counts(queue, age_s)
+        count = self._pending.count_by_queue.get(queue.name, 0)
+        return json_response(pending_body(count))
+
+    def _max_pending_age_s(self) -> float:
+        """Return how old counts of pending jobs may be when they are given."""
+        return self.visible_s + PENDING_DELAY_S - PENDING_ANSWER_S
+
+    async def _read_pending(self, shard: str) -> PendingCounts | None:
+        """Return the stored counts, or None if there are none."""
+        expires_s = trio.current_time() + DEFAULT_DEADLINE_S
+        row = await self._read_row(pending_row(shard), expires_s)
+        return None if row is None else self._decode(decode_pending, row)
 
     def _refuse_old_counts(self, queue: Queue, age_s: float) -> HttpResponse:
         """Refuse to give counts that no holder has made lately."""
@@ -253,7 +267,7 @@
             "counts-old",
             queue=queue.name.prefix,
             age_s=age_s,
-            limit_s=MAX_PENDING_AGE_S,
+            limit_s=self._max_pending_age_s(),
         )
         return _refusal(503, "counts-old", "the jobs have not been counted lately")
 
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -93,6 +93,7 @@
             self.metrics,
             on_stored=self._note_stored_request,
             unreadable_rows=self.unreadable_rows,
+            visible_s=self.settings.bounds.visible_s,
         )
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
--- a/rhubarbmount/platform/settings.py
+++ b/rhubarbmount/platform/settings.py
@@ -30,6 +30,7 @@
     notice_s: float
     checkpoint_s: float
     remote_factor: float
+    visible_s: float
 
 
 @attrs.frozen
@@ -160,4 +161,5 @@
         notice_s=reader.number("bounds.notice_ms", seconds_per_ms),
         checkpoint_s=reader.number("bounds.checkpoint_s"),
         remote_factor=reader.number("bounds.remote_factor"),
+        visible_s=reader.number("bounds.visible_ms", seconds_per_ms),
     )
--- a/tests/batch/test_job_api.py
+++ b/tests/batch/test_job_api.py
@@ -1,5 +1,6 @@
 """Tests for job API requests at one entry host."""
 
+import base64
 import json
 
 import pytest
@@ -9,6 +10,8 @@
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.job_api import JobApi
 from rhubarbmount.batch.model import Queue, QueueName
+from rhubarbmount.batch.records import PendingCounts, encode_pending
+from rhubarbmount.batch.tables import pending_row, shard_of
 from rhubarbmount.errors import OutcomeUnknown
 from rhubarbmount.http import HttpRequest, header_value
 from rhubarbmount.platform.rows import RowStore
@@ -158,3 +161,19 @@
         assert (await call(job_api, "GET", "/other/")).status == 404
         job_api.catalogue = None
         assert (await call(job_api, "GET")).status == 503
+
+
+# Guards against MIXED: counts that get old while they are read.
+@pytest.mark.parametrize(("store_delay_s", "status"), [(0.0, 200), (0.9, 503)])
+async def test_the_time_of_a_slow_read_counts_towards_the_age_of_counts(
+    monkeypatch, autojump_clock, store_delay_s, status
+):
+    async with open_world(monkeypatch) as world:
+        await trio.sleep(10.0)
+        row = pending_row(shard_of("", "", ""))
+        counts = PendingCounts(trio.current_time() - 4.0, {NAME: 1})
+        value = base64.b64encode(encode_pending(counts)).decode()
+        world.platform.store.put(row.table, row.key, value, part=row.part)
+        world.faults.store_delay_s = store_delay_s
+        response = await call(make_job_api(world), "GET", path="/q/")
+        assert response.status == status
--- a/tests/batch/test_pending_counts.py
+++ b/tests/batch/test_pending_counts.py
@@ -141,3 +141,17 @@
         world.faults.nodes_cut_from_store = {name}
         status, _ = await world.call("GET", "/one/", node=name)
         assert status == 503
+
+
+# Guards against MIXED: a limit on the age that does not follow the deployment's bounds.
+@pytest.mark.parametrize(("visible_s", "status"), [(3.0, 200), (0.2, 503)])
+async def test_the_age_of_counts_is_limited_by_the_time_to_be_visible(
+    monkeypatch, autojump_clock, visible_s, status
+):
+    async with open_day(monkeypatch, 3, nodes="ab") as (world, checker):
+        await trio.sleep(2.0)
+        world.faults.store_tables_down = {REQUESTS_TABLE}
+        await trio.sleep(4.0)
+        api = world.node_by_id["a"].job_api
+        api.visible_s = visible_s
+        assert (await world.call("GET", "/one/", node="a"))[0] == status
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -38,6 +38,7 @@
     notice_s=4.5,
     checkpoint_s=1.0,
     remote_factor=3.0,
+    visible_s=3.0,
 )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,6 +22,7 @@
 hold_max_ms = 10000
 early_ms = 250
 status_s = 120
+visible_ms = 3000
 lease_ms = 3000
 migrate_s = 1.5
 notice_ms = 4500
