--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -12,12 +13,33 @@
 from rhubarbmount.standins.users_servers import StandinServer, TaskWork
 from rhubarbmount.standins.users_store import StandinStore
 
-__all__ = ["StandinMachine", "UsersPlatform"]
+__all__ = ["Rebirth", "StandinMachine", "UsersPlatform"]
 
 MOVE_S = 1.5
 MAINTENANCE_S = 2.0
 # How long a machine is down after a task has crashed its server.
 TASK_CRASH_S = 3.0
+HEARTBEAT_S = 1.5
+
+
+@attrs.frozen
+class Rebirth:
+    """How a backend server starts again under the id that it had.
+
+    The next lifetime holds and knows nothing of the earlier one, and all of its counts
+    start anew.
+    """
+
+    # Reading of the next lifetime's clock at its start.
+    clock_ms: int = 1000
+    # Whether the row of the earlier lifetime stays until there is one of the next.
+    keeps_row: bool = False
+    row_after_s: float = 0.0
+    # When the row of the earlier lifetime is written again, until the next heartbeat.
+    earlier_row_after_s: float | None = None
+    # Capacity of the next lifetime, if it is another one.
+    cpu_millicores: int | None = None
+    memory_mb: int | None = None
 
 
 @attrs.define
@@ -55,6 +77,9 @@
     server_by_address: dict[str, StandinServer] = attrs.field(factory=dict)
     standby_pools: set[str] = attrs.field(factory=set)
     servers_guard_capacity: bool = True
+    # How servers start again that end from now on; otherwise their ids are new.
+    rebirth: Rebirth | None = None
+    unix_time_s: Callable[[], float] = time.time
     machine_commands: list[tuple[float, str, str, int]] = attrs.field(factory=list)
     _lifetime_count: int = 0
 
@@ -95,9 +120,16 @@
 
     def _begin_lifetime(self, machine: StandinMachine) -> None:
         self._lifetime_count += 1
+        offset_ms = 100_000 * (self._lifetime_count % 7 + 1)
+        self._start_server(machine, f"i-{self._lifetime_count}", offset_ms)
+        self.register(machine)
+
+    def _start_server(
+        self, machine: StandinMachine, server_id: str, clock_offset_ms: int
+    ) -> None:
         number = list(self.machine_by_id).index(machine.id)
         server = StandinServer(
-            id=f"i-{self._lifetime_count}",
+            id=server_id,
             machine_id=machine.id,
             service=machine.pool,
             address=machine.address or self.address_of(number),
@@ -108,18 +140,42 @@
             nursery=self.nursery,
             crash=lambda: self.crash(machine.id, TASK_CRASH_S),
             guards_capacity=self.servers_guard_capacity,
-            clock_offset_ms=100_000 * (self._lifetime_count % 7 + 1),
+            born_ms=int(self.unix_time_s() * 1000),
+            clock_offset_ms=clock_offset_ms,
         )
         machine.server = server
         machine.state = "up"
         self.server_by_address[server.address] = server
-        self.register(machine)
+
+    def _begin_again(
+        self, machine: StandinMachine, earlier: StandinServer, rebirth: Rebirth
+    ) -> None:
+        """Begin another lifetime under the id of an earlier one."""
+        if rebirth.cpu_millicores is not None:
+            machine.cpu_millicores = rebirth.cpu_millicores
+        if rebirth.memory_mb is not None:
+            machine.memory_mb = rebirth.memory_mb
+        now_ms = int(trio.current_time() * 1000)
+        self._start_server(machine, earlier.id, rebirth.clock_ms - now_ms)
+        if machine.server is not None:
+            machine.server.born_ms = max(machine.server.born_ms, earlier.born_ms + 1)
+        self.nursery.start_soon(self._register_after, machine, rebirth.row_after_s)
+
+    async def _repeat_row(self, machine: StandinMachine, row: str, s: float) -> None:
+        """Write the row of an earlier lifetime again, until the next heartbeat."""
+        await trio.sleep(s)
+        server = machine.server
+        if server is None:
+            return
+        self.store.put("servers", server.id, row)
+        await self._register_after(machine, HEARTBEAT_S)
 
     def register(self, machine: StandinMachine, state: str = "ready") -> None:
         """Write the row of a machine's backend server."""
         server = machine.server
         if server is None:
             return
+        server.row_sequence += 1
         row = {
             "service": machine.pool,
             "addr": server.address,
@@ -136,7 +192,8 @@
             "labels": ["a", machine.rack],
             "machine": machine.id,
             "clock_ms": server.clock_ms(),
-            "seq": 1,
+            "born": server.born_ms,
+            "seq": server.row_sequence,
         }
         self._put("servers", server.id, row)
 
@@ -154,32 +211,72 @@
         if machine.server is server:
             self.register(machine)
 
-    def crash(self, machine_id: str, down_s: float = 2.0, pool: str = "") -> None:
+    def crash(
+        self,
+        machine_id: str,
+        down_s: float = 2.0,
+        pool: str = "",
+        rebirth: Rebirth | None = None,
+    ) -> None:
         """End the server lifetime on a machine; another registers after ``down_s``.
 
-        The other one is in ``pool`` if that is given.
+        The other one is in ``pool`` if that is given. It has the same id if ``rebirth``
+        is given, or that of the platform.
         """
         machine = self.machine_by_id[machine_id]
         runs = list(machine.server.run_by_task) if machine.server else []
         self.observe("crash", machine, runs)
-        self._end_lifetime(machine, "down")
         next_pool = pool or machine.pool
-        self.nursery.start_soon(self._restart_after, machine, next_pool, down_s)
-
-    def _end_lifetime(self, machine: StandinMachine, state: str) -> None:
+        self._replace_lifetime(machine, "down", next_pool, down_s, rebirth)
+
+    def _replace_lifetime(
+        self,
+        machine: StandinMachine,
+        state: str,
+        pool: str,
+        after_s: float,
+        rebirth: Rebirth | None = None,
+    ) -> None:
+        """End the server lifetime on a machine, and begin the next one later."""
+        rebirth = rebirth or self.rebirth
+        earlier = machine.server
         machine.state = state
-        if machine.server is not None:
-            machine.server.end_all_runs()
-            self.server_by_address.pop(machine.server.address, None)
-            self.store.remove("servers", machine.server.id)
         machine.server = None
+        if earlier is None:
+            rebirth = None
+        else:
+            self._end_lifetime(machine, earlier, rebirth)
+        self.nursery.start_soon(
+            self._restart_after, machine, pool, after_s, earlier, rebirth
+        )
+
+    def _end_lifetime(
+        self, machine: StandinMachine, server: StandinServer, rebirth: Rebirth | None
+    ) -> None:
+        server.end_all_runs()
+        self.server_by_address.pop(server.address, None)
+        row = self.store.get("servers", "", server.id)
+        if rebirth is None or not rebirth.keeps_row:
+            self.store.remove("servers", server.id)
+        if rebirth is not None and rebirth.earlier_row_after_s is not None and row:
+            self.nursery.start_soon(
+                self._repeat_row, machine, row, rebirth.earlier_row_after_s
+            )
 
     async def _restart_after(
-        self, machine: StandinMachine, pool: str, after_s: float
+        self,
+        machine: StandinMachine,
+        pool: str,
+        after_s: float,
+        earlier: StandinServer | None,
+        rebirth: Rebirth | None,
     ) -> None:
         await trio.sleep(after_s)
         machine.pool = pool
-        self._begin_lifetime(machine)
+        if earlier is None or rebirth is None:
+            self._begin_lifetime(machine)
+        else:
+            self._begin_again(machine, earlier, rebirth)
         self.observe("up", machine)
 
     # Calls of the system under test.
@@ -227,8 +324,7 @@
         runs = list(machine.server.run_by_task) if machine.server else []
         self.observe(state, machine, runs, pool)
         machine.next_pool = pool
-        self._end_lifetime(machine, state)
-        self.nursery.start_soon(self._restart_after, machine, pool, for_s)
+        self._replace_lifetime(machine, state, pool, for_s)
         return JsonResponse(200, {})
 
     def _list(self) -> list[dict[str, Any]]:
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -18,6 +18,8 @@
 STOP_S = 0.2
 # How long after it has shrunk a capacity may be relied on: 3 s and one heartbeat.
 RESIZE_NOTICE_S = 3.0 + 1.5
+# A longer lease is shortened to this.
+MAX_LEASE_S = 10.0
 
 
 @attrs.frozen
@@ -57,7 +59,9 @@
     """One lifetime of a backend server.
 
     ``observe`` is called for starts and ends of runs, as callers of the platform would
-    see them, and for ends that are acknowledged. ``crash`` ends the lifetime.
+    see them, for ends that are acknowledged, and before for those of them that were in
+    no list yet. ``crash`` ends the lifetime. Lifetimes one after another may have the
+    same ``id``; ``born_ms`` tells them apart.
     """
 
     id: str
@@ -70,6 +74,8 @@
     observe: Callable[..., None]
     nursery: trio.Nursery
     crash: Callable[[], None] = lambda: None
+    # Unix time of the start.
+    born_ms: int = 0
     clock_offset_ms: int = 100_000
     slowness: float = 1.0
     fails_all_runs: bool = False
@@ -81,7 +87,9 @@
     highest_ended: dict[str, int] = attrs.field(factory=dict)
     run_by_task: dict[str, Run] = attrs.field(factory=dict)
     ended: list[list[Any]] = attrs.field(factory=list)
+    row_sequence: int = 0
     _end_count: int = 0
+    _listed_to: int = 0
     _run_ended: trio.Event = attrs.field(factory=trio.Event)
     lapsed_at_s: float = -math.inf
     # Larger capacities of before, each with the time until which it still counts.
@@ -196,6 +204,7 @@
         if not self.ended and wait_s:
             with trio.move_on_after(wait_s):
                 await self._run_ended.wait()
+        self._listed_to = max([self._listed_to, *(end[0] for end in self.ended)])
         running = [
             [run.task, run.run, "", self._progress_percent(run), 0]
             for run in self.run_by_task.values()
@@ -204,6 +213,7 @@
             200,
             {
                 "clock_ms": self.clock_ms(),
+                "born": self.born_ms,
                 "running": running,
                 "finished": list(self.ended),
             },
@@ -212,6 +222,8 @@
     def _acknowledge(self, number: int) -> None:
         for end in self.ended:
             if end[0] <= number:
+                if end[0] > self._listed_to:
+                    self.observe("unread", self, end[1], end[2], end[3])
                 self.observe("acknowledged", self, end[1], end[2], end[3])
         self.ended = [end for end in self.ended if end[0] > number]
 
@@ -222,7 +234,8 @@
         return int(min(99.0, elapsed_s / max(run.work.work_s, 0.001) * 100))
 
     def _extend_lease(self, expires_ms: int) -> None:
-        self.expires_ms = max(self.expires_ms, expires_ms)
+        longest_ms = self.clock_ms() + int(MAX_LEASE_S * 1000)
+        self.expires_ms = max(self.expires_ms, min(expires_ms, longest_ms))
         if self._expiry_scope is None:
             self._expiry_scope = trio.CancelScope()
             self.nursery.start_soon(self._expire_lease)
--- a/tests/batch/checkers.py
+++ b/tests/batch/checkers.py
@@ -32,6 +32,9 @@
     Or an entry host gives under half of the jobs that have waited for long as waiting.
     LIMIT: it starts on a server that has no capacity for it. LOST: it is long-running
     and does not run for long after the last fault, though there is capacity for it.
+    UNREAD: the end of a run is acknowledged, so that its server forgets it, before any
+    list of that lifetime of the server held it. Nobody can know how the run ended, even
+    if the task does not start again.
     """
 
     world: World
@@ -74,6 +77,8 @@
             self._on_start(where, *details)
         elif what == "acknowledged":
             self._on_acknowledged(where, *details)
+        elif what == "unread":
+            self._record_breach("UNREAD", *details[:2])
         elif what == "crash":
             self._on_crash(*details)
         elif what in ("moving", "upkeep", "up"):
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -41,6 +41,11 @@
 )
 
 
+def unix_time_s() -> float:
+    """Return the simulated time of day."""
+    return EPOCH_S + trio.current_time()
+
+
 @attrs.define
 class Faults:
     """The faults of the network and the store that are currently injected."""
@@ -56,6 +61,11 @@
     store_loses: float = 0.0
     store_is_late: float = 0.0
     late_command_share: float = 0.0
+    # Share of calls, by their path, that get no answer and are carried out late. As all
+    # late commands, whichever lifetime is then at the address carries them out if they
+    # name its id.
+    late_share_by_path: dict[str, float] = attrs.field(factory=dict)
+    late_by_s: tuple[float, float] = (2.0, 12.0)
     # Share of start commands that backend servers refuse, as when they shed load.
     refused_start_share: float = 0.0
     # Share of calls to backend servers that take effect but get no answer.
@@ -75,6 +85,9 @@
     link_bytes_per_s_by_node: dict[str, float] = attrs.field(factory=dict)
     # Time that responses of a lifetime take to arrive, which may end meanwhile.
     response_delay_s_by_server_id: dict[str, float] = attrs.field(factory=dict)
+    # The same for lists of runs of one of several lifetimes under an id, by the id and
+    # ``born``.
+    list_delay_s_by_lifetime: dict[tuple[str, int], float] = attrs.field(factory=dict)
     # Pairs of a node, or "*" for all nodes, and the address of a backend server that
     # it can't reach.
     servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
@@ -151,8 +164,10 @@
         if server is None:
             raise PlatformUnavailable("refused", code="not-sent")
         expected = headers.get(b"x-expect-instance", b"").decode()
-        if target != "/hold" and world.generator.random() < faults.late_command_share:
-            world.nursery.start_soon(self._deliver_late, server, target, expected, body)
+        if self._is_late(target):
+            world.nursery.start_soon(
+                self._deliver_late, address, target, expected, body
+            )
             await trio.sleep_forever()
         is_refused = world.generator.random() < faults.refused_start_share
         if target == "/run-start" and is_refused:
@@ -161,13 +176,24 @@
         if server.is_gone:
             raise OutcomeUnknown("connection reset", code="answer-lost")
         await trio.sleep(faults.response_delay_s_by_server_id.get(server.id, 0.0))
+        if target == "/hold":
+            lifetime = server.id, server.born_ms
+            await trio.sleep(faults.list_delay_s_by_lifetime.get(lifetime, 0.0))
         if world.generator.random() < faults.lost_response_share:
             await trio.sleep_forever()
         return response
 
-    async def _deliver_late(self, server, target, expected, body) -> None:
-        await trio.sleep(self.world.generator.uniform(2.0, 12.0))
-        if not server.is_gone:
+    def _is_late(self, target: str) -> bool:
+        generator, faults = self.world.generator, self.world.faults
+        if target != "/hold" and generator.random() < faults.late_command_share:
+            return True
+        share = faults.late_share_by_path.get(target, 0.0)
+        return share > 0.0 and generator.random() < share
+
+    async def _deliver_late(self, address, target, expected, body) -> None:
+        await trio.sleep(self.world.generator.uniform(*self.world.faults.late_by_s))
+        server = self.world.platform.server_by_address.get(address)
+        if server is not None:
             await server.handle(target, expected, body)
 
     async def _deliver_to_machines(self, method, target, headers, body) -> JsonResponse:
@@ -247,7 +273,9 @@
 
     def __attrs_post_init__(self) -> None:
         self.generator = random.Random(self.seed)
-        self.platform = UsersPlatform(self.nursery, self.work_of, self.observe)
+        self.platform = UsersPlatform(
+            self.nursery, self.work_of, self.observe, unix_time_s=unix_time_s
+        )
 
     def work_of(self, task: str) -> TaskWork:
         job_id, _, step, _ = task.split(".")
@@ -341,9 +369,7 @@
 async def open_world(monkeypatch, seed: int = 0):
     """Run a world on trio's clock, which the ``autojump_clock`` fixture advances."""
     monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
-    monkeypatch.setattr(
-        clocks.source, "wall_clock_s", lambda: EPOCH_S + trio.current_time()
-    )
+    monkeypatch.setattr(clocks.source, "wall_clock_s", unix_time_s)
     async with trio.open_nursery() as nursery:
         yield World(nursery, seed)
         nursery.cancel_scope.cancel()
