Date capacities of servers, too, by what was heard of them

The cause of MIXED acted elsewhere: a capacity counted as known for 2.75 s from when an answer of the feed was handled, whenever the store had given it, and also after a page that was cut. A server that had shrunk got starts beyond its capacity (LIMIT), found by the review of MIXED.

The follower passes on up to when all changes are known, by the store's clock, and only for whole pages, by rows or by size; capacities are relied on from the earliest local time that this can have been.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -388,9 +388,12 @@
             ("",),
             self.servers.apply,
             version,
-            on_answer=self.servers.note_answer,
+            on_known=self._note_servers_known,
         )
 
+    def _note_servers_known(self, known_until_s: float) -> None:
+        self.servers.note_read(self.store.earliest_local_s(known_until_s))
+
     def _apply_requests(self, page: Page, is_whole: bool) -> None:
         self.shard.set_time(monotonic_s(), wall_clock_s())
         for row in page.rows:
--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -39,10 +39,6 @@
             self._apply_row(row)
         self.sessions.wake()
 
-    def note_answer(self) -> None:
-        """Record that the store has told of all changes so far."""
-        self.note_read(monotonic_s())
-
     def note_read(self, at_s: float) -> None:
         """Record that all rows are known as they were at a time."""
         self.shard.capacities_hold_until_s = at_s + self.capacity_valid_s
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -31,6 +31,8 @@
 FEED_WAIT_S = 2.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.3
+# A page of less than this is not cut: one of 1 MB may be, as its bytes are encoded.
+MAX_WHOLE_PAGE_BYTES = 500_000
 # The feed normally delivers a change of this process within milliseconds.
 FEED_STALL_S = 0.25
 
@@ -96,8 +98,8 @@
     wait_s: float = FEED_WAIT_S
     # Called with the time since the last answer before the store was lost.
     on_regained: Callable[[float], None] = lambda lost_s: None
-    # Called with each answer of the store, also if nothing has changed.
-    on_answer: Callable[[], None] = lambda: None
+    # Called with each ``known_until_s``, also if nothing has changed.
+    on_known: Callable[[float], None] = lambda known_until_s: None
     # All changes up to this time on the store's clock have been passed on.
     known_until_s: float = 0.0
     _is_store_lost: bool = False
@@ -175,8 +177,9 @@
     def _pass_on(self, page: Page, is_whole: bool) -> None:
         if page.rows or is_whole:
             self.on_page(page, is_whole)
-        if not page.has_more and len(page.rows) < PAGE_ROWS or is_whole:
+        if is_whole or not _is_full(page):
             self.known_until_s = max(self.known_until_s, page.clock_ms / 1000)
+            self.on_known(self.known_until_s)
 
     async def _read_table(self) -> Page:
         """Read all rows; a timeout doubles the time that the next try may take."""
@@ -193,7 +196,6 @@
     def _record_success(self) -> None:
         lost_s = monotonic_s() - self._answered_at_s
         self._answered_at_s = monotonic_s()
-        self.on_answer()
         if self._is_store_lost:
             self._is_store_lost = False
             log.event(logger, "store-regained", table=self.table)
@@ -205,3 +207,10 @@
             log.event(
                 logger, "store-lost", logging.WARNING, table=self.table, code=code
             )
+
+
+def _is_full(page: Page) -> bool:
+    """Return whether a page may have been cut, so that there are more changes."""
+    size_bytes = sum(len(row.value) for row in page.rows)
+    is_cut = len(page.rows) >= PAGE_ROWS or size_bytes >= MAX_WHOLE_PAGE_BYTES
+    return page.has_more or is_cut
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -182,6 +182,10 @@
         """Return what the store's monotonic clock reads at most, now or then."""
         return (monotonic_s() if now_s is None else now_s) + self._clock.most_s
 
+    def earliest_local_s(self, store_clock_s: float) -> float:
+        """Return the monotonic time at or after which the store's clock read a time."""
+        return store_clock_s - self._clock.most_s
+
     async def commit(
         self,
         expected: Mapping[RowName, int],
--- a/tests/batch/test_shrinking_servers.py
+++ b/tests/batch/test_shrinking_servers.py
@@ -120,6 +120,37 @@
         assert checker.breaches == []
 
 
+async def resize_again_and_again(world):
+    """Change the row of the second server all the time, so that the feed has news."""
+    number = 0
+    while True:
+        number += 1
+        world.platform.resize("n", CPU // 8 + number % 2, MEMORY_MB, 0.0)
+        await trio.sleep(0.1)
+
+
+# Guards against LIMIT: a late answer about capacities is taken for one of now.
+@pytest.mark.parametrize("seed", range(8))
+async def test_nothing_starts_by_capacities_that_were_told_late(
+    monkeypatch, autojump_clock, seed
+):
+    day = open_small_day(monkeypatch, seed, ["m", "n"], "a", guards_capacity=False)
+    async with day as (world, checker):
+        for _ in range(2):
+            assert await submit(world, checker, "/one/", one_task(world, 60.0))
+        await trio.sleep(2.0)
+        world.nursery.start_soon(resize_again_and_again, world)
+        await trio.sleep(3.0)
+        world.faults.late_answers_s_by_table = {"servers": 2.8}
+        for _ in range(40):
+            new_job = wide_job(world.generator, 0.5)
+            assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(world.generator.uniform(3.0, 6.0))
+        world.platform.resize("m", CPU // 4, MEMORY_MB, 0.1)
+        await trio.sleep(12.0)
+        assert checker.breaches == []
+
+
 # Guards against a server that gets no more than it once had room for.
 async def test_a_capacity_that_has_grown_is_used(monkeypatch, autojump_clock):
     async with open_small_day(monkeypatch, 1, ["m"], "a") as (world, checker):
--- a/tests/batch/test_table_follower.py
+++ b/tests/batch/test_table_follower.py
@@ -2,12 +2,18 @@
 
 import random
 
+import attrs
 import pytest
 import trio
 from trio.testing import MockClock
 
 from rhubarbmount.batch.shard_rows import ShardLoader
-from rhubarbmount.batch.table_follower import FEED_STALL_S, TableFollower, read_parts
+from rhubarbmount.batch.table_follower import (
+    FEED_STALL_S,
+    MAX_WHOLE_PAGE_BYTES,
+    TableFollower,
+    read_parts,
+)
 from rhubarbmount.batch.tables import PROGRESS_TABLE
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.rows import PAGE_ROWS, Page, Row, RowName
@@ -245,3 +251,53 @@
         assert known == [0.0, 0.0]
         assert follower.known_until_s == 5.0
         nursery.cancel_scope.cancel()
+
+
+class LateStore:
+    """Store whose answers tell what was true when it was called, and come late."""
+
+    async def read_all(self, table, part, timeout_s):
+        page = Page((), 1, int(trio.current_time() * 1000), False)
+        await trio.sleep(2.5)
+        return page
+
+    async def feed(self, table, version, wait_s):
+        return await self.read_all(table, PART, wait_s)
+
+
+# Guards against LIMIT and MIXED: what is heard late is dated by when it is heard.
+@pytest.mark.parametrize("start_version", [None, 1])
+async def test_what_is_known_is_dated_by_the_store(autojump_clock, start_version):
+    known_until_s = []
+    follower = TableFollower(
+        LateStore(),
+        "t",
+        (PART,),
+        lambda page, is_whole: None,
+        start_version,
+        on_known=known_until_s.append,
+    )
+    began_s = trio.current_time()
+    with trio.move_on_after(2.6):
+        await follower.run()
+    assert known_until_s == pytest.approx([began_s], abs=0.01)
+
+
+# Guards against MIXED: changes of a page that was cut by its size are not all.
+async def test_a_large_page_does_not_tell_up_to_when_all_is_known(autojump_clock):
+    store = FullPageStore()
+    store.put("0000")
+    row = store.rows["0000"]
+    store.rows["0000"] = attrs.evolve(row, value=b"x" * MAX_WHOLE_PAGE_BYTES)
+    known_until_s = []
+    follower = TableFollower(
+        store,
+        "t",
+        (PART,),
+        lambda page, is_whole: None,
+        start_version=0,
+        on_known=known_until_s.append,
+    )
+    with trio.move_on_after(0.1):
+        await follower.run()
+    assert known_until_s == []
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -76,6 +76,8 @@
     # Time that a command to a machine takes to arrive; the sender may give up before.
     machine_command_delay_s: float = 0.0
     store_delay_s: float = 0.0
+    # Tables whose reads and feeds are answered late, with what was true before.
+    late_answers_s_by_table: dict[str, float] = attrs.field(factory=dict)
     # Time of its processor or link that each call takes from a node, one after another;
     # half of it to send the request and half to read the response.
     call_cost_s_by_node: dict[str, float] = attrs.field(factory=dict)
@@ -233,6 +235,8 @@
             world.nursery.start_soon(self._write_late, target, body)
             await trio.sleep_forever()
         response = await store.handle(method, target, body)
+        for table in _tables_of(target):
+            await trio.sleep(faults.late_answers_s_by_table.get(table, 0.0))
         if method == "POST" and world.generator.random() < faults.store_loses:
             await trio.sleep_forever()
         return response
