Tell the lifetimes of a backend server apart by their start

Identify a lifetime by the name under which the server registers and the time of its start; the name alone goes over the wire. Nothing compares them yet.

--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -207,7 +207,7 @@
 class Server:
     """One lifetime of a backend server, with the properties that it reported.
 
-    ``host_id`` is empty if it did not report its host.
+    ``id`` identifies the lifetime. ``host_id`` is empty if it did not report its host.
     """
 
     id: str
--- a/rhubarbmount/platform/advice.py
+++ b/rhubarbmount/platform/advice.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.platform.json_client import JsonClient, decoding_response
 
@@ -34,7 +35,11 @@
 
         Raises PlatformUnavailable or OutcomeUnknown.
         """
-        body = {"phase": f"{job_id}.{occurrence}.{step}", "workers": server_ids}
+        server_id_by_name = {name_of(server_id): server_id for server_id in server_ids}
+        body = {
+            "phase": f"{job_id}.{occurrence}.{step}",
+            "workers": list(server_id_by_name),
+        }
         response = await self.client.call(
             self.address, "POST", "/advise", body, CALL_TIMEOUT_S
         )
@@ -43,7 +48,9 @@
         with decoding_response():
             valid_s = float(response.body.get("valid_ms") or 0) / 1000
             return [
-                Ticket(str(row[0]), str(row[1]), valid_s)
+                Ticket(server_id_by_name[row[0]], str(row[1]), valid_s)
                 for row in response.body.get("granted") or ()
-                if isinstance(row, list) and len(row) >= 2
+                if isinstance(row, list)
+                and len(row) >= 2
+                and row[0] in server_id_by_name
             ]
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -9,6 +9,7 @@
 
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.lateness import Lateness
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.model import RunEnd, RunReport, Server, TaskId
 from rhubarbmount.errors import OutcomeUnknown
 from rhubarbmount.platform.json_client import (
@@ -64,12 +65,16 @@
 
 @attrs.frozen
 class RenewalResponse:
-    """Response to a renewal: current runs, and run ends not yet acknowledged."""
+    """Response to a renewal: current runs, and run ends not yet acknowledged.
+
+    ``born_ms`` is when the lifetime that answered began, or 0 if it was not stated.
+    """
 
     result: CommandResult
     clock_ms: int
     running: tuple[RunReport, ...] = ()
     ended: tuple[RunEnd, ...] = ()
+    born_ms: int = 0
 
 
 @attrs.frozen
@@ -170,7 +175,8 @@
     async def _call(
         self, server: Server, path: str, body: Mapping[str, Any], timeout_s: float
     ) -> JsonResponse:
-        expected = [(b"x-expect-instance", server.id.encode("ascii"))]
+        # The name does not tell the lifetimes apart; the lists of runs do.
+        expected = [(b"x-expect-instance", name_of(server.id).encode("ascii"))]
         return await self.client.call(
             server.address, "POST", path, body, timeout_s, expected
         )
@@ -216,6 +222,7 @@
         command_response.clock_ms,
         tuple(_decode_run_reports(response.body.get("running"))),
         tuple(_decode_run_ends(response.body.get("finished"))),
+        int(response.body.get("born") or 0),
     )
 
 
--- a/rhubarbmount/platform/row_formats.py
+++ b/rhubarbmount/platform/row_formats.py
@@ -7,6 +7,7 @@
 from typing import Any, TypeVar
 
 from rhubarbmount.batch.catalogue import Catalogue, Pool
+from rhubarbmount.batch.lifetimes import lifetime_id
 from rhubarbmount.batch.model import Queue, QueueName, Server, Wave
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.platform.rows import Row, RowName
@@ -100,7 +101,8 @@
     if not all(isinstance(label, str) for label in labels):
         raise UnreadableRow("a label is not a string")
     return Server(
-        id=row.name.key,
+        # When the server started; older ones do not say it.
+        id=lifetime_id(row.name.key, int(values.get("born") or 0)),
         service=_required_field(values, "service", str),
         address=address,
         data_centre=_required_field(values, "zone", str),
