Keep track of starts that a later lifetime may carry out

Cause: a start meant for one lifetime of a backend server names its server only. If it is carried out late, after the server has started again under its name, the later lifetime knows nothing of the run: neither that it ran, nor that it was stopped. CommandSender forgot a try without an answer as soon as a repetition was answered or the run was barred, both of which hold for that lifetime alone.

Ruled out: the expiry as a limit, as the later lifetime has another clock; a refusal or a try that was never sent, after which nothing is under way.

Change: each try is recorded before it is sent and forgotten if it is refused or was not sent. One without an answer, or cancelled under way, stays unsettled for MAX_AGE_S, at most MAX_STARTS a session; beyond that the oldest are dropped with a log line. One that was answered stays unsettled until a renewal that was sent afterwards is answered by the same lifetime, as before that a later one may have answered it. CommandSender.bar stops the open ones on a later lifetime, repeats that beyond a lapse of the leases while they may still arrive, and hands them on to lifetimes after it. Not wired to the sessions yet.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -1,7 +1,7 @@
 """Sends the holder's commands to one lifetime of a backend server."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -13,6 +13,11 @@
 from rhubarbmount.batch.model import Server, Task, TaskId
 from rhubarbmount.batch.pacing import PaceCommand
 from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.batch.unsettled_starts import (
+    MAX_AGE_S,
+    UnsettledStart,
+    UnsettledStarts,
+)
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import BackendClient, CommandResult, StartCommand
 
@@ -58,10 +63,15 @@
 
 @attrs.frozen
 class StopRequest:
-    """A run to stop."""
+    """A run to stop.
+
+    A start of the run may still be carried out until ``late_until_s``, whether or not
+    the leases have lapsed.
+    """
 
     task: TaskId
     run: int
+    late_until_s: float = 0.0
 
 
 ServerCommand = StartRequest | StopRequest | PaceCommand
@@ -105,6 +115,7 @@
     on_failure: Callable[[str], None]
     # Whether the server has room for all that is assigned to it.
     has_room: Callable[[], bool] = lambda: True
+    _unsettled: UnsettledStarts = attrs.field(factory=UnsettledStarts)
     _send_channel: Any = None
     _receive_channel: Any = None
 
@@ -120,6 +131,26 @@
         except trio.WouldBlock:
             log.event(logger, "orders-dropped", logging.ERROR, server=self.server.id)
 
+    @property
+    def unsettled_starts(self) -> list[UnsettledStart]:
+        """Return the starts that a later lifetime of the server may carry out."""
+        return self._unsettled.find_all(monotonic_s())
+
+    def settle_answered(self, before_s: float) -> None:
+        """Record that the lifetime went on when a renewal was sent."""
+        self._unsettled.settle_answered(before_s)
+
+    def bar(self, starts: Iterable[UnsettledStart]) -> None:
+        """Stop the runs whose starts for earlier lifetimes may still be under way.
+
+        Later lifetimes have to be told as well.
+        """
+        for start in starts:
+            if not start.is_answered:
+                self._unsettled.inherit(start)
+                late_until_s = start.sent_s + MAX_AGE_S
+                self.send(StopRequest(start.task, start.run, late_until_s))
+
     async def run(self) -> None:
         """Send commands until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -209,9 +240,11 @@
         sent_before_s = request.task.sent_s
         if request.is_assigned(self.server.id):
             request.task.sent_s = now_s
+        number = self._note_try(request, now_s)
         try:
             response = await self.client.start(self.server, command)
         except PlatformUnavailable as error:
+            self._unsettled.drop(number)
             if request.is_assigned(self.server.id):
                 request.task.sent_s = sent_before_s
             self.on_failure(error.code)
@@ -221,6 +254,10 @@
             self.listener.on_unanswered()
             self.on_failure(error.code)
             return None
+        if response.result is CommandResult.DONE:
+            self._unsettled.note_answer(number, monotonic_s())
+        else:
+            self._unsettled.drop(number)
         if self.lease.is_reachable:
             self.lease.consecutive_failures = 0
         self.metrics.starts.labels(response.result.value).inc()
@@ -246,6 +283,20 @@
         )
         return response.result
 
+    def _note_try(self, request: StartRequest, now_s: float) -> int:
+        """Record a start that is about to be sent; return the number of the try."""
+        number = self._unsettled.note(request.task.id, request.run, now_s)
+        dropped = self._unsettled.trim(now_s)
+        if dropped:
+            log.event(
+                logger,
+                "unsettled-starts-dropped",
+                logging.ERROR,
+                server=self.server.id,
+                starts=dropped,
+            )
+        return number
+
     async def _wait_for_grant(self, request: StartRequest) -> None:
         while request.is_current(self.server.id):
             if self.lease.may_start(monotonic_s()):
@@ -255,9 +306,13 @@
     async def _stop(self, request: StopRequest) -> None:
         """Send a stop once; unless that settles it, queue it again behind the others.
 
-        Once all leases have lapsed there is nothing left to stop.
+        Once all leases have lapsed there is nothing left to stop, unless a start for an
+        earlier lifetime is under way.
         """
-        if self.lease.has_lapsed or await self._try_stop(request):
+        is_late_start_over = monotonic_s() >= request.late_until_s
+        if self.lease.has_lapsed and is_late_start_over:
+            return
+        if await self._try_stop(request):
             return
         await trio.sleep(RETRY_S)
         self.send(request)
