Let the record of silent servers fit into a row with ids of lifetimes

Cause: an id of a lifetime is 14 bytes longer than a server's name, so that the record of MAX_SERVERS silent servers could take 67,335 bytes, while a row holds 65,536. The store would refuse it, and with it the commit that it is part of.

Change: the record has no blanks. Readers of both builds take either form.

--- a/rhubarbmount/batch/silent_servers.py
+++ b/rhubarbmount/batch/silent_servers.py
@@ -71,4 +71,4 @@
         for server_id, at_s in list(self._lapses_at_s.items()):
             if at_s < oldest_s:
                 del self._lapses_at_s[server_id]
-        return json.dumps(self._lapses_at_s).encode("ascii")
+        return json.dumps(self._lapses_at_s, separators=(",", ":")).encode("ascii")
--- a/tests/batch/test_earlier_grants.py
+++ b/tests/batch/test_earlier_grants.py
@@ -104,3 +104,13 @@
         silent.note(f"i-{number:010x}", lapses_in_s=10.0 + number / 1000)
     assert len(silent.encode()) < 65_536
     assert not silent.has(f"i-{MAX_SERVERS:010x}")
+
+
+# Guards against a record that can't be stored, since lifetimes have longer ids, as long
+# as the clock of a store that has run for three years.
+def test_the_record_of_lifetimes_fits_into_a_row():
+    silent = SilentServers(*[lambda: 100_000_000.0] * 2)
+    for number in range(MAX_SERVERS):
+        server_id = f"i-{number:010x}@1785455249123"
+        silent.note(server_id, lapses_in_s=10.0 + number / 1000)
+    assert len(silent.encode()) < 65_536
