Measure no lease with the clock of another lifetime

Cause: a server that starts again under its name has a clock that starts anew, and answers to start and stop commands don't say which lifetime gives them. A reading behind the last was ignored, so that such a clock was never read again; one far ahead made the lease count as lapsed at once, though its runs may go on. An expiry on the earlier clock may lie far ahead on the later one, which then grants the longest lease; the lapse time did not allow for it.

Ruled out: the record of silent servers.

Change: ServerClock.may_read tells by the times of the calls whether a reading can be one of the clock. One in the answer to a start or stop changes no lease, has the session ask at once which lifetime answers (log event other-clock), and nothing is started until that is known; a stop so answered is repeated. One in a renewal that the same lifetime has answered, as far as can be told, is read anew. Both, and ServerLease.follow for a later lifetime, expect the longest lease from the last call with an expiry on. follow is not wired to the sessions yet.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -19,7 +19,12 @@
     UnsettledStarts,
 )
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.backend import BackendClient, CommandResult, StartCommand
+from rhubarbmount.platform.backend import (
+    BackendClient,
+    CommandResponse,
+    CommandResult,
+    StartCommand,
+)
 
 __all__ = [
     "ServerCommand",
@@ -115,6 +120,8 @@
     on_failure: Callable[[str], None]
     # Whether the server has room for all that is assigned to it.
     has_room: Callable[[], bool] = lambda: True
+    # Called when an answer shows the clock of another lifetime.
+    on_other_clock: Callable[[], None] = lambda: None
     _unsettled: UnsettledStarts = attrs.field(factory=UnsettledStarts)
     _send_channel: Any = None
     _receive_channel: Any = None
@@ -266,11 +273,10 @@
             raise LeaseLost(
                 f"server {self.server.id} has accepted a higher fencing token"
             )
-        if response.clock_ms:
-            self.lease.clock.note(response.clock_ms, monotonic_s())
-            is_done = response.result is CommandResult.DONE
-            if is_done and request.is_assigned(self.server.id):
-                request.task.progress.start(response.clock_ms)
+        is_of_lifetime = self._note_reading(response, now_s)
+        is_done = response.result is CommandResult.DONE
+        if is_done and is_of_lifetime and request.is_assigned(self.server.id):
+            request.task.progress.start(response.clock_ms)
         log.frequent_event(
             logger,
             "start",
@@ -297,6 +303,25 @@
             )
         return number
 
+    def _note_reading(self, response: CommandResponse, sent_s: float) -> bool:
+        """Record the clock in an answer; return whether it is that of the lifetime."""
+        now_s = monotonic_s()
+        if not response.clock_ms:
+            return True
+        if self.lease.note_command_reading(response.clock_ms, sent_s, now_s):
+            return True
+        log.event(
+            logger,
+            "other-clock",
+            logging.WARNING,
+            server=self.server.id,
+            clock_ms=response.clock_ms,
+            last_ms=self.lease.clock.read_ms,
+            age_s=now_s - self.lease.clock.read_at_s,
+        )
+        self.on_other_clock()
+        return False
+
     async def _wait_for_grant(self, request: StartRequest) -> None:
         while request.is_current(self.server.id):
             if self.lease.may_start(monotonic_s()):
@@ -319,6 +344,7 @@
 
     async def _try_stop(self, request: StopRequest) -> bool:
         """Send a stop; return whether it is settled."""
+        sent_s = monotonic_s()
         try:
             response = await self.client.stop(
                 self.server,
@@ -335,7 +361,9 @@
         if response.result is CommandResult.OTHER_LIFETIME:
             self.listener.on_lifetime_end(self.server.id)
             return True
-        if response.result is CommandResult.NOT_DONE:
+        if not self._note_reading(response, sent_s) or (
+            response.result is CommandResult.NOT_DONE
+        ):
             return False
         log.frequent_event(
             logger,
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rhubarbmount.batch.clocks import ServerClock
-from rhubarbmount.batch.election import LapseBound, ShardLease
+from rhubarbmount.batch.election import LapseBound, ShardLease, longest_lease
 
 __all__ = [
     "ServerLease",
@@ -19,6 +19,8 @@
 LAPSE_CHECK_MARGIN_S = 0.01
 # The least time that a lease granted with a start must have left.
 MIN_START_LEASE_S = 2.0
+# What tells when leases have lapsed that were granted on another clock.
+OTHER_CLOCK = "other-clock"
 
 
 @attrs.define(eq=False)
@@ -28,7 +30,7 @@
     Times are on the monotonic clock. While ``recorded_lapse_s`` is set, the store holds
     or may hold a record for the next holder that all leases will have lapsed then, so
     nothing may be granted that lapses later. ``earlier`` is when the grants of earlier
-    holders have lapsed.
+    holders have lapsed, and what calls meant for earlier lifetimes may have granted.
     """
 
     shard_lease: ShardLease
@@ -39,6 +41,10 @@
     recorded_lapse_s: float | None = None
     has_lapsed: bool = False
     consecutive_failures: int = 0
+    # When a call with an expiry was last sent.
+    granted_at_s: float = -math.inf
+    # Whether an answer showed another clock since the lifetime was last heard of.
+    has_other_clock: bool = False
 
     def renewal_expiry_ms(self, now_s: float, is_late: bool = False) -> int | None:
         """Return the expiry to renew to, on the server's clock, or None not to renew.
@@ -54,12 +60,55 @@
         if self.recorded_lapse_s is not None:
             lapse_by_s = min(lapse_by_s, self.recorded_lapse_s)
         until_s = min(until_s, self.clock.latest_grant_s(lapse_by_s))
-        return self.clock.grant(until_s, now_s) if until_s > now_s else None
+        if until_s <= now_s:
+            return None
+        self.granted_at_s = now_s
+        return self.clock.grant(until_s, now_s)
 
     def start_expiry_ms(self, now_s: float, is_late: bool = False) -> int:
         """Return the expiry of a start command; a silent server gets no later one."""
+        self.granted_at_s = now_s
         return self.renewal_expiry_ms(now_s, is_late) or self.clock.granted_ms
 
+    def note_reading(self, clock_ms: int, sent_s: float, now_s: float) -> None:
+        """Record a reading of the clock from an answer of this lifetime.
+
+        If the clock has started anew all the same, what was granted on the earlier one
+        may lie far ahead on it.
+        """
+        if not self.clock.may_read(clock_ms, sent_s, now_s):
+            self._note_other_clock(now_s)
+            self.clock = ServerClock()
+        self.clock.note(clock_ms, now_s, sent_s)
+
+    def note_command_reading(self, clock_ms: int, sent_s: float, now_s: float) -> bool:
+        """Record a reading from an answer that names no lifetime.
+
+        Returns whether it may be of this one. If not, a later lifetime has answered.
+        """
+        if not self.clock.is_known:
+            return True
+        if self.clock.may_read(clock_ms, sent_s, now_s):
+            self.clock.note(clock_ms, now_s, sent_s)
+            return True
+        self.has_other_clock = True
+        self._note_other_clock(now_s)
+        return False
+
+    def _note_other_clock(self, sent_s: float) -> None:
+        """Expect the longest lease of a call whose expiry may have been far ahead."""
+        longest = longest_lease(sent_s, self.max_lease_s)
+        self._delay_lapse(LapseBound(longest.at_s, OTHER_CLOCK))
+
+    def follow(self, earlier: "ServerLease") -> None:
+        """Take in what calls meant for an earlier lifetime may have granted."""
+        self._delay_lapse(earlier.earlier)
+        self._note_other_clock(earlier.granted_at_s)
+
+    def _delay_lapse(self, bound: LapseBound) -> None:
+        if bound.at_s > self.earlier.at_s:
+            self.earlier = bound
+
     @property
     def is_recorded_silent(self) -> bool:
         """Return whether a record limits what may be granted."""
@@ -69,6 +118,8 @@
         """Return whether a start command may be sent now."""
         if not self.clock.is_known or not self.is_reachable:
             return self.clock.is_known
+        if self.has_other_clock:
+            return False
         limit_s = self.shard_lease.grants_lapse_by_s
         if self.recorded_lapse_s is not None:
             limit_s = min(limit_s, self.recorded_lapse_s)
@@ -88,6 +139,7 @@
         was_reachable = self.is_reachable
         self.is_reachable = True
         self.has_lapsed = False
+        self.has_other_clock = False
         self.consecutive_failures = 0
         return not was_reachable
 
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -98,6 +98,7 @@
             metrics=self.metrics,
             on_failure=self._record_failure,
             has_room=self.has_room,
+            on_other_clock=self.check,
         )
 
     async def run(self) -> None:
@@ -233,7 +234,7 @@
             return None
         if sent_s >= self._check_requested_s:
             self._is_check_due = False
-        self.lease.clock.note(response.clock_ms, monotonic_s())
+        self.lease.note_reading(response.clock_ms, sent_s, monotonic_s())
         self.acknowledged = max(self.acknowledged, acknowledged)
         if not self._apply_list(response, sent_s):
             self._record_failure("list-failed")
