Renew nothing early on a lifetime that no earlier holder knew

Cause: while a holder loads its shard, it renews the runs of the lifetimes on which earlier holders started tasks. If the server has started again under its name, the later lifetime answers: its clock was taken for that of the earlier one, further calls granted leases on it, and the earlier lifetime was struck off the record of silent servers as one that has answered.

Ruled out: the acknowledgement, which is 0 in early renewals.

Change: an answer that states another start than that of the lifetime ends its early renewals; the lifetime stays recorded as silent until its session finds it over. If either start is not known, nothing changes.

Evidence: test_an_answer_of_another_lifetime_renews_nothing failed before (4 renewals instead of 1). tests/batch/test_early_renewals.py: 15 passed.

--- a/rhubarbmount/batch/early_renewals.py
+++ b/rhubarbmount/batch/early_renewals.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.lifetimes import born_ms_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
@@ -99,6 +100,8 @@
                 continue
             if response.result is not CommandResult.DONE:
                 return
+            if _is_of_other_lifetime(server, response):
+                return
             lease.consecutive_failures = 0
             lease.clock.note(response.clock_ms, monotonic_s())
             if lease.is_recorded_silent:
@@ -125,3 +128,9 @@
         if response.result is CommandResult.FENCED:
             raise LeaseLost(f"server {server.id} has accepted a higher fencing token")
         return response
+
+
+def _is_of_other_lifetime(server: Server, response: RenewalResponse) -> bool:
+    """Return whether another lifetime has answered, whose runs nobody knows yet."""
+    born_ms = born_ms_of(server.id)
+    return bool(born_ms and response.born_ms) and response.born_ms != born_ms
--- a/tests/batch/test_early_renewals.py
+++ b/tests/batch/test_early_renewals.py
@@ -1,10 +1,17 @@
 """Tests that runs outlive a takeover whose holder takes long to load its shard."""
 
+import attrs
 import pytest
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch import clocks
+from rhubarbmount.batch.early_renewals import EarlyRenewals
+from rhubarbmount.batch.election import LapseBound, ShardLease
+from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.tables import PROGRESS_TABLE
+from rhubarbmount.platform.backend import CommandResult, RenewalResponse
 from tests.batch.test_days import long_running_job, open_day, submit
 from tests.batch.test_silent_servers import servers_running_tasks
 
@@ -80,3 +87,63 @@
         await trio.sleep(20.0)
         assert checker.breaches == []
         assert len(servers_running_tasks(checker)) == 6
+
+
+@attrs.define
+class NamesakeBackend:
+    """A backend server that answers all renewals as the lifetime that began then."""
+
+    born_ms: int
+    expiries_ms: list[int | None] = attrs.field(factory=list)
+
+    async def renew(self, server, fencing_token, acknowledged, expires_ms, wait_s):
+        await trio.lowlevel.checkpoint()
+        self.expiries_ms.append(expires_ms)
+        clock_ms = 1_000 + int(trio.current_time() * 1000)
+        return RenewalResponse(CommandResult.DONE, clock_ms, born_ms=self.born_ms)
+
+
+async def renew_early(monkeypatch, server_id, born_ms):
+    """Renew early what runs on a lifetime; return the renewals and their backend."""
+    monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
+    server = Server(server_id, "one", "s:1", "a", False, 1, 1, 0, frozenset(), "r", 1)
+
+    async def read_servers():
+        return [server]
+
+    async def store_record(silent_ids, answered_ids):
+        await trio.lowlevel.checkpoint()
+
+    def make_lease(server_id):
+        lease = ServerLease(
+            ShardLease(1, trio.current_time()), 10.0, LapseBound(0.0, "none")
+        )
+        lease.recorded_lapse_s = trio.current_time() + 5.0
+        return lease
+
+    backend = NamesakeBackend(born_ms)
+    early = EarlyRenewals(backend, read_servers, store_record, lambda: None, make_lease)
+    with trio.move_on_after(3.5):
+        await early.run()
+    return early, backend
+
+
+# Guards against TWICE: the next holder takes the leases of a lifetime that is over for
+# heard of, and grants more on the clock of another one.
+async def test_an_answer_of_another_lifetime_renews_nothing(
+    monkeypatch, autojump_clock
+):
+    early, backend = await renew_early(monkeypatch, "s@1000", born_ms=2000)
+    assert backend.expiries_ms == [None]
+    assert early.heard_server_ids == set()
+    assert not early.lease_by_server_id["s@1000"].clock.is_known
+
+
+@pytest.mark.parametrize("server_id", ["s@1000", "s"])
+@pytest.mark.parametrize("born_ms", [1000, 0])
+async def test_an_answer_of_the_same_lifetime_or_an_unknown_one_renews(
+    monkeypatch, autojump_clock, server_id, born_ms
+):
+    early, backend = await renew_early(monkeypatch, server_id, born_ms)
+    assert len(backend.expiries_ms) == 4
+    assert early.heard_server_ids == {server_id}
