Keep the lists of one lifetime from the session with another

Callers saw TWICE: a run that had ended as done was started again. Its server had started again under its name; the session went on with the numbers of the earlier lifetime, so that ends of the later one were acknowledged unread or passed over as known, and the run counted as vanished.

An answer whose time of birth is not that of the session's lifetime is used for nothing; the session sends nothing more, and the lifetime that answered gets a session of its own, with numbers from 0. Its first list proves that the others of its name are over. Before that a run which it has is moved there, one whose start is unsettled is moved and stopped there, and the rest is lost. An acknowledgement is sent only while it is news. Rows, ended lifetimes and stray stops count by lifetime, and the removal of a row concerns all lifetimes of its name.

Ruled out: to order lifetimes by their births, since wall clocks jump; to end a lifetime by a row, since the row of one that ended may return.

--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -6,6 +6,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -33,7 +34,7 @@
         if is_whole:
             listed = {row.name.key for row in page.rows}
             for server_id in list(self.shard.usage_by_server_id):
-                if server_id not in listed:
+                if name_of(server_id) not in listed:
                     self._mark_unlisted(server_id)
         for row in page.rows:
             self._apply_row(row)
@@ -61,23 +62,24 @@
         self.sessions.open(usage)
 
     def _apply_row(self, row: Row) -> None:
-        server_id = row.name.key
+        name = row.name.key
         if not row.version:
-            self._mark_unlisted(server_id)
-            self.sessions.forget(server_id)
-            return
-        if self.sessions.has_ended(server_id):
+            self._mark_name_unlisted(name)
+            self.sessions.forget(name)
             return
         server = self._decode(row)
         if server is None:
-            self._mark_unlisted(server_id)
+            self._mark_name_unlisted(name)
+            return
+        if self.sessions.has_ended(server.id):
             return
-        was_draining = self._is_draining(server_id)
-        if server_id not in self.shard.usage_by_server_id:
+        was_draining = self._is_draining(server.id)
+        if server.id not in self.shard.usage_by_server_id:
             # The session with a server that was lost knows its former usage only.
             self.sessions.close_lost()
         usage = self.shard.put_server(server, monotonic_s())
         self.sessions.open(usage)
+        self._unlist_other_lifetimes(server)
         self._check_others_at_address(server)
         if server.is_draining and not was_draining:
             self._stop_runs_outlasting_drain(usage)
@@ -101,6 +103,21 @@
         usage = self.shard.usage_by_server_id.get(server_id)
         return usage is not None and usage.server.is_draining
 
+    def _unlist_other_lifetimes(self, server: Server) -> None:
+        """Start nothing on the other lifetimes of a server until the row names them.
+
+        They are being asked whether they go on, as the row may be one that returned.
+        """
+        for server_id in self.sessions.lifetimes_of(name_of(server.id)):
+            usage = self.shard.usage_by_server_id[server_id]
+            if server_id != server.id and usage.is_listed:
+                usage.is_listed = False
+                log.event(logger, "server-unlisted", server=server_id)
+
+    def _mark_name_unlisted(self, name: str) -> None:
+        for server_id in self.sessions.lifetimes_of(name):
+            self._mark_unlisted(server_id)
+
     def _check_others_at_address(self, server: Server) -> None:
         """Have other lifetimes at the address of a server asked whether they go on.
 
@@ -118,7 +135,7 @@
             return
         usage.is_listed = False
         log.event(logger, "server-unlisted", server=server_id)
-        if usage.is_idle:
+        if usage.is_idle and not self.sessions.is_needed(server_id):
             self.sessions.handle_server_end(server_id, "unlisted", is_over=False)
 
     def _stop_runs_outlasting_drain(self, usage: ServerUsage) -> None:
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -9,8 +9,9 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.lifetimes import born_ms_of
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.model import Server, TaskId
 from rhubarbmount.batch.server_commands import (
     CommandListener,
     CommandSender,
@@ -44,6 +45,9 @@
     ) -> None:
         """Handle the runs and run ends that a backend server listed."""
 
+    def on_other_lifetime(self, session: "ServerSession", born_ms: int) -> None:
+        """Handle that the lifetime of the same name that began then has answered."""
+
     def on_lapse(self, session: "ServerSession") -> None:
         """Handle that every grant to the server has lapsed."""
 
@@ -79,6 +83,8 @@
     acknowledged: int = 0
     listed_to: int = 0
     is_established: bool = False
+    # Set once another lifetime of the name has answered; nothing is sent from then on.
+    is_superseded: bool = False
     # Since when no call has been answered.
     failing_since_s: float = 0.0
     # The lifetime began before this time, as its row had been read.
@@ -133,6 +139,11 @@
         self._check_requested_s = monotonic_s()
         self.wake()
 
+    @property
+    def unsettled_starts(self) -> tuple[tuple[TaskId, int], ...]:
+        """Return the runs whose starts a later lifetime may still carry out."""
+        return ()
+
     # Renewal.
 
     async def _renew_forever(self) -> None:
@@ -174,7 +185,7 @@
 
     async def _renew_once(self) -> RenewalResponse | None:
         sent_s = monotonic_s()
-        acknowledged = self.committed
+        acknowledged = self._next_acknowledgement()
         response = None
         try:
             timeout_s = (
@@ -200,6 +211,13 @@
             return None
         return self._handle_response(response, acknowledged, sent_s)
 
+    def _next_acknowledgement(self) -> int:
+        """Return the number to acknowledge, or 0 if that would be nothing new.
+
+        The call may reach another lifetime, which numbers its ends anew.
+        """
+        return self.committed if self.committed > self.acknowledged else 0
+
     def _renewal_wait_s(self) -> float:
         if (
             not self.is_established
@@ -231,6 +249,11 @@
         if response.result is not CommandResult.DONE:
             self._record_failure(response.result.value)
             return None
+        if response.born_ms not in (0, born_ms_of(self.server.id)):
+            self.is_superseded = True
+            self.listener.on_other_lifetime(self, response.born_ms)
+            self.close()
+            return None
         if sent_s >= self._check_requested_s:
             self._is_check_due = False
         self.lease.clock.note(response.clock_ms, monotonic_s())
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -12,13 +12,13 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.earlier_grants import EarlierGrants
-from rhubarbmount.batch.election import ShardLease
+from rhubarbmount.batch.election import ShardLease, longest_lease
 from rhubarbmount.batch.lateness import Lateness
+from rhubarbmount.batch.lifetimes import born_ms_of, lifetime_id, name_of
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
     RunEnd,
     RunReport,
-    Server,
     Task,
     TaskId,
     TaskState,
@@ -26,6 +26,7 @@
 from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.batch.server_lifetimes import RunFate, ServerLifetimes, fate_of
 from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -76,9 +77,8 @@
     early_lease_by_server_id: dict[str, ServerLease] = attrs.field(factory=dict)
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
-    _server_ids_by_host_id: dict[str, set[str]] = attrs.field(factory=dict)
+    _lifetimes: ServerLifetimes = attrs.field(factory=ServerLifetimes)
     _pacing: PaceControl = attrs.field(factory=PaceControl)
-    _ended_server_ids: set[str] = attrs.field(factory=set)
     # Servers that have answered and are still recorded as silent.
     _heard: list[ServerSession] = attrs.field(factory=list)
     _record_changed: trio.Event = attrs.field(factory=trio.Event)
@@ -100,11 +100,20 @@
 
     def has_ended(self, server_id: str) -> bool:
         """Return whether a server lifetime is known to be over."""
-        return server_id in self._ended_server_ids
+        return self._lifetimes.has_ended(server_id)
+
+    def lifetimes_of(self, name: str) -> list[str]:
+        """Return the lifetimes of a server that are part of the shard."""
+        return [
+            server_id
+            for server_id in self._lifetimes.of_name(name)
+            if server_id in self.shard.usage_by_server_id
+        ]
 
     def open(self, usage: ServerUsage) -> None:
         """Open a session with a server, or update the existing one."""
-        self._add_to_host(usage.server)
+        for other_id in self._lifetimes.add(usage.server):
+            self.check(other_id)
         existing = self._session_by_server_id.get(usage.server.id)
         if existing is not None:
             existing.update(usage.server)
@@ -112,7 +121,7 @@
         session = ServerSession(
             server=usage.server,
             client=self.client,
-            lease=self.make_lease(usage.server.id),
+            lease=self._make_session_lease(usage.server.id),
             listener=self,
             metrics=self.metrics,
             has_work=lambda: usage.has_runs,
@@ -125,6 +134,7 @@
             ),
         )
         self._session_by_server_id[usage.server.id] = session
+        self._log_beginning(session)
         self.nursery.start_soon(session.run)
         self.want_host_list()
 
@@ -143,6 +153,29 @@
             lease.recorded_lapse_s = now_s + self.silent.limit_in_s(server_id)
         return lease
 
+    def _make_session_lease(self, server_id: str) -> ServerLease:
+        """Return the lease for a session.
+
+        A call meant for another lifetime of the name may just have granted the longest
+        lease, since its expiry is a time on another clock.
+        """
+        lease = self.make_lease(server_id)
+        if self._lifetimes.of_name(name_of(server_id)) != [server_id]:
+            granted = longest_lease(monotonic_s(), self.max_lease_s)
+            if granted.at_s > lease.earlier.at_s:
+                lease.earlier = granted
+        return lease
+
+    def _log_beginning(self, session: ServerSession) -> None:
+        """Log that a server of which another lifetime is known has started again."""
+        server_id = session.server.id
+        others = self._lifetimes.of_name(name_of(server_id))
+        others.remove(server_id)
+        if others:
+            log.event(
+                logger, "lifetime-began", server=server_id, earlier=",".join(others)
+            )
+
     def lapses_at_s(self) -> float:
         """Return when every grant of this holder and of earlier holders has lapsed."""
         now_s = monotonic_s()
@@ -160,24 +193,7 @@
             if server_id not in self.shard.usage_by_server_id:
                 session.close()
                 del self._session_by_server_id[server_id]
-                self._remove_from_host(session)
-
-    def _add_to_host(self, server: Server) -> None:
-        """Ask the other lifetimes on the host of a server, one of which may go on."""
-        if not server.host_id:
-            return
-        server_ids = self._server_ids_by_host_id.setdefault(server.host_id, set())
-        if server.id not in server_ids:
-            for other_id in server_ids:
-                self.check(other_id)
-            server_ids.add(server.id)
-
-    def _remove_from_host(self, session: ServerSession) -> None:
-        host_id = session.server.host_id
-        server_ids = self._server_ids_by_host_id.get(host_id, set())
-        server_ids.discard(session.server.id)
-        if not server_ids:
-            self._server_ids_by_host_id.pop(host_id, None)
+                self._lifetimes.remove(server_id)
 
     def on_list(
         self, session: ServerSession, response: RenewalResponse, sent_s: float
@@ -188,7 +204,7 @@
             return
         now_s = monotonic_s()
         self.shard.set_time(now_s, wall_clock_s())
-        self._end_earlier_lifetimes(session, sent_s)
+        self._end_earlier_lifetimes(session, response, sent_s)
         for end in response.ended:
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s, response.clock_ms)
@@ -201,20 +217,66 @@
             session.send(command)
         self.wake()
 
-    def _end_earlier_lifetimes(self, session: ServerSession, sent_s: float) -> None:
-        """End the other lifetimes on the host of a server that has answered.
+    def _end_earlier_lifetimes(
+        self, session: ServerSession, response: RenewalResponse, sent_s: float
+    ) -> None:
+        """End the other lifetimes of the server, and on its host, as this one answers.
 
-        The lifetimes of a host follow one another. One that had begun before the call
-        was sent thus ended before the call was answered.
+        They follow one another. One that had begun before the call was sent thus ended
+        before the call was answered.
         """
-        server_ids = self._server_ids_by_host_id.get(session.server.host_id, set())
-        if len(server_ids) < 2:
-            return
-        for server_id in sorted(server_ids - {session.server.id}):
-            other = self._session_by_server_id.get(server_id)
-            is_known = server_id in self.shard.usage_by_server_id
-            if other is not None and is_known and other.opened_at_s <= sent_s:
-                self.handle_server_end(server_id, "other-lifetime-on-host")
+        server_id = session.server.id
+        over = [
+            other_id
+            for other_id in self._lifetimes.others(server_id)
+            if other_id in self.shard.usage_by_server_id
+            and self._was_open_at(other_id, sent_s)
+        ]
+        # Earlier holders started tasks there, so that these lifetimes had begun, too.
+        over += [
+            other_id
+            for other_id in self.shard.unknown_servers()
+            if name_of(other_id) == name_of(server_id)
+        ]
+        for other_id in over:
+            if name_of(other_id) == name_of(server_id):
+                self._move_runs(other_id, session, response, sent_s)
+                self.handle_server_end(other_id, "other-lifetime", by=server_id)
+            else:
+                self.handle_server_end(other_id, "other-lifetime-on-host", by=server_id)
+
+    def _was_open_at(self, server_id: str, at_s: float) -> bool:
+        session = self._session_by_server_id.get(server_id)
+        return session is not None and session.opened_at_s <= at_s
+
+    def _move_runs(
+        self,
+        server_id: str,
+        session: ServerSession,
+        response: RenewalResponse,
+        sent_s: float,
+    ) -> None:
+        """Move the runs that a later lifetime has or may have from one that is over."""
+        usage = self.shard.usage_by_server_id[session.server.id]
+        listed = {(item.task, item.run) for item in response.running}
+        listed |= {(end.task, end.run) for end in response.ended}
+        earlier = self._session_by_server_id.get(server_id)
+        unsettled = set(earlier.unsettled_starts) if earlier is not None else set()
+        now_s = monotonic_s()
+        for task in self.shard.tasks_on(server_id):
+            if task.id.job_id not in self.shard.job_by_id:
+                continue
+            fate = fate_of(task, listed, unsettled, sent_s)
+            if fate is RunFate.BARRED:
+                task.is_stopping = True
+            if fate is not RunFate.LOST:
+                self.shard.move_run(task, usage, now_s)
+                unsettled.discard((task.id, task.run))
+            elif not born_ms_of(server_id):
+                # It may be the same lifetime, which then has not crashed.
+                self.shard.release(task, now_s)
+        for task_id, run in unsettled - listed:
+            session.send(StopRequest(task_id, run))
 
     def _apply_running(
         self,
@@ -255,6 +317,7 @@
             task=end.task.place,
             run=end.run,
             server=session.server.id,
+            number=end.number,
             how=end.outcome,
             is_news=is_news,
         )
@@ -346,6 +409,8 @@
                 task=task.id.place,
                 run=task.run,
                 server=session.server.id,
+                listed_to=session.listed_to,
+                acknowledged=session.acknowledged,
             )
             self.shard.release(task, now_s)
 
@@ -381,6 +446,42 @@
         """Handle that a server lifetime is known to be over."""
         self.handle_server_end(server_id, "other-lifetime")
 
+    def on_other_lifetime(self, session: ServerSession, born_ms: int) -> None:
+        """Ask the lifetime that answered in place of the one of a session.
+
+        Its first list shows what became of the runs. It takes no new tasks before its
+        row has told what it is.
+        """
+        server = session.server
+        later_id = lifetime_id(name_of(server.id), born_ms)
+        usage = self.shard.usage_by_server_id.get(server.id)
+        if usage is not None:
+            usage.is_reachable = usage.is_listed = False
+        if later_id not in self.shard.usage_by_server_id:
+            self.close_lost()
+            later = attrs.evolve(server, id=later_id, host_id="", is_draining=False)
+            later_usage = self.shard.put_server(later, monotonic_s())
+            later_usage.is_listed = False
+            self.open(later_usage)
+        self.check(later_id)
+        self.wake()
+
+    def is_needed(self, server_id: str) -> bool:
+        """Return whether the list of an idle lifetime may tell of runs of others."""
+        session = self._session_by_server_id.get(server_id)
+        if session is not None and session.unsettled_starts:
+            return True
+        return bool(self._superseded_by(server_id))
+
+    def _superseded_by(self, server_id: str) -> list[str]:
+        """Return the lifetimes whose runs the list of a later one will show."""
+        return [
+            other_id
+            for other_id in self.lifetimes_of(name_of(server_id))
+            if other_id != server_id
+            and self._session_by_server_id[other_id].is_superseded
+        ]
+
     def on_lapse(self, session: ServerSession) -> None:
         """Handle that every grant to a server has lapsed."""
         usage = self.shard.usage_by_server_id.get(session.server.id)
@@ -396,6 +497,8 @@
         )
         if tasks:
             self.metrics.lapsed_tasks.labels(session.lease.earlier.source).inc(tasks)
+        for other_id in self._superseded_by(session.server.id):
+            self.handle_server_end(other_id, "other-lifetime", by=session.server.id)
         if usage is not None and not usage.is_listed:
             self.handle_server_end(session.server.id, "lapsed", is_over=False)
         else:
@@ -465,29 +568,33 @@
         """Return whether this host is late itself and should make fewer calls."""
         return self.lateness.is_late
 
-    def forget(self, server_id: str) -> None:
-        """Drop the state kept for a server lifetime whose row has been removed."""
-        self._ended_server_ids.discard(server_id)
-        for key in [key for key in self._stop_sent_at_s if key[0] == server_id]:
+    def forget(self, name: str) -> None:
+        """Drop the state kept for the lifetimes of a server whose row was removed."""
+        self._lifetimes.forget(name)
+        for key in [key for key in self._stop_sent_at_s if name_of(key[0]) == name]:
             del self._stop_sent_at_s[key]
 
     def handle_server_end(
-        self, server_id: str, reason: str, is_over: bool = True
+        self, server_id: str, reason: str, is_over: bool = True, by: str = ""
     ) -> None:
         """Requeue all tasks of a server on which nothing can run any more.
 
         If ``is_over`` is false, the lifetime may be listed again and is then reused.
+        ``by`` is the lifetime whose answer proves it, if one did.
         """
-        usage = self.shard.usage_by_server_id.get(server_id)
         log.event(
             logger,
             "server-ended",
             server=server_id,
             reason=reason,
-            tasks=len(usage.task_by_id) if usage else 0,
+            by=by,
+            tasks=len(self.shard.tasks_on(server_id)),
         )
         if is_over:
-            self._ended_server_ids.add(server_id)
+            self._lifetimes.end(server_id)
+            session = self._session_by_server_id.get(server_id)
+            if session is not None:
+                session.close()
         end = ServerEnd.CRASHED if is_over else ServerEnd.SILENT
         self.shard.lose_server(server_id, monotonic_s(), end)
         self.wake()
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -16,7 +16,8 @@
     TaskId,
     TaskState,
 )
-from rhubarbmount.batch.pacing import FULL_PACE
+from rhubarbmount.batch.pacing import FULL_PACE, UNKNOWN_PACE
+from rhubarbmount.batch.run_progress import RunProgress
 from rhubarbmount.batch.run_times import kind_of
 from rhubarbmount.batch.server_losses import (
     TRIAL_S,
@@ -186,6 +187,35 @@
                     self.stop_run(task)
         return usage
 
+    def tasks_on(self, server_id: str) -> list[Task]:
+        """Return the tasks assigned to a server lifetime, listed or not."""
+        usage = self.usage_by_server_id.get(server_id)
+        tasks = self._tasks_by_unknown_server_id.get(server_id, [])
+        if usage is not None:
+            tasks = [*tasks, *usage.task_by_id.values()]
+        return [
+            task
+            for task in tasks
+            if task.server_id == server_id and task.state is TaskState.ASSIGNED
+        ]
+
+    def move_run(self, task: Task, usage: ServerUsage, now_s: float) -> None:
+        """Assign the current run of a task to the later lifetime that may have it."""
+        earlier = self.usage_by_server_id.get(task.server_id)
+        if earlier is not None:
+            earlier.remove(task.id, now_s)
+        step = self.step_of(task.id)
+        self.note_begun(task)
+        task.server_id = usage.server.id
+        # The clock starts anew with each lifetime.
+        task.progress = RunProgress(is_whole=False)
+        if step.fills:
+            task.pace = UNKNOWN_PACE
+        usage.add(task, step)
+        if task.is_stopping:
+            self.stop_run(task)
+        self.dirty.add(task.id.job_id)
+
     def lose_server(
         self, server_id: str, now_s: float, end: ServerEnd = ServerEnd.CRASHED
     ) -> int:
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -307,8 +307,7 @@
         usage = self.usage_by_server_id.get(task.server_id)
         if usage is not None:
             usage.remove(task.id, now_s)
-        if _is_begun(task):
-            self._unbegun_job_ids.discard(task.id.job_id)
+        self.note_begun(task)
         if task.state is TaskState.DONE:
             return
         task.state = TaskState.WAITING
@@ -319,6 +318,11 @@
             self._add_waiting(task)
             self.dirty.add(task.id.job_id)
 
+    def note_begun(self, task: Task) -> None:
+        """Count a job as begun for good if a run of the task is known to have begun."""
+        if _is_begun(task):
+            self._unbegun_job_ids.discard(task.id.job_id)
+
     def _add_waiting(self, task: Task) -> None:
         self.waiting_by_step.setdefault(task.id[:3], {})[task.id.number] = task
 
