Bar at a later lifetime what the earlier one was told to start

Ruled out: taking the answer to a start for the earlier lifetime's. An answered start is settled only by a renewal sent afterwards that the lifetime answered.

Change: the session with a later lifetime stops the open starts of the earlier one that it has not listed, first thing after its first list. If the session is closed before, the starts go to the sessions with other lifetimes of the name, or wait at most MAX_AGE_S for the next one. They are handed on once, so that a run which goes on at the later lifetime is not stopped when the session with the earlier one is closed; lifetimes that follow inherit them.

New tests of the sessions: each failed with its part of the change taken out.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -1,7 +1,7 @@
 """Sends the holder's commands to one lifetime of a backend server."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 import attrs
@@ -143,19 +143,31 @@
         """Return the starts that a later lifetime of the server may carry out."""
         return self._unsettled.find_all(monotonic_s())
 
+    def take_unsettled_starts(self) -> list[UnsettledStart]:
+        """Return the starts that a later lifetime may carry out, once."""
+        return self._unsettled.take_all(monotonic_s())
+
     def settle_answered(self, before_s: float) -> None:
         """Record that the lifetime went on when a renewal was sent."""
         self._unsettled.settle_answered(before_s)
 
-    def bar(self, starts: Iterable[UnsettledStart]) -> None:
+    def bar(
+        self,
+        starts: Iterable[UnsettledStart],
+        listed: Container[tuple[TaskId, int]] = (),
+    ) -> None:
         """Stop the runs whose starts for earlier lifetimes may still be under way.
 
-        Later lifetimes have to be told as well.
+        A run that the server has ``listed`` does not start again there. Lifetimes that
+        follow have to be told of all.
         """
+        now_s = monotonic_s()
         for start in starts:
-            if not start.is_answered:
-                self._unsettled.inherit(start)
-                late_until_s = start.sent_s + MAX_AGE_S
+            late_until_s = start.sent_s + MAX_AGE_S
+            if start.is_answered or late_until_s < now_s:
+                continue
+            self._unsettled.inherit(start)
+            if start.run_key not in listed:
                 self.send(StopRequest(start.task, start.run, late_until_s))
 
     async def run(self) -> None:
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterable
 
 import attrs
 import trio
@@ -18,6 +18,7 @@
     ServerCommand,
 )
 from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.batch.unsettled_starts import UnsettledStart
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
@@ -141,9 +142,22 @@
         self.wake()
 
     @property
-    def unsettled_starts(self) -> tuple[tuple[TaskId, int], ...]:
-        """Return the runs whose starts a later lifetime may still carry out."""
-        return ()
+    def unsettled_starts(self) -> list[UnsettledStart]:
+        """Return the starts that a later lifetime may carry out."""
+        return self._command_sender.unsettled_starts
+
+    def take_unsettled_starts(self) -> list[UnsettledStart]:
+        """Return the starts that a later lifetime may carry out, once."""
+        return self._command_sender.take_unsettled_starts()
+
+    def bar(
+        self,
+        starts: Iterable[UnsettledStart],
+        listed: Container[tuple[TaskId, int]] = (),
+    ) -> None:
+        """Stop the runs, unless listed, that earlier lifetimes were told to start."""
+        self._command_sender.bar(starts, listed)
+        self.wake()
 
     # Renewal.
 
@@ -257,6 +271,7 @@
             return None
         if sent_s >= self._check_requested_s:
             self._is_check_due = False
+        self._command_sender.settle_answered(sent_s)
         self.lease.note_reading(response.clock_ms, sent_s, monotonic_s())
         self.acknowledged = max(self.acknowledged, acknowledged)
         if not self._apply_list(response, sent_s):
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -34,6 +34,7 @@
 from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.stragglers import find_straggler, needs_watch
 from rhubarbmount.batch.tickets import TicketCache
+from rhubarbmount.batch.unsettled_starts import MAX_AGE_S, UnsettledStart
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
 __all__ = ["ServerSessions"]
@@ -78,6 +79,8 @@
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
     _lifetimes: ServerLifetimes = attrs.field(factory=ServerLifetimes)
+    # Starts without an answer for lifetimes without a session, by the server's name.
+    _unsettled_by_name: dict[str, list[UnsettledStart]] = attrs.field(factory=dict)
     _pacing: PaceControl = attrs.field(factory=PaceControl)
     # Servers that have answered and are still recorded as silent.
     _heard: list[ServerSession] = attrs.field(factory=list)
@@ -135,6 +138,7 @@
         )
         self._session_by_server_id[usage.server.id] = session
         self._log_beginning(session)
+        session.bar(self._unsettled_by_name.pop(name_of(usage.server.id), ()))
         self.nursery.start_soon(session.run)
         self.want_host_list()
 
@@ -176,6 +180,24 @@
                 logger, "lifetime-began", server=server_id, earlier=",".join(others)
             )
 
+    def _hand_on_unsettled_starts(self, session: ServerSession) -> None:
+        """Bar the starts at the other lifetimes, or at the next that is seen."""
+        self._forget_old_starts()
+        starts = session.take_unsettled_starts()
+        name = name_of(session.server.id)
+        others = self._lifetimes.of_name(name)
+        for server_id in others:
+            self._session_by_server_id[server_id].bar(starts)
+        kept = [start for start in starts if not start.is_answered]
+        if kept and not others:
+            self._unsettled_by_name.setdefault(name, []).extend(kept)
+
+    def _forget_old_starts(self) -> None:
+        oldest_s = monotonic_s() - MAX_AGE_S
+        for name, kept in list(self._unsettled_by_name.items()):
+            if all(start.sent_s < oldest_s for start in kept):
+                del self._unsettled_by_name[name]
+
     def lapses_at_s(self) -> float:
         """Return when every grant of this holder and of earlier holders has lapsed."""
         now_s = monotonic_s()
@@ -194,6 +216,7 @@
                 session.close()
                 del self._session_by_server_id[server_id]
                 self._lifetimes.remove(server_id)
+                self._hand_on_unsettled_starts(session)
 
     def on_list(
         self, session: ServerSession, response: RenewalResponse, sent_s: float
@@ -261,7 +284,8 @@
         listed = {(item.task, item.run) for item in response.running}
         listed |= {(end.task, end.run) for end in response.ended}
         earlier = self._session_by_server_id.get(server_id)
-        unsettled = set(earlier.unsettled_starts) if earlier is not None else set()
+        starts = earlier.take_unsettled_starts() if earlier is not None else []
+        unsettled = {start.run_key for start in starts if not start.is_answered}
         now_s = monotonic_s()
         for task in self.shard.tasks_on(server_id):
             if task.id.job_id not in self.shard.job_by_id:
@@ -271,12 +295,10 @@
                 task.is_stopping = True
             if fate is not RunFate.LOST:
                 self.shard.move_run(task, usage, now_s)
-                unsettled.discard((task.id, task.run))
             elif not born_ms_of(server_id):
                 # It may be the same lifetime, which then has not crashed.
                 self.shard.release(task, now_s)
-        for task_id, run in unsettled - listed:
-            session.send(StopRequest(task_id, run))
+        session.bar(starts, listed)
 
     def _apply_running(
         self,
--- a/rhubarbmount/batch/unsettled_starts.py
+++ b/rhubarbmount/batch/unsettled_starts.py
@@ -26,6 +26,11 @@
     sent_s: float
     is_answered: bool = False
 
+    @property
+    def run_key(self) -> tuple[TaskId, int]:
+        """Return the task and the run."""
+        return self.task, self.run
+
 
 @attrs.define(eq=False)
 class UnsettledStarts:
@@ -92,6 +97,13 @@
                 dropped += 1
         return dropped
 
+    def take_all(self, now_s: float) -> list[UnsettledStart]:
+        """Return the unsettled starts, for a later lifetime, and forget them."""
+        starts = self.find_all(now_s)
+        self._open_by_number.clear()
+        self._answered_by_number.clear()
+        return starts
+
     def find_all(self, now_s: float) -> list[UnsettledStart]:
         """Return the unsettled starts, one of each run; an open try counts most."""
         start_by_run: dict[tuple[TaskId, int], UnsettledStart] = {}
@@ -99,5 +111,5 @@
         answered = [start for _, start in self._answered_by_number.values()]
         for start in [*answered, *self._open_by_number.values()]:
             if start.sent_s >= oldest_s:
-                start_by_run[start.task, start.run] = start
+                start_by_run[start.run_key] = start
         return list(start_by_run.values())
--- a/tests/batch/test_unsettled_starts.py
+++ b/tests/batch/test_unsettled_starts.py
@@ -24,6 +24,7 @@
 )
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import CommandResponse, CommandResult
+from tests.batch.test_server_lifetimes import SETTLE_S, open_scene
 
 EARLIER, LATER = "s@1000", "s@2000"
 SERVER = Server(EARLIER, "one", "s:1", "a", False, 1, 1, 0, frozenset(), "r", 1)
@@ -173,6 +174,26 @@
     assert unsettled(later) == []
 
 
+# Guards against a run that is stopped on the lifetime which has it, and against its
+# start on the lifetime after that one.
+async def test_a_listed_run_is_not_barred_before_the_lifetime_after(autojump_clock):
+    earlier = await start(UNANSWERED, CommandResult.DONE)
+    later = make_sender(ScriptedBackend(), attrs.evolve(SERVER, id=LATER))
+    later.bar(earlier.unsettled_starts, listed={(TASK, 1)})
+    await run_sender(later)
+    assert later.client.calls == []
+    assert unsettled(later) == [(TASK, 1, False)]
+
+
+async def test_a_start_that_can_not_arrive_any_more_is_not_barred(autojump_clock):
+    late = UnsettledStart(TASK, 1, trio.current_time())
+    later = make_sender(ScriptedBackend())
+    await trio.sleep(MAX_AGE_S + 1.0)
+    later.bar([late])
+    await run_sender(later)
+    assert later.client.calls == []
+
+
 # Guards against TWICE: a bar that is given up as nothing was granted, while the start
 # that it is for still has to arrive.
 async def test_a_bar_is_repeated_after_all_leases_have_lapsed(autojump_clock):
@@ -231,3 +252,99 @@
     starts.note(TASK, 1, 100.5)
     starts.note_answer(answered, 101.0)
     assert starts.find_all(101.0) == [UnsettledStart(TASK, 1, 100.5)]
+
+
+async def start_in(scene, *answers, task=None):
+    """Have the session with a lifetime send a start that is answered so."""
+    session = scene.sessions.find("s@1")
+    session._command_sender.client = ScriptedBackend(list(answers))
+    task = task or Task(TASK, run=1, server_id="s@1")
+    session.send(StartRequest(task, 1, "payload", ""))
+    await trio.sleep(0.01)
+    return session
+
+
+# Guards against memory and bars for starts that are known to have been carried out.
+async def test_a_session_settles_the_answered_starts(monkeypatch, autojump_clock):
+    async with open_scene(monkeypatch) as scene:
+        session = await start_in(scene, CommandResult.DONE)
+        assert unsettled(session) == [(TASK, 1, True)]
+        await trio.sleep(SETTLE_S)
+        assert unsettled(session) == []
+
+
+# Guards against TWICE: a task that was done elsewhere, or that runs there, starts late.
+async def test_the_session_with_a_later_lifetime_bars_the_earlier_starts(
+    monkeypatch, autojump_clock
+):
+    async with open_scene(monkeypatch) as scene:
+        await start_in(scene, UNANSWERED, CommandResult.DONE)
+        scene.client.restart()
+        await trio.sleep(SETTLE_S)
+        assert ("s@2", TASK, 1) in scene.client.stopped
+        scene.client.restart(born_ms=3)
+        scene.open("s@3")
+        await trio.sleep(SETTLE_S)
+        assert ("s@3", TASK, 1) in scene.client.stopped
+
+
+# Guards against TWICE: the row of the earlier lifetime goes and its session is closed
+# some time before the later lifetime is seen.
+async def test_starts_of_a_closed_session_are_barred_at_the_next_lifetime(
+    monkeypatch, autojump_clock
+):
+    async with open_scene(monkeypatch) as scene:
+        await start_in(scene, UNANSWERED, CommandResult.DONE)
+        scene.sessions.handle_server_end("s@1", "lapsed", is_over=False)
+        scene.sessions.close_lost()
+        scene.client.restart()
+        await trio.sleep(MAX_AGE_S / 2)
+        scene.open("s@2")
+        await trio.sleep(SETTLE_S)
+        assert ("s@2", TASK, 1) in scene.client.stopped
+
+
+# Guards against TWICE: the later lifetime has a session and has not answered yet when
+# the leases of the earlier one lapse.
+async def test_starts_of_a_closed_session_are_barred_at_a_known_lifetime(
+    monkeypatch, autojump_clock
+):
+    async with open_scene(monkeypatch) as scene:
+        await start_in(scene, UNANSWERED, CommandResult.DONE)
+        scene.client.is_silent = True
+        scene.open("s@2")
+        scene.sessions.handle_server_end("s@1", "lapsed", is_over=False)
+        scene.sessions.close_lost()
+        scene.client.is_silent = False
+        scene.client.restart()
+        await trio.sleep(SETTLE_S)
+        assert ("s@2", TASK, 1) in scene.client.stopped
+
+
+# Guards against a run that the later lifetime has and goes on with, and that is stopped
+# as the session with the earlier one is closed.
+async def test_a_run_that_goes_on_is_not_barred_later(monkeypatch, autojump_clock):
+    async with open_scene(monkeypatch) as scene:
+        task = scene.tasks[0]
+        await start_in(scene, UNANSWERED, CommandResult.DONE, task=task)
+        scene.client.restart()
+        scene.client.running = [(task.id, 1)]
+        await trio.sleep(SETTLE_S)
+        assert task.server_id == "s@2"
+        scene.sessions.close_lost()
+        assert scene.sessions.find("s@1") is None
+        await trio.sleep(SETTLE_S)
+        assert scene.client.stopped == []
+
+
+async def test_starts_of_closed_sessions_are_forgotten(monkeypatch, autojump_clock):
+    async with open_scene(monkeypatch) as scene:
+        await start_in(scene, UNANSWERED, CommandResult.DONE)
+        scene.sessions.handle_server_end("s@1", "lapsed", is_over=False)
+        scene.sessions.close_lost()
+        scene.client.restart()
+        await trio.sleep(MAX_AGE_S + 1.0)
+        scene.open("t@2")
+        scene.sessions.handle_server_end("t@2", "lapsed", is_over=False)
+        scene.sessions.close_lost()
+        assert scene.sessions._unsettled_by_name == {}
