Expect the longest lease on each lifetime that follows another

Cause: a call meant for an earlier lifetime may have granted the longest lease on a later one, whose clock its expiry lies ahead on. The lapse time of the later one allowed for that only if a session with the earlier one was open; not if that was closed before, or if the runs of the earlier one were renewed while the shard was loaded.

Ruled out: reckoning from the last call that had an expiry (ServerLease.follow, not used so far and taken out): one carried out late grants from then on, so the time at which the session with the later lifetime opens is the safer bound.

Change: both cases count. ServerLease.expect_longest is the one place for it.

Evidence: in tests/batch/test_server_clocks.py the test of early renewals, and in tests/batch/test_unsettled_starts.py that of closed sessions, failed with their part of the change taken out.

--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -41,8 +41,6 @@
     recorded_lapse_s: float | None = None
     has_lapsed: bool = False
     consecutive_failures: int = 0
-    # When a call with an expiry was last sent.
-    granted_at_s: float = -math.inf
     # Whether an answer showed another clock since the lifetime was last heard of.
     has_other_clock: bool = False
 
@@ -60,14 +58,10 @@
         if self.recorded_lapse_s is not None:
             lapse_by_s = min(lapse_by_s, self.recorded_lapse_s)
         until_s = min(until_s, self.clock.latest_grant_s(lapse_by_s))
-        if until_s <= now_s:
-            return None
-        self.granted_at_s = now_s
-        return self.clock.grant(until_s, now_s)
+        return self.clock.grant(until_s, now_s) if until_s > now_s else None
 
     def start_expiry_ms(self, now_s: float, is_late: bool = False) -> int:
         """Return the expiry of a start command; a silent server gets no later one."""
-        self.granted_at_s = now_s
         return self.renewal_expiry_ms(now_s, is_late) or self.clock.granted_ms
 
     def note_reading(self, clock_ms: int, sent_s: float, now_s: float) -> None:
@@ -77,7 +71,7 @@
         may lie far ahead on it.
         """
         if not self.clock.may_read(clock_ms, sent_s, now_s):
-            self._note_other_clock(now_s)
+            self.expect_longest(now_s)
             self.clock = ServerClock()
         self.clock.note(clock_ms, now_s, sent_s)
 
@@ -92,22 +86,17 @@
             self.clock.note(clock_ms, now_s, sent_s)
             return True
         self.has_other_clock = True
-        self._note_other_clock(now_s)
+        self.expect_longest(now_s)
         return False
 
-    def _note_other_clock(self, sent_s: float) -> None:
-        """Expect the longest lease of a call whose expiry may have been far ahead."""
-        longest = longest_lease(sent_s, self.max_lease_s)
-        self._delay_lapse(LapseBound(longest.at_s, OTHER_CLOCK))
-
-    def follow(self, earlier: "ServerLease") -> None:
-        """Take in what calls meant for an earlier lifetime may have granted."""
-        self._delay_lapse(earlier.earlier)
-        self._note_other_clock(earlier.granted_at_s)
+    def expect_longest(self, now_s: float) -> None:
+        """Expect the longest lease, granted until now by a call for another lifetime.
 
-    def _delay_lapse(self, bound: LapseBound) -> None:
-        if bound.at_s > self.earlier.at_s:
-            self.earlier = bound
+        Its expiry is a time on the clock of that one and may lie far ahead.
+        """
+        longest = longest_lease(now_s, self.max_lease_s)
+        if longest.at_s > self.earlier.at_s:
+            self.earlier = LapseBound(longest.at_s, OTHER_CLOCK)
 
     @property
     def is_recorded_silent(self) -> bool:
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -12,7 +12,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.earlier_grants import EarlierGrants
-from rhubarbmount.batch.election import ShardLease, longest_lease
+from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.lifetimes import born_ms_of, lifetime_id, name_of
 from rhubarbmount.batch.metrics import BatchMetrics
@@ -164,10 +164,12 @@
         lease, since its expiry is a time on another clock.
         """
         lease = self.make_lease(server_id)
-        if self._lifetimes.of_name(name_of(server_id)) != [server_id]:
-            granted = longest_lease(monotonic_s(), self.max_lease_s)
-            if granted.at_s > lease.earlier.at_s:
-                lease.earlier = granted
+        name = name_of(server_id)
+        known = {*self._lifetimes.of_name(name), *self.early_lease_by_server_id}
+        if any(name_of(other) == name for other in known - {server_id}) or (
+            name in self._unsettled_by_name
+        ):
+            lease.expect_longest(monotonic_s())
         return lease
 
     def _log_beginning(self, session: ServerSession) -> None:
--- a/tests/batch/test_server_clocks.py
+++ b/tests/batch/test_server_clocks.py
@@ -6,7 +6,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch import clocks
-from rhubarbmount.batch.clocks import RATE_MARGIN, ServerClock
+from rhubarbmount.batch.clocks import ServerClock
 from rhubarbmount.batch.earlier_grants import EarlierGrants
 from rhubarbmount.batch.election import LapseBound, ShardLease, longest_lease
 from rhubarbmount.batch.metrics import BatchMetrics
@@ -20,6 +20,7 @@
     CommandResult,
     RenewalResponse,
 )
+from tests.batch.test_server_lifetimes import SETTLE_S, open_scene
 
 MAX_LEASE_S = 10.0
 # A lease of MAX_LEASE_S on a clock that is 2% slow.
@@ -121,43 +122,39 @@
     assert not lease.clock.is_known
 
 
-# Guards against TWICE: a call meant for the earlier lifetime that was carried out by
-# the later one, where its expiry lies far ahead.
-@pytest.mark.parametrize("grant", ["start_expiry_ms", "renewal_expiry_ms"])
-def test_the_next_lifetime_may_have_the_longest_lease_from_the_last_call(grant):
-    earlier = make_lease()
-    getattr(earlier, grant)(103.0)
-    later = make_lease(105.0)
-    later.follow(earlier)
-    assert later.lapses_at_s() >= 103.0 + LONGEST_S
-    assert later.lapses_at_s() <= 103.0 + MAX_LEASE_S * RATE_MARGIN + 0.2
-
-
-# Guards against TWICE: a silent server is told to start with the expiry it had before.
-def test_a_start_without_a_new_grant_counts_as_the_last_call():
-    earlier = make_lease()
-    earlier.renewal_expiry_ms(100.0)
-    earlier.record_failure()
-    earlier.start_expiry_ms(104.0)
-    later = make_lease(105.0)
-    later.follow(earlier)
-    assert later.lapses_at_s() >= 104.0 + LONGEST_S
-
-
-# Guards against TWICE: the server starts anew once more within the longest lease.
-def test_the_lifetime_after_the_next_follows_both():
-    first, second, third = make_lease(), make_lease(), make_lease()
-    first.start_expiry_ms(103.0)
-    second.follow(first)
-    third.follow(second)
-    assert third.lapses_at_s() >= 103.0 + LONGEST_S
-
-
-def test_a_lifetime_after_one_that_was_granted_nothing_has_no_longer_lease():
-    later = make_lease()
-    lapses_at_s = later.lapses_at_s()
-    later.follow(make_lease())
-    assert later.lapses_at_s() == lapses_at_s
+# Guards against TWICE: a call meant for the earlier lifetime was carried out by the
+# later one, on whose clock its expiry lies far ahead.
+async def test_a_later_lifetime_may_have_the_longest_lease(monkeypatch, autojump_clock):
+    async with open_scene(monkeypatch) as scene:
+        lapses_at_s = trio.current_time() + LONGEST_S
+        scene.client.restart()
+        await trio.sleep(SETTLE_S)
+        lease = scene.sessions.find("s@2").lease
+        assert lapses_at_s <= lease.lapses_at_s() < trio.current_time() + LONGEST_S
+
+
+# Guards against TWICE: the call was one of those that renewed the runs of the earlier
+# lifetime while the shard was loaded.
+async def test_a_later_lifetime_may_have_the_lease_of_early_renewals(
+    monkeypatch, autojump_clock
+):
+    async with open_scene(monkeypatch) as scene:
+        early = make_lease(trio.current_time())
+        scene.sessions.early_lease_by_server_id = {"t@1": early}
+        scene.open("t@2")
+        lease = scene.sessions.find("t@2").lease
+        assert lease is not early
+        assert lease.lapses_at_s() >= trio.current_time() + LONGEST_S
+
+
+async def test_a_lifetime_renewed_early_keeps_its_lease(monkeypatch, autojump_clock):
+    async with open_scene(monkeypatch) as scene:
+        early = make_lease(trio.current_time())
+        lapses_at_s = early.lapses_at_s()
+        scene.sessions.early_lease_by_server_id = {"t@1": early}
+        scene.open("t@1")
+        assert scene.sessions.find("t@1").lease is early
+        assert early.lapses_at_s() == lapses_at_s
 
 
 # Guards against TWICE: the record says when the leases of that lifetime have lapsed.
--- a/tests/batch/test_unsettled_starts.py
+++ b/tests/batch/test_unsettled_starts.py
@@ -300,6 +300,8 @@
         scene.client.restart()
         await trio.sleep(MAX_AGE_S / 2)
         scene.open("s@2")
+        lease = scene.sessions.find("s@2").lease
+        assert lease.lapses_at_s() >= trio.current_time() + lease.max_lease_s
         await trio.sleep(SETTLE_S)
         assert ("s@2", TASK, 1) in scene.client.stopped
 
