--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -1,7 +1,7 @@
 """Sends the holder's commands to one lifetime of a backend server."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 import attrs
@@ -13,8 +13,18 @@
 from rhubarbmount.batch.model import Server, Task, TaskId
 from rhubarbmount.batch.pacing import PaceCommand
 from rhubarbmount.batch.server_lease import ServerLease
+from rhubarbmount.batch.unsettled_starts import (
+    MAX_AGE_S,
+    UnsettledStart,
+    UnsettledStarts,
+)
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.backend import BackendClient, CommandResult, StartCommand
+from rhubarbmount.platform.backend import (
+    BackendClient,
+    CommandResponse,
+    CommandResult,
+    StartCommand,
+)
 
 __all__ = [
     "ServerCommand",
@@ -58,10 +68,15 @@
 
 @attrs.frozen
 class StopRequest:
-    """A run to stop."""
+    """A run to stop.
+
+    A start of the run may still be carried out until ``late_until_s``, whether or not
+    the leases have lapsed.
+    """
 
     task: TaskId
     run: int
+    late_until_s: float = 0.0
 
 
 ServerCommand = StartRequest | StopRequest | PaceCommand
@@ -105,6 +120,9 @@
     on_failure: Callable[[str], None]
     # Whether the server has room for all that is assigned to it.
     has_room: Callable[[], bool] = lambda: True
+    # Called when an answer shows the clock of another lifetime.
+    on_other_clock: Callable[[], None] = lambda: None
+    _unsettled: UnsettledStarts = attrs.field(factory=UnsettledStarts)
     _send_channel: Any = None
     _receive_channel: Any = None
 
@@ -120,6 +138,38 @@
         except trio.WouldBlock:
             log.event(logger, "orders-dropped", logging.ERROR, server=self.server.id)
 
+    @property
+    def unsettled_starts(self) -> list[UnsettledStart]:
+        """Return the starts that a later lifetime of the server may carry out."""
+        return self._unsettled.find_all(monotonic_s())
+
+    def take_unsettled_starts(self) -> list[UnsettledStart]:
+        """Return the starts that a later lifetime may carry out, once."""
+        return self._unsettled.take_all(monotonic_s())
+
+    def settle_answered(self, before_s: float) -> None:
+        """Record that the lifetime went on when a renewal was sent."""
+        self._unsettled.settle_answered(before_s)
+
+    def bar(
+        self,
+        starts: Iterable[UnsettledStart],
+        listed: Container[tuple[TaskId, int]] = (),
+    ) -> None:
+        """Stop the runs whose starts for earlier lifetimes may still be under way.
+
+        A run that the server has ``listed`` does not start again there. Lifetimes that
+        follow have to be told of all.
+        """
+        now_s = monotonic_s()
+        for start in starts:
+            late_until_s = start.sent_s + MAX_AGE_S
+            if start.is_answered or late_until_s < now_s:
+                continue
+            self._unsettled.inherit(start)
+            if start.run_key not in listed:
+                self.send(StopRequest(start.task, start.run, late_until_s))
+
     async def run(self) -> None:
         """Send commands until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -209,9 +259,11 @@
         sent_before_s = request.task.sent_s
         if request.is_assigned(self.server.id):
             request.task.sent_s = now_s
+        number = self._note_try(request, now_s)
         try:
             response = await self.client.start(self.server, command)
         except PlatformUnavailable as error:
+            self._unsettled.drop(number)
             if request.is_assigned(self.server.id):
                 request.task.sent_s = sent_before_s
             self.on_failure(error.code)
@@ -221,6 +273,10 @@
             self.listener.on_unanswered()
             self.on_failure(error.code)
             return None
+        if response.result is CommandResult.DONE:
+            self._unsettled.note_answer(number, monotonic_s())
+        else:
+            self._unsettled.drop(number)
         if self.lease.is_reachable:
             self.lease.consecutive_failures = 0
         self.metrics.starts.labels(response.result.value).inc()
@@ -229,11 +285,10 @@
             raise LeaseLost(
                 f"server {self.server.id} has accepted a higher fencing token"
             )
-        if response.clock_ms:
-            self.lease.clock.note(response.clock_ms, monotonic_s())
-            is_done = response.result is CommandResult.DONE
-            if is_done and request.is_assigned(self.server.id):
-                request.task.progress.start(response.clock_ms)
+        is_of_lifetime = self._note_reading(response, now_s)
+        is_done = response.result is CommandResult.DONE
+        if is_done and is_of_lifetime and request.is_assigned(self.server.id):
+            request.task.progress.start(response.clock_ms)
         log.frequent_event(
             logger,
             "start",
@@ -246,6 +301,39 @@
         )
         return response.result
 
+    def _note_try(self, request: StartRequest, now_s: float) -> int:
+        """Record a start that is about to be sent; return the number of the try."""
+        number = self._unsettled.note(request.task.id, request.run, now_s)
+        dropped = self._unsettled.trim(now_s)
+        if dropped:
+            log.event(
+                logger,
+                "unsettled-starts-dropped",
+                logging.ERROR,
+                server=self.server.id,
+                starts=dropped,
+            )
+        return number
+
+    def _note_reading(self, response: CommandResponse, sent_s: float) -> bool:
+        """Record the clock in an answer; return whether it is that of the lifetime."""
+        now_s = monotonic_s()
+        if not response.clock_ms:
+            return True
+        if self.lease.note_command_reading(response.clock_ms, sent_s, now_s):
+            return True
+        log.event(
+            logger,
+            "other-clock",
+            logging.WARNING,
+            server=self.server.id,
+            clock_ms=response.clock_ms,
+            last_ms=self.lease.clock.read_ms,
+            age_s=now_s - self.lease.clock.read_at_s,
+        )
+        self.on_other_clock()
+        return False
+
     async def _wait_for_grant(self, request: StartRequest) -> None:
         while request.is_current(self.server.id):
             if self.lease.may_start(monotonic_s()):
@@ -255,15 +343,20 @@
     async def _stop(self, request: StopRequest) -> None:
         """Send a stop once; unless that settles it, queue it again behind the others.
 
-        Once all leases have lapsed there is nothing left to stop.
+        Once all leases have lapsed there is nothing left to stop, unless a start for an
+        earlier lifetime is under way.
         """
-        if self.lease.has_lapsed or await self._try_stop(request):
+        is_late_start_over = monotonic_s() >= request.late_until_s
+        if self.lease.has_lapsed and is_late_start_over:
+            return
+        if await self._try_stop(request):
             return
         await trio.sleep(RETRY_S)
         self.send(request)
 
     async def _try_stop(self, request: StopRequest) -> bool:
         """Send a stop; return whether it is settled."""
+        sent_s = monotonic_s()
         try:
             response = await self.client.stop(
                 self.server,
@@ -280,7 +373,9 @@
         if response.result is CommandResult.OTHER_LIFETIME:
             self.listener.on_lifetime_end(self.server.id)
             return True
-        if response.result is CommandResult.NOT_DONE:
+        if not self._note_reading(response, sent_s) or (
+            response.result is CommandResult.NOT_DONE
+        ):
             return False
         log.frequent_event(
             logger,
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -5,7 +5,7 @@
 import attrs
 
 from rhubarbmount.batch.clocks import ServerClock
-from rhubarbmount.batch.election import LapseBound, ShardLease
+from rhubarbmount.batch.election import LapseBound, ShardLease, longest_lease
 
 __all__ = [
     "ServerLease",
@@ -19,6 +19,8 @@
 LAPSE_CHECK_MARGIN_S = 0.01
 # The least time that a lease granted with a start must have left.
 MIN_START_LEASE_S = 2.0
+# What tells when leases have lapsed that were granted on another clock.
+OTHER_CLOCK = "other-clock"
 
 
 @attrs.define(eq=False)
@@ -28,7 +30,7 @@
     Times are on the monotonic clock. While ``recorded_lapse_s`` is set, the store holds
     or may hold a record for the next holder that all leases will have lapsed then, so
     nothing may be granted that lapses later. ``earlier`` is when the grants of earlier
-    holders have lapsed.
+    holders have lapsed, and what calls meant for earlier lifetimes may have granted.
     """
 
     shard_lease: ShardLease
@@ -39,6 +41,8 @@
     recorded_lapse_s: float | None = None
     has_lapsed: bool = False
     consecutive_failures: int = 0
+    # Whether an answer showed another clock since the lifetime was last heard of.
+    has_other_clock: bool = False
 
     def renewal_expiry_ms(self, now_s: float, is_late: bool = False) -> int | None:
         """Return the expiry to renew to, on the server's clock, or None not to renew.
@@ -60,6 +64,40 @@
         """Return the expiry of a start command; a silent server gets no later one."""
         return self.renewal_expiry_ms(now_s, is_late) or self.clock.granted_ms
 
+    def note_reading(self, clock_ms: int, sent_s: float, now_s: float) -> None:
+        """Record a reading of the clock from an answer of this lifetime.
+
+        If the clock has started anew all the same, what was granted on the earlier one
+        may lie far ahead on it.
+        """
+        if not self.clock.may_read(clock_ms, sent_s, now_s):
+            self.expect_longest(now_s)
+            self.clock = ServerClock()
+        self.clock.note(clock_ms, now_s, sent_s)
+
+    def note_command_reading(self, clock_ms: int, sent_s: float, now_s: float) -> bool:
+        """Record a reading from an answer that names no lifetime.
+
+        Returns whether it may be of this one. If not, a later lifetime has answered.
+        """
+        if not self.clock.is_known:
+            return True
+        if self.clock.may_read(clock_ms, sent_s, now_s):
+            self.clock.note(clock_ms, now_s, sent_s)
+            return True
+        self.has_other_clock = True
+        self.expect_longest(now_s)
+        return False
+
+    def expect_longest(self, now_s: float) -> None:
+        """Expect the longest lease, granted until now by a call for another lifetime.
+
+        Its expiry is a time on the clock of that one and may lie far ahead.
+        """
+        longest = longest_lease(now_s, self.max_lease_s)
+        if longest.at_s > self.earlier.at_s:
+            self.earlier = LapseBound(longest.at_s, OTHER_CLOCK)
+
     @property
     def is_recorded_silent(self) -> bool:
         """Return whether a record limits what may be granted."""
@@ -69,6 +107,8 @@
         """Return whether a start command may be sent now."""
         if not self.clock.is_known or not self.is_reachable:
             return self.clock.is_known
+        if self.has_other_clock:
+            return False
         limit_s = self.shard_lease.grants_lapse_by_s
         if self.recorded_lapse_s is not None:
             limit_s = min(limit_s, self.recorded_lapse_s)
@@ -88,6 +128,7 @@
         was_reachable = self.is_reachable
         self.is_reachable = True
         self.has_lapsed = False
+        self.has_other_clock = False
         self.consecutive_failures = 0
         return not was_reachable
 
