Look up the server of a host by its name, all its lifetimes

Cause: the platform lists the server of a host by its name, while servers are kept by their lifetimes. Once the start of a lifetime is known, the two are never equal: a host in use counted as free and without tasks, was moved or maintained at once, its server was not closed and its loss counted as a crash, idle hosts were never returned, and the list of hosts was read every 0.4 s for ever.

Ruled out: keeping the start in the host, as the list does not state it.

Change: Shard.usages_by_server_name holds the lifetimes of each server, the latest last; waves, moves and commands look hosts up there. A command to a host ends the lifetimes that were known when it was decided, and no later one. The planner of moves takes that index, so that its tests pass it.

Evidence: with Server.name returning the identifier of the lifetime, which is how it was compared before, all 8 new cases fail (test_fleet_controller 4, test_capacity 3, test_waves 1); with the change they pass.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -1,6 +1,7 @@
 """Scales pools with their demand; performs no I/O."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from itertools import chain
 
 import attrs
 
@@ -82,7 +83,7 @@
         now_s: float,
         catalogue: Catalogue,
         hosts: Iterable[Host],
-        usage_by_server_id: Mapping[str, ServerUsage],
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
         shortage_by_pool: Mapping[str, Shortage],
         demand: DemandMeter,
         holding_pools: Collection[str] = (),
@@ -96,14 +97,14 @@
         Hosts in ``blocked_host_ids`` may not be commanded now.
         """
         host_list = list(hosts)
-        self._drop_finished_commands(catalogue, host_list, usage_by_server_id, now_s)
+        self._drop_finished_commands(catalogue, host_list, usages_by_server_name, now_s)
         free_hosts = [
             host
-            for host in self._free_hosts(host_list, usage_by_server_id)
+            for host in self._free_hosts(host_list, usages_by_server_name)
             if host.id not in blocked_host_ids
         ]
         capacities = self._pool_capacities(
-            now_s, catalogue, host_list, usage_by_server_id, shortage_by_pool, demand
+            now_s, catalogue, host_list, usages_by_server_name, shortage_by_pool, demand
         )
         for name in holding_pools:
             if name in capacities:
@@ -117,7 +118,7 @@
         moves = self._scale_up(catalogue, free_hosts, capacities)
         moves.extend(
             self._scale_down(
-                now_s, catalogue, free_hosts, usage_by_server_id, capacities, moves
+                now_s, catalogue, free_hosts, usages_by_server_name, capacities, moves
             )
         )
         return moves
@@ -134,7 +135,7 @@
         self,
         catalogue: Catalogue,
         hosts: list[Host],
-        usage_by_server_id: Mapping[str, ServerUsage],
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
         now_s: float,
     ) -> None:
         for host in hosts:
@@ -143,20 +144,22 @@
                 continue
             is_in_pool = host.pool == command.pool and host.state is HostState.UP
             # Hosts in a standby pool are powered off and register no server.
-            has_server = host.server_id in usage_by_server_id
+            has_server = host.server_name in usages_by_server_name
             has_arrived = is_in_pool and (has_server or catalogue.is_standby(host.pool))
             if has_arrived or now_s > command.sent_at_s + MOVE_TIMEOUT_S:
                 del self._command_by_host[host.id]
 
     def _free_hosts(
-        self, hosts: list[Host], usage_by_server_id: Mapping[str, ServerUsage]
+        self,
+        hosts: list[Host],
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
     ) -> list[Host]:
         return [
             host
             for host in hosts
             if host.state is HostState.UP
             and host.id not in self._command_by_host
-            and _is_free(usage_by_server_id.get(host.server_id))
+            and all(map(_is_free, usages_by_server_name.get(host.server_name, ())))
         ]
 
     def _pool_capacities(
@@ -164,7 +167,7 @@
         now_s: float,
         catalogue: Catalogue,
         hosts: list[Host],
-        usage_by_server_id: Mapping[str, ServerUsage],
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
         shortage_by_pool: Mapping[str, Shortage],
         demand: DemandMeter,
     ) -> dict[str, PoolCapacity]:
@@ -173,7 +176,7 @@
             for pool in catalogue.pool_by_name.values()
             if not pool.is_standby
         }
-        for usage in usage_by_server_id.values():
+        for usage in chain.from_iterable(usages_by_server_name.values()):
             pool = capacities.get(usage.server.service)
             if pool is not None and usage.is_open(now_s):
                 pool.available_millicores += usage.server.cpu_millicores
@@ -253,7 +256,7 @@
         now_s: float,
         catalogue: Catalogue,
         free_hosts: list[Host],
-        usage_by_server_id: Mapping[str, ServerUsage],
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
         capacities: Mapping[str, PoolCapacity],
         scale_up_moves: list[Move],
     ) -> list[Move]:
@@ -263,11 +266,11 @@
         moving_host_ids = {move.host_id for move in scale_up_moves}
         moves = []
         for host in free_hosts if standby_pools else ():
-            usage = usage_by_server_id.get(host.server_id)
+            usages = usages_by_server_name.get(host.server_name)
             pool = capacities.get(host.pool)
-            if host.id in moving_host_ids or usage is None or pool is None:
+            if host.id in moving_host_ids or not usages or pool is None:
                 continue
-            idle_s = now_s - usage.idle_since_s
+            idle_s = now_s - max(usage.idle_since_s for usage in usages)
             if idle_s < IDLE_BEFORE_RETURN_S:
                 continue
             if pool.can_spare(host.cpu_millicores):
@@ -301,9 +304,7 @@
     return pool.long_running_millicores + int(cores * 1000)
 
 
-def _is_free(usage: ServerUsage | None) -> bool:
-    if usage is None:
-        return True
+def _is_free(usage: ServerUsage) -> bool:
     is_unavailable = (
         usage.is_closed
         or usage.has_pending_command
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -16,6 +16,7 @@
 from rhubarbmount.batch.model import Host, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.server_losses import ServerEnd
+from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.waves import Maintenance, WavePlanner, WaveProgress
@@ -134,9 +135,9 @@
         self.host_by_id = {host.id: host for host in hosts}
         for progress in self.wave_by_number.values():
             progress.note_listed(self.host_by_id, resolved_host_ids)
-        known = {host.server_id for host in hosts}
+        listed = {host.server_name for host in hosts}
         self._is_list_requested = any(
-            server_id not in known for server_id in self.shard.usage_by_server_id
+            name not in listed for name in self.shard.usages_by_server_name
         )
 
     # Waves.
@@ -153,8 +154,8 @@
             is_room_short=bool(self.placer.shortage_by_pool),
         )
         for usage in self.shard.usage_by_server_id.values():
-            usage.is_closed = usage.server.id in plan.closed_servers
-            usage.is_due = usage.server.id in plan.due_servers
+            usage.is_closed = usage.server.name in plan.closed_server_names
+            usage.is_due = usage.server.name in plan.due_server_names
         self._pools_short_for_waves = plan.short_pools
         self._pools_keeping_servers = plan.holding_pools
         self._log_waits(plan.wait_by_host)
@@ -226,7 +227,7 @@
             monotonic_s(),
             self.catalogue,
             self.host_by_id.values(),
-            self.shard.usage_by_server_id,
+            self.shard.usages_by_server_name,
             self._shortages(),
             self.shard.demand,
             self._pools_keeping_servers,
@@ -298,26 +299,32 @@
         if not self.commands.may_command(host_id) or self._nursery is None:
             return False
         self.commands.reserve(host_id)
-        server_id = self.host_by_id[host_id].server_id
-        usage = self.shard.usage_by_server_id.get(server_id)
-        if usage is not None:
+        usages = list(self.shard.usages_on(self.host_by_id[host_id]))
+        for usage in usages:
             usage.has_pending_command = True
-        self._nursery.start_soon(
-            self._run_command, host_id, server_id, action, decision
-        )
+        self._nursery.start_soon(self._run_command, host_id, usages, action, decision)
         return True
 
     async def _run_command(
-        self, host_id: str, server_id: str, action: Callable, decision: object
+        self,
+        host_id: str,
+        usages: list[ServerUsage],
+        action: Callable,
+        decision: object,
     ) -> None:
-        """Command a host on which a server ran when the command was decided."""
+        """Command a host on which lifetimes ran when the command was decided.
+
+        A later lifetime under the same name may have followed the command.
+        """
         try:
             if await action(decision):
-                self.shard.lose_server(server_id, monotonic_s(), ServerEnd.PLANNED)
+                for usage in usages:
+                    self.shard.lose_server(
+                        usage.server.id, monotonic_s(), ServerEnd.PLANNED
+                    )
                 self.wake_scheduler()
         finally:
             self.commands.release(host_id)
             self._is_list_requested = True
-            usage = self.shard.usage_by_server_id.get(server_id)
-            if usage is not None:
+            for usage in usages:
                 usage.has_pending_command = False
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.run_progress import RunProgress
 from rhubarbmount.batch.server_losses import Losses, is_suspect
 
@@ -223,6 +224,11 @@
     version: int
     host_id: str = ""
 
+    @property
+    def name(self) -> str:
+        """Return the name under which the server registers."""
+        return name_of(self.id)
+
 
 @attrs.frozen
 class RunReport:
@@ -266,12 +272,15 @@
 
 @attrs.frozen
 class Host:
-    """Host for backend servers; ``server_id`` is empty if none runs on it."""
+    """Host for backend servers; ``server_name`` is empty if none runs on it.
+
+    The platform names the server and does not tell its lifetimes apart.
+    """
 
     id: str
     pool: str
     state: HostState
-    server_id: str
+    server_name: str
     cpu_millicores: int
     data_centre: str
 
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import born_ms_of
 from rhubarbmount.batch.loss_tracker import LostRun
 from rhubarbmount.batch.model import (
     Job,
@@ -179,6 +180,7 @@
             return usage
         usage = ServerUsage(server, idle_since_s=now_s)
         self.usage_by_server_id[server.id] = usage
+        self._index_by_name(usage)
         for task in self._tasks_by_unknown_server_id.pop(server.id, ()):
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
                 usage.add(task, self.step_of(task.id))
@@ -186,6 +188,17 @@
                     self.stop_run(task)
         return usage
 
+    def _index_by_name(self, usage: ServerUsage) -> None:
+        usages = self.usages_by_server_name.setdefault(usage.server.name, [])
+        usages.append(usage)
+        usages.sort(key=lambda usage: born_ms_of(usage.server.id))
+
+    def _remove_from_index(self, usage: ServerUsage) -> None:
+        usages = self.usages_by_server_name[usage.server.name]
+        usages.remove(usage)
+        if not usages:
+            del self.usages_by_server_name[usage.server.name]
+
     def lose_server(
         self, server_id: str, now_s: float, end: ServerEnd = ServerEnd.CRASHED
     ) -> int:
@@ -194,6 +207,8 @@
         Returns the number of these tasks.
         """
         usage = self.usage_by_server_id.pop(server_id, None)
+        if usage is not None:
+            self._remove_from_index(usage)
         tasks = self._tasks_by_unknown_server_id.pop(server_id, [])
         if usage is not None and not usage.is_leaving:
             self.losses.note_silence(server_id, usage, now_s, now_s)
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Sequence
 
 import attrs
 
@@ -12,6 +13,7 @@
 from rhubarbmount.batch.demand import DemandMeter
 from rhubarbmount.batch.loss_tracker import LossTracker
 from rhubarbmount.batch.model import (
+    Host,
     Job,
     JobSpec,
     JobState,
@@ -53,6 +55,8 @@
     job_by_id: dict[str, Job] = attrs.field(factory=dict)
     unreadable_jobs: UnreadableJobs = attrs.field(factory=UnreadableJobs)
     usage_by_server_id: dict[str, ServerUsage] = attrs.field(factory=dict)
+    # The lifetimes of each server, the one that began last at the end.
+    usages_by_server_name: dict[str, list[ServerUsage]] = attrs.field(factory=dict)
     waiting_by_step: dict[StepKey, dict[int, Task]] = attrs.field(factory=dict)
     dirty: set[str] = attrs.field(factory=set)
     stops: list[Stop] = attrs.field(factory=list)
@@ -192,6 +196,10 @@
 
     # Lookups.
 
+    def usages_on(self, host: Host) -> Sequence[ServerUsage]:
+        """Return the lifetimes of the server on a host; all but one have ended."""
+        return self.usages_by_server_name.get(host.server_name, ())
+
     def step_of(self, task_id: TaskId) -> Step:
         """Return the step that a task belongs to."""
         return self.job_by_id[task_id.job_id].spec.steps[task_id.step]
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -74,8 +74,8 @@
 
     begin: list[Maintenance] = attrs.field(factory=list)
     evict: list[Task] = attrs.field(factory=list)
-    closed_servers: set[str] = attrs.field(factory=set)
-    due_servers: set[str] = attrs.field(factory=set)
+    closed_server_names: set[str] = attrs.field(factory=set)
+    due_server_names: set[str] = attrs.field(factory=set)
     # Pools that need another server, and pools that must keep a free one.
     short_pools: set[str] = attrs.field(factory=set)
     holding_pools: set[str] = attrs.field(factory=set)
@@ -111,7 +111,7 @@
             if not remaining:
                 actions.completed.append(progress)
                 continue
-            actions.due_servers.update(host.server_id for host in remaining)
+            actions.due_server_names.update(host.server_name for host in remaining)
             latest_start_s = _latest_start_s(
                 progress, self._sequential_rounds(progress, remaining)
             )
@@ -128,7 +128,7 @@
                 if host.state is not HostState.UP:
                     actions.wait_by_host[host.id] = host.state.value
                 elif host.id in progress.unavailable:
-                    actions.closed_servers.add(host.server_id)
+                    actions.closed_server_names.add(host.server_name)
             self._prepare_hosts(progress, candidates, actions, chosen_host_ids)
         return actions
 
@@ -147,18 +147,15 @@
 
         Hosts of one pool that run long-running tasks are drained one after the other.
         """
-        usages = [
-            self.shard.usage_by_server_id.get(host.server_id) for host in remaining
-        ]
+        usages = [usage for host in remaining for usage in self.shard.usages_on(host)]
         count_by_pool = Counter(
-            usage.server.service for usage in usages if usage and usage.has_long_running
+            usage.server.service for usage in usages if usage.has_long_running
         )
         batch_count = -(-len(remaining) // progress.wave.limit)
         return max([batch_count, *count_by_pool.values()])
 
     def _has_long_running(self, host: Host) -> bool:
-        usage = self.shard.usage_by_server_id.get(host.server_id)
-        return usage is not None and usage.has_long_running
+        return any(usage.has_long_running for usage in self.shard.usages_on(host))
 
     def _prepare_hosts(
         self,
@@ -182,27 +179,24 @@
             self._prepare_host(progress, host, actions)
 
     def _drain_cost(self, host: Host) -> tuple[bool, bool, int, str]:
-        usage = self.shard.usage_by_server_id.get(host.server_id)
-        if usage is None:
-            return False, False, 0, host.id
+        usages = self.shard.usages_on(host)
         return (
-            usage.has_long_running,
-            not usage.is_closed,
-            len(usage.task_by_id),
+            any(usage.has_long_running for usage in usages),
+            any(not usage.is_closed for usage in usages),
+            sum(len(usage.task_by_id) for usage in usages),
             host.id,
         )
 
     def _prepare_host(
         self, progress: WaveProgress, host: Host, actions: WaveActions
     ) -> None:
-        usage = self.shard.usage_by_server_id.get(host.server_id)
-        if usage is None or usage.is_idle:
+        usages = self.shard.usages_on(host)
+        actions.closed_server_names.update(usage.server.name for usage in usages)
+        if all(usage.is_idle for usage in usages):
             actions.begin.append(Maintenance(host.id, progress.wave.number))
-            if usage is not None:
-                actions.closed_servers.add(usage.server.id)
-            return
-        actions.closed_servers.add(usage.server.id)
-        actions.wait_by_host[host.id] = self._choose_evictions(usage, actions)
+        for usage in usages:
+            if not usage.is_idle:
+                actions.wait_by_host[host.id] = self._choose_evictions(usage, actions)
 
     def _choose_evictions(self, usage: ServerUsage, actions: WaveActions) -> str:
         """Choose the long-running tasks to evict now, at most one of each step.
--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -134,7 +134,7 @@
         id=row["machine"],
         pool=str(row.get("pool") or ""),
         state=state,
-        server_id=str(row.get("id") or ""),
+        server_name=str(row.get("id") or ""),
         cpu_millicores=int(cpu),
         data_centre=str(row.get("zone") or ""),
     )
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -11,9 +11,20 @@
 )
 from rhubarbmount.batch.catalogue import Catalogue, Pool
 from rhubarbmount.batch.demand import DemandMeter
-from rhubarbmount.batch.model import Host, HostState, JobSpec, QueueName, Server, Step
+from rhubarbmount.batch.model import (
+    Host,
+    HostState,
+    JobSpec,
+    QueueName,
+    Server,
+    Step,
+    Task,
+    TaskId,
+    TaskState,
+)
 from rhubarbmount.batch.placing import Shortage
 from rhubarbmount.batch.server_usage import ServerUsage
+from rhubarbmount.batch.shard import Shard
 
 CPU = 8000
 CATALOGUE = Catalogue(
@@ -42,7 +53,7 @@
         now_s,
         CATALOGUE,
         hosts,
-        {item.server.id: item for item in usages},
+        {item.server.name: [item] for item in usages},
         shortage or {},
         demand or DemandMeter(),
     )
@@ -153,7 +164,7 @@
 
 def test_pool_draining_a_host_keeps_a_free_host_for_its_tasks(planner):
     hosts = [host("m0", "one", server_id="s0")]
-    usages = {"s0": usage("s0", "one")}
+    usages = {"s0": [usage("s0", "one")]}
     moves = planner.plan(9.0, CATALOGUE, hosts, usages, {}, DemandMeter(), {"one"})
     assert moves == []
 
@@ -162,7 +173,7 @@
     """Demand rises in another pool while a maintenance wave is under way."""
     names = [f"s{n}" for n in range(4)]
     hosts = [host(f"m-{name}", "one", server_id=name) for name in names]
-    usages = {name: usage(name, "one") for name in names}
+    usages = {name: [usage(name, "one")] for name in names}
     shortage = {"two": Shortage(99000, 0, 99, 99.0)}
     moves = planner.plan(
         0.1, CATALOGUE, hosts, usages, shortage, DemandMeter(), {"one"}
@@ -175,3 +186,34 @@
     closed = usage("s0", "one")
     closed.is_closed = True
     assert plan(planner, 9.0, hosts, [closed]) == []
+
+
+# Guards against moving a host whose server runs tasks: the host is listed by the name
+# of the server, which is kept by its lifetime.
+@pytest.mark.parametrize("busy_id", ["s0@7", "s0@8"])
+def test_a_host_is_free_only_if_no_lifetime_of_its_server_has_tasks(planner, busy_id):
+    shard = Shard(CATALOGUE)
+    for server_id in ("s0@7", "s0@8"):
+        shard.put_server(usage(server_id, "two").server, 0.0).is_reachable = True
+    hosts = [host("m0", "two", server_id="s0")]
+    shortage = {"one": Shortage(4000, 0, 1, 4.0)}
+
+    def moves():
+        usages = shard.usages_by_server_name
+        return planner.plan(0.0, CATALOGUE, hosts, usages, shortage, DemandMeter())
+
+    step = Step(1, 100, 100)
+    task = Task(TaskId("j", 0, 0, 0), TaskState.ASSIGNED, 1, busy_id)
+    shard.usage_by_server_id[busy_id].add(task, step)
+    assert moves() == []
+    shard.usage_by_server_id[busy_id].remove(task.id, 0.0)
+    assert [move.host_id for move in moves()] == ["m0"]
+
+
+# Guards against hosts that are never returned: their servers were looked up by the name
+# alone and not found.
+def test_an_idle_host_is_returned_whichever_lifetime_its_server_has(planner):
+    usages = [usage("s0@7", "one")]
+    hosts = [host("m0", "one", server_id="s0")]
+    moves = plan(planner, IDLE_BEFORE_RETURN_S, hosts, usages)
+    assert [move.pool for move in moves] == ["rest"]
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -229,3 +229,60 @@
         fleet.client.hosts = [Host("m0", "one", HostState.UP, "", 8000, "a")]
     assert not usage.has_pending_command
     assert usage.is_open(4.0)
+
+
+def fleet_with_lifetimes(fleet_of, *server_ids):
+    """Return a fleet of one host, on which a server has had these lifetimes."""
+    fleet = fleet_of(1, HostResult.DONE)
+    fleet.client.hosts = [Host("m0", "one", HostState.UP, "s1", 8000, "a")]
+    for server_id in server_ids:
+        server = server_in_pool(server_id)
+        fleet.controller.shard.put_server(server, 0.0).is_reachable = True
+    return fleet
+
+
+# Guards against a host that is listed by the name of its server, while the server is
+# kept by its lifetime: what is maintained is not closed, and lost as if it had crashed.
+@pytest.mark.parametrize("server_ids", [["s1@7"], ["s1@7", "s1@8"]])
+async def test_a_command_ends_the_lifetimes_of_the_listed_server(
+    autojump_clock, fleet_of, server_ids
+):
+    fleet = fleet_with_lifetimes(fleet_of, *server_ids)
+    fleet.client.answer_after_s = 1.0
+    fleet.add_wave(limit=1)
+    usages = list(fleet.controller.shard.usage_by_server_id.values())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 2.5)
+        await trio.sleep(0.6)
+        assert all(usage.is_closed and usage.has_pending_command for usage in usages)
+    assert fleet.controller.shard.usage_by_server_id == {}
+    assert fleet.controller.shard.usages_by_server_name == {}
+
+
+# Guards against a second run of tasks: a server that starts again under its name while
+# its host is being commanded was taken for the lifetime that the command had ended.
+async def test_a_command_ends_no_later_lifetime_under_the_same_name(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_with_lifetimes(fleet_of, "s1@7")
+    fleet.client.answer_after_s = 1.0
+    fleet.add_wave(limit=1)
+    shard = fleet.controller.shard
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 2.5)
+        await trio.sleep(0.6)
+        shard.put_server(server_in_pool("s1@8"), 0.0)
+    assert list(shard.usage_by_server_id) == ["s1@8"]
+
+
+# Guards against reading the list of hosts ten times as often as needed, for ever.
+async def test_the_list_of_hosts_is_at_rest_once_it_names_all_servers(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_with_lifetimes(fleet_of, "s1@7")
+    await fleet.run_for(1.0)
+    assert not fleet.controller._is_list_requested
+    fleet.controller.shard.put_server(server_in_pool("s2@7"), 0.0)
+    fleet.controller.request_list()
+    await fleet.run_for(1.0)
+    assert fleet.controller._is_list_requested
--- a/tests/batch/test_room.py
+++ b/tests/batch/test_room.py
@@ -57,7 +57,7 @@
         0.0,
         CATALOGUE,
         hosts,
-        shard.usage_by_server_id,
+        shard.usages_by_server_name,
         placer.shortage_by_pool,
         shard.demand,
     )
@@ -168,7 +168,7 @@
         9.0,
         CATALOGUE,
         hosts,
-        next_shard.usage_by_server_id,
+        next_shard.usages_by_server_name,
         {},
         next_shard.demand,
         stranded_by_pool=next_shard.count_stranded(),
--- a/tests/batch/test_waves.py
+++ b/tests/batch/test_waves.py
@@ -105,7 +105,7 @@
     wave.unavailable.add("m-a")
     plan = WavePlanner(shard).plan([wave], hosts(*"ab"), 0.0)
     assert begun(plan) == ["m-b"]
-    assert plan.closed_servers == {"a", "b"}
+    assert plan.closed_server_names == {"a", "b"}
 
 
 def test_a_host_that_is_down_before_its_maintenance_keeps_no_slot():
@@ -131,7 +131,7 @@
     Placer(shard).place(0.0)
     plan = WavePlanner(shard).plan([progress("a")], hosts("a"), 0.0)
     assert begun(plan) == []
-    assert plan.closed_servers == {"a"}
+    assert plan.closed_server_names == {"a"}
     assert plan.evict == []
 
 
@@ -182,3 +182,15 @@
     wave.begun.add("m-a")
     plan = WavePlanner(shard).plan([wave], hosts("a"), 0.0)
     assert plan.completed == [wave]
+
+
+# Guards against LOST and an outage over the limit: a host whose server had a known
+# start counted as without a server, and was maintained while tasks ran there.
+def test_a_host_waits_for_the_tasks_of_every_lifetime_of_its_server(shard):
+    for name in ("a@7", "b@7"):
+        add_server(shard, name)
+    busy = run_long_running(shard)[0].server_id
+    plan = WavePlanner(shard).plan([progress("a", "b")], hosts("a", "b"), 0.0)
+    assert begun(plan) == []
+    assert busy.partition("@")[0] in plan.closed_server_names
+    assert plan.due_server_names == {"a", "b"}
