Store the start of a lifetime in a field of its own

Cause: rows named servers by the identifier of the lifetime. An older build that takes over looks for a server of that name, finds its address in the records of servers, asks for it, and is answered that it is another lifetime. It then takes the lifetime for over and begins the tasks again at once, while their runs go on. This was found by reading the older code, not by a play of both builds.

Ruled out: leaving the records of servers out for older builds; they would wait for the leases, but stop the runs meanwhile as runs of no task.

Change: rows of tasks, losses and kept ends name the server as before; the start is one more field at the end, which older builds pass over.

--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import born_ms_of, lifetime_id, name_of
 from rhubarbmount.batch.model import (
     Job,
     JobSpec,
@@ -184,24 +185,38 @@
 def _encode_task(task: Task) -> list[Any]:
     if task.state is TaskState.DONE:
         return [int(TaskState.DONE)]
-    row = [
-        int(task.state),
-        task.run,
-        task.server_id,
-        task.failures,
-        task.checkpoint,
-    ]
-    return [*row, list(map(_encode_loss, task.losses))] if task.losses else row
+    name, *born = _encode_lifetime(task.server_id)
+    row = [int(task.state), task.run, name, task.failures, task.checkpoint]
+    losses = list(map(_encode_loss, task.losses))
+    return [*row, losses, *born] if losses or born else row
+
+
+def _encode_lifetime(server_id: str) -> list[Any]:
+    """Return the name of a server and, if it is known, when its lifetime began.
+
+    The start is the last field of each row. Older builds, which take a name for one
+    lifetime, pass over it and find the server that they know by that name.
+    """
+    born_ms = born_ms_of(server_id)
+    return [name_of(server_id), born_ms] if born_ms else [server_id]
+
+
+def _decode_lifetime(name: str, rest: list[Any]) -> str:
+    """Return the identifier of a lifetime from a row's name and its last field."""
+    born_ms = rest[0] if rest else 0
+    _check_types((name, born_ms), (str, int))
+    return lifetime_id(name, born_ms)
 
 
 def _encode_loss(loss: ServerLoss) -> list[Any]:
     flags = (loss.is_certain, loss.was_alone, loss.was_widespread)
-    return [loss.server_id, *map(int, flags), round(loss.age_s, 3)]
+    name, *born = _encode_lifetime(loss.server_id)
+    return [name, *map(int, flags), round(loss.age_s, 3), *born]
 
 
 def _decode_loss(row: list[Any]) -> ServerLoss:
-    server_id, is_certain, was_alone, was_widespread, age_s = row[:5]
-    _check_types((server_id,), (str,))
+    name, is_certain, was_alone, was_widespread, age_s = row[:5]
+    server_id = _decode_lifetime(name, row[5:])
     flags = (bool(is_certain), bool(was_alone), bool(was_widespread))
     return ServerLoss(server_id, *flags, float(age_s))
 
@@ -243,15 +258,15 @@
 def _decode_task(task_id: TaskId, row: list[Any]) -> Task:
     if row[0] == TaskState.DONE:
         return Task(task_id, TaskState.DONE)
-    state, run, server_id, failures, checkpoint = row[:5]
-    _check_types((run, server_id, failures, checkpoint), (int, str, int, str))
+    state, run, name, failures, checkpoint = row[:5]
+    _check_types((run, failures, checkpoint), (int, int, str))
     # Builds that kept no record of lost servers store none.
     losses = tuple(map(_decode_loss, row[5])) if len(row) > 5 else ()
     return Task(
         task_id,
         TaskState(state),
         run,
-        server_id,
+        _decode_lifetime(name, row[6:]),
         failures,
         checkpoint,
         losses=losses,
@@ -260,15 +275,14 @@
 
 def encode_ends(ends: Iterable[KeptEnd]) -> bytes:
     """Encode the kept ends of a job's runs."""
-    rows = [
-        [kept.server_id, kept.end.number, *kept.end.task[1:], *_encode_end(kept.end)]
-        for kept in ends
-    ]
-    return _compress(_dump({"ends": rows}))
+    return _compress(_dump({"ends": list(map(_encode_end, ends))}))
 
 
-def _encode_end(end: RunEnd) -> list[Any]:
-    return [end.run, end.outcome, end.checkpoint]
+def _encode_end(kept: KeptEnd) -> list[Any]:
+    name, *born = _encode_lifetime(kept.server_id)
+    end = kept.end
+    place = end.task[1:]
+    return [name, end.number, *place, end.run, end.outcome, end.checkpoint, *born]
 
 
 @raises_unreadable_record
@@ -278,10 +292,11 @@
 
 
 def _decode_end(row: list[Any], job_id: str) -> KeptEnd:
-    server_id, number, occurrence, step, index, run, outcome, checkpoint = row[:8]
-    _check_types((server_id, outcome, checkpoint), (str, str, str))
+    name, number, occurrence, step, index, run, outcome, checkpoint = row[:8]
+    _check_types((outcome, checkpoint), (str, str))
     _check_types((number, occurrence, step, index, run), (int, int, int, int, int))
     task_id = TaskId(job_id, occurrence, step, index)
+    server_id = _decode_lifetime(name, row[8:])
     return KeptEnd(server_id, RunEnd(number, task_id, run, outcome, checkpoint))
 
 
