Record where servers are reached by their names

Cause: the record of a server with tasks was kept by its lifetime. A record that an older build had left under the name was dropped with the next change of its row while the server was in use, and an older build would ask for a server under an id that none has.

Ruled out: the start as a further field, which older builds can't read here; the answer of the server tells its lifetime anyway.

Change: records are kept and found by name; one stays while any lifetime of its server is in use.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -505,7 +505,8 @@
                 self.records.servers.note(usage.server)
         if not self.records.has_loaded_servers:
             return
-        records = self.records.servers.encode_changed(usage_by_id)
+        names_in_use = self.shard.usages_by_server_name
+        records = self.records.servers.encode_changed(names_in_use)
         for key, value in records.items():
             self._write_batch.put(server_records_row(self.name, key), value)
 
--- a/rhubarbmount/batch/server_records.py
+++ b/rhubarbmount/batch/server_records.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.record_fields import load_object, raises_unreadable_record
 
@@ -16,7 +17,7 @@
 
 @attrs.frozen
 class _Record:
-    """How to reach one lifetime, and the host that it runs on."""
+    """How to reach a server, and the host that it runs on."""
 
     address: str
     host_id: str
@@ -27,31 +28,31 @@
     """Addresses and hosts of the servers that have tasks, spread over ROW_COUNT rows.
 
     A server that has tasks may be listed no more when the next holder takes over. That
-    one then asks it here whether its lifetime goes on.
+    one then asks it here whether its lifetime goes on. Records are kept by name: the
+    answer tells which lifetime the server has, and older builds know names only.
     """
 
-    _record_by_server_id: dict[str, _Record] = attrs.field(factory=dict)
+    _record_by_name: dict[str, _Record] = attrs.field(factory=dict)
     _changed_keys: set[str] = attrs.field(factory=set)
 
     @raises_unreadable_record
     def load(self, value: bytes) -> None:
         """Load a row that an earlier holder stored. Raises UnreadableRecord."""
         loaded = {
-            server_id: _decode_record(fields)
-            for server_id, fields in load_object(value).items()
+            name: _decode_record(fields) for name, fields in load_object(value).items()
         }
-        self._record_by_server_id = loaded | self._record_by_server_id
+        self._record_by_name = loaded | self._record_by_name
 
     def note(self, server: Server) -> None:
         """Record a server before its first task is stored."""
         record = _Record(server.address, server.host_id)
-        if self._record_by_server_id.get(server.id) != record:
-            self._record_by_server_id[server.id] = record
-            self._changed_keys.add(_key_of(server.id))
+        if self._record_by_name.get(server.name) != record:
+            self._record_by_name[server.name] = record
+            self._changed_keys.add(_key_of(server.name))
 
     def find(self, server_id: str) -> Server | None:
-        """Return a recorded server, of which nothing else is known, or None."""
-        record = self._record_by_server_id.get(server_id)
+        """Return a lifetime of a recorded server, or None; nothing else is known."""
+        record = self._record_by_name.get(name_of(server_id))
         if record is None:
             return None
         return Server(
@@ -70,11 +71,11 @@
         )
 
     def all(self) -> list[Server]:
-        """Return all recorded servers."""
-        found = (self.find(server_id) for server_id in self._record_by_server_id)
+        """Return all recorded servers; which lifetimes they have is not known."""
+        found = (self.find(name) for name in self._record_by_name)
         return [server for server in found if server is not None]
 
-    def encode_changed(self, server_ids_in_use: Container[str]) -> dict[str, bytes]:
+    def encode_changed(self, names_in_use: Container[str]) -> dict[str, bytes]:
         """Return the values of the rows that have changed, by key.
 
         Servers that are no longer in use are left out.
@@ -82,16 +83,16 @@
         keys, self._changed_keys = self._changed_keys, set()
         if not keys:
             return {}
-        self._record_by_server_id = {
-            server_id: record
-            for server_id, record in self._record_by_server_id.items()
-            if server_id in server_ids_in_use
+        self._record_by_name = {
+            name: record
+            for name, record in self._record_by_name.items()
+            if name in names_in_use
         }
         records_by_key: dict[str, dict[str, list[str]]] = {key: {} for key in keys}
-        for server_id, record in self._record_by_server_id.items():
-            records = records_by_key.get(_key_of(server_id))
+        for name, record in self._record_by_name.items():
+            records = records_by_key.get(_key_of(name))
             if records is not None:
-                records[server_id] = [record.address, record.host_id]
+                records[name] = [record.address, record.host_id]
         return {
             key: json.dumps(records, separators=(",", ":")).encode("utf-8")
             for key, records in records_by_key.items()
@@ -106,6 +107,6 @@
     return _Record(address, host_id)
 
 
-def _key_of(server_id: str) -> str:
+def _key_of(name: str) -> str:
     """Return the key of the row that holds the record of a server."""
-    return str(zlib.crc32(server_id.encode("utf-8")) % ROW_COUNT)
+    return str(zlib.crc32(name.encode("utf-8")) % ROW_COUNT)
