Record the silence of lifetimes, and read records by name

Cause: the record of silent servers is kept by lifetime, and an older build writes it by name. A record by name was not found for the server, so that its tasks waited for the longest lease, and it was granted leases beyond the record. An older build in turn passes a record of a lifetime on for 30 s while it grants more under the name. With starts in it a full record had 68,835 bytes, more than the 65,536 of a row.

Ruled out: keeping the record by name. The silence of one lifetime would then limit and shorten the wait for another, which has been granted more.

Evidence: of the new cases in test_earlier_grants two fail before, as does that of the size with starts; the one that a record says nothing of a later lifetime fails if records are kept by name.

--- a/tests/batch/test_earlier_grants.py
+++ b/tests/batch/test_earlier_grants.py
@@ -1,5 +1,7 @@
 """When the leases that earlier holders granted have lapsed."""
 
+import json
+
 import pytest
 
 from rhubarbmount.batch.clocks import RATE_MARGIN
@@ -10,6 +12,7 @@
     longest_grant_s,
     longest_lease,
 )
+from rhubarbmount.batch.lifetimes import lifetime_id
 from rhubarbmount.batch.server_lease import MIN_START_LEASE_S, ServerLease
 from rhubarbmount.batch.silent_servers import (
     MAX_SERVERS,
@@ -99,8 +102,59 @@
 # A server that does not fit has no record, so that nothing limits its leases and the
 # next holder waits for the longest one.
 def test_record_fits_into_a_row():
-    silent = SilentServers(*[lambda: 100_000.0] * 2)
+    silent = SilentServers(*[lambda: 1_785_455_249.0] * 2)
     for number in range(MAX_SERVERS + 10):
-        silent.note(f"i-{number:010x}", lapses_in_s=10.0 + number / 1000)
+        server_id = lifetime_id(f"i-{number:010x}", 1_785_455_249_123)
+        silent.note(server_id, lapses_in_s=10.0 + number / 1000)
     assert len(silent.encode()) < 65_536
-    assert not silent.has(f"i-{MAX_SERVERS:010x}")
+    assert not silent.has(lifetime_id(f"i-{MAX_SERVERS:010x}", 1_785_455_249_123))
+
+
+def make_silent(value=b"{}"):
+    silent = SilentServers(*[lambda: 1000.0] * 2)
+    silent.load(value)
+    return silent
+
+
+# Guards against TWICE: a later lifetime was taken for one on which all has lapsed.
+def test_the_record_of_a_lifetime_says_nothing_of_a_later_one():
+    first_holder = make_silent()
+    first_holder.note("s@7", lapses_in_s=3.0)
+    silent = make_silent(first_holder.encode())
+    assert silent.lapses_in_s("s@7") == pytest.approx(3.0)
+    assert silent.lapses_in_s("s@8") is None
+    assert not silent.has("s@8")
+    silent.drop("s@8")
+    assert silent.has("s@7")
+
+
+# Guards against LOST and TWICE: tasks of a server that an older build had recorded by
+# name waited for the longest lease, and the server was granted more than recorded.
+def test_the_record_of_a_name_holds_for_every_lifetime():
+    silent = make_silent(b'{"s": 1002.0}')
+    grants = EarlierGrants(LapseBound(110.0, "longest-lease"), silent, lambda: 100.0)
+    assert grants.bound_of("s@7").at_s == pytest.approx(103.0)
+    assert silent.limit_in_s("s@7") == pytest.approx(3.0)
+    silent.note("s@7", lapses_in_s=9.0)
+    assert silent.limit_in_s("s@7") == pytest.approx(3.0)
+    silent.drop("s@7")
+    assert not silent.has("s@7")
+    assert not silent.has("s")
+
+
+def write_anew_as_older_builds(value, now_s):
+    """Return a record as builds write it that take a name for one lifetime."""
+    numbers = json.loads(value)
+    return json.dumps({key: at for key, at in numbers.items() if at > now_s - 30.0})
+
+
+# Guards against TWICE: an older build passes a record of a lifetime on, and grants more
+# under the name of the server.
+def test_a_lifetime_is_not_recorded_once_an_older_build_has_held_the_shard():
+    first_holder = make_silent()
+    first_holder.note("s@7", lapses_in_s=3.0)
+    first_holder.note("t", lapses_in_s=3.0)
+    passed_on = write_anew_as_older_builds(first_holder.encode(), 1000.0)
+    silent = make_silent(passed_on.encode())
+    assert not silent.has("s@7")
+    assert silent.has("t")
