Keep what is renewed before the shard is loaded by lifetime

Cause: renewals while a shard is loaded go to servers known by name, and their leases were kept by that. The session with the lifetime did not find the lease and knew nothing of what had been granted. An answer of another lifetime counted as one of the recorded lifetime: it was noted as heard, and the clock, which ignores readings behind the last, stayed that of the earlier one, so that the later lifetime was granted the longest lease, unknown to anyone.

Ruled out: stopping the renewals at the first answer of another lifetime; the runs there would lapse while the shard is loaded.

Change: leases are kept by the lifetime that answered, which is told by the answer. One that answers in place of another gets a lease of its own, which lasts as long as the longest one if the other had been granted anything, and which the records of its own, of the other one and of the name limit until they are gone.

Evidence: the three new cases in test_early_renewals fail before (['s'] in place of ['s@7']; 54000 ms granted where 52000 are the limit) and pass now; without the bound for what was granted by the other clock, the second fails.

--- a/rhubarbmount/batch/early_renewals.py
+++ b/rhubarbmount/batch/early_renewals.py
@@ -1,6 +1,7 @@
 """Renews what runs on backend servers while a new holder loads its shard."""
 
 import logging
+import math
 from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
@@ -8,6 +9,8 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
+from rhubarbmount.batch.election import longest_lease
+from rhubarbmount.batch.lifetimes import lifetime_id, name_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
@@ -29,7 +32,8 @@
     """Renews all runs until the holder knows which of them should go on.
 
     Each server is recorded as silent before it is granted anything, and until it has
-    answered, so that a later holder knows when its leases lapse.
+    answered, so that a later holder knows when its leases lapse. Its answers tell which
+    lifetime it has; leases are kept by that.
     """
 
     client: BackendClient
@@ -83,9 +87,13 @@
             answered, self._answered = self._answered, set()
             async with self._recording:
                 await self.store_record((), answered)
-                self.heard_server_ids |= answered
-                for server_id in answered:
+                for server_id in answered & self.lease_by_server_id.keys():
                     self.lease_by_server_id[server_id].recorded_lapse_s = None
+                    self._note_heard(server_id)
+
+    def _note_heard(self, server_id: str) -> None:
+        """Note a lifetime that no record limits, nor one by its name."""
+        self.heard_server_ids |= {server_id, name_of(server_id)}
 
     async def _renew_forever(self, server: Server) -> None:
         lease = self.lease_by_server_id[server.id] = self.make_lease(server.id)
@@ -99,15 +107,48 @@
                 continue
             if response.result is not CommandResult.DONE:
                 return
+            answered_id = lifetime_id(server.name, response.born_ms)
+            if response.born_ms and answered_id != server.id:
+                lease = self._replace_lease(server.id, answered_id)
+                server = attrs.evolve(server, id=answered_id)
+                was_known = False
             lease.consecutive_failures = 0
             lease.clock.note(response.clock_ms, monotonic_s())
             if lease.is_recorded_silent:
                 self._answered.add(server.id)
                 self._has_answers.set()
+            else:
+                self._note_heard(server.id)
             # The first answer tells the clock by which the next call can grant.
             if was_known:
                 await trio.sleep(RENEWAL_PERIOD_S)
 
+    def _replace_lease(self, server_id: str, answered_id: str) -> ServerLease:
+        """Return the lease for the lifetime that answered in place of an earlier one.
+
+        A call that was meant for the earlier one may have granted it the longest lease,
+        since its expiry is a time on another clock.
+        """
+        earlier = self.lease_by_server_id.pop(server_id)
+        self.heard_server_ids.discard(server_id)
+        lease = self.lease_by_server_id[answered_id] = self.make_lease(answered_id)
+        if earlier.clock.is_known:
+            granted = longest_lease(monotonic_s(), lease.max_lease_s)
+            if granted.at_s > lease.earlier.at_s:
+                lease.earlier = granted
+        if earlier.recorded_lapse_s is not None:
+            # The store may hold the record by the name until one without it is stored.
+            limit_s = lease.recorded_lapse_s or math.inf
+            lease.recorded_lapse_s = min(limit_s, earlier.recorded_lapse_s)
+        log.event(
+            logger,
+            "lifetime-answered",
+            server=answered_id,
+            asked=server_id,
+            lapses_in_s=lease.lapses_at_s() - monotonic_s(),
+        )
+        return lease
+
     async def _renew(
         self, server: Server, lease: ServerLease
     ) -> RenewalResponse | None:
