Ask the advice service about the latest lifetime of a server only

Cause: while two lifetimes of a server were known, both were asked about by one name. The ticket went to one of them, and the other counted as refused for as long as the step waited: a task that only this server may run never began.

Ruled out: tickets and refusals are kept by lifetime since lifetimes are told apart, so that a later one is asked about anew; a test shows that.

Change: of the lifetimes of a server only the latest is a candidate.

Evidence: the three cases of test_only_the_latest_lifetime fail before; the other new test fails if refusals are compared by name. All pass now.

--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -200,6 +200,10 @@
         """Return the lifetimes of the server on a host; all but one have ended."""
         return self.usages_by_server_name.get(host.server_name, ())
 
+    def is_latest_lifetime(self, usage: ServerUsage) -> bool:
+        """Return whether no lifetime of the server is known that began later."""
+        return self.usages_by_server_name[usage.server.name][-1] is usage
+
     def step_of(self, task_id: TaskId) -> Step:
         """Return the step that a task belongs to."""
         return self.job_by_id[task_id.job_id].spec.steps[task_id.step]
--- a/rhubarbmount/batch/tickets.py
+++ b/rhubarbmount/batch/tickets.py
@@ -25,7 +25,11 @@
 
 @attrs.define(eq=False)
 class TicketCache:
-    """Cache of tickets; requests them one call at a time and drops expired ones."""
+    """Cache of tickets; requests them one call at a time and drops expired ones.
+
+    A ticket or a refusal holds for one lifetime of a server. The service knows servers
+    by name, so that only the latest lifetime of each is asked about.
+    """
 
     client: AdviceClient
     tickets_by_step: dict[StepKey, dict[str, str]] = attrs.field(factory=dict)
@@ -127,6 +131,7 @@
             if usage.server.service == pool
             and usage.is_open(now_s)
             and usage.server.id not in refused
+            and shard.is_latest_lifetime(usage)
         ]
         if tickets:
             usages = [usage for usage in usages if _has_room(usage, step, key)]
--- a/tests/batch/test_tickets.py
+++ b/tests/batch/test_tickets.py
@@ -1,8 +1,10 @@
 """Tickets of the advice service: which steps and servers are asked about, and when."""
 
 import attrs
+import pytest
 
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.model import Job, JobSpec, Queue, QueueName, Server, Step
 from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.shard import Shard
@@ -110,3 +112,45 @@
     tickets = TicketCache(Advice(set()))
     await place_until(shard, tickets, 5.0)
     assert tickets.client.asked == ["j0"]
+
+
+@attrs.define
+class AdviceClientByName(Advice):
+    """An advice service that knows servers by name; its client answers for one each."""
+
+    async def ask(self, job_id, occurrence, step, server_ids):
+        self.asked += server_ids
+        server_id_by_name = {name_of(server_id): server_id for server_id in server_ids}
+        return [
+            Ticket(server_id, "t", VALID_S)
+            for name, server_id in server_id_by_name.items()
+            if name in self.allowed
+        ]
+
+
+# Guards against a task that is never started: a server that starts again under its name
+# was asked about together with its earlier lifetime and then counted as refused.
+@pytest.mark.parametrize("server_ids", [["s@7", "s@8"], ["s@8", "s@7"], ["s", "s@8"]])
+async def test_only_the_latest_lifetime_of_a_server_is_asked_about(server_ids):
+    shard = make_shard(0, LASTING)
+    for server_id in server_ids:
+        add_server(shard, server_id)
+    advice = AdviceClientByName({"s"})
+    tickets = TicketCache(advice)
+    assert await place_until(shard, tickets, 0.2) == ["s@8"]
+    assert advice.asked == ["s@8"]
+
+
+# Guards against a start with the ticket of an earlier lifetime, and against a server
+# that is never used as an earlier lifetime, maybe of another kind, was refused.
+async def test_a_later_lifetime_is_asked_about_anew():
+    shard = make_shard(0, LASTING)
+    add_server(shard, "s@7")
+    advice = AdviceClientByName(set())
+    tickets = TicketCache(advice)
+    assert await place_until(shard, tickets, 1.0) == []
+    shard.lose_server("s@7", 1.0)
+    add_server(shard, "s@8")
+    advice.allowed = {"s"}
+    assert await place_until(shard, tickets, 3.0, from_s=1.0) == ["s@8"]
+    assert advice.asked == ["s@7", "s@8"]
