Match losses that older builds stored by the name of a server

Cause: losses are kept by lifetime, and older builds stored them by name. A lifetime that answered did not take back the loss of its silence, and its end counted as a second loss, so that a task was closer to being blamed than it should be.

Ruled out: matching certain losses, too; the lost lifetime is over, so that the one that answers is another. Two lifetimes under one name count as two losses, also once stored: a test shows it.

Change: an uncertain loss by the name may be that of any lifetime of it.

--- a/rhubarbmount/batch/loss_tracker.py
+++ b/rhubarbmount/batch/loss_tracker.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.model import Task, TaskId
 from rhubarbmount.batch.server_losses import ServerEnd, ServerLoss, add_loss
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -114,11 +115,11 @@
 
     def confirm(self, server_id: str) -> list[Task]:
         """Record that a server lifetime is over; return the tasks lost with it."""
-        tasks = self._tasks_by_server_id.pop(server_id, [])
+        tasks = self._pop_watched(server_id)
         for task in tasks:
             task.losses = tuple(
                 attrs.evolve(loss, is_certain=True)
-                if loss.server_id == server_id
+                if loss.may_be_of(server_id)
                 else loss
                 for loss in task.losses
             )
@@ -127,9 +128,20 @@
     def retract(self, server_id: str) -> list[Task]:
         """Record that a server answers again; return the tasks not lost with it."""
         self._silence_by_server_id.pop(server_id, None)
-        tasks = self._tasks_by_server_id.pop(server_id, [])
+        tasks = self._pop_watched(server_id)
         for task in tasks:
             task.losses = tuple(
-                loss for loss in task.losses if loss.server_id != server_id
+                loss for loss in task.losses if not loss.may_be_of(server_id)
             )
         return tasks
+
+    def _pop_watched(self, server_id: str) -> list[Task]:
+        """Remove and return the tasks with an uncertain loss that may be of a lifetime.
+
+        Older builds stored losses by the name of the server alone.
+        """
+        tasks = self._tasks_by_server_id.pop(server_id, [])
+        if server_id != name_of(server_id):
+            by_name = self._tasks_by_server_id.pop(name_of(server_id), [])
+            tasks = [*tasks, *(task for task in by_name if task not in tasks)]
+        return tasks
--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import name_of
+
 __all__ = [
     "TRIAL_S",
     "Losses",
@@ -74,6 +76,15 @@
     was_widespread: bool
     age_s: float = 0.0
 
+    def may_be_of(self, server_id: str) -> bool:
+        """Return whether a lifetime may be the lost one.
+
+        The start of that one is unknown if an older build stored the loss.
+        """
+        if self.server_id == server_id:
+            return True
+        return not self.is_certain and self.server_id == name_of(server_id)
+
     @property
     def incriminates(self) -> bool:
         """Return whether the run is the only likely cause of the loss."""
@@ -96,8 +107,8 @@
 
 
 def add_loss(losses: Losses, loss: ServerLoss) -> Losses:
-    """Return the losses with another one; of each server one counts."""
-    if any(known.server_id == loss.server_id for known in losses):
+    """Return the losses with another one; of each lifetime one counts."""
+    if any(known.may_be_of(loss.server_id) for known in losses):
         return losses
     return (loss,) if outlives(losses, loss.age_s) else (*losses, loss)
 
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -1,9 +1,11 @@
 """Which losses of servers make a task run alone, and which make it be given up."""
 
+import attrs
 import pytest
 
 from rhubarbmount.batch.loss_tracker import LossTracker
 from rhubarbmount.batch.model import Job, Task, TaskId, TaskState
+from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.records import decode_progress, encode_progress
 from rhubarbmount.batch.server_losses import (
     ServerLoss,
@@ -180,3 +182,63 @@
     restored = Job(job.spec)
     decode_progress(encode_progress(job), restored)
     assert restored.tasks()[0].losses == task.losses
+
+
+def lose_server_under(task_of, shard, server_id, now_s):
+    """Run the only task on a lifetime of a server, which crashes soon after."""
+    shard.put_server(server(server_id), now_s).is_reachable = True
+    [assignment] = Placer(shard).place(now_s)
+    assert assignment.server_id == server_id
+    task = task_of(shard)
+    task.sent_s = now_s
+    shard.lose_server(server_id, now_s + 0.2)
+    return task.losses
+
+
+# Guards against a task that crashes a server again and again, uncounted, as that starts
+# again under the name that it had.
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_each_lifetime_of_a_server_that_is_lost_counts(is_stored):
+    shard = Shard(CATALOGUE)
+    job = Job(spec(step()))
+    shard.add_job(job)
+
+    def task_of(shard):
+        return shard.job_by_id["j1"].tasks()[0]
+
+    assert len(lose_server_under(task_of, shard, "s1@7", 1.0)) == 1
+    if is_stored:
+        job = Job(job.spec)
+        decode_progress(encode_progress(shard.job_by_id["j1"]), job)
+        shard = Shard(CATALOGUE)
+        shard.add_job(job)
+    lost = lose_server_under(task_of, shard, "s1@8", 5.0)
+    assert [item.server_id for item in lost] == ["s1@7", "s1@8"]
+    assert is_suspect(lost)
+
+
+# Guards against a task that is blamed for a server that only was silent: an older build
+# had stored the loss by the name of the server.
+def test_a_lifetime_that_answers_takes_back_the_loss_by_its_name():
+    tracker = LossTracker()
+    certain = loss(1, is_certain=True)
+    task = Task(TaskId("j1", 0, 0, 0), losses=(certain, loss(2, is_certain=False)))
+    tracker.watch(task)
+    assert tracker.retract("s2@7") == [task]
+    assert task.losses == (certain,)
+    assert tracker.retract("s1@7") == []
+
+
+# Guards against a loss that counts twice: by name, as an older build stored it, and by
+# the lifetime.
+def test_the_loss_of_a_lifetime_may_be_known_by_its_name():
+    uncertain = loss(1, is_certain=False)
+    later = attrs.evolve(uncertain, server_id="s1@7")
+    assert add_loss((uncertain,), later) == (uncertain,)
+    certain = loss(1)
+    assert len(add_loss((certain,), later)) == 2
+    tracker = LossTracker()
+    task = Task(TaskId("j1", 0, 0, 0), losses=(uncertain,))
+    tracker.watch(task)
+    assert tracker.confirm("s1@7") == [task]
+    assert task.losses == (certain,)
