Count a host as in use whose tasks are known by its server's name

Cause: after a takeover from an older build, or of a server that has started again since, tasks are assigned to a lifetime that is not the listed one. Until the records of servers have been read, the listed lifetime seemed idle, and its host was maintained or moved while the tasks ran there.

Ruled out: assigning the tasks to the listed lifetime; whether it has them is for its first list to tell.

Change: a lifetime with tasks whose server is listed is asked from the end of loading on, where the row says, and is of the host that the row says.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -18,6 +18,7 @@
 from rhubarbmount.batch.job_remover import JobRemover, RemovedJobs
 from rhubarbmount.batch.job_rows import JobRows
 from rhubarbmount.batch.lateness import Lateness
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.lost_run_log import report_losses
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import (
@@ -281,6 +282,7 @@
         self.records.note_silent(servers_with_tasks - early.heard_server_ids)
         self.servers.apply(loaded.servers, True)
         self.servers.note_read(read_from_s)
+        self._restore_other_lifetimes()
         self._job_rows.stored_spec_ids.update(self.shard.job_by_id)
         self._progress_without_spec_by_id = loaded.progress_without_spec_by_id
         for page in requests:
@@ -299,6 +301,18 @@
         )
         return loaded
 
+    def _restore_other_lifetimes(self) -> None:
+        """Ask for lifetimes with tasks whose servers are listed with another one.
+
+        Rows of older builds do not tell which lifetime has the tasks. Until an answer
+        does, the host of the server counts as in use.
+        """
+        for server_id in self.shard.unknown_servers():
+            usages = self.shard.usages_by_server_name.get(name_of(server_id))
+            if usages:
+                server = usages[-1].server
+                self.servers.restore(attrs.evolve(server, id=server_id))
+
     async def _find_unlisted_servers(self) -> None:
         """Ask the unlisted servers with tasks where the last holder reached them."""
         await self.records.load_servers()
