Explain jobs by the servers, whichever lifetimes they had

Cause: the trace of a job matched log lines by the identifier of the server's lifetime. What became of a server that started again was left out, and two lifetimes of one server on which a task failed counted as two servers, so that the task was named as the suspect.

Change: lines are matched, and servers counted, by name. Nothing else parses the servers in logs; metrics have no labels of servers.

Evidence: both new tests in test_log_trace fail before and pass now.

--- a/rhubarbmount/batch/log_trace.py
+++ b/rhubarbmount/batch/log_trace.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.errors import Finding, FindingsError
 
 __all__ = ["LogLine", "Trace", "parse_line", "read_logs", "trace"]
@@ -33,6 +34,8 @@
     "server-not-listed",
     "server-regained",
     "leases-lapsed",
+    "lifetime-answered",
+    "lifetime-began",
     "server-ended",
 )
 CONTEXT_BEFORE_S = 2.0
@@ -128,18 +131,23 @@
         return []
     first_s = matching[0].time_s - CONTEXT_BEFORE_S
     last_s = matching[-1].time_s
-    servers = {line.fields["server"] for line in matching if "server" in line.fields}
+    servers = _servers_in(matching)
     return [
         line
         for line in in_order
         if first_s <= line.time_s <= last_s
         and (
             line.event in CONTEXT_EVENTS
-            or (line.event in SERVER_EVENTS and line.fields.get("server") in servers)
+            or (line.event in SERVER_EVENTS and _servers_in([line]) & servers)
         )
     ]
 
 
+def _servers_in(lines: Iterable[LogLine]) -> set[str]:
+    """Return the names of the servers in log lines, whichever lifetimes they had."""
+    return {name_of(line.fields["server"]) for line in lines if "server" in line.fields}
+
+
 def _cause(matching: list[LogLine], context: list[LogLine]) -> str:
     if not matching:
         return "no line names it: it reached no host, or its log lines were dropped"
@@ -163,7 +171,7 @@
     if not count_by_task:
         return "the job failed, and the log lines of its runs are missing"
     task, count = count_by_task.most_common(1)[0]
-    servers = {line.fields["server"] for line in failed if line.fields["task"] == task}
+    servers = _servers_in(line for line in failed if line.fields["task"] == task)
     suspect = "the task" if len(servers) > 1 else "the backend server"
     return f"task {task} failed {count} times on {len(servers)} servers: {suspect}"
 
--- a/tests/batch/test_log_trace.py
+++ b/tests/batch/test_log_trace.py
@@ -126,3 +126,36 @@
     assert shown[1].startswith("  2026-05-01T00:00:02.000 e1 refused")
     assert shown[2].startswith("cause: refused by e1 with c; its store calls failed")
     assert porcelain.explain_log("r2", str(path)) == 1
+
+
+def lines_of(*texts):
+    parsed = (
+        parse_line(f"time=2026-05-01T00:00:0{second}.000 level=INFO {text}", "e1")
+        for second, text in enumerate(texts)
+    )
+    return [line for line in parsed if line is not None]
+
+
+# Guards against an explanation that leaves out what became of a server, as it had
+# started again under its name.
+def test_what_became_of_a_server_is_shown_whichever_lifetime_it_has():
+    lines = lines_of(
+        "event=run-sent job=j1 task=0.0.0 server=s1@7",
+        "event=lifetime-began server=s1@8 earlier=s1@7",
+        "event=lifetime-began server=s2@8 earlier=s2@7",
+        "event=run-ended job=j1 task=0.0.0 server=s1@8 how=done",
+    )
+    [shown] = trace(lines, "j1").context
+    assert shown.fields["server"] == "s1@8"
+
+
+# Guards against the blame of a task for a server on which all runs fail, and which has
+# started again meanwhile.
+def test_lifetimes_of_one_server_count_as_one_server_that_fails():
+    lines = lines_of(
+        "event=run-ended job=j1 task=0.0.0 server=s1@7 how=failed",
+        "event=run-ended job=j1 task=0.0.0 server=s1@8 how=failed",
+        "event=job-ended job=j1 state=failed",
+    )
+    cause = trace(lines, "j1").cause
+    assert cause == "task 0.0.0 failed 2 times on 1 servers: the backend server"
