Compare the stand-in's servers by name in the tests of lost tasks

The stand-in states when its lifetimes began, so that the holder keeps them by name and start. Two tests in test_lost_tasks looked for a lifetime by the name alone and found none; they check the same as before.

--- a/tests/batch/test_lost_tasks.py
+++ b/tests/batch/test_lost_tasks.py
@@ -74,7 +74,7 @@
         assert await submit(world, checker, "/one/", jobs[0])
         await trio.sleep(0.3)
         usages = node._holder.shard.usage_by_server_id.values()
-        idle = next(usage.server.id for usage in usages if usage.is_idle)
+        idle = next(usage.server.name for usage in usages if usage.is_idle)
         machine = next(
             machine
             for machine in world.platform.machine_by_id.values()
@@ -148,7 +148,7 @@
     on_list = ServerSessions.on_list
 
     def fail_for_bad_servers(sessions, session, response, sent_s):
-        if session.server.id in bad_server_ids:
+        if session.server.name in bad_server_ids:
             raise KeyError("a fault in handling a list")
         on_list(sessions, session, response, sent_s)
 
