Expect grants only from lifetimes that could be granted anything

Without a reading of its clock a lifetime is granted nothing. After: 240 tests of lifetimes, takeovers and early renewals pass.

--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -165,13 +165,24 @@
         """
         lease = self.make_lease(server_id)
         name = name_of(server_id)
-        known = {*self._lifetimes.of_name(name), *self.early_lease_by_server_id}
-        if any(name_of(other) == name for other in known - {server_id}) or (
-            name in self._unsettled_by_name
-        ):
+        has_granted = any(
+            other_id != server_id and other.clock.is_known
+            for other_id, other in self._leases_of_name(name)
+        )
+        if has_granted or name in self._unsettled_by_name:
             lease.expect_longest(monotonic_s())
         return lease
 
+    def _leases_of_name(self, name: str) -> Iterator[tuple[str, ServerLease]]:
+        """Yield the leases for the lifetimes of a name, early ones included."""
+        for server_id in self._lifetimes.of_name(name):
+            session = self._session_by_server_id.get(server_id)
+            if session is not None:
+                yield server_id, session.lease
+        for server_id, lease in self.early_lease_by_server_id.items():
+            if name_of(server_id) == name:
+                yield server_id, lease
+
     def _log_beginning(self, session: ServerSession) -> None:
         """Log that a server of which another lifetime is known has started again."""
         server_id = session.server.id
