Apply the lists of runs in a module of their own

server_sessions.py had grown to 621 lines; what a list means for tasks needs nothing of the sessions but to send.

--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -16,14 +16,7 @@
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.lifetimes import born_ms_of, lifetime_id, name_of
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import (
-    RunEnd,
-    RunReport,
-    Task,
-    TaskId,
-    TaskState,
-)
-from rhubarbmount.batch.pacing import UNKNOWN_PACE, PaceControl
+from rhubarbmount.batch.run_lists import RunLists
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.server_lifetimes import RunFate, ServerLifetimes, fate_of
@@ -32,7 +25,7 @@
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.silent_servers import SilentServers
-from rhubarbmount.batch.stragglers import find_straggler, needs_watch
+from rhubarbmount.batch.stragglers import needs_watch
 from rhubarbmount.batch.tickets import TicketCache
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
@@ -42,14 +35,11 @@
 
 # How long a server gets no new runs after a start that did not take place.
 START_BACKOFF_S = 0.15
-# How long a server gets no new runs after one of its runs was found to straggle.
-STRAGGLER_BACKOFF_S = 4.0
 # How long renewals use the short wait after a call was not answered.
 RESPONSE_LOSS_WINDOW_S = 2.0
 # A run that has just been stopped may briefly be listed neither as running nor as
 # ended. Only lists requested after this delay count as evidence that it is gone.
 STOP_LISTING_DELAY_S = 0.5
-STRAY_STOP_INTERVAL_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -78,12 +68,14 @@
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
     _lifetimes: ServerLifetimes = attrs.field(factory=ServerLifetimes)
-    _pacing: PaceControl = attrs.field(factory=PaceControl)
+    _run_lists: RunLists = attrs.field(init=False)
     # Servers that have answered and are still recorded as silent.
     _heard: list[ServerSession] = attrs.field(factory=list)
     _record_changed: trio.Event = attrs.field(factory=trio.Event)
     _response_loss_until_s: float = 0.0
-    _stop_sent_at_s: dict[tuple[str, TaskId, int], float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._run_lists = RunLists(self.shard, self.metrics)
 
     def __iter__(self) -> Iterator[ServerSession]:
         return iter(list(self._session_by_server_id.values()))
@@ -205,16 +197,7 @@
         now_s = monotonic_s()
         self.shard.set_time(now_s, wall_clock_s())
         self._end_earlier_lifetimes(session, response, sent_s)
-        for end in response.ended:
-            if end.number > session.listed_to:
-                self._record_end(session, end, now_s, response.clock_ms)
-        self._apply_running(session, usage, response, now_s)
-        running = {(item.task, item.run) for item in response.running}
-        for task in list(usage.task_by_id.values()):
-            if (task.id, task.run) not in running:
-                self._handle_missing_run(session, task, sent_s, now_s)
-        for command in self._pacing.decide(usage, response.running, now_s):
-            session.send(command)
+        self._run_lists.apply(session, usage, response, sent_s, now_s)
         self.wake()
 
     def _end_earlier_lifetimes(
@@ -278,142 +261,6 @@
         for task_id, run in unsettled - listed:
             session.send(StopRequest(task_id, run))
 
-    def _apply_running(
-        self,
-        session: ServerSession,
-        usage: ServerUsage,
-        response: RenewalResponse,
-        now_s: float,
-    ) -> None:
-        """Record the progress of listed runs, and stop those that should not be."""
-        stray_steps = []
-        for item in response.running:
-            task = self.shard.task(item.task)
-            if task is None or not _is_run_of(task, item.run, session.server.id):
-                if not self.shard.unreadable_jobs.may_run(item.task.job_id):
-                    self._stop_stray(session, item.task, item.run)
-                if not usage.has_run(item.task, item.run):
-                    stray_steps.append(self.shard.find_step(item.task))
-            else:
-                self._record_progress(usage, task, item, now_s, response.clock_ms)
-        usage.set_strays(stray_steps)
-        usage.has_runs_left_alone = any(
-            self.shard.unreadable_jobs.may_run(item.task.job_id)
-            for item in response.running
-        )
-
-    def _record_end(
-        self, session: ServerSession, end: RunEnd, now_s: float, clock_ms: int
-    ) -> None:
-        if end.task.job_id in self.shard.unreadable_jobs:
-            is_news = self.shard.unreadable_jobs.keep_end(session.server.id, end)
-        else:
-            is_news = self.shard.end_run(session.server.id, end, now_s, clock_ms)
-        self.metrics.ends.labels(end.outcome).inc()
-        log.frequent_event(
-            logger,
-            "run-ended",
-            job=end.task.job_id,
-            task=end.task.place,
-            run=end.run,
-            server=session.server.id,
-            number=end.number,
-            how=end.outcome,
-            is_news=is_news,
-        )
-
-    def _record_progress(
-        self,
-        usage: ServerUsage,
-        task: Task,
-        report: RunReport,
-        now_s: float,
-        clock_ms: int,
-    ) -> None:
-        if report.checkpoint:
-            task.checkpoint = report.checkpoint
-        if task.assigned_s == 0.0:
-            self._adopt_run(usage, task, now_s)
-        task.progress.report(report.percent, clock_ms)
-        if task.acknowledged_s:
-            self.shard.clear_losses_if_harmless(task, now_s)
-        self._stop_if_straggling(usage, task, now_s)
-
-    def _adopt_run(self, usage: ServerUsage, task: Task, now_s: float) -> None:
-        """Take over a run of an earlier holder, which may have heard of no drain."""
-        # Its start time is not known here: measure from when it was first seen.
-        task.assigned_s = task.sent_s = task.acknowledged_s = now_s
-        step = self.shard.step_of(task.id)
-        if step.fills:
-            task.pace = UNKNOWN_PACE
-        if usage.server.is_draining and step.is_long_running and not task.is_stopping:
-            self.shard.stop_run(task)
-
-    def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
-        """Stop a straggling run, so that its task restarts on another server."""
-        expected = self.shard.expected_run_time_of(task)
-        straggler = find_straggler(task, usage, expected, self.shard.siblings_of(task))
-        if straggler is None:
-            return
-        step = usage.step_by_task[task.id]
-        discarded_core_s = task.progress.elapsed_s * step.cpu_millicores / 1000
-        self.metrics.stragglers.labels(straggler.reason).inc()
-        self.metrics.discarded_core_s.labels(straggler.reason).inc(discarded_core_s)
-        log.event(
-            logger,
-            "straggler",
-            job=task.id.job_id,
-            task=task.id.place,
-            run=task.run,
-            server=usage.server.id,
-            reason=straggler.reason,
-            percent=task.progress.percent,
-            elapsed_s=task.progress.elapsed_s,
-            left_s=straggler.left_s,
-            expected_s=expected.expected_s,
-            spread=expected.spread,
-            declared_s=step.estimate_s,
-            discarded_core_s=discarded_core_s,
-        )
-        task.failed_on = usage.server.id
-        usage.slow_until_s = now_s + STRAGGLER_BACKOFF_S
-        self.shard.stop_run(task)
-
-    def _stop_stray(self, session: ServerSession, task_id: TaskId, run: int) -> None:
-        key = (session.server.id, task_id, run)
-        now_s = monotonic_s()
-        sent_at_s = self._stop_sent_at_s.get(key)
-        if sent_at_s is None or now_s > sent_at_s + STRAY_STOP_INTERVAL_S:
-            self._stop_sent_at_s[key] = now_s
-            session.send(StopRequest(task_id, run))
-
-    def _handle_missing_run(
-        self, session: ServerSession, task: Task, sent_s: float, now_s: float
-    ) -> None:
-        """Requeue the task of an assigned run that the server no longer has.
-
-        A run assigned by an earlier holder is given up if the first list of the
-        session lacks it; one of this holder if its start was acknowledged before the
-        list was requested.
-        """
-        is_of_last_holder = task.assigned_s == 0.0
-        if is_of_last_holder:
-            if not session.is_established:
-                self.shard.release(task, now_s)
-        elif 0.0 < task.acknowledged_s < sent_s:
-            log.event(
-                logger,
-                "run-vanished",
-                logging.WARNING,
-                job=task.id.job_id,
-                task=task.id.place,
-                run=task.run,
-                server=session.server.id,
-                listed_to=session.listed_to,
-                acknowledged=session.acknowledged,
-            )
-            self.shard.release(task, now_s)
-
     def on_not_started(
         self, server_id: str, request: StartRequest, result: CommandResult
     ) -> None:
@@ -571,8 +418,7 @@
     def forget(self, name: str) -> None:
         """Drop the state kept for the lifetimes of a server whose row was removed."""
         self._lifetimes.forget(name)
-        for key in [key for key in self._stop_sent_at_s if name_of(key[0]) == name]:
-            del self._stop_sent_at_s[key]
+        self._run_lists.forget(name)
 
     def handle_server_end(
         self, server_id: str, reason: str, is_over: bool = True, by: str = ""
@@ -598,12 +444,3 @@
         end = ServerEnd.CRASHED if is_over else ServerEnd.SILENT
         self.shard.lose_server(server_id, monotonic_s(), end)
         self.wake()
-
-
-def _is_run_of(task: Task | None, run: int, server_id: str) -> bool:
-    return (
-        task is not None
-        and task.state is TaskState.ASSIGNED
-        and task.run == run
-        and task.server_id == server_id
-    )
