Complete waves only by a whole list of hosts requested after them

Cause: a wave was planned on the list of hosts at hand, which may be up to 4 s older than the wave.

Change: a wave completes only by a list that was requested after it was put and lacks no entry. Until there is one, the list is read every 0.4 s; this stands in for a request by put_wave, which a read under way would have overwritten. The client tells how many entries it left out; the holder logs changes of that number as hosts-left-out. list_age_s counts from the request of the last read that succeeded; it counted from the last try, also when that failed. The period of reads still counts from the last try.

Ruled out: comparing times of put and request, as both may be equal in one round; the waves known at the request are kept instead. Keeping a wave open by an earlier whole list while entries are left out: the damaged list takes its place in planning.

Evidence: with only the new type of the list in place, 6 new tests failed (the completion in waves.py, four of lists in fleet_controller.py, the age in the log) and pass now. The test that reads which fail keep their period guards the change and did not fail before; it fails when the period counts from the last success. Each condition of the change, taken out, fails a test (7 mutations).

Left as they are: note_listed frees the slot of a host whose entry was left out; a command that is refused counts as begun; a page without "machines" counts as an empty one.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -54,7 +54,10 @@
     wave_by_number: dict[int, WaveProgress] = attrs.field(factory=dict)
     capacity: CapacityPlanner = attrs.field(factory=CapacityPlanner)
     waves: WavePlanner = attrs.field(init=False)
+    # When the last read of the list began, and when the last one that succeeded did.
+    _read_at_s: float = 0.0
     _listed_at_s: float = 0.0
+    _left_out: int = 0
     _is_list_requested: bool = True
     _pools_short_for_waves: set[str] = attrs.field(factory=set)
     _pools_keeping_servers: set[str] = attrs.field(factory=set)
@@ -111,15 +114,17 @@
         self._plan_moves()
 
     def _is_list_due(self, now_s: float) -> bool:
-        age_s = now_s - self._listed_at_s
+        age_s = now_s - self._read_at_s
         is_waiting = self._is_list_requested or bool(self.commands)
         is_waiting = is_waiting or any(
-            progress.unavailable for progress in self.wave_by_number.values()
+            progress.unavailable or progress.needs_list
+            for progress in self.wave_by_number.values()
         )
         return age_s >= (LIST_PERIOD_S if is_waiting else IDLE_LIST_PERIOD_S)
 
     async def _read_list(self) -> None:
-        self._listed_at_s = monotonic_s()
+        self._read_at_s = monotonic_s()
+        earlier_waves = tuple(self.wave_by_number.values())
         resolved_host_ids = {
             host_id
             for progress in self.wave_by_number.values()
@@ -127,10 +132,15 @@
             if self.commands.may_command(host_id)
         }
         try:
-            hosts = await self.client.list()
+            host_list = await self.client.list()
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.event(logger, "hosts-not-listed", logging.WARNING, code=error.code)
             return
+        self._listed_at_s = self._read_at_s
+        self._note_left_out(host_list.left_out)
+        for progress in earlier_waves:
+            progress.has_whole_list = not host_list.left_out
+        hosts = host_list.hosts
         self.host_by_id = {host.id: host for host in hosts}
         for progress in self.wave_by_number.values():
             progress.note_listed(self.host_by_id, resolved_host_ids)
@@ -139,6 +149,12 @@
             server_id not in known for server_id in self.shard.usage_by_server_id
         )
 
+    def _note_left_out(self, left_out: int) -> None:
+        """Log when the number of entries that could not be decoded has changed."""
+        if left_out != self._left_out:
+            log.event(logger, "hosts-left-out", logging.WARNING, entries=left_out)
+        self._left_out = left_out
+
     # Waves.
 
     def _plan_waves(self) -> None:
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -23,7 +23,8 @@
 
     ``begun`` holds the hosts whose maintenance has begun. ``unavailable`` holds those
     that count towards the limit: from the decision to maintain them, before any command
-    is sent, until the platform lists them as up again.
+    is sent, until the platform lists them as up again. ``has_whole_list`` tells whether
+    the list of hosts was requested after the wave was put and lacks no entry.
     """
 
     wave: Wave
@@ -31,6 +32,12 @@
     begun: set[str] = attrs.field(factory=set)
     unavailable: set[str] = attrs.field(factory=set)
     is_complete: bool = False
+    has_whole_list: bool = False
+
+    @property
+    def needs_list(self) -> bool:
+        """Return whether the wave can't complete by the list of hosts at hand."""
+        return not self.is_complete and not self.has_whole_list
 
     @property
     def free_slots(self) -> int:
@@ -109,7 +116,8 @@
                 continue
             remaining = self._remaining_hosts(progress, hosts)
             if not remaining:
-                actions.completed.append(progress)
+                if progress.has_whole_list:
+                    actions.completed.append(progress)
                 continue
             actions.due_servers.update(host.server_id for host in remaining)
             latest_start_s = _latest_start_s(
--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -16,7 +16,7 @@
     decoding_response,
 )
 
-__all__ = ["HostClient", "HostResult"]
+__all__ = ["HostClient", "HostList", "HostResult"]
 
 CALL_TIMEOUT_S = 1.0
 STATE_BY_NAME = {
@@ -48,6 +48,14 @@
 }
 
 
+@attrs.frozen
+class HostList:
+    """All hosts that the platform lists; ``left_out`` entries can't be decoded."""
+
+    hosts: tuple[Host, ...]
+    left_out: int = 0
+
+
 @attrs.define(eq=False)
 class HostClient:
     """Client for hosts; calls raise PlatformUnavailable or OutcomeUnknown."""
@@ -56,9 +64,9 @@
     address: str
     holder: str
 
-    async def list(self) -> list[Host]:
-        """Return all hosts, without the entries that can't be decoded."""
-        hosts: list[Host] = []
+    async def list(self) -> HostList:
+        """Return all hosts, and how many entries can't be decoded."""
+        entries: list[Host | None] = []
         page_token = ""
         while True:
             target = "/machines" + (
@@ -73,10 +81,11 @@
                 )
             with decoding_response():
                 rows = response.body.get("machines") or ()
-                hosts.extend(filter(None, map(_decode_host, rows)))
+                entries.extend(map(_decode_host, rows))
             page_token = str(response.body.get("next_token") or "")
             if not page_token:
-                return hosts
+                hosts = tuple(filter(None, entries))
+                return HostList(hosts, len(entries) - len(hosts))
 
     async def move(
         self, host_id: str, pool: str, fencing_token: int, may_send: MaySend
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -1,4 +1,7 @@
-"""Commands to hosts: what counts while their outcome is not known."""
+"""Commands to hosts and waves: what counts while an outcome is not known."""
+
+import logging
+import re
 
 import attrs
 import pytest
@@ -15,8 +18,8 @@
 from rhubarbmount.batch.model import Host, HostState, Server, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.errors import OutcomeUnknown
-from rhubarbmount.platform.hosts import HostResult
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.platform.hosts import HostList, HostResult
 from rhubarbmount.timers import TimerService
 
 POOLS = {name: Pool(name, name == "rest") for name in ("one", "rest")}
@@ -35,9 +38,19 @@
     results: list[HostResult | Exception]
     answer_after_s: float = 0.01
     commanded: list[str] = attrs.field(factory=list)
+    left_out: int = 0
+    list_takes_s: float = 0.0
+    is_list_down: bool = False
+    lists: int = 0
 
     async def list(self):
-        return self.hosts
+        self.lists += 1
+        if self.is_list_down:
+            raise PlatformUnavailable("no list")
+        answer = HostList(tuple(self.hosts), self.left_out)
+        if self.list_takes_s:
+            await trio.sleep(self.list_takes_s)
+        return answer
 
     async def move(self, host_id, pool, fencing_token, may_send):
         return await self._answer(host_id)
@@ -229,3 +242,101 @@
         fleet.client.hosts = [Host("m0", "one", HostState.UP, "", 8000, "a")]
     assert not usage.has_pending_command
     assert usage.is_open(4.0)
+
+
+JOINING = Host("m9", "rest", HostState.UP, "", 8000, "a")
+
+
+def join(fleet):
+    """Have a host join, and put a wave of this host only."""
+    fleet.client.hosts = [*fleet.client.hosts, JOINING]
+    fleet.controller.put_wave(Wave(1, (JOINING.id,), 60.0, 1), None)
+
+
+def is_complete(fleet):
+    return fleet.controller.wave_by_number[1].is_complete
+
+
+# Guards against a wave that is complete by a list of before it, which lacks a host.
+async def test_a_wave_does_not_complete_by_a_list_of_before_it(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_of(2, HostResult.DONE)
+    await fleet.run_for(1.0)
+    join(fleet)
+    await fleet.run_for(1.0)
+    assert fleet.client.commanded == [JOINING.id]
+    assert is_complete(fleet)
+
+
+# Guards against a wave that is complete by a list that was under way when it was put.
+async def test_a_wave_does_not_complete_by_a_list_requested_before_it(
+    autojump_clock, fleet_of
+):
+    fleet = fleet_of(2, HostResult.DONE)
+    fleet.client.list_takes_s = 0.3
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 2.0)
+        while not fleet.client.lists:
+            await trio.sleep(0.01)
+        join(fleet)
+    assert fleet.client.commanded == [JOINING.id]
+    assert is_complete(fleet)
+
+
+# Guards against a wave that is complete while the entry of a host of it is damaged.
+async def test_a_wave_does_not_complete_while_entries_are_left_out(
+    autojump_clock, fleet_of, caplog
+):
+    caplog.set_level(logging.WARNING)
+    fleet = fleet_of(2, HostResult.DONE)
+    fleet.add_wave(limit=2)
+    left_out = fleet.client.hosts.pop()
+    fleet.client.left_out = 1
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 7.0)
+        await trio.sleep(5.0)
+        assert fleet.client.commanded == ["m0"]
+        assert not is_complete(fleet)
+        fleet.client.hosts.append(left_out)
+        fleet.client.left_out = 0
+    assert fleet.client.commanded == ["m0", "m1"]
+    assert is_complete(fleet)
+    assert re.findall(r"hosts-left-out entries=(\d+)", caplog.text) == ["1", "0"]
+
+
+# Guards against a wave that is complete by the list that came before a damaged one.
+async def test_a_damaged_list_takes_the_place_of_a_whole_one(autojump_clock, fleet_of):
+    fleet = fleet_of(2, HostResult.BUSY)
+    fleet.add_wave(limit=2)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 5.0)
+        await trio.sleep(2.0)
+        fleet.client.hosts = rest_hosts(3)[2:]
+        fleet.client.left_out = 2
+    assert not is_complete(fleet)
+
+
+# Guards against an age of the list in the log that starts again with reads that fail.
+async def test_the_age_of_the_list_counts_from_the_last_read_that_succeeded(
+    autojump_clock, fleet_of, caplog
+):
+    caplog.set_level(logging.INFO)
+    fleet = fleet_of(1, HostResult.DONE)
+    await fleet.run_for(1.0)
+    assert fleet.client.lists
+    fleet.client.is_list_down = True
+    await trio.sleep(9.0)
+    fleet.add_wave(limit=1)
+    await fleet.run_for(0.5)
+    ages = re.findall(r"maintenance-decided .*list_age_s=([0-9.]+)", caplog.text)
+    assert [float(age) >= 9.0 for age in ages] == [True]
+
+
+# Guards against reads that are repeated each round while they fail.
+async def test_reads_that_fail_keep_their_period(autojump_clock, fleet_of):
+    fleet = fleet_of(1, HostResult.DONE)
+    fleet.client.is_list_down = True
+    fleet.add_wave(limit=1)
+    await fleet.run_for(4.0)
+    assert 5 <= fleet.client.lists <= 10
--- a/tests/batch/test_waves.py
+++ b/tests/batch/test_waves.py
@@ -180,5 +180,14 @@
     add_server(shard, "a")
     wave = progress("a", "gone")
     wave.begun.add("m-a")
+    wave.has_whole_list = True
     plan = WavePlanner(shard).plan([wave], hosts("a"), 0.0)
     assert plan.completed == [wave]
+
+
+# Guards against a wave that is complete while a host of it is not in the list yet.
+def test_wave_does_not_complete_by_a_list_that_may_lack_its_hosts(shard):
+    wave = progress("a", "joining")
+    wave.begun.add("m-a")
+    plan = WavePlanner(shard).plan([wave], hosts("a"), 0.0)
+    assert plan.completed == []
