--- a/tests/batch/test_waves.py
+++ b/tests/batch/test_waves.py
@@ -180,6 +180,7 @@
     add_server(shard, "a")
     wave = progress("a", "gone")
     wave.begun.add("m-a")
+    wave.has_whole_list = True
     plan = WavePlanner(shard).plan([wave], hosts("a"), 0.0)
     assert plan.completed == [wave]
 
@@ -194,3 +195,11 @@
     assert begun(plan) == []
     assert busy.partition("@")[0] in plan.closed_server_names
     assert plan.due_server_names == {"a", "b"}
+
+
+# Guards against a wave that is complete while a host of it is not in the list yet.
+def test_wave_does_not_complete_by_a_list_that_may_lack_its_hosts(shard):
+    wave = progress("a", "joining")
+    wave.begun.add("m-a")
+    plan = WavePlanner(shard).plan([wave], hosts("a"), 0.0)
+    assert plan.completed == []
