--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -165,6 +165,7 @@
             raise PlatformUnavailable("refused", code="not-sent")
         expected = headers.get(b"x-expect-instance", b"").decode()
         if self._is_late(target):
+            world.late_addresses.add(address)
             world.nursery.start_soon(
                 self._deliver_late, address, target, expected, body
             )
@@ -268,6 +269,8 @@
     # Work of single tasks that differs from the rest of their step.
     work_by_task: dict[str, TaskWork] = attrs.field(factory=dict)
     observers: list[Any] = attrs.field(factory=list)
+    # Addresses to which commands were sent that are or were late.
+    late_addresses: set[str] = attrs.field(factory=set)
     # How many nodes have been killed or stopped.
     lost_nodes: int = 0
 
