Show that a commit under way acknowledges ends of an earlier lifetime

The holder notes how far each session had listed before a commit and sets what may be acknowledged after it. If a later lifetime is found meanwhile, the number of the earlier one is set again: a store that answers after 0.4 s shows it.

--- a/tests/batch/test_reborn_servers.py
+++ b/tests/batch/test_reborn_servers.py
@@ -222,6 +222,22 @@
         await jobs.must_complete()
 
 
+# Guards against ends of the earlier lifetime whose commit is under way when the later
+# one is found, and which are acknowledged to the later one after it.
+@SEEDS
+async def test_done_tasks_do_not_start_again_when_ends_are_being_committed(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        world.faults.store_delay_s = 0.4
+        jobs.submit_more()
+        await trio.sleep(0.5)
+        restart_all(world, 0.003, clock_ms=clock_ms_of(seed), keeps_row=True)
+        await trio.sleep(1.5)
+        world.faults.store_delay_s = 0.0
+        await jobs.must_complete()
+
+
 # Guards against a list of the earlier lifetime that is read after one of the later.
 @SEEDS
 async def test_done_tasks_do_not_start_again_when_an_earlier_list_arrives_late(
