Count no start that was refused, or is under way, as a lost run

Cause: a start set the time at which it was sent before it was sent, and took it back only if it had not left the host. After a refusal, as by the next lifetime, the task looked as if its run might have begun, and the lifetime's end counted as a crash under it, alone and at age 0.

Ruled out: dropping all unacknowledged starts, as a task may crash its server before it answers; a start without an answer counts as before.

Change: the time is set once a start was accepted or went without an answer.

--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -164,7 +164,8 @@
     checkpoint: str = ""
     failed_on: str = ""
     assigned_s: float = 0.0
-    # Time when a start command for the run was last sent, or 0 if none was.
+    # Time when the last start command was sent that the server has carried out or may
+    # have carried out, as it did not answer; 0 if there is none. One under way is none.
     sent_s: float = 0.0
     progress: RunProgress = attrs.field(factory=RunProgress)
     # Time that the completed run took, or 0 if it is not known.
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -32,6 +32,8 @@
 QUEUE_SIZE = 10_000
 # Outcomes after which a start is worth another try at the same server.
 REPEATED_RESULTS = (CommandResult.EXPIRED, CommandResult.NOT_SENT)
+# Outcomes that tell that the run has begun; no other answer allows that it has.
+BEGUN_RESULTS = (CommandResult.DONE, CommandResult.ENDED_BEFORE)
 LEASE_POLL_S = 0.01
 
 
@@ -154,7 +156,7 @@
                 result = hindrance
                 break
             result = await self._try_start(request)
-            if result is CommandResult.DONE or result is CommandResult.ENDED_BEFORE:
+            if result in BEGUN_RESULTS:
                 if request.is_assigned(self.server.id):
                     request.task.acknowledged_s = monotonic_s()
                 return
@@ -206,21 +208,20 @@
             checkpoint=request.task.checkpoint,
             ticket=request.ticket,
         )
-        sent_before_s = request.task.sent_s
-        if request.is_assigned(self.server.id):
-            request.task.sent_s = now_s
         try:
             response = await self.client.start(self.server, command)
         except PlatformUnavailable as error:
-            if request.is_assigned(self.server.id):
-                request.task.sent_s = sent_before_s
             self.on_failure(error.code)
             await trio.sleep(RETRY_S)
             return CommandResult.NOT_SENT
         except OutcomeUnknown as error:
+            if request.is_assigned(self.server.id):
+                request.task.sent_s = now_s
             self.listener.on_unanswered()
             self.on_failure(error.code)
             return None
+        if response.result in BEGUN_RESULTS and request.is_assigned(self.server.id):
+            request.task.sent_s = now_s
         if self.lease.is_reachable:
             self.lease.consecutive_failures = 0
         self.metrics.starts.labels(response.result.value).inc()
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -60,10 +60,10 @@
         self.calls.append("stopped")
 
 
-async def start(monkeypatch, *answers):
+async def start(monkeypatch, *answers, backend_class=ScriptedBackend):
     """Send a start that is answered so; return the calls and what was heard."""
     monkeypatch.setattr(clocks.source, "monotonic_s", trio.current_time)
-    backend = ScriptedBackend(list(answers))
+    backend = backend_class(list(answers))
     listener = RecordingListener()
     now_s = trio.current_time()
     lease = ServerLease(ShardLease(1, now_s), 10.0, longest_lease(now_s, 10.0))
@@ -112,6 +112,60 @@
     assert heard == ["stopped"]
 
 
+# Guards against a loss of a server that has refused the start of a run.
+@pytest.mark.parametrize(
+    "refusals",
+    [
+        [CommandResult.OTHER_LIFETIME],
+        [CommandResult.NO_ROOM],
+        [CommandResult.NO_TICKET],
+        [CommandResult.NOT_DONE],
+        [CommandResult.EXPIRED] * 4,
+        [NOT_SENT, CommandResult.EXPIRED, CommandResult.OTHER_LIFETIME],
+    ],
+)
+async def test_a_refused_start_leaves_no_trace_of_a_run(
+    monkeypatch, autojump_clock, refusals
+):
+    await trio.sleep(1.0)
+    _, _, task = await start(monkeypatch, *refusals)
+    assert task.sent_s == 0.0
+
+
+# Guards against a crash that is not counted as the next lifetime answers a repetition.
+@pytest.mark.parametrize(
+    "answers",
+    [
+        [UNANSWERED, CommandResult.OTHER_LIFETIME],
+        [UNANSWERED, NOT_SENT, CommandResult.EXPIRED, CommandResult.OTHER_LIFETIME],
+        [CommandResult.DONE],
+        [CommandResult.ENDED_BEFORE],
+    ],
+)
+async def test_a_start_that_may_have_been_carried_out_leaves_its_time(
+    monkeypatch, autojump_clock, answers
+):
+    await trio.sleep(1.0)
+    _, _, task = await start(monkeypatch, *answers)
+    assert task.sent_s == 1.0
+
+
+@attrs.define
+class HangingBackend(ScriptedBackend):
+    """A backend server that does not answer starts in the time of the test."""
+
+    async def start(self, server, command):
+        await trio.sleep_forever()
+
+
+# Guards against a loss by a start under way while another call hears of the next
+# lifetime, as several starts are sent at once.
+async def test_a_start_under_way_leaves_no_trace_of_a_run(monkeypatch, autojump_clock):
+    await trio.sleep(1.0)
+    _, _, task = await start(monkeypatch, backend_class=HangingBackend)
+    assert task.sent_s == 0.0
+
+
 @attrs.define
 class ReleasingBackend(ScriptedBackend):
     """A backend server whose task goes to another one while the last try is open."""
