Count no loss of a server against a task that had lasted on it

Cause: three losses, two of them alone and at ages that differ by a tenth, give a task up. Its job was shown as failed and two sound tasks were stopped.

Change: a run of a task that lasts which had gone on for 2 s is no loss. Such a task that crashes its servers later than that is not held back.

--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -17,6 +17,7 @@
     "ServerEnd",
     "ServerLoss",
     "add_loss",
+    "is_sound_run",
     "is_suspect",
     "is_to_blame",
     "outlives",
@@ -44,6 +45,8 @@
 # A task that crashes its servers does so at about the same time after each start.
 AGE_FACTOR = 2.0
 AGE_TOLERANCE_S = 1.0
+# A task that lasts and has run for this long is not what crashes its server.
+SOUND_RUN_S = 2.0
 # How long a task that has to run alone keeps others from its server.
 TRIAL_S = 3.0
 
@@ -95,6 +98,15 @@
     return age_s > AGE_FACTOR * longest_s + AGE_TOLERANCE_S
 
 
+def is_sound_run(is_long_running: bool, age_s: float) -> bool:
+    """Return whether a run has gone on for too long to have crashed its server.
+
+    Tasks that last lose server after server in the course of time, by no fault of
+    theirs, and at equal ages if the servers crash at regular times.
+    """
+    return is_long_running and age_s >= SOUND_RUN_S
+
+
 def add_loss(losses: Losses, loss: ServerLoss) -> Losses:
     """Return the losses with another one; of each server one counts."""
     if any(known.server_id == loss.server_id for known in losses):
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -22,6 +22,7 @@
     TRIAL_S,
     ServerEnd,
     ServerLoss,
+    is_sound_run,
     is_to_blame,
     outlives,
 )
@@ -260,8 +261,12 @@
             loss = self._loss_of(task, end, was_alone, silent_s)
             may_have_run = task.sent_s > 0.0 or not _is_own_start(task)
             self.release(task, now_s)
-            is_known = task.id.job_id in self.job_by_id
-            if end is not ServerEnd.PLANNED and may_have_run and is_known:
+            is_counted = (
+                end is not ServerEnd.PLANNED
+                and may_have_run
+                and self._may_have_crashed(task, loss)
+            )
+            if is_counted:
                 self._add_loss(task, loss)
             self._give_up_if_to_blame(task)
             self.losses.lost_runs.append(
@@ -275,6 +280,13 @@
                 )
             )
 
+    def _may_have_crashed(self, task: Task, loss: ServerLoss) -> bool:
+        """Return whether a run that was lost may be what crashed its server."""
+        if task.id.job_id not in self.job_by_id:
+            return False
+        is_long_running = self.step_of(task.id).is_long_running
+        return not is_sound_run(is_long_running, loss.age_s)
+
     def _loss_of(
         self, task: Task, end: ServerEnd, was_alone: bool, silent_s: float
     ) -> ServerLoss:
--- a/tests/batch/test_deadly_tasks.py
+++ b/tests/batch/test_deadly_tasks.py
@@ -126,6 +126,35 @@
         assert checker.breaches == []
 
 
+def is_running(world, task):
+    """Return whether some server runs a task."""
+    servers = world.platform.server_by_address.values()
+    return any(task in server.run_by_task for server in servers)
+
+
+# Guards against a job that lasts and fails as its servers crash at regular times.
+@pytest.mark.parametrize("seed", range(4))
+async def test_regular_crashes_fail_no_job_that_lasts(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day(monkeypatch, seed) as (world, checker):
+        lasting = long_running_job(world.generator)
+        task = f"{lasting[0]}.0.0.{seed % 2}"
+        assert await submit(world, checker, "/one/", lasting)
+        for _ in range(6):
+            await trio.sleep(10.0)
+            machine = next(
+                machine
+                for machine in world.platform.machine_by_id.values()
+                if machine.server is not None and task in machine.server.run_by_task
+            )
+            world.platform.crash(machine.id)
+        await trio.sleep(6.0)
+        assert is_running(world, task)
+        assert await show(world, "/one/", lasting[0]) == "active"
+        assert checker.breaches == []
+
+
 def break_gangs(world):
     """End the other members of a gang when the server of one of them crashes."""
 
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -3,7 +3,8 @@
 import pytest
 
 from rhubarbmount.batch.loss_tracker import LossTracker
-from rhubarbmount.batch.model import Job, Task, TaskId, TaskState
+from rhubarbmount.batch.model import Job, JobState, Task, TaskId, TaskState
+from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.records import decode_progress, encode_progress
 from rhubarbmount.batch.server_losses import (
     ServerLoss,
@@ -173,6 +174,46 @@
     assert task.state is TaskState.WAITING
 
 
+def lose_servers(shard, *ages_s, number=0):
+    """Crash the servers of a task so long after each start; return the task."""
+    for round_number, age_s in enumerate(ages_s):
+        now_s = 100.0 * (round_number + 1)
+        Placer(shard).place(now_s)
+        task = shard.job_by_id["j1"].tasks()[number]
+        task.sent_s = task.acknowledged_s = now_s
+        shard.lose_server(task.server_id, now_s + age_s)
+    return task
+
+
+def long_running_shard(count=3):
+    """Return a shard in which each task of a job that lasts has a server of its own."""
+    shard = Shard(CATALOGUE)
+    for server_id in ("s1", "s2", "s3", "s4", "s5", "s6", "s7"):
+        shard.put_server(server(server_id), 0.0).is_reachable = True
+    place_job(shard, step(count, is_long_running=True, max_per_server=1))
+    return shard
+
+
+# Guards against a job that lasts and fails as its servers crash at regular times.
+def test_servers_that_crash_after_long_runs_count_against_no_task_that_lasts():
+    shard = long_running_shard()
+    task = lose_servers(shard, 8.325, 10.22, 10.22, 10.22)
+    assert task.losses == ()
+    assert shard.job_by_id["j1"].state is JobState.ACTIVE
+    assert shard.stops == []
+    assert [item.task for item in Placer(shard).place(900.0)] == [task.id]
+
+
+# Guards against a task that ends by itself and crashes its servers late.
+def test_long_runs_count_against_tasks_that_end():
+    shard = Shard(CATALOGUE)
+    for server_id in ("s1", "s2", "s3"):
+        shard.put_server(server(server_id), 0.0).is_reachable = True
+    place_job(shard, step())
+    lose_servers(shard, 4.0, 4.0, 4.0)
+    assert shard.job_by_id["j1"].state is JobState.FAILED
+
+
 def test_losses_are_stored_with_the_progress_of_a_job():
     job = Job(spec(step()))
     task = Task(TaskId("j1", 0, 0, 0), run=2, losses=losses(0.25, 1.5, was_alone=True))
