Hold a task that lasts and crashes its servers, and keep its job running

Cause: a task to blame was given up with its job, so that the sound tasks of a job that lasts were stopped while others of their step were away.

Ruled out: showing the job as failed and letting the others run on, as tasks that last have no number of attempts and nothing is a cause for that state; ever longer waits, as a task may start at most twice more once it has crashed three servers.

Change: a task that lasts is held by the same judgement, by the next holder too, and waits again if a server of its losses answers. task-held and held_tasks_total tell.

--- a/rhubarbmount/batch/loss_tracker.py
+++ b/rhubarbmount/batch/loss_tracker.py
@@ -57,9 +57,10 @@
 class LossTracker:
     """Notes which servers fell silent, and the losses of tasks not yet certain."""
 
-    # Lost runs, and tasks given up for them, that have not been logged yet.
+    # Lost runs, and tasks given up or held for them, that have not been logged yet.
     lost_runs: list[LostRun] = attrs.field(factory=list)
     given_up: list[Task] = attrs.field(factory=list)
+    held: list[Task] = attrs.field(factory=list)
     _silence_by_server_id: dict[str, _Silence] = attrs.field(factory=dict)
     _tasks_by_server_id: dict[str, list[Task]] = attrs.field(factory=dict)
 
--- a/rhubarbmount/batch/lost_run_log.py
+++ b/rhubarbmount/batch/lost_run_log.py
@@ -13,7 +13,7 @@
 
 
 def report_losses(losses: LossTracker, metrics: BatchMetrics) -> None:
-    """Log what was lost since the last call, and the tasks given up for it."""
+    """Log what was lost since the last call, and the tasks given up or held for it."""
     lost_runs, losses.lost_runs = losses.lost_runs, []
     for lost in lost_runs:
         metrics.lost_runs.labels(lost.end.value).inc()
@@ -22,6 +22,10 @@
     for task in given_up:
         metrics.given_up_tasks.inc()
         _log_given_up(task)
+    held, losses.held = losses.held, []
+    for task in held:
+        metrics.held_tasks.inc()
+        _log_held(task)
 
 
 def _log_lost_run(lost: LostRun) -> None:
@@ -49,6 +53,27 @@
         job=task.id.job_id,
         task=task.id.place,
         run=task.run,
-        servers=",".join(loss.server_id for loss in task.losses),
-        ages_s=",".join(f"{loss.age_s:.3f}" for loss in task.losses),
+        servers=_servers_of(task),
+        ages_s=_ages_of(task),
     )
+
+
+def _log_held(task: Task) -> None:
+    log.event(
+        logger,
+        "task-held",
+        logging.WARNING,
+        job=task.id.job_id,
+        task=task.id.place,
+        run=task.run,
+        servers=_servers_of(task),
+        ages_s=_ages_of(task),
+    )
+
+
+def _servers_of(task: Task) -> str:
+    return ",".join(loss.server_id for loss in task.losses)
+
+
+def _ages_of(task: Task) -> str:
+    return ",".join(f"{loss.age_s:.3f}" for loss in task.losses)
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -35,6 +35,7 @@
     lapsed_tasks: prometheus_client.Counter = attrs.field(init=False)
     lost_runs: prometheus_client.Counter = attrs.field(init=False)
     given_up_tasks: prometheus_client.Counter = attrs.field(init=False)
+    held_tasks: prometheus_client.Counter = attrs.field(init=False)
     pending_age_s: prometheus_client.Histogram = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
@@ -100,6 +101,11 @@
             "Tasks given up because they crash their servers; their jobs failed.",
             registry=self.registry,
         )
+        self.held_tasks = prometheus_client.Counter(
+            "rhubarbmount_batch_held_tasks",
+            "Tasks that last and get no more runs as they crash their servers.",
+            registry=self.registry,
+        )
         self.pending_age_s = self._histogram(
             "pending_age_seconds",
             "Age of the counts of waiting jobs when they were read for a caller.",
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -177,6 +177,8 @@
     is_stopping: bool = False
     # Servers that were lost with a run of the task.
     losses: Losses = ()
+    # Whether the task gets no more runs, as it crashes its servers.
+    is_held: bool = False
     # Time since which the task has waited until no servers are lost, or 0.
     wants_calm_since_s: float = 0.0
     # Time since which the task has waited for a server of its own, or 0.
--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -124,7 +124,7 @@
 
 
 def is_to_blame(losses: Losses) -> bool:
-    """Return whether a task with these losses has to be given up."""
+    """Return whether a task with these losses gets no more runs."""
     if len(losses) < BLAMED_LOSSES:
         return False
     own = [loss for loss in losses if loss.incriminates]
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -229,6 +229,7 @@
         """Record that a server answers, so that no task has lost it."""
         for task in self.losses.retract(server_id):
             self._note_losses_changed(task)
+            self._release_if_blameless(task)
 
     def clear_losses_if_harmless(self, task: Task, now_s: float) -> None:
         """Forget the servers that a task lost if its run goes on for longer."""
@@ -314,11 +315,13 @@
             self.dirty.add(task.id.job_id)
 
     def _give_up_if_to_blame(self, task: Task) -> None:
-        """Fail the job of a task that crashes its servers."""
+        """Fail the job of a task that crashes its servers, or hold one that lasts."""
         job = self.job_by_id.get(task.id.job_id)
         if job is None or job.state.is_final or task.state is TaskState.DONE:
             return
-        if is_to_blame(task.losses):
+        if self.step_of(task.id).is_long_running:
+            self._hold_if_to_blame(task)
+        elif is_to_blame(task.losses):
             self.losses.given_up.append(task)
             self._finish(job, JobState.FAILED)
 
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -25,6 +25,7 @@
 from rhubarbmount.batch.pacing import FULL_PACE
 from rhubarbmount.batch.run_progress import RunProgress
 from rhubarbmount.batch.run_times import RunTime, RunTimes, kind_of
+from rhubarbmount.batch.server_losses import is_to_blame
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.unreadable_jobs import UnreadableJobs
 
@@ -319,8 +320,30 @@
             self._add_waiting(task)
             self.dirty.add(task.id.job_id)
 
+    def _hold_if_to_blame(self, task: Task) -> None:
+        """Start a waiting task that lasts no more if it crashes its servers.
+
+        Its job has no limit on attempts and goes on without it.
+        """
+        is_waiting = task.state is TaskState.WAITING and not task.is_held
+        is_long_running = self.step_of(task.id).is_long_running
+        if is_waiting and is_long_running and is_to_blame(task.losses):
+            task.is_held = True
+            self._remove_waiting(task)
+            self.losses.held.append(task)
+
+    def _release_if_blameless(self, task: Task) -> None:
+        """Let a held task wait again if its servers were not lost."""
+        if task.is_held and not is_to_blame(task.losses):
+            task.is_held = False
+            self._add_waiting(task)
+
     def _add_waiting(self, task: Task) -> None:
+        if task.is_held:
+            return
         self.waiting_by_step.setdefault(task.id[:3], {})[task.id.number] = task
+        if task.losses:
+            self._hold_if_to_blame(task)
 
     def _remove_waiting(self, task: Task) -> None:
         waiting = self.waiting_by_step.get(task.id[:3])
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -214,6 +214,46 @@
     assert shard.job_by_id["j1"].state is JobState.FAILED
 
 
+# Guards against sound tasks that are stopped as another one of their job is deadly.
+def test_a_deadly_task_that_lasts_is_held_and_the_others_run_on():
+    shard = long_running_shard()
+    task = lose_servers(shard, 0.01, 0.01, 0.01)
+    others = shard.job_by_id["j1"].tasks()[1:]
+    assert shard.job_by_id["j1"].state is JobState.ACTIVE
+    assert [other.state for other in others] == [TaskState.ASSIGNED] * 2
+    assert shard.stops == []
+    assert shard.losses.held == [task]
+    assert Placer(shard).place(900.0) == []
+
+
+# Guards against a holder that starts a deadly task again.
+def test_a_deadly_task_that_lasts_is_held_by_the_next_holder():
+    shard = long_running_shard(1)
+    lose_servers(shard, 0.01, 0.01, 0.01)
+    restored = Job(shard.job_by_id["j1"].spec)
+    decode_progress(encode_progress(shard.job_by_id["j1"]), restored)
+    successor = Shard(CATALOGUE)
+    successor.put_server(server("s8"), 0.0).is_reachable = True
+    successor.add_job(restored)
+    assert Placer(successor).place(900.0) == []
+    assert [task.id.number for task in successor.losses.held] == [0]
+
+
+# Guards against a task that is held for servers that were only silent.
+def test_a_held_task_waits_again_once_a_server_of_its_losses_answers():
+    shard = long_running_shard(1)
+    task = lose_servers(shard, 0.01)
+    for number in range(8, 12):
+        shard.losses.add(task, loss(number, is_certain=False))
+    Placer(shard).place(900.0)
+    shard.lose_server(task.server_id, 900.0)
+    assert task.is_held
+    for number in range(8, 11):
+        shard.retract_losses(f"s{number}")
+    assert not task.is_held
+    assert [item.task for item in Placer(shard).place(950.0)] == [task.id]
+
+
 def test_losses_are_stored_with_the_progress_of_a_job():
     job = Job(spec(step()))
     task = Task(TaskId("j1", 0, 0, 0), run=2, losses=losses(0.25, 1.5, was_alone=True))
