Close a server that appears while a command to its host is in progress

Cause: a command to a host closes the server there, but only if its row is known when the command is decided. While the store is slow the row may be read between the decision and the sending: the server is open, gets tasks, and the command ends them.

Ruled out: a task given up (none), stops (none), an eviction (none). Not taken: to leave hosts alone whose listed server is unknown, as a server whose row can't be read would keep its host for ever.

Change: the shard knows which hosts, and which servers listed there, are commanded; a server that is added meanwhile is closed until the command has ended.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -299,9 +299,7 @@
             return False
         self.commands.reserve(host_id)
         server_id = self.host_by_id[host_id].server_id
-        usage = self.shard.usage_by_server_id.get(server_id)
-        if usage is not None:
-            usage.has_pending_command = True
+        self.shard.begin_host_command(host_id, server_id)
         self._nursery.start_soon(
             self._run_command, host_id, server_id, action, decision
         )
@@ -318,6 +316,4 @@
         finally:
             self.commands.release(host_id)
             self._is_list_requested = True
-            usage = self.shard.usage_by_server_id.get(server_id)
-            if usage is not None:
-                usage.has_pending_command = False
+            self.shard.end_host_command(host_id, server_id)
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -41,6 +41,9 @@
 class Shard(ShardJobs):
     """Jobs of a shard, the ends of their runs, and the backend servers they run on."""
 
+    # Hosts to which a command is in progress, and the servers listed there.
+    _commanded_ids: set[str] = attrs.field(factory=set)
+
     # Ends of runs.
 
     def end_run(
@@ -179,6 +182,9 @@
             usage.is_listed = True
             return usage
         usage = ServerUsage(server, idle_since_s=now_s)
+        usage.has_pending_command = bool(
+            {server.id, server.host_id} & self._commanded_ids
+        )
         self.usage_by_server_id[server.id] = usage
         for task in self._tasks_by_unknown_server_id.pop(server.id, ()):
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
@@ -187,6 +193,20 @@
                     self.stop_run(task)
         return usage
 
+    def begin_host_command(self, host_id: str, server_id: str) -> None:
+        """Close the server on a host that is commanded, also if it appears later."""
+        self._commanded_ids.update({host_id, server_id} - {""})
+        usage = self.usage_by_server_id.get(server_id)
+        if usage is not None:
+            usage.has_pending_command = True
+
+    def end_host_command(self, host_id: str, server_id: str) -> None:
+        """Open the servers again that a command to their host has closed."""
+        self._commanded_ids -= {host_id, server_id}
+        for usage in self.usage_by_server_id.values():
+            if usage.server.id == server_id or usage.server.host_id == host_id:
+                usage.has_pending_command = False
+
     def lose_server(
         self, server_id: str, now_s: float, end: ServerEnd = ServerEnd.CRASHED
     ) -> int:
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -229,3 +229,31 @@
         fleet.client.hosts = [Host("m0", "one", HostState.UP, "", 8000, "a")]
     assert not usage.has_pending_command
     assert usage.is_open(4.0)
+
+
+# Guards against tasks that are ended by a command to their host, which was decided
+# before the server there was known and waits for a slow store.
+@pytest.mark.parametrize(("listed_id", "host_id"), [("s1", ""), ("", "m0")])
+async def test_a_server_that_appears_during_a_command_gets_no_tasks(
+    autojump_clock, fleet_of, listed_id, host_id
+):
+    fleet = fleet_of(1, HostResult.REFUSED)
+    fleet.client.hosts = [Host("m0", "one", HostState.UP, listed_id, 8000, "a")]
+    fleet.add_wave(limit=1)
+    fleet.stored = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 5.0)
+        await trio.sleep(0.6)
+        assert fleet.stored_times
+        new_server = attrs.evolve(server_in_pool("s1"), host_id=host_id)
+        usage = fleet.controller.shard.put_server(new_server, 0.6)
+        usage.is_reachable = True
+        assert usage.has_pending_command
+        assert not usage.is_open(0.6)
+        await trio.sleep(0.4)
+        # It is not to be moved as an idle one afterwards.
+        fleet.client.hosts = [Host("m0", "one", HostState.UP, "", 8000, "a")]
+        fleet.stored.set()
+        await trio.sleep(2.5)
+        assert fleet.client.commanded
+        assert not usage.has_pending_command
