Tell in the log why a run was stopped

Cause: the line of a stop names the run and the server, and not why: whether the job had ended, the run was slow, its host or server left, or its start had no answer. A command to a host that ended a server had no line of its own that names the server, and a move's line not when it was decided.

Before: test_the_log_tells_why_a_run_is_stopped and test_the_stops_of_a_job_tell_how_it_ended fail without the reason in the line and without the state of the job in it. After: they pass.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -13,7 +13,7 @@
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Host, Wave
+from rhubarbmount.batch.model import Host, StopReason, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.shard import Shard
@@ -166,7 +166,7 @@
                 task=task.id.place,
                 server=task.server_id,
             )
-            self.shard.stop_run(task)
+            self.shard.stop_run(task, StopReason.WAVE)
             self.wake_scheduler()
         for maintenance in plan.begin:
             self._start_maintenance(maintenance)
@@ -271,6 +271,7 @@
 
     async def _move(self, move: Move) -> bool:
         """Move a host; return whether this has ended its server."""
+        decided_at_s = monotonic_s()
         result = await self.commands.move(move.host_id, move.pool)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
@@ -283,6 +284,7 @@
             had=move.available_millicores,
             idle_s=move.idle_s,
             outcome=result.value,
+            held_s=monotonic_s() - decided_at_s,
         )
         if result is not HostResult.DONE:
             self.capacity.drop_command(move.host_id)
@@ -311,7 +313,17 @@
         """Command a host on which a server ran when the command was decided."""
         try:
             if await action(decision):
-                self.shard.lose_server(server_id, monotonic_s(), ServerEnd.PLANNED)
+                tasks = self.shard.lose_server(
+                    server_id, monotonic_s(), ServerEnd.PLANNED
+                )
+                log.event(
+                    logger,
+                    "server-ended",
+                    server=server_id,
+                    reason="commanded",
+                    tasks=tasks,
+                    host=host_id,
+                )
                 self.wake_scheduler()
         finally:
             self.commands.release(host_id)
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -490,7 +490,7 @@
         for stop in stops:
             stop_session = self.sessions.find(stop.server_id)
             if stop_session is not None:
-                stop_session.send(StopRequest(stop.task, stop.run))
+                stop_session.send(StopRequest(stop.task, stop.run, stop.reason))
         for session, number in listed_by_session.items():
             if number > session.committed:
                 session.committed = number
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -21,6 +21,7 @@
     "RunReport",
     "Server",
     "Step",
+    "StopReason",
     "Task",
     "TaskId",
     "TaskState",
@@ -43,6 +44,30 @@
         return self in (JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED)
 
 
+class StopReason(enum.Enum):
+    """Why a run is stopped, for the log."""
+
+    JOB_COMPLETE = "job-complete"
+    JOB_FAILED = "job-failed"
+    JOB_CANCELLED = "job-cancelled"
+    # An earlier run of the task has completed it.
+    DONE_BEFORE = "done-before"
+    # The run is slow or stalled, and begins again elsewhere.
+    STRAGGLER = "straggler"
+    # The server is drained.
+    DRAINED = "drained"
+    # The host is to be maintained.
+    WAVE = "wave"
+    # A start had no answer, and none may be carried out late.
+    UNANSWERED = "unanswered"
+    # The server lists a run that is not the current one of its task.
+    EARLIER_RUN = "earlier-run"
+    # The server lists a run of a job that is not known.
+    UNKNOWN_JOB = "unknown-job"
+    # The run was being stopped before its server was known.
+    STOPPED_BEFORE = "stopped-before"
+
+
 class TaskState(enum.IntEnum):
     """State of a task; the numeric values are stored."""
 
@@ -201,6 +226,13 @@
     tasks_by_step: dict[tuple[int, int], list[Task]] = attrs.field(factory=dict)
     ended_s: float = 0.0
 
+    @property
+    def stop_reason(self) -> StopReason:
+        """Return why runs that the job does not need are stopped."""
+        if self.state.is_final:
+            return StopReason(f"job-{self.state.value}")
+        return StopReason.EARLIER_RUN
+
     def tasks(self) -> list[Task]:
         """Return the tasks of all started steps."""
         return [task for tasks in self.tasks_by_step.values() for task in tasks]
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -10,7 +10,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.model import Server, StopReason, Task, TaskId
 from rhubarbmount.batch.pacing import PaceCommand
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
@@ -64,6 +64,7 @@
 
     task: TaskId
     run: int
+    reason: StopReason
 
 
 ServerCommand = StartRequest | StopRequest | PaceCommand
@@ -194,7 +195,9 @@
         )
         if request.is_assigned(self.server.id):
             request.task.is_stopping = True
-        await self._stop(StopRequest(request.task.id, request.run))
+        await self._stop(
+            StopRequest(request.task.id, request.run, StopReason.UNANSWERED)
+        )
 
     async def _try_start(self, request: StartRequest) -> CommandResult | None:
         """Send a start once; return None if it was not answered."""
@@ -291,6 +294,7 @@
             run=request.run,
             server=self.server.id,
             outcome=response.result.value,
+            reason=request.reason.value,
         )
         self.listener.on_stopped(self.server.id, request)
         return True
--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -6,7 +6,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
-from rhubarbmount.batch.model import Server
+from rhubarbmount.batch.model import Server, StopReason
 from rhubarbmount.batch.server_sessions import ServerSessions
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
@@ -130,4 +130,4 @@
             expected_s = self.shard.expected_run_time_of(task).expected_s
             left_s = expected_s - (now_s - task.assigned_s)
             if step.is_long_running or left_s > self.drain_s:
-                self.shard.stop_run(task)
+                self.shard.stop_run(task, StopReason.DRAINED)
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -19,6 +19,7 @@
     RunEnd,
     RunReport,
     Server,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -284,7 +285,7 @@
         if step.fills:
             task.pace = UNKNOWN_PACE
         if usage.server.is_draining and step.is_long_running and not task.is_stopping:
-            self.shard.stop_run(task)
+            self.shard.stop_run(task, StopReason.DRAINED)
 
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
         """Stop a straggling run, so that its task restarts on another server."""
@@ -314,7 +315,7 @@
         )
         task.failed_on = usage.server.id
         usage.slow_until_s = now_s + STRAGGLER_BACKOFF_S
-        self.shard.stop_run(task)
+        self.shard.stop_run(task, StopReason.STRAGGLER)
 
     def _stop_stray(self, session: ServerSession, task_id: TaskId, run: int) -> None:
         key = (session.server.id, task_id, run)
@@ -322,7 +323,9 @@
         sent_at_s = self._stop_sent_at_s.get(key)
         if sent_at_s is None or now_s > sent_at_s + STRAY_STOP_INTERVAL_S:
             self._stop_sent_at_s[key] = now_s
-            session.send(StopRequest(task_id, run))
+            job = self.shard.job_by_id.get(task_id.job_id)
+            reason = StopReason.UNKNOWN_JOB if job is None else job.stop_reason
+            session.send(StopRequest(task_id, run, reason))
 
     def _handle_missing_run(
         self, session: ServerSession, task: Task, sent_s: float, now_s: float
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -12,6 +12,7 @@
     JobState,
     RunEnd,
     Server,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -126,7 +127,7 @@
         if task.state is TaskState.ASSIGNED and task.id in self._tasks_on_same_server(
             task
         ):
-            self.stop_run(task)
+            self.stop_run(task, StopReason.DONE_BEFORE)
         self._remove_waiting(task)
         task.state = TaskState.DONE
         self._count_done(job)
@@ -190,7 +191,7 @@
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
                 usage.add(task, self.step_of(task.id))
                 if task.is_stopping:
-                    self.stop_run(task)
+                    self.stop_run(task, StopReason.STOPPED_BEFORE)
         return usage
 
     def begin_host_command(self, host_id: str, server_id: str) -> None:
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -18,6 +18,7 @@
     Queue,
     QueueName,
     Step,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -41,6 +42,7 @@
     server_id: str
     task: TaskId
     run: int
+    reason: StopReason
 
 
 @attrs.define(eq=False)
@@ -174,7 +176,7 @@
             self.waiting_by_step.pop(task.id[:3], None)
             self.steps_with_losses.discard(task.id[:3])
             if task.state is TaskState.ASSIGNED:
-                self.stop_run(task)
+                self.stop_run(task, job.stop_reason)
 
     def _count_done(self, job: Job) -> None:
         if job.state.is_final:
@@ -186,10 +188,10 @@
         else:
             self.create_ready_tasks(job)
 
-    def stop_run(self, task: Task) -> None:
+    def stop_run(self, task: Task, reason: StopReason) -> None:
         """Request that the current run of a task be stopped."""
         task.is_stopping = True
-        self.stops.append(Stop(task.server_id, task.id, task.run))
+        self.stops.append(Stop(task.server_id, task.id, task.run, reason))
 
     # Lookups.
 
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -8,7 +8,7 @@
 from rhubarbmount.batch import clocks
 from rhubarbmount.batch.election import ShardLease, longest_lease
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.model import Server, StopReason, Task, TaskId
 from rhubarbmount.batch.server_commands import (
     CommandListener,
     CommandSender,
@@ -23,6 +23,7 @@
 TASK = TaskId("j", 0, 0, 0)
 UNANSWERED = OutcomeUnknown("no answer")
 NOT_SENT = PlatformUnavailable("refused")
+REASON = StopReason.JOB_CANCELLED
 
 
 @pytest.fixture
@@ -166,6 +167,15 @@
     assert task.sent_s == 0.0
 
 
+# Guards against a run that ends in stopped, and a log that does not tell why.
+async def test_the_log_tells_why_a_run_is_stopped(monkeypatch, autojump_clock, caplog):
+    caplog.set_level("INFO")
+    await start(monkeypatch, *[UNANSWERED] * 4)
+    stops = [text for text in caplog.messages if "event=stop " in text]
+    assert len(stops) == 1
+    assert "reason=unanswered" in stops[0]
+
+
 @attrs.define
 class ReleasingBackend(ScriptedBackend):
     """A backend server whose task goes to another one while the last try is open."""
@@ -238,7 +248,7 @@
         SERVER, backend, lease, RecordingListener(), BatchMetrics(), lambda code: None
     )
     for number in range(8):
-        sender.send(StopRequest(TaskId("old", 0, 0, number), 1))
+        sender.send(StopRequest(TaskId("old", 0, 0, number), 1, REASON))
     sender.send(StartRequest(Task(TASK, run=1, server_id="s"), 1, "payload", ""))
     with trio.move_on_after(2.0):
         await sender.run()
--- a/tests/batch/test_shard.py
+++ b/tests/batch/test_shard.py
@@ -12,6 +12,7 @@
     RunEnd,
     Server,
     Step,
+    StopReason,
     TaskId,
     TaskState,
 )
@@ -117,6 +118,20 @@
     assert Placer(shard).place(3.0) == []
 
 
+# Guards against runs whose stop has another reason in the log than the end of the job.
+def test_the_stops_of_a_job_tell_how_it_ended(shard):
+    failed = place_job(shard, step(2))
+    report_end(shard, failed[0], "failed")
+    [retry] = Placer(shard).place(2.0)
+    report_end(shard, retry, "failed")
+    place_job(shard, step(), job_id="j2")
+    shard.cancel("j2")
+    assert [(stop.task.job_id, stop.reason) for stop in shard.stops] == [
+        ("j1", StopReason.JOB_FAILED),
+        ("j2", StopReason.JOB_CANCELLED),
+    ]
+
+
 def test_long_running_tasks_have_no_attempt_limit(shard):
     [assignment] = place_job(shard, step(is_long_running=True))
     for number in range(5):
