Start no held task of a job that has been cancelled

Before: test_a_held_task_of_a_cancelled_job_waits_no_more fails, by an assignment and by a KeyError.

--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -336,7 +336,9 @@
 
     def _release_if_blameless(self, task: Task) -> None:
         """Let a held task wait again if its servers were not lost."""
-        if task.is_held and not is_to_blame(task.losses):
+        job = self.job_by_id.get(task.id.job_id)
+        is_needed = job is not None and not job.state.is_final
+        if task.is_held and is_needed and not is_to_blame(task.losses):
             task.is_held = False
             self._add_waiting(task)
 
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -254,6 +254,25 @@
     assert [item.task for item in Placer(shard).place(950.0)] == [task.id]
 
 
+# Guards against a start of a cancelled job, or an error for one that is forgotten, when
+# a server answers that one of its held tasks had lost.
+@pytest.mark.parametrize("is_forgotten", [False, True])
+def test_a_held_task_of_a_cancelled_job_waits_no_more(is_forgotten):
+    shard = long_running_shard(1)
+    task = lose_servers(shard, 0.01)
+    for number in range(8, 12):
+        shard.losses.add(task, loss(number, is_certain=False))
+    Placer(shard).place(900.0)
+    shard.lose_server(task.server_id, 900.0)
+    assert task.is_held
+    shard.cancel("j1")
+    if is_forgotten:
+        shard.forget("j1")
+    for number in range(8, 12):
+        shard.retract_losses(f"s{number}")
+    assert Placer(shard).place(950.0) == []
+
+
 def test_losses_are_stored_with_the_progress_of_a_job():
     job = Job(spec(step()))
     task = Task(TaskId("j1", 0, 0, 0), run=2, losses=losses(0.25, 1.5, was_alone=True))
