--- a/tests/batch/test_waves.py
+++ b/tests/batch/test_waves.py
@@ -11,6 +11,7 @@
     QueueName,
     Server,
     Step,
+    StopReason,
     Wave,
 )
 from rhubarbmount.batch.placing import Placer
@@ -143,7 +144,7 @@
     planner = WavePlanner(shard)
     plan = planner.plan([progress("a", "b")], hosts(*"abc"), 0.0)
     assert len(plan.evict) == 1
-    shard.stop_run(plan.evict[0])
+    shard.stop_run(plan.evict[0], StopReason.WAVE)
     again = planner.plan([progress("a", "b")], hosts(*"abc"), 0.1)
     assert again.evict == []
 
