Send no command to a host that got tasks since it was decided

Cause: a command to a host waits until its time is stored.

Ruled out: leaving such a server open without looking again, as before: the command ends what was started there.

Change: right before each sending the servers on the host are looked at. If one has appeared since the decision and has tasks, nothing is sent; else they are closed until the command has ended. The stand-in of test_fleet_controller asks for the permission as the client does.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -16,6 +16,7 @@
 from rhubarbmount.batch.model import Host, StopReason, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.server_losses import ServerEnd
+from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.batch.waves import Maintenance, WavePlanner, WaveProgress
@@ -197,10 +198,14 @@
                 log.event(logger, "wave-waits", host=host_id, reason=reason)
         self._wait_reason_by_host = wait_by_host
 
-    async def _maintain(self, maintenance: Maintenance) -> bool:
+    async def _maintain(
+        self, maintenance: Maintenance, may_begin: Callable[[], bool]
+    ) -> bool:
         """Maintain a host; return whether this has ended its server."""
         progress = self.wave_by_number[maintenance.wave]
-        result = await self.commands.maintain(maintenance.host_id, maintenance.wave)
+        result = await self.commands.maintain(
+            maintenance.host_id, maintenance.wave, may_begin
+        )
         self.metrics.host_orders.labels("maintain", result.value).inc()
         log.event(
             logger,
@@ -269,10 +274,10 @@
         """Return the current configuration."""
         return self.shard.catalogue
 
-    async def _move(self, move: Move) -> bool:
+    async def _move(self, move: Move, may_begin: Callable[[], bool]) -> bool:
         """Move a host; return whether this has ended its server."""
         decided_at_s = monotonic_s()
-        result = await self.commands.move(move.host_id, move.pool)
+        result = await self.commands.move(move.host_id, move.pool, may_begin)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
             logger,
@@ -301,18 +306,43 @@
             return False
         self.commands.reserve(host_id)
         server_id = self.host_by_id[host_id].server_id
-        self.shard.begin_host_command(host_id, server_id)
+        known = self.shard.usage_by_server_id.get(server_id)
+        if known is not None:
+            known.has_pending_command = True
         self._nursery.start_soon(
-            self._run_command, host_id, server_id, action, decision
+            self._run_command,
+            host_id,
+            server_id,
+            action,
+            decision,
+            lambda: self._may_begin(host_id, server_id, known),
         )
         return True
 
+    def _may_begin(
+        self, host_id: str, server_id: str, known: ServerUsage | None
+    ) -> bool:
+        """Return whether a command would end no tasks of a server that has appeared.
+
+        The server that was known when the command was decided has been closed since.
+        """
+        for usage in self.shard.usages_on_host(host_id, server_id):
+            if usage is not known and not usage.is_idle:
+                return False
+        self.shard.begin_host_command(host_id, server_id)
+        return True
+
     async def _run_command(
-        self, host_id: str, server_id: str, action: Callable, decision: object
+        self,
+        host_id: str,
+        server_id: str,
+        action: Callable,
+        decision: object,
+        may_begin: Callable[[], bool],
     ) -> None:
         """Command a host on which a server ran when the command was decided."""
         try:
-            if await action(decision):
+            if await action(decision, may_begin):
                 tasks = self.shard.lose_server(
                     server_id, monotonic_s(), ServerEnd.PLANNED
                 )
--- a/rhubarbmount/batch/host_commands.py
+++ b/rhubarbmount/batch/host_commands.py
@@ -49,27 +49,31 @@
         """Release a host after its command."""
         self._reserved_host_ids.discard(host_id)
 
-    async def move(self, host_id: str, pool: str) -> HostResult:
-        """Move a host to a pool."""
+    async def move(
+        self, host_id: str, pool: str, may_begin: Callable[[], bool] = lambda: True
+    ) -> HostResult:
+        """Move a host to a pool; ``may_begin`` is asked right before each sending."""
         return await self._send(
             host_id,
             lambda: self.client.move(
                 host_id,
                 pool,
                 self.shard_lease.fencing_token,
-                lambda: self._may_send(host_id),
+                lambda: self._may_send(host_id) and may_begin(),
             ),
         )
 
-    async def maintain(self, host_id: str, wave: int) -> HostResult:
-        """Maintain a host for a wave."""
+    async def maintain(
+        self, host_id: str, wave: int, may_begin: Callable[[], bool] = lambda: True
+    ) -> HostResult:
+        """Maintain a host for a wave; ``may_begin`` is asked as for a move."""
         return await self._send(
             host_id,
             lambda: self.client.maintain(
                 host_id,
                 wave,
                 self.shard_lease.fencing_token,
-                lambda: self._may_send(host_id),
+                lambda: self._may_send(host_id) and may_begin(),
             ),
         )
 
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -195,18 +195,24 @@
         return usage
 
     def begin_host_command(self, host_id: str, server_id: str) -> None:
-        """Close the server on a host that is commanded, also if it appears later."""
+        """Close the servers on a host that is commanded, also if they appear later."""
         self._commanded_ids.update({host_id, server_id} - {""})
-        usage = self.usage_by_server_id.get(server_id)
-        if usage is not None:
+        for usage in self.usages_on_host(host_id, server_id):
             usage.has_pending_command = True
 
     def end_host_command(self, host_id: str, server_id: str) -> None:
         """Open the servers again that a command to their host has closed."""
         self._commanded_ids -= {host_id, server_id}
-        for usage in self.usage_by_server_id.values():
-            if usage.server.id == server_id or usage.server.host_id == host_id:
-                usage.has_pending_command = False
+        for usage in self.usages_on_host(host_id, server_id):
+            usage.has_pending_command = False
+
+    def usages_on_host(self, host_id: str, server_id: str) -> list[ServerUsage]:
+        """Return the servers that are listed on a host or reported it."""
+        return [
+            usage
+            for usage in self.usage_by_server_id.values()
+            if usage.server.id == server_id or usage.server.host_id == host_id
+        ]
 
     def lose_server(
         self, server_id: str, now_s: float, end: ServerEnd = ServerEnd.CRASHED
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -12,10 +12,18 @@
 from rhubarbmount.batch.host_command_times import HostCommandTimes
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Host, HostState, Server, Wave
+from rhubarbmount.batch.model import (
+    Host,
+    HostState,
+    Server,
+    Step,
+    Task,
+    TaskId,
+    Wave,
+)
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.shard import Shard
-from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.hosts import HostResult
 from rhubarbmount.timers import TimerService
 
@@ -40,12 +48,14 @@
         return self.hosts
 
     async def move(self, host_id, pool, fencing_token, may_send):
-        return await self._answer(host_id)
+        return await self._answer(host_id, may_send)
 
     async def maintain(self, host_id, wave, fencing_token, may_send):
-        return await self._answer(host_id)
+        return await self._answer(host_id, may_send)
 
-    async def _answer(self, host_id):
+    async def _answer(self, host_id, may_send):
+        if not may_send():
+            raise PlatformUnavailable("may not be sent")
         self.commanded.append(host_id)
         await trio.sleep(self.answer_after_s)
         result = self.results.pop(0) if len(self.results) > 1 else self.results[0]
@@ -231,29 +241,62 @@
     assert usage.is_open(4.0)
 
 
+def fleet_at_a_slow_store(fleet_of, listed_id, *results):
+    """Return a fleet of one host to be maintained, whose server is not known yet."""
+    fleet = fleet_of(1, *results)
+    fleet.client.hosts = [Host("m0", "one", HostState.UP, listed_id, 8000, "a")]
+    fleet.add_wave(limit=1)
+    fleet.stored = trio.Event()
+    return fleet
+
+
+def add_server(fleet, host_id):
+    new_server = attrs.evolve(server_in_pool("s1"), host_id=host_id)
+    usage = fleet.controller.shard.put_server(new_server, 0.6)
+    usage.is_reachable = True
+    return usage
+
+
 # Guards against tasks that are ended by a command to their host, which was decided
-# before the server there was known and waits for a slow store.
+# before the server there was known and waited for a slow store.
 @pytest.mark.parametrize(("listed_id", "host_id"), [("s1", ""), ("", "m0")])
-async def test_a_server_that_appears_during_a_command_gets_no_tasks(
+async def test_a_host_that_got_tasks_since_the_decision_is_sent_no_command(
     autojump_clock, fleet_of, listed_id, host_id
 ):
-    fleet = fleet_of(1, HostResult.REFUSED)
-    fleet.client.hosts = [Host("m0", "one", HostState.UP, listed_id, 8000, "a")]
-    fleet.add_wave(limit=1)
-    fleet.stored = trio.Event()
+    fleet = fleet_at_a_slow_store(fleet_of, listed_id, HostResult.DONE)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(fleet.run_for, 5.0)
+        nursery.start_soon(fleet.run_for, 4.0)
         await trio.sleep(0.6)
         assert fleet.stored_times
-        new_server = attrs.evolve(server_in_pool("s1"), host_id=host_id)
-        usage = fleet.controller.shard.put_server(new_server, 0.6)
-        usage.is_reachable = True
-        assert usage.has_pending_command
-        assert not usage.is_open(0.6)
-        await trio.sleep(0.4)
+        usage = add_server(fleet, host_id)
+        usage.add(Task(TaskId("j", 0, 0, 0)), Step(1, 1000, 500, is_long_running=True))
+        fleet.stored.set()
+        await trio.sleep(0.2)
+        assert fleet.client.commanded == []
+        assert not usage.has_pending_command
+
+
+# Guards against tasks that go to a server that appears while a command is under way.
+@pytest.mark.parametrize(("listed_id", "host_id"), [("s1", ""), ("", "m0")])
+@pytest.mark.parametrize("appears_late", [False, True])
+async def test_a_server_that_appears_during_a_command_gets_no_tasks(
+    autojump_clock, fleet_of, listed_id, host_id, appears_late
+):
+    fleet = fleet_at_a_slow_store(fleet_of, listed_id, HostResult.REFUSED)
+    fleet.client.answer_after_s = 1.0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run_for, 5.0)
+        await trio.sleep(0.6)
+        if not appears_late:
+            usage = add_server(fleet, host_id)
+        fleet.stored.set()
         # It is not to be moved as an idle one afterwards.
         fleet.client.hosts = [Host("m0", "one", HostState.UP, "", 8000, "a")]
-        fleet.stored.set()
+        await trio.sleep(0.1)
+        assert fleet.client.commanded == ["m0"]
+        if appears_late:
+            usage = add_server(fleet, host_id)
+        assert usage.has_pending_command
+        assert not usage.is_open(0.7)
         await trio.sleep(2.5)
-        assert fleet.client.commanded
         assert not usage.has_pending_command
