--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -22,6 +22,7 @@
     "RunReport",
     "Server",
     "Step",
+    "StopReason",
     "Task",
     "TaskId",
     "TaskState",
@@ -44,6 +45,30 @@
         return self in (JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED)
 
 
+class StopReason(enum.Enum):
+    """Why a run is stopped, for the log."""
+
+    JOB_COMPLETE = "job-complete"
+    JOB_FAILED = "job-failed"
+    JOB_CANCELLED = "job-cancelled"
+    # An earlier run of the task has completed it.
+    DONE_BEFORE = "done-before"
+    # The run is slow or stalled, and begins again elsewhere.
+    STRAGGLER = "straggler"
+    # The server is drained.
+    DRAINED = "drained"
+    # The host is to be maintained.
+    WAVE = "wave"
+    # A start had no answer, and none may be carried out late.
+    UNANSWERED = "unanswered"
+    # The server lists a run that is not the current one of its task.
+    EARLIER_RUN = "earlier-run"
+    # The server lists a run of a job that is not known.
+    UNKNOWN_JOB = "unknown-job"
+    # The run was being stopped before its server was known.
+    STOPPED_BEFORE = "stopped-before"
+
+
 class TaskState(enum.IntEnum):
     """State of a task; the numeric values are stored."""
 
@@ -165,7 +190,8 @@
     checkpoint: str = ""
     failed_on: str = ""
     assigned_s: float = 0.0
-    # Time when a start command for the run was last sent, or 0 if none was.
+    # Time when the last start command was sent that the server has carried out or may
+    # have carried out, as it did not answer; 0 if there is none. One under way is none.
     sent_s: float = 0.0
     progress: RunProgress = attrs.field(factory=RunProgress)
     # Time that the completed run took, or 0 if it is not known.
@@ -177,6 +203,8 @@
     is_stopping: bool = False
     # Servers that were lost with a run of the task.
     losses: Losses = ()
+    # Whether the task gets no more runs, as it crashes its servers.
+    is_held: bool = False
     # Time since which the task has waited until no servers are lost, or 0.
     wants_calm_since_s: float = 0.0
     # Time since which the task has waited for a server of its own, or 0.
@@ -199,6 +227,13 @@
     tasks_by_step: dict[tuple[int, int], list[Task]] = attrs.field(factory=dict)
     ended_s: float = 0.0
 
+    @property
+    def stop_reason(self) -> StopReason:
+        """Return why runs that the job does not need are stopped."""
+        if self.state.is_final:
+            return StopReason(f"job-{self.state.value}")
+        return StopReason.EARLIER_RUN
+
     def tasks(self) -> list[Task]:
         """Return the tasks of all started steps."""
         return [task for tasks in self.tasks_by_step.values() for task in tasks]
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -10,7 +10,7 @@
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.model import Server, StopReason, Task, TaskId
 from rhubarbmount.batch.pacing import PaceCommand
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.unsettled_starts import (
@@ -42,6 +42,8 @@
 QUEUE_SIZE = 10_000
 # Outcomes after which a start is worth another try at the same server.
 REPEATED_RESULTS = (CommandResult.EXPIRED, CommandResult.NOT_SENT)
+# Outcomes that tell that the run has begun; no other answer allows that it has.
+BEGUN_RESULTS = (CommandResult.DONE, CommandResult.ENDED_BEFORE)
 LEASE_POLL_S = 0.01
 
 
@@ -76,6 +78,7 @@
 
     task: TaskId
     run: int
+    reason: StopReason
     late_until_s: float = 0.0
 
 
@@ -168,7 +171,11 @@
                 continue
             self._unsettled.inherit(start)
             if start.run_key not in listed:
-                self.send(StopRequest(start.task, start.run, late_until_s))
+                self.send(
+                    StopRequest(
+                        start.task, start.run, StopReason.UNANSWERED, late_until_s
+                    )
+                )
 
     async def run(self) -> None:
         """Send commands until cancelled."""
@@ -204,7 +211,7 @@
                 result = hindrance
                 break
             result = await self._try_start(request)
-            if result is CommandResult.DONE or result is CommandResult.ENDED_BEFORE:
+            if result in BEGUN_RESULTS:
                 if request.is_assigned(self.server.id):
                     request.task.acknowledged_s = monotonic_s()
                 return
@@ -242,7 +249,9 @@
         )
         if request.is_assigned(self.server.id):
             request.task.is_stopping = True
-        await self._stop(StopRequest(request.task.id, request.run))
+        await self._stop(
+            StopRequest(request.task.id, request.run, StopReason.UNANSWERED)
+        )
 
     async def _try_start(self, request: StartRequest) -> CommandResult | None:
         """Send a start once; return None if it was not answered."""
@@ -256,20 +265,17 @@
             checkpoint=request.task.checkpoint,
             ticket=request.ticket,
         )
-        sent_before_s = request.task.sent_s
-        if request.is_assigned(self.server.id):
-            request.task.sent_s = now_s
         number = self._note_try(request, now_s)
         try:
             response = await self.client.start(self.server, command)
         except PlatformUnavailable as error:
             self._unsettled.drop(number)
-            if request.is_assigned(self.server.id):
-                request.task.sent_s = sent_before_s
             self.on_failure(error.code)
             await trio.sleep(RETRY_S)
             return CommandResult.NOT_SENT
         except OutcomeUnknown as error:
+            if request.is_assigned(self.server.id):
+                request.task.sent_s = now_s
             self.listener.on_unanswered()
             self.on_failure(error.code)
             return None
@@ -277,6 +283,8 @@
             self._unsettled.note_answer(number, monotonic_s())
         else:
             self._unsettled.drop(number)
+        if response.result in BEGUN_RESULTS and request.is_assigned(self.server.id):
+            request.task.sent_s = now_s
         if self.lease.is_reachable:
             self.lease.consecutive_failures = 0
         self.metrics.starts.labels(response.result.value).inc()
@@ -385,6 +393,7 @@
             run=request.run,
             server=self.server.id,
             outcome=response.result.value,
+            reason=request.reason.value,
         )
         self.listener.on_stopped(self.server.id, request)
         return True
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -20,6 +20,7 @@
     Queue,
     QueueName,
     Step,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -27,6 +28,7 @@
 from rhubarbmount.batch.pacing import FULL_PACE
 from rhubarbmount.batch.run_progress import RunProgress
 from rhubarbmount.batch.run_times import RunTime, RunTimes, kind_of
+from rhubarbmount.batch.server_losses import is_to_blame
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.unreadable_jobs import UnreadableJobs
 
@@ -42,6 +44,7 @@
     server_id: str
     task: TaskId
     run: int
+    reason: StopReason
 
 
 @attrs.define(eq=False)
@@ -177,7 +180,7 @@
             self.waiting_by_step.pop(task.id[:3], None)
             self.steps_with_losses.discard(task.id[:3])
             if task.state is TaskState.ASSIGNED:
-                self.stop_run(task)
+                self.stop_run(task, job.stop_reason)
 
     def _count_done(self, job: Job) -> None:
         if job.state.is_final:
@@ -189,10 +192,10 @@
         else:
             self.create_ready_tasks(job)
 
-    def stop_run(self, task: Task) -> None:
+    def stop_run(self, task: Task, reason: StopReason) -> None:
         """Request that the current run of a task be stopped."""
         task.is_stopping = True
-        self.stops.append(Stop(task.server_id, task.id, task.run))
+        self.stops.append(Stop(task.server_id, task.id, task.run, reason))
 
     # Lookups.
 
@@ -335,8 +338,32 @@
         if _is_begun(task):
             self._unbegun_job_ids.discard(task.id.job_id)
 
+    def _hold_if_to_blame(self, task: Task) -> None:
+        """Start a waiting task that lasts no more if it crashes its servers.
+
+        Its job has no limit on attempts and goes on without it.
+        """
+        is_waiting = task.state is TaskState.WAITING and not task.is_held
+        is_long_running = self.step_of(task.id).is_long_running
+        if is_waiting and is_long_running and is_to_blame(task.losses):
+            task.is_held = True
+            self._remove_waiting(task)
+            self.losses.held.append(task)
+
+    def _release_if_blameless(self, task: Task) -> None:
+        """Let a held task wait again if its servers were not lost."""
+        job = self.job_by_id.get(task.id.job_id)
+        is_needed = job is not None and not job.state.is_final
+        if task.is_held and is_needed and not is_to_blame(task.losses):
+            task.is_held = False
+            self._add_waiting(task)
+
     def _add_waiting(self, task: Task) -> None:
+        if task.is_held:
+            return
         self.waiting_by_step.setdefault(task.id[:3], {})[task.id.number] = task
+        if task.losses:
+            self._hold_if_to_blame(task)
 
     def _remove_waiting(self, task: Task) -> None:
         waiting = self.waiting_by_step.get(task.id[:3])
--- a/tests/batch/test_server_lifetimes.py
+++ b/tests/batch/test_server_lifetimes.py
@@ -27,6 +27,7 @@
     RunReport,
     Server,
     Step,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -166,7 +167,7 @@
         stops, self.shard.stops = self.shard.stops, []
         for stop in stops:
             session = self.sessions.find(stop.server_id)
-            session.send(StopRequest(stop.task, stop.run))
+            session.send(StopRequest(stop.task, stop.run, stop.reason))
 
 
 @asynccontextmanager
@@ -267,7 +268,9 @@
         assert "server=s@1 reason=other-lifetime by=s@2" in caplog.text
         at_most = len(scene.client.renewed)
         scene.sessions.find("s@1").check()
-        scene.sessions.find("s@1").send(StopRequest(scene.tasks[0].id, 1))
+        scene.sessions.find("s@1").send(
+            StopRequest(scene.tasks[0].id, 1, StopReason.WAVE)
+        )
         await trio.sleep(SETTLE_S)
         assert scene.client.renewed[at_most:].count("s@1") == 0
         assert scene.client.stopped == []
