--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -13,7 +13,7 @@
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.host_commands import HostCommands
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Host, Wave
+from rhubarbmount.batch.model import Host, StopReason, Wave
 from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -183,7 +183,7 @@
                 task=task.id.place,
                 server=task.server_id,
             )
-            self.shard.stop_run(task)
+            self.shard.stop_run(task, StopReason.WAVE)
             self.wake_scheduler()
         for maintenance in plan.begin:
             self._start_maintenance(maintenance)
@@ -214,10 +214,14 @@
                 log.event(logger, "wave-waits", host=host_id, reason=reason)
         self._wait_reason_by_host = wait_by_host
 
-    async def _maintain(self, maintenance: Maintenance) -> bool:
+    async def _maintain(
+        self, maintenance: Maintenance, may_begin: Callable[[], bool]
+    ) -> bool:
         """Maintain a host; return whether this has ended its server."""
         progress = self.wave_by_number[maintenance.wave]
-        result = await self.commands.maintain(maintenance.host_id, maintenance.wave)
+        result = await self.commands.maintain(
+            maintenance.host_id, maintenance.wave, may_begin
+        )
         self.metrics.host_orders.labels("maintain", result.value).inc()
         log.event(
             logger,
@@ -286,9 +290,10 @@
         """Return the current configuration."""
         return self.shard.catalogue
 
-    async def _move(self, move: Move) -> bool:
+    async def _move(self, move: Move, may_begin: Callable[[], bool]) -> bool:
         """Move a host; return whether this has ended its server."""
-        result = await self.commands.move(move.host_id, move.pool)
+        decided_at_s = monotonic_s()
+        result = await self.commands.move(move.host_id, move.pool, may_begin)
         self.metrics.host_orders.labels("move", result.value).inc()
         log.event(
             logger,
@@ -300,6 +305,7 @@
             had=move.available_millicores,
             idle_s=move.idle_s,
             outcome=result.value,
+            held_s=monotonic_s() - decided_at_s,
         )
         if result is not HostResult.DONE:
             self.capacity.drop_command(move.host_id)
@@ -315,16 +321,28 @@
         if not self.commands.may_command(host_id) or self._nursery is None:
             return False
         self.commands.reserve(host_id)
-        usages = list(self.shard.usages_on(self.host_by_id[host_id]))
-        for usage in usages:
+        host = self.host_by_id[host_id]
+        known = list(self.shard.usages_on(host))
+        for usage in known:
             usage.has_pending_command = True
-        self._nursery.start_soon(self._run_command, host_id, usages, action, decision)
+        self._nursery.start_soon(self._run_command, host, known, action, decision)
+        return True
+
+    def _may_begin(self, host: Host, known: list[ServerUsage]) -> bool:
+        """Return whether a command would end no tasks of a server that has appeared.
+
+        Those that were known when the command was decided have been closed since.
+        """
+        for usage in self.shard.usages_near(host):
+            if usage not in known and not usage.is_idle:
+                return False
+        self.shard.begin_host_command(host)
         return True
 
     async def _run_command(
         self,
-        host_id: str,
-        usages: list[ServerUsage],
+        host: Host,
+        known: list[ServerUsage],
         action: Callable,
         decision: object,
     ) -> None:
@@ -333,14 +351,25 @@
         A later lifetime under the same name may have followed the command.
         """
         try:
-            if await action(decision):
-                for usage in usages:
-                    self.shard.lose_server(
-                        usage.server.id, monotonic_s(), ServerEnd.PLANNED
-                    )
+            if await action(decision, lambda: self._may_begin(host, known)):
+                for usage in known:
+                    self._end_commanded(host.id, usage.server.id)
                 self.wake_scheduler()
         finally:
-            self.commands.release(host_id)
+            self.commands.release(host.id)
             self._is_list_requested = True
-            for usage in usages:
+            self.shard.end_host_command(host)
+            for usage in known:
                 usage.has_pending_command = False
+
+    def _end_commanded(self, host_id: str, server_id: str) -> None:
+        tasks = self.shard.lose_server(server_id, monotonic_s(), ServerEnd.PLANNED)
+        log.event(
+            logger,
+            "server-ended",
+            server=server_id,
+            reason="commanded",
+            by="",
+            tasks=tasks,
+            host=host_id,
+        )
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -8,11 +8,13 @@
 from rhubarbmount.batch.lifetimes import born_ms_of
 from rhubarbmount.batch.loss_tracker import LostRun
 from rhubarbmount.batch.model import (
+    Host,
     Job,
     JobSpec,
     JobState,
     RunEnd,
     Server,
+    StopReason,
     Task,
     TaskId,
     TaskState,
@@ -24,6 +26,7 @@
     TRIAL_S,
     ServerEnd,
     ServerLoss,
+    is_sound_run,
     is_to_blame,
     outlives,
 )
@@ -42,6 +45,9 @@
 class Shard(ShardJobs):
     """Jobs of a shard, the ends of their runs, and the backend servers they run on."""
 
+    # Hosts to which a command is in progress, and the servers listed there.
+    _commanded_names: set[str] = attrs.field(factory=set)
+
     # Ends of runs.
 
     def end_run(
@@ -124,7 +130,7 @@
         if task.state is TaskState.ASSIGNED and task.id in self._tasks_on_same_server(
             task
         ):
-            self.stop_run(task)
+            self.stop_run(task, StopReason.DONE_BEFORE)
         self._remove_waiting(task)
         task.state = TaskState.DONE
         self._count_done(job)
@@ -180,13 +186,16 @@
             usage.is_listed = True
             return usage
         usage = ServerUsage(server, idle_since_s=now_s)
+        usage.has_pending_command = bool(
+            {server.name, server.host_id} & self._commanded_names
+        )
         self.usage_by_server_id[server.id] = usage
         self._index_by_name(usage)
         for task in self._tasks_by_unknown_server_id.pop(server.id, ()):
             if task.state is TaskState.ASSIGNED and task.server_id == server.id:
                 usage.add(task, self.step_of(task.id))
                 if task.is_stopping:
-                    self.stop_run(task)
+                    self.stop_run(task, StopReason.STOPPED_BEFORE)
         return usage
 
     def tasks_on(self, server_id: str) -> list[Task]:
@@ -215,7 +224,7 @@
             task.pace = UNKNOWN_PACE
         usage.add(task, step)
         if task.is_stopping:
-            self.stop_run(task)
+            self.stop_run(task, StopReason.UNANSWERED)
         self.dirty.add(task.id.job_id)
 
     def _index_by_name(self, usage: ServerUsage) -> None:
@@ -229,6 +238,26 @@
         if not usages:
             del self.usages_by_server_name[usage.server.name]
 
+    def begin_host_command(self, host: Host) -> None:
+        """Close the servers on a host that is commanded, also if they appear later."""
+        self._commanded_names.update({host.id, host.server_name} - {""})
+        for usage in self.usages_near(host):
+            usage.has_pending_command = True
+
+    def end_host_command(self, host: Host) -> None:
+        """Open the servers again that a command to their host has closed."""
+        self._commanded_names -= {host.id, host.server_name}
+        for usage in self.usages_near(host):
+            usage.has_pending_command = False
+
+    def usages_near(self, host: Host) -> list[ServerUsage]:
+        """Return the servers that are listed on a host or reported it."""
+        return [
+            usage
+            for usage in self.usage_by_server_id.values()
+            if usage.server.name == host.server_name or usage.server.host_id == host.id
+        ]
+
     def lose_server(
         self, server_id: str, now_s: float, end: ServerEnd = ServerEnd.CRASHED
     ) -> int:
@@ -273,6 +302,7 @@
         """Record that a server answers, so that no task has lost it."""
         for task in self.losses.retract(server_id):
             self._note_losses_changed(task)
+            self._release_if_blameless(task)
 
     def clear_losses_if_harmless(self, task: Task, now_s: float) -> None:
         """Forget the servers that a task lost if its run goes on for longer."""
@@ -305,8 +335,12 @@
             loss = self._loss_of(task, end, was_alone, silent_s)
             may_have_run = task.sent_s > 0.0 or not _is_own_start(task)
             self.release(task, now_s)
-            is_known = task.id.job_id in self.job_by_id
-            if end is not ServerEnd.PLANNED and may_have_run and is_known:
+            is_counted = (
+                end is not ServerEnd.PLANNED
+                and may_have_run
+                and self._may_have_crashed(task, loss)
+            )
+            if is_counted:
                 self._add_loss(task, loss)
             self._give_up_if_to_blame(task)
             self.losses.lost_runs.append(
@@ -320,6 +354,13 @@
                 )
             )
 
+    def _may_have_crashed(self, task: Task, loss: ServerLoss) -> bool:
+        """Return whether a run that was lost may be what crashed its server."""
+        if task.id.job_id not in self.job_by_id:
+            return False
+        is_long_running = self.step_of(task.id).is_long_running
+        return not is_sound_run(is_long_running, loss.age_s)
+
     def _loss_of(
         self, task: Task, end: ServerEnd, was_alone: bool, silent_s: float
     ) -> ServerLoss:
@@ -347,11 +388,13 @@
             self.dirty.add(task.id.job_id)
 
     def _give_up_if_to_blame(self, task: Task) -> None:
-        """Fail the job of a task that crashes its servers."""
+        """Fail the job of a task that crashes its servers, or hold one that lasts."""
         job = self.job_by_id.get(task.id.job_id)
         if job is None or job.state.is_final or task.state is TaskState.DONE:
             return
-        if is_to_blame(task.losses):
+        if self.step_of(task.id).is_long_running:
+            self._hold_if_to_blame(task)
+        elif is_to_blame(task.losses):
             self.losses.given_up.append(task)
             self._finish(job, JobState.FAILED)
 
--- a/tests/batch/test_server_clocks.py
+++ b/tests/batch/test_server_clocks.py
@@ -10,7 +10,7 @@
 from rhubarbmount.batch.earlier_grants import EarlierGrants
 from rhubarbmount.batch.election import LapseBound, ShardLease, longest_lease
 from rhubarbmount.batch.metrics import BatchMetrics
-from rhubarbmount.batch.model import Server, Task, TaskId
+from rhubarbmount.batch.model import Server, StopReason, Task, TaskId
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
@@ -226,7 +226,7 @@
     task = Task(TASK, run=1, server_id=EARLIER)
     command = {
         "start": StartRequest(task, 1, "payload", ""),
-        "stop": StopRequest(TASK, 1),
+        "stop": StopRequest(TASK, 1, StopReason.WAVE),
     }[kind]
     session = await send_to_idle_server(monkeypatch, command)
     assert len(session.client.renewed_at_s) == 2
