--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -333,7 +333,7 @@
 
         Those that were known when the command was decided have been closed since.
         """
-        for usage in self.shard.usages_near(host):
+        for usage in self.shard.usages_of_host(host):
             if usage not in known and not usage.is_idle:
                 return False
         self.shard.begin_host_command(host)
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -241,16 +241,16 @@
     def begin_host_command(self, host: Host) -> None:
         """Close the servers on a host that is commanded, also if they appear later."""
         self._commanded_names.update({host.id, host.server_name} - {""})
-        for usage in self.usages_near(host):
+        for usage in self.usages_of_host(host):
             usage.has_pending_command = True
 
     def end_host_command(self, host: Host) -> None:
         """Open the servers again that a command to their host has closed."""
         self._commanded_names -= {host.id, host.server_name}
-        for usage in self.usages_near(host):
+        for usage in self.usages_of_host(host):
             usage.has_pending_command = False
 
-    def usages_near(self, host: Host) -> list[ServerUsage]:
+    def usages_of_host(self, host: Host) -> list[ServerUsage]:
         """Return the servers that are listed on a host or reported it."""
         return [
             usage
--- a/rhubarbmount/batch/silent_servers.py
+++ b/rhubarbmount/batch/silent_servers.py
@@ -20,8 +20,8 @@
 # Stands in a record that names lifetimes, as if it were of long ago. Builds that take
 # a name for one lifetime leave it out when they write the record anew, but keep what
 # it says of lifetimes, to which they may have granted more since.
-MARK = "@"
-MARK_S = -1e9
+LIFETIMES_MARK = "@"
+LIFETIMES_MARK_S = -1e9
 
 
 @attrs.define(eq=False)
@@ -44,7 +44,7 @@
     def load(self, value: bytes) -> None:
         """Load the value that the last holder stored. Raises UnreadableRecord."""
         numbers = decode_numbers(value)
-        is_marked = numbers.pop(MARK, None) is not None
+        is_marked = numbers.pop(LIFETIMES_MARK, None) is not None
         self._lapses_at_s = {
             server_id: at_s
             for server_id, at_s in numbers.items()
@@ -94,5 +94,5 @@
                 del self._lapses_at_s[server_id]
         numbers = self._lapses_at_s
         if any(map(born_ms_of, numbers)):
-            numbers = {MARK: MARK_S, **numbers}
+            numbers = {LIFETIMES_MARK: LIFETIMES_MARK_S, **numbers}
         return json.dumps(numbers, separators=(",", ":")).encode("ascii")
