Give the poll after a failure the time of every other one

The poll after a failure does not wait for a change, and had just the margin of 1.0 s for its answer, which held a storm of configurations; each try began anew until the store had dropped the history.

Its time limit is that of a poll that waits. Ruled out by the log: a store out of reach, as the lease was followed from 11.6 s on.

--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -31,6 +31,8 @@
 # With the time until a lost poll is given up and asked again, less than the 3 s after
 # which a configuration or a cancellation has to be known.
 FEED_WAIT_S = 1.5
+# After an outage the answer to the first poll may hold megabytes.
+FEED_ANSWER_S = 1.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.3
 # A page of less than this is not cut: one of 1 MB may be, as its bytes are encoded.
@@ -174,7 +176,8 @@
             return page.version
         # After a failure changes may have been missed, so that none need be waited for.
         wait_s = 0.0 if self._has_failed else self.wait_s
-        page = await self.store.feed(self.table, version, wait_s)
+        timeout_s = self.wait_s + FEED_ANSWER_S
+        page = await self.store.feed(self.table, version, wait_s, timeout_s)
         self._record_success()
         self._pass_on(page, False)
         return max(version, page.version)
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -44,7 +44,6 @@
 READ_TIMEOUT_S = 1.5
 # For reads of many rows, which a slow link may take long to carry.
 MAX_READ_TIMEOUT_S = 8.0
-FEED_MARGIN_S = 1.0
 PAGE_ROWS = 500
 UNREACHABLE_FAILURES = 2
 UNREACHABLE_SILENCE_S = 0.7
@@ -252,7 +251,9 @@
             next_key = page.rows[-1].name.key + "\x00"
             page = await self.read(table, part, next_key, timeout_s=timeout_s)
 
-    async def feed(self, table: str, after: int, wait_s: float) -> Page:
+    async def feed(
+        self, table: str, after: int, wait_s: float, timeout_s: float
+    ) -> Page:
         """Return the rows changed after a version, waiting up to ``wait_s`` for any.
 
         A deleted row has version 0. Raises HistoryGone.
@@ -262,7 +263,7 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        response = await self._get("/rows-feed", query, wait_s + FEED_MARGIN_S)
+        response = await self._get("/rows-feed", query, timeout_s)
         if response.status == 410:
             raise HistoryGone(f"changes of {table} after {after} are no longer kept")
         with decoding_response():
--- a/tests/batch/test_table_follower.py
+++ b/tests/batch/test_table_follower.py
@@ -16,10 +16,12 @@
 )
 from rhubarbmount.batch.tables import PROGRESS_TABLE
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.platform.rows import FEED_MARGIN_S, PAGE_ROWS, Page, Row, RowName
+from rhubarbmount.platform.rows import PAGE_ROWS, Page, Row, RowName
 
 PART = "p"
 CONTACT_S = 3.0
+# Time that a large answer takes to arrive.
+BACKLOG_S = 2.0
 WEAK_LINK_MBPS = 2.0
 
 
@@ -49,7 +51,7 @@
         self.reads += 1
         return Page(tuple(self.rows.values()), self.version, 0, False)
 
-    async def feed(self, table, version, wait_s):
+    async def feed(self, table, version, wait_s, timeout_s):
         with trio.move_on_after(wait_s):
             while self.is_stalled or self.version <= version:
                 await self._changed.wait()
@@ -226,8 +228,8 @@
 
     clock_ms = 5000
 
-    async def feed(self, table, version, wait_s):
-        page = await super().feed(table, version, wait_s)
+    async def feed(self, table, version, wait_s, timeout_s):
+        page = await super().feed(table, version, wait_s, timeout_s)
         rows = page.rows[:PAGE_ROWS]
         newest = rows[-1].version if rows else page.version
         return Page(rows, newest, self.clock_ms, False)
@@ -262,7 +264,7 @@
         await trio.sleep(2.5)
         return page
 
-    async def feed(self, table, version, wait_s):
+    async def feed(self, table, version, wait_s, timeout_s):
         return await self.read_all(table, PART, wait_s)
 
 
@@ -309,11 +311,11 @@
 
     is_silent = True
 
-    async def feed(self, table, version, wait_s):
+    async def feed(self, table, version, wait_s, timeout_s):
         if self.is_silent:
-            await trio.sleep(wait_s + FEED_MARGIN_S)
+            await trio.sleep(timeout_s)
             raise OutcomeUnknown("no answer in time")
-        return await super().feed(table, version, wait_s)
+        return await super().feed(table, version, wait_s, timeout_s)
 
 
 # Guards against CONFIG and UNASKED: a poll that is lost as the store comes back holds
@@ -329,3 +331,28 @@
         await trio.sleep(CONTACT_S - 0.1)
         assert seen == ["0000"]
         nursery.cancel_scope.cancel()
+
+
+class BacklogStore(SilentStore):
+    """Store whose first answer after its silence takes long to arrive."""
+
+    async def feed(self, table, version, wait_s, timeout_s):
+        page = await super().feed(table, version, wait_s, timeout_s)
+        if page.rows and timeout_s < BACKLOG_S:
+            await trio.sleep(timeout_s)
+            raise OutcomeUnknown("no answer in time")
+        await trio.sleep(BACKLOG_S if page.rows else 0.0)
+        return page
+
+
+# Guards against CONFIG: the poll after an outage got no time for what had gathered.
+async def test_what_has_gathered_in_an_outage_may_take_long_to_arrive(autojump_clock):
+    store = BacklogStore()
+    async with trio.open_nursery() as nursery:
+        follower, seen = await start_follower(nursery, store)
+        await trio.sleep(4.0)
+        store.put("0000")
+        store.is_silent = False
+        await trio.sleep(5.0)
+        assert seen == ["0000"]
+        nursery.cancel_scope.cancel()
--- a/tests/platform/test_malformed_responses.py
+++ b/tests/platform/test_malformed_responses.py
@@ -81,7 +81,7 @@
     "commit": lambda client: RowStore(client, "a:1").commit({NAME: 0}, {NAME: b""}),
     "read": lambda client: RowStore(client, "a:1").read("t"),
     "read_all": lambda client: RowStore(client, "a:1").read_all("t"),
-    "feed": lambda client: RowStore(client, "a:1").feed("t", 1, 0.1),
+    "feed": lambda client: RowStore(client, "a:1").feed("t", 1, 0.1, 1.0),
     "start": lambda client: backend(client).start(
         SERVER, StartCommand(TASK, 1, "", 1, 1)
     ),
