--- a/rhubarbmount/batch/early_renewals.py
+++ b/rhubarbmount/batch/early_renewals.py
@@ -9,7 +9,6 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.clocks import monotonic_s
-from rhubarbmount.batch.election import longest_lease
 from rhubarbmount.batch.lifetimes import lifetime_id, name_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.server_lease import ServerLease
@@ -133,9 +132,7 @@
         self.heard_server_ids.discard(server_id)
         lease = self.lease_by_server_id[answered_id] = self.make_lease(answered_id)
         if earlier.clock.is_known:
-            granted = longest_lease(monotonic_s(), lease.max_lease_s)
-            if granted.at_s > lease.earlier.at_s:
-                lease.earlier = granted
+            lease.expect_longest(monotonic_s())
         if earlier.recorded_lapse_s is not None:
             # The store may hold the record by the name until one without it is stored.
             limit_s = lease.recorded_lapse_s or math.inf
