Tell which polls are lost, what is caught up on, and how old a configuration is

poll-lost says how many bytes had arrived, store-regained how many rows were superseded, declined and catalogue_age_seconds how old the configuration was. The stand-in's feed tells of each change, in pages of 1 MB. No decision changes.

--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -81,6 +81,8 @@
     )
     # Time after which accepted jobs have to be visible.
     visible_s: float = DEFAULT_VISIBLE_S
+    # Up to when all changes of the configuration are known, by the store's clock.
+    catalogue_known_until_s: float = 0.0
     _pending: PendingCounts | None = None
     _pending_read_at_s: float = -math.inf
 
@@ -103,6 +105,7 @@
             return _refusal(
                 503, "no-configuration", "no configuration has been read yet"
             )
+        self.metrics.catalogue_age_s.observe(self._catalogue_age_s())
         host = header_value(request.headers, b"host") or ""
         path = request.target.partition("?")[0]
         queue = self.catalogue.find(host.partition(":")[0], path)
@@ -134,6 +137,10 @@
         allow = (b"allow", ALLOWED_METHODS.encode("ascii"))
         return attrs.evolve(response, headers=[*response.headers, allow])
 
+    def _catalogue_age_s(self) -> float:
+        """Return since when changes of the configuration may not have been heard of."""
+        return max(0.0, self.store.latest_clock_s() - self.catalogue_known_until_s)
+
     def _refuse_out_of_reach(self, about: str) -> HttpResponse:
         """Refuse a request at once because the store is out of reach.
 
@@ -331,6 +338,7 @@
             code=code,
             about=about,
             catalogue=self.catalogue.version if self.catalogue else 0,
+            catalogue_age_s=self._catalogue_age_s(),
         )
         return problem(status, code, message, Outcome.NOT_RUN)
 
--- a/rhubarbmount/batch/metrics.py
+++ b/rhubarbmount/batch/metrics.py
@@ -38,6 +38,7 @@
     held_tasks: prometheus_client.Counter = attrs.field(init=False)
     pending_age_s: prometheus_client.Histogram = attrs.field(init=False)
     requests_age_s: prometheus_client.Gauge = attrs.field(init=False)
+    catalogue_age_s: prometheus_client.Histogram = attrs.field(init=False)
     host_orders: prometheus_client.Counter = attrs.field(init=False)
     first_start_s: prometheus_client.Histogram = attrs.field(init=False)
     placing_s: prometheus_client.Histogram = attrs.field(init=False)
@@ -137,6 +138,12 @@
             "Time since which the holder may not have heard of all requests.",
             registry=self.registry,
         )
+        self.catalogue_age_s = self._histogram(
+            "catalogue_age_seconds",
+            "Time since which a host may not have heard of all changes of the "
+            "configuration, when it used that for a caller.",
+            WAIT_BUCKETS_S,
+        )
         self.waiting_tasks = prometheus_client.Gauge(
             "rhubarbmount_batch_waiting_tasks",
             "Tasks of the shard that wait for capacity, at the holder.",
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -106,7 +106,11 @@
             self.unreadable_rows,
         )
         self.operator_rows = TableFollower(
-            self.store, OPERATOR_TABLE, ("",), self._apply_operator_rows
+            self.store,
+            OPERATOR_TABLE,
+            ("",),
+            self._apply_operator_rows,
+            on_known=self._note_operator_rows_known,
         )
 
     async def run(self) -> None:
@@ -170,6 +174,9 @@
                     reason=error.message,
                 )
 
+    def _note_operator_rows_known(self, known_until_s: float) -> None:
+        self.job_api.catalogue_known_until_s = known_until_s
+
     def _apply_operator_row(self, row: Row) -> None:
         if row.name.key == CATALOGUE_KEY:
             self._set_catalogue(decode_catalogue(row), row.version)
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 
@@ -157,6 +158,7 @@
         version = self.start_version
         self._seen_version = version or 0
         while True:
+            began_s = monotonic_s()
             try:
                 version = await self._read_next(version)
                 self._seen_version = version
@@ -165,20 +167,21 @@
                 self._record_failure(error.code)
                 version = None
             except (PlatformUnavailable, OutcomeUnknown) as error:
+                self._log_lost_poll(error, monotonic_s() - began_s)
                 self._record_failure(error.code)
                 await trio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     async def _read_next(self, version: int | None) -> int:
         if version is None:
             page = await self._read_table()
-            self._record_success()
+            self._record_success(page)
             self._pass_on(page, True)
             return page.version
         # After a failure changes may have been missed, so that none need be waited for.
         wait_s = 0.0 if self._has_failed else self.wait_s
         timeout_s = self.wait_s + FEED_ANSWER_S
         page = await self.store.feed(self.table, version, wait_s, timeout_s)
-        self._record_success()
+        self._record_success(page)
         self._pass_on(page, False)
         return max(version, page.version)
 
@@ -201,15 +204,36 @@
         self._read_timeout_s = READ_TIMEOUT_S
         return page
 
-    def _record_success(self) -> None:
+    def _record_success(self, page: Page) -> None:
         self._has_failed = False
         lost_s = monotonic_s() - self._answered_at_s
         self._answered_at_s = monotonic_s()
         if self._is_store_lost:
             self._is_store_lost = False
-            log.event(logger, "store-regained", table=self.table)
+            log.event(
+                logger,
+                "store-regained",
+                table=self.table,
+                lost_s=lost_s,
+                rows=len(page.rows),
+                superseded=_superseded_rows(page),
+                size_bytes=_size_bytes(page),
+            )
             self.on_regained(lost_s)
 
+    def _log_lost_poll(self, error: RhubarbmountError, took_s: float) -> None:
+        """Log a call that was sent and not answered in time."""
+        if isinstance(error, OutcomeUnknown):
+            log.frequent_event(
+                logger,
+                "poll-lost",
+                table=self.table,
+                after_version=self._seen_version,
+                took_s=took_s,
+                code=error.code,
+                reason=error.message,
+            )
+
     def _record_failure(self, code: str) -> None:
         self._has_failed = True
         if not self._is_store_lost:
@@ -221,6 +245,14 @@
 
 def _is_full(page: Page) -> bool:
     """Return whether a page may have been cut, so that there are more changes."""
-    size_bytes = sum(len(row.value) for row in page.rows)
-    is_cut = len(page.rows) >= PAGE_ROWS or size_bytes >= MAX_WHOLE_PAGE_BYTES
+    is_cut = len(page.rows) >= PAGE_ROWS or _size_bytes(page) >= MAX_WHOLE_PAGE_BYTES
     return page.has_more or is_cut
+
+
+def _size_bytes(page: Page) -> int:
+    return sum(len(row.value) for row in page.rows)
+
+
+def _superseded_rows(page: Page) -> int:
+    """Return how many rows of a page are followed by a newer version of the same."""
+    return len(page.rows) - len(Counter(row.name for row in page.rows))
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -53,6 +53,8 @@
     reusable: bool = True
     was_reused: bool = False
     idle_since_s: float = 0.0
+    # Bytes that have arrived of the response to the current or last request.
+    received_bytes: int = 0
     _protocol: h11.Connection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -67,6 +69,7 @@
         exactly one complete response was read.
         """
         self.reusable = False
+        self.received_bytes = 0
         data = self._encode(request, extra_headers)
         try:
             await self._send(data)
@@ -162,6 +165,7 @@
             await trio.lowlevel.wait_readable(self.stream.socket)
             with suppress(BlockingIOError):
                 data = os.read(self.stream.socket.fileno(), READ_SIZE_BYTES)
+                self.received_bytes += len(data)
                 self._protocol.receive_data(data)
                 return
 
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -10,7 +10,7 @@
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.http import Headers, HttpRequest, NotSent, ResponseLost
-from rhubarbmount.http_client import ConnectionPool
+from rhubarbmount.http_client import ClientConnection, ConnectionPool
 
 __all__ = ["JsonResponse", "JsonClient", "decoding_response", "open_json_client"]
 
@@ -42,6 +42,18 @@
     body: Mapping[str, Any]
 
 
+@attrs.define(eq=False)
+class _Progress:
+    """How far a call has come."""
+
+    connection: ClientConnection | None = None
+
+    def __str__(self) -> str:
+        if self.connection is None:
+            return "not connected"
+        return f"{self.connection.received_bytes} bytes arrived"
+
+
 @attrs.define(eq=False)
 class JsonClient:
     """Client for any number of addresses, with a connection pool for each."""
@@ -67,15 +79,16 @@
         """
         data = b"" if body is None else json.dumps(body).encode("utf-8")
         request = HttpRequest(method, target, _headers(address, headers), data, True)
+        progress = _Progress()
         try:
             with trio.fail_after(timeout_s):
-                return await self._exchange(address, request, may_send)
+                return await self._exchange(address, request, may_send, progress)
         except NotSent as error:
             raise PlatformUnavailable(error.message, code=error.code) from None
         except ResponseLost as error:
             raise OutcomeUnknown(error.message, code=error.code) from None
         except trio.TooSlowError:
-            message = f"no response from {address} within {timeout_s} s"
+            message = f"no response from {address} within {timeout_s} s, {progress}"
             raise OutcomeUnknown(message, code="timeout") from None
 
     async def forget(self, address: str) -> None:
@@ -90,13 +103,18 @@
             await self.forget(address)
 
     async def _exchange(
-        self, address: str, request: HttpRequest, may_send: Callable[[], bool]
+        self,
+        address: str,
+        request: HttpRequest,
+        may_send: Callable[[], bool],
+        progress: "_Progress",
     ) -> JsonResponse:
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = ConnectionPool(address, CONNECT_TIMEOUT_S, BODY_LIMIT_BYTES)
             self._pool_by_address[address] = pool
         connection = await pool.take()
+        progress.connection = connection
         if not may_send():
             await pool.put_back(connection)
             raise NotSent("the permission to send has expired", code="expired")
--- a/rhubarbmount/platform/settings.py
+++ b/rhubarbmount/platform/settings.py
@@ -13,6 +13,7 @@
 __all__ = ["SETTINGS_PATH_VARIABLE", "Bounds", "NodeSettings", "read_settings"]
 
 SETTINGS_PATH_VARIABLE = "RHUBARBMOUNT_NODE_FILE"
+DEFAULT_CONFIG_APPLY_MS = 2000.0
 
 
 @attrs.frozen
@@ -31,6 +32,8 @@
     checkpoint_s: float
     remote_factor: float
     visible_s: float
+    # Within which a configuration has to be in force.
+    config_apply_s: float
 
 
 @attrs.frozen
@@ -162,4 +165,7 @@
         checkpoint_s=reader.number("bounds.checkpoint_s"),
         remote_factor=reader.number("bounds.remote_factor"),
         visible_s=reader.number("bounds.visible_ms", seconds_per_ms),
+        config_apply_s=reader.number(
+            "bounds.config_apply_ms", seconds_per_ms, DEFAULT_CONFIG_APPLY_MS
+        ),
     )
--- a/rhubarbmount/standins/users_store.py
+++ b/rhubarbmount/standins/users_store.py
@@ -1,5 +1,6 @@
 """Stand-in of the store of the users' platform, following its published protocol."""
 
+from collections import deque
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -18,6 +19,7 @@
 MAX_ROW_BYTES = 65536
 MAX_CALL_BYTES = 1_000_000
 MAX_PAGE_ROWS = 500
+MAX_PAGE_BYTES = 1_000_000
 
 
 @attrs.define
@@ -26,15 +28,33 @@
     version: int
 
 
+@attrs.frozen
+class _Change:
+    """A row as it was written; ``value`` is None if it was removed."""
+
+    version: int
+    key: RowKey
+    value: str | None
+
+    def render(self) -> dict[str, Any]:
+        """Return the row as the feed shows it."""
+        if self.value is None:
+            return {**_render_key(self.key), "deleted": True}
+        return {**_render_key(self.key), "value": self.value, "ver": self.version}
+
+
 @attrs.define(eq=False)
 class StandinStore:
-    """Rows with versions from one counter, and a feed of their changes."""
+    """Rows with versions from one counter, and a feed of their changes.
+
+    The feed tells of each change of a row, also of those that newer ones follow.
+    """
 
     history_limit: int = 100_000
     version: int = 0
     call_count: int = 0
     _row_by_key: dict[RowKey, _StoredRow] = attrs.field(factory=dict)
-    _changes: list[tuple[int, RowKey]] = attrs.field(factory=list)
+    _changes: deque[_Change] = attrs.field(factory=deque)
     _dropped_through: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -123,25 +143,27 @@
         after = int(query["after"])
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
             while after >= self._dropped_through:
-                keys = self._changed_keys(query["table"], after)
-                if keys:
+                if self._find_changes(query["table"], after):
                     break
                 await self._changed.wait()
         if after < self._dropped_through:
             return NO_HISTORY
-        keys = self._changed_keys(query["table"], after)
-        rows = [
-            self._render_row(key) or {**_render_key(key), "deleted": True}
-            for key in keys
-        ]
-        return JsonResponse(200, {**self._version_fields(), "rows": rows})
-
-    def _changed_keys(self, table: str, after: int) -> list[RowKey]:
-        keys: dict[RowKey, None] = {}
-        for version, key in self._changes:
-            if version > after and key[0] == table:
-                keys[key] = None
-        return list(keys)
+        changes = self._find_changes(query["table"], after)
+        page = _cut_page(changes)
+        fields = self._version_fields()
+        if len(page) < len(changes):
+            fields["ver"] = page[-1].version
+        rows = [change.render() for change in page]
+        return JsonResponse(200, {**fields, "rows": rows})
+
+    def _find_changes(self, table: str, after: int) -> list[_Change]:
+        found: list[_Change] = []
+        for change in reversed(self._changes):
+            if change.version <= after:
+                break
+            if change.key[0] == table:
+                found.append(change)
+        return found[::-1]
 
     def _write(self, key: RowKey, value: str | None, version: int = 0) -> None:
         if not version:
@@ -150,9 +172,9 @@
             self._row_by_key.pop(key, None)
         else:
             self._row_by_key[key] = _StoredRow(value, self.version)
-        self._changes.append((self.version, key))
+        self._changes.append(_Change(self.version, key, value))
         if len(self._changes) > self.history_limit:
-            self._dropped_through = self._changes.pop(0)[0]
+            self._dropped_through = self._changes.popleft().version
 
     def _publish(self) -> None:
         self._changed.set()
@@ -172,6 +194,16 @@
         return {"ver": self.version, "now_ms": int(trio.current_time() * 1000)}
 
 
+def _cut_page(changes: list[_Change]) -> list[_Change]:
+    """Return the first changes, as many as an answer holds."""
+    size_bytes = 0
+    for count, change in enumerate(changes):
+        size_bytes += len(change.value or "") * 3 // 4
+        if count >= MAX_PAGE_ROWS or (count and size_bytes > MAX_PAGE_BYTES):
+            return changes[:count]
+    return changes
+
+
 def _parse_key(item: Mapping[str, Any]) -> RowKey:
     return item["table"], item["part"], item["key"]
 
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -39,6 +39,7 @@
     checkpoint_s=1.0,
     remote_factor=3.0,
     visible_s=3.0,
+    config_apply_s=2.0,
 )
 
 
