--- /dev/null
+++ b/tests/batch/test_many_changes.py
@@ -0,0 +1,120 @@
+"""Tests that hosts follow many, and large, changes of the configuration."""
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.platform.row_formats import OPERATOR_TABLE
+from tests.batch.configuration_checker import SPARE, ConfigurationChecker
+from tests.batch.world import BOUNDS, open_world
+
+# What a link of 10 Mbit/s takes that other calls use half of.
+WEAK_LINK_MBPS = 10.0
+WEAK_LINK_BYTES_PER_S = 600_000
+STORM_GAP_S = 0.8
+CUT_S = 10.0
+# A configuration of so many queues takes longer to arrive than a poll may be silent.
+MANY_QUEUES = 5000
+EXPECTED_SHARE = 0.9
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+async def start(world, queues, weak="cd"):
+    """Start strong hosts a and b and weak ones; return the checker, which probes."""
+    checker = ConfigurationChecker(world)
+    checker.put(adds=queues)
+    for pool in ("one", SPARE):
+        world.platform.add_machine(f"m-{pool}", pool, "r0")
+    for name in ("a", "b"):
+        world.start_node(name)
+    for name in weak:
+        world.faults.link_bytes_per_s_by_node[name] = WEAK_LINK_BYTES_PER_S
+        world.start_node(name, link_mbps=WEAK_LINK_MBPS)
+    await trio.sleep(1.0)
+    world.nursery.start_soon(checker.probe)
+    return checker
+
+
+def version_of(world, node_id):
+    return world.node_by_id[node_id].job_api.catalogue.version
+
+
+# Guards against CONFIG: a host that was cut off reads each version that it has missed.
+@pytest.mark.parametrize("seed", range(3))
+async def test_a_host_that_was_cut_off_knows_the_newest_configuration_in_time(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_world(monkeypatch, seed) as world:
+        checker = await start(world, queues=250)
+        world.nursery.start_soon(checker.change_for, 30.0, STORM_GAP_S)
+        await trio.sleep(2.0)
+        checker.cut({"c"})
+        await trio.sleep(CUT_S + 0.1 * seed)
+        checker.cut(set())
+        await trio.sleep(BOUNDS.contact_s)
+        assert checker.version - version_of(world, "c") <= 2
+        await trio.sleep(10.0)
+        assert checker.breaches == []
+        assert checker.refusals < checker.answers * (1 - EXPECTED_SHARE)
+
+
+# Guards against CONFIG: an answer that is still arriving is given up, again and again.
+async def test_a_configuration_that_takes_long_to_arrive_is_in_force_at_last(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=10)
+        await trio.sleep(5.0)
+        checker.put(adds=MANY_QUEUES)
+        await trio.sleep(8.0)
+        assert {version_of(world, name) for name in "abcd"} == {2}
+        assert checker.breaches == []
+
+
+# Guards against CONFIG: 404 by a configuration that may long have changed.
+async def test_a_host_that_does_not_hear_of_changes_says_so(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=3)
+        world.nursery.start_soon(checker.change_for, 20.0, STORM_GAP_S)
+        await trio.sleep(3.0)
+        world.faults.store_tables_down = {OPERATOR_TABLE}
+        await trio.sleep(10.0)
+        assert checker.breaches == []
+        world.faults.store_tables_down = set()
+        await trio.sleep(BOUNDS.contact_s)
+        refusals = checker.refusals
+        await trio.sleep(5.0)
+        assert checker.refusals == refusals
+
+
+# Guards against CONFIG: with many queues, a version takes longer to arrive than it may
+# take to be in force.
+async def test_many_changes_of_many_queues_are_in_force_in_time(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=MANY_QUEUES)
+        await trio.sleep(10.0)
+        refusals, answers = checker.refusals, checker.answers
+        world.nursery.start_soon(checker.change_for, 30.0, STORM_GAP_S)
+        await trio.sleep(32.0)
+        assert checker.breaches == []
+        refused = checker.refusals - refusals
+        assert refused < (checker.answers - answers) * (1 - EXPECTED_SHARE)
+
+
+# Guards against a host that can't answer before it has read all that was written.
+async def test_a_table_without_changes_costs_no_refusals(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=3)
+        checker.put(adds=1, removes=1)
+        await trio.sleep(20.0)
+        assert checker.breaches == []
+        assert checker.refusals == 0
+        assert checker.answers > 100
