Read the newest configuration after a silence, not each one missed

Cause: the feed tells of each change of a row, and a host that was away asked it for all since its last one. Now a host that has lost the store, or hears of rows that newer ones follow, or of a change in an answer that took long to arrive, reads the table, whose size does not grow with the changes missed, and follows from there.

--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -110,6 +110,7 @@
             OPERATOR_TABLE,
             ("",),
             self._apply_operator_rows,
+            wants_newest=True,
             on_known=self._note_operator_rows_known,
         )
 
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -40,6 +40,8 @@
 MAX_WHOLE_PAGE_BYTES = 500_000
 # The feed normally delivers a change of this process within milliseconds.
 FEED_STALL_S = 0.25
+# While an answer that is older than this arrived, more changes are likely to have come.
+OLD_ANSWER_S = 0.3
 
 
 async def read_parts(
@@ -93,6 +95,9 @@
     If ``start_version`` is None, the table is read first. While the feed does not
     deliver a change that is known to exist, the table is read for the rows that are
     new in it.
+
+    The feed tells of each change. If ``wants_newest`` is set, a follower that is behind
+    reads the table instead, whose size does not grow with the changes that it missed.
     """
 
     store: RowStore
@@ -101,6 +106,7 @@
     on_page: Callable[[Page, bool], None]
     start_version: int | None = None
     wait_s: float = FEED_WAIT_S
+    wants_newest: bool = False
     # Called with the time since the last answer before the store was lost.
     on_regained: Callable[[float], None] = lambda lost_s: None
     # Called with each ``known_until_s``, also if nothing has changed.
@@ -109,6 +115,7 @@
     known_until_s: float = 0.0
     _is_store_lost: bool = False
     _has_failed: bool = False
+    _is_behind: bool = False
     _answered_at_s: float = attrs.field(factory=monotonic_s)
     _read_timeout_s: float = READ_TIMEOUT_S
     _seen_version: int = 0
@@ -172,7 +179,7 @@
                 await trio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     async def _read_next(self, version: int | None) -> int:
-        if version is None:
+        if version is None or self._is_behind:
             page = await self._read_table()
             self._record_success(page)
             self._pass_on(page, True)
@@ -193,11 +200,14 @@
             self.on_known(self.known_until_s)
 
     async def _read_table(self) -> Page:
-        """Read all rows; a timeout doubles the time that the next try may take."""
+        """Read all rows; a timeout doubles the time that the next try may take.
+
+        Not so where the newest rows are wanted: as the store is back after an outage,
+        the read under way is lost, and the next one has to begin soon.
+        """
+        timeout_s = READ_TIMEOUT_S if self.wants_newest else self._read_timeout_s
         try:
-            page = await read_parts(
-                self.store, self.table, self.parts, self._read_timeout_s
-            )
+            page = await read_parts(self.store, self.table, self.parts, timeout_s)
         except OutcomeUnknown:
             self._read_timeout_s = min(MAX_READ_TIMEOUT_S, self._read_timeout_s * 2)
             raise
@@ -206,6 +216,7 @@
 
     def _record_success(self, page: Page) -> None:
         self._has_failed = False
+        self._is_behind = self.wants_newest and self._may_be_behind(page)
         lost_s = monotonic_s() - self._answered_at_s
         self._answered_at_s = monotonic_s()
         if self._is_store_lost:
@@ -221,6 +232,13 @@
             )
             self.on_regained(lost_s)
 
+    def _may_be_behind(self, page: Page) -> bool:
+        """Return whether there are likely to be newer changes than those of a page."""
+        if all(row.version <= self._seen_version for row in page.rows):
+            return False
+        age_s = self.store.clock_s() - page.clock_ms / 1000
+        return bool(_superseded_rows(page)) or age_s > OLD_ANSWER_S
+
     def _log_lost_poll(self, error: RhubarbmountError, took_s: float) -> None:
         """Log a call that was sent and not answered in time."""
         if isinstance(error, OutcomeUnknown):
@@ -236,6 +254,7 @@
 
     def _record_failure(self, code: str) -> None:
         self._has_failed = True
+        self._is_behind = self.wants_newest
         if not self._is_store_lost:
             self._is_store_lost = True
             log.event(
--- a/tests/batch/test_job_api.py
+++ b/tests/batch/test_job_api.py
@@ -109,6 +109,9 @@
     def is_out_of_reach(self):
         return False
 
+    def latest_clock_s(self):
+        return 0.0
+
     async def commit(self, *args, **options):
         await trio.lowlevel.checkpoint()
         self.attempts += 1
