Refuse what a configuration of old can't decide, and say how old it is

What callers saw: 404 for a queue that had been there for seconds. Cause: the answer was given by the configuration that the host had, whatever its age; the follower knew up to when it had heard of all changes, and the decision was not told. A host that may have missed a change which has to be in force (config_apply_ms of the deployment) answers 503 with Retry-After and the log line catalogue-old, and is not ready; another host may know. The follower asks at least twice as often as that bound, so that a quiet table is never old.

A host that was suspended is about to hear of changes: the first request waits 0.25 s for that, the next ones don't. Without it the test of the suspended host gets 503.

--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -65,6 +65,10 @@
 DEFAULT_VISIBLE_S = 3.0
 STORE_RETRY_S = 0.05
 READ_TIMEOUT_S = 1.0
+# How long a request waits for news of the configuration on a host that was suspended,
+# or whose last poll is late.
+CATCH_UP_S = 0.25
+DEFAULT_CONFIG_APPLY_S = 2.0
 WRITE_TIMEOUT_S = 1.2
 
 
@@ -82,8 +86,12 @@
     )
     # Time after which accepted jobs have to be visible.
     visible_s: float = DEFAULT_VISIBLE_S
+    # Within which a change of the configuration has to be in force.
+    config_apply_s: float = DEFAULT_CONFIG_APPLY_S
     # Up to when all changes of the configuration are known, by the store's clock.
-    catalogue_known_until_s: float = 0.0
+    catalogue_known_until_s: float = math.inf
+    _catalogue_heard: trio.Event = attrs.field(factory=trio.Event)
+    _has_awaited_catalogue: bool = False
     _pending: PendingCounts | None = None
     _pending_read_at_s: float = -math.inf
 
@@ -106,12 +114,11 @@
             return _refusal(
                 503, "no-configuration", "no configuration has been read yet"
             )
-        self.metrics.catalogue_age_s.observe(self._catalogue_age_s())
-        host = header_value(request.headers, b"host") or ""
+        self.metrics.catalogue_age_s.observe(self.catalogue_age_s())
+        if not await self._knows_configuration():
+            return self._refuse_old_configuration(request.target)
         path = request.target.partition("?")[0]
-        queue = self.catalogue.find(host.partition(":")[0], path)
-        if queue is None:
-            queue = self.catalogue.find(host, path)
+        queue = _find_queue(self.catalogue, request, path)
         if queue is None:
             return self._decline(
                 404, "no-queue", "no queue is configured for this host and path", path
@@ -138,10 +145,50 @@
         allow = (b"allow", ALLOWED_METHODS.encode("ascii"))
         return attrs.evolve(response, headers=[*response.headers, allow])
 
-    def _catalogue_age_s(self) -> float:
+    def note_catalogue_known(self, known_until_s: float) -> None:
+        """Note up to when all changes are known, by the store's clock."""
+        self.catalogue_known_until_s = known_until_s
+        self._has_awaited_catalogue = False
+        self._catalogue_heard.set()
+        self._catalogue_heard = trio.Event()
+
+    def catalogue_age_s(self) -> float:
         """Return since when changes of the configuration may not have been heard of."""
         return max(0.0, self.store.latest_clock_s() - self.catalogue_known_until_s)
 
+    @property
+    def is_catalogue_old(self) -> bool:
+        """Return whether a change may have to be in force that was not heard of."""
+        return self.catalogue_age_s() > self.config_apply_s
+
+    async def _knows_configuration(self) -> bool:
+        """Return whether all changes are known that have to be in force.
+
+        A host that has just resumed is about to hear of them. The first request waits
+        for that; until it is heard of, the others don't.
+        """
+        if self.is_catalogue_old and not self._has_awaited_catalogue:
+            with trio.move_on_after(CATCH_UP_S):
+                while self.is_catalogue_old:
+                    await self._catalogue_heard.wait()
+            self._has_awaited_catalogue = self.is_catalogue_old
+        return not self.is_catalogue_old
+
+    def _refuse_old_configuration(self, about: str) -> HttpResponse:
+        """Refuse a request, as the configuration may say something else about it."""
+        if self.store.health.is_out_of_reach():
+            return self._refuse_out_of_reach(about)
+        log.frequent_event(
+            logger,
+            "catalogue-old",
+            about=about,
+            catalogue=self.catalogue.version if self.catalogue else 0,
+            age_s=self.catalogue_age_s(),
+            limit_s=self.config_apply_s,
+        )
+        message = "changes of the configuration have not been heard of lately"
+        return _refusal(503, "catalogue-old", message)
+
     def _refuse_out_of_reach(self, about: str) -> HttpResponse:
         """Refuse a request at once because the store is out of reach.
 
@@ -341,7 +388,7 @@
             code=code,
             about=about,
             catalogue=self.catalogue.version if self.catalogue else 0,
-            catalogue_age_s=self._catalogue_age_s(),
+            catalogue_age_s=self.catalogue_age_s(),
         )
         return problem(status, code, message, Outcome.NOT_RUN)
 
@@ -359,6 +406,11 @@
         )
 
 
+def _find_queue(catalogue: Catalogue, request: HttpRequest, path: str) -> Queue | None:
+    host = header_value(request.headers, b"host") or ""
+    return catalogue.find(host.partition(":")[0], path) or catalogue.find(host, path)
+
+
 def _shard(queue: Queue, job_id: str) -> str:
     return shard_of(queue.name.host, queue.name.prefix, job_id)
 
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -20,7 +20,7 @@
 from rhubarbmount.batch.lease_manager import LeaseManager
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Wave
-from rhubarbmount.batch.table_follower import TableFollower
+from rhubarbmount.batch.table_follower import FEED_WAIT_S, TableFollower
 from rhubarbmount.batch.tables import shard_of
 from rhubarbmount.batch.tickets import TicketCache
 from rhubarbmount.batch.unreadable_rows import UnreadableRows
@@ -94,6 +94,7 @@
             on_stored=self._note_stored_request,
             unreadable_rows=self.unreadable_rows,
             visible_s=self.settings.bounds.visible_s,
+            config_apply_s=self.settings.bounds.config_apply_s,
         )
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
@@ -110,8 +111,10 @@
             OPERATOR_TABLE,
             ("",),
             self._apply_operator_rows,
+            # Before they are too old, they are known to be as they were.
+            wait_s=min(FEED_WAIT_S, self.settings.bounds.config_apply_s / 2),
             wants_newest=True,
-            on_known=self._note_operator_rows_known,
+            on_known=self.job_api.note_catalogue_known,
         )
 
     async def run(self) -> None:
@@ -175,9 +178,6 @@
                     reason=error.message,
                 )
 
-    def _note_operator_rows_known(self, known_until_s: float) -> None:
-        self.job_api.catalogue_known_until_s = known_until_s
-
     def _apply_operator_row(self, row: Row) -> None:
         if row.name.key == CATALOGUE_KEY:
             self._set_catalogue(decode_catalogue(row), row.version)
@@ -297,6 +297,8 @@
             return problem(503, "stopping", "the host stops")
         if self.job_api.catalogue is None or self.store.health.is_out_of_reach():
             return problem(503, "no-store", "the store is out of reach")
+        if self.job_api.is_catalogue_old:
+            return problem(503, "catalogue-old", "the configuration may have changed")
         return json_response({})
 
     async def _wait_for_signal(self) -> None:
--- a/tests/batch/test_many_changes.py
+++ b/tests/batch/test_many_changes.py
@@ -109,6 +109,23 @@
         assert refused < (checker.answers - answers) * (1 - EXPECTED_SHARE)
 
 
+# Guards against refusals by a host that was suspended and is about to hear of changes.
+async def test_a_host_that_was_suspended_hears_of_changes_before_it_answers(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=3)
+        await trio.sleep(3.0)
+        world.faults.paused_until_s_by_node["a"] = trio.current_time() + 5.0
+        checker.reaches_since_s["a"] = trio.current_time() + 5.0
+        await trio.sleep(4.9)
+        checker.put(removes=1)
+        await trio.sleep(0.1)
+        status, _ = await world.call("GET", "/q1-0/0123456789abcdef", node="a")
+        assert status == 404
+        assert checker.breaches == []
+
+
 # Guards against a host that can't answer before it has read all that was written.
 async def test_a_table_without_changes_costs_no_refusals(monkeypatch, autojump_clock):
     async with open_world(monkeypatch) as world:
