Let an odd entry of another writer cost only what it describes

Cause: such an entry was taken for a server, the client raised what no caller expects, and an unexpected error of one session ended the duty of the whole shard. One capacity of 400 digits in the list of hosts made the whole list unreadable, so that no host moved.

Mended at each of the three places: names, addresses, ports, capacities and times are checked where they enter (platform/values.py), as are those of the list of hosts; the client raises that nothing was sent; an unexpected error with one server or one row costs that one, is logged (session-failed, server-row-failed), and the session begins again after 1 s.

Deep nesting was refused already.

--- a/rhubarbmount/batch/server_rows.py
+++ b/rhubarbmount/batch/server_rows.py
@@ -37,7 +37,11 @@
                 if name_of(server_id) not in listed:
                     self._mark_unlisted(server_id)
         for row in page.rows:
-            self._apply_row(row)
+            try:
+                self._apply_row(row)
+            except Exception:
+                # A bug that one row brings to light must not stop all the others.
+                logger.exception("event=server-row-failed server=%s", row.name.key)
         self.sessions.wake()
 
     def note_read(self, at_s: float) -> None:
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -33,6 +33,8 @@
 RETRY_S = 0.25
 # How often a server on which nothing can run any more is asked whether it answers.
 LAPSED_RETRY_S = 1.0
+# How long a session rests after an unexpected error.
+SESSION_RETRY_S = 1.0
 COMMIT_WAIT_S = 0.25
 # At a takeover servers with runs are asked first, as their leases end soon.
 IDLE_DELAY_S = 0.01
@@ -90,6 +92,8 @@
     failing_since_s: float = 0.0
     # The lifetime began before this time, as its row had been read.
     opened_at_s: float = attrs.field(factory=monotonic_s)
+    # Set from the first unexpected error on.
+    _has_crashed: bool = False
     _is_check_due: bool = False
     _check_requested_s: float = 0.0
     _wake: trio.Event = attrs.field(factory=trio.Event)
@@ -113,9 +117,26 @@
         with self._scope:
             if not self.has_work():
                 await trio.sleep(IDLE_DELAY_S)
+            while True:
+                await self._run_until_error()
+                await trio.sleep(SESSION_RETRY_S)
+
+    async def _run_until_error(self) -> None:
+        """Send commands and renew the lease until an unexpected error.
+
+        A bug that one server brings to light must not stop all the others.
+        """
+        try:
+            if self._has_crashed:
+                self._record_failure("session-failed")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._command_sender.run)
                 await self._renew_forever()
+        except* LeaseLost:
+            raise
+        except* Exception:
+            logger.exception("event=session-failed server=%s", self.server.id)
+            self._has_crashed = True
 
     def close(self) -> None:
         """End the session."""
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -26,7 +26,13 @@
     without_framing_headers,
 )
 
-__all__ = ["ClientConnection", "ConnectionPool", "connect"]
+__all__ = [
+    "ClientConnection",
+    "ConnectionPool",
+    "connect",
+    "make_head",
+    "split_address",
+]
 
 # struct linger with l_onoff=1 and l_linger=0: close() sends RST and discards unsent
 # data.
@@ -34,15 +40,19 @@
 MAX_KEPT_HEADS = 2048
 
 
-def _make_head(method: str, target: str, headers: Headers, length: int) -> h11.Request:
+def make_head(method: str, target: str, headers: Headers, length: int) -> h11.Request:
+    """Return the head of a request with a body of a length. Raises NotSent."""
     framed = without_framing_headers(headers)
     if length or method in ("POST", "PUT", "PATCH"):
         framed.append((b"content-length", b"%d" % length))
-    return h11.Request(method=method, target=target, headers=framed)
+    try:
+        return h11.Request(method=method, target=target, headers=framed)
+    except h11.LocalProtocolError as error:
+        raise NotSent(f"can't be sent: {error}", code="not-sendable") from None
 
 
 # h11 validates the headers of each request that it makes, and changes none later.
-_kept_head = functools.lru_cache(maxsize=MAX_KEPT_HEADS)(_make_head)
+_kept_head = functools.lru_cache(maxsize=MAX_KEPT_HEADS)(make_head)
 
 
 @attrs.define
@@ -114,12 +124,12 @@
             )
 
     def _encode(self, request: HttpRequest, extra_headers: Headers) -> bytes:
-        make_head = _kept_head if request.is_repeated else _make_head
+        make = _kept_head if request.is_repeated else make_head
         length = len(request.body)
         headers = (
             [*request.headers, *extra_headers] if extra_headers else request.headers
         )
-        head = make_head(request.method, request.target, headers, length)
+        head = make(request.method, request.target, headers, length)
         data = self._protocol.send(head) or b""
         if request.body:
             data += self._protocol.send(h11.Data(data=request.body)) or b""
@@ -184,6 +194,16 @@
         self.reusable = True
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address. Raises NotSent."""
+    host, _, port = address.rpartition(":")
+    try:
+        return host, int(port)
+    except ValueError:
+        message = f"not an address: {address!r}"
+        raise NotSent(message, code="not-sendable") from None
+
+
 async def connect(
     address: str,
     port: int,
@@ -198,7 +218,7 @@
     try:
         with trio.fail_at(min(trio.current_time() + timeout_s, deadline_s)):
             stream = await trio.open_tcp_stream(address, port)
-    except (OSError, trio.TooSlowError) as error:
+    except (OSError, OverflowError, ValueError, trio.TooSlowError) as error:
         if trio.current_time() >= deadline_s:
             raise NotSent("no connection in time", code="timeout") from None
         raise NotSent(f"can't connect to {address}:{port}: {error}") from None
@@ -224,9 +244,9 @@
             if connection.is_quiet():
                 return connection
             await connection.aclose()
-        host, port = self.address.rsplit(":", 1)
+        host, port = split_address(self.address)
         return await connect(
-            host, int(port), self.connect_timeout_s, self.body_bytes, deadline_s
+            host, port, self.connect_timeout_s, self.body_bytes, deadline_s
         )
 
     async def put_back(self, connection: ClientConnection) -> None:
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -16,6 +16,7 @@
     JsonClient,
     JsonResponse,
     decoding_response,
+    encode_header,
 )
 
 __all__ = [
@@ -181,7 +182,7 @@
         pause_s: float = 0.0,
     ) -> JsonResponse:
         # The name does not tell the lifetimes apart; the lists of runs do.
-        expected = [(b"x-expect-instance", name_of(server.id).encode("ascii"))]
+        expected = [(b"x-expect-instance", encode_header(name_of(server.id)))]
         return await self.client.call(
             server.address, "POST", path, body, timeout_s, expected, pause_s=pause_s
         )
--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -1,7 +1,6 @@
 """Client for hosts, which the platform calls machines: their list and commands."""
 
 import enum
-import math
 from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import quote
@@ -14,7 +13,9 @@
     JsonClient,
     JsonResponse,
     decoding_response,
+    encode_header,
 )
+from rhubarbmount.platform.values import is_number
 
 __all__ = ["HostClient", "HostList", "HostResult"]
 
@@ -113,7 +114,7 @@
         may_send: MaySend,
     ) -> HostResult:
         headers = [
-            (b"x-lease-holder", self.holder.encode("ascii")),
+            (b"x-lease-holder", encode_header(self.holder)),
             (b"x-fencing-token", b"%d" % fencing_token),
         ]
         response = await self.client.call(
@@ -141,13 +142,11 @@
     state = STATE_BY_NAME.get(str(row.get("state")), HostState.DOWN)
     capacity = row.get("capacity")
     cpu = capacity.get("cpu") if isinstance(capacity, dict) else 0
-    if not isinstance(cpu, int | float) or not math.isfinite(cpu):
-        cpu = 0
     return Host(
         id=row["machine"],
         pool=str(row.get("pool") or ""),
         state=state,
         server_name=str(row.get("id") or ""),
-        cpu_millicores=int(cpu),
+        cpu_millicores=int(cpu or 0) if is_number(cpu) else 0,
         data_centre=str(row.get("zone") or ""),
     )
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -12,7 +12,14 @@
 from rhubarbmount.http import Headers, HttpRequest, NotSent, ResponseLost
 from rhubarbmount.http_client import ClientConnection, ConnectionPool
 
-__all__ = ["JsonResponse", "JsonClient", "decoding_response", "open_json_client"]
+__all__ = [
+    "JsonClient",
+    "JsonResponse",
+    "decoding_response",
+    "encode_header",
+    "make_request",
+    "open_json_client",
+]
 
 CONNECT_TIMEOUT_S = 0.5
 BODY_LIMIT_BYTES = 32 * 1024 * 1024
@@ -91,8 +98,7 @@
         Raises PlatformUnavailable if nothing was sent, and OutcomeUnknown if the
         response was lost or did not arrive in time.
         """
-        data = b"" if body is None else json.dumps(body).encode("utf-8")
-        request = HttpRequest(method, target, _headers(address, headers), data, True)
+        request = make_request(address, method, target, body, headers)
         scope = trio.CancelScope(deadline=trio.current_time() + timeout_s)
         progress = _Progress(scope, pause_s)
         try:
@@ -144,9 +150,27 @@
         return JsonResponse(response.status, _decode(response.body))
 
 
-def _headers(address: str, more: Headers) -> Headers:
-    host = (b"host", address.encode("ascii"))
-    return (host, (b"content-type", b"application/json"), *more)
+def make_request(
+    address: str,
+    method: str,
+    target: str,
+    body: Mapping[str, Any] | None = None,
+    headers: Headers = (),
+) -> HttpRequest:
+    """Return the request of a call. Raises PlatformUnavailable."""
+    data = b"" if body is None else json.dumps(body).encode("utf-8")
+    host = (b"host", encode_header(address))
+    framed = (host, (b"content-type", b"application/json"), *headers)
+    return HttpRequest(method, target, framed, data, True)
+
+
+def encode_header(text: str) -> bytes:
+    """Return the value of a header. Raises PlatformUnavailable."""
+    try:
+        return text.encode("ascii")
+    except UnicodeEncodeError:
+        message = f"{text!r} can't stand in a header"
+        raise PlatformUnavailable(message, code="not-sendable") from None
 
 
 def _decode(body: bytes) -> Mapping[str, Any]:
--- a/rhubarbmount/platform/row_formats.py
+++ b/rhubarbmount/platform/row_formats.py
@@ -7,10 +7,17 @@
 from typing import Any, TypeVar
 
 from rhubarbmount.batch.catalogue import Catalogue, Pool
-from rhubarbmount.batch.lifetimes import lifetime_id
+from rhubarbmount.batch.lifetimes import lifetime_id, name_of
 from rhubarbmount.batch.model import Queue, QueueName, Server, Wave
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.platform.rows import Row, RowName
+from rhubarbmount.platform.values import (
+    MAX_QUANTITY,
+    MAX_TIME_MS,
+    is_address,
+    is_name,
+    is_number,
+)
 
 __all__ = [
     "CATALOGUE_KEY",
@@ -65,9 +72,32 @@
     return value
 
 
+def _required_text(values: Mapping[str, Any], key: str) -> str:
+    return _check_text(key, _required_field(values, key, str))
+
+
 def _optional_text(values: Mapping[str, Any], key: str) -> str:
     value = values.get(key)
-    return value if isinstance(value, str) else ""
+    return _check_text(key, value) if isinstance(value, str) else ""
+
+
+def _check_text(key: str, text: str) -> str:
+    """Return a text; half of a surrogate pair, say, can't be written anywhere."""
+    if not text.isprintable():
+        raise UnreadableRow(f"field {key!r} can't be printed")
+    return text
+
+
+def _bounded_int(
+    values: Mapping[str, Any], key: str, limit: int, default: int | None = None
+) -> int:
+    """Return a number from 0 to a limit as an integer."""
+    value = values.get(key)
+    if value is None and default is not None:
+        return default
+    if not is_number(value, limit):
+        raise UnreadableRow(f"field {key!r} is not a number up to {limit}")
+    return int(value or 0)
 
 
 def _converts_to_unreadable_row(
@@ -79,7 +109,14 @@
     def wrapped(row: Row) -> Value:
         try:
             return decode(row)
-        except (AttributeError, OverflowError, TypeError, ValueError) as error:
+        except (
+            ArithmeticError,
+            AttributeError,
+            LookupError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as error:
             raise UnreadableRow(f"{row.name.key}: {error}") from None
 
     return wrapped
@@ -93,23 +130,24 @@
     if state not in DRAINING_BY_STATE:
         raise UnreadableRow(f"unknown backend server state {state!r}")
     address = _required_field(values, "addr", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    if not is_address(address):
         raise UnreadableRow(f"not an address with a port: {address!r}")
     capacity = _required_field(values, "capacity", dict)
     labels = _required_field(values, "labels", list)
     if not all(isinstance(label, str) for label in labels):
         raise UnreadableRow("a label is not a string")
+    for label in labels:
+        _check_text("labels", label)
     return Server(
         # When the server started; older ones do not say it.
-        id=lifetime_id(row.name.key, int(values.get("born") or 0)),
-        service=_required_field(values, "service", str),
+        id=lifetime_id(_server_name(row), _bounded_int(values, "born", MAX_TIME_MS, 0)),
+        service=_required_text(values, "service"),
         address=address,
-        data_centre=_required_field(values, "zone", str),
+        data_centre=_required_text(values, "zone"),
         is_draining=DRAINING_BY_STATE[state],
-        cpu_millicores=int(_required_field(capacity, "cpu", (int, float))),
-        memory_mb=int(_required_field(capacity, "mem_mb", (int, float))),
-        gpu=int(capacity.get("gpu") or 0),
+        cpu_millicores=_bounded_int(capacity, "cpu", MAX_QUANTITY),
+        memory_mb=_bounded_int(capacity, "mem_mb", MAX_QUANTITY),
+        gpu=_bounded_int(capacity, "gpu", MAX_QUANTITY, 0),
         labels=frozenset(labels),
         # The first label is the kind and the last one the rack.
         rack=labels[-1] if len(labels) > 1 else "",
@@ -118,6 +156,14 @@
     )
 
 
+def _server_name(row: Row) -> str:
+    """Return the name of a server, which headers and identifiers are made of."""
+    name = row.name.key
+    if not is_name(name) or name_of(name) != name:
+        raise UnreadableRow(f"not a name: {name[:20]!r}")
+    return name
+
+
 @_converts_to_unreadable_row
 def decode_catalogue(row: Row) -> Catalogue:
     """Decode the operator's configuration. Raises UnreadableRow."""
--- a/tests/batch/test_events.py
+++ b/tests/batch/test_events.py
@@ -49,6 +49,8 @@
     indirect |= {
         "lease-not-renewed",
         "duty-failed",
+        "server-row-failed",
+        "session-failed",
         "task-failed",
         "lines-lost",
         "lines-left-out",
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -13,8 +13,9 @@
 from rhubarbmount.batch import clocks
 from rhubarbmount.batch.node import Node
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
-from rhubarbmount.http import HttpRequest
-from rhubarbmount.platform.json_client import JsonResponse
+from rhubarbmount.http import HttpRequest, NotSent
+from rhubarbmount.http_client import make_head, split_address
+from rhubarbmount.platform.json_client import JsonResponse, make_request
 from rhubarbmount.platform.settings import Bounds, NodeSettings
 from rhubarbmount.standins.users_platform import UsersPlatform
 from rhubarbmount.standins.users_servers import TaskWork
@@ -99,7 +100,10 @@
 
 @attrs.define(eq=False)
 class SimulatedCaller:
-    """The client of one node, which calls the stand-in with latency and faults."""
+    """The client of one node, which calls the stand-in with latency and faults.
+
+    Requests are encoded and addresses split as by the real client.
+    """
 
     node_id: str
     world: "World"
@@ -117,6 +121,7 @@
         may_send: Callable[[], bool] = lambda: True,
         pause_s: float = 0.0,
     ) -> JsonResponse:
+        _check_request(make_request(address, method, target, headers=headers), address)
         with trio.move_on_after(timeout_s) as scope:
             await self._occupy_host()
             await self._await_resumption()
@@ -254,6 +259,15 @@
         await self.world.platform.store.handle("POST", target, body)
 
 
+def _check_request(request: HttpRequest, address: str) -> None:
+    """Raise what the real client raises for a request that it can't send."""
+    try:
+        make_head(request.method, request.target, request.headers, 0)
+        split_address(address)
+    except NotSent as error:
+        raise PlatformUnavailable(error.message, code=error.code) from None
+
+
 def _parts_of(target: str, body: Mapping[str, Any] | None) -> set[str]:
     """Return the parts that a call to the store reads or writes."""
     entries = [*body["expected"], *body["puts"], *body["remove"]] if body else []
