Ask at once after a page that may have been cut, so that large rows are known

Cause: a page of 500 KB and more may have been cut and tells nothing of up to when all is known; while a configuration of 1 MB changes every 0.8 s each page is like that. The next poll no longer waits for a change, and its empty answer tells.

--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -116,6 +116,7 @@
     _is_store_lost: bool = False
     _has_failed: bool = False
     _is_behind: bool = False
+    _may_have_more: bool = False
     _answered_at_s: float = attrs.field(factory=monotonic_s)
     _read_timeout_s: float = READ_TIMEOUT_S
     _seen_version: int = 0
@@ -184,11 +185,12 @@
             self._record_success(page)
             self._pass_on(page, True)
             return page.version
-        # After a failure changes may have been missed, so that none need be waited for.
-        wait_s = 0.0 if self._has_failed else self.wait_s
+        # After a failure or a page that may have been cut, changes may be there already.
+        wait_s = 0.0 if self._has_failed or self._may_have_more else self.wait_s
         timeout_s = self.wait_s + FEED_ANSWER_S
         page = await self.store.feed(self.table, version, wait_s, timeout_s)
         self._record_success(page)
+        self._may_have_more = _is_full(page)
         self._pass_on(page, False)
         return max(version, page.version)
 
