Pass the changes of a large configuration on to hosts on slow links

What callers saw: refusals by weak hosts while many queues change; a version of 5,000 queues takes 2.8 s over 0.6 MB/s, longer than it may take to be in force, whatever the time limits. Cause: each host read each version whole.

The holder writes what each version changed with its commits (one row, at most 16 KB of the newest changes, whatever the number of queues), and twice a second which row of the operator is the newest as of when. A host to which a configuration of 100 KB or more took over 0.3 s to arrive follows these two rows. The operator's row remains what counts and is read at the start, by the holder, and when the changes do not lead on or are not told to be complete.

Ruled out: a smaller copy of the whole (grows with the queues), asking the feed (each version whole), telling each other (addresses, a protocol).

--- a/rhubarbmount/batch/catalogue.py
+++ b/rhubarbmount/batch/catalogue.py
@@ -7,6 +7,10 @@
 __all__ = ["Catalogue", "Pool"]
 
 
+# From this size on a configuration may take long to arrive.
+LARGE_BYTES = 100_000
+
+
 @attrs.frozen
 class Pool:
     """Pool of hosts; the hosts of a standby pool are powered off and cost nothing.
@@ -21,11 +25,18 @@
 
 @attrs.frozen
 class Catalogue:
-    """One version of the configured queues and pools."""
+    """One version of the configured queues and pools, and of the row that holds it."""
 
     version: int
     queue_by_name: dict[QueueName, Queue]
     pool_by_name: dict[str, Pool]
+    row_version: int = 0
+    size_bytes: int = 0
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether its changes are passed on to hosts on slow links."""
+        return self.size_bytes >= LARGE_BYTES
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching path prefix, or None.
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_publisher import CataloguePublisher
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.early_renewals import EarlyRenewals
@@ -90,6 +91,8 @@
     unreadable_rows: UnreadableRows
     # Called once the record of servers that were silent at the takeover is stored.
     on_recorded: Callable[[], None]
+    # Returns up to when all changes of the configuration are known.
+    catalogue_known_until_s: Callable[[], float]
     records: HandoverRecords = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
@@ -101,6 +104,7 @@
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _write_batch: WriteBatch = attrs.field(init=False)
+    _catalogue_publisher: CataloguePublisher = attrs.field(init=False)
     _job_rows: JobRows = attrs.field(init=False)
     _request_parts: frozenset[str] = attrs.field(init=False)
     _is_loaded: bool = False
@@ -124,6 +128,9 @@
         self._job_rows = JobRows(
             self.name, self.shard, self._write_batch, self._requests_known_until_s
         )
+        self._catalogue_publisher = CataloguePublisher(
+            self.name, self._write_batch, self.catalogue_known_until_s
+        )
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
         self.records = HandoverRecords(
@@ -507,6 +514,7 @@
         report_losses(self.shard.losses, self.metrics)
         self._put_server_records(assignments)
         self._job_rows.put_changed()
+        self._catalogue_publisher.put_changed(self.shard.catalogue)
         stops, self.shard.stops = self.shard.stops, []
         listed_by_session = {session: session.listed_to for session in self.sessions}
         starts = self._start_requests(assignments)
--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -91,6 +91,7 @@
     # Up to when all changes of the configuration are known, by the store's clock.
     catalogue_known_until_s: float = math.inf
     _catalogue_heard: trio.Event = attrs.field(factory=trio.Event)
+    _has_heard_catalogue: bool = False
     _has_awaited_catalogue: bool = False
     _pending: PendingCounts | None = None
     _pending_read_at_s: float = -math.inf
@@ -147,7 +148,11 @@
 
     def note_catalogue_known(self, known_until_s: float) -> None:
         """Note up to when all changes are known, by the store's clock."""
-        self.catalogue_known_until_s = known_until_s
+        self.catalogue_known_until_s = max(
+            known_until_s,
+            self.catalogue_known_until_s if self._has_heard_catalogue else 0.0,
+        )
+        self._has_heard_catalogue = True
         self._has_awaited_catalogue = False
         self._catalogue_heard.set()
         self._catalogue_heard = trio.Event()
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -12,6 +12,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_source import CatalogueSource
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.election import ShardLease, candidate_wait_s
 from rhubarbmount.batch.holder import Holder
@@ -57,6 +58,8 @@
 LEAVE_ROTATION_S = 2.5
 STOP_MARGIN_S = 0.8
 RESTART_DELAY_S = 3.0
+# How long the holder's polls of a large configuration wait, whose changes it passes on.
+PUBLISHER_WAIT_S = 0.3
 SETTINGS_POLL_S = 1.0
 # Must match deploy/system.toml.
 METRICS_PORT = 9464
@@ -75,6 +78,7 @@
     job_api: JobApi = attrs.field(init=False)
     lease_manager: LeaseManager = attrs.field(init=False)
     operator_rows: TableFollower = attrs.field(init=False)
+    catalogue_source: CatalogueSource = attrs.field(init=False)
     unreadable_rows: UnreadableRows = attrs.field(init=False)
     is_stopping: bool = False
     _wave_by_number: dict[int, Wave] = attrs.field(factory=dict)
@@ -111,11 +115,22 @@
             OPERATOR_TABLE,
             ("",),
             self._apply_operator_rows,
-            # Before they are too old, they are known to be as they were.
-            wait_s=min(FEED_WAIT_S, self.settings.bounds.config_apply_s / 2),
+            wait_s=self._operator_wait_s(),
             wants_newest=True,
             on_known=self.job_api.note_catalogue_known,
         )
+        self.catalogue_source = CatalogueSource(
+            store=self.store,
+            shard=shard,
+            config_apply_s=self.settings.bounds.config_apply_s,
+            operator_rows=self.operator_rows,
+            unreadable_rows=self.unreadable_rows,
+            find_catalogue=lambda: self.job_api.catalogue,
+            set_catalogue=self._set_catalogue,
+            note_known=self.job_api.note_catalogue_known,
+            catalogue_age_s=self.job_api.catalogue_age_s,
+            is_holder=lambda: self.is_holder,
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -162,6 +177,17 @@
 
     # Rows written by the operator.
 
+    def _operator_wait_s(self) -> float:
+        """Return how long a poll of the operator's rows may wait for a change.
+
+        They are known to be as they were before that gets too old, at hosts that follow
+        what this one writes of them, too.
+        """
+        catalogue = self.job_api.catalogue
+        if self.is_holder and catalogue is not None and catalogue.is_large:
+            return PUBLISHER_WAIT_S
+        return min(FEED_WAIT_S, self.settings.bounds.config_apply_s / 2)
+
     def _apply_operator_rows(self, page: Page, is_whole: bool) -> None:
         for row in page.rows:
             if not row.version:
@@ -177,26 +203,28 @@
                     version=row.version,
                     reason=error.message,
                 )
+        self.operator_rows.wait_s = self._operator_wait_s()
+        self.catalogue_source.note_read(page)
 
     def _apply_operator_row(self, row: Row) -> None:
         if row.name.key == CATALOGUE_KEY:
-            self._set_catalogue(decode_catalogue(row), row.version)
+            self._set_catalogue(decode_catalogue(row))
         elif row.name.key.startswith(WAVE_PREFIX):
             wave = decode_wave(row)
             self._wave_by_number[wave.number] = wave
             if self._holder is not None:
                 self._holder.put_wave(wave)
 
-    def _set_catalogue(self, catalogue: Catalogue, row_version: int) -> None:
+    def _set_catalogue(self, catalogue: Catalogue) -> None:
         current = self.job_api.catalogue
-        if current is not None and catalogue.version < current.version:
+        if current is not None and catalogue.row_version <= current.row_version:
             return
         self.job_api.catalogue = catalogue
         log.event(
             logger,
             "catalogue",
             version=catalogue.version,
-            row_version=row_version,
+            row_version=catalogue.row_version,
             queues=len(catalogue.queue_by_name),
         )
         if self._holder is not None:
@@ -208,6 +236,7 @@
         """Follow the store, and hold the shard whenever its lease can be acquired."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_keep_running, "operator-rows", self.operator_rows.run)
+            nursery.start_soon(_keep_running, "catalogue", self.catalogue_source.run)
             nursery.start_soon(_keep_running, "leases", self.lease_manager.follower.run)
             await self._hold_shard()
 
@@ -226,6 +255,7 @@
         previous_lease = self.lease_manager.watch.lease
         self._shard_lease = shard_lease
         self._holder = self._make_holder(shard_lease)
+        self.operator_rows.wait_s = self._operator_wait_s()
         self.metrics.fencing_token.set(shard_lease.fencing_token)
         log.event(
             logger,
@@ -251,6 +281,7 @@
             await trio.sleep(RESTART_DELAY_S)
         finally:
             self._holder = None
+            self.operator_rows.wait_s = self._operator_wait_s()
             self.metrics.fencing_token.set(0)
             self.metrics.is_late.set(0)
 
@@ -288,6 +319,7 @@
             metrics=self.metrics,
             unreadable_rows=self.unreadable_rows,
             on_recorded=self.lease_manager.extend_grants,
+            catalogue_known_until_s=lambda: self.job_api.catalogue_known_until_s,
         )
 
     # Readiness and shutdown.
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -122,6 +122,7 @@
     _seen_version: int = 0
     _expected_version: int = 0
     _expectation_set: trio.Event = attrs.field(factory=trio.Event)
+    _resumed: trio.Event | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -129,6 +130,18 @@
             nursery.start_soon(self._read_while_stalled)
             await self._follow()
 
+    def pause(self) -> None:
+        """Ask for nothing more, once the call under way is over, until resumed."""
+        if self._resumed is None:
+            self._resumed = trio.Event()
+
+    def resume(self) -> None:
+        """Follow again after a pause; first read a table whose newest rows count."""
+        if self._resumed is not None:
+            self._is_behind = self.wants_newest
+            self._resumed.set()
+            self._resumed = None
+
     def expect(self, version: int) -> None:
         """Note that the table has a change of a version which the feed must deliver."""
         if version > self._seen_version:
@@ -166,6 +179,8 @@
         version = self.start_version
         self._seen_version = version or 0
         while True:
+            if self._resumed is not None:
+                await self._resumed.wait()
             began_s = monotonic_s()
             try:
                 version = await self._read_next(version)
@@ -185,7 +200,7 @@
             self._record_success(page)
             self._pass_on(page, True)
             return page.version
-        # After a failure or a page that may have been cut, changes may be there already.
+        # After a failure or a page that may have been cut, there may be changes.
         wait_s = 0.0 if self._has_failed or self._may_have_more else self.wait_s
         timeout_s = self.wait_s + FEED_ANSWER_S
         page = await self.store.feed(self.table, version, wait_s, timeout_s)
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "CANCEL_SUFFIX",
+    "CATALOGUE_TABLE",
     "LEASE_TABLE",
     "HOST_ORDERS_TABLE",
     "KEPT_ENDS_TABLE",
@@ -13,9 +14,11 @@
     "SILENT_SERVERS_TABLE",
     "SPECS_TABLE",
     "cancel_row",
+    "catalogue_changes_row",
     "head_row",
     "host_orders_row",
     "kept_ends_row",
+    "known_catalogue_row",
     "lease_row",
     "pending_row",
     "progress_row",
@@ -28,6 +31,7 @@
     "wave_row",
 ]
 
+CATALOGUE_TABLE = "catalogue"
 LEASE_TABLE = "leases"
 REQUESTS_TABLE = "requests"
 PROGRESS_TABLE = "progress"
@@ -106,6 +110,16 @@
     return RowName("pending", shard, "counts")
 
 
+def catalogue_changes_row(shard: str) -> RowName:
+    """Return the row with the last changes of the configuration."""
+    return RowName(CATALOGUE_TABLE, shard, "changes")
+
+
+def known_catalogue_row(shard: str) -> RowName:
+    """Return the row that says which version of the configuration is the newest."""
+    return RowName(CATALOGUE_TABLE, shard, "known")
+
+
 def host_orders_row(shard: str) -> RowName:
     """Return the row with the time of the last command to each host."""
     return RowName(HOST_ORDERS_TABLE, shard, "last")
--- a/rhubarbmount/platform/row_formats.py
+++ b/rhubarbmount/platform/row_formats.py
@@ -181,6 +181,8 @@
         version=int(_required_field(values, "version", (int, float))),
         queue_by_name={queue.name: queue for queue in queues},
         pool_by_name={pool.name: pool for pool in pools},
+        row_version=row.version,
+        size_bytes=len(row.value),
     )
 
 
--- a/tests/batch/test_many_changes.py
+++ b/tests/batch/test_many_changes.py
@@ -1,9 +1,12 @@
 """Tests that hosts follow many, and large, changes of the configuration."""
 
+import base64
+
 import pytest
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch.catalogue_publisher import CataloguePublisher
 from rhubarbmount.platform.row_formats import OPERATOR_TABLE
 from tests.batch.configuration_checker import SPARE, ConfigurationChecker
 from tests.batch.world import BOUNDS, open_world
@@ -135,3 +138,67 @@
         assert checker.breaches == []
         assert checker.refusals == 0
         assert checker.answers > 100
+
+
+# Guards against CONFIG and refusals while hosts depend on a holder that is lost.
+@pytest.mark.parametrize("seed", range(4))
+async def test_holders_are_lost_while_weak_hosts_follow_changes(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_world(monkeypatch, seed) as world:
+        checker = await start(world, queues=MANY_QUEUES)
+        await trio.sleep(8.0)
+        world.nursery.start_soon(checker.change_for, 40.0, STORM_GAP_S)
+        for _ in range(3):
+            await trio.sleep(world.generator.uniform(4.0, 9.0))
+            name = world.holders()[0]
+            link_bytes_per_s = world.faults.link_bytes_per_s_by_node
+            is_weak = name in link_bytes_per_s
+            world.kill_node(name)
+            checker.reaches_since_s[name] = trio.current_time()
+            world.start_node(name, WEAK_LINK_MBPS if is_weak else 1000.0)
+        await trio.sleep(20.0)
+        assert checker.breaches == []
+        refusals, answers = checker.refusals, checker.answers
+        await trio.sleep(8.0)
+        refused = checker.refusals - refusals
+        assert refused < (checker.answers - answers) * (1 - EXPECTED_SHARE)
+        assert {version_of(world, name) for name in "abcd"} == {checker.version}
+
+
+# Guards against CONFIG: changes that do not lead on from what a host has.
+@pytest.mark.parametrize("seed", range(2))
+async def test_weak_hosts_that_follow_changes_are_cut_off(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_world(monkeypatch, seed) as world:
+        checker = await start(world, queues=MANY_QUEUES)
+        await trio.sleep(8.0)
+        world.nursery.start_soon(checker.change_for, 40.0, STORM_GAP_S)
+        for cut_s in (4.0, 12.0 + seed):
+            checker.cut({"c"})
+            await trio.sleep(cut_s)
+            checker.cut(set())
+            await trio.sleep(8.0)
+            assert checker.version - version_of(world, "c") <= 2
+        assert checker.breaches == []
+
+
+# Guards against a host that relies on changes which nobody writes any more, or which
+# it can't read.
+@pytest.mark.parametrize("value", [b"{}", b"odd", None])
+async def test_changes_that_can_not_be_read_leave_the_configuration_to_be_read(
+    monkeypatch, autojump_clock, value
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=MANY_QUEUES)
+        await trio.sleep(8.0)
+        monkeypatch.setattr(CataloguePublisher, "put_changed", lambda *args: None)
+        if value is not None:
+            for key in ("changes", "known"):
+                text = base64.b64encode(value).decode()
+                world.platform.store.put("catalogue", key, text, part="shard-0")
+        checker.put(adds=1, removes=1)
+        await trio.sleep(12.0)
+        assert {version_of(world, name) for name in "abcd"} == {2}
+        assert checker.breaches == []
