--- a/rhubarbmount/batch/catalogue.py
+++ b/rhubarbmount/batch/catalogue.py
@@ -1,5 +1,7 @@
 """Queues and pools as configured by the operator."""
 
+import functools
+
 import attrs
 
 from rhubarbmount.batch.model import Queue, QueueName
@@ -46,13 +48,22 @@
         >>> Catalogue(1, queues, {}).find("a", "/q/deep/1").name.prefix
         '/q/deep/'
         """
-        best: Queue | None = None
-        for name, queue in self.queue_by_name.items():
-            if name.host != host or not path.startswith(name.prefix):
-                continue
-            if best is None or len(name.prefix) > len(best.name.prefix):
-                best = queue
-        return best
+        for length in self._prefix_lengths_by_host.get(host, ()):
+            queue = self.queue_by_name.get(QueueName(host, path[:length]))
+            if queue is not None:
+                return queue
+        return None
+
+    @functools.cached_property
+    def _prefix_lengths_by_host(self) -> dict[str, list[int]]:
+        """Return the lengths that prefixes of each host have, longest first."""
+        lengths_by_host: dict[str, set[int]] = {}
+        for name in self.queue_by_name:
+            lengths_by_host.setdefault(name.host, set()).add(len(name.prefix))
+        return {
+            host: sorted(lengths, reverse=True)
+            for host, lengths in lengths_by_host.items()
+        }
 
     def guards_capacity(self, pool: str) -> bool:
         """Return whether a pool is known and its servers refuse what does not fit."""
