Keep the age of the configuration in a class of its own

Callers' requests, readiness, the choice of what to follow and what the holder writes all ask it; it stood in the job API.

--- a/rhubarbmount/batch/catalogue_publisher.py
+++ b/rhubarbmount/batch/catalogue_publisher.py
@@ -1,11 +1,11 @@
 """Passes changes of a large configuration on to hosts on slow links."""
 
 import math
-from collections.abc import Callable
 
 import attrs
 
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_age import CatalogueAge
 from rhubarbmount.batch.catalogue_changes import (
     CatalogueChange,
     KnownCatalogue,
@@ -31,8 +31,7 @@
 
     shard: str
     write_batch: WriteBatch
-    # Returns up to when all changes of the configuration are known to this host.
-    known_until_s: Callable[[], float]
+    age: CatalogueAge
     _catalogue: Catalogue | None = None
     _changes: list[CatalogueChange] = attrs.field(factory=list)
     _stored_at_s: float = -math.inf
@@ -49,7 +48,8 @@
         now_s = monotonic_s()
         if is_new or now_s >= self._stored_at_s + KNOWN_PERIOD_S:
             self._stored_at_s = now_s
-            known = KnownCatalogue(catalogue.row_version, self.known_until_s())
+            until_s = self.age.known_until_s or 0.0
+            known = KnownCatalogue(catalogue.row_version, until_s)
             self.write_batch.put(known_catalogue_row(self.shard), encode_known(known))
 
     def _put_changes(self) -> None:
--- a/rhubarbmount/batch/catalogue_source.py
+++ b/rhubarbmount/batch/catalogue_source.py
@@ -9,6 +9,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_age import CatalogueAge
 from rhubarbmount.batch.catalogue_changes import (
     KnownCatalogue,
     advance,
@@ -53,13 +54,11 @@
 
     store: RowStore
     shard: str
-    config_apply_s: float
+    age: CatalogueAge
     operator_rows: TableFollower
     unreadable_rows: UnreadableRows
     find_catalogue: Callable[[], Catalogue | None]
     set_catalogue: Callable[[Catalogue], None]
-    note_known: Callable[[float], None]
-    catalogue_age_s: Callable[[], float]
     # Whether this host writes the changes itself, and reads the configuration for that.
     is_holder: Callable[[], bool]
     follower: TableFollower = attrs.field(init=False)
@@ -93,7 +92,7 @@
         catalogue = self.find_catalogue()
         if self._followed.is_set() or catalogue is None or not catalogue.is_large:
             return
-        age_s = self.store.clock_s() - page.clock_ms / 1000
+        age_s = self.store.age_s(page)
         has_configuration = any(
             row.version == catalogue.row_version for row in page.rows
         )
@@ -120,7 +119,7 @@
             logger,
             "catalogue-changes-left",
             reason=reason,
-            age_s=self.catalogue_age_s(),
+            age_s=self.age.age_s(),
         )
         self._followed = trio.Event()
         self.follower.pause()
@@ -137,7 +136,7 @@
         elif self._known is None:
             self._retry_at_s = monotonic_s() + RETRY_S
             self._follow_operator("none")
-        elif self.catalogue_age_s() > self.config_apply_s * MAX_AGE_FRACTION:
+        elif self.age.age_s() > self.age.limit_s * MAX_AGE_FRACTION:
             self._follow_operator("old")
 
     def _apply(self, page: Page, is_whole: bool) -> None:
@@ -165,6 +164,6 @@
         if known is None or catalogue is None:
             return
         if known.row_version == catalogue.row_version:
-            self.note_known(known.known_until_s)
+            self.age.note_known(known.known_until_s)
         elif known.row_version > catalogue.row_version:
             self._follow_operator("missed")
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -8,6 +8,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_age import CatalogueAge
 from rhubarbmount.batch.catalogue_publisher import CataloguePublisher
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.committer import Committer
@@ -91,8 +92,7 @@
     unreadable_rows: UnreadableRows
     # Called once the record of servers that were silent at the takeover is stored.
     on_recorded: Callable[[], None]
-    # Returns up to when all changes of the configuration are known.
-    catalogue_known_until_s: Callable[[], float]
+    catalogue_age: CatalogueAge
     records: HandoverRecords = attrs.field(init=False)
     shard: Shard = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
@@ -129,7 +129,7 @@
             self.name, self.shard, self._write_batch, self._requests_known_until_s
         )
         self._catalogue_publisher = CataloguePublisher(
-            self.name, self._write_batch, self.catalogue_known_until_s
+            self.name, self._write_batch, self.catalogue_age
         )
         self.meter = SchedulingMeter(self.metrics)
         self._loader = ShardLoader(self.store, self.name, self.link_mbps)
--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -10,6 +10,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_age import CatalogueAge
 from rhubarbmount.batch.clocks import monotonic_s, wall_clock_s
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import JobState, Queue
@@ -65,10 +66,6 @@
 DEFAULT_VISIBLE_S = 3.0
 STORE_RETRY_S = 0.05
 READ_TIMEOUT_S = 1.0
-# How long a request waits for news of the configuration on a host that was suspended,
-# or whose last poll is late.
-CATCH_UP_S = 0.25
-DEFAULT_CONFIG_APPLY_S = 2.0
 WRITE_TIMEOUT_S = 1.2
 
 
@@ -86,13 +83,9 @@
     )
     # Time after which accepted jobs have to be visible.
     visible_s: float = DEFAULT_VISIBLE_S
-    # Within which a change of the configuration has to be in force.
-    config_apply_s: float = DEFAULT_CONFIG_APPLY_S
-    # Up to when all changes of the configuration are known, by the store's clock.
-    catalogue_known_until_s: float = math.inf
-    _catalogue_heard: trio.Event = attrs.field(factory=trio.Event)
-    _has_heard_catalogue: bool = False
-    _has_awaited_catalogue: bool = False
+    catalogue_age: CatalogueAge = attrs.field(
+        default=attrs.Factory(lambda self: CatalogueAge(self.store), takes_self=True)
+    )
     _pending: PendingCounts | None = None
     _pending_read_at_s: float = -math.inf
 
@@ -115,8 +108,8 @@
             return _refusal(
                 503, "no-configuration", "no configuration has been read yet"
             )
-        self.metrics.catalogue_age_s.observe(self.catalogue_age_s())
-        if not await self._knows_configuration():
+        self.metrics.catalogue_age_s.observe(self.catalogue_age.age_s())
+        if not await self.catalogue_age.knows_all():
             return self._refuse_old_configuration(request.target)
         path = request.target.partition("?")[0]
         queue = _find_queue(self.catalogue, request, path)
@@ -146,39 +139,6 @@
         allow = (b"allow", ALLOWED_METHODS.encode("ascii"))
         return attrs.evolve(response, headers=[*response.headers, allow])
 
-    def note_catalogue_known(self, known_until_s: float) -> None:
-        """Note up to when all changes are known, by the store's clock."""
-        self.catalogue_known_until_s = max(
-            known_until_s,
-            self.catalogue_known_until_s if self._has_heard_catalogue else 0.0,
-        )
-        self._has_heard_catalogue = True
-        self._has_awaited_catalogue = False
-        self._catalogue_heard.set()
-        self._catalogue_heard = trio.Event()
-
-    def catalogue_age_s(self) -> float:
-        """Return since when changes of the configuration may not have been heard of."""
-        return max(0.0, self.store.latest_clock_s() - self.catalogue_known_until_s)
-
-    @property
-    def is_catalogue_old(self) -> bool:
-        """Return whether a change may have to be in force that was not heard of."""
-        return self.catalogue_age_s() > self.config_apply_s
-
-    async def _knows_configuration(self) -> bool:
-        """Return whether all changes are known that have to be in force.
-
-        A host that has just resumed is about to hear of them. The first request waits
-        for that; until it is heard of, the others don't.
-        """
-        if self.is_catalogue_old and not self._has_awaited_catalogue:
-            with trio.move_on_after(CATCH_UP_S):
-                while self.is_catalogue_old:
-                    await self._catalogue_heard.wait()
-            self._has_awaited_catalogue = self.is_catalogue_old
-        return not self.is_catalogue_old
-
     def _refuse_old_configuration(self, about: str) -> HttpResponse:
         """Refuse a request, as the configuration may say something else about it."""
         if self.store.health.is_out_of_reach():
@@ -188,8 +148,8 @@
             "catalogue-old",
             about=about,
             catalogue=self.catalogue.version if self.catalogue else 0,
-            age_s=self.catalogue_age_s(),
-            limit_s=self.config_apply_s,
+            age_s=self.catalogue_age.age_s(),
+            limit_s=self.catalogue_age.limit_s,
         )
         message = "changes of the configuration have not been heard of lately"
         return _refusal(503, "catalogue-old", message)
@@ -393,7 +353,7 @@
             code=code,
             about=about,
             catalogue=self.catalogue.version if self.catalogue else 0,
-            catalogue_age_s=self.catalogue_age_s(),
+            catalogue_age_s=self.catalogue_age.age_s(),
         )
         return problem(status, code, message, Outcome.NOT_RUN)
 
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -12,6 +12,7 @@
 
 from rhubarbmount import log
 from rhubarbmount.batch.catalogue import Catalogue
+from rhubarbmount.batch.catalogue_age import CatalogueAge
 from rhubarbmount.batch.catalogue_source import CatalogueSource
 from rhubarbmount.batch.committer import Committer
 from rhubarbmount.batch.election import ShardLease, candidate_wait_s
@@ -75,6 +76,7 @@
     timers: TimerService
     metrics: BatchMetrics = attrs.field(factory=BatchMetrics)
     store: RowStore = attrs.field(init=False)
+    catalogue_age: CatalogueAge = attrs.field(init=False)
     job_api: JobApi = attrs.field(init=False)
     lease_manager: LeaseManager = attrs.field(init=False)
     operator_rows: TableFollower = attrs.field(init=False)
@@ -92,13 +94,16 @@
         self.store = RowStore(
             self.client, self.settings.store_address, self._observe_store_call
         )
+        self.catalogue_age = CatalogueAge(
+            self.store, self.settings.bounds.config_apply_s
+        )
         self.job_api = JobApi(
             self.store,
             self.metrics,
             on_stored=self._note_stored_request,
             unreadable_rows=self.unreadable_rows,
             visible_s=self.settings.bounds.visible_s,
-            config_apply_s=self.settings.bounds.config_apply_s,
+            catalogue_age=self.catalogue_age,
         )
         shard = shard_of("", "", "")
         wait_s = candidate_wait_s(self.settings.cores, self.settings.link_mbps)
@@ -117,18 +122,16 @@
             self._apply_operator_rows,
             wait_s=self._operator_wait_s(),
             wants_newest=True,
-            on_known=self.job_api.note_catalogue_known,
+            on_known=self.catalogue_age.note_known,
         )
         self.catalogue_source = CatalogueSource(
             store=self.store,
             shard=shard,
-            config_apply_s=self.settings.bounds.config_apply_s,
+            age=self.catalogue_age,
             operator_rows=self.operator_rows,
             unreadable_rows=self.unreadable_rows,
             find_catalogue=lambda: self.job_api.catalogue,
             set_catalogue=self._set_catalogue,
-            note_known=self.job_api.note_catalogue_known,
-            catalogue_age_s=self.job_api.catalogue_age_s,
             is_holder=lambda: self.is_holder,
         )
 
@@ -319,7 +322,7 @@
             metrics=self.metrics,
             unreadable_rows=self.unreadable_rows,
             on_recorded=self.lease_manager.extend_grants,
-            catalogue_known_until_s=lambda: self.job_api.catalogue_known_until_s,
+            catalogue_age=self.catalogue_age,
         )
 
     # Readiness and shutdown.
@@ -329,7 +332,7 @@
             return problem(503, "stopping", "the host stops")
         if self.job_api.catalogue is None or self.store.health.is_out_of_reach():
             return problem(503, "no-store", "the store is out of reach")
-        if self.job_api.is_catalogue_old:
+        if self.catalogue_age.is_old:
             return problem(503, "catalogue-old", "the configuration may have changed")
         return json_response({})
 
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -253,8 +253,7 @@
         """Return whether there are likely to be newer changes than those of a page."""
         if all(row.version <= self._seen_version for row in page.rows):
             return False
-        age_s = self.store.clock_s() - page.clock_ms / 1000
-        return bool(_superseded_rows(page)) or age_s > OLD_ANSWER_S
+        return bool(_superseded_rows(page)) or self.store.age_s(page) > OLD_ANSWER_S
 
     def _log_lost_poll(self, error: RhubarbmountError, took_s: float) -> None:
         """Log a call that was sent and not answered in time."""
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -188,6 +188,10 @@
         """Return the monotonic time at or after which the store's clock read a time."""
         return store_clock_s - self._clock.most_s
 
+    def age_s(self, page: Page) -> float:
+        """Return for how long, at least, an answer was on its way and was read."""
+        return self.clock_s() - page.clock_ms / 1000
+
     async def commit(
         self,
         expected: Mapping[RowName, int],
