--- a/rhubarbmount/batch/catalogue_publisher.py
+++ b/rhubarbmount/batch/catalogue_publisher.py
@@ -19,7 +19,9 @@
 
 __all__ = ["CataloguePublisher"]
 
-KNOWN_PERIOD_S = 0.5
+# How often it is written which version is the newest, as a part of the time that a
+# change may take.
+KNOWN_PERIOD_FRACTION = 0.25
 
 
 @attrs.define(eq=False)
@@ -46,7 +48,8 @@
             self._changes.append(find_change(last, catalogue))
             self._put_changes()
         now_s = monotonic_s()
-        if is_new or now_s >= self._stored_at_s + KNOWN_PERIOD_S:
+        period_s = self.age.limit_s * KNOWN_PERIOD_FRACTION
+        if is_new or now_s >= self._stored_at_s + period_s:
             self._stored_at_s = now_s
             until_s = self.age.known_until_s or 0.0
             known = KnownCatalogue(catalogue.row_version, until_s)
--- a/rhubarbmount/batch/catalogue_source.py
+++ b/rhubarbmount/batch/catalogue_source.py
@@ -65,6 +65,8 @@
     _known: KnownCatalogue | None = None
     _followed_since_s: float = 0.0
     _retry_at_s: float = -math.inf
+    # Whether the changes have told anything since they are followed.
+    _has_told: bool = False
     _followed: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -109,6 +111,7 @@
             age_s=age_s,
         )
         self._known = None
+        self._has_told = False
         self._followed_since_s = monotonic_s()
         self._followed.set()
         self.operator_rows.pause()
@@ -121,6 +124,8 @@
             reason=reason,
             age_s=self.age.age_s(),
         )
+        if not self._has_told:
+            self._retry_at_s = monotonic_s() + RETRY_S
         self._followed = trio.Event()
         self.follower.pause()
         self.operator_rows.resume()
@@ -134,7 +139,6 @@
         elif monotonic_s() < self._followed_since_s + GRACE_S:
             return
         elif self._known is None:
-            self._retry_at_s = monotonic_s() + RETRY_S
             self._follow_operator("none")
         elif self.age.age_s() > self.age.limit_s * MAX_AGE_FRACTION:
             self._follow_operator("old")
@@ -164,6 +168,7 @@
         if known is None or catalogue is None:
             return
         if known.row_version == catalogue.row_version:
+            self._has_told = True
             self.age.note_known(known.known_until_s)
         elif known.row_version > catalogue.row_version:
             self._follow_operator("missed")
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -59,6 +59,8 @@
 LEAVE_ROTATION_S = 2.5
 STOP_MARGIN_S = 0.8
 RESTART_DELAY_S = 3.0
+# A shorter time can't be told by polls.
+MIN_CATALOGUE_AGE_S = 0.5
 # How long the holder's polls of a large configuration wait, whose changes it passes on.
 PUBLISHER_WAIT_S = 0.3
 SETTINGS_POLL_S = 1.0
@@ -95,7 +97,7 @@
             self.client, self.settings.store_address, self._observe_store_call
         )
         self.catalogue_age = CatalogueAge(
-            self.store, self.settings.bounds.config_apply_s
+            self.store, max(MIN_CATALOGUE_AGE_S, self.settings.bounds.config_apply_s)
         )
         self.job_api = JobApi(
             self.store,
@@ -189,7 +191,7 @@
         catalogue = self.job_api.catalogue
         if self.is_holder and catalogue is not None and catalogue.is_large:
             return PUBLISHER_WAIT_S
-        return min(FEED_WAIT_S, self.settings.bounds.config_apply_s / 2)
+        return min(FEED_WAIT_S, self.catalogue_age.limit_s / 2)
 
     def _apply_operator_rows(self, page: Page, is_whole: bool) -> None:
         for row in page.rows:
--- a/tests/batch/test_many_changes.py
+++ b/tests/batch/test_many_changes.py
@@ -2,11 +2,13 @@
 
 import base64
 
+import attrs
 import pytest
 import trio
 from trio.testing import MockClock
 
 from rhubarbmount.batch.catalogue_publisher import CataloguePublisher
+from rhubarbmount.batch.catalogue_source import RETRY_S
 from rhubarbmount.platform.row_formats import OPERATOR_TABLE
 from tests.batch.configuration_checker import SPARE, ConfigurationChecker
 from tests.batch.world import BOUNDS, open_world
@@ -202,3 +204,32 @@
         await trio.sleep(12.0)
         assert {version_of(world, name) for name in "abcd"} == {2}
         assert checker.breaches == []
+
+
+# Guards against a deployment whose bound no poll can keep: all would be refused.
+async def test_a_bound_of_no_time_does_not_refuse_everything(
+    monkeypatch, autojump_clock
+):
+    bounds = attrs.evolve(BOUNDS, config_apply_s=0.0)
+    monkeypatch.setattr("tests.batch.world.BOUNDS", bounds)
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=3)
+        checker.put(adds=1, removes=1)
+        await trio.sleep(10.0)
+        assert checker.answers > 100
+        assert checker.refusals < checker.answers * (1 - EXPECTED_SHARE)
+
+
+# Guards against hosts that go back and forth between the configuration and its changes.
+async def test_changes_that_nobody_writes_any_more_are_seldom_tried(
+    monkeypatch, autojump_clock, caplog
+):
+    caplog.set_level("INFO")
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=MANY_QUEUES, weak="c")
+        await trio.sleep(8.0)
+        monkeypatch.setattr(CataloguePublisher, "put_changed", lambda *args: None)
+        caplog.clear()
+        await checker.change_for(20.0, STORM_GAP_S)
+        assert caplog.text.count("event=catalogue-changes-followed") <= 20.0 / RETRY_S
+        assert checker.breaches == []
