--- a/rhubarbmount/batch/catalogue.py
+++ b/rhubarbmount/batch/catalogue.py
@@ -40,6 +40,14 @@
         """Return whether its changes are passed on to hosts on slow links."""
         return self.size_bytes >= LARGE_BYTES
 
+    def is_after(self, other: "Catalogue") -> bool:
+        """Return whether this is a later version, or a later row of the same one.
+
+        The row of an older version may return, and must not come into force again.
+        """
+        mine = self.version, self.row_version
+        return mine > (other.version, other.row_version)
+
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching path prefix, or None.
 
--- a/rhubarbmount/batch/catalogue_source.py
+++ b/rhubarbmount/batch/catalogue_source.py
@@ -159,8 +159,7 @@
             self._known = decode_known(row.value)
         elif row.name == catalogue_changes_row(self.shard) and catalogue is not None:
             later = advance(catalogue, decode_changes(row.value))
-            if later.row_version > catalogue.row_version:
-                self.set_catalogue(later)
+            self.set_catalogue(later)
 
     def _compare(self) -> None:
         """Note up to when the configuration in force is known to be the newest."""
--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -222,7 +222,7 @@
 
     def _set_catalogue(self, catalogue: Catalogue) -> None:
         current = self.job_api.catalogue
-        if current is not None and catalogue.row_version <= current.row_version:
+        if current is not None and not catalogue.is_after(current):
             return
         self.job_api.catalogue = catalogue
         log.event(
