Use one list of what decoding may raise, and one check of numbers

Read once more at the end: row_formats repeated record_fields' list of errors, is_number's callers repeated what it proves, a Counter stood for a set, one name had two values (READ_TIMEOUT_S), and two tests made large rows alike.

--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -65,7 +65,7 @@
 PENDING_ANSWER_S = 0.5
 DEFAULT_VISIBLE_S = 3.0
 STORE_RETRY_S = 0.05
-READ_TIMEOUT_S = 1.0
+ROW_READ_TIMEOUT_S = 1.0
 WRITE_TIMEOUT_S = 1.2
 
 
@@ -311,7 +311,7 @@
                         name.part,
                         name.key,
                         name.key + "\x00",
-                        timeout_s=min(READ_TIMEOUT_S, left_s),
+                        timeout_s=min(ROW_READ_TIMEOUT_S, left_s),
                     )
                 raise OutcomeUnknown("no answer by the deadline", code="timeout")
             except (PlatformUnavailable, OutcomeUnknown):
--- a/rhubarbmount/batch/record_fields.py
+++ b/rhubarbmount/batch/record_fields.py
@@ -12,6 +12,7 @@
 from rhubarbmount.errors import RhubarbmountError
 
 __all__ = [
+    "DECODING_ERRORS",
     "UnreadableRecord",
     "build_record",
     "decode_numbers",
@@ -28,6 +29,7 @@
     float: (int, float),
     str: str,
 }
+# What decoding a value of any type or size may raise.
 DECODING_ERRORS = (
     ArithmeticError,
     AttributeError,
--- a/rhubarbmount/batch/table_follower.py
+++ b/rhubarbmount/batch/table_follower.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 
@@ -290,4 +289,4 @@
 
 def _superseded_rows(page: Page) -> int:
     """Return how many rows of a page are followed by a newer version of the same."""
-    return len(page.rows) - len(Counter(row.name for row in page.rows))
+    return len(page.rows) - len({row.name for row in page.rows})
--- a/rhubarbmount/platform/hosts.py
+++ b/rhubarbmount/platform/hosts.py
@@ -147,6 +147,6 @@
         pool=str(row.get("pool") or ""),
         state=state,
         server_name=str(row.get("id") or ""),
-        cpu_millicores=int(cpu or 0) if is_number(cpu) else 0,
+        cpu_millicores=int(cpu) if is_number(cpu) else 0,
         data_centre=str(row.get("zone") or ""),
     )
--- a/rhubarbmount/platform/row_formats.py
+++ b/rhubarbmount/platform/row_formats.py
@@ -9,6 +9,7 @@
 from rhubarbmount.batch.catalogue import Catalogue, Pool
 from rhubarbmount.batch.lifetimes import lifetime_id, name_of
 from rhubarbmount.batch.model import Queue, QueueName, Server, Wave
+from rhubarbmount.batch.record_fields import DECODING_ERRORS
 from rhubarbmount.errors import RhubarbmountError
 from rhubarbmount.platform.rows import Row, RowName
 from rhubarbmount.platform.values import (
@@ -97,7 +98,7 @@
         return default
     if not is_number(value, limit):
         raise UnreadableRow(f"field {key!r} is not a number up to {limit}")
-    return int(value or 0)
+    return int(value)
 
 
 def _converts_to_unreadable_row(
@@ -109,14 +110,7 @@
     def wrapped(row: Row) -> Value:
         try:
             return decode(row)
-        except (
-            ArithmeticError,
-            AttributeError,
-            LookupError,
-            RecursionError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except DECODING_ERRORS as error:
             raise UnreadableRow(f"{row.name.key}: {error}") from None
 
     return wrapped
--- a/rhubarbmount/platform/values.py
+++ b/rhubarbmount/platform/values.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 import math
-from typing import Any
+from typing import Any, TypeGuard
 
 __all__ = ["MAX_QUANTITY", "MAX_TIME_MS", "is_address", "is_name", "is_number"]
 
@@ -15,7 +15,7 @@
 MAX_NAME_BYTES = 200
 
 
-def is_number(value: Any, limit: float = MAX_QUANTITY) -> bool:
+def is_number(value: Any, limit: float = MAX_QUANTITY) -> TypeGuard[int | float]:
     """Return whether a value is a number from 0 to a limit.
 
     >>> is_number(2.5), is_number(-1), is_number(10**400), is_number(True)
--- a/tests/batch/test_table_follower.py
+++ b/tests/batch/test_table_follower.py
@@ -230,6 +230,12 @@
     clock_ms = 5000
     answers = 0
 
+    def put_large(self, key):
+        """Write a row with which a page may have been cut."""
+        self.put(key)
+        row = self.rows[key]
+        self.rows[key] = attrs.evolve(row, value=b"x" * MAX_WHOLE_PAGE_BYTES)
+
     async def feed(self, table, version, wait_s, timeout_s):
         self.answers += 1
         page = await super().feed(table, version, wait_s, timeout_s)
@@ -275,10 +281,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         for count in range(1, 10):
-            store.put("0000")
-            row = store.rows["0000"]
-            large = attrs.evolve(row, value=b"x" * MAX_WHOLE_PAGE_BYTES)
-            store.rows["0000"] = large
+            store.put_large("0000")
             await trio.sleep(FEED_WAIT_S / 2)
             assert len(known_until_s) >= count
         nursery.cancel_scope.cancel()
@@ -317,9 +320,7 @@
 # Guards against MIXED: changes of a page that was cut by its size are not all.
 async def test_a_large_page_does_not_tell_up_to_when_all_is_known(autojump_clock):
     store = FullPageStore()
-    store.put("0000")
-    row = store.rows["0000"]
-    store.rows["0000"] = attrs.evolve(row, value=b"x" * MAX_WHOLE_PAGE_BYTES)
+    store.put_large("0000")
     known = []
     follower = TableFollower(
         store,
