Move no task for a wave beside one that the last holder was moving

Cause: a stop is in no row, and a run that is told to stop is listed as running for up to stop_ms (0.9 s there). A hand-over takes less, so that the new holder took the task for at work and emptied another host of the wave. Ruled out: lists of before the takeover (sessions use their own calls), and a task that counts as at work while it starts.

Change: after a takeover no task of a limited step is moved before stop_ms and 0.5 s.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -32,6 +32,8 @@
 LIST_PERIOD_S = 0.4
 IDLE_LIST_PERIOD_S = 4.0
 SHORTAGE_LOG_PERIOD_S = 1.0
+# Time after which an end is listed.
+END_LISTED_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -51,6 +53,8 @@
     store_clock_s: Callable[[], float]
     save_wave: Callable[[WaveProgress], None]
     wake_scheduler: Callable[[], None]
+    # How long a run may go on that the last holder has told to stop.
+    stop_s: float
     host_by_id: dict[str, Host] = attrs.field(factory=dict)
     wave_by_number: dict[int, WaveProgress] = attrs.field(factory=dict)
     capacity: CapacityPlanner = attrs.field(factory=CapacityPlanner)
@@ -67,7 +71,8 @@
     _nursery: trio.Nursery | None = None
 
     def __attrs_post_init__(self) -> None:
-        self.waves = WavePlanner(self.shard)
+        evicts_from_s = monotonic_s() + self.stop_s + END_LISTED_S
+        self.waves = WavePlanner(self.shard, evicts_from_s)
 
     def put_wave(self, wave: Wave, record: WaveRecord | None) -> None:
         """Add a wave requested by the operator, with its stored progress if any."""
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -162,6 +162,7 @@
             store_clock_s=self.store.clock_s,
             save_wave=self._save_wave,
             wake_scheduler=self.wake,
+            stop_s=self.bounds.stop_s,
         )
 
     # Lifecycle.
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -93,9 +93,15 @@
 
 @attrs.define(eq=False)
 class WavePlanner:
-    """Drains as many hosts as may be in maintenance at once, cheapest first."""
+    """Drains as many hosts as may be in maintenance at once, cheapest first.
+
+    Until ``evicts_from_s`` tasks that count as at work may have been told to stop by an
+    earlier holder.
+    """
 
     shard: Shard
+    evicts_from_s: float = 0.0
+    _knows_stops: bool = True
 
     def plan(
         self,
@@ -109,6 +115,7 @@
         During a capacity shortage, a wave that has time left waits, except for hosts
         with long-running tasks.
         """
+        self._knows_stops = now_s >= self.evicts_from_s
         actions = WaveActions()
         chosen_host_ids: set[str] = set()
         for progress in sorted(waves, key=lambda item: item.due_at_s):
@@ -228,7 +235,7 @@
                 actions.evict.append(task)
                 wait_reason = "evicted"
             else:
-                wait_reason = "budget"
+                wait_reason = "budget" if self._knows_stops else "takeover"
         return wait_reason
 
     def _may_evict(self, task: Task, usage: ServerUsage) -> bool:
@@ -237,7 +244,7 @@
         if not limit:
             return True
         others = self.shard.unavailable_count(task.id[:3], besides=task)
-        return others < limit
+        return self._knows_stops and others < limit
 
     def _fits_elsewhere(self, task: Task, usage: ServerUsage) -> bool:
         """Return whether another server has capacity once its short tasks end."""
--- a/rhubarbmount/platform/settings.py
+++ b/rhubarbmount/platform/settings.py
@@ -14,6 +14,7 @@
 
 SETTINGS_PATH_VARIABLE = "RHUBARBMOUNT_NODE_FILE"
 DEFAULT_CONFIG_APPLY_MS = 2000.0
+DEFAULT_STOP_MS = 1000.0
 
 
 @attrs.frozen
@@ -34,6 +35,8 @@
     visible_s: float
     # Within which a configuration has to be in force.
     config_apply_s: float
+    # How long a run may go on, and is listed as running, once it is told to stop.
+    stop_s: float
 
 
 @attrs.frozen
@@ -168,4 +171,5 @@
         config_apply_s=reader.number(
             "bounds.config_apply_ms", seconds_per_ms, DEFAULT_CONFIG_APPLY_MS
         ),
+        stop_s=reader.number("bounds.stop_ms", seconds_per_ms, DEFAULT_STOP_MS),
     )
--- a/tests/batch/test_fleet_controller.py
+++ b/tests/batch/test_fleet_controller.py
@@ -106,6 +106,7 @@
             store_clock_s=trio.current_time,
             save_wave=lambda progress: None,
             wake_scheduler=lambda: None,
+            stop_s=0.2,
         )
 
     def add_wave(self, limit):
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -41,6 +41,7 @@
     remote_factor=3.0,
     visible_s=3.0,
     config_apply_s=2.0,
+    stop_s=0.2,
 )
 
 
