--- a/tests/batch/test_many_changes.py
+++ b/tests/batch/test_many_changes.py
@@ -18,6 +18,8 @@
 WEAK_LINK_BYTES_PER_S = 600_000
 STORM_GAP_S = 0.8
 CUT_S = 10.0
+# Time that each call of a slow store takes.
+SLOW_STORE_S = 0.4
 # A configuration of so many queues takes longer to arrive than a poll may be silent.
 MANY_QUEUES = 5000
 EXPECTED_SHARE = 0.9
@@ -233,3 +235,65 @@
         await checker.change_for(20.0, STORM_GAP_S)
         assert caplog.text.count("event=catalogue-changes-followed") <= 20.0 / RETRY_S
         assert checker.breaches == []
+
+
+# Guards against CONFIG while each call of the store takes long, as many changes arrive.
+async def test_many_changes_are_in_force_in_time_while_the_store_is_slow(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=MANY_QUEUES)
+        await trio.sleep(8.0)
+        world.nursery.start_soon(checker.change_for, 30.0, STORM_GAP_S)
+        await trio.sleep(3.0)
+        world.faults.store_delay_s = SLOW_STORE_S
+        await trio.sleep(12.0)
+        world.faults.store_delay_s = 0.0
+        await trio.sleep(BOUNDS.contact_s)
+        refusals, answers = checker.refusals, checker.answers
+        await trio.sleep(10.0)
+        assert checker.breaches == []
+        refused = checker.refusals - refusals
+        assert refused < (checker.answers - answers) * (1 - EXPECTED_SHARE)
+
+
+# Guards against CONFIG after the store has dropped its history: tables are read anew.
+async def test_many_changes_are_in_force_in_time_without_history(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=MANY_QUEUES)
+        await trio.sleep(8.0)
+        world.nursery.start_soon(checker.change_for, 30.0, STORM_GAP_S)
+        for _ in range(3):
+            await trio.sleep(world.generator.uniform(3.0, 7.0))
+            world.platform.store.drop_history()
+        await trio.sleep(BOUNDS.contact_s)
+        refusals, answers = checker.refusals, checker.answers
+        await trio.sleep(8.0)
+        assert checker.breaches == []
+        refused = checker.refusals - refusals
+        assert refused < (checker.answers - answers) * (1 - EXPECTED_SHARE)
+
+
+# Guards against CONFIG on a strong host whose link narrows during many changes.
+async def test_many_changes_are_in_force_in_time_on_a_link_that_narrows(
+    monkeypatch, autojump_clock
+):
+    async with open_world(monkeypatch) as world:
+        checker = await start(world, queues=MANY_QUEUES, weak="")
+        world.start_node("c", link_mbps=1000.0)
+        await trio.sleep(8.0)
+        world.nursery.start_soon(checker.change_for, 40.0, STORM_GAP_S)
+        await trio.sleep(3.0)
+        world.faults.link_bytes_per_s_by_node["c"] = WEAK_LINK_BYTES_PER_S
+        await trio.sleep(10.0)
+        refusals, answers = checker.refusals, checker.answers
+        await trio.sleep(10.0)
+        assert checker.breaches == []
+        refused = checker.refusals - refusals
+        assert refused < (checker.answers - answers) * (1 - EXPECTED_SHARE)
+        del world.faults.link_bytes_per_s_by_node["c"]
+        await trio.sleep(10.0)
+        assert checker.breaches == []
+        assert checker.version - version_of(world, "c") <= 2
