Work out the chance of very many losses without an error

Found by reading: the product of the probabilities of some hundred losses is 0, and its logarithm raised ValueError in the holder's duty. The test fails before (ValueError).

--- a/rhubarbmount/batch/server_losses.py
+++ b/rhubarbmount/batch/server_losses.py
@@ -186,16 +186,18 @@
     One loss may come at any time of its run, the others as close to its age as they
     did. Their probabilities are combined by Fisher's method.
     """
-    product = 1.0
+    log_product = 0.0
     for loss in losses:
         window_s = loss.age_s + AGE_ERROR_S
         if loss is not first:
             distance_s = abs(loss.age_s - first.age_s)
             window_s = min(window_s, 2.0 * (distance_s + AGE_ERROR_S))
-        product *= min(1.0, losses_per_server_s * window_s)
-    log_product = -math.log(product)
-    terms = (log_product**k / math.factorial(k) for k in range(len(losses)))
-    return product * sum(terms)
+        log_product -= math.log(min(1.0, losses_per_server_s * window_s))
+    term = chance = math.exp(-log_product)
+    for k in range(1, len(losses)):
+        term *= log_product / k
+        chance += term
+    return chance
 
 
 def _have_one_cause(losses: Iterable[ServerLoss], tolerance: AgeTolerance) -> bool:
--- a/tests/batch/test_server_losses.py
+++ b/tests/batch/test_server_losses.py
@@ -124,6 +124,12 @@
     assert not may_be_chance(losses(0.25, 0.5, 0.5, 0.5, 0.5), 0.1)
 
 
+# Guards against an error of the holder by a task with very many losses.
+def test_very_many_losses_are_no_chance():
+    assert not may_be_chance(losses(*[0.01] * 1000), 0.001)
+    assert may_be_chance(losses(*map(float, range(1000))), 1.0)
+
+
 def test_a_run_that_goes_on_for_longer_clears_earlier_losses():
     earlier = losses(0.1, 0.2)
     assert add_loss(earlier, loss(7, 1.0))[:2] == earlier
