Look at few occurrences of a job at a time

Cause: at each end of a task, and on each pass, every occurrence of the job was looked at, all of them had waiting tasks, and placing looked at each of these.

Change: an end looks at the occurrence of its task, once its step is done. The next occurrences get tasks when under 200 wait in one of the first steps.

--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -236,6 +236,10 @@
     layout: TaskLayout = attrs.field(
         init=False, default=attrs.Factory(lambda job: job.spec.layout, takes_self=True)
     )
+    # How many occurrences have tasks; the others are not due or have to wait.
+    opened_occurrences: int = 0
+    # Tasks that are not done, by the occurrence and step that have started.
+    undone_by_step: dict[tuple[int, int], int] = attrs.field(factory=dict)
     # Pieces of the layout with tasks that have changed since they were stored.
     changed_pieces: set[int] = attrs.field(factory=set)
 
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -132,7 +132,7 @@
             self.stop_run(task, StopReason.DONE_BEFORE)
         self._remove_waiting(task)
         task.state = TaskState.DONE
-        self._count_done(job)
+        self._count_done(job, task)
         if self.step_of(task.id).is_gang:
             self._complete_gang(job, task, now_s)
 
@@ -150,7 +150,7 @@
                 self._remove_waiting(task)
                 task.state = TaskState.DONE
                 self.note_changed(task)
-                self._count_done(job)
+                self._count_done(job, task)
 
     def _mark_failed(
         self, job: Job, task: Task, server_id: str, is_current: bool
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -36,6 +37,10 @@
 
 StepKey = tuple[str, int, int]
 
+# Further occurrences of a job get tasks when fewer than this wait in one of its first
+# steps, as each pass looks at all that wait.
+MAX_WAITING_PER_STEP = 200
+
 
 @attrs.frozen
 class Stop:
@@ -75,7 +80,10 @@
     _remaining_tasks_by_job_id: dict[str, int] = attrs.field(factory=dict)
     # Jobs of which no run is known to have begun.
     _unbegun_job_ids: set[str] = attrs.field(factory=set)
+    # Jobs with occurrences that have no tasks yet.
     _timed_job_ids: set[str] = attrs.field(factory=set)
+    # Waiting tasks of all occurrences, by job and step.
+    _waiting_by_job_step: Counter[tuple[str, int]] = attrs.field(factory=Counter)
     _tasks_by_unknown_server_id: dict[str, list[Task]] = attrs.field(factory=dict)
 
     def set_time(self, now_s: float, wall_clock_s: float) -> None:
@@ -94,15 +102,13 @@
         if job.state.is_final:
             return
         done = sum(task.state is TaskState.DONE for task in job.tasks())
-        total = sum(step.count for step in spec.steps) * spec.occurrence_count
-        self._remaining_tasks_by_job_id[spec.job_id] = total - done
+        self._remaining_tasks_by_job_id[spec.job_id] = job.layout.task_count - done
         for task in job.tasks():
             self._index(task)
         if not _has_begun(job):
             self._unbegun_job_ids.add(spec.job_id)
-        if spec.is_timed:
-            self._timed_job_ids.add(spec.job_id)
-        self.create_ready_tasks(job)
+        self._resume_occurrences(job)
+        self._open_due_of(job)
 
     def _index(self, task: Task) -> None:
         if task.losses:
@@ -119,17 +125,41 @@
             else:
                 usage.add(task, self.step_of(task.id))
 
-    def create_ready_tasks(self, job: Job) -> None:
-        """Create the tasks of steps that are due and whose dependencies are done."""
-        for occurrence in range(job.spec.occurrence_count):
-            if job.spec.is_timed:
-                due_s = job.spec.start_s + occurrence * job.spec.period_s
-                if self.wall_clock_s < due_s:
-                    return
+    def _resume_occurrences(self, job: Job) -> None:
+        """Create the tasks that are missing in the occurrences that were restored."""
+        job.undone_by_step = {
+            key: sum(task.state is not TaskState.DONE for task in tasks)
+            for key, tasks in job.tasks_by_step.items()
+        }
+        opened = (occurrence for occurrence, _ in job.tasks_by_step)
+        job.opened_occurrences = max(opened, default=-1) + 1
+        for occurrence in range(job.opened_occurrences):
             self._create_ready_tasks_of(job, occurrence)
-        self._timed_job_ids.discard(job.spec.job_id)
+
+    def _open_due_of(self, job: Job) -> None:
+        """Create the tasks of the next occurrences that are due."""
+        count = job.spec.occurrence_count
+        while job.opened_occurrences < count and self._may_open_next(job):
+            self._create_ready_tasks_of(job, job.opened_occurrences)
+            job.opened_occurrences += 1
+        if job.opened_occurrences < count:
+            self._timed_job_ids.add(job.spec.job_id)
+        else:
+            self._timed_job_ids.discard(job.spec.job_id)
+
+    def _may_open_next(self, job: Job) -> bool:
+        spec = job.spec
+        if not spec.is_timed:
+            return True
+        due_s = spec.start_s + job.opened_occurrences * spec.period_s
+        return self.wall_clock_s >= due_s and any(
+            self._waiting_by_job_step[spec.job_id, index] < MAX_WAITING_PER_STEP
+            for index, step in enumerate(spec.steps)
+            if not step.after
+        )
 
     def _create_ready_tasks_of(self, job: Job, occurrence: int) -> None:
+        """Create the tasks of the steps whose dependencies are done."""
         for step_index, step in enumerate(job.spec.steps):
             if (occurrence, step_index) in job.tasks_by_step:
                 continue
@@ -137,6 +167,7 @@
                 self._is_done(job, occurrence, dependency) for dependency in step.after
             ):
                 tasks = job.start_step(occurrence, step_index)
+                job.undone_by_step[occurrence, step_index] = step.count
                 self.demand.note_step(
                     self.pool_of(job.spec),
                     step,
@@ -146,14 +177,14 @@
                 for task in tasks:
                     self._add_waiting(task)
 
-    def _is_done(self, job: Job, occurrence: int, step: int) -> bool:
-        tasks = job.tasks_by_step.get((occurrence, step))
-        return tasks is not None and all(task.state is TaskState.DONE for task in tasks)
+    @staticmethod
+    def _is_done(job: Job, occurrence: int, step: int) -> bool:
+        return job.undone_by_step.get((occurrence, step)) == 0
 
     def open_due(self) -> None:
         """Create the tasks of timed jobs whose next occurrences are due."""
         for job_id in list(self._timed_job_ids):
-            self.create_ready_tasks(self.job_by_id[job_id])
+            self._open_due_of(self.job_by_id[job_id])
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job at its caller's request and stop its runs."""
@@ -173,21 +204,25 @@
         self._timed_job_ids.discard(job.spec.job_id)
         self._remaining_tasks_by_job_id.pop(job.spec.job_id, None)
         self._unbegun_job_ids.discard(job.spec.job_id)
+        for index in range(len(job.spec.steps)):
+            self._waiting_by_job_step.pop((job.spec.job_id, index), None)
         for task in job.tasks():
             self.waiting_by_step.pop(task.id[:3], None)
             self.steps_with_losses.discard(task.id[:3])
             if task.state is TaskState.ASSIGNED:
                 self.stop_run(task, job.stop_reason)
 
-    def _count_done(self, job: Job) -> None:
+    def _count_done(self, job: Job, task: Task) -> None:
+        key = task.id.occurrence, task.id.step
+        job.undone_by_step[key] -= 1
         if job.state.is_final:
             return
         remaining = self._remaining_tasks_by_job_id[job.spec.job_id] - 1
         self._remaining_tasks_by_job_id[job.spec.job_id] = remaining
         if remaining == 0:
             self._finish(job, JobState.COMPLETE)
-        else:
-            self.create_ready_tasks(job)
+        elif not job.undone_by_step[key]:
+            self._create_ready_tasks_of(job, task.id.occurrence)
 
     def stop_run(self, task: Task, reason: StopReason) -> None:
         """Request that the current run of a task be stopped."""
@@ -375,7 +410,10 @@
     def _add_waiting(self, task: Task) -> None:
         if task.is_held:
             return
-        self.waiting_by_step.setdefault(task.id[:3], {})[task.id.number] = task
+        waiting = self.waiting_by_step.setdefault(task.id[:3], {})
+        if task.id.number not in waiting:
+            self._waiting_by_job_step[task.id.job_id, task.id.step] += 1
+        waiting[task.id.number] = task
         if task.losses:
             self._hold_if_to_blame(task)
 
@@ -383,7 +421,8 @@
         waiting = self.waiting_by_step.get(task.id[:3])
         if waiting is None:
             return
-        waiting.pop(task.id.number, None)
+        if waiting.pop(task.id.number, None) is not None:
+            self._waiting_by_job_step[task.id.job_id, task.id.step] -= 1
         if not waiting:
             del self.waiting_by_step[task.id[:3]]
 
--- a/tests/batch/test_large_jobs.py
+++ b/tests/batch/test_large_jobs.py
@@ -15,6 +15,7 @@
 from rhubarbmount.batch.placing import Placer
 from rhubarbmount.batch.progress_records import Detail, encode_piece
 from rhubarbmount.batch.shard import Shard
+from rhubarbmount.batch.shard_jobs import MAX_WAITING_PER_STEP
 from rhubarbmount.batch.shard_rows import JobReader
 from rhubarbmount.batch.silent_servers import MAX_SERVERS, SilentServers
 from rhubarbmount.batch.tables import (
@@ -278,3 +279,77 @@
         with pytest.raises(PlatformUnavailable):
             await store.commit({}, {pending_row("shard-0"): bytes(101)})
         assert not world.platform.store.call_count
+
+
+def make_scheduled_shard(occurrences, *steps):
+    """Return a shard with a job of which all occurrences are due, and room for some."""
+    shard = Shard(CATALOGUE, wall_clock_s=occurrences * 1.0)
+    add(shard, "s1", cpu_millicores=50_000, memory_mb=50_000)
+    shard.add_job(Job(spec(*steps, repeats=occurrences, period_s=1.0)))
+    return shard
+
+
+def play_out(shard):
+    """Place and end tasks until none is left.
+
+    Return the tasks in their order, and how many steps waited at once.
+    """
+    ended = []
+    most_waiting = 0
+    while True:
+        shard.open_due()
+        most_waiting = max(most_waiting, len(shard.waiting_by_step))
+        assignments = Placer(shard).place(1.0)
+        if not assignments:
+            return ended, most_waiting
+        for assignment in assignments:
+            ended.append(assignment.task)
+            report_end(shard, assignment, number=len(ended))
+
+
+# Guards against a holder that looks at every occurrence on each pass and at each end,
+# and has no time left for other jobs.
+def test_all_occurrences_run_while_few_wait_at_once(monkeypatch):
+    occurrences = 5000
+    looked_at = []
+    create = Shard._create_ready_tasks_of
+
+    def count(shard, job, occurrence):
+        looked_at.append(occurrence)
+        create(shard, job, occurrence)
+
+    monkeypatch.setattr(Shard, "_create_ready_tasks_of", count)
+    shard = make_scheduled_shard(occurrences, step(), step(2, after=(0,)))
+    ended, most_waiting = play_out(shard)
+    assert most_waiting <= 2 * MAX_WAITING_PER_STEP
+    assert shard.job_by_id["j1"].state is JobState.COMPLETE
+    assert len(ended) == len(set(ended)) == 3 * occurrences
+    # Once as it opens, and as each of its steps ends.
+    assert len(looked_at) <= 3 * occurrences
+
+
+# Guards against occurrences that never run, as a step that nothing can run is in front.
+def test_a_step_that_nothing_can_run_keeps_no_other_from_running():
+    shard = make_scheduled_shard(1000, step(label="none"), step())
+    assert len(play_out(shard)[0]) == 1000
+
+
+# Guards against occurrences that are lost or run twice at a takeover.
+async def test_a_takeover_goes_on_where_the_last_holder_was():
+    shard = make_scheduled_shard(1000, step())
+    committer, rows = make_rows(shard)
+    ended = []
+    for _ in range(5):
+        shard.open_due()
+        for assignment in Placer(shard).place(1.0):
+            ended.append(assignment.task)
+            report_end(shard, assignment, number=len(ended))
+    rows.put_changed()
+    await rows.write_batch.commit()
+    job = load(committer)
+    next_shard = Shard(CATALOGUE, wall_clock_s=1000.0)
+    add(next_shard, "s1", cpu_millicores=50_000, memory_mb=50_000)
+    next_shard.add_job(job)
+    ended += play_out(next_shard)[0]
+    assert job.state is JobState.COMPLETE
+    assert len(ended) == len(set(ended)) == 1000
