Give a pool that has tasks and no server a host of a busy pool

Cause: a pool that is short takes idle hosts of others, and its own hosts are never free while tasks wait for each place. The log shows move host=m0..m3 pool=two, then pool-short pool=one tasks=6 ready_cores=0 for 30 s.

Change: after 1.5 s with tasks and without a server, a host of the pool with most servers gets no new tasks until it is free, and is moved. Tasks that last, due hosts and a pool's last server are left alone.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -10,6 +10,7 @@
 from rhubarbmount.batch.model import Host, HostState
 from rhubarbmount.batch.placing import Shortage
 from rhubarbmount.batch.server_usage import ServerUsage
+from rhubarbmount.batch.starved_pools import StarvedPools
 
 __all__ = ["CapacityPlanner", "Move", "PoolCapacity"]
 
@@ -76,6 +77,7 @@
 class CapacityPlanner:
     """Moves idle hosts to pools short of capacity, and the others to standby."""
 
+    starved: StarvedPools = attrs.field(factory=StarvedPools)
     _command_by_host: dict[str, _MoveCommand] = attrs.field(factory=dict)
 
     def plan(
@@ -115,7 +117,15 @@
         for host in free_hosts:
             if host.pool in capacities:
                 capacities[host.pool].free_servers += 1
-        moves = self._scale_up(catalogue, free_hosts, capacities)
+        moves = self._move_emptied(free_hosts, capacities)
+        moves.extend(self._scale_up(catalogue, free_hosts, capacities))
+        self.starved.plan(
+            now_s,
+            _starved_pools(capacities),
+            host_list,
+            usages_by_server_name,
+            {*blocked_host_ids, *self._command_by_host},
+        )
         moves.extend(
             self._scale_down(
                 now_s, catalogue, free_hosts, usages_by_server_name, capacities, moves
@@ -199,6 +209,24 @@
             pool.missing_servers += shortage.servers
         return capacities
 
+    def _move_emptied(
+        self, free_hosts: list[Host], capacities: Mapping[str, PoolCapacity]
+    ) -> list[Move]:
+        """Move the free hosts that were emptied for a pool without servers."""
+        moves = []
+        for host in list(free_hosts):
+            pool = self.starved.pool_waiting_for(host.id)
+            if pool is None or pool not in capacities:
+                continue
+            capacity = capacities[pool]
+            if capacity.is_short and not capacity.available_millicores:
+                free_hosts.remove(host)
+                needed = capacity.needed_millicores
+                moves.append(Move(host.id, pool, "starved", needed))
+                capacity.available_millicores += host.cpu_millicores
+                capacity.missing_servers -= 1
+        return moves
+
     def _scale_up(
         self,
         catalogue: Catalogue,
@@ -304,6 +332,15 @@
     return pool.long_running_millicores + int(cores * 1000)
 
 
+def _starved_pools(capacities: Mapping[str, PoolCapacity]) -> list[str]:
+    """Return the pools that are short, and have no server and none on its way."""
+    return [
+        name
+        for name, capacity in capacities.items()
+        if capacity.is_short and capacity.available_millicores <= 0
+    ]
+
+
 def _is_free(usage: ServerUsage) -> bool:
     is_unavailable = (
         usage.is_closed
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -260,10 +260,30 @@
             self.shard.count_stranded(),
         )
         self._log_shortages()
+        self._mark_emptying()
         for move in moves:
             self.capacity.note_command(move, monotonic_s())
             self._start_command(move.host_id, self._move, move)
 
+    def _mark_emptying(self) -> None:
+        """Keep new tasks from the hosts that are emptied for pools without servers."""
+        names = set()
+        for host_id in self.capacity.starved.emptying_host_ids:
+            host = self.host_by_id[host_id]
+            names.add(host.server_name)
+            for usage in self.shard.usages_on(host):
+                if not usage.is_emptying:
+                    log.event(
+                        logger,
+                        "host-emptying",
+                        host=host_id,
+                        server=usage.server.id,
+                        pool=self.capacity.starved.pool_waiting_for(host_id),
+                        tasks=len(usage.task_by_id),
+                    )
+        for usage in self.shard.usage_by_server_id.values():
+            usage.is_emptying = usage.server.name in names
+
     def _log_shortages(self) -> None:
         """Log at most once a second which pools lack capacity for waiting tasks."""
         now_s = monotonic_s()
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -29,6 +29,8 @@
     # Set only after the first response to this holder, which lists the runs there.
     is_reachable: bool = False
     is_closed: bool = False
+    # Set while the host is emptied for another pool.
+    is_emptying: bool = False
     has_pending_command: bool = False
     # Set while the host is waiting for maintenance.
     is_due: bool = False
@@ -107,6 +109,7 @@
         """Return whether new tasks may be assigned to the server."""
         if (
             self.is_closed
+            or self.is_emptying
             or self.is_leaving
             or now_s < max(self.full_until_s, self.slow_until_s)
         ):
--- a/tests/batch/test_large_jobs.py
+++ b/tests/batch/test_large_jobs.py
@@ -30,9 +30,12 @@
 from rhubarbmount.batch.write_batch import WriteBatch
 from rhubarbmount.errors import PlatformUnavailable
 from rhubarbmount.platform.rows import DEFAULT_ROW_BYTES, Row, RowStore
+from rhubarbmount.standins.users_servers import TaskWork
+from tests.batch.checkers import JobChecker
+from tests.batch.test_days import submit, wait_complete
 from tests.batch.test_job_api import BODY, call, make_job_api
 from tests.batch.test_shard import CATALOGUE, add, report_end, spec, step
-from tests.batch.world import STORE, SimulatedCaller, open_world
+from tests.batch.world import STORE, SimulatedCaller, open_world, route, unix_time_s
 
 WIDE = 10_000
 
@@ -353,3 +356,43 @@
     ended += play_out(next_shard)[0]
     assert job.state is JobState.COMPLETE
     assert len(ended) == len(set(ended)) == 1000
+
+
+def put_pools(world, *pools):
+    """Add pools of three machines with a queue each, and none to share."""
+    services = [{"name": pool, "admission_control": True} for pool in pools]
+    routes = [route(f"/{pool}/", pool) for pool in pools]
+    world.platform.put_catalogue(
+        {"version": 1, "routes": routes, "services": services, "limits": {}}
+    )
+    for number in range(3 * len(pools)):
+        world.platform.add_machine(f"m{number}", pools[number // 3], f"r{number % 2}")
+
+
+# Guards against review case 1: a large job is accepted, and no other one starts.
+async def test_small_jobs_complete_beside_a_large_one(monkeypatch, autojump_clock):
+    async with open_world(monkeypatch) as world:
+        put_pools(world, "one", "two")
+        world.start_node("n1")
+        await trio.sleep(3.0)
+        large_id, phase = "0" * 16, {"count": 1, "cpu": 1000, "mem_mb": 500}
+        work = TaskWork(0.3, 1000, 500)
+        world.add_work(large_id, [phase], [work])
+        count = 30_000
+        schedule = {
+            "repeats": count,
+            "start_ms": int((unix_time_s() - count) * 1000),
+            "period_ms": 1000,
+        }
+        body = {"spec": large_id, "phases": [phase], **schedule}
+        assert (await world.call("POST", f"/two/{large_id}", body))[0] == 200
+        await trio.sleep(1.0)
+        checker = JobChecker(world)
+        job_ids = []
+        for number in range(1, 4):
+            small_id = f"{number:016x}"
+            job_ids.append(small_id)
+            small = (small_id, [phase], [work])
+            assert await submit(world, checker, "/one/", small)
+        assert not await wait_complete(world, checker, "/one/", job_ids, 10.0)
+        assert (await world.call("GET", f"/two/{large_id}"))[1] == {"state": "active"}
