Conclude nothing from what a full list of ends lacks

Cause: a server lists 500 ends at a time, and a run neither listed as running nor as ended was taken for gone. The log shows it: the new holder reads ends 1 to 500 at 17:23:02.568, starts run 2 of the tasks with the ends after them at .593, and reads those ends at .660. Ruled out: a lapsed lease (none; granted 4 s), a late start (the starts were decided by this holder). The same without a takeover, where acknowledgements wait for the store.

Change: the adapter says whether a list is cut, and what a cut one lacks says nothing, at a takeover, for a live holder, and for an earlier lifetime under the same name.

--- a/rhubarbmount/batch/run_lists.py
+++ b/rhubarbmount/batch/run_lists.py
@@ -56,12 +56,24 @@
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s, response.clock_ms)
         self._apply_running(session, usage, response, now_s)
+        if not response.is_cut:
+            self._handle_missing_runs(session, usage, response, sent_s, now_s)
+        for command in self._pacing.decide(usage, response.running, now_s):
+            session.send(command)
+
+    def _handle_missing_runs(
+        self,
+        session: ServerSession,
+        usage: ServerUsage,
+        response: RenewalResponse,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Requeue the tasks of runs that a list lacks which shows every run."""
         running = {(item.task, item.run) for item in response.running}
         for task in list(usage.task_by_id.values()):
             if (task.id, task.run) not in running:
                 self._handle_missing_run(session, task, sent_s, now_s)
-        for command in self._pacing.decide(usage, response.running, now_s):
-            session.send(command)
 
     def forget(self, name: str) -> None:
         """Drop the state kept for the lifetimes of a server whose row was removed."""
@@ -184,13 +196,13 @@
     ) -> None:
         """Requeue the task of an assigned run that the server no longer has.
 
-        A run assigned by an earlier holder is given up if the first list of the
+        A run assigned by an earlier holder is given up if the first whole list of the
         session lacks it; one of this holder if its start was acknowledged before the
         list was requested.
         """
         is_of_last_holder = task.assigned_s == 0.0
         if is_of_last_holder:
-            if not session.is_established:
+            if not session.has_whole_list:
                 self.shard.release(task, now_s)
         elif 0.0 < task.acknowledged_s < sent_s:
             log.event(
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -86,6 +86,8 @@
     acknowledged: int = 0
     listed_to: int = 0
     is_established: bool = False
+    # Whether a list was read that shows every run.
+    has_whole_list: bool = False
     # Set once another lifetime of the name has answered; nothing is sent from then on.
     is_superseded: bool = False
     # Since when no call has been answered.
@@ -301,6 +303,7 @@
         self._record_response()
         self.listed_to = max([self.listed_to, *(end.number for end in response.ended)])
         self.is_established = True
+        self.has_whole_list = self.has_whole_list or not response.is_cut
         return response
 
     def _apply_list(self, response: RenewalResponse, sent_s: float) -> bool:
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -242,7 +242,8 @@
         """End the other lifetimes of the server, and on its host, as this one answers.
 
         They follow one another. One that had begun before the call was sent thus ended
-        before the call was answered.
+        before the call was answered. What became of runs under the same name is told by
+        a list that shows all of them.
         """
         server_id = session.server.id
         over = [
@@ -259,6 +260,8 @@
         ]
         for other_id in over:
             if name_of(other_id) == name_of(server_id):
+                if response.is_cut:
+                    continue
                 self._move_runs(other_id, session, response, sent_s)
                 self.handle_server_end(other_id, "other-lifetime", by=server_id)
             else:
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -31,6 +31,8 @@
 RENEWAL_MARGIN_S = 0.35
 # A run is listed by each renewal until it ends.
 MAX_KEPT_TASKS = 8192
+# How many ends of runs a server lists at a time.
+MAX_LISTED_ENDS = 500
 
 
 class CommandResult(enum.Enum):
@@ -69,6 +71,7 @@
     """Response to a renewal: current runs, and run ends not yet acknowledged.
 
     ``born_ms`` is when the lifetime that answered began, or 0 if it was not stated.
+    If the list ``is_cut``, further runs may have ended, which it does not show.
     """
 
     result: CommandResult
@@ -76,6 +79,7 @@
     running: tuple[RunReport, ...] = ()
     ended: tuple[RunEnd, ...] = ()
     born_ms: int = 0
+    is_cut: bool = False
 
 
 @attrs.frozen
@@ -223,12 +227,14 @@
     command_response = _decode_command_response(response)
     if command_response.result is not CommandResult.DONE:
         return RenewalResponse(command_response.result, command_response.clock_ms)
+    ended = tuple(_decode_run_ends(response.body.get("finished")))
     return RenewalResponse(
         CommandResult.DONE,
         command_response.clock_ms,
         tuple(_decode_run_reports(response.body.get("running"))),
-        tuple(_decode_run_ends(response.body.get("finished"))),
+        ended,
         int(response.body.get("born") or 0),
+        is_cut=len(ended) >= MAX_LISTED_ENDS,
     )
 
 
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -20,6 +20,8 @@
 RESIZE_NOTICE_S = 3.0 + 1.5
 # A longer lease is shortened to this.
 MAX_LEASE_S = 10.0
+# So many ends are listed at a time.
+MAX_LISTED_ENDS = 500
 
 
 @attrs.frozen
@@ -204,7 +206,8 @@
         if not self.ended and wait_s:
             with trio.move_on_after(wait_s):
                 await self._run_ended.wait()
-        self._listed_to = max([self._listed_to, *(end[0] for end in self.ended)])
+        listed = self.ended[:MAX_LISTED_ENDS]
+        self._listed_to = max([self._listed_to, *(end[0] for end in listed)])
         running = [
             [run.task, run.run, "", self._progress_percent(run), 0]
             for run in self.run_by_task.values()
@@ -215,7 +218,7 @@
                 "clock_ms": self.clock_ms(),
                 "born": self.born_ms,
                 "running": running,
-                "finished": list(self.ended),
+                "finished": listed,
             },
         )
 
