Keep what its queue granted with each job

Cause: attempts, priority, objective and advice were looked up in the current configuration, and a queue that is not there had one attempt (log: catalogue version=5 queues=1, then job-ended state=failed runs=1 failures=1 catalogue=5). Ruled out: a second failed run (the server ended one), a lost server (none).

Change: requests and specs hold the queue's settings of the acceptance; they hold once the queue is gone. For rows of older builds the holder keeps what it saw last.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -177,7 +177,7 @@
 
         Raises LeaseLost when another process has taken the lease.
         """
-        self.shard.catalogue = catalogue
+        self.shard.set_catalogue(catalogue)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._measure_lag)
             self._open_sessions(nursery)
@@ -247,7 +247,7 @@
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a new version of the configuration."""
-        self.shard.catalogue = catalogue
+        self.shard.set_catalogue(catalogue)
         self.wake()
 
     def note_stored_request(self, version: int) -> None:
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -156,7 +156,11 @@
 
 @attrs.frozen
 class JobSpec:
-    """Job as submitted by its caller; times are seconds since the epoch."""
+    """Job as submitted by its caller; times are seconds since the epoch.
+
+    ``queue_settings`` is its queue as it was when the job was accepted. It holds once
+    the queue is removed; builds that do not store it leave it out.
+    """
 
     job_id: str
     queue: QueueName
@@ -167,6 +171,7 @@
     repeats: int = 0
     start_s: float = 0.0
     period_s: float = 0.0
+    queue_settings: Queue | None = None
 
     @property
     def occurrence_count(self) -> int:
--- a/rhubarbmount/batch/records.py
+++ b/rhubarbmount/batch/records.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rhubarbmount.batch.model import JobSpec, QueueName, RunEnd, Step, TaskId
+from rhubarbmount.batch.model import JobSpec, Queue, QueueName, RunEnd, Step, TaskId
 from rhubarbmount.batch.record_fields import (
     build_record,
     check_types,
@@ -110,9 +110,19 @@
     values = attrs.asdict(spec, recurse=False)
     values["queue"] = list(spec.queue)
     values["steps"] = [_encode_step(step) for step in spec.steps]
+    values["queue_settings"] = _encode_queue(spec.queue_settings)
     return compress_if_large(_dump(values))
 
 
+def _encode_queue(queue: Queue | None) -> dict[str, Any] | None:
+    if queue is None:
+        return None
+    values = attrs.asdict(queue, recurse=False)
+    # It is that of the job.
+    del values["name"]
+    return values
+
+
 def _encode_step(step: Step) -> dict[str, Any]:
     values = attrs.asdict(step, recurse=False)
     return {
@@ -132,6 +142,11 @@
     values["steps"] = tuple(
         _decode_step(step, len(values["steps"])) for step in values["steps"]
     )
+    settings = values.get("queue_settings")
+    if settings is not None:
+        values["queue_settings"] = build_record(
+            Queue, {**settings, "name": values["queue"]}
+        )
     return build_record(JobSpec, values)
 
 
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -77,6 +77,8 @@
     )
     # Steps with tasks that have lost servers.
     steps_with_losses: set[StepKey] = attrs.field(factory=set)
+    # For jobs of older builds, which do not store what their queue was.
+    _removed_queue_by_name: dict[QueueName, Queue] = attrs.field(factory=dict)
     _remaining_tasks_by_job_id: dict[str, int] = attrs.field(factory=dict)
     # Jobs of which no run is known to have begun.
     _unbegun_job_ids: set[str] = attrs.field(factory=set)
@@ -294,9 +296,23 @@
         usage = self.usage_by_server_id.get(task.server_id)
         return usage is not None and task.id in usage.suspect_ids
 
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Apply a version of the configuration; keep what it removes."""
+        for name, queue in self.catalogue.queue_by_name.items():
+            if name not in catalogue.queue_by_name:
+                self._removed_queue_by_name[name] = queue
+        self.catalogue = catalogue
+
     def queue_of(self, spec: JobSpec) -> Queue | None:
-        """Return the queue of a job in the current configuration, or None."""
-        return self.catalogue.queue_by_name.get(spec.queue)
+        """Return the queue of a job, or None if nothing is known of it any more.
+
+        Jobs of a removed queue keep what it was when they were accepted.
+        """
+        return (
+            self.catalogue.queue_by_name.get(spec.queue)
+            or spec.queue_settings
+            or self._removed_queue_by_name.get(spec.queue)
+        )
 
     def pool_of(self, spec: JobSpec) -> str:
         """Return the pool that runs a job; a removed queue keeps its last pool."""
--- a/rhubarbmount/platform/job_messages.py
+++ b/rhubarbmount/platform/job_messages.py
@@ -78,6 +78,7 @@
         repeats=repeats,
         start_s=_non_negative_number(values, "start_ms") / 1000,
         period_s=_non_negative_number(values, "period_ms") / 1000,
+        queue_settings=queue,
     )
 
 
