Bar a request that is written after its cancellation

Cause: the cancellation of a job that isn't there left nothing behind, while the write of the POST could still be carried out (log: submit outcome=unknown at 17:23:00.2, cancel outcome=unknown-job at 02.0, job-seen at 02.8). Ruled out: a repetition of the POST by its host (it had given up), a holder that missed a cancellation (there was no row).

Change: the cancellation writes its row on the condition that there is no request, and requests are written on the condition that there is no cancellation. The holder remembers cancellations without a job, for hosts of older builds, and removes their rows after the retention.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -17,7 +17,7 @@
 from rhubarbmount.batch.fleet_controller import FleetController
 from rhubarbmount.batch.handover_records import HandoverRecords
 from rhubarbmount.batch.host_commands import HostCommands
-from rhubarbmount.batch.job_remover import JobRemover, RemovedJobs
+from rhubarbmount.batch.job_remover import BarredJobs, JobRemover, RemovedJobs
 from rhubarbmount.batch.job_rows import JobRows
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.lifetimes import name_of
@@ -116,8 +116,7 @@
     _job_reader: JobReader = attrs.field(init=False)
     # Up to when the requests were known as they were loaded, by the store's clock.
     _requests_loaded_until_s: float | None = None
-    # Jobs whose cancellation was heard of before their requests were read.
-    _cancelled_before_read: set[str] = attrs.field(factory=set)
+    _barred_jobs: BarredJobs = attrs.field(factory=BarredJobs)
     # Progress stored by builds that did not store specs.
     _progress_without_spec_by_id: dict[str, Row] = attrs.field(factory=dict)
 
@@ -231,6 +230,7 @@
             self.bounds.status_s,
             self._remove_job_rows,
             self._removed_jobs,
+            self._barred_jobs,
         )
 
     def grants_end_s(self) -> float:
@@ -366,7 +366,6 @@
                 lambda page: self._apply_requests(page, False)
             )
         self._job_rows.has_all_jobs = True
-        self._cancelled_before_read.clear()
         log.event(
             logger,
             "requests-loaded",
@@ -439,10 +438,10 @@
         return max(followed_s, self._requests_loaded_until_s or 0.0)
 
     def _cancel_job(self, job_id: str) -> None:
-        """Cancel a job, or note that for when its request has been read."""
+        """Cancel a job, or note that for when its request is read, if ever."""
         self.shard.cancel(job_id)
-        if job_id not in self.shard.job_by_id and not self._job_rows.has_all_jobs:
-            self._cancelled_before_read.add(job_id)
+        if job_id not in self.shard.job_by_id:
+            self._barred_jobs.add(job_id, wall_clock_s())
 
     def _knows_job_of(self, request: Row) -> bool:
         is_listed = request.name.key in self.shard.job_by_id
@@ -461,7 +460,7 @@
             monotonic_s(),
         )
         log.frequent_event(logger, "job-seen", job=spec.job_id, version=row.version)
-        if spec.job_id in self._cancelled_before_read:
+        if spec.job_id in self._barred_jobs:
             self.shard.cancel(spec.job_id)
 
     # Scheduling.
--- a/rhubarbmount/batch/job_api.py
+++ b/rhubarbmount/batch/job_api.py
@@ -57,6 +57,10 @@
 Value = TypeVar("Value")
 
 METHODS = ("POST", "GET", "DELETE")
+# Outcomes of a write after which the row is there.
+STORED = ("stored", "stored-before")
+# Outcome of a write that another row forbids.
+BARRED = "barred"
 ALLOWED_METHODS = ", ".join(METHODS)
 DEFAULT_DEADLINE_S = 3.0
 # Part of the deadline reserved for sending the response to the caller.
@@ -192,38 +196,52 @@
             spec = decode_job(job_id, queue, body, wall_clock_s())
         except UsageError as error:
             return self._decline(400, error.code, error.message, job_id)
-        name = request_row(_shard(queue, job_id), job_id)
+        shard = _shard(queue, job_id)
+        name, bar = request_row(shard, job_id), cancel_row(shard, job_id)
         try:
             outcome, version = await self._write_once(
-                name, encode_spec(spec), expires_s
+                name, encode_spec(spec), expires_s, unless=bar
             )
         except RowsRefused as error:
             return self._decline(400, error.code, "the job can't be stored", job_id)
         self._log_decision("submit", queue, job_id, outcome, version)
+        if outcome == BARRED:
+            message = "the job was cancelled before it was stored"
+            return problem(410, "cancelled", message, Outcome.NOT_RUN)
         return _write_response(outcome, "retry with the same job ID")
 
     async def _write_once(
-        self, name: RowName, value: bytes, expires_s: float
+        self,
+        name: RowName,
+        value: bytes,
+        expires_s: float,
+        unless: RowName | None = None,
     ) -> tuple[str, int]:
         """Create a row; return an outcome code and the row's version.
 
+        Nothing is written, now or late, while there is a row ``unless``.
+
         Repeats the write until it succeeds, the time is up or the store is out of
         reach. The outcome is "unknown" if any attempt may still have taken effect.
         Raises RowsRefused for a value that can't be stored.
         """
         is_unknown = False
+        expected = {name: 0} if unless is None else {name: 0, unless: 0}
         while True:
             timeout_s = max(MIN_CALL_TIMEOUT_S, expires_s - trio.current_time())
             timeout_s = min(timeout_s, WRITE_TIMEOUT_S)
             try:
                 version = await self.store.commit(
-                    {name: 0}, {name: value}, timeout_s=timeout_s
+                    expected, {name: value}, timeout_s=timeout_s
                 )
                 self.on_stored(version)
                 return "stored", version
             except RowConflict as error:
-                found = [row for row in error.rows if row.name == name]
-                return "stored-before", found[0].version if found else 0
+                version_by_name = {row.name: row.version for row in error.rows}
+                if unless is None or version_by_name.get(name):
+                    return "stored-before", version_by_name.get(name, 0)
+                if version_by_name.get(unless):
+                    return BARRED, version_by_name[unless]
             except RowsRefused:
                 raise
             except (OutcomeUnknown, PlatformUnavailable) as error:
@@ -343,17 +361,25 @@
     async def _cancel(
         self, queue: Queue, job_id: str, expires_s: float
     ) -> HttpResponse:
+        """Cancel a job; bar its request, which may still be written, if there is none.
+
+        Only then no entry host stores the job after the answer that there is none.
+        """
         shard = _shard(queue, job_id)
+        name, request = cancel_row(shard, job_id), request_row(shard, job_id)
         try:
-            row = await self._read_row(request_row(shard, job_id), expires_s)
+            is_requested = await self._read_row(request, expires_s) is not None
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._log_decision("cancel", queue, job_id, error.code, 0)
             return _store_unavailable()
-        if row is None:
-            self._log_decision("cancel", queue, job_id, "unknown-job", 0)
+        if not is_requested:
+            outcome, version = await self._write_once(name, b"{}", expires_s, request)
+            is_requested = outcome == BARRED
+        if is_requested:
+            outcome, version = await self._write_once(name, b"{}", expires_s)
+        elif outcome in STORED:
+            self._log_decision("cancel", queue, job_id, "unknown-job", version)
             return problem(410, "no-job", "no such job")
-        name = cancel_row(shard, job_id)
-        outcome, version = await self._write_once(name, b"{}", expires_s)
         self._log_decision("cancel", queue, job_id, outcome, version)
         return _write_response(outcome, "retry the cancellation")
 
@@ -397,7 +423,7 @@
 
 def _write_response(outcome: str, advice: str) -> HttpResponse:
     """Return the response for the outcome of creating a row."""
-    if outcome in ("stored", "stored-before"):
+    if outcome in STORED:
         return json_response({})
     if outcome == "unknown":
         message = f"the store did not answer in time; {advice}"
