--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -121,7 +121,7 @@
         moves.extend(self._scale_up(catalogue, free_hosts, capacities))
         self.starved.plan(
             now_s,
-            _starved_pools(capacities),
+            _starved_pools(capacities, usages_by_server_name),
             host_list,
             usages_by_server_name,
             {*blocked_host_ids, *self._command_by_host},
@@ -332,12 +332,25 @@
     return pool.long_running_millicores + int(cores * 1000)
 
 
-def _starved_pools(capacities: Mapping[str, PoolCapacity]) -> list[str]:
-    """Return the pools that are short, and have no server and none on its way."""
+def _starved_pools(
+    capacities: Mapping[str, PoolCapacity],
+    usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
+) -> list[str]:
+    """Return the pools that are short, and have no server and none on its way.
+
+    A server that takes no tasks for a while, as it is slow, is one all the same.
+    """
+    pools_with_servers = {
+        usage.server.service
+        for usage in chain.from_iterable(usages_by_server_name.values())
+        if usage.is_reachable and not usage.is_leaving
+    }
     return [
         name
         for name, capacity in capacities.items()
-        if capacity.is_short and capacity.available_millicores <= 0
+        if capacity.is_short
+        and capacity.available_millicores <= 0
+        and name not in pools_with_servers
     ]
 
 
--- a/rhubarbmount/batch/job_rows.py
+++ b/rhubarbmount/batch/job_rows.py
@@ -122,10 +122,8 @@
 
     def _put_fitting(self, name: RowName, encode: Callable[[Detail], bytes]) -> None:
         """Write progress with as much detail as a row holds."""
-        value = encode(Detail.FULL)
         for detail in Detail:
-            if detail is not Detail.FULL:
-                value = encode(detail)
+            value = encode(detail)
             if len(value) <= self.row_bytes:
                 break
             log.event(
--- a/tests/batch/test_starved_pools.py
+++ b/tests/batch/test_starved_pools.py
@@ -52,11 +52,13 @@
     assert emptied_at(planner, STARVED_AFTER_S + 0.6, fleet) == ([], [])
 
 
-# Guards against hosts taken from a busy pool for one that is merely busier.
-def test_no_host_is_emptied_for_a_pool_that_has_one(planner):
+# Guards against hosts taken from a busy pool for one that is merely busier, or slow.
+@pytest.mark.parametrize("slow_until_s", [0.0, 100.0])
+def test_no_host_is_emptied_for_a_pool_that_has_one(planner, slow_until_s):
     fleet = make_fleet(busy("s0"), busy("s1"))
     hosts, usages = fleet
     own = usage("s9", "one")
+    own.slow_until_s = slow_until_s
     fleet = [*hosts, host("m-s9", "one", server_id="s9")], [*usages, own]
     for now_s in (0.0, STARVED_AFTER_S, 2 * STARVED_AFTER_S):
         assert emptied_at(planner, now_s, fleet)[1] == []
