Let no signal but the first SIGTERM end an entry host

Cause: the handlers were there only from the end of the start until the first SIGTERM; before and after, SIGHUP and further SIGTERMs had their default action.

Change: SIGHUP is ignored from the program's first instruction; the handlers are there before anything listens and until the end; what comes during a stop is logged (signal-passed-over). Not changed: the product's own server, which handles no SIGHUP.

--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -66,6 +66,7 @@
 SETTINGS_POLL_S = 1.0
 # Must match deploy/system.toml.
 METRICS_PORT = 9464
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 METRICS_PATH = "/metrics"
 
 
@@ -141,7 +142,14 @@
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        """Serve until SIGTERM or SIGINT, then stop gracefully.
+
+        Further signals end nothing, so that none cuts a request.
+        """
+        with trio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
+            await self._run(signals)
+
+    async def _run(self, signals: AsyncIterator[int]) -> None:
         settings = self.settings
         callers = Listener("callers", self.job_api.handle)
         ready = Listener("ready", self._handle_ready)
@@ -160,7 +168,8 @@
                 data_centre=settings.data_centre,
                 store=settings.store_address,
             )
-            await self._wait_for_signal()
+            await self._wait_for_stop(signals)
+            nursery.start_soon(_pass_over, signals)
             await self._stop(callers)
             nursery.cancel_scope.cancel()
 
@@ -341,14 +350,12 @@
             return problem(503, "catalogue-old", "the configuration may have changed")
         return json_response({})
 
-    async def _wait_for_signal(self) -> None:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
-                self._reload()
+    async def _wait_for_stop(self, signals: AsyncIterator[int]) -> None:
+        """Reload the settings at each SIGHUP until a signal asks for a stop."""
+        async for number in signals:
+            if number in STOP_SIGNALS:
+                return
+            self._reload()
 
     async def _watch_settings(self) -> None:
         """Reload the settings when their file changes, even without SIGHUP."""
@@ -391,6 +398,13 @@
         log.flush()
 
 
+async def _pass_over(signals: AsyncIterator[int]) -> None:
+    """Log signals that come while the host stops."""
+    async for number in signals:
+        name = signal.Signals(number).name
+        log.event(logger, "signal-passed-over", signal=name)
+
+
 async def _keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run a task again after an unexpected error, which must not stop the host."""
     while True:
--- a/rhubarbmount/cli.py
+++ b/rhubarbmount/cli.py
@@ -1,5 +1,6 @@
 """Command-line entry point: a thin layer over porcelain."""
 
+import signal
 import sys
 
 from rhubarbmount.errors import FindingsError, RhubarbmountError
@@ -30,6 +31,8 @@
 def _run(arguments: list[str]) -> int:
     """Run a command; ``serve`` skips the argument parser to save memory."""
     if arguments == ["serve"]:
+        # The imports take their time, in which a reload may be asked for.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from rhubarbmount.batch import node
 
         return node.serve()
