Close the connections to servers that are gone

Cause: the client keeps a pool for each address it ever called, and nothing closed those of servers that moved or ended (JsonClient.forget had no caller). Ruled out: connections of callers, which their own listener bounds (by reading).

Not changed: idle connections beyond what the load needs, and what a process does near its limit.

--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -236,6 +236,8 @@
     connect_timeout_s: float
     body_bytes: int = 1048576
     idle: deque[ClientConnection] = attrs.field(factory=deque)
+    # Whether connections that are in use are closed when they are put back.
+    _is_retired: bool = False
 
     async def take(self, deadline_s: float = math.inf) -> ClientConnection:
         """Return a usable idle connection or open a new one. Raises NotSent."""
@@ -251,7 +253,7 @@
 
     async def put_back(self, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
-        if connection.reusable:
+        if connection.reusable and not self._is_retired:
             connection.was_reused = True
             connection.idle_since_s = trio.current_time()
             self.idle.append(connection)
@@ -275,6 +277,11 @@
         for connection in unusable:
             await connection.aclose()
 
+    async def retire(self) -> None:
+        """Close all connections, those in use as soon as they are put back."""
+        self._is_retired = True
+        await self.aclose()
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         while self.idle:
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -102,6 +102,10 @@
     client: JsonClient
     lateness: Lateness
 
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address that no server has any more."""
+        await self.client.forget(address)
+
     async def start(self, server: Server, command: StartCommand) -> CommandResponse:
         """Start a run."""
         body: dict[str, Any] = {
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -112,10 +112,10 @@
         raise OutcomeUnknown(message, code="timeout")
 
     async def forget(self, address: str) -> None:
-        """Close the pooled connections to an address."""
+        """Close the connections to an address, once nothing waits on them."""
         pool = self._pool_by_address.pop(address, None)
         if pool is not None:
-            await pool.aclose()
+            await pool.retire()
 
     async def aclose(self) -> None:
         """Close all pooled connections."""
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -108,6 +108,8 @@
 
     node_id: str
     world: "World"
+    # Addresses to which the connections were closed.
+    forgotten: list[str] = attrs.field(factory=list)
     _host: trio.Lock = attrs.field(factory=trio.Lock)
     _link: trio.Lock = attrs.field(factory=trio.Lock)
 
@@ -137,6 +139,9 @@
             return response
         raise OutcomeUnknown("no answer in time", code="timeout")
 
+    async def forget(self, address: str) -> None:
+        self.forgotten.append(address)
+
     async def _occupy_host(self) -> None:
         cost_s = self.world.faults.call_cost_s_by_node.get(self.node_id, 0.0)
         if cost_s:
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -173,3 +173,33 @@
 ):
     with trio.fail_after(5.0), pytest.raises(OutcomeUnknown, match="bytes arrived"):
         await call_slow_server(nursery, 20, server_pause_s, pause_s)
+
+
+# Guards against open files that grow with each server that moves or ends.
+async def test_no_connection_to_a_forgotten_address_is_left_open(nursery):
+    server = SilencedServer()
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    streams = []
+
+    async def serve(stream):
+        streams.append(stream)
+        await serve_quietly(server, stream)
+        streams.remove(stream)
+
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    async with open_json_client() as client:
+        address = f"127.0.0.1:{port}"
+        await client.call(address, "GET", "/")
+        async with trio.open_nursery() as calls:
+            for _ in range(3):
+                calls.start_soon(client.call, address, "GET", "/")
+            while len(streams) < 3:
+                await trio.sleep(0.001)
+            # Calls that are under way are answered all the same.
+            await client.forget(address)
+        assert server.answered == 4
+        await trio.sleep(0.1)
+        assert streams == []
+        assert (await client.call(address, "GET", "/")).status == 200
+    nursery.cancel_scope.cancel()
