--- a/tests/batch/test_server_lifetimes.py
+++ b/tests/batch/test_server_lifetimes.py
@@ -97,6 +97,9 @@
         number = 1 + max((end.number for end in self.ended), default=0)
         self.ended.append(RunEnd(number, task_id, run, outcome, ""))
 
+    async def forget(self, address):
+        """Have no connections to close."""
+
     async def renew(self, meant, fencing_token, acknowledged, expires_ms, wait_s):
         self.renewed.append(meant.id)
         await trio.sleep(0.01)
