--- a/rhubarbmount/batch/node.py
+++ b/rhubarbmount/batch/node.py
@@ -66,8 +66,8 @@
 SETTINGS_POLL_S = 1.0
 # Must match deploy/system.toml.
 METRICS_PORT = 9464
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 METRICS_PATH = "/metrics"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 @attrs.define(eq=False)
--- a/rhubarbmount/platform/rows.py
+++ b/rhubarbmount/platform/rows.py
@@ -51,9 +51,9 @@
 PAGE_ROWS = 500
 # What a row may hold where the settings say nothing else.
 DEFAULT_ROW_BYTES = 65_536
-UNREACHABLE_FAILURES = 2
 # Statuses, by method, that say something about the rows and not about the store.
 WITH_MEANING = {"GET": (410,), "POST": (400, 412)}
+UNREACHABLE_FAILURES = 2
 UNREACHABLE_SILENCE_S = 0.7
 
 
--- a/tests/batch/test_late_requests.py
+++ b/tests/batch/test_late_requests.py
@@ -29,6 +29,14 @@
     return MockClock(rate=0.0, autojump_threshold=0.0)
 
 
+async def start_hosts(world):
+    """Start a platform and two hosts, and wait until one of them holds the shard."""
+    start_platform(world)
+    for name in "ab":
+        world.start_node(name)
+    await trio.sleep(3.0)
+
+
 def has_row(world, name):
     return world.platform.store.get(name.table, name.part, name.key) is not None
 
@@ -110,10 +118,7 @@
     monkeypatch, autojump_clock, is_killed
 ):
     async with open_world(monkeypatch) as world:
-        start_platform(world)
-        for name in "ab":
-            world.start_node(name)
-        await trio.sleep(3.0)
+        await start_hosts(world)
         starts = []
         world.observers.append(lambda *event: starts.append(event))
         assert (await world.call("DELETE", f"/one/{JOB_ID}"))[0] == 410
@@ -132,10 +137,7 @@
     monkeypatch, autojump_clock, is_killed
 ):
     async with open_world(monkeypatch) as world:
-        start_platform(world)
-        for name in "ab":
-            world.start_node(name)
-        await trio.sleep(3.0)
+        await start_hosts(world)
         job_ids = [f"{number:016x}" for number in range(200)]
         for job_id in job_ids:
             assert (await world.call("DELETE", f"/one/{job_id}"))[0] == 410
@@ -158,10 +160,7 @@
 ):
     async with open_world(monkeypatch, seed) as world:
         checker = JobChecker(world)
-        start_platform(world)
-        for name in "ab":
-            world.start_node(name)
-        await trio.sleep(3.0)
+        await start_hosts(world)
         for _ in range(12):
             world.faults.store_is_late = world.generator.choice([0.0, 0.3, 0.8])
             job_id, phases, works = job(world.generator)
