--- a/review/world2.py
+++ b/review/world2.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -898,3 +899,4 @@
         return NOT_RUN
     finally:
         world.close()
+        shutil.rmtree(world.folder, ignore_errors=True)
