Review: a changed address in the settings is not followed

Found by reading node.py: a reload passes on the address of the store alone. Ruled out: a change without a signal, as the holder gets SIGHUP. Seen: a job with advice is queued 17 s later, and the new address is asked nothing.

--- a/review/world2.py
+++ b/review/world2.py
@@ -559,9 +559,15 @@
         self.process: subprocess.Popen | None = None
         self.log_path = world.folder / f"{self.name}.log"
         self._settings_path = world.folder / f"{self.name}.toml"
-        self._settings_path.write_text(self._settings(limits, bounds))
+        self._limits, self._bounds = limits, bounds
 
-    def _settings(self, limits: dict, bounds: dict) -> str:
+    def write_settings(self, advice: str = "") -> None:
+        """Write the settings file."""
+        self._settings_path.write_text(
+            self._settings(self._limits, self._bounds, advice)
+        )
+
+    def _settings(self, limits: dict, bounds: dict, advice: str) -> str:
         tables = {
             "zones": {"a": "r"},
             "listen": {
@@ -609,6 +615,7 @@
             "entry": "vip",
             "heartbeat_ms": 1500,
             "control_mode": "invoke",
+            "advice": advice,
         }
         lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
         for table, values in tables.items():
@@ -748,12 +755,17 @@
         await machine.worker.start()
 
     async def add_hosts(
-        self, count: int, limits: dict | None = None, bounds: dict | None = None
+        self,
+        count: int,
+        limits: dict | None = None,
+        bounds: dict | None = None,
+        advice: str = "",
     ) -> None:
         """Start entry hosts and wait until all of them are ready."""
         for number in range(1, count + 1):
             host = EntryHost(self, number, limits or {}, bounds or {})
             self.hosts.append(host)
+            host.write_settings(advice)
             host.start()
         for host in self.hosts:
             await self.await_ready(host)
