--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,9 +8,9 @@
 
 JOB = "5c0e7a21d94b36f8"
 # One job in twenty takes three times as long as the others, which is `poison`, `long`
-# with the share of the site.
+# with the share and the 3 s of the site.
 OTHER_JOBS = 19
-GAP_S = 0.8
+GAP_S = 0.15
 WORK_S = 2.0
 LONG_FACTOR = 3.0
 # From the end of the traffic.
