Stop no task as a straggler without end

Cause: a slow run was judged by what other runs take, and nothing bounded how often that hit one task. That its last run was as slow was forgotten, that no other server could run it was not asked, and run times are learned from runs that end as done. Shown by the log of the case: straggler lines of runs 1 to 7 on one server with the same elapsed_s and expected_s. The same cause with stalled runs: a percentage that changes less than once a second.

Ruled out: a wrong expected time (2.00 s, right for the others), a slow server (it ended 19 runs in time beside it).

Change: a stopped run raises the limits for the next run of its task (2.2 times what the last one would have taken; twice the time without progress), a slow run goes on where no other server takes tasks and could run it, and the time of two percent is no stall. The predicates of a server that placing and this one share moved to ServerUsage.

--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -208,6 +208,10 @@
     progress: RunProgress = attrs.field(factory=RunProgress)
     # Time that the completed run took, or 0 if it is not known.
     took_s: float = 0.0
+    # How many runs were stopped as they stalled, and the longest time that a run which
+    # was stopped as slow would have taken.
+    stalls: int = 0
+    longest_projected_s: float = 0.0
     # Share of full speed, in percent, that the backend server has acknowledged.
     pace: int = 100
     # Time when the backend server last acknowledged a command for the run.
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -34,16 +34,12 @@
 
 @placement_filters.register("label")
 def _accepts_label(usage: ServerUsage, step: Step, task: Task) -> bool:
-    return _has_label(usage, step)
-
-
-def _has_label(usage: ServerUsage, step: Step) -> bool:
-    return not step.label or step.label in usage.server.labels
+    return usage.has_label(step)
 
 
 @placement_filters.register("spread")
 def _is_below_max_per_server(usage: ServerUsage, step: Step, task: Task) -> bool:
-    return not step.max_per_server or usage.count_of(task.id) < step.max_per_server
+    return usage.is_below_max_per_server(step, task.id)
 
 
 @placement_filters.register("another-server")
@@ -201,7 +197,7 @@
             if not usage.has_long_running
             and not usage.suspect_ids
             and usage.fits_among_long_running(step)
-            and _has_label(usage, step)
+            and usage.has_label(step)
         ]
         held = min(
             candidates,
@@ -225,9 +221,7 @@
         candidates = [
             usage
             for usage in self._eligible(servers.usages, job, step_key)
-            if usage.fits_among_long_running(step)
-            and _has_label(usage, step)
-            and _is_below_max_per_server(usage, step, task)
+            if usage.accepts(step, task.id)
         ]
         return max(
             candidates,
@@ -424,7 +418,7 @@
     best_rack, best = None, (0, 0, "")
     for rack in {usage.server.rack for usage in usages}:
         on_rack = [usage for usage in usages if usage.server.rack == rack]
-        accepting = [usage for usage in on_rack if _has_label(usage, step)]
+        accepting = [usage for usage in on_rack if usage.has_label(step)]
         places = min(step.count, sum(usage.places_for(step) for usage in accepting))
         free = sum(usage.free_cpu_millicores for usage in accepting)
         if (places, free, rack) > best:
--- a/rhubarbmount/batch/run_lists.py
+++ b/rhubarbmount/batch/run_lists.py
@@ -152,11 +152,16 @@
             self.shard.stop_run(task, StopReason.DRAINED)
 
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
-        """Stop a straggling run, so that its task restarts on another server."""
+        """Stop a straggling run, so that its task restarts on another server.
+
+        A slow run goes on where no other server could run the task.
+        """
         expected = self.shard.expected_run_time_of(task)
         straggler = find_straggler(task, usage, expected, self.shard.siblings_of(task))
         if straggler is None:
             return
+        if straggler.is_slow and not self.shard.may_run_elsewhere(task, usage, now_s):
+            return
         step = usage.step_by_task[task.id]
         discarded_core_s = task.progress.elapsed_s * step.cpu_millicores / 1000
         self.metrics.stragglers.labels(straggler.reason).inc()
@@ -172,11 +177,14 @@
             percent=task.progress.percent,
             elapsed_s=task.progress.elapsed_s,
             left_s=straggler.left_s,
+            projected_before_s=task.longest_projected_s,
+            stalls_before=task.stalls,
             expected_s=expected.expected_s,
             spread=expected.spread,
             declared_s=step.estimate_s,
             discarded_core_s=discarded_core_s,
         )
+        straggler.note_stopped(task)
         task.failed_on = usage.server.id
         usage.slow_until_s = now_s + STRAGGLER_BACKOFF_S
         self.shard.stop_run(task, StopReason.STRAGGLER)
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -165,6 +165,22 @@
             and self._long_running_gpu + step.gpu <= self.server.gpu
         )
 
+    def accepts(self, step: Step, task_id: TaskId) -> bool:
+        """Return whether a task may run here once only long-running tasks are left."""
+        return (
+            self.has_label(step)
+            and self.is_below_max_per_server(step, task_id)
+            and self.fits_among_long_running(step)
+        )
+
+    def has_label(self, step: Step) -> bool:
+        """Return whether the server has the label that a step needs."""
+        return not step.label or step.label in self.server.labels
+
+    def is_below_max_per_server(self, step: Step, task_id: TaskId) -> bool:
+        """Return whether one more task of a step and occurrence may run here."""
+        return not step.max_per_server or self.count_of(task_id) < step.max_per_server
+
     def has_run(self, task_id: TaskId, run: int) -> bool:
         """Return whether a run is the current one of a task of the server."""
         task = self.task_by_id.get(task_id)
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -285,6 +285,20 @@
         tasks = job.tasks_by_step.get((task_id.occurrence, task_id.step), ())
         return tasks[task_id.number] if task_id.number < len(tasks) else None
 
+    def may_run_elsewhere(self, task: Task, usage: ServerUsage, now_s: float) -> bool:
+        """Return whether another server takes new tasks and could run a task.
+
+        It may have to wait there until short tasks have ended.
+        """
+        step = self.step_of(task.id)
+        return any(
+            other is not usage
+            and other.server.service == usage.server.service
+            and other.is_open(now_s)
+            and other.accepts(step, task.id)
+            for other in self.usage_by_server_id.values()
+        )
+
     def knows_capacity(self, usage: ServerUsage, now_s: float) -> bool:
         """Return whether a server may be filled up to the capacity that was read."""
         if now_s <= self.capacities_hold_until_s:
--- a/rhubarbmount/batch/stragglers.py
+++ b/rhubarbmount/batch/stragglers.py
@@ -3,6 +3,9 @@
 A run is compared with other runs of its step on other backend servers, or, without
 any, with what runs of its kind take. Answers the pattern of servers that turn slow
 among tasks whose declared run times are wrong by several times.
+
+Each run that is stopped raises the limits for the next run of its task, so that a task
+that merely takes long is stopped a few times at most.
 """
 
 import math
@@ -20,6 +23,10 @@
 
 # A run whose percentage does not change for this long is stalled.
 STALL_TIMEOUT_S = 1.0
+# It doubles with each stalled run of the task, and is at least the time of so many
+# percent of a run.
+STALL_TIMEOUT_GROWTH = 2.0
+STALL_PERCENT = 2.0
 # A run is slow if it takes this many times what other runs suggest.
 SLOW_FACTOR = 2.2
 # Standard deviations above the time of its kind that a run on a sound server may take.
@@ -31,10 +38,26 @@
 
 @attrs.frozen
 class Straggler:
-    """Why a run should be restarted on another backend server."""
+    """Why a run should be restarted on another backend server.
+
+    ``projected_s`` is the total time at the speed so far, or 0 if it is not known.
+    """
 
     reason: str
     left_s: float
+    projected_s: float = 0.0
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether the run makes progress, and would end by itself."""
+        return self.projected_s > 0.0
+
+    def note_stopped(self, task: Task) -> None:
+        """Raise the limits for the next run of a task whose run is stopped."""
+        if self.is_slow:
+            task.longest_projected_s = max(task.longest_projected_s, self.projected_s)
+        else:
+            task.stalls += 1
 
 
 def needs_watch(
@@ -67,19 +90,28 @@
     if not _is_comparable(task, step):
         return None
     progress = task.progress
-    if progress.unchanged_s > STALL_TIMEOUT_S:
+    if progress.unchanged_s > _stall_timeout_s(task, expected):
         return Straggler("stalled", 0.0)
     projected_s = progress.projected_s
     if projected_s is None or progress.elapsed_s < _overdue_after_s(expected):
         return None
     usual_s, longest_s = _reference(task, expected, siblings)
+    # An earlier run of the task has shown that it may take long anywhere.
+    longest_s = max(longest_s, SLOW_FACTOR * task.longest_projected_s)
     remaining_s = progress.remaining_s(projected_s)
     is_slow = projected_s > longest_s + RESTART_COST_S
     if not is_slow or remaining_s <= usual_s + RESTART_COST_S:
         return None
     if usage.was_sound_during(progress.started_ms, progress.read_ms):
         return None
-    return Straggler("slow", remaining_s)
+    return Straggler("slow", remaining_s, projected_s)
+
+
+def _stall_timeout_s(task: Task, expected: RunTime) -> float:
+    """Return for how long the percentage of a run may stay the same."""
+    run_time_s = max(expected.expected_s, task.longest_projected_s)
+    timeout_s = STALL_TIMEOUT_S * STALL_TIMEOUT_GROWTH**task.stalls
+    return max(timeout_s, run_time_s * STALL_PERCENT / 100)
 
 
 def _is_comparable(task: Task, step: Step) -> bool:
