Give calls to a later lifetime of a server a higher fencing token

Cause: a server checks a call's name and fencing token alone, a new lifetime has seen no token, and all calls of a holder had the same. So calls for the earlier lifetime that came seconds late were obeyed by the later one, also after it had been heard of: they renewed leases beyond what the holder counted with, had ends forgotten unread, and started runs.

Ruled out: that the bound of the longest lease is too short by itself; it counted from the opening of the session, and a late call may come any time after.

Change: a lease comes with 1,000 tokens, lifetimes are numbered, and the one that answers has the highest; the longest lease that calls for others may have granted counts from its first answer. A refusal by the fence ends a holder only if it has sent no higher token there itself. ends-missing and lifetime-fenced log what could not be seen.

Fences of two tests that took the first one for 1 and the next one for the last plus 1 follow the constant.

--- a/rhubarbmount/batch/early_renewals.py
+++ b/rhubarbmount/batch/early_renewals.py
@@ -153,7 +153,7 @@
         try:
             response = await self.client.renew(
                 server,
-                lease.shard_lease.fencing_token,
+                lease.fencing_token,
                 acknowledged=0,
                 expires_ms=lease.renewal_expiry_ms(monotonic_s()),
                 wait_s=0.0,
--- a/rhubarbmount/batch/election.py
+++ b/rhubarbmount/batch/election.py
@@ -11,6 +11,7 @@
     "LEASE_ROW",
     "LEASE_TTL_S",
     "RENEWAL_PERIOD_S",
+    "TOKENS_PER_LEASE",
     "WEAK_HOST_WAIT_S",
     "LapseBound",
     "LeaseWatch",
@@ -24,6 +25,9 @@
 # Shorter than LEASE_TTL_S, so that a holder stops acting before another takes over.
 LEASE_VALID_S = 1.6
 RENEWAL_PERIOD_S = 0.5
+# How many fencing tokens a lease comes with, up to the one in its row. Calls to backend
+# servers use all of them, so that those for a later lifetime have a higher one.
+TOKENS_PER_LEASE = 1000
 NORMAL_GRANT_S = 4.0
 # All grants have lapsed this long after the last renewal of the lease. If a holder is
 # lost together with backend servers, their tasks have to run again within 10 s.
@@ -123,6 +127,11 @@
     earlier: LapseBound = LapseBound(0.0, LONGEST_LEASE)
     grants_lapse_by_s: float = math.inf
 
+    def server_token(self, number: int) -> int:
+        """Return the token for calls to the so many-th lifetime of a server."""
+        last = TOKENS_PER_LEASE - 1
+        return self.fencing_token - last + min(number, last)
+
     @property
     def valid_until_s(self) -> float:
         """Return the time until which the holder may send commands to hosts."""
--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -11,6 +11,7 @@
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import (
     RENEWAL_PERIOD_S,
+    TOKENS_PER_LEASE,
     LeaseWatch,
     ShardLease,
 )
@@ -134,7 +135,7 @@
 
     async def _try_take(self) -> ShardLease | None:
         seen = self.watch.lease
-        fencing_token = 1 if seen is None else seen.fence + 1
+        fencing_token = TOKENS_PER_LEASE + (0 if seen is None else seen.fence)
         clock = self._store_clock()
         earlier = self._grants_end.begin(seen, clock)
         lease = self._make_row(fencing_token, clock)
--- a/rhubarbmount/batch/run_lists.py
+++ b/rhubarbmount/batch/run_lists.py
@@ -52,6 +52,7 @@
         now_s: float,
     ) -> None:
         """Apply the list in the answer to a call sent at ``sent_s``."""
+        _log_missing_ends(session, response)
         for end in response.ended:
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s, response.clock_ms)
@@ -227,6 +228,20 @@
             self.shard.release(task, now_s)
 
 
+def _log_missing_ends(session: ServerSession, response: RenewalResponse) -> None:
+    """Log that ends were forgotten which no list has shown to this holder."""
+    first = min((end.number for end in response.ended), default=0)
+    if session.is_established and first > session.listed_to + 1:
+        log.event(
+            logger,
+            "ends-missing",
+            logging.WARNING,
+            server=session.server.id,
+            listed_to=session.listed_to,
+            first=first,
+        )
+
+
 def _is_run_of(task: Task | None, run: int, server_id: str) -> bool:
     return (
         task is not None
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -18,7 +18,7 @@
     UnsettledStart,
     UnsettledStarts,
 )
-from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import (
     BackendClient,
     CommandResponse,
@@ -99,6 +99,12 @@
     def on_lifetime_end(self, server_id: str) -> None:
         """Handle that the server lifetime is known to be over."""
 
+    def on_fenced(self, server_id: str) -> None:
+        """Handle that a server has obeyed a call with a higher token. Raises LeaseLost.
+
+        It may have been a call of this holder for another lifetime.
+        """
+
     def on_unanswered(self) -> None:
         """Handle that a call to some backend server was not answered."""
 
@@ -261,7 +267,7 @@
             run=request.run,
             payload=request.payload,
             expires_ms=self.lease.start_expiry_ms(now_s, self.listener.is_late()),
-            fencing_token=self.lease.shard_lease.fencing_token,
+            fencing_token=self.lease.fencing_token,
             checkpoint=request.task.checkpoint,
             ticket=request.ticket,
         )
@@ -290,9 +296,9 @@
         self.metrics.starts.labels(response.result.value).inc()
         self.metrics.start_s.observe(monotonic_s() - now_s)
         if response.result is CommandResult.FENCED:
-            raise LeaseLost(
-                f"server {self.server.id} has accepted a higher fencing token"
-            )
+            self.listener.on_fenced(self.server.id)
+            await trio.sleep(RETRY_S)
+            return CommandResult.NOT_SENT
         is_of_lifetime = self._note_reading(response, now_s)
         is_done = response.result is CommandResult.DONE
         if is_done and is_of_lifetime and request.is_assigned(self.server.id):
@@ -370,14 +376,13 @@
                 self.server,
                 request.task,
                 request.run,
-                self.lease.shard_lease.fencing_token,
+                self.lease.fencing_token,
             )
         except (PlatformUnavailable, OutcomeUnknown):
             return False
         if response.result is CommandResult.FENCED:
-            raise LeaseLost(
-                f"server {self.server.id} has accepted a higher fencing token"
-            )
+            self.listener.on_fenced(self.server.id)
+            return False
         if response.result is CommandResult.OTHER_LIFETIME:
             self.listener.on_lifetime_end(self.server.id)
             return True
@@ -410,15 +415,14 @@
                 task.id,
                 command.run,
                 command.percent,
-                self.lease.shard_lease.fencing_token,
+                self.lease.fencing_token,
             )
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self.on_failure(error.code)
             return
         if response.result is CommandResult.FENCED:
-            raise LeaseLost(
-                f"server {self.server.id} has accepted a higher fencing token"
-            )
+            self.listener.on_fenced(self.server.id)
+            return
         if response.result is CommandResult.DONE and task.run == command.run:
             task.pace = command.percent
         log.frequent_event(
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -43,6 +43,25 @@
     consecutive_failures: int = 0
     # Whether an answer showed another clock since the lifetime was last heard of.
     has_other_clock: bool = False
+    # The lifetimes of a server are numbered; calls to a later one have higher tokens.
+    token_number: int = 0
+    _obeyed_token: int = 0
+
+    @property
+    def fencing_token(self) -> int:
+        """Return the token for calls to the lifetime."""
+        return self.shard_lease.server_token(self.token_number)
+
+    def note_obeyed(self, token: int, now_s: float) -> None:
+        """Record that the lifetime has answered a call with a token.
+
+        From then on it obeys no call for earlier lifetimes. Until then such calls may
+        have granted it the longest lease.
+        """
+        if token > self._obeyed_token:
+            self._obeyed_token = token
+            if self.token_number:
+                self.expect_longest(now_s)
 
     def renewal_expiry_ms(self, now_s: float, is_late: bool = False) -> int | None:
         """Return the expiry to renew to, on the server's clock, or None not to renew.
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -224,6 +224,7 @@
     async def _renew_once(self) -> RenewalResponse | None:
         sent_s = monotonic_s()
         acknowledged = self._next_acknowledgement()
+        token = self.lease.fencing_token
         response = None
         try:
             timeout_s = (
@@ -234,7 +235,7 @@
             with trio.move_on_after(timeout_s):
                 response = await self.client.renew(
                     self.server,
-                    self.lease.shard_lease.fencing_token,
+                    token,
                     acknowledged,
                     self.lease.renewal_expiry_ms(sent_s, self.listener.is_late()),
                     self._renewal_wait_s(),
@@ -247,7 +248,7 @@
         if response is None:
             self._record_failure("timeout", sent_s)
             return None
-        return self._handle_response(response, acknowledged, sent_s)
+        return self._handle_response(response, acknowledged, token, sent_s)
 
     def _next_acknowledgement(self) -> int:
         """Return the number to acknowledge, or 0 if that would be nothing new.
@@ -274,12 +275,16 @@
         return SHORT_RENEWAL_WAIT_S if is_short_wait else RENEWAL_WAIT_S
 
     def _handle_response(
-        self, response: RenewalResponse, acknowledged: int, sent_s: float
+        self,
+        response: RenewalResponse,
+        acknowledged: int,
+        token: int,
+        sent_s: float,
     ) -> RenewalResponse | None:
         if response.result is CommandResult.FENCED:
-            raise LeaseLost(
-                f"server {self.server.id} has accepted a higher fencing token"
-            )
+            self.listener.on_fenced(self.server.id)
+            self._record_failure(response.result.value)
+            return None
         if response.result is CommandResult.OTHER_LIFETIME:
             self.listener.on_lifetime_end(self.server.id)
             self.close()
@@ -296,6 +301,7 @@
             self._is_check_due = False
         self._command_sender.settle_answered(sent_s)
         self.lease.note_reading(response.clock_ms, sent_s, monotonic_s())
+        self.lease.note_obeyed(token, monotonic_s())
         self.acknowledged = max(self.acknowledged, acknowledged)
         if not self._apply_list(response, sent_s):
             self._record_failure("list-failed")
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -22,12 +22,14 @@
 from rhubarbmount.batch.server_lifetimes import RunFate, ServerLifetimes, fate_of
 from rhubarbmount.batch.server_losses import ServerEnd
 from rhubarbmount.batch.server_session import ServerSession, SessionListener
+from rhubarbmount.batch.server_tokens import ServerTokens
 from rhubarbmount.batch.server_usage import ServerUsage
 from rhubarbmount.batch.shard import Shard
 from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.stragglers import needs_watch
 from rhubarbmount.batch.tickets import TicketCache
 from rhubarbmount.batch.unsettled_starts import MAX_AGE_S, UnsettledStart
+from rhubarbmount.errors import LeaseLost
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
 __all__ = ["ServerSessions"]
@@ -69,6 +71,7 @@
     _started_at_s: float = attrs.field(factory=monotonic_s)
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
     _lifetimes: ServerLifetimes = attrs.field(factory=ServerLifetimes)
+    _tokens: ServerTokens = attrs.field(factory=ServerTokens)
     # Starts without an answer for lifetimes without a session, by the server's name.
     _unsettled_by_name: dict[str, list[UnsettledStart]] = attrs.field(factory=dict)
     _run_lists: RunLists = attrs.field(init=False)
@@ -144,7 +147,12 @@
             return early_lease
         now_s = monotonic_s()
         earlier = self.earlier_grants.bound_of(server_id)
-        lease = ServerLease(self.shard_lease, self.max_lease_s, earlier)
+        lease = ServerLease(
+            self.shard_lease,
+            self.max_lease_s,
+            earlier,
+            token_number=self._tokens.number_of(server_id),
+        )
         if self.silent.has(server_id):
             lease.recorded_lapse_s = now_s + self.silent.limit_in_s(server_id)
         return lease
@@ -238,10 +246,36 @@
             return
         now_s = monotonic_s()
         self.shard.set_time(now_s, wall_clock_s())
+        self._raise_token(session)
         self._end_earlier_lifetimes(session, response, sent_s)
         self._run_lists.apply(session, usage, response, sent_s, now_s)
         self.wake()
 
+    def _raise_token(self, session: ServerSession) -> None:
+        """Give the lifetime that answers the highest token of its server's name."""
+        number = self._tokens.raise_number(session.server.id)
+        session.lease.token_number = number
+
+    def on_fenced(self, server_id: str) -> None:
+        """Handle that a server has obeyed a call with a higher token. Raises LeaseLost.
+
+        If this holder has sent such a call for another lifetime, that one is asked
+        whether it goes on; the answer names the one that does.
+        """
+        if self._tokens.is_highest(server_id):
+            raise LeaseLost(f"server {server_id} has accepted a higher fencing token")
+        log.event(logger, "lifetime-fenced", logging.WARNING, server=server_id)
+        session = self._session_by_server_id.get(server_id)
+        others = [
+            other_id
+            for other_id in self._lifetimes.of_name(name_of(server_id))
+            if other_id != server_id
+        ]
+        for other_id in others:
+            self.check(other_id)
+        if session is not None and not others:
+            self._raise_token(session)
+
     def _end_earlier_lifetimes(
         self, session: ServerSession, response: RenewalResponse, sent_s: float
     ) -> None:
@@ -354,6 +388,9 @@
             later_usage = self.shard.put_server(later, monotonic_s())
             later_usage.is_listed = False
             self.open(later_usage)
+        answered = self._session_by_server_id.get(later_id)
+        if answered is not None:
+            self._raise_token(answered)
         self.check(later_id)
         self.wake()
 
--- a/tests/batch/test_lease_manager.py
+++ b/tests/batch/test_lease_manager.py
@@ -8,7 +8,12 @@
 
 from rhubarbmount.batch import clocks
 from rhubarbmount.batch.clocks import RATE_MARGIN
-from rhubarbmount.batch.election import LEASE_ROW, LONGEST_LEASE, longest_grant_s
+from rhubarbmount.batch.election import (
+    LEASE_ROW,
+    LONGEST_LEASE,
+    TOKENS_PER_LEASE,
+    longest_grant_s,
+)
 from rhubarbmount.batch.grants_end import GrantsEnd
 from rhubarbmount.batch.lease_manager import OUTCOME_WAIT_S, LeaseManager
 from rhubarbmount.batch.records import LeaseRow, decode_lease, encode_lease
@@ -71,7 +76,7 @@
     """An immediate retry would put more load on a slow store."""
     async with trio.open_nursery() as nursery:
         store, shard_lease = await acquire(monkeypatch, nursery, 0.5)
-        assert shard_lease is not None and shard_lease.fencing_token == 1
+        assert shard_lease is not None and shard_lease.fencing_token == TOKENS_PER_LEASE
         assert store.writes == 1
         nursery.cancel_scope.cancel()
 
@@ -92,7 +97,10 @@
     async with trio.open_nursery() as nursery:
         begun_s = trio.current_time()
         _, shard_lease = await acquire(monkeypatch, nursery, 0.0, released)
-        assert shard_lease is not None and shard_lease.fencing_token == 5
+        assert (
+            shard_lease is not None
+            and shard_lease.fencing_token == 4 + TOKENS_PER_LEASE
+        )
         assert shard_lease.renewed_at_s >= begun_s + AdaptiveTimeout().timeout_s
         nursery.cancel_scope.cancel()
 
--- a/tests/batch/test_odd_entries.py
+++ b/tests/batch/test_odd_entries.py
@@ -10,6 +10,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.batch import server_rows
+from rhubarbmount.batch.election import TOKENS_PER_LEASE
 from rhubarbmount.batch.lateness import Lateness
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.errors import PlatformUnavailable
@@ -84,7 +85,7 @@
         assert await wait_complete(world, checker, "/one/", accepted, 9.0) == []
         assert checker.breaches == []
         leases = [node.lease_manager.watch.lease for node in world.node_by_id.values()]
-        assert {lease.fence for lease in leases} == {1}
+        assert {lease.fence for lease in leases} == {TOKENS_PER_LEASE}
     events = re.findall(r"event=([a-z-]+)", caplog.text)
     assert not {"duty-failed", "task-failed", "session-failed"} & set(events)
 
