Let a host rest that could not be emptied for a starved pool

Change: it rests for 6 s, and another host is chosen meanwhile.

Test: test_a_host_that_could_not_be_moved_takes_tasks_again, failed before (m-s0 chosen again, m-s1 expected).

--- a/rhubarbmount/batch/starved_pools.py
+++ b/rhubarbmount/batch/starved_pools.py
@@ -13,6 +13,8 @@
 STARVED_AFTER_S = 1.5
 # How long a host that is given up may take to end its tasks, before another is chosen.
 EMPTYING_S = 6.0
+# How long that host then takes new tasks before it may be chosen again.
+REST_S = 6.0
 # A pool keeps one server when it gives up another.
 MIN_SERVERS = 2
 
@@ -35,6 +37,8 @@
 
     _starved_since_s: dict[str, float] = attrs.field(factory=dict)
     _release_by_host: dict[str, _Release] = attrs.field(factory=dict)
+    # Until when hosts are left alone that could not be emptied or moved.
+    _rests_until_s_by_host: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def emptying_host_ids(self) -> Collection[str]:
@@ -64,12 +68,22 @@
         for pool, since_s in self._starved_since_s.items():
             if pool in served or now_s < since_s + STARVED_AFTER_S:
                 continue
-            host_id = self._choose(up, usages_by_server_name, blocked_host_ids)
+            resting = self._rests_until_s_by_host.keys()
+            blocked = {*blocked_host_ids, *resting}
+            host_id = self._choose(up, usages_by_server_name, blocked)
             if host_id is not None:
                 self._release_by_host[host_id] = _Release(pool, now_s)
 
     def _drop_releases(self, now_s: float, host_ids: Collection[str]) -> None:
         """Stop emptying hosts that are no longer needed, or that take too long."""
+        self._rests_until_s_by_host = {
+            host_id: until_s
+            for host_id, until_s in self._rests_until_s_by_host.items()
+            if now_s < until_s
+        }
+        for host_id, release in self._release_by_host.items():
+            if now_s >= release.begun_at_s + EMPTYING_S:
+                self._rests_until_s_by_host[host_id] = now_s + REST_S
         self._release_by_host = {
             host_id: release
             for host_id, release in self._release_by_host.items()
--- a/tests/batch/test_starved_pools.py
+++ b/tests/batch/test_starved_pools.py
@@ -5,7 +5,7 @@
 from rhubarbmount.batch.capacity import CapacityPlanner
 from rhubarbmount.batch.model import Step, Task, TaskId, TaskState
 from rhubarbmount.batch.placing import Shortage
-from rhubarbmount.batch.starved_pools import EMPTYING_S, STARVED_AFTER_S
+from rhubarbmount.batch.starved_pools import EMPTYING_S, REST_S, STARVED_AFTER_S
 from tests.batch.test_capacity import host, plan, usage
 
 SHORTAGES = {"one": Shortage(1000, 0, 1, 1.0), "two": Shortage(90_000, 0, 90, 90.0)}
@@ -88,3 +88,15 @@
     no_shortage = {"two": SHORTAGES["two"]}
     plan(planner, end_s - 0.1, *fleet, shortage=no_shortage)
     assert not planner.starved.emptying_host_ids
+
+
+# Guards against a host that is closed for as long as a pool is starved, though it can't
+# be emptied or moved: what needs just this host would wait for good.
+def test_a_host_that_could_not_be_moved_takes_tasks_again(planner):
+    fleet = make_fleet(busy("s0", 1), busy("s1", 2))
+    emptied_at(planner, 0.0, fleet)
+    assert emptied_at(planner, STARVED_AFTER_S, fleet)[1] == ["m-s0"]
+    end_s = STARVED_AFTER_S + EMPTYING_S
+    assert emptied_at(planner, end_s, fleet)[1] == ["m-s1"]
+    assert emptied_at(planner, end_s + EMPTYING_S - 0.1, fleet)[1] == ["m-s1"]
+    assert emptied_at(planner, end_s + REST_S, fleet)[1] == ["m-s0"]
