Take tokens above those of a lease row that can't be read

Found by reading what a fencing token's step is relied on for: a lease row that can't be read counts as one with its version as token, as tokens rose by one with each version. They rise by 1,000 since, so that the next lease could have a lower one than backend servers have seen, and its holder would be refused by them.

Change: it counts 1,000 for each version. A host of an older build that meets such a row beside newer ones still takes the version; not mended, as nothing of this build is there.

Test: test_a_lease_after_one_that_cant_be_read_has_a_higher_token, failed before.

--- a/rhubarbmount/batch/lease_manager.py
+++ b/rhubarbmount/batch/lease_manager.py
@@ -100,14 +100,15 @@
     def _decode(self, row: Row) -> LeaseRow:
         """Return the lease in a row; one that can't be read is held by someone else.
 
-        Each token is at most one above an earlier one or an earlier version of the row,
-        so that no lease has a token above its version.
+        Each token is at most so many above that of an earlier version of the row, so
+        that no lease has a higher one than so many for each version.
         """
         try:
             return decode_lease(row.value)
         except UnreadableRecord as error:
             self.unreadable_rows.report(row, error)
-            return LeaseRow(UNKNOWN_HOLDER, "", fence=row.version)
+            fence = row.version * TOKENS_PER_LEASE
+            return LeaseRow(UNKNOWN_HOLDER, "", fence=fence)
 
     async def acquire(self) -> ShardLease:
         """Wait until the lease can be acquired, and return it."""
--- a/tests/batch/test_lease_manager.py
+++ b/tests/batch/test_lease_manager.py
@@ -105,6 +105,18 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a holder that backend servers refuse: each version of the row may have
+# had a holder, which used so many tokens.
+async def test_a_lease_after_one_that_cant_be_read_has_a_higher_token(
+    monkeypatch, autojump_clock
+):
+    async with trio.open_nursery() as nursery:
+        store, _ = await acquire(monkeypatch, nursery, 0.0)
+        found = store.lease_manager._decode(Row(lease_row(SHARD), b"{", 9))
+        assert found.fence >= 9 * TOKENS_PER_LEASE
+        nursery.cancel_scope.cancel()
+
+
 class PromptStore(SlowStore):
     """Applies each write at once; an answer may be lost."""
 
