Test that a late row of an earlier lifetime ends no holder

A server refuses calls for the lifetime that runs there once it has obeyed one with a higher token, which this holder had sent for an earlier one whose row came late.

--- a/tests/batch/test_late_calls.py
+++ b/tests/batch/test_late_calls.py
@@ -124,6 +124,23 @@
         assert checker.breaches == []
 
 
+# Guards against a holder that steps down, as a server obeyed a call with a higher token
+# that it had sent for an earlier lifetime, whose row came late.
+@SEEDS
+async def test_a_late_row_of_an_earlier_lifetime_ends_no_holder(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        holder = world.node_by_id[world.holders()[0]]
+        token = holder.lease_manager.watch.lease.fence
+        jobs.submit_more()
+        restart_all(world, DOWN_S, clock_ms=clock_ms_of(seed), earlier_row_after_s=1.0)
+        await trio.sleep(6.0)
+        await jobs.must_complete()
+        assert holder.is_holder
+        assert holder.lease_manager.watch.lease.fence == token
+
+
 def test_a_lifetime_that_answers_has_the_highest_number():
     tokens = ServerTokens()
     assert [tokens.number_of(item) for item in ("s@5", "t@5", "s@9")] == [0, 0, 1]
