Plan without the capacity of a server that waits to be emptied

Cause: while such a host was closed its pool planned without it and got another server soon; open, it counted until it went. Ruled out: the slots of the wave (all hosts in time in both).

Change: of the servers of a pool that wait for a place one does not count as capacity, as many as were closed before.

Tests: test_a_server_that_waits_to_be_emptied_is_no_capacity failed before; test_of_the_servers_of_a_pool_that_wait_to_be_emptied_one_is_no_capacity is new.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -188,7 +188,8 @@
         }
         for usage in chain.from_iterable(usages_by_server_name.values()):
             pool = capacities.get(usage.server.service)
-            if pool is not None and usage.is_open(now_s):
+            is_available = usage.is_open(now_s) and not usage.awaits_place
+            if pool is not None and is_available:
                 pool.available_millicores += usage.server.cpu_millicores
                 pool.long_running_millicores += usage.long_running_cpu_millicores
                 pool.used_millicores += usage.used_cpu_millicores
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -178,6 +178,7 @@
         for usage in self.shard.usage_by_server_id.values():
             usage.is_closed = usage.server.name in plan.closed_server_names
             usage.is_due = usage.server.name in plan.due_server_names
+            usage.awaits_place = usage.server.name in plan.placeless_server_names
         self._pools_short_for_waves = plan.short_pools
         self._pools_keeping_servers = plan.holding_pools
         self._log_waits(plan.wait_by_host)
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -34,6 +34,8 @@
     has_pending_command: bool = False
     # Set while the host is waiting for maintenance.
     is_due: bool = False
+    # Set while it waits for another server of its pool to take its tasks.
+    awaits_place: bool = False
     # Set while runs of a job that can't be read are listed.
     has_runs_left_alone: bool = False
     full_until_s: float = 0.0
--- a/rhubarbmount/batch/wave_progress.py
+++ b/rhubarbmount/batch/wave_progress.py
@@ -75,6 +75,8 @@
     evict: list[Task] = attrs.field(factory=list)
     closed_server_names: set[str] = attrs.field(factory=set)
     due_server_names: set[str] = attrs.field(factory=set)
+    # Servers that are to be emptied once their tasks have a place.
+    placeless_server_names: set[str] = attrs.field(factory=set)
     # Pools that need another server, and pools that must keep a free one.
     short_pools: set[str] = attrs.field(factory=set)
     holding_pools: set[str] = attrs.field(factory=set)
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -186,6 +186,8 @@
         """Record why a host stays open, and what its pool lacks."""
         this_pass.actions.wait_by_host[host.id] = reason
         if reason == NO_PLACE:
+            if host.pool not in this_pass.actions.short_pools:
+                this_pass.actions.placeless_server_names.add(host.server_name)
             this_pass.actions.short_pools.add(host.pool)
             this_pass.actions.holding_pools.add(host.pool)
 
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -71,6 +71,18 @@
     assert plan(planner, 0.0, hosts, [usage("s0", "one")], shortage) == []
 
 
+# Guards against callers who wait in a wave: the capacity of a host that is to be emptied
+# as soon as its tasks have another place was counted on until then.
+def test_a_server_that_waits_to_be_emptied_is_no_capacity(planner):
+    hosts = [host("m0", "one", server_id="s0"), host("m1", "rest")]
+    shortage = {"one": Shortage(6000, 0, 6, 6.0)}
+    leaving = usage("s0", "one")
+    leaving.awaits_place = True
+    assert [move.pool for move in plan(planner, 0.0, hosts, [leaving], shortage)] == [
+        "one"
+    ]
+
+
 def test_hosts_in_transit_count_as_capacity(planner):
     hosts = [host(f"m{n}", "rest") for n in range(4)]
     shortage = {"one": Shortage(12000, 0, 12, 12.0)}
--- a/tests/batch/test_closed_hosts.py
+++ b/tests/batch/test_closed_hosts.py
@@ -59,6 +59,16 @@
     assert plan.short_pools == {"one"}
 
 
+# Guards against a pool that gets far more servers than the wave empties at a time.
+def test_of_the_servers_of_a_pool_that_wait_to_be_emptied_one_is_no_capacity(shard):
+    for name in "ab":
+        add_server(shard, name)
+    start_lasting(shard, count=2, max_per_server=1)
+    plan = plan_until(WavePlanner(shard), progress(*"ab"), hosts(*"ab"), 3.0)
+    assert plan.wait_by_host == {"m-a": "no-place", "m-b": "no-place"}
+    assert len(plan.placeless_server_names) == 1
+
+
 # Guards against a wave that one host holds up.
 def test_a_wave_goes_on_with_the_hosts_that_can_be_emptied(shard):
     add_server(shard, "a")
