--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -71,8 +71,8 @@
     assert plan(planner, 0.0, hosts, [usage("s0", "one")], shortage) == []
 
 
-# Guards against callers who wait in a wave: the capacity of a host that is to be emptied
-# as soon as its tasks have another place was counted on until then.
+# Guards against callers who wait in a wave: the capacity of a host that is to be
+# emptied as soon as its tasks have another place was counted on until then.
 def test_a_server_that_waits_to_be_emptied_is_no_capacity(planner):
     hosts = [host("m0", "one", server_id="s0"), host("m1", "rest")]
     shortage = {"one": Shortage(6000, 0, 6, 6.0)}
