Name what looks at a closed host, and what forgets hosts, by what they do

At the last reading: is_blocked changed what it was asked about, keep and keep_closed were told apart by their comments alone.

--- a/rhubarbmount/batch/host_drains.py
+++ b/rhubarbmount/batch/host_drains.py
@@ -35,15 +35,15 @@
             self.tasks = tasks
         self.is_closed = True
 
-    def is_blocked(self, tasks: int, is_waiting: bool, now_s: float) -> bool:
-        """Return whether the closed host has waited too long.
+    def check_blocked(self, tasks: int, is_stuck: bool, now_s: float) -> bool:
+        """Record a look at the closed host; return whether it has waited too long.
 
-        ``is_waiting`` tells whether there is nothing to wait for that ends by itself.
+        ``is_stuck`` tells whether there is nothing to wait for that ends by itself.
         """
-        if tasks < self.tasks or not is_waiting:
+        if tasks < self.tasks or not is_stuck:
             self.blocked_since_s = None
         self.tasks = tasks
-        if is_waiting and self.blocked_since_s is None:
+        if is_stuck and self.blocked_since_s is None:
             self.blocked_since_s = now_s
         return (
             self.blocked_since_s is not None
@@ -79,13 +79,13 @@
         drain = self._drain_by_host_id.get(host_id)
         return drain is not None and drain.is_closed
 
-    def keep_closed(self, host_ids: Collection[str]) -> None:
-        """Count only these as being emptied from now on."""
+    def close_only(self, host_ids: Collection[str]) -> None:
+        """Count no hosts but these as being emptied from now on."""
         for host_id, drain in self._drain_by_host_id.items():
             if drain.is_closed and host_id not in host_ids:
                 drain.is_closed = False
 
-    def keep(self, host_ids: Collection[str]) -> None:
-        """Forget the hosts that are in no open wave any more."""
+    def forget_others(self, host_ids: Collection[str]) -> None:
+        """Forget the hosts but these, which are in open waves."""
         for host_id in self._drain_by_host_id.keys() - host_ids:
             del self._drain_by_host_id[host_id]
--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -122,8 +122,8 @@
                     actions.closed_server_names.add(host.server_name)
             this_pass = _Pass(progress, actions, now_s, now_s >= latest_start_s)
             self._prepare_hosts(this_pass, candidates, chosen_host_ids)
-        self._drains.keep(remaining_host_ids)
-        self._drains.keep_closed(chosen_host_ids | commanded_host_ids)
+        self._drains.forget_others(remaining_host_ids)
+        self._drains.close_only(chosen_host_ids | commanded_host_ids)
         return actions
 
     @staticmethod
@@ -208,10 +208,10 @@
         now_s = this_pass.now_s
         drain.note_place(all(map(self._has_places, usages)), now_s)
         if drain.is_closed:
-            is_waiting = self._is_stuck(usages) or self._places.is_needed(
+            is_stuck = self._is_stuck(usages) or self._places.is_needed(
                 usages, this_pass.actions.closed_server_names, now_s
             )
-            if drain.is_blocked(_task_count(usages), is_waiting, now_s):
+            if drain.check_blocked(_task_count(usages), is_stuck, now_s):
                 drain.rest(BLOCKED, now_s + REST_S)
                 return BLOCKED
             return ""
