Look at the hosts of a pool in turn, however many rest

Found by reading the change once more: since a host that rests, as it can't be emptied, used up a look at its pool in each pass. From the fourth host with tasks that last on, those of a pool were never looked at while the first three had no place.

Change: only a host that is examined counts, as before.

Test: test_a_host_behind_several_that_cant_be_emptied_has_its_turn failed before (nothing evicted in ten passes).

--- a/rhubarbmount/batch/waves.py
+++ b/rhubarbmount/batch/waves.py
@@ -161,21 +161,23 @@
         for host in sorted(candidates, key=self._drain_cost):
             if free_slots <= 0:
                 return
-            if self._has_long_running(host):
+            has_long_running = self._has_long_running(host)
+            if has_long_running:
                 if host.pool in draining_pools:
                     continue
                 if looks_by_pool[host.pool] >= MAX_LOOKS_PER_POOL:
                     continue
-                looks_by_pool[host.pool] += 1
             drain = self._drains.of(host.id)
             if this_pass.now_s < drain.rests_until_s:
                 self._note_wait(this_pass, host, drain.wait_reason)
                 continue
+            if has_long_running:
+                looks_by_pool[host.pool] += 1
             reason = self._reason_to_wait(this_pass, host, drain)
             if reason:
                 self._note_wait(this_pass, host, reason)
                 continue
-            if self._has_long_running(host):
+            if has_long_running:
                 draining_pools.add(host.pool)
             free_slots -= 1
             chosen_host_ids.add(host.id)
--- a/tests/batch/test_closed_hosts.py
+++ b/tests/batch/test_closed_hosts.py
@@ -1,5 +1,6 @@
 """Hosts of a wave that can't be emptied, and the tasks that need just these hosts."""
 
+import attrs
 import pytest
 import trio
 from trio.testing import MockClock
@@ -78,6 +79,27 @@
     assert begun(plan) == ["m-b"]
 
 
+# Guards against a host that is never looked at, as hosts of its pool that can't be
+# emptied come first.
+def test_a_host_behind_several_that_cant_be_emptied_has_its_turn(shard):
+    usages = {name: add_server(shard, name) for name in "abcde"}
+    usages["e"].server = attrs.evolve(usages["e"].server, memory_mb=4000)
+    for name, memory_mb in zip("abcd", (5000, 5000, 5000, 2500), strict=True):
+        step = Step(1, 500, memory_mb, is_long_running=True)
+        spec = JobSpec(f"j-{name}", QueueName("h", "/q/"), "one", "", (step,), 0.0)
+        shard.add_job(Job(spec))
+        [task] = shard.waiting_by_step[f"j-{name}", 0, 0].values()
+        shard.assign(task, usages[name], 0.0)
+        task.progress.percent = 100
+        usages[name].is_due = True
+    wave, listed = progress(*"abcd", limit=4), hosts(*"abcde")
+    evicted = []
+    planner = WavePlanner(shard)
+    for tick in range(10):
+        evicted += planner.plan([wave], listed, tick / 10).evict
+    assert {task.server_id for task in evicted} == {"d"}
+
+
 # Guards against a wave that is never done, though the tasks may be away for a moment.
 def test_tasks_without_a_place_stop_for_the_maintenance_before_the_deadline(shard):
     usage = add_server(shard, "a")
