Share the search for another server that could run a task

Three places of this change went over the servers of a pool alike and asked whether they could run a task: for slow runs, evictions and hosts that are needed. They share ShardJobs.accepting_beside and add what they need besides. A test polled for a complete job by itself; it calls wait_complete, which checks the job as well. A filter of counts that are never 0 goes.

--- a/rhubarbmount/batch/eviction_places.py
+++ b/rhubarbmount/batch/eviction_places.py
@@ -45,23 +45,16 @@
         """
         step = usage.step_by_task[task.id]
         return any(
-            other is not usage
-            and other.server.service == usage.server.service
-            and other.is_reachable
+            other.is_reachable
             and not other.is_closed
             and not other.server.is_draining
             and (allow_due or not other.is_due)
-            and other.accepts(step, task.id)
-            for other in self.shard.usage_by_server_id.values()
+            for other in self.shard.accepting_beside(usage, step, task.id)
         )
 
     def may_stop_all(self, usage: ServerUsage) -> bool:
         """Return whether ``max_unavailable`` lets all tasks that last stop at once."""
-        return all(
-            self._may_stop(step_key, usage)
-            for step_key, count in usage.count_by_step.items()
-            if count
-        )
+        return all(self._may_stop(step_key, usage) for step_key in usage.count_by_step)
 
     def _may_stop(self, step_key: tuple[str, int, int], usage: ServerUsage) -> bool:
         tasks = [task for task in usage.task_by_id.values() if task.id[:3] == step_key]
@@ -102,12 +95,10 @@
     ) -> bool:
         """Return whether an open server besides one could run a waiting task."""
         return any(
-            other.server.service == usage.server.service
-            and other.server.name != usage.server.name
+            other.server.name != usage.server.name
             and other.server.name not in closed_names
             and other.is_open(now_s)
-            and other.accepts(need.step, need.task.id)
-            for other in self.shard.usage_by_server_id.values()
+            for other in self.shard.accepting_beside(usage, need.step, need.task.id)
         )
 
     def _needs_of(self, pool: str) -> list[_Need]:
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 import attrs
 
@@ -292,13 +292,19 @@
         """
         step = self.step_of(task.id)
         return any(
-            other is not usage
-            and other.server.service == usage.server.service
-            and other.is_open(now_s)
-            and other.accepts(step, task.id)
-            for other in self.usage_by_server_id.values()
+            other.is_open(now_s)
+            for other in self.accepting_beside(usage, step, task.id)
         )
 
+    def accepting_beside(
+        self, usage: ServerUsage, step: Step, task_id: TaskId
+    ) -> Iterator[ServerUsage]:
+        """Yield the other servers of a pool that could run a task, open or not."""
+        for other in self.usage_by_server_id.values():
+            is_in_pool = other.server.service == usage.server.service
+            if other is not usage and is_in_pool and other.accepts(step, task_id):
+                yield other
+
     def knows_capacity(self, usage: ServerUsage, now_s: float) -> bool:
         """Return whether a server may be filled up to the capacity that was read."""
         if now_s <= self.capacities_hold_until_s:
--- a/tests/batch/test_long_tasks.py
+++ b/tests/batch/test_long_tasks.py
@@ -5,7 +5,7 @@
 from trio.testing import MockClock
 
 from rhubarbmount.standins.users_servers import TaskWork
-from tests.batch.test_days import open_small_day, submit
+from tests.batch.test_days import open_small_day, submit, wait_complete
 
 DECLARED_S = 2.0
 OTHER_JOBS = 12
@@ -26,16 +26,6 @@
     return job_id, [phase], [TaskWork(work_s, 1000, 500)]
 
 
-async def await_complete(world, job_id, within_s):
-    with trio.move_on_after(within_s):
-        while True:
-            _, body = await world.call("GET", f"/one/{job_id}")
-            if body.get("state") == "complete":
-                return True
-            await trio.sleep(0.2)
-    return False
-
-
 # Guards against an accepted job that never completes, as each of its runs is stopped as
 # slow or stalled and begins again.
 @pytest.mark.parametrize(
@@ -67,6 +57,7 @@
         work_s = factor * DECLARED_S
         assert await submit(world, checker, "/one/", make_job(LONG_JOB, count, work_s))
         within_s = 1.5 * work_s + 20.0
-        assert await await_complete(world, LONG_JOB, within_s), stopped
+        left = await wait_complete(world, checker, "/one/", [LONG_JOB], within_s)
+        assert left == [], stopped
         for number in range(count):
             assert stopped.count(f"{LONG_JOB}.0.0.{number}") <= stops
