--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -225,6 +225,7 @@
         sent_s = monotonic_s()
         acknowledged = self._next_acknowledgement()
         token = self.lease.fencing_token
+        expires_ms = self.lease.renewal_expiry_ms(sent_s, self.listener.is_late())
         response = None
         try:
             timeout_s = (
@@ -237,7 +238,7 @@
                     self.server,
                     token,
                     acknowledged,
-                    self.lease.renewal_expiry_ms(sent_s, self.listener.is_late()),
+                    expires_ms,
                     self._renewal_wait_s(),
                 )
         except (PlatformUnavailable, OutcomeUnknown) as error:
@@ -248,8 +249,28 @@
         if response is None:
             self._record_failure("timeout", sent_s)
             return None
+        if response.born_ms not in (0, born_ms_of(self.server.id)):
+            self._note_other_lifetime(response.born_ms, acknowledged, expires_ms)
+            return None
         return self._handle_response(response, acknowledged, token, sent_s)
 
+    def _note_other_lifetime(
+        self, born_ms: int, acknowledged: int, expires_ms: int | None
+    ) -> None:
+        """End the session, as another lifetime has answered a renewal for this one."""
+        log.event(
+            logger,
+            "other-lifetime-answered",
+            logging.WARNING,
+            server=self.server.id,
+            answered_born_ms=born_ms,
+            acknowledged=acknowledged,
+            granted=expires_ms is not None,
+        )
+        self.is_superseded = True
+        self.listener.on_other_lifetime(self, born_ms)
+        self.close()
+
     def _next_acknowledgement(self) -> int:
         """Return the number to acknowledge, or 0 if that would be nothing new.
 
@@ -292,11 +313,6 @@
         if response.result is not CommandResult.DONE:
             self._record_failure(response.result.value)
             return None
-        if response.born_ms not in (0, born_ms_of(self.server.id)):
-            self.is_superseded = True
-            self.listener.on_other_lifetime(self, response.born_ms)
-            self.close()
-            return None
         if sent_s >= self._check_requested_s:
             self._is_check_due = False
         self._command_sender.settle_answered(sent_s)
--- a/tests/batch/test_server_commands.py
+++ b/tests/batch/test_server_commands.py
@@ -193,7 +193,8 @@
     await trio.sleep(1.0)
     task = Task(TASK, run=1, server_id="s")
     backend = ReleasingBackend(list(answers), task=task)
-    lease = ServerLease(ShardLease(1, trio.current_time()), 10.0, trio.current_time())
+    now_s = trio.current_time()
+    lease = ServerLease(ShardLease(1, now_s), 10.0, longest_lease(now_s, 10.0))
     lease.clock.note(1000, trio.current_time())
     lease.record_response()
     sender = CommandSender(
