--- a/rhubarbmount/standins/users_platform.py
+++ b/rhubarbmount/standins/users_platform.py
@@ -40,6 +40,8 @@
     # Capacity of the next lifetime, if it is another one.
     cpu_millicores: int | None = None
     memory_mb: int | None = None
+    # Pace of the next lifetime's clock.
+    clock_rate: float = 1.0
 
 
 @attrs.define
@@ -159,6 +161,7 @@
         self._start_server(machine, earlier.id, rebirth.clock_ms - now_ms)
         if machine.server is not None:
             machine.server.born_ms = max(machine.server.born_ms, earlier.born_ms + 1)
+            machine.server.clock_rate = rebirth.clock_rate
         self.nursery.start_soon(self._register_after, machine, rebirth.row_after_s)
 
     async def _repeat_row(self, machine: StandinMachine, row: str, s: float) -> None:
--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -80,6 +80,8 @@
     # Unix time of the start.
     born_ms: int = 0
     clock_offset_ms: int = 100_000
+    # Pace of the clock since the start, which may be up to 2% slow.
+    clock_rate: float = 1.0
     slowness: float = 1.0
     fails_all_runs: bool = False
     # Whether starts that do not fit are refused; otherwise they are carried out.
@@ -91,6 +93,7 @@
     run_by_task: dict[str, Run] = attrs.field(factory=dict)
     ended: list[list[Any]] = attrs.field(factory=list)
     row_sequence: int = 0
+    _started_s: float = attrs.field(factory=trio.current_time)
     _end_count: int = 0
     _listed_to: int = 0
     _acknowledged_to: int = 0
@@ -102,7 +105,9 @@
 
     def clock_ms(self) -> int:
         """Return the reading of the server's own clock."""
-        return self.clock_offset_ms + int(trio.current_time() * 1000)
+        started_s = self._started_s
+        elapsed_s = (trio.current_time() - started_s) * self.clock_rate
+        return self.clock_offset_ms + int((started_s + elapsed_s) * 1000)
 
     async def handle(
         self, path: str, expected_id: str, body: Mapping[str, Any]
--- /dev/null
+++ b/tests/batch/test_stray_calls.py
@@ -0,0 +1,166 @@
+"""Calls for an earlier lifetime of a server that the next one carries out.
+
+Backend servers forget each end up to the highest number that they were ever given, also
+those that come later, and a lease that is granted on another clock may be the longest.
+"""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rhubarbmount.standins.users_platform import Rebirth
+from rhubarbmount.standins.users_servers import StandinServer, TaskWork
+from tests.batch.test_days import open_small_day, submit
+from tests.batch.test_lifetimes import LONGEST_LEASE_S
+from tests.batch.test_reborn_servers import (
+    SEEDS,
+    breaches_by_rule,
+    clock_ms_of,
+    machines_of,
+    open_day_of_short_jobs,
+)
+
+POLL_S = 0.0005
+# Every pool has a busy server on which a run ends within this time.
+END_WITHIN_S = 2.0
+# From the end of a run to its commit it takes longer than this.
+COMMIT_S = 0.003
+# Within this time no row tells of the later lifetime.
+ROW_AFTER_S = 1.4
+# So soon after an answer the next renewal is sent and not yet carried out.
+RENEWAL_SENT_S = 0.001
+MACHINE_CPU = 8000
+LONG_WORK_S = 40.0
+# After a cut or a loss all leases have lapsed and all tasks run again.
+SETTLED_S = LONGEST_LEASE_S + 3.0
+
+
+@pytest.fixture
+def autojump_clock():
+    return MockClock(rate=0.0, autojump_threshold=0.0)
+
+
+async def restart_beside_an_end(world, machine, rebirth, down_s) -> None:
+    """Restart a server while its next end is being committed, if one comes soon."""
+    server = machine.server
+    with trio.move_on_after(END_WITHIN_S):
+        while not server.ended:
+            await trio.sleep(POLL_S)
+        await trio.sleep(COMMIT_S)
+        if not server.is_gone:
+            world.platform.crash(machine.id, down_s, rebirth=rebirth)
+
+
+# Guards against TWICE: the session with the earlier lifetime acknowledges its last ends
+# to the one that is at the address by then, which forgets its first ends unread.
+@pytest.mark.parametrize("down_s", [0.001, 0.1, 0.4])
+@SEEDS
+async def test_ends_are_not_acknowledged_to_a_server_that_has_just_restarted(
+    monkeypatch, autojump_clock, seed, down_s
+):
+    rebirth = Rebirth(clock_ms_of(seed), keeps_row=True, row_after_s=ROW_AFTER_S)
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        jobs.submit_more()
+        earlier = [machine.server for machine in machines_of(world)]
+        async with trio.open_nursery() as nursery:
+            for machine in machines_of(world):
+                nursery.start_soon(
+                    restart_beside_an_end, world, machine, rebirth, down_s
+                )
+        assert any(server.is_gone for server in earlier)
+        await jobs.must_complete()
+
+
+class Renewals:
+    """Waits for the renewals that backend servers answer."""
+
+    def __init__(self, monkeypatch):
+        self._answered = trio.Event()
+        self._server = None
+        self._handle = StandinServer.handle
+        monkeypatch.setattr(
+            StandinServer,
+            "handle",
+            lambda server, *args: self._note(server, *args),
+        )
+
+    async def _note(self, server, path, expected, body):
+        response = await self._handle(server, path, expected, body)
+        if path == "/hold" and server is self._server and not server.is_gone:
+            self._answered.set()
+        return response
+
+    async def wait_for_answer(self, server) -> None:
+        """Wait until a server answers a renewal."""
+        self._server, self._answered = server, trio.Event()
+        with trio.fail_after(5.0):
+            await self._answered.wait()
+
+
+def job_of(generator, count: int, cpu: int, **fields):
+    """Return a job of one step with long tasks."""
+    phase = {
+        "count": count,
+        "cpu": cpu,
+        "mem_mb": 200,
+        "estimate_ms": int(LONG_WORK_S * 1000),
+        **fields,
+    }
+    is_long_running = fields.get("long_running", False)
+    work = TaskWork(LONG_WORK_S, cpu, 200, is_long_running=is_long_running)
+    return f"{generator.getrandbits(64):016x}", [phase], [work]
+
+
+@asynccontextmanager
+async def open_day_of_one_busy_machine(monkeypatch, seed: int, begin_after_s: float):
+    """Run long tasks on machine m, with room for them nowhere else in the pool.
+
+    A task on machine n, which is small, keeps both machines in the pool.
+    """
+    async with open_small_day(monkeypatch, seed, "m", "ab") as (world, checker):
+        world.platform.add_machine("n", "one", "r", cpu=400)
+        await trio.sleep(begin_after_s)
+        lasting = job_of(world.generator, 2, 200, long_running=True, max_per_server=1)
+        for new_job in (lasting, job_of(world.generator, 4, 1500)):
+            assert await submit(world, checker, "/one/", new_job)
+            await trio.sleep(0.5)
+        await trio.sleep(1.0)
+        machine = world.platform.machine_by_id["m"]
+        assert len(machine.server.run_by_task) == 5
+        yield world, checker, machine
+
+
+def lose_machine_and_holder(world, machine) -> None:
+    """Cut a machine off and kill the holder; another machine has room from now on."""
+    world.faults.servers_cut = {("*", machine.server.address)}
+    for holder in world.holders():
+        world.kill_node(holder)
+    world.platform.resize("n", MACHINE_CPU, 64000, after_s=0.1)
+
+
+# Guards against TWICE: a renewal for the earlier lifetime makes the lease of the later
+# one the longest, the row of the holder's lease tells an earlier end of all grants, and
+# the next holder starts the tasks again while they run where it can't see them.
+@pytest.mark.parametrize("clock_rate", [1.0, 0.98])
+@SEEDS
+async def test_a_holder_waits_for_the_lease_that_a_stray_renewal_has_granted(
+    monkeypatch, autojump_clock, seed, clock_rate
+):
+    renewals = Renewals(monkeypatch)
+    rebirth = Rebirth(clock_ms=1000, keeps_row=True, clock_rate=clock_rate)
+    breaches_by_kill_s = {}
+    for step in range(1 + seed, 41, 4):
+        async with open_day_of_one_busy_machine(monkeypatch, seed, 0.1 * seed) as day:
+            world, checker, machine = day
+            await renewals.wait_for_answer(machine.server)
+            await trio.sleep(RENEWAL_SENT_S)
+            world.platform.crash(machine.id, 0.001, rebirth=rebirth)
+            await trio.sleep(0.05 * step)
+            assert len(machine.server.run_by_task) == 5
+            lose_machine_and_holder(world, machine)
+            await trio.sleep(SETTLED_S)
+            if checker.breaches:
+                breaches_by_kill_s[round(0.05 * step, 2)] = breaches_by_rule(checker)
+    assert breaches_by_kill_s == {}
