Start nothing on a lease that outlasts what the next holder waits for

The next one started the task elsewhere 70 ms before the run had lapsed.

Cause: a call for the earlier lifetime carries an expiry on another clock. Cut to the longest lease by the later lifetime, it lasts 10.2 s from when it is carried out. The holder counts with that; the lease row says 9.75 s after its renewal, which the next holder goes by.

Nothing starts now on a lifetime whose lease may have been granted so until a stored lease row covers it, 0.56 s to 1.06 s after its first answer. Runs of a lifetime thus lapse by what the row says, whoever has called it. An idle server is granted nothing any more: its only effect could be on another lifetime.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -425,6 +425,7 @@
 
     def _place(self) -> list[Assignment]:
         started_s = monotonic_s()
+        self.sessions.open_covered()
         assignments = self.placer.place(started_s)
         self.meter.record_placing(monotonic_s() - started_s)
         return assignments
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -132,7 +132,6 @@
     # Called when an answer shows the clock of another lifetime.
     on_other_clock: Callable[[], None] = lambda: None
     _unsettled: UnsettledStarts = attrs.field(factory=UnsettledStarts)
-    _has_longer_lease: bool = False
     _send_channel: Any = None
     _receive_channel: Any = None
 
@@ -213,7 +212,6 @@
             await self._wait_for_grant(request)
             if not request.is_current(self.server.id):
                 return
-            self._log_longer_lease()
             hindrance = self._hindrance_to_start(is_repeat)
             if hindrance is not None:
                 result = hindrance
@@ -237,20 +235,6 @@
                 self.server.id, request, result or CommandResult.NOT_SENT
             )
 
-    def _log_longer_lease(self) -> None:
-        """Log once that a lease may outlast what the row tells the next holder."""
-        longer_s = self.lease.lapses_at_s() - self.lease.shard_lease.grants_lapse_by_s
-        if longer_s > 0.0 and not self._has_longer_lease:
-            log.event(
-                logger,
-                "lease-outlasts-row",
-                logging.WARNING,
-                server=self.server.id,
-                longer_s=longer_s,
-                bound=self.lease.earlier.source,
-            )
-        self._has_longer_lease = longer_s > 0.0
-
     def _hindrance_to_start(self, is_repeat: bool) -> CommandResult | None:
         """Return what a start would come to if it should not be sent now, or None."""
         if not self.lease.is_reachable and not is_repeat:
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -117,6 +117,16 @@
         if longest.at_s > self.earlier.at_s:
             self.earlier = LapseBound(longest.at_s, OTHER_CLOCK)
 
+    @property
+    def outlasts_row(self) -> bool:
+        """Return whether a call for another lifetime may have granted too long a lease.
+
+        The next holder would not wait for it, as the lease row does not tell it yet.
+        """
+        if self.earlier.source != OTHER_CLOCK:
+            return False
+        return self.earlier.at_s > self.shard_lease.grants_lapse_by_s
+
     @property
     def is_recorded_silent(self) -> bool:
         """Return whether a record limits what may be granted."""
@@ -126,7 +136,7 @@
         """Return whether a start command may be sent now."""
         if not self.clock.is_known or not self.is_reachable:
             return self.clock.is_known
-        if self.has_other_clock:
+        if self.has_other_clock or self.outlasts_row:
             return False
         limit_s = self.shard_lease.grants_lapse_by_s
         if self.recorded_lapse_s is not None:
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -225,7 +225,11 @@
         sent_s = monotonic_s()
         acknowledged = self._next_acknowledgement()
         token = self.lease.fencing_token
-        expires_ms = self.lease.renewal_expiry_ms(sent_s, self.listener.is_late())
+        expires_ms = None
+        # What an idle server were granted could only serve another lifetime.
+        if self.has_work():
+            is_late = self.listener.is_late()
+            expires_ms = self.lease.renewal_expiry_ms(sent_s, is_late)
         response = None
         try:
             timeout_s = (
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -78,6 +78,8 @@
     # Servers that have answered and are still recorded as silent.
     _heard: list[ServerSession] = attrs.field(factory=list)
     _record_changed: trio.Event = attrs.field(factory=trio.Event)
+    # Servers that take no tasks until the lease row covers their leases.
+    _outlasting: list[tuple[ServerSession, ServerUsage]] = attrs.field(factory=list)
     _response_loss_until_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
@@ -247,10 +249,34 @@
         now_s = monotonic_s()
         self.shard.set_time(now_s, wall_clock_s())
         self._raise_token(session)
+        self._close_if_outlasting(session, usage)
         self._end_earlier_lifetimes(session, response, sent_s)
         self._run_lists.apply(session, usage, response, sent_s, now_s)
         self.wake()
 
+    def _close_if_outlasting(self, session: ServerSession, usage: ServerUsage) -> None:
+        """Start nothing whose lease may last longer than the next holder would wait."""
+        if usage.has_long_lease or not session.lease.outlasts_row:
+            return
+        usage.has_long_lease = True
+        self._outlasting.append((session, usage))
+        log.event(
+            logger,
+            "lease-outlasts-row",
+            server=session.server.id,
+            longer_s=session.lease.lapses_at_s() - self.shard_lease.grants_lapse_by_s,
+        )
+
+    def open_covered(self) -> None:
+        """Let servers take tasks whose leases the stored lease row covers by now."""
+        for session, usage in self._outlasting:
+            usage.has_long_lease = session.lease.outlasts_row
+        self._outlasting = [
+            (session, usage)
+            for session, usage in self._outlasting
+            if usage.has_long_lease
+        ]
+
     def _raise_token(self, session: ServerSession) -> None:
         """Give the lifetime that answers the highest token of its server's name."""
         number = self._tokens.raise_number(session.server.id)
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -36,6 +36,8 @@
     is_due: bool = False
     # Set while it waits for another server of its pool to take its tasks.
     awaits_place: bool = False
+    # Set while its lease may last longer than a next holder would wait.
+    has_long_lease: bool = False
     # Set while runs of a job that can't be read are listed.
     has_runs_left_alone: bool = False
     full_until_s: float = 0.0
@@ -113,6 +115,7 @@
             self.is_closed
             or self.is_emptying
             or self.is_leaving
+            or self.has_long_lease
             or now_s < max(self.full_until_s, self.slow_until_s)
         ):
             return False
