Send calls to a backend server only on connections that reach the lifetime

Cause: name and token of a call are all that a server checks, and the next call of the session with the earlier lifetime to the address reaches the later one. Its acknowledgement has the later one forget each end up to that number, also those to come. The fencing token of the later lifetime bars that only once it has answered.

A connection reaches one process for as long as it lasts. Connections are kept by lifetime now, and a new one is asked first, by a renewal that acknowledges and grants nothing, which lifetime it reaches; if it is another, nothing is sent and the session ends as before. A timeout before the call itself is sent counts as not sent. This holds for starts, stops, renewals and pace commands alike.

Ruled out: leaving acknowledgements out until the first list.

The simulated network has connections that end with their server for that. A connection is asked by one call more; test_json_client shows that nothing else is sent.

--- a/rhubarbmount/batch/early_renewals.py
+++ b/rhubarbmount/batch/early_renewals.py
@@ -12,7 +12,12 @@
 from rhubarbmount.batch.lifetimes import lifetime_id, name_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.server_lease import ServerLease
-from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.errors import (
+    LeaseLost,
+    OtherLifetime,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
 __all__ = ["EarlyRenewals"]
@@ -109,6 +114,7 @@
             answered_id = lifetime_id(server.name, response.born_ms)
             if response.born_ms and answered_id != server.id:
                 lease = self._replace_lease(server.id, answered_id)
+                await self.client.forget(server)
                 server = attrs.evolve(server, id=answered_id)
                 was_known = False
             lease.consecutive_failures = 0
@@ -158,6 +164,8 @@
                 expires_ms=lease.renewal_expiry_ms(monotonic_s()),
                 wait_s=0.0,
             )
+        except OtherLifetime as error:
+            return RenewalResponse(CommandResult.DONE, 0, born_ms=error.born_ms)
         except (PlatformUnavailable, OutcomeUnknown):
             return None
         if response.result is CommandResult.FENCED:
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -18,7 +18,7 @@
     UnsettledStart,
     UnsettledStarts,
 )
-from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.errors import OtherLifetime, OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.platform.backend import (
     BackendClient,
     CommandResponse,
@@ -129,8 +129,8 @@
     on_failure: Callable[[str], None]
     # Whether the server has room for all that is assigned to it.
     has_room: Callable[[], bool] = lambda: True
-    # Called when an answer shows the clock of another lifetime.
-    on_other_clock: Callable[[], None] = lambda: None
+    # Called when an answer shows another lifetime, or its clock.
+    on_other_lifetime: Callable[[], None] = lambda: None
     _unsettled: UnsettledStarts = attrs.field(factory=UnsettledStarts)
     _send_channel: Any = None
     _receive_channel: Any = None
@@ -276,14 +276,14 @@
             response = await self.client.start(self.server, command)
         except PlatformUnavailable as error:
             self._unsettled.drop(number)
-            self.on_failure(error.code)
+            self._record_failure(error)
             await trio.sleep(RETRY_S)
             return CommandResult.NOT_SENT
         except OutcomeUnknown as error:
             if request.is_assigned(self.server.id):
                 request.task.sent_s = now_s
             self.listener.on_unanswered()
-            self.on_failure(error.code)
+            self._record_failure(error)
             return None
         if response.result is CommandResult.DONE:
             self._unsettled.note_answer(number, monotonic_s())
@@ -315,6 +315,11 @@
         )
         return response.result
 
+    def _record_failure(self, error: PlatformUnavailable | OutcomeUnknown) -> None:
+        self.on_failure(error.code)
+        if isinstance(error, OtherLifetime):
+            self.on_other_lifetime()
+
     def _note_try(self, request: StartRequest, now_s: float) -> int:
         """Record a start that is about to be sent; return the number of the try."""
         number = self._unsettled.note(request.task.id, request.run, now_s)
@@ -345,7 +350,7 @@
             last_ms=self.lease.clock.read_ms,
             age_s=now_s - self.lease.clock.read_at_s,
         )
-        self.on_other_clock()
+        self.on_other_lifetime()
         return False
 
     async def _wait_for_grant(self, request: StartRequest) -> None:
@@ -378,6 +383,9 @@
                 request.run,
                 self.lease.fencing_token,
             )
+        except OtherLifetime:
+            self.on_other_lifetime()
+            return False
         except (PlatformUnavailable, OutcomeUnknown):
             return False
         if response.result is CommandResult.FENCED:
@@ -418,7 +426,7 @@
                 self.lease.fencing_token,
             )
         except (PlatformUnavailable, OutcomeUnknown) as error:
-            self.on_failure(error.code)
+            self._record_failure(error)
             return
         if response.result is CommandResult.FENCED:
             self.listener.on_fenced(self.server.id)
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -19,7 +19,12 @@
 )
 from rhubarbmount.batch.server_lease import ServerLease
 from rhubarbmount.batch.unsettled_starts import UnsettledStart
-from rhubarbmount.errors import LeaseLost, OutcomeUnknown, PlatformUnavailable
+from rhubarbmount.errors import (
+    LeaseLost,
+    OtherLifetime,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
 __all__ = ["ServerSession", "SessionListener"]
@@ -111,7 +116,7 @@
             metrics=self.metrics,
             on_failure=self._record_failure,
             has_room=self.has_room,
-            on_other_clock=self.check,
+            on_other_lifetime=self.check,
         )
 
     async def run(self) -> None:
@@ -245,6 +250,9 @@
                     expires_ms,
                     self._renewal_wait_s(),
                 )
+        except OtherLifetime as error:
+            self._note_other_lifetime(error.born_ms)
+            return None
         except (PlatformUnavailable, OutcomeUnknown) as error:
             if not self.lease.has_lapsed:
                 self.listener.on_unanswered()
@@ -259,9 +267,12 @@
         return self._handle_response(response, acknowledged, token, sent_s)
 
     def _note_other_lifetime(
-        self, born_ms: int, acknowledged: int, expires_ms: int | None
+        self, born_ms: int, acknowledged: int = 0, expires_ms: int | None = None
     ) -> None:
-        """End the session, as another lifetime has answered a renewal for this one."""
+        """End the session, as another lifetime has answered.
+
+        It may have obeyed what the renewal told this one.
+        """
         log.event(
             logger,
             "other-lifetime-answered",
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -232,12 +232,7 @@
                 del self._session_by_server_id[server_id]
                 self._lifetimes.remove(server_id)
                 self._hand_on_unsettled_starts(session)
-                self._close_connections(session.server.address)
-
-    def _close_connections(self, address: str) -> None:
-        """Close the connections to an address at which no server is any more."""
-        if all(session.server.address != address for session in self):
-            self.nursery.start_soon(self.client.forget, address)
+                self.nursery.start_soon(self.client.forget, session.server)
 
     def on_list(
         self, session: ServerSession, response: RenewalResponse, sent_s: float
--- a/rhubarbmount/errors.py
+++ b/rhubarbmount/errors.py
@@ -10,6 +10,7 @@
     "FindingsError",
     "LeaseLost",
     "NotFound",
+    "OtherLifetime",
     "OutcomeUnknown",
     "PlatformUnavailable",
     "Refused",
@@ -86,6 +87,16 @@
     status = 503
 
 
+class OtherLifetime(PlatformUnavailable):
+    """Another lifetime of a backend server has its address; the call was not sent."""
+
+    code = "other-lifetime"
+
+    def __init__(self, message: str, born_ms: int) -> None:
+        super().__init__(message)
+        self.born_ms = born_ms
+
+
 class OutcomeUnknown(RhubarbmountError):
     """The call may or may not have taken effect."""
 
--- a/rhubarbmount/http_client.py
+++ b/rhubarbmount/http_client.py
@@ -63,6 +63,8 @@
     body_bytes: int = 1048576
     reusable: bool = True
     was_reused: bool = False
+    # Whether an answer has shown that it reaches the process that calls are meant for.
+    reaches_peer: bool = False
     idle_since_s: float = 0.0
     # Bytes that have arrived of the response to the current or last request.
     received_bytes: int = 0
--- a/rhubarbmount/platform/backend.py
+++ b/rhubarbmount/platform/backend.py
@@ -9,12 +9,13 @@
 
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.lateness import Lateness
-from rhubarbmount.batch.lifetimes import name_of
+from rhubarbmount.batch.lifetimes import born_ms_of, name_of
 from rhubarbmount.batch.model import RunEnd, RunReport, Server, TaskId
-from rhubarbmount.errors import OutcomeUnknown
+from rhubarbmount.errors import OtherLifetime, OutcomeUnknown
 from rhubarbmount.platform.json_client import (
     JsonClient,
     JsonResponse,
+    Peer,
     decoding_response,
     encode_header,
 )
@@ -31,6 +32,7 @@
 RENEWAL_MARGIN_S = 0.35
 # A run is listed by each renewal until it ends.
 MAX_KEPT_TASKS = 8192
+MAX_KEPT_PEERS = 2048
 # How many ends of runs a server lists at a time.
 MAX_LISTED_ENDS = 500
 
@@ -97,14 +99,18 @@
 
 @attrs.define(eq=False)
 class BackendClient:
-    """Client for backend servers; calls raise PlatformUnavailable or OutcomeUnknown."""
+    """Client for backend servers; calls raise PlatformUnavailable or OutcomeUnknown.
+
+    Nothing is sent to another lifetime than the call is meant for: OtherLifetime, which
+    is a PlatformUnavailable, names the one that was reached.
+    """
 
     client: JsonClient
     lateness: Lateness
 
-    async def forget(self, address: str) -> None:
-        """Close the connections to an address that no server has any more."""
-        await self.client.forget(address)
+    async def forget(self, server: Server) -> None:
+        """Close the connections to a lifetime that is called no more."""
+        await self.client.forget(server.address, server.id)
 
     async def start(self, server: Server, command: StartCommand) -> CommandResponse:
         """Start a run."""
@@ -192,10 +198,36 @@
         # The name does not tell the lifetimes apart; the lists of runs do.
         expected = [(b"x-expect-instance", encode_header(name_of(server.id)))]
         return await self.client.call(
-            server.address, "POST", path, body, timeout_s, expected, pause_s=pause_s
+            server.address,
+            "POST",
+            path,
+            body,
+            timeout_s,
+            expected,
+            pause_s=pause_s,
+            peer=_peer_of(server.id, body["fencing_token"]),
         )
 
 
+@functools.lru_cache(maxsize=MAX_KEPT_PEERS)
+def _peer_of(server_id: str, fencing_token: int) -> Peer:
+    """Return a lifetime, which its lists of runs tell from others of its name.
+
+    The question has no effect on any: it acknowledges nothing and renews no lease.
+    """
+    born_ms = born_ms_of(server_id)
+    question = {"fencing_token": fencing_token, "ack_cursor": 0} if born_ms else None
+
+    def check(response: JsonResponse) -> None:
+        with decoding_response():
+            answered_ms = int(response.body.get("born") or 0)
+        if answered_ms not in (0, born_ms):
+            message = f"another lifetime has answered than {server_id}"
+            raise OtherLifetime(message, answered_ms)
+
+    return Peer(server_id, "/hold", question, check)
+
+
 def format_task(task: TaskId) -> str:
     """Return the wire format of a task ID.
 
--- a/rhubarbmount/platform/json_client.py
+++ b/rhubarbmount/platform/json_client.py
@@ -15,6 +15,7 @@
 __all__ = [
     "JsonClient",
     "JsonResponse",
+    "Peer",
     "decoding_response",
     "encode_header",
     "make_request",
@@ -49,12 +50,33 @@
     body: Mapping[str, Any]
 
 
+@attrs.frozen
+class Peer:
+    """The process that calls are meant for, of those that follow at one address.
+
+    A connection reaches one process for as long as it lasts. A new one is asked
+    ``question`` first, unless that is None or the call itself; ``check`` raises if the
+    answer is of another process.
+    """
+
+    name: str
+    target: str
+    question: Mapping[str, Any] | None
+    check: Callable[[JsonResponse], None]
+
+    def is_asked_by(self, target: str, body: Mapping[str, Any] | None) -> bool:
+        """Return whether a call is the question."""
+        return target == self.target and body == self.question
+
+
 @attrs.define(eq=False)
 class _Progress:
     """How far a call has come; its deadline moves on as its response arrives."""
 
     scope: trio.CancelScope
     pause_s: float
+    # Unset as long as nothing but the question to a peer has been sent.
+    may_be_sent: bool
     connection: ClientConnection | None = None
 
     def follow(self, connection: ClientConnection) -> None:
@@ -74,9 +96,10 @@
 
 @attrs.define(eq=False)
 class JsonClient:
-    """Client for any number of addresses, with a connection pool for each."""
+    """Client for any number of addresses, with a connection pool for each peer."""
 
-    _pool_by_address: dict[str, ConnectionPool] = attrs.field(factory=dict)
+    # By the address and the name of the peer, which is empty for an address with one.
+    _pool_by_peer: dict[tuple[str, str], ConnectionPool] = attrs.field(factory=dict)
 
     async def call(
         self,
@@ -88,6 +111,7 @@
         headers: Headers = (),
         may_send: Callable[[], bool] = lambda: True,
         pause_s: float = 0.0,
+        peer: Peer | None = None,
     ) -> JsonResponse:
         """Send a request and return the response.
 
@@ -95,59 +119,115 @@
         long as no pause in it lasts ``pause_s``.
         ``may_send`` is asked once the connection is open: nothing is sent if a
         permission has expired while this process waited for it or was paused.
+        With a ``peer``, nothing is sent on a connection that may reach another process.
+        If the peer refuses its question, that is the response.
         Raises PlatformUnavailable if nothing was sent, and OutcomeUnknown if the
         response was lost or did not arrive in time.
         """
         request = make_request(address, method, target, body, headers)
+        question = _question(address, peer, target, body, headers)
         scope = trio.CancelScope(deadline=trio.current_time() + timeout_s)
-        progress = _Progress(scope, pause_s)
+        progress = _Progress(scope, pause_s, may_be_sent=peer is None)
         try:
             with scope:
-                return await self._exchange(address, request, may_send, progress)
+                pool = self._pool(address, peer)
+                connection = await pool.take()
+                progress.follow(connection)
+                started_s = trio.current_time()
+                try:
+                    refusal = await _ask(connection, question, peer)
+                    if refusal is not None:
+                        return refusal
+                    _check_permission(may_send)
+                    progress.may_be_sent = True
+                    return await _exchange(connection, request, peer)
+                finally:
+                    await _put_back(pool, connection, started_s)
         except NotSent as error:
             raise PlatformUnavailable(error.message, code=error.code) from None
         except ResponseLost as error:
             raise OutcomeUnknown(error.message, code=error.code) from None
         message = f"no whole response from {address} in time, {progress}"
-        raise OutcomeUnknown(message, code="timeout")
+        error_class = OutcomeUnknown if progress.may_be_sent else PlatformUnavailable
+        raise error_class(message, code="timeout")
 
-    async def forget(self, address: str) -> None:
-        """Close the connections to an address, once nothing waits on them."""
-        pool = self._pool_by_address.pop(address, None)
+    async def forget(self, address: str, peer_name: str = "") -> None:
+        """Close the connections to a peer, once nothing waits on them."""
+        pool = self._pool_by_peer.pop((address, peer_name), None)
         if pool is not None:
             await pool.retire()
 
     async def aclose(self) -> None:
         """Close all pooled connections."""
-        for address in list(self._pool_by_address):
-            await self.forget(address)
+        for address, peer_name in list(self._pool_by_peer):
+            await self.forget(address, peer_name)
 
-    async def _exchange(
-        self,
-        address: str,
-        request: HttpRequest,
-        may_send: Callable[[], bool],
-        progress: "_Progress",
-    ) -> JsonResponse:
-        pool = self._pool_by_address.get(address)
+    def _pool(self, address: str, peer: Peer | None) -> ConnectionPool:
+        key = address, "" if peer is None else peer.name
+        pool = self._pool_by_peer.get(key)
         if pool is None:
             pool = ConnectionPool(address, CONNECT_TIMEOUT_S, BODY_LIMIT_BYTES)
-            self._pool_by_address[address] = pool
-        connection = await pool.take()
-        progress.follow(connection)
-        if not may_send():
-            await pool.put_back(connection)
-            raise NotSent("the permission to send has expired", code="expired")
-        started_s = trio.current_time()
-        try:
-            response = await connection.exchange(request)
-        finally:
-            await pool.put_back(connection)
-            if connection.was_reused and not connection.reusable:
-                # What silenced this connection may have silenced the idle ones.
-                with trio.CancelScope(shield=True):
-                    await pool.close_idle_since(started_s)
-        return JsonResponse(response.status, _decode(response.body))
+            self._pool_by_peer[key] = pool
+        return pool
+
+
+def _question(
+    address: str,
+    peer: Peer | None,
+    target: str,
+    body: Mapping[str, Any] | None,
+    headers: Headers,
+) -> HttpRequest | None:
+    """Return what a new connection is asked before a call, or None for nothing."""
+    if peer is None or peer.question is None or peer.is_asked_by(target, body):
+        return None
+    return make_request(address, "POST", peer.target, peer.question, headers)
+
+
+async def _ask(
+    connection: ClientConnection, question: HttpRequest | None, peer: Peer | None
+) -> JsonResponse | None:
+    """Ask a new connection which process it reaches; return a refusal, or None."""
+    if question is None or connection.reaches_peer:
+        return None
+    try:
+        response = await _exchange(connection, question, peer)
+    except ResponseLost as error:
+        raise NotSent(error.message, code=error.code) from None
+    return None if connection.reaches_peer else response
+
+
+async def _exchange(
+    connection: ClientConnection, request: HttpRequest, peer: Peer | None
+) -> JsonResponse:
+    """Send a request; keep a connection that is not known to reach the peer if it does.
+
+    A refusal does not tell which process it is from.
+    """
+    answer = await connection.exchange(request)
+    response = JsonResponse(answer.status, _decode(answer.body))
+    if peer is None or connection.reaches_peer:
+        return response
+    was_reusable, connection.reusable = connection.reusable, False
+    peer.check(response)
+    connection.reusable = was_reusable and response.status == 200
+    connection.reaches_peer = connection.reusable
+    return response
+
+
+def _check_permission(may_send: Callable[[], bool]) -> None:
+    if not may_send():
+        raise NotSent("the permission to send has expired", code="expired")
+
+
+async def _put_back(
+    pool: ConnectionPool, connection: ClientConnection, started_s: float
+) -> None:
+    await pool.put_back(connection)
+    if connection.was_reused and not connection.reusable:
+        # What silenced this connection may have silenced the idle ones.
+        with trio.CancelScope(shield=True):
+            await pool.close_idle_since(started_s)
 
 
 def make_request(
--- a/tests/batch/test_early_renewals.py
+++ b/tests/batch/test_early_renewals.py
@@ -112,6 +112,9 @@
         born_ms, clock_ms = answer
         return RenewalResponse(CommandResult.DONE, clock_ms, born_ms=born_ms)
 
+    async def forget(self, server):
+        """Close no connections, as there are none."""
+
 
 async def renew_early(monkeypatch, record, answers, duration_s=2.5):
     """Renew what runs on a recorded server for a time, with a record of its silence."""
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -15,10 +15,10 @@
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.http import HttpRequest, NotSent
 from rhubarbmount.http_client import make_head, split_address
-from rhubarbmount.platform.json_client import JsonResponse, make_request
+from rhubarbmount.platform.json_client import JsonResponse, Peer, make_request
 from rhubarbmount.platform.settings import Bounds, NodeSettings
 from rhubarbmount.standins.users_platform import UsersPlatform
-from rhubarbmount.standins.users_servers import TaskWork
+from rhubarbmount.standins.users_servers import StandinServer, TaskWork
 from rhubarbmount.timers import TimerService
 
 HOST = "jobs.example"
@@ -99,17 +99,45 @@
     servers_cut: set[tuple[str, str]] = attrs.field(factory=set)
 
 
+@attrs.frozen
+class ServerCall:
+    """A call to the backend server of an id."""
+
+    target: str
+    body: Mapping[str, Any]
+    expected_id: str
+
+
+@attrs.define
+class _Progress:
+    """Whether more than the question to a peer may have been sent."""
+
+    may_be_sent: bool
+
+
+@attrs.define(eq=False)
+class SimulatedConnection:
+    """A connection to a backend server, which reaches no later lifetime of it."""
+
+    server: StandinServer
+    reaches_peer: bool = False
+
+
 @attrs.define(eq=False)
 class SimulatedCaller:
     """The client of one node, which calls the stand-in with latency and faults.
 
-    Requests are encoded and addresses split as by the real client.
+    Requests are encoded and addresses split as by the real client, and connections to
+    backend servers are kept by peer as it keeps them.
     """
 
     node_id: str
     world: "World"
     # Addresses to which the connections were closed.
     forgotten: list[str] = attrs.field(factory=list)
+    _idle_by_peer: dict[tuple[str, str], list[SimulatedConnection]] = attrs.field(
+        factory=dict
+    )
     _host: trio.Lock = attrs.field(factory=trio.Lock)
     _link: trio.Lock = attrs.field(factory=trio.Lock)
 
@@ -123,24 +151,81 @@
         headers: Any = (),
         may_send: Callable[[], bool] = lambda: True,
         pause_s: float = 0.0,
+        peer: Peer | None = None,
     ) -> JsonResponse:
         _check_request(make_request(address, method, target, headers=headers), address)
+        progress = _Progress(may_be_sent=peer is None)
         with trio.move_on_after(timeout_s) as scope:
             await self._occupy_host()
             await self._await_resumption()
             if not may_send():
                 raise PlatformUnavailable("not sent", code="expired")
             await trio.sleep(LATENCY_S)
-            response = await self._deliver(address, method, target, body, dict(headers))
+            if peer is None:
+                response = await self._deliver(address, method, target, body, headers)
+            else:
+                expected = dict(headers).get(b"x-expect-instance", b"").decode()
+                call = ServerCall(target, body, expected)
+                response = await self._call_peer(address, call, peer, progress)
             await trio.sleep(LATENCY_S)
             await self._occupy_link(response, scope, pause_s)
             await self._occupy_host()
             await self._await_resumption()
             return response
-        raise OutcomeUnknown("no answer in time", code="timeout")
+        error_class = OutcomeUnknown if progress.may_be_sent else PlatformUnavailable
+        raise error_class("no answer in time", code="timeout")
 
-    async def forget(self, address: str) -> None:
+    async def forget(self, address: str, peer_name: str = "") -> None:
         self.forgotten.append(address)
+        self._idle_by_peer.pop((address, peer_name), None)
+
+    async def _call_peer(self, address, call, peer, progress) -> JsonResponse:
+        """Send a call on a connection that reaches the peer, as the real client."""
+        idle = self._idle_by_peer.setdefault((address, peer.name), [])
+        connection = await self._connect(address, idle)
+        asks = peer.question is not None and not peer.is_asked_by(
+            call.target, call.body
+        )
+        if asks and not connection.reaches_peer:
+            response = await self._ask(connection, call, peer)
+            if not connection.reaches_peer:
+                return response
+        progress.may_be_sent = True
+        response = await self._exchange(connection, call, peer)
+        if connection.reaches_peer:
+            idle.append(connection)
+        return response
+
+    async def _ask(self, connection, call, peer) -> JsonResponse:
+        question = ServerCall(peer.target, peer.question, call.expected_id)
+        try:
+            response = await self._exchange(connection, question, peer)
+        except OutcomeUnknown as error:
+            raise PlatformUnavailable(error.message, code=error.code) from None
+        await trio.sleep(2 * LATENCY_S)
+        return response
+
+    async def _connect(self, address, idle) -> SimulatedConnection:
+        """Return an idle connection that has not been reset, or a new one."""
+        cut = {(self.node_id, address), ("*", address)}
+        server = self.world.platform.server_by_address.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.server is server:
+                return connection
+        if cut & self.world.faults.servers_cut:
+            await trio.sleep_forever()
+        if server is None:
+            raise PlatformUnavailable("refused", code="not-sent")
+        return SimulatedConnection(server)
+
+    async def _exchange(self, connection, call, peer) -> JsonResponse:
+        """Send a call on a connection; it reaches the peer if its check says so."""
+        response = await self._deliver_to_server(connection.server, call)
+        if not connection.reaches_peer:
+            peer.check(response)
+            connection.reaches_peer = response.status == 200
+        return response
 
     async def _occupy_host(self) -> None:
         cost_s = self.world.faults.call_cost_s_by_node.get(self.node_id, 0.0)
@@ -173,32 +258,29 @@
         await trio.lowlevel.checkpoint()
 
     async def _deliver(self, address, method, target, body, headers) -> JsonResponse:
-        world, faults = self.world, self.world.faults
         if address == STORE:
             return await self._deliver_to_store(method, target, body)
-        if address == MACHINES_ADDRESS:
-            return await self._deliver_to_machines(method, target, headers, body)
-        cut = {(self.node_id, address), ("*", address)}
+        return await self._deliver_to_machines(method, target, dict(headers), body)
+
+    async def _deliver_to_server(self, server, call) -> JsonResponse:
+        world, faults = self.world, self.world.faults
+        cut = {(self.node_id, server.address), ("*", server.address)}
         if cut & faults.servers_cut:
             await trio.sleep_forever()
-        server = world.platform.server_by_address.get(address)
-        if server is None:
-            raise PlatformUnavailable("refused", code="not-sent")
-        expected = headers.get(b"x-expect-instance", b"").decode()
-        if self._is_late(target):
-            world.late_addresses.add(address)
-            world.nursery.start_soon(
-                self._deliver_late, address, target, expected, body
-            )
+        if server.is_gone:
+            raise OutcomeUnknown("connection reset", code="answer-lost")
+        if self._is_late(call.target):
+            world.late_addresses.add(server.address)
+            world.nursery.start_soon(self._deliver_late, server.address, call)
             await trio.sleep_forever()
         is_refused = world.generator.random() < faults.refused_start_share
-        if target == "/run-start" and is_refused:
+        if call.target == "/run-start" and is_refused:
             return JsonResponse(503, {})
-        response = await server.handle(target, expected, body)
+        response = await server.handle(call.target, call.expected_id, call.body)
         if server.is_gone:
             raise OutcomeUnknown("connection reset", code="answer-lost")
         await trio.sleep(faults.response_delay_s_by_server_id.get(server.id, 0.0))
-        if target == "/hold":
+        if call.target == "/hold":
             lifetime = server.id, server.born_ms
             await trio.sleep(faults.list_delay_s_by_lifetime.get(lifetime, 0.0))
         if world.generator.random() < faults.lost_response_share:
@@ -212,11 +294,11 @@
         share = faults.late_share_by_path.get(target, 0.0)
         return share > 0.0 and generator.random() < share
 
-    async def _deliver_late(self, address, target, expected, body) -> None:
+    async def _deliver_late(self, address, call) -> None:
         await trio.sleep(self.world.generator.uniform(*self.world.faults.late_by_s))
         server = self.world.platform.server_by_address.get(address)
         if server is not None:
-            await server.handle(target, expected, body)
+            await server.handle(call.target, call.expected_id, call.body)
 
     async def _deliver_to_machines(self, method, target, headers, body) -> JsonResponse:
         world, faults = self.world, self.world.faults
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -1,12 +1,15 @@
 """Calls over pooled connections."""
 
+import json
+from contextlib import asynccontextmanager
+
 import h11
 import pytest
 import trio
 
 from rhubarbmount.errors import OutcomeUnknown, PlatformUnavailable
 from rhubarbmount.http_client import ConnectionPool
-from rhubarbmount.platform.json_client import open_json_client
+from rhubarbmount.platform.json_client import Peer, open_json_client
 
 
 class SilencedServer:
@@ -203,3 +206,127 @@
         assert streams == []
         assert (await client.call(address, "GET", "/")).status == 200
     nursery.cancel_scope.cancel()
+
+
+class Process:
+    """One of several processes that have an address in turn; records what it gets."""
+
+    def __init__(self, born_ms, status=200, pause_s=0.0):
+        self.born_ms = born_ms
+        self.status = status
+        self.pause_s = pause_s
+        self.bodies = []
+        self.open_count = 0
+
+    async def serve(self, stream):
+        self.open_count += 1
+        protocol = h11.Connection(h11.SERVER)
+        data = b""
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await stream.receive_some(4096))
+            elif isinstance(event, h11.Data):
+                data += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                self.bodies.append(json.loads(data))
+                data = b""
+                await trio.sleep(self.pause_s)
+                await stream.send_all(self._response(protocol))
+                protocol.start_next_cycle()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _response(self, protocol):
+        body = json.dumps({"born": self.born_ms}).encode()
+        head = h11.Response(
+            status_code=self.status, headers=[("content-length", str(len(body)))]
+        )
+        data = h11.Data(data=body)
+        parts = [protocol.send(event) for event in (head, data, h11.EndOfMessage())]
+        return b"".join(parts)
+
+
+class WrongProcess(PlatformUnavailable):
+    """Another process has answered than the one born at 1."""
+
+
+def check_born_at_1(response):
+    if response.body.get("born") != 1:
+        raise WrongProcess("another process")
+
+
+QUESTION = {"who": True}
+PEER = Peer("first", "/who", QUESTION, check_born_at_1)
+
+
+@asynccontextmanager
+async def open_peer_client(process):
+    """Provide a function that calls the process, and one that replaces it."""
+    current = [process]
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+    scopes = []
+
+    async def serve(stream):
+        with trio.CancelScope() as scope:
+            scopes.append(scope)
+            await serve_quietly(current[0], stream)
+
+    async with trio.open_nursery() as nursery, open_json_client() as client:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+        async def call(body, target="/act"):
+            return await client.call(
+                address, "POST", target, body, timeout_s=0.5, peer=PEER
+            )
+
+        def replace(process):
+            current[0] = process
+            for scope in scopes:
+                scope.cancel()
+
+        yield call, replace
+        nursery.cancel_scope.cancel()
+
+
+# Guards against calls that a process carries out that were meant for the one before.
+async def test_a_call_is_sent_to_no_other_process_at_the_address():
+    first, second = Process(1), Process(2)
+    async with open_peer_client(first) as (call, replace):
+        await call({"number": 1})
+        await call({"number": 2})
+        replace(second)
+        await trio.sleep(0.05)
+        for _ in range(2):
+            with pytest.raises(WrongProcess):
+                await call({"number": 3})
+    assert first.bodies == [QUESTION, {"number": 1}, {"number": 2}]
+    assert second.bodies == [QUESTION, QUESTION]
+
+
+async def test_a_call_that_is_the_question_is_sent_at_once():
+    process = Process(1)
+    async with open_peer_client(process) as (call, _):
+        await call(QUESTION, "/who")
+        await call({"number": 1})
+    assert process.bodies == [QUESTION, {"number": 1}]
+    assert process.open_count == 1
+
+
+async def test_a_refused_question_is_the_response():
+    process = Process(1, status=503)
+    async with open_peer_client(process) as (call, _):
+        for _ in range(2):
+            assert (await call({"number": 1})).status == 503
+    assert process.bodies == [QUESTION, QUESTION]
+
+
+# Guards against a command that counts as sent, although only the question was.
+async def test_a_call_whose_question_is_not_answered_has_no_effect():
+    process = Process(1, pause_s=5.0)
+    async with open_peer_client(process) as (call, _):
+        with pytest.raises(PlatformUnavailable) as caught:
+            await call({"number": 1})
+    assert caught.value.code == "timeout"
+    assert process.bodies == [QUESTION]
