Stand-in: forget each end up to the highest number ever acknowledged

Backend servers keep the highest number that they were given and forget ends up to it that come later, too.

--- a/rhubarbmount/standins/users_servers.py
+++ b/rhubarbmount/standins/users_servers.py
@@ -62,8 +62,9 @@
 
     ``observe`` is called for starts and ends of runs, as callers of the platform would
     see them, for ends that are acknowledged, and before for those of them that were in
-    no list yet. ``crash`` ends the lifetime. Lifetimes one after another may have the
-    same ``id``; ``born_ms`` tells them apart.
+    no list yet. An end up to the highest number that was ever acknowledged is forgotten
+    as soon as it comes. ``crash`` ends the lifetime. Lifetimes one after another may
+    have the same ``id``; ``born_ms`` tells them apart.
     """
 
     id: str
@@ -92,6 +93,7 @@
     row_sequence: int = 0
     _end_count: int = 0
     _listed_to: int = 0
+    _acknowledged_to: int = 0
     _run_ended: trio.Event = attrs.field(factory=trio.Event)
     lapsed_at_s: float = -math.inf
     # Larger capacities of before, each with the time until which it still counts.
@@ -223,12 +225,16 @@
         )
 
     def _acknowledge(self, number: int) -> None:
+        self._acknowledged_to = max(self._acknowledged_to, number)
+        self._forget_acknowledged_ends()
+
+    def _forget_acknowledged_ends(self) -> None:
         for end in self.ended:
-            if end[0] <= number:
+            if end[0] <= self._acknowledged_to:
                 if end[0] > self._listed_to:
                     self.observe("unread", self, end[1], end[2], end[3])
                 self.observe("acknowledged", self, end[1], end[2], end[3])
-        self.ended = [end for end in self.ended if end[0] > number]
+        self.ended = [end for end in self.ended if end[0] > self._acknowledged_to]
 
     def _progress_percent(self, run: Run) -> int:
         elapsed_s = trio.current_time() - run.started_s
@@ -279,5 +285,7 @@
         self._end_count += 1
         self.ended.append([self._end_count, run.task, run.run, outcome, ""])
         self.observe(outcome, self, run.task, run.run)
+        if not self.is_gone:
+            self._forget_acknowledged_ends()
         self._run_ended.set()
         self._run_ended = trio.Event()
--- a/tests/batch/test_reborn_checks.py
+++ b/tests/batch/test_reborn_checks.py
@@ -142,3 +142,33 @@
         checker.breaches.clear()
         await renew(world, "n", 1)
         assert [breach.split()[0] for breach in checker.breaches] == ["UNREAD"]
+
+
+# Guards against a stand-in that forgets only the ends that are there when they are
+# acknowledged, and a checker that misses those that come later.
+async def test_an_end_that_was_acknowledged_before_it_came_is_never_listed(
+    monkeypatch, autojump_clock
+):
+    async with open_two_machines(monkeypatch) as (world, checker):
+        await renew(world, "m", 1)
+        await start(world, "m", 1)
+        await trio.sleep(1.0)
+        assert [breach.split()[0] for breach in checker.breaches] == ["UNREAD"]
+        checker.breaches.clear()
+        listed = await renew(world, "m", 0)
+        assert listed["running"] == listed["finished"] == []
+        await start(world, "m", 2)
+        assert len(checker.breaches) == 1
+        assert checker.breaches[0].startswith("TWICE after done")
+        checker.breaches.clear()
+        await trio.sleep(1.0)
+        assert (await renew(world, "m", 0))["finished"] == [[2, TASK, 2, "done", ""]]
+
+
+# Guards against a stand-in that has ends of a crashed lifetime acknowledged.
+async def test_runs_that_a_crash_ends_are_not_acknowledged(monkeypatch, autojump_clock):
+    async with open_two_machines(monkeypatch) as (world, checker):
+        await renew(world, "m", 5)
+        await start(world, "m", 1)
+        await restart(world, "m")
+        assert checker.breaches == []
