Keep which acknowledgements another lifetime may still carry out

A server keeps the highest number that was ever acknowledged to it and forgets each end up to it. A renewal for its earlier lifetime that has no answer may be carried out seconds later by the next one, whose first ends are then never listed. Nothing told of such calls, and each renewal after a failed call repeated the acknowledgement: up to four a second while a server does not answer, just when it may have started again.

One that another lifetime has answered stays. After a failed call nothing is acknowledged until another call was answered. Nothing follows from what is kept yet.

Seen before: the new test of test_server_session.py failed, as each repetition acknowledged.

--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -12,6 +12,7 @@
 from rhubarbmount.batch.lifetimes import born_ms_of
 from rhubarbmount.batch.metrics import BatchMetrics
 from rhubarbmount.batch.model import Server, TaskId
+from rhubarbmount.batch.open_acknowledgements import OpenAcknowledgements
 from rhubarbmount.batch.server_commands import (
     CommandListener,
     CommandSender,
@@ -81,6 +82,10 @@
     needs_fresh_progress: Callable[[], bool]
     # Whether the server has room for all that is assigned to it.
     has_room: Callable[[], bool] = lambda: True
+    # Acknowledgements that other lifetimes of the server may get.
+    open_acknowledgements: OpenAcknowledgements = attrs.field(
+        factory=OpenAcknowledgements
+    )
     # Run ends up to this number are committed and may be acknowledged.
     committed: int = 0
     acknowledged: int = 0
@@ -224,6 +229,7 @@
     async def _renew_once(self) -> RenewalResponse | None:
         sent_s = monotonic_s()
         acknowledged = self._next_acknowledgement()
+        number = self._note_acknowledgement(acknowledged, sent_s)
         token = self.lease.fencing_token
         expires_ms = self.lease.renewal_expiry_ms(sent_s, self.listener.is_late())
         response = None
@@ -242,6 +248,8 @@
                     self._renewal_wait_s(),
                 )
         except (PlatformUnavailable, OutcomeUnknown) as error:
+            if isinstance(error, PlatformUnavailable):
+                self.open_acknowledgements.settle(self.server.id, number)
             if not self.lease.has_lapsed:
                 self.listener.on_unanswered()
             self._record_failure(error.code, sent_s)
@@ -252,6 +260,7 @@
         if response.born_ms not in (0, born_ms_of(self.server.id)):
             self._note_other_lifetime(response.born_ms, acknowledged, expires_ms)
             return None
+        self.open_acknowledgements.settle(self.server.id, number)
         return self._handle_response(response, acknowledged, token, sent_s)
 
     def _note_other_lifetime(
@@ -274,10 +283,19 @@
     def _next_acknowledgement(self) -> int:
         """Return the number to acknowledge, or 0 if that would be nothing new.
 
-        The call may reach another lifetime, which numbers its ends anew.
+        The call may reach another lifetime, which numbers its ends anew. After a failed
+        call that is more probable, so that nothing is acknowledged then.
         """
+        if self.lease.consecutive_failures:
+            return 0
         return self.committed if self.committed > self.acknowledged else 0
 
+    def _note_acknowledgement(self, acknowledged: int, sent_s: float) -> int:
+        """Record a renewal that is about to be sent; return its number, or 0."""
+        if not acknowledged:
+            return 0
+        return self.open_acknowledgements.note(self.server.id, sent_s)
+
     def _renewal_wait_s(self) -> float:
         if (
             not self.is_established
--- a/tests/batch/test_server_session.py
+++ b/tests/batch/test_server_session.py
@@ -156,6 +156,34 @@
     assert "a fault in handling a list" in caplog.text
 
 
+class AcknowledgementRecorder(UnreliableBackendClient):
+    """Notes the number that each renewal acknowledges."""
+
+    def __init__(self, answers):
+        super().__init__(answers)
+        self.acknowledged = []
+
+    async def renew(self, server, fencing_token, acknowledged, *args):
+        self.acknowledged.append(acknowledged)
+        return await super().renew(server, fencing_token, acknowledged, *args)
+
+
+# Guards against acknowledgements that another lifetime may carry out: after a failed
+# call the server may have started again.
+async def test_nothing_is_acknowledged_after_a_failed_call_until_one_is_answered():
+    session = make_session()
+    session.client = AcknowledgementRecorder([True, False, False, True, True, True])
+    session.committed = 7
+    for _ in range(6):
+        await session._renew_once()
+    assert session.client.acknowledged == [7, 0, 0, 0, 0, 0]
+    session.client = AcknowledgementRecorder([False, False, True, True, True])
+    session.committed = 9
+    for _ in range(5):
+        await session._renew_once()
+    assert session.client.acknowledged == [9, 0, 0, 9, 0]
+
+
 class EndedBackendClient:
     """Backend client whose server answers each renewal as another lifetime."""
 
