Have a lifetime list an end before it takes tasks, if it may forget ends

An acknowledgement for an earlier lifetime that the later one carries out between its start and its first answer to a higher token has it forget its first ends as they come, for good. Runs that were done there are listed nowhere, count as vanished, and their tasks start again.

A lifetime that answers is in doubt if another lifetime of its name has an acknowledgement without an answer. But for tasks that last, it gets one task at a time, which is stopped as soon as its start was answered, and a run that a late start began there is stopped too. An end in a list that was asked for with the highest token settles the doubt, as all further ends have higher numbers. If a run that had begun is listed nowhere, the server gets tasks that last only, and another trial after 4 s.

The trial is of a step that takes 1 s or more, or a speculative one; of these the least urgent, of others the longest. A gang is used where nothing else has waited for 2 s, as it would wait for ever otherwise. The rule is looked at once for each step, and not for each task as the placement rules are: it does not depend on the task.

--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -512,7 +512,10 @@
                     max(0.0, self.shard.wall_clock_s - spec.accepted_s)
                 )
             ticket = self.tickets.find(task.id[:3], assignment.server_id)
-            request = StartRequest(task, assignment.run, spec.payload, ticket)
+            is_trial = self.shard.is_end_trial(task)
+            request = StartRequest(
+                task, assignment.run, spec.payload, ticket, is_trial=is_trial
+            )
             starts.append((session, request))
         return starts
 
--- a/rhubarbmount/batch/model.py
+++ b/rhubarbmount/batch/model.py
@@ -60,6 +60,8 @@
     DRAINED = "drained"
     # The host is to be maintained.
     WAVE = "wave"
+    # The run is to show whether its server lists the ends of runs.
+    END_TRIAL = "end-trial"
     # A start had no answer, and none may be carried out late.
     UNANSWERED = "unanswered"
     # The server lists a run that is not the current one of its task.
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rhubarbmount.batch.end_trials import TrialStep, order_for_trials
 from rhubarbmount.batch.model import Assignment, Job, Queue, Step, Task
 from rhubarbmount.batch.objective import LatestStart, latest_start
 from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
@@ -115,6 +116,8 @@
     tickets: Mapping[StepKey, Mapping[str, str]] = attrs.field(factory=dict)
     shortage_by_pool: dict[str, Shortage] = attrs.field(factory=dict)
     _filters: list[PlacementFilter] = attrs.field(init=False)
+    # Servers where a gang has to show whether ends are listed, as nothing else waits.
+    _gang_trial_ids: set[str] = attrs.field(factory=set)
     _latest_start_by_step: dict[StepKey, tuple[Queue | None, LatestStart]] = (
         attrs.field(factory=dict)
     )
@@ -130,10 +133,13 @@
             for usage in self.shard.usage_by_server_id.values()
             if usage.is_open(now_s) and self.shard.knows_capacity(usage, now_s)
         )
-        assignments: list[Assignment] = []
+        step_keys = self._steps_by_urgency()
+        assignments = self._place_trials(step_keys, servers_by_pool, now_s)
         held_by_pool: dict[str, ServerUsage] = {}
         emptying_pools: set[str] = set()
-        for step_key in self._steps_by_urgency():
+        for step_key in step_keys:
+            if step_key not in self.shard.waiting_by_step:
+                continue
             job = self.shard.job_by_id[step_key[0]]
             pool = self.shard.pool_of(job.spec)
             servers = servers_by_pool.get(pool)
@@ -155,6 +161,73 @@
                 held_by_pool.setdefault(pool, held)
         return assignments
 
+    def _place_trials(
+        self,
+        step_keys: list[StepKey],
+        servers_by_pool: Mapping[str, OpenServers],
+        now_s: float,
+    ) -> list[Assignment]:
+        """Assign a task to each server that has to show whether it lists ends."""
+        self._gang_trial_ids.clear()
+        assignments: list[Assignment] = []
+        for pool, servers in servers_by_pool.items():
+            untried = [usage for usage in servers.usages if usage.needs_trial(now_s)]
+            if not untried:
+                continue
+            steps = self._trial_steps(step_keys, pool)
+            for item in order_for_trials(steps):
+                assignments.extend(self._try_step(item, untried, now_s))
+            if any(item.step.is_gang for item in steps):
+                self._gang_trial_ids |= {
+                    usage.server.id
+                    for usage in untried
+                    if usage.ends.may_try_gang(now_s)
+                }
+        return assignments
+
+    def _trial_steps(self, step_keys: list[StepKey], pool: str) -> list[TrialStep]:
+        """Return the steps of a pool that have waiting tasks."""
+        steps = []
+        for rank, key in enumerate(step_keys):
+            spec = self.shard.job_by_id[key[0]].spec
+            if self.shard.pool_of(spec) == pool:
+                expected_s = self.shard.expected_run_time(spec, key[2]).expected_s
+                has_suspects = self._has_suspects(key)
+                step = spec.steps[key[2]]
+                steps.append(TrialStep(key, step, expected_s, rank, has_suspects))
+        return steps
+
+    def _try_step(
+        self, item: TrialStep, untried: list[ServerUsage], now_s: float
+    ) -> list[Assignment]:
+        """Assign one task of a step to each server that it suits; remove these."""
+        job = self.shard.job_by_id[item.key[0]]
+        assignments = []
+        fitting = [usage for usage in untried if usage.fits(item.step)]
+        for usage in self._eligible(fitting, job, item.key):
+            task = self._trial_task(job, item, usage, now_s)
+            if task is not None:
+                self.shard.assign(task, usage, now_s)
+                untried.remove(usage)
+                assignments.append(Assignment(task.id, task.run, usage.server.id))
+        return assignments
+
+    def _trial_task(
+        self, job: Job, item: TrialStep, usage: ServerUsage, now_s: float
+    ) -> Task | None:
+        """Return a task to try on a server, if possible one that begins anew.
+
+        Of one with a checkpoint little may be left.
+        """
+        tasks = list(self.shard.waiting_by_step.get(item.key, {}).values())
+        if item.has_suspects:
+            tasks = self._without_held_back(self._with_one_suspect(job, tasks), now_s)
+        tasks.sort(key=lambda task: bool(task.checkpoint))
+        for task in tasks:
+            if all(accepts(usage, item.step, task) for accepts in self._filters):
+                return task
+        return None
+
     def _has_suspects(self, step_key: StepKey) -> bool:
         """Return whether tasks of a step wait that have to run alone."""
         if step_key not in self.shard.steps_with_losses:
@@ -194,7 +267,8 @@
         candidates = [
             usage
             for usage in self._eligible(servers.usages, job, step_key)
-            if not usage.has_long_running
+            if usage.will_take(step)
+            and not usage.has_long_running
             and not usage.suspect_ids
             and usage.fits_among_long_running(step)
             and usage.has_label(step)
@@ -285,6 +359,12 @@
         if step.is_gang and len(waiting) < step.count:
             return []
         candidates = self._eligible(servers.with_capacity(step), job, step_key)
+        candidates = [
+            usage
+            for usage in candidates
+            if usage.takes(step)
+            or (step.is_gang and usage.server.id in self._gang_trial_ids)
+        ]
         if step.needs_one_rack:
             candidates = _on_best_rack(candidates, step)
         if not candidates:
@@ -352,7 +432,7 @@
             or usage.is_idle
             or usage.fits_among_long_running(step)
             for usage in self.shard.usage_by_server_id.values()
-            if usage.server.service == pool and usage.stays
+            if usage.server.service == pool and usage.stays and usage.will_take(step)
         )
 
     def _note_shortage(self, pool: str, job: Job, step_key: StepKey) -> None:
--- a/rhubarbmount/batch/run_lists.py
+++ b/rhubarbmount/batch/run_lists.py
@@ -53,6 +53,8 @@
     ) -> None:
         """Apply the list in the answer to a call sent at ``sent_s``."""
         _log_missing_ends(session, response)
+        if response.ended and usage.ends.note_listed():
+            log.event(logger, "ends-listed", server=session.server.id)
         for end in response.ended:
             if end.number > session.listed_to:
                 self._record_end(session, end, now_s, response.clock_ms)
@@ -74,7 +76,7 @@
         running = {(item.task, item.run) for item in response.running}
         for task in list(usage.task_by_id.values()):
             if (task.id, task.run) not in running:
-                self._handle_missing_run(session, task, sent_s, now_s)
+                self._handle_missing_run(session, usage, task, sent_s, now_s)
 
     def forget(self, name: str) -> None:
         """Drop the state kept for the lifetimes of a server whose row was removed."""
@@ -140,6 +142,7 @@
         task.progress.report(report.percent, clock_ms)
         if task.acknowledged_s:
             self.shard.clear_losses_if_harmless(task, now_s)
+        self._stop_if_end_may_be_forgotten(task)
         self._stop_if_straggling(usage, task, now_s)
 
     def _adopt_run(self, usage: ServerUsage, task: Task, now_s: float) -> None:
@@ -152,6 +155,11 @@
         if usage.server.is_draining and step.is_long_running and not task.is_stopping:
             self.shard.stop_run(task, StopReason.DRAINED)
 
+    def _stop_if_end_may_be_forgotten(self, task: Task) -> None:
+        """Stop a run, before it is done, that was meant for another lifetime."""
+        if self.shard.is_end_trial(task) and not task.is_stopping:
+            self.shard.stop_run(task, StopReason.END_TRIAL)
+
     def _stop_if_straggling(self, usage: ServerUsage, task: Task, now_s: float) -> None:
         """Stop a straggling run, so that its task restarts on another server.
 
@@ -201,7 +209,12 @@
             session.send(StopRequest(task_id, run, reason))
 
     def _handle_missing_run(
-        self, session: ServerSession, task: Task, sent_s: float, now_s: float
+        self,
+        session: ServerSession,
+        usage: ServerUsage,
+        task: Task,
+        sent_s: float,
+        now_s: float,
     ) -> None:
         """Requeue the task of an assigned run that the server no longer has.
 
@@ -225,6 +238,11 @@
                 listed_to=session.listed_to,
                 acknowledged=session.acknowledged,
             )
+            has_begun = task.progress.started_ms > 0
+            if has_begun and usage.ends.note_forgotten(now_s):
+                log.event(
+                    logger, "ends-forgotten", logging.WARNING, server=session.server.id
+                )
             self.shard.release(task, now_s)
 
 
--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -51,13 +51,15 @@
 class StartRequest:
     """A committed assignment to start on the server.
 
-    ``task`` is the live object, which shows whether the assignment still applies.
+    ``task`` is the live object, which shows whether the assignment still applies. A
+    run that ``is_trial`` is stopped as soon as it has begun.
     """
 
     task: Task
     run: int
     payload: str
     ticket: str
+    is_trial: bool = False
 
     def is_assigned(self, server_id: str) -> bool:
         """Return whether this is still the current run of the task."""
@@ -220,8 +222,7 @@
                 break
             result = await self._try_start(request)
             if result in BEGUN_RESULTS:
-                if request.is_assigned(self.server.id):
-                    request.task.acknowledged_s = monotonic_s()
+                await self._handle_begun(request)
                 return
             if result is CommandResult.OTHER_LIFETIME:
                 self.listener.on_lifetime_end(self.server.id)
@@ -275,6 +276,15 @@
             StopRequest(request.task.id, request.run, StopReason.UNANSWERED)
         )
 
+    async def _handle_begun(self, request: StartRequest) -> None:
+        """Record that a run has begun; stop it if only its end is of interest."""
+        if request.is_assigned(self.server.id):
+            request.task.acknowledged_s = monotonic_s()
+        if request.is_trial and request.is_current(self.server.id):
+            request.task.is_stopping = True
+            task = request.task.id
+            await self._stop(StopRequest(task, request.run, StopReason.END_TRIAL))
+
     async def _try_start(self, request: StartRequest) -> CommandResult | None:
         """Send a start once; return None if it was not answered."""
         now_s = monotonic_s()
--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -52,6 +52,11 @@
         """Return the token for calls to the lifetime."""
         return self.shard_lease.server_token(self.token_number)
 
+    @property
+    def has_obeyed_token(self) -> bool:
+        """Return whether the lifetime has answered a call with its current token."""
+        return self._obeyed_token >= self.fencing_token
+
     def note_obeyed(self, token: int, now_s: float) -> None:
         """Record that the lifetime has answered a call with a token.
 
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -14,8 +14,10 @@
 from rhubarbmount.batch.earlier_grants import EarlierGrants
 from rhubarbmount.batch.election import ShardLease
 from rhubarbmount.batch.lateness import Lateness
+from rhubarbmount.batch.lifetime_ends import LifetimeEndsJudge
 from rhubarbmount.batch.lifetimes import born_ms_of, lifetime_id, name_of
 from rhubarbmount.batch.metrics import BatchMetrics
+from rhubarbmount.batch.open_acknowledgements import OpenAcknowledgements
 from rhubarbmount.batch.run_lists import RunLists
 from rhubarbmount.batch.server_commands import StartRequest, StopRequest
 from rhubarbmount.batch.server_lease import ServerLease
@@ -72,6 +74,10 @@
     _session_by_server_id: dict[str, ServerSession] = attrs.field(factory=dict)
     _lifetimes: ServerLifetimes = attrs.field(factory=ServerLifetimes)
     _tokens: ServerTokens = attrs.field(factory=ServerTokens)
+    _open_acknowledgements: OpenAcknowledgements = attrs.field(
+        factory=OpenAcknowledgements
+    )
+    _ends_judge: LifetimeEndsJudge = attrs.field(init=False)
     # Starts without an answer for lifetimes without a session, by the server's name.
     _unsettled_by_name: dict[str, list[UnsettledStart]] = attrs.field(factory=dict)
     _run_lists: RunLists = attrs.field(init=False)
@@ -82,6 +88,9 @@
 
     def __attrs_post_init__(self) -> None:
         self._run_lists = RunLists(self.shard, self.metrics)
+        self._ends_judge = LifetimeEndsJudge(
+            self._open_acknowledgements, lambda server_id, now_s: False
+        )
 
     def __iter__(self) -> Iterator[ServerSession]:
         return iter(list(self._session_by_server_id.values()))
@@ -130,6 +139,7 @@
             needs_fresh_progress=lambda: needs_watch(
                 usage, monotonic_s(), self.shard.expected_run_time_of
             ),
+            open_acknowledgements=self._open_acknowledgements,
         )
         self._session_by_server_id[usage.server.id] = session
         self._log_beginning(session)
@@ -246,11 +256,34 @@
             return
         now_s = monotonic_s()
         self.shard.set_time(now_s, wall_clock_s())
+        self._judge_ends(session, usage, now_s)
         self._raise_token(session)
         self._end_earlier_lifetimes(session, response, sent_s)
         self._run_lists.apply(session, usage, response, sent_s, now_s)
         self.wake()
 
+    def _judge_ends(
+        self, session: ServerSession, usage: ServerUsage, now_s: float
+    ) -> None:
+        """Decide whether a lifetime that answers may have forgotten ends of its runs.
+
+        Once it has obeyed the highest token of the name, this can't change any more.
+        """
+        server_id = session.server.id
+        is_barred = session.lease.has_obeyed_token and self._tokens.is_highest(
+            server_id
+        )
+        was_certain = usage.ends.are_certain
+        usage.ends = self._ends_judge.judge(server_id, is_barred, now_s)
+        if was_certain and not usage.ends.are_certain:
+            log.event(
+                logger,
+                "ends-in-doubt",
+                logging.WARNING,
+                server=server_id,
+                listing=usage.ends.listing.value,
+            )
+
     def _raise_token(self, session: ServerSession) -> None:
         """Give the lifetime that answers the highest token of its server's name."""
         number = self._tokens.raise_number(session.server.id)
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rhubarbmount.batch.lifetime_ends import LifetimeEnds
 from rhubarbmount.batch.model import Server, Step, Task, TaskId
 
 __all__ = ["FAILURE_COOLDOWN_S", "ServerUsage"]
@@ -38,6 +39,8 @@
     awaits_place: bool = False
     # Set while runs of a job that can't be read are listed.
     has_runs_left_alone: bool = False
+    # Whether the ends of runs here are listed, which decides what may run.
+    ends: LifetimeEnds = attrs.field(factory=LifetimeEnds)
     full_until_s: float = 0.0
     # Set after runs on the server were found to be slow or stalled.
     slow_until_s: float = 0.0
@@ -82,6 +85,12 @@
         """Return whether a long-running task is assigned to the server."""
         return self._long_running_count > 0
 
+    @property
+    def has_ending_runs(self) -> bool:
+        """Return whether anything may run here that does not last."""
+        has_ending_tasks = len(self.task_by_id) > self._long_running_count
+        return has_ending_tasks or bool(self._stray_steps)
+
     @property
     def has_goal(self) -> bool:
         """Return whether an assigned task has a response time goal."""
@@ -107,6 +116,21 @@
             and not self.is_leaving
         )
 
+    def takes(self, step: Step) -> bool:
+        """Return whether tasks of a step may run here without being a trial.
+
+        The ends of those that last do not matter, as they begin again in any case.
+        """
+        return step.is_long_running or self.ends.are_certain
+
+    def will_take(self, step: Step) -> bool:
+        """Return whether tasks of a step may run here, once a doubt is settled."""
+        return step.is_long_running or not self.ends.are_forgotten
+
+    def needs_trial(self, now_s: float) -> bool:
+        """Return whether a run should show now whether its end is listed."""
+        return self.ends.needs_trial(now_s) and not self.has_ending_runs
+
     def is_open(self, now_s: float) -> bool:
         """Return whether new tasks may be assigned to the server."""
         if (
@@ -170,7 +194,8 @@
     def accepts(self, step: Step, task_id: TaskId) -> bool:
         """Return whether a task may run here once only long-running tasks are left."""
         return (
-            self.has_label(step)
+            self.will_take(step)
+            and self.has_label(step)
             and self.is_below_max_per_server(step, task_id)
             and self.fits_among_long_running(step)
         )
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -316,6 +316,13 @@
         usage = self.usage_by_server_id.get(task.server_id)
         return usage is not None and task.id in usage.suspect_ids
 
+    def is_end_trial(self, task: Task) -> bool:
+        """Return whether a task's run shows whether its server lists ends."""
+        usage = self.usage_by_server_id.get(task.server_id)
+        if usage is None or usage.ends.are_certain:
+            return False
+        return not self.step_of(task.id).is_long_running
+
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a version of the configuration; keep what it removes."""
         for name, queue in self.catalogue.queue_by_name.items():
--- a/rhubarbmount/batch/tickets.py
+++ b/rhubarbmount/batch/tickets.py
@@ -130,6 +130,7 @@
             for usage in shard.usage_by_server_id.values()
             if usage.server.service == pool
             and usage.is_open(now_s)
+            and usage.will_take(step)
             and usage.server.id not in refused
             and shard.is_latest_lifetime(usage)
         ]
--- /dev/null
+++ b/tests/batch/test_end_trials.py
@@ -0,0 +1,145 @@
+"""What is placed on servers of which it is not known whether they list ends of runs."""
+
+import attrs
+
+from rhubarbmount.batch.lifetime_ends import (
+    GANG_WAIT_S,
+    RETRIAL_S,
+    EndListing,
+    LifetimeEnds,
+)
+from rhubarbmount.batch.model import Step, TaskId
+from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.server_losses import ServerLoss
+from tests.batch.test_placing import make_shard
+
+NOW_S = 10.0
+SHORT = Step(4, 1000, 100, estimate_s=0.1)
+LONGER = Step(4, 1000, 100, estimate_s=0.6)
+SLOW = Step(4, 1000, 100, estimate_s=20.0)
+LASTING = Step(4, 1000, 100, estimate_s=1.0, is_long_running=True, max_unavailable=1)
+GANG = Step(4, 1000, 100, estimate_s=20.0, is_gang=True)
+SPECULATIVE = attrs.evolve(SHORT, is_speculative=True)
+
+
+def place(*steps, listing=EndListing.DOUBTFUL, servers=1):
+    """Place jobs of one step each on servers; return the shard and the job numbers."""
+    shard = make_shard([8000] * servers, steps)
+    for item in shard.usage_by_server_id.values():
+        item.ends = LifetimeEnds(listing)
+    return shard, placed_by(Placer(shard), NOW_S)
+
+
+def placed_by(placer, now_s):
+    return [int(item.task.job_id[1:]) for item in placer.place(now_s)]
+
+
+# Guards against TWICE: several tasks are done where no end may be listed.
+def test_one_task_at_a_time_is_placed_on_a_server_in_doubt():
+    shard, placed = place(SLOW)
+    assert placed == [0]
+    assert placed_by(Placer(shard), NOW_S) == []
+    (item,) = shard.usage_by_server_id.values()
+    (task,) = item.task_by_id.values()
+    assert shard.is_end_trial(task)
+    item.ends.note_listed()
+    assert not shard.is_end_trial(task)
+    assert placed_by(Placer(shard), NOW_S) == [0, 0, 0]
+
+
+def test_each_server_in_doubt_gets_a_trial():
+    shard, placed = place(SLOW, servers=3)
+    assert placed == [0, 0, 0]
+    assert all(len(item.task_by_id) == 1 for item in shard.usage_by_server_id.values())
+
+
+# They begin again however they end.
+def test_tasks_that_last_are_placed_as_ever():
+    shard, placed = place(LASTING)
+    assert placed == [0] * 4
+    assert not any(map(shard.is_end_trial, shard.job_by_id["j0000"].tasks()))
+    assert place(LASTING, listing=EndListing.FORGOTTEN)[1] == [0] * 4
+
+
+# Guards against TWICE: the trial is done before it is stopped.
+def test_the_trial_is_a_task_that_is_not_done_soon():
+    assert place(SHORT, LONGER, SLOW)[1] == [2]
+    assert place(SHORT, LONGER)[1] == [1]
+    assert place(SHORT)[1] == [0]
+
+
+def test_a_speculative_task_may_be_done_soon():
+    assert place(LONGER, SPECULATIVE)[1] == [1]
+
+
+# Guards against a trial that delays the job that is the most urgent.
+def test_the_trial_is_the_least_urgent_task():
+    # The longer a job, the later it may begin.
+    patient = attrs.evolve(SLOW, estimate_s=60.0)
+    assert place(SLOW, patient)[1] == [1]
+    assert place(patient, SLOW)[1] == [0]
+
+
+def test_a_task_with_a_checkpoint_is_no_trial_if_another_waits():
+    shard = make_shard([8000], [SLOW])
+    shard.usage_by_server_id["s000"].ends = LifetimeEnds(EndListing.DOUBTFUL)
+    for task in shard.job_by_id["j0000"].tasks()[:3]:
+        task.checkpoint = "x"
+    (assignment,) = Placer(shard).place(NOW_S)
+    assert assignment.task.number == 3
+
+
+# Guards against a harmless task beside one that may crash the server.
+def test_a_suspect_is_a_trial_only_if_nothing_else_waits():
+    shard = make_shard([8000], [SLOW, SHORT])
+    shard.usage_by_server_id["s000"].ends = LifetimeEnds(EndListing.DOUBTFUL)
+    loss = ServerLoss("t@1", True, True, False, 0.5)
+    suspect = shard.job_by_id["j0000"].tasks()[0]
+    suspect.losses = (loss, attrs.evolve(loss, server_id="u@1"))
+    shard.steps_with_losses.add(suspect.id[:3])
+    assert suspect.is_suspect
+    assert placed_by(Placer(shard), NOW_S) == [1]
+
+
+# Guards against a gang that is stopped where one task would do, and one that waits
+# for ever as no other task comes.
+def test_a_gang_is_a_trial_only_after_nothing_else_has_come_for_a_while():
+    shard, placed = place(GANG, servers=2)
+    assert placed == []
+    placer = Placer(shard)
+    assert placed_by(placer, NOW_S + GANG_WAIT_S - 0.1) == []
+    assert placed_by(placer, NOW_S + GANG_WAIT_S) == [0] * 4
+    shard, placed = place(GANG, SHORT)
+    assert placed == [1]
+
+
+def test_a_gang_is_placed_where_ends_are_listed():
+    shard, placed = place(GANG, servers=2)
+    shard.usage_by_server_id["s001"].ends.note_listed()
+    assert placed_by(Placer(shard), NOW_S) == [0] * 4
+    assert all(task.server_id == "s001" for task in shard.job_by_id["j0000"].tasks())
+
+
+# Guards against a run that is still there when the next one is to show its end.
+def test_no_trial_begins_beside_runs_that_are_being_stopped():
+    shard = make_shard([8000], [SLOW])
+    (item,) = shard.usage_by_server_id.values()
+    item.ends = LifetimeEnds(EndListing.DOUBTFUL)
+    item.set_strays([SHORT])
+    assert placed_by(Placer(shard), NOW_S) == []
+    item.set_strays([])
+    assert placed_by(Placer(shard), NOW_S) == [0]
+
+
+def test_a_trial_begins_beside_tasks_that_last():
+    shard, placed = place(LASTING, SLOW)
+    assert sorted(placed) == [0, 0, 0, 0, 1]
+
+
+def test_a_server_that_forgets_ends_rests_before_it_is_tried_again():
+    shard, placed = place(SLOW)
+    (item,) = shard.usage_by_server_id.values()
+    shard.release(shard.task(TaskId("j0000", 0, 0, 0)), NOW_S)
+    item.ends.note_forgotten(NOW_S)
+    assert placed_by(Placer(shard), NOW_S + RETRIAL_S - 0.1) == []
+    assert placed_by(Placer(shard), NOW_S + RETRIAL_S) == [0]
