Tell the next holder which lifetimes had tasks, and which were in doubt

A next holder does not know which acknowledgements of the last one have no answer. One that is carried out by a later lifetime of the server, before that has answered the next holder, has it forget ends unread as before.

The holder records the lifetime on which it started tasks last, by the server's name, and whether it was known to list the ends there; so also each lifetime that it doubts. For 30 s after it has read the record, a holder doubts each lifetime of a recorded server that is not the recorded one, and the recorded one if the last holder did. A loaded shard waits 0.3 s for the record at most. Without it, lifetimes without tasks are doubted.

The record has a table of its own. Builds of before take a row of server-records for unreadable as a whole if an entry has more than two fields, and ask for a server of each name in it: an entry by name and start has two leases granted to one server while a shard loads, of which they know one. A table that they do not know costs them nothing. What they do not record is told by the tasks themselves: a lifetime that has some and is not recorded is trusted, so that no run is stopped after a takeover from such a build.

--- a/rhubarbmount/batch/handover_records.py
+++ b/rhubarbmount/batch/handover_records.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 import attrs
+import trio
 
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.committer import Committer
@@ -16,6 +17,7 @@
 from rhubarbmount.batch.silent_servers import SilentServers
 from rhubarbmount.batch.tables import silent_servers_row
 from rhubarbmount.batch.unreadable_rows import UnreadableRows
+from rhubarbmount.batch.used_lifetimes import UsedLifetimes
 from rhubarbmount.batch.wave_record import WaveRecord
 from rhubarbmount.platform.rows import Row, RowStore
 from rhubarbmount.platform.settings import Bounds
@@ -42,6 +44,11 @@
     servers: ServerRecords = attrs.field(factory=ServerRecords)
     # Set once the rows of servers may be written without losing what they hold.
     has_loaded_servers: bool = False
+    used_lifetimes: UsedLifetimes = attrs.field(
+        factory=lambda: UsedLifetimes(loaded_at_s=None)
+    )
+    # Set once the same holds for the rows of lifetimes.
+    has_loaded_lifetimes: trio.Event = attrs.field(factory=trio.Event)
     earlier_grants: EarlierGrants = attrs.field(init=False)
     wave_by_number: dict[int, WaveRecord] = attrs.field(factory=dict)
     # Waves whose progress can't be read. Which hosts were maintained is not known, so
@@ -78,6 +85,19 @@
             except UnreadableRecord as error:
                 self.unreadable_rows.report(row, error)
 
+    async def load_lifetimes(self) -> None:
+        """Load on which lifetimes of servers earlier holders started tasks."""
+        has_all = True
+        for row in (await self.loader.load_used_lifetimes()).rows:
+            try:
+                self.used_lifetimes.load(row.value)
+            except UnreadableRecord as error:
+                self.unreadable_rows.report(row, error)
+                has_all = False
+        if has_all:
+            self.used_lifetimes.note_loaded(monotonic_s())
+        self.has_loaded_lifetimes.set()
+
     async def read_servers_to_renew(self) -> list[Server]:
         """Return where earlier holders started tasks, and load what is silent there.
 
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -43,6 +43,7 @@
     job_ids_of,
     server_records_row,
     silent_servers_row,
+    used_lifetimes_row,
     wave_row,
 )
 from rhubarbmount.batch.tickets import TicketCache
@@ -68,6 +69,8 @@
 LAG_PERIOD_S = 0.1
 TICKET_PERIOD_S = 0.05
 COMMIT_DELAY_S = 0.06
+# How long a loaded shard waits for the record of the lifetimes that had tasks.
+LIFETIMES_WAIT_S = 0.3
 # Time left for a start to be sent once capacities are too old to be relied on.
 CAPACITY_MARGIN_S = 0.25
 
@@ -187,6 +190,7 @@
             nursery.start_soon(self.sessions.keep_record)
             nursery.start_soon(self.requests.follow(loaded.version).run)
             nursery.start_soon(self._find_unlisted_servers)
+            nursery.start_soon(self._load_lifetimes)
             nursery.start_soon(self._load_requests)
             nursery.start_soon(self._server_follower(loaded.servers.version).run)
             nursery.start_soon(self.fleet_controller.run)
@@ -209,6 +213,7 @@
             wake=self.wake,
             want_host_list=self.fleet_controller.request_list,
             silent=self.records.silent_servers,
+            used_lifetimes=self.records.used_lifetimes,
             save_silent=self._save_silent_servers,
         )
         self.servers = ServerRows(
@@ -277,8 +282,12 @@
         early = self._make_early_renewals()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(early.run)
+            nursery.start_soon(self._load_lifetimes)
             loaded = await self._loader.load()
             await early.stop()
+            with trio.move_on_after(LIFETIMES_WAIT_S):
+                await self.records.has_loaded_lifetimes.wait()
+            nursery.cancel_scope.cancel()
         self.sessions.early_lease_by_server_id = early.lease_by_server_id
         requests: list[Page] = []
         if loaded.progress_without_spec_by_id:
@@ -334,6 +343,11 @@
             else:
                 self.sessions.nursery.start_soon(self._lose_unlisted_server, server_id)
 
+    async def _load_lifetimes(self) -> None:
+        """Load on which lifetimes tasks were started, unless that is done."""
+        if not self.records.has_loaded_lifetimes.is_set():
+            await self.records.load_lifetimes()
+
     def _make_early_renewals(self) -> EarlyRenewals:
         return EarlyRenewals(
             client=self.backend_client,
@@ -489,12 +503,17 @@
             usage = usage_by_id.get(assignment.server_id)
             if usage is not None:
                 self.records.servers.note(usage.server)
-        if not self.records.has_loaded_servers:
-            return
+                is_certain = usage.ends.are_certain
+                self.records.used_lifetimes.note(usage.server.id, is_certain)
         names_in_use = self.shard.usages_by_server_name
-        records = self.records.servers.encode_changed(names_in_use)
-        for key, value in records.items():
-            self._write_batch.put(server_records_row(self.name, key), value)
+        if self.records.has_loaded_servers:
+            servers = self.records.servers.encode_changed(names_in_use)
+            for key, value in servers.items():
+                self._write_batch.put(server_records_row(self.name, key), value)
+        if self.records.has_loaded_lifetimes.is_set():
+            lifetimes = self.records.used_lifetimes.encode_changed(names_in_use)
+            for key, value in lifetimes.items():
+                self._write_batch.put(used_lifetimes_row(self.name, key), value)
 
     def _start_requests(
         self, assignments: list[Assignment]
--- a/rhubarbmount/batch/record_fields.py
+++ b/rhubarbmount/batch/record_fields.py
@@ -4,7 +4,7 @@
 import json
 import math
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
 
 import attrs
@@ -21,13 +21,17 @@
     "decode_lifetime",
     "decode_numbers",
     "encode_lifetime",
+    "encode_rows",
     "load_object",
     "raises_unreadable_record",
+    "row_key_of",
 ]
 
 Value = TypeVar("Value")
 Record = TypeVar("Record", bound=attrs.AttrsInstance)
 
+# Records of all backend servers are spread over so many rows.
+ROW_COUNT = 16
 # Larger values are compressed, as the store limits the size of a row.
 COMPRESS_ABOVE_BYTES = 16_384
 # First byte of every value that zlib compresses by its default.
@@ -77,6 +81,26 @@
     return zlib.compress(value) if len(value) > COMPRESS_ABOVE_BYTES else value
 
 
+def row_key_of(server_name: str) -> str:
+    """Return the key of the row that holds the record of a server."""
+    return str(zlib.crc32(server_name.encode("utf-8")) % ROW_COUNT)
+
+
+def encode_rows(
+    fields_by_name: Mapping[str, list[Any]], keys: Iterable[str]
+) -> dict[str, bytes]:
+    """Return the values of some of the rows with records of servers, by key."""
+    rows: dict[str, dict[str, list[Any]]] = {key: {} for key in keys}
+    for name, fields in fields_by_name.items():
+        row = rows.get(row_key_of(name))
+        if row is not None:
+            row[name] = fields
+    return {
+        key: compress_if_large(json.dumps(row, separators=(",", ":")).encode("utf-8"))
+        for key, row in rows.items()
+    }
+
+
 def load_object(value: bytes) -> dict[str, Any]:
     """Return the JSON object that a row holds, compressed or not."""
     if value.startswith(ZLIB_MAGIC):
--- a/rhubarbmount/batch/server_records.py
+++ b/rhubarbmount/batch/server_records.py
@@ -1,7 +1,5 @@
 """Record of where backend servers with tasks are reached, for the next holder."""
 
-import json
-import zlib
 from collections.abc import Container
 
 import attrs
@@ -9,15 +7,14 @@
 from rhubarbmount.batch.lifetimes import name_of
 from rhubarbmount.batch.model import Server
 from rhubarbmount.batch.record_fields import (
-    compress_if_large,
+    encode_rows,
     load_object,
     raises_unreadable_record,
+    row_key_of,
 )
 
 __all__ = ["ServerRecords"]
 
-ROW_COUNT = 16
-
 
 @attrs.frozen
 class _Record:
@@ -29,7 +26,7 @@
 
 @attrs.define(eq=False)
 class ServerRecords:
-    """Addresses and hosts of the servers that have tasks, spread over ROW_COUNT rows.
+    """Addresses and hosts of the servers that have tasks, spread over some rows.
 
     A server that has tasks may be listed no more when the next holder takes over. That
     one then asks it here whether its lifetime goes on. Records are kept by name: the
@@ -52,7 +49,7 @@
         record = _Record(server.address, server.host_id)
         if self._record_by_name.get(server.name) != record:
             self._record_by_name[server.name] = record
-            self._changed_keys.add(_key_of(server.name))
+            self._changed_keys.add(row_key_of(server.name))
 
     def find(self, server_id: str) -> Server | None:
         """Return a lifetime of a recorded server, or None; nothing else is known."""
@@ -92,17 +89,11 @@
             for name, record in self._record_by_name.items()
             if name in names_in_use
         }
-        records_by_key: dict[str, dict[str, list[str]]] = {key: {} for key in keys}
-        for name, record in self._record_by_name.items():
-            records = records_by_key.get(_key_of(name))
-            if records is not None:
-                records[name] = [record.address, record.host_id]
-        return {
-            key: compress_if_large(
-                json.dumps(records, separators=(",", ":")).encode("utf-8")
-            )
-            for key, records in records_by_key.items()
+        fields_by_name = {
+            name: [record.address, record.host_id]
+            for name, record in self._record_by_name.items()
         }
+        return encode_rows(fields_by_name, keys)
 
 
 def _decode_record(fields: list[str]) -> _Record:
@@ -111,8 +102,3 @@
     if not host or not port.isdigit() or not isinstance(host_id, str):
         raise ValueError("not an address and a host")
     return _Record(address, host_id)
-
-
-def _key_of(name: str) -> str:
-    """Return the key of the row that holds the record of a server."""
-    return str(zlib.crc32(name.encode("utf-8")) % ROW_COUNT)
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -31,6 +31,7 @@
 from rhubarbmount.batch.stragglers import needs_watch
 from rhubarbmount.batch.tickets import TicketCache
 from rhubarbmount.batch.unsettled_starts import MAX_AGE_S, UnsettledStart
+from rhubarbmount.batch.used_lifetimes import UsedLifetimes
 from rhubarbmount.errors import LeaseLost
 from rhubarbmount.platform.backend import BackendClient, CommandResult, RenewalResponse
 
@@ -68,6 +69,7 @@
     silent: SilentServers
     # Writes the record of silent servers and returns once it is stored.
     save_silent: Callable[[], Awaitable[None]]
+    used_lifetimes: UsedLifetimes = attrs.field(factory=UsedLifetimes)
     # Leases renewed before the shard was loaded, of servers without a session yet.
     early_lease_by_server_id: dict[str, ServerLease] = attrs.field(factory=dict)
     _started_at_s: float = attrs.field(factory=monotonic_s)
@@ -89,7 +91,7 @@
     def __attrs_post_init__(self) -> None:
         self._run_lists = RunLists(self.shard, self.metrics)
         self._ends_judge = LifetimeEndsJudge(
-            self._open_acknowledgements, lambda server_id, now_s: False
+            self._open_acknowledgements, self._doubts_of_last_holder
         )
 
     def __iter__(self) -> Iterator[ServerSession]:
@@ -276,6 +278,7 @@
         was_certain = usage.ends.are_certain
         usage.ends = self._ends_judge.judge(server_id, is_barred, now_s)
         if was_certain and not usage.ends.are_certain:
+            self.used_lifetimes.note(server_id, is_certain=False)
             log.event(
                 logger,
                 "ends-in-doubt",
@@ -284,6 +287,10 @@
                 listing=usage.ends.listing.value,
             )
 
+    def _doubts_of_last_holder(self, server_id: str, now_s: float) -> bool:
+        has_tasks = bool(self.shard.tasks_on(server_id))
+        return self.used_lifetimes.may_lack_ends(server_id, now_s, has_tasks)
+
     def _raise_token(self, session: ServerSession) -> None:
         """Give the lifetime that answers the highest token of its server's name."""
         number = self._tokens.raise_number(session.server.id)
--- a/rhubarbmount/batch/shard_rows.py
+++ b/rhubarbmount/batch/shard_rows.py
@@ -21,6 +21,7 @@
     SERVER_RECORDS_TABLE,
     SILENT_SERVERS_TABLE,
     SPECS_TABLE,
+    USED_LIFETIMES_TABLE,
     WAVES_TABLE,
     parse_piece_key,
     request_parts,
@@ -218,6 +219,10 @@
         """Read where the servers with tasks are reached."""
         return await self._reader.read(SERVER_RECORDS_TABLE, self.name)
 
+    async def load_used_lifetimes(self) -> Page:
+        """Read on which lifetimes of servers tasks were started."""
+        return await self._reader.read(USED_LIFETIMES_TABLE, self.name)
+
     async def load_requests(self, on_page: Callable[[Page], None]) -> float:
         """Read the requests and pass each part on as soon as it can be read.
 
--- a/rhubarbmount/batch/tables.py
+++ b/rhubarbmount/batch/tables.py
@@ -16,6 +16,7 @@
     "SERVER_RECORDS_TABLE",
     "SILENT_SERVERS_TABLE",
     "SPECS_TABLE",
+    "USED_LIFETIMES_TABLE",
     "cancel_row",
     "catalogue_changes_row",
     "head_row",
@@ -34,6 +35,7 @@
     "server_records_row",
     "silent_servers_row",
     "spec_row",
+    "used_lifetimes_row",
     "wave_row",
 ]
 
@@ -48,6 +50,7 @@
 KEPT_ENDS_TABLE = "kept-ends"
 SERVER_RECORDS_TABLE = "server-records"
 SILENT_SERVERS_TABLE = "silent-servers"
+USED_LIFETIMES_TABLE = "used-lifetimes"
 CANCEL_SUFFIX = ".cancel"
 REQUEST_PART_COUNT = 8
 
@@ -163,6 +166,11 @@
     return RowName(SILENT_SERVERS_TABLE, shard, "last")
 
 
+def used_lifetimes_row(shard: str, key: str) -> RowName:
+    """Return one of the rows that say on which lifetimes tasks were started."""
+    return RowName(USED_LIFETIMES_TABLE, shard, key)
+
+
 def wave_row(shard: str, number: int) -> RowName:
     """Return the row of a wave's progress."""
     return RowName(WAVES_TABLE, shard, str(number))
--- a/tests/batch/test_forgotten_ends.py
+++ b/tests/batch/test_forgotten_ends.py
@@ -10,6 +10,7 @@
 import trio
 from trio.testing import MockClock
 
+from rhubarbmount.batch.tables import USED_LIFETIMES_TABLE
 from rhubarbmount.standins.users_servers import TaskWork
 from tests.batch.test_days import open_small_day, submit
 from tests.batch.test_lifetimes import LONGEST_LEASE_S
@@ -126,6 +127,40 @@
         assert late.carried_out
 
 
+# The same when the next holder knows of no acknowledgement under way.
+@pytest.mark.parametrize("after_s", [0.0, 1.0, 3.5])
+@SEEDS
+async def test_done_tasks_do_not_start_again_where_ends_are_forgotten_at_a_takeover(
+    monkeypatch, autojump_clock, seed, after_s
+):
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        jobs.submit_more()
+        late = await hold_acknowledgements(monkeypatch, world, jobs)
+        late.is_active = False
+        world.kill_node(world.holders()[0])
+        await trio.sleep(after_s)
+        restart_all(world, DOWN_S, clock_ms=clock_ms_of(seed), keeps_row=True)
+        await jobs.must_complete()
+        assert late.carried_out
+
+
+# Guards against a next holder that trusts a lifetime as the last one has started tasks
+# there, of which it did not know yet whether their ends are listed.
+@pytest.mark.parametrize("up_s", [0.1, 0.3])
+@SEEDS
+async def test_done_tasks_do_not_start_again_after_a_takeover_during_trials(
+    monkeypatch, autojump_clock, seed, up_s
+):
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        jobs.submit_more()
+        late = await hold_acknowledgements(monkeypatch, world, jobs)
+        late.is_active = False
+        restart_all(world, DOWN_S, clock_ms=clock_ms_of(seed), keeps_row=True)
+        await trio.sleep(DOWN_S + up_s)
+        world.kill_node(world.holders()[0])
+        await jobs.must_complete()
+
+
 # Guards against a lifetime after the next that is trusted as only the next may have
 # got the acknowledgement.
 @pytest.mark.parametrize("up_s", [0.03, 0.2, 0.6])
@@ -194,6 +229,23 @@
         assert trials.stopped == []
 
 
+# Guards against a pool that stands still as the next holder can't read which lifetimes
+# had tasks.
+@SEEDS
+async def test_a_holder_without_the_record_tries_the_servers_without_tasks(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        jobs.submit_more()
+        late = await hold_acknowledgements(monkeypatch, world, jobs)
+        late.is_active = False
+        world.faults.store_tables_down = {USED_LIFETIMES_TABLE}
+        world.kill_node(world.holders()[0])
+        restart_all(world, DOWN_S, clock_ms=clock_ms_of(seed), keeps_row=True)
+        await jobs.must_complete()
+        world.faults.store_tables_down = set()
+
+
 # Guards against lasting tasks that wait for a trial: they begin again however they end.
 @SEEDS
 async def test_lasting_tasks_start_at_once_where_ends_may_be_forgotten(
--- a/tests/batch/test_rows_of_older_builds.py
+++ b/tests/batch/test_rows_of_older_builds.py
@@ -15,6 +15,7 @@
 from rhubarbmount.batch.tables import (
     PROGRESS_TABLE,
     SERVER_RECORDS_TABLE,
+    USED_LIFETIMES_TABLE,
     shard_of,
     silent_servers_row,
 )
@@ -113,6 +114,54 @@
         assert checker.breaches == []
 
 
+def lifetime_rows(world) -> list[RowName]:
+    keys = world.platform.store.keys(USED_LIFETIMES_TABLE, SHARD)
+    return [RowName(USED_LIFETIMES_TABLE, SHARD, key) for key in keys]
+
+
+# Guards against runs that are stopped after a takeover from a build that records no
+# lifetimes: there is no record, or one of a holder before, which knew other lifetimes.
+@SEEDS
+@pytest.mark.parametrize("is_recorded", [False, True])
+async def test_runs_go_on_whose_lifetimes_an_older_build_did_not_record(
+    monkeypatch, autojump_clock, seed, is_recorded
+):
+    async with open_day_with_long_tasks(monkeypatch, seed) as day:
+        world, checker, _ = day
+        new_job = wide_job(world.generator, TAKEOVER_S + 2.0)
+        assert await submit(world, checker, "/one/", new_job)
+        await trio.sleep(1.0)
+        starts = len(checker.starts)
+        world.kill_node(world.holders()[0])
+        names = lifetime_rows(world)
+        assert names
+        for name in names:
+            uses = json.loads(read(world, name))
+            assert all(is_certain for _, is_certain in uses.values())
+            earlier = {server: [1, True] for server in uses if is_recorded}
+            write(world, name, json.dumps(earlier).encode())
+        left = await wait_complete(world, checker, "/one/", new_job[:1], 20.0)
+        assert left == []
+        assert len(checker.starts) == starts
+        assert checker.breaches == []
+
+
+# Guards against older builds that take the records of servers for unreadable: they know
+# them with two fields, and each name for that of a server.
+async def test_records_of_servers_look_as_in_older_builds(monkeypatch, autojump_clock):
+    async with open_day_with_long_tasks(monkeypatch, 1) as day:
+        world, checker, machine = day
+        records = {}
+        for key in world.platform.store.keys(SERVER_RECORDS_TABLE, SHARD):
+            name = RowName(SERVER_RECORDS_TABLE, SHARD, key)
+            records.update(json.loads(read(world, name)))
+        server = machine.server
+        assert records[server.id] == [server.address, machine.id]
+        assert all(
+            len(fields) == 2 and "@" not in name for name, fields in records.items()
+        )
+
+
 async def time_away(monkeypatch, seed, is_older_build, is_listed):
     """Return how long the tasks of a server are away that is dark at a takeover."""
     async with open_day_with_long_tasks(monkeypatch, seed) as day:
