Count no server as room that forgets the ends of runs

Such a server takes tasks that last only, but it counted as available, so that its pool was not short and got no host in its place. A pool with no others waited, as its server counted as one that takes tasks. Its capacity counts no more; its host, once idle, goes to standby or to another pool, whatever its pool needs, as its next lifetime lists ends again. A server that is only in doubt counts as before: it is tried within tenths of a second once a task waits.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -114,11 +114,18 @@
         for name, count in (stranded_by_pool or {}).items():
             if name in capacities:
                 capacities[name].min_free_servers += count
+        useless_host_ids = {
+            host.id
+            for host in free_hosts
+            if any(map(_is_useless, usages_by_server_name.get(host.server_name, ())))
+        }
         for host in free_hosts:
-            if host.pool in capacities:
+            if host.pool in capacities and host.id not in useless_host_ids:
                 capacities[host.pool].free_servers += 1
         moves = self._move_emptied(free_hosts, capacities)
-        moves.extend(self._scale_up(catalogue, free_hosts, capacities))
+        moves.extend(
+            self._scale_up(catalogue, free_hosts, capacities, useless_host_ids)
+        )
         self.starved.plan(
             now_s,
             _starved_pools(capacities, usages_by_server_name),
@@ -128,7 +135,13 @@
         )
         moves.extend(
             self._scale_down(
-                now_s, catalogue, free_hosts, usages_by_server_name, capacities, moves
+                now_s,
+                catalogue,
+                free_hosts,
+                usages_by_server_name,
+                capacities,
+                {move.host_id for move in moves},
+                useless_host_ids,
             )
         )
         return moves
@@ -189,7 +202,7 @@
         for usage in chain.from_iterable(usages_by_server_name.values()):
             pool = capacities.get(usage.server.service)
             is_available = usage.is_open(now_s) and not usage.awaits_place
-            if pool is not None and is_available:
+            if pool is not None and is_available and not _is_useless(usage):
                 pool.available_millicores += usage.server.cpu_millicores
                 pool.long_running_millicores += usage.long_running_cpu_millicores
                 pool.used_millicores += usage.used_cpu_millicores
@@ -233,6 +246,7 @@
         catalogue: Catalogue,
         free_hosts: list[Host],
         capacities: Mapping[str, PoolCapacity],
+        useless_host_ids: Collection[str],
     ) -> list[Move]:
         moves: list[Move] = []
         # Idle hosts of other pools are taken before standby hosts: moved directly, a
@@ -253,7 +267,9 @@
         for name in short_pools:
             capacity = capacities[name]
             while capacity.is_short:
-                host = self._pop_candidate(candidates, name, capacities)
+                host = self._pop_candidate(
+                    candidates, name, capacities, useless_host_ids
+                )
                 if host is None:
                     break
                 needed, available = (
@@ -267,13 +283,18 @@
 
     @staticmethod
     def _pop_candidate(
-        candidates: list[Host], pool: str, capacities: Mapping[str, PoolCapacity]
+        candidates: list[Host],
+        pool: str,
+        capacities: Mapping[str, PoolCapacity],
+        useless_host_ids: Collection[str],
     ) -> Host | None:
         for index in range(len(candidates) - 1, -1, -1):
             host = candidates[index]
-            source_pool = capacities.get(host.pool)
             if host.pool == pool:
                 continue
+            if host.id in useless_host_ids:
+                return candidates.pop(index)
+            source_pool = capacities.get(host.pool)
             if source_pool is None or source_pool.can_spare(host.cpu_millicores):
                 if source_pool is not None:
                     source_pool.remove_free_host(host.cpu_millicores)
@@ -287,12 +308,16 @@
         free_hosts: list[Host],
         usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
         capacities: Mapping[str, PoolCapacity],
-        scale_up_moves: list[Move],
+        moving_host_ids: Collection[str],
+        useless_host_ids: Collection[str],
     ) -> list[Move]:
+        """Move idle hosts to standby, and those whose servers forget ends of runs.
+
+        The next lifetime of such a server lists them.
+        """
         standby_pools = [
             p.name for p in catalogue.pool_by_name.values() if p.is_standby
         ]
-        moving_host_ids = {move.host_id for move in scale_up_moves}
         moves = []
         for host in free_hosts if standby_pools else ():
             usages = usages_by_server_name.get(host.server_name)
@@ -302,12 +327,17 @@
             idle_s = now_s - max(usage.idle_since_s for usage in usages)
             if idle_s < IDLE_BEFORE_RETURN_S:
                 continue
-            if pool.can_spare(host.cpu_millicores):
-                needed, available = pool.needed_millicores, pool.available_millicores
+            needed, available = pool.needed_millicores, pool.available_millicores
+            if host.id in useless_host_ids:
+                reason = "forgets-ends"
+            elif pool.can_spare(host.cpu_millicores):
+                reason = "idle"
                 pool.remove_free_host(host.cpu_millicores)
-                moves.append(
-                    Move(host.id, standby_pools[0], "idle", needed, available, idle_s)
-                )
+            else:
+                continue
+            moves.append(
+                Move(host.id, standby_pools[0], reason, needed, available, idle_s)
+            )
         return moves
 
 
@@ -339,12 +369,13 @@
 ) -> list[str]:
     """Return the pools that are short, and have no server and none on its way.
 
-    A server that takes no tasks for a while, as it is slow, is one all the same.
+    A server that takes no tasks for a while, as it is slow, is one all the same; one
+    that forgets the ends of runs is not.
     """
     pools_with_servers = {
         usage.server.service
         for usage in chain.from_iterable(usages_by_server_name.values())
-        if usage.is_reachable and not usage.is_leaving
+        if usage.is_reachable and not usage.is_leaving and not _is_useless(usage)
     }
     return [
         name
@@ -355,6 +386,11 @@
     ]
 
 
+def _is_useless(usage: ServerUsage) -> bool:
+    """Return whether a server takes no tasks but those that last, until it ends."""
+    return usage.ends.are_forgotten
+
+
 def _is_free(usage: ServerUsage) -> bool:
     is_unavailable = (
         usage.is_closed
--- a/tests/batch/test_end_trials.py
+++ b/tests/batch/test_end_trials.py
@@ -1,7 +1,9 @@
 """What is placed on servers of which it is not known whether they list ends of runs."""
 
 import attrs
+import pytest
 
+from rhubarbmount.batch.capacity import IDLE_BEFORE_RETURN_S
 from rhubarbmount.batch.lifetime_ends import (
     GANG_WAIT_S,
     RETRIAL_S,
@@ -9,9 +11,14 @@
     LifetimeEnds,
 )
 from rhubarbmount.batch.model import Step, TaskId
-from rhubarbmount.batch.placing import Placer
+from rhubarbmount.batch.placing import Placer, Shortage
 from rhubarbmount.batch.server_losses import ServerLoss
+from rhubarbmount.batch.starved_pools import STARVED_AFTER_S
+from tests.batch.test_capacity import host, plan, planner, usage
 from tests.batch.test_placing import make_shard
+from tests.batch.test_starved_pools import busy
+
+__all__ = ["planner"]
 
 NOW_S = 10.0
 SHORT = Step(4, 1000, 100, estimate_s=0.1)
@@ -143,3 +150,58 @@
     item.ends.note_forgotten(NOW_S)
     assert placed_by(Placer(shard), NOW_S + RETRIAL_S - 0.1) == []
     assert placed_by(Placer(shard), NOW_S + RETRIAL_S) == [0]
+
+
+# Guards against tasks that wait beside hosts that could be had: a server that takes no
+# tasks counts as room.
+@pytest.mark.parametrize("listing", [EndListing.DOUBTFUL, EndListing.FORGOTTEN])
+def test_a_server_that_forgets_ends_is_no_capacity(planner, listing):
+    hosts = [host("m0", "one", server_id="s0"), host("m1", "rest")]
+    item = usage("s0", "one")
+    item.ends = LifetimeEnds(listing)
+    moves = plan(planner, 0.0, hosts, [item], {"one": Shortage(6000, 0, 6, 6.0)})
+    assert [move.pool for move in moves] == (
+        ["one"] if listing is EndListing.FORGOTTEN else []
+    )
+
+
+# Guards against a host that is of no use for as long as its server lives.
+def test_an_idle_host_whose_server_forgets_ends_goes_to_standby(planner):
+    hosts = [host("m0", "one", server_id="s0")]
+    item = usage("s0", "one")
+    item.ends = LifetimeEnds(EndListing.FORGOTTEN)
+    shortage = {"one": Shortage(6000, 0, 6, 6.0)}
+    assert plan(planner, 0.0, hosts, [item], shortage) == []
+    moves = plan(planner, IDLE_BEFORE_RETURN_S, hosts, [item], shortage)
+    assert [(move.pool, move.reason) for move in moves] == [("rest", "forgets-ends")]
+
+
+# Guards against a pool that gives a server up for one of no use.
+def test_a_server_that_forgets_ends_is_none_that_a_pool_can_spare(planner):
+    hosts = [host(f"m{n}", "one", server_id=f"s{n}") for n in range(2)]
+    useless, useful = usage("s0", "one"), usage("s1", "one")
+    useless.ends = LifetimeEnds(EndListing.FORGOTTEN)
+    moves = plan(
+        planner,
+        IDLE_BEFORE_RETURN_S,
+        hosts,
+        [useless, useful],
+        {"two": Shortage(1000, 0, 1, 1.0)},
+    )
+    assert ("m0", "two") in [(move.host_id, move.pool) for move in moves]
+
+
+# Guards against a pool that waits as long as another has tasks, beside a server of its
+# own that takes none.
+def test_a_pool_whose_servers_all_forget_ends_is_starved(planner):
+    own = usage("s9", "one")
+    own.ends = LifetimeEnds(EndListing.FORGOTTEN)
+    fleet = [busy("s0"), busy("s1"), own]
+    hosts = [
+        host(f"m-{item.server.id}", item.server.service, server_id=item.server.id)
+        for item in fleet
+    ]
+    shortages = {"one": Shortage(1000, 0, 1, 1.0), "two": Shortage(90_000, 0, 90, 90.0)}
+    plan(planner, 0.0, hosts, fleet, shortage=shortages)
+    plan(planner, STARVED_AFTER_S, hosts, fleet, shortage=shortages)
+    assert len(planner.starved.emptying_host_ids) == 1
