Have a lease that is granted anew lapse anew, and grant idle servers as before

A review showed LOST: since an idle server held no grant, so that the first check that got no answer counted its lease as lapsed.

Idle servers are granted what they were before; what that may do to another lifetime is bounded by connections and by the doubt about lifetimes. A grant also clears the mark that the lease has lapsed, whatever set it. The new test of test_server_clocks failed before.

--- a/rhubarbmount/batch/server_lease.py
+++ b/rhubarbmount/batch/server_lease.py
@@ -82,7 +82,10 @@
         if self.recorded_lapse_s is not None:
             lapse_by_s = min(lapse_by_s, self.recorded_lapse_s)
         until_s = min(until_s, self.clock.latest_grant_s(lapse_by_s))
-        return self.clock.grant(until_s, now_s) if until_s > now_s else None
+        if until_s <= now_s:
+            return None
+        self.has_lapsed = False
+        return self.clock.grant(until_s, now_s)
 
     def start_expiry_ms(self, now_s: float, is_late: bool = False) -> int:
         """Return the expiry of a start command; a silent server gets no later one."""
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -236,11 +236,7 @@
         acknowledged = self._next_acknowledgement()
         number = self._note_acknowledgement(acknowledged, sent_s)
         token = self.lease.fencing_token
-        expires_ms = None
-        # What an idle server were granted could only serve another lifetime.
-        if self.has_work():
-            is_late = self.listener.is_late()
-            expires_ms = self.lease.renewal_expiry_ms(sent_s, is_late)
+        expires_ms = self.lease.renewal_expiry_ms(sent_s, self.listener.is_late())
         response = None
         try:
             timeout_s = (
--- a/tests/batch/test_server_clocks.py
+++ b/tests/batch/test_server_clocks.py
@@ -22,6 +22,7 @@
 )
 from tests.batch.test_server_lifetimes import SETTLE_S, open_scene
 
+LONGEST_GRANT_S = 6.0
 MAX_LEASE_S = 10.0
 # A lease of MAX_LEASE_S on a clock that is 2% slow.
 LONGEST_S = MAX_LEASE_S / 0.98
@@ -116,6 +117,19 @@
 
 
 # Guards against starts that are sent before the server has been heard of.
+# Guards against LOST: tasks that were started on a server whose lease had lapsed stayed
+# there for good once it was cut off.
+def test_a_lease_that_is_granted_anew_lapses_anew():
+    lease = make_lease()
+    lease.shard_lease.renewed_at_s = 100.0
+    lapsed_at_s = lease.lapses_at_s() + 1.0
+    assert lease.check_lapse(lapsed_at_s)
+    lease.shard_lease.renewed_at_s = lapsed_at_s
+    assert lease.start_expiry_ms(lapsed_at_s) > 500_000
+    assert not lease.check_lapse(lapsed_at_s + 1.0)
+    assert lease.check_lapse(lapsed_at_s + LONGEST_GRANT_S)
+
+
 def test_the_answer_to_a_command_is_not_the_first_reading():
     lease = ServerLease(ShardLease(2, 100.0), MAX_LEASE_S, LapseBound(0.0, "none"))
     assert lease.note_command_reading(1_200, sent_s=100.1, now_s=100.2)
