Step down only if a server refuses the highest token that this holder has sent

Cause: the earlier lifetime of a server, which has tasks, is restored after the later one is known, and its calls have the higher token. The later one obeys that, refuses its own call that was sent before, and has the highest number by the time the refusal is read.

The token of the refused call is compared now, not that of the lifetime.

--- a/rhubarbmount/batch/server_commands.py
+++ b/rhubarbmount/batch/server_commands.py
@@ -101,8 +101,8 @@
     def on_lifetime_end(self, server_id: str) -> None:
         """Handle that the server lifetime is known to be over."""
 
-    def on_fenced(self, server_id: str) -> None:
-        """Handle that a server has obeyed a call with a higher token. Raises LeaseLost.
+    def on_fenced(self, server_id: str, token: int) -> None:
+        """Handle that a server refused a token. Raises LeaseLost.
 
         It may have been a call of this holder for another lifetime.
         """
@@ -306,7 +306,7 @@
         self.metrics.starts.labels(response.result.value).inc()
         self.metrics.start_s.observe(monotonic_s() - now_s)
         if response.result is CommandResult.FENCED:
-            self.listener.on_fenced(self.server.id)
+            self.listener.on_fenced(self.server.id, command.fencing_token)
             await trio.sleep(RETRY_S)
             return CommandResult.NOT_SENT
         is_of_lifetime = self._note_reading(response, now_s)
@@ -386,12 +386,10 @@
     async def _try_stop(self, request: StopRequest) -> bool:
         """Send a stop; return whether it is settled."""
         sent_s = monotonic_s()
+        token = self.lease.fencing_token
         try:
             response = await self.client.stop(
-                self.server,
-                request.task,
-                request.run,
-                self.lease.fencing_token,
+                self.server, request.task, request.run, token
             )
         except OtherLifetime:
             self.on_other_lifetime()
@@ -399,7 +397,7 @@
         except (PlatformUnavailable, OutcomeUnknown):
             return False
         if response.result is CommandResult.FENCED:
-            self.listener.on_fenced(self.server.id)
+            self.listener.on_fenced(self.server.id, token)
             return False
         if response.result is CommandResult.OTHER_LIFETIME:
             self.listener.on_lifetime_end(self.server.id)
@@ -427,19 +425,16 @@
         If it is not answered, the next list decides again.
         """
         task = command.task
+        token = self.lease.fencing_token
         try:
             response = await self.client.set_pace(
-                self.server,
-                task.id,
-                command.run,
-                command.percent,
-                self.lease.fencing_token,
+                self.server, task.id, command.run, command.percent, token
             )
         except (PlatformUnavailable, OutcomeUnknown) as error:
             self._record_failure(error)
             return
         if response.result is CommandResult.FENCED:
-            self.listener.on_fenced(self.server.id)
+            self.listener.on_fenced(self.server.id, token)
             return
         if response.result is CommandResult.DONE and task.run == command.run:
             task.pace = command.percent
--- a/rhubarbmount/batch/server_session.py
+++ b/rhubarbmount/batch/server_session.py
@@ -332,7 +332,7 @@
         sent_s: float,
     ) -> RenewalResponse | None:
         if response.result is CommandResult.FENCED:
-            self.listener.on_fenced(self.server.id)
+            self.listener.on_fenced(self.server.id, token)
             self._record_failure(response.result.value)
             return None
         if response.result is CommandResult.OTHER_LIFETIME:
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -319,13 +319,14 @@
         number = self._tokens.raise_number(session.server.id)
         session.lease.token_number = number
 
-    def on_fenced(self, server_id: str) -> None:
-        """Handle that a server has obeyed a call with a higher token. Raises LeaseLost.
+    def on_fenced(self, server_id: str, token: int) -> None:
+        """Handle that a server refused a token. Raises LeaseLost.
 
-        If this holder has sent such a call for another lifetime, that one is asked
-        whether it goes on; the answer names the one that does.
+        If this holder has sent a higher one for any lifetime of the name, the others
+        are asked whether they go on; the answer names the one that does.
         """
-        if self._tokens.is_highest(server_id):
+        highest = self._tokens.highest_of(server_id)
+        if token >= self.shard_lease.server_token(highest):
             raise LeaseLost(f"server {server_id} has accepted a higher fencing token")
         log.event(logger, "lifetime-fenced", logging.WARNING, server=server_id)
         session = self._session_by_server_id.get(server_id)
--- a/rhubarbmount/batch/server_tokens.py
+++ b/rhubarbmount/batch/server_tokens.py
@@ -44,6 +44,12 @@
                 del self._number_by_id_by_name[name]
                 return
 
+    def highest_of(self, server_id: str) -> int:
+        """Return the highest number that a lifetime of the name has."""
+        number = self.number_of(server_id)
+        numbers = self._number_by_id_by_name[name_of(server_id)]
+        return max([number, *numbers.values()])
+
     def is_highest(self, server_id: str) -> bool:
         """Return whether all other lifetimes of the name have lower numbers."""
         number = self.number_of(server_id)
--- a/tests/batch/test_late_calls.py
+++ b/tests/batch/test_late_calls.py
@@ -19,6 +19,7 @@
     open_day_of_short_jobs,
     restart_all,
 )
+from tests.batch.world import LATENCY_S
 
 DOWN_S = 0.05
 # After this time the later lifetime has listed its runs.
@@ -141,6 +142,30 @@
         assert holder.lease_manager.watch.lease.fence == token
 
 
+# Guards against a next holder that steps down at once, as a server has obeyed a call
+# for its earlier lifetime, which had tasks, and refused one that was sent before.
+@pytest.mark.parametrize("kill_after_s", [0.0, 0.06, 0.1])
+@SEEDS
+async def test_the_tasks_of_an_earlier_lifetime_end_no_next_holder(
+    monkeypatch, autojump_clock, seed, kill_after_s
+):
+    # The later lifetime is called while the call for the earlier one is answered.
+    monkeypatch.setattr("rhubarbmount.batch.server_session.IDLE_DELAY_S", LATENCY_S)
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        jobs.submit_more()
+        await trio.sleep(0.3)
+        restart_all(world, DOWN_S, clock_ms=clock_ms_of(seed), keeps_row=True)
+        await trio.sleep(kill_after_s)
+        world.kill_node(world.holders()[0])
+        while not world.holders():
+            await trio.sleep(0.01)
+        next_holder = world.node_by_id[world.holders()[0]]
+        token = next_holder.lease_manager.watch.lease.fence
+        await jobs.must_complete()
+        assert next_holder.is_holder
+        assert next_holder.lease_manager.watch.lease.fence == token
+
+
 def test_a_lifetime_that_answers_has_the_highest_number():
     tokens = ServerTokens()
     assert [tokens.number_of(item) for item in ("s@5", "t@5", "s@9")] == [0, 0, 1]
