--- a/tests/batch/test_stray_calls.py
+++ b/tests/batch/test_stray_calls.py
@@ -30,10 +30,14 @@
 END_WITHIN_S = 2.0
 # From the end of a run to its commit it takes longer than this.
 COMMIT_S = 0.003
+# So long after the end the renewal that acknowledges it waits at the server.
+ACKNOWLEDGED_S = 0.05
 # Within this time no row tells of the later lifetime.
 ROW_AFTER_S = 1.4
 # So soon after an answer the next renewal is sent and not yet carried out.
 RENEWAL_SENT_S = 0.001
+# So long after an answer the next renewal waits at the server.
+UNDER_WAY_S = 0.01
 MACHINE_CPU = 8000
 LONG_WORK_S = 40.0
 # After a cut or a loss all leases have lapsed and all tasks run again.
@@ -45,15 +49,23 @@
     return MockClock(rate=0.0, autojump_threshold=0.0)
 
 
-async def restart_beside_an_end(world, machine, rebirth, down_s) -> None:
-    """Restart a server while its next end is being committed, if one comes soon."""
-    server = machine.server
-    with trio.move_on_after(END_WITHIN_S):
-        while not server.ended:
-            await trio.sleep(POLL_S)
-        await trio.sleep(COMMIT_S)
-        if not server.is_gone:
-            world.platform.crash(machine.id, down_s, rebirth=rebirth)
+async def restart_all_after_ends(world, after_s, rebirth, down_s) -> None:
+    """Restart each server so long after its next end, if one comes soon."""
+
+    async def restart(machine) -> None:
+        server = machine.server
+        with trio.move_on_after(END_WITHIN_S):
+            while not server.ended:
+                await trio.sleep(POLL_S)
+            await trio.sleep(after_s)
+            if not server.is_gone:
+                world.platform.crash(machine.id, down_s, rebirth=rebirth)
+
+    earlier = [machine.server for machine in machines_of(world)]
+    async with trio.open_nursery() as nursery:
+        for machine in machines_of(world):
+            nursery.start_soon(restart, machine)
+    assert any(server.is_gone for server in earlier)
 
 
 # Guards against TWICE: the session with the earlier lifetime acknowledges its last ends
@@ -66,13 +78,20 @@
     rebirth = Rebirth(clock_ms_of(seed), keeps_row=True, row_after_s=ROW_AFTER_S)
     async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
         jobs.submit_more()
-        earlier = [machine.server for machine in machines_of(world)]
-        async with trio.open_nursery() as nursery:
-            for machine in machines_of(world):
-                nursery.start_soon(
-                    restart_beside_an_end, world, machine, rebirth, down_s
-                )
-        assert any(server.is_gone for server in earlier)
+        await restart_all_after_ends(world, COMMIT_S, rebirth, down_s)
+        await jobs.must_complete()
+
+
+# The same of ends that the earlier lifetime has forgotten: the renewal that told it so
+# waits there for the next end when it restarts, and is repeated.
+@SEEDS
+async def test_ends_are_not_acknowledged_again_after_a_restart(
+    monkeypatch, autojump_clock, seed
+):
+    rebirth = Rebirth(clock_ms_of(seed), keeps_row=True, row_after_s=ROW_AFTER_S)
+    async with open_day_of_short_jobs(monkeypatch, seed) as (world, jobs):
+        jobs.submit_more()
+        await restart_all_after_ends(world, ACKNOWLEDGED_S, rebirth, down_s=0.001)
         await jobs.must_complete()
 
 
@@ -190,11 +209,11 @@
 
 
 class Renewals:
-    """Waits for the renewals that backend servers answer."""
+    """Tells when backend servers answer renewals."""
 
     def __init__(self, monkeypatch):
+        self.answered_at_s_by_server = {}
         self._answered = trio.Event()
-        self._server = None
         self._handle = StandinServer.handle
         monkeypatch.setattr(
             StandinServer,
@@ -204,15 +223,23 @@
 
     async def _note(self, server, path, expected, body):
         response = await self._handle(server, path, expected, body)
-        if path == "/hold" and server is self._server and not server.is_gone:
+        if path == "/hold" and not server.is_gone:
+            self.answered_at_s_by_server[server] = trio.current_time()
             self._answered.set()
+            self._answered = trio.Event()
         return response
 
     async def wait_for_answer(self, server) -> None:
         """Wait until a server answers a renewal."""
-        self._server, self._answered = server, trio.Event()
+        last_s = self.answered_at_s_by_server.get(server)
         with trio.fail_after(5.0):
-            await self._answered.wait()
+            while self.answered_at_s_by_server.get(server) == last_s:
+                await self._answered.wait()
+
+    def has_just_answered(self, server) -> bool:
+        """Return whether the next renewal may be under way to a server."""
+        answered_at_s = self.answered_at_s_by_server.get(server, 0.0)
+        return trio.current_time() < answered_at_s + UNDER_WAY_S
 
 
 def job_of(generator, count: int, cpu: int, **fields):
@@ -371,6 +398,20 @@
         assert checker.breaches == []
 
 
+async def keep_back_a_renewal_and_a_start(world, checker, machine) -> list[ServerCall]:
+    """Keep back the start of a task and, some time before, a renewal."""
+    renewals = keep_one_back(world, is_grant)
+    await trio.sleep(3.0)
+    renewal = next(call for call in renewals if call.address == machine.server.address)
+    starts = keep_one_back(world, is_start)
+    assert await submit(world, checker, "/one/", job_of(world.generator, 1, 1500))
+    with trio.fail_after(2.0):
+        while not starts:
+            await trio.sleep(POLL_S)
+    world.faults.keeps_back = None
+    return [starts[0], renewal]
+
+
 # The same when a run has begun by a start for the earlier lifetime that was under way,
 # and a renewal of the lost holder is carried out there before the next one is heard.
 @pytest.mark.parametrize("late_s", [0.5, 1.0, 2.0, 4.0, 8.0])
@@ -379,22 +420,36 @@
 ):
     async with open_day_of_one_busy_machine(monkeypatch, 0, 0.0) as day:
         world, checker, machine = day
-        renewals = keep_one_back(world, is_grant)
-        await trio.sleep(3.0)
-        renewal = next(
-            call for call in renewals if call.address == machine.server.address
-        )
-        starts = keep_one_back(world, is_start)
-        late_job = job_of(world.generator, 1, 1500)
-        assert await submit(world, checker, "/one/", late_job)
-        with trio.fail_after(2.0):
-            while not starts:
-                await trio.sleep(POLL_S)
-        world.faults.keeps_back = None
-        for call, after_s in ((starts[0], POLL_S), (renewal, late_s)):
-            carry_out_after_restart(world, call, after_s)
+        start, renewal = await keep_back_a_renewal_and_a_start(world, checker, machine)
+        carry_out_after_restart(world, start, POLL_S)
+        carry_out_after_restart(world, renewal, late_s)
         rebirth = Rebirth(clock_ms=1000, keeps_row=True)
         lose_machine_and_holder(world, machine)
         world.platform.crash(machine.id, 0.001, rebirth=rebirth)
         await trio.sleep(late_s + SETTLED_S)
         assert breaches_by_rule(checker) == {}
+
+
+# The same when the next holder has heard the earlier lifetime, which had no such run,
+# and lost it: the start comes late, too.
+@pytest.mark.parametrize("late_s", [0.5, 2.0, 4.0])
+async def test_calls_of_the_earlier_holder_come_late_where_the_next_one_lost_the_server(
+    monkeypatch, autojump_clock, late_s
+):
+    async with open_day_of_one_busy_machine(monkeypatch, 0, 0.0) as day:
+        world, checker, machine = day
+        calls = await keep_back_a_renewal_and_a_start(world, checker, machine)
+        world.kill_node(world.holders()[0])
+        with trio.fail_after(5.0):
+            while not world.holders():
+                await trio.sleep(0.01)
+        await trio.sleep(0.3)
+        assert machine.server.fencing_token > calls[0].body["fencing_token"]
+        world.faults.servers_cut = {("*", machine.server.address)}
+        world.platform.resize("n", MACHINE_CPU, 64000, after_s=0.1)
+        for call in calls:
+            carry_out_after_restart(world, call, late_s)
+        rebirth = Rebirth(clock_ms=1000, keeps_row=True)
+        world.platform.crash(machine.id, 0.5, rebirth=rebirth)
+        await trio.sleep(late_s + SETTLED_S)
+        assert breaches_by_rule(checker) == {}
