Try servers that forget ends without a rest where no other can run what waits

An interleaving found jobs that were not complete after 24 s: the only large server of a pool forgot 16 ends after a late acknowledgement, one with each trial, and rested 4 s between trials; each took 2.2 s to be known. It does not rest now where no server that lists ends can run a step that waits, and is asked each 0.3 s. The case passes; before, 3 jobs were left.

--- a/rhubarbmount/batch/lifetime_ends.py
+++ b/rhubarbmount/batch/lifetime_ends.py
@@ -58,9 +58,10 @@
         """Return whether the lifetime is known to have forgotten an end."""
         return self.listing is EndListing.FORGOTTEN
 
-    def needs_trial(self, now_s: float) -> bool:
+    def needs_trial(self, now_s: float, may_rest: bool = True) -> bool:
         """Return whether a run should now show whether its end is listed."""
-        return not self.are_certain and now_s >= self._next_trial_s
+        is_resting = may_rest and now_s < self._next_trial_s
+        return not self.are_certain and not is_resting
 
     def may_try_gang(self, now_s: float) -> bool:
         """Return whether gangs have waited so long that one is used as the trial."""
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -168,8 +168,13 @@
         """Assign a task to each server that has to show whether it lists ends."""
         assignments: list[Assignment] = []
         for pool, servers in servers_by_pool.items():
-            untried = [usage for usage in servers.doubtful if usage.needs_trial(now_s)]
-            steps = self._trial_steps(step_keys, pool) if untried else []
+            steps = self._trial_steps(step_keys, pool) if servers.doubtful else []
+            may_rest = _has_other_server(servers, steps)
+            untried = [
+                usage
+                for usage in servers.doubtful
+                if usage.needs_trial(now_s, may_rest)
+            ]
             for item in order_for_trials(steps):
                 assignments.extend(self._try_step(item, untried, now_s))
             if any(item.step.is_gang for item in steps):
@@ -434,6 +439,15 @@
             shortage.servers = max(shortage.servers, 1)
 
 
+def _has_other_server(servers: OpenServers, steps: list[TrialStep]) -> bool:
+    """Return whether a server that lists ends can run each step with waiting tasks."""
+    certain = [usage for usage in servers.usages if usage.ends.are_certain]
+    return all(
+        any(usage.fits_among_long_running(item.step) for usage in certain)
+        for item in steps
+    )
+
+
 def _apart_from_losses(usages: list[ServerUsage]) -> list[ServerUsage]:
     """Return the servers with the fewest tasks that have lost servers first.
 
--- a/rhubarbmount/batch/server_sessions.py
+++ b/rhubarbmount/batch/server_sessions.py
@@ -140,8 +140,9 @@
                 usage.is_within_capacity
                 and self.shard.knows_capacity(usage, monotonic_s())
             ),
-            needs_fresh_progress=lambda: needs_watch(
-                usage, monotonic_s(), self.shard.expected_run_time_of
+            needs_fresh_progress=lambda: (
+                not usage.ends.are_certain
+                or needs_watch(usage, monotonic_s(), self.shard.expected_run_time_of)
             ),
             open_acknowledgements=self._open_acknowledgements,
         )
--- a/rhubarbmount/batch/server_usage.py
+++ b/rhubarbmount/batch/server_usage.py
@@ -125,9 +125,9 @@
         """
         return step.is_long_running or not self.ends.are_forgotten
 
-    def needs_trial(self, now_s: float) -> bool:
+    def needs_trial(self, now_s: float, may_rest: bool = True) -> bool:
         """Return whether a run should show now whether its end is listed."""
-        return self.ends.needs_trial(now_s) and not self.has_ending_runs
+        return self.ends.needs_trial(now_s, may_rest) and not self.has_ending_runs
 
     def is_open(self, now_s: float) -> bool:
         """Return whether new tasks may be assigned to the server."""
