--- a/tests/batch/test_stray_calls.py
+++ b/tests/batch/test_stray_calls.py
@@ -6,6 +6,7 @@
 
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 import trio
 from trio.testing import MockClock
@@ -21,6 +22,7 @@
     machines_of,
     open_day_of_short_jobs,
     restart_all,
+    short_job,
 )
 from tests.batch.world import KeptCall
 
@@ -173,6 +175,24 @@
         await jobs.must_complete()
 
 
+# Guards against BUDGET: the same of runs that fail, which nobody counts.
+@SEEDS
+async def test_an_acknowledgement_that_comes_late_forgets_no_failures(
+    monkeypatch, autojump_clock, seed
+):
+    async with open_day_of_unanswered_acknowledgements(monkeypatch, seed) as day:
+        world, jobs, kept = day
+        for call in kept:
+            carry_out_after_restart(world, call, POLL_S)
+        restart_all(world, 0.003, clock_ms=clock_ms_of(seed), keeps_row=True)
+        for _ in range(4):
+            job_id, phases, works = short_job(world.generator)
+            failing = [attrs.evolve(work, fails=True) for work in works]
+            assert await submit(world, jobs.checker, "/one/", (job_id, phases, failing))
+        await trio.sleep(15.0)
+        assert breaches_by_rule(jobs.checker) == {}
+
+
 # The same of the earlier holder's, before the first call of the next one is answered.
 @pytest.mark.parametrize("late_s", [POLL_S, 1.0])
 @SEEDS
