Try servers with tasks that may be done soon only where these have no other

A trial that is done before it is stopped starts again after it was done, if its end is forgotten. A task of under 1 s was tried at once, though another server had room for it. It is tried now after all else was placed, if it still waits. A gang that waits for a server in doubt is used as the trial after 2 s beside such tasks, too.

An idle host whose server forgets ends goes to standby at once: no more tasks of its pool will come to it, so that nothing is to be waited for.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -324,11 +324,12 @@
             pool = capacities.get(host.pool)
             if host.id in moving_host_ids or not usages or pool is None:
                 continue
+            is_useless = host.id in useless_host_ids
             idle_s = now_s - max(usage.idle_since_s for usage in usages)
-            if idle_s < IDLE_BEFORE_RETURN_S:
+            if idle_s < IDLE_BEFORE_RETURN_S and not is_useless:
                 continue
             needed, available = pool.needed_millicores, pool.available_millicores
-            if host.id in useless_host_ids:
+            if is_useless:
                 reason = "forgets-ends"
             elif pool.can_spare(host.cpu_millicores):
                 reason = "idle"
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -133,6 +133,7 @@
         )
         step_keys = self._steps_by_urgency()
         assignments = self._place_trials(step_keys, servers_by_pool, now_s)
+        self._note_gang_trials(step_keys, servers_by_pool, now_s)
         held_by_pool: dict[str, ServerUsage] = {}
         emptying_pools: set[str] = set()
         for step_key in step_keys:
@@ -157,6 +158,10 @@
             held = self._server_to_hold(job, step_key, servers)
             if held is not None:
                 held_by_pool.setdefault(pool, held)
+        # What has found no other server is worth a risk.
+        assignments.extend(
+            self._place_trials(step_keys, servers_by_pool, now_s, are_safe=False)
+        )
         return assignments
 
     def _place_trials(
@@ -164,28 +169,41 @@
         step_keys: list[StepKey],
         servers_by_pool: Mapping[str, OpenServers],
         now_s: float,
+        are_safe: bool = True,
     ) -> list[Assignment]:
         """Assign a task to each server that has to show whether it lists ends."""
         assignments: list[Assignment] = []
         for pool, servers in servers_by_pool.items():
             untried = [usage for usage in servers.doubtful if usage.needs_trial(now_s)]
             steps = self._trial_steps(step_keys, pool) if untried else []
-            for item in order_for_trials(steps):
+            for item in order_for_trials(steps, are_safe):
                 assignments.extend(self._try_step(item, untried, now_s))
+        return assignments
+
+    def _note_gang_trials(
+        self,
+        step_keys: list[StepKey],
+        servers_by_pool: Mapping[str, OpenServers],
+        now_s: float,
+    ) -> None:
+        """Let gangs show whether servers list ends for which they have waited."""
+        for pool, servers in servers_by_pool.items():
+            untried = [usage for usage in servers.doubtful if usage.needs_trial(now_s)]
+            steps = self._trial_steps(step_keys, pool) if untried else []
             if any(item.step.is_gang for item in steps):
                 servers.gang_trial_ids |= {
                     usage.server.id
                     for usage in untried
                     if usage.ends.may_try_gang(now_s)
                 }
-        return assignments
 
     def _trial_steps(self, step_keys: list[StepKey], pool: str) -> list[TrialStep]:
         """Return the steps of a pool that have waiting tasks."""
         steps = []
         for rank, key in enumerate(step_keys):
             spec = self.shard.job_by_id[key[0]].spec
-            if self.shard.pool_of(spec) == pool:
+            is_waiting = key in self.shard.waiting_by_step
+            if is_waiting and self.shard.pool_of(spec) == pool:
                 expected_s = self.shard.expected_run_time(spec, key[2]).expected_s
                 has_suspects = self._has_suspects(key)
                 step = spec.steps[key[2]]
