Log how many starts come too late, and what a short pool has and uses

The lines could not tell whether a turn is served late for want of servers, as the holder has no processor time, or as the order spreads lateness. pool-short now has what the pool needs, has, uses and awaits, and how many hosts could still move; scheduling counts starts after the latest start of their step.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -48,6 +48,8 @@
     available_millicores: int = 0
     long_running_millicores: int = 0
     used_millicores: int = 0
+    # What hosts on their way to the pool add to its available capacity.
+    arriving_millicores: int = 0
     missing_servers: int = 0
     # Servers without tasks, and how many of them the pool must keep.
     free_servers: int = 0
@@ -78,6 +80,9 @@
     """Moves idle hosts to pools short of capacity, and the others to standby."""
 
     starved: StarvedPools = attrs.field(factory=StarvedPools)
+    # As of the last plan: capacity with the hosts that it moves, and hosts left free.
+    capacity_by_pool: dict[str, PoolCapacity] = attrs.field(factory=dict)
+    free_hosts_left: int = 0
     _command_by_host: dict[str, _MoveCommand] = attrs.field(factory=dict)
 
     def plan(
@@ -131,6 +136,8 @@
                 now_s, catalogue, free_hosts, usages_by_server_name, capacities, moves
             )
         )
+        self.capacity_by_pool = capacities
+        self.free_hosts_left = len(free_hosts) - len(moves)
         return moves
 
     def note_command(self, move: Move, now_s: float) -> None:
@@ -198,6 +205,7 @@
             if command.pool in capacities:
                 cpu = cpu_by_host.get(host_id, 0)
                 capacities[command.pool].available_millicores += cpu
+                capacities[command.pool].arriving_millicores += cpu
                 capacities[command.pool].missing_servers -= 1
         for name, pool in capacities.items():
             shortage = shortage_by_pool.get(name, Shortage())
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -7,7 +7,7 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.batch.capacity import CapacityPlanner, Move
+from rhubarbmount.batch.capacity import CapacityPlanner, Move, PoolCapacity
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import ShardLease
@@ -293,6 +293,7 @@
             return
         for pool, shortage in self.placer.shortage_by_pool.items():
             self._shortages_logged_at_s = now_s
+            capacity = self.capacity.capacity_by_pool.get(pool, PoolCapacity())
             log.event(
                 logger,
                 "pool-short",
@@ -301,6 +302,12 @@
                 cpu=shortage.cpu_millicores,
                 work_core_s=shortage.work_core_s,
                 ready_cores=self.shard.demand.ready_cores(pool, now_s),
+                needed=capacity.needed_millicores,
+                had=capacity.available_millicores,
+                used=capacity.used_millicores,
+                long_running=capacity.long_running_millicores,
+                arriving=capacity.arriving_millicores,
+                free_hosts=self.capacity.free_hosts_left,
                 list_age_s=now_s - self._listed_at_s,
             )
 
--- a/rhubarbmount/batch/holder.py
+++ b/rhubarbmount/batch/holder.py
@@ -436,7 +436,11 @@
         requests_age_s = self.store.clock_s() - self.requests.known_until_s()
         self.metrics.requests_age_s.set(max(0.0, requests_age_s))
         self.meter.record_pass(
-            committing_s, starts, len(waiting_by_step), waiting_tasks
+            committing_s,
+            starts,
+            self.placer.late_starts,
+            len(waiting_by_step),
+            waiting_tasks,
         )
 
     def _is_urgent(self) -> bool:
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -114,6 +114,8 @@
     shard: Shard
     tickets: Mapping[StepKey, Mapping[str, str]] = attrs.field(factory=dict)
     shortage_by_pool: dict[str, Shortage] = attrs.field(factory=dict)
+    # Tasks that the last pass assigned after the latest start of their step.
+    late_starts: int = 0
     _filters: list[PlacementFilter] = attrs.field(init=False)
     _latest_start_by_step: dict[StepKey, tuple[Queue | None, LatestStart]] = (
         attrs.field(factory=dict)
@@ -125,6 +127,7 @@
     def place(self, now_s: float) -> list[Assignment]:
         """Assign the tasks that fit and record what each pool lacks."""
         self.shortage_by_pool = {}
+        self.late_starts = 0
         servers_by_pool = group_by_pool(
             usage
             for usage in self.shard.usage_by_server_id.values()
@@ -141,7 +144,10 @@
                 servers = servers_by_pool[pool] = OpenServers()
             if pool in held_by_pool and not job.spec.steps[step_key[2]].is_long_running:
                 servers.usages.remove(held_by_pool.pop(pool))
-            assignments.extend(self._place_step(job, step_key, servers, now_s))
+            placed = self._place_step(job, step_key, servers, now_s)
+            assignments.extend(placed)
+            if placed and self._is_late(step_key):
+                self.late_starts += len(placed)
             if step_key not in self.shard.waiting_by_step:
                 continue
             self._note_shortage(pool, job, step_key)
@@ -257,6 +263,11 @@
         urgency = urgency_of(latest_start_times, self.shard.wall_clock_s)
         return True, priority, urgency, latest_start_times.on_time_s, step_key
 
+    def _is_late(self, step_key: StepKey) -> bool:
+        """Return whether the latest start of a step that was sorted has passed."""
+        known = self._latest_start_by_step.get(step_key)
+        return known is not None and self.shard.wall_clock_s > known[1].on_time_s
+
     def _latest_start(
         self, step_key: StepKey, job: Job, queue: Queue | None
     ) -> LatestStart:
--- a/rhubarbmount/batch/scheduling_meter.py
+++ b/rhubarbmount/batch/scheduling_meter.py
@@ -25,6 +25,7 @@
     longest_placing_s: float = 0.0
     committing_s: float = 0.0
     starts: int = 0
+    late_starts: int = 0
 
 
 @attrs.define(eq=False)
@@ -48,15 +49,20 @@
         self,
         committing_s: float,
         starts: int,
+        late_starts: int,
         waiting_steps: int,
         waiting_tasks: int,
     ) -> None:
-        """Record a pass: how long its commit took, its starts and what still waits."""
+        """Record a pass: how long its commit took, its starts and what still waits.
+
+        Late starts are those of steps whose latest start had passed.
+        """
         self.metrics.committing_s.observe(committing_s)
         totals = self._totals
         totals.passes += 1
         totals.committing_s += committing_s
         totals.starts += starts
+        totals.late_starts += late_starts
         now_s = monotonic_s()
         if now_s >= totals.since_s + REPORT_PERIOD_S:
             if totals.starts or waiting_tasks:
@@ -74,6 +80,7 @@
             longest_placing_s=totals.longest_placing_s,
             committing_s=totals.committing_s,
             starts=totals.starts,
+            late_starts=totals.late_starts,
             waiting_steps=waiting_steps,
             waiting_tasks=waiting_tasks,
         )
