Let no job that is about to be late take the place of one in time

Cause: jobs go in the order of their latest start, and counted as in time until 0.3 s after it, as estimates are rough; nor was counted what a step takes beyond its run (its start is stored and sent, its end read, its last task placed later than the first). In a queue each job was thus placed when it could no longer be in time, and the next one waited until it could not either.

--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from rhubarbmount.batch.model import Assignment, Job, Queue, Step, Task
+from rhubarbmount.batch.model import Assignment, Job, JobState, Queue, Step, Task
 from rhubarbmount.batch.objective import LatestStart, latest_start
 from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -15,7 +15,8 @@
 
 __all__ = ["Placer", "Shortage", "Urgency", "placement_filters", "urgency_of"]
 
-# Estimates are rough; a job slightly past its latest start may still be on time.
+# Estimates are rough; a job slightly past its latest start may still be on time. It
+# must not take the place of one that is not past it, which would be late in its turn.
 ESTIMATE_TOLERANCE_S = 0.3
 EXPIRING_WINDOW_S = 0.5
 # How long a task that has to run alone waits for a server without other tasks.
@@ -67,14 +68,21 @@
     # Late, and about to expire.
     EXPIRING = 1
     ON_TIME = 2
-    LATE = 3
-    EXPIRED = 4
+    # On time only if it takes no longer, or less, than expected.
+    DOUBTFUL = 3
+    LATE = 4
+    EXPIRED = 5
 
 
-def urgency_of(latest_start_times: LatestStart, now_s: float) -> Urgency:
+def urgency_of(
+    latest_start_times: LatestStart, now_s: float, has_begun: bool = False
+) -> Urgency:
     """Return the urgency of the rest of a job, given its latest start times."""
-    if now_s <= latest_start_times.on_time_s + ESTIMATE_TOLERANCE_S:
+    reserve_s = 0.0 if has_begun else latest_start_times.reserve_s
+    if now_s <= latest_start_times.on_time_s - reserve_s:
         return Urgency.ON_TIME
+    if now_s <= latest_start_times.on_time_s + ESTIMATE_TOLERANCE_S:
+        return Urgency.DOUBTFUL
     if now_s > latest_start_times.useful_s + ESTIMATE_TOLERANCE_S:
         return Urgency.EXPIRED
     if now_s >= latest_start_times.useful_s - EXPIRING_WINDOW_S:
@@ -260,7 +268,8 @@
         if job.spec.steps[step_key[2]].is_long_running:
             return False, priority, Urgency.ON_TIME, 0.0, step_key
         latest_start_times = self._latest_start(step_key, job, queue)
-        urgency = urgency_of(latest_start_times, self.shard.wall_clock_s)
+        has_begun = job.state is JobState.ACTIVE
+        urgency = urgency_of(latest_start_times, self.shard.wall_clock_s, has_begun)
         return True, priority, urgency, latest_start_times.on_time_s, step_key
 
     def _is_late(self, step_key: StepKey) -> bool:
@@ -275,7 +284,16 @@
         known = self._latest_start_by_step.get(step_key)
         if known is None or known[0] is not queue:
             run_times_s = self.shard.expected_run_times_s(job.spec)
-            known = queue, latest_start(job.spec, queue, step_key[2], run_times_s)
+            known = (
+                queue,
+                latest_start(
+                    job.spec,
+                    queue,
+                    step_key[2],
+                    run_times_s,
+                    self.shard.dispatch_delay.expected_s,
+                ),
+            )
             self._latest_start_by_step[step_key] = known
         return known[1]
 
--- a/rhubarbmount/batch/shard.py
+++ b/rhubarbmount/batch/shard.py
@@ -133,9 +133,18 @@
         self._remove_waiting(task)
         task.state = TaskState.DONE
         self._count_done(job, task)
+        if not job.undone_by_step[task.id.occurrence, task.id.step]:
+            self._observe_step(self.siblings_of(task), now_s)
         if self.step_of(task.id).is_gang:
             self._complete_gang(job, task, now_s)
 
+    def _observe_step(self, tasks: list[Task], now_s: float) -> None:
+        """Learn from a completed step how much longer steps take than their runs."""
+        if all(task.run == 1 and task.took_s and _is_own_start(task) for task in tasks):
+            held_s = now_s - min(task.assigned_s for task in tasks)
+            ran_s = max(task.took_s for task in tasks)
+            self.dispatch_delay.observe(held_s, ran_s)
+
     def _tasks_on_same_server(self, task: Task) -> dict[TaskId, Task]:
         usage = self.usage_by_server_id.get(task.server_id)
         return {} if usage is None else usage.task_by_id
--- a/rhubarbmount/batch/shard_jobs.py
+++ b/rhubarbmount/batch/shard_jobs.py
@@ -12,6 +12,7 @@
 
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.demand import DemandMeter
+from rhubarbmount.batch.dispatch_delay import DispatchDelay
 from rhubarbmount.batch.loss_tracker import LossTracker
 from rhubarbmount.batch.model import (
     Host,
@@ -69,6 +70,7 @@
     dirty: set[str] = attrs.field(factory=set)
     stops: list[Stop] = attrs.field(factory=list)
     run_times: RunTimes = attrs.field(factory=RunTimes)
+    dispatch_delay: DispatchDelay = attrs.field(factory=DispatchDelay)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
     # Until when the capacities that were read last may be relied on.
     capacities_hold_until_s: float = math.inf
--- a/tests/batch/test_urgency.py
+++ b/tests/batch/test_urgency.py
@@ -4,8 +4,14 @@
 import pytest
 
 from rhubarbmount.batch.model import Job, QueueName
-from rhubarbmount.batch.objective import EXPIRY_FACTOR, LatestStart
-from rhubarbmount.batch.placing import EXPIRING_WINDOW_S, Placer, Urgency, urgency_of
+from rhubarbmount.batch.objective import EXPIRY_FACTOR, LatestStart, latest_start
+from rhubarbmount.batch.placing import (
+    ESTIMATE_TOLERANCE_S,
+    EXPIRING_WINDOW_S,
+    Placer,
+    Urgency,
+    urgency_of,
+)
 from rhubarbmount.batch.shard import Shard
 from tests.batch.test_shard import CATALOGUE, QUEUE, add, spec, step
 
@@ -27,6 +33,32 @@
     assert urgency_of(LATEST, now_s) is urgency
 
 
+# Guards against a queue of which nearly all is late by little, as each job that is past
+# its latest start takes the place of one that is not.
+@pytest.mark.parametrize(
+    ("now_s", "has_begun", "urgency"),
+    [
+        (9.4, False, Urgency.ON_TIME),
+        (9.6, False, Urgency.DOUBTFUL),
+        (9.6, True, Urgency.ON_TIME),
+        (10.1, True, Urgency.DOUBTFUL),
+        (10.1 + ESTIMATE_TOLERANCE_S, True, Urgency.LATE),
+    ],
+)
+def test_a_job_is_begun_with_time_to_spare(now_s, has_begun, urgency):
+    latest = attrs.evolve(LATEST, reserve_s=0.5)
+    assert urgency_of(latest, now_s, has_begun) is urgency
+
+
+def test_what_a_step_takes_beyond_its_run_comes_off_its_latest_start():
+    steps = step(estimate_s=1.0), step(estimate_s=1.0, after=(0,))
+    late, early = (
+        latest_start(spec(*steps), QUEUE, 0, [1.0, 1.0], delay_s)
+        for delay_s in (0.0, 0.1)
+    )
+    assert early.on_time_s == pytest.approx(late.on_time_s - 0.2)
+
+
 def make_shard(*accepted_s, now_s):
     """Return a shard with capacity for one task and a job accepted at each time."""
     shard = Shard(CATALOGUE, wall_clock_s=now_s)
