Let hosts on their way to a pool drain none of its queue

What callers saw: the first seconds of a turn late, as hosts came late (docs/incidents/short-turn.md).

Second: until the list of hosts was read again, a host that had arrived counted both as a server and as on its way.

Change: only servers that are there drain a queue; a host counts once, by its server, as soon as that takes tasks. pool-kept lines tell what the other pools keep while one is short.

Both tests in test_capacity failed before.

--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -201,8 +201,9 @@
                 pool.long_running_millicores += usage.long_running_cpu_millicores
                 pool.used_millicores += usage.used_cpu_millicores
         cpu_by_host = {host.id: host.cpu_millicores for host in hosts}
+        arrived = self._arrived_hosts(now_s, usages_by_server_name)
         for host_id, command in self._command_by_host.items():
-            if command.pool in capacities:
+            if command.pool in capacities and host_id not in arrived:
                 cpu = cpu_by_host.get(host_id, 0)
                 capacities[command.pool].available_millicores += cpu
                 capacities[command.pool].arriving_millicores += cpu
@@ -218,6 +219,20 @@
             pool.missing_servers += shortage.servers
         return capacities
 
+    def _arrived_hosts(
+        self,
+        now_s: float,
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
+    ) -> set[str]:
+        """Return the hosts whose servers take tasks, while the list is behind."""
+        arrived = set()
+        for usage in chain.from_iterable(usages_by_server_name.values()):
+            command = self._command_by_host.get(usage.server.host_id)
+            is_in_pool = command is not None and command.pool == usage.server.service
+            if is_in_pool and usage.is_open(now_s):
+                arrived.add(usage.server.host_id)
+        return arrived
+
     def _move_emptied(
         self, free_hosts: list[Host], capacities: Mapping[str, PoolCapacity]
     ) -> list[Move]:
@@ -325,10 +340,12 @@
     """Return the capacity a pool needs to keep up and to drain its queue soon.
 
     A queue that the pool can drain before another host would arrive adds nothing, and
-    no queue needs more than all of its tasks can use at once.
+    no queue needs more than all of its tasks can use at once. Hosts on their way drain
+    nothing before they arrive.
     """
     available_cores = (pool.available_millicores - pool.long_running_millicores) / 1000
-    drained_core_s = max(0.0, available_cores - ready_cores) * MOVE_LEAD_S
+    present_cores = available_cores - pool.arriving_millicores / 1000
+    drained_core_s = max(0.0, present_cores - ready_cores) * MOVE_LEAD_S
     remaining_core_s = max(0.0, shortage.work_core_s - drained_core_s)
     cores = ready_cores + growth_cores
     if remaining_core_s > 0:
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -287,13 +287,25 @@
             usage.is_emptying = usage.server.name in names
 
     def _log_shortages(self) -> None:
-        """Log at most once a second which pools lack capacity for waiting tasks."""
+        """Log at most once a second which pools lack capacity for waiting tasks.
+
+        The other pools are logged beside them, as they may hold hosts that are missing.
+        """
         now_s = monotonic_s()
-        if now_s < self._shortages_logged_at_s + SHORTAGE_LOG_PERIOD_S:
+        shortage_by_pool = self.placer.shortage_by_pool
+        if (
+            not shortage_by_pool
+            or now_s < self._shortages_logged_at_s + SHORTAGE_LOG_PERIOD_S
+        ):
             return
-        for pool, shortage in self.placer.shortage_by_pool.items():
-            self._shortages_logged_at_s = now_s
-            capacity = self.capacity.capacity_by_pool.get(pool, PoolCapacity())
+        self._shortages_logged_at_s = now_s
+        capacity_by_pool = self.capacity.capacity_by_pool
+        for pool in sorted({*shortage_by_pool, *capacity_by_pool}):
+            capacity = capacity_by_pool.get(pool, PoolCapacity())
+            shortage = shortage_by_pool.get(pool)
+            if shortage is None:
+                log.event(logger, "pool-kept", pool=pool, **_capacity_fields(capacity))
+                continue
             log.event(
                 logger,
                 "pool-short",
@@ -302,11 +314,7 @@
                 cpu=shortage.cpu_millicores,
                 work_core_s=shortage.work_core_s,
                 ready_cores=self.shard.demand.ready_cores(pool, now_s),
-                needed=capacity.needed_millicores,
-                had=capacity.available_millicores,
-                used=capacity.used_millicores,
-                long_running=capacity.long_running_millicores,
-                arriving=capacity.arriving_millicores,
+                **_capacity_fields(capacity),
                 free_hosts=self.capacity.free_hosts_left,
                 list_age_s=now_s - self._listed_at_s,
             )
@@ -407,3 +415,15 @@
             tasks=tasks,
             host=host_id,
         )
+
+
+def _capacity_fields(capacity: PoolCapacity) -> dict[str, int]:
+    """Return what a pool needs and has as fields of a log line, in millicores."""
+    return {
+        "needed": capacity.needed_millicores,
+        "had": capacity.available_millicores,
+        "used": capacity.used_millicores,
+        "long_running": capacity.long_running_millicores,
+        "arriving": capacity.arriving_millicores,
+        "free_servers": capacity.free_servers,
+    }
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -2,6 +2,7 @@
 
 import math
 
+import attrs
 import pytest
 
 from rhubarbmount.batch.capacity import (
@@ -91,6 +92,30 @@
     assert plan(planner, 0.2, hosts, shortage=shortage) == []
 
 
+# Guards against a turn served late (docs/incidents/short-turn.md): hosts on their way
+# were taken to work on the queue meanwhile, so that too few followed them.
+def test_hosts_in_transit_do_not_drain_a_queue_before_they_arrive(planner):
+    hosts = [host(f"m{n}", "rest") for n in range(6)]
+    for number in range(2):
+        planner.note_command(Move(f"m{number}", "one", "shortage"), 0.0)
+    shortage = {"one": Shortage(40000, 0, 40, 24.0)}
+    moves = plan(planner, 0.1, hosts, shortage=shortage)
+    assert [move.pool for move in moves] == ["one"] * 3
+
+
+# Guards against a turn served late: while the list of hosts was behind, a host that had
+# arrived counted twice, as a server and as on its way.
+def test_a_host_that_has_arrived_counts_once(planner):
+    hosts = [host(f"m{n}", "rest") for n in range(3)]
+    planner.note_command(Move("m0", "one", "shortage"), 0.0)
+    arrived = usage("s0", "one")
+    arrived.server = attrs.evolve(arrived.server, host_id="m0")
+    demand = DemandMeter()
+    demand.note_step("one", Step(16, 1000, 0, estimate_s=9.0), 9.0, 0.0)
+    moves = plan(planner, 1.6, hosts, [arrived], demand=demand)
+    assert [move.pool for move in moves] == ["one"]
+
+
 def test_host_back_in_standby_can_be_moved_again_at_once(planner):
     """Demand shifts between pools: a host just put in standby is needed elsewhere."""
     planner.note_command(Move("m0", "rest", "idle"), 0.0)
