Log what every pool has while one is short in a line of its own

The test that compares log lines with docs/OPERATIONS.md found pool-short and pool-kept of wrong, as it can't read fields that are passed on as a mapping; now pool-capacity.

--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -7,7 +7,7 @@
 import trio
 
 from rhubarbmount import log
-from rhubarbmount.batch.capacity import CapacityPlanner, Move, PoolCapacity
+from rhubarbmount.batch.capacity import CapacityPlanner, Move
 from rhubarbmount.batch.catalogue import Catalogue
 from rhubarbmount.batch.clocks import monotonic_s
 from rhubarbmount.batch.election import ShardLease
@@ -289,23 +289,13 @@
     def _log_shortages(self) -> None:
         """Log at most once a second which pools lack capacity for waiting tasks.
 
-        The other pools are logged beside them, as they may hold hosts that are missing.
+        What every pool has is logged beside it, as others may hold the hosts that lack.
         """
         now_s = monotonic_s()
-        shortage_by_pool = self.placer.shortage_by_pool
-        if (
-            not shortage_by_pool
-            or now_s < self._shortages_logged_at_s + SHORTAGE_LOG_PERIOD_S
-        ):
+        if now_s < self._shortages_logged_at_s + SHORTAGE_LOG_PERIOD_S:
             return
-        self._shortages_logged_at_s = now_s
-        capacity_by_pool = self.capacity.capacity_by_pool
-        for pool in sorted({*shortage_by_pool, *capacity_by_pool}):
-            capacity = capacity_by_pool.get(pool, PoolCapacity())
-            shortage = shortage_by_pool.get(pool)
-            if shortage is None:
-                log.event(logger, "pool-kept", pool=pool, **_capacity_fields(capacity))
-                continue
+        for pool, shortage in self.placer.shortage_by_pool.items():
+            self._shortages_logged_at_s = now_s
             log.event(
                 logger,
                 "pool-short",
@@ -314,10 +304,25 @@
                 cpu=shortage.cpu_millicores,
                 work_core_s=shortage.work_core_s,
                 ready_cores=self.shard.demand.ready_cores(pool, now_s),
-                **_capacity_fields(capacity),
                 free_hosts=self.capacity.free_hosts_left,
                 list_age_s=now_s - self._listed_at_s,
             )
+        if self.placer.shortage_by_pool:
+            self._log_capacities()
+
+    def _log_capacities(self) -> None:
+        for pool, capacity in self.capacity.capacity_by_pool.items():
+            log.event(
+                logger,
+                "pool-capacity",
+                pool=pool,
+                needed=capacity.needed_millicores,
+                had=capacity.available_millicores,
+                used=capacity.used_millicores,
+                long_running=capacity.long_running_millicores,
+                arriving=capacity.arriving_millicores,
+                free_servers=capacity.free_servers,
+            )
 
     def _shortages(self) -> dict[str, Shortage]:
         """Return what pools lack, including a server for tasks evicted by a wave."""
@@ -415,15 +420,3 @@
             tasks=tasks,
             host=host_id,
         )
-
-
-def _capacity_fields(capacity: PoolCapacity) -> dict[str, int]:
-    """Return what a pool needs and has as fields of a log line, in millicores."""
-    return {
-        "needed": capacity.needed_millicores,
-        "had": capacity.available_millicores,
-        "used": capacity.used_millicores,
-        "long_running": capacity.long_running_millicores,
-        "arriving": capacity.arriving_millicores,
-        "free_servers": capacity.free_servers,
-    }
