--- a/tests/batch/test_turns.py
+++ b/tests/batch/test_turns.py
@@ -26,7 +26,10 @@
 
 NAME = QueueName("h", "/q/")
 QUEUE = Queue(NAME, "one", 0, 3, 1.6, 0.6)
-CATALOGUE = Catalogue(1, {NAME: QUEUE}, {"one": Pool("one", False)})
+# Another queue of the pool, whose jobs have little time to spare.
+TIGHT = Queue(QueueName("h", "/tight/"), "one", 0, 3, 1.2, 0.1)
+QUEUE_BY_NAME = {NAME: QUEUE, TIGHT.name: TIGHT}
+CATALOGUE = Catalogue(1, QUEUE_BY_NAME, {"one": Pool("one", False)})
 CORES = 16
 TURN_S = 8.0
 PASS_S = 0.03
@@ -120,7 +123,8 @@
 
 def objective_s(spec):
     chain_s = sum(step.estimate_s for step in spec.steps)
-    return QUEUE.slack_factor * chain_s + QUEUE.latency_objective_s
+    queue = QUEUE_BY_NAME[spec.queue]
+    return queue.slack_factor * chain_s + queue.latency_objective_s
 
 
 def share_in_time(specs, took_by_job, factor=1.0):
@@ -161,3 +165,18 @@
     specs = draw_jobs(seed, servers * CORES * TURN_S)
     turn = play(specs, servers)
     assert share_in_time(specs, turn.took_by_job, 3.0) >= 0.99
+
+
+# Guards against a queue that is pushed out by one whose jobs have more time to spare.
+@pytest.mark.parametrize("seed", range(3))
+def test_a_queue_with_little_time_to_spare_is_not_pushed_out(seed):
+    servers, rng = 20, random.Random(seed)
+    specs = [
+        attrs.evolve(spec, queue=TIGHT.name if rng.random() < 0.2 else NAME)
+        for spec in draw_jobs(seed, 1.2 * servers * CORES * TURN_S)
+    ]
+    took_by_job = play(specs, servers).took_by_job
+    tight = [spec for spec in specs if spec.queue == TIGHT.name]
+    others = [spec for spec in specs if spec.queue == NAME]
+    least_share = share_in_time(others, took_by_job) / 2
+    assert share_in_time(tight, took_by_job) >= least_share
