--- a/rhubarbmount/batch/capacity.py
+++ b/rhubarbmount/batch/capacity.py
@@ -48,6 +48,8 @@
     available_millicores: int = 0
     long_running_millicores: int = 0
     used_millicores: int = 0
+    # What hosts on their way to the pool add to its available capacity.
+    arriving_millicores: int = 0
     missing_servers: int = 0
     # Servers without tasks, and how many of them the pool must keep.
     free_servers: int = 0
@@ -78,6 +80,9 @@
     """Moves idle hosts to pools short of capacity, and the others to standby."""
 
     starved: StarvedPools = attrs.field(factory=StarvedPools)
+    # As of the last plan: capacity with the hosts that it moves, and hosts left free.
+    capacity_by_pool: dict[str, PoolCapacity] = attrs.field(factory=dict)
+    free_hosts_left: int = 0
     _command_by_host: dict[str, _MoveCommand] = attrs.field(factory=dict)
 
     def plan(
@@ -144,6 +149,8 @@
                 useless_host_ids,
             )
         )
+        self.capacity_by_pool = capacities
+        self.free_hosts_left = len(free_hosts) - len(moves)
         return moves
 
     def note_command(self, move: Move, now_s: float) -> None:
@@ -207,10 +214,12 @@
                 pool.long_running_millicores += usage.long_running_cpu_millicores
                 pool.used_millicores += usage.used_cpu_millicores
         cpu_by_host = {host.id: host.cpu_millicores for host in hosts}
+        arrived = self._arrived_hosts(now_s, usages_by_server_name)
         for host_id, command in self._command_by_host.items():
-            if command.pool in capacities:
+            if command.pool in capacities and host_id not in arrived:
                 cpu = cpu_by_host.get(host_id, 0)
                 capacities[command.pool].available_millicores += cpu
+                capacities[command.pool].arriving_millicores += cpu
                 capacities[command.pool].missing_servers -= 1
         for name, pool in capacities.items():
             shortage = shortage_by_pool.get(name, Shortage())
@@ -223,6 +232,20 @@
             pool.missing_servers += shortage.servers
         return capacities
 
+    def _arrived_hosts(
+        self,
+        now_s: float,
+        usages_by_server_name: Mapping[str, Sequence[ServerUsage]],
+    ) -> set[str]:
+        """Return the hosts whose servers take tasks, while the list is behind."""
+        arrived = set()
+        for usage in chain.from_iterable(usages_by_server_name.values()):
+            command = self._command_by_host.get(usage.server.host_id)
+            is_in_pool = command is not None and command.pool == usage.server.service
+            if is_in_pool and usage.is_open(now_s):
+                arrived.add(usage.server.host_id)
+        return arrived
+
     def _move_emptied(
         self, free_hosts: list[Host], capacities: Mapping[str, PoolCapacity]
     ) -> list[Move]:
@@ -348,10 +371,12 @@
     """Return the capacity a pool needs to keep up and to drain its queue soon.
 
     A queue that the pool can drain before another host would arrive adds nothing, and
-    no queue needs more than all of its tasks can use at once.
+    no queue needs more than all of its tasks can use at once. Hosts on their way drain
+    nothing before they arrive.
     """
     available_cores = (pool.available_millicores - pool.long_running_millicores) / 1000
-    drained_core_s = max(0.0, available_cores - ready_cores) * MOVE_LEAD_S
+    present_cores = available_cores - pool.arriving_millicores / 1000
+    drained_core_s = max(0.0, present_cores - ready_cores) * MOVE_LEAD_S
     remaining_core_s = max(0.0, shortage.work_core_s - drained_core_s)
     cores = ready_cores + growth_cores
     if remaining_core_s > 0:
--- a/rhubarbmount/batch/fleet_controller.py
+++ b/rhubarbmount/batch/fleet_controller.py
@@ -287,7 +287,10 @@
             usage.is_emptying = usage.server.name in names
 
     def _log_shortages(self) -> None:
-        """Log at most once a second which pools lack capacity for waiting tasks."""
+        """Log at most once a second which pools lack capacity for waiting tasks.
+
+        What every pool has is logged beside it, as others may hold the hosts that lack.
+        """
         now_s = monotonic_s()
         if now_s < self._shortages_logged_at_s + SHORTAGE_LOG_PERIOD_S:
             return
@@ -301,8 +304,25 @@
                 cpu=shortage.cpu_millicores,
                 work_core_s=shortage.work_core_s,
                 ready_cores=self.shard.demand.ready_cores(pool, now_s),
+                free_hosts=self.capacity.free_hosts_left,
                 list_age_s=now_s - self._listed_at_s,
             )
+        if self.placer.shortage_by_pool:
+            self._log_capacities()
+
+    def _log_capacities(self) -> None:
+        for pool, capacity in self.capacity.capacity_by_pool.items():
+            log.event(
+                logger,
+                "pool-capacity",
+                pool=pool,
+                needed=capacity.needed_millicores,
+                had=capacity.available_millicores,
+                used=capacity.used_millicores,
+                long_running=capacity.long_running_millicores,
+                arriving=capacity.arriving_millicores,
+                free_servers=capacity.free_servers,
+            )
 
     def _shortages(self) -> dict[str, Shortage]:
         """Return what pools lack, including a server for tasks evicted by a wave."""
--- a/rhubarbmount/batch/placing.py
+++ b/rhubarbmount/batch/placing.py
@@ -6,7 +6,7 @@
 import attrs
 
 from rhubarbmount.batch.end_trials import TrialStep, order_for_trials
-from rhubarbmount.batch.model import Assignment, Job, Queue, Step, Task
+from rhubarbmount.batch.model import Assignment, Job, JobState, Queue, Step, Task
 from rhubarbmount.batch.objective import LatestStart, latest_start
 from rhubarbmount.batch.open_servers import OpenServers, group_by_pool
 from rhubarbmount.batch.server_usage import ServerUsage
@@ -16,7 +16,8 @@
 
 __all__ = ["Placer", "Shortage", "Urgency", "placement_filters", "urgency_of"]
 
-# Estimates are rough; a job slightly past its latest start may still be on time.
+# Estimates are rough; a job slightly past its latest start may still be on time. It
+# must not take the place of one that is not past it, which would be late in its turn.
 ESTIMATE_TOLERANCE_S = 0.3
 EXPIRING_WINDOW_S = 0.5
 # How long a task that has to run alone waits for a server without other tasks.
@@ -68,14 +69,21 @@
     # Late, and about to expire.
     EXPIRING = 1
     ON_TIME = 2
-    LATE = 3
-    EXPIRED = 4
+    # On time only if it takes no longer, or less, than expected.
+    DOUBTFUL = 3
+    LATE = 4
+    EXPIRED = 5
 
 
-def urgency_of(latest_start_times: LatestStart, now_s: float) -> Urgency:
+def urgency_of(
+    latest_start_times: LatestStart, now_s: float, has_begun: bool = False
+) -> Urgency:
     """Return the urgency of the rest of a job, given its latest start times."""
-    if now_s <= latest_start_times.on_time_s + ESTIMATE_TOLERANCE_S:
+    reserve_s = 0.0 if has_begun else latest_start_times.reserve_s
+    if now_s <= latest_start_times.on_time_s - reserve_s:
         return Urgency.ON_TIME
+    if now_s <= latest_start_times.on_time_s + ESTIMATE_TOLERANCE_S:
+        return Urgency.DOUBTFUL
     if now_s > latest_start_times.useful_s + ESTIMATE_TOLERANCE_S:
         return Urgency.EXPIRED
     if now_s >= latest_start_times.useful_s - EXPIRING_WINDOW_S:
@@ -115,6 +123,8 @@
     shard: Shard
     tickets: Mapping[StepKey, Mapping[str, str]] = attrs.field(factory=dict)
     shortage_by_pool: dict[str, Shortage] = attrs.field(factory=dict)
+    # Tasks that the last pass assigned after the latest start of their step.
+    late_starts: int = 0
     _filters: list[PlacementFilter] = attrs.field(init=False)
     _latest_start_by_step: dict[StepKey, tuple[Queue | None, LatestStart]] = (
         attrs.field(factory=dict)
@@ -126,6 +136,7 @@
     def place(self, now_s: float) -> list[Assignment]:
         """Assign the tasks that fit and record what each pool lacks."""
         self.shortage_by_pool = {}
+        self.late_starts = 0
         servers_by_pool = group_by_pool(
             usage
             for usage in self.shard.usage_by_server_id.values()
@@ -146,7 +157,10 @@
                 servers = servers_by_pool[pool] = OpenServers()
             if pool in held_by_pool and not job.spec.steps[step_key[2]].is_long_running:
                 servers.usages.remove(held_by_pool.pop(pool))
-            assignments.extend(self._place_step(job, step_key, servers, now_s))
+            placed = self._place_step(job, step_key, servers, now_s)
+            assignments.extend(placed)
+            if placed and self._is_late(step_key):
+                self.late_starts += len(placed)
             if step_key not in self.shard.waiting_by_step:
                 continue
             self._note_shortage(pool, job, step_key)
@@ -358,9 +372,15 @@
         if job.spec.steps[step_key[2]].is_long_running:
             return False, priority, Urgency.ON_TIME, 0.0, step_key
         latest_start_times = self._latest_start(step_key, job, queue)
-        urgency = urgency_of(latest_start_times, self.shard.wall_clock_s)
+        has_begun = job.state is JobState.ACTIVE
+        urgency = urgency_of(latest_start_times, self.shard.wall_clock_s, has_begun)
         return True, priority, urgency, latest_start_times.on_time_s, step_key
 
+    def _is_late(self, step_key: StepKey) -> bool:
+        """Return whether the latest start of a step that was sorted has passed."""
+        known = self._latest_start_by_step.get(step_key)
+        return known is not None and self.shard.wall_clock_s > known[1].on_time_s
+
     def _latest_start(
         self, step_key: StepKey, job: Job, queue: Queue | None
     ) -> LatestStart:
@@ -368,7 +388,16 @@
         known = self._latest_start_by_step.get(step_key)
         if known is None or known[0] is not queue:
             run_times_s = self.shard.expected_run_times_s(job.spec)
-            known = queue, latest_start(job.spec, queue, step_key[2], run_times_s)
+            known = (
+                queue,
+                latest_start(
+                    job.spec,
+                    queue,
+                    step_key[2],
+                    run_times_s,
+                    self.shard.dispatch_delay.expected_s,
+                ),
+            )
             self._latest_start_by_step[step_key] = known
         return known[1]
 
